--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Entry points: install, demo, test, codestyle, types, clean.
+
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+ARGS ?=
+
+.PHONY: install demo test codestyle types format clean
+
+install: $(STAMP)
+
+$(STAMP): pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt --editable '.[dev]'
+	touch $(STAMP)
+
+demo: install
+	@$(BIN)/python -m tamarackmount.demo $(ARGS)
+
+test: install
+	$(BIN)/python -m pytest $(ARGS)
+
+codestyle: install
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+
+types: install
+	$(BIN)/mypy
+
+format: install
+	$(BIN)/ruff check --fix-only --quiet .
+	$(BIN)/ruff format .
+
+clean:
+	rm -rf $(VENV) .mypy_cache .ruff_cache build *.egg-info
--- /dev/null
+++ b/tamarackmount/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's interfaces and of the upstreams."""
--- /dev/null
+++ b/tamarackmount/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The ``tamarackmount`` command."""
--- /dev/null
+++ b/tamarackmount/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The ``tamarackmountd`` process: tasks that own sockets and feed the kernel."""
--- /dev/null
+++ b/tamarackmount/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Development harness: starts every process on loopback and drives load."""
--- /dev/null
+++ b/tamarackmount/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Details that callers of the library do not need."""
--- /dev/null
+++ b/tamarackmount/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without I/O: typed messages and the time in, typed effects out."""
--- /dev/null
+++ b/tamarackmount/plugins/__init__.py
@@ -0,0 +1,1 @@
+"""Policies that register themselves and are chosen by name in the settings."""
--- /dev/null
+++ b/tamarackmount/resources.py
@@ -0,0 +1,44 @@
+"""Amounts of worker capacity."""
+
+from dataclasses import dataclass
+from typing import Self
+
+
+@dataclass(frozen=True, slots=True)
+class Resources:
+    """An amount of processors, memory and accelerators.
+
+    Units: thousandths of a core, mebibytes and whole accelerators.
+    """
+
+    millicores: int = 0
+    memory_mib: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: Self) -> "Resources":
+        """Return the sum of both amounts."""
+        return Resources(
+            self.millicores + other.millicores,
+            self.memory_mib + other.memory_mib,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: Self) -> "Resources":
+        """Return this amount less the other; parts may become negative."""
+        return Resources(
+            self.millicores - other.millicores,
+            self.memory_mib - other.memory_mib,
+            self.accelerators - other.accelerators,
+        )
+
+    def fits_in(self, free: Self) -> bool:
+        """Tell whether no part of this amount exceeds that of ``free``."""
+        return (
+            self.millicores <= free.millicores
+            and self.memory_mib <= free.memory_mib
+            and self.accelerators <= free.accelerators
+        )
+
+
+NOTHING = Resources()
+"""The empty amount."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of tamarackmount."""
--- /dev/null
+++ b/tests/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers for the tests."""
