--- /dev/null
+++ b/tamarackmount/documents.py
@@ -0,0 +1,69 @@
+"""Configuration documents of the live fleet: one TOML text under each path.
+
+Paths are ``teams/<team>`` and ``queues/<queue>``. A document is replaced whole,
+by compare-and-set on its version, so one team's rules change without touching
+another's.
+"""
+
+from enum import Enum
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from tamarackmount.ids import KeyHash
+
+NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
+"""What names of teams, queues and keys look like."""
+
+
+class _Document(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
+
+
+class Ceiling(_Document):
+    """Upper limits of one team over the whole fleet; ``None`` sets no limit."""
+
+    running_requests: int | None = Field(default=None, ge=0, le=1_000_000)
+    running_tasks: int | None = Field(default=None, ge=0, le=1_000_000)
+    cores: int | None = Field(default=None, ge=0, le=1_000_000)
+    memory_gib: int | None = Field(default=None, ge=0, le=100_000_000)
+    accelerators: int | None = Field(default=None, ge=0, le=1_000_000)
+
+
+class Key(_Document):
+    """A key of a team, known by its hash only."""
+
+    sha256: KeyHash = Field(pattern=r"^[0-9a-f]{64}$")
+    revoked: bool = False
+
+
+class WhenCutOff(Enum):
+    """What a member does for a team while no log and no peer can be reached."""
+
+    SERVE = "serve"
+    REFUSE = "refuse"
+
+
+class TeamDocument(_Document):
+    """One team: its share of a full cell, its ceiling and its keys.
+
+    ``share`` is a weight without unit, relative to the other teams' shares.
+    """
+
+    share: float = Field(gt=0, le=1_000_000)
+    ceiling: Ceiling = Ceiling()
+    keys: dict[str, Key] = {}
+    when_cut_off: WhenCutOff = Field(default=WhenCutOff.SERVE, strict=False)
+
+
+class QueueDocument(_Document):
+    """One queue: the upstream service behind it and how its line is served.
+
+    ``open_to_all`` accepts requests without a key. ``policy`` names a registered
+    queue policy.
+    """
+
+    service: str = Field(pattern=NAME_PATTERN)
+    policy: str = Field(default="waiting-time", pattern=NAME_PATTERN)
+    open_to_all: bool = False
+    max_waiting: int = Field(default=1_000, ge=0, le=1_000_000)
+    timeout_ms: int = Field(default=10_000, ge=1, le=600_000)
--- /dev/null
+++ b/tamarackmount/settings.py
@@ -0,0 +1,79 @@
+"""Settings of one ``tamarackmountd`` process, read from a TOML file."""
+
+from pathlib import Path
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from tamarackmount.documents import NAME_PATTERN
+from tamarackmount.ids import DataCentreId, KeyHash, MemberId
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
+
+
+class MemberSection(_Section):
+    """Who this member is."""
+
+    id: MemberId = Field(pattern=NAME_PATTERN)
+    data_centre: DataCentreId = Field(pattern=NAME_PATTERN)
+
+
+class ListenSection(_Section):
+    """Addresses that this member listens on; ``host`` is an IP number."""
+
+    host: str
+    http_port: int = Field(ge=1, le=65_535)
+    peer_port: int = Field(ge=1, le=65_535)
+
+
+class PlatformSection(_Section):
+    """Where the platform's services are."""
+
+    log_url: str = Field(pattern=r"^http://")
+    vms_url: str = Field(pattern=r"^http://")
+    log_poll_ms: int = Field(default=500, ge=50, le=10_000)
+    vms_poll_ms: int = Field(default=1_000, ge=50, le=10_000)
+
+
+class PeerSection(_Section):
+    """Another member of the fleet."""
+
+    id: MemberId = Field(pattern=NAME_PATTERN)
+    data_centre: DataCentreId = Field(pattern=NAME_PATTERN)
+    host: str
+    peer_port: int = Field(ge=1, le=65_535)
+
+
+class OperatorSection(_Section):
+    """The operators' keys, known by their hashes only."""
+
+    key_sha256: list[KeyHash] = Field(min_length=1)
+
+
+class TimingSection(_Section):
+    """Periods and terms, in milliseconds."""
+
+    heartbeat_ms: int = Field(default=250, ge=20, le=10_000)
+    owner_lease_ms: int = Field(default=1_500, ge=100, le=60_000)
+    clock_margin_ms: int = Field(default=100, ge=0, le=10_000)
+    worker_sync_ms: int = Field(default=500, ge=50, le=60_000)
+    task_lease_ms: int = Field(default=4_000, ge=200, le=600_000)
+    attempt_memory_ms: int = Field(default=3_600_000, ge=1_000, le=86_400_000)
+    drain_ms: int = Field(default=20_000, ge=0, le=600_000)
+
+
+class Settings(_Section):
+    """Everything that one daemon is told."""
+
+    member: MemberSection
+    listen: ListenSection
+    platform: PlatformSection
+    operators: OperatorSection
+    peers: list[PeerSection] = []
+    timing: TimingSection = TimingSection()
+
+
+def read_text(path: Path) -> str:
+    """Return the text of a settings file; raises ``OSError`` if it can't be read."""
+    return path.read_text(encoding="utf-8")
