--- a/tamarackmount/documents.py
+++ b/tamarackmount/documents.py
@@ -67,3 +67,7 @@
     open_to_all: bool = False
     max_waiting: int = Field(default=1_000, ge=0, le=1_000_000)
     timeout_ms: int = Field(default=10_000, ge=1, le=600_000)
+
+
+Document = TeamDocument | QueueDocument
+"""Any configuration document."""
--- a/tamarackmount/settings.py
+++ b/tamarackmount/settings.py
@@ -1,12 +1,16 @@
 """Settings of one ``tamarackmountd`` process, read from a TOML file."""
 
 from pathlib import Path
+from typing import Annotated
 
 from pydantic import BaseModel, ConfigDict, Field
 
 from tamarackmount.documents import NAME_PATTERN
 from tamarackmount.ids import DataCentreId, KeyHash, MemberId
 
+HashText = Annotated[KeyHash, Field(pattern=r"^[0-9a-f]{64}$")]
+"""A key's hash, checked."""
+
 
 class _Section(BaseModel):
     model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
@@ -48,7 +52,7 @@
 class OperatorSection(_Section):
     """The operators' keys, known by their hashes only."""
 
-    key_sha256: list[KeyHash] = Field(min_length=1)
+    key_sha256: list[HashText] = Field(min_length=1)
 
 
 class TimingSection(_Section):
