Add the client of the HTTP interface and the command's calls

Cause: operators and callers need one client that says whether a failed call may have had an effect, and a command built on it.

--- /dev/null
+++ b/tamarackmount/cli/errors.py
@@ -0,0 +1,88 @@
+"""How errors of calls are told to the user: exit statuses and what to do next."""
+
+from tamarackmount.client_views import CallError, CallOutcome
+from tamarackmount.status import ExitStatus
+
+_STATUSES_BY_ERROR = {
+    "unreachable": ExitStatus.UNREACHABLE,
+    "bad_key": ExitStatus.NOT_ALLOWED,
+    "bad_request": ExitStatus.INVALID,
+    "bad_document": ExitStatus.INVALID,
+    "too_large": ExitStatus.INVALID,
+    "conflict": ExitStatus.CONFLICT,
+    "unknown_queue": ExitStatus.NOT_FOUND,
+    "unknown_job": ExitStatus.NOT_FOUND,
+}
+
+_STATUSES_BY_HTTP_STATUS = {
+    400: ExitStatus.INVALID,
+    401: ExitStatus.NOT_ALLOWED,
+    404: ExitStatus.NOT_FOUND,
+    409: ExitStatus.CONFLICT,
+}
+
+_ADVICE_BY_ERROR = {
+    "unreachable": "Check --url or TAMARACKMOUNT_URL, or use another entry VM.",
+    "bad_key": "Put a key that is in force into TAMARACKMOUNT_KEY or --key-file.",
+    "bad_request": "Correct what the message names and send it again.",
+    "bad_document": "Correct the document; `tamarackmount config check` helps.",
+    "too_large": "Send at most 1 MiB.",
+    "unknown_queue": "See the queues with `tamarackmount config list`.",
+    "unknown_job": "See your team's jobs with `tamarackmount job list`.",
+    "ceiling": "The team is at its upper limit; wait for its running work to end.",
+    "log_down": "Nothing was changed. Try again when the log service is back.",
+}
+
+_ADVICE_ON_UNKNOWN = "Find out whether it took effect before you repeat it."
+
+
+def exit_status_of(error: CallError) -> ExitStatus:
+    """Return the exit status for an error."""
+    if error.outcome is CallOutcome.UNKNOWN:
+        return ExitStatus.UNKNOWN_OUTCOME
+    by_error = _STATUSES_BY_ERROR.get(error.error)
+    if by_error is not None:
+        return by_error
+    return _STATUSES_BY_HTTP_STATUS.get(error.status, ExitStatus.NOT_RUN)
+
+
+def advice_on(error: CallError) -> str:
+    """Return what the user can do next; empty if nothing is known to help."""
+    if error.outcome is CallOutcome.UNKNOWN:
+        return _ADVICE_ON_UNKNOWN
+    if error.version is not None:
+        return (
+            f"The document is at version {error.version} now. Read it again, then "
+            f"repeat with --if-version {error.version}."
+        )
+    advice = _ADVICE_BY_ERROR.get(error.error, "")
+    if error.retry_after_ms:
+        return f"{advice} Try again in {error.retry_after_ms} ms.".strip()
+    return advice
+
+
+def describe_error(error: CallError, advice: str) -> str:
+    """Return an error as text of one or more lines."""
+    outcome = "outcome unknown" if error.outcome is CallOutcome.UNKNOWN else "not run"
+    lines = [f"{outcome}: {error.error}: {error.message}"]
+    lines += [str(problem) for problem in error.problems]
+    if error.request_id:
+        lines.append(f"Request id: {error.request_id}")
+    if advice:
+        lines.append(advice)
+    return "\n".join(lines)
+
+
+def error_object(error: CallError, advice: str) -> dict[str, object]:
+    """Return an error as a JSON object."""
+    return {
+        "error": error.error,
+        "message": error.message,
+        "outcome": error.outcome.value,
+        "status": error.status,
+        "request_id": error.request_id,
+        "retry_after_ms": error.retry_after_ms,
+        "version": error.version,
+        "problems": [str(problem) for problem in error.problems],
+        "advice": advice,
+    }
--- /dev/null
+++ b/tamarackmount/cli/requests.py
@@ -0,0 +1,150 @@
+"""``tamarackmount request``: send one request to a queue."""
+
+import base64
+from pathlib import Path
+from typing import ClassVar
+
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+from returns.result import Failure
+
+from tamarackmount.cli.base import ApiCommand, UsageError
+from tamarackmount.client import Client, QueueRequest
+from tamarackmount.client_views import Answer
+from tamarackmount.http_calls import Header
+from tamarackmount.ids import QueueName
+from tamarackmount.status import ExitStatus
+
+FILE_MARK = "@"
+"""What a ``--data`` value starts with when it names a file; ``@-`` is stdin."""
+
+ERROR_STATUS = 400
+"""Lowest HTTP status that ``--check-status`` takes for an error."""
+
+
+class RequestCommand(ApiCommand):
+    """Send one request to an upstream of a queue and print its answer."""
+
+    name = "request"
+    description = "Send a request to a queue and print the upstream's answer."
+    arguments: ClassVar[list[Argument]] = [
+        argument("queue", "Queue to send to, such as counter."),
+    ]
+    options: ClassVar[list[Option]] = [
+        option("path", None, "Path and query that the upstream sees.", flag=False),
+        option(
+            "method",
+            None,
+            "HTTP method; GET, or POST when there is data.",
+            flag=False,
+        ),
+        option("data", None, "Body as text, @FILE, or @- for stdin.", flag=False),
+        option(
+            "header",
+            None,
+            'Header for the upstream, as "Name: value"; may be repeated.',
+            flag=False,
+            multiple=True,
+        ),
+        option(
+            "request-id",
+            None,
+            "Name of the request; repeat a request with the same one.",
+            flag=False,
+        ),
+        option("home", None, "Data centre that recognises repeats.", flag=False),
+        option("idempotent", None, "May run more than once, whatever its method."),
+        option("non-idempotent", None, "Must run at most once, whatever its method."),
+        option("timeout-ms", None, "Time for the final answer.", flag=False),
+        option(
+            "check-status", None, "Exit with 9 if the upstream's status is an error."
+        ),
+    ]
+
+    def run_command(self) -> ExitStatus:
+        """Check the arguments, then send the request."""
+        client = self.make_client(self.option("home") or "")
+        request = self._make_request(client)
+        return self.env.runner.run(lambda: self._send(client, request))
+
+    async def _send(self, client: Client, request: QueueRequest) -> ExitStatus:
+        result = await client.send_request(request)
+        if isinstance(result, Failure):
+            return self.fail(result.failure())
+        answer = result.unwrap()
+        self._show(answer)
+        if self.option("check-status") and answer.status >= ERROR_STATUS:
+            return ExitStatus.UPSTREAM_ERROR
+        return ExitStatus.OK
+
+    def _make_request(self, client: Client) -> QueueRequest:
+        body = self._read_body()
+        path = self.option("path") or ""
+        if path and not path.startswith(("/", "?")):
+            path = f"/{path}"
+        return QueueRequest(
+            queue=QueueName(self.argument("queue")),
+            method=(self.option("method") or ("POST" if body else "GET")).upper(),
+            path=path,
+            headers=tuple(_parse_header(text) for text in self.option("header")),
+            body=body,
+            request_id=self.option("request-id") or client.make_request_id(),
+            idempotent=self._idempotent(),
+            timeout_ms=self.whole_number("timeout-ms"),
+        )
+
+    def _idempotent(self) -> bool | None:
+        if self.option("idempotent") and self.option("non-idempotent"):
+            raise UsageError("--idempotent and --non-idempotent exclude each other")
+        if self.option("idempotent"):
+            return True
+        return False if self.option("non-idempotent") else None
+
+    def _read_body(self) -> bytes:
+        data = self.option("data")
+        if data is None:
+            return b""
+        if not data.startswith(FILE_MARK):
+            return bytes(data.encode())
+        name = data.removeprefix(FILE_MARK)
+        return self.env.read_bytes() if name == "-" else Path(name).read_bytes()
+
+    def _show(self, answer: Answer) -> None:
+        if self.wants_json:
+            self.print_json(_answer_object(answer))
+            return
+        self.env.print_error(
+            f"answered {answer.status} by {answer.served_by}, "
+            f"request id {answer.request_id}"
+        )
+        self.env.write_bytes(answer.body)
+        if self.env.stdout_is_terminal and not answer.body.endswith(b"\n"):
+            self.env.print("")
+
+
+def _parse_header(text: str) -> Header:
+    name, colon, value = text.partition(":")
+    if not colon or not name.strip():
+        raise UsageError(f'--header takes "Name: value", not {text!r}')
+    if not text.isascii() or not text.isprintable():
+        raise UsageError(f"--header takes printable ASCII, not {text!r}")
+    return Header(name.strip(), value.strip())
+
+
+def _answer_object(answer: Answer) -> dict[str, object]:
+    """Return an answer as a JSON object; a body that is no text is in base64."""
+    value: dict[str, object] = {
+        "outcome": "answered",
+        "status": answer.status,
+        "request_id": answer.request_id,
+        "served_by": answer.served_by,
+        "headers": [
+            {"name": header.name, "value": header.value} for header in answer.headers
+        ],
+    }
+    try:
+        value["body"] = answer.body.decode()
+    except UnicodeDecodeError:
+        value["body_base64"] = base64.b64encode(answer.body).decode()
+    return value
--- /dev/null
+++ b/tamarackmount/context.py
@@ -0,0 +1,119 @@
+"""Everything outside of the process that the command reads, writes or waits for."""
+
+import os
+import secrets
+import sys
+from collections.abc import Callable, Coroutine, Mapping
+from dataclasses import dataclass
+from typing import Any, Protocol, TextIO, TypeVar
+
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import deferLater
+from twisted.python.failure import Failure
+
+from tamarackmount.http_calls import HttpOpener, make_opener
+
+TOKEN_BYTES = 24
+"""Random bytes in a request id or a key."""
+
+T = TypeVar("T")
+
+Operation = Callable[[], Coroutine[Deferred[Any], Any, T]]
+"""What a command does while the event loop runs."""
+
+
+class Runner(Protocol):
+    """Whatever runs the event loop for one operation."""
+
+    def run(self, operation: Operation[T]) -> T:
+        """Run an operation to its end; ``KeyboardInterrupt`` if stopped before."""
+        ...
+
+
+class ReactorRunner:
+    """Runs one operation in the process's reactor, which then can't run again."""
+
+    def __init__(self, reactor: Any) -> None:
+        """Use ``reactor``."""
+        self._reactor = reactor
+
+    def run(self, operation: Operation[T]) -> T:
+        """Run an operation to its end."""
+        outcomes: list[T | Failure] = []
+
+        def start() -> None:
+            running = ensureDeferred(operation())
+            running.addBoth(outcomes.append)
+            running.addBoth(lambda _: self._reactor.stop())
+
+        self._reactor.callWhenRunning(start)
+        self._reactor.run()
+        if not outcomes:
+            raise KeyboardInterrupt
+        outcome = outcomes[0]
+        if isinstance(outcome, Failure):
+            outcome.raiseException()
+            raise AssertionError("unreachable")
+        return outcome
+
+
+@dataclass
+class Environment:
+    """Streams, variables, HTTP and time of one run of the command."""
+
+    stdin: TextIO
+    stdout: TextIO
+    stderr: TextIO
+    variables: Mapping[str, str]
+    stdout_is_terminal: bool
+    opener: HttpOpener
+    clock: IReactorTime
+    runner: Runner
+    make_token: Callable[[], str]
+
+    def print(self, text: str) -> None:
+        """Write one line of results."""
+        self.stdout.write(text + "\n")
+
+    def print_error(self, text: str) -> None:
+        """Write one line of diagnostics."""
+        self.stderr.write(text + "\n")
+
+    def write_bytes(self, data: bytes) -> None:
+        """Write results that may not be text."""
+        binary = getattr(self.stdout, "buffer", None)
+        if binary is None:
+            self.stdout.write(data.decode("utf-8", "replace"))
+            return
+        self.stdout.flush()
+        binary.write(data)
+        binary.flush()
+
+    def read_bytes(self) -> bytes:
+        """Read standard input to its end."""
+        binary = getattr(self.stdin, "buffer", None)
+        if binary is None:
+            return self.stdin.read().encode()
+        return bytes(binary.read())
+
+    def sleep(self, seconds: float) -> Deferred[None]:
+        """Wait; fires after ``seconds``."""
+        return deferLater(self.clock, seconds, lambda: None)
+
+
+def process_environment() -> Environment:
+    """Return the environment of this process."""
+    from twisted.internet import reactor
+
+    return Environment(
+        stdin=sys.stdin,
+        stdout=sys.stdout,
+        stderr=sys.stderr,
+        variables=os.environ,
+        stdout_is_terminal=sys.stdout.isatty(),
+        opener=make_opener(reactor),
+        clock=IReactorTime(reactor),
+        runner=ReactorRunner(reactor),
+        make_token=lambda: secrets.token_urlsafe(TOKEN_BYTES),
+    )
