--- a/tamarackmount/cli/teams.py
+++ b/tamarackmount/cli/teams.py
@@ -1,6 +1,7 @@
 """``tamarackmount team ...`` and ``tamarackmount key ...``."""
 
 import hashlib
+from dataclasses import dataclass
 from typing import ClassVar
 
 from cleo.helpers import argument, option
@@ -14,10 +15,10 @@
 from tamarackmount.cli.tables import format_table
 from tamarackmount.cli.writes import ABSENT, write_document
 from tamarackmount.client import Client
-from tamarackmount.client_views import CallError, CallOutcome, DocumentView
+from tamarackmount.client_views import CallError, CallOutcome
 from tamarackmount.document_texts import add_key, render_team, revoke_key
 from tamarackmount.documents import Ceiling, TeamDocument, WhenCutOff
-from tamarackmount.ids import ConfigPath, KeyHash
+from tamarackmount.ids import ConfigPath, KeyHash, Offset
 from tamarackmount.problems import FieldProblem, describe, dotted, problems_of_model
 from tamarackmount.status import ExitStatus
 
@@ -36,6 +37,15 @@
 _RUN_AGAIN = "Another operator changed the team. Look at it and run this again."
 
 
+@dataclass(frozen=True, slots=True)
+class TeamAtVersion:
+    """A team's document as text and as content, and its version."""
+
+    version: Offset
+    text: str
+    team: TeamDocument
+
+
 class TeamCommand(ApiCommand):
     """A command about one team."""
 
@@ -52,9 +62,7 @@
         """Path of the team's document."""
         return ConfigPath(f"teams/{self.argument('team')}")
 
-    async def read_team(
-        self, client: Client
-    ) -> Result[tuple[DocumentView, TeamDocument], CallError]:
+    async def read_team(self, client: Client) -> Result[TeamAtVersion, CallError]:
         """Read the team's document and its content."""
         result = await client.read_config(self.path)
         if isinstance(result, Failure):
@@ -62,7 +70,7 @@
         view = result.unwrap()
         match check_document(self.path, view.text):
             case Success(TeamDocument() as team):
-                return Success((view, team))
+                return Success(TeamAtVersion(view.version, view.text, team))
             case Failure(problems):
                 return Failure(
                     CallError(
@@ -142,15 +150,17 @@
         result = await self.read_team(client)
         if isinstance(result, Failure):
             return self.fail(result.failure())
-        view, team = result.unwrap()
+        found = result.unwrap()
         if self.wants_json:
-            self.print_json({"version": view.version, **team.model_dump(mode="json")})
+            content = found.team.model_dump(mode="json")
+            self.print_json({"version": found.version, **content})
         else:
-            self._show(view, team)
+            self._show(found)
         return ExitStatus.OK
 
-    def _show(self, view: DocumentView, team: TeamDocument) -> None:
-        self.env.print(f"{view.path} at version {view.version}")
+    def _show(self, found: TeamAtVersion) -> None:
+        team = found.team
+        self.env.print(f"{self.path} at version {found.version}")
         self.env.print(f"share: {team.share}")
         self.env.print(f"when cut off: {team.when_cut_off.value}")
         for name, limit in team.ceiling.model_dump().items():
@@ -179,10 +189,10 @@
         return str(self.argument("name"))
 
     async def replace(
-        self, client: Client, view: DocumentView, text: str
+        self, client: Client, found: TeamAtVersion, text: str
     ) -> ExitStatus:
         """Replace the version that was read; print what became of a failed try."""
-        result = await write_document(self.env, client, self.path, text, view.version)
+        result = await write_document(self.env, client, self.path, text, found.version)
         if isinstance(result, Success):
             return ExitStatus.OK
         error = result.failure()
@@ -201,15 +211,15 @@
         result = await self.read_team(client)
         if isinstance(result, Failure):
             return self.fail(result.failure())
-        view, team = result.unwrap()
-        if self.key_name in team.keys:
+        found = result.unwrap()
+        if self.key_name in found.team.keys:
             self.env.print_error(f"{self.path} already has a key {self.key_name!r}.")
             self.env.print_error("Choose another name; keys are never replaced.")
             return ExitStatus.CONFLICT
         key = self.env.make_token()
         sha256 = KeyHash(hashlib.sha256(key.encode()).hexdigest())
-        text = add_key(view.text, self.key_name, sha256)
-        status = await self.replace(client, view, text)
+        text = add_key(found.text, self.key_name, sha256)
+        status = await self.replace(client, found, text)
         if status is ExitStatus.OK:
             self._show(key, sha256)
         elif status is ExitStatus.UNKNOWN_OUTCOME:
@@ -235,13 +245,13 @@
         result = await self.read_team(client)
         if isinstance(result, Failure):
             return self.fail(result.failure())
-        view, team = result.unwrap()
-        if self.key_name not in team.keys:
+        found = result.unwrap()
+        if self.key_name not in found.team.keys:
             self.env.print_error(f"{self.path} has no key {self.key_name!r}.")
             return ExitStatus.NOT_FOUND
-        if not team.keys[self.key_name].revoked:
-            text = revoke_key(view.text, self.key_name)
-            status = await self.replace(client, view, text)
+        if not found.team.keys[self.key_name].revoked:
+            text = revoke_key(found.text, self.key_name)
+            status = await self.replace(client, found, text)
             if status is not ExitStatus.OK:
                 return status
         self._show()
--- /dev/null
+++ b/tests/test_cli_requests.py
@@ -0,0 +1,206 @@
+"""``tamarackmount request``: what is sent, printed and exited with."""
+
+import json
+from pathlib import Path
+
+import pytest
+from returns.result import Success
+
+from tamarackmount.http_calls import Header, HttpResponse
+from tamarackmount.status import ExitStatus
+from tests.utils.environment import (
+    CallResult,
+    command_line,
+    connection_lost,
+    header_of,
+    json_response,
+    summaries,
+    unreachable,
+)
+
+
+def answered(status: int = 200, body: bytes = b"3 left") -> CallResult:
+    headers = (Header("Outcome", "answered"), Header("Served-By", "counter-3"))
+    return Success(HttpResponse(status, headers, body))
+
+
+def test_the_body_alone_goes_to_standard_output() -> None:
+    run_command, opener = command_line(answered())
+    run = run_command("request", "counter", "--path", "/stock?lot=7")
+    assert (run.status, run.stdout) == (ExitStatus.OK, "3 left")
+    assert "counter-3" in run.stderr
+    assert summaries(opener.requests) == ["GET /v1/queues/counter/requests/stock?lot=7"]
+
+
+def test_options_become_headers() -> None:
+    run_command, opener = command_line(answered())
+    run_command(
+        "request",
+        "counter",
+        "--data",
+        "two",
+        "--non-idempotent",
+        "--timeout-ms=500",
+        "--header",
+        "Accept: text/plain",
+        "--home",
+        "dc1",
+    )
+    request = opener.requests[0]
+    assert (request.method, request.body) == ("POST", b"two")
+    assert header_of(request, "Idempotent") == "false"
+    assert header_of(request, "Timeout-Ms") == "500"
+    assert header_of(request, "Accept") == "text/plain"
+    assert header_of(request, "Request-Id") == "dc1:token-1"
+
+
+def test_data_comes_from_a_file_or_standard_input(tmp_path: Path) -> None:
+    file = tmp_path / "order.bin"
+    file.write_bytes(b"\x00\xff")
+    run_command, opener = command_line(answered(), answered())
+    run_command("request", "counter", "--data", f"@{file}")
+    run_command("request", "counter", "--data", "@-", stdin="from stdin")
+    assert [r.body for r in opener.requests] == [b"\x00\xff", b"from stdin"]
+
+
+def test_json_holds_the_whole_answer() -> None:
+    run_command, _ = command_line(answered(), answered(body=b"\xff"))
+    value = json.loads(run_command("request", "counter", "--json").stdout)
+    assert (value["outcome"], value["status"], value["body"]) == (
+        "answered",
+        200,
+        "3 left",
+    )
+    value = json.loads(run_command("--json", "request", "counter").stdout)
+    assert value["body_base64"] == "/w=="
+
+
+def test_an_upstreams_error_is_an_answer_unless_the_status_is_checked() -> None:
+    run_command, _ = command_line(answered(500), answered(500), answered(399))
+    assert run_command("request", "counter").status is ExitStatus.OK
+    run = run_command("request", "counter", "--check-status")
+    assert (run.status, run.stdout) == (ExitStatus.UPSTREAM_ERROR, "3 left")
+    run = run_command("request", "counter", "--check-status")
+    assert run.status is ExitStatus.OK
+
+
+@pytest.mark.parametrize(
+    ("result", "status", "told"),
+    [
+        pytest.param(
+            json_response(
+                429,
+                {"error": "line_full", "message": "m", "retry_after_ms": 250},
+                Outcome="not-run",
+            ),
+            ExitStatus.NOT_RUN,
+            "Try again in 250 ms",
+            id="line full",
+        ),
+        pytest.param(
+            json_response(401, {"error": "bad_key", "message": "m"}, Outcome="not-run"),
+            ExitStatus.NOT_ALLOWED,
+            "TAMARACKMOUNT_KEY",
+            id="bad key",
+        ),
+        pytest.param(
+            json_response(
+                404, {"error": "unknown_queue", "message": "m"}, Outcome="not-run"
+            ),
+            ExitStatus.NOT_FOUND,
+            "config list",
+            id="unknown queue",
+        ),
+        pytest.param(
+            json_response(
+                409, {"error": "already_attempted", "message": "m"}, Outcome="unknown"
+            ),
+            ExitStatus.UNKNOWN_OUTCOME,
+            "before you repeat it",
+            id="attempted before",
+        ),
+        pytest.param(
+            json_response(502, {}),
+            ExitStatus.UNKNOWN_OUTCOME,
+            "Request id: token-1",
+            id="an answer of a balancer",
+        ),
+        pytest.param(
+            unreachable(), ExitStatus.UNREACHABLE, "another entry VM", id="unreachable"
+        ),
+        pytest.param(
+            connection_lost(),
+            ExitStatus.UNKNOWN_OUTCOME,
+            "Request id: token-1",
+            id="connection lost",
+        ),
+    ],
+)
+def test_a_refusal_says_what_to_do_next(
+    result: CallResult, status: ExitStatus, told: str
+) -> None:
+    run_command, opener = command_line(result)
+    run = run_command("request", "counter")
+    assert (run.status, run.stdout) == (status, "")
+    assert told in run.stderr
+    assert len(opener.requests) == 1
+
+
+def test_a_refusal_as_json() -> None:
+    run_command, _ = command_line(connection_lost())
+    run = run_command("request", "counter", "--json")
+    value = json.loads(run.stdout)
+    assert (value["error"], value["outcome"]) == ("connection_lost", "unknown")
+    assert value["request_id"] == "token-1"
+    assert run.stderr == ""
+
+
+def test_the_key_comes_from_the_environment_or_a_file(tmp_path: Path) -> None:
+    file = tmp_path / "key"
+    file.write_text("from-file\n", encoding="utf-8")
+    run_command, opener = command_line(answered(), answered())
+    run_command.variables["TAMARACKMOUNT_KEY"] = "from-environment"
+    run_command("request", "counter")
+    run_command("request", "counter", "--key-file", str(file))
+    assert [header_of(r, "Authorization") for r in opener.requests] == [
+        "Bearer from-environment",
+        "Bearer from-file",
+    ]
+
+
+@pytest.mark.parametrize(
+    "args",
+    [
+        pytest.param(["request"], id="no queue"),
+        pytest.param(["request", "counter", "--key", "k"], id="a key as argument"),
+        pytest.param(["request", "counter", "--timeout-ms", "soon"], id="no number"),
+        pytest.param(["request", "counter", "--header", "Accept"], id="half a header"),
+        pytest.param(["request", "counter", "--header", "A: b\nC: d"], id="two lines"),
+        pytest.param(["request", "counter", "--url", "entry-1"], id="half a URL"),
+        pytest.param(
+            ["request", "counter", "--idempotent", "--non-idempotent"], id="both"
+        ),
+        pytest.param(["requests"], id="no such command"),
+    ],
+)
+def test_a_wrong_command_line_makes_no_call(args: list[str]) -> None:
+    run_command, opener = command_line()
+    run = run_command(*args)
+    assert run.status is ExitStatus.USAGE
+    assert run.stderr
+    assert not opener.requests
+
+
+def test_without_a_url_the_command_says_how_to_name_one() -> None:
+    run_command, _ = command_line()
+    run_command.variables["TAMARACKMOUNT_URL"] = ""
+    run = run_command("request", "counter")
+    assert run.status is ExitStatus.USAGE
+    assert "--url or TAMARACKMOUNT_URL" in run.stderr
+
+
+def test_a_file_that_is_not_there_is_an_error() -> None:
+    run_command, _ = command_line()
+    run = run_command("request", "counter", "--data", "@/nowhere/order")
+    assert run.status is ExitStatus.ERROR
+    assert "/nowhere/order" in run.stderr
