--- /dev/null
+++ b/tests/test_checks_examples.py
@@ -0,0 +1,135 @@
+"""The example files hold no fault, and faults put into them are found."""
+
+from pathlib import Path
+
+import pytest
+from returns.result import Failure
+
+from tamarackmount.checks import check_settings, parse_toml
+from tamarackmount.cli.config_check import check_file
+from tamarackmount.documents import QueueDocument, TeamDocument
+from tamarackmount.fleet_checks import check_fleet_text
+from tamarackmount.ids import ConfigPath
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+
+POLICIES = {"waiting-time", "share-fairness"}
+"""Queue policies that the examples may name."""
+
+MIN_ENTRY_VMS = 6
+MAX_ENTRY_VMS = 9
+
+
+def read(name: str) -> str:
+    return (EXAMPLES / name).read_text(encoding="utf-8")
+
+
+def line_with(text: str, part: str) -> int:
+    """Return the line, counted from 1, of the first place of ``part``."""
+    return text[: text.index(part)].count("\n") + 1
+
+
+@pytest.mark.parametrize(
+    ("name", "data_centres"),
+    [
+        ("hamaguchi/fukuoka-entry-1.toml", 3),
+        ("derwent/hobart-entry-1.toml", 4),
+    ],
+)
+def test_settings_describe_the_whole_fleet(name: str, data_centres: int) -> None:
+    settings = check_settings(read(name), name).unwrap()
+    homes = [settings.member.data_centre]
+    homes += [peer.data_centre for peer in settings.peers]
+    assert MIN_ENTRY_VMS <= len(homes) <= MAX_ENTRY_VMS
+    assert len(set(homes)) == data_centres
+
+
+@pytest.mark.parametrize(
+    ("name", "queues", "policy"),
+    [
+        ("hamaguchi/fleet.toml", {"counter", "imaging"}, "waiting-time"),
+        ("derwent/fleet.toml", {"orders", "bead-lab"}, "share-fairness"),
+    ],
+)
+def test_fleets_have_six_teams_and_two_queues(
+    name: str, queues: set[str], policy: str
+) -> None:
+    documents = check_fleet_text(read(name), name, POLICIES).unwrap()
+    teams = [d for d in documents.values() if isinstance(d, TeamDocument)]
+    assert len(teams) == 6
+    for queue in queues:
+        document = documents[ConfigPath(f"queues/{queue}")]
+        assert isinstance(document, QueueDocument)
+        assert (document.service, document.policy) == (queue, policy)
+
+
+@pytest.mark.parametrize(
+    ("name", "old", "new", "field"),
+    [
+        pytest.param(
+            "hamaguchi/fukuoka-entry-1.toml",
+            'id = "kagoshima-entry-3"',
+            'id = "kagoshima-entry-2"',
+            "peers[7].id",
+            id="a peer twice",
+        ),
+        pytest.param(
+            "hamaguchi/fukuoka-entry-1.toml",
+            'host = "192.0.2.15"',
+            'host = "192.0.2.11"',
+            "peers[3].host",
+            id="an address twice",
+        ),
+        pytest.param(
+            "derwent/hobart-entry-1.toml",
+            "owner_lease_ms = 1500",
+            "owner_lease_ms = 999",
+            "timing.owner_lease_ms",
+            id="a lease too short",
+        ),
+        pytest.param(
+            "derwent/hobart-entry-1.toml",
+            'data_centre = "sorell"',
+            'data_center = "sorell"',
+            "peers[5].data_center",
+            id="a misspelt field",
+        ),
+        pytest.param(
+            "hamaguchi/fleet.toml",
+            'when_cut_off = "refuse"',
+            'when_cut_off = "reject"',
+            "teams.print-partners.when_cut_off",
+            id="an unknown word",
+        ),
+        pytest.param(
+            "derwent/fleet.toml",
+            "running_tasks = 300",
+            "running_tasks = 300.5",
+            "teams.line-engineers.ceiling.running_tasks",
+            id="half a task",
+        ),
+        pytest.param(
+            "derwent/fleet.toml",
+            "max_waiting = 200",
+            "max_waiting = -1",
+            "queues.bead-lab.max_waiting",
+            id="a line of negative length",
+        ),
+    ],
+)
+def test_faults_are_found_on_their_line(
+    name: str, old: str, new: str, field: str
+) -> None:
+    text = read(name)
+    assert old in text
+    result = check_file(text.replace(old, new, 1), name)
+    assert isinstance(result, Failure)
+    places = [(problem.line, problem.field) for problem in result.failure()]
+    assert (line_with(text, old), field) in places
+
+
+@pytest.mark.parametrize(
+    "name", ["hamaguchi/nightly-renders.toml", "derwent/bead-training.toml"]
+)
+def test_job_files_parse(name: str) -> None:
+    assert parse_toml(read(name), name).unwrap()["kind"] in {"batch", "gang"}
