--- a/tamarackmount/cli/application.py
+++ b/tamarackmount/cli/application.py
@@ -8,6 +8,7 @@
 from tamarackmount import __version__
 from tamarackmount.cli.base import EnvironmentCommand
 from tamarackmount.cli.config import CONFIG_COMMANDS
+from tamarackmount.cli.config_apply import ConfigApplyCommand
 from tamarackmount.cli.config_check import ConfigCheckCommand
 from tamarackmount.cli.fleet import FLEET_COMMANDS
 from tamarackmount.cli.jobs import JOB_COMMANDS
@@ -20,6 +21,7 @@
     RequestCommand,
     *JOB_COMMANDS,
     ConfigCheckCommand,
+    ConfigApplyCommand,
     *CONFIG_COMMANDS,
     *TEAM_COMMANDS,
     *FLEET_COMMANDS,
--- a/tamarackmount/context.py
+++ b/tamarackmount/context.py
@@ -37,17 +37,22 @@
     def __init__(self, reactor: Any) -> None:
         """Use ``reactor``."""
         self._reactor = reactor
+        self._stopping = False
 
     def run(self, operation: Operation[T]) -> T:
         """Run an operation to its end."""
         outcomes: list[T | Failure] = []
 
-        def start() -> None:
-            running = ensureDeferred(operation())
-            running.addBoth(outcomes.append)
-            running.addBoth(lambda _: self._reactor.stop())
+        def end(outcome: T | Failure) -> None:
+            # Stopping closes connections, which may end the operation after a signal.
+            if not self._stopping:
+                outcomes.append(outcome)
+                self._reactor.stop()
 
-        self._reactor.callWhenRunning(start)
+        self._reactor.addSystemEventTrigger("before", "shutdown", self._note_stop)
+        self._reactor.callWhenRunning(
+            lambda: ensureDeferred(operation()).addBoth(end),
+        )
         self._reactor.run()
         if not outcomes:
             raise KeyboardInterrupt
@@ -57,6 +62,9 @@
             raise AssertionError("unreachable")
         return outcome
 
+    def _note_stop(self) -> None:
+        self._stopping = True
+
 
 @dataclass
 class Environment:
--- a/tamarackmount/document_texts.py
+++ b/tamarackmount/document_texts.py
@@ -1,4 +1,4 @@
-"""TOML texts of teams' documents: writing new ones and changing their keys.
+"""TOML texts of documents: writing new ones and changing teams' keys.
 
 A change keeps the rest of the text, with its comments, wherever that can be done;
 else the document is written anew. Either way the result is read back and compared.
@@ -6,16 +6,25 @@
 
 import tomllib
 
-from tamarackmount.documents import Ceiling, Key, TeamDocument, WhenCutOff
+from tamarackmount.documents import Ceiling, Document, Key, TeamDocument, WhenCutOff
 from tamarackmount.ids import KeyHash
 from tamarackmount.toml_lines import locate_fields
 
 
+def render_document(document: Document) -> str:
+    """Return the text of a document."""
+    if isinstance(document, TeamDocument):
+        return render_team(document)
+    fields = document.model_dump(mode="json")
+    lines = [f"{name} = {_scalar(value)}" for name, value in fields.items()]
+    return "\n".join(lines) + "\n"
+
+
 def render_team(team: TeamDocument) -> str:
     """Return the text of a team's document."""
-    lines = [f"share = {team.share!r}"]
+    lines = [f"share = {_scalar(team.share)}"]
     if team.when_cut_off is not WhenCutOff.SERVE:
-        lines.append(f'when_cut_off = "{team.when_cut_off.value}"')
+        lines.append(f"when_cut_off = {_scalar(team.when_cut_off.value)}")
     lines += _ceiling_lines(team.ceiling)
     for name, key in team.keys.items():
         lines += _key_lines(name, key)
@@ -39,6 +48,13 @@
     return edited if _reads_as(edited, wanted) else render_team(wanted)
 
 
+def _scalar(value: str | float) -> str:
+    """Return a text without quotes or control characters, or a number, as TOML."""
+    if isinstance(value, bool):
+        return str(value).lower()
+    return f'"{value}"' if isinstance(value, str) else repr(value)
+
+
 def _with_key(team: TeamDocument, name: str, key: Key) -> TeamDocument:
     return team.model_copy(update={"keys": {**team.keys, name: key}})
 
--- a/tests/test_cli_process.py
+++ b/tests/test_cli_process.py
@@ -2,12 +2,14 @@
 
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
 import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
 from http.server import BaseHTTPRequestHandler, HTTPServer
 
 from tamarackmount.status import ExitStatus
@@ -19,6 +21,10 @@
 JOB_FILE = b'id = "a"\nkind = "batch"\ncores = 1\nmemory_gib = 1\n'
 
 
+RECEIVED = threading.Event()
+"""Set once a request that gets no answer has arrived."""
+
+
 class Handler(BaseHTTPRequestHandler):
     """Answers requests, and loses the connection of every job call."""
 
@@ -30,6 +36,11 @@
         if self.path == "/v1/jobs":
             self.close_connection = True
             return
+        if self.path.endswith("/hang"):
+            RECEIVED.set()
+            self.rfile.read(1)
+            self.close_connection = True
+            return
         answer = json.dumps(
             {"path": self.path, "key": self.headers["Authorization"], "size": len(body)}
         ).encode()
@@ -57,29 +68,41 @@
         server.server_close()
 
 
-def run_command(
-    *args: str, url: str, stdin: bytes = b""
-) -> subprocess.CompletedProcess[bytes]:
+@dataclass
+class Run:
+    """An ended run of the command."""
+
+    status: int
+    stdout: bytes
+    stderr: bytes
+
+
+def start_command(*args: str, url: str) -> subprocess.Popen[bytes]:
     variables = {
         **os.environ,
         "TAMARACKMOUNT_URL": url,
         "TAMARACKMOUNT_KEY": "secret",
     }
-    return subprocess.run(
+    return subprocess.Popen(
         [sys.executable, "-m", "tamarackmount", *args],
         env=variables,
-        input=stdin,
-        capture_output=True,
-        timeout=TIMEOUT_S,
-        check=False,
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
     )
 
 
+def run_command(*args: str, url: str, stdin: bytes = b"") -> Run:
+    with start_command(*args, url=url) as process:
+        stdout, stderr = process.communicate(stdin, TIMEOUT_S)
+        return Run(process.returncode, stdout, stderr)
+
+
 def test_a_request_goes_out_and_its_answer_comes_back() -> None:
     with entry_vm() as url:
         args = ["request", "counter", "--path", "/stock", "--data", "@-"]
         run = run_command(*args, url=url, stdin=b"\x00" * 100_000)
-    assert run.returncode == ExitStatus.OK
+    assert run.status == ExitStatus.OK
     assert json.loads(run.stdout) == {
         "path": "/v1/queues/counter/requests/stock",
         "key": "Bearer secret",
@@ -91,7 +114,7 @@
 def test_a_lost_answer_has_an_unknown_outcome() -> None:
     with entry_vm() as url:
         run = run_command("job", "submit", "-", url=url, stdin=JOB_FILE)
-    assert run.returncode == ExitStatus.UNKNOWN_OUTCOME
+    assert run.status == ExitStatus.UNKNOWN_OUTCOME
     assert b"connection_lost" in run.stderr
 
 
@@ -100,12 +123,24 @@
         unused.bind(("127.0.0.1", 0))
         url = f"http://127.0.0.1:{unused.getsockname()[1]}"
         run = run_command("status", url=url)
-    assert run.returncode == ExitStatus.UNREACHABLE
+    assert run.status == ExitStatus.UNREACHABLE
     assert run.stderr.startswith(b"not run: unreachable")
 
 
 def test_a_wrong_command_line_prints_no_traceback() -> None:
     run = run_command("job", "vew", url="http://127.0.0.1:1")
-    assert run.returncode == ExitStatus.USAGE
+    assert run.status == ExitStatus.USAGE
     assert b"job view" in run.stderr
     assert b"Traceback" not in run.stderr
+
+
+def test_an_interrupted_request_is_told_as_such() -> None:
+    args = ["request", "counter", "--method", "POST", "--path", "/hang"]
+    with entry_vm() as url, start_command(*args, url=url) as process:
+        assert RECEIVED.wait(TIMEOUT_S)
+        process.send_signal(signal.SIGINT)
+        _, stderr = process.communicate(timeout=TIMEOUT_S)
+    assert process.returncode == ExitStatus.INTERRUPTED
+    assert b"Request id: " in stderr
+    assert b"may have happened" in stderr
+    assert b"Traceback" not in stderr
