Tests of kept connections, failed reads and polls that recover

Cause: trials of changed code on a scratch copy passed the tests: retries by the pool, the outcome of a failed read, lines inside arrays of tables, and the count of failed polls that starts again.

Change: a test for each.

Conclusion: the behaviours are held by tests.

--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -238,3 +238,9 @@
         'b.sha256 = "no hash"\n'
     )
     assert places_of(check_document(TEAM, text)) == [(8, "keys.b.sha256")]
+
+
+def test_lines_are_found_in_tables_inside_of_an_array() -> None:
+    text = settings_text(("[timing]", "[peers.extra]\na = 1\n\n[timing]"))
+    result = check_settings(text, "entry-1.toml")
+    assert places_of(result) == [(29, "peers[1].extra")]
--- a/tests/test_cli_jobs.py
+++ b/tests/test_cli_jobs.py
@@ -164,13 +164,9 @@
 
 def test_watching_goes_on_through_failed_polls() -> None:
     down = json_response(503, {"error": "no_owner", "message": "m"})
-    run_command, _ = command_line(
-        job("running", running=1),
-        unreachable(),
-        down,
-        connection_lost(),
-        job("succeeded"),
-    )
+    failed = [unreachable(), down, *[connection_lost()] * 8]
+    running = job("running", running=1)
+    run_command, _ = command_line(*failed, running, *failed, job("succeeded"))
     assert run_command("job", "watch", JOB_ID).status is ExitStatus.OK
 
 
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -243,6 +243,27 @@
     assert connection.transport.disconnecting
 
 
+def test_a_kept_connection_that_is_lost_is_not_replaced_by_another() -> None:
+    wire = Wire(persistent=True)
+    client = wire.client()
+    first = client.view_job("dc1:retail:n")
+    connection = wire.connect()
+    connection.answer(200, JOB)
+    assert isinstance(result_of(first), Success)
+    second = client.send_request(counter_request())
+    connection.lose(cleanly=True)
+    assert error_of(second).outcome is CallOutcome.UNKNOWN
+    assert len(wire.reactor.tcpClients) == 1
+
+
+def test_a_read_that_fails_has_changed_nothing() -> None:
+    wire = Wire()
+    read = wire.client().view_job("dc1:retail:n")
+    wire.connect().answer(502, b"<html>")
+    error = error_of(read)
+    assert (error.error, error.outcome) == ("bad_answer", CallOutcome.NOT_RUN)
+
+
 def test_a_job_is_read_with_fields_that_are_not_known_yet() -> None:
     wire = Wire()
     read = wire.client().view_job("dc1:retail:n")
