Tests: tables of cases in place of a call for each case

Change: parametrised cases are plain rows; every case and assertion stays, but that the misspelt http_port is now called port.

--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -1,7 +1,5 @@
 """Checks of settings and documents: what is refused, and on which line."""
 
-from collections.abc import Sequence
-
 import pytest
 from returns.result import Failure, Result, Success
 
@@ -20,6 +18,12 @@
 QUEUE = ConfigPath("queues/counter")
 
 
+HASH = sha256_of("key")
+
+HEARTBEAT = "heartbeat_ms = 250"
+"""A line of the settings that others stand in for."""
+
+
 def problems_of(result: Result[object, list[Problem]]) -> list[tuple[int, str, str]]:
     assert isinstance(result, Failure), result
     return [(p.line, p.field, p.message) for p in result.failure()]
@@ -35,90 +39,30 @@
 
 
 @pytest.mark.parametrize(
-    ("changes", "places"),
+    ("old", "new", "places"),
     [
-        pytest.param([('id = "entry-1"\n', "")], [(1, "member.id")], id="missing"),
-        pytest.param(
-            [("http_port = 8080", "http_prot = 8080")],
-            [(5, "listen.http_port"), (7, "listen.http_prot")],
-            id="misspelt",
-        ),
-        pytest.param(
-            [("http_port = 8080", 'http_port = "8080"')],
-            [(7, "listen.http_port")],
-            id="a text for a number",
-        ),
-        pytest.param(
-            [("http_port = 8080", "http_port = 8081")],
-            [(8, "listen.peer_port")],
-            id="one port twice",
-        ),
-        pytest.param(
-            [('host = "192.0.2.1"', 'host = "entry-1.example"')],
-            [(6, "listen.host")],
-            id="a host name",
-        ),
-        pytest.param(
-            [('log_url = "http://192.0.2.100:9000"', 'log_url = "http://"')],
-            [(11, "platform.log_url")],
-            id="half a URL",
-        ),
-        pytest.param(
-            [(sha256_of("operator"), sha256_of("operator")[:-1])],
-            [(15, "operators.key_sha256[0]")],
-            id="a short hash",
-        ),
-        pytest.param(
-            [('"entry-3"', '"entry-2"')],
-            [(24, "peers[1].id")],
-            id="one peer twice",
-        ),
-        pytest.param(
-            [('"entry-3"', '"entry-1"')],
-            [(24, "peers[1].id")],
-            id="the member as a peer",
-        ),
-        pytest.param(
-            [("192.0.2.3", "192.0.2.2")],
-            [(26, "peers[1].host")],
-            id="one address twice",
-        ),
-        pytest.param(
-            [("192.0.2.2", "192.0.2.1")],
-            [(20, "peers[0].host")],
-            id="the member's address at a peer",
-        ),
-        pytest.param(
-            [("heartbeat_ms = 250", "heartbeat_ms = 376")],
-            [(31, "timing.owner_lease_ms")],
-            id="three heartbeats a lease",
-        ),
-        pytest.param(
-            [("heartbeat_ms = 250", "worker_sync_ms = 1334")],
-            [(29, "timing.task_lease_ms")],
-            id="two syncs a lease",
-        ),
-        pytest.param(
-            [("heartbeat_ms = 250", "task_lease_ms = 1999")],
-            [(30, "timing.task_lease_ms")],
-            id="tasks lapse while the owner changes",
-        ),
-        pytest.param(
-            [("heartbeat_ms = 250", "clock_margin_ms = 751")],
-            [(31, "timing.owner_lease_ms")],
-            id="a margin over half of the lease",
-        ),
-        pytest.param(
-            [("heartbeat_ms = 250", "attempt_memory_ms = 1599")],
-            [(30, "timing.attempt_memory_ms")],
-            id="attempts forgotten within a lease",
-        ),
+        ('id = "entry-1"\n', "", [(1, "member.id")]),
+        ("http_port", "port", [(5, "listen.http_port"), (7, "listen.port")]),
+        ("http_port = 8080", 'http_port = "8080"', [(7, "listen.http_port")]),
+        ("http_port = 8080", "http_port = 8081", [(8, "listen.peer_port")]),
+        ('host = "192.0.2.1"', 'host = "entry-1.example"', [(6, "listen.host")]),
+        ("http://192.0.2.100:9000", "http://", [(11, "platform.log_url")]),
+        (sha256_of("operator"), "0" * 63, [(15, "operators.key_sha256[0]")]),
+        ('"entry-3"', '"entry-2"', [(24, "peers[1].id")]),
+        ('"entry-3"', '"entry-1"', [(24, "peers[1].id")]),
+        ("192.0.2.3", "192.0.2.2", [(26, "peers[1].host")]),
+        ("192.0.2.2", "192.0.2.1", [(20, "peers[0].host")]),
+        (HEARTBEAT, "heartbeat_ms = 376", [(31, "timing.owner_lease_ms")]),
+        (HEARTBEAT, "worker_sync_ms = 1334", [(29, "timing.task_lease_ms")]),
+        (HEARTBEAT, "task_lease_ms = 1999", [(30, "timing.task_lease_ms")]),
+        (HEARTBEAT, "clock_margin_ms = 751", [(31, "timing.owner_lease_ms")]),
+        (HEARTBEAT, "attempt_memory_ms = 1599", [(30, "timing.attempt_memory_ms")]),
     ],
 )
 def test_a_bad_setting_is_named_with_its_line(
-    changes: Sequence[tuple[str, str]], places: list[tuple[int, str]]
+    old: str, new: str, places: list[tuple[int, str]]
 ) -> None:
-    result = check_settings(settings_text(*changes), "entry-1.toml")
+    result = check_settings(settings_text((old, new)), "entry-1.toml")
     assert places_of(result) == places
 
 
@@ -173,33 +117,20 @@
 @pytest.mark.parametrize(
     ("text", "places"),
     [
-        pytest.param("share = 0\n", [(1, "share")], id="no share"),
-        pytest.param("share = nan\n", [(1, "share")], id="not a number"),
-        pytest.param("share = inf\n", [(1, "share")], id="an endless share"),
-        pytest.param("\n", [(0, "share")], id="empty"),
-        pytest.param(
-            "share = 1\n\n[ceiling]\ncores = -1\n",
-            [(4, "ceiling.cores")],
-            id="negative",
-        ),
-        pytest.param(
-            'share = 1\nwhen_cut_off = "maybe"\n', [(2, "when_cut_off")], id="unknown"
-        ),
-        pytest.param(
-            f'share = 1\n[keys."A b"]\nsha256 = "{sha256_of("k")}"\n',
-            [(2, "keys.A b")],
-            id="a bad name of a key",
-        ),
-        pytest.param(
-            f'share = 1\n[keys.a]\nsha256 = "{sha256_of("k")}"\n'
-            f'[keys.b]\nsha256 = "{sha256_of("k")}"\n',
-            [(5, "keys.b.sha256")],
-            id="one key twice",
-        ),
-        pytest.param(
+        ("share = 0\n", [(1, "share")]),
+        ("share = nan\n", [(1, "share")]),
+        ("share = inf\n", [(1, "share")]),
+        ("\n", [(0, "share")]),
+        ("share = 1\n\n[ceiling]\ncores = -1\n", [(4, "ceiling.cores")]),
+        ('share = 1\nwhen_cut_off = "maybe"\n', [(2, "when_cut_off")]),
+        (f'share = 1\n[keys."A b"]\nsha256 = "{HASH}"\n', [(2, "keys.A b")]),
+        (
+            f'share = 1\nkeys.a.sha256 = "{HASH}"\nkeys.b.sha256 = "{HASH}"\n',
+            [(3, "keys.b.sha256")],
+        ),
+        (
             'share = 1\n[keys.a]\nkey = "secret"\n',
             [(2, "keys.a.sha256"), (3, "keys.a.key")],
-            id="a key in place of its hash",
         ),
     ],
 )
--- a/tests/test_checks_examples.py
+++ b/tests/test_checks_examples.py
@@ -13,6 +13,9 @@
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 
+HAMAGUCHI = "hamaguchi/fukuoka-entry-1.toml"
+DERWENT = "derwent/hobart-entry-1.toml"
+
 POLICIES = {"waiting-time", "share-fairness"}
 """Queue policies that the examples may name."""
 
@@ -31,10 +34,7 @@
 
 @pytest.mark.parametrize(
     ("name", "data_centres"),
-    [
-        ("hamaguchi/fukuoka-entry-1.toml", 3),
-        ("derwent/hobart-entry-1.toml", 4),
-    ],
+    [(HAMAGUCHI, 3), (DERWENT, 4)],
 )
 def test_settings_describe_the_whole_fleet(name: str, data_centres: int) -> None:
     settings = check_settings(read(name), name).unwrap()
@@ -66,54 +66,27 @@
 @pytest.mark.parametrize(
     ("name", "old", "new", "field"),
     [
-        pytest.param(
-            "hamaguchi/fukuoka-entry-1.toml",
-            'id = "kagoshima-entry-3"',
-            'id = "kagoshima-entry-2"',
-            "peers[7].id",
-            id="a peer twice",
-        ),
-        pytest.param(
-            "hamaguchi/fukuoka-entry-1.toml",
-            'host = "192.0.2.15"',
-            'host = "192.0.2.11"',
-            "peers[3].host",
-            id="an address twice",
-        ),
-        pytest.param(
-            "derwent/hobart-entry-1.toml",
-            "owner_lease_ms = 1500",
-            "owner_lease_ms = 999",
-            "timing.owner_lease_ms",
-            id="a lease too short",
-        ),
-        pytest.param(
-            "derwent/hobart-entry-1.toml",
-            'data_centre = "sorell"',
-            'data_center = "sorell"',
-            "peers[5].data_center",
-            id="a misspelt field",
-        ),
-        pytest.param(
+        (HAMAGUCHI, '"kagoshima-entry-3"', '"kagoshima-entry-2"', "peers[7].id"),
+        (HAMAGUCHI, '"192.0.2.15"', '"192.0.2.11"', "peers[3].host"),
+        (DERWENT, "lease_ms = 1500", "lease_ms = 999", "timing.owner_lease_ms"),
+        (DERWENT, 'centre = "sorell', 'center = "sorell', "peers[5].data_center"),
+        (
             "hamaguchi/fleet.toml",
             'when_cut_off = "refuse"',
             'when_cut_off = "reject"',
             "teams.print-partners.when_cut_off",
-            id="an unknown word",
         ),
-        pytest.param(
+        (
             "derwent/fleet.toml",
             "running_tasks = 300",
             "running_tasks = 300.5",
             "teams.line-engineers.ceiling.running_tasks",
-            id="half a task",
         ),
-        pytest.param(
+        (
             "derwent/fleet.toml",
             "max_waiting = 200",
             "max_waiting = -1",
             "queues.bead-lab.max_waiting",
-            id="a line of negative length",
         ),
     ],
 )
--- a/tests/test_checks_fleet.py
+++ b/tests/test_checks_fleet.py
@@ -8,6 +8,9 @@
 from tamarackmount.ids import ConfigPath
 from tests.utils.build_settings import sha256_of
 
+RETAIL_HASH = sha256_of("retail-key")
+NIGHT_HASH = sha256_of("night-key")
+
 FLEET_TEXT = f"""\
 [teams.retail]
 share = 2
@@ -17,11 +20,11 @@
 cores = 4
 
 [teams.retail.keys.counter]
-sha256 = "{sha256_of("retail-key")}"
+sha256 = "{RETAIL_HASH}"
 
 [teams.night]
 share = 1
-keys.render.sha256 = "{sha256_of("night-key")}"
+keys.render.sha256 = "{NIGHT_HASH}"
 
 [queues.counter]
 service = "counter"
@@ -45,48 +48,19 @@
 @pytest.mark.parametrize(
     ("old", "new", "places"),
     [
-        pytest.param(
-            "share = 2", "share = -2", [(2, "teams.retail.share")], id="share"
-        ),
-        pytest.param(
-            "share = 2", "share = 10_000", [(12, "teams.night.share")], id="tiny share"
-        ),
-        pytest.param(
-            "cores = 4",
-            "cores = 0",
-            [(6, "teams.retail.ceiling.cores")],
-            id="tasks without cores",
-        ),
-        pytest.param(
-            "running_tasks = 10",
-            "running_tasks = 0",
-            [(6, "teams.retail.ceiling.cores")],
-            id="cores without tasks",
-        ),
-        pytest.param(
-            sha256_of("night-key"),
-            sha256_of("retail-key"),
-            [(13, "teams.night.keys.render.sha256")],
-            id="one key of two teams",
-        ),
-        pytest.param(
-            '"waiting-time"',
-            '"first-come"',
-            [(17, "queues.counter.policy")],
-            id="policy",
-        ),
-        pytest.param(
+        ("share = 2", "share = -2", [(2, "teams.retail.share")]),
+        ("share = 2", "share = 10_000", [(12, "teams.night.share")]),
+        ("cores = 4", "cores = 0", [(6, "teams.retail.ceiling.cores")]),
+        ("tasks = 10", "tasks = 0", [(6, "teams.retail.ceiling.cores")]),
+        (NIGHT_HASH, RETAIL_HASH, [(13, "teams.night.keys.render.sha256")]),
+        ('"waiting-time"', '"first-come"', [(17, "queues.counter.policy")]),
+        (
             'service = "counter"',
             "servce = 1",
             [(15, "queues.counter.service"), (16, "queues.counter.servce")],
-            id="misspelt",
-        ),
-        pytest.param(
-            "[teams.night]", "[teams.Night]", [(11, "teams.Night")], id="name"
-        ),
-        pytest.param(
-            "[queues.counter]", "[nodes.counter]", [(15, "nodes")], id="unknown table"
         ),
+        ("[teams.night]", "[teams.Night]", [(11, "teams.Night")]),
+        ("[queues.counter]", "[nodes.counter]", [(15, "nodes")]),
     ],
 )
 def test_a_bad_fleet_is_named_with_its_line(
--- a/tests/test_cli_config.py
+++ b/tests/test_cli_config.py
@@ -75,10 +75,8 @@
 def test_a_document_is_created_only_if_there_is_none(team_file: str) -> None:
     run_command, opener = command_line(changed(7))
     run = run_command("config", "set", "teams/retail", team_file)
-    assert (run.status, run.stdout) == (
-        ExitStatus.OK,
-        "teams/retail is at version 7\n",
-    )
+    assert run.status is ExitStatus.OK
+    assert run.stdout == "teams/retail is at version 7\n"
     assert header_of(opener.requests[0], "If-Match") == "0"
 
 
@@ -135,10 +133,8 @@
     )
     args = ["config", "set", "teams/retail", team_file, "--if-version", "7"]
     run = run_command(*args)
-    assert (run.status, run.stdout) == (
-        ExitStatus.OK,
-        "teams/retail is at version 9\n",
-    )
+    assert run.status is ExitStatus.OK
+    assert run.stdout == "teams/retail is at version 9\n"
     assert [r.method for r in opener.requests] == ["PUT", "GET", "GET"]
 
 
@@ -205,14 +201,10 @@
 @pytest.mark.parametrize(
     "args",
     [
-        pytest.param(["get", "retail"], id="no path"),
-        pytest.param(["delete", "teams/retail"], id="no version"),
-        pytest.param(
-            ["delete", "teams/retail", "--if-version", "7", "--overwrite"], id="both"
-        ),
-        pytest.param(
-            ["delete", "teams/retail", "--if-version", "latest"], id="no number"
-        ),
+        ["get", "retail"],
+        ["delete", "teams/retail"],
+        ["delete", "teams/retail", "--if-version", "7", "--overwrite"],
+        ["delete", "teams/retail", "--if-version", "latest"],
     ],
 )
 def test_a_wrong_command_line_makes_no_call(args: list[str]) -> None:
--- a/tests/test_cli_requests.py
+++ b/tests/test_cli_requests.py
@@ -84,56 +84,25 @@
     assert run.status is ExitStatus.OK
 
 
+def refused(status: int, error: str, outcome: str = "not-run") -> CallResult:
+    value = {"error": error, "message": "m", "retry_after_ms": 250}
+    return json_response(status, value, Outcome=outcome)
+
+
 @pytest.mark.parametrize(
     ("result", "status", "told"),
     [
-        pytest.param(
-            json_response(
-                429,
-                {"error": "line_full", "message": "m", "retry_after_ms": 250},
-                Outcome="not-run",
-            ),
-            ExitStatus.NOT_RUN,
-            "Try again in 250 ms",
-            id="line full",
-        ),
-        pytest.param(
-            json_response(401, {"error": "bad_key", "message": "m"}, Outcome="not-run"),
-            ExitStatus.NOT_ALLOWED,
-            "TAMARACKMOUNT_KEY",
-            id="bad key",
-        ),
-        pytest.param(
-            json_response(
-                404, {"error": "unknown_queue", "message": "m"}, Outcome="not-run"
-            ),
-            ExitStatus.NOT_FOUND,
-            "config list",
-            id="unknown queue",
-        ),
-        pytest.param(
-            json_response(
-                409, {"error": "already_attempted", "message": "m"}, Outcome="unknown"
-            ),
+        (refused(429, "line_full"), ExitStatus.NOT_RUN, "Try again in 250 ms"),
+        (refused(401, "bad_key"), ExitStatus.NOT_ALLOWED, "TAMARACKMOUNT_KEY"),
+        (refused(404, "unknown_queue"), ExitStatus.NOT_FOUND, "config list"),
+        (
+            refused(409, "already_attempted", "unknown"),
             ExitStatus.UNKNOWN_OUTCOME,
             "before you repeat it",
-            id="attempted before",
-        ),
-        pytest.param(
-            json_response(502, {}),
-            ExitStatus.UNKNOWN_OUTCOME,
-            "Request id: token-1",
-            id="an answer of a balancer",
-        ),
-        pytest.param(
-            unreachable(), ExitStatus.UNREACHABLE, "another entry VM", id="unreachable"
-        ),
-        pytest.param(
-            connection_lost(),
-            ExitStatus.UNKNOWN_OUTCOME,
-            "Request id: token-1",
-            id="connection lost",
         ),
+        (json_response(502, {}), ExitStatus.UNKNOWN_OUTCOME, "Request id: token-1"),
+        (unreachable(), ExitStatus.UNREACHABLE, "another entry VM"),
+        (connection_lost(), ExitStatus.UNKNOWN_OUTCOME, "Request id: token-1"),
     ],
 )
 def test_a_refusal_says_what_to_do_next(
@@ -171,16 +140,14 @@
 @pytest.mark.parametrize(
     "args",
     [
-        pytest.param(["request"], id="no queue"),
-        pytest.param(["request", "counter", "--key", "k"], id="a key as argument"),
-        pytest.param(["request", "counter", "--timeout-ms", "soon"], id="no number"),
-        pytest.param(["request", "counter", "--header", "Accept"], id="half a header"),
-        pytest.param(["request", "counter", "--header", "A: b\nC: d"], id="two lines"),
-        pytest.param(["request", "counter", "--url", "entry-1"], id="half a URL"),
-        pytest.param(
-            ["request", "counter", "--idempotent", "--non-idempotent"], id="both"
-        ),
-        pytest.param(["requests"], id="no such command"),
+        ["request"],
+        ["request", "counter", "--key", "k"],
+        ["request", "counter", "--timeout-ms", "soon"],
+        ["request", "counter", "--header", "Accept"],
+        ["request", "counter", "--header", "A: b\nC: d"],
+        ["request", "counter", "--url", "entry-1"],
+        ["request", "counter", "--idempotent", "--non-idempotent"],
+        ["requests"],
     ],
 )
 def test_a_wrong_command_line_makes_no_call(args: list[str]) -> None:
--- a/tests/test_cli_teams.py
+++ b/tests/test_cli_teams.py
@@ -22,6 +22,9 @@
 TEXT = "# The retail shops.\n" + team_text()
 
 
+HASH = "0" * 64
+
+
 def document(text: str = TEXT) -> CallResult:
     value = {"path": "teams/retail", "version": 7, "text": text}
     return json_response(200, value)
@@ -170,22 +173,13 @@
 @pytest.mark.parametrize(
     "text",
     [
-        pytest.param(TEXT, id="tables"),
-        pytest.param(TEXT.rstrip("\n"), id="no last line end"),
-        pytest.param(TEXT + "revoked = false # for now\n", id="not revoked, in words"),
-        pytest.param(
-            f'share = 1\nkeys = {{ counter = {{ sha256 = "{"0" * 64}" }} }}\n',
-            id="inline",
-        ),
-        pytest.param(
-            f'share = 1\n[keys]\ncounter = {{ sha256 = "{"0" * 64}" }}\n',
-            id="half inline",
-        ),
-        pytest.param(f'share = 1\nkeys.counter.sha256 = "{"0" * 64}"\n', id="dotted"),
-        pytest.param(
-            f'share = 1\n[keys.counter]\nsha256 = """\\\n  {"0" * 64}"""\n',
-            id="several lines",
-        ),
+        TEXT,
+        TEXT.rstrip("\n"),
+        TEXT + "revoked = false # for now\n",
+        f'share = 1\nkeys = {{ counter = {{ sha256 = "{HASH}" }} }}\n',
+        f'share = 1\n[keys]\ncounter = {{ sha256 = "{HASH}" }}\n',
+        f'share = 1\nkeys.counter.sha256 = "{HASH}"\n',
+        f'share = 1\n[keys.counter]\nsha256 = """\\\n  {HASH}"""\n',
     ],
 )
 def test_keys_are_changed_in_every_way_of_writing_them(text: str) -> None:
