Members: heartbeats, ownership by epoch, log order and peer links

Cause: entry VMs have to act as one without a coordination service. Change: the I/O-free membership, ownership (claims by the log's order, by all live members without it), configuration by compare-and-set, a grouping log writer that settles lost replies by reading back, and framed Cap'n Proto links.

--- /dev/null
+++ b/tamarackmount/internal/peer.capnp
@@ -0,0 +1,234 @@
+@0xd3b1f6a09c5e2a47;
+# Messages between entry VMs. Every struct has a dataclass of the same name in
+# tamarackmount/kernel/messages.py, with its field names in snake case.
+
+enum RefusalReason {
+  noUpstream @0;
+  lineFull @1;
+  deadline @2;
+  ceiling @3;
+  noOwner @4;
+  alreadyAttempted @5;
+  notDurable @6;
+  draining @7;
+  homeUnreachable @8;
+  badKey @9;
+  unknownQueue @10;
+  retriesSpent @11;
+  upstreamFailed @12;
+}
+
+enum AttemptResult {
+  answered @0;
+  failedBeforeSend @1;
+  failedAfterSend @2;
+  unused @3;
+}
+
+enum AttemptState {
+  started @0;
+  answered @1;
+}
+
+enum Outcome {
+  answered @0;
+  notRun @1;
+  unknown @2;
+}
+
+enum JobAction {
+  submit @0;
+  view @1;
+  list @2;
+  explain @3;
+  cancel @4;
+}
+
+struct Heartbeat {
+  memberId @0 :Text;
+  incarnation @1 :UInt64;
+  dataCentre @2 :Text;
+  sequence @3 :UInt64;
+  epoch @4 :UInt64;
+  owner @5 :Text;
+  configOffset @6 :UInt64;
+  logAgeMs @7 :UInt64;
+  leaving @8 :Bool;
+}
+
+struct ClaimRequest {
+  candidate @0 :Text;
+  incarnation @1 :UInt64;
+  epoch @2 :UInt64;
+}
+
+struct ClaimReply {
+  memberId @0 :Text;
+  epoch @1 :UInt64;
+  accepted @2 :Bool;
+}
+
+struct TicketRequest {
+  ticketId @0 :Text;
+  requestId @1 :Text;
+  teamId @2 :Text;
+  queue @3 :Text;
+  idempotent @4 :Bool;
+  remainingMs @5 :UInt32;
+  excluded @6 :List(Text);
+}
+
+struct TicketGrant {
+  ticketId @0 :Text;
+  upstreamId @1 :Text;
+  epoch @2 :UInt64;
+  remainingMs @3 :UInt32;
+}
+
+struct TicketRefusal {
+  ticketId @0 :Text;
+  reason @1 :RefusalReason;
+  retryAfterMs @2 :UInt32;
+}
+
+struct TicketRelease {
+  ticketId @0 :Text;
+  result @1 :AttemptResult;
+  serviceMs @2 :UInt32;
+}
+
+struct TicketWithdrawal {
+  ticketId @0 :Text;
+}
+
+struct HeldTicket {
+  ticketId @0 :Text;
+  requestId @1 :Text;
+  teamId @2 :Text;
+  queue @3 :Text;
+  upstreamId @4 :Text;
+  idempotent @5 :Bool;
+  remainingMs @6 :UInt32;
+}
+
+struct AttemptEntry {
+  teamId @0 :Text;
+  requestId @1 :Text;
+  state @2 :AttemptState;
+  keepMs @3 :UInt32;
+}
+
+struct AttemptCopy {
+  sequence @0 :UInt64;
+  entries @1 :List(AttemptEntry);
+}
+
+struct AttemptCopied {
+  sequence @0 :UInt64;
+}
+
+struct HoldingsRequest {
+  epoch @0 :UInt64;
+}
+
+struct HoldingsReport {
+  epoch @0 :UInt64;
+  tickets @1 :List(HeldTicket);
+  attempts @2 :List(AttemptEntry);
+  jobs @3 :List(Text);
+}
+
+struct HttpHeader {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct ForwardedRequest {
+  callId @0 :UInt64;
+  requestId @1 :Text;
+  teamId @2 :Text;
+  queue @3 :Text;
+  idempotent @4 :Bool;
+  remainingMs @5 :UInt32;
+  method @6 :Text;
+  path @7 :Text;
+  headers @8 :List(HttpHeader);
+  body @9 :Data;
+  traceparent @10 :Text;
+}
+
+struct ForwardedReply {
+  callId @0 :UInt64;
+  outcome @1 :Outcome;
+  reason @2 :Text;
+  retryAfterMs @3 :UInt32;
+  status @4 :UInt16;
+  headers @5 :List(HttpHeader);
+  body @6 :Data;
+}
+
+struct JobCall {
+  callId @0 :UInt64;
+  action @1 :JobAction;
+  teamId @2 :Text;
+  jobId @3 :Text;
+  spec @4 :Text;
+}
+
+struct JobAnswer {
+  callId @0 :UInt64;
+  status @1 :UInt16;
+  body @2 :Text;
+  retryAfterMs @3 :UInt32;
+}
+
+struct JobCopy {
+  epoch @0 :UInt64;
+  sequence @1 :UInt64;
+  records @2 :List(Text);
+}
+
+struct JobCopied {
+  sequence @0 :UInt64;
+}
+
+struct ConfigEntry {
+  path @0 :Text;
+  version @1 :UInt64;
+  text @2 :Text;
+}
+
+struct ConfigWanted {
+  haveOffset @0 :UInt64;
+}
+
+struct ConfigSync {
+  offset @0 :UInt64;
+  entries @1 :List(ConfigEntry);
+}
+
+struct Envelope {
+  sender @0 :Text;
+  union {
+    heartbeat @1 :Heartbeat;
+    claimRequest @2 :ClaimRequest;
+    claimReply @3 :ClaimReply;
+    ticketRequest @4 :TicketRequest;
+    ticketGrant @5 :TicketGrant;
+    ticketRefusal @6 :TicketRefusal;
+    ticketRelease @7 :TicketRelease;
+    ticketWithdrawal @8 :TicketWithdrawal;
+    attemptCopy @9 :AttemptCopy;
+    attemptCopied @10 :AttemptCopied;
+    holdingsRequest @11 :HoldingsRequest;
+    holdingsReport @12 :HoldingsReport;
+    forwardedRequest @13 :ForwardedRequest;
+    forwardedReply @14 :ForwardedReply;
+    jobCall @15 :JobCall;
+    jobAnswer @16 :JobAnswer;
+    jobCopy @17 :JobCopy;
+    jobCopied @18 :JobCopied;
+    configWanted @19 :ConfigWanted;
+    configSync @20 :ConfigSync;
+  }
+}
--- /dev/null
+++ b/tamarackmount/kernel/log_keeper.py
@@ -0,0 +1,337 @@
+"""One member's reading and writing of the log, and what it holds from it.
+
+Feeds the configuration, the claims of ownership and the job records in the log's
+order, settles the member's own records, and appends a snapshot before retention
+drops what a starting member needs.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from returns.result import Failure
+
+from tamarackmount.adapters.log_schema import RecordPage, StoredRecord
+from tamarackmount.ids import (
+    ConfigPath,
+    DataCentreId,
+    Epoch,
+    Instant,
+    MemberId,
+    Offset,
+    RecordId,
+)
+from tamarackmount.kernel.effects import (
+    AppendToLog,
+    ChangeOutcome,
+    Effect,
+    FinishChange,
+    ReadLog,
+    ReportProblem,
+)
+from tamarackmount.kernel.fleet_config import ChangeResult, FleetConfig
+from tamarackmount.kernel.log_records import (
+    ConfigChange,
+    ConfigSnapshot,
+    JobRecords,
+    LoggedOwner,
+    LogRecord,
+    OwnerClaim,
+    record_from_text,
+    record_to_text,
+)
+from tamarackmount.kernel.log_writer import (
+    RETRY_DELAY_S,
+    AppendResult,
+    LogWriter,
+    LogWriterEffect,
+    PendingRecord,
+    ReadBack,
+    RecordSettled,
+    SendAppend,
+    WriteResult,
+)
+
+CHANGE_TIMEOUT_S = 10.0
+"""How long an operator's change may wait for the log, in seconds."""
+
+CLAIM_RECORD_TIMEOUT_S = 2.0
+"""How long a claim may wait for the log, in seconds."""
+
+SNAPSHOT_AT_USED = 0.5
+"""Part of the log's kept length after which a snapshot is written anew."""
+
+MIN_KEPT_FOR_SNAPSHOT = 100
+"""Kept records below which dropping is not expected."""
+
+
+@dataclass(frozen=True, slots=True)
+class LoggedClaim:
+    """A claim read from the log, at its offset."""
+
+    offset: Offset
+    claim: OwnerClaim
+
+
+@dataclass(frozen=True, slots=True)
+class JobsRead:
+    """Job records read from the log."""
+
+    records: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigChanged:
+    """Some document changed."""
+
+
+@dataclass(frozen=True, slots=True)
+class OwnersRead:
+    """The last decided claims, from a snapshot."""
+
+    owners: tuple[LoggedOwner, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RecordWritten:
+    """The fate of a record that this member wrote for its jobs."""
+
+    id: RecordId
+    result: WriteResult
+
+
+LogNews = LoggedClaim | JobsRead | ConfigChanged | OwnersRead | RecordWritten
+"""What reading or writing the log means for the rest of the node."""
+
+
+@dataclass(frozen=True, slots=True)
+class KeeperStep:
+    """Effects for the daemon and news for the node, in order."""
+
+    effects: list[Effect]
+    news: list[LogNews]
+
+
+@dataclass(frozen=True, slots=True)
+class _WaitingChange:
+    """An operator's change on its way."""
+
+    call_id: int
+    path: ConfigPath
+    deadline: Instant
+
+
+class LogKeeper:
+    """The log as one member reads and writes it."""
+
+    def __init__(
+        self,
+        member_id: MemberId,
+        run_name: str,
+        appends_per_second: float,
+        now: Instant,
+    ) -> None:
+        """Start at the first offset; ``run_name`` makes record ids unique."""
+        self.config = FleetConfig()
+        self._me = member_id
+        self._run_name = run_name
+        self._writer = LogWriter(appends_per_second, now)
+        self._sequence = 0
+        self._changes_by_record: dict[RecordId, _WaitingChange] = {}
+        self._last_end_read: Instant | None = None
+        self._read_back_after: Instant | None = None
+        self._logged_owners: dict[DataCentreId, Epoch] = {}
+        self._snapshot_applied = Offset(0)
+        self._snapshot_pending: RecordId | None = None
+
+    def is_fresh(self, limit_s: float, now: Instant) -> bool:
+        """Tell whether the log's end was read within ``limit_s`` seconds."""
+        return self._last_end_read is not None and now - self._last_end_read <= limit_s
+
+    def end_read_age_s(self, now: Instant) -> float | None:
+        """Return how long ago the log's end was read, in seconds."""
+        return None if self._last_end_read is None else now - self._last_end_read
+
+    def change(self, call_id: int, change: ConfigChange, now: Instant) -> KeeperStep:
+        """Write an operator's change; its outcome follows as an effect."""
+        record_id = self._next_id()
+        deadline = Instant(now + CHANGE_TIMEOUT_S)
+        waiting = _WaitingChange(call_id, change.path, deadline)
+        self._changes_by_record[record_id] = waiting
+        return self._write(record_id, change, deadline, now)
+
+    def claim(self, claim: OwnerClaim, now: Instant) -> KeeperStep:
+        """Write a claim of ownership."""
+        deadline = Instant(now + CLAIM_RECORD_TIMEOUT_S)
+        return self._write(self._next_id(), claim, deadline, now)
+
+    def save_jobs(
+        self, records: JobRecords, deadline: Instant, now: Instant
+    ) -> RecordId:
+        """Write job records; their fate follows as news with the returned id."""
+        record_id = self._next_id()
+        self._write(record_id, records, deadline, now)
+        return record_id
+
+    def page_read(self, page: RecordPage, asked: Instant, now: Instant) -> KeeperStep:
+        """Take in records; ``asked`` is when the read was sent."""
+        step = KeeperStep([], [])
+        self.config.records_dropped(page.first_offset)
+        fresh = [r for r in page.records if r.offset >= self.config.applied]
+        for stored in fresh:
+            self._take_in(stored, step)
+        self._settle(self._writer.seen([r.id for r in fresh]), step)
+        if fresh:
+            self.config.advance(Offset(fresh[-1].offset + 1))
+        if page.next_offset > self.config.applied and fresh:
+            step.effects.append(ReadLog(self.config.applied))
+            return step
+        self._end_read(asked, now, step)
+        self._keep_snapshot(page, now, step)
+        return step
+
+    def appended(self, result: AppendResult, now: Instant) -> KeeperStep:
+        """Take in the result of an append call."""
+        step = KeeperStep([], [])
+        self._settle(self._writer.appended(result, now), step, now)
+        if result is AppendResult.DONE:
+            step.effects.append(ReadLog(self.config.applied))
+        return step
+
+    def tick(self, now: Instant) -> KeeperStep:
+        """Send what is due and give up what is late."""
+        step = KeeperStep([], [])
+        self._settle(self._writer.tick(now), step, now)
+        self._expire_changes(now, step)
+        return step
+
+    def _write(
+        self, record_id: RecordId, record: LogRecord, deadline: Instant, now: Instant
+    ) -> KeeperStep:
+        pending = PendingRecord(record_id, record_to_text(record), deadline)
+        step = KeeperStep([], [])
+        self._settle(self._writer.write([pending], now), step, now)
+        return step
+
+    def _take_in(self, stored: StoredRecord, step: KeeperStep) -> None:
+        parsed = record_from_text(stored.body)
+        if isinstance(parsed, Failure):
+            problem = f"log record {stored.offset} is not readable: {parsed.failure()}"
+            step.effects.append(ReportProblem(problem))
+            return
+        record = parsed.unwrap()
+        match record:
+            case ConfigChange():
+                self._take_change(stored, record, step)
+            case ConfigSnapshot():
+                self._take_snapshot(record, step)
+            case OwnerClaim():
+                step.news.append(LoggedClaim(stored.offset, record))
+            case JobRecords():
+                step.news.append(JobsRead(tuple(record.records)))
+
+    def _take_change(
+        self, stored: StoredRecord, change: ConfigChange, step: KeeperStep
+    ) -> None:
+        result = self.config.apply_change(stored.offset, change)
+        self._finish_change(stored.id, _OUTCOME_BY_CHANGE[result], step)
+        if result is ChangeResult.ACCEPTED:
+            step.news.append(ConfigChanged())
+
+    def _take_snapshot(self, snapshot: ConfigSnapshot, step: KeeperStep) -> None:
+        self.config.apply_snapshot(snapshot)
+        self._snapshot_applied = max(self._snapshot_applied, snapshot.applied)
+        step.news.append(ConfigChanged())
+        step.news.append(OwnersRead(tuple(snapshot.owners)))
+
+    def note_logged_owner(self, data_centre: DataCentreId, epoch: Epoch) -> None:
+        """Remember a decided claim of any data centre, for snapshots."""
+        self._logged_owners[data_centre] = epoch
+
+    def logged_owner(self, data_centre: DataCentreId) -> Epoch:
+        """Return the epoch of the last decided claim of a data centre, or 0."""
+        return self._logged_owners.get(data_centre, Epoch(0))
+
+    def _end_read(self, asked: Instant, now: Instant, step: KeeperStep) -> None:
+        self._last_end_read = asked
+        if self._read_back_after is not None and asked >= self._read_back_after:
+            self._read_back_after = None
+            self._settle(self._writer.read_back(now), step, now)
+
+    def _keep_snapshot(self, page: RecordPage, now: Instant, step: KeeperStep) -> None:
+        """Write a snapshot when the last one is too near to being dropped."""
+        kept = page.next_offset - page.first_offset
+        since = page.next_offset - self._snapshot_applied
+        needed = page.first_offset > 0 or kept >= MIN_KEPT_FOR_SNAPSHOT
+        if self._snapshot_pending or not needed or since < kept * SNAPSHOT_AT_USED:
+            return
+        if not self.config.is_complete:
+            return
+        owners = [
+            LoggedOwner(data_centre=data_centre, epoch=epoch)
+            for data_centre, epoch in self._logged_owners.items()
+        ]
+        record_id = self._next_id()
+        self._snapshot_pending = record_id
+        deadline = Instant(now + CHANGE_TIMEOUT_S)
+        snapshot = self.config.snapshot(owners)
+        step.effects.extend(self._write(record_id, snapshot, deadline, now).effects)
+
+    def _settle(
+        self,
+        effects: Sequence[LogWriterEffect],
+        step: KeeperStep,
+        now: Instant | None = None,
+    ) -> None:
+        for effect in effects:
+            match effect:
+                case SendAppend(records):
+                    step.effects.append(AppendToLog(records))
+                case ReadBack():
+                    self._read_back_after = now
+                    step.effects.append(ReadLog(self.config.applied))
+                case RecordSettled(record_id, result):
+                    self._settled(record_id, result, step)
+
+    def _settled(
+        self, record_id: RecordId, result: WriteResult, step: KeeperStep
+    ) -> None:
+        if record_id == self._snapshot_pending:
+            self._snapshot_pending = None
+        if record_id not in self._changes_by_record:
+            step.news.append(RecordWritten(record_id, result))
+        elif result is not WriteResult.WRITTEN:
+            # A written change is finished once its place in the log is read.
+            self._finish_change(record_id, _OUTCOME_BY_WRITE[result], step)
+
+    def _finish_change(
+        self, record_id: RecordId, outcome: ChangeOutcome, step: KeeperStep
+    ) -> None:
+        waiting = self._changes_by_record.pop(record_id, None)
+        if waiting is None:
+            return
+        version = self.config.version(waiting.path)
+        step.effects.append(FinishChange(waiting.call_id, outcome, version))
+
+    def _expire_changes(self, now: Instant, step: KeeperStep) -> None:
+        late = [
+            record_id
+            for record_id, waiting in self._changes_by_record.items()
+            if now >= waiting.deadline + RETRY_DELAY_S
+        ]
+        for record_id in late:
+            self._finish_change(record_id, ChangeOutcome.UNKNOWN, step)
+
+    def _next_id(self) -> RecordId:
+        self._sequence += 1
+        return RecordId(f"{self._me}-{self._run_name}-{self._sequence}")
+
+
+_OUTCOME_BY_CHANGE = {
+    ChangeResult.ACCEPTED: ChangeOutcome.ACCEPTED,
+    ChangeResult.CONFLICT: ChangeOutcome.CONFLICT,
+}
+
+_OUTCOME_BY_WRITE = {
+    WriteResult.NOT_WRITTEN: ChangeOutcome.NOT_CHANGED,
+    WriteResult.UNKNOWN: ChangeOutcome.UNKNOWN,
+}
--- /dev/null
+++ b/tamarackmount/kernel/membership.py
@@ -0,0 +1,180 @@
+"""Which members are alive, as one member sees it.
+
+Members of a data centre send each other heartbeats, all to all. Between data
+centres each member keeps a link to one member of every other data centre, chosen
+by hash, so that the number of heartbeats a member sends grows with the size of
+its data centre and the number of data centres, not with the fleet.
+"""
+
+import hashlib
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+from tamarackmount.ids import DataCentreId, Incarnation, Instant, MemberId
+from tamarackmount.kernel.messages import Heartbeat
+from tamarackmount.kernel.timing import Timing
+
+
+class MemberState(Enum):
+    """State of a member in another member's view."""
+
+    UNSEEN = "unseen"
+    ALIVE = "alive"
+    LEAVING = "leaving"
+    LOST = "lost"
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A member that the settings name."""
+
+    id: MemberId
+    data_centre: DataCentreId
+
+
+@dataclass(slots=True)
+class _Peer:
+    member: Member
+    heard_until: Instant
+    heartbeat: Heartbeat | None = None
+
+
+def rank_by_hash(seed: str, names: Iterable[str]) -> list[str]:
+    """Return ``names`` in an order that depends on ``seed`` and the names alone."""
+    return sorted(
+        names, key=lambda name: hashlib.sha256(f"{seed}/{name}".encode()).digest()
+    )
+
+
+class Membership:
+    """The members of the fleet and when each was last heard."""
+
+    def __init__(
+        self, me: Member, peers: Iterable[Member], timing: Timing, now: Instant
+    ) -> None:
+        """Start with every peer unseen; ``now`` is when this member started."""
+        self._me = me
+        self._timing = timing
+        self._peers_by_id = {
+            peer.id: _Peer(peer, Instant(now + self._silence_s(peer)))
+            for peer in peers
+            if peer.id != me.id
+        }
+
+    def heard(self, heartbeat: Heartbeat, now: Instant) -> bool:
+        """Note a heartbeat; return whether it is from a new run of its sender.
+
+        Heartbeats of strangers, of earlier runs and out of order are ignored.
+        """
+        peer = self._peers_by_id.get(heartbeat.member_id)
+        if peer is None:
+            return False
+        last = peer.heartbeat
+        if last is not None and _order(heartbeat) <= _order(last):
+            return False
+        peer.heartbeat = heartbeat
+        peer.heard_until = Instant(now + self._silence_s(peer.member))
+        return last is None or last.incarnation != heartbeat.incarnation
+
+    def forget_silence(self, now: Instant) -> None:
+        """Count every peer's silence from ``now``, after a pause of this member."""
+        for peer in self._peers_by_id.values():
+            peer.heard_until = Instant(now + self._silence_s(peer.member))
+
+    def state(self, member_id: MemberId, now: Instant) -> MemberState:
+        """Return the state of a peer; strangers are unseen."""
+        peer = self._peers_by_id.get(member_id)
+        if peer is None:
+            return MemberState.UNSEEN
+        if now >= peer.heard_until:
+            return MemberState.LOST
+        if peer.heartbeat is None:
+            return MemberState.UNSEEN
+        if peer.heartbeat.leaving:
+            return MemberState.LEAVING
+        return MemberState.ALIVE
+
+    def live_peers(self, data_centre: DataCentreId, now: Instant) -> list[MemberId]:
+        """Return the peers of a data centre that are alive or leaving, by name."""
+        return sorted(
+            peer.member.id
+            for peer in self._peers_by_id.values()
+            if peer.member.data_centre == data_centre and self._is_heard(peer, now)
+        )
+
+    def staying_peers(self, data_centre: DataCentreId, now: Instant) -> list[MemberId]:
+        """Return the live peers of a data centre that are not leaving, by name."""
+        return [
+            member_id
+            for member_id in self.live_peers(data_centre, now)
+            if self.state(member_id, now) is MemberState.ALIVE
+        ]
+
+    def heartbeat_of(self, member_id: MemberId) -> Heartbeat | None:
+        """Return the last heartbeat of a peer."""
+        peer = self._peers_by_id.get(member_id)
+        return peer.heartbeat if peer is not None else None
+
+    def data_centre_of(self, member_id: MemberId) -> DataCentreId | None:
+        """Return the data centre of a peer that the settings name."""
+        peer = self._peers_by_id.get(member_id)
+        return peer.member.data_centre if peer is not None else None
+
+    def data_centres(self) -> list[DataCentreId]:
+        """Return every data centre that the settings name, by name."""
+        names = {peer.member.data_centre for peer in self._peers_by_id.values()}
+        return sorted(names | {self._me.data_centre})
+
+    def local_targets(self) -> list[MemberId]:
+        """Return the peers that get every heartbeat: those of the data centre."""
+        return sorted(
+            peer.member.id
+            for peer in self._peers_by_id.values()
+            if peer.member.data_centre == self._me.data_centre
+        )
+
+    def remote_targets(self, now: Instant) -> list[MemberId]:
+        """Return one peer of every other data centre to keep in touch with.
+
+        Lost peers are passed over while another one of their data centre is not; of a
+        data centre whose peers are all lost, each is tried in turn.
+        """
+        targets = []
+        for data_centre in self.data_centres():
+            if data_centre != self._me.data_centre:
+                targets.append(self._remote_target(data_centre, now))
+        return targets
+
+    def states(self, now: Instant) -> Mapping[MemberId, MemberState]:
+        """Return the state of every peer."""
+        return {
+            member_id: self.state(member_id, now) for member_id in self._peers_by_id
+        }
+
+    def _remote_target(self, data_centre: DataCentreId, now: Instant) -> MemberId:
+        names = [
+            peer.member.id
+            for peer in self._peers_by_id.values()
+            if peer.member.data_centre == data_centre
+        ]
+        ranked = [MemberId(name) for name in rank_by_hash(self._me.id, names)]
+        not_lost = [
+            name for name in ranked if self.state(name, now) is not MemberState.LOST
+        ]
+        if not_lost:
+            return not_lost[0]
+        turn = int(now / self._timing.remote_heartbeat_s)
+        return ranked[turn % len(ranked)]
+
+    def _is_heard(self, peer: _Peer, now: Instant) -> bool:
+        return peer.heartbeat is not None and now < peer.heard_until
+
+    def _silence_s(self, member: Member) -> float:
+        if member.data_centre == self._me.data_centre:
+            return self._timing.owner_lease_s
+        return self._timing.remote_heartbeat_s * 4
+
+
+def _order(heartbeat: Heartbeat) -> tuple[Incarnation, int]:
+    return heartbeat.incarnation, heartbeat.sequence
--- a/tamarackmount/kernel/messages.py
+++ b/tamarackmount/kernel/messages.py
@@ -70,15 +70,6 @@
     leaving: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class HeartbeatAck:
-    """Answer to a heartbeat, echoing its sequence number."""
-
-    member_id: MemberId
-    incarnation: Incarnation
-    sequence: int
-
-
 @dataclass(frozen=True, slots=True)
 class ClaimRequest:
     """Ask the members of a data centre to accept a new owner without the log."""
@@ -338,7 +329,6 @@
 
 PeerMessage = (
     Heartbeat
-    | HeartbeatAck
     | ClaimRequest
     | ClaimReply
     | TicketRequest
