--- a/tamarackmount/daemon/peers.py
+++ b/tamarackmount/daemon/peers.py
@@ -9,13 +9,13 @@
 import logging
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from typing import Any
 
 from returns.result import Failure
 from twisted.application.internet import ClientService, backoffPolicy
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.interfaces import IListeningPort, IReactorTCP
-from twisted.internet.protocol import Factory
+from twisted.internet.protocol import Factory, Protocol
 from twisted.protocols.basic import Int32StringReceiver
 from twisted.python.failure import Failure as TwistedFailure
 
@@ -47,6 +47,11 @@
     received_bytes: int = 0
 
 
+def _transport(protocol: Protocol) -> Any:
+    """Return a connected protocol's transport, whose interfaces mypy can't see."""
+    return protocol.transport
+
+
 class _Inbound(Int32StringReceiver):
     """A connection that another member opened."""
 
@@ -58,7 +63,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802  (twisted's name)
         """Turn off delays for small messages."""
-        self.transport.setTcpNoDelay(True)  # type: ignore[union-attr]
+        _transport(self).setTcpNoDelay(True)
 
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         """Pass a message on, or close on bytes that are none."""
@@ -76,9 +81,9 @@
 
     def _reject(self, reason: str) -> None:
         self._counters.malformed += 1
-        peer = str(self.transport.getPeer())  # type: ignore[union-attr]
+        peer = str(_transport(self).getPeer())
         _log.warning("closed peer connection", extra={"reason": reason, "peer": peer})
-        self.transport.abortConnection()  # type: ignore[union-attr]
+        _transport(self).abortConnection()
 
 
 class _InboundFactory(Factory):
@@ -103,17 +108,17 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Ask to be told when the peer is slow."""
-        self.transport.setTcpNoDelay(True)  # type: ignore[union-attr]
-        self.transport.registerProducer(self, True)  # type: ignore[union-attr]
+        _transport(self).setTcpNoDelay(True)
+        _transport(self).registerProducer(self, True)
 
     def send(self, data: bytes) -> bool:
         """Send a frame; return whether it went out or was dropped."""
         if self._congested:
             self._unsent += len(data)
         if self._unsent > MAX_UNSENT_BYTES:
-            self.transport.abortConnection()  # type: ignore[union-attr]
+            _transport(self).abortConnection()
             return False
-        self.sendString(data)
+        self.sendString(data)  # type: ignore[no-untyped-call]
         return True
 
     def pauseProducing(self) -> None:  # noqa: N802
@@ -138,12 +143,15 @@
 class _Link:
     """A connection to one peer, opened again whenever it is lost."""
 
-    def __init__(self, reactor: IReactorTCP, address: Address) -> None:
+    def __init__(self, reactor: Any, address: Address) -> None:
         self._protocol: _Outbound | None = None
-        endpoint = TCP4ClientEndpoint(reactor, address.host, address.port, timeout=2)
+        endpoint: Any = TCP4ClientEndpoint(
+            reactor, address.host, address.port, timeout=2
+        )
         policy = backoffPolicy(initialDelay=0.1, maxDelay=MAX_RECONNECT_DELAY_S)
+        factory: Any = _OutboundFactory()
         self._service = ClientService(
-            endpoint, _OutboundFactory(), retryPolicy=policy, clock=reactor
+            endpoint, factory, retryPolicy=policy, clock=reactor
         )
         self._service.startService()
         self._await_connection()
@@ -160,7 +168,7 @@
     def _await_connection(self) -> None:
         if self._protocol is not None and self._protocol.connected:
             return
-        connected: Deferred[_Outbound] = self._service.whenConnected()
+        connected: Deferred[Any] = self._service.whenConnected()
         connected.addCallbacks(self._connected, _ignore)
 
     def _connected(self, protocol: _Outbound) -> None:
@@ -176,7 +184,7 @@
 
     def __init__(
         self,
-        reactor: IReactorTCP,
+        reactor: Any,
         member_id: MemberId,
         addresses_by_id: Mapping[MemberId, Address],
         receive: Receive,
@@ -187,7 +195,7 @@
         self._addresses_by_id = addresses_by_id
         self._receive = receive
         self._links_by_id: dict[MemberId, _Link] = {}
-        self._port: IListeningPort | None = None
+        self._port: Any = None
         self.counters = LinkCounters()
 
     def listen(self, address: Address) -> None:
