--- a/tamarackmount/adapters/reactor.py
+++ b/tamarackmount/adapters/reactor.py
@@ -42,7 +42,7 @@
 
 
 def make_monotonic(reactor: Any) -> None:
-    """Make a reactor keep time by the monotonic clock; call it before all else.
+    """Make a reactor keep time by the monotonic clock; call it before it runs.
 
     Twisted's reactors read the wall clock, which may step; ``seconds`` is the one
     method through which they read it.
--- /dev/null
+++ b/tamarackmount/adapters/vms.py
@@ -0,0 +1,48 @@
+"""Client of the platform's list of VMs.
+
+Assumptions:
+
+- The list is whole: a VM that it lacks has gone, or is too new to show.
+- It lags by seconds; a VM that is listed as live may be leaving or gone.
+- A VM's id is never given to another VM, and its address stays the same.
+"""
+
+from dataclasses import dataclass
+
+from returns.result import Result
+from twisted.internet.defer import Deferred
+
+from tamarackmount.adapters.http import HttpError, JsonHttpClient
+from tamarackmount.adapters.reactor import ClientReactor
+from tamarackmount.adapters.vm_schema import VmList
+
+
+@dataclass(frozen=True, slots=True)
+class VmListError:
+    """The list could not be had."""
+
+    detail: str
+
+
+class VmListClient:
+    """Fetches the platform's list of VMs."""
+
+    def __init__(
+        self, reactor: ClientReactor, url: str, call_timeout_s: float = 5.0
+    ) -> None:
+        """Call the service at ``url``, such as ``http://10.0.0.1:80``."""
+        self._http = JsonHttpClient(reactor, call_timeout_s)
+        self._url = url.rstrip("/")
+
+    def fetch(self) -> "Deferred[Result[VmList, VmListError]]":
+        """Fetch the whole list."""
+        called = self._http.get(f"{self._url}/vms", VmList)
+        return called.addCallback(lambda result: result.alt(_error))
+
+    def close(self) -> "Deferred[None]":
+        """Close idle connections."""
+        return self._http.close()
+
+
+def _error(error: HttpError) -> VmListError:
+    return VmListError(f"{error.fault.value}: {error.detail}")
--- a/tamarackmount/standins/process.py
+++ b/tamarackmount/standins/process.py
@@ -46,10 +46,7 @@
 
 
 reactor = cast(ServerReactor, default_reactor)
-"""The process's reactor, on the monotonic clock."""
-
-
-make_monotonic(default_reactor)
+"""The process's reactor; :func:`run` puts it on the monotonic clock."""
 
 
 def make_parser(description: str) -> ArgumentParser:
@@ -107,6 +104,7 @@
 
 def run(service: ServicePort, control: ServicePort) -> None:
     """Announce both ports and run until a signal ends the process."""
+    make_monotonic(reactor)
     reactor.callWhenRunning(announce, service.port, control.port)
     reactor.run()
 
--- a/tamarackmount/standins/upstream.py
+++ b/tamarackmount/standins/upstream.py
@@ -8,6 +8,7 @@
 
 import hashlib
 import json
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -74,6 +75,11 @@
         super().registerProtocol(protocol)  # type: ignore[no-untyped-call]
         self._model.connection_opened()
 
+    def close_idle(self, busy: Iterable[object]) -> None:
+        """Close all connections but the busy ones."""
+        for connection in set(self.protocols).difference(busy):
+            connection.loseConnection()
+
     def unregisterProtocol(self, protocol: ProtocolWrapper) -> None:  # noqa: N802
         """Count a connection that closed."""
         super().unregisterProtocol(protocol)  # type: ignore[no-untyped-call]
@@ -85,6 +91,7 @@
     """A request in execution, and whether its connection still stands."""
 
     request: WebRequest
+    connection: object
     execution: Execution
     answer: bytes
     chunked: bool
@@ -102,7 +109,10 @@
         """Serve ``model``; :attr:`port` is set once it listens."""
         self.model = model
         self.port: ServicePort | None = None
+        self.factory = CountingFactory(make_site(HandlerResource(self._answer)), model)
         self._timer = timer
+        self._last: _Pending | None = None
+        self._busy: set[object] = set()
 
     @property
     def breach_log(self) -> BreachLog:
@@ -120,13 +130,10 @@
             return
         if self.model.faults.mode is UpstreamMode.REFUSE_CONNECTIONS:
             self.port.close()
+            self.factory.close_idle(self._busy)
             return
         self.port.open()
 
-    def factory(self) -> CountingFactory:
-        """Return the factory of the service port."""
-        return CountingFactory(make_site(HandlerResource(self._answer)), self.model)
-
     def control(self) -> ControlResource:
         """Return the resource of the control port."""
         return ControlResource(self, self._control)
@@ -145,13 +152,16 @@
         execution = self.model.begin(now, _arrival(request, wishes))
         answer = _answer_text(self.model.upstream_id, request, wishes)
         chunked = wishes.answer_coding == "chunked"
-        pending = _Pending(request, execution, answer, chunked)
+        connection = request.channel.transport
+        pending = _Pending(request, connection, execution, answer, chunked)
         on_lost(request, pending.mark_lost)
+        self._busy.add(connection)
         self._timer.callLater(max(0.0, execution.ends_at - now), self._end, pending)
         return None
 
     def _end(self, pending: _Pending) -> None:
         self.model.end(pending.execution)
+        self._busy.discard(pending.connection)
         if pending.lost:
             return
         if not pending.execution.in_time:
@@ -161,10 +171,14 @@
 
     def _send(self, pending: _Pending) -> None:
         request = pending.request
+        mode = self.model.faults.mode
+        shown = pending
+        if mode is UpstreamMode.CROSS_ANSWERS and self._last is not None:
+            shown = self._last
+        self._last = pending
         request.setHeader(b"upstream", self.model.upstream_id.encode())
-        request.setHeader(b"request-id", pending.execution.request_id.encode())
+        request.setHeader(b"request-id", shown.execution.request_id.encode())
         request.setHeader(b"content-type", b"application/json")
-        mode = self.model.faults.mode
         if mode is UpstreamMode.CUT_AFTER_REQUEST:
             cut(request)
             return
@@ -174,14 +188,15 @@
             return
         if mode is UpstreamMode.FAIL_500:
             request.setResponseCode(500)
-        _send_answer(pending, mode is UpstreamMode.CUT_IN_ANSWER)
+        in_part = mode is UpstreamMode.CUT_IN_ANSWER
+        _send_answer(request, shown.answer, pending.chunked, in_part)
 
 
-def _send_answer(pending: _Pending, in_part: bool) -> None:
-    request = pending.request
-    answer = pending.answer
+def _send_answer(
+    request: WebRequest, answer: bytes, chunked: bool, in_part: bool
+) -> None:
     half = len(answer) // 2
-    if not pending.chunked:
+    if not chunked:
         request.setHeader(b"content-length", str(len(answer)).encode())
     request.write(answer[:half])
     if in_part:
@@ -252,7 +267,7 @@
     front = UpstreamFront(model, reactor)
     site = make_site(front.control())
     host = arguments.host
-    front.port = ServicePort(reactor, host, arguments.port, front.factory())
+    front.port = ServicePort(reactor, host, arguments.port, front.factory)
     run(front.port, ServicePort(reactor, host, arguments.control_port, site))
 
 
--- a/tamarackmount/standins/upstream_model.py
+++ b/tamarackmount/standins/upstream_model.py
@@ -18,13 +18,17 @@
 
 
 class UpstreamMode(Enum):
-    """What an upstream does with a request."""
+    """What an upstream does with a request.
+
+    ``cross_answers`` sends each request the answer of the one before it.
+    """
 
     UP = "up"
     FAIL_500 = "fail_500"
     CUT_AFTER_REQUEST = "cut_after_request"
     CUT_IN_ANSWER = "cut_in_answer"
     GARBAGE = "garbage"
+    CROSS_ANSWERS = "cross_answers"
     HANG = "hang"
     REFUSE_CONNECTIONS = "refuse_connections"
 
