--- /dev/null
+++ b/tamarackmount/demo/checks.py
@@ -0,0 +1,218 @@
+"""Verdict on a run: what callers were told against what the stand-ins did."""
+
+import statistics
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from tamarackmount.demo.records import (
+    NOT_RUN_ENDINGS,
+    Attempt,
+    Disturbance,
+    DisturbanceWindow,
+    Ending,
+    JobEnd,
+    RequestRecord,
+    Revocation,
+)
+from tamarackmount.ids import RequestId
+
+REVOCATION_BOUND_SECONDS = 13.0
+"""Longest time until a revoked key is refused everywhere, in seconds."""
+
+CUT_OFF_ENDINGS = frozenset({Ending.LOST, Ending.UNKNOWN})
+"""Endings that no attempt may have because of a planned stop."""
+
+REPEAT_ERROR = "already_attempted"
+"""Error of a repeat that was recognised; its outcome is the first attempt's."""
+
+
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """Everything that a run gathered.
+
+    ``execution_count_by_id`` has how often the upstreams ran each request.
+    ``waits_ms`` are the callers' waiting times. ``breaches`` are the broken limits
+    that stand-ins noted. ``failed_steps`` names steps that didn't come to their end.
+    """
+
+    records: Sequence[RequestRecord]
+    windows: Sequence[DisturbanceWindow]
+    execution_count_by_id: Mapping[RequestId, int]
+    waits_ms: Sequence[float] = ()
+    breaches: Sequence[str] = ()
+    task_overlaps: int = 0
+    revocation: Revocation | None = None
+    jobs: Sequence[JobEnd] = ()
+    work_after_leaving: int = 0
+    failed_steps: Sequence[str] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """The table at the end of a run; counts unless the name says another unit."""
+
+    answered: int
+    not_run: int
+    unknown: int
+    doubled: int
+    not_run_but_executed: int
+    answered_but_not_executed: int
+    wrong_answers: int
+    cut_off_by_planned_stop: int
+    waiting_p50_ms: float
+    waiting_p99_ms: float
+    breaches: int
+    task_overlaps: int
+    work_after_leaving: int
+    revocation_seconds: float | None
+    accepted_after_refusal: int
+    job_count_by_state: dict[str, int] = field(default_factory=dict)
+    broken_promises: list[str] = field(default_factory=list)
+
+    @property
+    def exit_code(self) -> int:
+        """0 when every promise held, else 1."""
+        return 1 if self.broken_promises else 0
+
+
+MUST_BE_ZERO = (
+    "doubled",
+    "not_run_but_executed",
+    "answered_but_not_executed",
+    "wrong_answers",
+    "cut_off_by_planned_stop",
+    "breaches",
+    "task_overlaps",
+    "work_after_leaving",
+    "accepted_after_refusal",
+)
+"""Counts of the verdict that break a promise as soon as they aren't zero."""
+
+
+def judge(evidence: Evidence) -> Verdict:
+    """Return the verdict on a run."""
+    outcomes = Counter(record.outcome() for record in evidence.records)
+    p50, p99 = percentiles(evidence.waits_ms)
+    revocation = evidence.revocation
+    verdict = Verdict(
+        answered=outcomes[Ending.ANSWERED],
+        not_run=outcomes[Ending.NOT_RUN],
+        unknown=outcomes[Ending.UNKNOWN],
+        doubled=_doubled(evidence),
+        not_run_but_executed=_not_run_but_executed(evidence),
+        answered_but_not_executed=_answered_but_not_executed(evidence),
+        wrong_answers=sum(attempt.wrong for attempt in _attempts(evidence.records)),
+        cut_off_by_planned_stop=_cut_off(evidence),
+        waiting_p50_ms=p50,
+        waiting_p99_ms=p99,
+        breaches=len(evidence.breaches),
+        task_overlaps=evidence.task_overlaps,
+        work_after_leaving=evidence.work_after_leaving,
+        revocation_seconds=revocation.seconds if revocation else None,
+        accepted_after_refusal=revocation.accepted_again if revocation else 0,
+        job_count_by_state=dict(Counter(job.state for job in evidence.jobs)),
+    )
+    verdict.broken_promises.extend(_broken_promises(evidence, verdict))
+    return verdict
+
+
+def percentiles(values: Sequence[float]) -> tuple[float, float]:
+    """Return the median and the 99th percentile; zeros of too few values."""
+    if len(values) < 2:
+        return 0.0, 0.0
+    cuts = statistics.quantiles(values, n=100, method="inclusive")
+    return round(cuts[49], 1), round(cuts[98], 1)
+
+
+def _broken_promises(evidence: Evidence, verdict: Verdict) -> list[str]:
+    broken = [
+        f"{name}: {getattr(verdict, name)}"
+        for name in MUST_BE_ZERO
+        if getattr(verdict, name)
+    ]
+    if verdict.answered == 0:
+        broken.append("no request was answered")
+    broken += [f"step failed: {step}" for step in evidence.failed_steps]
+    broken += [
+        f"job {job.job_id} ended {job.state}, not {job.expected}"
+        for job in evidence.jobs
+        if job.state != job.expected
+    ]
+    return broken + _broken_revocation(evidence.revocation)
+
+
+def _broken_revocation(revocation: Revocation | None) -> list[str]:
+    if revocation is None:
+        return []
+    if revocation.seconds is None:
+        return ["a revoked key was never refused everywhere"]
+    if revocation.seconds > REVOCATION_BOUND_SECONDS:
+        return [f"a revoked key was refused after {revocation.seconds:.1f} s"]
+    return []
+
+
+def _attempts(records: Iterable[RequestRecord]) -> Iterable[Attempt]:
+    for record in records:
+        yield from record.attempts
+
+
+def _attempts_by_id(
+    records: Iterable[RequestRecord],
+) -> dict[RequestId, list[Attempt]]:
+    attempts_by_id: dict[RequestId, list[Attempt]] = {}
+    for attempt in _attempts(records):
+        attempts_by_id.setdefault(attempt.request_id, []).append(attempt)
+    return attempts_by_id
+
+
+def _doubled(evidence: Evidence) -> int:
+    once_only = {
+        attempt.request_id
+        for record in evidence.records
+        if not record.idempotent
+        for attempt in record.attempts
+    }
+    counts = evidence.execution_count_by_id
+    return sum(counts.get(request_id, 0) > 1 for request_id in once_only)
+
+
+def _not_run_but_executed(evidence: Evidence) -> int:
+    counts = evidence.execution_count_by_id
+    return sum(
+        counts.get(request_id, 0) > 0
+        for request_id, attempts in _attempts_by_id(evidence.records).items()
+        if all(attempt.ending in NOT_RUN_ENDINGS for attempt in attempts)
+    )
+
+
+def _answered_but_not_executed(evidence: Evidence) -> int:
+    counts = evidence.execution_count_by_id
+    return sum(
+        counts.get(attempt.request_id, 0) == 0
+        for attempt in _attempts(evidence.records)
+        if attempt.ending is Ending.ANSWERED
+    )
+
+
+def _cut_off(evidence: Evidence) -> int:
+    stops = [
+        window for window in evidence.windows if window.kind is Disturbance.PLANNED_STOP
+    ]
+    others = [window for window in evidence.windows if window not in stops]
+    return sum(
+        _is_cut_off(attempt, stops, others) for attempt in _attempts(evidence.records)
+    )
+
+
+def _is_cut_off(
+    attempt: Attempt,
+    stops: Sequence[DisturbanceWindow],
+    others: Sequence[DisturbanceWindow],
+) -> bool:
+    if attempt.ending not in CUT_OFF_ENDINGS or attempt.error == REPEAT_ERROR:
+        return False
+    overlapped = [stop for stop in stops if stop.overlaps(attempt)]
+    if any(stop.target == attempt.via for stop in overlapped):
+        return True
+    return bool(overlapped) and not any(other.overlaps(attempt) for other in others)
--- /dev/null
+++ b/tamarackmount/demo/report.py
@@ -0,0 +1,51 @@
+"""The verdict as a table for people or as one line of JSON."""
+
+import dataclasses
+import json
+
+from tamarackmount.demo.checks import Verdict
+
+LABEL_BY_FIELD = {
+    "answered": "requests answered",
+    "not_run": "requests not run",
+    "unknown": "requests with unknown outcome",
+    "doubled": "non-idempotent requests run twice",
+    "not_run_but_executed": "refused as not run, yet executed",
+    "answered_but_not_executed": "answered, yet never executed",
+    "wrong_answers": "answers not whole or not the caller's own",
+    "cut_off_by_planned_stop": "requests cut off by the planned stop",
+    "waiting_p50_ms": "waiting time, median (ms)",
+    "waiting_p99_ms": "waiting time, 99th percentile (ms)",
+    "breaches": "limits breached, as stand-ins saw it",
+    "task_overlaps": "tasks that ran in two places",
+    "work_after_leaving": "requests sent to an upstream that had left",
+    "revocation_seconds": "key refused everywhere after (s)",
+    "accepted_after_refusal": "revoked key accepted again",
+    "job_count_by_state": "jobs by outcome",
+    "broken_promises": "broken promises",
+}
+"""Label of every row of the table."""
+
+
+def table(verdict: Verdict) -> str:
+    """Return the table, one row a line."""
+    width = max(len(label) for label in LABEL_BY_FIELD.values())
+    return "\n".join(
+        f"{label:<{width}}  {_cell(getattr(verdict, name))}"
+        for name, label in LABEL_BY_FIELD.items()
+    )
+
+
+def json_line(verdict: Verdict) -> str:
+    """Return the table as one line of JSON."""
+    return json.dumps(dataclasses.asdict(verdict))
+
+
+def _cell(value: object) -> str:
+    if value is None:
+        return "not measured"
+    if isinstance(value, dict):
+        return ", ".join(f"{name} {count}" for name, count in value.items()) or "none"
+    if isinstance(value, list):
+        return "; ".join(value) or "none"
+    return str(value)
--- /dev/null
+++ b/tests/test_demo_verdict.py
@@ -0,0 +1,166 @@
+"""Each broken promise is counted and makes the harness exit with 1."""
+
+from dataclasses import replace
+
+import pytest
+
+from tamarackmount.demo.checks import Evidence, judge
+from tamarackmount.demo.records import (
+    Disturbance,
+    DisturbanceWindow,
+    Ending,
+    JobEnd,
+    Revocation,
+)
+from tamarackmount.ids import JobId
+from tests.utils.build_evidence import (
+    FIRST_MEMBER,
+    SECOND_MEMBER,
+    build_attempt,
+    build_evidence,
+    build_record,
+)
+
+STOP = DisturbanceWindow(Disturbance.PLANNED_STOP, FIRST_MEMBER, 10.5, 12.0)
+KILL = DisturbanceWindow(Disturbance.KILL, SECOND_MEMBER, 9.0, 11.0)
+
+
+def test_clean_run_breaks_no_promise() -> None:
+    verdict = judge(build_evidence())
+    assert verdict.broken_promises == []
+    assert verdict.exit_code == 0
+    assert verdict.answered == 1
+
+
+def test_run_without_any_answer_fails() -> None:
+    verdict = judge(Evidence(records=[], windows=[], execution_count_by_id={}))
+    assert verdict.exit_code == 1
+
+
+def test_non_idempotent_request_executed_twice_is_doubled() -> None:
+    record = build_record(build_attempt())
+    verdict = judge(build_evidence(record, executions={"r1": 2}))
+    assert verdict.doubled == 1
+    assert verdict.exit_code == 1
+
+
+def test_idempotent_request_may_be_executed_twice() -> None:
+    record = build_record(build_attempt(), idempotent=True)
+    assert judge(build_evidence(record, executions={"r1": 2})).exit_code == 0
+
+
+def test_repeat_by_the_same_id_counts_as_one_request() -> None:
+    record = build_record(
+        build_attempt(Ending.LOST),
+        build_attempt(Ending.UNKNOWN, via=SECOND_MEMBER, error="already_attempted"),
+    )
+    verdict = judge(build_evidence(record, executions={"r1": 1}))
+    assert (verdict.unknown, verdict.doubled, verdict.exit_code) == (1, 0, 0)
+
+
+@pytest.mark.parametrize("ending", [Ending.NOT_RUN, Ending.NOT_CONNECTED])
+def test_refused_request_must_not_have_been_executed(ending: Ending) -> None:
+    record = build_record(build_attempt(ending))
+    verdict = judge(build_evidence(record, executions={"r1": 1}))
+    assert verdict.not_run_but_executed == 1
+    assert verdict.exit_code == 1
+
+
+def test_each_id_of_a_record_is_checked_for_itself() -> None:
+    record = build_record(
+        build_attempt(Ending.NOT_RUN, "r1"), build_attempt(Ending.ANSWERED, "r2")
+    )
+    verdict = judge(build_evidence(record, executions={"r1": 1, "r2": 1}))
+    assert verdict.not_run_but_executed == 1
+    assert verdict.answered == 2
+
+
+def test_refusal_after_a_lost_attempt_of_the_same_id_may_have_been_executed() -> None:
+    record = build_record(build_attempt(Ending.LOST), build_attempt(Ending.NOT_RUN))
+    verdict = judge(build_evidence(record, executions={"r1": 1}))
+    assert (verdict.unknown, verdict.exit_code) == (1, 0)
+
+
+def test_answer_without_execution_is_a_broken_promise() -> None:
+    verdict = judge(build_evidence(build_record(build_attempt())))
+    assert verdict.answered_but_not_executed == 1
+    assert verdict.exit_code == 1
+
+
+def test_wrong_answer_is_a_broken_promise() -> None:
+    record = build_record(build_attempt(wrong=True))
+    verdict = judge(build_evidence(record, executions={"r1": 1}))
+    assert verdict.wrong_answers == 1
+    assert verdict.exit_code == 1
+
+
+@pytest.mark.parametrize("ending", [Ending.LOST, Ending.UNKNOWN])
+@pytest.mark.parametrize("via", [FIRST_MEMBER, SECOND_MEMBER])
+def test_planned_stop_must_cut_off_no_request(ending: Ending, via: str) -> None:
+    record = build_record(build_attempt(ending, via=type(FIRST_MEMBER)(via)))
+    verdict = judge(build_evidence(record, windows=[STOP]))
+    assert verdict.cut_off_by_planned_stop == 1
+    assert verdict.exit_code == 1
+
+
+def test_request_through_the_stopping_member_is_cut_off_despite_other_faults() -> None:
+    record = build_record(build_attempt(Ending.LOST, via=FIRST_MEMBER))
+    assert judge(build_evidence(record, windows=[STOP, KILL])).exit_code == 1
+
+
+@pytest.mark.parametrize(
+    "attempt",
+    [
+        build_attempt(Ending.LOST, via=SECOND_MEMBER),
+        build_attempt(Ending.UNKNOWN, error="already_attempted"),
+        build_attempt(Ending.LOST, started=13.0, ended=14.0),
+        build_attempt(Ending.NOT_RUN),
+    ],
+    ids=["other fault", "recognised repeat", "after the stop", "not run"],
+)
+def test_what_a_planned_stop_is_not_blamed_for(attempt: object) -> None:
+    record = build_record(attempt)  # type: ignore[arg-type]
+    evidence = build_evidence(record, windows=[STOP, KILL])
+    assert judge(evidence).cut_off_by_planned_stop == 0
+
+
+@pytest.mark.parametrize(
+    "evidence",
+    [
+        replace(build_evidence(), breaches=["slots"]),
+        replace(build_evidence(), task_overlaps=1),
+        replace(build_evidence(), work_after_leaving=1),
+        replace(build_evidence(), revocation=Revocation(None, 0)),
+        replace(build_evidence(), revocation=Revocation(13.5, 0)),
+        replace(build_evidence(), revocation=Revocation(1.0, 1)),
+        replace(build_evidence(), failed_steps=["submit"]),
+        replace(build_evidence(), jobs=[JobEnd(JobId("j"), "waiting", "succeeded")]),
+    ],
+    ids=[
+        "breach",
+        "overlap",
+        "leaving",
+        "never refused",
+        "refused late",
+        "accepted again",
+        "failed step",
+        "job",
+    ],
+)
+def test_every_other_promise_counts(evidence: Evidence) -> None:
+    verdict = judge(evidence)
+    assert len(verdict.broken_promises) == 1
+    assert verdict.exit_code == 1
+
+
+def test_kept_promises_leave_the_exit_code_at_0() -> None:
+    evidence = replace(
+        build_evidence(),
+        revocation=Revocation(1.5, 0),
+        jobs=[JobEnd(JobId("j"), "succeeded", "succeeded")],
+        waits_ms=[float(number) for number in range(1, 102)],
+    )
+    verdict = judge(evidence)
+    assert verdict.exit_code == 0
+    assert verdict.waiting_p50_ms == 51.0
+    assert verdict.waiting_p99_ms == 100.0
