Demo harness: load, jobs, revocation, faults and the scenario

Cause: make demo has to drive a whole cell and judge it by what the stand-ins saw. Change: callers behind a health-checking balancer, operators' set-up, watched jobs, a probe of the revoked key, disturbances with their time windows, typed reading of the stand-ins' control ports, and the command.

--- /dev/null
+++ b/tamarackmount/demo/balancer.py
@@ -0,0 +1,60 @@
+"""Picks entry VMs for callers, as the platform's balancer would."""
+
+import random
+from collections.abc import Sequence
+
+from tamarackmount.demo.http import HttpCaller
+from tamarackmount.demo.topology import DaemonPlan
+from tamarackmount.ids import MemberId
+
+CHECK_PERIOD_SECONDS = 0.2
+"""Time between two health checks of one entry VM, in seconds."""
+
+CHECK_TIMEOUT_SECONDS = 2.0
+"""Longest wait for the answer to a health check, in seconds."""
+
+HTTP_OK = 200
+"""Status of a success."""
+
+
+class Balancer:
+    """Knows which entry VMs answered their last health check."""
+
+    def __init__(
+        self, http: HttpCaller, daemons: Sequence[DaemonPlan], rng: random.Random
+    ) -> None:
+        """Take every entry VM as unhealthy until it is checked."""
+        self._http = http
+        self._rng = rng
+        self._watching = True
+        self.daemon_by_id = {daemon.id: daemon for daemon in daemons}
+        self.healthy: set[MemberId] = set()
+
+    async def check(self, daemon: DaemonPlan) -> bool:
+        """Ask one entry VM whether it accepts work."""
+        result = await self._http.call(
+            "GET", f"{daemon.url}/healthz", timeout=CHECK_TIMEOUT_SECONDS
+        )
+        reply = result.value_or(None)
+        if reply is None or reply.status != HTTP_OK:
+            self.healthy.discard(daemon.id)
+            return False
+        self.healthy.add(daemon.id)
+        return True
+
+    async def watch(self, daemon: DaemonPlan) -> None:
+        """Check one entry VM again and again until :meth:`stop`."""
+        while self._watching:
+            await self.check(daemon)
+            await self._http.sleep(CHECK_PERIOD_SECONDS)
+
+    def stop(self) -> None:
+        """End the health checks."""
+        self._watching = False
+
+    def pick(self, other_than: MemberId | None = None) -> DaemonPlan:
+        """Return a healthy entry VM, another one than the named if possible."""
+        candidates = self.healthy or set(self.daemon_by_id)
+        others = candidates - {other_than}
+        member_id = self._rng.choice(sorted(others or candidates))
+        return self.daemon_by_id[member_id]
--- /dev/null
+++ b/tamarackmount/demo/callers.py
@@ -0,0 +1,239 @@
+"""Callers of queues: they send requests, repeat them and check the answers."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from enum import Enum
+
+from twisted.internet.defer import Deferred, gatherResults
+
+from tamarackmount.demo.balancer import Balancer
+from tamarackmount.demo.http import CallFailure, CallResult, HttpCaller, Reply
+from tamarackmount.demo.records import REPEAT_ERROR, Attempt, Ending, RequestRecord
+from tamarackmount.demo.topology import DaemonPlan
+from tamarackmount.ids import MemberId, QueueName, RequestId, TeamId
+
+MAX_ATTEMPTS = 8
+"""Sendings of one request before its caller gives up."""
+
+REQUEST_TIMEOUT_MS = 10_000
+"""Time that a caller gives a request, in milliseconds."""
+
+REPLY_GRACE_SECONDS = 10.0
+"""Time after a request's deadline until its caller stops listening, in seconds."""
+
+MAX_PAUSE_SECONDS = 1.0
+"""Longest pause before a refused request is sent again, in seconds."""
+
+WORK_MS = 50
+"""Work that callers ask of upstreams for one request, in milliseconds."""
+
+MAX_BODY_BYTES = 4_096
+"""Largest body that callers send."""
+
+REPEAT_SHARE = 0.5
+"""Part of the requests with an unknown outcome that their callers repeat."""
+
+SAME_ID_SHARE = 0.5
+"""Part of the refused requests that are sent again under the same id."""
+
+HOME_PREFIX_SHARE = 0.25
+"""Part of the requests whose id names the data centre of their home."""
+
+
+class _Next(Enum):
+    DONE = "done"
+    REPEAT = "repeat"
+    RETRY = "retry"
+
+
+NEXT_BY_ENDING = {
+    Ending.ANSWERED: _Next.DONE,
+    Ending.NOT_RUN: _Next.RETRY,
+    Ending.NOT_CONNECTED: _Next.RETRY,
+    Ending.UNKNOWN: _Next.REPEAT,
+    Ending.LOST: _Next.REPEAT,
+}
+"""What a caller does after an attempt."""
+
+ENDING_BY_OUTCOME = {
+    "answered": Ending.ANSWERED,
+    "not-run": Ending.NOT_RUN,
+    "unknown": Ending.UNKNOWN,
+}
+"""Endings by the ``Outcome`` header."""
+
+ENDING_BY_FAILURE = {
+    CallFailure.NOT_CONNECTED: Ending.NOT_CONNECTED,
+    CallFailure.LOST: Ending.LOST,
+    CallFailure.TIMEOUT: Ending.LOST,
+}
+"""Endings of attempts without a whole reply."""
+
+
+@dataclass(frozen=True, slots=True)
+class RequestKind:
+    """A kind of request: its method and whether it may run twice."""
+
+    method: str
+    idempotent: bool
+
+
+KINDS = (
+    RequestKind("GET", True),
+    RequestKind("POST", True),
+    RequestKind("POST", False),
+)
+"""The kinds that callers mix in equal parts."""
+
+
+@dataclass(frozen=True, slots=True)
+class QueueRequest:
+    """One request as it is sent."""
+
+    queue: QueueName
+    key: str
+    id: RequestId
+    kind: RequestKind = KINDS[0]
+    body: bytes = b""
+
+
+AnswerCheck = Callable[[Reply, RequestId, bytes], bool]
+"""Tells whether an answer is whole and belongs to the request with this body."""
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Requests of one caller, sent at even random distance over some time."""
+
+    name: str
+    team_id: TeamId
+    key: str
+    queue: QueueName
+    requests: int
+    seconds: float
+
+
+class Caller:
+    """One caller task with its own random numbers."""
+
+    def __init__(
+        self,
+        load: Load,
+        http: HttpCaller,
+        balancer: Balancer,
+        check: AnswerCheck,
+        rng: random.Random,
+    ) -> None:
+        """Prepare the load; :meth:`run` sends it."""
+        self._load = load
+        self._http = http
+        self._balancer = balancer
+        self._check = check
+        self._rng = rng
+        self.records: list[RequestRecord] = []
+
+    async def run(self) -> None:
+        """Send every request at its time, whatever became of earlier ones."""
+        times = sorted(
+            self._rng.uniform(0, self._load.seconds) for _ in range(self._load.requests)
+        )
+        started = self._http.now()
+        under_way = []
+        for number, time in enumerate(times):
+            await self._http.sleep(max(0.0, started + time - self._http.now()))
+            under_way.append(Deferred.fromCoroutine(self._request(number)))
+        await gatherResults(under_way, consumeErrors=True)
+
+    async def _request(self, number: int) -> None:
+        kind = self._rng.choice(KINDS)
+        record = RequestRecord(self._load.team_id, self._load.queue, kind.idempotent)
+        self.records.append(record)
+        request = QueueRequest(
+            queue=self._load.queue,
+            key=self._load.key,
+            id=self._request_id(number, 0),
+            kind=kind,
+            body=self._body(kind),
+        )
+        via: MemberId | None = None
+        for again in range(1, MAX_ATTEMPTS + 1):
+            daemon = self._balancer.pick(other_than=via)
+            via = daemon.id
+            result, attempt = await self._attempt(daemon, request)
+            record.attempts.append(attempt)
+            following = NEXT_BY_ENDING[attempt.ending]
+            if following is _Next.DONE or not self._goes_on(attempt):
+                return
+            if following is _Next.RETRY:
+                await self._http.sleep(self._pause(result))
+                if self._rng.random() >= SAME_ID_SHARE:
+                    request = replace(request, id=self._request_id(number, again))
+
+    def _goes_on(self, attempt: Attempt) -> bool:
+        if attempt.ending is not Ending.UNKNOWN:
+            return True
+        if attempt.error == REPEAT_ERROR:
+            return False
+        return self._rng.random() < REPEAT_SHARE
+
+    async def _attempt(
+        self, daemon: DaemonPlan, request: QueueRequest
+    ) -> tuple[CallResult, Attempt]:
+        started = self._http.now()
+        result = await send_request(self._http, daemon, request)
+        ending, error = classify(result)
+        wrong = ending is Ending.ANSWERED and not self._check(
+            result.unwrap(), request.id, request.body
+        )
+        ended = self._http.now()
+        return result, Attempt(
+            request.id, daemon.id, started, ended, ending, error, wrong
+        )
+
+    def _request_id(self, number: int, again: int) -> RequestId:
+        name = f"{self._load.name}-{number}.{again}"
+        if self._rng.random() >= HOME_PREFIX_SHARE:
+            return RequestId(name)
+        daemons = sorted(self._balancer.daemon_by_id.values(), key=lambda plan: plan.id)
+        return RequestId(f"{self._rng.choice(daemons).data_centre}:{name}")
+
+    def _body(self, kind: RequestKind) -> bytes:
+        if kind.method == "GET":
+            return b""
+        return self._rng.randbytes(self._rng.randint(1, MAX_BODY_BYTES))
+
+    def _pause(self, result: CallResult) -> float:
+        reply = result.value_or(None)
+        told = reply.header("Retry-After-Ms") if reply else ""
+        seconds = int(told) / 1_000 if told.isdigit() else 0.0
+        return min(MAX_PAUSE_SECONDS, seconds + self._rng.uniform(0.02, 0.1))
+
+
+async def send_request(
+    http: HttpCaller, daemon: DaemonPlan, request: QueueRequest
+) -> CallResult:
+    """Send a request once, through one entry VM."""
+    return await http.call(
+        request.kind.method,
+        f"{daemon.url}/v1/queues/{request.queue}/requests/demo?work_ms={WORK_MS}",
+        {
+            "Authorization": f"Bearer {request.key}",
+            "Request-Id": request.id,
+            "Idempotent": "true" if request.kind.idempotent else "false",
+            "Timeout-Ms": str(REQUEST_TIMEOUT_MS),
+        },
+        request.body,
+        REQUEST_TIMEOUT_MS / 1_000 + REPLY_GRACE_SECONDS,
+    )
+
+
+def classify(result: CallResult) -> tuple[Ending, str]:
+    """Return how an attempt ended and the error code of a refusal."""
+    reply = result.value_or(None)
+    if reply is None:
+        return ENDING_BY_FAILURE[result.failure()], result.failure().value
+    ending = ENDING_BY_OUTCOME.get(reply.header("Outcome"), Ending.UNKNOWN)
+    if ending is Ending.ANSWERED:
+        return ending, ""
+    return ending, reply.error_code()
--- /dev/null
+++ b/tamarackmount/demo/cell.py
@@ -0,0 +1,175 @@
+"""A running cell: starts the planned processes and waits until they serve."""
+
+import hashlib
+import random
+import secrets
+from collections.abc import Awaitable, Callable, Sequence
+from pathlib import Path
+
+from twisted.internet.defer import Deferred, gatherResults
+from twisted.internet.interfaces import IReactorTime
+
+from tamarackmount.demo.balancer import Balancer
+from tamarackmount.demo.http import HttpCaller
+from tamarackmount.demo.ports import LOOPBACK
+from tamarackmount.demo.processes import Command, ManagedProcess, ProcessGroup
+from tamarackmount.demo.topology import (
+    DaemonPlan,
+    PortPair,
+    Topology,
+    VmPlan,
+    settings_text,
+)
+from tamarackmount.ids import KeyHash
+
+STEP_TIMEOUT_SECONDS = 60.0
+"""Longest wait for a step of a run, in seconds."""
+
+POLL_SECONDS = 0.1
+"""Time between two looks at something that is waited for, in seconds."""
+
+VM_LIST_LAG_MS = 500
+"""How far the list of VMs lags behind, in milliseconds."""
+
+
+class StepFailedError(Exception):
+    """A step of a run didn't come to its end in time."""
+
+
+def hash_key(key: str) -> KeyHash:
+    """Return the hash by which the system knows a key."""
+    return KeyHash(hashlib.sha256(key.encode()).hexdigest())
+
+
+class Cell:
+    """Every process of a plan, and what is needed to talk to them."""
+
+    def __init__(
+        self,
+        reactor: IReactorTime,
+        directory: Path,
+        topology: Topology,
+        rng: random.Random,
+    ) -> None:
+        """Start nothing yet; settings and logs go to ``directory``."""
+        self.topology = topology
+        self.directory = directory
+        self.http = HttpCaller(reactor)
+        self.processes = ProcessGroup(reactor, directory)
+        self.balancer = Balancer(self.http, topology.daemons, rng)
+        self.operator_key = secrets.token_hex(16)
+
+    async def start(self) -> None:
+        """Start everything and wait until every entry VM accepts work."""
+        vms_file = self.directory / "vms.json"
+        vms_file.write_text(self.topology.vms().model_dump_json(), encoding="utf-8")
+        await self.processes.start_listening(stand_in_commands(self.topology, vms_file))
+        for daemon in self.topology.daemons:
+            self.start_daemon(daemon)
+        waits = [self.wait_healthy(daemon) for daemon in self.topology.daemons]
+        await in_parallel(waits)
+
+    def start_daemon(self, daemon: DaemonPlan) -> ManagedProcess:
+        """Start one daemon, for the first time or again."""
+        path = self.directory / f"{daemon.id}.toml"
+        text = settings_text(self.topology, daemon, hash_key(self.operator_key))
+        path.write_text(text, encoding="utf-8")
+        command = Command(daemon.id, "tamarackmount.daemon", (str(path),))
+        return self.processes.start(command)
+
+    def daemon_process(self, daemon: DaemonPlan) -> ManagedProcess:
+        """Return the latest process of one daemon."""
+        return self.processes.process_by_name[daemon.id]
+
+    async def wait_healthy(self, daemon: DaemonPlan) -> None:
+        """Wait until one entry VM accepts work."""
+
+        async def healthy() -> bool:
+            return await self.balancer.check(daemon)
+
+        await self.wait_until(healthy, f"{daemon.id} accepts work")
+
+    async def wait_until(self, check: Callable[[], Awaitable[bool]], what: str) -> None:
+        """Look again and again until the check holds; raises when it never does."""
+        deadline = self.http.now() + STEP_TIMEOUT_SECONDS
+        while not await check():
+            if self.http.now() > deadline:
+                raise StepFailedError(what)
+            await self.http.sleep(POLL_SECONDS)
+
+    async def stop(self) -> None:
+        """End every process of this cell."""
+        self.balancer.stop()
+        await self.processes.kill_all()
+
+
+async def in_parallel(steps: Sequence[Awaitable[None]]) -> None:
+    """Run steps side by side and wait for all; raises the first error."""
+
+    async def run(step: Awaitable[None]) -> None:
+        await step
+
+    under_way = [Deferred.fromCoroutine(run(step)) for step in steps]
+    await gatherResults(under_way, consumeErrors=True)
+
+
+def stand_in_commands(topology: Topology, vms_file: Path) -> list[Command]:
+    """Return the commands of all stand-ins."""
+    return [
+        _stand_in("log", "log_service", topology.log),
+        _stand_in(
+            "vm-list",
+            "vm_list",
+            topology.vm_list,
+            "--vms-file",
+            str(vms_file),
+            "--lag-ms",
+            str(VM_LIST_LAG_MS),
+        ),
+        *(_upstream(plan) for plan in topology.upstreams),
+        *(_worker(plan) for plan in topology.workers),
+    ]
+
+
+def _stand_in(name: str, module: str, ports: PortPair, *arguments: str) -> Command:
+    listen = (
+        "--host",
+        LOOPBACK,
+        "--port",
+        str(ports.port),
+        "--control-port",
+        str(ports.control_port),
+    )
+    return Command(name, f"tamarackmount.standins.{module}", (*listen, *arguments))
+
+
+def _upstream(plan: VmPlan) -> Command:
+    vm = plan.vm
+    return _stand_in(
+        vm.id,
+        "upstream",
+        PortPair(vm.port, plan.control_port),
+        "--id",
+        vm.id,
+        "--slots",
+        str(vm.slots),
+        "--connections",
+        str(vm.connections),
+    )
+
+
+def _worker(plan: VmPlan) -> Command:
+    vm = plan.vm
+    return _stand_in(
+        vm.id,
+        "worker",
+        PortPair(vm.port, plan.control_port),
+        "--id",
+        vm.id,
+        "--millicores",
+        str(vm.millicores),
+        "--memory-mib",
+        str(vm.memory_mib),
+        "--accelerators",
+        str(vm.accelerators),
+    )
--- a/tamarackmount/demo/checks.py
+++ b/tamarackmount/demo/checks.py
@@ -1,5 +1,6 @@
 """Verdict on a run: what callers were told against what the stand-ins did."""
 
+import math
 import statistics
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
@@ -7,6 +8,7 @@
 
 from tamarackmount.demo.records import (
     NOT_RUN_ENDINGS,
+    REPEAT_ERROR,
     Attempt,
     Disturbance,
     DisturbanceWindow,
@@ -14,8 +16,9 @@
     JobEnd,
     RequestRecord,
     Revocation,
+    TaskRun,
 )
-from tamarackmount.ids import RequestId
+from tamarackmount.ids import RequestId, TaskId
 
 REVOCATION_BOUND_SECONDS = 13.0
 """Longest time until a revoked key is refused everywhere, in seconds."""
@@ -23,23 +26,21 @@
 CUT_OFF_ENDINGS = frozenset({Ending.LOST, Ending.UNKNOWN})
 """Endings that no attempt may have because of a planned stop."""
 
-REPEAT_ERROR = "already_attempted"
-"""Error of a repeat that was recognised; its outcome is the first attempt's."""
-
 
 @dataclass(frozen=True, slots=True)
 class Evidence:
     """Everything that a run gathered.
 
-    ``execution_count_by_id`` has how often the upstreams ran each request.
-    ``waits_ms`` are the callers' waiting times. ``breaches`` are the broken limits
-    that stand-ins noted. ``failed_steps`` names steps that didn't come to their end.
+    ``execution_count_by_id`` has how often the upstreams ran each non-idempotent
+    request. ``work_ms`` is the work time that callers asked of the upstreams.
+    ``breaches`` are the broken limits that stand-ins noted. ``failed_steps`` names
+    steps that didn't come to their end.
     """
 
     records: Sequence[RequestRecord]
     windows: Sequence[DisturbanceWindow]
     execution_count_by_id: Mapping[RequestId, int]
-    waits_ms: Sequence[float] = ()
+    work_ms: int = 0
     breaches: Sequence[str] = ()
     task_overlaps: int = 0
     revocation: Revocation | None = None
@@ -93,7 +94,7 @@
 def judge(evidence: Evidence) -> Verdict:
     """Return the verdict on a run."""
     outcomes = Counter(record.outcome() for record in evidence.records)
-    p50, p99 = percentiles(evidence.waits_ms)
+    p50, p99 = percentiles(_waits_ms(evidence))
     revocation = evidence.revocation
     verdict = Verdict(
         answered=outcomes[Ending.ANSWERED],
@@ -157,23 +158,26 @@
         yield from record.attempts
 
 
-def _attempts_by_id(
-    records: Iterable[RequestRecord],
-) -> dict[RequestId, list[Attempt]]:
+def _waits_ms(evidence: Evidence) -> list[float]:
+    return [
+        max(0.0, record.elapsed() * 1_000 - evidence.work_ms)
+        for record in evidence.records
+        if record.outcome() is Ending.ANSWERED
+    ]
+
+
+def _once_only_attempts(evidence: Evidence) -> dict[RequestId, list[Attempt]]:
+    """Return the attempts of the non-idempotent requests by request id."""
     attempts_by_id: dict[RequestId, list[Attempt]] = {}
-    for attempt in _attempts(records):
+    once_only = (record for record in evidence.records if not record.idempotent)
+    for attempt in _attempts(once_only):
         attempts_by_id.setdefault(attempt.request_id, []).append(attempt)
     return attempts_by_id
 
 
 def _doubled(evidence: Evidence) -> int:
-    once_only = {
-        attempt.request_id
-        for record in evidence.records
-        if not record.idempotent
-        for attempt in record.attempts
-    }
     counts = evidence.execution_count_by_id
+    once_only = _once_only_attempts(evidence)
     return sum(counts.get(request_id, 0) > 1 for request_id in once_only)
 
 
@@ -181,7 +185,7 @@
     counts = evidence.execution_count_by_id
     return sum(
         counts.get(request_id, 0) > 0
-        for request_id, attempts in _attempts_by_id(evidence.records).items()
+        for request_id, attempts in _once_only_attempts(evidence).items()
         if all(attempt.ending in NOT_RUN_ENDINGS for attempt in attempts)
     )
 
@@ -189,9 +193,9 @@
 def _answered_but_not_executed(evidence: Evidence) -> int:
     counts = evidence.execution_count_by_id
     return sum(
-        counts.get(attempt.request_id, 0) == 0
-        for attempt in _attempts(evidence.records)
-        if attempt.ending is Ending.ANSWERED
+        counts.get(request_id, 0) == 0
+        for request_id, attempts in _once_only_attempts(evidence).items()
+        if any(attempt.ending is Ending.ANSWERED for attempt in attempts)
     )
 
 
@@ -216,3 +220,15 @@
     if any(stop.target == attempt.via for stop in overlapped):
         return True
     return bool(overlapped) and not any(other.overlaps(attempt) for other in others)
+
+
+def task_overlaps(runs: Iterable[TaskRun]) -> int:
+    """Return how many attempts of a task began while another one still ran."""
+    count = 0
+    end_by_task: dict[TaskId, float] = {}
+    for run in sorted(runs, key=lambda run: run.started):
+        last_end = end_by_task.get(run.task_id, run.started)
+        count += run.started < last_end
+        end = math.inf if run.ended is None else run.ended
+        end_by_task[run.task_id] = max(end, last_end)
+    return count
--- /dev/null
+++ b/tamarackmount/demo/disturbances.py
@@ -0,0 +1,135 @@
+"""What the harness does to a running cell, each step with its time window."""
+
+import signal
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from tamarackmount.demo.cell import STEP_TIMEOUT_SECONDS, Cell, StepFailedError
+from tamarackmount.demo.operators import Operator
+from tamarackmount.demo.records import Disturbance, DisturbanceWindow
+from tamarackmount.demo.stand_ins import StandInControl
+from tamarackmount.demo.topology import DaemonPlan, VmPlan
+from tamarackmount.ids import ConfigPath
+
+REPLACEMENT_SECONDS = 1.0
+"""Time until a dead entry VM is replaced, in seconds."""
+
+LOG_OUTAGE_SECONDS = 10.0
+"""Length of an outage of the log service, in seconds."""
+
+LOG_SLOW_SECONDS = 3.0
+"""Time for which the log service is slow, in seconds."""
+
+LOG_SLOW_MS = 400
+"""Delay of the log service's replies while it is slow, in milliseconds."""
+
+PAUSE_SECONDS = 6.0
+"""Length of an owner's pause, beyond every lease, in seconds."""
+
+UPSTREAM_FAULT_SECONDS = 4.0
+"""Time for which an upstream fails or is slow, in seconds."""
+
+SLOW_FACTOR = 5
+"""How many times longer a slow upstream works."""
+
+LEAVE_GRACE_SECONDS = 3.0
+"""Time from a listed leaving until no new work may come, in seconds."""
+
+LEAVE_WATCH_SECONDS = 4.0
+"""Time for which a leaving upstream is watched after its grace, in seconds."""
+
+
+@dataclass(slots=True)
+class Disturber:
+    """Disturbs a cell and keeps when and what it did."""
+
+    cell: Cell
+    operator: Operator
+    control: StandInControl
+    windows: list[DisturbanceWindow] = field(default_factory=list)
+    work_after_leaving: int = 0
+
+    async def kill(self, daemon: DaemonPlan) -> None:
+        """Kill a daemon and replace it a little later."""
+        async with self._window(Disturbance.KILL, daemon.id):
+            process = self.cell.daemon_process(daemon)
+            process.send(signal.SIGKILL)
+            await process.ended()
+            await self.cell.http.sleep(REPLACEMENT_SECONDS)
+            self.cell.start_daemon(daemon)
+            await self.cell.wait_healthy(daemon)
+
+    async def stop(self, daemon: DaemonPlan) -> None:
+        """Stop a daemon gracefully, then start its replacement."""
+        async with self._window(Disturbance.PLANNED_STOP, daemon.id):
+            process = self.cell.daemon_process(daemon)
+            process.send(signal.SIGTERM)
+            ended = process.ended()
+            ended.addTimeout(STEP_TIMEOUT_SECONDS, self.cell.http.reactor)
+            exit_code = await ended
+        if exit_code != 0:
+            raise StepFailedError(f"planned stop: {process.describe()}")
+        self.cell.start_daemon(daemon)
+        await self.cell.wait_healthy(daemon)
+
+    async def pause(self, daemon: DaemonPlan) -> None:
+        """Pause a daemon for longer than every lease."""
+        async with self._window(Disturbance.PAUSE, daemon.id):
+            process = self.cell.daemon_process(daemon)
+            process.send(signal.SIGSTOP)
+            await self.cell.http.sleep(PAUSE_SECONDS)
+            process.send(signal.SIGCONT)
+            await self.cell.wait_healthy(daemon)
+
+    async def break_log(self, path: ConfigPath, text: str) -> None:
+        """Let the log be down, then slow, then lose the reply of one change."""
+        port = self.cell.topology.log.control_port
+        async with self._window(Disturbance.LOG_OUTAGE, "log"):
+            await self.control.set_faults(port, mode="down")
+            await self.cell.http.sleep(LOG_OUTAGE_SECONDS)
+            await self.control.set_faults(port, mode="slow", delay_ms=LOG_SLOW_MS)
+            await self.cell.http.sleep(LOG_SLOW_SECONDS)
+            await self.control.set_faults(port, lose_replies=1)
+            await self.operator.put(path, text)
+            await self.control.set_faults(port)
+
+    async def fail_upstream(self, upstream: VmPlan) -> None:
+        """Let an upstream cut connections after it ran the requests."""
+        await self._upstream_fault(upstream, mode="cut_after_request")
+
+    async def slow_upstream(self, upstream: VmPlan) -> None:
+        """Let an upstream work several times slower."""
+        await self._upstream_fault(upstream, slow_factor=SLOW_FACTOR)
+
+    async def let_upstream_leave(self, upstream: VmPlan) -> None:
+        """Let an upstream leave and count the work that it is still sent."""
+        async with self._window(Disturbance.UPSTREAM_FAULT, upstream.vm.id):
+            await self.control.let_leave(upstream)
+            await self.cell.wait_until(
+                lambda: self.control.is_listed_leaving(upstream), "listed as leaving"
+            )
+            await self.cell.http.sleep(LEAVE_GRACE_SECONDS)
+            before = await self.control.executions_of(upstream)
+            await self.cell.http.sleep(LEAVE_WATCH_SECONDS)
+            after = await self.control.executions_of(upstream)
+            self.work_after_leaving += after - before
+
+    async def fail_starts(self, worker: VmPlan) -> None:
+        """Let a worker fail every start from now on."""
+        await self.control.set_faults(worker.control_port, fail_starts=True)
+
+    async def _upstream_fault(self, upstream: VmPlan, **faults: str | int) -> None:
+        async with self._window(Disturbance.UPSTREAM_FAULT, upstream.vm.id):
+            await self.control.set_faults(upstream.control_port, **faults)
+            await self.cell.http.sleep(UPSTREAM_FAULT_SECONDS)
+            await self.control.set_faults(upstream.control_port)
+
+    @asynccontextmanager
+    async def _window(self, kind: Disturbance, target: str) -> AsyncIterator[None]:
+        started = self.cell.http.now()
+        try:
+            yield
+        finally:
+            ended = self.cell.http.now()
+            self.windows.append(DisturbanceWindow(kind, target, started, ended))
--- a/tamarackmount/demo/http.py
+++ b/tamarackmount/demo/http.py
@@ -3,8 +3,9 @@
 from dataclasses import dataclass
 from enum import Enum
 from io import BytesIO
-from typing import cast
+from typing import Protocol, cast
 
+from pydantic import BaseModel, ValidationError
 from returns.result import Failure, Result, Success
 from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 from twisted.internet.error import ConnectError, ConnectionClosed
@@ -47,6 +48,12 @@
     TIMEOUT = "timeout"
 
 
+class ErrorObject(BaseModel):
+    """The part of an error object that the harness reads."""
+
+    error: str
+
+
 @dataclass(frozen=True, slots=True)
 class Reply:
     """A whole HTTP reply."""
@@ -60,6 +67,13 @@
         values = self.headers.getRawHeaders(name)
         return values[0] if values else ""
 
+    def error_code(self) -> str:
+        """Return ``error`` of an error object, or an empty text."""
+        try:
+            return ErrorObject.model_validate_json(self.body).error
+        except ValidationError:
+            return ""
+
 
 CallResult = Result[Reply, CallFailure]
 
@@ -69,6 +83,10 @@
     return cast(IBodyProducer, producer)
 
 
+class _Clock(Protocol):
+    def seconds(self) -> float: ...
+
+
 class HttpCaller:
     """Calls over fresh connections, so that no reply can belong to another call."""
 
@@ -106,6 +124,10 @@
             return Failure(CallFailure.LOST)
         return Success(Reply(response.code, response.headers, content))
 
+    def now(self) -> float:
+        """Return the reading of the harness's clock, in seconds."""
+        return float(cast(_Clock, self.reactor).seconds())
+
     async def sleep(self, seconds: float) -> None:
         """Return after some seconds."""
         await deferLater(self.reactor, seconds, lambda: None)
--- a/tamarackmount/demo/processes.py
+++ b/tamarackmount/demo/processes.py
@@ -173,11 +173,14 @@
         """Start nothing yet; logs go to ``directory``."""
         self._reactor = reactor
         self._directory = directory
+        self._closed = False
         self._processes: list[ManagedProcess] = []
         self.process_by_name: dict[str, ManagedProcess] = {}
 
     def start(self, command: Command) -> ManagedProcess:
-        """Start a process."""
+        """Start a process; raises after :meth:`kill_all`."""
+        if self._closed:
+            raise ProcessFailedError(f"{command.name}: the run is over")
         log_path = self._directory / f"{command.name}.log"
         process = ManagedProcess(command, log_path)
         arguments = [sys.executable, "-m", command.module, *command.arguments]
@@ -203,6 +206,7 @@
 
     async def kill_all(self) -> None:
         """Kill what still runs, also when paused, and wait for the ends."""
+        self._closed = True
         running = [process for process in self._processes if process.running]
         for process in running:
             process.send(signal.SIGKILL)
--- a/tamarackmount/demo/records.py
+++ b/tamarackmount/demo/records.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from tamarackmount.ids import JobId, MemberId, QueueName, RequestId, TeamId
+from tamarackmount.ids import JobId, MemberId, QueueName, RequestId, TaskId, TeamId
 
 
 class Ending(Enum):
@@ -19,6 +19,9 @@
 NOT_RUN_ENDINGS = frozenset({Ending.NOT_RUN, Ending.NOT_CONNECTED})
 """Endings that promise that no upstream ran the request."""
 
+REPEAT_ERROR = "already_attempted"
+"""Error of a repeat that was recognised; its outcome is the first attempt's."""
+
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
@@ -56,6 +59,10 @@
             return Ending.NOT_RUN
         return Ending.UNKNOWN
 
+    def elapsed(self) -> float:
+        """Return the time from the first sending to the last ending, in seconds."""
+        return self.attempts[-1].ended - self.attempts[0].started
+
 
 class Disturbance(Enum):
     """What the harness did to the cell."""
@@ -84,6 +91,19 @@
         return attempt.started <= self.ended and attempt.ended >= self.started
 
 
+@dataclass(frozen=True, slots=True)
+class TaskRun:
+    """One attempt of a task on one worker, in wall-clock seconds.
+
+    ``ended`` is ``None`` while it runs.
+    """
+
+    task_id: TaskId
+    worker: str
+    started: float
+    ended: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class JobEnd:
     """A job's last state as seen, and the one it should end in."""
--- /dev/null
+++ b/tamarackmount/demo/revocation.py
@@ -0,0 +1,76 @@
+"""Measures how fast a revoked key stops working everywhere."""
+
+from twisted.internet.defer import Deferred, gatherResults
+
+from tamarackmount.demo.callers import QueueRequest, send_request
+from tamarackmount.demo.cell import Cell
+from tamarackmount.demo.records import Revocation
+from tamarackmount.demo.topology import DaemonPlan
+from tamarackmount.ids import MemberId, QueueName, RequestId
+
+PROBE_PERIOD_SECONDS = 0.1
+"""Time between two uses of the revoked key at one entry VM, in seconds."""
+
+UNAUTHORIZED = 401
+"""Status of a request whose key is not accepted."""
+
+ACCEPTED_OUTCOMES = frozenset({"answered", "unknown"})
+"""Outcomes of requests that were let through."""
+
+
+class RevocationProbe:
+    """Uses a revoked key at every entry VM until :meth:`stop`."""
+
+    def __init__(self, cell: Cell, queue: QueueName, key: str) -> None:
+        """Probe through idempotent requests for ``queue``."""
+        self._cell = cell
+        self._queue = queue
+        self._key = key
+        self._probing = True
+        self._revoked_at = cell.http.now()
+        self._first_refusal_by_id: dict[MemberId, float] = {}
+        self._accepted_at: list[tuple[MemberId, float]] = []
+
+    async def run(self) -> None:
+        """Probe every entry VM side by side; the key was revoked just now."""
+        self._revoked_at = self._cell.http.now()
+        daemons = self._cell.topology.daemons
+        probes = [Deferred.fromCoroutine(self._probe(daemon)) for daemon in daemons]
+        await gatherResults(probes, consumeErrors=True)
+
+    def stop(self) -> None:
+        """End the probing."""
+        self._probing = False
+
+    async def is_refused_everywhere(self) -> bool:
+        """Tell whether every entry VM has refused the key at least once."""
+        return len(self._first_refusal_by_id) == len(self._cell.topology.daemons)
+
+    def result(self) -> Revocation:
+        """Return how the key faded so far."""
+        if len(self._first_refusal_by_id) < len(self._cell.topology.daemons):
+            return Revocation(None, self._accepted_after(float("inf")))
+        everywhere_at = max(self._first_refusal_by_id.values())
+        seconds = round(everywhere_at - self._revoked_at, 2)
+        return Revocation(seconds, self._accepted_after(everywhere_at))
+
+    def _accepted_after(self, everywhere_at: float) -> int:
+        first = self._first_refusal_by_id
+        return sum(
+            sent_at > min(everywhere_at, first.get(member_id, everywhere_at))
+            for member_id, sent_at in self._accepted_at
+        )
+
+    async def _probe(self, daemon: DaemonPlan) -> None:
+        http = self._cell.http
+        while self._probing:
+            sent_at = http.now()
+            request = QueueRequest(
+                self._queue, self._key, RequestId(f"probe-{daemon.id}-{sent_at}")
+            )
+            reply = (await send_request(http, daemon, request)).value_or(None)
+            if reply is not None and reply.status == UNAUTHORIZED:
+                self._first_refusal_by_id.setdefault(daemon.id, http.now())
+            elif reply is not None and reply.header("Outcome") in ACCEPTED_OUTCOMES:
+                self._accepted_at.append((daemon.id, sent_at))
+            await http.sleep(PROBE_PERIOD_SECONDS)
--- /dev/null
+++ b/tamarackmount/demo/scenario.py
@@ -0,0 +1,242 @@
+"""The steps of a run, from the first process to the verdict."""
+
+import logging
+import random
+import secrets
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+from twisted.internet.defer import Deferred, gatherResults
+from twisted.internet.defer import TimeoutError as DeferredTimeoutError
+from twisted.internet.interfaces import IReactorTime
+
+from tamarackmount.demo.callers import (
+    WORK_MS,
+    Caller,
+    Load,
+    QueueRequest,
+    classify,
+    send_request,
+)
+from tamarackmount.demo.cell import Cell, StepFailedError, in_parallel
+from tamarackmount.demo.checks import Evidence, Verdict, judge, task_overlaps
+from tamarackmount.demo.disturbances import Disturber
+from tamarackmount.demo.jobs import JobWatch, plan_jobs
+from tamarackmount.demo.operators import Operator
+from tamarackmount.demo.records import Ending
+from tamarackmount.demo.revocation import RevocationProbe
+from tamarackmount.demo.stand_ins import StandInControl, is_own_answer
+from tamarackmount.demo.teams import MAIN_KEY, TEMPORARY_KEY, plan_teams
+from tamarackmount.demo.topology import DaemonPlan, Topology, VmPlan
+from tamarackmount.ids import ConfigPath, DataCentreId, QueueName, RequestId
+
+logger = logging.getLogger(__name__)
+
+LOAD_SECONDS = 24.0
+"""Length of the load, in seconds."""
+
+FAULTY_LOAD_SECONDS = 45.0
+"""Length of the load with faults, in seconds."""
+
+SETTLE_SECONDS = 2.0
+"""Time between two steps, in seconds."""
+
+Step = Callable[[], Awaitable[None]]
+"""A step of a run, ready to be started."""
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """What a run is asked to do."""
+
+    faults: bool
+    seed: int
+    requests: int
+
+
+class Scenario:
+    """One run over a cell."""
+
+    def __init__(
+        self,
+        reactor: IReactorTime,
+        directory: Path,
+        topology: Topology,
+        options: Options,
+    ) -> None:
+        """Start nothing yet."""
+        self._options = options
+        self._rng = random.Random(options.seed)
+        self.cell = Cell(reactor, directory, topology, self._new_rng())
+        self._operator = Operator(self.cell)
+        self._control = StandInControl(self.cell.http, topology)
+        self._disturber = Disturber(self.cell, self._operator, self._control)
+        self._teams = plan_teams()
+        services = sorted({plan.vm.service for plan in topology.upstreams})
+        self._queues = [QueueName(service) for service in services]
+        self._failed_steps: list[str] = []
+        self._background: list[Deferred[None]] = []
+        revoked = self._teams[-1].keys[TEMPORARY_KEY]
+        self._probe = RevocationProbe(self.cell, self._queues[0], revoked)
+        self._callers = self._plan_callers()
+        keys = [team.keys[MAIN_KEY] for team in self._teams]
+        self._jobs = [JobWatch(self.cell, plan) for plan in plan_jobs(*keys)]
+
+    async def run(self) -> Verdict:
+        """Run every step and return the verdict."""
+        logger.info("starting the processes, logs in %s", self.cell.directory)
+        await self.cell.start()
+        await self._set_up()
+        self._background += [
+            Deferred.fromCoroutine(self.cell.balancer.watch(daemon))
+            for daemon in self.cell.topology.daemons
+        ]
+        logger.info("sending %d requests", self._options.requests)
+        await in_parallel(
+            [
+                *(caller.run() for caller in self._callers),
+                *(self._step("job", job.run) for job in self._jobs),
+                self._disturb(),
+            ]
+        )
+        self._probe.stop()
+        self.cell.balancer.stop()
+        await gatherResults(self._background, consumeErrors=True)
+        return judge(await self._evidence())
+
+    async def _set_up(self) -> None:
+        logger.info("setting up queues, teams and keys")
+        text_by_path = {
+            ConfigPath(f"queues/{queue}"): f'service = "{queue}"\n'
+            for queue in self._queues
+        }
+        for team in self._teams:
+            text_by_path[team.path] = team.document()
+        for path, text in text_by_path.items():
+            await self._operator.put(path, text)
+        await self._operator.wait_everywhere(list(text_by_path))
+        for daemon in self.cell.topology.daemons:
+            for queue in self._queues:
+                await self._wait_served(daemon, queue)
+
+    async def _wait_served(self, daemon: DaemonPlan, queue: QueueName) -> None:
+        key = self._teams[0].keys[MAIN_KEY]
+
+        async def served() -> bool:
+            request_id = RequestId(f"first-{secrets.token_hex(8)}")
+            request = QueueRequest(queue, key, request_id)
+            result = await send_request(self.cell.http, daemon, request)
+            return classify(result)[0] is Ending.ANSWERED
+
+        await self.cell.wait_until(served, f"{daemon.id} serves {queue}")
+
+    async def _disturb(self) -> None:
+        first_track = self._process_steps()
+        second_track: list[tuple[str, Step]] = []
+        if self._options.faults:
+            await self._disturber.fail_starts(self._rng.choice(self._plain_workers()))
+            second_track = self._fault_steps()
+            self._rng.shuffle(first_track)
+            self._rng.shuffle(second_track)
+        await in_parallel([self._track(first_track), self._track(second_track)])
+
+    def _process_steps(self) -> list[tuple[str, Step]]:
+        disturber = self._disturber
+        steps: list[tuple[str, Step]] = [
+            ("kill an owner", lambda: self._on_owner("dc1", disturber.kill)),
+            ("revoke a key", self._revoke),
+            ("planned stop", lambda: self._on_owner("dc2", disturber.stop)),
+        ]
+        if self._options.faults:
+            pause: Step = lambda: self._on_owner("dc2", disturber.pause)  # noqa: E731
+            steps.append(("pause an owner", pause))
+        return steps
+
+    def _fault_steps(self) -> list[tuple[str, Step]]:
+        disturber = self._disturber
+        failing, slow, leaving = self._rng.sample(self.cell.topology.upstreams, 3)
+        queue = self._queues[0]
+        document = f'service = "{queue}"\nmax_waiting = 900\n'
+        path = ConfigPath(f"queues/{queue}")
+        return [
+            ("log outage", lambda: disturber.break_log(path, document)),
+            ("failing upstream", lambda: disturber.fail_upstream(failing)),
+            ("slow upstream", lambda: disturber.slow_upstream(slow)),
+            ("leaving upstream", lambda: disturber.let_upstream_leave(leaving)),
+        ]
+
+    def _plain_workers(self) -> list[VmPlan]:
+        workers = self.cell.topology.workers
+        return [plan for plan in workers if not plan.vm.accelerators]
+
+    async def _track(self, steps: Sequence[tuple[str, Step]]) -> None:
+        for name, step in steps:
+            await self.cell.http.sleep(SETTLE_SECONDS)
+            await self._step(name, step)
+
+    async def _step(self, name: str, step: Step) -> None:
+        logger.info("step begins: %s", name)
+        try:
+            await step()
+        except (StepFailedError, DeferredTimeoutError) as error:
+            logger.error("step failed: %s: %s", name, error)
+            self._failed_steps.append(f"{name}: {error}")
+            return
+        logger.info("step ended: %s", name)
+
+    async def _on_owner(
+        self, data_centre: str, step: Callable[[DaemonPlan], Awaitable[None]]
+    ) -> None:
+        owner = await self._operator.owner(DataCentreId(data_centre))
+        logger.info("owner of %s: %s", data_centre, owner.id)
+        await step(owner)
+
+    async def _revoke(self) -> None:
+        team = replace(self._teams[-1], revoked=frozenset({TEMPORARY_KEY}))
+        await self._operator.put(team.path, team.document())
+        self._background.append(Deferred.fromCoroutine(self._probe.run()))
+        await self.cell.wait_until(
+            self._probe.is_refused_everywhere, "the revoked key is refused everywhere"
+        )
+
+    async def _evidence(self) -> Evidence:
+        callers = self._callers
+        return Evidence(
+            records=[record for caller in callers for record in caller.records],
+            windows=self._disturber.windows,
+            execution_count_by_id=await self._control.execution_count_by_id(),
+            work_ms=WORK_MS,
+            breaches=await self._control.breaches(),
+            task_overlaps=task_overlaps(await self._control.task_runs()),
+            revocation=self._probe.result(),
+            jobs=[job.end() for job in self._jobs],
+            work_after_leaving=self._disturber.work_after_leaving,
+            failed_steps=self._failed_steps,
+        )
+
+    def _plan_callers(self) -> list[Caller]:
+        faults = self._options.faults
+        seconds = FAULTY_LOAD_SECONDS if faults else LOAD_SECONDS
+        pairs = [(team, queue) for team in self._teams for queue in self._queues]
+        share, rest = divmod(self._options.requests, len(pairs))
+        return [
+            Caller(
+                Load(
+                    name=f"{team.id}-{queue}",
+                    team_id=team.id,
+                    key=team.keys[MAIN_KEY],
+                    queue=queue,
+                    requests=share + (number < rest),
+                    seconds=seconds,
+                ),
+                self.cell.http,
+                self.cell.balancer,
+                is_own_answer,
+                self._new_rng(),
+            )
+            for number, (team, queue) in enumerate(pairs)
+        ]
+
+    def _new_rng(self) -> random.Random:
+        return random.Random(self._rng.getrandbits(64))
--- a/tests/test_demo_verdict.py
+++ b/tests/test_demo_verdict.py
@@ -4,15 +4,16 @@
 
 import pytest
 
-from tamarackmount.demo.checks import Evidence, judge
+from tamarackmount.demo.checks import Evidence, judge, task_overlaps
 from tamarackmount.demo.records import (
     Disturbance,
     DisturbanceWindow,
     Ending,
     JobEnd,
     Revocation,
+    TaskRun,
 )
-from tamarackmount.ids import JobId
+from tamarackmount.ids import JobId, TaskId
 from tests.utils.build_evidence import (
     FIRST_MEMBER,
     SECOND_MEMBER,
@@ -158,9 +159,37 @@
         build_evidence(),
         revocation=Revocation(1.5, 0),
         jobs=[JobEnd(JobId("j"), "succeeded", "succeeded")],
-        waits_ms=[float(number) for number in range(1, 102)],
     )
+    assert judge(evidence).exit_code == 0
+
+
+def test_waiting_is_the_time_to_the_answer_less_the_work() -> None:
+    records = [
+        build_record(
+            build_attempt(Ending.NOT_RUN, started=0.0, ended=number / 2_000),
+            build_attempt(started=number / 2_000, ended=(number + 50) / 1_000),
+            idempotent=True,
+        )
+        for number in range(1, 102)
+    ]
+    evidence = Evidence(records, [], execution_count_by_id={}, work_ms=50)
     verdict = judge(evidence)
-    assert verdict.exit_code == 0
     assert verdict.waiting_p50_ms == 51.0
     assert verdict.waiting_p99_ms == 100.0
+
+
+def run_of(worker: str, started: float, ended: float | None) -> TaskRun:
+    return TaskRun(TaskId("dc1:retail:j/0"), worker, started, ended)
+
+
+@pytest.mark.parametrize(
+    ("runs", "count"),
+    [
+        ([run_of("w1", 1.0, 2.0), run_of("w2", 2.0, 3.0)], 0),
+        ([run_of("w1", 1.0, 2.0), run_of("w2", 1.9, 3.0)], 1),
+        ([run_of("w1", 1.0, None), run_of("w2", 5.0, 6.0)], 1),
+        ([run_of("w1", 1.0, 9.0), run_of("w2", 2, 3), run_of("w3", 4, 5)], 2),
+    ],
+)
+def test_task_must_not_run_in_two_places(runs: list[TaskRun], count: int) -> None:
+    assert task_overlaps(runs) == count
