Demo harness: options name the steps of a run

Cause: a test needs a smaller run than make demo, over the same steps. Change: Options lists the steps by name in tracks that run side by side; the scenario looks them up in a table.

--- a/tamarackmount/demo/__main__.py
+++ b/tamarackmount/demo/__main__.py
@@ -12,9 +12,10 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import react
 
+from tamarackmount.demo.options import demo_options
 from tamarackmount.demo.ports import PortReservation
 from tamarackmount.demo.report import json_line, table
-from tamarackmount.demo.scenario import Options, Scenario
+from tamarackmount.demo.scenario import Scenario
 from tamarackmount.demo.topology import DEMO_SHAPE, plan_topology
 
 
@@ -44,7 +45,7 @@
         ports = PortReservation()
         topology = plan_topology(DEMO_SHAPE, ports.take)
         arguments = self._arguments
-        options = Options(arguments.faults, arguments.seed, arguments.requests)
+        options = demo_options(arguments.faults, arguments.seed, arguments.requests)
         scenario = Scenario(reactor, self._directory, topology, options)
         # A signal stops the reactor; it waits for what this trigger returns.
         reactor.addSystemEventTrigger(
--- /dev/null
+++ b/tamarackmount/demo/options.py
@@ -0,0 +1,58 @@
+"""What a run is asked to do."""
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+LOAD_SECONDS = 24.0
+"""Length of the load, in seconds."""
+
+FAULTY_LOAD_SECONDS = 45.0
+"""Length of the load with faults, in seconds."""
+
+
+class StepName(Enum):
+    """Steps that disturb a running cell."""
+
+    KILL_OWNER = "kill an owner"
+    REVOKE_KEY = "revoke a key"
+    PLANNED_STOP = "planned stop"
+    PAUSE_OWNER = "pause an owner"
+    LOG_OUTAGE = "log outage"
+    FAILING_UPSTREAM = "failing upstream"
+    SLOW_UPSTREAM = "slow upstream"
+    LEAVING_UPSTREAM = "leaving upstream"
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """Size of the load and the steps of a run.
+
+    The steps of one track follow each other; the tracks run side by side.
+    """
+
+    seed: int
+    requests: int
+    load_seconds: float
+    tracks: tuple[tuple[StepName, ...], ...]
+    jobs: bool = True
+    failing_worker: bool = False
+
+
+def demo_options(faults: bool, seed: int, requests: int) -> Options:
+    """Return the options of ``make demo``; the seed orders the faults."""
+    processes = [StepName.KILL_OWNER, StepName.REVOKE_KEY, StepName.PLANNED_STOP]
+    if not faults:
+        return Options(seed, requests, LOAD_SECONDS, (tuple(processes),))
+    processes.append(StepName.PAUSE_OWNER)
+    platform = [
+        StepName.LOG_OUTAGE,
+        StepName.FAILING_UPSTREAM,
+        StepName.SLOW_UPSTREAM,
+        StepName.LEAVING_UPSTREAM,
+    ]
+    rng = random.Random(seed)
+    rng.shuffle(processes)
+    rng.shuffle(platform)
+    tracks = (tuple(processes), tuple(platform))
+    return Options(seed, requests, FAULTY_LOAD_SECONDS, tracks, failing_worker=True)
--- a/tamarackmount/demo/scenario.py
+++ b/tamarackmount/demo/scenario.py
@@ -4,7 +4,7 @@
 import random
 import secrets
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from pathlib import Path
 
 from twisted.internet.defer import Deferred, gatherResults
@@ -24,21 +24,16 @@
 from tamarackmount.demo.disturbances import Disturber
 from tamarackmount.demo.jobs import JobWatch, plan_jobs
 from tamarackmount.demo.operators import Operator
-from tamarackmount.demo.records import Ending
+from tamarackmount.demo.options import Options, StepName
+from tamarackmount.demo.records import Ending, Revocation
 from tamarackmount.demo.revocation import RevocationProbe
 from tamarackmount.demo.stand_ins import StandInControl, is_own_answer
 from tamarackmount.demo.teams import MAIN_KEY, TEMPORARY_KEY, plan_teams
-from tamarackmount.demo.topology import DaemonPlan, Topology, VmPlan
-from tamarackmount.ids import ConfigPath, DataCentreId, QueueName, RequestId
+from tamarackmount.demo.topology import DaemonPlan, Topology
+from tamarackmount.ids import ConfigPath, QueueName, RequestId
 
 logger = logging.getLogger(__name__)
 
-LOAD_SECONDS = 24.0
-"""Length of the load, in seconds."""
-
-FAULTY_LOAD_SECONDS = 45.0
-"""Length of the load with faults, in seconds."""
-
 SETTLE_SECONDS = 2.0
 """Time between two steps, in seconds."""
 
@@ -46,15 +41,6 @@
 """A step of a run, ready to be started."""
 
 
-@dataclass(frozen=True, slots=True)
-class Options:
-    """What a run is asked to do."""
-
-    faults: bool
-    seed: int
-    requests: int
-
-
 class Scenario:
     """One run over a cell."""
 
@@ -81,13 +67,16 @@
         self._probe = RevocationProbe(self.cell, self._queues[0], revoked)
         self._callers = self._plan_callers()
         keys = [team.keys[MAIN_KEY] for team in self._teams]
-        self._jobs = [JobWatch(self.cell, plan) for plan in plan_jobs(*keys)]
+        job_plans = plan_jobs(*keys) if options.jobs else []
+        self._jobs = [JobWatch(self.cell, plan) for plan in job_plans]
 
     async def run(self) -> Verdict:
         """Run every step and return the verdict."""
         logger.info("starting the processes, logs in %s", self.cell.directory)
         await self.cell.start()
         await self._set_up()
+        if self._options.failing_worker:
+            await self._disturber.fail_starts(self._rng.choice(self._plain_workers()))
         self._background += [
             Deferred.fromCoroutine(self.cell.balancer.watch(daemon))
             for daemon in self.cell.topology.daemons
@@ -132,48 +121,37 @@
         await self.cell.wait_until(served, f"{daemon.id} serves {queue}")
 
     async def _disturb(self) -> None:
-        first_track = self._process_steps()
-        second_track: list[tuple[str, Step]] = []
-        if self._options.faults:
-            await self._disturber.fail_starts(self._rng.choice(self._plain_workers()))
-            second_track = self._fault_steps()
-            self._rng.shuffle(first_track)
-            self._rng.shuffle(second_track)
-        await in_parallel([self._track(first_track), self._track(second_track)])
-
-    def _process_steps(self) -> list[tuple[str, Step]]:
-        disturber = self._disturber
-        steps: list[tuple[str, Step]] = [
-            ("kill an owner", lambda: self._on_owner("dc1", disturber.kill)),
-            ("revoke a key", self._revoke),
-            ("planned stop", lambda: self._on_owner("dc2", disturber.stop)),
+        steps = self._steps()
+        tracks = [
+            self._track([(name, steps[name]) for name in track])
+            for track in self._options.tracks
         ]
-        if self._options.faults:
-            pause: Step = lambda: self._on_owner("dc2", disturber.pause)  # noqa: E731
-            steps.append(("pause an owner", pause))
-        return steps
+        await in_parallel(tracks)
 
-    def _fault_steps(self) -> list[tuple[str, Step]]:
+    def _steps(self) -> dict[StepName, Step]:
         disturber = self._disturber
         failing, slow, leaving = self._rng.sample(self.cell.topology.upstreams, 3)
-        queue = self._queues[0]
-        document = f'service = "{queue}"\nmax_waiting = 900\n'
-        path = ConfigPath(f"queues/{queue}")
-        return [
-            ("log outage", lambda: disturber.break_log(path, document)),
-            ("failing upstream", lambda: disturber.fail_upstream(failing)),
-            ("slow upstream", lambda: disturber.slow_upstream(slow)),
-            ("leaving upstream", lambda: disturber.let_upstream_leave(leaving)),
-        ]
+        path = ConfigPath(f"queues/{self._queues[0]}")
+        document = f'service = "{self._queues[0]}"\nmax_waiting = 900\n'
+        return {
+            StepName.KILL_OWNER: lambda: self._on_owner(0, disturber.kill),
+            StepName.REVOKE_KEY: self._revoke,
+            StepName.PLANNED_STOP: lambda: self._on_owner(-1, disturber.stop),
+            StepName.PAUSE_OWNER: lambda: self._on_owner(-1, disturber.pause),
+            StepName.LOG_OUTAGE: lambda: disturber.break_log(path, document),
+            StepName.FAILING_UPSTREAM: lambda: disturber.fail_upstream(failing),
+            StepName.SLOW_UPSTREAM: lambda: disturber.slow_upstream(slow),
+            StepName.LEAVING_UPSTREAM: lambda: disturber.let_upstream_leave(leaving),
+        }
 
     def _plain_workers(self) -> list[VmPlan]:
         workers = self.cell.topology.workers
         return [plan for plan in workers if not plan.vm.accelerators]
 
-    async def _track(self, steps: Sequence[tuple[str, Step]]) -> None:
+    async def _track(self, steps: Sequence[tuple[StepName, Step]]) -> None:
         for name, step in steps:
             await self.cell.http.sleep(SETTLE_SECONDS)
-            await self._step(name, step)
+            await self._step(name.value, step)
 
     async def _step(self, name: str, step: Step) -> None:
         logger.info("step begins: %s", name)
@@ -186,9 +164,10 @@
         logger.info("step ended: %s", name)
 
     async def _on_owner(
-        self, data_centre: str, step: Callable[[DaemonPlan], Awaitable[None]]
+        self, index: int, step: Callable[[DaemonPlan], Awaitable[None]]
     ) -> None:
-        owner = await self._operator.owner(DataCentreId(data_centre))
+        data_centre = self.cell.topology.daemons[index].data_centre
+        owner = await self._operator.owner(data_centre)
         logger.info("owner of %s: %s", data_centre, owner.id)
         await step(owner)
 
@@ -209,15 +188,18 @@
             work_ms=WORK_MS,
             breaches=await self._control.breaches(),
             task_overlaps=task_overlaps(await self._control.task_runs()),
-            revocation=self._probe.result(),
+            revocation=self._revocation(),
             jobs=[job.end() for job in self._jobs],
             work_after_leaving=self._disturber.work_after_leaving,
             failed_steps=self._failed_steps,
         )
 
+    def _revocation(self) -> Revocation | None:
+        if any(StepName.REVOKE_KEY in track for track in self._options.tracks):
+            return self._probe.result()
+        return None
+
     def _plan_callers(self) -> list[Caller]:
-        faults = self._options.faults
-        seconds = FAULTY_LOAD_SECONDS if faults else LOAD_SECONDS
         pairs = [(team, queue) for team in self._teams for queue in self._queues]
         share, rest = divmod(self._options.requests, len(pairs))
         return [
@@ -228,7 +210,7 @@
                     key=team.keys[MAIN_KEY],
                     queue=queue,
                     requests=share + (number < rest),
-                    seconds=seconds,
+                    seconds=self._options.load_seconds,
                 ),
                 self.cell.http,
                 self.cell.balancer,
