--- a/tamarackmount/demo/scenario.py
+++ b/tamarackmount/demo/scenario.py
@@ -29,7 +29,7 @@
 from tamarackmount.demo.revocation import RevocationProbe
 from tamarackmount.demo.stand_ins import StandInControl, is_own_answer
 from tamarackmount.demo.teams import MAIN_KEY, TEMPORARY_KEY, plan_teams
-from tamarackmount.demo.topology import DaemonPlan, Topology
+from tamarackmount.demo.topology import DaemonPlan, Topology, VmPlan
 from tamarackmount.ids import ConfigPath, QueueName, RequestId
 
 logger = logging.getLogger(__name__)
