--- /dev/null
+++ b/tests/test_adapter_http.py
@@ -0,0 +1,202 @@
+"""Whole HTTP exchanges: what counts as an answer, and what as sent."""
+
+from typing import Any
+
+import pytest
+from pydantic import BaseModel
+from returns.result import Failure, Success
+from twisted.internet.protocol import Factory, Protocol
+
+from tamarackmount.adapters.http import HttpFault, JsonHttpClient
+from tamarackmount.adapters.http_exchange import (
+    ExchangeFault,
+    HttpExchanger,
+    Limits,
+)
+from tamarackmount.ids import Instant
+from tamarackmount.kernel.messages import HttpHeader
+from tests.utils.memory_network import MemoryNetwork
+from tests.utils.serve_platform import serve_bytes, serve_log
+
+LIMITS = Limits(idle_per_host=1, connect_timeout_s=1.0, max_answer_bytes=20)
+DEADLINE = Instant(10.0)
+
+
+class Colour(BaseModel):
+    shade: int
+
+
+class Canned(Protocol):
+    """Sends fixed bytes for the first bytes received, and may then close."""
+
+    reply: bytes = b""
+    closes = False
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        transport: Any = self.transport
+        transport.write(self.reply)
+        if self.closes:
+            transport.loseConnection()
+
+
+def serve_canned(
+    network: MemoryNetwork, canned_reply: bytes, canned_closes: bool = False
+) -> str:
+    class Reply(Canned):
+        reply = canned_reply
+        closes = canned_closes
+
+    port = serve_bytes(network, Factory.forProtocol(Reply))
+    return f"http://127.0.0.1:{port}/"
+
+
+def fault_of(
+    network: MemoryNetwork, url: str, deadline: Instant = DEADLINE
+) -> ExchangeFault:
+    exchanger = HttpExchanger(network, LIMITS)
+    result = network.wait(exchanger.send("GET", url, [], b"", deadline))
+    assert isinstance(result, Failure), result
+    fault: ExchangeFault = result.failure().fault
+    return fault
+
+
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("reply", "fault"),
+    [
+        (b"", ExchangeFault.NO_ANSWER),
+        (b"HTTP/1.1 2", ExchangeFault.NO_ANSWER),
+        (b"\x00\x01\r\n\r\n", ExchangeFault.NO_ANSWER),
+        (OK + b"Content-Length: 9\r\n\r\nbook", ExchangeFault.CUT_ANSWER),
+        (OK + b"\r\nbook", ExchangeFault.CUT_ANSWER),
+        (CHUNKED + b"4\r\nbook\r\n", ExchangeFault.CUT_ANSWER),
+        (CHUNKED + b"zz\r\nbook\r\n", ExchangeFault.CUT_ANSWER),
+        (
+            OK + b"Content-Length: 4\r\nContent-Length: 5\r\n\r\nbook",
+            ExchangeFault.NO_ANSWER,
+        ),
+        (OK + b"Content-Length: 21\r\n\r\n" + b"x" * 21, ExchangeFault.TOO_LARGE),
+    ],
+)
+def test_an_answer_that_is_not_whole_is_none(
+    reply: bytes, fault: ExchangeFault
+) -> None:
+    network = MemoryNetwork()
+    assert fault_of(network, serve_canned(network, reply, canned_closes=True)) is fault
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        OK + b"Content-Length: 4\r\n\r\nbook",
+        CHUNKED + b"2\r\nbo\r\n2\r\nok\r\n0\r\n\r\n",
+    ],
+)
+def test_a_whole_answer_is_taken(reply: bytes) -> None:
+    network = MemoryNetwork()
+    exchanger = HttpExchanger(network, LIMITS)
+    url = serve_canned(network, reply)
+    answer = network.wait(exchanger.send("GET", url, [], b"", DEADLINE)).unwrap()
+    assert (answer.status, answer.body) == (200, b"book")
+
+
+def test_nothing_is_sent_before_a_connection_stands() -> None:
+    network = MemoryNetwork()
+    assert fault_of(network, "http://127.0.0.1:9/") is ExchangeFault.NOT_SENT
+    network.dead_ports.add(9)
+    assert fault_of(network, "http://127.0.0.1:9/") is ExchangeFault.NOT_SENT
+    assert network.seconds() == LIMITS.connect_timeout_s
+
+
+def test_a_deadline_while_connecting_means_not_sent() -> None:
+    network = MemoryNetwork()
+    network.dead_ports.add(9)
+    fault = fault_of(network, "http://127.0.0.1:9/", Instant(0.4))
+    assert fault is ExchangeFault.NOT_SENT
+    assert network.seconds() == 0.4
+
+
+def test_a_deadline_that_passed_already_means_not_sent() -> None:
+    network = MemoryNetwork()
+    url = serve_canned(network, OK + b"Content-Length: 0\r\n\r\n")
+    assert fault_of(network, url, Instant(0.0)) is ExchangeFault.NOT_SENT
+    assert network.connects == 0
+
+
+@pytest.mark.parametrize(
+    ("reply", "fault"),
+    [
+        (b"", ExchangeFault.NO_ANSWER),
+        (OK + b"Content-Length: 9\r\n\r\nbook", ExchangeFault.CUT_ANSWER),
+    ],
+)
+def test_the_deadline_ends_an_exchange_that_was_sent(
+    reply: bytes, fault: ExchangeFault
+) -> None:
+    network = MemoryNetwork()
+    assert fault_of(network, serve_canned(network, reply), Instant(0.4)) is fault
+    assert network.seconds() == 0.4
+
+
+def test_a_request_on_a_connection_that_just_closed_is_not_retried() -> None:
+    network = MemoryNetwork()
+    exchanger = HttpExchanger(network, LIMITS)
+    url = serve_canned(network, OK + b"Content-Length: 0\r\n\r\n")
+    network.wait(exchanger.send("GET", url, [], b"", DEADLINE)).unwrap()
+    network.close_servers_silently()
+    result = network.wait(exchanger.send("GET", url, [], b"", DEADLINE))
+    assert result.failure().fault is ExchangeFault.NO_ANSWER
+    assert network.connects == 1
+
+
+@pytest.mark.parametrize(("idle", "connects"), [(0, 4), (1, 3), (2, 2)])
+def test_idle_connections_are_bounded(idle: int, connects: int) -> None:
+    network = MemoryNetwork()
+    exchanger = HttpExchanger(network, Limits(idle, 1.0, 100))
+    url = serve_canned(network, OK + b"Content-Length: 0\r\n\r\n")
+    for _ in range(2):
+        both = [exchanger.send("GET", url, [], b"", DEADLINE) for _ in range(2)]
+        for waiting in both:
+            network.wait(waiting).unwrap()
+    assert network.connects == connects
+
+
+@pytest.mark.parametrize(
+    ("method", "url", "header"),
+    [
+        ("GE T", "http://127.0.0.1:9/", HttpHeader("A", "b")),
+        ("GET", "http://127.0.0.1:9/a b", HttpHeader("A", "b")),
+        ("GET", "http://127.0.0.1:9/\u6771", HttpHeader("A", "b")),
+        ("GET", "http://127.0.0.1:9/", HttpHeader("A", "\u6771")),
+        ("GET", "http://127.0.0.1:9/", HttpHeader("A b:", "c")),
+    ],
+)
+def test_what_cannot_be_written_is_not_sent(
+    method: str, url: str, header: HttpHeader
+) -> None:
+    network = MemoryNetwork()
+    exchanger = HttpExchanger(network, LIMITS)
+    result = network.wait(exchanger.send(method, url, [header], b"", DEADLINE))
+    assert result.failure().fault is ExchangeFault.NOT_SENT
+    assert network.tcpClients == []
+
+
+def test_json_answers_are_checked_against_their_schema() -> None:
+    network = MemoryNetwork()
+    client = JsonHttpClient(network)
+    good = serve_canned(network, OK + b'Content-Length: 11\r\n\r\n{"shade":7}')
+    assert network.wait(client.get(good, Colour)) == Success(Colour(shade=7))
+    bad = serve_canned(network, OK + b"Content-Length: 2\r\n\r\n{}")
+    result = network.wait(client.get(bad, Colour))
+    assert result.failure().fault is HttpFault.MALFORMED
+
+
+def test_another_status_is_a_refusal_with_its_body() -> None:
+    network = MemoryNetwork()
+    url = f"{serve_log(network).url}/elsewhere"
+    error = network.wait(JsonHttpClient(network).get(url, Colour)).failure()
+    assert (error.fault, error.status) == (HttpFault.REFUSED, 404)
+    assert b"not_found" in error.body
--- a/tests/utils/memory_network.py
+++ b/tests/utils/memory_network.py
@@ -95,6 +95,11 @@
             self.advance(self._next_call_s())
         raise AssertionError("the deferred never fires")
 
+    def close_servers_silently(self) -> None:
+        """Close every connection at the server; clients only notice by writing."""
+        for pump in self._pumps:
+            pump.serverIO.loseConnection()
+
     def _next_call_s(self) -> float:
         calls: Any = self.getDelayedCalls()
         assert calls, "nothing is left to happen"
