Tests for what mutations of the adapters and stand-ins had left unseen

Cause: 26 single-line mutations on a scratch copy; six were not noticed (abort of a cut body, no idle connections, a run past its lease, monotonic time, idle timeout, leftover timers). Conclusion: no gap known in what these tests cover.

--- a/tamarackmount/adapters/log.py
+++ b/tamarackmount/adapters/log.py
@@ -5,8 +5,8 @@
 - An append takes effect as a whole or not at all, at most once a call, and the
   offsets of its records are consecutive.
 - A status other than 200 means that an append had no effect.
-- An append whose reply is lost may take effect at any time up to the moment at
-  which a later read shows an offset beyond it; no bound is known.
+- An append whose reply is lost may take effect later, also after records that
+  were appended afterwards; no bound is known.
 - Offsets grow by one a record, start at 1, and are never used twice.
 - Every reader gets the same record at the same offset, until retention drops it.
 - The service does not tell writers' ids apart: a record sent twice is kept twice.
@@ -75,7 +75,10 @@
     def read(
         self, from_offset: Offset, limit: int
     ) -> "Deferred[Result[RecordPage, LogError]]":
-        """Read up to ``limit`` records from an offset on."""
+        """Read up to ``limit`` records from an offset on.
+
+        A page over ``MAX_ANSWER_BYTES`` is ``UNAVAILABLE``; ask for fewer records.
+        """
         url = f"{self._url}/records?from={from_offset}&limit={limit}"
         called = self._http.get(url, RecordPage)
         return called.addCallback(lambda result: result.alt(_read_error))
--- a/tests/test_adapter_http.py
+++ b/tests/test_adapter_http.py
@@ -9,6 +9,7 @@
 
 from tamarackmount.adapters.http import HttpFault, JsonHttpClient
 from tamarackmount.adapters.http_exchange import (
+    IDLE_CONNECTION_S,
     ExchangeFault,
     HttpExchanger,
     Limits,
@@ -16,7 +17,7 @@
 from tamarackmount.ids import Instant
 from tamarackmount.kernel.messages import HttpHeader
 from tests.utils.memory_network import MemoryNetwork
-from tests.utils.serve_platform import serve_bytes, serve_log
+from tests.utils.serve_platform import serve_bytes, serve_log, serve_upstream
 
 LIMITS = Limits(idle_per_host=1, connect_timeout_s=1.0, max_answer_bytes=20)
 DEADLINE = Instant(10.0)
@@ -139,6 +140,7 @@
     network = MemoryNetwork()
     assert fault_of(network, serve_canned(network, reply), Instant(0.4)) is fault
     assert network.seconds() == 0.4
+    assert network.open_connections == 0
 
 
 def test_a_request_on_a_connection_that_just_closed_is_not_retried() -> None:
@@ -164,6 +166,33 @@
     assert network.connects == connects
 
 
+def test_an_idle_connection_is_closed_before_the_server_would() -> None:
+    network = MemoryNetwork()
+    exchanger = HttpExchanger(network, LIMITS)
+    url = serve_canned(network, OK + b"Content-Length: 0\r\n\r\n")
+    network.wait(exchanger.send("GET", url, [], b"", DEADLINE)).unwrap()
+    assert network.open_connections == 1
+    network.advance(IDLE_CONNECTION_S)
+    assert network.open_connections == 0
+
+
+def test_an_exchange_that_is_over_leaves_no_timer() -> None:
+    network = MemoryNetwork()
+    exchanger = HttpExchanger(network, LIMITS)
+    url = serve_canned(network, OK + b"Content-Length: 0\r\n\r\n")
+    network.wait(exchanger.send("GET", url, [], b"", DEADLINE)).unwrap()
+    network.wait(exchanger.close())
+    assert network.call_times == []
+
+
+def test_a_client_without_idle_connections_asks_the_server_to_close() -> None:
+    network = MemoryNetwork()
+    exchanger = HttpExchanger(network, Limits(0, 1.0, 1_000))
+    url = f"{serve_upstream(network).url}/"
+    answer = network.wait(exchanger.send("GET", url, [], b"", DEADLINE)).unwrap()
+    assert b'"connection": "close"' in answer.body
+
+
 @pytest.mark.parametrize(
     ("method", "url", "header"),
     [
--- a/tests/test_adapter_upstreams.py
+++ b/tests/test_adapter_upstreams.py
@@ -87,6 +87,14 @@
     assert json.loads(answer.body)["path"] == seen
 
 
+def test_an_answer_to_head_is_whole_without_a_body() -> None:
+    rig = Rig()
+    for _ in range(2):
+        answer = rig.send(method="HEAD", body=b"").unwrap()
+        assert (answer.status, answer.body) == (200, b"")
+    assert rig.network.connects == 1
+
+
 def test_an_upstreams_error_is_an_answer() -> None:
     rig = Rig()
     rig.set_mode("fail_500")
--- a/tests/test_standin_processes.py
+++ b/tests/test_standin_processes.py
@@ -4,13 +4,14 @@
 import signal
 import subprocess
 import sys
+import time
 import urllib.request
 from collections.abc import Iterator
 from contextlib import contextmanager
 
 import pytest
 
-from tests.utils.build_platform import a_vm
+from tests.utils.build_platform import a_start, a_vm
 
 ARGUMENTS_BY_MODULE = {
     "log_service": ["--keep", "10"],
@@ -20,6 +21,7 @@
 }
 
 END_TIMEOUT_S = 30
+DAY_S = 86_400
 
 
 @contextmanager
@@ -47,3 +49,16 @@
             assert json.load(reply) == {"breaches": []}
         process.send_signal(signal.SIGTERM)
         assert process.wait(END_TIMEOUT_S) == 0
+
+
+def test_a_worker_tells_its_history_in_wall_clock_time() -> None:
+    with running("worker") as process:
+        assert process.stdout is not None
+        line = json.loads(process.stdout.readline())
+        start_url = f"http://127.0.0.1:{line['port']}/start"
+        body = a_start().model_dump_json().encode()
+        urllib.request.urlopen(start_url, body, END_TIMEOUT_S).close()
+        state_url = f"http://127.0.0.1:{line['control_port']}/state"
+        with urllib.request.urlopen(state_url, timeout=END_TIMEOUT_S) as reply:
+            (entry,) = json.load(reply)["history"]
+        assert abs(entry["start"] - time.time()) < DAY_S
--- a/tests/test_standin_worker_model.py
+++ b/tests/test_standin_worker_model.py
@@ -78,6 +78,12 @@
     assert report_at(worker, 1.6).state is AttemptState.LAPSED
 
 
+def test_a_run_never_outlives_its_lease_even_if_nobody_looks() -> None:
+    worker = a_worker()
+    worker.start(START, a_start(run_ms=2_000, lease_ms=1_000))
+    assert report_at(worker, 5.0).state is AttemptState.LAPSED
+
+
 def test_a_run_that_ends_with_its_lease_has_ended() -> None:
     worker = a_worker()
     worker.start(START, a_start(run_ms=1_000, lease_ms=1_000))
--- a/tests/utils/memory_network.py
+++ b/tests/utils/memory_network.py
@@ -76,6 +76,18 @@
         self.callLater(0, self._establish, port, factory, connector)
         return connector
 
+    @property
+    def open_connections(self) -> int:
+        """Number of connections that stand at the server's end."""
+        self.settle()
+        return sum(not pump.serverIO.disconnected for pump in self._pumps)
+
+    @property
+    def call_times(self) -> list[float]:
+        """When the delayed calls are due."""
+        calls: Any = self.getDelayedCalls()
+        return [call.getTime() for call in calls]
+
     def settle(self) -> None:
         """Move bytes until nothing moves any more; time stands still."""
         moved = True
@@ -101,10 +113,9 @@
             pump.serverIO.loseConnection()
 
     def _next_call_s(self) -> float:
-        calls: Any = self.getDelayedCalls()
-        assert calls, "nothing is left to happen"
-        first: float = min(call.getTime() for call in calls)
-        return first - self.seconds()
+        times = self.call_times
+        assert times, "nothing is left to happen"
+        return min(times) - self.seconds()
 
     def _refuse(self, factory: Any, connector: Any, error: Exception) -> None:
         if not connector.stoppedConnecting:
