HTTP exchange: wire parts in a module of their own, an end for every exchange

Cause: one module held endpoints, pool, producer and the exchange; and an exchange given up ended only if twisted ended it at once. Change: adapters/http_wire.py; an exchange given up always ends. Conclusion: behaviour otherwise unchanged.

--- a/tamarackmount/adapters/http.py
+++ b/tamarackmount/adapters/http.py
@@ -20,8 +20,8 @@
     ExchangeFault,
     ExchangeResult,
     HttpExchanger,
-    Limits,
 )
+from tamarackmount.adapters.http_wire import Limits
 from tamarackmount.adapters.reactor import ClientReactor
 from tamarackmount.ids import Instant
 from tamarackmount.kernel.messages import HttpHeader
--- a/tamarackmount/adapters/http_exchange.py
+++ b/tamarackmount/adapters/http_exchange.py
@@ -11,30 +11,26 @@
 from typing import Any, Protocol, cast
 
 from returns.result import Failure, Result, Success
-from twisted.internet.defer import Deferred, succeed
-from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
+from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectError, ConnectingCancelledError
-from twisted.internet.interfaces import IStreamClientEndpoint
 from twisted.internet.protocol import Protocol as StreamProtocol
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure as TwistedFailure
-from twisted.web.client import (
-    URI,
-    Agent,
-    HTTPConnectionPool,
-    ResponseDone,
-)
+from twisted.web.client import ResponseDone
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer, IResponse
-from zope.interface import implementer  # type: ignore[import-untyped]
-
+from twisted.web.iweb import IResponse
+
+from tamarackmount.adapters.http_wire import (
+    Limits,
+    encode_headers,
+    make_agent,
+    make_pool,
+    make_producer,
+)
 from tamarackmount.adapters.reactor import ClientReactor, DelayedCall
 from tamarackmount.ids import Instant
 from tamarackmount.kernel.messages import HttpHeader
 
-IDLE_CONNECTION_S = 15.0
-"""How long an idle connection is kept, in seconds; servers must keep it longer."""
-
 
 class ExchangeFault(Enum):
     """How an exchange failed."""
@@ -62,19 +58,6 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Limits:
-    """Bounds of an HTTP client.
-
-    ``idle_per_host`` bounds idle connections to each address,
-    ``connect_timeout_s`` is in seconds, ``max_answer_bytes`` in bytes.
-    """
-
-    idle_per_host: int
-    connect_timeout_s: float
-    max_answer_bytes: int
-
-
 ExchangeResult = Result[Answer, ExchangeError]
 """Outcome of an exchange."""
 
@@ -82,56 +65,14 @@
 class _Response(Protocol):
     code: int
     headers: Headers
-    length: Any
 
     def deliverBody(self, protocol: StreamProtocol) -> None: ...  # noqa: N802
 
 
-class _Consumer(Protocol):
-    def write(self, data: bytes) -> None: ...
-
-
 class _Transport(Protocol):
     def stopProducing(self) -> None: ...  # noqa: N802
 
 
-@implementer(IBodyProducer)
-class _BytesProducer:
-    """Hands a body that is in memory to the connection at once."""
-
-    def __init__(self, body: bytes) -> None:
-        self.length = len(body)
-        self._body = body
-
-    def startProducing(self, consumer: _Consumer) -> "Deferred[None]":  # noqa: N802
-        consumer.write(self._body)
-        return succeed(None)
-
-    def pauseProducing(self) -> None:  # noqa: N802
-        """Nothing is left to pause."""
-
-    def resumeProducing(self) -> None:  # noqa: N802
-        """Nothing is left to resume."""
-
-    def stopProducing(self) -> None:  # noqa: N802
-        """Nothing is left to stop."""
-
-
-@implementer(IAgentEndpointFactory)
-class _AddressEndpoints:
-    """Endpoints for IP numbers; no name is ever looked up."""
-
-    def __init__(self, reactor: ClientReactor, connect_timeout_s: float) -> None:
-        self._reactor = reactor
-        self._connect_timeout_s = connect_timeout_s
-
-    def endpointForURI(self, uri: URI) -> IStreamClientEndpoint:  # noqa: N802
-        host = uri.host.decode("ascii")
-        endpoint: Any = TCP6ClientEndpoint if ":" in host else TCP4ClientEndpoint
-        made = endpoint(self._reactor, host, uri.port, timeout=self._connect_timeout_s)
-        return cast(IStreamClientEndpoint, made)
-
-
 class _BodyCollector(StreamProtocol):
     """Collects an answer's body, up to a limit."""
 
@@ -173,7 +114,7 @@
         self._collector: _BodyCollector | None = None
         self._response: _Response | None = None
         self._timeout: DelayedCall | None = None
-        self._timed_out = False
+        self._abandoned = ""
         self._over = False
 
     def start(self, requesting: "Deferred[IResponse]") -> None:
@@ -213,7 +154,7 @@
 
     def _on_failure(self, failure: TwistedFailure) -> None:
         self._requesting = None
-        detail = "deadline passed" if self._timed_out else describe(failure)
+        detail = self._abandoned or describe(failure)
         if isinstance(failure.value, ConnectError | ConnectingCancelledError):
             self.fail(ExchangeFault.NOT_SENT, detail)
             return
@@ -221,17 +162,18 @@
 
     def _on_deadline(self) -> None:
         self._timeout = None
-        self._timed_out = True
-        if self._requesting is not None:
-            self._requesting.cancel()
-            return
-        self.fail(ExchangeFault.CUT_ANSWER, "deadline passed")
+        self._abandon("deadline passed")
 
     def _cancelled(self, result: "Deferred[ExchangeResult]") -> None:
-        if self._requesting is not None:
-            self._requesting.cancel()
+        self._abandon("cancelled")
+
+    def _abandon(self, detail: str) -> None:
+        self._abandoned = detail
+        if self._requesting is None:
+            self.fail(ExchangeFault.CUT_ANSWER, detail)
             return
-        self.fail(ExchangeFault.CUT_ANSWER, "cancelled")
+        self._requesting.cancel()
+        self.fail(ExchangeFault.NO_ANSWER, detail)
 
     def _finish(self, result: ExchangeResult) -> None:
         self._over = True
@@ -252,10 +194,8 @@
         """Open connections through ``reactor``."""
         self._reactor = reactor
         self._limits = limits
-        self._pool = _make_pool(reactor, limits)
-        endpoints = _AddressEndpoints(reactor, limits.connect_timeout_s)
-        make_agent: Any = Agent.usingEndpointFactory
-        self._agent: Agent = make_agent(reactor, endpoints, self._pool)
+        self._pool = make_pool(reactor, limits)
+        self._agent = make_agent(reactor, limits, self._pool)
 
     def seconds(self) -> Instant:
         """Return the clock's reading that deadlines are compared with."""
@@ -285,12 +225,11 @@
     def _request(
         self, method: str, url: str, headers: Iterable[HttpHeader], body: bytes
     ) -> "Deferred[IResponse]":
-        producer = _BytesProducer(body) if body else None
         return self._agent.request(
             method.encode("ascii"),
             url.encode("ascii"),
-            _encode_headers(headers),
-            cast(IBodyProducer | None, producer),
+            encode_headers(headers),
+            make_producer(body),
         )
 
     def close(self) -> "Deferred[None]":
@@ -308,21 +247,3 @@
         return f"{type(value).__name__}: {value}"
     inner = ", ".join(describe(reason) for reason in reasons)
     return f"{type(value).__name__}({inner})"
-
-
-def _make_pool(reactor: ClientReactor, limits: Limits) -> HTTPConnectionPool:
-    make: Any = HTTPConnectionPool
-    pool: Any = make(reactor, persistent=limits.idle_per_host > 0)
-    pool.maxPersistentPerHost = limits.idle_per_host
-    pool.cachedConnectionTimeout = IDLE_CONNECTION_S
-    pool.retryAutomatically = False
-    return cast(HTTPConnectionPool, pool)
-
-
-def _encode_headers(headers: Iterable[HttpHeader]) -> Headers:
-    encoded = Headers()
-    for header in headers:
-        encoded.addRawHeader(
-            header.name.encode("ascii"), header.value.encode("latin-1")
-        )
-    return encoded
--- a/tamarackmount/adapters/upstreams.py
+++ b/tamarackmount/adapters/upstreams.py
@@ -28,8 +28,8 @@
     ExchangeFault,
     ExchangeResult,
     HttpExchanger,
-    Limits,
 )
+from tamarackmount.adapters.http_wire import Limits
 from tamarackmount.adapters.reactor import ClientReactor
 from tamarackmount.adapters.workers import url_host
 from tamarackmount.ids import Instant, RequestId
--- a/tests/test_adapter_http.py
+++ b/tests/test_adapter_http.py
@@ -9,11 +9,10 @@
 
 from tamarackmount.adapters.http import HttpFault, JsonHttpClient
 from tamarackmount.adapters.http_exchange import (
-    IDLE_CONNECTION_S,
     ExchangeFault,
     HttpExchanger,
-    Limits,
 )
+from tamarackmount.adapters.http_wire import IDLE_CONNECTION_S, Limits
 from tamarackmount.ids import Instant
 from tamarackmount.kernel.messages import HttpHeader
 from tests.utils.memory_network import MemoryNetwork
--- a/tests/utils/serve_platform.py
+++ b/tests/utils/serve_platform.py
@@ -5,7 +5,8 @@
 
 from twisted.internet.defer import Deferred
 
-from tamarackmount.adapters.http_exchange import ExchangeResult, HttpExchanger, Limits
+from tamarackmount.adapters.http_exchange import ExchangeResult, HttpExchanger
+from tamarackmount.adapters.http_wire import Limits
 from tamarackmount.adapters.worker_schema import Amount
 from tamarackmount.ids import Instant, UpstreamId, WorkerId
 from tamarackmount.standins.control import ControlResource
