Demo harness: callers use the typed client; tests with real processes

Cause: the thin HTTP caller was only a stopgap, and a dead daemon was waited for a whole minute. Not run against daemons: there is none yet.

--- a/tamarackmount/demo/balancer.py
+++ b/tamarackmount/demo/balancer.py
@@ -32,10 +32,9 @@
 
     async def check(self, daemon: DaemonPlan) -> bool:
         """Ask one entry VM whether it accepts work."""
-        result = await self._http.call(
+        reply = await self._http.call(
             "GET", f"{daemon.url}/healthz", timeout=CHECK_TIMEOUT_SECONDS
         )
-        reply = result.value_or(None)
         if reply is None or reply.status != HTTP_OK:
             self.healthy.discard(daemon.id)
             return False
--- a/tamarackmount/demo/callers.py
+++ b/tamarackmount/demo/callers.py
@@ -5,10 +5,13 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
+from returns.result import Result, Success
 from twisted.internet.defer import Deferred, gatherResults
 
+from tamarackmount.client import QueueRequest
+from tamarackmount.client_views import Answer, CallError, CallOutcome
 from tamarackmount.demo.balancer import Balancer
-from tamarackmount.demo.http import CallFailure, CallResult, HttpCaller, Reply
+from tamarackmount.demo.http import HttpCaller
 from tamarackmount.demo.records import REPEAT_ERROR, Attempt, Ending, RequestRecord
 from tamarackmount.demo.topology import DaemonPlan
 from tamarackmount.ids import MemberId, QueueName, RequestId, TeamId
@@ -19,9 +22,6 @@
 REQUEST_TIMEOUT_MS = 10_000
 """Time that a caller gives a request, in milliseconds."""
 
-REPLY_GRACE_SECONDS = 10.0
-"""Time after a request's deadline until its caller stops listening, in seconds."""
-
 MAX_PAUSE_SECONDS = 1.0
 """Longest pause before a refused request is sent again, in seconds."""
 
@@ -57,18 +57,16 @@
 """What a caller does after an attempt."""
 
 ENDING_BY_OUTCOME = {
-    "answered": Ending.ANSWERED,
-    "not-run": Ending.NOT_RUN,
-    "unknown": Ending.UNKNOWN,
+    CallOutcome.NOT_RUN: Ending.NOT_RUN,
+    CallOutcome.UNKNOWN: Ending.UNKNOWN,
 }
-"""Endings by the ``Outcome`` header."""
+"""Endings of attempts that were refused."""
 
-ENDING_BY_FAILURE = {
-    CallFailure.NOT_CONNECTED: Ending.NOT_CONNECTED,
-    CallFailure.LOST: Ending.LOST,
-    CallFailure.TIMEOUT: Ending.LOST,
+ENDING_WITHOUT_RESPONSE = {
+    CallOutcome.NOT_RUN: Ending.NOT_CONNECTED,
+    CallOutcome.UNKNOWN: Ending.LOST,
 }
-"""Endings of attempts without a whole reply."""
+"""Endings of attempts without a whole response."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,18 +85,9 @@
 """The kinds that callers mix in equal parts."""
 
 
-@dataclass(frozen=True, slots=True)
-class QueueRequest:
-    """One request as it is sent."""
-
-    queue: QueueName
-    key: str
-    id: RequestId
-    kind: RequestKind = KINDS[0]
-    body: bytes = b""
-
+RequestResult = Result[Answer, CallError]
 
-AnswerCheck = Callable[[Reply, RequestId, bytes], bool]
+AnswerCheck = Callable[[Answer, RequestId, bytes], bool]
 """Tells whether an answer is whole and belongs to the request with this body."""
 
 
@@ -149,12 +138,8 @@
         kind = self._rng.choice(KINDS)
         record = RequestRecord(self._load.team_id, self._load.queue, kind.idempotent)
         self.records.append(record)
-        request = QueueRequest(
-            queue=self._load.queue,
-            key=self._load.key,
-            id=self._request_id(number, 0),
-            kind=kind,
-            body=self._body(kind),
+        request = make_request(
+            self._load.queue, self._request_id(number, 0), kind, self._body(kind)
         )
         via: MemberId | None = None
         for again in range(1, MAX_ATTEMPTS + 1):
@@ -168,7 +153,9 @@
             if following is _Next.RETRY:
                 await self._http.sleep(self._pause(result))
                 if self._rng.random() >= SAME_ID_SHARE:
-                    request = replace(request, id=self._request_id(number, again))
+                    request = replace(
+                        request, request_id=self._request_id(number, again)
+                    )
 
     def _goes_on(self, attempt: Attempt) -> bool:
         if attempt.ending is not Ending.UNKNOWN:
@@ -179,16 +166,18 @@
 
     async def _attempt(
         self, daemon: DaemonPlan, request: QueueRequest
-    ) -> tuple[CallResult, Attempt]:
+    ) -> tuple[RequestResult, Attempt]:
         started = self._http.now()
-        result = await send_request(self._http, daemon, request)
+        client = self._http.client(daemon, self._load.key)
+        result = await client.send_request(request)
         ending, error = classify(result)
+        request_id = RequestId(request.request_id)
         wrong = ending is Ending.ANSWERED and not self._check(
-            result.unwrap(), request.id, request.body
+            result.unwrap(), request_id, request.body
         )
         ended = self._http.now()
         return result, Attempt(
-            request.id, daemon.id, started, ended, ending, error, wrong
+            request_id, daemon.id, started, ended, ending, error, wrong
         )
 
     def _request_id(self, number: int, again: int) -> RequestId:
@@ -203,37 +192,35 @@
             return b""
         return self._rng.randbytes(self._rng.randint(1, MAX_BODY_BYTES))
 
-    def _pause(self, result: CallResult) -> float:
-        reply = result.value_or(None)
-        told = reply.header("Retry-After-Ms") if reply else ""
-        seconds = int(told) / 1_000 if told.isdigit() else 0.0
-        return min(MAX_PAUSE_SECONDS, seconds + self._rng.uniform(0.02, 0.1))
-
-
-async def send_request(
-    http: HttpCaller, daemon: DaemonPlan, request: QueueRequest
-) -> CallResult:
-    """Send a request once, through one entry VM."""
-    return await http.call(
-        request.kind.method,
-        f"{daemon.url}/v1/queues/{request.queue}/requests/demo?work_ms={WORK_MS}",
-        {
-            "Authorization": f"Bearer {request.key}",
-            "Request-Id": request.id,
-            "Idempotent": "true" if request.kind.idempotent else "false",
-            "Timeout-Ms": str(REQUEST_TIMEOUT_MS),
-        },
-        request.body,
-        REQUEST_TIMEOUT_MS / 1_000 + REPLY_GRACE_SECONDS,
+    def _pause(self, result: RequestResult) -> float:
+        told_ms = result.failure().retry_after_ms
+        pause = told_ms / 1_000 + self._rng.uniform(0.02, 0.1)
+        return min(MAX_PAUSE_SECONDS, pause)
+
+
+def make_request(
+    queue: QueueName,
+    request_id: RequestId,
+    kind: RequestKind = KINDS[0],
+    body: bytes = b"",
+) -> QueueRequest:
+    """Return a request as callers send it."""
+    return QueueRequest(
+        queue=queue,
+        method=kind.method,
+        path=f"/demo?work_ms={WORK_MS}",
+        body=body,
+        request_id=request_id,
+        idempotent=kind.idempotent,
+        timeout_ms=REQUEST_TIMEOUT_MS,
     )
 
 
-def classify(result: CallResult) -> tuple[Ending, str]:
+def classify(result: RequestResult) -> tuple[Ending, str]:
     """Return how an attempt ended and the error code of a refusal."""
-    reply = result.value_or(None)
-    if reply is None:
-        return ENDING_BY_FAILURE[result.failure()], result.failure().value
-    ending = ENDING_BY_OUTCOME.get(reply.header("Outcome"), Ending.UNKNOWN)
-    if ending is Ending.ANSWERED:
-        return ending, ""
-    return ending, reply.error_code()
+    if isinstance(result, Success):
+        return Ending.ANSWERED, ""
+    error = result.failure()
+    has_response = error.status != 0
+    endings = ENDING_BY_OUTCOME if has_response else ENDING_WITHOUT_RESPONSE
+    return endings[error.outcome], error.error
--- a/tamarackmount/demo/cell.py
+++ b/tamarackmount/demo/cell.py
@@ -6,13 +6,18 @@
 from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 
-from twisted.internet.defer import Deferred, gatherResults
+from twisted.internet.defer import Deferred, FirstError, gatherResults
 from twisted.internet.interfaces import IReactorTime
 
 from tamarackmount.demo.balancer import Balancer
 from tamarackmount.demo.http import HttpCaller
 from tamarackmount.demo.ports import LOOPBACK
-from tamarackmount.demo.processes import Command, ManagedProcess, ProcessGroup
+from tamarackmount.demo.processes import (
+    Command,
+    ManagedProcess,
+    ProcessFailedError,
+    ProcessGroup,
+)
 from tamarackmount.demo.topology import (
     DaemonPlan,
     PortPair,
@@ -82,9 +87,12 @@
         return self.processes.process_by_name[daemon.id]
 
     async def wait_healthy(self, daemon: DaemonPlan) -> None:
-        """Wait until one entry VM accepts work."""
+        """Wait until one entry VM accepts work; raises when its process ends."""
+        process = self.daemon_process(daemon)
 
         async def healthy() -> bool:
+            if not process.running:
+                raise ProcessFailedError(process.describe())
             return await self.balancer.check(daemon)
 
         await self.wait_until(healthy, f"{daemon.id} accepts work")
@@ -110,7 +118,10 @@
         await step
 
     under_way = [Deferred.fromCoroutine(run(step)) for step in steps]
-    await gatherResults(under_way, consumeErrors=True)
+    try:
+        await gatherResults(under_way, consumeErrors=True)
+    except FirstError as error:
+        error.subFailure.raiseException()
 
 
 def stand_in_commands(topology: Topology, vms_file: Path) -> list[Command]:
--- a/tamarackmount/demo/http.py
+++ b/tamarackmount/demo/http.py
@@ -1,86 +1,21 @@
-"""HTTP calls of the harness: each ends in a whole reply or a named failure."""
+"""HTTP calls of the harness and its clock."""
 
-from dataclasses import dataclass
-from enum import Enum
-from io import BytesIO
+import secrets
 from typing import Protocol, cast
 
-from pydantic import BaseModel, ValidationError
-from returns.result import Failure, Result, Success
-from twisted.internet.defer import TimeoutError as DeferredTimeoutError
-from twisted.internet.error import ConnectError, ConnectionClosed
+from returns.result import Success
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
-from twisted.web.client import (
-    Agent,
-    FileBodyProducer,
-    HTTPConnectionPool,
-    PartialDownloadError,
-    RequestTransmissionFailed,
-    ResponseFailed,
-    ResponseNeverReceived,
-    readBody,
-)
-from twisted.web.http_headers import Headers
-from twisted.web.iweb import IBodyProducer
-
-CONNECT_TIMEOUT_SECONDS = 2.0
-"""Longest wait for a connection, in seconds."""
 
-CALL_TIMEOUT_SECONDS = 15.0
-"""Longest wait for a whole reply when the caller names none, in seconds."""
-
-LOST_REPLY_ERRORS = (
-    ConnectionClosed,
-    PartialDownloadError,
-    RequestTransmissionFailed,
-    ResponseFailed,
-    ResponseNeverReceived,
-)
-"""How twisted.web says that a connection ended before the whole reply came."""
-
-
-class CallFailure(Enum):
-    """Why a call ended without a whole reply."""
-
-    NOT_CONNECTED = "not connected"
-    LOST = "connection lost"
-    TIMEOUT = "timeout"
-
-
-class ErrorObject(BaseModel):
-    """The part of an error object that the harness reads."""
-
-    error: str
-
-
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """A whole HTTP reply."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-    def header(self, name: str) -> str:
-        """Return the first value of a header, or an empty text."""
-        values = self.headers.getRawHeaders(name)
-        return values[0] if values else ""
-
-    def error_code(self) -> str:
-        """Return ``error`` of an error object, or an empty text."""
-        try:
-            return ErrorObject.model_validate_json(self.body).error
-        except ValidationError:
-            return ""
-
-
-CallResult = Result[Reply, CallFailure]
+from tamarackmount.client import Client
+from tamarackmount.demo.topology import DaemonPlan
+from tamarackmount.http_calls import HttpRequest, HttpResponse, make_opener
 
+CALL_TIMEOUT_SECONDS = 15.0
+"""Longest wait for a whole reply, in seconds."""
 
-def _producer(body: bytes) -> IBodyProducer:
-    producer = FileBodyProducer(BytesIO(body))  # type: ignore[no-untyped-call]
-    return cast(IBodyProducer, producer)
+TOKEN_BYTES = 8
+"""Random bytes in a token that a client makes up."""
 
 
 class _Clock(Protocol):
@@ -93,36 +28,23 @@
     def __init__(self, reactor: IReactorTime) -> None:
         """Call through ``reactor``."""
         self.reactor = reactor
-        pool = HTTPConnectionPool(reactor, persistent=False)  # type: ignore[no-untyped-call]
-        self._agent = Agent(  # type: ignore[no-untyped-call]
-            reactor, connectTimeout=CONNECT_TIMEOUT_SECONDS, pool=pool
-        )
+        self._opener = make_opener(reactor)
+
+    def client(self, daemon: DaemonPlan, key: str) -> Client:
+        """Return a client of one entry VM."""
+        return Client(daemon.url, self._opener, _make_token, key=key)
 
     async def call(
         self,
         method: str,
         url: str,
-        headers: dict[str, str] | None = None,
         body: bytes = b"",
         timeout: float = CALL_TIMEOUT_SECONDS,
-    ) -> CallResult:
-        """Send one request; ``timeout`` bounds the wait for the head, in seconds."""
-        producer = _producer(body) if body else None
-        raw_headers = Headers({name: [text] for name, text in (headers or {}).items()})
-        request = self._agent.request(
-            method.encode(), url.encode(), raw_headers, producer
-        )
-        request.addTimeout(timeout, self.reactor)
-        try:
-            response = await request
-            content = await readBody(response).addTimeout(timeout, self.reactor)
-        except ConnectError:
-            return Failure(CallFailure.NOT_CONNECTED)
-        except DeferredTimeoutError:
-            return Failure(CallFailure.TIMEOUT)
-        except LOST_REPLY_ERRORS:
-            return Failure(CallFailure.LOST)
-        return Success(Reply(response.code, response.headers, content))
+    ) -> HttpResponse | None:
+        """Return a whole response, or ``None`` when none came in ``timeout`` s."""
+        request = HttpRequest(method, url, (), body, timeout)
+        result = await self._opener.send(request)
+        return result.unwrap() if isinstance(result, Success) else None
 
     def now(self) -> float:
         """Return the reading of the harness's clock, in seconds."""
@@ -131,3 +53,7 @@
     async def sleep(self, seconds: float) -> None:
         """Return after some seconds."""
         await deferLater(self.reactor, seconds, lambda: None)
+
+
+def _make_token() -> str:
+    return secrets.token_hex(TOKEN_BYTES)
--- a/tamarackmount/demo/jobs.py
+++ b/tamarackmount/demo/jobs.py
@@ -1,28 +1,26 @@
 """Jobs of a run: submitted by teams and watched to their ends."""
 
-import json
 from dataclasses import dataclass
 
-from pydantic import BaseModel, JsonValue
+from pydantic import JsonValue
+from returns.result import Failure, Result
 
+from tamarackmount.client import Client
+from tamarackmount.client_views import (
+    ENDED_JOB_STATES,
+    CallError,
+    JobState,
+    JobView,
+)
 from tamarackmount.demo.cell import Cell, StepFailedError
-from tamarackmount.demo.http import Reply
 from tamarackmount.demo.records import JobEnd
 from tamarackmount.ids import JobId
 
 SERVICE_SECONDS = 5.0
 """Time that a service is left running before it is cancelled, in seconds."""
 
-ACCEPTED_STATUSES = frozenset({200, 201})
-"""Statuses of a submission that was accepted, now or before."""
-
-ENDED_STATES = frozenset({"succeeded", "failed", "cancelled", "unknown"})
-"""States that a job doesn't leave."""
-
-
-class _Job(BaseModel):
-    id: JobId
-    state: str
+FINAL_ERRORS = frozenset({"bad_request", "bad_key", "conflict"})
+"""Refusals of a submission that trying again doesn't change."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,7 +29,7 @@
 
     spec: dict[str, JsonValue]
     key: str
-    expected: str
+    expected: JobState
 
     @property
     def is_service(self) -> bool:
@@ -45,9 +43,9 @@
     service = _spec(id="service", kind="service", tasks=4)
     gang = _spec(id="gang", kind="gang", tasks=4, run_ms=2_000, accelerators=1)
     return [
-        JobPlan(batch, batch_key, "succeeded"),
-        JobPlan(service, service_key, "cancelled"),
-        JobPlan(gang, gang_key, "succeeded"),
+        JobPlan(batch, batch_key, JobState.SUCCEEDED),
+        JobPlan(service, service_key, JobState.CANCELLED),
+        JobPlan(gang, gang_key, JobState.SUCCEEDED),
     ]
 
 
@@ -62,56 +60,48 @@
         """Submit nothing yet."""
         self._cell = cell
         self._plan = plan
-        self._job = _Job(id=JobId(str(plan.spec["id"])), state="not submitted")
+        self._job_id = str(plan.spec["id"])
+        self._state: JobState | None = None
 
     async def run(self) -> None:
         """Submit the job and watch it to its end; a service is cancelled."""
-        await self._cell.wait_until(self._submit, f"submit {self._job.id}")
+        await self._cell.wait_until(self._submit, f"submit {self._job_id}")
         if self._plan.is_service:
-            await self._cell.wait_until(self._runs, f"{self._job.id} runs")
+            await self._cell.wait_until(self._runs, f"{self._job_id} runs")
             await self._cell.http.sleep(SERVICE_SECONDS)
-            await self._cell.wait_until(self._cancel, f"cancel {self._job.id}")
-        await self._cell.wait_until(self._has_ended, f"{self._job.id} ends")
+            await self._cell.wait_until(self._cancel, f"cancel {self._job_id}")
+        await self._cell.wait_until(self._has_ended, f"{self._job_id} ends")
 
     def end(self) -> JobEnd:
         """Return the last state seen."""
-        return JobEnd(self._job.id, self._job.state, self._plan.expected)
+        state = self._state.value if self._state else "not submitted"
+        return JobEnd(JobId(self._job_id), state, self._plan.expected.value)
 
     async def _submit(self) -> bool:
-        body = json.dumps(self._plan.spec).encode()
-        reply = await self._call("POST", "/v1/jobs", body)
-        if reply is not None and reply.status in (400, 401, 409):
-            raise StepFailedError(f"submit {self._job.id}: {reply.body.decode()}")
-        return self._note(reply, ACCEPTED_STATUSES)
+        result = await self._client().submit_job(self._plan.spec)
+        if isinstance(result, Failure) and result.failure().error in FINAL_ERRORS:
+            raise StepFailedError(f"submit {self._job_id}: {result.failure()}")
+        return self._note(result)
 
     async def _cancel(self) -> bool:
-        reply = await self._call("DELETE", f"/v1/jobs/{self._job.id}")
-        return self._note(reply, frozenset({200, 202}))
+        return self._note(await self._client().cancel_job(self._job_id))
 
     async def _runs(self) -> bool:
-        await self._look()
-        return self._job.state == "running"
+        self._note(await self._client().view_job(self._job_id))
+        return self._state is JobState.RUNNING
 
     async def _has_ended(self) -> bool:
-        await self._look()
-        return self._job.state in ENDED_STATES
-
-    async def _look(self) -> None:
-        reply = await self._call("GET", f"/v1/jobs/{self._job.id}")
-        self._note(reply, frozenset({200}))
+        self._note(await self._client().view_job(self._job_id))
+        return self._state in ENDED_JOB_STATES
 
-    def _note(self, reply: Reply | None, statuses: frozenset[int]) -> bool:
-        if reply is None or reply.status not in statuses:
+    def _note(self, result: Result[JobView, CallError]) -> bool:
+        if isinstance(result, Failure):
             return False
-        self._job = _Job.model_validate_json(reply.body)
+        job = result.unwrap()
+        self._job_id = job.id
+        self._state = job.state
         return True
 
-    async def _call(self, method: str, path: str, body: bytes = b"") -> Reply | None:
+    def _client(self) -> Client:
         daemon = self._cell.balancer.pick()
-        result = await self._cell.http.call(
-            method,
-            f"{daemon.url}{path}",
-            {"Authorization": f"Bearer {self._plan.key}"},
-            body,
-        )
-        return result.value_or(None)
+        return self._cell.http.client(daemon, self._plan.key)
--- a/tamarackmount/demo/operators.py
+++ b/tamarackmount/demo/operators.py
@@ -1,25 +1,16 @@
 """What operators do in a run: queues, teams and keys, over HTTP."""
 
 from pydantic import BaseModel, ValidationError
+from returns.result import Failure, Result, Success
 
-from tamarackmount.demo.balancer import HTTP_OK
+from tamarackmount.client import Client
+from tamarackmount.client_views import CallError, DocumentView, StatusView
 from tamarackmount.demo.cell import Cell
-from tamarackmount.demo.http import Reply
 from tamarackmount.demo.topology import DaemonPlan
-from tamarackmount.ids import ConfigPath, DataCentreId, MemberId
+from tamarackmount.ids import ConfigPath, DataCentreId, MemberId, Offset
 
-
-class _Version(BaseModel):
-    version: int
-
-
-class _ListedDocument(BaseModel):
-    path: ConfigPath
-    version: int
-
-
-class _Config(BaseModel):
-    documents: list[_ListedDocument]
+HTTP_NOT_FOUND = 404
+"""Status of a document that is absent."""
 
 
 class _DataCentre(BaseModel):
@@ -30,11 +21,9 @@
     data_centres: dict[DataCentreId, _DataCentre]
 
 
-def _owner_in(reply: Reply | None, data_centre: DataCentreId) -> MemberId | None:
-    if reply is None:
-        return None
+def _owner_in(view: StatusView, data_centre: DataCentreId) -> MemberId | None:
     try:
-        status = _Status.model_validate_json(reply.body)
+        status = _Status.model_validate(view.model_dump())
     except ValidationError:
         return None
     seen = status.data_centres.get(data_centre)
@@ -52,13 +41,12 @@
         """Put a document in force, whatever version it has now."""
 
         async def put_once() -> bool:
-            version = await self._version(path)
+            client = self._client(self._cell.balancer.pick())
+            version = _version(await client.read_config(path))
             if version is None:
                 return False
-            reply = await self._call(
-                "PUT", f"/v1/config/{path}", {"If-Match": str(version)}, text
-            )
-            return reply is not None and reply.status == HTTP_OK
+            result = await client.write_config(path, text, version)
+            return isinstance(result, Success)
 
         await self._cell.wait_until(put_once, f"put {path}")
 
@@ -67,11 +55,9 @@
 
         async def known() -> bool:
             for daemon in self._cell.topology.daemons:
-                reply = await self._call("GET", "/v1/config", via=daemon.id)
-                if reply is None or reply.status != HTTP_OK:
-                    return False
-                config = _Config.model_validate_json(reply.body)
-                if not set(paths) <= {document.path for document in config.documents}:
+                result = await self._client(daemon).list_config()
+                documents = result.map(lambda view: view.documents).value_or([])
+                if not set(paths) <= {document.path for document in documents}:
                     return False
             return True
 
@@ -87,32 +73,16 @@
             for plan in self._cell.topology.daemons
             if plan.data_centre == data_centre
         ]
-        reply = await self._call("GET", "/v1/status", via=daemons[0].id)
-        owner = _owner_in(reply, data_centre)
+        result = await self._client(daemons[0]).read_status()
+        owner = result.map(lambda view: _owner_in(view, data_centre)).value_or(None)
         return next((plan for plan in daemons if plan.id == owner), daemons[0])
 
-    async def _version(self, path: ConfigPath) -> int | None:
-        reply = await self._call("GET", f"/v1/config/{path}")
-        if reply is None:
-            return None
-        if reply.status == 404:
-            return 0
-        if reply.status != HTTP_OK:
-            return None
-        return _Version.model_validate_json(reply.body).version
-
-    async def _call(
-        self,
-        method: str,
-        path: str,
-        headers: dict[str, str] | None = None,
-        body: str = "",
-        via: MemberId | None = None,
-    ) -> Reply | None:
-        balancer = self._cell.balancer
-        daemon = balancer.pick() if via is None else balancer.daemon_by_id[via]
-        key = {"Authorization": f"Bearer {self._cell.operator_key}"}
-        result = await self._cell.http.call(
-            method, f"{daemon.url}{path}", {**key, **(headers or {})}, body.encode()
-        )
-        return result.value_or(None)
+    def _client(self, daemon: DaemonPlan) -> Client:
+        return self._cell.http.client(daemon, self._cell.operator_key)
+
+
+def _version(result: Result[DocumentView, CallError]) -> Offset | None:
+    """Return the version of a document, 0 when it is absent."""
+    if isinstance(result, Failure):
+        return Offset(0) if result.failure().status == HTTP_NOT_FOUND else None
+    return result.unwrap().version
--- a/tamarackmount/demo/revocation.py
+++ b/tamarackmount/demo/revocation.py
@@ -2,20 +2,20 @@
 
 from twisted.internet.defer import Deferred, gatherResults
 
-from tamarackmount.demo.callers import QueueRequest, send_request
+from tamarackmount.demo.callers import classify, make_request
 from tamarackmount.demo.cell import Cell
-from tamarackmount.demo.records import Revocation
+from tamarackmount.demo.records import Ending, Revocation
 from tamarackmount.demo.topology import DaemonPlan
 from tamarackmount.ids import MemberId, QueueName, RequestId
 
 PROBE_PERIOD_SECONDS = 0.1
 """Time between two uses of the revoked key at one entry VM, in seconds."""
 
-UNAUTHORIZED = 401
-"""Status of a request whose key is not accepted."""
+REFUSED_KEY_ERROR = "bad_key"
+"""Error of a request whose key is not accepted."""
 
-ACCEPTED_OUTCOMES = frozenset({"answered", "unknown"})
-"""Outcomes of requests that were let through."""
+ACCEPTED_ENDINGS = frozenset({Ending.ANSWERED, Ending.UNKNOWN})
+"""Endings of requests whose key was accepted."""
 
 
 class RevocationProbe:
@@ -65,12 +65,12 @@
         http = self._cell.http
         while self._probing:
             sent_at = http.now()
-            request = QueueRequest(
-                self._queue, self._key, RequestId(f"probe-{daemon.id}-{sent_at}")
-            )
-            reply = (await send_request(http, daemon, request)).value_or(None)
-            if reply is not None and reply.status == UNAUTHORIZED:
+            request_id = RequestId(f"probe-{daemon.id}-{sent_at}")
+            client = http.client(daemon, self._key)
+            result = await client.send_request(make_request(self._queue, request_id))
+            ending, error = classify(result)
+            if error == REFUSED_KEY_ERROR:
                 self._first_refusal_by_id.setdefault(daemon.id, http.now())
-            elif reply is not None and reply.header("Outcome") in ACCEPTED_OUTCOMES:
+            elif ending in ACCEPTED_ENDINGS:
                 self._accepted_at.append((daemon.id, sent_at))
             await http.sleep(PROBE_PERIOD_SECONDS)
--- a/tamarackmount/demo/scenario.py
+++ b/tamarackmount/demo/scenario.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 from pathlib import Path
 
+from returns.result import Success
 from twisted.internet.defer import Deferred, gatherResults
 from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 from twisted.internet.interfaces import IReactorTime
@@ -15,9 +16,7 @@
     WORK_MS,
     Caller,
     Load,
-    QueueRequest,
-    classify,
-    send_request,
+    make_request,
 )
 from tamarackmount.demo.cell import Cell, StepFailedError, in_parallel
 from tamarackmount.demo.checks import Evidence, Verdict, judge, task_overlaps
@@ -25,7 +24,8 @@
 from tamarackmount.demo.jobs import JobWatch, plan_jobs
 from tamarackmount.demo.operators import Operator
 from tamarackmount.demo.options import Options, StepName
-from tamarackmount.demo.records import Ending, Revocation
+from tamarackmount.demo.processes import ProcessFailedError
+from tamarackmount.demo.records import Revocation
 from tamarackmount.demo.revocation import RevocationProbe
 from tamarackmount.demo.stand_ins import StandInControl, is_own_answer
 from tamarackmount.demo.teams import MAIN_KEY, TEMPORARY_KEY, plan_teams
@@ -37,6 +37,9 @@
 SETTLE_SECONDS = 2.0
 """Time between two steps, in seconds."""
 
+STEP_ERRORS = (StepFailedError, ProcessFailedError, DeferredTimeoutError)
+"""What a step raises that doesn't come to its end."""
+
 Step = Callable[[], Awaitable[None]]
 """A step of a run, ready to be started."""
 
@@ -114,9 +117,9 @@
 
         async def served() -> bool:
             request_id = RequestId(f"first-{secrets.token_hex(8)}")
-            request = QueueRequest(queue, key, request_id)
-            result = await send_request(self.cell.http, daemon, request)
-            return classify(result)[0] is Ending.ANSWERED
+            client = self.cell.http.client(daemon, key)
+            result = await client.send_request(make_request(queue, request_id))
+            return isinstance(result, Success)
 
         await self.cell.wait_until(served, f"{daemon.id} serves {queue}")
 
@@ -157,7 +160,7 @@
         logger.info("step begins: %s", name)
         try:
             await step()
-        except (StepFailedError, DeferredTimeoutError) as error:
+        except STEP_ERRORS as error:
             logger.error("step failed: %s: %s", name, error)
             self._failed_steps.append(f"{name}: {error}")
             return
--- a/tamarackmount/demo/stand_ins.py
+++ b/tamarackmount/demo/stand_ins.py
@@ -8,12 +8,14 @@
 from pydantic import BaseModel, JsonValue, ValidationError
 
 from tamarackmount.adapters.vm_schema import VmList, VmState
+from tamarackmount.client_views import Answer
 from tamarackmount.demo.balancer import HTTP_OK
 from tamarackmount.demo.cell import StepFailedError
-from tamarackmount.demo.http import HttpCaller, Reply
+from tamarackmount.demo.http import HttpCaller
 from tamarackmount.demo.ports import LOOPBACK
 from tamarackmount.demo.records import TaskRun
 from tamarackmount.demo.topology import Topology, VmPlan
+from tamarackmount.http_calls import HttpResponse
 from tamarackmount.ids import RequestId, TaskId
 
 ModelT = TypeVar("ModelT", bound=BaseModel)
@@ -57,10 +59,10 @@
     body_sha256: str
 
 
-def is_own_answer(reply: Reply, request_id: RequestId, body: bytes) -> bool:
+def is_own_answer(answer: Answer, request_id: RequestId, body: bytes) -> bool:
     """Tell whether an upstream's answer is whole and belongs to the request."""
     try:
-        echo = _Echo.model_validate_json(reply.body)
+        echo = _Echo.model_validate_json(answer.body)
     except ValidationError:
         return False
     if echo.request_id != request_id:
@@ -139,9 +141,9 @@
 
     async def _send(
         self, method: str, port: int, path: str, body: bytes = b""
-    ) -> Reply:
+    ) -> HttpResponse:
         url = f"http://{LOOPBACK}:{port}/{path}"
-        reply = (await self._http.call(method, url, body=body)).value_or(None)
+        reply = await self._http.call(method, url, body)
         if reply is None or reply.status != HTTP_OK:
             raise StepFailedError(f"{method} {url}")
         return reply
--- /dev/null
+++ b/tests/test_demo_processes.py
@@ -0,0 +1,47 @@
+"""Real processes are started, signalled and ended by their own ids."""
+
+import signal
+
+import pytest
+
+from tamarackmount.demo.processes import Command, ProcessFailedError
+from tests.utils.processes import ProcessTestCase
+
+STAND_IN = Command("log", "tamarackmount.standins.log_service")
+MISSING_MODULE = Command("missing", "tamarackmount.no_such_module")
+
+
+class ProcessGroupTest(ProcessTestCase):
+    async def test_listening_line_is_read(self) -> None:
+        group = self.make_group()
+        await group.start_listening([STAND_IN])
+        listening = await group.process_by_name["log"].listening()
+        assert listening.port > 0
+        assert listening.control_port > 0
+        self.remove_logs()
+
+    async def test_paused_process_is_killed_too(self) -> None:
+        group = self.make_group()
+        await group.start_listening([STAND_IN])
+        process = group.process_by_name["log"]
+        assert process.send(signal.SIGSTOP)
+        await group.kill_all()
+        assert not process.running
+        assert not process.send(signal.SIGTERM)
+        self.remove_logs()
+
+    async def test_process_that_never_listens_shows_its_log(self) -> None:
+        group = self.make_group()
+        process = group.start(MISSING_MODULE)
+        with pytest.raises(ProcessFailedError) as caught:
+            await process.listening()
+        assert "no_such_module" in str(caught.value)
+        assert process.exit_code == 1
+        self.remove_logs()
+
+    async def test_nothing_starts_after_the_end(self) -> None:
+        group = self.make_group()
+        await group.kill_all()
+        with pytest.raises(ProcessFailedError):
+            group.start(STAND_IN)
+        self.remove_logs()
--- /dev/null
+++ b/tests/utils/processes.py
@@ -0,0 +1,48 @@
+"""Test case over real processes, in twisted's reactor."""
+
+import shutil
+import tempfile
+from pathlib import Path
+
+from twisted.internet import reactor
+from twisted.internet.interfaces import IReactorTime
+from twisted.trial.unittest import TestCase
+
+from tamarackmount.demo.checks import Verdict
+from tamarackmount.demo.options import Options
+from tamarackmount.demo.ports import PortReservation
+from tamarackmount.demo.processes import ProcessGroup
+from tamarackmount.demo.scenario import Scenario
+from tamarackmount.demo.topology import Shape, plan_topology
+
+
+class ProcessTestCase(TestCase):
+    """Starts processes and ends them, whatever happens.
+
+    ``timeout`` bounds a hanging test, in seconds; no verdict depends on it. Logs
+    stay in the temporary directory of a test that failed.
+    """
+
+    timeout = 300
+
+    def setUp(self) -> None:
+        self.directory = Path(tempfile.mkdtemp(prefix="tamarackmount-test-"))
+
+    def make_group(self) -> ProcessGroup:
+        """Return a group whose processes end with the test."""
+        group = ProcessGroup(IReactorTime(reactor), self.directory)
+        self.addCleanup(group.kill_all)
+        return group
+
+    async def run_scenario(self, shape: Shape, options: Options) -> Verdict:
+        """Run a scenario to its verdict."""
+        ports = PortReservation()
+        self.addCleanup(ports.release)
+        topology = plan_topology(shape, ports.take)
+        scenario = Scenario(IReactorTime(reactor), self.directory, topology, options)
+        self.addCleanup(scenario.cell.stop)
+        return await scenario.run()
+
+    def remove_logs(self) -> None:
+        """Remove the logs of a test that passed."""
+        shutil.rmtree(self.directory)
