--- /dev/null
+++ b/tamarackmount/daemon/operator_calls.py
@@ -0,0 +1,203 @@
+"""Operators' calls: configuration, status and drain."""
+
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from typing import Protocol
+
+from returns.result import Failure, Result, Success
+
+from tamarackmount.checks import check_document, check_path
+from tamarackmount.daemon.http_answers import write_error, write_json, write_json_text
+from tamarackmount.daemon.http_request import (
+    BoundedRequest,
+    body_of,
+    header,
+    key_hash,
+)
+from tamarackmount.daemon.status_view import StatusView
+from tamarackmount.ids import ConfigPath, KeyHash, Offset
+from tamarackmount.kernel.effects import ChangeOutcome, FinishChange
+from tamarackmount.kernel.fleet_config import FleetConfig
+from tamarackmount.problems import Problem
+
+LOG_RETRY_MS = 2_000
+"""Time to come back after a change that the log did not take, in milliseconds."""
+
+
+class OperatorAccess(Protocol):
+    """What operators' calls ask of the daemon."""
+
+    def config(self) -> FleetConfig:
+        """Return the configuration."""
+
+    def change(self, path: ConfigPath, expected: Offset, text: str) -> int:
+        """Begin a change; return the call id that its outcome will carry."""
+
+    def status(self) -> StatusView:
+        """Return the fleet as this member sees it."""
+
+    def drain(self) -> None:
+        """Begin a planned stop."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Failure:
+    status: int
+    error: str
+    message: str
+
+
+_FAILURES = {
+    ChangeOutcome.CONFLICT: _Failure(
+        409, "conflict", "the document has another version: read it and try again"
+    ),
+    ChangeOutcome.NOT_CHANGED: _Failure(
+        503, "log_down", "the log did not take the change; nothing was changed"
+    ),
+    ChangeOutcome.UNKNOWN: _Failure(
+        503, "unknown", "the change may have taken effect: read the document back"
+    ),
+}
+
+
+class OperatorCalls:
+    """Serves the operators' part of the HTTP interface."""
+
+    def __init__(self, keys: list[KeyHash], access: OperatorAccess) -> None:
+        """Let the holders of ``keys`` in."""
+        self._keys = frozenset(keys)
+        self._access = access
+        self._changes_by_call: dict[int, BoundedRequest] = {}
+        self._config_methods: dict[
+            bytes, Callable[[BoundedRequest, ConfigPath], None]
+        ] = {
+            b"GET": self._read_document,
+            b"PUT": self._put_document,
+            b"DELETE": self._delete_document,
+        }
+
+    def serve_config(self, request: BoundedRequest, parts: list[str]) -> None:
+        """Serve ``/v1/config`` and ``/v1/config/{path}``."""
+        if not self._is_allowed(request):
+            return
+        serve = self._config_methods.get(request.method)
+        if serve is None:
+            _refuse_method(request)
+            return
+        if parts:
+            serve(request, ConfigPath("/".join(parts)))
+        elif request.method == b"GET":
+            self._list_documents(request)
+        else:
+            write_error(request, 400, "bad_request", "a document's path is missing")
+
+    def serve_history(self, request: BoundedRequest, parts: list[str]) -> None:
+        """Serve ``/v1/history/{path}``."""
+        if not self._is_allowed(request):
+            return
+        history = self._access.config().history(ConfigPath("/".join(parts)))
+        versions = [{"version": doc.version, "text": doc.text} for doc in history]
+        write_json(request, 200, {"versions": versions})
+
+    def serve_status(self, request: BoundedRequest, _parts: list[str]) -> None:
+        """Serve ``/v1/status``."""
+        if self._is_allowed(request):
+            write_json_text(request, 200, self._access.status().model_dump_json())
+
+    def serve_drain(self, request: BoundedRequest, _parts: list[str]) -> None:
+        """Serve ``/v1/drain``."""
+        if not self._is_allowed(request):
+            return
+        if request.method != b"POST":
+            _refuse_method(request)
+            return
+        self._access.drain()
+        write_json(request, 202, {"state": "draining"})
+
+    def finish(self, effect: FinishChange) -> None:
+        """Answer an operator's change."""
+        request = self._changes_by_call.pop(effect.call_id, None)
+        if request is None or request.finished or request.channel is None:
+            return
+        if effect.outcome is ChangeOutcome.ACCEPTED:
+            write_json(request, 200, {"version": effect.version})
+            return
+        failure = _FAILURES[effect.outcome]
+        content = {
+            "error": failure.error,
+            "message": failure.message,
+            "version": effect.version,
+            "retry_after_ms": LOG_RETRY_MS if failure.status == 503 else 0,
+        }
+        write_json(request, failure.status, content)
+
+    def _is_allowed(self, request: BoundedRequest) -> bool:
+        key = key_hash(request)
+        if key is not None and key in self._keys:
+            return True
+        write_error(request, 401, "bad_key", "an operator's key is needed")
+        return False
+
+    def _list_documents(self, request: BoundedRequest) -> None:
+        config = self._access.config()
+        documents = [asdict(document) for document in config.documents().values()]
+        write_json(request, 200, {"offset": config.applied, "documents": documents})
+
+    def _read_document(self, request: BoundedRequest, path: ConfigPath) -> None:
+        document = self._access.config().document(path)
+        if document is None:
+            write_error(request, 404, "unknown_document", f"no document at {path}")
+            return
+        write_json(request, 200, asdict(document))
+
+    def _put_document(self, request: BoundedRequest, path: ConfigPath) -> None:
+        text = _decode(body_of(request))
+        if isinstance(text, Failure):
+            write_error(request, 400, "bad_request", text.failure())
+            return
+        checked = check_document(path, text.unwrap())
+        if isinstance(checked, Failure):
+            _write_problems(request, checked.failure())
+            return
+        self._change(request, path, text.unwrap())
+
+    def _delete_document(self, request: BoundedRequest, path: ConfigPath) -> None:
+        checked = check_path(path)
+        if isinstance(checked, Failure):
+            _write_problems(request, checked.failure())
+            return
+        self._change(request, path, "")
+
+    def _change(self, request: BoundedRequest, path: ConfigPath, text: str) -> None:
+        version = header(request, "if-match").strip('"')
+        if not (version.isascii() and version.isdigit()):
+            message = "If-Match: the document's version expected, 0 if it is absent"
+            write_error(request, 400, "bad_request", message)
+            return
+        call_id = self._access.change(path, Offset(int(version)), text)
+        self._changes_by_call[call_id] = request
+        request.notifyFinish().addErrback(self._operator_left, call_id)
+
+    def _operator_left(self, _failure: object, call_id: int) -> None:
+        self._changes_by_call.pop(call_id, None)
+
+
+def _decode(body: bytes) -> Result[str, str]:
+    try:
+        return Success(body.decode("utf-8"))
+    except UnicodeDecodeError:
+        return Failure("the body is not UTF-8")
+
+
+def _write_problems(request: BoundedRequest, problems: list[Problem]) -> None:
+    content = {
+        "error": "bad_document",
+        "message": "the document has errors; nothing was changed",
+        "problems": [asdict(problem) for problem in problems],
+    }
+    write_json(request, 400, content)
+
+
+def _refuse_method(request: BoundedRequest) -> None:
+    method = request.method.decode("ascii", "replace")
+    write_error(request, 405, "bad_method", f"{method} is not served here")
--- a/tamarackmount/daemon/peers.py
+++ b/tamarackmount/daemon/peers.py
@@ -118,7 +118,7 @@
         if self._unsent > MAX_UNSENT_BYTES:
             _transport(self).abortConnection()
             return False
-        self.sendString(data)  # type: ignore[no-untyped-call]
+        self.sendString(data)
         return True
 
     def pauseProducing(self) -> None:  # noqa: N802
@@ -205,15 +205,16 @@
             address.port, factory, interface=address.host
         )
 
-    def send(self, to: MemberId, message: PeerMessage) -> None:
-        """Send a message to a peer if there is a connection to it."""
+    def send(self, to: MemberId, message: PeerMessage) -> bool:
+        """Send a message to a peer; return whether there was a connection to it."""
         link = self._link(to)
         data = encode(Envelope(self._member_id, message))
         if link is not None and link.send(data):
             self.counters.sent += 1
             self.counters.sent_bytes += len(data)
-            return
+            return True
         self.counters.dropped += 1
+        return False
 
     def stop(self) -> None:
         """Close every connection."""
--- /dev/null
+++ b/tamarackmount/daemon/platform_tasks.py
@@ -0,0 +1,211 @@
+"""Tasks that talk to the platform: the log, the VM list and the workers."""
+
+import logging
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from returns.result import Failure, Result
+from twisted.internet.task import LoopingCall
+
+from tamarackmount.adapters.log import LogClient, LogError, LogFault
+from tamarackmount.adapters.log_schema import (
+    MAX_RECORDS_PER_PAGE,
+    NewRecord,
+    RecordPage,
+)
+from tamarackmount.adapters.vm_schema import VmList
+from tamarackmount.adapters.vms import VmListClient, VmListError
+from tamarackmount.adapters.worker_schema import CommandReply, WorkerReport
+from tamarackmount.adapters.workers import StaleEpochError, WorkerClient, WorkerError
+from tamarackmount.ids import Instant, Offset
+from tamarackmount.kernel.effects import AppendToLog, CallWorker, WorkerAction
+from tamarackmount.kernel.log_writer import AppendResult
+
+_log = logging.getLogger(__name__)
+
+_RESULT_BY_FAULT = {
+    LogFault.UNAVAILABLE: AppendResult.NOT_DONE,
+    LogFault.REJECTED: AppendResult.NOT_DONE,
+    LogFault.OUTCOME_UNKNOWN: AppendResult.UNKNOWN,
+}
+
+
+class LogInput(Protocol):
+    """What the log task tells the node."""
+
+    def log_page_read(self, page: RecordPage, asked: Instant) -> None:
+        """Pass on records; ``asked`` is when the read was sent."""
+
+    def log_appended(self, result: AppendResult) -> None:
+        """Tell what became of the append call."""
+
+    def log_position(self) -> Offset:
+        """Return the offset to read from."""
+
+
+class LogTask:
+    """Reads the log at a period and on demand, one read at a time; appends."""
+
+    def __init__(
+        self, client: LogClient, clock: Callable[[], Instant], node: LogInput
+    ) -> None:
+        """Talk to the log through ``client``."""
+        self._client = client
+        self._clock = clock
+        self._node = node
+        self._is_reading = False
+        self._read_again = False
+        self._was_down = False
+        self._loop = LoopingCall(self.read)
+
+    def start(self, reactor: Any, period_s: float) -> None:
+        """Begin to read every ``period_s`` seconds."""
+        self._loop.clock = reactor
+        self._loop.start(period_s)
+
+    def stop(self) -> None:
+        """End the reads."""
+        if self._loop.running:
+            self._loop.stop()
+
+    def read(self) -> None:
+        """Read from the node's position on, or once more after the present read."""
+        if self._is_reading:
+            self._read_again = True
+            return
+        self._is_reading = True
+        asked = self._clock()
+        position = self._node.log_position()
+        read = self._client.read(position, MAX_RECORDS_PER_PAGE)
+        read.addCallback(self._read_done, asked)
+
+    def append(self, effect: AppendToLog) -> None:
+        """Append records in one call."""
+        records = [NewRecord(id=rec.id, body=rec.text) for rec in effect.records]
+        self._client.append(records).addCallback(self._append_done)
+
+    def _read_done(self, result: Result[RecordPage, LogError], asked: Instant) -> None:
+        self._is_reading = False
+        self._note_state(result)
+        if not isinstance(result, Failure):
+            self._node.log_page_read(result.unwrap(), asked)
+        if self._read_again:
+            self._read_again = False
+            self.read()
+
+    def _note_state(self, result: Result[RecordPage, LogError]) -> None:
+        is_down = isinstance(result, Failure)
+        if is_down != self._was_down:
+            state = "down" if is_down else "up"
+            _log.warning("log service state changed", extra={"state": state})
+        self._was_down = is_down
+
+    def _append_done(self, result: Result[Offset, LogError]) -> None:
+        if not isinstance(result, Failure):
+            self._node.log_appended(AppendResult.DONE)
+            return
+        fault = result.failure().fault
+        _log.warning("append failed", extra={"fault": fault.value})
+        self._node.log_appended(_RESULT_BY_FAULT[fault])
+
+
+class VmInput(Protocol):
+    """What the VM list task tells the node."""
+
+    def vms_listed(self, vms: VmList) -> None:
+        """Pass on the VM list."""
+
+
+class VmTask:
+    """Fetches the VM list at a period."""
+
+    def __init__(self, client: VmListClient, node: VmInput) -> None:
+        """Talk to the VM list through ``client``."""
+        self._client = client
+        self._node = node
+        self._is_fetching = False
+        self._loop = LoopingCall(self._fetch)
+
+    def start(self, reactor: Any, period_s: float) -> None:
+        """Begin to fetch every ``period_s`` seconds."""
+        self._loop.clock = reactor
+        self._loop.start(period_s)
+
+    def stop(self) -> None:
+        """End the fetches."""
+        if self._loop.running:
+            self._loop.stop()
+
+    def _fetch(self) -> None:
+        if self._is_fetching:
+            return
+        self._is_fetching = True
+        self._client.fetch().addCallback(self._fetched)
+
+    def _fetched(self, result: Result[VmList, VmListError]) -> None:
+        self._is_fetching = False
+        if isinstance(result, Failure):
+            _log.debug("VM list not read", extra={"detail": str(result.failure())})
+            return
+        self._node.vms_listed(result.unwrap())
+
+
+class WorkerInput(Protocol):
+    """What the worker task tells the node."""
+
+    def worker_synced(self, call: CallWorker, report: WorkerReport) -> None:
+        """Pass on the answer to a sync."""
+
+    def worker_answered(self, call: CallWorker, reply: CommandReply) -> None:
+        """Pass on the answer to another command."""
+
+    def worker_stale(self, call: CallWorker, error: StaleEpochError) -> None:
+        """Tell that a worker knows a higher epoch."""
+
+    def worker_failed(self, call: CallWorker) -> None:
+        """Tell that a call's effect is unknown, or that it had none."""
+
+
+class WorkerTask:
+    """Sends commands to workers."""
+
+    def __init__(self, client: WorkerClient, node: WorkerInput) -> None:
+        """Talk to workers through ``client``."""
+        self._client = client
+        self._node = node
+        self._calls_by_action: dict[WorkerAction, Callable[..., Any]] = {
+            WorkerAction.SYNC: client.sync,
+            WorkerAction.START: client.start,
+            WorkerAction.STOP: client.stop,
+            WorkerAction.CHECKPOINT: client.checkpoint,
+        }
+
+    def send(self, call: CallWorker) -> None:
+        """Send one command; the node is told how it went."""
+        send = self._calls_by_action[call.action]
+        sent = send(call.address.host, call.address.port, call.command)
+        sent.addCallback(self._done, call)
+
+    def _done(
+        self,
+        result: Result[WorkerReport | CommandReply, WorkerError | StaleEpochError],
+        call: CallWorker,
+    ) -> None:
+        if isinstance(result, Failure):
+            self._failed(result.failure(), call)
+            return
+        answer = result.unwrap()
+        if isinstance(answer, WorkerReport):
+            self._node.worker_synced(call, answer)
+        else:
+            self._node.worker_answered(call, answer)
+
+    def _failed(self, error: WorkerError | StaleEpochError, call: CallWorker) -> None:
+        if isinstance(error, StaleEpochError):
+            self._node.worker_stale(call, error)
+            return
+        _log.info(
+            "worker call failed",
+            extra={"worker": call.worker_id, "action": call.action.value},
+        )
+        self._node.worker_failed(call)
--- /dev/null
+++ b/tamarackmount/daemon/service.py
@@ -0,0 +1,427 @@
+"""The daemon: a node, the tasks around it, and the messages between them."""
+
+import logging
+import time
+from collections.abc import Callable, Collection, Sequence
+from typing import Any
+
+from aioprometheus import Registry
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from tamarackmount.adapters.log import LogClient
+from tamarackmount.adapters.log_schema import RecordPage
+from tamarackmount.adapters.reactor import make_monotonic
+from tamarackmount.adapters.upstreams import UpstreamClient
+from tamarackmount.adapters.vm_schema import VmList
+from tamarackmount.adapters.vms import VmListClient
+from tamarackmount.adapters.worker_schema import CommandReply, WorkerReport
+from tamarackmount.adapters.workers import StaleEpochError, WorkerClient
+from tamarackmount.daemon.http_answers import write_json, write_metrics
+from tamarackmount.daemon.http_front import Admission, Front, HttpSink, QuietSite
+from tamarackmount.daemon.http_request import BoundedRequest
+from tamarackmount.daemon.job_calls import JobCalls
+from tamarackmount.daemon.metrics import MemberMetrics, RequestMetrics, render_metrics
+from tamarackmount.daemon.node_settings import (
+    addresses_of,
+    member_of,
+    peers_of,
+    timing_of,
+)
+from tamarackmount.daemon.operator_calls import OperatorCalls
+from tamarackmount.daemon.peers import PeerLinks
+from tamarackmount.daemon.platform_tasks import LogTask, VmTask, WorkerTask
+from tamarackmount.daemon.request_calls import (
+    AnswerSink,
+    PeerSink,
+    RequestCalls,
+    RequestContent,
+    content_of_forwarded,
+)
+from tamarackmount.daemon.status_view import StatusView, status_of
+from tamarackmount.daemon.tracing import make_tracer
+from tamarackmount.ids import (
+    ConfigPath,
+    DataCentreId,
+    Incarnation,
+    Instant,
+    KeyHash,
+    MemberId,
+    Offset,
+    QueueName,
+    TeamId,
+    TicketId,
+)
+from tamarackmount.internal.codec import Envelope
+from tamarackmount.kernel.effects import (
+    AbortCall,
+    Address,
+    AppendToLog,
+    CallUpstream,
+    CallWorker,
+    Effect,
+    FinishChange,
+    FinishJobCall,
+    FinishRequest,
+    ForwardRequest,
+    ReadLog,
+    ReportProblem,
+    RoleChanged,
+    SendPeer,
+)
+from tamarackmount.kernel.fleet_config import FleetConfig
+from tamarackmount.kernel.log_writer import AppendResult
+from tamarackmount.kernel.messages import (
+    AttemptResult,
+    ForwardedReply,
+    ForwardedRequest,
+    JobCall,
+    RefusalReason,
+)
+from tamarackmount.kernel.node import Node
+from tamarackmount.kernel.request_part import CallerRequest
+from tamarackmount.settings import Settings
+
+TICKS_PER_HEARTBEAT = 10
+"""Ticks of the node in one heartbeat's period."""
+
+MS_PER_SECOND = 1_000
+
+_log = logging.getLogger(__name__)
+
+
+def read_clock() -> Instant:
+    """Return the local monotonic time."""
+    return Instant(time.monotonic())
+
+
+class Daemon:
+    """One running member: carries out the node's effects and feeds it inputs."""
+
+    def __init__(self, settings: Settings, reactor: Any) -> None:
+        """Build the tasks; nothing listens or connects yet."""
+        make_monotonic(reactor)
+        self._reactor = reactor
+        self._settings = settings
+        me = member_of(settings)
+        incarnation = Incarnation(time.time_ns() // 1_000_000)
+        timing = timing_of(settings)
+        now = read_clock()
+        self._node = Node(me, peers_of(settings), incarnation, timing, now)
+        self._registry = Registry()
+        self._gauges = MemberMetrics(self._registry)
+        self._stopped: Deferred[bool] = Deferred()
+        self._has_failed = False
+        self._last_call_id = 0
+        self._stop_at: Instant | None = None
+        self._refuse_at: Instant | None = None
+        self._http_port: Any = None
+        self._make_tasks(settings, me.id)
+        self._ticks = LoopingCall(self._tick)
+        self._ticks.clock = reactor
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            SendPeer: self._send_peer,
+            AppendToLog: self._log_task.append,
+            ReadLog: self._read_log,
+            CallUpstream: self._call_upstream,
+            AbortCall: self._calls.abort,
+            FinishRequest: self._calls.finish,
+            ForwardRequest: self._forward,
+            CallWorker: self._worker_task.send,
+            FinishJobCall: self._finish_job_call,
+            FinishChange: self._operators.finish,
+            RoleChanged: _log_role,
+            ReportProblem: _log_problem,
+        }
+
+    def _make_tasks(self, settings: Settings, member_id: MemberId) -> None:
+        reactor = self._reactor
+        platform = settings.platform
+        tracer = make_tracer(member_id, settings.tracing.sample_ratio)
+        upstreams = UpstreamClient(reactor, settings.upstreams.idle_connections)
+        metrics = RequestMetrics(self._registry)
+        self._calls = RequestCalls(upstreams, read_clock, tracer, metrics)
+        addresses = addresses_of(settings)
+        self._links = PeerLinks(reactor, member_id, addresses, self._receive)
+        log_client = LogClient(reactor, platform.log_url)
+        self._log_task = LogTask(log_client, read_clock, self)
+        self._vm_task = VmTask(VmListClient(reactor, platform.vms_url), self)
+        self._worker_task = WorkerTask(WorkerClient(reactor), self)
+        self._jobs = JobCalls(self, self._next_call_id)
+        self._operators = OperatorCalls(settings.operators.key_sha256, self)
+
+    # Life
+
+    def start(self) -> "Deferred[bool]":
+        """Listen and begin; the result tells, at the end, whether all went well."""
+        settings = self._settings
+        listen = settings.listen
+        self._links.listen(Address(listen.host, listen.peer_port))
+        site = QuietSite(self._make_front(), requestFactory=BoundedRequest)
+        self._http_port = self._reactor.listenTCP(
+            listen.http_port, site, interface=listen.host
+        )
+        self._log_task.start(self._reactor, _seconds(settings.platform.log_poll_ms))
+        self._vm_task.start(self._reactor, _seconds(settings.platform.vms_poll_ms))
+        period_s = _seconds(settings.timing.heartbeat_ms) / TICKS_PER_HEARTBEAT
+        self._ticks.start(period_s)
+        _log.info("started", extra={"member": self._node.member.id})
+        return self._stopped
+
+    def drain(self) -> None:
+        """Begin a planned stop: finish what is under way, then end."""
+        if self._stop_at is not None:
+            return
+        now = read_clock()
+        timing = self._settings.timing
+        self._refuse_at = Instant(now + _seconds(timing.balancer_notice_ms))
+        self._stop_at = Instant(now + _seconds(timing.drain_ms))
+        _log.info("draining", extra={"under_way": len(self._calls)})
+        self._feed(self._node.drain)
+
+    def _tick(self) -> None:
+        self._feed(self._node.tick)
+        if self._stop_at is not None:
+            self._continue_drain(read_clock(), self._stop_at)
+
+    def _continue_drain(self, now: Instant, stop_at: Instant) -> None:
+        if self._refuse_at is not None and now < self._refuse_at:
+            return
+        self._node.refuse_new()
+        under_way = len(self._calls) + len(self._jobs)
+        if under_way and now < stop_at:
+            return
+        _log.info("stopped", extra={"cut_off": under_way})
+        self._stop()
+
+    def _stop(self) -> None:
+        if self._stopped.called:
+            return
+        if self._ticks.running:
+            self._ticks.stop()
+        self._log_task.stop()
+        self._vm_task.stop()
+        self._http_port.stopListening()
+        self._links.stop()
+        self._stopped.callback(not self._has_failed)
+
+    def _feed(self, decide: Callable[..., list[Effect]], *inputs: Any) -> None:
+        """Give an input to the node and carry out what it decides."""
+        try:
+            self._run(decide(*inputs, read_clock()))
+        except Exception:
+            # An error here is a broken invariant: what the node knows can't be
+            # trusted any more, and another member takes over.
+            _log.critical("broken invariant", exc_info=True)
+            self._has_failed = True
+            self._stop()
+
+    # Effects
+
+    def _run(self, effects: Sequence[Effect]) -> None:
+        for effect in effects:
+            self._handlers[type(effect)](effect)
+
+    def _send_peer(self, effect: SendPeer) -> None:
+        self._links.send(effect.to, effect.message)
+
+    def _read_log(self, _effect: ReadLog) -> None:
+        self._log_task.read()
+
+    def _call_upstream(self, effect: CallUpstream) -> None:
+        self._calls.send(effect, self)
+
+    def _forward(self, effect: ForwardRequest) -> None:
+        message = self._calls.forwarded_message(effect)
+        if message is not None and self._links.send(effect.to, message):
+            return
+        self._run(self._node.requests.forward_not_sent(effect.call_id))
+
+    def _finish_job_call(self, effect: FinishJobCall) -> None:
+        self._jobs.finish(effect.answer)
+
+    # Inputs from the tasks
+
+    def _receive(self, envelope: Envelope) -> None:
+        message = envelope.message
+        if isinstance(message, ForwardedRequest):
+            self._take_forwarded(envelope.sender, message)
+        elif isinstance(message, ForwardedReply):
+            self._calls.forward_answered(message, self)
+        else:
+            self._feed(self._node.peer_message, envelope.sender, message)
+
+    def _take_forwarded(self, sender: MemberId, message: ForwardedRequest) -> None:
+        sink = PeerSink(sender, message.call_id, self._links.send)
+        content = content_of_forwarded(message)
+        deadline = Instant(read_clock() + _seconds(message.remaining_ms))
+        self._submit(content, deadline, sink, forwarded=True)
+
+    def _submit(
+        self,
+        content: RequestContent,
+        deadline: Instant,
+        sink: AnswerSink,
+        *,
+        forwarded: bool,
+    ) -> int:
+        call_id = self._calls.open(content, sink)
+        request = CallerRequest(
+            call_id=call_id,
+            request_id=content.request_id,
+            team_id=content.team_id,
+            queue=content.queue,
+            idempotent=content.idempotent,
+            deadline=deadline,
+            forwarded=forwarded,
+        )
+        self._feed(self._node.submit, request)
+        return call_id
+
+    def attempt_ended(self, ticket_id: TicketId, result: AttemptResult) -> None:
+        """Take in how an attempt at an upstream ended."""
+        self._feed(self._node.attempt_ended, ticket_id, result)
+
+    def forward_ended(self, call_id: int) -> None:
+        """Take in that a forwarded request has its answer."""
+        self._node.requests.forward_ended(call_id)
+
+    def log_page_read(self, page: RecordPage, asked: Instant) -> None:
+        """Take in records of the log."""
+        self._feed(self._node.log_read, page, asked)
+
+    def log_appended(self, result: AppendResult) -> None:
+        """Take in the result of an append call."""
+        self._feed(self._node.log_appended, result)
+
+    def log_position(self) -> Offset:
+        """Return the offset to read the log from."""
+        return self._node.log.config.applied
+
+    def vms_listed(self, vms: VmList) -> None:
+        """Take in the VM list."""
+        self._feed(self._node.vms_listed, vms)
+
+    def worker_synced(self, call: CallWorker, report: WorkerReport) -> None:
+        """Take in a worker's answer to a sync."""
+        self._feed(self._node.worker_synced, call, report)
+
+    def worker_answered(self, call: CallWorker, reply: CommandReply) -> None:
+        """Take in a worker's answer to another command."""
+        self._feed(self._node.worker_answered, call, reply)
+
+    def worker_stale(self, call: CallWorker, error: StaleEpochError) -> None:
+        """Take in that a worker refused this member's epoch."""
+        self._feed(self._node.worker_stale, call, error.highest)
+
+    def worker_failed(self, call: CallWorker) -> None:
+        """Take in that a call to a worker failed."""
+        self._feed(self._node.worker_failed, call)
+
+    # The HTTP interface
+
+    def _make_front(self) -> Front:
+        return Front(
+            self,
+            {
+                "v1/jobs": self._jobs.serve,
+                "v1/config": self._operators.serve_config,
+                "v1/history": self._operators.serve_history,
+                "v1/status": self._operators.serve_status,
+                "v1/drain": self._operators.serve_drain,
+                "healthz": self._serve_health,
+                "metrics": self._serve_metrics,
+            },
+        )
+
+    def admit(self, queue: QueueName, key: KeyHash | None) -> Admission:
+        """Decide whether a request to a queue may come in."""
+        team = self._node.admit(queue, key, read_clock())
+        if isinstance(team, RefusalReason):
+            return Admission(TeamId(""), team, 0)
+        rules = self._node.directory.queues_by_name[queue]
+        return Admission(team, None, rules.timeout_ms)
+
+    def open_request(
+        self, content: RequestContent, timeout_ms: int, sink: HttpSink
+    ) -> int:
+        """Take a caller's request in."""
+        deadline = Instant(read_clock() + _seconds(timeout_ms))
+        return self._submit(content, deadline, sink, forwarded=False)
+
+    def caller_left(self, call_id: int) -> None:
+        """Give up a request whose caller is gone."""
+        self._calls.forget(call_id)
+        self._feed(self._node.caller_left, call_id)
+
+    def team_of_key(self, key: KeyHash | None) -> TeamId | RefusalReason:
+        """Return the team whose key this is, or why it may not call."""
+        return self._node.team_of_key(key, read_clock())
+
+    def data_centres(self) -> Collection[DataCentreId]:
+        """Return every data centre of the fleet."""
+        return self._node.membership.data_centres()
+
+    def call_jobs(self, call: JobCall) -> None:
+        """Begin a call about jobs."""
+        self._feed(self._node.job_call, call)
+
+    def config(self) -> FleetConfig:
+        """Return the configuration."""
+        return self._node.log.config
+
+    def change(self, path: ConfigPath, expected: Offset, text: str) -> int:
+        """Begin an operator's change."""
+        call_id = self._next_call_id()
+        # The outcome comes later, never from within this call.
+        self._feed(self._node.change_config, call_id, path, expected, text)
+        return call_id
+
+    def status(self) -> StatusView:
+        """Return the fleet as this member sees it."""
+        return status_of(self._node, read_clock())
+
+    def _next_call_id(self) -> int:
+        self._last_call_id += 1
+        return self._last_call_id
+
+    def _serve_health(self, request: BoundedRequest, _parts: list[str]) -> None:
+        status = 200 if self._node.is_ready else 503
+        write_json(request, status, {"ready": self._node.is_ready})
+
+    def _serve_metrics(self, request: BoundedRequest, _parts: list[str]) -> None:
+        self._set_gauges()
+        write_metrics(request, render_metrics(self._registry))
+
+    def _set_gauges(self) -> None:
+        table = self._node.requests.table
+        counters = self._links.counters
+        gauges = self._gauges
+        gauges.set("requests_waiting", "Requests without a slot.", table.waiting)
+        gauges.set("requests_in_flight", "Requests at upstreams.", table.in_flight)
+        gauges.set("owner", "1 if this member owns.", self._node.ownership.is_owner)
+        gauges.set("jobs_held", "Job records held here.", self._node.jobs.held)
+        gauges.set("peer_sent_bytes", "Bytes sent to peers.", counters.sent_bytes)
+        gauges.set("peer_received_bytes", "Bytes read.", counters.received_bytes)
+        gauges.set("peer_sent", "Messages sent to peers.", counters.sent)
+        gauges.set("peer_dropped", "Messages not sent.", counters.dropped)
+        gauges.set("peer_malformed", "Connections closed.", counters.malformed)
+
+
+def _seconds(milliseconds: int) -> float:
+    return milliseconds / MS_PER_SECOND
+
+
+def _log_role(effect: RoleChanged) -> None:
+    _log.info(
+        "role changed",
+        extra={
+            "owner": effect.owner,
+            "epoch": effect.epoch,
+            "is_owner": effect.is_owner,
+        },
+    )
+
+
+def _log_problem(effect: ReportProblem) -> None:
+    _log.warning("problem", extra={"detail": effect.text})
--- a/tamarackmount/internal/peer.capnp
+++ b/tamarackmount/internal/peer.capnp
@@ -16,6 +16,7 @@
   unknownQueue @10;
   retriesSpent @11;
   upstreamFailed @12;
+  cutOff @13;
 }
 
 enum AttemptResult {
@@ -135,7 +136,6 @@
   epoch @0 :UInt64;
   tickets @1 :List(HeldTicket);
   attempts @2 :List(AttemptEntry);
-  jobs @3 :List(Text);
 }
 
 struct HttpHeader {
@@ -192,6 +192,16 @@
   sequence @0 :UInt64;
 }
 
+struct JobsWanted {
+  epoch @0 :UInt64;
+}
+
+struct JobsHeld {
+  epoch @0 :UInt64;
+  records @1 :List(Text);
+  more @2 :Bool;
+}
+
 struct ConfigEntry {
   path @0 :Text;
   version @1 :UInt64;
@@ -228,7 +238,9 @@
     jobAnswer @16 :JobAnswer;
     jobCopy @17 :JobCopy;
     jobCopied @18 :JobCopied;
-    configWanted @19 :ConfigWanted;
-    configSync @20 :ConfigSync;
+    jobsWanted @19 :JobsWanted;
+    jobsHeld @20 :JobsHeld;
+    configWanted @21 :ConfigWanted;
+    configSync @22 :ConfigSync;
   }
 }
--- a/tamarackmount/kernel/fleet_config.py
+++ b/tamarackmount/kernel/fleet_config.py
@@ -21,6 +21,9 @@
 )
 from tamarackmount.kernel.messages import ConfigEntry
 
+FIRST_OFFSET = Offset(1)
+"""Offset of the first record that a log ever gets."""
+
 ABSENT = Offset(0)
 """The version of a document that never existed."""
 
@@ -44,20 +47,25 @@
     text: str
 
 
-def version_of(offset: Offset) -> Offset:
-    """Return the version that a change at this log offset gives a document."""
-    return Offset(offset + 1)
-
-
 class FleetConfig:
     """Documents by path, and how far the log was applied to them."""
 
     def __init__(self) -> None:
-        """Start with no document, complete up to the first offset of the log."""
+        """Start with no document, before the first record of the log."""
         self._documents_by_path: dict[ConfigPath, Document] = {}
         self._history_by_path: dict[ConfigPath, deque[Document]] = {}
-        self._applied = Offset(0)
+        self._applied = FIRST_OFFSET
         self._missing_before = Offset(0)
+        self._is_loaded = False
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the log's end or a peer's documents were read, without gaps."""
+        return self._is_loaded and self.is_complete
+
+    def mark_loaded(self) -> None:
+        """Note that the log was read to its end."""
+        self._is_loaded = True
 
     @property
     def applied(self) -> Offset:
@@ -96,7 +104,7 @@
         """Decide a change by its place in the log."""
         if self.version(change.path) != change.expected:
             return ChangeResult.CONFLICT
-        self._put(Document(change.path, version_of(offset), change.text))
+        self._put(Document(change.path, offset, change.text))
         return ChangeResult.ACCEPTED
 
     def apply_snapshot(self, snapshot: ConfigSnapshot) -> None:
@@ -117,6 +125,7 @@
             changed = self._put_newer(document) or changed
         if offset >= self._missing_before:
             self._missing_before = Offset(0)
+        self._is_loaded = True
         return changed
 
     def advance(self, offset: Offset) -> None:
--- /dev/null
+++ b/tamarackmount/kernel/job_part.py
@@ -0,0 +1,509 @@
+"""The job half of a node: relaying calls, holding records, and the scheduler.
+
+The owner of a data centre runs its scheduler. Every member holds copies of the data
+centre's job records; a new owner collects them from every live member and from the
+log before it decides anything.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, replace
+
+from tamarackmount.adapters.vm_schema import Vm, VmKind, VmState
+from tamarackmount.adapters.worker_schema import CommandReply, SyncCommand, WorkerReport
+from tamarackmount.ids import (
+    DataCentreId,
+    Epoch,
+    Instant,
+    MemberId,
+    RecordId,
+    TeamId,
+    WorkerId,
+)
+from tamarackmount.kernel.allowances import allowance
+from tamarackmount.kernel.directory import Directory
+from tamarackmount.kernel.effects import (
+    Address,
+    CallWorker,
+    Effect,
+    FinishJobCall,
+    ReportProblem,
+    SendPeer,
+    WorkerAction,
+)
+from tamarackmount.kernel.held_jobs import HeldJobs
+from tamarackmount.kernel.job_effects import (
+    AnswerJob,
+    CheckpointTask,
+    DropRecords,
+    JobEffect,
+    ListedWorker,
+    SaveRecords,
+    SchedulerTiming,
+    StartTask,
+    StopTask,
+    SyncWorker,
+    TeamLimits,
+)
+from tamarackmount.kernel.job_errors import job_error
+from tamarackmount.kernel.log_keeper import LogKeeper
+from tamarackmount.kernel.log_records import JobRecords
+from tamarackmount.kernel.log_writer import WriteResult
+from tamarackmount.kernel.membership import Membership
+from tamarackmount.kernel.messages import (
+    JobAction,
+    JobAnswer,
+    JobCall,
+    JobCopied,
+    JobCopy,
+    JobsHeld,
+    JobsWanted,
+    Outcome,
+    PeerMessage,
+)
+from tamarackmount.kernel.record_keeping import (
+    SAVE_TIMEOUT_S,
+    KeepingEffect,
+    RecordKeeping,
+    Saved,
+    SaveRefused,
+    SendCopy,
+)
+from tamarackmount.kernel.scheduler import Scheduler
+from tamarackmount.resources import Resources
+
+COLLECT_TIMEOUT_S = 1.0
+"""How long a new owner waits for a live member's records, in seconds."""
+
+CALL_TIMEOUT_S = 5.0
+"""How long a relayed call waits for its answer, in seconds."""
+
+RECORDS_PER_MESSAGE = 200
+"""Job records in one message between members."""
+
+RETRY_MS = 500
+"""Time to come back after a refusal for want of an owner, in milliseconds."""
+
+MILLICORES_PER_CORE = 1_000
+MIB_PER_GIB = 1_024
+
+
+@dataclass(frozen=True, slots=True)
+class _Relay:
+    """A call that this member passed on; its answer goes back to ``origin``."""
+
+    origin: MemberId
+    call_id: int
+    deadline: Instant
+    changes: bool
+
+
+@dataclass(slots=True)
+class _Collection:
+    """A new owner's wait for the records that live members hold."""
+
+    epoch: Epoch
+    awaits: set[MemberId]
+    deadline: Instant
+
+
+class JobPart:
+    """Jobs as one member sees them."""
+
+    def __init__(
+        self,
+        member_id: MemberId,
+        data_centre: DataCentreId,
+        timing: SchedulerTiming,
+        directory: Directory,
+        membership: Membership,
+        log: LogKeeper,
+    ) -> None:
+        """Start without an owner, records or workers."""
+        self._me = member_id
+        self._data_centre = data_centre
+        self._timing = timing
+        self._directory = directory
+        self._membership = membership
+        self._log = log
+        self._owner: MemberId | None = None
+        self._epoch = Epoch(0)
+        self._held = HeldJobs()
+        self._scheduler: Scheduler | None = None
+        self._keeping = RecordKeeping(Epoch(0))
+        self._collection: _Collection | None = None
+        self._workers_by_id: dict[WorkerId, ListedWorker] = {}
+        self._relays_by_id: dict[int, _Relay] = {}
+        self._last_relay = 0
+
+    @property
+    def scheduler(self) -> Scheduler | None:
+        """The scheduler, while this member owns its data centre."""
+        return self._scheduler
+
+    @property
+    def held(self) -> int:
+        """Number of jobs whose records this member holds."""
+        return len(self._held)
+
+    def call(self, call: JobCall, now: Instant) -> list[Effect]:
+        """Take in a call of one of this member's callers."""
+        return self._route(self._me, call, now)
+
+    def ownership_taken(
+        self, epoch: Epoch, live: Iterable[MemberId], now: Instant
+    ) -> list[Effect]:
+        """Collect the records of every live member, then begin to schedule."""
+        self._owner = self._me
+        self._epoch = epoch
+        deadline = Instant(now + COLLECT_TIMEOUT_S)
+        awaits = set(live) - {self._me}
+        self._collection = _Collection(epoch, awaits, deadline)
+        wanted = JobsWanted(epoch)
+        effects: list[Effect] = [SendPeer(peer, wanted) for peer in sorted(awaits)]
+        return effects + self._start_if_collected(now)
+
+    def owner_seen(
+        self, owner: MemberId | None, epoch: Epoch, now: Instant
+    ) -> list[Effect]:
+        """Follow another member, or nobody."""
+        self._owner = owner
+        self._epoch = max(self._epoch, epoch)
+        self._collection = None
+        self._scheduler = None
+        return []
+
+    def member_joined(self, member_id: MemberId) -> list[Effect]:
+        """Give a member that started anew a copy of every record."""
+        if self._scheduler is None:
+            return []
+        return [
+            SendPeer(member_id, JobCopy(self._epoch, 0, records))
+            for records in _chunks(self._held.texts())
+        ]
+
+    def member_lost(self, member_id: MemberId, now: Instant) -> list[Effect]:
+        """Stop waiting for a member's answers."""
+        effects = self._from_keeping(self._keeping.member_lost(member_id), now)
+        if self._collection is not None:
+            self._collection.awaits.discard(member_id)
+            effects += self._start_if_collected(now)
+        return effects
+
+    def set_vms(self, vms: Sequence[Vm], now: Instant) -> list[Effect]:
+        """Take in the VM list."""
+        workers = [vm for vm in vms if vm.kind is VmKind.WORKER]
+        local = [vm for vm in workers if vm.data_centre == self._data_centre]
+        listed = [_listed_worker(vm) for vm in local]
+        # Workers no longer listed may still be sent their last commands.
+        self._workers_by_id.update({worker.id: worker for worker in listed})
+        if self._scheduler is None:
+            return []
+        return self._from_scheduler(self._scheduler.set_workers(listed, now), now)
+
+    def configure(self, now: Instant) -> list[Effect]:
+        """Take in the teams of the directory."""
+        if self._scheduler is None:
+            return []
+        limits = self._team_limits()
+        return self._from_scheduler(self._scheduler.set_teams(limits, now), now)
+
+    def records_read(self, records: Sequence[str]) -> list[Effect]:
+        """Hold records of this data centre that were read from the log."""
+        return [ReportProblem(text) for text in self._held.take(records)]
+
+    def record_written(
+        self, record_id: RecordId, result: WriteResult, now: Instant
+    ) -> list[Effect]:
+        """Take in the fate of records on their way to the log."""
+        return self._from_keeping(self._keeping.logged(record_id, result), now)
+
+    def peer_message(
+        self, sender: MemberId, message: PeerMessage, now: Instant
+    ) -> list[Effect]:
+        """Take in a message of the job half."""
+        match message:
+            case JobCall():
+                return self._route(sender, message, now)
+            case JobAnswer():
+                return self._relayed_answer(message)
+            case JobCopy():
+                return self._take_copy(sender, message)
+            case JobCopied(sequence):
+                return self._from_keeping(self._keeping.copied(sender, sequence), now)
+            case JobsWanted(epoch):
+                return self._send_records(sender, epoch)
+            case JobsHeld():
+                return self._collect(sender, message, now)
+            case _:
+                return []
+
+    def worker_synced(
+        self, worker_id: WorkerId, report: WorkerReport, now: Instant
+    ) -> list[Effect]:
+        """Take in the answer to a sync."""
+        if self._scheduler is None or report.epoch != self._epoch:
+            return []
+        effects = self._scheduler.worker_synced(worker_id, report, now)
+        return self._from_scheduler(effects, now)
+
+    def worker_failed(self, call: CallWorker, now: Instant) -> list[Effect]:
+        """Take in that a call to a worker failed; its effect is unknown."""
+        command = call.command
+        if self._scheduler is None or command.epoch != self._epoch:
+            return []
+        if isinstance(command, SyncCommand):
+            failed = self._scheduler.worker_failed(call.worker_id, now)
+        else:
+            failed = self._scheduler.command_failed(
+                call.worker_id, command.task_id, command.attempt, now
+            )
+        return self._from_scheduler(failed, now)
+
+    def worker_stale(
+        self, worker_id: WorkerId, highest: Epoch, now: Instant
+    ) -> list[Effect]:
+        """Take in that a worker knows a higher epoch."""
+        if self._scheduler is None:
+            return []
+        effects = self._scheduler.worker_stale(worker_id, highest, now)
+        return self._from_scheduler(effects, now)
+
+    def command_answered(
+        self, call: CallWorker, reply: CommandReply, now: Instant
+    ) -> list[Effect]:
+        """Take in the answer to a start, stop or checkpoint."""
+        command = call.command
+        if self._scheduler is None or command.epoch != self._epoch:
+            return []
+        if isinstance(command, SyncCommand):
+            return []
+        effects = self._scheduler.command_answered(
+            call.worker_id, command.task_id, command.attempt, reply, now
+        )
+        return self._from_scheduler(effects, now)
+
+    def tick(self, now: Instant) -> list[Effect]:
+        """Advance time."""
+        effects = self._from_keeping(self._keeping.tick(now), now)
+        effects += self._expire_relays(now)
+        effects += self._start_if_collected(now)
+        if self._scheduler is not None:
+            effects += self._from_scheduler(self._scheduler.tick(now), now)
+        return effects
+
+    def _route(self, origin: MemberId, call: JobCall, now: Instant) -> list[Effect]:
+        data_centre = self._data_centre_of(call)
+        if data_centre != self._data_centre:
+            target = self._membership.contact(data_centre, now)
+            if target is None:
+                return self._answer(origin, _unreachable(call, data_centre))
+            return self._relay(origin, target, call, now)
+        if self._owner is None:
+            return self._answer(origin, _no_owner(call))
+        if self._owner != self._me:
+            return self._relay(origin, self._owner, call, now)
+        if self._scheduler is None:
+            return self._answer(origin, _no_owner(call))
+        return self._from_scheduler(self._scheduler.call(origin, call, now), now)
+
+    def _data_centre_of(self, call: JobCall) -> DataCentreId:
+        name = DataCentreId(call.job_id.partition(":")[0])
+        known = name in self._membership.data_centres()
+        return name if known else self._data_centre
+
+    def _relay(
+        self, origin: MemberId, to: MemberId, call: JobCall, now: Instant
+    ) -> list[Effect]:
+        self._last_relay += 1
+        self._relays_by_id[self._last_relay] = _Relay(
+            origin=origin,
+            call_id=call.call_id,
+            deadline=Instant(now + CALL_TIMEOUT_S),
+            changes=call.action in _CHANGING_ACTIONS,
+        )
+        return [SendPeer(to, replace(call, call_id=self._last_relay))]
+
+    def _relayed_answer(self, answer: JobAnswer) -> list[Effect]:
+        relay = self._relays_by_id.pop(answer.call_id, None)
+        if relay is None:
+            return []
+        return self._answer(relay.origin, replace(answer, call_id=relay.call_id))
+
+    def _answer(self, origin: MemberId, answer: JobAnswer) -> list[Effect]:
+        if origin == self._me:
+            return [FinishJobCall(answer)]
+        return [SendPeer(origin, answer)]
+
+    def _expire_relays(self, now: Instant) -> list[Effect]:
+        effects: list[Effect] = []
+        for relay_id, relay in list(self._relays_by_id.items()):
+            if now >= relay.deadline:
+                del self._relays_by_id[relay_id]
+                effects += self._answer(relay.origin, _no_answer(relay))
+        return effects
+
+    def _take_copy(self, sender: MemberId, copy: JobCopy) -> list[Effect]:
+        if copy.epoch < self._epoch:
+            return []
+        problems = self._held.take(copy.records)
+        effects: list[Effect] = [ReportProblem(text) for text in problems]
+        if not problems:
+            effects.append(SendPeer(sender, JobCopied(copy.sequence)))
+        return effects
+
+    def _send_records(self, to: MemberId, epoch: Epoch) -> list[Effect]:
+        if epoch < self._epoch:
+            return []
+        self._epoch = epoch
+        chunks = _chunks(self._held.texts())
+        last = len(chunks) - 1
+        return [
+            SendPeer(to, JobsHeld(epoch, records, more=index < last))
+            for index, records in enumerate(chunks)
+        ]
+
+    def _collect(
+        self, sender: MemberId, message: JobsHeld, now: Instant
+    ) -> list[Effect]:
+        effects = self.records_read(message.records)
+        collection = self._collection
+        if collection is None or message.epoch != collection.epoch or message.more:
+            return effects
+        collection.awaits.discard(sender)
+        return effects + self._start_if_collected(now)
+
+    def _start_if_collected(self, now: Instant) -> list[Effect]:
+        collection = self._collection
+        if collection is None:
+            return []
+        if collection.awaits and now < collection.deadline:
+            return []
+        self._collection = None
+        self._keeping = RecordKeeping(collection.epoch)
+        scheduler = Scheduler(
+            self._data_centre, self._me, collection.epoch, self._timing, now
+        )
+        self._scheduler = scheduler
+        effects = scheduler.set_teams(self._team_limits(), now)
+        effects += scheduler.restore(self._held.texts(), now)
+        effects += scheduler.set_workers(list(self._workers_by_id.values()), now)
+        return self._from_scheduler(effects, now)
+
+    def _from_scheduler(
+        self, effects: Sequence[JobEffect], now: Instant
+    ) -> list[Effect]:
+        done: list[Effect] = []
+        for effect in effects:
+            match effect:
+                case SaveRecords(token, records):
+                    done += self._save(token, records, now)
+                case DropRecords(job_ids):
+                    self._held.drop(job_ids)
+                case AnswerJob(origin, answer):
+                    done += self._answer(origin, answer)
+                case SyncWorker() | StartTask() | StopTask() | CheckpointTask():
+                    done.append(self._command(effect))
+        return done
+
+    def _command(
+        self, effect: SyncWorker | StartTask | StopTask | CheckpointTask
+    ) -> CallWorker:
+        worker = self._workers_by_id[effect.worker_id]
+        return CallWorker(
+            worker_id=effect.worker_id,
+            address=Address(worker.host, worker.port),
+            action=_ACTION_BY_EFFECT[type(effect)],
+            command=effect.command,
+        )
+
+    def _save(self, token: int, records: list[str], now: Instant) -> list[Effect]:
+        self._held.take(records)
+        entry = JobRecords(data_centre=self._data_centre, records=records)
+        deadline = Instant(now + SAVE_TIMEOUT_S)
+        record_id = self._log.save_jobs(entry, deadline, now)
+        members = self._membership.live_peers(self._data_centre, now)
+        begun = self._keeping.begin(token, records, record_id, members, now)
+        return self._from_keeping(begun, now)
+
+    def _from_keeping(
+        self, effects: Sequence[KeepingEffect], now: Instant
+    ) -> list[Effect]:
+        done: list[Effect] = []
+        for effect in effects:
+            match effect:
+                case SendCopy(to, copy):
+                    done.append(SendPeer(to, copy))
+                case Saved(token, durability) if self._scheduler is not None:
+                    saved = self._scheduler.records_saved(token, durability, now)
+                    done += self._from_scheduler(saved, now)
+                case SaveRefused(token) if self._scheduler is not None:
+                    refused = self._scheduler.records_refused(token, now)
+                    done += self._from_scheduler(refused, now)
+        return done
+
+    def _team_limits(self) -> Mapping[TeamId, TeamLimits]:
+        return {
+            team_id: self._limits_of(team_id) for team_id in self._directory.teams_by_id
+        }
+
+    def _limits_of(self, team_id: TeamId) -> TeamLimits:
+        document = self._directory.teams_by_id[team_id]
+        ceiling = document.ceiling
+        data_centres = self._membership.data_centres()
+
+        def part(total: int | None, unit: int) -> int | None:
+            amount = None if total is None else total * unit
+            return allowance(amount, team_id, self._data_centre, data_centres)
+
+        return TeamLimits(
+            share=document.share,
+            running_tasks=part(ceiling.running_tasks, 1),
+            millicores=part(ceiling.cores, MILLICORES_PER_CORE),
+            memory_mib=part(ceiling.memory_gib, MIB_PER_GIB),
+            accelerators=part(ceiling.accelerators, 1),
+        )
+
+
+_CHANGING_ACTIONS = frozenset({JobAction.SUBMIT, JobAction.CANCEL})
+
+_ACTION_BY_EFFECT = {
+    SyncWorker: WorkerAction.SYNC,
+    StartTask: WorkerAction.START,
+    StopTask: WorkerAction.STOP,
+    CheckpointTask: WorkerAction.CHECKPOINT,
+}
+
+
+def _listed_worker(vm: Vm) -> ListedWorker:
+    return ListedWorker(
+        id=WorkerId(vm.id),
+        host=vm.host,
+        port=vm.port,
+        rack=vm.rack,
+        capacity=Resources(vm.millicores, vm.memory_mib, vm.accelerators),
+        leaving=vm.state is VmState.LEAVING,
+    )
+
+
+def _chunks(texts: list[str]) -> list[list[str]]:
+    """Return the texts in message-sized lists, at least one."""
+    starts = range(0, max(len(texts), 1), RECORDS_PER_MESSAGE)
+    return [texts[start : start + RECORDS_PER_MESSAGE] for start in starts]
+
+
+def _no_owner(call: JobCall) -> JobAnswer:
+    message = "the data centre has no owner ready yet; nothing was changed"
+    return job_error(call.call_id, 503, "no_owner", message, Outcome.NOT_RUN, RETRY_MS)
+
+
+def _unreachable(call: JobCall, data_centre: DataCentreId) -> JobAnswer:
+    message = f"data centre {data_centre} can't be reached; nothing was changed"
+    return job_error(
+        call.call_id, 503, "home_unreachable", message, Outcome.NOT_RUN, RETRY_MS
+    )
+
+
+def _no_answer(relay: _Relay) -> JobAnswer:
+    outcome = Outcome.UNKNOWN if relay.changes else Outcome.NOT_RUN
+    message = "the owner did not answer in time; ask for the job to learn its state"
+    return job_error(relay.call_id, 504, "deadline", message, outcome, RETRY_MS)
--- a/tamarackmount/kernel/log_keeper.py
+++ b/tamarackmount/kernel/log_keeper.py
@@ -20,6 +20,7 @@
     Offset,
     RecordId,
 )
+from tamarackmount.kernel.claim_book import ClaimBook
 from tamarackmount.kernel.effects import (
     AppendToLog,
     ChangeOutcome,
@@ -33,7 +34,6 @@
     ConfigChange,
     ConfigSnapshot,
     JobRecords,
-    LoggedOwner,
     LogRecord,
     OwnerClaim,
     record_from_text,
@@ -65,17 +65,19 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LoggedClaim:
-    """A claim read from the log, at its offset."""
+class ClaimAccepted:
+    """A claim read from the log, accepted by its place there."""
 
-    offset: Offset
-    claim: OwnerClaim
+    data_centre: DataCentreId
+    member_id: MemberId
+    epoch: Epoch
 
 
 @dataclass(frozen=True, slots=True)
 class JobsRead:
-    """Job records read from the log."""
+    """Job records of a data centre, read from the log."""
 
+    data_centre: DataCentreId
     records: tuple[str, ...]
 
 
@@ -84,13 +86,6 @@
     """Some document changed."""
 
 
-@dataclass(frozen=True, slots=True)
-class OwnersRead:
-    """The last decided claims, from a snapshot."""
-
-    owners: tuple[LoggedOwner, ...]
-
-
 @dataclass(frozen=True, slots=True)
 class RecordWritten:
     """The fate of a record that this member wrote for its jobs."""
@@ -99,7 +94,7 @@
     result: WriteResult
 
 
-LogNews = LoggedClaim | JobsRead | ConfigChanged | OwnersRead | RecordWritten
+LogNews = ClaimAccepted | JobsRead | ConfigChanged | RecordWritten
 """What reading or writing the log means for the rest of the node."""
 
 
@@ -139,7 +134,7 @@
         self._changes_by_record: dict[RecordId, _WaitingChange] = {}
         self._last_end_read: Instant | None = None
         self._read_back_after: Instant | None = None
-        self._logged_owners: dict[DataCentreId, Epoch] = {}
+        self._claims = ClaimBook()
         self._snapshot_applied = Offset(0)
         self._snapshot_pending: RecordId | None = None
 
@@ -179,7 +174,7 @@
         fresh = [r for r in page.records if r.offset >= self.config.applied]
         for stored in fresh:
             self._take_in(stored, step)
-        self._settle(self._writer.seen([r.id for r in fresh]), step)
+        self._note_own(fresh, step)
         if fresh:
             self.config.advance(Offset(fresh[-1].offset + 1))
         if page.next_offset > self.config.applied and fresh:
@@ -212,6 +207,14 @@
         self._settle(self._writer.write([pending], now), step, now)
         return step
 
+    def _note_own(self, fresh: Sequence[StoredRecord], step: KeeperStep) -> None:
+        """Settle this run's records, those too that were given up as unknown."""
+        self._writer.seen([stored.id for stored in fresh])
+        prefix = self._id_prefix()
+        for stored in fresh:
+            if stored.id.startswith(prefix):
+                self._settled(stored.id, WriteResult.WRITTEN, step)
+
     def _take_in(self, stored: StoredRecord, step: KeeperStep) -> None:
         parsed = record_from_text(stored.body)
         if isinstance(parsed, Failure):
@@ -225,9 +228,15 @@
             case ConfigSnapshot():
                 self._take_snapshot(record, step)
             case OwnerClaim():
-                step.news.append(LoggedClaim(stored.offset, record))
+                self._take_claim(stored.offset, record, step)
             case JobRecords():
-                step.news.append(JobsRead(tuple(record.records)))
+                step.news.append(JobsRead(record.data_centre, tuple(record.records)))
+
+    def _take_claim(self, offset: Offset, claim: OwnerClaim, step: KeeperStep) -> None:
+        epoch = self._claims.decide(offset, claim)
+        if epoch is not None:
+            accepted = ClaimAccepted(claim.data_centre, claim.member_id, epoch)
+            step.news.append(accepted)
 
     def _take_change(
         self, stored: StoredRecord, change: ConfigChange, step: KeeperStep
@@ -240,19 +249,12 @@
     def _take_snapshot(self, snapshot: ConfigSnapshot, step: KeeperStep) -> None:
         self.config.apply_snapshot(snapshot)
         self._snapshot_applied = max(self._snapshot_applied, snapshot.applied)
+        self._claims.restore(snapshot.owners)
         step.news.append(ConfigChanged())
-        step.news.append(OwnersRead(tuple(snapshot.owners)))
-
-    def note_logged_owner(self, data_centre: DataCentreId, epoch: Epoch) -> None:
-        """Remember a decided claim of any data centre, for snapshots."""
-        self._logged_owners[data_centre] = epoch
-
-    def logged_owner(self, data_centre: DataCentreId) -> Epoch:
-        """Return the epoch of the last decided claim of a data centre, or 0."""
-        return self._logged_owners.get(data_centre, Epoch(0))
 
     def _end_read(self, asked: Instant, now: Instant, step: KeeperStep) -> None:
         self._last_end_read = asked
+        self.config.mark_loaded()
         if self._read_back_after is not None and asked >= self._read_back_after:
             self._read_back_after = None
             self._settle(self._writer.read_back(now), step, now)
@@ -266,14 +268,10 @@
             return
         if not self.config.is_complete:
             return
-        owners = [
-            LoggedOwner(data_centre=data_centre, epoch=epoch)
-            for data_centre, epoch in self._logged_owners.items()
-        ]
         record_id = self._next_id()
         self._snapshot_pending = record_id
         deadline = Instant(now + CHANGE_TIMEOUT_S)
-        snapshot = self.config.snapshot(owners)
+        snapshot = self.config.snapshot(self._claims.owners())
         step.effects.extend(self._write(record_id, snapshot, deadline, now).effects)
 
     def _settle(
@@ -323,7 +321,10 @@
 
     def _next_id(self) -> RecordId:
         self._sequence += 1
-        return RecordId(f"{self._me}-{self._run_name}-{self._sequence}")
+        return RecordId(f"{self._id_prefix()}{self._sequence}")
+
+    def _id_prefix(self) -> str:
+        return f"{self._me}/{self._run_name}/"
 
 
 _OUTCOME_BY_CHANGE = {
--- a/tamarackmount/kernel/log_writer.py
+++ b/tamarackmount/kernel/log_writer.py
@@ -117,15 +117,10 @@
         self._in_doubt |= set(self._sent_by_id)
         return [ReadBack()]
 
-    def seen(self, ids: Iterable[RecordId]) -> list[LogWriterEffect]:
+    def seen(self, ids: Iterable[RecordId]) -> None:
         """Take in the ids of records that were read from the log."""
-        effects: list[LogWriterEffect] = []
         for record_id in ids:
-            known = record_id in self._waiting_by_id or record_id in self._sent_by_id
-            if known:
-                effects.append(RecordSettled(record_id, WriteResult.WRITTEN))
             self._forget(record_id)
-        return effects
 
     def read_back(self, now: Instant) -> list[LogWriterEffect]:
         """Take in that the log was read to the end it had after the loss.
--- a/tamarackmount/kernel/membership.py
+++ b/tamarackmount/kernel/membership.py
@@ -7,14 +7,17 @@
 """
 
 import hashlib
-from collections.abc import Iterable, Mapping
+import math
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 
-from tamarackmount.ids import DataCentreId, Incarnation, Instant, MemberId
+from tamarackmount.ids import DataCentreId, Epoch, Incarnation, Instant, MemberId
 from tamarackmount.kernel.messages import Heartbeat
 from tamarackmount.kernel.timing import Timing
 
+MS_PER_SECOND = 1_000
+
 
 class MemberState(Enum):
     """State of a member in another member's view."""
@@ -33,9 +36,18 @@
     data_centre: DataCentreId
 
 
+@dataclass(frozen=True, slots=True)
+class OwnerTold:
+    """A data centre's owner as its members tell it; ``None`` if they know none."""
+
+    owner: MemberId | None
+    epoch: Epoch
+
+
 @dataclass(slots=True)
 class _Peer:
     member: Member
+    heard_at: Instant
     heard_until: Instant
     heartbeat: Heartbeat | None = None
 
@@ -57,7 +69,7 @@
         self._me = me
         self._timing = timing
         self._peers_by_id = {
-            peer.id: _Peer(peer, Instant(now + self._silence_s(peer)))
+            peer.id: _Peer(peer, now, Instant(now + self._silence_s(peer)))
             for peer in peers
             if peer.id != me.id
         }
@@ -74,6 +86,7 @@
         if last is not None and _order(heartbeat) <= _order(last):
             return False
         peer.heartbeat = heartbeat
+        peer.heard_at = now
         peer.heard_until = Instant(now + self._silence_s(peer.member))
         return last is None or last.incarnation != heartbeat.incarnation
 
@@ -146,12 +159,39 @@
                 targets.append(self._remote_target(data_centre, now))
         return targets
 
-    def states(self, now: Instant) -> Mapping[MemberId, MemberState]:
-        """Return the state of every peer."""
+    def contact(self, data_centre: DataCentreId, now: Instant) -> MemberId | None:
+        """Return the peer of another data centre to send work to, if one is heard."""
+        target = self._remote_target(data_centre, now)
+        return target if self.state(target, now) is MemberState.ALIVE else None
+
+    def least_log_age_s(self, now: Instant) -> float:
+        """Return the least age of the log's end among the peers heard, in seconds."""
+        ages = [
+            peer.heartbeat.log_age_ms / MS_PER_SECOND + now - peer.heard_at
+            for peer in self._peers_by_id.values()
+            if peer.heartbeat is not None and self._is_heard(peer, now)
+        ]
+        return min(ages, default=math.inf)
+
+    def states_in(
+        self, data_centre: DataCentreId, now: Instant
+    ) -> dict[MemberId, MemberState]:
+        """Return the state of every peer of a data centre."""
         return {
-            member_id: self.state(member_id, now) for member_id in self._peers_by_id
+            peer_id: self.state(peer_id, now)
+            for peer_id, peer in self._peers_by_id.items()
+            if peer.member.data_centre == data_centre
         }
 
+    def owner_told(self, data_centre: DataCentreId, now: Instant) -> OwnerTold:
+        """Return what the heard members of a data centre tell of its owner."""
+        told = OwnerTold(None, Epoch(0))
+        for member_id in self.live_peers(data_centre, now):
+            heartbeat = self.heartbeat_of(member_id)
+            if heartbeat is not None and heartbeat.epoch >= told.epoch:
+                told = OwnerTold(heartbeat.owner or None, heartbeat.epoch)
+        return told
+
     def _remote_target(self, data_centre: DataCentreId, now: Instant) -> MemberId:
         names = [
             peer.member.id
--- a/tamarackmount/kernel/messages.py
+++ b/tamarackmount/kernel/messages.py
@@ -40,6 +40,7 @@
     UNKNOWN_QUEUE = "unknownQueue"
     RETRIES_SPENT = "retriesSpent"
     UPSTREAM_FAILED = "upstreamFailed"
+    CUT_OFF = "cutOff"
 
 
 class AttemptResult(Enum):
@@ -204,7 +205,6 @@
     epoch: Epoch
     tickets: list[HeldTicket]
     attempts: list[AttemptEntry]
-    jobs: list[str]
 
 
 @dataclass(frozen=True, slots=True)
@@ -303,6 +303,22 @@
     sequence: int
 
 
+@dataclass(frozen=True, slots=True)
+class JobsWanted:
+    """A new owner asks a member for every job record that it holds."""
+
+    epoch: Epoch
+
+
+@dataclass(frozen=True, slots=True)
+class JobsHeld:
+    """Job records that the sender holds; ``more`` says that others follow."""
+
+    epoch: Epoch
+    records: list[str]
+    more: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigEntry:
     """One configuration document at a version; an empty text is a deletion."""
@@ -346,6 +362,8 @@
     | JobAnswer
     | JobCopy
     | JobCopied
+    | JobsWanted
+    | JobsHeld
     | ConfigWanted
     | ConfigSync
 )
--- /dev/null
+++ b/tamarackmount/kernel/node.py
@@ -0,0 +1,512 @@
+"""One member's decisions, whole: every input goes in here, effects come out.
+
+The node has no I/O. A daemon feeds it what arrives and carries out its effects;
+tests feed several nodes and play the network, the log and the clock themselves.
+"""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from tamarackmount.adapters.log_schema import RecordPage
+from tamarackmount.adapters.vm_schema import VmList
+from tamarackmount.adapters.worker_schema import CommandReply, WorkerReport
+from tamarackmount.documents import WhenCutOff
+from tamarackmount.ids import (
+    ConfigPath,
+    Epoch,
+    Incarnation,
+    Instant,
+    KeyHash,
+    MemberId,
+    Offset,
+    QueueName,
+    TeamId,
+    TicketId,
+)
+from tamarackmount.kernel.directory import Directory
+from tamarackmount.kernel.effects import (
+    CallWorker,
+    Effect,
+    ReportProblem,
+    RoleChanged,
+    SendPeer,
+)
+from tamarackmount.kernel.job_effects import SchedulerTiming
+from tamarackmount.kernel.job_part import JobPart
+from tamarackmount.kernel.log_keeper import (
+    ClaimAccepted,
+    ConfigChanged,
+    JobsRead,
+    KeeperStep,
+    LogKeeper,
+    LogNews,
+    RecordWritten,
+)
+from tamarackmount.kernel.log_records import ConfigChange, OwnerClaim
+from tamarackmount.kernel.log_writer import AppendResult
+from tamarackmount.kernel.membership import Member, Membership
+from tamarackmount.kernel.messages import (
+    AttemptCopied,
+    AttemptCopy,
+    AttemptResult,
+    ClaimReply,
+    ClaimRequest,
+    ConfigSync,
+    ConfigWanted,
+    Heartbeat,
+    HoldingsReport,
+    HoldingsRequest,
+    JobAnswer,
+    JobCall,
+    JobCopied,
+    JobCopy,
+    JobsHeld,
+    JobsWanted,
+    PeerMessage,
+    RefusalReason,
+    TicketGrant,
+    TicketRefusal,
+    TicketRelease,
+    TicketRequest,
+    TicketWithdrawal,
+)
+from tamarackmount.kernel.ownership import (
+    AppendClaim,
+    AskMembers,
+    OwnerSeen,
+    Ownership,
+    OwnershipEffect,
+    OwnershipLost,
+    OwnershipTaken,
+    ReplyClaim,
+)
+from tamarackmount.kernel.request_effects import RequestTiming
+from tamarackmount.kernel.request_part import CallerRequest, RequestPart
+from tamarackmount.kernel.timing import Timing
+
+OPEN_TEAM = TeamId("-open")
+"""Team of requests without a key on queues open to all; no document names it."""
+
+CUT_OFF_AFTER_S = 13.0
+"""Age of the configuration from which a member counts as cut off, in seconds."""
+
+CONFIG_WANTED_S = 1.0
+"""Least time between two requests for a peer's documents, in seconds."""
+
+NEVER_READ_MS = 2**53
+"""What a heartbeat gives as the log's age when it was never read."""
+
+APPENDS_PER_SECOND = 300.0
+"""Appends a second that all members of the fleet share."""
+
+_REQUEST_MESSAGES = (
+    TicketRequest,
+    TicketGrant,
+    TicketRefusal,
+    TicketRelease,
+    TicketWithdrawal,
+    AttemptCopy,
+    AttemptCopied,
+    HoldingsRequest,
+    HoldingsReport,
+)
+_JOB_MESSAGES = (JobCall, JobAnswer, JobCopy, JobCopied, JobsWanted, JobsHeld)
+
+
+@dataclass(frozen=True, slots=True)
+class NodeTiming:
+    """Terms of every part of a node."""
+
+    members: Timing = Timing()
+    requests: RequestTiming = RequestTiming()
+    jobs: SchedulerTiming = SchedulerTiming()
+
+
+class Node:
+    """The decisions of one member."""
+
+    def __init__(
+        self,
+        me: Member,
+        peers: Sequence[Member],
+        incarnation: Incarnation,
+        timing: NodeTiming,
+        now: Instant,
+    ) -> None:
+        """Start as a member that knows only its settings."""
+        self._me = me
+        self._incarnation = incarnation
+        self._timing = timing
+        self._sequence = 0
+        self._draining = False
+        self._refusing = False
+        self._echo_at_by_peer: dict[MemberId, Instant] = {}
+        self._last_tick = now
+        self._heartbeat_at = now
+        self._remote_heartbeat_at = now
+        self._config_wanted_at = now
+        self._live: frozenset[MemberId] = frozenset({me.id})
+        rate = APPENDS_PER_SECOND / (len(peers) + 1)
+        self.log = LogKeeper(me.id, str(incarnation), rate, now)
+        self.directory = Directory()
+        self.membership = Membership(me, peers, timing.members, now)
+        index = sorted([me.id, *self.membership.local_targets()]).index(me.id)
+        self.ownership = Ownership(me.id, incarnation, index, timing.members, now)
+        self.requests = RequestPart(
+            me.id,
+            incarnation,
+            me.data_centre,
+            timing.requests,
+            self.directory,
+            self.membership,
+        )
+        self.jobs = JobPart(
+            me.id,
+            me.data_centre,
+            timing.jobs,
+            self.directory,
+            self.membership,
+            self.log,
+        )
+
+    @property
+    def member(self) -> Member:
+        """This member."""
+        return self._me
+
+    def is_log_fresh(self, now: Instant) -> bool:
+        """Whether the end of the log was read a moment ago."""
+        return self.log.is_fresh(self._timing.members.log_fresh_s, now)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether this member takes new work."""
+        return self.log.config.is_loaded and not self._draining
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether a planned stop is under way."""
+        return self._draining
+
+    def admit(
+        self, queue: QueueName, key: KeyHash | None, now: Instant
+    ) -> TeamId | RefusalReason:
+        """Return the team that a request to a queue runs for, or why it may not."""
+        if self._refusing:
+            return RefusalReason.DRAINING
+        rules = self.directory.queues_by_name.get(queue)
+        if rules is None:
+            return RefusalReason.UNKNOWN_QUEUE
+        if rules.open_to_all and key is None:
+            return OPEN_TEAM
+        return self.team_of_key(key, now)
+
+    def team_of_key(self, key: KeyHash | None, now: Instant) -> TeamId | RefusalReason:
+        """Return the team whose key this is, or why work with it may not come in."""
+        team_id = self.directory.team_of_key(key) if key is not None else None
+        if team_id is None:
+            return RefusalReason.BAD_KEY
+        return self._unless_cut_off(team_id, now)
+
+    def submit(self, request: CallerRequest, now: Instant) -> list[Effect]:
+        """Take in a caller's or a peer's request that was admitted."""
+        return self.requests.submit(request, now)
+
+    def attempt_ended(
+        self, ticket_id: TicketId, result: AttemptResult, now: Instant
+    ) -> list[Effect]:
+        """Take in how an attempt at an upstream ended."""
+        return self.requests.attempt_ended(ticket_id, result, now)
+
+    def caller_left(self, call_id: int, now: Instant) -> list[Effect]:
+        """Give up a request whose caller is gone."""
+        return self.requests.caller_left(call_id, now)
+
+    def job_call(self, call: JobCall, now: Instant) -> list[Effect]:
+        """Take in a caller's call about jobs."""
+        return self.jobs.call(call, now)
+
+    def change_config(
+        self, call_id: int, path: ConfigPath, expected: Offset, text: str, now: Instant
+    ) -> list[Effect]:
+        """Take in an operator's change of a document that was checked."""
+        change = ConfigChange(path=path, expected=expected, text=text)
+        return self._keeper_step(self.log.change(call_id, change, now), now)
+
+    def log_read(self, page: RecordPage, asked: Instant, now: Instant) -> list[Effect]:
+        """Take in records of the log; ``asked`` is when the read was sent."""
+        return self._keeper_step(self.log.page_read(page, asked, now), now)
+
+    def log_appended(self, result: AppendResult, now: Instant) -> list[Effect]:
+        """Take in the result of an append call."""
+        return self._keeper_step(self.log.appended(result, now), now)
+
+    def vms_listed(self, vms: VmList, now: Instant) -> list[Effect]:
+        """Take in the VM list."""
+        effects = self.requests.set_vms(vms.vms, now)
+        return effects + self.jobs.set_vms(vms.vms, now)
+
+    def worker_synced(
+        self, call: CallWorker, report: WorkerReport, now: Instant
+    ) -> list[Effect]:
+        """Take in a worker's answer to a sync."""
+        return self.jobs.worker_synced(call.worker_id, report, now)
+
+    def worker_answered(
+        self, call: CallWorker, reply: CommandReply, now: Instant
+    ) -> list[Effect]:
+        """Take in a worker's answer to another command."""
+        return self.jobs.command_answered(call, reply, now)
+
+    def worker_failed(self, call: CallWorker, now: Instant) -> list[Effect]:
+        """Take in that a call to a worker failed."""
+        return self.jobs.worker_failed(call, now)
+
+    def worker_stale(
+        self, call: CallWorker, highest: Epoch, now: Instant
+    ) -> list[Effect]:
+        """Take in that a worker refused this member's epoch."""
+        if call.command.epoch != self.ownership.epoch:
+            return []
+        effects = self.jobs.worker_stale(call.worker_id, highest, now)
+        lost = self.ownership.superseded(highest, now)
+        return effects + self._ownership_effects(lost, now)
+
+    def drain(self, now: Instant) -> list[Effect]:
+        """Take no new work and hand ownership over, before a planned stop."""
+        self._draining = True
+        effects = self._ownership_effects(self.ownership.resign(now), now)
+        return effects + self._send_heartbeats(self.membership.local_targets(), now)
+
+    def refuse_new(self) -> None:
+        """Refuse new requests from now on."""
+        self._refusing = True
+
+    def peer_message(
+        self, sender: MemberId, message: PeerMessage, now: Instant
+    ) -> list[Effect]:
+        """Take in a message of another member."""
+        if self.membership.data_centre_of(sender) is None:
+            return [ReportProblem(f"message from {sender}, which is no peer")]
+        if isinstance(message, _REQUEST_MESSAGES):
+            return self.requests.peer_message(sender, message, now)
+        if isinstance(message, _JOB_MESSAGES):
+            return self.jobs.peer_message(sender, message, now)
+        return self._member_message(sender, message, now)
+
+    def tick(self, now: Instant) -> list[Effect]:
+        """Advance time; called several times in a heartbeat's period."""
+        if now - self._last_tick > self._timing.members.pause_limit_s:
+            self.membership.forget_silence(now)
+        self._last_tick = now
+        effects = self._tick_ownership(now)
+        effects += self._tick_members(now)
+        effects += self._tick_heartbeats(now)
+        effects += self._keeper_step(self.log.tick(now), now)
+        effects += self.requests.tick(now)
+        effects += self.jobs.tick(now)
+        return effects
+
+    def config_age_s(self, now: Instant) -> float:
+        """Return how old the configuration may be here, in seconds.
+
+        That is the time since this member, or the best informed peer that it hears,
+        read the end of the log; infinite if none of them ever did.
+        """
+        ages = [self.membership.least_log_age_s(now)]
+        own = self.log.end_read_age_s(now)
+        return min(ages if own is None else [*ages, own])
+
+    def _unless_cut_off(self, team_id: TeamId, now: Instant) -> TeamId | RefusalReason:
+        when = self.directory.teams_by_id[team_id].when_cut_off
+        if when is WhenCutOff.REFUSE and self.config_age_s(now) > CUT_OFF_AFTER_S:
+            return RefusalReason.CUT_OFF
+        return team_id
+
+    def _member_message(
+        self, sender: MemberId, message: PeerMessage, now: Instant
+    ) -> list[Effect]:
+        match message:
+            case Heartbeat():
+                return self._heard(message, now)
+            case ClaimRequest():
+                requested = self.ownership.claim_requested(message, now)
+                return self._ownership_effects(requested, now)
+            case ClaimReply():
+                answered = self.ownership.claim_answered(message, now)
+                return self._ownership_effects(answered, now)
+            case ConfigWanted():
+                entries = self.log.config.entries()
+                sync = ConfigSync(self.log.config.applied, entries)
+                return [SendPeer(sender, sync)]
+            case ConfigSync(offset, entries):
+                self.log.config.apply_entries(offset, entries)
+                return self._configure(now)
+            case _:
+                return []
+
+    def _tick_ownership(self, now: Instant) -> list[Effect]:
+        local = self._me.data_centre
+        ticked = self.ownership.tick(
+            staying=self.membership.staying_peers(local, now),
+            live=self.membership.live_peers(local, now),
+            log_fresh=self.is_log_fresh(now),
+            may_own=self.is_ready,
+            now=now,
+        )
+        return self._ownership_effects(ticked, now)
+
+    def _tick_members(self, now: Instant) -> list[Effect]:
+        live = self._live_members(now)
+        if live == self._live:
+            return []
+        lost = sorted(self._live - live)
+        self._live = live
+        effects = self.requests.set_members(live, now)
+        for member_id in lost:
+            effects += self.jobs.member_lost(member_id, now)
+        return effects
+
+    def _live_members(self, now: Instant) -> frozenset[MemberId]:
+        peers = self.membership.live_peers(self._me.data_centre, now)
+        return frozenset(peers) | {self._me.id}
+
+    def _tick_heartbeats(self, now: Instant) -> list[Effect]:
+        timing = self._timing.members
+        targets: list[MemberId] = []
+        if now >= self._heartbeat_at:
+            self._heartbeat_at = Instant(now + timing.heartbeat_s)
+            targets += self.membership.local_targets()
+        if now >= self._remote_heartbeat_at:
+            self._remote_heartbeat_at = Instant(now + timing.remote_heartbeat_s)
+            targets += self.membership.remote_targets(now)
+        return self._send_heartbeats(targets, now) if targets else []
+
+    def _send_heartbeats(
+        self, targets: Iterable[MemberId], now: Instant
+    ) -> list[Effect]:
+        heartbeat = self._heartbeat(now)
+        return [SendPeer(target, heartbeat) for target in targets]
+
+    def _heartbeat(self, now: Instant) -> Heartbeat:
+        self._sequence += 1
+        age_s = self.log.end_read_age_s(now)
+        return Heartbeat(
+            member_id=self._me.id,
+            incarnation=self._incarnation,
+            data_centre=self._me.data_centre,
+            sequence=self._sequence,
+            epoch=self.ownership.epoch,
+            owner=self.ownership.owner or MemberId(""),
+            config_offset=self.log.config.applied,
+            log_age_ms=NEVER_READ_MS if age_s is None else int(age_s * 1_000),
+            leaving=not self.is_ready,
+        )
+
+    def _heard(self, heartbeat: Heartbeat, now: Instant) -> list[Effect]:
+        is_new_run = self.membership.heard(heartbeat, now)
+        effects = self._compare_config(heartbeat, now)
+        if heartbeat.data_centre != self._me.data_centre:
+            return effects + self._echo(heartbeat, now)
+        heard = self.ownership.heard(heartbeat, now)
+        effects += self._ownership_effects(heard, now)
+        if is_new_run:
+            effects += self.jobs.member_joined(heartbeat.member_id)
+        return effects
+
+    def _echo(self, heartbeat: Heartbeat, now: Instant) -> list[Effect]:
+        """Answer a heartbeat of another data centre that is not an answer itself."""
+        peer = heartbeat.member_id
+        if peer in self.membership.remote_targets(now):
+            return []
+        if now < self._echo_at_by_peer.get(peer, now):
+            return []
+        period_s = self._timing.members.remote_heartbeat_s / 2
+        self._echo_at_by_peer[peer] = Instant(now + period_s)
+        return self._send_heartbeats([heartbeat.member_id], now)
+
+    def _compare_config(self, heartbeat: Heartbeat, now: Instant) -> list[Effect]:
+        """Ask a peer for its documents when it read more of the log."""
+        config = self.log.config
+        behind = heartbeat.config_offset > config.applied
+        fresh = self.is_log_fresh(now)
+        if fresh and config.is_complete or not behind or now < self._config_wanted_at:
+            return []
+        self._config_wanted_at = Instant(now + CONFIG_WANTED_S)
+        return [SendPeer(heartbeat.member_id, ConfigWanted(config.applied))]
+
+    def _ownership_effects(
+        self, effects: Sequence[OwnershipEffect], now: Instant
+    ) -> list[Effect]:
+        done: list[Effect] = []
+        for effect in effects:
+            done += self._ownership_effect(effect, now)
+        return done
+
+    def _ownership_effect(self, effect: OwnershipEffect, now: Instant) -> list[Effect]:
+        match effect:
+            case AppendClaim(expected):
+                return self._append_claim(expected, now)
+            case AskMembers(members, request):
+                return [SendPeer(member_id, request) for member_id in members]
+            case ReplyClaim(to, reply):
+                return [SendPeer(to, reply)]
+            case OwnershipTaken():
+                return self._ownership_taken(effect, now)
+            case OwnershipLost(epoch):
+                return [RoleChanged(None, epoch, is_owner=False)]
+            case OwnerSeen(owner, epoch):
+                effects = self.requests.owner_seen(owner, epoch, now)
+                effects += self.jobs.owner_seen(owner, epoch, now)
+                return [*effects, RoleChanged(owner, epoch, is_owner=False)]
+
+    def _append_claim(self, expected: Epoch, now: Instant) -> list[Effect]:
+        claim = OwnerClaim(
+            data_centre=self._me.data_centre, member_id=self._me.id, expected=expected
+        )
+        return self._keeper_step(self.log.claim(claim, now), now)
+
+    def _ownership_taken(self, effect: OwnershipTaken, now: Instant) -> list[Effect]:
+        live = self._live_members(now)
+        self._live = live
+        effects: list[Effect] = [RoleChanged(self._me.id, effect.epoch, is_owner=True)]
+        effects += self._send_heartbeats(self.membership.local_targets(), now)
+        effects += self.requests.ownership_taken(
+            effect.epoch, effect.is_first, live, now
+        )
+        return effects + self.jobs.ownership_taken(effect.epoch, live, now)
+
+    def _keeper_step(self, step: KeeperStep, now: Instant) -> list[Effect]:
+        effects = list(step.effects)
+        config_changed = False
+        for news in step.news:
+            config_changed = config_changed or isinstance(news, ConfigChanged)
+            effects += self._log_news(news, now)
+        if config_changed:
+            effects += self._configure(now)
+        return effects
+
+    def _log_news(self, news: LogNews, now: Instant) -> list[Effect]:
+        match news:
+            case ClaimAccepted():
+                return self._claim_accepted(news, now)
+            case JobsRead(data_centre, records):
+                if data_centre != self._me.data_centre:
+                    return []
+                return self.jobs.records_read(records)
+            case RecordWritten(record_id, result):
+                return self.jobs.record_written(record_id, result, now)
+            case ConfigChanged():
+                return []
+
+    def _claim_accepted(self, news: ClaimAccepted, now: Instant) -> list[Effect]:
+        if news.data_centre != self._me.data_centre:
+            return []
+        logged = self.ownership.claim_logged(news.epoch, news.member_id, now)
+        return self._ownership_effects(logged, now)
+
+    def _configure(self, now: Instant) -> list[Effect]:
+        problems = self.directory.update(self.log.config.documents())
+        effects: list[Effect] = [ReportProblem(text) for text in problems]
+        effects += self.requests.configure(now)
+        return effects + self.jobs.configure(now)
--- a/tamarackmount/kernel/ownership.py
+++ b/tamarackmount/kernel/ownership.py
@@ -68,10 +68,13 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnershipTaken:
-    """Effect: this member is owner from now on; ``previous`` is empty at first."""
+    """Effect: this member is owner from now on.
+
+    ``is_first`` says that the data centre never had an owner.
+    """
 
     epoch: Epoch
-    previous: MemberId
+    is_first: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,7 +99,7 @@
 
 def epoch_of_offset(offset: Offset) -> Epoch:
     """Return the epoch that a claim at this log offset begins."""
-    return Epoch((offset + 1) << TERM_BITS)
+    return Epoch(offset << TERM_BITS)
 
 
 def next_term(epoch: Epoch, member_index: int) -> Epoch:
@@ -128,7 +131,6 @@
         self._role = Role.FOLLOWER
         self._epoch = NO_EPOCH
         self._owner: MemberId | None = None
-        self._logged_epoch = NO_EPOCH
         self._last_tick = now
         self._silent_until = self._lease_end(now)
         self._claim_until = now
@@ -165,26 +167,21 @@
             self._silent_until = self._lease_end(now)
         if self._owner_gave_up(heartbeat):
             effects += self._follow(None, self._epoch, now)
+            # The owner said itself that it stopped, so nothing has to lapse.
+            self._silent_until = now
         return effects
 
     def claim_logged(
-        self, offset: Offset, member_id: MemberId, expected: Epoch, now: Instant
+        self, epoch: Epoch, member_id: MemberId, now: Instant
     ) -> list[OwnershipEffect]:
-        """Take in a claim from the log; each is decided by what precedes it.
-
-        A claim is accepted when it expects the epoch of the last accepted claim, or
-        a term begun without the log since.
-        """
-        if expected >> TERM_BITS != self._logged_epoch >> TERM_BITS:
-            return []
-        self._logged_epoch = epoch_of_offset(offset)
-        if self._logged_epoch <= self._epoch:
+        """Take in a claim that the log's order accepted for ``epoch``."""
+        if epoch <= self._epoch:
             return []
         if member_id == self._me and self._role is Role.CLAIMING_BY_LOG:
-            return self._take(self._logged_epoch)
+            return self._take(epoch)
         # A claim of an earlier run of this member, or one given up since.
         owner = None if member_id == self._me else member_id
-        return self._follow(owner, self._logged_epoch, now)
+        return self._follow(owner, epoch, now)
 
     def claim_requested(
         self, request: ClaimRequest, now: Instant
@@ -212,15 +209,6 @@
             return []
         return self._take(self._claimed_epoch)
 
-    def restore_logged(self, epoch: Epoch) -> None:
-        """Take the last accepted claim's epoch from a snapshot in the log."""
-        self._logged_epoch = max(self._logged_epoch, epoch)
-
-    @property
-    def logged_epoch(self) -> Epoch:
-        """Epoch of the last claim that the log decided."""
-        return self._logged_epoch
-
     def superseded(self, epoch: Epoch, now: Instant) -> list[OwnershipEffect]:
         """Take in a higher epoch seen elsewhere, such as at a worker."""
         if epoch <= self._epoch:
@@ -275,12 +263,12 @@
         return [AskMembers(tuple(live), request)]
 
     def _take(self, epoch: Epoch) -> list[OwnershipEffect]:
-        previous = self._owner
+        is_first = self._epoch == NO_EPOCH
         self._role = Role.OWNER
         self._epoch = epoch
         self._owner = self._me
         self._claim_awaits.clear()
-        return [OwnershipTaken(epoch, previous or MemberId(""))]
+        return [OwnershipTaken(epoch, is_first)]
 
     def _follow(
         self, owner: MemberId | None, epoch: Epoch, now: Instant
--- /dev/null
+++ b/tamarackmount/kernel/request_part.py
@@ -0,0 +1,431 @@
+"""The request half of a node: the entry table, the dispatcher and forwarding.
+
+A non-idempotent request is served through its home data centre, which is chosen by
+its id alone, so that repeats meet the memory of the first attempt. An idempotent
+request goes to another data centre when its own has no upstream for it.
+"""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from tamarackmount.adapters.vm_schema import Vm, VmKind, VmState
+from tamarackmount.ids import (
+    DataCentreId,
+    Epoch,
+    Incarnation,
+    Instant,
+    MemberId,
+    QueueName,
+    RequestId,
+    TeamId,
+    TicketId,
+    UpstreamId,
+)
+from tamarackmount.kernel.allowances import allowance
+from tamarackmount.kernel.directory import Directory
+from tamarackmount.kernel.dispatcher import Dispatcher
+from tamarackmount.kernel.effects import (
+    AbortCall,
+    Address,
+    CallUpstream,
+    Effect,
+    FinishRequest,
+    ForwardRequest,
+    SendPeer,
+)
+from tamarackmount.kernel.membership import Membership, MemberState, rank_by_hash
+from tamarackmount.kernel.messages import (
+    AttemptCopied,
+    AttemptCopy,
+    AttemptResult,
+    HoldingsReport,
+    HoldingsRequest,
+    Outcome,
+    PeerMessage,
+    RefusalReason,
+    TicketGrant,
+    TicketRefusal,
+    TicketRelease,
+    TicketRequest,
+    TicketWithdrawal,
+)
+from tamarackmount.kernel.queue_board import QueueRules, RequestLimits
+from tamarackmount.kernel.request_effects import (
+    AbortUpstream,
+    DispatcherEffect,
+    Finish,
+    NewRequest,
+    RequestEffect,
+    RequestTiming,
+    SendToOwner,
+    SendUpstream,
+)
+from tamarackmount.kernel.requests import RequestTable
+from tamarackmount.kernel.slots import ListedUpstream
+
+HOME_RETRY_MS = 1_000
+"""Time to come back after a refusal because of an unreachable data centre."""
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A request whose caller was recognised; ``forwarded`` came from a peer."""
+
+    call_id: int
+    request_id: RequestId
+    team_id: TeamId
+    queue: QueueName
+    idempotent: bool
+    deadline: Instant
+    forwarded: bool = False
+
+
+def home_of(
+    request_id: RequestId, team_id: TeamId, data_centres: Sequence[DataCentreId]
+) -> DataCentreId:
+    """Return the data centre that remembers a non-idempotent request."""
+    prefix = DataCentreId(request_id.partition(":")[0])
+    if prefix in data_centres:
+        return prefix
+    return DataCentreId(rank_by_hash(f"{team_id}/{request_id}", data_centres)[0])
+
+
+@dataclass(slots=True)
+class _Forward:
+    """A request that another member serves."""
+
+    to: MemberId
+    idempotent: bool
+    deadline: Instant
+
+
+class RequestPart:
+    """Requests of one member: those of its callers, and the dispatcher's work."""
+
+    def __init__(
+        self,
+        member_id: MemberId,
+        incarnation: Incarnation,
+        data_centre: DataCentreId,
+        timing: RequestTiming,
+        directory: Directory,
+        membership: Membership,
+    ) -> None:
+        """Start without an owner and without upstreams."""
+        self._me = member_id
+        self._data_centre = data_centre
+        self._timing = timing
+        self._directory = directory
+        self._membership = membership
+        self._table = RequestTable(member_id, incarnation, timing)
+        self._dispatcher: Dispatcher | None = None
+        self._owner: MemberId | None = None
+        self._upstreams_by_id: dict[UpstreamId, Vm] = {}
+        self._forwards_by_call: dict[int, _Forward] = {}
+
+    @property
+    def table(self) -> RequestTable:
+        """The requests of this member's callers."""
+        return self._table
+
+    @property
+    def dispatcher(self) -> Dispatcher | None:
+        """The dispatcher, while this member owns its data centre."""
+        return self._dispatcher
+
+    @property
+    def under_way(self) -> int:
+        """Requests that have no final answer yet."""
+        in_table = self._table.in_flight + self._table.waiting
+        return in_table + len(self._forwards_by_call)
+
+    def submit(self, request: CallerRequest, now: Instant) -> list[Effect]:
+        """Take a request in: serve it here or hand it to another data centre."""
+        if not request.idempotent and not request.forwarded:
+            home = home_of(
+                request.request_id, request.team_id, self._membership.data_centres()
+            )
+            if home != self._data_centre:
+                return self._forward(request, home, now)
+        if request.idempotent and not self._serves(request.queue, self._data_centre):
+            return self._serve_elsewhere(request, now)
+        return self._serve_here(request, now)
+
+    def forward_ended(self, call_id: int) -> None:
+        """Note that a forwarded request has its final answer."""
+        self._forwards_by_call.pop(call_id, None)
+
+    def forward_not_sent(self, call_id: int) -> list[Effect]:
+        """Refuse a request that could not be handed over: no byte of it left."""
+        if self._forwards_by_call.pop(call_id, None) is None:
+            return []
+        return [_refuse(call_id, RefusalReason.HOME_UNREACHABLE, HOME_RETRY_MS)]
+
+    def caller_left(self, call_id: int, now: Instant) -> list[Effect]:
+        """Give up a request whose caller is gone."""
+        if self._forwards_by_call.pop(call_id, None) is not None:
+            return []
+        return self._from_table(self._table.caller_left(call_id, now), now)
+
+    def attempt_ended(
+        self, ticket_id: TicketId, result: AttemptResult, now: Instant
+    ) -> list[Effect]:
+        """Take in how an attempt at an upstream ended."""
+        return self._from_table(self._table.attempt_ended(ticket_id, result, now), now)
+
+    def set_vms(self, vms: Sequence[Vm], now: Instant) -> list[Effect]:
+        """Take in the VM list."""
+        self._upstreams_by_id = {
+            UpstreamId(vm.id): vm for vm in vms if vm.kind is VmKind.UPSTREAM
+        }
+        if self._dispatcher is None:
+            return []
+        upstreams = self._local_upstreams()
+        return self._from_dispatcher(
+            self._dispatcher.set_upstreams(upstreams, now), now
+        )
+
+    def configure(self, now: Instant) -> list[Effect]:
+        """Take in the teams and queues of the directory."""
+        dispatcher = self._dispatcher
+        if dispatcher is None:
+            return []
+        effects = dispatcher.set_queues(self._queue_rules(), now)
+        effects += dispatcher.set_teams(self._team_limits(), now)
+        return self._from_dispatcher(effects, now)
+
+    def set_members(self, live: frozenset[MemberId], now: Instant) -> list[Effect]:
+        """Take in which members of the data centre are alive, this one included."""
+        if self._dispatcher is None:
+            return []
+        return self._from_dispatcher(self._dispatcher.set_members(live, now), now)
+
+    def ownership_taken(
+        self, epoch: Epoch, fresh: bool, live: frozenset[MemberId], now: Instant
+    ) -> list[Effect]:
+        """Begin to dispatch for the data centre."""
+        self._owner = self._me
+        self._table.fence(epoch, now)
+        dispatcher = Dispatcher(
+            epoch,
+            self._me,
+            self._timing,
+            now,
+            fresh=fresh,
+            attempts=self._table.attempts,
+        )
+        self._dispatcher = dispatcher
+        effects = dispatcher.set_members(live, now)
+        effects += dispatcher.set_upstreams(self._local_upstreams(), now)
+        effects += dispatcher.set_queues(self._queue_rules(), now)
+        effects += dispatcher.set_teams(self._team_limits(), now)
+        done = self._from_dispatcher(effects, now)
+        return done + self._from_table(self._table.owner_changed(self._me, now), now)
+
+    def owner_seen(
+        self, owner: MemberId | None, epoch: Epoch, now: Instant
+    ) -> list[Effect]:
+        """Follow another member, or nobody."""
+        self._dispatcher = None
+        self._owner = owner
+        self._table.fence(epoch, now)
+        return self._from_table(self._table.owner_changed(owner, now), now)
+
+    def peer_message(
+        self, sender: MemberId, message: PeerMessage, now: Instant
+    ) -> list[Effect]:
+        """Take in a message of the request half."""
+        match message:
+            case TicketGrant():
+                return self._from_table(self._table.granted(message, now), now)
+            case TicketRefusal():
+                return self._from_table(self._table.refused(message, now), now)
+            case AttemptCopy(sequence, entries):
+                self._table.attempts.take_copies(entries, now)
+                return self._send(sender, AttemptCopied(sequence), now)
+            case HoldingsRequest(epoch):
+                return self._report_holdings(sender, epoch, now)
+            case _:
+                return self._to_dispatcher(sender, message, now)
+
+    def tick(self, now: Instant) -> list[Effect]:
+        """Advance time."""
+        effects = self._from_table(self._table.tick(now), now)
+        if self._dispatcher is not None:
+            effects += self._from_dispatcher(self._dispatcher.tick(now), now)
+        return effects + self._expire_forwards(now)
+
+    def _serve_here(self, request: CallerRequest, now: Instant) -> list[Effect]:
+        new = NewRequest(
+            call_id=request.call_id,
+            request_id=request.request_id,
+            team_id=request.team_id,
+            queue=request.queue,
+            idempotent=request.idempotent,
+            deadline=request.deadline,
+        )
+        return self._from_table(self._table.submit(new, now), now)
+
+    def _serve_elsewhere(self, request: CallerRequest, now: Instant) -> list[Effect]:
+        if request.forwarded:
+            return self._serve_here(request, now)
+        for data_centre in self._membership.data_centres():
+            if self._serves(request.queue, data_centre):
+                return self._forward(request, data_centre, now)
+        return self._serve_here(request, now)
+
+    def _forward(
+        self, request: CallerRequest, data_centre: DataCentreId, now: Instant
+    ) -> list[Effect]:
+        target = self._membership.contact(data_centre, now)
+        if target is None:
+            reason = RefusalReason.HOME_UNREACHABLE
+            return [_refuse(request.call_id, reason, HOME_RETRY_MS)]
+        forward = _Forward(target, request.idempotent, request.deadline)
+        self._forwards_by_call[request.call_id] = forward
+        return [ForwardRequest(request.call_id, target, request.deadline)]
+
+    def _expire_forwards(self, now: Instant) -> list[Effect]:
+        effects: list[Effect] = []
+        for call_id, forward in list(self._forwards_by_call.items()):
+            lost = self._membership.state(forward.to, now) is MemberState.LOST
+            if not lost and now < forward.deadline:
+                continue
+            del self._forwards_by_call[call_id]
+            reason = RefusalReason.HOME_UNREACHABLE if lost else RefusalReason.DEADLINE
+            effects.append(
+                FinishRequest(call_id, Outcome.UNKNOWN, reason, HOME_RETRY_MS)
+            )
+        return effects
+
+    def _report_holdings(
+        self, sender: MemberId, epoch: Epoch, now: Instant
+    ) -> list[Effect]:
+        self._table.fence(epoch, now)
+        report = HoldingsReport(
+            epoch=epoch,
+            tickets=self._table.holdings(now),
+            attempts=self._table.attempts.entries(now),
+        )
+        return self._send(sender, report, now)
+
+    def _to_dispatcher(
+        self, sender: MemberId, message: PeerMessage, now: Instant
+    ) -> list[Effect]:
+        dispatcher = self._dispatcher
+        if dispatcher is None:
+            return []
+        match message:
+            case TicketRequest():
+                effects = dispatcher.ticket_requested(sender, message, now)
+            case TicketRelease():
+                effects = dispatcher.released(sender, message, now)
+            case TicketWithdrawal():
+                effects = dispatcher.withdrawn(sender, message, now)
+            case AttemptCopied(sequence):
+                effects = dispatcher.attempt_copied(sender, sequence, now)
+            case HoldingsReport():
+                effects = dispatcher.holdings_reported(sender, message, now)
+            case _:
+                effects = []
+        return self._from_dispatcher(effects, now)
+
+    def _from_table(
+        self, effects: Sequence[RequestEffect], now: Instant
+    ) -> list[Effect]:
+        done: list[Effect] = []
+        for effect in effects:
+            match effect:
+                case SendToOwner(message):
+                    done += self._send(self._owner, message, now)
+                case SendUpstream():
+                    done += self._call_upstream(effect, now)
+                case AbortUpstream(ticket_id):
+                    done.append(AbortCall(ticket_id))
+                case Finish(call_id, outcome, reason, retry_after_ms):
+                    done.append(FinishRequest(call_id, outcome, reason, retry_after_ms))
+        return done
+
+    def _from_dispatcher(
+        self, effects: Sequence[DispatcherEffect], now: Instant
+    ) -> list[Effect]:
+        done: list[Effect] = []
+        for effect in effects:
+            done += self._send(effect.member_id, effect.message, now)
+        return done
+
+    def _send(
+        self, to: MemberId | None, message: PeerMessage, now: Instant
+    ) -> list[Effect]:
+        if to is None:
+            return []
+        if to == self._me:
+            return self.peer_message(self._me, message, now)
+        return [SendPeer(to, message)]
+
+    def _call_upstream(self, effect: SendUpstream, now: Instant) -> list[Effect]:
+        vm = self._upstreams_by_id.get(effect.upstream_id)
+        if vm is None:
+            failed = AttemptResult.FAILED_BEFORE_SEND
+            return self.attempt_ended(effect.ticket_id, failed, now)
+        return [
+            CallUpstream(
+                call_id=effect.call_id,
+                ticket_id=effect.ticket_id,
+                upstream_id=effect.upstream_id,
+                address=Address(vm.host, vm.port),
+                deadline=effect.deadline,
+            )
+        ]
+
+    def _serves(self, queue: QueueName, data_centre: DataCentreId) -> bool:
+        rules = self._directory.queues_by_name.get(queue)
+        if rules is None:
+            return False
+        return any(
+            vm.service == rules.service
+            and vm.data_centre == data_centre
+            and vm.state is VmState.LIVE
+            for vm in self._upstreams_by_id.values()
+        )
+
+    def _local_upstreams(self) -> list[ListedUpstream]:
+        return [
+            ListedUpstream(
+                id=upstream_id,
+                service=vm.service,
+                slots=vm.slots,
+                leaving=vm.state is VmState.LEAVING,
+            )
+            for upstream_id, vm in self._upstreams_by_id.items()
+            if vm.data_centre == self._data_centre
+        ]
+
+    def _queue_rules(self) -> Mapping[QueueName, QueueRules]:
+        return {
+            name: QueueRules(
+                service=document.service,
+                policy=document.policy,
+                max_waiting=document.max_waiting,
+            )
+            for name, document in self._directory.queues_by_name.items()
+        }
+
+    def _team_limits(self) -> Mapping[TeamId, RequestLimits]:
+        data_centres = self._membership.data_centres()
+        return {
+            team_id: RequestLimits(
+                share=document.share,
+                running_requests=allowance(
+                    document.ceiling.running_requests,
+                    team_id,
+                    self._data_centre,
+                    data_centres,
+                ),
+            )
+            for team_id, document in self._directory.teams_by_id.items()
+        }
+
+
+def _refuse(call_id: int, reason: RefusalReason, retry_after_ms: int) -> FinishRequest:
+    return FinishRequest(call_id, Outcome.NOT_RUN, reason, retry_after_ms)
--- a/tamarackmount/settings.py
+++ b/tamarackmount/settings.py
@@ -64,9 +64,22 @@
     worker_sync_ms: int = Field(default=500, ge=50, le=60_000)
     task_lease_ms: int = Field(default=4_000, ge=200, le=600_000)
     attempt_memory_ms: int = Field(default=3_600_000, ge=1_000, le=86_400_000)
+    balancer_notice_ms: int = Field(default=2_000, ge=0, le=600_000)
     drain_ms: int = Field(default=20_000, ge=0, le=600_000)
 
 
+class TracingSection(_Section):
+    """Which part of the traces that start here is recorded, from 0 to 1."""
+
+    sample_ratio: float = Field(default=0.01, ge=0, le=1)
+
+
+class UpstreamSection(_Section):
+    """Connections to upstreams: idle ones kept by this member to each of them."""
+
+    idle_connections: int = Field(default=4, ge=0, le=64)
+
+
 class Settings(_Section):
     """Everything that one daemon is told."""
 
@@ -76,6 +89,8 @@
     operators: OperatorSection
     peers: list[PeerSection] = []
     timing: TimingSection = TimingSection()
+    tracing: TracingSection = TracingSection()
+    upstreams: UpstreamSection = UpstreamSection()
 
 
 def read_text(path: Path) -> str:
