--- /dev/null
+++ b/tamarackmount/kernel/known_owner.py
@@ -0,0 +1,52 @@
+"""What an entry VM knows of the owner of its data centre."""
+
+from tamarackmount.ids import Epoch, Instant, MemberId
+from tamarackmount.kernel.request_effects import after_ms
+
+_NO_EPOCH = Epoch(0)
+
+
+class KnownOwner:
+    """The present owner, if known, and the epoch below which grants are stale."""
+
+    def __init__(self, grace_ms: int) -> None:
+        """Start without an owner; requests wait ``grace_ms`` for one."""
+        self._grace_ms = grace_ms
+        self._owner: MemberId | None = None
+        self._refuse_from: Instant | None = None
+        self._fence = _NO_EPOCH
+
+    @property
+    def is_known(self) -> bool:
+        """Whether there is an owner to ask."""
+        return self._owner is not None
+
+    def is_stale(self, epoch: Epoch) -> bool:
+        """Tell whether a grant of the epoch must not be used any more."""
+        return epoch < self._fence
+
+    def refuses(self, now: Instant) -> bool:
+        """Tell whether the grace without an owner is over."""
+        if self._owner is not None or self._refuse_from is None:
+            return False
+        return now >= self._refuse_from
+
+    def found(self, owner: MemberId) -> None:
+        """Note the owner."""
+        self._owner = owner
+        self._refuse_from = None
+
+    def lost(self, now: Instant) -> None:
+        """Note that there is no owner; the grace counts from the first time."""
+        if self._owner is None and self._refuse_from is not None:
+            return
+        self._owner = None
+        self._refuse_from = after_ms(now, self._grace_ms)
+
+    def fence(self, epoch: Epoch, now: Instant) -> bool:
+        """Raise the fence, which loses the owner; tell whether it was raised."""
+        if epoch <= self._fence:
+            return False
+        self._fence = epoch
+        self.lost(now)
+        return True
--- /dev/null
+++ b/tamarackmount/kernel/lending.py
@@ -0,0 +1,260 @@
+"""Lending of upstream slots to waiting tickets, and taking them back."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from itertools import islice
+
+from tamarackmount.ids import Epoch, Instant, MemberId, TicketId, UpstreamId
+from tamarackmount.kernel.attempt_copies import AttemptCopies
+from tamarackmount.kernel.attempts import AttemptKey, AttemptMemory
+from tamarackmount.kernel.dispatcher_view import DispatcherCounters
+from tamarackmount.kernel.lines import WaitingTicket
+from tamarackmount.kernel.messages import (
+    HeldTicket,
+    RefusalReason,
+    TicketGrant,
+    TicketRequest,
+)
+from tamarackmount.kernel.queue_board import QueueBoard
+from tamarackmount.kernel.refusals import Refusals
+from tamarackmount.kernel.request_effects import (
+    MS_PER_SECOND,
+    DispatcherEffect,
+    RequestTiming,
+    SendToMember,
+    after_ms,
+    remaining_ms,
+)
+from tamarackmount.kernel.slots import Loan, SlotLedger
+
+MAX_TEAMS_TRIED = 8
+"""Most teams that are asked for a request that the free upstreams may serve."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Choice:
+    ticket: WaitingTicket
+    service: str
+    upstream_id: UpstreamId
+
+
+class Lending:
+    """Loans of one owner.
+
+    A non-idempotent request is granted only once two members remember it: the owner
+    and the asking member, or, when the owner asks itself, another one by a copy.
+    """
+
+    def __init__(
+        self,
+        epoch: Epoch,
+        member_id: MemberId,
+        timing: RequestTiming,
+        board: QueueBoard,
+        ledger: SlotLedger,
+        attempts: AttemptMemory,
+        copies: AttemptCopies,
+        refusals: Refusals,
+        counters: DispatcherCounters,
+        serve_alone: bool,
+    ) -> None:
+        """Lend on behalf of ``member_id`` under ``epoch``."""
+        self._epoch = epoch
+        self._member_id = member_id
+        self._timing = timing
+        self._board = board
+        self._ledger = ledger
+        self._attempts = attempts
+        self._copies = copies
+        self._refusals = refusals
+        self._counters = counters
+        self._serve_alone = serve_alone
+        self._live: frozenset[MemberId] = frozenset()
+        self._uncopied_by_key: dict[AttemptKey, TicketId] = {}
+
+    def set_members(self, live: frozenset[MemberId]) -> None:
+        """Set the members that copies can go to."""
+        self._live = live
+
+    def second_member(self, key: AttemptKey) -> MemberId | None:
+        """Return a live member other than the owner, spread by key."""
+        others = sorted(self._live - {self._member_id})
+        if not others:
+            return None
+        # Python's hash of strings differs between runs; the length does not.
+        return others[sum(key.request_id.encode()) % len(others)]
+
+    def dispatch(self, now: Instant) -> list[DispatcherEffect]:
+        """Lend free slots to waiting tickets for as long as there are both."""
+        effects: list[DispatcherEffect] = []
+        for service in self._board.services():
+            self._board.set_slots(service, self._ledger.usable_slots(service))
+            while (choice := self._choose(service)) is not None:
+                effects += self._lend(choice, now)
+        return effects
+
+    def grant_again(self, loan: Loan, member_id: MemberId) -> list[DispatcherEffect]:
+        """Repeat a grant for a ticket that was asked for again."""
+        if loan.member_id != member_id or loan.granted_ms is None:
+            return []
+        if self.awaits_copy(loan):
+            return []
+        return self._send_grant(loan)
+
+    def awaits_copy(self, loan: Loan) -> bool:
+        """Tell whether the grant waits for another member to remember it."""
+        if loan.attempt is None:
+            return False
+        return self._uncopied_by_key.get(loan.attempt) == loan.ticket_id
+
+    def copied(self, keys: Iterable[AttemptKey]) -> list[DispatcherEffect]:
+        """Send the grants that waited for these attempts to be copied."""
+        effects: list[DispatcherEffect] = []
+        for key in keys:
+            ticket_id = self._uncopied_by_key.pop(key, None)
+            loan = None if ticket_id is None else self._ledger.loan(ticket_id)
+            if loan is not None:
+                effects += self._send_grant(loan)
+        return effects
+
+    def copy_elsewhere(self, key: AttemptKey, now: Instant) -> list[DispatcherEffect]:
+        """Find another holder for an attempt whose second holder is lost."""
+        member_id = self.second_member(key)
+        if member_id is not None:
+            return list(self._copies.send_all([key], member_id, now))
+        if self._serve_alone:
+            return self.copied([key])
+        return self._refuse_uncopied(key, now)
+
+    def take_back(self, loan: Loan) -> None:
+        """End a loan."""
+        self._ledger.give_back(loan.ticket_id)
+        self.ended(loan)
+
+    def ended(self, loan: Loan) -> None:
+        """Note that a loan is over in the ledger."""
+        self._board.ended(loan.team_id, loan.queue)
+        if self.awaits_copy(loan) and loan.attempt is not None:
+            del self._uncopied_by_key[loan.attempt]
+
+    def undo(self, loan: Loan) -> None:
+        """End a loan whose grant was not sent or not used."""
+        if loan.attempt is not None:
+            self._attempts.not_sent(loan.attempt, loan.ticket_id)
+        self.take_back(loan)
+
+    def adopt(self, member_id: MemberId, held: HeldTicket, now: Instant) -> None:
+        """Enter a slot that a member holds from an earlier owner."""
+        if self._ledger.loan(held.ticket_id) is not None:
+            return
+        self._board.remove(held.ticket_id)
+        key = None
+        if not held.idempotent:
+            key = AttemptKey(held.team_id, held.request_id)
+            self._attempts.started(key, held.ticket_id, now)
+        lent_until = after_ms(now, held.remaining_ms)
+        loan = Loan(
+            ticket_id=held.ticket_id,
+            team_id=held.team_id,
+            queue=held.queue,
+            upstream_id=held.upstream_id,
+            member_id=member_id,
+            attempt=key,
+            lent_until=lent_until,
+            ends_at=after_ms(lent_until, self._timing.clock_margin_ms),
+        )
+        self._ledger.adopt(loan)
+        self._board.began(held.team_id, held.queue)
+
+    def _choose(self, service: str) -> _Choice | None:
+        if not self._ledger.has_free(service):
+            return None
+        for ticket in islice(self._board.heads(service), MAX_TEAMS_TRIED):
+            upstream_id = self._ledger.pick(service, ticket.request.excluded)
+            if upstream_id is not None:
+                return _Choice(ticket, service, upstream_id)
+        return None
+
+    def _lend(self, choice: _Choice, now: Instant) -> list[DispatcherEffect]:
+        ticket = choice.ticket
+        self._board.remove(ticket.request.ticket_id)
+        reason = self._reason_against(ticket, now)
+        if reason is not None:
+            return self._refusals.refuse(ticket, reason, now)
+        loan = self._loan(ticket, choice.upstream_id, now)
+        self._ledger.lend(loan)
+        self._board.began(loan.team_id, loan.queue)
+        if loan.attempt is None:
+            return self._send_grant(loan)
+        self._attempts.started(loan.attempt, loan.ticket_id, now)
+        return self._send_durable_grant(loan, loan.attempt, now)
+
+    def _reason_against(
+        self, ticket: WaitingTicket, now: Instant
+    ) -> RefusalReason | None:
+        if ticket.deadline <= now:
+            return RefusalReason.DEADLINE
+        if ticket.request.idempotent:
+            return None
+        key = attempt_key(ticket.request)
+        if self._attempts.knows(key):
+            return RefusalReason.ALREADY_ATTEMPTED
+        if ticket.member_id != self._member_id or self._serve_alone:
+            return None
+        if self.second_member(key) is None:
+            return RefusalReason.NOT_DURABLE
+        return None
+
+    def _loan(
+        self, ticket: WaitingTicket, upstream_id: UpstreamId, now: Instant
+    ) -> Loan:
+        request = ticket.request
+        lend_ms = min(remaining_ms(ticket.deadline, now), self._timing.max_ticket_ms)
+        waited_ms = int((now - ticket.arrived_at) * MS_PER_SECOND)
+        # The borrower counts from when it asked, which was before the arrival here.
+        lent_until = after_ms(ticket.arrived_at, waited_ms + lend_ms)
+        return Loan(
+            ticket_id=request.ticket_id,
+            team_id=request.team_id,
+            queue=request.queue,
+            upstream_id=upstream_id,
+            member_id=ticket.member_id,
+            attempt=None if request.idempotent else attempt_key(request),
+            lent_until=lent_until,
+            ends_at=after_ms(lent_until, self._timing.clock_margin_ms),
+            granted_ms=waited_ms + lend_ms,
+        )
+
+    def _send_durable_grant(
+        self, loan: Loan, key: AttemptKey, now: Instant
+    ) -> list[DispatcherEffect]:
+        if loan.member_id != self._member_id:
+            self._copies.held_by(key, loan.member_id, now)
+            return self._send_grant(loan)
+        second = self.second_member(key)
+        if second is None:
+            return self._send_grant(loan)
+        self._uncopied_by_key[key] = loan.ticket_id
+        return list(self._copies.send(key, second, now))
+
+    def _send_grant(self, loan: Loan) -> list[DispatcherEffect]:
+        if loan.granted_ms is None:
+            return []
+        self._counters.granted += 1
+        grant = TicketGrant(
+            loan.ticket_id, loan.upstream_id, self._epoch, loan.granted_ms
+        )
+        return [SendToMember(loan.member_id, grant)]
+
+    def _refuse_uncopied(self, key: AttemptKey, now: Instant) -> list[DispatcherEffect]:
+        ticket_id = self._uncopied_by_key.get(key)
+        loan = None if ticket_id is None else self._ledger.loan(ticket_id)
+        if loan is None:
+            return []
+        self.undo(loan)
+        return self._refusals.refuse_loan(loan, RefusalReason.NOT_DURABLE, now)
+
+
+def attempt_key(request: TicketRequest) -> AttemptKey:
+    """Return what a non-idempotent request is recognised by."""
+    return AttemptKey(request.team_id, request.request_id)
--- /dev/null
+++ b/tamarackmount/plugins/base.py
@@ -0,0 +1,39 @@
+"""Behaviour that plug-ins provide."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from tamarackmount.ids import Instant
+
+
+@dataclass(frozen=True, slots=True)
+class QueueUse:
+    """What a queue policy knows of one team with waiting requests.
+
+    ``share`` and ``active_share`` are weights without unit: the team's own, and the
+    sum over all teams that wait or run in the queue. ``running`` is the number of
+    the team's requests that hold an upstream slot of the queue, ``slots`` the number
+    of slots that the queue's service has. ``oldest`` is when the team's first
+    waiting request arrived.
+    """
+
+    share: float
+    active_share: float
+    running: int
+    slots: int
+    oldest: Instant
+
+
+QueueRank = tuple[float, float]
+"""Sort key of a team in a queue; the lowest one is served first."""
+
+
+class QueuePolicy(Protocol):
+    """Order in which the teams of one queue get free upstream slots.
+
+    Inside a team, requests are served in order of arrival. A team is ranked again
+    whenever its own use or oldest request changes, so a rank costs O(1).
+    """
+
+    def rank(self, use: QueueUse) -> QueueRank:
+        """Return the team's sort key."""
--- /dev/null
+++ b/tests/utils/build_requests.py
@@ -0,0 +1,187 @@
+"""Builders of test data for requests, tickets and dispatchers."""
+
+from collections.abc import Sequence
+from typing import TypeVar
+
+from tamarackmount.ids import (
+    Epoch,
+    Incarnation,
+    Instant,
+    MemberId,
+    QueueName,
+    RequestId,
+    TeamId,
+    TicketId,
+    UpstreamId,
+)
+from tamarackmount.kernel.dispatcher import Dispatcher
+from tamarackmount.kernel.lines import WaitingTicket
+from tamarackmount.kernel.messages import (
+    AttemptResult,
+    TicketGrant,
+    TicketRefusal,
+    TicketRelease,
+    TicketRequest,
+)
+from tamarackmount.kernel.queue_board import QueueRules, RequestLimits
+from tamarackmount.kernel.request_effects import (
+    DispatcherEffect,
+    NewRequest,
+    RequestTiming,
+)
+from tamarackmount.kernel.requests import RequestTable
+from tamarackmount.kernel.slots import ListedUpstream
+
+M1 = MemberId("m1")
+M2 = MemberId("m2")
+M3 = MemberId("m3")
+COUNTER = QueueName("counter")
+RETAIL = TeamId("retail")
+DESIGN = TeamId("design")
+SERVICE = "counter-service"
+
+TIMING = RequestTiming(
+    max_ticket_ms=2_000,
+    clock_margin_ms=100,
+    attempt_memory_ms=60_000,
+    resend_ms=500,
+    owner_grace_ms=300,
+    retry_ratio=0.1,
+    retry_burst=2.0,
+)
+
+T = TypeVar("T")
+
+
+def at(seconds: float) -> Instant:
+    """Return an instant."""
+    return Instant(seconds)
+
+
+def build_request(
+    call_id: int = 1,
+    *,
+    request_id: str = "",
+    team_id: TeamId = RETAIL,
+    idempotent: bool = True,
+    deadline: float = 10.0,
+) -> NewRequest:
+    """Return a caller's request."""
+    return NewRequest(
+        call_id=call_id,
+        request_id=RequestId(request_id or f"r{call_id}"),
+        team_id=team_id,
+        queue=COUNTER,
+        idempotent=idempotent,
+        deadline=at(deadline),
+    )
+
+
+def build_ticket_request(
+    ticket_id: str = "t1",
+    *,
+    request_id: str = "",
+    team_id: TeamId = RETAIL,
+    queue: QueueName = COUNTER,
+    idempotent: bool = True,
+    remaining_ms: int = 1_000,
+    excluded: Sequence[str] = (),
+) -> TicketRequest:
+    """Return an entry VM's question for a ticket."""
+    return TicketRequest(
+        ticket_id=TicketId(ticket_id),
+        request_id=RequestId(request_id or f"request-of-{ticket_id}"),
+        team_id=team_id,
+        queue=queue,
+        idempotent=idempotent,
+        remaining_ms=remaining_ms,
+        excluded=[UpstreamId(upstream_id) for upstream_id in excluded],
+    )
+
+
+def build_waiting_ticket(
+    ticket_id: str = "t1",
+    *,
+    team_id: TeamId = RETAIL,
+    arrived_at: float = 0.0,
+    deadline: float = 10.0,
+) -> WaitingTicket:
+    """Return a ticket that waits at the owner."""
+    request = build_ticket_request(ticket_id, team_id=team_id)
+    return WaitingTicket(request, M1, at(arrived_at), at(deadline))
+
+
+def build_release(
+    ticket_id: str = "t1",
+    result: AttemptResult = AttemptResult.ANSWERED,
+    service_ms: int = 20,
+) -> TicketRelease:
+    """Return the release of a ticket."""
+    return TicketRelease(TicketId(ticket_id), result, service_ms)
+
+
+def build_upstreams(count: int = 1, slots: int = 1) -> list[ListedUpstream]:
+    """Return upstreams ``u1``, ``u2`` and so on."""
+    return [
+        ListedUpstream(UpstreamId(f"u{number}"), SERVICE, slots)
+        for number in range(1, count + 1)
+    ]
+
+
+def build_table(timing: RequestTiming = TIMING) -> RequestTable:
+    """Return the table of ``m1``, which knows the owner ``m2`` of epoch 1."""
+    table = RequestTable(M1, Incarnation(1), timing)
+    table.fence(Epoch(1), at(0))
+    table.owner_changed(M2, at(0))
+    return table
+
+
+def build_grant(
+    ticket_id: str = "m1/1/1",
+    upstream_id: str = "u1",
+    *,
+    epoch: int = 1,
+    remaining_ms: int = 5_000,
+) -> TicketGrant:
+    """Return a grant of a ticket."""
+    return TicketGrant(
+        TicketId(ticket_id), UpstreamId(upstream_id), Epoch(epoch), remaining_ms
+    )
+
+
+def build_dispatcher(
+    *,
+    upstreams: Sequence[ListedUpstream] | None = None,
+    rules: QueueRules | None = None,
+    teams_by_id: dict[TeamId, RequestLimits] | None = None,
+    members: Sequence[MemberId] = (M1, M2),
+    timing: RequestTiming = TIMING,
+    fresh: bool = True,
+    serve_alone: bool = False,
+) -> Dispatcher:
+    """Return a dispatcher of ``m1`` in epoch 1 with one queue, as of time 0."""
+    dispatcher = Dispatcher(
+        Epoch(1), M1, timing, at(0), fresh=fresh, serve_alone=serve_alone
+    )
+    dispatcher.set_queues({COUNTER: rules or QueueRules(SERVICE)}, at(0))
+    dispatcher.set_teams(teams_by_id or {}, at(0))
+    dispatcher.set_upstreams(
+        build_upstreams() if upstreams is None else upstreams, at(0)
+    )
+    dispatcher.set_members(frozenset(members), at(0))
+    return dispatcher
+
+
+def messages_of(effects: Sequence[DispatcherEffect], kind: type[T]) -> list[T]:
+    """Return the messages of one type among the effects."""
+    return [effect.message for effect in effects if isinstance(effect.message, kind)]
+
+
+def grants(effects: Sequence[DispatcherEffect]) -> list[str]:
+    """Return the ids of the granted tickets."""
+    return [grant.ticket_id for grant in messages_of(effects, TicketGrant)]
+
+
+def refusals(effects: Sequence[DispatcherEffect]) -> list[TicketRefusal]:
+    """Return the refusals."""
+    return messages_of(effects, TicketRefusal)
