--- a/tamarackmount/kernel/dispatcher.py
+++ b/tamarackmount/kernel/dispatcher.py
@@ -142,6 +142,7 @@
         joined = live - self._live
         is_first = not self._live
         self._live = live
+        self._lending.set_members(live)
         effects = self._lose_members(lost, now)
         effects += self._takeover.members_joined(joined, now)
         if not is_first:
--- a/tamarackmount/kernel/requests.py
+++ b/tamarackmount/kernel/requests.py
@@ -123,7 +123,7 @@
         if result is AttemptResult.UNUSED:
             result = AttemptResult.FAILED_BEFORE_SEND
         attempt = request.attempt
-        service_ms = int((now - attempt.started_at) * MS_PER_SECOND)
+        service_ms = round((now - attempt.started_at) * MS_PER_SECOND)
         release = _release(ticket_id, result, service_ms)
         self._remember_end(request, result, now)
         self._running.discard(request.new.call_id)
@@ -291,10 +291,10 @@
     ) -> list[RequestEffect]:
         if request.attempt is None:
             return self._refuse(request, RefusalReason.DEADLINE, 0)
-        ended = self.attempt_ended(
-            request.ticket_id, AttemptResult.FAILED_AFTER_SEND, now
-        )
-        return [AbortUpstream(request.ticket_id), *ended]
+        # A retry gives the request another ticket.
+        ticket_id = request.ticket_id
+        ended = self.attempt_ended(ticket_id, AttemptResult.FAILED_AFTER_SEND, now)
+        return [AbortUpstream(ticket_id), *ended]
 
     def _refuse(
         self, request: RequestEntry, reason: RefusalReason, retry_after_ms: int
