--- /dev/null
+++ b/tests/test_request_machine.py
@@ -0,0 +1,211 @@
+"""Requests keep their promises under loss, delay, death, pauses and takeovers.
+
+At most one member is dead or paused at a time, and a member fails only after the
+attempts that it remembers are remembered by another: two members remember each.
+"""
+
+from dataclasses import dataclass
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from tamarackmount.ids import Instant, RequestId, TeamId
+from tamarackmount.kernel.request_effects import NewRequest
+from tests.utils.build_requests import COUNTER, DESIGN, M1, RETAIL
+from tests.utils.request_fleet import Fleet, Member
+
+INDEX = st.integers(0, 1_000)
+"""Picks one of what there is, by its remainder."""
+
+
+@dataclass(frozen=True)
+class Draft:
+    """A request as a caller thinks of it."""
+
+    index: int
+    team_id: TeamId
+    number: int
+    idempotent: bool
+    seconds: float
+
+
+DRAFT = st.builds(
+    Draft,
+    index=INDEX,
+    team_id=st.sampled_from([RETAIL, DESIGN]),
+    number=st.integers(0, 3),
+    idempotent=st.booleans(),
+    seconds=st.sampled_from([0.4, 1.0, 2.5, 4.0]),
+)
+
+ROUNDS = st.lists(INDEX, min_size=1, max_size=8)
+"""Rounds in which messages and upstreams do what they should."""
+
+
+class RequestMachine(RuleBasedStateMachine):
+    """One data centre whose network, members and callers do as they like."""
+
+    def __init__(self) -> None:
+        """Start with three members and no owner."""
+        super().__init__()
+        self.fleet = Fleet()
+        self.call_number = 0
+
+    @initialize()
+    def first_owner(self) -> None:
+        self.fleet.take_over(self.fleet.members[M1], fresh=True)
+        self.fleet.settle_attempts()
+
+    def member(self, index: int) -> Member:
+        running = self.fleet.running()
+        return running[index % len(running)]
+
+    @rule(drafts=st.lists(DRAFT, min_size=1, max_size=6))
+    def submit(self, drafts: list[Draft]) -> None:
+        for draft in drafts:
+            self.submit_one(draft)
+
+    def submit_one(self, draft: Draft) -> None:
+        member = self.member(draft.index)
+        self.call_number += 1
+        deadline = self.fleet.now + draft.seconds
+        kind = "query" if draft.idempotent else "order"
+        request = NewRequest(
+            call_id=self.call_number,
+            request_id=RequestId(f"{kind}-{draft.number}"),
+            team_id=draft.team_id,
+            queue=COUNTER,
+            idempotent=draft.idempotent,
+            deadline=Instant(self.fleet.clock(member.member_id, draft.seconds)),
+        )
+        self.fleet.submit(member, request, deadline)
+
+    @precondition(lambda self: self.fleet.deliverable())
+    @rule(index=INDEX)
+    def deliver(self, index: int) -> None:
+        envelopes = self.fleet.deliverable()
+        envelope = envelopes[index % len(envelopes)]
+        self.fleet.network.remove(envelope)
+        self.fleet.deliver(envelope)
+
+    @rule(rounds=ROUNDS)
+    def work(self, rounds: list[int]) -> None:
+        """Let requests make progress."""
+        for index in rounds:
+            self.deliver_all()
+            self.deliver_all()
+            self.connect_all()
+            self.fleet.check()
+            if index % 4:
+                self.answer_one(index)
+
+    def deliver_all(self) -> None:
+        for envelope in self.fleet.deliverable():
+            self.fleet.network.remove(envelope)
+            self.fleet.deliver(envelope)
+
+    def connect_all(self) -> None:
+        for execution in self.fleet.connecting():
+            self.fleet.connect(execution)
+
+    def answer_one(self, index: int) -> None:
+        executions = self.fleet.answerable()
+        if executions:
+            self.fleet.answer(executions[index % len(executions)])
+
+    @precondition(lambda self: self.fleet.deliverable())
+    @rule(index=INDEX)
+    def double(self, index: int) -> None:
+        envelopes = self.fleet.deliverable()
+        self.fleet.deliver(envelopes[index % len(envelopes)])
+
+    @precondition(lambda self: self.fleet.network)
+    @rule(index=INDEX)
+    def lose(self, index: int) -> None:
+        del self.fleet.network[index % len(self.fleet.network)]
+
+    @precondition(lambda self: self.fleet.connecting())
+    @rule(index=INDEX)
+    def connect(self, index: int) -> None:
+        executions = self.fleet.connecting()
+        self.fleet.connect(executions[index % len(executions)])
+
+    @precondition(lambda self: self.fleet.connecting())
+    @rule(index=INDEX)
+    def fail_to_connect(self, index: int) -> None:
+        executions = self.fleet.connecting()
+        self.fleet.fail_to_connect(executions[index % len(executions)])
+
+    @precondition(lambda self: self.fleet.answerable())
+    @rule(index=INDEX)
+    def answer(self, index: int) -> None:
+        executions = self.fleet.answerable()
+        self.fleet.answer(executions[index % len(executions)])
+
+    @precondition(lambda self: self.fleet.answerable())
+    @rule(index=INDEX)
+    def disconnect(self, index: int) -> None:
+        executions = self.fleet.answerable()
+        self.fleet.disconnect(executions[index % len(executions)])
+
+    @precondition(lambda self: self.fleet.open_calls())
+    @rule(index=INDEX)
+    def leave(self, index: int) -> None:
+        calls = self.fleet.open_calls()
+        self.fleet.leave(calls[index % len(calls)])
+
+    @rule(seconds=st.sampled_from([0.01, 0.05, 0.2, 0.5, 1.7]))
+    def advance(self, seconds: float) -> None:
+        self.fleet.advance(seconds)
+        self.fleet.check_in_time()
+
+    @rule()
+    def announce(self) -> None:
+        self.fleet.announce()
+        self.fleet.tell_owner_of_members()
+
+    @precondition(lambda self: len(self.fleet.running()) == 3)
+    @rule(index=INDEX)
+    def kill(self, index: int) -> None:
+        self.fleet.settle_attempts()
+        self.fleet.kill(self.member(index))
+
+    @precondition(lambda self: len(self.fleet.running()) == 3)
+    @rule(index=INDEX)
+    def pause(self, index: int) -> None:
+        self.fleet.settle_attempts()
+        self.member(index).is_paused = True
+
+    @precondition(lambda self: len(self.fleet.running()) < 3)
+    @rule()
+    def come_back(self) -> None:
+        self.fleet.bring_everyone_back()
+
+    @precondition(lambda self: self.fleet.owner_is_away())
+    @rule(index=INDEX)
+    def succeed(self, index: int) -> None:
+        self.fleet.take_over(self.member(index))
+
+    @rule(index=INDEX, chance=st.integers(0, 5))
+    def hand_over(self, index: int, chance: int) -> None:
+        if not chance:
+            self.fleet.take_over(self.member(index))
+
+    @invariant()
+    def promises_hold(self) -> None:
+        self.fleet.check()
+
+    def teardown(self) -> None:
+        self.fleet.end_quietly()
+        self.fleet.check()
+
+
+TestRequestMachine = RequestMachine.TestCase
+TestRequestMachine.settings = settings(max_examples=100, stateful_step_count=60)
