Count quarantined slots against team ceilings after a takeover

A lost member may run requests of a team that has a ceiling, and the new owner granted up to the whole ceiling on top. What lost members hold is at most the ceiling less what was reported and at most the quarantined slots; that much now counts until the quarantine ends.

--- a/tamarackmount/kernel/lending.py
+++ b/tamarackmount/kernel/lending.py
@@ -87,6 +87,7 @@
     def dispatch(self, now: Instant) -> list[DispatcherEffect]:
         """Lend free slots to waiting tickets for as long as there are both."""
         effects: list[DispatcherEffect] = []
+        self._board.set_quarantined(self._ledger.quarantined_slots())
         for service in self._board.services():
             self._board.set_slots(service, self._ledger.usable_slots(service))
             while (choice := self._choose(service)) is not None:
@@ -164,7 +165,7 @@
             ends_at=after_ms(lent_until, self._timing.clock_margin_ms),
         )
         self._ledger.adopt(loan)
-        self._board.began(held.team_id, held.queue)
+        self._board.adopted(held.team_id, held.queue)
 
     def _choose(self, service: str) -> _Choice | None:
         if not self._ledger.has_free(service):
--- a/tamarackmount/kernel/queue_board.py
+++ b/tamarackmount/kernel/queue_board.py
@@ -46,6 +46,8 @@
         self._limits_by_team: dict[TeamId, RequestLimits] = {}
         self._running_by_team: Counter[TeamId] = Counter()
         self._running_by_queue: dict[QueueName, Counter[TeamId]] = {}
+        self._adopted_by_team: Counter[TeamId] = Counter()
+        self._quarantined_slots = 0
 
     @property
     def waiting(self) -> int:
@@ -88,7 +90,14 @@
     def at_ceiling(self, team_id: TeamId) -> bool:
         """Tell whether the team may not get another slot."""
         ceiling = self.limits(team_id).running_requests
-        return ceiling is not None and self._running_by_team[team_id] >= ceiling
+        if ceiling is None:
+            return False
+        adopted = self._adopted_by_team[team_id]
+        # The earlier owner kept the ceiling, so what lost members hold of the team
+        # is at most the ceiling less what was reported, and at most what is
+        # quarantined.
+        maybe_lost = min(self._quarantined_slots, max(0, ceiling - adopted))
+        return self._running_by_team[team_id] + maybe_lost >= ceiling
 
     def set_queues(
         self, rules_by_queue: Mapping[QueueName, QueueRules]
@@ -112,6 +121,14 @@
         for team_id in touched:
             self._update_team(team_id)
 
+    def set_quarantined(self, slots: int) -> None:
+        """Set how many slots lost members may hold, which count for each ceiling."""
+        if slots == self._quarantined_slots:
+            return
+        self._quarantined_slots = slots
+        for team_id in self._limits_by_team:
+            self._update_team(team_id)
+
     def set_slots(self, service: str, slots: int) -> None:
         """Set the number of slots that the service's queues divide."""
         for line in self.lines(service):
@@ -166,6 +183,11 @@
         for line in lines:
             yield from line.heads()
 
+    def adopted(self, team_id: TeamId, queue: QueueName) -> None:
+        """Count a slot that the team got from an earlier owner."""
+        self._adopted_by_team[team_id] += 1
+        self._count(team_id, queue, 1)
+
     def began(self, team_id: TeamId, queue: QueueName) -> None:
         """Count a slot that the team got."""
         self._count(team_id, queue, 1)
--- a/tamarackmount/kernel/slots.py
+++ b/tamarackmount/kernel/slots.py
@@ -152,6 +152,12 @@
         """Return the slots of the service that are neither quarantined nor closed."""
         return self._usable_by_service.get(service, 0)
 
+    def quarantined_slots(self) -> int:
+        """Return how many slots of all upstreams lost members may hold."""
+        if self._quarantined_until is None:
+            return 0
+        return sum(map(self._quarantined, self._records_by_upstream.values()))
+
     def loan(self, ticket_id: TicketId) -> Loan | None:
         """Return the loan of a ticket."""
         return self._loans_by_ticket.get(ticket_id)
--- a/tests/test_dispatcher_takeover.py
+++ b/tests/test_dispatcher_takeover.py
@@ -1,6 +1,6 @@
 """A new owner lends nothing that a lost owner may still have out."""
 
-from tamarackmount.ids import Epoch, MemberId, RequestId, TicketId, UpstreamId
+from tamarackmount.ids import Epoch, MemberId, RequestId, TeamId, TicketId, UpstreamId
 from tamarackmount.kernel.dispatcher import Dispatcher
 from tamarackmount.kernel.messages import (
     AttemptCopy,
@@ -11,9 +11,11 @@
     HoldingsRequest,
     RefusalReason,
 )
+from tamarackmount.kernel.queue_board import RequestLimits
 from tamarackmount.kernel.request_effects import DispatcherEffect
 from tests.utils.build_requests import (
     COUNTER,
+    DESIGN,
     M1,
     M2,
     M3,
@@ -29,11 +31,13 @@
 )
 
 
-def build_held(ticket_id: str, remaining_ms: int = 1_500) -> HeldTicket:
+def build_held(
+    ticket_id: str, remaining_ms: int = 1_500, team_id: TeamId = RETAIL
+) -> HeldTicket:
     return HeldTicket(
         ticket_id=TicketId(ticket_id),
         request_id=RequestId(f"request-of-{ticket_id}"),
-        team_id=RETAIL,
+        team_id=team_id,
         queue=COUNTER,
         upstream_id=UpstreamId("u1"),
         idempotent=True,
@@ -183,3 +187,39 @@
     report(dispatcher, M2, build_held("old"))
     snapshot = dispatcher.snapshot()
     assert (snapshot.waiting, snapshot.lent) == (0, 1)
+
+
+def build_successor_with_ceiling(ceiling: int) -> Dispatcher:
+    """Return a successor whose team ``retail`` has a ceiling, with a free slot."""
+    dispatcher = build_dispatcher(
+        upstreams=build_upstreams(slots=3),
+        teams_by_id={RETAIL: RequestLimits(running_requests=ceiling)},
+        fresh=False,
+    )
+    report(dispatcher, M1)
+    report(dispatcher, M2, build_held("old", team_id=DESIGN))
+    dispatcher.released(M2, build_release("old"), at(0.1))
+    return dispatcher
+
+
+def test_quarantined_slots_count_against_a_ceiling() -> None:
+    dispatcher = build_successor_with_ceiling(2)
+    assert ask(dispatcher, "a", now=0.1) == []
+    assert grants(dispatcher.tick(at(2.1))) == ["a"]
+
+
+def test_ceiling_above_the_quarantined_slots_leaves_the_rest() -> None:
+    dispatcher = build_successor_with_ceiling(3)
+    assert grants(ask(dispatcher, "a", now=0.1)) == ["a"]
+
+
+def test_reported_requests_are_not_counted_twice_against_a_ceiling() -> None:
+    dispatcher = build_dispatcher(
+        upstreams=build_upstreams(slots=3),
+        teams_by_id={RETAIL: RequestLimits(running_requests=1)},
+        fresh=False,
+    )
+    report(dispatcher, M1)
+    report(dispatcher, M2, build_held("old"))
+    ask(dispatcher, "a", now=0.1)
+    assert grants(dispatcher.released(M2, build_release("old"), at(0.1))) == ["a"]
--- a/tests/test_request_machine.py
+++ b/tests/test_request_machine.py
@@ -42,7 +42,7 @@
     team_id=st.sampled_from([RETAIL, DESIGN]),
     number=st.integers(0, 3),
     idempotent=st.booleans(),
-    seconds=st.sampled_from([0.4, 1.0, 2.5, 4.0]),
+    seconds=st.sampled_from([0.6, 1.5, 3.0, 5.0]),
 )
 
 ROUNDS = st.lists(INDEX, min_size=1, max_size=8)
@@ -67,10 +67,12 @@
         running = self.fleet.running()
         return running[index % len(running)]
 
-    @rule(drafts=st.lists(DRAFT, min_size=1, max_size=6))
-    def submit(self, drafts: list[Draft]) -> None:
+    @rule(drafts=st.lists(DRAFT, min_size=1, max_size=6), rounds=st.integers(0, 2))
+    def submit(self, drafts: list[Draft], rounds: int) -> None:
         for draft in drafts:
             self.submit_one(draft)
+        for _ in range(rounds):
+            self.make_progress()
 
     def submit_one(self, draft: Draft) -> None:
         member = self.member(draft.index)
@@ -99,13 +101,16 @@
     def work(self, rounds: list[int]) -> None:
         """Let requests make progress."""
         for index in rounds:
-            self.deliver_all()
-            self.deliver_all()
-            self.connect_all()
-            self.fleet.check()
-            if index % 4:
+            self.make_progress()
+            if index % 3 == 0:
                 self.answer_one(index)
 
+    def make_progress(self) -> None:
+        self.deliver_all()
+        self.deliver_all()
+        self.connect_all()
+        self.fleet.check()
+
     def deliver_all(self) -> None:
         for envelope in self.fleet.deliverable():
             self.fleet.network.remove(envelope)
@@ -161,7 +166,7 @@
         calls = self.fleet.open_calls()
         self.fleet.leave(calls[index % len(calls)])
 
-    @rule(seconds=st.sampled_from([0.01, 0.05, 0.2, 0.5, 1.7]))
+    @rule(seconds=st.sampled_from([0.01, 0.05, 0.2, 0.2, 0.5, 1.7]))
     def advance(self, seconds: float) -> None:
         self.fleet.advance(seconds)
         self.fleet.check_in_time()
@@ -188,6 +193,20 @@
     def come_back(self) -> None:
         self.fleet.bring_everyone_back()
 
+    @precondition(lambda self: len(self.fleet.running()) == 3)
+    @rule(index=INDEX, successor=INDEX, kills=st.booleans())
+    def fail_over(self, index: int, successor: int, kills: bool) -> None:
+        """Lose a member in the middle of its work; another one takes over."""
+        self.fleet.settle_attempts()
+        member = self.member(index)
+        if kills:
+            self.fleet.kill(member)
+        else:
+            member.is_paused = True
+        self.fleet.take_over(self.member(successor))
+        self.deliver_all()
+        self.deliver_all()
+
     @precondition(lambda self: self.fleet.owner_is_away())
     @rule(index=INDEX)
     def succeed(self, index: int) -> None:
--- a/tests/utils/request_fleet.py
+++ b/tests/utils/request_fleet.py
@@ -63,7 +63,7 @@
 )
 
 LIMITS_BY_TEAM = {
-    RETAIL: RequestLimits(share=2.0, running_requests=2),
+    RETAIL: RequestLimits(share=2.0, running_requests=1),
     DESIGN: RequestLimits(share=1.0),
 }
 
