Scheduler core: batch and service jobs start, end and get cancelled

Cause: a data centre's owner has to accept, place, watch and end tasks on its workers, and to do so provably once. Commands count from their sending until the attempt is provably over; an end is taken from reports, never from the answer to a stop, which does not say which command it answers.

--- /dev/null
+++ b/tamarackmount/kernel/cell.py
@@ -0,0 +1,125 @@
+"""State that the parts of a scheduler share."""
+
+import heapq
+from dataclasses import dataclass, field
+
+from tamarackmount.ids import (
+    DataCentreId,
+    Epoch,
+    Instant,
+    JobId,
+    MemberId,
+    TeamId,
+    WorkerId,
+)
+from tamarackmount.kernel.capacity import CapacityLedger
+from tamarackmount.kernel.job_effects import (
+    AnswerJob,
+    JobEffect,
+    SchedulerTiming,
+    TeamUsage,
+)
+from tamarackmount.kernel.job_table import JobTable
+from tamarackmount.kernel.jobs import Job, TaskState
+from tamarackmount.kernel.record_saves import RecordSaves
+from tamarackmount.kernel.shares import TeamAccounts
+from tamarackmount.kernel.waiting_queue import WaitingQueue
+from tamarackmount.kernel.worker_health import WorkerHealth
+from tamarackmount.kernel.worker_links import WorkerLink
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Pause:
+    """A task that may be started again from ``until`` on."""
+
+    until: Instant
+    job_id: JobId
+    index: int
+
+
+@dataclass(slots=True)
+class Cell:
+    """One data centre as its owner sees it.
+
+    ``step`` numbers the calls of the scheduler; effects of a call are collected in
+    ``effects``. ``place_needed`` is set when something may have become placeable.
+    """
+
+    data_centre: DataCentreId
+    owner: MemberId
+    epoch: Epoch
+    timing: SchedulerTiming
+    table: JobTable
+    saves: RecordSaves
+    health: WorkerHealth
+    ledger: CapacityLedger = field(default_factory=CapacityLedger)
+    accounts: TeamAccounts = field(default_factory=TeamAccounts)
+    queue: WaitingQueue = field(default_factory=WaitingQueue)
+    links_by_worker: dict[WorkerId, WorkerLink] = field(default_factory=dict)
+    pauses: list[Pause] = field(default_factory=list)
+    effects: list[JobEffect] = field(default_factory=list)
+    step: int = 0
+    superseded: bool = False
+    place_needed: bool = True
+
+    def emit(self, effect: JobEffect) -> None:
+        """Add an effect; a superseded owner only answers callers."""
+        if self.superseded and not isinstance(effect, AnswerJob):
+            return
+        self.effects.append(effect)
+
+    def take_effects(self) -> list[JobEffect]:
+        """Return the collected effects and start anew."""
+        effects = self.effects
+        self.effects = []
+        return effects
+
+    def lease_deadline(self, sent_at: Instant) -> Instant:
+        """Return when an attempt renewed by a call sent now is over at the latest."""
+        timing = self.timing
+        term = timing.command_timeout_s + timing.task_lease_s + timing.clock_margin_s
+        return Instant(sent_at + term)
+
+    def pause(self, job: Job, index: int, now: Instant) -> None:
+        """Let a task wait a little before its next attempt."""
+        until = Instant(now + self.timing.retry_pause_s)
+        job.paused_until_by_index[index] = until
+        heapq.heappush(self.pauses, Pause(until, job.id, index))
+
+    def end_pauses(self, now: Instant) -> None:
+        """Let tasks wait for placement whose pause is over."""
+        while self.pauses and self.pauses[0].until <= now:
+            pause = heapq.heappop(self.pauses)
+            job = self.table.jobs_by_id.get(pause.job_id)
+            if job is None:
+                continue
+            if job.paused_until_by_index.get(pause.index) != pause.until:
+                continue
+            del job.paused_until_by_index[pause.index]
+            job.waiting.add(pause.index)
+            self.queue.refresh(job)
+            self.place_needed = True
+
+    def refresh_worker(self, worker_id: WorkerId) -> None:
+        """Open or close a worker for placement, as its link and health ask for."""
+        link = self.links_by_worker[worker_id]
+        is_open = link.takes_work and self.health.accepts(worker_id)
+        if self.ledger.set_open(worker_id, is_open) and is_open:
+            self.place_needed = True
+
+    def settle(self, job: Job, now: Instant) -> None:
+        """Note a change of the job: queue it, save it, and close it when over."""
+        self.queue.refresh(job)
+        self.saves.mark(job, now)
+        if not job.is_over() or job.ended:
+            return
+        job.ended = True
+        self.saves.mark(job, now, soon=True)
+        self.table.drop_after(job, Instant(now + self.timing.job_memory_s))
+
+    def usage_of(self, team_id: TeamId) -> TeamUsage:
+        """Return what a team uses and has waiting."""
+        account = self.accounts.account(team_id)
+        jobs = self.table.of_team(team_id)
+        waiting = sum(job.counts()[TaskState.WAITING] for job in jobs)
+        return TeamUsage(account.running_tasks, account.amount, waiting)
--- /dev/null
+++ b/tamarackmount/kernel/job_calls.py
@@ -0,0 +1,173 @@
+"""Answers callers' calls about jobs."""
+
+from collections.abc import Callable
+
+from returns.result import Failure
+
+from tamarackmount.ids import Instant, JobId, MemberId
+from tamarackmount.job_spec import JobSpec, describe_errors, parse_job_spec
+from tamarackmount.kernel.cell import Cell
+from tamarackmount.kernel.job_effects import AnswerJob
+from tamarackmount.kernel.job_views import (
+    error_text,
+    explanation_text,
+    job_text,
+    jobs_text,
+)
+from tamarackmount.kernel.jobs import Job
+from tamarackmount.kernel.messages import JobAction, JobAnswer, JobCall
+from tamarackmount.kernel.placing import Placing
+from tamarackmount.kernel.runnable import check
+from tamarackmount.kernel.task_ends import TaskEnds
+
+OK = 200
+CREATED = 201
+ACCEPTED = 202
+BAD_REQUEST = 400
+NOT_FOUND = 404
+CONFLICT = 409
+UNAVAILABLE = 503
+
+RETRY_AFTER_MS = 1_000
+"""When a caller may try again what could not be done now, in milliseconds."""
+
+MAX_DROPPED_REMEMBERED = 10_000
+"""Refused jobs whose record versions are remembered for a later submission."""
+
+
+class JobCalls:
+    """Accepts, shows, explains and cancels jobs."""
+
+    def __init__(self, cell: Cell, ends: TaskEnds, placing: Placing) -> None:
+        """Work on the state of ``cell``."""
+        self._cell = cell
+        self._ends = ends
+        self._placing = placing
+        self._waiting_by_job: dict[JobId, list[AnswerJob]] = {}
+        self._dropped_versions_by_job: dict[JobId, int] = {}
+        self._actions: dict[JobAction, Callable[[MemberId, JobCall, Instant], None]] = {
+            JobAction.SUBMIT: self._submit,
+            JobAction.LIST: self._list,
+            JobAction.VIEW: self._view,
+            JobAction.EXPLAIN: self._explain,
+            JobAction.CANCEL: self._cancel,
+        }
+
+    def take(self, origin: MemberId, call: JobCall, now: Instant) -> None:
+        """Carry a call out, or refuse it if another owner took over."""
+        if self._cell.superseded:
+            self._refuse(origin, call, UNAVAILABLE, "no_owner", "the owner changed")
+            return
+        self._actions[call.action](origin, call, now)
+
+    def accepted(self, job: Job, now: Instant) -> None:
+        """Answer the callers of a submitted job whose record is held."""
+        if job.accepted:
+            return
+        job.accepted = True
+        job.waiting_since = now
+        check(self._cell, job, now)
+        self._cell.queue.refresh(job)
+        status = CREATED
+        for waiting in self._waiting_by_job.pop(job.id, []):
+            call_id = waiting.answer.call_id
+            self._answer(waiting.origin, call_id, status, job_text(job))
+            status = OK
+
+    def refused(self, job: Job) -> None:
+        """Drop a submitted job whose record nobody holds; it never started."""
+        if job.accepted:
+            return
+        self._cell.table.remove(job)
+        self._cell.saves.mark_dropped(job)
+        self._remember_dropped(job)
+        body = error_text("not_durable", "nobody can hold the job", RETRY_AFTER_MS)
+        for waiting in self._waiting_by_job.pop(job.id, []):
+            answer = JobAnswer(
+                waiting.answer.call_id, UNAVAILABLE, body, RETRY_AFTER_MS
+            )
+            self._cell.emit(AnswerJob(waiting.origin, answer))
+
+    def _remember_dropped(self, job: Job) -> None:
+        versions = self._dropped_versions_by_job
+        versions[job.id] = job.version
+        if len(versions) > MAX_DROPPED_REMEMBERED:
+            del versions[next(iter(versions))]
+
+    def _submit(self, origin: MemberId, call: JobCall, now: Instant) -> None:
+        result = parse_job_spec(call.spec)
+        if isinstance(result, Failure):
+            message = describe_errors(result.failure())
+            self._refuse(origin, call, BAD_REQUEST, "bad_request", message)
+            return
+        spec = result.unwrap()
+        if spec.data_centre not in ("", self._cell.data_centre):
+            message = "data_centre: the job belongs to another data centre"
+            self._refuse(origin, call, BAD_REQUEST, "bad_request", message)
+            return
+        job_id = self._cell.table.job_id(call.team_id, spec.id)
+        known = self._cell.table.jobs_by_id.get(job_id)
+        if known is None:
+            self._add(origin, call, spec)
+        elif known.spec != spec:
+            message = "another job of the team has this id"
+            self._refuse(origin, call, CONFLICT, "conflict", message)
+        elif known.accepted:
+            self._answer(origin, call.call_id, OK, job_text(known))
+        else:
+            self._await_save(origin, call, known)
+
+    def _add(self, origin: MemberId, call: JobCall, spec: JobSpec) -> None:
+        cell = self._cell
+        job = Job(cell.table.job_id(call.team_id, spec.id), call.team_id, spec)
+        job.accepted_number = cell.table.take_number()
+        job.order = self._placing.order_of(job)
+        job.version = self._dropped_versions_by_job.pop(job.id, 0)
+        cell.table.add(job)
+        cell.saves.mark_urgent(job)
+        self._await_save(origin, call, job)
+
+    def _await_save(self, origin: MemberId, call: JobCall, job: Job) -> None:
+        pending = AnswerJob(origin, JobAnswer(call.call_id, CREATED, ""))
+        self._waiting_by_job.setdefault(job.id, []).append(pending)
+
+    def _list(self, origin: MemberId, call: JobCall, now: Instant) -> None:
+        jobs = list(self._cell.table.of_team(call.team_id))
+        self._answer(origin, call.call_id, OK, jobs_text(jobs))
+
+    def _view(self, origin: MemberId, call: JobCall, now: Instant) -> None:
+        job = self._find(origin, call)
+        if job is not None:
+            self._answer(origin, call.call_id, OK, job_text(job))
+
+    def _explain(self, origin: MemberId, call: JobCall, now: Instant) -> None:
+        job = self._find(origin, call)
+        if job is not None:
+            self._answer(origin, call.call_id, OK, explanation_text(job))
+
+    def _cancel(self, origin: MemberId, call: JobCall, now: Instant) -> None:
+        job = self._find(origin, call)
+        if job is None:
+            return
+        if not job.is_over() and not job.cancelled:
+            self._ends.cancel(job, now)
+            self._cell.saves.mark_urgent(job)
+        self._answer(origin, call.call_id, ACCEPTED, job_text(job))
+
+    def _find(self, origin: MemberId, call: JobCall) -> Job | None:
+        job = self._cell.table.find(call.team_id, call.job_id)
+        if job is None:
+            message = f"the team has no job {call.job_id}"
+            self._refuse(origin, call, NOT_FOUND, "unknown_job", message)
+        return job
+
+    def _refuse(
+        self, origin: MemberId, call: JobCall, status: int, error: str, message: str
+    ) -> None:
+        retry_after_ms = RETRY_AFTER_MS if status == UNAVAILABLE else 0
+        body = error_text(error, message, retry_after_ms)
+        answer = JobAnswer(call.call_id, status, body, retry_after_ms)
+        self._cell.emit(AnswerJob(origin, answer))
+
+    def _answer(self, origin: MemberId, call_id: int, status: int, body: str) -> None:
+        self._cell.emit(AnswerJob(origin, JobAnswer(call_id, status, body)))
--- /dev/null
+++ b/tamarackmount/kernel/jobs.py
@@ -0,0 +1,289 @@
+"""Jobs, their tasks and the attempts to run them."""
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+
+from tamarackmount.ids import Epoch, Instant, JobId, RackId, TaskId, TeamId, WorkerId
+from tamarackmount.job_spec import JobKind, JobSpec, Priority
+from tamarackmount.kernel.index_ranges import IndexRanges
+from tamarackmount.resources import Resources
+
+ATTEMPTS_PER_EPOCH = 1 << 20
+"""Attempt numbers that one owner can give out for one task."""
+
+
+class TaskState(Enum):
+    """State of a task as callers see it."""
+
+    WAITING = "waiting"
+    STARTING = "starting"
+    RUNNING = "running"
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    UNKNOWN = "unknown"
+
+
+class JobState(Enum):
+    """State of a job as callers see it."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    UNKNOWN = "unknown"
+
+
+END_STATES = (
+    TaskState.SUCCEEDED,
+    TaskState.FAILED,
+    TaskState.CANCELLED,
+    TaskState.UNKNOWN,
+)
+"""States that a task does not leave, unless its gang starts anew."""
+
+OPEN_JOB_STATES = frozenset({JobState.WAITING, JobState.RUNNING})
+"""Job states in which a task may still start or run."""
+
+
+class AttemptPhase(Enum):
+    """How far an attempt is, as the owner knows it."""
+
+    CLAIMING = "claiming"
+    SAVING = "saving"
+    STARTING = "starting"
+    RUNNING = "running"
+    CHECKPOINTING = "checkpointing"
+    STOPPING = "stopping"
+
+
+TASK_STATE_BY_PHASE = {
+    AttemptPhase.CLAIMING: TaskState.WAITING,
+    AttemptPhase.SAVING: TaskState.STARTING,
+    AttemptPhase.STARTING: TaskState.STARTING,
+    AttemptPhase.RUNNING: TaskState.RUNNING,
+    AttemptPhase.CHECKPOINTING: TaskState.RUNNING,
+    AttemptPhase.STOPPING: TaskState.RUNNING,
+}
+"""What callers see of a task with an attempt in each phase."""
+
+UNSENT_PHASES = frozenset({AttemptPhase.CLAIMING, AttemptPhase.SAVING})
+"""Phases before the start command was sent; no worker can know the attempt."""
+
+ENDING_PHASES = frozenset({AttemptPhase.CHECKPOINTING, AttemptPhase.STOPPING})
+"""Phases in which the owner wants the attempt to end."""
+
+RENEWED_PHASES = frozenset({AttemptPhase.RUNNING, AttemptPhase.CHECKPOINTING})
+"""Phases whose lease the owner renews; any other attempt is left to lapse."""
+
+
+class StopReason(Enum):
+    """Why the owner ends an attempt."""
+
+    NONE = "none"
+    CANCELLED = "cancelled"
+    PREEMPTED = "preempted"
+    CEILING = "ceiling"
+    GANG = "gang"
+    JOB_FAILED = "job_failed"
+
+
+class AttemptEnd(Enum):
+    """How an attempt came to its end."""
+
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LOST = "lost"
+    NOT_STARTED = "not_started"
+    REFUSED = "refused"
+    NO_ROOM = "no_room"
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One try to run a task on a worker.
+
+    ``sent_at`` is when its start command was sent, or the attempt was made before.
+    ``lease_until`` is when it is over at the latest if nothing is heard of it.
+    ``seen_at_step`` is the step in which the worker first confirmed it, 0 before.
+    """
+
+    job: "Job"
+    index: int
+    number: int
+    worker_id: WorkerId
+    phase: AttemptPhase
+    sent_at: Instant
+    lease_until: Instant
+    seen_at_step: int = 0
+    start_answered: bool = False
+    stop_reason: StopReason = StopReason.NONE
+    why: str = ""
+
+    @property
+    def task_id(self) -> TaskId:
+        """Return the id of the attempt's task."""
+        return task_id(self.job.id, self.index)
+
+    @property
+    def amount(self) -> Resources:
+        """Return the declared size."""
+        return self.job.amount
+
+    @property
+    def yields(self) -> bool:
+        """Tell whether urgent work may displace the attempt."""
+        return self.job.spec.idempotent and not self.job.urgent
+
+    @property
+    def ending(self) -> bool:
+        """Tell whether the owner is already bringing the attempt to its end."""
+        return self.phase in ENDING_PHASES
+
+
+class Job:
+    """A job and where each of its tasks is.
+
+    Every index is in exactly one of ``waiting``, ``paused_until_by_index``,
+    ``attempts_by_index`` and the sets of ``ended_by_state``. ``held`` jobs wait
+    until a former owner's attempts are provably over; ``never_runs`` ones until the
+    workers or the team's ceiling change.
+    """
+
+    def __init__(self, job_id: JobId, team_id: TeamId, spec: JobSpec) -> None:
+        """Make a job none of whose tasks was started."""
+        self.id = job_id
+        self.team_id = team_id
+        self.spec = spec
+        self.amount = spec.amount()
+        self.order: tuple[float, ...] = ()
+        self.accepted_number = 0
+        self.epoch = Epoch(0)
+        self.version = 0
+        self.saved_version = 0
+        self.logged = False
+        self.accepted = False
+        self.cancelled = False
+        self.failed = False
+        self.held = False
+        self.never_runs = False
+        self.ended = False
+        self.gang_broken = False
+        self.reason = ""
+        self.why_waiting = ""
+        self.waiting_since = Instant(0.0)
+        self.waiting = IndexRanges([(0, spec.tasks - 1)])
+        self.paused_until_by_index: dict[int, Instant] = {}
+        self.attempts_by_index: dict[int, Attempt] = {}
+        self.ended_by_state = {state: IndexRanges() for state in END_STATES}
+        self.failures_by_index: dict[int, int] = {}
+        self.checkpoints_by_index: dict[int, str] = {}
+        self.attempted = IndexRanges()
+        self.bad_workers_by_index: dict[int, set[WorkerId]] = {}
+        self.attempts_made = 0
+        self.gang_failures = 0
+        self.reservations = 0
+        self.reserve_from = Instant(float("-inf"))
+        self.next_try_at = Instant(float("-inf"))
+        self.tasks_by_rack: Counter[RackId] = Counter()
+
+    @property
+    def urgent(self) -> bool:
+        """Tell whether the job goes before normal work."""
+        return self.spec.priority is Priority.URGENT
+
+    @property
+    def is_gang(self) -> bool:
+        """Tell whether all tasks run at once or none."""
+        return self.spec.kind is JobKind.GANG
+
+    @property
+    def closing(self) -> bool:
+        """Tell whether no further task of the job may start."""
+        return self.cancelled or self.failed
+
+    def waiting_count(self) -> int:
+        """Return how many tasks wait, including those paused after a failure."""
+        return len(self.waiting) + len(self.paused_until_by_index)
+
+    def is_over(self) -> bool:
+        """Tell whether every task came to an end."""
+        return not self.attempts_by_index and self.waiting_count() == 0
+
+    def state(self) -> JobState:
+        """Return the state that callers see."""
+        if not self.is_over():
+            started = self.attempts_by_index or any(self.ended_by_state.values())
+            return JobState.RUNNING if started else JobState.WAITING
+        return self._end_state()
+
+    def _end_state(self) -> JobState:
+        if self.ended_by_state[TaskState.UNKNOWN]:
+            return JobState.UNKNOWN
+        if self.cancelled:
+            return JobState.CANCELLED
+        if self.failed or self.ended_by_state[TaskState.FAILED]:
+            return JobState.FAILED
+        return JobState.SUCCEEDED
+
+    def counts(self) -> dict[TaskState, int]:
+        """Return the number of tasks in each state."""
+        counts = {state: len(ended) for state, ended in self.ended_by_state.items()}
+        counts[TaskState.WAITING] = self.waiting_count()
+        counts[TaskState.STARTING] = 0
+        counts[TaskState.RUNNING] = 0
+        for attempt in self.attempts_by_index.values():
+            counts[TASK_STATE_BY_PHASE[attempt.phase]] += 1
+        return counts
+
+    def next_number(self, epoch: Epoch) -> int:
+        """Return a number that no other attempt of this job has, under any owner."""
+        self.attempts_made += 1
+        return epoch * ATTEMPTS_PER_EPOCH + self.attempts_made
+
+    def end(self, index: int, state: TaskState) -> None:
+        """Note how the task ended; it must be in no other set by now."""
+        self.ended_by_state[state].add(index)
+        self.failures_by_index.pop(index, None)
+        self.checkpoints_by_index.pop(index, None)
+        self.bad_workers_by_index.pop(index, None)
+        self.attempted.discard(index)
+
+    def end_waiting(self, state: TaskState) -> None:
+        """End every task that waits, at a cost that does not grow with them."""
+        for index in list(self.paused_until_by_index):
+            self.waiting.add(index)
+        self.paused_until_by_index.clear()
+        for first, last in self.waiting.take_all():
+            self.ended_by_state[state].add_range(first, last)
+
+    def state_of(self, index: int) -> TaskState:
+        """Return the state of one task."""
+        attempt = self.attempts_by_index.get(index)
+        if attempt is not None:
+            return TASK_STATE_BY_PHASE[attempt.phase]
+        for state, ended in self.ended_by_state.items():
+            if index in ended:
+                return state
+        return TaskState.WAITING
+
+    def live_attempts(self) -> Iterator[Attempt]:
+        """Yield the attempts that are not over, at a safe distance from changes."""
+        yield from list(self.attempts_by_index.values())
+
+
+def task_id(job_id: JobId, index: int) -> TaskId:
+    """Return the id of a job's task."""
+    return TaskId(f"{job_id}/{index}")
+
+
+def split_task_id(task: TaskId) -> tuple[JobId, int] | None:
+    """Return job id and index, or nothing if the text is no task id."""
+    job, _, index = task.rpartition("/")
+    if not job or not index.isdecimal():
+        return None
+    return JobId(job), int(index)
--- /dev/null
+++ b/tamarackmount/kernel/placing.py
@@ -0,0 +1,229 @@
+"""Places waiting tasks: urgent ones first, then by the teams' shares."""
+
+import heapq
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from itertools import islice
+
+from tamarackmount.ids import Instant, TeamId
+from tamarackmount.kernel.cell import Cell
+from tamarackmount.kernel.jobs import Attempt, Job
+from tamarackmount.kernel.policies import Policies
+from tamarackmount.kernel.preemption import Preemption
+from tamarackmount.kernel.reservations import Reservations
+from tamarackmount.kernel.task_attempts import TaskAttempts
+from tamarackmount.kernel.task_ends import TaskEnds
+from tamarackmount.plugins.job_order import Rank, TeamStanding
+from tamarackmount.plugins.placement import PlacementChoice, PlacementRequest
+from tamarackmount.resources import Resources
+
+MAX_PLACEMENTS_PER_PASS = 500
+"""Tasks placed in one pass; the rest follows in the next one."""
+
+MAX_JOBS_TRIED = 64
+"""Jobs of one team that are looked at for one task to place."""
+
+GANG_RETRY_S = 0.25
+"""Wait before a gang without room is tried again, in seconds."""
+
+IDLE_PASS_S = 1.0
+"""Longest time between two passes while anything waits, in seconds."""
+
+WAITS_FOR_ROOM = "no worker has room now"
+WAITS_FOR_GANG_ROOM = "there is no room for the whole gang now"
+WAITS_FOR_VICTIMS = "normal work is being ended to make room"
+
+
+@dataclass(order=True, slots=True)
+class _Turn:
+    rank: Rank
+    team_id: TeamId
+
+
+@dataclass(slots=True)
+class _Pass:
+    """One walk over the teams; ``full`` are sizes for which there is no room."""
+
+    now: Instant
+    left: int = MAX_PLACEMENTS_PER_PASS
+    full: set[Resources] = field(default_factory=set)
+    without_room: dict[str, Job] = field(default_factory=dict)
+
+
+class Placing:
+    """Decides which task starts next and where."""
+
+    def __init__(
+        self, cell: Cell, attempts: TaskAttempts, ends: TaskEnds, policies: Policies
+    ) -> None:
+        """Work on the state of ``cell``."""
+        self._cell = cell
+        self._attempts = attempts
+        self._policies = policies
+        self._preemption = Preemption(cell, attempts, ends)
+        self.reservations = Reservations(cell, ends)
+        self._next_idle_pass = Instant(float("-inf"))
+
+    def order_of(self, job: Job) -> tuple[float, ...]:
+        """Return the job's place among its team's jobs."""
+        rank = self._policies.job_order.job_rank(job.accepted_number)
+        return (*rank, job.accepted_number)
+
+    def run(self, now: Instant) -> None:
+        """Place all that can be placed, if anything may have become placeable."""
+        cell = self._cell
+        if cell.superseded:
+            return
+        self._preemption.resolve(now)
+        self.reservations.keep_up(now)
+        if not cell.place_needed and now < self._next_idle_pass:
+            return
+        cell.place_needed = False
+        self._next_idle_pass = Instant(now + IDLE_PASS_S)
+        walk = _Pass(now)
+        for urgent in (True, False):
+            self._walk(walk, cell.queue.teams(urgent), urgent)
+        self.reservations.reserve_oldest(list(walk.without_room.values()), now)
+        if walk.left == 0:
+            cell.place_needed = True
+
+    def run_for(self, jobs: Iterable[Job], now: Instant) -> None:
+        """Place tasks of newly accepted jobs without waiting for the next pass.
+
+        While a pass is due, room may belong to a team that comes before theirs.
+        """
+        cell = self._cell
+        jobs = [job for job in jobs if cell.queue.contains(job)]
+        if cell.superseded or not jobs:
+            return
+        walk = _Pass(now)
+        for urgent in (True, False):
+            teams = {job.team_id: None for job in jobs if job.urgent is urgent}
+            if urgent or not cell.place_needed:
+                self._walk(walk, list(teams), urgent)
+        cell.place_needed = cell.place_needed or walk.left == 0
+
+    def _walk(self, walk: _Pass, teams: list[TeamId], urgent: bool) -> None:
+        turns = [self._turn(team_id, urgent) for team_id in teams]
+        heapq.heapify(turns)
+        while turns and walk.left > 0:
+            team_id = heapq.heappop(turns).team_id
+            if not self._place_next(walk, team_id, urgent):
+                continue
+            walk.left -= 1
+            if next(self._cell.queue.jobs(team_id, urgent), None) is not None:
+                heapq.heappush(turns, self._turn(team_id, urgent))
+
+    def _turn(self, team_id: TeamId, urgent: bool) -> _Turn:
+        cell = self._cell
+        oldest = next(cell.queue.jobs(team_id, urgent))
+        share = cell.accounts.weighted_share(team_id, cell.ledger.total)
+        standing = TeamStanding(share, oldest.accepted_number)
+        return _Turn(self._policies.job_order.team_rank(standing), team_id)
+
+    def _place_next(self, walk: _Pass, team_id: TeamId, urgent: bool) -> bool:
+        jobs = islice(self._cell.queue.jobs(team_id, urgent), MAX_JOBS_TRIED)
+        return any(self._place_from(walk, job) for job in jobs)
+
+    def _place_from(self, walk: _Pass, job: Job) -> bool:
+        if job.amount in walk.full and not job.urgent and self._nothing_kept():
+            self._note_no_room(walk, job)
+            return False
+        count = job.spec.tasks if job.is_gang else 1
+        refusal = self._cell.accounts.refusal(job.team_id, job.amount, count, walk.now)
+        if refusal:
+            job.why_waiting = refusal
+            return False
+        if job.is_gang:
+            return self._place_gang(walk, job)
+        return self._place_task(walk, job)
+
+    def _nothing_kept(self) -> bool:
+        return self.reservations.current is None
+
+    def _place_task(self, walk: _Pass, job: Job) -> bool:
+        choice = self._choose_for(job)
+        if choice is not None:
+            index = job.waiting.lowest()
+            self._attempts.begin(job, index, choice.worker_id, choice.why, walk.now)
+            return True
+        if self._backfill(walk, job):
+            return True
+        if job.urgent and self._preemption.make_room(job, walk.now):
+            job.why_waiting = WAITS_FOR_VICTIMS
+            return True
+        walk.full.add(job.amount)
+        self._note_no_room(walk, job)
+        return False
+
+    def _choose_for(self, job: Job) -> PlacementChoice | None:
+        reservation = self.reservations.current
+        if reservation is None or reservation.job is not job:
+            return self._choose(job, job.waiting.lowest())
+        self.reservations.open_for_holder(kept=False)
+        choice = self._choose(job, job.waiting.lowest())
+        if choice is None:
+            self.reservations.open_for_holder(kept=True)
+        else:
+            self.reservations.give_back()
+        return choice
+
+    def _choose(self, job: Job, index: int) -> PlacementChoice | None:
+        avoid = frozenset(job.bad_workers_by_index.get(index, ()))
+        request = PlacementRequest(job.amount, avoid, job.tasks_by_rack)
+        policy = self._policies.placement_by_kind[job.spec.kind]
+        return policy.choose(self._cell.ledger, request)
+
+    def _backfill(self, walk: _Pass, job: Job) -> bool:
+        worker_id = self.reservations.backfill_worker(job, walk.now)
+        if worker_id is None:
+            return False
+        why = "fits in before the worker is needed for a reservation"
+        attempt = self._attempts.begin(
+            job, job.waiting.lowest(), worker_id, why, walk.now
+        )
+        self.reservations.note_backfill(attempt)
+        return True
+
+    def _place_gang(self, walk: _Pass, job: Job) -> bool:
+        if walk.now < job.next_try_at:
+            return False
+        holds = self.reservations.current
+        is_holder = holds is not None and holds.job is job
+        if is_holder:
+            self.reservations.open_for_holder(kept=False)
+        choices = self._choose_for_gang(job)
+        if not choices:
+            if is_holder:
+                self.reservations.open_for_holder(kept=True)
+            job.next_try_at = Instant(walk.now + GANG_RETRY_S)
+            self._note_no_room(walk, job)
+            return False
+        for index, choice in enumerate(choices):
+            self._attempts.begin(job, index, choice.worker_id, choice.why, walk.now)
+        if is_holder:
+            self.reservations.give_back()
+        return True
+
+    def _choose_for_gang(self, job: Job) -> list[PlacementChoice]:
+        """Return a worker for every task, or nothing if not all fit."""
+        ledger = self._cell.ledger
+        choices = []
+        for index in range(job.spec.tasks):
+            choice = self._choose(job, index)
+            if choice is None:
+                break
+            choices.append(choice)
+            ledger.commit(choice.worker_id, job.amount, False)
+        for choice in choices:
+            ledger.release(choice.worker_id, job.amount, False)
+        return choices if len(choices) == job.spec.tasks else []
+
+    def _note_no_room(self, walk: _Pass, job: Job) -> None:
+        job.why_waiting = WAITS_FOR_GANG_ROOM if job.is_gang else WAITS_FOR_ROOM
+        walk.without_room[job.id] = job
+
+
+def is_current(attempt: Attempt) -> bool:
+    """Tell whether the attempt is still the one of its task."""
+    return attempt.job.attempts_by_index.get(attempt.index) is attempt
--- /dev/null
+++ b/tamarackmount/kernel/task_ends.py
@@ -0,0 +1,247 @@
+"""What the end of an attempt means for its task and its job."""
+
+from enum import Enum
+
+from tamarackmount.ids import Instant
+from tamarackmount.job_spec import JobKind
+from tamarackmount.kernel.cell import Cell
+from tamarackmount.kernel.jobs import (
+    Attempt,
+    AttemptEnd,
+    Job,
+    StopReason,
+    TaskState,
+)
+from tamarackmount.kernel.task_attempts import TaskAttempts
+from tamarackmount.kernel.worker_health import PROVEN_AFTER_S
+
+
+class NextStep(Enum):
+    """What becomes of a task after an attempt."""
+
+    SUCCEED = "succeed"
+    FAIL = "fail"
+    CANCEL = "cancel"
+    END_UNKNOWN = "end_unknown"
+    WAIT = "wait"
+    PAUSE = "pause"
+    RETRY = "retry"
+
+
+IDEMPOTENT_STEPS = {
+    AttemptEnd.SUCCEEDED: NextStep.SUCCEED,
+    AttemptEnd.FAILED: NextStep.RETRY,
+    AttemptEnd.REFUSED: NextStep.RETRY,
+    AttemptEnd.NO_ROOM: NextStep.PAUSE,
+    AttemptEnd.STOPPED: NextStep.WAIT,
+    AttemptEnd.LOST: NextStep.WAIT,
+    AttemptEnd.NOT_STARTED: NextStep.WAIT,
+}
+"""After an attempt of a task that may be started again."""
+
+ONCE_STEPS = {
+    AttemptEnd.SUCCEEDED: NextStep.SUCCEED,
+    AttemptEnd.FAILED: NextStep.FAIL,
+    AttemptEnd.REFUSED: NextStep.FAIL,
+    AttemptEnd.NO_ROOM: NextStep.FAIL,
+    AttemptEnd.STOPPED: NextStep.FAIL,
+    AttemptEnd.LOST: NextStep.END_UNKNOWN,
+    AttemptEnd.NOT_STARTED: NextStep.END_UNKNOWN,
+}
+"""After the only attempt of a task that must not be started again."""
+
+CLOSING_IDEMPOTENT_STEPS = {
+    AttemptEnd.SUCCEEDED: NextStep.SUCCEED,
+    AttemptEnd.FAILED: NextStep.FAIL,
+    AttemptEnd.REFUSED: NextStep.CANCEL,
+    AttemptEnd.NO_ROOM: NextStep.CANCEL,
+    AttemptEnd.STOPPED: NextStep.CANCEL,
+    AttemptEnd.LOST: NextStep.CANCEL,
+    AttemptEnd.NOT_STARTED: NextStep.CANCEL,
+}
+"""After an attempt of a cancelled or failed job."""
+
+CLOSING_ONCE_STEPS = CLOSING_IDEMPOTENT_STEPS | {
+    AttemptEnd.LOST: NextStep.END_UNKNOWN,
+    AttemptEnd.NOT_STARTED: NextStep.END_UNKNOWN,
+}
+"""The same for tasks that must not be started again."""
+
+END_STATE_BY_STEP = {
+    NextStep.SUCCEED: TaskState.SUCCEEDED,
+    NextStep.FAIL: TaskState.FAILED,
+    NextStep.CANCEL: TaskState.CANCELLED,
+    NextStep.END_UNKNOWN: TaskState.UNKNOWN,
+}
+"""The task's state after each step that ends it."""
+
+FAILURES = frozenset({AttemptEnd.FAILED, AttemptEnd.REFUSED})
+"""Ends for which the task or its worker is at fault."""
+
+
+class TaskEnds:
+    """Decides how tasks and jobs go on once an attempt is over."""
+
+    def __init__(self, cell: Cell, attempts: TaskAttempts) -> None:
+        """Work on the state of ``cell``."""
+        self._cell = cell
+        self._attempts = attempts
+
+    def over(
+        self, attempt: Attempt, end: AttemptEnd, now: Instant, checkpoint: str = ""
+    ) -> None:
+        """Take note of an attempt that is provably over."""
+        job = attempt.job
+        self._attempts.release(attempt)
+        self._note_health(attempt, end, now)
+        if checkpoint:
+            job.checkpoints_by_index[attempt.index] = checkpoint
+        if end in FAILURES:
+            self._note_failure(attempt, now)
+        self._apply(job, attempt.index, end, now)
+        if job.is_gang:
+            self._member_over(job, end, now)
+        self._cell.settle(job, now)
+
+    def apply_reported(
+        self, job: Job, index: int, end: AttemptEnd, now: Instant
+    ) -> None:
+        """Take note of how a former owner's attempt of a waiting task ended."""
+        job.waiting.discard(index)
+        job.paused_until_by_index.pop(index, None)
+        if end in FAILURES:
+            failures = job.failures_by_index.get(index, 0)
+            job.failures_by_index[index] = failures + 1
+        self._apply(job, index, end, now)
+        self._cell.settle(job, now)
+
+    def cancel(self, job: Job, now: Instant) -> None:
+        """End every waiting task and stop every attempt of a job."""
+        job.cancelled = True
+        self._close(job, StopReason.CANCELLED, now)
+
+    def fail_job(self, job: Job, reason: str, now: Instant) -> None:
+        """Start no further task of a job; batch tasks that run may finish."""
+        if job.closing:
+            return
+        job.failed = True
+        job.reason = reason
+        self._close(job, StopReason.JOB_FAILED, now)
+
+    def break_gang(self, job: Job, now: Instant) -> None:
+        """Stop all tasks of a gang of which not all can run; it starts anew."""
+        job.gang_broken = True
+        for attempt in job.live_attempts():
+            self._attempts.stop(attempt, StopReason.GANG, now)
+        self._restart_gang_when_idle(job, now)
+
+    def evict(self, attempt: Attempt, reason: StopReason, now: Instant) -> None:
+        """Have an attempt, with the whole of a gang, make room for other work."""
+        job = attempt.job
+        if job.attempts_by_index.get(attempt.index) is not attempt:
+            return
+        if not job.is_gang:
+            self._attempts.checkpoint_then_stop(attempt, reason, now)
+            return
+        job.gang_broken = True
+        for member in job.live_attempts():
+            self._attempts.checkpoint_then_stop(member, reason, now)
+        self._restart_gang_when_idle(job, now)
+
+    def _close(self, job: Job, reason: StopReason, now: Instant) -> None:
+        self._end_waiting(job)
+        lets_finish = reason is StopReason.JOB_FAILED and job.spec.kind is JobKind.BATCH
+        for attempt in job.live_attempts():
+            if not lets_finish:
+                self._attempts.stop(attempt, reason, now)
+        self._cell.settle(job, now)
+
+    def _end_waiting(self, job: Job) -> None:
+        if not job.held:
+            job.end_waiting(TaskState.CANCELLED)
+
+    def _apply(self, job: Job, index: int, end: AttemptEnd, now: Instant) -> None:
+        step = self._step(job, end)
+        if step is NextStep.RETRY:
+            self._retry(job, index, now)
+        elif step is NextStep.PAUSE:
+            self._cell.pause(job, index, now)
+        elif step is NextStep.WAIT:
+            job.waiting.add(index)
+        else:
+            job.end(index, END_STATE_BY_STEP[step])
+            self._note_task_end(job, index, step, now)
+
+    def _step(self, job: Job, end: AttemptEnd) -> NextStep:
+        idempotent = job.spec.idempotent
+        if job.closing:
+            steps = CLOSING_IDEMPOTENT_STEPS if idempotent else CLOSING_ONCE_STEPS
+            return steps[end]
+        restarts = job.spec.kind is JobKind.SERVICE and idempotent
+        if restarts and end is AttemptEnd.SUCCEEDED:
+            return NextStep.PAUSE
+        return (IDEMPOTENT_STEPS if idempotent else ONCE_STEPS)[end]
+
+    def _note_task_end(
+        self, job: Job, index: int, step: NextStep, now: Instant
+    ) -> None:
+        fatal = step is NextStep.FAIL or (
+            step is NextStep.END_UNKNOWN and job.spec.kind is not JobKind.BATCH
+        )
+        if fatal:
+            self.fail_job(
+                job, f"task {index} ended {END_STATE_BY_STEP[step].value}", now
+            )
+
+    def _retry(self, job: Job, index: int, now: Instant) -> None:
+        if job.is_gang:
+            self._cell.pause(job, index, now)
+            return
+        failures = job.failures_by_index.get(index, 0)
+        if failures < job.spec.max_attempts:
+            self._cell.pause(job, index, now)
+            return
+        job.end(index, TaskState.FAILED)
+        self.fail_job(job, f"task {index} failed {failures} times", now)
+
+    def _note_failure(self, attempt: Attempt, now: Instant) -> None:
+        job, index = attempt.job, attempt.index
+        lasted = now - attempt.sent_at >= PROVEN_AFTER_S
+        if lasted and job.spec.kind is JobKind.SERVICE:
+            job.failures_by_index.pop(index, None)
+        job.failures_by_index[index] = job.failures_by_index.get(index, 0) + 1
+        bad_workers = job.bad_workers_by_index.setdefault(index, set())
+        bad_workers.add(attempt.worker_id)
+
+    def _note_health(self, attempt: Attempt, end: AttemptEnd, now: Instant) -> None:
+        health = self._cell.health
+        lasted = now - attempt.sent_at >= PROVEN_AFTER_S
+        if end is AttemptEnd.SUCCEEDED:
+            health.proved(attempt.worker_id)
+        elif end in FAILURES and not lasted:
+            health.failed(attempt.worker_id, attempt.job.id, now)
+        self._cell.refresh_worker(attempt.worker_id)
+
+    def _member_over(self, job: Job, end: AttemptEnd, now: Instant) -> None:
+        if job.closing:
+            return
+        if end is not AttemptEnd.SUCCEEDED and not job.gang_broken:
+            self._note_round(job, end, now)
+        if not job.closing:
+            self._restart_gang_when_idle(job, now)
+
+    def _note_round(self, job: Job, end: AttemptEnd, now: Instant) -> None:
+        if end in FAILURES:
+            job.gang_failures += 1
+        if job.gang_failures >= job.spec.max_attempts:
+            self.fail_job(job, f"the gang failed {job.gang_failures} times", now)
+            return
+        self.break_gang(job, now)
+
+    def _restart_gang_when_idle(self, job: Job, now: Instant) -> None:
+        if not job.gang_broken or job.attempts_by_index:
+            return
+        job.gang_broken = False
+        for first, last in job.ended_by_state[TaskState.SUCCEEDED].take_all():
+            job.waiting.add_range(first, last)
+        self._cell.settle(job, now)
--- /dev/null
+++ b/tamarackmount/kernel/waiting_queue.py
@@ -0,0 +1,78 @@
+"""Jobs with tasks that can be placed, by priority and team."""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from sortedcontainers import SortedDict
+
+from tamarackmount.ids import TeamId
+from tamarackmount.kernel.jobs import Job
+from tamarackmount.resources import Resources
+
+
+class WaitingQueue:
+    """Jobs in order of their rank, apart for each priority and team."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._jobs_by_team: dict[bool, dict[TeamId, SortedDict]] = {
+            True: {},
+            False: {},
+        }
+        self.jobs_by_amount: Counter[Resources] = Counter()
+
+    def refresh(self, job: Job) -> None:
+        """Put the job in or take it out, as its state asks for."""
+        queued = self.contains(job)
+        if queued == is_placeable(job):
+            return
+        if queued:
+            self._remove(job)
+        else:
+            self._add(job)
+
+    def teams(self, urgent: bool) -> list[TeamId]:
+        """Return the teams with queued jobs of a priority."""
+        return list(self._jobs_by_team[urgent])
+
+    def jobs(self, team_id: TeamId, urgent: bool) -> Iterator[Job]:
+        """Yield a team's jobs of a priority; stop at the first change made."""
+        jobs = self._jobs_by_team[urgent].get(team_id)
+        yield from jobs.values() if jobs else ()
+
+    def all_jobs(self) -> list[Job]:
+        """Return every queued job."""
+        return [
+            job
+            for by_team in self._jobs_by_team.values()
+            for jobs in by_team.values()
+            for job in jobs.values()
+        ]
+
+    def contains(self, job: Job) -> bool:
+        """Tell whether the job is queued."""
+        jobs = self._jobs_by_team[job.urgent].get(job.team_id)
+        return jobs is not None and jobs.get(job.order) is job
+
+    def _add(self, job: Job) -> None:
+        jobs = self._jobs_by_team[job.urgent].setdefault(job.team_id, SortedDict())
+        jobs[job.order] = job
+        self.jobs_by_amount[job.amount] += 1
+
+    def _remove(self, job: Job) -> None:
+        by_team = self._jobs_by_team[job.urgent]
+        del by_team[job.team_id][job.order]
+        if not by_team[job.team_id]:
+            del by_team[job.team_id]
+        self.jobs_by_amount[job.amount] -= 1
+        if not self.jobs_by_amount[job.amount]:
+            del self.jobs_by_amount[job.amount]
+
+
+def is_placeable(job: Job) -> bool:
+    """Tell whether the job has tasks that may be placed."""
+    if not job.accepted or job.held or job.closing or job.never_runs:
+        return False
+    if job.is_gang:
+        return len(job.waiting) == job.spec.tasks
+    return len(job.waiting) > 0
