--- /dev/null
+++ b/tamarackmount/adapters/http_exchange.py
@@ -0,0 +1,249 @@
+"""Whole HTTP exchanges: one request out, one whole answer back, by a deadline.
+
+An exchange succeeds only with the whole answer: status, headers and a body of
+the declared length or with a clean end of its chunked coding. Failures tell
+whether any byte may have been sent; when in doubt they say so. Nothing is retried.
+"""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, Protocol, cast
+
+from returns.result import Failure, Result, Success
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectError, ConnectingCancelledError
+from twisted.internet.protocol import Protocol as StreamProtocol
+from twisted.internet.protocol import connectionDone
+from twisted.python.failure import Failure as TwistedFailure
+from twisted.web.client import ResponseDone
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IResponse
+
+from tamarackmount.adapters.http_wire import (
+    Limits,
+    encode_headers,
+    make_agent,
+    make_pool,
+    make_producer,
+)
+from tamarackmount.adapters.reactor import ClientReactor, DelayedCall
+from tamarackmount.ids import Instant
+from tamarackmount.kernel.messages import HttpHeader
+
+
+class ExchangeFault(Enum):
+    """How an exchange failed."""
+
+    NOT_SENT = "not_sent"
+    NO_ANSWER = "no_answer"
+    CUT_ANSWER = "cut_answer"
+    TOO_LARGE = "too_large"
+
+
+@dataclass(frozen=True, slots=True)
+class ExchangeError:
+    """A failed exchange; only with ``NOT_SENT`` surely no byte was sent."""
+
+    fault: ExchangeFault
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer, without the headers that belong to the connection."""
+
+    status: int
+    headers: Sequence[HttpHeader]
+    body: bytes
+
+
+ExchangeResult = Result[Answer, ExchangeError]
+"""Outcome of an exchange."""
+
+
+class _Response(Protocol):
+    code: int
+    headers: Headers
+
+    def deliverBody(self, protocol: StreamProtocol) -> None: ...  # noqa: N802
+
+
+class _Transport(Protocol):
+    def stopProducing(self) -> None: ...  # noqa: N802
+
+
+class _BodyCollector(StreamProtocol):
+    """Collects an answer's body, up to a limit."""
+
+    def __init__(self, exchange: "_Exchange", max_bytes: int) -> None:
+        self._exchange = exchange
+        self._max_bytes = max_bytes
+        self._size = 0
+        self._parts: list[bytes] = []
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self._size += len(data)
+        if self._size > self._max_bytes:
+            self._exchange.fail(
+                ExchangeFault.TOO_LARGE, f"over {self._max_bytes} bytes"
+            )
+            return
+        self._parts.append(data)
+
+    def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:  # noqa: N802
+        if not isinstance(reason.value, ResponseDone):
+            self._exchange.fail(ExchangeFault.CUT_ANSWER, describe(reason))
+            return
+        self._exchange.complete(b"".join(self._parts))
+
+    def abort(self) -> None:
+        self._parts.clear()
+        transport = cast(_Transport | None, self.transport)
+        if transport is not None:
+            transport.stopProducing()
+
+
+class _Exchange:
+    """One exchange from its request to its one result."""
+
+    def __init__(self, max_answer_bytes: int) -> None:
+        self.result: Deferred[ExchangeResult] = Deferred(self._cancelled)
+        self._max_answer_bytes = max_answer_bytes
+        self._requesting: Deferred[IResponse] | None = None
+        self._collector: _BodyCollector | None = None
+        self._response: _Response | None = None
+        self._timeout: DelayedCall | None = None
+        self._abandoned = ""
+        self._over = False
+
+    def start(self, requesting: "Deferred[IResponse]") -> None:
+        self._requesting = requesting
+        requesting.addCallbacks(self._on_response, self._on_failure)
+
+    def arm(self, reactor: ClientReactor, deadline: Instant) -> None:
+        if self._over:
+            return
+        delay_s = max(0.0, deadline - reactor.seconds())
+        self._timeout = reactor.callLater(delay_s, self._on_deadline)
+
+    def fail(self, fault: ExchangeFault, detail: str) -> None:
+        if self._over:
+            return
+        self._finish(Failure(ExchangeError(fault, detail)))
+        if self._collector is not None:
+            self._collector.abort()
+
+    def complete(self, body: bytes) -> None:
+        response = self._response
+        if self._over or response is None:
+            return
+        headers = [
+            HttpHeader(name.decode("latin-1"), value.decode("latin-1"))
+            for name, values in response.headers.getAllRawHeaders()
+            for value in values
+        ]
+        self._finish(Success(Answer(response.code, headers, body)))
+
+    def _on_response(self, response: Any) -> None:
+        self._requesting = None
+        self._response = response
+        collector = _BodyCollector(self, self._max_answer_bytes)
+        self._collector = collector
+        response.deliverBody(collector)
+
+    def _on_failure(self, failure: TwistedFailure) -> None:
+        self._requesting = None
+        detail = self._abandoned or describe(failure)
+        if isinstance(failure.value, ConnectError | ConnectingCancelledError):
+            self.fail(ExchangeFault.NOT_SENT, detail)
+            return
+        self.fail(ExchangeFault.NO_ANSWER, detail)
+
+    def _on_deadline(self) -> None:
+        self._timeout = None
+        self._abandon("deadline passed")
+
+    def _cancelled(self, result: "Deferred[ExchangeResult]") -> None:
+        self._abandon("cancelled")
+
+    def _abandon(self, detail: str) -> None:
+        self._abandoned = detail
+        if self._requesting is None:
+            self.fail(ExchangeFault.CUT_ANSWER, detail)
+            return
+        self._requesting.cancel()
+        self.fail(ExchangeFault.NO_ANSWER, detail)
+
+    def _finish(self, result: ExchangeResult) -> None:
+        self._over = True
+        if self._timeout is not None:
+            self._timeout.cancel()
+            self._timeout = None
+        self.result.callback(result)
+
+
+class HttpExchanger:
+    """Sends HTTP requests over a bounded pool of persistent connections.
+
+    A request on an idle connection that the server is just closing fails with
+    ``NO_ANSWER``, although the server may not have seen it.
+    """
+
+    def __init__(self, reactor: ClientReactor, limits: Limits) -> None:
+        """Open connections through ``reactor``."""
+        self._reactor = reactor
+        self._limits = limits
+        self._pool = make_pool(reactor, limits)
+        self._agent = make_agent(reactor, limits, self._pool)
+
+    def seconds(self) -> Instant:
+        """Return the clock's reading that deadlines are compared with."""
+        return Instant(self._reactor.seconds())
+
+    def send(
+        self,
+        method: str,
+        url: str,
+        headers: Iterable[HttpHeader],
+        body: bytes,
+        deadline: Instant,
+    ) -> "Deferred[ExchangeResult]":
+        """Send one request; cancelling the result aborts the connection."""
+        exchange = _Exchange(self._limits.max_answer_bytes)
+        if deadline <= self._reactor.seconds():
+            exchange.fail(ExchangeFault.NOT_SENT, "deadline passed")
+            return exchange.result
+        try:
+            exchange.start(self._request(method, url, headers, body))
+        except ValueError as error:
+            exchange.fail(ExchangeFault.NOT_SENT, str(error))
+            return exchange.result
+        exchange.arm(self._reactor, deadline)
+        return exchange.result
+
+    def _request(
+        self, method: str, url: str, headers: Iterable[HttpHeader], body: bytes
+    ) -> "Deferred[IResponse]":
+        return self._agent.request(
+            method.encode("ascii"),
+            url.encode("ascii"),
+            encode_headers(headers),
+            make_producer(body),
+        )
+
+    def close(self) -> "Deferred[None]":
+        """Close idle connections; fires once they are closed."""
+        closing: Any = self._pool.closeCachedConnections
+        closed: Deferred[None] = closing()
+        return closed
+
+
+def describe(failure: TwistedFailure) -> str:
+    """Return a short text for a failure, with the reasons inside it."""
+    value = failure.value
+    reasons = getattr(value, "reasons", None)
+    if not reasons:
+        return f"{type(value).__name__}: {value}"
+    inner = ", ".join(describe(reason) for reason in reasons)
+    return f"{type(value).__name__}({inner})"
--- a/tamarackmount/kernel/messages.py
+++ b/tamarackmount/kernel/messages.py
@@ -40,6 +40,7 @@
     UNKNOWN_QUEUE = "unknownQueue"
     RETRIES_SPENT = "retriesSpent"
     UPSTREAM_FAILED = "upstreamFailed"
+    CUT_OFF = "cutOff"
 
 
 class AttemptResult(Enum):
@@ -70,15 +71,6 @@
     leaving: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class HeartbeatAck:
-    """Answer to a heartbeat, echoing its sequence number."""
-
-    member_id: MemberId
-    incarnation: Incarnation
-    sequence: int
-
-
 @dataclass(frozen=True, slots=True)
 class ClaimRequest:
     """Ask the members of a data centre to accept a new owner without the log."""
@@ -213,7 +205,6 @@
     epoch: Epoch
     tickets: list[HeldTicket]
     attempts: list[AttemptEntry]
-    jobs: list[str]
 
 
 @dataclass(frozen=True, slots=True)
@@ -312,6 +303,22 @@
     sequence: int
 
 
+@dataclass(frozen=True, slots=True)
+class JobsWanted:
+    """A new owner asks a member for every job record that it holds."""
+
+    epoch: Epoch
+
+
+@dataclass(frozen=True, slots=True)
+class JobsHeld:
+    """Job records that the sender holds; ``more`` says that others follow."""
+
+    epoch: Epoch
+    records: list[str]
+    more: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigEntry:
     """One configuration document at a version; an empty text is a deletion."""
@@ -338,7 +345,6 @@
 
 PeerMessage = (
     Heartbeat
-    | HeartbeatAck
     | ClaimRequest
     | ClaimReply
     | TicketRequest
@@ -356,6 +362,8 @@
     | JobAnswer
     | JobCopy
     | JobCopied
+    | JobsWanted
+    | JobsHeld
     | ConfigWanted
     | ConfigSync
 )
