Check job files and policy names before sending; outcome of log_down

Cause: seen in the daemon's answers: a 503 log_down carries a version and no outcome, which the client took for unknown and the advice for a conflict. A queue's unknown policy was accepted by config set, and the kernel falls back to another one.

Change: the errors that mean that nothing was changed are named in the client; only a conflict speaks of its version. job submit checks the specification with lines; config check, apply and set refuse policies that this version doesn't have.

Conclusion: client and daemon agree on refusals of changes.

--- a/tamarackmount/cli/config.py
+++ b/tamarackmount/cli/config.py
@@ -8,7 +8,7 @@
 from cleo.io.inputs.option import Option
 from returns.result import Failure, Result, Success
 
-from tamarackmount.checks import check_document, check_path
+from tamarackmount.checks import check_path
 from tamarackmount.cli.base import ApiCommand, EnvironmentCommand, UsageError
 from tamarackmount.cli.tables import format_table
 from tamarackmount.cli.writes import (
@@ -25,7 +25,9 @@
     HistoryView,
     VersionView,
 )
+from tamarackmount.fleet_checks import check_new_document
 from tamarackmount.ids import ConfigPath, Offset
+from tamarackmount.plugins.queue_policies import queue_policies
 from tamarackmount.problems import describe
 from tamarackmount.status import ExitStatus
 
@@ -104,7 +106,7 @@
         self.prepare()
         self.check_version_options()
         text = self.read_text(self.argument("file"))
-        checked = check_document(self.path, text)
+        checked = check_new_document(self.path, text, queue_policies.names())
         if isinstance(checked, Failure):
             self.env.print_error(describe(checked.failure()))
             return ExitStatus.INVALID
--- a/tamarackmount/cli/config_apply.py
+++ b/tamarackmount/cli/config_apply.py
@@ -14,6 +14,7 @@
 from tamarackmount.documents import Document
 from tamarackmount.fleet_checks import check_fleet_text
 from tamarackmount.ids import ConfigPath
+from tamarackmount.plugins.queue_policies import queue_policies
 from tamarackmount.problems import describe
 from tamarackmount.status import ExitStatus
 
@@ -34,7 +35,7 @@
         """Check the file, then create its documents."""
         client = self.make_client()
         name = self.argument("file")
-        checked = check_fleet_text(self.read_text(name), name)
+        checked = check_fleet_text(self.read_text(name), name, queue_policies.names())
         if isinstance(checked, Failure):
             self.env.print_error(describe(checked.failure()))
             return ExitStatus.INVALID
--- a/tamarackmount/cli/config_check.py
+++ b/tamarackmount/cli/config_check.py
@@ -9,6 +9,7 @@
 from tamarackmount.checks import check_settings, parse_toml
 from tamarackmount.cli.base import EnvironmentCommand
 from tamarackmount.fleet_checks import FLEET_TABLES, check_fleet_text
+from tamarackmount.plugins.queue_policies import queue_policies
 from tamarackmount.problems import Problem
 from tamarackmount.settings import Settings
 from tamarackmount.status import ExitStatus
@@ -57,7 +58,7 @@
         message = "holds tables of daemon settings and of a fleet file; split it"
         return Failure([Problem(source, 0, "", message)])
     if is_fleet:
-        return check_fleet_text(text, source)
+        return check_fleet_text(text, source, queue_policies.names())
     if is_settings:
         return check_settings(text, source)
     message = "has no table of daemon settings ([member]) or of a fleet file ([teams])"
--- a/tamarackmount/cli/errors.py
+++ b/tamarackmount/cli/errors.py
@@ -50,7 +50,7 @@
     """Return what the user can do next; empty if nothing is known to help."""
     if error.outcome is CallOutcome.UNKNOWN:
         return _ADVICE_ON_UNKNOWN
-    if error.version is not None:
+    if error.error == "conflict" and error.version is not None:
         return (
             f"The document is at version {error.version} now. Read it again, then "
             f"repeat with --if-version {error.version}."
--- a/tamarackmount/cli/jobs.py
+++ b/tamarackmount/cli/jobs.py
@@ -1,15 +1,16 @@
 """``tamarackmount job ...``: submit jobs and see what becomes of them."""
 
 import datetime
+import json
 from typing import Any, ClassVar
 
 from cleo.helpers import argument, option
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 from pydantic import JsonValue
-from returns.result import Failure
+from returns.result import Failure, Result, Success
 
-from tamarackmount.checks import parse_toml
+from tamarackmount.checks import parse_toml, place_problems
 from tamarackmount.cli.base import ApiCommand, EnvironmentCommand, UsageError
 from tamarackmount.cli.tables import format_table
 from tamarackmount.client import Client
@@ -22,7 +23,8 @@
     JobState,
     JobView,
 )
-from tamarackmount.problems import describe
+from tamarackmount.job_spec import parse_job_spec
+from tamarackmount.problems import FieldProblem, Problem, describe
 from tamarackmount.status import ExitStatus
 
 DEFAULT_INTERVAL_MS = 1_000
@@ -54,11 +56,11 @@
         """Check the file, then submit."""
         name = self.argument("file")
         client = self.make_client()
-        parsed = parse_toml(self.read_text(name), name)
-        if isinstance(parsed, Failure):
-            self.env.print_error(describe(parsed.failure()))
+        checked = check_job_file(self.read_text(name), name)
+        if isinstance(checked, Failure):
+            self.env.print_error(describe(checked.failure()))
             return ExitStatus.INVALID
-        spec = _to_json_object(parsed.unwrap())
+        spec = checked.unwrap()
         return self.env.runner.run(lambda: self._submit(client, spec))
 
     async def _submit(self, client: Client, spec: dict[str, JsonValue]) -> ExitStatus:
@@ -212,6 +214,21 @@
 """Every command about jobs."""
 
 
+def check_job_file(
+    text: str, source: str
+) -> Result[dict[str, JsonValue], list[Problem]]:
+    """Check the TOML text of a job file; return the specification as JSON values."""
+    parsed = parse_toml(text, source)
+    if isinstance(parsed, Failure):
+        return parsed
+    spec = _to_json_object(parsed.unwrap())
+    errors = parse_job_spec(json.dumps(spec))
+    if isinstance(errors, Failure):
+        found = [FieldProblem((e.field,), e.message) for e in errors.failure()]
+        return Failure(place_problems(found, text, source))
+    return Success(spec)
+
+
 def _is_final(error: CallError) -> bool:
     """Tell whether asking again can't help."""
     return 400 <= error.status < 500 and not error.retry_after_ms
--- a/tamarackmount/client.py
+++ b/tamarackmount/client.py
@@ -6,7 +6,7 @@
 
 import json
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TypeVar
 from urllib.parse import quote
 
@@ -47,6 +47,9 @@
 SAFE_IN_PATH = "/?&=%:@!$'()*+,;~"
 """Characters of a caller's path and query that are sent as they are."""
 
+_NOT_RUN_ERRORS = frozenset({"draining", "log_down", "no_owner", "not_durable"})
+"""Errors of jobs' and operators' calls that mean that nothing was changed."""
+
 View = TypeVar("View", bound=BaseModel)
 Value = TypeVar("Value")
 
@@ -265,18 +268,21 @@
         return Failure(error)
     response = result.unwrap()
     if response.status >= 300:
-        return Failure(_refusal(response, _outcome_by_status(response, method), ""))
+        return Failure(_call_refusal(response, method))
     try:
         return Success(view.model_validate_json(response.body or b"{}"))
     except ValidationError as error:
         return Failure(_bad_answer(response, error))
 
 
-def _outcome_by_status(response: HttpResponse, method: str) -> CallOutcome:
-    """Return the outcome of a call whose error object doesn't tell it."""
+def _call_refusal(response: HttpResponse, method: str) -> CallError:
+    """Return the error of a call whose error object may not tell its outcome."""
     if method == "GET" or response.status < 500:
-        return CallOutcome.NOT_RUN
-    return CallOutcome.UNKNOWN
+        return _refusal(response, CallOutcome.NOT_RUN, "")
+    error = _refusal(response, CallOutcome.UNKNOWN, "")
+    if error.error in _NOT_RUN_ERRORS:
+        return replace(error, outcome=CallOutcome.NOT_RUN)
+    return error
 
 
 def _no_response(failure: HttpFailure, request_id: str) -> CallError:
--- a/tamarackmount/fleet_checks.py
+++ b/tamarackmount/fleet_checks.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from tamarackmount.checks import (
+    check_document,
     check_document_values,
     check_path,
     parse_toml,
@@ -65,6 +66,25 @@
     ]
 
 
+def check_new_document(
+    path: ConfigPath, text: str, policies: Collection[str]
+) -> Result[Document, list[Problem]]:
+    """Check a document that is about to be accepted, with the names it refers to.
+
+    A document that was accepted is checked by ``checks.check_document`` alone, as a
+    member of another version may know other policies.
+    """
+    checked = check_document(path, text)
+    if isinstance(checked, Failure):
+        return checked
+    document = checked.unwrap()
+    problems = [
+        FieldProblem(problem.path[len(_field(path)) :], problem.message)
+        for problem in check_fleet({path: document}, policies=policies)
+    ]
+    return Failure(place_problems(problems, text, path)) if problems else checked
+
+
 def _read_documents(
     values: dict[str, Any],
 ) -> tuple[dict[ConfigPath, Document], list[FieldProblem]]:
--- a/tests/test_checks_examples.py
+++ b/tests/test_checks_examples.py
@@ -1,24 +1,24 @@
 """The example files hold no fault, and faults put into them are found."""
 
+import json
 from pathlib import Path
 
 import pytest
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from tamarackmount.checks import check_settings, parse_toml
 from tamarackmount.cli.config_check import check_file
 from tamarackmount.documents import QueueDocument, TeamDocument
 from tamarackmount.fleet_checks import check_fleet_text
 from tamarackmount.ids import ConfigPath
+from tamarackmount.job_spec import parse_job_spec
+from tamarackmount.plugins.queue_policies import queue_policies
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 
 HAMAGUCHI = "hamaguchi/fukuoka-entry-1.toml"
 DERWENT = "derwent/hobart-entry-1.toml"
 
-POLICIES = {"waiting-time", "share-fairness"}
-"""Queue policies that the examples may name."""
-
 MIN_ENTRY_VMS = 6
 MAX_ENTRY_VMS = 9
 
@@ -54,7 +54,7 @@
 def test_fleets_have_six_teams_and_two_queues(
     name: str, queues: set[str], policy: str
 ) -> None:
-    documents = check_fleet_text(read(name), name, POLICIES).unwrap()
+    documents = check_fleet_text(read(name), name, queue_policies.names()).unwrap()
     teams = [d for d in documents.values() if isinstance(d, TeamDocument)]
     assert len(teams) == 6
     for queue in queues:
@@ -104,5 +104,6 @@
 @pytest.mark.parametrize(
     "name", ["hamaguchi/nightly-renders.toml", "derwent/bead-training.toml"]
 )
-def test_job_files_parse(name: str) -> None:
-    assert parse_toml(read(name), name).unwrap()["kind"] in {"batch", "gang"}
+def test_job_files_hold_no_fault(name: str) -> None:
+    values = parse_toml(read(name), name).unwrap()
+    assert isinstance(parse_job_spec(json.dumps(values)), Success)
--- a/tests/test_cli_apply.py
+++ b/tests/test_cli_apply.py
@@ -78,6 +78,9 @@
     run = run_command("config", "apply", "-", stdin="[teams.retail]\n")
     assert run.status is ExitStatus.INVALID
     assert run.stderr == "-:1: teams.retail.share: is required and missing\n"
+    text = '[queues.counter]\nservice = "counter"\npolicy = "first-come"\n'
+    run = run_command("config", "apply", "-", stdin=text)
+    assert run.status is ExitStatus.INVALID
     assert not opener.requests
 
 
--- a/tests/test_cli_config.py
+++ b/tests/test_cli_config.py
@@ -116,6 +116,15 @@
     assert not opener.requests
 
 
+def test_a_document_that_names_an_unknown_policy_is_refused_without_a_call() -> None:
+    text = 'service = "counter"\npolicy = "first-come"\n'
+    run_command, opener = command_line()
+    run = run_command("config", "set", "queues/counter", "-", stdin=text)
+    assert run.status is ExitStatus.INVALID
+    assert run.stderr.startswith("queues/counter:2: policy: 'first-come' is unknown")
+    assert not opener.requests
+
+
 def test_faults_that_the_server_finds_are_printed(team_file: str) -> None:
     problem = {"source": "teams/retail", "line": 3, "field": "a", "message": "b"}
     refusal = {"error": "bad_document", "message": "m", "problems": [problem]}
@@ -149,11 +158,11 @@
 
 
 def test_a_change_refused_by_the_log_is_not_run(team_file: str) -> None:
-    down = {"error": "log_down", "message": "m", "outcome": "not-run"}
+    down = {"error": "log_down", "message": "m", "version": 7, "retry_after_ms": 2_000}
     run_command, _ = command_line(json_response(503, down))
     run = run_command("config", "set", "teams/retail", team_file)
     assert run.status is ExitStatus.NOT_RUN
-    assert "Nothing was changed" in run.stderr
+    assert run.stderr.endswith("log service is back. Try again in 2000 ms.\n")
 
 
 def test_a_document_is_removed() -> None:
@@ -213,6 +222,14 @@
     assert not opener.requests
 
 
+def test_an_unknown_queue_policy_is_a_problem() -> None:
+    text = '[queues.counter]\nservice = "counter"\npolicy = "first-come"\n'
+    run_command, _ = command_line()
+    run = run_command("config", "check", "-", stdin=text)
+    assert run.status is ExitStatus.INVALID
+    assert run.stderr.startswith("-:3: queues.counter.policy: 'first-come' is unknown")
+
+
 def test_files_are_checked_by_their_kind(tmp_path: Path) -> None:
     fleet = tmp_path / "fleet.toml"
     fleet.write_text("[teams.retail]\nshare = 1\n", encoding="utf-8")
--- a/tests/test_cli_jobs.py
+++ b/tests/test_cli_jobs.py
@@ -73,6 +73,16 @@
     assert not opener.requests
 
 
+def test_a_specification_with_faults_is_not_submitted() -> None:
+    text = JOB_FILE.replace("tasks = 20", "tasks = 0\ncore = 2")
+    run_command, opener = command_line()
+    run = run_command("job", "submit", "-", stdin=text)
+    assert run.status is ExitStatus.INVALID
+    places = [line.split(": ")[:2] for line in run.stderr.splitlines()]
+    assert places == [["-:3", "tasks"], ["-:4", "core"]]
+    assert not opener.requests
+
+
 def test_a_lost_submission_may_be_repeated() -> None:
     run_command, opener = command_line(connection_lost())
     run = run_command("job", "submit", "-", stdin=JOB_FILE)
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -310,6 +310,7 @@
     ("body", "outcome"),
     [
         (b'{"error": "log_down", "outcome": "not-run"}', CallOutcome.NOT_RUN),
+        (b'{"error": "log_down", "version": 7}', CallOutcome.NOT_RUN),
         (b'{"error": "unknown", "outcome": "unknown"}', CallOutcome.UNKNOWN),
         (b"<html>", CallOutcome.UNKNOWN),
     ],
