Request ids without leading dashes; advice on removed documents

Cause: seen in a trial against two daemons and stand-ins: a fresh id may begin with --, so it can't be given back as an argument; a conflict with a removed document advised to read version 0.

Change: fresh tokens are hexadecimal; the advice says that the document doesn't exist.

--- a/tamarackmount/cli/errors.py
+++ b/tamarackmount/cli/errors.py
@@ -1,6 +1,7 @@
 """How errors of calls are told to the user: exit statuses and what to do next."""
 
 from tamarackmount.client_views import CallError, CallOutcome
+from tamarackmount.ids import Offset
 from tamarackmount.status import ExitStatus
 
 _STATUSES_BY_ERROR = {
@@ -51,16 +52,22 @@
     if error.outcome is CallOutcome.UNKNOWN:
         return _ADVICE_ON_UNKNOWN
     if error.error == "conflict" and error.version is not None:
-        return (
-            f"The document is at version {error.version} now. Read it again, then "
-            f"repeat with --if-version {error.version}."
-        )
+        return _advice_on_conflict(error.version)
     advice = _ADVICE_BY_ERROR.get(error.error, "")
     if error.retry_after_ms:
         return f"{advice} Try again in {error.retry_after_ms} ms.".strip()
     return advice
 
 
+def _advice_on_conflict(version: Offset) -> str:
+    if not version:
+        return "The document doesn't exist now."
+    return (
+        f"The document is at version {version} now. Read it again, then repeat with "
+        f"--if-version {version}."
+    )
+
+
 def describe_error(error: CallError, advice: str) -> str:
     """Return an error as text of one or more lines."""
     outcome = "outcome unknown" if error.outcome is CallOutcome.UNKNOWN else "not run"
--- a/tamarackmount/client.py
+++ b/tamarackmount/client.py
@@ -74,7 +74,7 @@
 class Client:
     """Calls one entry VM, or the balancer in front of them.
 
-    ``make_token`` returns a fresh random text of ``A-Za-z0-9_-``. With a ``home``,
+    ``make_token`` returns a fresh random text of ``A-Za-z0-9._-``. With a ``home``,
     the requests' ids make that data centre the home of non-idempotent requests.
     """
 
--- a/tamarackmount/context.py
+++ b/tamarackmount/context.py
@@ -123,5 +123,5 @@
         opener=make_opener(reactor),
         clock=IReactorTime(reactor),
         runner=ReactorRunner(reactor),
-        make_token=lambda: secrets.token_urlsafe(TOKEN_BYTES),
+        make_token=lambda: secrets.token_hex(TOKEN_BYTES),
     )
--- a/tests/test_cli_config.py
+++ b/tests/test_cli_config.py
@@ -108,6 +108,13 @@
     assert (value["version"], value["outcome"]) == (9, "not-run")
 
 
+def test_a_conflict_with_a_removed_document_says_so() -> None:
+    run_command, _ = command_line(conflict(0))
+    run = run_command("config", "delete", "teams/retail", "--if-version", "7")
+    assert run.status is ExitStatus.CONFLICT
+    assert run.stderr.endswith("The document doesn't exist now.\n")
+
+
 def test_a_bad_document_is_refused_without_a_call() -> None:
     run_command, opener = command_line()
     run = run_command("config", "set", "teams/retail", "-", stdin="share = 0\n")
--- a/tests/test_cli_requests.py
+++ b/tests/test_cli_requests.py
@@ -6,6 +6,7 @@
 import pytest
 from returns.result import Success
 
+from tamarackmount.context import process_environment
 from tamarackmount.http_calls import Header, HttpResponse
 from tamarackmount.status import ExitStatus
 from tests.utils.environment import (
@@ -171,3 +172,9 @@
     run = run_command("request", "counter", "--data", "@/nowhere/order")
     assert run.status is ExitStatus.ERROR
     assert "/nowhere/order" in run.stderr
+
+
+def test_fresh_request_ids_can_be_given_back_as_arguments() -> None:
+    tokens = {process_environment().make_token() for _ in range(100)}
+    assert len(tokens) == 100
+    assert all(token.isalnum() and token.isascii() for token in tokens)
