--- a/tests/test_dispatcher_takeover.py
+++ b/tests/test_dispatcher_takeover.py
@@ -53,7 +53,7 @@
     epoch: int = 1,
     now: float = 0,
 ) -> list[DispatcherEffect]:
-    message = HoldingsReport(Epoch(epoch), list(tickets), attempts or [], [])
+    message = HoldingsReport(Epoch(epoch), list(tickets), attempts or [])
     return dispatcher.holdings_reported(member_id, message, at(now))
 
 
--- a/tests/utils/memory_network.py
+++ b/tests/utils/memory_network.py
@@ -55,6 +55,9 @@
     def listenTCP(  # noqa: N802
         self, port: int, factory: Any, backlog: int = 50, interface: str = ""
     ) -> Any:
+        # Twisted's HTTP servers time idle connections by the global reactor, where
+        # the timers would outlive the test.
+        getattr(factory, "wrappedFactory", factory).timeOut = None
         number = port or FIRST_PORT + len(self.factories_by_port)
         self.factories_by_port[number] = factory
         return MemoryPort(self, number)
--- a/tests/utils/request_fleet.py
+++ b/tests/utils/request_fleet.py
@@ -397,7 +397,6 @@
             epoch,
             member.table.holdings(now),
             member.table.attempts.entries(now),
-            [],
         )
         self._send(member.member_id, owner, report)
 
