--- a/tamarackmount/daemon/peers.py
+++ b/tamarackmount/daemon/peers.py
@@ -13,9 +13,8 @@
 
 from returns.result import Failure
 from twisted.application.internet import ClientService, backoffPolicy
-from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.protocols.basic import Int32StringReceiver
 from twisted.python.failure import Failure as TwistedFailure
 
@@ -103,14 +102,20 @@
     MAX_LENGTH = MAX_MESSAGE_BYTES
 
     def __init__(self) -> None:
+        self.is_open = False
         self._unsent = 0
         self._congested = False
 
     def connectionMade(self) -> None:  # noqa: N802
         """Ask to be told when the peer is slow."""
+        self.is_open = True
         _transport(self).setTcpNoDelay(True)
         _transport(self).registerProducer(self, True)
 
+    def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:  # noqa: N802
+        """Note that nothing can be sent any more."""
+        self.is_open = False
+
     def send(self, data: bytes) -> bool:
         """Send a frame; return whether it went out or was dropped."""
         if self._congested:
@@ -151,34 +156,26 @@
         policy = backoffPolicy(initialDelay=0.1, maxDelay=MAX_RECONNECT_DELAY_S)
         factory: Any = _OutboundFactory()
         self._service = ClientService(
-            endpoint, factory, retryPolicy=policy, clock=reactor
+            endpoint,
+            factory,
+            retryPolicy=policy,
+            clock=reactor,
+            prepareConnection=self._connected,
         )
         self._service.startService()
-        self._await_connection()
 
     def send(self, data: bytes) -> bool:
-        if self._protocol is None or not self._protocol.connected:
-            self._await_connection()
-            return False
-        return self._protocol.send(data)
+        if self._protocol is not None and self._protocol.is_open:
+            return self._protocol.send(data)
+        return False
 
     def stop(self) -> None:
         self._service.stopService()
 
-    def _await_connection(self) -> None:
-        if self._protocol is not None and self._protocol.connected:
-            return
-        connected: Deferred[Any] = self._service.whenConnected()
-        connected.addCallbacks(self._connected, _ignore)
-
     def _connected(self, protocol: _Outbound) -> None:
         self._protocol = protocol
 
 
-def _ignore(_failure: TwistedFailure) -> None:
-    """Leave a cancelled wait alone: the service was stopped."""
-
-
 class PeerLinks:
     """The task that owns every connection between this member and others."""
 
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,69 @@
+"""Links between members: reconnection, bounds and malformed bytes."""
+
+from tamarackmount.daemon.peers import PeerLinks
+from tamarackmount.ids import Epoch, MemberId
+from tamarackmount.internal.codec import MAX_MESSAGE_BYTES, Envelope
+from tamarackmount.kernel.effects import Address
+from tamarackmount.kernel.messages import HoldingsRequest
+from tests.utils.memory_network import MemoryNetwork
+
+HOST = "127.0.0.1"
+PORT = 7001
+RECONNECT_S = 2.0
+MESSAGE = HoldingsRequest(Epoch(7))
+
+
+def make_receiver(network: MemoryNetwork) -> tuple[PeerLinks, list[Envelope]]:
+    received: list[Envelope] = []
+    links = PeerLinks(network, MemberId("b"), {}, received.append)
+    links.listen(Address(HOST, PORT))
+    return links, received
+
+
+def make_sender(network: MemoryNetwork) -> PeerLinks:
+    addresses = {MemberId("b"): Address(HOST, PORT)}
+    return PeerLinks(network, MemberId("a"), addresses, lambda envelope: None)
+
+
+def test_message_without_a_connection_is_dropped_and_a_later_one_arrives() -> None:
+    network = MemoryNetwork()
+    _, received = make_receiver(network)
+    sender = make_sender(network)
+    assert not sender.send(MemberId("b"), MESSAGE)
+    network.elapse(RECONNECT_S)
+    assert sender.send(MemberId("b"), MESSAGE)
+    network.elapse(0.1)
+    assert received == [Envelope(MemberId("a"), MESSAGE)]
+    assert sender.counters.dropped == 1
+
+
+def test_messages_arrive_again_after_the_peer_was_restarted() -> None:
+    network = MemoryNetwork()
+    make_receiver(network)
+    sender = make_sender(network)
+    sender.send(MemberId("b"), MESSAGE)
+    network.elapse(RECONNECT_S)
+    network.close_servers_silently()
+    network.elapse(0.1)
+    _, received = make_receiver(network)
+    network.elapse(RECONNECT_S)
+    assert sender.send(MemberId("b"), MESSAGE)
+    network.elapse(0.1)
+    assert received == [Envelope(MemberId("a"), MESSAGE)]
+
+
+def test_stranger_bytes_close_only_their_own_connection() -> None:
+    network = MemoryNetwork()
+    links, received = make_receiver(network)
+    sender = make_sender(network)
+    sender.send(MemberId("b"), MESSAGE)
+    network.elapse(RECONNECT_S)
+    for frame in (b"\x00\x00\x00\x03abc", (MAX_MESSAGE_BYTES + 1).to_bytes(4, "big")):
+        stranger = network.connect(PORT)
+        stranger.write(frame)
+        network.elapse(0.1)
+        assert stranger.is_closed
+    assert links.counters.malformed == 2
+    assert sender.send(MemberId("b"), MESSAGE)
+    network.elapse(0.1)
+    assert len(received) == 1
--- a/tests/utils/memory_network.py
+++ b/tests/utils/memory_network.py
@@ -6,6 +6,7 @@
 from twisted.internet.address import IPv4Address
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.error import ConnectionRefusedError, TimeoutError
+from twisted.internet.protocol import Protocol
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
 from twisted.test import iosim
@@ -22,6 +23,10 @@
 timed_out: Callable[..., Exception] = TimeoutError
 
 
+STEP_S = 0.05
+"""How far time moves between two looks at the connections, in seconds."""
+
+
 class MemoryPort:
     """A listening port of a memory network."""
 
@@ -110,6 +115,19 @@
             self.advance(self._next_call_s())
         raise AssertionError("the deferred never fires")
 
+    def elapse(self, seconds: float) -> None:
+        """Let time pass in small steps, moving bytes after each."""
+        end = self.seconds() + seconds
+        while self.seconds() < end:
+            self.advance(STEP_S)
+            self.settle()
+
+    def connect(self, port: int) -> "RawConnection":
+        """Open a connection that carries whatever bytes a test wants."""
+        protocol = Protocol()
+        self._open(self.factories_by_port[port].buildProtocol(None), protocol)
+        return RawConnection(protocol, self._pumps[-1])
+
     def close_servers_silently(self) -> None:
         """Close every connection at the server; clients only notice by writing."""
         for pump in self._pumps:
@@ -135,11 +153,31 @@
         address = IPv4Address("TCP", "127.0.0.1", port)
         server = server_factory.buildProtocol(address)
         client = factory.buildProtocol(address)
-        self._pumps.append(
-            connect_in_memory(
-                server,
-                make_transport(server, True),
-                client,
-                make_transport(client, False),
-            )
-        )
+        self._open(server, client)
+
+    def _open(self, server: Any, client: Any) -> None:
+        ends = make_transport(server, True), make_transport(client, False)
+        for end in ends:
+            end.setTcpNoDelay = ignore_option
+        self._pumps.append(connect_in_memory(server, ends[0], client, ends[1]))
+
+
+def ignore_option(_enabled: bool) -> None:
+    """Take a socket option that a memory connection doesn't have."""
+
+
+class RawConnection:
+    """The client's end of a connection, without a protocol of its own."""
+
+    def __init__(self, protocol: Protocol, pump: Any) -> None:
+        """Wrap a connected protocol."""
+        self._transport: Any = protocol.transport
+        self._pump = pump
+
+    def write(self, data: bytes) -> None:
+        self._transport.write(data)
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the server closed the connection."""
+        return bool(self._pump.serverIO.disconnecting)
