Demo harness: requests and disturbances are written down for a look afterwards

Cause: a broken promise could be counted but not traced back; and calls that other tests left in the shared reactor failed a process test. Change: the run writes its evidence as JSON lines beside the logs; the process test case starts from a clean reactor. Tested: unit tests of the report. Conclusion: what was cut off can be looked up by request id.

--- a/tamarackmount/demo/report.py
+++ b/tamarackmount/demo/report.py
@@ -2,8 +2,11 @@
 
 import dataclasses
 import json
+from enum import Enum
+from pathlib import Path
 
-from tamarackmount.demo.checks import Verdict
+from tamarackmount.demo.checks import Evidence, Verdict
+from tamarackmount.demo.records import DisturbanceWindow, RequestRecord
 
 LABEL_BY_FIELD = {
     "answered": "requests answered",
@@ -41,6 +44,26 @@
     return json.dumps(dataclasses.asdict(verdict))
 
 
+def write_evidence(evidence: Evidence, directory: Path) -> None:
+    """Write every request and disturbance of a run as JSON lines."""
+    for name, items in (
+        ("requests.jsonl", evidence.records),
+        ("disturbances.jsonl", evidence.windows),
+        ("breaches.jsonl", evidence.breaches),
+    ):
+        lines = (json.dumps(item, default=_plain) for item in items)
+        text = "".join(f"{line}\n" for line in lines)
+        (directory / name).write_text(text, encoding="utf-8")
+
+
+def _plain(value: object) -> object:
+    if isinstance(value, Enum):
+        return value.value
+    if isinstance(value, (RequestRecord, DisturbanceWindow)):
+        return dataclasses.asdict(value)
+    raise TypeError(type(value))
+
+
 def _cell(value: object) -> str:
     if value is None:
         return "not measured"
--- a/tamarackmount/demo/scenario.py
+++ b/tamarackmount/demo/scenario.py
@@ -26,6 +26,7 @@
 from tamarackmount.demo.options import Options, StepName
 from tamarackmount.demo.processes import ProcessFailedError
 from tamarackmount.demo.records import Revocation
+from tamarackmount.demo.report import write_evidence
 from tamarackmount.demo.revocation import RevocationProbe
 from tamarackmount.demo.stand_ins import StandInControl, is_own_answer
 from tamarackmount.demo.teams import MAIN_KEY, TEMPORARY_KEY, plan_teams
@@ -95,7 +96,9 @@
         self._probe.stop()
         self.cell.balancer.stop()
         await gatherResults(self._background, consumeErrors=True)
-        return judge(await self._evidence())
+        evidence = await self._evidence()
+        write_evidence(evidence, self.cell.directory)
+        return judge(evidence)
 
     async def _set_up(self) -> None:
         logger.info("setting up queues, teams and keys")
--- a/tests/test_demo_report.py
+++ b/tests/test_demo_report.py
@@ -3,10 +3,16 @@
 import dataclasses
 import json
 from dataclasses import replace
+from pathlib import Path
 
 from tamarackmount.demo.checks import Verdict, judge
-from tamarackmount.demo.records import Revocation
-from tamarackmount.demo.report import LABEL_BY_FIELD, json_line, table
+from tamarackmount.demo.records import Disturbance, DisturbanceWindow, Revocation
+from tamarackmount.demo.report import (
+    LABEL_BY_FIELD,
+    json_line,
+    table,
+    write_evidence,
+)
 from tests.utils.build_evidence import build_evidence
 
 
@@ -28,3 +34,14 @@
     rows = table(judge(evidence)).splitlines()
     assert len(rows) == len(LABEL_BY_FIELD)
     assert rows[-1].endswith("a revoked key was never refused everywhere")
+
+
+def test_evidence_is_written_as_json_lines(tmp_path: Path) -> None:
+    window = DisturbanceWindow(Disturbance.KILL, "dc1-m1", 1.0, 2.0)
+    evidence = replace(build_evidence(windows=[window]), breaches=["slots"])
+    write_evidence(evidence, tmp_path)
+    [request] = (tmp_path / "requests.jsonl").read_text().splitlines()
+    [disturbance] = (tmp_path / "disturbances.jsonl").read_text().splitlines()
+    assert json.loads(request)["attempts"][0]["ending"] == "answered"
+    assert json.loads(disturbance)["kind"] == "kill"
+    assert (tmp_path / "breaches.jsonl").read_text() == '"slots"\n'
--- a/tests/utils/processes.py
+++ b/tests/utils/processes.py
@@ -3,8 +3,10 @@
 import shutil
 import tempfile
 from pathlib import Path
+from typing import cast
 
 from twisted.internet import reactor
+from twisted.internet.base import ReactorBase
 from twisted.internet.interfaces import IReactorTime
 from twisted.trial.unittest import TestCase
 
@@ -26,6 +28,9 @@
     timeout = 300
 
     def setUp(self) -> None:
+        # Trial looks for calls left in the reactor, which all tests share.
+        for call in cast(ReactorBase, reactor).getDelayedCalls():
+            call.cancel()
         self.directory = Path(tempfile.mkdtemp(prefix="tamarackmount-test-"))
 
     def make_group(self) -> ProcessGroup:
