--- a/tests/utils/processes.py
+++ b/tests/utils/processes.py
@@ -6,7 +6,7 @@
 from typing import cast
 
 from twisted.internet import reactor
-from twisted.internet.base import ReactorBase
+from twisted.internet.base import DelayedCall, ReactorBase
 from twisted.internet.interfaces import IReactorTime
 from twisted.trial.unittest import TestCase
 
@@ -30,7 +30,7 @@
     def setUp(self) -> None:
         # Trial looks for calls left in the reactor, which all tests share.
         for call in cast(ReactorBase, reactor).getDelayedCalls():
-            call.cancel()
+            cast(DelayedCall, call).cancel()
         self.directory = Path(tempfile.mkdtemp(prefix="tamarackmount-test-"))
 
     def make_group(self) -> ProcessGroup:
