A witness of the owner's loans ends the quarantine of a takeover

Ruled out: a static cap on the owner's own use, which leaves half of the slots of a pair of entry VMs quarantined. Change: the owner grants itself a slot only once one live member, its witness, knows of the loan; loans of lost members are told too. A new owner whose members report a whole witness of the epoch before, with no other member lately lost, lends at once. A pause is noticed before every input, not only at a tick. Test: tests/test_loan_witness.py; each was seen failing for: granting at once, ignoring lost members, any epoch's witness, an unfenced witness, untold loans of lost members.

--- a/tamarackmount/daemon/service.py
+++ b/tamarackmount/daemon/service.py
@@ -208,6 +208,7 @@
     def _feed(self, decide: Callable[..., list[Effect]], *inputs: Any) -> None:
         """Give an input to the node and carry out what it decides."""
         try:
+            self._run(self._node.wake(read_clock()))
             self._run(decide(*inputs, read_clock()))
         except Exception:
             # An error here is a broken invariant: what the node knows can't be
--- a/tamarackmount/internal/peer.capnp
+++ b/tamarackmount/internal/peer.capnp
@@ -110,6 +110,20 @@
   upstreamId @4 :Text;
   idempotent @5 :Bool;
   remainingMs @6 :UInt32;
+  holder @7 :Text;
+}
+
+struct LoanCopy {
+  epoch @0 :UInt64;
+  sequence @1 :UInt64;
+  loans @2 :List(HeldTicket);
+  ended @3 :List(Text);
+  isWhole @4 :Bool;
+}
+
+struct LoanCopied {
+  epoch @0 :UInt64;
+  sequence @1 :UInt64;
 }
 
 struct AttemptEntry {
@@ -136,6 +150,7 @@
   epoch @0 :UInt64;
   tickets @1 :List(HeldTicket);
   attempts @2 :List(AttemptEntry);
+  witnessedEpoch @3 :UInt64;
 }
 
 struct HttpHeader {
@@ -228,19 +243,21 @@
     ticketRefusal @6 :TicketRefusal;
     ticketRelease @7 :TicketRelease;
     ticketWithdrawal @8 :TicketWithdrawal;
-    attemptCopy @9 :AttemptCopy;
-    attemptCopied @10 :AttemptCopied;
-    holdingsRequest @11 :HoldingsRequest;
-    holdingsReport @12 :HoldingsReport;
-    forwardedRequest @13 :ForwardedRequest;
-    forwardedReply @14 :ForwardedReply;
-    jobCall @15 :JobCall;
-    jobAnswer @16 :JobAnswer;
-    jobCopy @17 :JobCopy;
-    jobCopied @18 :JobCopied;
-    jobsWanted @19 :JobsWanted;
-    jobsHeld @20 :JobsHeld;
-    configWanted @21 :ConfigWanted;
-    configSync @22 :ConfigSync;
+    loanCopy @9 :LoanCopy;
+    loanCopied @10 :LoanCopied;
+    attemptCopy @11 :AttemptCopy;
+    attemptCopied @12 :AttemptCopied;
+    holdingsRequest @13 :HoldingsRequest;
+    holdingsReport @14 :HoldingsReport;
+    forwardedRequest @15 :ForwardedRequest;
+    forwardedReply @16 :ForwardedReply;
+    jobCall @17 :JobCall;
+    jobAnswer @18 :JobAnswer;
+    jobCopy @19 :JobCopy;
+    jobCopied @20 :JobCopied;
+    jobsWanted @21 :JobsWanted;
+    jobsHeld @22 :JobsHeld;
+    configWanted @23 :ConfigWanted;
+    configSync @24 :ConfigSync;
   }
 }
--- a/tamarackmount/kernel/dispatcher.py
+++ b/tamarackmount/kernel/dispatcher.py
@@ -27,9 +27,12 @@
 from tamarackmount.kernel.lending import Lending, attempt_key
 from tamarackmount.kernel.line_limits import LineLimits
 from tamarackmount.kernel.lines import WaitingTicket
+from tamarackmount.kernel.loan_copies import LoanCopies, held_ticket
 from tamarackmount.kernel.messages import (
     AttemptResult,
     HoldingsReport,
+    LoanCopied,
+    LoanCopy,
     RefusalReason,
     TicketRelease,
     TicketRequest,
@@ -42,7 +45,7 @@
     RequestTiming,
     after_ms,
 )
-from tamarackmount.kernel.slots import ListedUpstream, SlotLedger
+from tamarackmount.kernel.slots import ListedUpstream, Loan, SlotLedger
 from tamarackmount.kernel.takeover import Takeover
 from tamarackmount.kernel.upstream_health import UpstreamHealth
 
@@ -52,8 +55,11 @@
 
     ``fresh`` says that no earlier owner can exist, so nothing is quarantined.
     ``attempts`` is the member's memory of attempts, shared with its request table.
-    ``serve_alone`` lets non-idempotent requests through while no second member can
-    remember them; otherwise they are refused as not durable.
+    ``previous_epoch`` is that of the owner before; its witness's report can end the
+    quarantine, unless ``unaccounted`` says that another member than that owner may
+    hold slots and can't be asked. ``serve_alone`` lets non-idempotent requests
+    through while no second member can remember them; otherwise they are refused as
+    not durable.
     """
 
     def __init__(
@@ -65,6 +71,8 @@
         *,
         fresh: bool = False,
         attempts: AttemptMemory | None = None,
+        previous_epoch: Epoch | None = None,
+        unaccounted: bool = False,
         serve_alone: bool = False,
     ) -> None:
         """Take over at ``now``; see :mod:`tamarackmount.kernel.slots`."""
@@ -80,6 +88,12 @@
             attempts = AttemptMemory(timing.attempt_memory_ms)
         self._attempts = attempts
         self._copies = AttemptCopies(member_id, attempts, timing)
+        self._loan_copies = LoanCopies(epoch, member_id, timing)
+        self._member_id = member_id
+        self._previous_epoch = previous_epoch
+        self._unaccounted = unaccounted
+        self._told_whole = False
+        self._witness_reported = False
         self._takeover = Takeover(epoch, timing, is_done=fresh)
         self._admission = Admission(self._board, self._ledger, self._health)
         self._ended = DeadlineHeap[TicketId]()
@@ -98,6 +112,7 @@
             self._ledger,
             attempts,
             self._copies,
+            self._loan_copies,
             self._refusals,
             self.counters,
             serve_alone,
@@ -147,6 +162,7 @@
         effects += self._takeover.members_joined(joined, now)
         if not is_first:
             effects += self._copy_to_joined(joined, now)
+        effects += self._tell_witness(lost, now)
         return effects + self._dispatch(now)
 
     def ticket_requested(
@@ -211,7 +227,25 @@
         self, member_id: MemberId, sequence: int, now: Instant
     ) -> list[DispatcherEffect]:
         """Send the grants that waited for a second member to remember them."""
-        return self._lending.copied(self._copies.copied(member_id, sequence, now))
+        copied = self._copies.copied(member_id, sequence, now)
+        return self._lending.copied(copied, now)
+
+    def loan_copied(
+        self, member_id: MemberId, message: LoanCopied, now: Instant
+    ) -> list[DispatcherEffect]:
+        """Send the grants that waited for the witness to know of the loans."""
+        released = self._loan_copies.copied(member_id, message)
+        return self._lending.witnessed(released) + self._dispatch(now)
+
+    def unattended(self, now: Instant) -> LoanCopy:
+        """Return the loans that no live member but this one can report."""
+        return LoanCopy(
+            epoch=self.epoch,
+            sequence=0,
+            loans=[held_ticket(loan, now) for loan in self._unattended_loans()],
+            ended=[],
+            is_whole=self._knows_all_loans(),
+        )
 
     def holdings_reported(
         self, member_id: MemberId, report: HoldingsReport, now: Instant
@@ -225,6 +259,8 @@
             self._copies.held_by(key, member_id, now)
         if not self._takeover.reported(member_id):
             return []
+        if report.witnessed_epoch == self._previous_epoch:
+            self._witness_reported = True
         for held in report.tickets:
             self._lending.adopt(member_id, held, now)
         if not self._takeover.is_done:
@@ -241,6 +277,8 @@
             self._feedback.weigh(upstream_id)
         effects += self._takeover.tick(now)
         effects += self._copies.tick(now)
+        effects += self._tell_whole(now)
+        effects += self._loan_copies.tick(now)
         return effects + self._dispatch(now)
 
     def explain(self, queue: QueueName) -> QueueExplanation | None:
@@ -307,6 +345,9 @@
     ) -> list[DispatcherEffect]:
         effects: list[DispatcherEffect] = []
         was_done = self._takeover.is_done
+        if lost and not was_done:
+            # What it held can't be learned any more.
+            self._unaccounted = True
         self._board.remove_of(lost)
         for member_id in sorted(lost):
             self._takeover.member_lost(member_id)
@@ -326,9 +367,39 @@
             )
         return effects
 
+    def _knows_all_loans(self) -> bool:
+        return self._takeover.is_done and self._ledger.quarantined_until is None
+
+    def _unattended_loans(self) -> list[Loan]:
+        attended = self._live - {self._member_id}
+        loans = self._ledger.loans()
+        return [loan for loan in loans if loan.member_id not in attended]
+
+    def _tell_witness(
+        self, lost: frozenset[MemberId], now: Instant
+    ) -> list[DispatcherEffect]:
+        """Choose a witness, or tell the present one of the loans of lost members."""
+        if self._loan_copies.choose(self._live):
+            self._told_whole = False
+            if self._loan_copies.witness is None:
+                return self._lending.witnessed(self._loan_copies.release_all())
+            return self._tell_whole(now)
+        loans = [loan for loan in self._ledger.loans() if loan.member_id in lost]
+        return list(self._loan_copies.tell(loans, now)) if loans else []
+
+    def _tell_whole(self, now: Instant) -> list[DispatcherEffect]:
+        """Tell a new witness of all loans, once they are all known here."""
+        if self._told_whole or self._loan_copies.witness is None:
+            return []
+        self._told_whole = self._knows_all_loans()
+        loans = self._unattended_loans()
+        return list(self._loan_copies.tell(loans, now, is_whole=self._told_whole))
+
     def _finish_takeover(self, now: Instant) -> list[DispatcherEffect]:
         """Start lending; copy what only this member remembers."""
         effects: list[DispatcherEffect] = []
+        if self._witness_reported and not self._unaccounted:
+            self._ledger.end_quarantine()
         for key in self._attempts.remembered():
             if not self._copies.has_holder(key):
                 effects += self._lending.copy_elsewhere(key, now)
--- a/tamarackmount/kernel/lending.py
+++ b/tamarackmount/kernel/lending.py
@@ -9,6 +9,7 @@
 from tamarackmount.kernel.attempts import AttemptKey, AttemptMemory
 from tamarackmount.kernel.dispatcher_view import DispatcherCounters
 from tamarackmount.kernel.lines import WaitingTicket
+from tamarackmount.kernel.loan_copies import LoanCopies
 from tamarackmount.kernel.messages import (
     HeldTicket,
     RefusalReason,
@@ -42,7 +43,8 @@
     """Loans of one owner.
 
     A non-idempotent request is granted only once two members remember it: the owner
-    and the asking member, or, when the owner asks itself, another one by a copy.
+    and the asking member, or, when the owner asks itself, another one by a copy. The
+    owner grants itself a slot only once its witness knows of the loan.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         ledger: SlotLedger,
         attempts: AttemptMemory,
         copies: AttemptCopies,
+        loan_copies: LoanCopies,
         refusals: Refusals,
         counters: DispatcherCounters,
         serve_alone: bool,
@@ -66,6 +69,7 @@
         self._ledger = ledger
         self._attempts = attempts
         self._copies = copies
+        self._loan_copies = loan_copies
         self._refusals = refusals
         self._counters = counters
         self._serve_alone = serve_alone
@@ -104,18 +108,34 @@
 
     def awaits_copy(self, loan: Loan) -> bool:
         """Tell whether the grant waits for another member to remember it."""
+        if self._loan_copies.awaits(loan.ticket_id):
+            return True
+        return self._awaits_attempt_copy(loan)
+
+    def _awaits_attempt_copy(self, loan: Loan) -> bool:
         if loan.attempt is None:
             return False
         return self._uncopied_by_key.get(loan.attempt) == loan.ticket_id
 
-    def copied(self, keys: Iterable[AttemptKey]) -> list[DispatcherEffect]:
+    def witnessed(self, tickets: Iterable[TicketId]) -> list[DispatcherEffect]:
+        """Send the grants that waited for the witness to know of the loans."""
+        effects: list[DispatcherEffect] = []
+        for ticket_id in tickets:
+            loan = self._ledger.loan(ticket_id)
+            if loan is not None:
+                effects += self._send_grant(loan)
+        return effects
+
+    def copied(
+        self, keys: Iterable[AttemptKey], now: Instant
+    ) -> list[DispatcherEffect]:
         """Send the grants that waited for these attempts to be copied."""
         effects: list[DispatcherEffect] = []
         for key in keys:
             ticket_id = self._uncopied_by_key.pop(key, None)
             loan = None if ticket_id is None else self._ledger.loan(ticket_id)
             if loan is not None:
-                effects += self._send_grant(loan)
+                effects += self._grant(loan, now)
         return effects
 
     def copy_elsewhere(self, key: AttemptKey, now: Instant) -> list[DispatcherEffect]:
@@ -124,7 +144,7 @@
         if member_id is not None:
             return list(self._copies.send_all([key], member_id, now))
         if self._serve_alone:
-            return self.copied([key])
+            return self.copied([key], now)
         return self._refuse_uncopied(key, now)
 
     def take_back(self, loan: Loan) -> None:
@@ -135,7 +155,8 @@
     def ended(self, loan: Loan) -> None:
         """Note that a loan is over in the ledger."""
         self._board.ended(loan.team_id, loan.queue)
-        if self.awaits_copy(loan) and loan.attempt is not None:
+        self._loan_copies.ended(loan.ticket_id)
+        if self._awaits_attempt_copy(loan) and loan.attempt is not None:
             del self._uncopied_by_key[loan.attempt]
 
     def undo(self, loan: Loan) -> None:
@@ -145,7 +166,7 @@
         self.take_back(loan)
 
     def adopt(self, member_id: MemberId, held: HeldTicket, now: Instant) -> None:
-        """Enter a slot that a member holds from an earlier owner."""
+        """Enter a slot that a member reports, held from an earlier owner."""
         if self._ledger.loan(held.ticket_id) is not None:
             return
         self._board.remove(held.ticket_id)
@@ -154,12 +175,14 @@
             key = AttemptKey(held.team_id, held.request_id)
             self._attempts.started(key, held.ticket_id, now)
         lent_until = after_ms(now, held.remaining_ms)
+        holder = held.holder or member_id
         loan = Loan(
             ticket_id=held.ticket_id,
             team_id=held.team_id,
             queue=held.queue,
             upstream_id=held.upstream_id,
-            member_id=member_id,
+            member_id=holder,
+            request_id=held.request_id,
             attempt=key,
             lent_until=lent_until,
             ends_at=after_ms(lent_until, self._timing.clock_margin_ms),
@@ -186,7 +209,7 @@
         self._ledger.lend(loan)
         self._board.began(loan.team_id, loan.queue)
         if loan.attempt is None:
-            return self._send_grant(loan)
+            return self._grant(loan, now)
         self._attempts.started(loan.attempt, loan.ticket_id, now)
         return self._send_durable_grant(loan, loan.attempt, now)
 
@@ -220,6 +243,7 @@
             queue=request.queue,
             upstream_id=upstream_id,
             member_id=ticket.member_id,
+            request_id=request.request_id,
             attempt=None if request.idempotent else attempt_key(request),
             lent_until=lent_until,
             ends_at=after_ms(lent_until, self._timing.clock_margin_ms),
@@ -231,13 +255,19 @@
     ) -> list[DispatcherEffect]:
         if loan.member_id != self._member_id:
             self._copies.held_by(key, loan.member_id, now)
-            return self._send_grant(loan)
+            return self._grant(loan, now)
         second = self.second_member(key)
         if second is None:
-            return self._send_grant(loan)
+            return self._grant(loan, now)
         self._uncopied_by_key[key] = loan.ticket_id
         return list(self._copies.send(key, second, now))
 
+    def _grant(self, loan: Loan, now: Instant) -> list[DispatcherEffect]:
+        is_own = loan.member_id == self._member_id
+        if is_own and self._loan_copies.witness is not None:
+            return list(self._loan_copies.hold(loan, now))
+        return self._send_grant(loan)
+
     def _send_grant(self, loan: Loan) -> list[DispatcherEffect]:
         if loan.granted_ms is None:
             return []
--- /dev/null
+++ b/tamarackmount/kernel/loan_witness.py
@@ -0,0 +1,65 @@
+"""A member's memory of loans that no live member but the owner can report.
+
+The owner's own loans, and those of members that were lost, would be unknown once
+the owner is lost too. One live member, the witness, is told of them before they are
+used, so that the next owner learns which slots are free and lends them at once.
+"""
+
+from dataclasses import dataclass, replace
+
+from tamarackmount.ids import Epoch, Instant, TicketId
+from tamarackmount.kernel.messages import HeldTicket, LoanCopied, LoanCopy
+from tamarackmount.kernel.request_effects import after_ms, remaining_ms
+
+
+@dataclass(frozen=True, slots=True)
+class _Witnessed:
+    ticket: HeldTicket
+    until: Instant
+
+
+class LoanWitness:
+    """Loans of others that one member remembers, by ticket."""
+
+    def __init__(self) -> None:
+        """Start without loans."""
+        self._loans_by_ticket: dict[TicketId, _Witnessed] = {}
+        self._fence = Epoch(0)
+        self._whole_epoch = Epoch(0)
+
+    @property
+    def whole_epoch(self) -> Epoch:
+        """The last epoch whose loans were told whole; 0 for none."""
+        return self._whole_epoch
+
+    def fence(self, epoch: Epoch) -> None:
+        """Take no copies of earlier epochs any more."""
+        self._fence = max(self._fence, epoch)
+
+    def take(self, copy: LoanCopy, now: Instant) -> LoanCopied | None:
+        """Remember a copy and confirm it; copies of earlier epochs are ignored."""
+        if copy.epoch < self._fence:
+            return None
+        self._fence = copy.epoch
+        for ticket_id in copy.ended:
+            self._loans_by_ticket.pop(ticket_id, None)
+        for ticket in copy.loans:
+            until = after_ms(now, ticket.remaining_ms)
+            self._loans_by_ticket[ticket.ticket_id] = _Witnessed(ticket, until)
+        if copy.is_whole:
+            self._whole_epoch = copy.epoch
+        return LoanCopied(copy.epoch, copy.sequence)
+
+    def tickets(self, now: Instant) -> list[HeldTicket]:
+        """Return the loans that may still be in use."""
+        self.tick(now)
+        return [
+            replace(one.ticket, remaining_ms=remaining_ms(one.until, now) + 1)
+            for one in self._loans_by_ticket.values()
+        ]
+
+    def tick(self, now: Instant) -> None:
+        """Forget loans whose deadlines are over."""
+        over = [key for key, one in self._loans_by_ticket.items() if one.until <= now]
+        for ticket_id in over:
+            del self._loans_by_ticket[ticket_id]
--- a/tamarackmount/kernel/membership.py
+++ b/tamarackmount/kernel/membership.py
@@ -18,6 +18,9 @@
 
 MS_PER_SECOND = 1_000
 
+NEVER = Instant(-math.inf)
+"""An instant before every other."""
+
 
 class MemberState(Enum):
     """State of a member in another member's view."""
@@ -48,6 +51,7 @@
 class _Peer:
     member: Member
     heard_at: Instant
+    restarted_at: Instant
     heard_until: Instant
     heartbeat: Heartbeat | None = None
 
@@ -68,8 +72,9 @@
         """Start with every peer unseen; ``now`` is when this member started."""
         self._me = me
         self._timing = timing
+        self._started_at = now
         self._peers_by_id = {
-            peer.id: _Peer(peer, now, Instant(now + self._silence_s(peer)))
+            peer.id: _Peer(peer, now, NEVER, Instant(now + self._silence_s(peer)))
             for peer in peers
             if peer.id != me.id
         }
@@ -88,7 +93,10 @@
         peer.heartbeat = heartbeat
         peer.heard_at = now
         peer.heard_until = Instant(now + self._silence_s(peer.member))
-        return last is None or last.incarnation != heartbeat.incarnation
+        is_new_run = last is None or last.incarnation != heartbeat.incarnation
+        if last is not None and is_new_run:
+            peer.restarted_at = now
+        return is_new_run
 
     def forget_silence(self, now: Instant) -> None:
         """Count every peer's silence from ``now``, after a pause of this member."""
@@ -159,6 +167,25 @@
                 targets.append(self._remote_target(data_centre, now))
         return targets
 
+    def lately_missing(
+        self, data_centre: DataCentreId, within_s: float, now: Instant
+    ) -> frozenset[MemberId]:
+        """Return members that may have run within ``within_s`` and can't tell of it.
+
+        That is peers that fell silent or began anew since, peers never heard by a
+        member that began itself since, and such a member's own earlier run.
+        """
+        since = now - within_s
+        began_lately = self._started_at > since
+        missing = {self._me.id} if began_lately else set()
+        for peer_id, peer in self._peers_by_id.items():
+            if peer.member.data_centre == data_centre and (
+                peer.restarted_at > since
+                or (not self._is_heard(peer, now) and peer.heard_at > since)
+            ):
+                missing.add(peer_id)
+        return frozenset(missing)
+
     def contact(self, data_centre: DataCentreId, now: Instant) -> MemberId | None:
         """Return the peer of another data centre to send work to, if one is heard."""
         target = self._remote_target(data_centre, now)
--- a/tamarackmount/kernel/messages.py
+++ b/tamarackmount/kernel/messages.py
@@ -145,7 +145,10 @@
 
 @dataclass(frozen=True, slots=True)
 class HeldTicket:
-    """A slot that a member holds, as it tells a new owner."""
+    """A slot that a member holds, as it is told to a new owner or a witness.
+
+    ``holder`` is the member; when empty, it is the sender.
+    """
 
     ticket_id: TicketId
     request_id: RequestId
@@ -154,6 +157,30 @@
     upstream_id: UpstreamId
     idempotent: bool
     remaining_ms: int
+    holder: MemberId = MemberId("")
+
+
+@dataclass(frozen=True, slots=True)
+class LoanCopy:
+    """Loans that no live member but the owner can report, told to its witness.
+
+    The witness answers with :class:`LoanCopied`. ``is_whole`` says that ``loans``
+    are all there are now; ``ended`` names loans that are over.
+    """
+
+    epoch: Epoch
+    sequence: int
+    loans: list[HeldTicket]
+    ended: list[TicketId]
+    is_whole: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LoanCopied:
+    """The sender remembers the loans of the copy with this number."""
+
+    epoch: Epoch
+    sequence: int
 
 
 class AttemptState(Enum):
@@ -200,11 +227,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HoldingsReport:
-    """What a member holds and remembers, for the owner of the epoch."""
+    """What a member holds and remembers, for the owner of the epoch.
+
+    ``tickets`` includes loans of others that it knows as the owner's witness;
+    ``witnessed_epoch`` is the last epoch whose loans it was told whole, 0 for none.
+    """
 
     epoch: Epoch
     tickets: list[HeldTicket]
     attempts: list[AttemptEntry]
+    witnessed_epoch: Epoch = Epoch(0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -352,6 +384,8 @@
     | TicketRefusal
     | TicketRelease
     | TicketWithdrawal
+    | LoanCopy
+    | LoanCopied
     | AttemptCopy
     | AttemptCopied
     | HoldingsRequest
--- a/tamarackmount/kernel/node.py
+++ b/tamarackmount/kernel/node.py
@@ -62,6 +62,8 @@
     JobCopy,
     JobsHeld,
     JobsWanted,
+    LoanCopied,
+    LoanCopy,
     PeerMessage,
     RefusalReason,
     TicketGrant,
@@ -105,6 +107,8 @@
     TicketRefusal,
     TicketRelease,
     TicketWithdrawal,
+    LoanCopy,
+    LoanCopied,
     AttemptCopy,
     AttemptCopied,
     HoldingsRequest,
@@ -411,9 +415,28 @@
         heard = self.ownership.heard(heartbeat, now)
         effects += self._ownership_effects(heard, now)
         if is_new_run:
-            effects += self.jobs.member_joined(heartbeat.member_id)
+            effects += self._member_restarted(heartbeat.member_id, now)
         return effects
 
+    def _member_restarted(self, member_id: MemberId, now: Instant) -> list[Effect]:
+        """Treat a new run of a member as the loss of the old one."""
+        effects: list[Effect] = []
+        if member_id in self._live:
+            self._live = self._live - {member_id}
+            effects += self.requests.set_members(self._live, now)
+            effects += self.jobs.member_lost(member_id, now)
+        return effects + self.jobs.member_joined(member_id)
+
+    def wake(self, now: Instant) -> list[Effect]:
+        """Notice a pause of this member; called before every input.
+
+        What was decided before a pause may be out of date, and ownership may have
+        passed on.
+        """
+        if now - self._last_tick <= self._timing.members.pause_limit_s:
+            return []
+        return self.tick(now)
+
     def _echo(self, heartbeat: Heartbeat, now: Instant) -> list[Effect]:
         """Answer a heartbeat of another data centre that is not an answer itself."""
         peer = heartbeat.member_id
@@ -471,9 +494,7 @@
         self._live = live
         effects: list[Effect] = [RoleChanged(self._me.id, effect.epoch, is_owner=True)]
         effects += self._send_heartbeats(self.membership.local_targets(), now)
-        effects += self.requests.ownership_taken(
-            effect.epoch, effect.is_first, live, now
-        )
+        effects += self.requests.ownership_taken(effect, live, now)
         return effects + self.jobs.ownership_taken(effect.epoch, live, now)
 
     def _keeper_step(self, step: KeeperStep, now: Instant) -> list[Effect]:
--- a/tamarackmount/kernel/ownership.py
+++ b/tamarackmount/kernel/ownership.py
@@ -70,11 +70,13 @@
 class OwnershipTaken:
     """Effect: this member is owner from now on.
 
-    ``is_first`` says that the data centre never had an owner.
+    ``previous_epoch`` is ``NO_EPOCH`` when the data centre never had an owner;
+    ``previous_owner`` is ``None`` when it is not known or gave up itself.
     """
 
     epoch: Epoch
-    is_first: bool
+    previous_epoch: Epoch
+    previous_owner: MemberId | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -263,12 +265,12 @@
         return [AskMembers(tuple(live), request)]
 
     def _take(self, epoch: Epoch) -> list[OwnershipEffect]:
-        is_first = self._epoch == NO_EPOCH
+        taken = OwnershipTaken(epoch, self._epoch, self._owner)
         self._role = Role.OWNER
         self._epoch = epoch
         self._owner = self._me
         self._claim_awaits.clear()
-        return [OwnershipTaken(epoch, is_first)]
+        return [taken]
 
     def _follow(
         self, owner: MemberId | None, epoch: Epoch, now: Instant
--- a/tamarackmount/kernel/request_effects.py
+++ b/tamarackmount/kernel/request_effects.py
@@ -14,6 +14,7 @@
 from tamarackmount.kernel.messages import (
     AttemptCopy,
     HoldingsRequest,
+    LoanCopy,
     Outcome,
     RefusalReason,
     TicketGrant,
@@ -113,7 +114,7 @@
     """Send a message to a member of the data centre, which may be the sender."""
 
     member_id: MemberId
-    message: TicketGrant | TicketRefusal | AttemptCopy | HoldingsRequest
+    message: TicketGrant | TicketRefusal | LoanCopy | AttemptCopy | HoldingsRequest
 
 
 DispatcherEffect = SendToMember
--- a/tamarackmount/kernel/request_part.py
+++ b/tamarackmount/kernel/request_part.py
@@ -40,6 +40,8 @@
     AttemptResult,
     HoldingsReport,
     HoldingsRequest,
+    LoanCopied,
+    LoanCopy,
     Outcome,
     PeerMessage,
     RefusalReason,
@@ -49,6 +51,7 @@
     TicketRequest,
     TicketWithdrawal,
 )
+from tamarackmount.kernel.ownership import NO_EPOCH, OwnershipTaken
 from tamarackmount.kernel.queue_board import QueueRules, RequestLimits
 from tamarackmount.kernel.request_effects import (
     AbortUpstream,
@@ -201,9 +204,10 @@
         return self._from_dispatcher(self._dispatcher.set_members(live, now), now)
 
     def ownership_taken(
-        self, epoch: Epoch, fresh: bool, live: frozenset[MemberId], now: Instant
+        self, taken: OwnershipTaken, live: frozenset[MemberId], now: Instant
     ) -> list[Effect]:
         """Begin to dispatch for the data centre."""
+        epoch = taken.epoch
         self._owner = self._me
         self._table.fence(epoch, now)
         dispatcher = Dispatcher(
@@ -211,8 +215,10 @@
             self._me,
             self._timing,
             now,
-            fresh=fresh,
+            fresh=taken.previous_epoch == NO_EPOCH,
             attempts=self._table.attempts,
+            previous_epoch=taken.previous_epoch,
+            unaccounted=self._may_lack_reports(taken.previous_owner, now),
         )
         self._dispatcher = dispatcher
         effects = dispatcher.set_members(live, now)
@@ -226,6 +232,9 @@
         self, owner: MemberId | None, epoch: Epoch, now: Instant
     ) -> list[Effect]:
         """Follow another member, or nobody."""
+        if self._dispatcher is not None:
+            # The next owner asks this member for what it knew as the owner.
+            self._table.witness.take(self._dispatcher.unattended(now), now)
         self._dispatcher = None
         self._owner = owner
         self._table.fence(epoch, now)
@@ -243,6 +252,9 @@
             case AttemptCopy(sequence, entries):
                 self._table.attempts.take_copies(entries, now)
                 return self._send(sender, AttemptCopied(sequence), now)
+            case LoanCopy():
+                copied = self._table.witness.take(message, now)
+                return [] if copied is None else self._send(sender, copied, now)
             case HoldingsRequest(epoch):
                 return self._report_holdings(sender, epoch, now)
             case _:
@@ -255,6 +267,16 @@
             effects += self._from_dispatcher(self._dispatcher.tick(now), now)
         return effects + self._expire_forwards(now)
 
+    def _may_lack_reports(self, previous: MemberId | None, now: Instant) -> bool:
+        """Tell whether a member may hold slots that nobody can report.
+
+        The previous owner's witness knows what that owner held, and what members
+        held that it had lost; not what a member held that was lost later.
+        """
+        within_s = (self._timing.max_ticket_ms + self._timing.clock_margin_ms) / 1_000
+        missing = self._membership.lately_missing(self._data_centre, within_s, now)
+        return bool(missing - {previous})
+
     def _serve_here(self, request: CallerRequest, now: Instant) -> list[Effect]:
         new = NewRequest(
             call_id=request.call_id,
@@ -301,12 +323,7 @@
     def _report_holdings(
         self, sender: MemberId, epoch: Epoch, now: Instant
     ) -> list[Effect]:
-        self._table.fence(epoch, now)
-        report = HoldingsReport(
-            epoch=epoch,
-            tickets=self._table.holdings(now),
-            attempts=self._table.attempts.entries(now),
-        )
+        report = self._table.report_holdings(epoch, now)
         return self._send(sender, report, now)
 
     def _to_dispatcher(
@@ -324,6 +341,8 @@
                 effects = dispatcher.withdrawn(sender, message, now)
             case AttemptCopied(sequence):
                 effects = dispatcher.attempt_copied(sender, sequence, now)
+            case LoanCopied():
+                effects = dispatcher.loan_copied(sender, message, now)
             case HoldingsReport():
                 effects = dispatcher.holdings_reported(sender, message, now)
             case _:
--- a/tamarackmount/kernel/requests.py
+++ b/tamarackmount/kernel/requests.py
@@ -17,9 +17,11 @@
 from tamarackmount.kernel.attempts import STATE_BY_RESULT, AttemptMemory
 from tamarackmount.kernel.deadline_heap import DeadlineHeap
 from tamarackmount.kernel.known_owner import KnownOwner
+from tamarackmount.kernel.loan_witness import LoanWitness
 from tamarackmount.kernel.messages import (
     AttemptResult,
     HeldTicket,
+    HoldingsReport,
     Outcome,
     RefusalReason,
     TicketGrant,
@@ -47,7 +49,7 @@
     """Requests of the callers of one entry VM.
 
     On learning of a new owner, :meth:`fence` is called before
-    :meth:`owner_changed`; on a :class:`HoldingsRequest`, before :meth:`holdings`.
+    :meth:`owner_changed`.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         self._used = UsedTickets()
         self._budget = RetryBudget(timing.retry_ratio, timing.retry_burst)
         self.attempts = AttemptMemory(timing.attempt_memory_ms)
+        self.witness = LoanWitness()
 
     @property
     def in_flight(self) -> int:
@@ -151,6 +154,7 @@
 
     def fence(self, epoch: Epoch, now: Instant) -> None:
         """Ignore grants of epochs below ``epoch``; their owner is not known yet."""
+        self.witness.fence(epoch)
         if not self._owner.fence(epoch, now):
             return
         for request in self._waiting_requests():
@@ -190,6 +194,19 @@
         """Return every slot that this member may still have in use."""
         return [ticket.held(now) for ticket in self._used.in_use()]
 
+    def report_holdings(self, epoch: Epoch, now: Instant) -> HoldingsReport:
+        """Return what this member holds and remembers, for the epoch's owner.
+
+        Nothing that an earlier owner sends is taken any more.
+        """
+        self.fence(epoch, now)
+        return HoldingsReport(
+            epoch=epoch,
+            tickets=[*self.holdings(now), *self.witness.tickets(now)],
+            attempts=self.attempts.entries(now),
+            witnessed_epoch=self.witness.whole_epoch,
+        )
+
     def _next_ticket(self) -> TicketId:
         return TicketId(f"{self._ticket_prefix}{next(self._ticket_numbers)}")
 
--- a/tamarackmount/kernel/slots.py
+++ b/tamarackmount/kernel/slots.py
@@ -8,7 +8,8 @@
 new owner cannot ask, the old owner included. So every slot starts quarantined, until
 the longest loan that the old owner can have granted is over. A slot that a live
 member reports is turned from quarantined into lent, and is free as soon as that
-member returns it.
+member returns it. The quarantine ends at once when the old owner's witness reports
+the loans that no live member can, and no other member was lost with the old owner.
 """
 
 from collections.abc import Collection, Iterable
@@ -16,7 +17,15 @@
 
 from sortedcontainers import SortedList
 
-from tamarackmount.ids import Instant, MemberId, QueueName, TeamId, TicketId, UpstreamId
+from tamarackmount.ids import (
+    Instant,
+    MemberId,
+    QueueName,
+    RequestId,
+    TeamId,
+    TicketId,
+    UpstreamId,
+)
 from tamarackmount.kernel.attempts import AttemptKey
 from tamarackmount.kernel.deadline_heap import DeadlineHeap
 
@@ -47,6 +56,7 @@
     queue: QueueName
     upstream_id: UpstreamId
     member_id: MemberId
+    request_id: RequestId
     attempt: AttemptKey | None
     lent_until: Instant
     ends_at: Instant
@@ -192,7 +202,8 @@
 
     def tick(self, now: Instant) -> list[Loan]:
         """End the quarantine and loans that are over; return those loans."""
-        self._end_quarantine(now)
+        if self._quarantined_until is not None and now >= self._quarantined_until:
+            self.end_quarantine()
         ended: list[Loan] = []
         for ticket_id in self._loan_ends.pop_due(now):
             loan = self.give_back(ticket_id)
@@ -232,9 +243,8 @@
         record.lent += 1
         self._reindex(loan.upstream_id, record)
 
-    def _end_quarantine(self, now: Instant) -> None:
-        if self._quarantined_until is None or now < self._quarantined_until:
-            return
+    def end_quarantine(self) -> None:
+        """Free the quarantined slots, since every loan on them is known."""
         self._quarantined_until = None
         for upstream_id, record in self._records_by_upstream.items():
             self._reindex(upstream_id, record)
--- a/tests/test_dispatcher_attempts.py
+++ b/tests/test_dispatcher_attempts.py
@@ -17,6 +17,7 @@
     build_release,
     build_ticket_request,
     build_upstreams,
+    confirm_loans,
     grants,
     messages_of,
     refusals,
@@ -86,7 +87,8 @@
     (copy,) = messages_of(effects, AttemptCopy)
     assert effects[0].member_id == M2
     effects = dispatcher.attempt_copied(M2, copy.sequence, at(0.1))
-    assert grants(effects) == ["a"]
+    assert grants(effects) == []
+    assert grants(confirm_loans(dispatcher, effects, now=0.1)) == ["a"]
     assert dispatcher.attempt_copied(M2, copy.sequence, at(0.1)) == []
 
 
@@ -100,13 +102,12 @@
     dispatcher = build_dispatcher(members=[M1, M2, M3])
     (first,) = ask(dispatcher, M1, "a")
     left = frozenset([M1, M2, M3]) - {first.member_id}
-    (second,) = dispatcher.set_members(left, at(0.1))
-    assert isinstance(second.message, AttemptCopy)
-    assert second.member_id not in {M1, first.member_id}
-    effects = dispatcher.attempt_copied(
-        second.member_id, second.message.sequence, at(0.2)
-    )
-    assert grants(effects) == ["a"]
+    effects = dispatcher.set_members(left, at(0.1))
+    (copy,) = messages_of(effects, AttemptCopy)
+    (second_id,) = left - {M1}
+    assert {effect.member_id for effect in effects} == {second_id}
+    effects = dispatcher.attempt_copied(second_id, copy.sequence, at(0.2))
+    assert grants(confirm_loans(dispatcher, effects, now=0.2)) == ["a"]
 
 
 def test_owner_alone_refuses_as_not_durable() -> None:
@@ -132,7 +133,7 @@
     dispatcher = build_dispatcher(members=[M1, M2, M3])
     ask(dispatcher, M2, "a")
     effects = dispatcher.set_members(frozenset([M1, M3]), at(0.1))
-    assert [effect.member_id for effect in effects] == [M3]
+    assert {effect.member_id for effect in effects} == {M3}
     (copy,) = messages_of(effects, AttemptCopy)
     assert [entry.request_id for entry in copy.entries] == ["order"]
 
--- a/tests/test_dispatcher_takeover.py
+++ b/tests/test_dispatcher_takeover.py
@@ -72,7 +72,8 @@
     dispatcher = build_successor()
     report(dispatcher, M1)
     effects = dispatcher.tick(at(0.5))
-    assert [effect.member_id for effect in effects] == [M2]
+    asked = [e for e in effects if isinstance(e.message, HoldingsRequest)]
+    assert [effect.member_id for effect in asked] == [M2]
     assert messages_of(effects, HoldingsRequest) == [HoldingsRequest(Epoch(1))]
 
 
--- /dev/null
+++ b/tests/test_loan_witness.py
@@ -0,0 +1,195 @@
+"""The owner's witness: its own loans are known before they are used."""
+
+from tamarackmount.ids import Epoch, MemberId
+from tamarackmount.kernel.dispatcher import Dispatcher
+from tamarackmount.kernel.loan_witness import LoanWitness
+from tamarackmount.kernel.messages import HoldingsReport, LoanCopied, LoanCopy
+from tamarackmount.kernel.request_effects import DispatcherEffect
+from tests.utils.build_requests import (
+    M1,
+    M2,
+    M3,
+    at,
+    build_dispatcher,
+    build_release,
+    build_table,
+    build_ticket_request,
+    build_upstreams,
+    confirm_loans,
+    grants,
+    messages_of,
+)
+
+BEFORE = Epoch(7)
+
+
+def ask(
+    dispatcher: Dispatcher, member_id: MemberId, ticket_id: str
+) -> list[DispatcherEffect]:
+    request = build_ticket_request(ticket_id, remaining_ms=1_500)
+    return dispatcher.ticket_requested(member_id, request, at(0))
+
+
+def report(
+    dispatcher: Dispatcher,
+    member_id: MemberId,
+    witness: LoanWitness | None = None,
+) -> list[DispatcherEffect]:
+    message = HoldingsReport(
+        epoch=Epoch(1),
+        tickets=witness.tickets(at(0)) if witness else [],
+        attempts=[],
+        witnessed_epoch=witness.whole_epoch if witness else Epoch(0),
+    )
+    return dispatcher.holdings_reported(member_id, message, at(0))
+
+
+def build_successor(*, unaccounted: bool = False, slots: int = 2) -> Dispatcher:
+    return build_dispatcher(
+        upstreams=build_upstreams(slots=slots),
+        fresh=False,
+        previous_epoch=BEFORE,
+        unaccounted=unaccounted,
+    )
+
+
+def build_witness(*copies: LoanCopy) -> LoanWitness:
+    witness = LoanWitness()
+    for copy in copies:
+        witness.take(copy, at(0))
+    return witness
+
+
+def build_copy(
+    dispatcher: Dispatcher, ticket_id: str, *, is_whole: bool = True
+) -> LoanCopy:
+    """Return what an owner of the earlier epoch told of a loan of its own."""
+    (copy,) = messages_of(ask(dispatcher, M1, ticket_id), LoanCopy)
+    return LoanCopy(BEFORE, 1, copy.loans, [], is_whole)
+
+
+def test_own_loan_is_granted_once_the_witness_confirms_it() -> None:
+    dispatcher = build_dispatcher()
+    effects = ask(dispatcher, M1, "a")
+    assert grants(effects) == []
+    assert {effect.member_id for effect in effects} == {M2}
+    assert grants(confirm_loans(dispatcher, effects, now=0.1)) == ["a"]
+
+
+def test_loan_of_another_member_needs_no_witness() -> None:
+    dispatcher = build_dispatcher()
+    assert grants(ask(dispatcher, M2, "a")) == ["a"]
+
+
+def test_owner_alone_grants_itself_at_once() -> None:
+    dispatcher = build_dispatcher(members=[M1])
+    assert grants(ask(dispatcher, M1, "a")) == ["a"]
+
+
+def test_held_loan_is_granted_when_the_witness_is_lost_and_nobody_is_left() -> None:
+    dispatcher = build_dispatcher()
+    ask(dispatcher, M1, "a")
+    assert grants(dispatcher.set_members(frozenset([M1]), at(0.1))) == ["a"]
+
+
+def test_held_loan_goes_to_the_next_witness() -> None:
+    dispatcher = build_dispatcher(members=[M1, M2, M3])
+    ask(dispatcher, M1, "a")
+    effects = dispatcher.set_members(frozenset([M1, M3]), at(0.1))
+    assert grants(effects) == []
+    assert grants(confirm_loans(dispatcher, effects, now=0.2)) == ["a"]
+
+
+def test_unconfirmed_copy_is_sent_again() -> None:
+    dispatcher = build_dispatcher()
+    (copy,) = messages_of(ask(dispatcher, M1, "a"), LoanCopy)
+    later = messages_of(dispatcher.tick(at(5)), LoanCopy)
+    assert copy in later
+
+
+def test_loans_of_a_lost_member_are_told() -> None:
+    dispatcher = build_dispatcher(members=[M1, M2, M3])
+    ask(dispatcher, M3, "a")
+    effects = dispatcher.set_members(frozenset([M1, M2]), at(0.1))
+    told = [held for copy in messages_of(effects, LoanCopy) for held in copy.loans]
+    assert [(held.ticket_id, held.holder) for held in told] == [("a", M3)]
+
+
+def test_ended_loan_is_told_with_the_next_copy() -> None:
+    dispatcher = build_dispatcher()
+    confirm_loans(dispatcher, ask(dispatcher, M1, "a"), now=0)
+    dispatcher.released(M1, build_release("a"), at(0.1))
+    ended = [
+        ticket_id
+        for copy in messages_of(dispatcher.tick(at(0.2)), LoanCopy)
+        for ticket_id in copy.ended
+    ]
+    assert ended == ["a"]
+
+
+def test_whole_witness_ends_the_quarantine_of_a_takeover() -> None:
+    witness = build_witness(build_copy(build_dispatcher(), "old"))
+    successor = build_successor()
+    report(successor, M1)
+    report(successor, M2, witness)
+    assert grants(ask(successor, M2, "a")) == ["a"]
+    assert grants(ask(successor, M2, "b")) == []
+    assert successor.snapshot().quarantined_until is None
+
+
+def test_partial_witness_leaves_the_quarantine() -> None:
+    witness = build_witness(build_copy(build_dispatcher(), "old", is_whole=False))
+    successor = build_successor()
+    report(successor, M1)
+    report(successor, M2, witness)
+    assert grants(ask(successor, M2, "a")) == []
+
+
+def test_witness_of_an_earlier_owner_leaves_the_quarantine() -> None:
+    witness = build_witness(LoanCopy(Epoch(6), 1, [], [], is_whole=True))
+    successor = build_successor()
+    report(successor, M1)
+    report(successor, M2, witness)
+    assert grants(ask(successor, M2, "a")) == []
+
+
+def test_member_that_may_hold_slots_unreported_leaves_the_quarantine() -> None:
+    witness = build_witness(build_copy(build_dispatcher(), "old"))
+    successor = build_successor(unaccounted=True)
+    report(successor, M1)
+    report(successor, M2, witness)
+    assert grants(ask(successor, M2, "a")) == []
+
+
+def test_member_lost_before_it_reported_leaves_the_quarantine() -> None:
+    witness = build_witness(build_copy(build_dispatcher(), "old"))
+    successor = build_successor()
+    report(successor, M1, witness)
+    successor.set_members(frozenset([M1]), at(0.1))
+    assert grants(ask(successor, M1, "a")) == []
+
+
+def test_witness_takes_no_copy_of_an_owner_that_was_replaced() -> None:
+    witness = build_witness(LoanCopy(BEFORE, 1, [], [], is_whole=True))
+    witness.fence(Epoch(BEFORE + 1))
+    late = build_copy(build_dispatcher(), "late")
+    assert witness.take(late, at(0)) is None
+    assert witness.tickets(at(0)) == []
+
+
+def test_witness_confirms_forgets_and_expires_loans() -> None:
+    owner = build_dispatcher(upstreams=build_upstreams(slots=4))
+    first, second = build_copy(owner, "a"), build_copy(owner, "b")
+    witness = LoanWitness()
+    assert witness.take(first, at(0)) == LoanCopied(BEFORE, 1)
+    witness.take(second, at(0))
+    witness.take(LoanCopy(BEFORE, 2, [], [first.loans[0].ticket_id], False), at(0))
+    assert [held.ticket_id for held in witness.tickets(at(0.1))] == ["b"]
+    assert witness.tickets(at(60)) == []
+
+
+def test_table_that_follows_a_new_owner_takes_no_copy_of_the_old_one() -> None:
+    table = build_table()
+    table.fence(Epoch(BEFORE + 1), at(0))
+    late = build_copy(build_dispatcher(), "late")
+    assert table.witness.take(late, at(0)) is None
--- a/tests/test_request_machine.py
+++ b/tests/test_request_machine.py
@@ -186,7 +186,7 @@
     @rule(index=INDEX)
     def pause(self, index: int) -> None:
         self.fleet.settle_attempts()
-        self.member(index).is_paused = True
+        self.fleet.pause(self.member(index))
 
     @precondition(lambda self: len(self.fleet.running()) < 3)
     @rule()
@@ -202,7 +202,7 @@
         if kills:
             self.fleet.kill(member)
         else:
-            member.is_paused = True
+            self.fleet.pause(member)
         self.fleet.take_over(self.member(successor))
         self.deliver_all()
         self.deliver_all()
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tamarackmount.ids import MemberId, TicketId, UpstreamId
+from tamarackmount.ids import MemberId, RequestId, TicketId, UpstreamId
 from tamarackmount.kernel.slots import ListedUpstream, Loan, SlotLedger
 from tests.utils.build_requests import (
     COUNTER,
@@ -28,6 +28,7 @@
         queue=COUNTER,
         upstream_id=upstream_id,
         member_id=MemberId(M1),
+        request_id=RequestId(f"request-of-{ticket_id}"),
         attempt=None,
         lent_until=at(ends_at - 0.1),
         ends_at=at(ends_at),
--- a/tests/utils/build_requests.py
+++ b/tests/utils/build_requests.py
@@ -18,6 +18,8 @@
 from tamarackmount.kernel.lines import WaitingTicket
 from tamarackmount.kernel.messages import (
     AttemptResult,
+    LoanCopied,
+    LoanCopy,
     TicketGrant,
     TicketRefusal,
     TicketRelease,
@@ -157,11 +159,20 @@
     members: Sequence[MemberId] = (M1, M2),
     timing: RequestTiming = TIMING,
     fresh: bool = True,
+    previous_epoch: Epoch | None = None,
+    unaccounted: bool = False,
     serve_alone: bool = False,
 ) -> Dispatcher:
     """Return a dispatcher of ``m1`` in epoch 1 with one queue, as of time 0."""
     dispatcher = Dispatcher(
-        Epoch(1), M1, timing, at(0), fresh=fresh, serve_alone=serve_alone
+        Epoch(1),
+        M1,
+        timing,
+        at(0),
+        fresh=fresh,
+        previous_epoch=previous_epoch,
+        unaccounted=unaccounted,
+        serve_alone=serve_alone,
     )
     dispatcher.set_queues({COUNTER: rules or QueueRules(SERVICE)}, at(0))
     dispatcher.set_teams(teams_by_id or {}, at(0))
@@ -177,6 +188,18 @@
     return [effect.message for effect in effects if isinstance(effect.message, kind)]
 
 
+def confirm_loans(
+    dispatcher: Dispatcher, effects: Sequence[DispatcherEffect], now: float
+) -> list[DispatcherEffect]:
+    """Let the witness confirm the copies of loans among the effects."""
+    done: list[DispatcherEffect] = []
+    for effect in effects:
+        if isinstance(effect.message, LoanCopy):
+            copied = LoanCopied(effect.message.epoch, effect.message.sequence)
+            done += dispatcher.loan_copied(effect.member_id, copied, at(now))
+    return done
+
+
 def grants(effects: Sequence[DispatcherEffect]) -> list[str]:
     """Return the ids of the granted tickets."""
     return [grant.ticket_id for grant in messages_of(effects, TicketGrant)]
--- a/tests/utils/request_fleet.py
+++ b/tests/utils/request_fleet.py
@@ -16,6 +16,8 @@
     AttemptResult,
     HoldingsReport,
     HoldingsRequest,
+    LoanCopied,
+    LoanCopy,
     Outcome,
     TicketGrant,
     TicketRefusal,
@@ -62,6 +64,12 @@
     retry_burst=5.0,
 )
 
+NEVER = float("-inf")
+"""A true time before every other."""
+
+LONGEST_LOAN_S = (TIMING.max_ticket_ms + 2 * TIMING.clock_margin_ms) / 1_000
+"""How long a slot may be held on the account of a lost member, in seconds."""
+
 LIMITS_BY_TEAM = {
     RETAIL: RequestLimits(share=2.0, running_requests=1),
     DESIGN: RequestLimits(share=1.0),
@@ -82,6 +90,8 @@
     | TicketRefusal
     | TicketRelease
     | TicketWithdrawal
+    | LoanCopy
+    | LoanCopied
     | AttemptCopy
     | AttemptCopied
     | HoldingsRequest
@@ -133,11 +143,15 @@
 
 @dataclass(slots=True)
 class Member:
+    """An entry VM; ``gone_at`` and ``began_at`` are true times of its last change."""
+
     member_id: MemberId
     table: RequestTable
     incarnation: int = 1
     is_up: bool = True
     is_paused: bool = False
+    gone_at: float = NEVER
+    began_at: float = NEVER
     owner: MemberId | None = None
     heard_epoch: int = 0
     dispatcher: Dispatcher | None = None
@@ -205,7 +219,9 @@
     def take_over(self, member: Member, *, fresh: bool = False) -> None:
         old = None if self.owner is None else self.members[self.owner]
         if old is not None and not old.is_paused:
-            old.dispatcher = None
+            self._stop_dispatching(old)
+        unaccounted = self._lately_missing() - {self.owner}
+        previous_epoch = Epoch(self.epoch)
         self.epoch += 1
         self.owner = member.member_id
         now = self.clock(member.member_id)
@@ -216,6 +232,8 @@
             now,
             fresh=fresh,
             attempts=member.table.attempts,
+            previous_epoch=previous_epoch,
+            unaccounted=bool(unaccounted),
         )
         member.dispatcher = dispatcher
         self._post(member, dispatcher.set_queues({COUNTER: QueueRules(SERVICE)}, now))
@@ -224,6 +242,23 @@
         self.tell_owner_of_members()
         self.announce()
 
+    def _stop_dispatching(self, member: Member) -> None:
+        if member.dispatcher is None:
+            return
+        now = self.clock(member.member_id)
+        member.table.witness.take(member.dispatcher.unattended(now), now)
+        member.dispatcher = None
+
+    def _lately_missing(self) -> set[MemberId | None]:
+        """Return members that ran lately and can't tell now what they held then."""
+        since = self.now - LONGEST_LOAN_S
+        return {
+            member.member_id
+            for member in self.members.values()
+            if member.began_at > since
+            or (not self._is_running(member.member_id) and member.gone_at > since)
+        }
+
     def tell_owner_of_members(self) -> None:
         owner = self._dispatching_owner()
         if owner is None or owner.dispatcher is None:
@@ -243,6 +278,7 @@
 
     def kill(self, member: Member) -> None:
         member.is_up = False
+        member.gone_at = self.now
         member.dispatcher = None
         for call in self.calls.values():
             if call.member_id == member.member_id and not call.finishes:
@@ -257,13 +293,18 @@
         member.table = self._table(member.member_id, member.incarnation)
         member.owner = None
         member.heard_epoch = 0
+        member.began_at = self.now
         member.is_up = True
 
+    def pause(self, member: Member) -> None:
+        member.is_paused = True
+        member.gone_at = self.now
+
     def resume(self, member: Member) -> None:
         member.is_paused = False
         if self.owner != member.member_id:
             # Its lease has lapsed, which it checks before it acts as the owner.
-            member.dispatcher = None
+            self._stop_dispatching(member)
         self.tick(member)
 
     def settle_attempts(self) -> None:
@@ -364,6 +405,7 @@
     def deliver(self, envelope: Envelope) -> None:
         member = self.members[envelope.target]
         self._to_table(member, envelope)
+        self._to_memory(member, envelope)
         if member.dispatcher is not None:
             self._to_dispatcher(member, member.dispatcher, envelope)
         self._run_local()
@@ -376,11 +418,6 @@
                 self._act(member, table.granted(grant, now))
             case TicketRefusal() as refusal:
                 self._act(member, table.refused(refusal, now))
-            case AttemptCopy(sequence, entries):
-                table.attempts.take_copies(entries, now)
-                self._send(member.member_id, envelope.source, AttemptCopied(sequence))
-            case HoldingsRequest(epoch):
-                self._report(member, envelope.source, epoch)
             case OwnerNews(epoch, owner) if epoch == self.epoch:
                 table.fence(epoch, now)
                 if member.heard_epoch != epoch:
@@ -388,16 +425,24 @@
                     member.owner = owner
                     self._act(member, table.owner_changed(owner, now))
 
+    def _to_memory(self, member: Member, envelope: Envelope) -> None:
+        table = member.table
+        now = self.clock(member.member_id)
+        match envelope.message:
+            case AttemptCopy(sequence, entries):
+                table.attempts.take_copies(entries, now)
+                self._send(member.member_id, envelope.source, AttemptCopied(sequence))
+            case LoanCopy() as copy:
+                copied = table.witness.take(copy, now)
+                if copied is not None:
+                    self._send(member.member_id, envelope.source, copied)
+            case HoldingsRequest(epoch):
+                self._report(member, envelope.source, epoch)
+
     def _report(self, member: Member, owner: MemberId, epoch: Epoch) -> None:
         if epoch < self.epoch:
             return
-        now = self.clock(member.member_id)
-        member.table.fence(epoch, now)
-        report = HoldingsReport(
-            epoch,
-            member.table.holdings(now),
-            member.table.attempts.entries(now),
-        )
+        report = member.table.report_holdings(epoch, self.clock(member.member_id))
         self._send(member.member_id, owner, report)
 
     def _to_dispatcher(
@@ -414,6 +459,8 @@
                 effects = dispatcher.withdrawn(source, withdrawal, now)
             case AttemptCopied(sequence):
                 effects = dispatcher.attempt_copied(source, sequence, now)
+            case LoanCopied() as loan_copied:
+                effects = dispatcher.loan_copied(source, loan_copied, now)
             case HoldingsReport() as report:
                 effects = dispatcher.holdings_reported(source, report, now)
             case _:
