--- a/tests/test_demo_processes.py
+++ b/tests/test_demo_processes.py
@@ -1,15 +1,29 @@
-"""Real processes are started, signalled and ended by their own ids."""
+"""Real processes: started and ended by their ids, and a cell keeps its promises."""
 
 import signal
 
 import pytest
 
+from tamarackmount.demo.options import Options, StepName
 from tamarackmount.demo.processes import Command, ProcessFailedError
+from tamarackmount.demo.report import table
+from tamarackmount.demo.topology import Shape
 from tests.utils.processes import ProcessTestCase
 
 STAND_IN = Command("log", "tamarackmount.standins.log_service")
 MISSING_MODULE = Command("missing", "tamarackmount.no_such_module")
 
+SMALL_SHAPE = Shape(
+    data_centres=1, daemons=2, upstreams=3, workers=1, services=("counter",)
+)
+"""Two daemons with three upstreams and a worker."""
+
+REQUESTS = 60
+"""Size of the load."""
+
+LOAD_SECONDS = 6.0
+"""Length of the load, in seconds."""
+
 
 class ProcessGroupTest(ProcessTestCase):
     async def test_listening_line_is_read(self) -> None:
@@ -45,3 +59,17 @@
         with pytest.raises(ProcessFailedError):
             group.start(STAND_IN)
         self.remove_logs()
+
+
+class SmallCellTest(ProcessTestCase):
+    async def test_promises_hold_over_a_killed_owner(self) -> None:
+        options = Options(
+            seed=1,
+            requests=REQUESTS,
+            load_seconds=LOAD_SECONDS,
+            tracks=((StepName.KILL_OWNER,),),
+        )
+        verdict = await self.run_scenario(SMALL_SHAPE, options)
+        assert verdict.broken_promises == [], table(verdict)
+        assert verdict.answered + verdict.not_run + verdict.unknown == REQUESTS
+        self.remove_logs()
