Demo: a step ends when its data centre serves by itself again

Cause: requests that waited out a killed owner's tickets were counted against the planned stop that came a few seconds later. Change: the window of a kill or pause lasts until every entry VM of the data centre is answered by that data centre again, and the next step waits for that. The planned stop's own window is as before. The load lasts 45 s (60 s with faults); jobs run 6 s, so that the kill finds them running. Conclusion: what is blamed on the planned stop is its own.

--- a/tamarackmount/demo/disturbances.py
+++ b/tamarackmount/demo/disturbances.py
@@ -8,6 +8,7 @@
 from tamarackmount.demo.cell import STEP_TIMEOUT_SECONDS, Cell, StepFailedError
 from tamarackmount.demo.operators import Operator
 from tamarackmount.demo.records import Disturbance, DisturbanceWindow
+from tamarackmount.demo.recovery import Recovery
 from tamarackmount.demo.stand_ins import StandInControl
 from tamarackmount.demo.topology import DaemonPlan, VmPlan
 from tamarackmount.ids import ConfigPath
@@ -47,18 +48,18 @@
     cell: Cell
     operator: Operator
     control: StandInControl
+    recovery: Recovery
     windows: list[DisturbanceWindow] = field(default_factory=list)
     work_after_leaving: int = 0
 
     async def kill(self, daemon: DaemonPlan) -> None:
-        """Kill a daemon and replace it a little later."""
+        """Kill a daemon, replace it a little later, wait for its data centre."""
         async with self._window(Disturbance.KILL, daemon.id):
             process = self.cell.daemon_process(daemon)
             process.send(signal.SIGKILL)
             await process.ended()
             await self.cell.http.sleep(REPLACEMENT_SECONDS)
-            self.cell.start_daemon(daemon)
-            await self.cell.wait_healthy(daemon)
+            await self._replace(daemon)
 
     async def stop(self, daemon: DaemonPlan) -> None:
         """Stop a daemon gracefully, then start its replacement."""
@@ -70,8 +71,7 @@
             exit_code = await ended
         if exit_code != 0:
             raise StepFailedError(f"planned stop: {process.describe()}")
-        self.cell.start_daemon(daemon)
-        await self.cell.wait_healthy(daemon)
+        await self._replace(daemon)
 
     async def pause(self, daemon: DaemonPlan) -> None:
         """Pause a daemon for longer than every lease."""
@@ -81,6 +81,7 @@
             await self.cell.http.sleep(PAUSE_SECONDS)
             process.send(signal.SIGCONT)
             await self.cell.wait_healthy(daemon)
+            await self.recovery.wait(daemon.data_centre)
 
     async def break_log(self, path: ConfigPath, text: str) -> None:
         """Let the log be down, then slow, then lose the reply of one change."""
@@ -119,6 +120,11 @@
         """Let a worker fail every start from now on."""
         await self.control.set_faults(worker.control_port, fail_starts=True)
 
+    async def _replace(self, daemon: DaemonPlan) -> None:
+        self.cell.start_daemon(daemon)
+        await self.cell.wait_healthy(daemon)
+        await self.recovery.wait(daemon.data_centre)
+
     async def _upstream_fault(self, upstream: VmPlan, **faults: str | int) -> None:
         async with self._window(Disturbance.UPSTREAM_FAULT, upstream.vm.id):
             await self.control.set_faults(upstream.control_port, **faults)
--- a/tamarackmount/demo/jobs.py
+++ b/tamarackmount/demo/jobs.py
@@ -39,9 +39,9 @@
 
 def plan_jobs(batch_key: str, service_key: str, gang_key: str) -> list[JobPlan]:
     """Return a batch job, a service and a gang, each of the team of its key."""
-    batch = _spec(id="batch", kind="batch", tasks=24, run_ms=1_500)
+    batch = _spec(id="batch", kind="batch", tasks=24, run_ms=6_000)
     service = _spec(id="service", kind="service", tasks=4)
-    gang = _spec(id="gang", kind="gang", tasks=4, run_ms=2_000, accelerators=1)
+    gang = _spec(id="gang", kind="gang", tasks=4, run_ms=6_000, accelerators=1)
     return [
         JobPlan(batch, batch_key, JobState.SUCCEEDED),
         JobPlan(service, service_key, JobState.CANCELLED),
--- a/tamarackmount/demo/options.py
+++ b/tamarackmount/demo/options.py
@@ -4,10 +4,10 @@
 from dataclasses import dataclass
 from enum import Enum
 
-LOAD_SECONDS = 24.0
+LOAD_SECONDS = 45.0
 """Length of the load, in seconds."""
 
-FAULTY_LOAD_SECONDS = 45.0
+FAULTY_LOAD_SECONDS = 60.0
 """Length of the load with faults, in seconds."""
 
 
--- a/tamarackmount/demo/records.py
+++ b/tamarackmount/demo/records.py
@@ -76,7 +76,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DisturbanceWindow:
-    """A disturbance from its start until the cell is expected to be over it.
+    """A disturbance from its start until the cell was over it.
 
     Both are readings of the harness's clock, in seconds.
     """
--- a/tamarackmount/demo/scenario.py
+++ b/tamarackmount/demo/scenario.py
@@ -2,12 +2,10 @@
 
 import logging
 import random
-import secrets
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import replace
 from pathlib import Path
 
-from returns.result import Success
 from twisted.internet.defer import Deferred, gatherResults
 from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 from twisted.internet.interfaces import IReactorTime
@@ -16,7 +14,6 @@
     WORK_MS,
     Caller,
     Load,
-    make_request,
 )
 from tamarackmount.demo.cell import Cell, StepFailedError, in_parallel
 from tamarackmount.demo.checks import Evidence, Verdict, judge, task_overlaps
@@ -26,12 +23,13 @@
 from tamarackmount.demo.options import Options, StepName
 from tamarackmount.demo.processes import ProcessFailedError
 from tamarackmount.demo.records import Revocation
+from tamarackmount.demo.recovery import Recovery
 from tamarackmount.demo.report import write_evidence
 from tamarackmount.demo.revocation import RevocationProbe
 from tamarackmount.demo.stand_ins import StandInControl, is_own_answer
 from tamarackmount.demo.teams import MAIN_KEY, TEMPORARY_KEY, plan_teams
 from tamarackmount.demo.topology import DaemonPlan, Topology, VmPlan
-from tamarackmount.ids import ConfigPath, QueueName, RequestId
+from tamarackmount.ids import ConfigPath, QueueName
 
 logger = logging.getLogger(__name__)
 
@@ -61,10 +59,14 @@
         self.cell = Cell(reactor, directory, topology, self._new_rng())
         self._operator = Operator(self.cell)
         self._control = StandInControl(self.cell.http, topology)
-        self._disturber = Disturber(self.cell, self._operator, self._control)
         self._teams = plan_teams()
         services = sorted({plan.vm.service for plan in topology.upstreams})
         self._queues = [QueueName(service) for service in services]
+        main_key = self._teams[0].keys[MAIN_KEY]
+        self._recovery = Recovery(self.cell, main_key, self._queues)
+        self._disturber = Disturber(
+            self.cell, self._operator, self._control, self._recovery
+        )
         self._failed_steps: list[str] = []
         self._background: list[Deferred[None]] = []
         revoked = self._teams[-1].keys[TEMPORARY_KEY]
@@ -111,20 +113,8 @@
         for path, text in text_by_path.items():
             await self._operator.put(path, text)
         await self._operator.wait_everywhere(list(text_by_path))
-        for daemon in self.cell.topology.daemons:
-            for queue in self._queues:
-                await self._wait_served(daemon, queue)
-
-    async def _wait_served(self, daemon: DaemonPlan, queue: QueueName) -> None:
-        key = self._teams[0].keys[MAIN_KEY]
-
-        async def served() -> bool:
-            request_id = RequestId(f"first-{secrets.token_hex(8)}")
-            client = self.cell.http.client(daemon, key)
-            result = await client.send_request(make_request(queue, request_id))
-            return isinstance(result, Success)
-
-        await self.cell.wait_until(served, f"{daemon.id} serves {queue}")
+        for data_centre in {plan.data_centre for plan in self.cell.topology.daemons}:
+            await self._recovery.wait(data_centre)
 
     async def _disturb(self) -> None:
         steps = self._steps()
