Peer links come back within 0.6 s of a peer's return

Cause: twisted's default back-off adds up to one second of jitter to each pause, so a member that restarted heard nobody for up to 2 s, longer than its lease, and took ownership from a living owner (demo: dc1-m1 at 40.776, 1.68 s after its start). Change: pauses of at most 0.5 s and 0.1 s of jitter. Test: tries in 30 s of absence are counted; seen failing with the default jitter.

--- a/tamarackmount/daemon/peers.py
+++ b/tamarackmount/daemon/peers.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -26,8 +27,11 @@
 MAX_UNSENT_BYTES = 8 * 1024 * 1024
 """Bytes waiting for a slow peer after which its connection is dropped."""
 
-MAX_RECONNECT_DELAY_S = 1.0
-"""Longest pause between two tries to connect to a peer, in seconds."""
+MAX_RECONNECT_DELAY_S = 0.5
+"""Longest pause between two tries to connect to a peer, jitter apart, in seconds."""
+
+RECONNECT_JITTER_S = 0.1
+"""Longest random addition to such a pause, in seconds."""
 
 _log = logging.getLogger(__name__)
 
@@ -153,7 +157,9 @@
         endpoint: Any = TCP4ClientEndpoint(
             reactor, address.host, address.port, timeout=2
         )
-        policy = backoffPolicy(initialDelay=0.1, maxDelay=MAX_RECONNECT_DELAY_S)
+        policy = backoffPolicy(
+            initialDelay=0.1, maxDelay=MAX_RECONNECT_DELAY_S, jitter=_jitter_s
+        )
         factory: Any = _OutboundFactory()
         self._service = ClientService(
             endpoint,
@@ -176,6 +182,10 @@
         self._protocol = protocol
 
 
+def _jitter_s() -> float:
+    return random.uniform(0, RECONNECT_JITTER_S)
+
+
 class PeerLinks:
     """The task that owns every connection between this member and others."""
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,15 +1,20 @@
 """Links between members: reconnection, bounds and malformed bytes."""
 
-from tamarackmount.daemon.peers import PeerLinks
+from tamarackmount.daemon.peers import (
+    MAX_RECONNECT_DELAY_S,
+    RECONNECT_JITTER_S,
+    PeerLinks,
+)
 from tamarackmount.ids import Epoch, MemberId
 from tamarackmount.internal.codec import MAX_MESSAGE_BYTES, Envelope
 from tamarackmount.kernel.effects import Address
 from tamarackmount.kernel.messages import HoldingsRequest
-from tests.utils.memory_network import MemoryNetwork
+from tests.utils.memory_network import STEP_S, MemoryNetwork
 
 HOST = "127.0.0.1"
 PORT = 7001
 RECONNECT_S = 2.0
+AWAY_S = 30.0
 MESSAGE = HoldingsRequest(Epoch(7))
 
 
@@ -67,3 +72,20 @@
     assert sender.send(MemberId("b"), MESSAGE)
     network.elapse(0.1)
     assert len(received) == 1
+
+
+def test_peer_that_was_away_for_long_is_reached_soon() -> None:
+    network = MemoryNetwork()
+    links, _ = make_receiver(network)
+    sender = make_sender(network)
+    sender.send(MemberId("b"), MESSAGE)
+    network.elapse(RECONNECT_S)
+    links.stop()
+    network.close_servers_silently()
+    tries_before = len(network.tcpClients)
+    network.elapse(AWAY_S)
+    tries = len(network.tcpClients) - tries_before
+    assert tries >= AWAY_S / (MAX_RECONNECT_DELAY_S + RECONNECT_JITTER_S + STEP_S)
+    make_receiver(network)
+    network.elapse(MAX_RECONNECT_DELAY_S + RECONNECT_JITTER_S + 2 * STEP_S)
+    assert sender.send(MemberId("b"), MESSAGE)
