--- a/tamarackmount/internal/peer.capnp
+++ b/tamarackmount/internal/peer.capnp
@@ -200,6 +200,7 @@
   epoch @0 :UInt64;
   records @1 :List(Text);
   more @2 :Bool;
+  index @3 :UInt32;
 }
 
 struct ConfigEntry {
--- a/tamarackmount/kernel/fleet_config.py
+++ b/tamarackmount/kernel/fleet_config.py
@@ -5,6 +5,10 @@
 the log, and its own offset becomes the new version. Documents also arrive from
 peers; a document is replaced only by one with a higher version, so nothing older
 ever replaces something newer, whichever way it comes.
+
+A member that starts after retention dropped records doesn't know the versions that
+the kept changes were decided against. It keeps those changes undecided until a
+snapshot or a peer gives it all documents up to some place after the gap.
 """
 
 from collections import deque
@@ -32,10 +36,17 @@
 
 
 class ChangeResult(Enum):
-    """What the log's order made of a change."""
+    """What the log's order made of a change.
+
+    ``SUPERSEDED`` means that a later version is here already, so that the change
+    has no effect any more and whether it had one isn't known. ``UNDECIDED`` waits
+    for what retention dropped before it.
+    """
 
     ACCEPTED = "accepted"
     CONFLICT = "conflict"
+    SUPERSEDED = "superseded"
+    UNDECIDED = "undecided"
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +58,12 @@
     text: str
 
 
+@dataclass(frozen=True, slots=True)
+class _UndecidedChange:
+    offset: Offset
+    change: ConfigChange
+
+
 class FleetConfig:
     """Documents by path, and how far the log was applied to them."""
 
@@ -55,7 +72,9 @@
         self._documents_by_path: dict[ConfigPath, Document] = {}
         self._history_by_path: dict[ConfigPath, deque[Document]] = {}
         self._applied = FIRST_OFFSET
-        self._missing_before = Offset(0)
+        self._known_to = FIRST_OFFSET
+        self._missing_before = FIRST_OFFSET
+        self._undecided: list[_UndecidedChange] = []
         self._is_loaded = False
 
     @property
@@ -69,13 +88,18 @@
 
     @property
     def applied(self) -> Offset:
-        """The offset before which every record took effect here."""
+        """The offset before which every kept record of the log was read here."""
         return self._applied
 
+    @property
+    def known_to(self) -> Offset:
+        """The offset before which every accepted change is in the documents here."""
+        return self._known_to
+
     @property
     def is_complete(self) -> bool:
         """Whether nothing that retention dropped may be missing here."""
-        return self._missing_before <= self._applied
+        return self._known_to >= self._missing_before
 
     def document(self, path: ConfigPath) -> Document | None:
         """Return a document that exists now."""
@@ -97,46 +121,50 @@
 
     def records_dropped(self, first_offset: Offset) -> None:
         """Note that the log keeps nothing before ``first_offset``."""
-        if first_offset > self._applied:
-            self._missing_before = max(self._missing_before, first_offset)
+        if first_offset <= self._applied:
+            return
+        self._missing_before = max(self._missing_before, first_offset)
+        self.advance(first_offset)
 
     def apply_change(self, offset: Offset, change: ConfigChange) -> ChangeResult:
         """Decide a change by its place in the log."""
-        if self.version(change.path) != change.expected:
-            return ChangeResult.CONFLICT
-        self._put(Document(change.path, offset, change.text))
-        return ChangeResult.ACCEPTED
+        if not self.is_complete:
+            self._undecided.append(_UndecidedChange(offset, change))
+            return ChangeResult.UNDECIDED
+        return self._decide(offset, change)
 
     def apply_snapshot(self, snapshot: ConfigSnapshot) -> None:
         """Take in documents of a snapshot that are newer than those here."""
-        for entry in snapshot.entries:
-            self._put_newer(Document(entry.path, entry.version, entry.text))
-        if snapshot.applied >= self._missing_before:
-            self._missing_before = Offset(0)
+        documents = [
+            Document(entry.path, entry.version, entry.text)
+            for entry in snapshot.entries
+        ]
+        self._take_documents(snapshot.applied, documents)
 
-    def apply_entries(self, offset: Offset, entries: Iterable[ConfigEntry]) -> bool:
+    def apply_entries(self, known_to: Offset, entries: Iterable[ConfigEntry]) -> bool:
         """Take in a peer's documents; return whether any was newer.
 
-        ``offset`` is how far the peer had applied the log, without gaps.
+        ``known_to`` is the peer's; 0 from a peer that doesn't know all documents.
         """
-        changed = False
-        for entry in entries:
-            document = Document(entry.path, entry.version, entry.text)
-            changed = self._put_newer(document) or changed
-        if offset >= self._missing_before:
-            self._missing_before = Offset(0)
-        self._is_loaded = True
-        return changed
+        documents = [
+            Document(entry.path, entry.version, entry.text) for entry in entries
+        ]
+        if known_to > 0:
+            self._is_loaded = True
+        return self._take_documents(known_to, documents)
 
     def advance(self, offset: Offset) -> None:
         """Note that every record before ``offset`` was taken in."""
         self._applied = max(self._applied, offset)
+        if self.is_complete:
+            self._known_to = max(self._known_to, self._applied)
 
-    def entries(self) -> list[ConfigEntry]:
-        """Return every document, deleted ones too, for a peer."""
+    def entries_since(self, offset: Offset) -> list[ConfigEntry]:
+        """Return the documents changed at ``offset`` or later, deleted ones too."""
         return [
             ConfigEntry(doc.path, doc.version, doc.text)
             for doc in self._documents_by_path.values()
+            if doc.version >= offset
         ]
 
     def snapshot(self, owners: Iterable[LoggedOwner]) -> ConfigSnapshot:
@@ -149,6 +177,34 @@
             applied=self._applied, entries=entries, owners=list(owners)
         )
 
+    def _take_documents(self, known_to: Offset, documents: list[Document]) -> bool:
+        changed = [self._put_newer(document) for document in documents]
+        self._known_to = max(self._known_to, known_to)
+        decided = self._decide_kept(known_to)
+        return any(changed) or decided
+
+    def _decide_kept(self, known_to: Offset) -> bool:
+        """Decide the changes that waited, once nothing before them is missing."""
+        if not self.is_complete:
+            return False
+        kept, self._undecided = self._undecided, []
+        later = [one for one in kept if one.offset >= known_to]
+        results = [self._decide(one.offset, one.change) for one in later]
+        self._known_to = max(self._known_to, self._applied)
+        return ChangeResult.ACCEPTED in results
+
+    def _decide(self, offset: Offset, change: ConfigChange) -> ChangeResult:
+        version = self.version(change.path)
+        if version == offset:
+            # A peer was quicker than the log.
+            return ChangeResult.ACCEPTED
+        if version > offset:
+            return ChangeResult.SUPERSEDED
+        if version != change.expected:
+            return ChangeResult.CONFLICT
+        self._put(Document(change.path, offset, change.text))
+        return ChangeResult.ACCEPTED
+
     def _put_newer(self, document: Document) -> bool:
         if document.version <= self.version(document.path):
             return False
--- a/tamarackmount/kernel/job_part.py
+++ b/tamarackmount/kernel/job_part.py
@@ -6,13 +6,15 @@
 """
 
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import replace
+from itertools import count
 
 from tamarackmount.adapters.vm_schema import Vm, VmKind, VmState
 from tamarackmount.adapters.worker_schema import CommandReply, SyncCommand, WorkerReport
 from tamarackmount.ids import (
     DataCentreId,
     Epoch,
+    Incarnation,
     Instant,
     MemberId,
     RecordId,
@@ -45,12 +47,13 @@
     TeamLimits,
 )
 from tamarackmount.kernel.job_errors import job_error
+from tamarackmount.kernel.job_relays import JobRelays, Relay
 from tamarackmount.kernel.log_keeper import LogKeeper
 from tamarackmount.kernel.log_records import JobRecords
 from tamarackmount.kernel.log_writer import WriteResult
+from tamarackmount.kernel.member_copies import MemberCopies
 from tamarackmount.kernel.membership import Membership
 from tamarackmount.kernel.messages import (
-    JobAction,
     JobAnswer,
     JobCall,
     JobCopied,
@@ -60,50 +63,34 @@
     Outcome,
     PeerMessage,
 )
+from tamarackmount.kernel.record_collection import RecordCollection
 from tamarackmount.kernel.record_keeping import (
     SAVE_TIMEOUT_S,
     KeepingEffect,
+    MemberBehind,
     RecordKeeping,
     Saved,
     SaveRefused,
     SendCopy,
+    WriteAgain,
 )
 from tamarackmount.kernel.scheduler import Scheduler
 from tamarackmount.resources import Resources
 
-COLLECT_TIMEOUT_S = 1.0
-"""How long a new owner waits for a live member's records, in seconds."""
-
-CALL_TIMEOUT_S = 5.0
-"""How long a relayed call waits for its answer, in seconds."""
-
 RECORDS_PER_MESSAGE = 200
 """Job records in one message between members."""
 
 RETRY_MS = 500
 """Time to come back after a refusal for want of an owner, in milliseconds."""
 
-MILLICORES_PER_CORE = 1_000
-MIB_PER_GIB = 1_024
-
+NUMBERS_PER_MS = 1 << 20
+"""Numbers of messages that one run of a member may use in a millisecond.
 
-@dataclass(frozen=True, slots=True)
-class _Relay:
-    """A call that this member passed on; its answer goes back to ``origin``."""
-
-    origin: MemberId
-    call_id: int
-    deadline: Instant
-    changes: bool
-
-
-@dataclass(slots=True)
-class _Collection:
-    """A new owner's wait for the records that live members hold."""
+Incarnations count milliseconds, so that no two runs use the same number.
+"""
 
-    epoch: Epoch
-    awaits: set[MemberId]
-    deadline: Instant
+MILLICORES_PER_CORE = 1_000
+MIB_PER_GIB = 1_024
 
 
 class JobPart:
@@ -112,6 +99,7 @@
     def __init__(
         self,
         member_id: MemberId,
+        incarnation: Incarnation,
         data_centre: DataCentreId,
         timing: SchedulerTiming,
         directory: Directory,
@@ -129,11 +117,13 @@
         self._epoch = Epoch(0)
         self._held = HeldJobs()
         self._scheduler: Scheduler | None = None
-        self._keeping = RecordKeeping(Epoch(0))
-        self._collection: _Collection | None = None
+        self._numbers = count(incarnation * NUMBERS_PER_MS + 1)
+        self._keeping = RecordKeeping(Epoch(0), self._numbers)
+        self._copies = MemberCopies(Epoch(0), self._numbers)
+        self._collection: RecordCollection | None = None
         self._workers_by_id: dict[WorkerId, ListedWorker] = {}
-        self._relays_by_id: dict[int, _Relay] = {}
-        self._last_relay = 0
+        self._listed: list[ListedWorker] = []
+        self._relays = JobRelays(self._numbers)
 
     @property
     def scheduler(self) -> Scheduler | None:
@@ -147,7 +137,8 @@
 
     def call(self, call: JobCall, now: Instant) -> list[Effect]:
         """Take in a call of one of this member's callers."""
-        return self._route(self._me, call, now)
+        noted = self._relays.open(self._me, self._me, call, now)
+        return self._route(self._me, noted, now)
 
     def ownership_taken(
         self, epoch: Epoch, live: Iterable[MemberId], now: Instant
@@ -155,12 +146,10 @@
         """Collect the records of every live member, then begin to schedule."""
         self._owner = self._me
         self._epoch = epoch
-        deadline = Instant(now + COLLECT_TIMEOUT_S)
-        awaits = set(live) - {self._me}
-        self._collection = _Collection(epoch, awaits, deadline)
-        wanted = JobsWanted(epoch)
-        effects: list[Effect] = [SendPeer(peer, wanted) for peer in sorted(awaits)]
-        return effects + self._start_if_collected(now)
+        self._scheduler = None
+        others = set(live) - {self._me}
+        self._collection = RecordCollection(epoch, others, now)
+        return self._collect_due(now) + self._begin_if_collected(now)
 
     def owner_seen(
         self, owner: MemberId | None, epoch: Epoch, now: Instant
@@ -170,24 +159,28 @@
         self._epoch = max(self._epoch, epoch)
         self._collection = None
         self._scheduler = None
+        self._keeping = RecordKeeping(self._epoch, self._numbers)
+        self._copies = MemberCopies(self._epoch, self._numbers)
         return []
 
-    def member_joined(self, member_id: MemberId) -> list[Effect]:
-        """Give a member that started anew a copy of every record."""
-        if self._scheduler is None:
+    def member_joined(self, member_id: MemberId, now: Instant) -> list[Effect]:
+        """Exchange records with a member that started anew or was out of reach."""
+        if self._collection is None:
             return []
-        return [
-            SendPeer(member_id, JobCopy(self._epoch, 0, records))
-            for records in _chunks(self._held.texts())
-        ]
+        self._collection.ask(member_id, now)
+        effects = self._collect_due(now)
+        if self._scheduler is None:
+            return effects
+        self._copies.begin(member_id, _chunks(self._held.texts()), now)
+        return effects + self._from_keeping(self._keeping.member_joined(member_id), now)
 
     def member_lost(self, member_id: MemberId, now: Instant) -> list[Effect]:
         """Stop waiting for a member's answers."""
+        self._copies.lost(member_id)
         effects = self._from_keeping(self._keeping.member_lost(member_id), now)
         if self._collection is not None:
-            self._collection.awaits.discard(member_id)
-            effects += self._start_if_collected(now)
-        return effects
+            self._collection.lost(member_id)
+        return effects + self._begin_if_collected(now)
 
     def set_vms(self, vms: Sequence[Vm], now: Instant) -> list[Effect]:
         """Take in the VM list."""
@@ -196,6 +189,7 @@
         listed = [_listed_worker(vm) for vm in local]
         # Workers no longer listed may still be sent their last commands.
         self._workers_by_id.update({worker.id: worker for worker in listed})
+        self._listed = listed
         if self._scheduler is None:
             return []
         return self._from_scheduler(self._scheduler.set_workers(listed, now), now)
@@ -207,9 +201,14 @@
         limits = self._team_limits()
         return self._from_scheduler(self._scheduler.set_teams(limits, now), now)
 
-    def records_read(self, records: Sequence[str]) -> list[Effect]:
-        """Hold records of this data centre that were read from the log."""
-        return [ReportProblem(text) for text in self._held.take(records)]
+    def records_read(self, records: Sequence[str], now: Instant) -> list[Effect]:
+        """Hold records of this data centre that the log or a member gave."""
+        taken = self._held.take(records, now)
+        effects: list[Effect] = [ReportProblem(text) for text in taken.problems]
+        if self._scheduler is None or not taken.newer:
+            return effects
+        restored = self._scheduler.restore(taken.newer, now)
+        return effects + self._from_scheduler(restored, now)
 
     def record_written(
         self, record_id: RecordId, result: WriteResult, now: Instant
@@ -225,10 +224,11 @@
             case JobCall():
                 return self._route(sender, message, now)
             case JobAnswer():
-                return self._relayed_answer(message)
+                return self._relayed_answer(sender, message)
             case JobCopy():
-                return self._take_copy(sender, message)
+                return self._take_copy(sender, message, now)
             case JobCopied(sequence):
+                self._copies.copied(sender, sequence)
                 return self._from_keeping(self._keeping.copied(sender, sequence), now)
             case JobsWanted(epoch):
                 return self._send_records(sender, epoch)
@@ -284,9 +284,12 @@
 
     def tick(self, now: Instant) -> list[Effect]:
         """Advance time."""
+        self._held.drop_old(now)
         effects = self._from_keeping(self._keeping.tick(now), now)
+        effects += [SendPeer(one.to, one.copy) for one in self._copies.due(now)]
         effects += self._expire_relays(now)
-        effects += self._start_if_collected(now)
+        effects += self._collect_due(now)
+        effects += self._begin_if_collected(now)
         if self._scheduler is not None:
             effects += self._from_scheduler(self._scheduler.tick(now), now)
         return effects
@@ -301,7 +304,7 @@
         if self._owner is None:
             return self._answer(origin, _no_owner(call))
         if self._owner != self._me:
-            return self._relay(origin, self._owner, call, now)
+            return self._relay_to_owner(origin, self._owner, call, now)
         if self._scheduler is None:
             return self._answer(origin, _no_owner(call))
         return self._from_scheduler(self._scheduler.call(origin, call, now), now)
@@ -311,43 +314,49 @@
         known = name in self._membership.data_centres()
         return name if known else self._data_centre
 
+    def _relay_to_owner(
+        self, origin: MemberId, owner: MemberId, call: JobCall, now: Instant
+    ) -> list[Effect]:
+        # Two members that take each other for the owner must not pass a call on.
+        if self._membership.data_centre_of(origin) == self._data_centre:
+            return self._answer(origin, _no_owner(call))
+        return self._relay(origin, owner, call, now)
+
     def _relay(
         self, origin: MemberId, to: MemberId, call: JobCall, now: Instant
     ) -> list[Effect]:
-        self._last_relay += 1
-        self._relays_by_id[self._last_relay] = _Relay(
-            origin=origin,
-            call_id=call.call_id,
-            deadline=Instant(now + CALL_TIMEOUT_S),
-            changes=call.action in _CHANGING_ACTIONS,
-        )
-        return [SendPeer(to, replace(call, call_id=self._last_relay))]
+        return [SendPeer(to, self._relays.open(origin, to, call, now))]
 
-    def _relayed_answer(self, answer: JobAnswer) -> list[Effect]:
-        relay = self._relays_by_id.pop(answer.call_id, None)
+    def _relayed_answer(self, sender: MemberId, answer: JobAnswer) -> list[Effect]:
+        relay = self._relays.close(sender, answer)
         if relay is None:
             return []
         return self._answer(relay.origin, replace(answer, call_id=relay.call_id))
 
     def _answer(self, origin: MemberId, answer: JobAnswer) -> list[Effect]:
-        if origin == self._me:
-            return [FinishJobCall(answer)]
-        return [SendPeer(origin, answer)]
+        if origin != self._me:
+            return [SendPeer(origin, answer)]
+        relay = self._relays.close(self._me, answer)
+        if relay is None:
+            return []
+        return [FinishJobCall(replace(answer, call_id=relay.call_id))]
 
     def _expire_relays(self, now: Instant) -> list[Effect]:
         effects: list[Effect] = []
-        for relay_id, relay in list(self._relays_by_id.items()):
-            if now >= relay.deadline:
-                del self._relays_by_id[relay_id]
+        for relay in self._relays.expire(now):
+            if relay.to == self._me:
+                effects.append(FinishJobCall(_no_answer(relay)))
+            else:
                 effects += self._answer(relay.origin, _no_answer(relay))
         return effects
 
-    def _take_copy(self, sender: MemberId, copy: JobCopy) -> list[Effect]:
+    def _take_copy(self, sender: MemberId, copy: JobCopy, now: Instant) -> list[Effect]:
         if copy.epoch < self._epoch:
             return []
-        problems = self._held.take(copy.records)
-        effects: list[Effect] = [ReportProblem(text) for text in problems]
-        if not problems:
+        self._epoch = copy.epoch
+        taken = self._held.take(copy.records, now)
+        effects: list[Effect] = [ReportProblem(text) for text in taken.problems]
+        if not taken.problems:
             effects.append(SendPeer(sender, JobCopied(copy.sequence)))
         return effects
 
@@ -358,35 +367,40 @@
         chunks = _chunks(self._held.texts())
         last = len(chunks) - 1
         return [
-            SendPeer(to, JobsHeld(epoch, records, more=index < last))
+            SendPeer(to, JobsHeld(epoch, records, more=index < last, index=index))
             for index, records in enumerate(chunks)
         ]
 
     def _collect(
         self, sender: MemberId, message: JobsHeld, now: Instant
     ) -> list[Effect]:
-        effects = self.records_read(message.records)
-        collection = self._collection
-        if collection is None or message.epoch != collection.epoch or message.more:
-            return effects
-        collection.awaits.discard(sender)
-        return effects + self._start_if_collected(now)
+        effects = self.records_read(message.records, now)
+        if self._collection is not None:
+            self._collection.answered(sender, message)
+        return effects + self._begin_if_collected(now)
 
-    def _start_if_collected(self, now: Instant) -> list[Effect]:
+    def _collect_due(self, now: Instant) -> list[Effect]:
+        if self._collection is None:
+            return []
+        wanted = JobsWanted(self._collection.epoch)
+        return [SendPeer(to, wanted) for to in self._collection.due(now)]
+
+    def _begin_if_collected(self, now: Instant) -> list[Effect]:
         collection = self._collection
-        if collection is None:
+        if collection is None or self._scheduler is not None:
             return []
-        if collection.awaits and now < collection.deadline:
+        if not collection.may_begin(now):
             return []
-        self._collection = None
-        self._keeping = RecordKeeping(collection.epoch)
-        scheduler = Scheduler(
-            self._data_centre, self._me, collection.epoch, self._timing, now
-        )
+        epoch = collection.epoch
+        self._keeping = RecordKeeping(epoch, self._numbers)
+        self._copies = MemberCopies(epoch, self._numbers)
+        scheduler = Scheduler(self._data_centre, self._me, epoch, self._timing, now)
         self._scheduler = scheduler
         effects = scheduler.set_teams(self._team_limits(), now)
         effects += scheduler.restore(self._held.texts(), now)
-        effects += scheduler.set_workers(list(self._workers_by_id.values()), now)
+        effects += scheduler.set_workers(self._listed, now)
+        for member_id in self._membership.live_peers(self._data_centre, now):
+            self._copies.begin(member_id, _chunks(self._held.texts()), now)
         return self._from_scheduler(effects, now)
 
     def _from_scheduler(
@@ -417,14 +431,22 @@
         )
 
     def _save(self, token: int, records: list[str], now: Instant) -> list[Effect]:
-        self._held.take(records)
-        entry = JobRecords(data_centre=self._data_centre, records=records)
-        deadline = Instant(now + SAVE_TIMEOUT_S)
-        record_id = self._log.save_jobs(entry, deadline, now)
+        self._held.take(records, now)
+        record_id = self._write(records, now)
         members = self._membership.live_peers(self._data_centre, now)
         begun = self._keeping.begin(token, records, record_id, members, now)
         return self._from_keeping(begun, now)
 
+    def _save_again(self, token: int, records: list[str], now: Instant) -> list[Effect]:
+        record_id = self._write(records, now)
+        members = self._membership.live_peers(self._data_centre, now)
+        again = self._keeping.written_again(token, record_id, members, now)
+        return self._from_keeping(again, now)
+
+    def _write(self, records: list[str], now: Instant) -> RecordId:
+        entry = JobRecords(data_centre=self._data_centre, records=records)
+        return self._log.save_jobs(entry, Instant(now + SAVE_TIMEOUT_S), now)
+
     def _from_keeping(
         self, effects: Sequence[KeepingEffect], now: Instant
     ) -> list[Effect]:
@@ -433,6 +455,11 @@
             match effect:
                 case SendCopy(to, copy):
                     done.append(SendPeer(to, copy))
+                case WriteAgain(token, records):
+                    done += self._save_again(token, records, now)
+                case MemberBehind(member_id):
+                    parts = _chunks(self._held.texts())
+                    self._copies.begin(member_id, parts, now)
                 case Saved(token, durability) if self._scheduler is not None:
                     saved = self._scheduler.records_saved(token, durability, now)
                     done += self._from_scheduler(saved, now)
@@ -464,8 +491,6 @@
         )
 
 
-_CHANGING_ACTIONS = frozenset({JobAction.SUBMIT, JobAction.CANCEL})
-
 _ACTION_BY_EFFECT = {
     SyncWorker: WorkerAction.SYNC,
     StartTask: WorkerAction.START,
@@ -503,7 +528,7 @@
     )
 
 
-def _no_answer(relay: _Relay) -> JobAnswer:
+def _no_answer(relay: Relay) -> JobAnswer:
     outcome = Outcome.UNKNOWN if relay.changes else Outcome.NOT_RUN
     message = "the owner did not answer in time; ask for the job to learn its state"
     return job_error(relay.call_id, 504, "deadline", message, outcome, RETRY_MS)
--- a/tamarackmount/kernel/log_keeper.py
+++ b/tamarackmount/kernel/log_keeper.py
@@ -20,7 +20,7 @@
     Offset,
     RecordId,
 )
-from tamarackmount.kernel.claim_book import ClaimBook
+from tamarackmount.kernel.claim_book import ClaimBook, PlacedClaim
 from tamarackmount.kernel.effects import (
     AppendToLog,
     ChangeOutcome,
@@ -50,6 +50,7 @@
     SendAppend,
     WriteResult,
 )
+from tamarackmount.kernel.snapshot_schedule import SnapshotSchedule
 
 CHANGE_TIMEOUT_S = 10.0
 """How long an operator's change may wait for the log, in seconds."""
@@ -57,20 +58,26 @@
 CLAIM_RECORD_TIMEOUT_S = 2.0
 """How long a claim may wait for the log, in seconds."""
 
-SNAPSHOT_AT_USED = 0.5
-"""Part of the log's kept length after which a snapshot is written anew."""
-
-MIN_KEPT_FOR_SNAPSHOT = 100
-"""Kept records below which dropping is not expected."""
-
 
 @dataclass(frozen=True, slots=True)
 class ClaimAccepted:
-    """A claim read from the log, accepted by its place there."""
+    """A claim read from the log, accepted by its place there.
+
+    ``is_own`` if this run of this member wrote it.
+    """
 
     data_centre: DataCentreId
     member_id: MemberId
     epoch: Epoch
+    is_own: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimKnown:
+    """A data centre's last claim, learnt from a snapshot; by whom isn't known."""
+
+    data_centre: DataCentreId
+    epoch: Epoch
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,7 +101,7 @@
     result: WriteResult
 
 
-LogNews = ClaimAccepted | JobsRead | ConfigChanged | RecordWritten
+LogNews = ClaimAccepted | ClaimKnown | JobsRead | ConfigChanged | RecordWritten
 """What reading or writing the log means for the rest of the node."""
 
 
@@ -135,13 +142,17 @@
         self._last_end_read: Instant | None = None
         self._read_back_after: Instant | None = None
         self._claims = ClaimBook()
-        self._snapshot_applied = Offset(0)
-        self._snapshot_pending: RecordId | None = None
+        self._snapshots = SnapshotSchedule(member_id)
 
     def is_fresh(self, limit_s: float, now: Instant) -> bool:
         """Tell whether the log's end was read within ``limit_s`` seconds."""
         return self._last_end_read is not None and now - self._last_end_read <= limit_s
 
+    @property
+    def knows_claims(self) -> bool:
+        """Whether claims can be decided here by the log's order."""
+        return self._claims.is_complete
+
     def end_read_age_s(self, now: Instant) -> float | None:
         """Return how long ago the log's end was read, in seconds."""
         return None if self._last_end_read is None else now - self._last_end_read
@@ -170,14 +181,16 @@
     def page_read(self, page: RecordPage, asked: Instant, now: Instant) -> KeeperStep:
         """Take in records; ``asked`` is when the read was sent."""
         step = KeeperStep([], [])
-        self.config.records_dropped(page.first_offset)
+        if page.first_offset > self.config.applied:
+            self.config.records_dropped(page.first_offset)
+            self._claims.records_dropped(page.first_offset)
         fresh = [r for r in page.records if r.offset >= self.config.applied]
         for stored in fresh:
             self._take_in(stored, step)
         self._note_own(fresh, step)
         if fresh:
             self.config.advance(Offset(fresh[-1].offset + 1))
-        if page.next_offset > self.config.applied and fresh:
+        if page.next_offset > self.config.applied:
             step.effects.append(ReadLog(self.config.applied))
             return step
         self._end_read(asked, now, step)
@@ -228,32 +241,44 @@
             case ConfigSnapshot():
                 self._take_snapshot(record, step)
             case OwnerClaim():
-                self._take_claim(stored.offset, record, step)
+                is_own = stored.id.startswith(self._id_prefix())
+                self._take_claim(PlacedClaim(stored.offset, record, is_own), step)
             case JobRecords():
                 step.news.append(JobsRead(record.data_centre, tuple(record.records)))
 
-    def _take_claim(self, offset: Offset, claim: OwnerClaim, step: KeeperStep) -> None:
-        epoch = self._claims.decide(offset, claim)
-        if epoch is not None:
-            accepted = ClaimAccepted(claim.data_centre, claim.member_id, epoch)
-            step.news.append(accepted)
+    def _take_claim(self, placed: PlacedClaim, step: KeeperStep) -> None:
+        epoch = self._claims.decide(placed)
+        if epoch is None:
+            return
+        claim = placed.claim
+        step.news.append(
+            ClaimAccepted(claim.data_centre, claim.member_id, epoch, placed.is_own)
+        )
 
     def _take_change(
         self, stored: StoredRecord, change: ConfigChange, step: KeeperStep
     ) -> None:
         result = self.config.apply_change(stored.offset, change)
-        self._finish_change(stored.id, _OUTCOME_BY_CHANGE[result], step)
+        if result is not ChangeResult.UNDECIDED:
+            self._finish_change(stored.id, _OUTCOME_BY_CHANGE[result], step)
         if result is ChangeResult.ACCEPTED:
             step.news.append(ConfigChanged())
 
     def _take_snapshot(self, snapshot: ConfigSnapshot, step: KeeperStep) -> None:
         self.config.apply_snapshot(snapshot)
-        self._snapshot_applied = max(self._snapshot_applied, snapshot.applied)
-        self._claims.restore(snapshot.owners)
+        self._snapshots.seen(snapshot.applied)
+        was_complete = self._claims.is_complete
+        kept = self._claims.restore(snapshot.owners, snapshot.applied)
+        if self._claims.is_complete and not was_complete:
+            known = [ClaimKnown(one.data_centre, one.epoch) for one in snapshot.owners]
+            step.news.extend(known)
+        for placed in kept:
+            self._take_claim(placed, step)
         step.news.append(ConfigChanged())
 
     def _end_read(self, asked: Instant, now: Instant, step: KeeperStep) -> None:
-        self._last_end_read = asked
+        last = self._last_end_read
+        self._last_end_read = asked if last is None else max(asked, last)
         self.config.mark_loaded()
         if self._read_back_after is not None and asked >= self._read_back_after:
             self._read_back_after = None
@@ -261,15 +286,12 @@
 
     def _keep_snapshot(self, page: RecordPage, now: Instant, step: KeeperStep) -> None:
         """Write a snapshot when the last one is too near to being dropped."""
-        kept = page.next_offset - page.first_offset
-        since = page.next_offset - self._snapshot_applied
-        needed = page.first_offset > 0 or kept >= MIN_KEPT_FOR_SNAPSHOT
-        if self._snapshot_pending or not needed or since < kept * SNAPSHOT_AT_USED:
+        if not (self.config.is_complete and self._claims.is_complete):
             return
-        if not self.config.is_complete:
+        if not self._snapshots.is_due(page, now):
             return
         record_id = self._next_id()
-        self._snapshot_pending = record_id
+        self._snapshots.written(record_id)
         deadline = Instant(now + CHANGE_TIMEOUT_S)
         snapshot = self.config.snapshot(self._claims.owners())
         step.effects.extend(self._write(record_id, snapshot, deadline, now).effects)
@@ -278,23 +300,27 @@
         self,
         effects: Sequence[LogWriterEffect],
         step: KeeperStep,
-        now: Instant | None = None,
+        now: Instant,
     ) -> None:
         for effect in effects:
             match effect:
                 case SendAppend(records):
                     step.effects.append(AppendToLog(records))
                 case ReadBack():
-                    self._read_back_after = now
+                    self._begin_read_back(now)
                     step.effects.append(ReadLog(self.config.applied))
                 case RecordSettled(record_id, result):
                     self._settled(record_id, result, step)
 
+    def _begin_read_back(self, now: Instant) -> None:
+        # A read sent after the loss is enough, however long it takes.
+        if self._read_back_after is None:
+            self._read_back_after = now
+
     def _settled(
         self, record_id: RecordId, result: WriteResult, step: KeeperStep
     ) -> None:
-        if record_id == self._snapshot_pending:
-            self._snapshot_pending = None
+        self._snapshots.settled(record_id)
         if record_id not in self._changes_by_record:
             step.news.append(RecordWritten(record_id, result))
         elif result is not WriteResult.WRITTEN:
@@ -330,6 +356,7 @@
 _OUTCOME_BY_CHANGE = {
     ChangeResult.ACCEPTED: ChangeOutcome.ACCEPTED,
     ChangeResult.CONFLICT: ChangeOutcome.CONFLICT,
+    ChangeResult.SUPERSEDED: ChangeOutcome.UNKNOWN,
 }
 
 _OUTCOME_BY_WRITE = {
--- a/tamarackmount/kernel/log_writer.py
+++ b/tamarackmount/kernel/log_writer.py
@@ -3,7 +3,8 @@
 Records wait until an append is due, then go out together. An append whose reply
 was lost is settled by reading the log back: its records are looked for by their
 ids in everything up to the end that the log had after the loss; only those that
-are not there are written again, under the same ids.
+are not there are written again, under the same ids. A record whose reply was lost
+once may still arrive late, so it is never given up as not written.
 """
 
 from collections.abc import Iterable
@@ -18,8 +19,8 @@
 GROUP_DELAY_S = 0.02
 """How long a record waits for others to join its append, in seconds."""
 
-BURST_APPENDS = 10.0
-"""Appends that a member may send at once after a quiet time."""
+BURST_S = 0.25
+"""A member may send the appends of this long at once, at least one, in seconds."""
 
 RETRY_DELAY_S = 0.5
 """How long a failed append waits before the next try, in seconds."""
@@ -85,7 +86,8 @@
     def __init__(self, appends_per_second: float, now: Instant) -> None:
         """Allow ``appends_per_second`` on the long run."""
         self._rate = appends_per_second
-        self._tokens = BURST_APPENDS
+        self._burst = max(1.0, appends_per_second * BURST_S)
+        self._tokens = self._burst
         self._tokens_at = now
         self._state = _State.IDLE
         self._waiting_by_id: dict[RecordId, PendingRecord] = {}
@@ -97,11 +99,12 @@
         self, records: Iterable[PendingRecord], now: Instant
     ) -> list[LogWriterEffect]:
         """Queue records; the same id again changes nothing."""
+        # Only the first record sets the time, lest a steady stream put it off.
+        if self._state is _State.IDLE and not self._waiting_by_id:
+            self._due = max(self._due, Instant(now + GROUP_DELAY_S))
         for record in records:
             if record.id not in self._sent_by_id:
                 self._waiting_by_id.setdefault(record.id, record)
-        if self._state is _State.IDLE:
-            self._due = max(self._due, Instant(now + GROUP_DELAY_S))
         return []
 
     def appended(self, result: AppendResult, now: Instant) -> list[LogWriterEffect]:
@@ -114,6 +117,7 @@
             self._return_sent(now)
             return []
         self._state = _State.SETTLING
+        self._due = Instant(now + RETRY_DELAY_S)
         self._in_doubt |= set(self._sent_by_id)
         return [ReadBack()]
 
@@ -125,11 +129,10 @@
     def read_back(self, now: Instant) -> list[LogWriterEffect]:
         """Take in that the log was read to the end it had after the loss.
 
-        Records that were not seen on the way are not in the log, and go out again.
+        Records that were not seen on the way go out again.
         """
         if self._state is not _State.SETTLING:
             return []
-        self._in_doubt -= set(self._sent_by_id)
         self._return_sent(now)
         return []
 
@@ -195,5 +198,5 @@
 
     def _refill(self, now: Instant) -> None:
         earned = (now - self._tokens_at) * self._rate
-        self._tokens = min(BURST_APPENDS, self._tokens + earned)
+        self._tokens = min(self._burst, self._tokens + earned)
         self._tokens_at = now
--- a/tamarackmount/kernel/membership.py
+++ b/tamarackmount/kernel/membership.py
@@ -28,6 +28,14 @@
     LOST = "lost"
 
 
+class Heard(Enum):
+    """What a heartbeat told: nothing new, a sign of life, or a new run."""
+
+    IGNORED = "ignored"
+    ALIVE = "alive"
+    NEW_RUN = "new_run"
+
+
 @dataclass(frozen=True, slots=True)
 class Member:
     """A member that the settings name."""
@@ -73,27 +81,35 @@
             for peer in peers
             if peer.id != me.id
         }
+        self._ranked_by_data_centre: dict[DataCentreId, list[MemberId]] = {}
 
-    def heard(self, heartbeat: Heartbeat, now: Instant) -> bool:
-        """Note a heartbeat; return whether it is from a new run of its sender.
+    def heard(self, heartbeat: Heartbeat, now: Instant) -> Heard:
+        """Note a heartbeat; those of strangers, earlier runs and late ones are ignored.
 
-        Heartbeats of strangers, of earlier runs and out of order are ignored.
+        A peer that was lost counts as a new run, since it missed what was sent.
         """
         peer = self._peers_by_id.get(heartbeat.member_id)
         if peer is None:
-            return False
+            return Heard.IGNORED
         last = peer.heartbeat
         if last is not None and _order(heartbeat) <= _order(last):
-            return False
+            return Heard.IGNORED
+        was_heard = self._is_heard(peer, now)
         peer.heartbeat = heartbeat
         peer.heard_at = now
         peer.heard_until = Instant(now + self._silence_s(peer.member))
-        return last is None or last.incarnation != heartbeat.incarnation
+        if last is None or last.incarnation != heartbeat.incarnation:
+            return Heard.NEW_RUN
+        return Heard.ALIVE if was_heard else Heard.NEW_RUN
 
-    def forget_silence(self, now: Instant) -> None:
-        """Count every peer's silence from ``now``, after a pause of this member."""
+    def forget_silence(self, paused_at: Instant, now: Instant) -> None:
+        """Count silence from ``now``, after a pause of this member.
+
+        Peers that were lost before ``paused_at`` stay lost.
+        """
         for peer in self._peers_by_id.values():
-            peer.heard_until = Instant(now + self._silence_s(peer.member))
+            if peer.heard_until > paused_at:
+                peer.heard_until = Instant(now + self._silence_s(peer.member))
 
     def state(self, member_id: MemberId, now: Instant) -> MemberState:
         """Return the state of a peer; strangers are unseen."""
@@ -150,8 +166,8 @@
     def remote_targets(self, now: Instant) -> list[MemberId]:
         """Return one peer of every other data centre to keep in touch with.
 
-        Lost peers are passed over while another one of their data centre is not; of a
-        data centre whose peers are all lost, each is tried in turn.
+        Leaving and lost peers are passed over while another one of their data centre
+        is neither; of a data centre whose peers are all lost, each is tried in turn.
         """
         targets = []
         for data_centre in self.data_centres():
@@ -160,9 +176,16 @@
         return targets
 
     def contact(self, data_centre: DataCentreId, now: Instant) -> MemberId | None:
-        """Return the peer of another data centre to send work to, if one is heard."""
-        target = self._remote_target(data_centre, now)
-        return target if self.state(target, now) is MemberState.ALIVE else None
+        """Return the peer of another data centre to send work to, if one is heard.
+
+        A leaving one serves until it is gone, so it is better than none.
+        """
+        ranked = self._ranked(data_centre)
+        for wanted in (MemberState.ALIVE, MemberState.LEAVING):
+            for member_id in ranked:
+                if self.state(member_id, now) is wanted:
+                    return member_id
+        return None
 
     def least_log_age_s(self, now: Instant) -> float:
         """Return the least age of the log's end among the peers heard, in seconds."""
@@ -193,20 +216,26 @@
         return told
 
     def _remote_target(self, data_centre: DataCentreId, now: Instant) -> MemberId:
-        names = [
-            peer.member.id
-            for peer in self._peers_by_id.values()
-            if peer.member.data_centre == data_centre
-        ]
-        ranked = [MemberId(name) for name in rank_by_hash(self._me.id, names)]
-        not_lost = [
-            name for name in ranked if self.state(name, now) is not MemberState.LOST
-        ]
-        if not_lost:
-            return not_lost[0]
+        ranked = self._ranked(data_centre)
+        for avoided in (_GOING, _LOST):
+            for member_id in ranked:
+                if self.state(member_id, now) not in avoided:
+                    return member_id
         turn = int(now / self._timing.remote_heartbeat_s)
         return ranked[turn % len(ranked)]
 
+    def _ranked(self, data_centre: DataCentreId) -> list[MemberId]:
+        known = self._ranked_by_data_centre.get(data_centre)
+        if known is None:
+            names = [
+                peer.member.id
+                for peer in self._peers_by_id.values()
+                if peer.member.data_centre == data_centre
+            ]
+            known = [MemberId(name) for name in rank_by_hash(self._me.id, names)]
+            self._ranked_by_data_centre[data_centre] = known
+        return known
+
     def _is_heard(self, peer: _Peer, now: Instant) -> bool:
         return peer.heartbeat is not None and now < peer.heard_until
 
@@ -216,5 +245,9 @@
         return self._timing.remote_heartbeat_s * 4
 
 
+_LOST = frozenset({MemberState.LOST})
+_GOING = _LOST | {MemberState.LEAVING}
+
+
 def _order(heartbeat: Heartbeat) -> tuple[Incarnation, int]:
     return heartbeat.incarnation, heartbeat.sequence
--- a/tamarackmount/kernel/messages.py
+++ b/tamarackmount/kernel/messages.py
@@ -312,11 +312,15 @@
 
 @dataclass(frozen=True, slots=True)
 class JobsHeld:
-    """Job records that the sender holds; ``more`` says that others follow."""
+    """Job records that the sender holds; ``more`` says that others follow.
+
+    ``index`` counts the messages of one answer from 0.
+    """
 
     epoch: Epoch
     records: list[str]
     more: bool
+    index: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tamarackmount/kernel/node.py
+++ b/tamarackmount/kernel/node.py
@@ -23,6 +23,7 @@
     TeamId,
     TicketId,
 )
+from tamarackmount.kernel.config_spread import ConfigSpread
 from tamarackmount.kernel.directory import Directory
 from tamarackmount.kernel.effects import (
     CallWorker,
@@ -31,10 +32,12 @@
     RoleChanged,
     SendPeer,
 )
+from tamarackmount.kernel.heartbeats import HeartbeatSchedule, send_to_all
 from tamarackmount.kernel.job_effects import SchedulerTiming
 from tamarackmount.kernel.job_part import JobPart
 from tamarackmount.kernel.log_keeper import (
     ClaimAccepted,
+    ClaimKnown,
     ConfigChanged,
     JobsRead,
     KeeperStep,
@@ -44,7 +47,7 @@
 )
 from tamarackmount.kernel.log_records import ConfigChange, OwnerClaim
 from tamarackmount.kernel.log_writer import AppendResult
-from tamarackmount.kernel.membership import Member, Membership
+from tamarackmount.kernel.membership import Heard, Member, Membership
 from tamarackmount.kernel.messages import (
     AttemptCopied,
     AttemptCopy,
@@ -70,11 +73,11 @@
     TicketRequest,
     TicketWithdrawal,
 )
-from tamarackmount.kernel.ownership import (
+from tamarackmount.kernel.ownership import Ownership
+from tamarackmount.kernel.ownership_effects import (
     AppendClaim,
     AskMembers,
     OwnerSeen,
-    Ownership,
     OwnershipEffect,
     OwnershipLost,
     OwnershipTaken,
@@ -90,13 +93,10 @@
 CUT_OFF_AFTER_S = 13.0
 """Age of the configuration from which a member counts as cut off, in seconds."""
 
-CONFIG_WANTED_S = 1.0
-"""Least time between two requests for a peer's documents, in seconds."""
-
 NEVER_READ_MS = 2**53
 """What a heartbeat gives as the log's age when it was never read."""
 
-APPENDS_PER_SECOND = 300.0
+APPENDS_PER_SECOND = 250.0
 """Appends a second that all members of the fleet share."""
 
 _REQUEST_MESSAGES = (
@@ -140,16 +140,14 @@
         self._sequence = 0
         self._draining = False
         self._refusing = False
-        self._echo_at_by_peer: dict[MemberId, Instant] = {}
         self._last_tick = now
-        self._heartbeat_at = now
-        self._remote_heartbeat_at = now
-        self._config_wanted_at = now
         self._live: frozenset[MemberId] = frozenset({me.id})
         rate = APPENDS_PER_SECOND / (len(peers) + 1)
         self.log = LogKeeper(me.id, str(incarnation), rate, now)
         self.directory = Directory()
         self.membership = Membership(me, peers, timing.members, now)
+        self._heartbeats = HeartbeatSchedule(self.membership, timing.members, now)
+        self._spread = ConfigSpread(self.log.config, now)
         index = sorted([me.id, *self.membership.local_targets()]).index(me.id)
         self.ownership = Ownership(me.id, incarnation, index, timing.members, now)
         self.requests = RequestPart(
@@ -162,6 +160,7 @@
         )
         self.jobs = JobPart(
             me.id,
+            incarnation,
             me.data_centre,
             timing.jobs,
             self.directory,
@@ -210,72 +209,83 @@
 
     def submit(self, request: CallerRequest, now: Instant) -> list[Effect]:
         """Take in a caller's or a peer's request that was admitted."""
-        return self.requests.submit(request, now)
+        return self._wake(now) + self.requests.submit(request, now)
 
     def attempt_ended(
         self, ticket_id: TicketId, result: AttemptResult, now: Instant
     ) -> list[Effect]:
         """Take in how an attempt at an upstream ended."""
-        return self.requests.attempt_ended(ticket_id, result, now)
+        effects = self._wake(now)
+        return effects + self.requests.attempt_ended(ticket_id, result, now)
 
     def caller_left(self, call_id: int, now: Instant) -> list[Effect]:
         """Give up a request whose caller is gone."""
-        return self.requests.caller_left(call_id, now)
+        return self._wake(now) + self.requests.caller_left(call_id, now)
 
     def job_call(self, call: JobCall, now: Instant) -> list[Effect]:
         """Take in a caller's call about jobs."""
-        return self.jobs.call(call, now)
+        return self._wake(now) + self.jobs.call(call, now)
 
     def change_config(
         self, call_id: int, path: ConfigPath, expected: Offset, text: str, now: Instant
     ) -> list[Effect]:
         """Take in an operator's change of a document that was checked."""
         change = ConfigChange(path=path, expected=expected, text=text)
-        return self._keeper_step(self.log.change(call_id, change, now), now)
+        effects = self._wake(now)
+        return effects + self._keeper_step(self.log.change(call_id, change, now), now)
 
     def log_read(self, page: RecordPage, asked: Instant, now: Instant) -> list[Effect]:
         """Take in records of the log; ``asked`` is when the read was sent."""
-        return self._keeper_step(self.log.page_read(page, asked, now), now)
+        effects = self._wake(now)
+        return effects + self._keeper_step(self.log.page_read(page, asked, now), now)
 
     def log_appended(self, result: AppendResult, now: Instant) -> list[Effect]:
         """Take in the result of an append call."""
-        return self._keeper_step(self.log.appended(result, now), now)
+        effects = self._wake(now)
+        return effects + self._keeper_step(self.log.appended(result, now), now)
 
     def vms_listed(self, vms: VmList, now: Instant) -> list[Effect]:
         """Take in the VM list."""
-        effects = self.requests.set_vms(vms.vms, now)
+        effects = self._wake(now)
+        effects += self.requests.set_vms(vms.vms, now)
         return effects + self.jobs.set_vms(vms.vms, now)
 
     def worker_synced(
         self, call: CallWorker, report: WorkerReport, now: Instant
     ) -> list[Effect]:
         """Take in a worker's answer to a sync."""
-        return self.jobs.worker_synced(call.worker_id, report, now)
+        effects = self._wake(now)
+        return effects + self.jobs.worker_synced(call.worker_id, report, now)
 
     def worker_answered(
         self, call: CallWorker, reply: CommandReply, now: Instant
     ) -> list[Effect]:
         """Take in a worker's answer to another command."""
-        return self.jobs.command_answered(call, reply, now)
+        return self._wake(now) + self.jobs.command_answered(call, reply, now)
 
     def worker_failed(self, call: CallWorker, now: Instant) -> list[Effect]:
         """Take in that a call to a worker failed."""
-        return self.jobs.worker_failed(call, now)
+        return self._wake(now) + self.jobs.worker_failed(call, now)
 
     def worker_stale(
         self, call: CallWorker, highest: Epoch, now: Instant
     ) -> list[Effect]:
         """Take in that a worker refused this member's epoch."""
+        effects = self._wake(now)
         if call.command.epoch != self.ownership.epoch:
-            return []
-        effects = self.jobs.worker_stale(call.worker_id, highest, now)
+            return effects
+        effects += self.jobs.worker_stale(call.worker_id, highest, now)
         lost = self.ownership.superseded(highest, now)
         return effects + self._ownership_effects(lost, now)
 
     def drain(self, now: Instant) -> list[Effect]:
-        """Take no new work and hand ownership over, before a planned stop."""
+        """Take no new work and hand ownership over, before a planned stop.
+
+        A member that no other one can follow goes on as owner until one can.
+        """
+        effects = self._wake(now)
         self._draining = True
-        effects = self._ownership_effects(self.ownership.resign(now), now)
+        effects += self._hand_over(now)
         return effects + self._send_heartbeats(self.membership.local_targets(), now)
 
     def refuse_new(self) -> None:
@@ -288,20 +298,21 @@
         """Take in a message of another member."""
         if self.membership.data_centre_of(sender) is None:
             return [ReportProblem(f"message from {sender}, which is no peer")]
+        effects = self._wake(now)
         if isinstance(message, _REQUEST_MESSAGES):
-            return self.requests.peer_message(sender, message, now)
+            return effects + self.requests.peer_message(sender, message, now)
         if isinstance(message, _JOB_MESSAGES):
-            return self.jobs.peer_message(sender, message, now)
-        return self._member_message(sender, message, now)
+            return effects + self.jobs.peer_message(sender, message, now)
+        return effects + self._member_message(sender, message, now)
 
     def tick(self, now: Instant) -> list[Effect]:
         """Advance time; called several times in a heartbeat's period."""
-        if now - self._last_tick > self._timing.members.pause_limit_s:
-            self.membership.forget_silence(now)
+        effects = self._wake(now)
         self._last_tick = now
-        effects = self._tick_ownership(now)
+        effects += self._hand_over(now)
+        effects += self._tick_ownership(now)
         effects += self._tick_members(now)
-        effects += self._tick_heartbeats(now)
+        effects += self._send_heartbeats(self._heartbeats.due(now), now)
         effects += self._keeper_step(self.log.tick(now), now)
         effects += self.requests.tick(now)
         effects += self.jobs.tick(now)
@@ -317,6 +328,24 @@
         own = self.log.end_read_age_s(now)
         return min(ages if own is None else [*ages, own])
 
+    def _wake(self, now: Instant) -> list[Effect]:
+        """Notice a pause of this member before it acts on anything.
+
+        What it heard and owned before the pause holds no more.
+        """
+        if now - self._last_tick <= self._timing.members.pause_limit_s:
+            return []
+        self.membership.forget_silence(self._last_tick, now)
+        self._last_tick = now
+        return self._ownership_effects(self.ownership.wake(now), now)
+
+    def _hand_over(self, now: Instant) -> list[Effect]:
+        if not self._draining or not self.ownership.is_owner:
+            return []
+        if not self.membership.staying_peers(self._me.data_centre, now):
+            return []
+        return self._ownership_effects(self.ownership.resign(now), now)
+
     def _unless_cut_off(self, team_id: TeamId, now: Instant) -> TeamId | RefusalReason:
         when = self.directory.teams_by_id[team_id].when_cut_off
         if when is WhenCutOff.REFUSE and self.config_age_s(now) > CUT_OFF_AFTER_S:
@@ -336,9 +365,7 @@
                 answered = self.ownership.claim_answered(message, now)
                 return self._ownership_effects(answered, now)
             case ConfigWanted():
-                entries = self.log.config.entries()
-                sync = ConfigSync(self.log.config.applied, entries)
-                return [SendPeer(sender, sync)]
+                return self._spread.wanted(sender, message)
             case ConfigSync(offset, entries):
                 self.log.config.apply_entries(offset, entries)
                 return self._configure(now)
@@ -347,11 +374,13 @@
 
     def _tick_ownership(self, now: Instant) -> list[Effect]:
         local = self._me.data_centre
+        staying = self.membership.staying_peers(local, now)
+        may_stay = not self._draining or not staying
         ticked = self.ownership.tick(
-            staying=self.membership.staying_peers(local, now),
+            staying=staying,
             live=self.membership.live_peers(local, now),
-            log_fresh=self.is_log_fresh(now),
-            may_own=self.is_ready,
+            log_fresh=self.is_log_fresh(now) and self.log.knows_claims,
+            may_own=self.log.config.is_loaded and may_stay,
             now=now,
         )
         return self._ownership_effects(ticked, now)
@@ -371,22 +400,11 @@
         peers = self.membership.live_peers(self._me.data_centre, now)
         return frozenset(peers) | {self._me.id}
 
-    def _tick_heartbeats(self, now: Instant) -> list[Effect]:
-        timing = self._timing.members
-        targets: list[MemberId] = []
-        if now >= self._heartbeat_at:
-            self._heartbeat_at = Instant(now + timing.heartbeat_s)
-            targets += self.membership.local_targets()
-        if now >= self._remote_heartbeat_at:
-            self._remote_heartbeat_at = Instant(now + timing.remote_heartbeat_s)
-            targets += self.membership.remote_targets(now)
-        return self._send_heartbeats(targets, now) if targets else []
-
     def _send_heartbeats(
         self, targets: Iterable[MemberId], now: Instant
     ) -> list[Effect]:
-        heartbeat = self._heartbeat(now)
-        return [SendPeer(target, heartbeat) for target in targets]
+        wanted = list(targets)
+        return send_to_all(wanted, self._heartbeat(now)) if wanted else []
 
     def _heartbeat(self, now: Instant) -> Heartbeat:
         self._sequence += 1
@@ -398,42 +416,30 @@
             sequence=self._sequence,
             epoch=self.ownership.epoch,
             owner=self.ownership.owner or MemberId(""),
-            config_offset=self.log.config.applied,
+            config_offset=self.log.config.known_to,
             log_age_ms=NEVER_READ_MS if age_s is None else int(age_s * 1_000),
             leaving=not self.is_ready,
         )
 
     def _heard(self, heartbeat: Heartbeat, now: Instant) -> list[Effect]:
-        is_new_run = self.membership.heard(heartbeat, now)
-        effects = self._compare_config(heartbeat, now)
+        told = self.membership.heard(heartbeat, now)
+        if told is Heard.IGNORED:
+            return []
+        effects = self._spread.heard(heartbeat, self.is_log_fresh(now), now)
         if heartbeat.data_centre != self._me.data_centre:
-            return effects + self._echo(heartbeat, now)
+            if self._heartbeats.is_echo_due(heartbeat.member_id, now):
+                effects += self._send_heartbeats([heartbeat.member_id], now)
+            return effects
         heard = self.ownership.heard(heartbeat, now)
         effects += self._ownership_effects(heard, now)
-        if is_new_run:
-            effects += self.jobs.member_joined(heartbeat.member_id)
+        if told is Heard.NEW_RUN:
+            effects += self._member_joined(heartbeat.member_id, now)
         return effects
 
-    def _echo(self, heartbeat: Heartbeat, now: Instant) -> list[Effect]:
-        """Answer a heartbeat of another data centre that is not an answer itself."""
-        peer = heartbeat.member_id
-        if peer in self.membership.remote_targets(now):
-            return []
-        if now < self._echo_at_by_peer.get(peer, now):
-            return []
-        period_s = self._timing.members.remote_heartbeat_s / 2
-        self._echo_at_by_peer[peer] = Instant(now + period_s)
-        return self._send_heartbeats([heartbeat.member_id], now)
-
-    def _compare_config(self, heartbeat: Heartbeat, now: Instant) -> list[Effect]:
-        """Ask a peer for its documents when it read more of the log."""
-        config = self.log.config
-        behind = heartbeat.config_offset > config.applied
-        fresh = self.is_log_fresh(now)
-        if fresh and config.is_complete or not behind or now < self._config_wanted_at:
-            return []
-        self._config_wanted_at = Instant(now + CONFIG_WANTED_S)
-        return [SendPeer(heartbeat.member_id, ConfigWanted(config.applied))]
+    def _member_joined(self, member_id: MemberId, now: Instant) -> list[Effect]:
+        # Set at once, so that a member back within one tick isn't lost after.
+        effects = self._tick_members(now)
+        return effects + self.jobs.member_joined(member_id, now)
 
     def _ownership_effects(
         self, effects: Sequence[OwnershipEffect], now: Instant
@@ -479,30 +485,48 @@
     def _keeper_step(self, step: KeeperStep, now: Instant) -> list[Effect]:
         effects = list(step.effects)
         config_changed = False
-        for news in step.news:
+        for news in self._without_past_claims(step.news):
             config_changed = config_changed or isinstance(news, ConfigChanged)
             effects += self._log_news(news, now)
         if config_changed:
             effects += self._configure(now)
         return effects
 
+    def _without_past_claims(self, news: Sequence[LogNews]) -> list[LogNews]:
+        """Drop the claims of this data centre that later ones superseded already."""
+        claims = [one for one in news if self._is_local_claim(one)]
+        past = claims[:-1]
+        return [one for one in news if one not in past]
+
+    def _is_local_claim(self, news: LogNews) -> bool:
+        if not isinstance(news, ClaimAccepted):
+            return False
+        return news.data_centre == self._me.data_centre
+
     def _log_news(self, news: LogNews, now: Instant) -> list[Effect]:
         match news:
             case ClaimAccepted():
                 return self._claim_accepted(news, now)
+            case ClaimKnown(data_centre, epoch):
+                if data_centre != self._me.data_centre:
+                    return []
+                known = self.ownership.superseded(epoch, now)
+                return self._ownership_effects(known, now)
             case JobsRead(data_centre, records):
                 if data_centre != self._me.data_centre:
                     return []
-                return self.jobs.records_read(records)
+                return self.jobs.records_read(records, now)
             case RecordWritten(record_id, result):
                 return self.jobs.record_written(record_id, result, now)
             case ConfigChanged():
                 return []
 
     def _claim_accepted(self, news: ClaimAccepted, now: Instant) -> list[Effect]:
-        if news.data_centre != self._me.data_centre:
+        if not self._is_local_claim(news):
             return []
-        logged = self.ownership.claim_logged(news.epoch, news.member_id, now)
+        logged = self.ownership.claim_logged(
+            news.epoch, news.member_id, news.is_own, now
+        )
         return self._ownership_effects(logged, now)
 
     def _configure(self, now: Instant) -> list[Effect]:
--- a/tamarackmount/kernel/ownership.py
+++ b/tamarackmount/kernel/ownership.py
@@ -2,37 +2,46 @@
 
 Every data centre has at most one owner at a time. An epoch names a term of
 ownership; its upper bits are the log offset of the claim that began it, its lower
-bits count the changes of owner made since without the log and tell who claimed. A
-higher epoch supersedes a lower one, and workers refuse commands of a lower epoch.
+bits count the changes of owner made since without the log and tell who claimed, and
+in which run. A higher epoch supersedes a lower one, and workers refuse commands of a
+lower epoch.
 
 A member claims when the owner was silent for the whole lease while the member
-itself ran without a pause, and only the first of the live members by name does.
+itself ran without a pause. The first of the live members by name claims at once,
+each other one a turn later than the one before it, should that one not be able to.
 With the log at hand the claim is a record, accepted when it names the epoch that
 precedes it in the log's order. Without the log every other live member of the data
-centre has to agree. An owner that finds it was paused, or sees a higher epoch, is
-owner no more.
+centre has to agree. A claim that the log does not settle in time is followed by one
+without the log; should the record still arrive, its writer owns by it. An owner that
+finds it was paused, or sees a higher epoch, is owner no more.
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from enum import Enum
 
-from tamarackmount.ids import Epoch, Incarnation, Instant, MemberId, Offset
+from tamarackmount.ids import Epoch, Incarnation, Instant, MemberId
+from tamarackmount.kernel.epochs import NO_EPOCH, next_term
 from tamarackmount.kernel.messages import ClaimReply, ClaimRequest, Heartbeat
+from tamarackmount.kernel.ownership_effects import (
+    AppendClaim,
+    AskMembers,
+    OwnerSeen,
+    OwnershipEffect,
+    OwnershipLost,
+    OwnershipTaken,
+    ReplyClaim,
+)
 from tamarackmount.kernel.timing import Timing
 
-TERM_BITS = 16
-"""Bits of an epoch below the log offset."""
-
-MEMBER_BITS = 6
-"""Lowest bits of an epoch, which tell the claims of two members apart."""
-
-NO_EPOCH = Epoch(0)
-"""The epoch before any owner."""
-
 CLAIM_TIMEOUT_S = 2.0
 """How long a claim may take before it is given up, in seconds."""
 
+CLAIM_TURN_S = 2.5
+"""How long a member leaves the claim to the one before it by name, in seconds."""
+
+LOG_DISTRUST_S = 10.0
+"""How long claims avoid the log after it did not settle one, in seconds."""
+
 
 class Role(Enum):
     """What a member is in its data centre."""
@@ -43,71 +52,6 @@
     OWNER = "owner"
 
 
-@dataclass(frozen=True, slots=True)
-class AppendClaim:
-    """Effect: append a claim that supersedes ``expected`` to the log."""
-
-    expected: Epoch
-
-
-@dataclass(frozen=True, slots=True)
-class AskMembers:
-    """Effect: send a claim to each of the members."""
-
-    members: tuple[MemberId, ...]
-    request: ClaimRequest
-
-
-@dataclass(frozen=True, slots=True)
-class ReplyClaim:
-    """Effect: answer another member's claim."""
-
-    to: MemberId
-    reply: ClaimReply
-
-
-@dataclass(frozen=True, slots=True)
-class OwnershipTaken:
-    """Effect: this member is owner from now on.
-
-    ``is_first`` says that the data centre never had an owner.
-    """
-
-    epoch: Epoch
-    is_first: bool
-
-
-@dataclass(frozen=True, slots=True)
-class OwnershipLost:
-    """Effect: this member is not the owner any more."""
-
-    epoch: Epoch
-
-
-@dataclass(frozen=True, slots=True)
-class OwnerSeen:
-    """Effect: the owner is another member, or ``None`` while nobody knows."""
-
-    owner: MemberId | None
-    epoch: Epoch
-
-
-OwnershipEffect = (
-    AppendClaim | AskMembers | ReplyClaim | OwnershipTaken | OwnershipLost | OwnerSeen
-)
-
-
-def epoch_of_offset(offset: Offset) -> Epoch:
-    """Return the epoch that a claim at this log offset begins."""
-    return Epoch(offset << TERM_BITS)
-
-
-def next_term(epoch: Epoch, member_index: int) -> Epoch:
-    """Return the epoch after ``epoch`` that a member claims without the log."""
-    term = (epoch >> MEMBER_BITS) + 1
-    return Epoch(term << MEMBER_BITS | member_index)
-
-
 class Ownership:
     """One member's part in choosing the owner of its data centre."""
 
@@ -136,6 +80,10 @@
         self._claim_until = now
         self._claimed_epoch = NO_EPOCH
         self._claim_awaits: set[MemberId] = set()
+        self._ask_again_at = now
+        self._avoid_log_until = now
+        self._accepted_request: ClaimRequest | None = None
+        self._may_own = False
 
     @property
     def role(self) -> Role:
@@ -160,9 +108,14 @@
     def heard(self, heartbeat: Heartbeat, now: Instant) -> list[OwnershipEffect]:
         """Take in the heartbeat of a member of the same data centre."""
         effects: list[OwnershipEffect] = []
+        if self._is_claiming() and heartbeat.owner == self._me:
+            # Another member was quicker to learn of the claim under way.
+            return []
         if heartbeat.epoch > self._epoch:
             owner = heartbeat.owner or None
             effects += self._follow(owner, heartbeat.epoch, now)
+        elif self._names_unknown_owner(heartbeat):
+            effects += self._follow(heartbeat.owner, heartbeat.epoch, now)
         if heartbeat.member_id == self._owner and heartbeat.owner == self._owner:
             self._silent_until = self._lease_end(now)
         if self._owner_gave_up(heartbeat):
@@ -172,25 +125,31 @@
         return effects
 
     def claim_logged(
-        self, epoch: Epoch, member_id: MemberId, now: Instant
+        self, epoch: Epoch, member_id: MemberId, is_own: bool, now: Instant
     ) -> list[OwnershipEffect]:
-        """Take in a claim that the log's order accepted for ``epoch``."""
-        if epoch <= self._epoch:
+        """Take in a claim that the log's order accepted for ``epoch``.
+
+        ``is_own`` if this run of this member wrote it, however long ago.
+        """
+        is_own = is_own and self._may_own
+        if epoch < self._epoch:
             return []
-        if member_id == self._me and self._role is Role.CLAIMING_BY_LOG:
-            return self._take(epoch)
-        # A claim of an earlier run of this member, or one given up since.
-        owner = None if member_id == self._me else member_id
-        return self._follow(owner, epoch, now)
+        if epoch == self._epoch and not (is_own and self._owner is None):
+            return []
+        if not is_own:
+            return self._follow(member_id, epoch, now)
+        lost = [OwnershipLost(self._epoch)] if self.is_owner else []
+        return [*lost, *self._take(epoch, by_log=True)]
 
     def claim_requested(
         self, request: ClaimRequest, now: Instant
     ) -> list[OwnershipEffect]:
         """Answer a claim made without the log."""
-        silent = now >= self._silent_until or self._owner == request.candidate
-        accepted = request.epoch > self._epoch and silent and not self.is_owner
         effects: list[OwnershipEffect] = []
-        if accepted:
+        accepted = request == self._accepted_request and request.epoch == self._epoch
+        if not accepted and self._accepts(request, now):
+            accepted = True
+            self._accepted_request = request
             effects += self._follow(request.candidate, request.epoch, now)
         reply = ClaimReply(self._me, request.epoch, accepted)
         effects.append(ReplyClaim(request.candidate, reply))
@@ -207,7 +166,7 @@
         self._claim_awaits.discard(reply.member_id)
         if self._claim_awaits:
             return []
-        return self._take(self._claimed_epoch)
+        return self._take(self._claimed_epoch, by_log=False)
 
     def superseded(self, epoch: Epoch, now: Instant) -> list[OwnershipEffect]:
         """Take in a higher epoch seen elsewhere, such as at a worker."""
@@ -217,6 +176,7 @@
 
     def resign(self, now: Instant) -> list[OwnershipEffect]:
         """Give ownership up, before a planned stop."""
+        self._may_own = False
         if not self.is_owner:
             return []
         return self._follow(None, self._epoch, now)
@@ -235,35 +195,75 @@
         not leaving, and alive at all. ``log_fresh`` tells whether the end of the log
         was read a moment ago; ``may_own`` whether this member is able to own.
         """
-        paused = now - self._last_tick > self._timing.pause_limit_s
+        resumed = self.wake(now)
         self._last_tick = now
-        if paused:
-            return self._resume(now)
+        self._may_own = may_own
+        if resumed:
+            return resumed
         if self._is_claiming():
-            return self._give_up_claim(now) if now >= self._claim_until else []
-        if self.is_owner or now < self._silent_until or not may_own:
+            return self._continue_claim(live, now)
+        if self.is_owner or not may_own:
             return []
-        if staying and min(staying) < self._me:
+        turn = sum(1 for member_id in staying if member_id < self._me)
+        if now < self._silent_until + turn * CLAIM_TURN_S:
             return []
         return self._claim(live, log_fresh, now)
 
+    def wake(self, now: Instant) -> list[OwnershipEffect]:
+        """Stop being owner if this member was paused; comes before any input."""
+        if now - self._last_tick <= self._timing.pause_limit_s:
+            return []
+        self._last_tick = now
+        if self.is_owner:
+            return self._follow(None, self._epoch, now)
+        self._role = Role.FOLLOWER
+        self._silent_until = self._lease_end(now)
+        return []
+
+    def _accepts(self, request: ClaimRequest, now: Instant) -> bool:
+        if self._role in (Role.OWNER, Role.CLAIMING_BY_LOG):
+            return False
+        silent = now >= self._silent_until or self._owner == request.candidate
+        return request.epoch > self._epoch and silent
+
     def _claim(
         self, live: Sequence[MemberId], log_fresh: bool, now: Instant
     ) -> list[OwnershipEffect]:
         self._claim_until = Instant(now + CLAIM_TIMEOUT_S)
-        if log_fresh:
+        if log_fresh and now >= self._avoid_log_until:
             self._role = Role.CLAIMING_BY_LOG
             return [AppendClaim(self._epoch)]
-        self._claimed_epoch = next_term(self._epoch, self._member_index)
+        epoch = next_term(self._epoch, self._member_index, self._incarnation)
+        if epoch is None:
+            return self._give_up_claim(now)
+        self._claimed_epoch = epoch
         if not live:
-            return self._take(self._claimed_epoch)
+            return self._take(epoch, by_log=False)
         self._role = Role.CLAIMING_BY_PEERS
         self._claim_awaits = set(live)
+        return self._ask_members(now)
+
+    def _continue_claim(
+        self, live: Sequence[MemberId], now: Instant
+    ) -> list[OwnershipEffect]:
+        if now >= self._claim_until:
+            if self._role is Role.CLAIMING_BY_LOG:
+                self._avoid_log_until = Instant(now + LOG_DISTRUST_S)
+            return self._give_up_claim(now)
+        if self._role is Role.CLAIMING_BY_LOG:
+            return []
+        self._claim_awaits &= set(live)
+        if not self._claim_awaits:
+            return self._take(self._claimed_epoch, by_log=False)
+        return self._ask_members(now) if now >= self._ask_again_at else []
+
+    def _ask_members(self, now: Instant) -> list[OwnershipEffect]:
+        self._ask_again_at = Instant(now + self._timing.heartbeat_s)
         request = ClaimRequest(self._me, self._incarnation, self._claimed_epoch)
-        return [AskMembers(tuple(live), request)]
+        return [AskMembers(tuple(sorted(self._claim_awaits)), request)]
 
-    def _take(self, epoch: Epoch) -> list[OwnershipEffect]:
-        is_first = self._epoch == NO_EPOCH
+    def _take(self, epoch: Epoch, *, by_log: bool) -> list[OwnershipEffect]:
+        is_first = by_log and self._epoch == NO_EPOCH
         self._role = Role.OWNER
         self._epoch = epoch
         self._owner = self._me
@@ -278,19 +278,13 @@
             effects.append(OwnershipLost(self._epoch))
         self._role = Role.FOLLOWER
         self._epoch = epoch
-        self._owner = owner
+        # Only taking it makes this member owner, whatever others remember of it.
+        self._owner = None if owner == self._me else owner
         self._claim_awaits.clear()
         self._silent_until = self._lease_end(now)
-        effects.append(OwnerSeen(owner, epoch))
+        effects.append(OwnerSeen(self._owner, epoch))
         return effects
 
-    def _resume(self, now: Instant) -> list[OwnershipEffect]:
-        if self.is_owner:
-            return self._follow(None, self._epoch, now)
-        self._role = Role.FOLLOWER
-        self._silent_until = self._lease_end(now)
-        return []
-
     def _give_up_claim(self, now: Instant) -> list[OwnershipEffect]:
         self._role = Role.FOLLOWER
         self._claim_awaits.clear()
@@ -300,6 +294,13 @@
     def _is_claiming(self) -> bool:
         return self._role in (Role.CLAIMING_BY_LOG, Role.CLAIMING_BY_PEERS)
 
+    def _names_unknown_owner(self, heartbeat: Heartbeat) -> bool:
+        return (
+            heartbeat.epoch == self._epoch > NO_EPOCH
+            and self._owner is None
+            and heartbeat.owner == heartbeat.member_id
+        )
+
     def _owner_gave_up(self, heartbeat: Heartbeat) -> bool:
         return (
             heartbeat.member_id == self._owner
--- /dev/null
+++ b/tamarackmount/kernel/ownership_effects.py
@@ -0,0 +1,60 @@
+"""What the choice of an owner asks of its node."""
+
+from dataclasses import dataclass
+
+from tamarackmount.ids import Epoch, MemberId
+from tamarackmount.kernel.messages import ClaimReply, ClaimRequest
+
+
+@dataclass(frozen=True, slots=True)
+class AppendClaim:
+    """Effect: append a claim that supersedes ``expected`` to the log."""
+
+    expected: Epoch
+
+
+@dataclass(frozen=True, slots=True)
+class AskMembers:
+    """Effect: send a claim to each of the members."""
+
+    members: tuple[MemberId, ...]
+    request: ClaimRequest
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyClaim:
+    """Effect: answer another member's claim."""
+
+    to: MemberId
+    reply: ClaimReply
+
+
+@dataclass(frozen=True, slots=True)
+class OwnershipTaken:
+    """Effect: this member is owner from now on.
+
+    ``is_first`` says that the data centre never had an owner.
+    """
+
+    epoch: Epoch
+    is_first: bool
+
+
+@dataclass(frozen=True, slots=True)
+class OwnershipLost:
+    """Effect: this member is not the owner any more."""
+
+    epoch: Epoch
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerSeen:
+    """Effect: the owner is another member, or ``None`` while nobody knows."""
+
+    owner: MemberId | None
+    epoch: Epoch
+
+
+OwnershipEffect = (
+    AppendClaim | AskMembers | ReplyClaim | OwnershipTaken | OwnershipLost | OwnerSeen
+)
--- /dev/null
+++ b/tests/utils/fake_log.py
@@ -0,0 +1,95 @@
+"""A log in virtual time with every fault that the platform's may show."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from tamarackmount.adapters.log_schema import RecordPage, StoredRecord
+from tamarackmount.ids import ConfigPath, Offset, RecordId
+from tamarackmount.kernel.log_records import (
+    ConfigChange,
+    LogRecord,
+    record_from_text,
+    record_to_text,
+)
+from tamarackmount.kernel.log_writer import PendingRecord
+
+PAGE_RECORDS = 50
+
+
+@dataclass(slots=True)
+class FakeLog:
+    """Offsets from 1; keeps the last ``keep`` records, remembers all for checks.
+
+    ``lose_replies`` appends take effect without a reply; ``late_appends`` have no
+    reply either and take effect ``late_s`` afterwards.
+    """
+
+    keep: int = 100_000
+    down: bool = False
+    delay_s: float = 0.0
+    lose_replies: int = 0
+    late_appends: int = 0
+    late_s: float = 3.0
+    appends: int = 0
+    all_records: list[StoredRecord] = field(default_factory=list)
+    append_times: list[float] = field(default_factory=list)
+
+    @property
+    def first_offset(self) -> Offset:
+        """The oldest offset that is kept."""
+        return Offset(max(1, self.next_offset - self.keep))
+
+    @property
+    def next_offset(self) -> Offset:
+        """The offset of the next record."""
+        return Offset(len(self.all_records) + 1)
+
+    def append(self, records: Sequence[PendingRecord], now: float = 0.0) -> None:
+        """Store records."""
+        self.appends += 1
+        self.append_times.append(now)
+        for record in records:
+            self.store(record.id, record.text)
+
+    def store(self, record_id: RecordId, text: str) -> Offset:
+        """Store one record and return its offset."""
+        offset = self.next_offset
+        self.all_records.append(StoredRecord(offset=offset, id=record_id, body=text))
+        return offset
+
+    def add(self, record: LogRecord, name: str = "") -> Offset:
+        """Store a record of another writer."""
+        record_id = RecordId(name or f"other/{self.next_offset}")
+        return self.store(record_id, record_to_text(record))
+
+    def page(self, offset: Offset, limit: int = PAGE_RECORDS) -> RecordPage:
+        """Return kept records from an offset on."""
+        first = self.first_offset
+        start = max(offset, first)
+        return RecordPage(
+            first_offset=first,
+            next_offset=self.next_offset,
+            records=self.all_records[start - 1 : start - 1 + limit],
+        )
+
+    def accepted_changes(self) -> dict[RecordId, StoredRecord]:
+        """Return the changes that took effect by the order of the whole log."""
+        versions: dict[ConfigPath, Offset] = {}
+        accepted = {}
+        for stored in self.all_records:
+            record = record_from_text(stored.body).unwrap()
+            if not isinstance(record, ConfigChange):
+                continue
+            if versions.get(record.path, 0) == record.expected:
+                versions[record.path] = stored.offset
+                accepted[stored.id] = stored
+        return accepted
+
+    def documents(self) -> dict[ConfigPath, tuple[Offset, str]]:
+        """Return version and text of every document by the whole log, deleted too."""
+        documents = {}
+        for stored in self.accepted_changes().values():
+            change = record_from_text(stored.body).unwrap()
+            assert isinstance(change, ConfigChange)
+            documents[change.path] = (stored.offset, change.text)
+        return documents
