--- a/tamarackmount/kernel/ownership.py
+++ b/tamarackmount/kernel/ownership.py
@@ -84,6 +84,8 @@
         self._avoid_log_until = now
         self._accepted_request: ClaimRequest | None = None
         self._may_own = False
+        self._gave_up: MemberId | None = None
+        self._is_vacant = False
 
     @property
     def role(self) -> Role:
@@ -122,6 +124,8 @@
             effects += self._follow(None, self._epoch, now)
             # The owner said itself that it stopped, so nothing has to lapse.
             self._silent_until = now
+            self._gave_up = heartbeat.member_id
+            self._is_vacant = True
         return effects
 
     def claim_logged(
@@ -179,7 +183,7 @@
         self._may_own = False
         if not self.is_owner:
             return []
-        return self._follow(None, self._epoch, now)
+        return self._follow(self._me, self._epoch, now)
 
     def tick(
         self,
@@ -204,8 +208,9 @@
             return self._continue_claim(live, now)
         if self.is_owner or not may_own:
             return []
-        turn = sum(1 for member_id in staying if member_id < self._me)
-        if now < self._silent_until + turn * CLAIM_TURN_S:
+        # An owner that gave up after a pause waits a lease before it claims again.
+        before_me = [one for one in staying if one < self._me and one != self._gave_up]
+        if now < self._silent_until + len(before_me) * CLAIM_TURN_S:
             return []
         return self._claim(live, log_fresh, now)
 
@@ -215,7 +220,7 @@
             return []
         self._last_tick = now
         if self.is_owner:
-            return self._follow(None, self._epoch, now)
+            return self._follow(self._me, self._epoch, now)
         self._role = Role.FOLLOWER
         self._silent_until = self._lease_end(now)
         return []
@@ -223,8 +228,11 @@
     def _accepts(self, request: ClaimRequest, now: Instant) -> bool:
         if self._role in (Role.OWNER, Role.CLAIMING_BY_LOG):
             return False
-        silent = now >= self._silent_until or self._owner == request.candidate
-        return request.epoch > self._epoch and silent
+        if request.epoch <= self._epoch:
+            return False
+        if self._is_vacant or self._owner == request.candidate:
+            return True
+        return now >= self._silent_until
 
     def _claim(
         self, live: Sequence[MemberId], log_fresh: bool, now: Instant
@@ -280,6 +288,9 @@
         self._epoch = epoch
         # Only taking it makes this member owner, whatever others remember of it.
         self._owner = None if owner == self._me else owner
+        # The owner of the epoch was this member, which is certainly none.
+        self._is_vacant = owner == self._me
+        self._gave_up = None
         self._claim_awaits.clear()
         self._silent_until = self._lease_end(now)
         effects.append(OwnerSeen(self._owner, epoch))
--- /dev/null
+++ b/tests/test_node_jobs.py
@@ -0,0 +1,277 @@
+"""Job records held by the members of a data centre."""
+
+import pytest
+
+from tamarackmount.adapters.worker_schema import AttemptState
+from tamarackmount.ids import JobId, MemberId
+from tamarackmount.kernel.effects import SendPeer
+from tamarackmount.kernel.messages import JobAction, JobAnswer, JobCall
+from tests.utils.node_fleet import TEAM, NodeFleet, Submission
+
+COPY_S = 3.0
+"""Time in which a member that joined holds every record."""
+
+
+def held_by(fleet: NodeFleet, name: str) -> int:
+    return fleet.node(name).jobs.held
+
+
+def other_than_owner(fleet: NodeFleet) -> list[str]:
+    return sorted(set(fleet.names("dc1")) - set(fleet.owners()))
+
+
+def owned(fleet: NodeFleet) -> None:
+    def ready() -> bool:
+        owners = fleet.owners()
+        if len(owners) != 1:
+            return False
+        return fleet.node(owners[0]).jobs.scheduler is not None
+
+    fleet.run_until(ready, 10.0)
+
+
+def submitted(fleet: NodeFleet, name: str = "dc1-a") -> Submission:
+    job = fleet.submit(name)
+    fleet.run(1.0)
+    assert job.status == 201
+    return job
+
+
+@pytest.mark.parametrize("log_down", [False, True])
+@pytest.mark.parametrize("victim", ["owner", "other"])
+def test_a_job_survives_the_loss_of_one_member(log_down: bool, victim: str) -> None:
+    fleet = NodeFleet().configured()
+    fleet.log.down = log_down
+    job = submitted(fleet)
+    lost = fleet.owners()[0] if victim == "owner" else other_than_owner(fleet)[0]
+    fleet.stop(lost)
+    fleet.run(1.0)
+    owned(fleet)
+    fleet.run(3.0)
+    assert job.name in fleet.known_jobs("dc1")
+
+
+def test_jobs_outlive_all_members_replaced_one_after_another() -> None:
+    fleet = NodeFleet().configured()
+    fleet.log.down = True
+    jobs = {submitted(fleet).name}
+    for name in fleet.names("dc1"):
+        fleet.stop(name)
+        fleet.start(name)
+        fleet.run(COPY_S + 5.0)
+        owned(fleet)
+    fleet.run(5.0)
+    assert jobs <= fleet.known_jobs("dc1")
+
+
+def test_copies_to_a_member_that_joined_are_sent_until_they_arrive() -> None:
+    fleet = NodeFleet().configured()
+    fleet.log.down = True
+    submitted(fleet)
+    replaced = other_than_owner(fleet)[0]
+    fleet.stop(replaced)
+    fleet.start(replaced)
+    fleet.loss = 0.9
+    fleet.run(0.6)
+    fleet.loss = 0.0
+    fleet.run(COPY_S)
+    assert held_by(fleet, replaced) == 1
+
+
+def test_a_member_cut_off_for_a_while_gets_what_it_missed() -> None:
+    fleet = NodeFleet().configured()
+    fleet.log.down = True
+    cut = other_than_owner(fleet)[0]
+    fleet.cut([cut], fleet.names())
+    fleet.run(3.0)
+    submitted(fleet)
+    fleet.run(8.0)
+    fleet.cut_pairs.clear()
+    fleet.run(COPY_S)
+    assert held_by(fleet, cut) == 1
+
+
+def test_records_in_the_log_only_reach_every_member_all_the_same() -> None:
+    """The log has the record first; a copy that got lost is sent again."""
+    fleet = NodeFleet().configured()
+    missed = other_than_owner(fleet)[0]
+    fleet.cut_from_log.add(MemberId(missed))
+    fleet.cut([missed], fleet.owners())
+    submitted(fleet)
+    fleet.cut_pairs.clear()
+    fleet.run(COPY_S)
+    assert held_by(fleet, missed) == 1
+
+
+def test_records_of_both_sides_of_a_cut_are_scheduled_after_it() -> None:
+    # Without workers, that both sides would take from each other in turn.
+    fleet = NodeFleet(sizes=(4,), workers=0).configured()
+    fleet.log.down = True
+    fleet.run(3.0)
+    one, other = ["dc1-a", "dc1-b"], ["dc1-c", "dc1-d"]
+    fleet.cut(one, other)
+    fleet.run(10.0)
+    assert len(fleet.owners()) == 2
+    jobs = [fleet.submit("dc1-a"), fleet.submit("dc1-d")]
+    fleet.run(2.0)
+    assert [job.status for job in jobs] == [201, 201]
+    fleet.cut_pairs.clear()
+    fleet.run(15.0)
+    assert {job.name for job in jobs} <= fleet.known_jobs("dc1")
+
+
+def test_a_record_that_the_log_gives_late_is_scheduled() -> None:
+    """Only the log and the dead owner had it; the new owner can't read at first."""
+    fleet = NodeFleet(sizes=(2,)).configured()
+    (owner,) = fleet.owners()
+    (other,) = other_than_owner(fleet)
+    fleet.cut_from_log.add(MemberId(other))
+    fleet.cut([owner], [other])
+    fleet.run(0.2)
+    job = submitted(fleet, owner)
+    fleet.stop(owner)
+    fleet.run(10.0)
+    assert fleet.owners() == [other]
+    fleet.heal()
+    fleet.run(3.0)
+    assert job.name in fleet.known_jobs("dc1")
+
+
+def test_a_lost_answer_of_a_member_does_not_lose_its_records() -> None:
+    """The only other holder's answer to the new owner gets lost for a second."""
+    fleet = NodeFleet().configured()
+    fleet.log.down = True
+    (owner,) = fleet.owners()
+    missing, holder = other_than_owner(fleet)
+    fleet.cut([missing], [owner])
+    job = submitted(fleet, owner)
+    fleet.run(0.3)
+    fleet.stop(owner)
+    fleet.run_until(lambda: fleet.owners() == [missing], 10.0)
+    fleet.cut([missing], [holder])
+    fleet.run(1.2)
+    fleet.cut_pairs.clear()
+    fleet.run(5.0)
+    owned(fleet)
+    assert job.name in fleet.known_jobs("dc1")
+
+
+def test_a_job_nobody_can_hold_is_refused_and_never_runs() -> None:
+    fleet = NodeFleet(sizes=(1,)).configured()
+    fleet.log.down = True
+    job = fleet.submit("dc1-a")
+    fleet.run(6.0)
+    assert job.status == 503
+    assert "not_durable" in job.body
+    fleet.heal()
+    fleet.run(10.0)
+    assert not started(fleet, job)
+    assert job.name not in fleet.known_jobs("dc1")
+
+
+def test_a_job_whose_copy_may_have_arrived_is_not_called_refused() -> None:
+    """A member holds the copy, its answer is lost, then the owner dies."""
+    fleet = NodeFleet(sizes=(2,)).configured()
+    fleet.log.down = True
+    (owner,) = fleet.owners()
+    node = fleet.node(owner)
+    hear = node.peer_message
+    fleet.run(1.0)
+
+    def deaf(sender, message, now):  # type: ignore[no-untyped-def]
+        if type(message).__name__ == "JobCopied":
+            return []
+        return hear(sender, message, now)
+
+    node.peer_message = deaf  # type: ignore[method-assign]
+    job = fleet.submit(owner)
+    fleet.run(6.0)
+    said = job.body
+    fleet.stop(owner)
+    fleet.run(20.0)
+    assert job.name in fleet.known_jobs("dc1")
+    assert "not_durable" not in said
+    assert job.status == 504
+
+
+def test_an_answer_to_an_earlier_run_reaches_no_caller_of_this_one() -> None:
+    fleet = NodeFleet().configured()
+    relay = other_than_owner(fleet)[0]
+    (owner,) = fleet.owners()
+    fleet.cut([relay], [owner])
+    call = fleet.submit(relay)
+    run = fleet.run_of(relay)
+    for number in range(1, 10):
+        crossed = JobAnswer(number, 201, "another caller's job")
+        effects = run.node.peer_message(
+            MemberId(owner), crossed, type(run.node._last_tick)(run.node._last_tick)
+        )
+        assert not effects
+    assert not call.status
+
+
+def test_an_ack_of_an_earlier_term_holds_nothing() -> None:
+    fleet = NodeFleet(sizes=(2,)).configured()
+    (owner,) = fleet.owners()
+    (other,) = other_than_owner(fleet)
+    submitted(fleet)
+    sequences = fleet.node(owner).jobs
+    fleet.stop(owner)
+    again = fleet.start(owner)
+    assert sequences is not again.node.jobs
+    old = next(sequences._numbers)
+    assert next(again.node.jobs._numbers) > old
+    assert other
+
+
+def test_members_that_take_each_other_for_the_owner_do_not_pass_calls_on() -> None:
+    fleet = NodeFleet(sizes=(2,)).configured()
+    now = fleet.node("dc1-a")._last_tick
+    call = JobCall(1, JobAction.LIST, TEAM, JobId(""), "")
+    node = fleet.node("dc1-b")
+    node.jobs.owner_seen(MemberId("dc1-a"), node.ownership.epoch, now)
+    (effect,) = node.peer_message(MemberId("dc1-a"), call, node._last_tick)
+    assert isinstance(effect, SendPeer)
+    assert isinstance(effect.message, JobAnswer)
+    assert effect.message.status == 503
+
+
+def test_a_caller_gets_an_answer_when_the_owner_stops_owning() -> None:
+    fleet = NodeFleet(sizes=(1,)).configured()
+    fleet.log.delay_s = 60.0
+    job = fleet.submit("dc1-a")
+    fleet.run(0.2)
+    fleet.pause("dc1-a", 2.0)
+    fleet.run(10.0)
+    assert job.status == 504
+
+
+def test_a_caller_gets_an_answer_when_the_relay_dies() -> None:
+    fleet = NodeFleet().configured()
+    job = fleet.submit("dc1-b", "dc2")
+    fleet.run(0.0005)
+    for name in fleet.names("dc2"):
+        fleet.stop(name)
+    fleet.run(6.0)
+    assert job.status in (201, 503, 504)
+
+
+def test_appends_stay_within_the_budget_of_the_fleet() -> None:
+    fleet = NodeFleet(sizes=(4, 4)).configured()
+    fleet.log.append_times.clear()
+    for index in range(600):
+        fleet.submit(fleet.names()[index % 8])
+        fleet.run(0.05)
+    times = fleet.log.append_times
+    assert times
+    most = max(sum(1 for at in times if start <= at < start + 1) for start in times)
+    assert most <= 350
+
+
+def started(fleet: NodeFleet, job: Submission) -> bool:
+    return any(
+        attempt.state is AttemptState.RUNNING
+        for worker in fleet.workers_by_id.values()
+        for attempt in worker.running()
+        if attempt.command.task_id.split(":")[-1].startswith(f"{job.name}/")
+    )
--- /dev/null
+++ b/tests/test_node_ownership.py
@@ -0,0 +1,212 @@
+"""Ownership of data centres by several nodes, with and without the log."""
+
+import pytest
+
+from tests.utils.node_fleet import NodeFleet
+
+WITH_LOG_S = 3.0
+"""Longest time without an owner after one died, with the log at hand."""
+
+WITHOUT_LOG_S = 5.0
+"""The same without the log, and when the log fails during a claim."""
+
+TURN_S = 2.5
+"""How much later the next member claims when the one before it can't."""
+
+
+def assert_unique_epochs(fleet: NodeFleet) -> None:
+    epochs = [(term.member_id[:3], term.epoch) for term in fleet.terms]
+    assert len(epochs) == len(set(epochs)), fleet.terms
+
+
+def owner_again(fleet: NodeFleet, limit_s: float) -> str:
+    fleet.run_until(lambda: len(fleet.owners()) == 1, limit_s)
+    return fleet.owners()[0]
+
+
+def test_each_data_centre_has_one_owner_that_stays() -> None:
+    fleet = NodeFleet().configured()
+    fleet.run(60.0)
+    assert len(fleet.terms) == 2
+    assert len(fleet.owners("dc1")) == len(fleet.owners("dc2")) == 1
+
+
+@pytest.mark.parametrize("log_down", [False, True])
+def test_another_member_owns_after_the_owner_died(log_down: bool) -> None:
+    fleet = NodeFleet().configured()
+    fleet.log.down = log_down
+    fleet.run(3.0)
+    fleet.stop(*fleet.owners())
+    assert owner_again(fleet, WITHOUT_LOG_S if log_down else WITH_LOG_S)
+    fleet.run(20.0)
+    assert len(fleet.terms_of()) == 2
+    assert_unique_epochs(fleet)
+
+
+def test_another_member_owns_when_the_log_fails_during_the_claim() -> None:
+    fleet = NodeFleet().configured()
+    fleet.stop(*fleet.owners())
+    fleet.run(1.5)
+    fleet.log.down = True
+    owner_again(fleet, WITHOUT_LOG_S)
+    fleet.heal()
+    fleet.run(20.0)
+    assert len(fleet.owners()) == 1
+
+
+@pytest.mark.parametrize("delay_s", [0.6, 1.2, 1.9])
+def test_a_slow_log_does_not_keep_a_data_centre_without_owner(delay_s: float) -> None:
+    fleet = NodeFleet().configured()
+    fleet.log.delay_s = delay_s
+    fleet.run(5.0)
+    fleet.stop(*fleet.owners())
+    owner_again(fleet, 10.0)
+    fleet.run(30.0)
+    assert len(fleet.owners()) == 1
+    assert len(fleet.terms_of()) <= 4
+    assert_unique_epochs(fleet)
+
+
+def test_the_owner_restarts_while_its_peers_remember_it() -> None:
+    """The last member by name owns, and its new run must not pass for the owner."""
+    fleet = NodeFleet().configured()
+    fleet.stop("dc1-a", "dc1-b")
+    fleet.run(5.0)
+    assert fleet.owners() == ["dc1-c"]
+    fleet.start("dc1-a")
+    fleet.start("dc1-b")
+    fleet.run(5.0)
+    assert fleet.owners() == ["dc1-c"]
+    fleet.stop("dc1-c")
+    fleet.start("dc1-c")
+    owner_again(fleet, WITHOUT_LOG_S)
+    fleet.run(10.0)
+    assert len(fleet.owners()) == 1
+
+
+def test_a_member_that_starts_does_not_take_over() -> None:
+    fleet = NodeFleet().configured()
+    fleet.stop("dc1-a")
+    fleet.run(5.0)
+    owner = fleet.owners()
+    fleet.start("dc1-a")
+    fleet.run(10.0)
+    assert fleet.owners() == owner
+    assert len(fleet.terms_of()) == 2
+
+
+def test_a_paused_owner_acts_on_nothing_when_it_wakes() -> None:
+    fleet = NodeFleet().configured()
+    (paused,) = fleet.owners()
+    fleet.pause(paused, 6.0)
+    fleet.run(5.9)
+    seen = len(fleet.commands)
+    fleet.run(3.0)
+    late = [one for one in fleet.commands[seen:] if one[2] == paused]
+    assert not late
+    assert fleet.owners() != [paused]
+    assert len(fleet.owners()) == 1
+
+
+def test_a_paused_owner_grants_no_slot_before_its_first_tick() -> None:
+    fleet = NodeFleet().configured()
+    (paused,) = fleet.owners()
+    run = fleet.run_of(paused)
+    fleet.pause(paused, 1.0)
+    fleet.run(0.9)
+    fleet.now = run.paused_until
+    call = fleet.request(paused, timeout_s=30.0)
+    assert not run.node.ownership.is_owner
+    assert run.node.requests.dispatcher is None
+    fleet.run(20.0)
+    assert call.outcome == "answered"
+
+
+def test_both_sides_of_a_cut_claim_without_the_log() -> None:
+    fleet = NodeFleet(sizes=(4,)).configured()
+    fleet.log.down = True
+    fleet.run(3.0)
+    fleet.stop(*fleet.owners())
+    names = fleet.names()
+    fleet.cut(names[:1], names[1:])
+    fleet.run(10.0)
+    assert len(fleet.owners()) == 2
+    assert_unique_epochs(fleet)
+    fleet.heal()
+    fleet.run(10.0)
+    assert len(fleet.owners()) == 1
+    assert_unique_epochs(fleet)
+
+
+def test_two_runs_of_one_member_own_under_different_epochs() -> None:
+    fleet = NodeFleet(sizes=(1,)).configured()
+    first = fleet.start("dc1-a")
+    fleet.run(1.0)
+    fleet.log.down = True
+    fleet.run(10.0)
+    second = fleet.start("dc1-a")
+    fleet.log.down = False
+    fleet.run(1.0)
+    fleet.log.down = True
+    fleet.run(10.0)
+    assert first.node.ownership.is_owner
+    assert second.node.ownership.is_owner
+    assert_unique_epochs(fleet)
+
+
+@pytest.mark.parametrize("kind", ["lost", "late"])
+def test_a_claim_whose_reply_is_lost(kind: str) -> None:
+    fleet = NodeFleet().configured()
+    fleet.log.lose_replies = kind == "lost"
+    fleet.log.late_appends = kind == "late"
+    fleet.stop(*fleet.owners())
+    owner_again(fleet, 10.0)
+    fleet.run(20.0)
+    assert len(fleet.owners()) == 1
+    assert len(fleet.terms_of()) <= 3
+    assert_unique_epochs(fleet)
+
+
+def test_the_next_member_claims_when_the_first_one_cannot() -> None:
+    fleet = NodeFleet(sizes=(3,)).configured()
+    fleet.stop(*fleet.owners())
+    first = fleet.names()[0]
+    node = fleet.node(first)
+    # It lives and sends heartbeats, but never settles a claim.
+    node.ownership._claim = lambda *_: []  # type: ignore[method-assign]
+    owner_again(fleet, WITH_LOG_S + TURN_S)
+
+
+def test_an_owner_hears_of_a_worker_that_knows_a_higher_epoch() -> None:
+    fleet = NodeFleet().configured()
+    (owner,) = fleet.owners()
+    fake = next(iter(fleet.workers_by_id.values()))
+    fake.epoch = type(fake.epoch)(fake.epoch + 1)
+    fleet.run(10.0)
+    assert len(fleet.owners()) == 1
+    assert fleet.node(fleet.owners()[0]).ownership.epoch >= fake.epoch
+
+
+def test_members_that_start_after_their_claim_was_dropped_own() -> None:
+    fleet = NodeFleet(sizes=(2,)).configured()
+    fleet.log.keep = 40
+    for index in range(120):
+        fleet.change("dc1-a", f"share = {index + 1}.0\n")
+        fleet.run(0.5)
+    fleet.stop("dc1-a", "dc1-b")
+    fleet.start("dc1-a")
+    fleet.start("dc1-b")
+    owner_again(fleet, 10.0)
+    fleet.run(10.0)
+    assert len(fleet.owners()) == 1
+
+
+def test_a_cut_link_between_two_members_leaves_one_owner_at_the_worker() -> None:
+    fleet = NodeFleet(sizes=(3,)).configured()
+    fleet.cut(["dc1-a"], ["dc1-b"])
+    fleet.run(30.0)
+    by_worker: dict[str, int] = {}
+    for worker_id, epoch, _, _ in fleet.commands:
+        assert epoch >= by_worker.get(worker_id, 0)
+        by_worker[worker_id] = epoch
+    assert_unique_epochs(fleet)
--- a/tests/utils/node_fleet.py
+++ b/tests/utils/node_fleet.py
@@ -227,8 +227,9 @@
 
     # Members
 
-    def start(self, member_id: MemberId) -> Run:
+    def start(self, name: str) -> Run:
         """Start a new run of a member."""
+        member_id = MemberId(name)
         member = next(one for one in self.members if one.id == member_id)
         incarnation = Incarnation(next(self._incarnations) * 7)
         offset_s = self.random.uniform(0, 10_000)
@@ -249,6 +250,10 @@
         """Let a member do nothing for a while; its messages wait."""
         self.runs[MemberId(name)].paused_until = self.now + seconds
 
+    def run_of(self, name: str) -> Run:
+        """Return the present run of a member."""
+        return self.runs[MemberId(name)]
+
     def node(self, name: str) -> Node:
         """Return the node of a running member."""
         return self.runs[MemberId(name)].node
