--- a/tamarackmount/daemon/request_calls.py
+++ b/tamarackmount/daemon/request_calls.py
@@ -46,6 +46,12 @@
 
 _log = logging.getLogger(__name__)
 
+FORWARD_MARGIN_MS = 100
+"""How much sooner a request ends where it was forwarded to, in milliseconds.
+
+So its outcome is back before the forwarding member has to call it unknown.
+"""
+
 _LOST = Refusal(502, "upstream_failed", "the answer of the attempt is not at hand")
 
 
@@ -177,13 +183,14 @@
         if call is None:
             return None
         content = call.content
+        left_ms = remaining_ms(effect.deadline, self._clock())
         return ForwardedRequest(
             call_id=effect.call_id,
             request_id=content.request_id,
             team_id=content.team_id,
             queue=content.queue,
             idempotent=content.idempotent,
-            remaining_ms=remaining_ms(effect.deadline, self._clock()),
+            remaining_ms=max(1, left_ms - FORWARD_MARGIN_MS),
             method=content.method,
             path=content.path,
             headers=content.headers,
--- a/tamarackmount/daemon/service.py
+++ b/tamarackmount/daemon/service.py
@@ -85,6 +85,13 @@
 TICKS_PER_HEARTBEAT = 10
 """Ticks of the node in one heartbeat's period."""
 
+LINGER_S = 0.5
+"""How long a planned stop waits after the last answer, in seconds.
+
+The answer's bytes leave in that time, and what a peer sent before it knew of the
+stop still arrives.
+"""
+
 MS_PER_SECOND = 1_000
 
 _log = logging.getLogger(__name__)
@@ -115,6 +122,7 @@
         self._last_call_id = 0
         self._stop_at: Instant | None = None
         self._refuse_at: Instant | None = None
+        self._linger_until: Instant | None = None
         self._http_port: Any = None
         self._make_tasks(settings, me.id)
         self._ticks = LoopingCall(self._tick)
@@ -190,6 +198,11 @@
         self._node.refuse_new()
         under_way = len(self._calls) + len(self._jobs)
         if under_way and now < stop_at:
+            self._linger_until = None
+            return
+        if self._linger_until is None:
+            self._linger_until = Instant(now + LINGER_S)
+        if now < min(self._linger_until, stop_at):
             return
         _log.info("stopped", extra={"cut_off": under_way})
         self._stop()
--- a/tamarackmount/kernel/request_part.py
+++ b/tamarackmount/kernel/request_part.py
@@ -51,7 +51,7 @@
     TicketRequest,
     TicketWithdrawal,
 )
-from tamarackmount.kernel.ownership import NO_EPOCH, OwnershipTaken
+from tamarackmount.kernel.ownership_effects import OwnershipTaken
 from tamarackmount.kernel.queue_board import QueueRules, RequestLimits
 from tamarackmount.kernel.request_effects import (
     AbortUpstream,
@@ -215,7 +215,7 @@
             self._me,
             self._timing,
             now,
-            fresh=taken.previous_epoch == NO_EPOCH,
+            fresh=taken.is_first,
             attempts=self._table.attempts,
             previous_epoch=taken.previous_epoch,
             unaccounted=self._may_lack_reports(taken.previous_owner, now),
