A restart of a member no longer quarantines the next takeover

Cause: a new owner could not tell whether an earlier run of a member that began within the last 15 s (itself included) still held slots, and quarantined everything; demo p99 11.9 s after an owner was killed 8 s after the start. Found on the way: the witness was not told of loans of a member's earlier run once its new run was live, so they would have been forgotten (test_loan_of_a_members_earlier_run_is_told_with_the_new_run). Change: an owner tells its witness the runs it counts on to report themselves; loans of other runs are told as orphans; a new owner trusts a witness that knows every newcomer. Members that fell silent lately still keep the quarantine.

--- a/tamarackmount/internal/peer.capnp
+++ b/tamarackmount/internal/peer.capnp
@@ -113,12 +113,18 @@
   holder @7 :Text;
 }
 
+struct MemberRun {
+  memberId @0 :Text;
+  incarnation @1 :UInt64;
+}
+
 struct LoanCopy {
   epoch @0 :UInt64;
   sequence @1 :UInt64;
   loans @2 :List(HeldTicket);
   ended @3 :List(Text);
-  isWhole @4 :Bool;
+  runs @4 :List(MemberRun);
+  isWhole @5 :Bool;
 }
 
 struct LoanCopied {
@@ -151,6 +157,7 @@
   tickets @1 :List(HeldTicket);
   attempts @2 :List(AttemptEntry);
   witnessedEpoch @3 :UInt64;
+  witnessedRuns @4 :List(MemberRun);
 }
 
 struct HttpHeader {
--- a/tamarackmount/kernel/dispatcher.py
+++ b/tamarackmount/kernel/dispatcher.py
@@ -3,7 +3,7 @@
 A dispatcher must not be called after its member's ownership has lapsed.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 from tamarackmount.ids import (
     Epoch,
@@ -33,6 +33,7 @@
     HoldingsReport,
     LoanCopied,
     LoanCopy,
+    MemberRun,
     RefusalReason,
     TicketRelease,
     TicketRequest,
@@ -56,10 +57,11 @@
     ``fresh`` says that no earlier owner can exist, so nothing is quarantined.
     ``attempts`` is the member's memory of attempts, shared with its request table.
     ``previous_epoch`` is that of the owner before; its witness's report can end the
-    quarantine, unless ``unaccounted`` says that another member than that owner may
-    hold slots and can't be asked. ``serve_alone`` lets non-idempotent requests
-    through while no second member can remember them; otherwise they are refused as
-    not durable.
+    quarantine. It does not when ``missing`` names members that may hold slots and
+    can't be asked, nor while the witness doesn't know one of ``newcomers``, members'
+    runs that may follow on ones that held slots. ``serve_alone`` lets non-idempotent
+    requests through while no second member can remember them; otherwise they are
+    refused as not durable.
     """
 
     def __init__(
@@ -72,7 +74,8 @@
         fresh: bool = False,
         attempts: AttemptMemory | None = None,
         previous_epoch: Epoch | None = None,
-        unaccounted: bool = False,
+        missing: Collection[MemberId] = (),
+        newcomers: Collection[MemberRun] = (),
         serve_alone: bool = False,
     ) -> None:
         """Take over at ``now``; see :mod:`tamarackmount.kernel.slots`."""
@@ -91,9 +94,11 @@
         self._loan_copies = LoanCopies(epoch, member_id, timing)
         self._member_id = member_id
         self._previous_epoch = previous_epoch
-        self._unaccounted = unaccounted
+        self._is_missing_some = bool(missing)
+        self._newcomers = frozenset(newcomers)
+        self._orphans: set[TicketId] = set()
         self._told_whole = False
-        self._witness_reported = False
+        self._witness_knows_all = False
         self._takeover = Takeover(epoch, timing, is_done=fresh)
         self._admission = Admission(self._board, self._ledger, self._health)
         self._ended = DeadlineHeap[TicketId]()
@@ -146,10 +151,15 @@
         return self._dispatch(now)
 
     def set_members(
-        self, live: frozenset[MemberId], now: Instant
+        self,
+        live: frozenset[MemberId],
+        now: Instant,
+        runs: Collection[MemberRun] = (),
     ) -> list[DispatcherEffect]:
         """Set the live members of the data centre, this one among them.
 
+        ``runs`` are the runs of the live members.
+
         A member that was restarted is to be left out once in between, as it has
         forgotten what it held and remembered.
         """
@@ -162,7 +172,7 @@
         effects += self._takeover.members_joined(joined, now)
         if not is_first:
             effects += self._copy_to_joined(joined, now)
-        effects += self._tell_witness(lost, now)
+        effects += self._tell_witness(runs, lost, now)
         return effects + self._dispatch(now)
 
     def ticket_requested(
@@ -244,6 +254,7 @@
             sequence=0,
             loans=[held_ticket(loan, now) for loan in self._unattended_loans()],
             ended=[],
+            runs=self._loan_copies.runs,
             is_whole=self._knows_all_loans(),
         )
 
@@ -260,9 +271,13 @@
         if not self._takeover.reported(member_id):
             return []
         if report.witnessed_epoch == self._previous_epoch:
-            self._witness_reported = True
+            known = self._newcomers <= frozenset(report.witnessed_runs)
+            self._witness_knows_all = self._witness_knows_all or known
         for held in report.tickets:
             self._lending.adopt(member_id, held, now)
+            if held.holder not in ("", member_id):
+                # The holder's present run, if there is one, can't report it.
+                self._orphans.add(held.ticket_id)
         if not self._takeover.is_done:
             return []
         return self._finish_takeover(now)
@@ -347,7 +362,10 @@
         was_done = self._takeover.is_done
         if lost and not was_done:
             # What it held can't be learned any more.
-            self._unaccounted = True
+            self._is_missing_some = True
+        self._orphans |= {
+            loan.ticket_id for loan in self._ledger.loans() if loan.member_id in lost
+        }
         self._board.remove_of(lost)
         for member_id in sorted(lost):
             self._takeover.member_lost(member_id)
@@ -372,20 +390,26 @@
 
     def _unattended_loans(self) -> list[Loan]:
         attended = self._live - {self._member_id}
-        loans = self._ledger.loans()
-        return [loan for loan in loans if loan.member_id not in attended]
+        return [
+            loan
+            for loan in self._ledger.loans()
+            if loan.member_id not in attended or loan.ticket_id in self._orphans
+        ]
 
     def _tell_witness(
-        self, lost: frozenset[MemberId], now: Instant
+        self, runs: Collection[MemberRun], lost: frozenset[MemberId], now: Instant
     ) -> list[DispatcherEffect]:
-        """Choose a witness, or tell the present one of the loans of lost members."""
+        """Choose a witness, or tell the present one of what changed."""
+        runs_changed = self._loan_copies.set_runs(runs)
         if self._loan_copies.choose(self._live):
             self._told_whole = False
             if self._loan_copies.witness is None:
                 return self._lending.witnessed(self._loan_copies.release_all())
             return self._tell_whole(now)
         loans = [loan for loan in self._ledger.loans() if loan.member_id in lost]
-        return list(self._loan_copies.tell(loans, now)) if loans else []
+        if not loans and not runs_changed:
+            return []
+        return list(self._loan_copies.tell(loans, now))
 
     def _tell_whole(self, now: Instant) -> list[DispatcherEffect]:
         """Tell a new witness of all loans, once they are all known here."""
@@ -398,7 +422,7 @@
     def _finish_takeover(self, now: Instant) -> list[DispatcherEffect]:
         """Start lending; copy what only this member remembers."""
         effects: list[DispatcherEffect] = []
-        if self._witness_reported and not self._unaccounted:
+        if self._witness_knows_all and not self._is_missing_some:
             self._ledger.end_quarantine()
         for key in self._attempts.remembered():
             if not self._copies.has_holder(key):
@@ -413,6 +437,7 @@
     def _expire_loans(self, now: Instant) -> list[DispatcherEffect]:
         effects: list[DispatcherEffect] = []
         for loan in self._ledger.tick(now):
+            self._orphans.discard(loan.ticket_id)
             self.counters.loans_expired += 1
             if self._lending.awaits_copy(loan) and loan.attempt is not None:
                 self._attempts.not_sent(loan.attempt, loan.ticket_id)
--- a/tamarackmount/kernel/loan_copies.py
+++ b/tamarackmount/kernel/loan_copies.py
@@ -6,7 +6,12 @@
 
 from tamarackmount.ids import Epoch, Instant, MemberId, TicketId
 from tamarackmount.kernel.deadline_heap import DeadlineHeap
-from tamarackmount.kernel.messages import HeldTicket, LoanCopied, LoanCopy
+from tamarackmount.kernel.messages import (
+    HeldTicket,
+    LoanCopied,
+    LoanCopy,
+    MemberRun,
+)
 from tamarackmount.kernel.request_effects import (
     RequestTiming,
     SendToMember,
@@ -52,12 +57,25 @@
         self._resends = DeadlineHeap[int]()
         self._pending: set[TicketId] = set()
         self._ended: list[TicketId] = []
+        self._runs: list[MemberRun] = []
 
     @property
     def witness(self) -> MemberId | None:
         """The member that is told; ``None`` while the owner is alone."""
         return self._witness
 
+    @property
+    def runs(self) -> list[MemberRun]:
+        """The runs that report their own loans."""
+        return list(self._runs)
+
+    def set_runs(self, runs: Iterable[MemberRun]) -> bool:
+        """Set the runs that report their own loans; tell if they changed."""
+        wanted = sorted(runs, key=lambda run: run.member_id)
+        changed = wanted != self._runs
+        self._runs = wanted
+        return changed
+
     def choose(self, live: Iterable[MemberId]) -> bool:
         """Keep the witness while it lives, or choose another; tell if it changed.
 
@@ -92,6 +110,7 @@
             sequence=next(self._sequence),
             loans=[held_ticket(loan, now) for loan in loans],
             ended=self._take_ended(),
+            runs=self._runs,
             is_whole=is_whole,
         )
         tickets = tuple(loan.ticket_id for loan in loans)
--- a/tamarackmount/kernel/loan_witness.py
+++ b/tamarackmount/kernel/loan_witness.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, replace
 
 from tamarackmount.ids import Epoch, Instant, TicketId
-from tamarackmount.kernel.messages import HeldTicket, LoanCopied, LoanCopy
+from tamarackmount.kernel.messages import HeldTicket, LoanCopied, LoanCopy, MemberRun
 from tamarackmount.kernel.request_effects import after_ms, remaining_ms
 
 
@@ -26,12 +26,19 @@
         self._loans_by_ticket: dict[TicketId, _Witnessed] = {}
         self._fence = Epoch(0)
         self._whole_epoch = Epoch(0)
+        self._runs: list[MemberRun] = []
+        self._runs_sequence = 0
 
     @property
     def whole_epoch(self) -> Epoch:
         """The last epoch whose loans were told whole; 0 for none."""
         return self._whole_epoch
 
+    @property
+    def runs(self) -> list[MemberRun]:
+        """The runs that the owner of that epoch counted on to report themselves."""
+        return list(self._runs)
+
     def fence(self, epoch: Epoch) -> None:
         """Take no copies of earlier epochs any more."""
         self._fence = max(self._fence, epoch)
@@ -46,8 +53,12 @@
         for ticket in copy.loans:
             until = after_ms(now, ticket.remaining_ms)
             self._loans_by_ticket[ticket.ticket_id] = _Witnessed(ticket, until)
-        if copy.is_whole:
+        if copy.is_whole and copy.epoch > self._whole_epoch:
             self._whole_epoch = copy.epoch
+            self._runs_sequence = 0
+        if copy.epoch == self._whole_epoch and copy.sequence >= self._runs_sequence:
+            self._runs = list(copy.runs)
+            self._runs_sequence = copy.sequence
         return LoanCopied(copy.epoch, copy.sequence)
 
     def tickets(self, now: Instant) -> list[HeldTicket]:
--- a/tamarackmount/kernel/membership.py
+++ b/tamarackmount/kernel/membership.py
@@ -13,7 +13,7 @@
 from enum import Enum
 
 from tamarackmount.ids import DataCentreId, Epoch, Incarnation, Instant, MemberId
-from tamarackmount.kernel.messages import Heartbeat
+from tamarackmount.kernel.messages import Heartbeat, MemberRun
 from tamarackmount.kernel.timing import Timing
 
 MS_PER_SECOND = 1_000
@@ -75,10 +75,16 @@
     """The members of the fleet and when each was last heard."""
 
     def __init__(
-        self, me: Member, peers: Iterable[Member], timing: Timing, now: Instant
+        self,
+        me: Member,
+        incarnation: Incarnation,
+        peers: Iterable[Member],
+        timing: Timing,
+        now: Instant,
     ) -> None:
         """Start with every peer unseen; ``now`` is when this member started."""
         self._me = me
+        self._incarnation = incarnation
         self._timing = timing
         self._started_at = now
         self._peers_by_id = {
@@ -184,21 +190,43 @@
     def lately_missing(
         self, data_centre: DataCentreId, within_s: float, now: Instant
     ) -> frozenset[MemberId]:
-        """Return members that may have run within ``within_s`` and can't tell of it.
+        """Return members that ran, or may have run, within ``within_s`` but not now.
 
-        That is peers that fell silent or began anew since, peers never heard by a
-        member that began itself since, and such a member's own earlier run.
+        Peers never heard count as long as this member itself began within that time.
         """
         since = now - within_s
-        began_lately = self._started_at > since
-        missing = {self._me.id} if began_lately else set()
+        return frozenset(
+            peer_id
+            for peer_id, peer in self._peers_by_id.items()
+            if peer.member.data_centre == data_centre
+            and not self._is_heard(peer, now)
+            and peer.heard_at > since
+        )
+
+    def newcomers(
+        self, data_centre: DataCentreId, within_s: float, now: Instant
+    ) -> frozenset[MemberRun]:
+        """Return runs that began within ``within_s``, after earlier ones perhaps."""
+        since = now - within_s
+        runs = {
+            MemberRun(peer_id, peer.heartbeat.incarnation)
+            for peer_id, peer in self._peers_by_id.items()
+            if peer.member.data_centre == data_centre
+            and peer.heartbeat is not None
+            and peer.restarted_at > since
+        }
+        if self._started_at > since:
+            runs.add(MemberRun(self._me.id, self._incarnation))
+        return frozenset(runs)
+
+    def runs(self, live: Iterable[MemberId]) -> list[MemberRun]:
+        """Return the runs of live members, this one's among them if it is named."""
+        runs = [MemberRun(self._me.id, self._incarnation)]
         for peer_id, peer in self._peers_by_id.items():
-            if peer.member.data_centre == data_centre and (
-                peer.restarted_at > since
-                or (not self._is_heard(peer, now) and peer.heard_at > since)
-            ):
-                missing.add(peer_id)
-        return frozenset(missing)
+            if peer.heartbeat is not None:
+                runs.append(MemberRun(peer_id, peer.heartbeat.incarnation))
+        named = frozenset(live)
+        return [run for run in runs if run.member_id in named]
 
     def contact(self, data_centre: DataCentreId, now: Instant) -> MemberId | None:
         """Return the peer of another data centre to send work to, if one is heard.
--- a/tamarackmount/kernel/messages.py
+++ b/tamarackmount/kernel/messages.py
@@ -160,18 +160,29 @@
     holder: MemberId = MemberId("")
 
 
+@dataclass(frozen=True, slots=True)
+class MemberRun:
+    """One run of a member, from its start to its end."""
+
+    member_id: MemberId
+    incarnation: Incarnation
+
+
 @dataclass(frozen=True, slots=True)
 class LoanCopy:
     """Loans that no live member but the owner can report, told to its witness.
 
     The witness answers with :class:`LoanCopied`. ``is_whole`` says that ``loans``
-    are all there are now; ``ended`` names loans that are over.
+    are all there are now; ``ended`` names loans that are over. ``runs`` are the
+    members' runs that the owner counts on to report their own loans; loans of
+    earlier runs are among those told.
     """
 
     epoch: Epoch
     sequence: int
     loans: list[HeldTicket]
     ended: list[TicketId]
+    runs: list[MemberRun]
     is_whole: bool
 
 
@@ -230,13 +241,15 @@
     """What a member holds and remembers, for the owner of the epoch.
 
     ``tickets`` includes loans of others that it knows as the owner's witness;
-    ``witnessed_epoch`` is the last epoch whose loans it was told whole, 0 for none.
+    ``witnessed_epoch`` is the last epoch whose loans it was told whole, 0 for none;
+    ``witnessed_runs`` are the runs that the owner of that epoch counted on.
     """
 
     epoch: Epoch
     tickets: list[HeldTicket]
     attempts: list[AttemptEntry]
     witnessed_epoch: Epoch = Epoch(0)
+    witnessed_runs: list[MemberRun] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tamarackmount/kernel/node.py
+++ b/tamarackmount/kernel/node.py
@@ -149,7 +149,7 @@
         rate = APPENDS_PER_SECOND / (len(peers) + 1)
         self.log = LogKeeper(me.id, str(incarnation), rate, now)
         self.directory = Directory()
-        self.membership = Membership(me, peers, timing.members, now)
+        self.membership = Membership(me, incarnation, peers, timing.members, now)
         self._heartbeats = HeartbeatSchedule(self.membership, timing.members, now)
         self._spread = ConfigSpread(self.log.config, now)
         index = sorted([me.id, *self.membership.local_targets()]).index(me.id)
--- a/tamarackmount/kernel/request_part.py
+++ b/tamarackmount/kernel/request_part.py
@@ -201,7 +201,9 @@
         """Take in which members of the data centre are alive, this one included."""
         if self._dispatcher is None:
             return []
-        return self._from_dispatcher(self._dispatcher.set_members(live, now), now)
+        runs = self._membership.runs(live)
+        told = self._dispatcher.set_members(live, now, runs)
+        return self._from_dispatcher(told, now)
 
     def ownership_taken(
         self, taken: OwnershipTaken, live: frozenset[MemberId], now: Instant
@@ -218,10 +220,14 @@
             fresh=taken.is_first,
             attempts=self._table.attempts,
             previous_epoch=taken.previous_epoch,
-            unaccounted=self._may_lack_reports(taken.previous_owner, now),
+            missing=self._missing(taken.previous_owner, now),
+            newcomers=self._membership.newcomers(
+                self._data_centre, self._longest_loan_s(), now
+            ),
         )
         self._dispatcher = dispatcher
-        effects = dispatcher.set_members(live, now)
+        runs = self._membership.runs(live)
+        effects = dispatcher.set_members(live, now, runs)
         effects += dispatcher.set_upstreams(self._local_upstreams(), now)
         effects += dispatcher.set_queues(self._queue_rules(), now)
         effects += dispatcher.set_teams(self._team_limits(), now)
@@ -267,15 +273,19 @@
             effects += self._from_dispatcher(self._dispatcher.tick(now), now)
         return effects + self._expire_forwards(now)
 
-    def _may_lack_reports(self, previous: MemberId | None, now: Instant) -> bool:
-        """Tell whether a member may hold slots that nobody can report.
+    def _missing(self, previous: MemberId | None, now: Instant) -> frozenset[MemberId]:
+        """Return members that may hold slots and can't be asked.
 
         The previous owner's witness knows what that owner held, and what members
         held that it had lost; not what a member held that was lost later.
         """
-        within_s = (self._timing.max_ticket_ms + self._timing.clock_margin_ms) / 1_000
-        missing = self._membership.lately_missing(self._data_centre, within_s, now)
-        return bool(missing - {previous})
+        missing = self._membership.lately_missing(
+            self._data_centre, self._longest_loan_s(), now
+        )
+        return missing - {previous}
+
+    def _longest_loan_s(self) -> float:
+        return (self._timing.max_ticket_ms + self._timing.clock_margin_ms) / 1_000
 
     def _serve_here(self, request: CallerRequest, now: Instant) -> list[Effect]:
         new = NewRequest(
--- a/tamarackmount/kernel/requests.py
+++ b/tamarackmount/kernel/requests.py
@@ -205,6 +205,7 @@
             tickets=[*self.holdings(now), *self.witness.tickets(now)],
             attempts=self.attempts.entries(now),
             witnessed_epoch=self.witness.whole_epoch,
+            witnessed_runs=self.witness.runs,
         )
 
     def _next_ticket(self) -> TicketId:
--- a/tests/test_loan_witness.py
+++ b/tests/test_loan_witness.py
@@ -1,9 +1,16 @@
 """The owner's witness: its own loans are known before they are used."""
 
-from tamarackmount.ids import Epoch, MemberId
+from collections.abc import Sequence
+
+from tamarackmount.ids import Epoch, Incarnation, MemberId
 from tamarackmount.kernel.dispatcher import Dispatcher
 from tamarackmount.kernel.loan_witness import LoanWitness
-from tamarackmount.kernel.messages import HoldingsReport, LoanCopied, LoanCopy
+from tamarackmount.kernel.messages import (
+    HoldingsReport,
+    LoanCopied,
+    LoanCopy,
+    MemberRun,
+)
 from tamarackmount.kernel.request_effects import DispatcherEffect
 from tests.utils.build_requests import (
     M1,
@@ -21,6 +28,7 @@
 )
 
 BEFORE = Epoch(7)
+RUN = MemberRun(M3, Incarnation(2))
 
 
 def ask(
@@ -40,16 +48,23 @@
         tickets=witness.tickets(at(0)) if witness else [],
         attempts=[],
         witnessed_epoch=witness.whole_epoch if witness else Epoch(0),
+        witnessed_runs=witness.runs if witness else [],
     )
     return dispatcher.holdings_reported(member_id, message, at(0))
 
 
-def build_successor(*, unaccounted: bool = False, slots: int = 2) -> Dispatcher:
+def build_successor(
+    *,
+    missing: Sequence[MemberId] = (),
+    newcomers: Sequence[MemberRun] = (),
+    slots: int = 2,
+) -> Dispatcher:
     return build_dispatcher(
         upstreams=build_upstreams(slots=slots),
         fresh=False,
         previous_epoch=BEFORE,
-        unaccounted=unaccounted,
+        missing=missing,
+        newcomers=newcomers,
     )
 
 
@@ -65,7 +80,7 @@
 ) -> LoanCopy:
     """Return what an owner of the earlier epoch told of a loan of its own."""
     (copy,) = messages_of(ask(dispatcher, M1, ticket_id), LoanCopy)
-    return LoanCopy(BEFORE, 1, copy.loans, [], is_whole)
+    return LoanCopy(BEFORE, 1, copy.loans, [], [RUN], is_whole)
 
 
 def test_own_loan_is_granted_once_the_witness_confirms_it() -> None:
@@ -146,7 +161,7 @@
 
 
 def test_witness_of_an_earlier_owner_leaves_the_quarantine() -> None:
-    witness = build_witness(LoanCopy(Epoch(6), 1, [], [], is_whole=True))
+    witness = build_witness(LoanCopy(Epoch(6), 1, [], [], [], is_whole=True))
     successor = build_successor()
     report(successor, M1)
     report(successor, M2, witness)
@@ -155,12 +170,50 @@
 
 def test_member_that_may_hold_slots_unreported_leaves_the_quarantine() -> None:
     witness = build_witness(build_copy(build_dispatcher(), "old"))
-    successor = build_successor(unaccounted=True)
+    successor = build_successor(missing=[M3])
     report(successor, M1)
     report(successor, M2, witness)
     assert grants(ask(successor, M2, "a")) == []
 
 
+def test_newcomer_that_the_owner_knew_of_leaves_no_quarantine() -> None:
+    witness = build_witness(build_copy(build_dispatcher(), "old"))
+    successor = build_successor(newcomers=[RUN])
+    report(successor, M1)
+    report(successor, M2, witness)
+    assert grants(ask(successor, M2, "a")) == ["a"]
+
+
+def test_newcomer_that_the_owner_did_not_know_of_leaves_the_quarantine() -> None:
+    witness = build_witness(build_copy(build_dispatcher(), "old"))
+    successor = build_successor(newcomers=[MemberRun(M3, Incarnation(3))])
+    report(successor, M1)
+    report(successor, M2, witness)
+    assert grants(ask(successor, M2, "a")) == []
+
+
+def test_loan_of_a_members_earlier_run_is_told_with_the_new_run() -> None:
+    dispatcher = build_dispatcher()
+    ask(dispatcher, M2, "a")
+    dispatcher.set_members(frozenset([M1]), at(0.1))
+    back = frozenset([M1, M2])
+    run = MemberRun(M2, Incarnation(2))
+    effects = dispatcher.set_members(back, at(0.2), [run])
+    told = {
+        held.ticket_id
+        for copy in messages_of(effects, LoanCopy)
+        for held in copy.loans
+        if run in copy.runs
+    }
+    assert told == {"a"}
+
+
+def test_late_repetition_does_not_bring_earlier_runs_back() -> None:
+    first = LoanCopy(BEFORE, 1, [], [], [MemberRun(M3, Incarnation(1))], True)
+    witness = build_witness(first, LoanCopy(BEFORE, 2, [], [], [RUN], False), first)
+    assert witness.runs == [RUN]
+
+
 def test_member_lost_before_it_reported_leaves_the_quarantine() -> None:
     witness = build_witness(build_copy(build_dispatcher(), "old"))
     successor = build_successor()
@@ -170,7 +223,7 @@
 
 
 def test_witness_takes_no_copy_of_an_owner_that_was_replaced() -> None:
-    witness = build_witness(LoanCopy(BEFORE, 1, [], [], is_whole=True))
+    witness = build_witness(LoanCopy(BEFORE, 1, [], [], [], is_whole=True))
     witness.fence(Epoch(BEFORE + 1))
     late = build_copy(build_dispatcher(), "late")
     assert witness.take(late, at(0)) is None
@@ -183,7 +236,7 @@
     witness = LoanWitness()
     assert witness.take(first, at(0)) == LoanCopied(BEFORE, 1)
     witness.take(second, at(0))
-    witness.take(LoanCopy(BEFORE, 2, [], [first.loans[0].ticket_id], False), at(0))
+    witness.take(LoanCopy(BEFORE, 2, [], [first.loans[0].ticket_id], [], False), at(0))
     assert [held.ticket_id for held in witness.tickets(at(0.1))] == ["b"]
     assert witness.tickets(at(60)) == []
 
--- a/tests/utils/build_requests.py
+++ b/tests/utils/build_requests.py
@@ -20,6 +20,7 @@
     AttemptResult,
     LoanCopied,
     LoanCopy,
+    MemberRun,
     TicketGrant,
     TicketRefusal,
     TicketRelease,
@@ -160,7 +161,8 @@
     timing: RequestTiming = TIMING,
     fresh: bool = True,
     previous_epoch: Epoch | None = None,
-    unaccounted: bool = False,
+    missing: Sequence[MemberId] = (),
+    newcomers: Sequence[MemberRun] = (),
     serve_alone: bool = False,
 ) -> Dispatcher:
     """Return a dispatcher of ``m1`` in epoch 1 with one queue, as of time 0."""
@@ -171,7 +173,8 @@
         at(0),
         fresh=fresh,
         previous_epoch=previous_epoch,
-        unaccounted=unaccounted,
+        missing=missing,
+        newcomers=newcomers,
         serve_alone=serve_alone,
     )
     dispatcher.set_queues({COUNTER: rules or QueueRules(SERVICE)}, at(0))
--- a/tests/utils/request_fleet.py
+++ b/tests/utils/request_fleet.py
@@ -18,6 +18,7 @@
     HoldingsRequest,
     LoanCopied,
     LoanCopy,
+    MemberRun,
     Outcome,
     TicketGrant,
     TicketRefusal,
@@ -157,6 +158,10 @@
     dispatcher: Dispatcher | None = None
 
 
+def run_of(member: Member) -> MemberRun:
+    return MemberRun(member.member_id, Incarnation(member.incarnation))
+
+
 class Fleet:
     """Three members, their network, two upstreams and all callers."""
 
@@ -220,7 +225,7 @@
         old = None if self.owner is None else self.members[self.owner]
         if old is not None and not old.is_paused:
             self._stop_dispatching(old)
-        unaccounted = self._lately_missing() - {self.owner}
+        missing = self._lately_missing() - {self.owner}
         previous_epoch = Epoch(self.epoch)
         self.epoch += 1
         self.owner = member.member_id
@@ -233,7 +238,8 @@
             fresh=fresh,
             attempts=member.table.attempts,
             previous_epoch=previous_epoch,
-            unaccounted=bool(unaccounted),
+            missing=missing,
+            newcomers=self._newcomers(),
         )
         member.dispatcher = dispatcher
         self._post(member, dispatcher.set_queues({COUNTER: QueueRules(SERVICE)}, now))
@@ -249,23 +255,29 @@
         member.table.witness.take(member.dispatcher.unattended(now), now)
         member.dispatcher = None
 
-    def _lately_missing(self) -> set[MemberId | None]:
+    def _lately_missing(self) -> set[MemberId]:
         """Return members that ran lately and can't tell now what they held then."""
         since = self.now - LONGEST_LOAN_S
         return {
             member.member_id
             for member in self.members.values()
-            if member.began_at > since
-            or (not self._is_running(member.member_id) and member.gone_at > since)
+            if not self._is_running(member.member_id) and member.gone_at > since
         }
 
+    def _newcomers(self) -> list[MemberRun]:
+        """Return runs that began lately, after others that may have held slots."""
+        since = self.now - LONGEST_LOAN_S
+        return [run_of(member) for member in self.running() if member.began_at > since]
+
     def tell_owner_of_members(self) -> None:
         owner = self._dispatching_owner()
         if owner is None or owner.dispatcher is None:
             return
-        live = frozenset(member.member_id for member in self.running())
+        running = self.running()
+        live = frozenset(member.member_id for member in running)
         now = self.clock(owner.member_id)
-        self._post(owner, owner.dispatcher.set_members(live, now))
+        runs = [run_of(member) for member in running]
+        self._post(owner, owner.dispatcher.set_members(live, now, runs))
         self._run_local()
 
     def announce(self) -> None:
