--- a/tests/test_node_config.py
+++ b/tests/test_node_config.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from tamarackmount.ids import Offset
 from tamarackmount.kernel.log_records import ConfigChange
 from tests.utils.fake_log import FakeLog
 from tests.utils.node_fleet import TEAM_PATH, Change, NodeFleet
@@ -30,8 +31,8 @@
 
 
 def accepted(fleet: NodeFleet, change: Change) -> bool:
-    texts = [stored.body for stored in fleet.log.accepted_changes().values()]
-    return any(f'"text":"{change.text[:-1]}' in body for body in texts)
+    changes = fleet.log.accepted_changes().values()
+    return change.text in [one.text for one in changes]
 
 
 def test_an_accepted_change_is_in_force_everywhere_in_time() -> None:
@@ -88,7 +89,7 @@
     """A change that expects an absent document finds none here, but there was one."""
     log = FakeLog()
     fleet = NodeFleet(sizes=(2,), log=log).configured()
-    stale = ConfigChange(path=TEAM_PATH, expected=0, text="share = 9.0\n")
+    stale = ConfigChange(path=TEAM_PATH, expected=Offset(0), text="share = 9.0\n")
     place = log.add(stale)
     fleet.run(1.0)
     fleet.stop("dc1-b")
@@ -224,7 +225,7 @@
 def test_a_stale_page_does_not_count_as_the_end_of_the_log() -> None:
     fleet = NodeFleet(sizes=(1,)).configured()
     for _ in range(80):
-        fleet.log.add(ConfigChange(path=TEAM_PATH, expected=-1, text="no"))
+        fleet.log.add(ConfigChange(path=TEAM_PATH, expected=Offset(-1), text="no"))
     run = fleet.start("dc1-a")
     page = fleet.log.page(run.node.log.config.applied, limit=10)
     now = fleet.now + run.offset_s
--- a/tests/utils/fake_log.py
+++ b/tests/utils/fake_log.py
@@ -33,6 +33,9 @@
     appends: int = 0
     all_records: list[StoredRecord] = field(default_factory=list)
     append_times: list[float] = field(default_factory=list)
+    _decided: int = 0
+    _versions: dict[ConfigPath, Offset] = field(default_factory=dict)
+    _accepted: dict[Offset, ConfigChange] = field(default_factory=dict)
 
     @property
     def first_offset(self) -> Offset:
@@ -72,24 +75,21 @@
             records=self.all_records[start - 1 : start - 1 + limit],
         )
 
-    def accepted_changes(self) -> dict[RecordId, StoredRecord]:
+    def accepted_changes(self) -> dict[Offset, ConfigChange]:
         """Return the changes that took effect by the order of the whole log."""
-        versions: dict[ConfigPath, Offset] = {}
-        accepted = {}
-        for stored in self.all_records:
+        for stored in self.all_records[self._decided :]:
             record = record_from_text(stored.body).unwrap()
-            if not isinstance(record, ConfigChange):
-                continue
-            if versions.get(record.path, 0) == record.expected:
-                versions[record.path] = stored.offset
-                accepted[stored.id] = stored
-        return accepted
-
-    def documents(self) -> dict[ConfigPath, tuple[Offset, str]]:
-        """Return version and text of every document by the whole log, deleted too."""
-        documents = {}
-        for stored in self.accepted_changes().values():
-            change = record_from_text(stored.body).unwrap()
-            assert isinstance(change, ConfigChange)
-            documents[change.path] = (stored.offset, change.text)
-        return documents
+            if isinstance(record, ConfigChange):
+                self._decide(stored.offset, record)
+        self._decided = len(self.all_records)
+        return self._accepted
+
+    def versions(self) -> dict[ConfigPath, Offset]:
+        """Return the version of every document by the whole log, deleted too."""
+        self.accepted_changes()
+        return self._versions
+
+    def _decide(self, offset: Offset, change: ConfigChange) -> None:
+        if self._versions.get(change.path, 0) == change.expected:
+            self._versions[change.path] = offset
+            self._accepted[offset] = change
--- a/tests/utils/node_fleet.py
+++ b/tests/utils/node_fleet.py
@@ -238,7 +238,7 @@
         node = Node(member, peers, incarnation, self.timing, clock)
         run = Run(member, incarnation, node, offset_s, self.now)
         self.runs[member_id] = run
-        self._feed(run, lambda at: node.vms_listed(self.vms, at))
+        self.feed(run, lambda at: node.vms_listed(self.vms, at))
         return run
 
     def stop(self, *names: str) -> None:
@@ -315,7 +315,7 @@
         waiting, run.inbox = run.inbox, []
         for act in waiting:
             act()
-        self._feed(run, run.node.tick)
+        self.feed(run, run.node.tick)
         if self.now >= run.next_poll:
             run.next_poll = self.now + LOG_POLL_S
             self._read_log(run)
@@ -324,12 +324,12 @@
         event = (self.now + delay_s, next(self._numbers), act)
         heapq.heappush(self._events, event)
 
-    def _feed(self, run: Run, decide: Callable[[Instant], list[Effect]]) -> None:
+    def feed(self, run: Run, decide: Callable[[Instant], list[Effect]]) -> None:
         """Give an input to a run unless it is over; a paused one gets it later."""
         if self.runs.get(run.member.id) is not run:
             return
         if run.paused_until > self.now:
-            run.inbox.append(lambda: self._feed(run, decide))
+            run.inbox.append(lambda: self.feed(run, decide))
             return
         for effect in decide(Instant(self.now + run.offset_s)):
             self._carry_out(run, effect)
@@ -369,11 +369,11 @@
         if target is None or frozenset((sender, effect.to)) in self.cut_pairs:
             return
         node = target.node
-        self._feed(target, lambda at: node.peer_message(sender, effect.message, at))
+        self.feed(target, lambda at: node.peer_message(sender, effect.message, at))
 
     def _append(self, run: Run, effect: AppendToLog) -> None:
         def answer(result: AppendResult) -> None:
-            self._feed(run, lambda at: run.node.log_appended(result, at))
+            self.feed(run, lambda at: run.node.log_appended(result, at))
 
         if self.log.down or run.member.id in self.cut_from_log:
             self._later(NETWORK_S, lambda: answer(AppendResult.NOT_DONE))
@@ -404,7 +404,7 @@
 
         def arrive() -> None:
             run.reading = False
-            self._feed(run, lambda at: run.node.log_read(page, asked, at))
+            self.feed(run, lambda at: run.node.log_read(page, asked, at))
 
         self._later(NETWORK_S + self.log.delay_s, arrive)
 
@@ -429,23 +429,23 @@
                 reply = fake.take_checkpoint(command, self.now)
         if isinstance(reply, StaleEpoch):
             highest = reply.highest
-            self._feed(run, lambda at: node.worker_stale(effect, highest, at))
+            self.feed(run, lambda at: node.worker_stale(effect, highest, at))
             return
         name = run.member.id
         self.commands.append((effect.worker_id, command.epoch, name, run.incarnation))
         if isinstance(reply, WorkerReport):
             report = reply
-            self._feed(run, lambda at: node.worker_synced(effect, report, at))
+            self.feed(run, lambda at: node.worker_synced(effect, report, at))
             return
         answer = reply
-        self._feed(run, lambda at: node.worker_answered(effect, answer, at))
+        self.feed(run, lambda at: node.worker_answered(effect, answer, at))
 
     def _call_upstream(self, run: Run, effect: CallUpstream) -> None:
         node = run.node
         ended = AttemptResult.ANSWERED
 
         def answer() -> None:
-            self._feed(run, lambda at: node.attempt_ended(effect.ticket_id, ended, at))
+            self.feed(run, lambda at: node.attempt_ended(effect.ticket_id, ended, at))
 
         self._later(SERVICE_S, answer)
 
@@ -481,7 +481,7 @@
         version = run.node.log.config.version(path)
         wanted = version if expected < 0 else Offset(expected)
         node = run.node
-        self._feed(run, lambda at: node.change_config(call_id, path, wanted, text, at))
+        self.feed(run, lambda at: node.change_config(call_id, path, wanted, text, at))
         return change
 
     def submit(self, name: str, data_centre: str = "") -> Submission:
@@ -495,7 +495,7 @@
         home = JobId(f"{data_centre}:" if data_centre else "")
         call = JobCall(call_id, JobAction.SUBMIT, TEAM, home, spec)
         node = run.node
-        self._feed(run, lambda at: node.job_call(call, at))
+        self.feed(run, lambda at: node.job_call(call, at))
         return submission
 
     def request(self, name: str, timeout_s: float = 5.0) -> Call:
@@ -512,7 +512,7 @@
             new = CallerRequest(call_id, request_id, TEAM, QUEUE, True, deadline)
             return node.submit(new, at)
 
-        self._feed(run, submit)
+        self.feed(run, submit)
         return call
 
     def configured(self) -> "NodeFleet":
