--- a/tests/test_node_machine.py
+++ b/tests/test_node_machine.py
@@ -6,7 +6,6 @@
     RuleBasedStateMachine,
     initialize,
     invariant,
-    precondition,
     rule,
 )
 
@@ -15,6 +14,9 @@
 
 NAMES = [f"dc{dc}-{letter}" for dc in (1, 2) for letter in "abc"]
 MEMBERS = st.sampled_from(NAMES)
+TIMES = st.sampled_from([0.1, 0.7, 2.0, 5.0])
+"""How long a fault lasts before the next thing happens, in seconds."""
+
 QUIET_S = 12.0
 """Time without faults after which a data centre has what every member should."""
 
@@ -25,7 +27,7 @@
 class NodeMachine(RuleBasedStateMachine):
     """Members die, pause, drain and are cut off; the log fails in every way.
 
-    At most one member of the fleet is lost within ``QUIET_S`` of another fault, as
+    A member is lost only after ``QUIET_S`` without another fault between members, as
     the durability of jobs promises no more.
     """
 
@@ -33,7 +35,6 @@
     def start(self, seed: int, keep: int) -> None:
         self.fleet = NodeFleet(seed=seed).configured()
         self.fleet.log.keep = keep
-        self.faulty_at = self.fleet.now - QUIET_S
         self.versions: dict[tuple[MemberId, Incarnation, ConfigPath], Offset] = {}
         self.jobs: list[Submission] = []
         self.commands_read = 0
@@ -67,75 +68,83 @@
         self.jobs.append(self.fleet.submit(name, home))
         self.fleet.run(0.1)
 
-    @precondition(lambda self: self.fleet.now - self.faulty_at >= QUIET_S)
-    @rule(name=MEMBERS)
-    def member_is_replaced(self, name: str) -> None:
-        self.fault()
+    @rule(name=MEMBERS, seconds=TIMES)
+    def member_is_replaced(self, name: str, seconds: float) -> None:
+        self.fleet.heal_network()
+        self.fleet.run(QUIET_S)
         self.fleet.stop(name)
-        self.fleet.run(0.3)
+        self.fleet.run(seconds)
         self.fleet.start(name)
 
-    @precondition(lambda self: self.fleet.now - self.faulty_at >= QUIET_S)
-    @rule(dc=st.sampled_from(["dc1", "dc2"]))
-    def owner_is_replaced(self, dc: str) -> None:
+    @rule(dc=st.sampled_from(["dc1", "dc2"]), seconds=TIMES)
+    def owner_is_replaced(self, dc: str, seconds: float) -> None:
         for name in self.fleet.owners(dc)[:1]:
-            self.member_is_replaced(name)
+            self.member_is_replaced(name, seconds)
 
-    @rule(name=MEMBERS, seconds=st.sampled_from([0.5, 1.0, 2.0, 6.0]))
-    def member_pauses(self, name: str, seconds: float) -> None:
-        self.fault()
-        self.fleet.pause(name, seconds)
+    @rule(name=MEMBERS, paused_s=st.sampled_from([0.5, 1.0, 2.0, 6.0]), seconds=TIMES)
+    def member_pauses(self, name: str, paused_s: float, seconds: float) -> None:
+        self.fleet.pause(name, paused_s)
+        self.fleet.run(seconds)
+
+    @rule(dc=st.sampled_from(["dc1", "dc2"]), paused_s=st.sampled_from([1.0, 6.0]))
+    def owner_pauses(self, dc: str, paused_s: float) -> None:
+        for name in self.fleet.owners(dc)[:1]:
+            self.member_pauses(name, paused_s, paused_s)
 
-    @rule(name=MEMBERS)
-    def member_is_cut_off_from_its_data_centre(self, name: str) -> None:
-        self.fault()
+    @rule(name=MEMBERS, seconds=TIMES)
+    def member_is_cut_off_from_its_data_centre(self, name: str, seconds: float) -> None:
         self.fleet.cut([name], self.fleet.names(name[:3]))
+        self.fleet.run(seconds)
 
-    @rule(one=MEMBERS, other=MEMBERS)
-    def link_is_cut(self, one: str, other: str) -> None:
-        self.fault()
+    @rule(one=MEMBERS, other=MEMBERS, seconds=TIMES)
+    def link_is_cut(self, one: str, other: str, seconds: float) -> None:
         self.fleet.cut([one], [other])
+        self.fleet.run(seconds)
 
-    @rule()
-    def data_centres_are_cut(self) -> None:
-        self.fault()
+    @rule(seconds=TIMES)
+    def data_centres_are_cut(self, seconds: float) -> None:
         self.fleet.cut(self.fleet.names("dc1"), self.fleet.names("dc2"))
+        self.fleet.run(seconds)
 
-    @rule(name=MEMBERS)
-    def member_loses_the_log(self, name: str) -> None:
-        self.fault()
+    @rule(name=MEMBERS, seconds=TIMES)
+    def member_loses_the_log(self, name: str, seconds: float) -> None:
         self.fleet.cut_from_log.add(MemberId(name))
+        self.fleet.run(seconds)
 
     @rule(
         loss=st.sampled_from([0.0, 0.3]),
         doubled=st.sampled_from([0.0, 0.3]),
         jitter_s=st.sampled_from([0.0, 0.02, 0.4]),
+        seconds=TIMES,
     )
-    def network_worsens(self, loss: float, doubled: float, jitter_s: float) -> None:
-        self.fault()
+    def network_worsens(
+        self, loss: float, doubled: float, jitter_s: float, seconds: float
+    ) -> None:
         self.fleet.loss = loss
         self.fleet.doubled = doubled
         self.fleet.jitter_s = jitter_s
+        self.fleet.run(seconds)
 
-    @rule(down=st.booleans(), delay_s=st.sampled_from([0.0, 0.4, 1.5, 4.0]))
-    def log_worsens(self, down: bool, delay_s: float) -> None:
-        self.fault()
+    @rule(
+        down=st.booleans(),
+        delay_s=st.sampled_from([0.0, 0.4, 1.5, 4.0]),
+        seconds=TIMES,
+    )
+    def log_worsens(self, down: bool, delay_s: float, seconds: float) -> None:
         self.fleet.log.down = down
         self.fleet.log.delay_s = delay_s
+        self.fleet.run(seconds)
 
-    @rule(lost=st.integers(0, 2), late=st.integers(0, 2))
-    def log_loses_replies(self, lost: int, late: int) -> None:
-        self.fault()
+    @rule(lost=st.integers(0, 2), late=st.integers(0, 2), seconds=TIMES)
+    def log_loses_replies(self, lost: int, late: int, seconds: float) -> None:
         self.fleet.log.lose_replies = lost
         self.fleet.log.late_appends = late
+        self.fleet.run(seconds)
 
-    @rule()
-    def everything_heals(self) -> None:
-        self.fault()
+    @rule(seconds=TIMES)
+    def everything_heals(self, seconds: float) -> None:
         self.fleet.heal()
-
-    def fault(self) -> None:
-        self.faulty_at = self.fleet.now
+        self.fleet.run(seconds)
 
     # What holds at any time
 
--- a/tests/utils/node_fleet.py
+++ b/tests/utils/node_fleet.py
@@ -264,13 +264,17 @@
 
     def heal(self) -> None:
         """End every fault of the network and the log."""
-        self.cut_pairs.clear()
+        self.heal_network()
         self.cut_from_log.clear()
-        self.loss = self.doubled = self.jitter_s = 0.0
         self.log.down = False
         self.log.delay_s = 0.0
         self.log.lose_replies = self.log.late_appends = 0
 
+    def heal_network(self) -> None:
+        """End every fault between members."""
+        self.cut_pairs.clear()
+        self.loss = self.doubled = self.jitter_s = 0.0
+
     def names(self, data_centre: str = "") -> list[str]:
         """Return the running members of a data centre, or all."""
         return [name for name in self.runs if name.startswith(data_centre)]
