--- a/tamarackmount/kernel/membership.py
+++ b/tamarackmount/kernel/membership.py
@@ -176,16 +176,20 @@
         )
 
     def remote_targets(self, now: Instant) -> list[MemberId]:
-        """Return one peer of every other data centre to keep in touch with.
+        """Return the peers of other data centres to keep in touch with.
 
-        Leaving and lost peers are passed over while another one of their data centre
-        is neither; of a data centre whose peers are all lost, each is tried in turn.
+        That is one of each; while it is leaving or lost, the others are tried in turn too,
+        as lost peers are heard again only when they are asked.
         """
         targets = []
         for data_centre in self.data_centres():
-            if data_centre != self._me.data_centre:
-                targets.append(self._remote_target(data_centre, now))
-        return targets
+            if data_centre == self._me.data_centre:
+                continue
+            target = self._remote_target(data_centre, now)
+            targets.append(target)
+            if self.state(target, now) in _GOING:
+                targets.append(self._turn_of(data_centre, now))
+        return list(dict.fromkeys(targets))
 
     def lately_missing(
         self, data_centre: DataCentreId, within_s: float, now: Instant
@@ -274,6 +278,10 @@
             for member_id in ranked:
                 if self.state(member_id, now) not in avoided:
                     return member_id
+        return self._turn_of(data_centre, now)
+
+    def _turn_of(self, data_centre: DataCentreId, now: Instant) -> MemberId:
+        ranked = self._ranked(data_centre)
         turn = int(now / self._timing.remote_heartbeat_s)
         return ranked[turn % len(ranked)]
 
--- /dev/null
+++ b/tests/test_remote_contact.py
@@ -0,0 +1,62 @@
+"""Keeping in touch with other data centres."""
+
+from tamarackmount.ids import (
+    DataCentreId,
+    Epoch,
+    Incarnation,
+    Instant,
+    MemberId,
+    Offset,
+)
+from tamarackmount.kernel.membership import Member, Membership
+from tamarackmount.kernel.messages import Heartbeat
+from tamarackmount.kernel.timing import Timing
+
+HERE = DataCentreId("dc1")
+THERE = DataCentreId("dc2")
+TIMING = Timing()
+
+
+def build_membership() -> Membership:
+    peers = [Member(MemberId(name), THERE) for name in ("x", "y")]
+    me = Member(MemberId("a"), HERE)
+    return Membership(me, Incarnation(1), peers, TIMING, Instant(0.0))
+
+
+def build_heartbeat(
+    member_id: MemberId, sequence: int, *, leaving: bool = False
+) -> Heartbeat:
+    return Heartbeat(
+        member_id=member_id,
+        incarnation=Incarnation(1),
+        data_centre=THERE,
+        sequence=sequence,
+        epoch=Epoch(1),
+        owner=member_id,
+        config_offset=Offset(1),
+        log_age_ms=0,
+        leaving=leaving,
+    )
+
+
+def test_one_living_peer_of_a_data_centre_is_kept_in_touch_with() -> None:
+    membership = build_membership()
+    now = Instant(1.0)
+    (target,) = membership.remote_targets(now)
+    membership.heard(build_heartbeat(target, 1), now)
+    assert membership.remote_targets(now) == [target]
+    assert membership.contact(THERE, now) == target
+
+
+def test_lost_peer_is_asked_again_while_the_contact_is_leaving() -> None:
+    membership = build_membership()
+    (target,) = membership.remote_targets(Instant(0.0))
+    (other,) = {MemberId("x"), MemberId("y")} - {target}
+    asked: set[MemberId] = set()
+    for second in range(10, 13):
+        now = Instant(float(second))
+        membership.heard(build_heartbeat(target, second, leaving=True), now)
+        asked.update(membership.remote_targets(now))
+    assert asked == {target, other}
+    membership.heard(build_heartbeat(other, 1), now)
+    assert membership.contact(THERE, now) == other
