--- a/tamarackmount/kernel/membership.py
+++ b/tamarackmount/kernel/membership.py
@@ -178,8 +178,8 @@
     def remote_targets(self, now: Instant) -> list[MemberId]:
         """Return the peers of other data centres to keep in touch with.
 
-        That is one of each; while it is leaving or lost, the others are tried in turn too,
-        as lost peers are heard again only when they are asked.
+        That is one of each; while it is leaving or lost, the others are tried in turn
+        too, as lost peers are heard again only when they are asked.
         """
         targets = []
         for data_centre in self.data_centres():
