Scheduler under faults: a state machine over owners, workers and network

Change: FaultyCell carries commands over a faulty network in virtual time; the machine checks capacity, single running, single starts, ceilings, gang starts and that all work ends once faults end. Found and mended: a non-idempotent gang whose eviction came after its last success was started anew.

--- a/tamarackmount/kernel/scheduler.py
+++ b/tamarackmount/kernel/scheduler.py
@@ -11,6 +11,8 @@
   takeover, unless the worker has answered a sync of this epoch and so refuses it;
 - a worker ends an attempt whose lease it did not see renewed, and its clock runs
   slow by less than ``clock_margin_s`` over a lease;
+- records that a former owner saves are held no more once those held so far were
+  given to ``restore``;
 - a worker reports every attempt that it has not been told to forget.
 """
 
@@ -131,6 +133,7 @@
         )
         if before != self._cell.ledger.workers_by_capacity:
             runnable.check_all(self._cell, now)
+            self._cell.place_needed = True
         return self._finish(now)
 
     def call(self, origin: MemberId, call: JobCall, now: Instant) -> list[JobEffect]:
--- a/tamarackmount/kernel/task_ends.py
+++ b/tamarackmount/kernel/task_ends.py
@@ -242,6 +242,12 @@
         if not job.gang_broken or job.attempts_by_index:
             return
         job.gang_broken = False
-        for first, last in job.ended_by_state[TaskState.SUCCEEDED].take_all():
+        succeeded = job.ended_by_state[TaskState.SUCCEEDED]
+        if job.waiting_count() == 0:
+            return
+        if succeeded and not job.spec.idempotent:
+            self.fail_job(job, "part of the gang ended and must not run again", now)
+            return
+        for first, last in succeeded.take_all():
             job.waiting.add_range(first, last)
         self._cell.settle(job, now)
--- /dev/null
+++ b/tests/test_scheduler_machine.py
@@ -0,0 +1,212 @@
+"""Invariants of the scheduler under faults, found out by random histories."""
+
+from typing import Any
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+from returns.result import Success
+
+from tamarackmount.ids import JobId, TeamId, WorkerId
+from tamarackmount.job_spec import parse_job_spec
+from tamarackmount.kernel.job_effects import TeamLimits
+from tamarackmount.kernel.jobs import OPEN_JOB_STATES, AttemptPhase
+from tamarackmount.kernel.messages import JobAction
+from tests.utils.build_jobs import call_on, spec_text, submit, worker
+from tests.utils.faulty_cell import FaultyCell
+
+TEAMS = [TeamId("retail"), TeamId("print")]
+WORKERS = ["w1", "w2", "w3"]
+SETTLE_S = 900.0
+
+
+class SchedulerMachine(RuleBasedStateMachine):
+    """Submits, cancels, breaks and replaces at random."""
+
+    cell: FaultyCell
+    job_count = 0
+
+    @initialize(seed=st.integers(0, 2**16), faults=st.sampled_from([0, 10, 30]))
+    def start(self, seed: int, faults: int) -> None:
+        workers = [
+            worker("w1", cores=4, rack="r1"),
+            worker("w2", cores=4, rack="r2"),
+            worker("w3", cores=4, accelerators=2, rack="r2"),
+        ]
+        self.cell = FaultyCell(workers, seed)
+        self.cell.run(0.5)
+        self.cell.fault_percent = faults
+        self.job_count = 0
+
+    @rule(
+        kind=st.sampled_from(["batch", "batch", "service", "gang"]),
+        tasks=st.integers(1, 5),
+        cores=st.integers(1, 4),
+        accelerators=st.sampled_from([0, 0, 0, 1]),
+        run_ms=st.sampled_from([300, 2_000, 6_000]),
+        idempotent=st.booleans(),
+        priority=st.sampled_from(["normal", "normal", "urgent"]),
+        team=st.sampled_from(TEAMS),
+    )
+    def submit_one(self, team: TeamId, **changes: Any) -> None:
+        self.submit(team, **changes)
+
+    def submit(self, team: TeamId, **changes: Any) -> None:
+        self.job_count += 1
+        name = f"j{self.job_count}"
+        job_id = JobId(f"dc1:{team}:{name}")
+        spec = parse_job_spec(spec_text(name, **changes))
+        assert isinstance(spec, Success)
+        self.cell.specs_by_job[job_id] = spec.unwrap()
+        self.cell.call_jobs[self.job_count] = job_id
+        self.cell.call(submit(name, team, self.job_count, **changes))
+
+    @rule(
+        jobs=st.lists(st.sampled_from(["batch", "gang", "service"]), max_size=4),
+        tasks=st.integers(2, 6),
+        cores=st.integers(1, 2),
+        idempotent=st.booleans(),
+        team=st.sampled_from(TEAMS),
+        seconds=st.sampled_from([0.5, 3.0]),
+    )
+    def submit_many(
+        self, jobs: list[str], team: TeamId, seconds: float, **changes: Any
+    ) -> None:
+        for kind in jobs:
+            self.submit(team=team, kind=kind, run_ms=4_000, **changes)
+        self.cell.run(seconds)
+
+    @precondition(lambda self: self.job_count)
+    @rule(number=st.integers(0, 40))
+    def cancel(self, number: int) -> None:
+        job_ids = sorted(self.cell.specs_by_job)
+        job_id = job_ids[number % len(job_ids)]
+        _, team, name = job_id.split(":")
+        self.cell.call(call_on(JobAction.CANCEL, name, TeamId(team), 10_000))
+
+    @rule(seconds=st.sampled_from([0.1, 0.5, 1.5, 4.0, 7.0]))
+    def wait(self, seconds: float) -> None:
+        self.cell.run(seconds)
+
+    @rule(name=st.sampled_from(WORKERS))
+    def cut_off(self, name: str) -> None:
+        self.cell.cut_off ^= {WorkerId(name)}
+
+    @rule(name=st.sampled_from(WORKERS))
+    def restart_worker(self, name: str) -> None:
+        fake = self.cell.workers_by_id[WorkerId(name)]
+        fake.attempts_by_task.clear()
+
+    @rule(name=st.sampled_from(WORKERS))
+    def list_or_unlist(self, name: str) -> None:
+        self.cell.unlisted ^= {WorkerId(name)}
+        self.cell.list_workers()
+
+    @rule(name=st.sampled_from(WORKERS))
+    def fail_or_heal(self, name: str) -> None:
+        fake = self.cell.workers_by_id[WorkerId(name)]
+        fake.fails_starts = not fake.fails_starts
+
+    @rule(
+        retail=st.sampled_from([None, 1, 3, 6]),
+        prints=st.sampled_from([None, 2, 5]),
+    )
+    def limit(self, retail: int | None, prints: int | None) -> None:
+        limits = (
+            TeamLimits(share=2.0, running_tasks=retail),
+            TeamLimits(share=1.0, running_tasks=prints),
+        )
+        self.cell.set_teams(dict(zip(TEAMS, limits, strict=True)))
+
+    @rule()
+    def replace_owner(self) -> None:
+        self.cell.take_over()
+
+    @invariant()
+    def invariants_hold(self) -> None:
+        if not hasattr(self, "cell"):
+            return
+        self.cell.check()
+        self._check_counts()
+        self._check_gangs()
+
+    def teardown(self) -> None:
+        """Let all faults end; then all work must come to an end."""
+        if not hasattr(self, "cell"):
+            return
+        cell = self.cell
+        cell.fault_percent = 0
+        cell.cut_off.clear()
+        cell.unlisted.clear()
+        for fake in cell.workers_by_id.values():
+            fake.fails_starts = False
+        cell.list_workers()
+        cell.set_teams({})
+        cell.run(2.0)
+        self._cancel_services()
+        deadline = cell.now + SETTLE_S
+        while cell.now < deadline and not self._is_idle():
+            cell.run(1.0)
+        self._check_counts()
+        self._check_all_ended()
+
+    def _cancel_services(self) -> None:
+        for job_id, spec in self.cell.specs_by_job.items():
+            if spec.kind.value == "service":
+                _, team, name = job_id.split(":")
+                self.cell.call(call_on(JobAction.CANCEL, name, TeamId(team), 10_000))
+
+    def _check_counts(self) -> None:
+        state = self.cell.owner.scheduler._cell
+        for job in state.table.jobs_by_id.values():
+            assert sum(job.counts().values()) == job.spec.tasks
+            assert not job.accepted or state.queue.contains(job) <= bool(job.waiting)
+        for room in state.ledger.rooms_by_id.values():
+            link = state.links_by_worker[room.id]
+            parts = [one.amount for one in link.attempts_by_task.values()]
+            parts += [one.amount for one in link.strays_by_key.values()]
+            assert room.committed.millicores == sum(one.millicores for one in parts)
+            assert room.committed.accelerators == sum(one.accelerators for one in parts)
+
+    def _check_gangs(self) -> None:
+        state = self.cell.owner.scheduler._cell
+        for job in state.table.jobs_by_id.values():
+            if not job.is_gang or job.held or job.gang_broken or job.closing:
+                continue
+            phases = [one.phase for one in job.attempts_by_index.values()]
+            if phases:
+                assert job.waiting_count() == 0
+                assert AttemptPhase.CLAIMING not in phases
+
+    def _is_idle(self) -> bool:
+        state = self.cell.owner.scheduler._cell
+        jobs = [state.table.jobs_by_id[job_id] for job_id in self.cell.accepted]
+        rooms = state.ledger.rooms_by_id.values()
+        return all(
+            job.state() not in OPEN_JOB_STATES or job.never_runs for job in jobs
+        ) and not any(room.committed.millicores or room.holder for room in rooms)
+
+    def _check_all_ended(self) -> None:
+        state = self.cell.owner.scheduler._cell
+        for job_id in self.cell.accepted:
+            job = state.table.jobs_by_id[job_id]
+            ended = job.state() not in OPEN_JOB_STATES
+            assert ended or job.never_runs, (job_id, job.counts(), job.why_waiting)
+        for room in state.ledger.rooms_by_id.values():
+            assert room.committed.millicores == 0, room
+            assert room.holder is None, room
+        for account in state.accounts.accounts_by_team.values():
+            assert account.running_tasks == 0
+
+
+def test_invariants_hold_under_faults() -> None:
+    run_state_machine_as_test(
+        SchedulerMachine, settings=settings(max_examples=200, stateful_step_count=40)
+    )
--- a/tests/utils/fake_workers.py
+++ b/tests/utils/fake_workers.py
@@ -57,13 +57,19 @@
 
 @dataclass(slots=True)
 class FakeWorker:
-    """One worker: refuses stale epochs, ends attempts by lease and run time."""
+    """One worker: refuses stale epochs, ends attempts by lease and run time.
+
+    ``slow_clock_s`` is how much longer than told a lease lasts. Without
+    ``enforces_capacity`` it starts whatever it is told, so a test can look.
+    """
 
     listed: ListedWorker
     epoch: Epoch = Epoch(0)
     attempts_by_task: dict[TaskId, dict[int, FakeAttempt]] = field(default_factory=dict)
     start_notes: list[StartNote] = field(default_factory=list)
     fails_starts: bool = False
+    enforces_capacity: bool = True
+    slow_clock_s: float = 0.0
     fails_tasks: bool = False
     failing_prefixes: tuple[str, ...] = ()
 
@@ -102,7 +108,7 @@
         self.epoch = command.epoch
         for attempt in self.running():
             if attempt.command.task_id in command.renew:
-                attempt.lease_until = now + command.lease_ms / MS_PER_S
+                attempt.lease_until = self._lease_end(command.lease_ms, now)
         for task in command.forget:
             self._forget(task)
         return WorkerReport(
@@ -126,7 +132,8 @@
         if command.attempt in by_number:
             return CommandReply(result=CommandResult.DONE)
         free = self.listed.capacity - self.used()
-        if not as_resources(command.amount).fits_in(free):
+        fits = as_resources(command.amount).fits_in(free)
+        if self.enforces_capacity and not fits:
             return CommandReply(result=CommandResult.NO_CAPACITY)
         if self.fails_starts or command.task_id.startswith(
             self.failing_prefixes or ("\0",)
@@ -136,7 +143,7 @@
         by_number[command.attempt] = FakeAttempt(
             command=command,
             state=AttemptState.RUNNING,
-            lease_until=now + command.lease_ms / MS_PER_S,
+            lease_until=self._lease_end(command.lease_ms, now),
             ends_at=float("inf") if run_ms is None else now + run_ms / MS_PER_S,
         )
         self.start_notes.append(StartNote(self.listed.id, command))
@@ -167,6 +174,9 @@
         attempt.checkpoint = f"{command.task_id}@{command.attempt}"
         return CommandReply(result=CommandResult.DONE, checkpoint=attempt.checkpoint)
 
+    def _lease_end(self, lease_ms: int, now: float) -> float:
+        return now + lease_ms / MS_PER_S + self.slow_clock_s
+
     def _find(self, command: TaskCommand) -> FakeAttempt | None:
         by_number = self.attempts_by_task.get(command.task_id, {})
         return by_number.get(command.attempt)
