Scheduler rules: unit tests for takeover, gangs, urgent work, teams and workers

Change: tests for each rule. Seen failing first and mended: a gang whose retry pause ran out waited for the idle pass; an urgent gang got no reservation from its own submission; a worker that rested was rested longer by failures of starts that were already out. Tested: make test, 122 passed.

--- a/tamarackmount/kernel/placing.py
+++ b/tamarackmount/kernel/placing.py
@@ -62,7 +62,7 @@
         self._policies = policies
         self._preemption = Preemption(cell, attempts, ends)
         self.reservations = Reservations(cell, ends)
-        self._next_idle_pass = Instant(float("-inf"))
+        self._next_pass_at = Instant(float("-inf"))
 
     def order_of(self, job: Job) -> tuple[float, ...]:
         """Return the job's place among its team's jobs."""
@@ -76,16 +76,14 @@
             return
         self._preemption.resolve(now)
         self.reservations.keep_up(now)
-        if not cell.place_needed and now < self._next_idle_pass:
+        if not cell.place_needed and now < self._next_pass_at:
             return
         cell.place_needed = False
-        self._next_idle_pass = Instant(now + IDLE_PASS_S)
+        self._next_pass_at = Instant(now + IDLE_PASS_S)
         walk = _Pass(now)
         for urgent in (True, False):
             self._walk(walk, cell.queue.teams(urgent), urgent)
-        self.reservations.reserve_oldest(list(walk.without_room.values()), now)
-        if walk.left == 0:
-            cell.place_needed = True
+        self._end_walk(walk)
 
     def run_for(self, jobs: Iterable[Job], now: Instant) -> None:
         """Place tasks of newly accepted jobs without waiting for the next pass.
@@ -101,7 +99,13 @@
             teams = {job.team_id: None for job in jobs if job.urgent is urgent}
             if urgent or not cell.place_needed:
                 self._walk(walk, list(teams), urgent)
-        cell.place_needed = cell.place_needed or walk.left == 0
+        self._end_walk(walk)
+
+    def _end_walk(self, walk: _Pass) -> None:
+        jobs = list(walk.without_room.values())
+        self.reservations.reserve_oldest(jobs, walk.now)
+        if walk.left == 0:
+            self._cell.place_needed = True
 
     def _walk(self, walk: _Pass, teams: list[TeamId], urgent: bool) -> None:
         turns = [self._turn(team_id, urgent) for team_id in teams]
@@ -186,10 +190,11 @@
         return True
 
     def _place_gang(self, walk: _Pass, job: Job) -> bool:
-        if walk.now < job.next_try_at:
-            return False
         holds = self.reservations.current
         is_holder = holds is not None and holds.job is job
+        if walk.now < job.next_try_at and not is_holder:
+            self._next_pass_at = min(self._next_pass_at, job.next_try_at)
+            return False
         if is_holder:
             self.reservations.open_for_holder(kept=False)
         choices = self._choose_for_gang(job)
--- a/tamarackmount/kernel/worker_health.py
+++ b/tamarackmount/kernel/worker_health.py
@@ -89,6 +89,8 @@
             return
         record = self._records_by_worker.setdefault(worker_id, _Record())
         record.failed_jobs[job_id] = None
+        if record.state is HealthState.RESTING:
+            return
         on_probation = record.state is HealthState.PROBATION
         if on_probation or len(record.failed_jobs) >= FAILED_JOBS_BEFORE_REST:
             self._rest(worker_id, record, now)
--- /dev/null
+++ b/tests/test_scheduler_gangs.py
@@ -0,0 +1,136 @@
+"""Gangs start whole or not at all and do not starve."""
+
+from tamarackmount.ids import WorkerId
+from tamarackmount.kernel.job_effects import SchedulerTiming, StartTask
+from tests.utils.build_jobs import OTHER_TEAM, worker
+from tests.utils.job_cell import JobCell
+
+SOON = SchedulerTiming(reserve_after_s=1.0, reservation_s=30.0)
+
+
+def test_gang_waits_until_all_fit() -> None:
+    cell = JobCell([worker("w1", cores=2), worker("w2", cores=2)])
+    cell.submit("first", run_ms=2_000)
+    cell.run(0.1)
+    cell.submit("gang", kind="gang", tasks=4)
+    cell.run(1)
+    assert cell.counts("gang") == {"waiting": 4}
+    cell.run(2)
+    assert cell.counts("gang") in ({"running": 4}, {"succeeded": 4})
+
+
+def test_gang_restarts_whole_after_a_lost_worker() -> None:
+    cell = JobCell([worker("w1", cores=2), worker("w2", cores=2), worker("w3")])
+    cell.submit("gang", kind="gang", tasks=4, run_ms=60_000)
+    cell.run(1)
+    lost = next(
+        fake for fake in cell.workers_by_id.values() if len(fake.running()) == 2
+    )
+    lost.attempts_by_task.clear()
+    cell.unreachable = {lost.listed.id}
+    cell.run(0.1)
+    cell.unreachable.clear()
+    cell.run(3)
+    assert cell.counts("gang") == {"running": 4}
+    starts = [one for one in cell.effects if isinstance(one, StartTask)]
+    assert len(starts) == 8
+
+
+def test_broken_gang_stops_its_other_tasks() -> None:
+    cell = JobCell([worker("w1", cores=2), worker("w2", cores=2)])
+    cell.submit("gang", kind="gang", tasks=4, run_ms=60_000)
+    cell.run(1)
+    cell.worker("w1").attempts_by_task.clear()
+    cell.unreachable = {WorkerId("w1")}
+    cell.run(0.2)
+    cell.unreachable.clear()
+    cell.worker("w1").attempts_by_task.clear()
+    for _ in range(40):
+        cell.run(0.05)
+        if not cell.places("gang"):
+            return
+    raise AssertionError("the other tasks went on")
+
+
+def test_gang_of_refused_starts_fails_after_its_attempts() -> None:
+    cell = JobCell([worker("w1"), worker("w2")])
+    cell.worker("w1").fails_starts = True
+    cell.worker("w2").fails_starts = True
+    cell.submit("gang", kind="gang", tasks=5, max_attempts=2)
+    cell.run(60)
+    assert cell.job("gang")["state"] == "failed"
+    assert cell.places("gang") == []
+
+
+def test_gang_is_not_starved_by_small_work() -> None:
+    cell = JobCell([worker("w1"), worker("w2")], timing=SOON)
+    cell.submit("small", OTHER_TEAM, tasks=400, run_ms=1_500)
+    cell.run(0.2)
+    cell.submit("gang", kind="gang", tasks=2, cores=4, run_ms=1_000)
+    cell.run(8)
+    assert cell.job("gang")["state"] == "succeeded"
+    cell.run(90)
+    assert cell.job("small", OTHER_TEAM)["state"] == "succeeded"
+
+
+def test_big_task_is_not_starved_by_small_work() -> None:
+    cell = JobCell([worker("w1"), worker("w2")], timing=SOON)
+    cell.submit("small", OTHER_TEAM, tasks=400, run_ms=1_500)
+    cell.run(0.2)
+    cell.submit("big", cores=4, run_ms=1_000)
+    cell.run(8)
+    assert cell.job("big")["state"] == "succeeded"
+
+
+def test_backfill_uses_kept_workers_without_delay() -> None:
+    cell = JobCell([worker("w1", cores=4), worker("w2", cores=4)], timing=SOON)
+    cell.submit("long", OTHER_TEAM, cores=3, run_ms=10_000)
+    cell.run(0.1)
+    cell.submit("gang", kind="gang", tasks=2, cores=4, run_ms=1_000)
+    cell.run(2)
+    cell.submit("short", OTHER_TEAM, run_ms=2_000)
+    cell.submit("overlong", OTHER_TEAM, tasks=4, run_ms=30_000)
+    cell.run(0.2)
+    assert cell.counts("short", OTHER_TEAM) == {"running": 1}
+    assert cell.counts("overlong", OTHER_TEAM) == {"waiting": 4}
+    cell.run(8.5)
+    assert cell.counts("gang") == {"running": 2}
+
+
+def test_backfill_that_overruns_makes_way() -> None:
+    cell = JobCell([worker("w1", cores=4), worker("w2", cores=4)], timing=SOON)
+    cell.submit("long", OTHER_TEAM, cores=3, run_ms=5_000)
+    cell.run(0.1)
+    cell.submit("gang", kind="gang", tasks=2, cores=4, run_ms=1_000)
+    cell.run(2)
+    cell.submit("short", OTHER_TEAM, run_ms=1_000)
+    cell.run(0.1)
+    for fake in cell.workers_by_id.values():
+        for attempt in fake.running():
+            if ":short/" in attempt.command.task_id:
+                attempt.ends_at = float("inf")
+    cell.run(6)
+    assert cell.job("gang")["state"] == "succeeded"
+
+
+def test_reservation_is_given_back_at_its_deadline() -> None:
+    timing = SchedulerTiming(reserve_after_s=1.0, reservation_s=3.0)
+    cell = JobCell([worker("w1", cores=4)], timing=timing)
+    cell.submit("long", OTHER_TEAM, cores=3, run_ms=60_000)
+    cell.run(0.1)
+    cell.submit("gang", kind="gang", tasks=2, cores=2, run_ms=1_000)
+    cell.run(2)
+    cell.submit("waits", OTHER_TEAM, run_ms=70_000)
+    cell.run(0.5)
+    assert cell.counts("waits", OTHER_TEAM) == {"waiting": 1}
+    cell.run(3)
+    assert cell.counts("waits", OTHER_TEAM) == {"running": 1}
+
+
+def test_urgent_gang_displaces_normal_work() -> None:
+    cell = JobCell([worker("w1"), worker("w2")])
+    cell.submit("normal", tasks=8, run_ms=60_000)
+    cell.run(1)
+    cell.submit("gang", kind="gang", tasks=4, cores=2, priority="urgent")
+    cell.run(1.5)
+    assert cell.counts("gang").get("waiting", 0) == 0
--- /dev/null
+++ b/tests/test_scheduler_teams.py
@@ -0,0 +1,97 @@
+"""Shares decide who goes next in a full cell; ceilings always hold."""
+
+import pytest
+
+from tamarackmount.ids import TeamId
+from tamarackmount.kernel.job_effects import CheckpointTask, StopTask, TeamLimits
+from tamarackmount.kernel.policies import PolicyNames
+from tests.utils.build_jobs import OTHER_TEAM, TEAM, size, worker
+from tests.utils.job_cell import JobCell
+
+
+def limited(cell: JobCell, **limits: int) -> None:
+    teams = {TEAM: TeamLimits(**limits)}
+    cell.apply(cell.scheduler.set_teams(teams, cell.now))
+
+
+def test_weighted_shares_of_a_full_cell() -> None:
+    cell = JobCell([worker("w1", cores=6), worker("w2", cores=6)])
+    shares = {TEAM: TeamLimits(share=2.0), OTHER_TEAM: TeamLimits(share=1.0)}
+    cell.apply(cell.scheduler.set_teams(shares, cell.now))
+    cell.submit("a", TEAM, tasks=200, run_ms=1_000)
+    cell.submit("b", OTHER_TEAM, tasks=200, run_ms=1_000)
+    cell.run(4)
+    assert len(cell.places("a", TEAM)) == 8
+    assert len(cell.places("b", OTHER_TEAM)) == 4
+
+
+def test_dominant_resource_counts() -> None:
+    cell = JobCell([worker("w1", cores=12, memory_gib=24)])
+    cell.submit("wide", TEAM, tasks=50, cores=2, memory_gib=1, run_ms=60_000)
+    cell.submit("deep", OTHER_TEAM, tasks=50, cores=1, memory_gib=4, run_ms=60_000)
+    cell.run(1)
+    usage = cell.scheduler.usage()
+    wide = usage[TEAM].amount.millicores / 12_000
+    deep = usage[OTHER_TEAM].amount.memory_mib / (24 * 1_024)
+    assert abs(wide - deep) <= 1 / 6
+
+
+def test_fifo_baseline_ignores_shares() -> None:
+    policies = PolicyNames(job_order="fifo")
+    cell = JobCell([worker("w1", cores=4)], policies=policies)
+    cell.submit("a", TEAM, tasks=8, run_ms=1_000)
+    cell.submit("b", OTHER_TEAM, tasks=8, run_ms=1_000)
+    cell.run(0.5)
+    assert len(cell.places("a", TEAM)) == 4
+
+
+@pytest.mark.parametrize(
+    ("limits", "allowed"),
+    [
+        ({"running_tasks": 3}, 3),
+        ({"millicores": 4_000}, 2),
+        ({"memory_mib": 5 * 1_024}, 5),
+        ({"accelerators": 1}, 1),
+    ],
+)
+def test_ceiling_is_never_exceeded(limits: dict[str, int], allowed: int) -> None:
+    cell = JobCell([worker("w1", cores=32, accelerators=8)])
+    limited(cell, **limits)
+    cell.submit(tasks=8, cores=2, accelerators=1, run_ms=60_000)
+    cell.run(2)
+    assert len(cell.places()) == allowed
+    assert "ceiling" in cell.explain()[-1]["why"]
+
+
+def test_lowered_ceiling_is_reached_by_checkpoint_then_stop() -> None:
+    cell = JobCell([worker("w1", cores=8)])
+    cell.submit(tasks=6, run_ms=60_000)
+    cell.run(1)
+    cell.effects.clear()
+    limited(cell, running_tasks=2)
+    cell.run(1)
+    assert len(cell.places()) == 2
+    assert cell.counts() == {"running": 2, "waiting": 4}
+    kinds = [type(one) for one in cell.effects]
+    assert kinds.count(CheckpointTask) == kinds.count(StopTask) == 4
+
+
+def test_ceiling_below_one_task_names_the_job_until_it_is_raised() -> None:
+    cell = JobCell([worker("w1", cores=8)])
+    limited(cell, millicores=1_000)
+    cell.submit(cores=2)
+    assert cell.job()["state"] == "waiting"
+    assert "ceiling of cores" in cell.job()["reason"]
+    limited(cell, millicores=2_000)
+    assert cell.job()["reason"] == ""
+    cell.run(2)
+    assert cell.job()["state"] == "succeeded"
+
+
+def test_usage_counts_running_and_waiting() -> None:
+    cell = JobCell([worker("w1", cores=2)])
+    cell.submit(tasks=5, run_ms=60_000)
+    cell.run(1)
+    usage = cell.scheduler.usage()[TeamId("retail")]
+    assert (usage.running_tasks, usage.waiting_tasks) == (2, 3)
+    assert usage.amount == size(2, 2)
--- /dev/null
+++ b/tests/test_scheduler_workers.py
@@ -0,0 +1,150 @@
+"""Workers that lapse, leave, fail or are too small."""
+
+from tamarackmount.ids import WorkerId
+from tamarackmount.kernel.job_effects import SyncWorker
+from tests.utils.build_jobs import worker
+from tests.utils.job_cell import JobCell
+
+
+def test_service_of_a_lost_worker_restarts_after_its_lease() -> None:
+    cell = JobCell([worker("w1"), worker("w2")])
+    cell.submit(kind="service")
+    cell.run(2)
+    lost = WorkerId(cell.places()[0])
+    cell.unreachable = {lost}
+    cell.run(4)
+    assert len(cell.starts()) == 1
+    cell.run(4)
+    assert len(cell.starts()) == 2
+    assert lost not in cell.places()
+
+
+def test_late_worker_is_heard_and_its_lapsed_attempt_forgotten() -> None:
+    cell = JobCell([worker("w1"), worker("w2")])
+    cell.submit(kind="service")
+    cell.run(2)
+    lost = WorkerId(cell.places()[0])
+    cell.unreachable = {lost}
+    cell.run(10)
+    cell.unreachable.clear()
+    cell.run(10)
+    assert cell.workers_by_id[lost].attempts_by_task == {}
+    assert cell.counts() == {"running": 1}
+
+
+def test_leaving_worker_gets_nothing_new() -> None:
+    cell = JobCell([worker("w1", leaving=True), worker("w2", cores=1)])
+    cell.submit(tasks=3)
+    cell.run(5)
+    assert {note.worker_id for note in cell.starts()} == {"w2"}
+
+
+def test_syncs_are_paced_and_one_at_a_time() -> None:
+    cell = JobCell([worker("w1")])
+    cell.effects.clear()
+    cell.run(10)
+    syncs = [one for one in cell.effects if isinstance(one, SyncWorker)]
+    assert 18 <= len(syncs) <= 21
+
+
+def test_no_second_sync_while_one_is_out() -> None:
+    cell = JobCell()
+    scheduler = cell.scheduler
+    scheduler.set_workers([worker("w1")], cell.now)
+    sent = [effect for _ in range(50) for effect in scheduler.tick(cell.now)]
+    assert len(sent) == 1
+
+
+def test_ended_attempts_are_forgotten_only_once_saved() -> None:
+    cell = JobCell([worker("w1")])
+    cell.submit()
+    cell.saves_held = False
+    cell.run(5)
+    assert len(cell.worker("w1").attempts_by_task) == 1
+    cell.saves_held = True
+    cell.run(5)
+    assert cell.worker("w1").attempts_by_task == {}
+
+
+def test_worker_that_fails_different_jobs_is_rested() -> None:
+    cell = JobCell([worker("w1", cores=1), worker("w2", cores=2)])
+    cell.worker("w1").fails_tasks = True
+    for number in range(12):
+        cell.submit(f"job{number}", run_ms=300, max_attempts=5)
+    cell.run(25)
+    for number in range(12):
+        assert cell.job(f"job{number}")["state"] == "succeeded"
+    on_bad = [note for note in cell.starts() if note.worker_id == "w1"]
+    assert len(on_bad) == 3
+
+
+def test_rested_worker_is_tried_with_one_task_and_trusted_again() -> None:
+    cell = JobCell([worker("w1", cores=4)])
+    cell.worker("w1").fails_starts = True
+    for number in range(4):
+        cell.submit(f"bad{number}", max_attempts=1)
+    cell.run(2)
+    cell.worker("w1").fails_starts = False
+    cell.submit("good", tasks=4, run_ms=2_000)
+    cell.run(20)
+    assert cell.counts("good") == {"waiting": 4}
+    cell.run(9)
+    assert cell.counts("good") == {"running": 1, "waiting": 3}
+    cell.run(6)
+    assert cell.counts("good") == {"succeeded": 4}
+
+
+def test_job_that_fails_everywhere_rests_no_worker() -> None:
+    names = [f"w{number}" for number in range(6)]
+    cell = JobCell([worker(name, cores=2) for name in names])
+    for fake in cell.workers_by_id.values():
+        fake.failing_prefixes = ("dc1:retail:bad/",)
+    cell.submit("bad", tasks=6, max_attempts=6)
+    for number in range(8):
+        cell.submit(f"good{number}", tasks=3, run_ms=1_000)
+    cell.run(20)
+    assert cell.job("bad")["state"] == "failed"
+    assert all(cell.job(f"good{n}")["state"] == "succeeded" for n in range(8))
+    assert cell.scheduler._cell.health._resting == {}
+
+
+def test_task_larger_than_every_worker_is_named() -> None:
+    cell = JobCell([worker("w1", cores=4)])
+    cell.submit(cores=8)
+    assert cell.job()["state"] == "waiting"
+    assert "larger than every worker" in cell.job()["reason"]
+    cell.workers_by_id[WorkerId("w2")] = type(cell.worker("w1"))(worker("w2", cores=8))
+    cell.list_workers()
+    cell.run(3)
+    assert cell.job()["state"] == "succeeded"
+
+
+def test_gang_larger_than_the_cell_is_named() -> None:
+    cell = JobCell([worker("w1", cores=4)])
+    cell.submit(kind="gang", tasks=5)
+    assert "only 4 of the gang's tasks" in cell.job()["reason"]
+
+
+def test_services_spread_over_racks() -> None:
+    workers = [worker(f"w{n}", rack=f"r{n % 3}") for n in range(6)]
+    cell = JobCell(workers)
+    cell.submit(kind="service", tasks=3)
+    cell.run(1)
+    racks = [cell.worker(name).listed.rack for name in cell.places()]
+    assert sorted(racks) == ["r0", "r1", "r2"]
+
+
+def test_batch_is_packed() -> None:
+    cell = JobCell([worker("w1", cores=8), worker("w2", cores=4), worker("w3")])
+    cell.submit("a", cores=4, run_ms=60_000)
+    cell.submit("b", cores=3, run_ms=60_000)
+    cell.submit("c", cores=8, run_ms=60_000)
+    cell.run(1)
+    assert cell.places("c") == ["w1"]
+
+
+def test_accelerator_workers_are_kept_while_others_have_room() -> None:
+    cell = JobCell([worker("g1", cores=4, accelerators=2), worker("w1", cores=4)])
+    cell.submit("plain", tasks=5, run_ms=60_000)
+    cell.run(1)
+    assert sorted(cell.places("plain")) == ["g1", "w1", "w1", "w1", "w1"]
