--- a/tests/test_scheduler_preemption.py
+++ b/tests/test_scheduler_preemption.py
@@ -76,6 +76,17 @@
     assert cell.counts("urgent") == {"running": 1}
 
 
+def test_worker_is_kept_for_the_urgent_task_until_all_victims_are_over() -> None:
+    cell = JobCell([worker("w1", cores=2)])
+    cell.submit("normal", tasks=20, run_ms=60_000)
+    cell.run(1)
+    cell.unreachable = {WorkerId("w1")}
+    cell.submit("urgent", priority="urgent", cores=2, run_ms=60_000)
+    room = cell.scheduler._cell.ledger.rooms_by_id[WorkerId("w1")]
+    assert room.holder == "dc1:retail:urgent"
+    assert not room.placeable
+
+
 def test_claim_on_a_lost_worker_is_given_up() -> None:
     cell = JobCell([worker("w1", cores=1)])
     cell.submit("normal", run_ms=60_000)
--- a/tests/test_scheduler_takeover.py
+++ b/tests/test_scheduler_takeover.py
@@ -143,9 +143,10 @@
     cell.submit("lost", cores=3, run_ms=60_000)
     cell.run(1)
     cell.take_over([])
+    cell.effects.clear()
     cell.submit("new", cores=2, run_ms=1_000)
     cell.run(2)
-    assert cell.places("new") == []
+    assert not any(isinstance(one, StartTask) for one in cell.effects)
     cell.run(4)
     assert cell.job("new")["state"] == "succeeded"
 
--- a/tests/test_scheduler_workers.py
+++ b/tests/test_scheduler_workers.py
@@ -1,7 +1,8 @@
 """Workers that lapse, leave, fail or are too small."""
 
-from tamarackmount.ids import WorkerId
+from tamarackmount.ids import Instant, JobId, WorkerId
 from tamarackmount.kernel.job_effects import SyncWorker
+from tamarackmount.kernel.worker_health import HealthState, WorkerHealth
 from tests.utils.build_jobs import worker
 from tests.utils.job_cell import JobCell
 
@@ -96,16 +97,28 @@
 
 def test_job_that_fails_everywhere_rests_no_worker() -> None:
     names = [f"w{number}" for number in range(6)]
-    cell = JobCell([worker(name, cores=2) for name in names])
+    cell = JobCell([worker(name, cores=4) for name in names])
     for fake in cell.workers_by_id.values():
-        fake.failing_prefixes = ("dc1:retail:bad/",)
-    cell.submit("bad", tasks=6, max_attempts=6)
-    for number in range(8):
-        cell.submit(f"good{number}", tasks=3, run_ms=1_000)
-    cell.run(20)
-    assert cell.job("bad")["state"] == "failed"
-    assert all(cell.job(f"good{n}")["state"] == "succeeded" for n in range(8))
-    assert cell.scheduler._cell.health._resting == {}
+        fake.failing_prefixes = ("dc1:retail:bad",)
+    for number in range(3):
+        cell.submit(f"bad{number}", tasks=6, max_attempts=50)
+    cell.submit("good", tasks=2_000, run_ms=500)
+    for _ in range(40):
+        cell.run(1)
+        states = [cell.scheduler._cell.health.state(WorkerId(name)) for name in names]
+        if cell.now > 10:
+            assert states == [HealthState.TRUSTED] * 6
+
+
+def test_jobs_that_failed_on_good_workers_blame_no_further_one() -> None:
+    health = WorkerHealth(rest_s=30.0)
+    jobs = [JobId("a"), JobId("b"), JobId("c")]
+    for name in ("w1", "w2", "w3"):
+        for job_id in jobs:
+            health.failed(WorkerId(name), job_id, Instant(0.0))
+        first = health.state(WorkerId(name))
+        health.proved(WorkerId(name))
+        assert first is (HealthState.TRUSTED if name == "w3" else HealthState.RESTING)
 
 
 def test_task_larger_than_every_worker_is_named() -> None:
