Placement remembers which sizes have no room

Cause: in a full cell every pass searched the room tree again for every waiting job, and a late reservation was planned anew twice a second. Change: sizes without room are remembered until a worker that fits them grows; normal teams are walked only if some size may fit, a kept worker grew, or a second passed; a late reservation is planned anew every 2 s. Tested: make test.

--- a/tamarackmount/kernel/capacity.py
+++ b/tamarackmount/kernel/capacity.py
@@ -58,6 +58,7 @@
         """Start with no workers."""
         self.rooms_by_id: dict[WorkerId, WorkerRoom] = {}
         self.total = NOTHING
+        self._grown: dict[WorkerId, None] = {}
         self.workers_by_capacity: Counter[Resources] = Counter()
         self._rooms_by_slot: list[WorkerRoom] = []
         self._empty_slots: list[int] = []
@@ -93,6 +94,7 @@
             self._room_ids_by_rack.setdefault(rack, {})[worker_id] = None
             room.rack = rack
         room.capacity = capacity
+        self._grown[worker_id] = None
         self._index(room)
 
     def remove(self, worker_id: WorkerId) -> None:
@@ -112,6 +114,7 @@
             return False
         self._unindex(room)
         room.open = is_open
+        self._grown[worker_id] = None
         self._index(room)
         return True
 
@@ -120,6 +123,10 @@
         room = self.rooms_by_id[worker_id]
         self._unindex(room)
         room.holder = holder
+        if holder is None:
+            self._grown[worker_id] = None
+        else:
+            self._grown.pop(worker_id, None)
         self._index(room)
 
     def commit(self, worker_id: WorkerId, amount: Resources, yields: bool) -> None:
@@ -145,8 +152,17 @@
         room.committed = room.committed - amount
         if yields:
             room.yielding = room.yielding - amount
+        self._grown[worker_id] = None
         self._index(room)
 
+    def take_grown(self) -> list[WorkerRoom]:
+        """Return the workers that may have more room than at the last call."""
+        rooms = [
+            self.rooms_by_id[one] for one in self._grown if one in self.rooms_by_id
+        ]
+        self._grown.clear()
+        return rooms
+
     def has_room(self, amount: Resources) -> bool:
         """Tell whether some worker can take the amount now."""
         return next(self._free_tree.slots_with(amount), None) is not None
--- a/tamarackmount/kernel/jobs.py
+++ b/tamarackmount/kernel/jobs.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from tamarackmount.ids import Epoch, Instant, JobId, RackId, TaskId, TeamId, WorkerId
@@ -123,11 +123,11 @@
     start_answered: bool = False
     stop_reason: StopReason = StopReason.NONE
     why: str = ""
+    task_id: TaskId = field(init=False)
 
-    @property
-    def task_id(self) -> TaskId:
-        """Return the id of the attempt's task."""
-        return task_id(self.job.id, self.index)
+    def __post_init__(self) -> None:
+        """Name the attempt's task."""
+        self.task_id = task_id(self.job.id, self.index)
 
     @property
     def amount(self) -> Resources:
--- a/tamarackmount/kernel/placing.py
+++ b/tamarackmount/kernel/placing.py
@@ -42,11 +42,10 @@
 
 @dataclass(slots=True)
 class _Pass:
-    """One walk over the teams; ``full`` are sizes for which there is no room."""
+    """One walk over the teams."""
 
     now: Instant
     left: int = MAX_PLACEMENTS_PER_PASS
-    full: set[Resources] = field(default_factory=set)
     without_room: dict[str, Job] = field(default_factory=dict)
 
 
@@ -63,6 +62,8 @@
         self._preemption = Preemption(cell, attempts, ends)
         self.reservations = Reservations(cell, ends)
         self._next_pass_at = Instant(float("-inf"))
+        self._kept_grew = False
+        self._full: set[Resources] = set()
 
     def order_of(self, job: Job) -> tuple[float, ...]:
         """Return the job's place among its team's jobs."""
@@ -75,14 +76,17 @@
         if cell.superseded:
             return
         self._preemption.resolve(now)
-        self.reservations.keep_up(now)
-        if not cell.place_needed and now < self._next_pass_at:
+        is_overdue = self.reservations.keep_up(now) or now >= self._next_pass_at
+        if not cell.place_needed and not is_overdue:
             return
         cell.place_needed = False
-        self._next_pass_at = Instant(now + IDLE_PASS_S)
+        self._note_grown()
         walk = _Pass(now)
-        for urgent in (True, False):
-            self._walk(walk, cell.queue.teams(urgent), urgent)
+        self._walk(walk, cell.queue.teams(True), urgent=True)
+        if is_overdue or self._kept_grew or not self._nothing_fits():
+            self._next_pass_at = Instant(now + IDLE_PASS_S)
+            self._kept_grew = False
+            self._walk(walk, cell.queue.teams(False), urgent=False)
         self._end_walk(walk)
 
     def run_for(self, jobs: Iterable[Job], now: Instant) -> None:
@@ -94,6 +98,7 @@
         jobs = [job for job in jobs if cell.queue.contains(job)]
         if cell.superseded or not jobs:
             return
+        self._note_grown()
         walk = _Pass(now)
         for urgent in (True, False):
             teams = {job.team_id: None for job in jobs if job.urgent is urgent}
@@ -101,6 +106,22 @@
                 self._walk(walk, list(teams), urgent)
         self._end_walk(walk)
 
+    def _note_grown(self) -> None:
+        """Forget that sizes have no room which fit on a worker that grew."""
+        grown = self._cell.ledger.take_grown()
+        rooms = [room for room in grown if room.placeable]
+        if self._full and rooms:
+            self._full = {
+                amount
+                for amount in self._full
+                if not any(amount.fits_in(room.free) for room in rooms)
+            }
+        if any(room.holder is not None for room in grown):
+            self._kept_grew = True
+
+    def _nothing_fits(self) -> bool:
+        return self._full.issuperset(self._cell.queue.jobs_by_amount)
+
     def _end_walk(self, walk: _Pass) -> None:
         jobs = list(walk.without_room.values())
         self.reservations.reserve_oldest(jobs, walk.now)
@@ -130,9 +151,6 @@
         return any(self._place_from(walk, job) for job in jobs)
 
     def _place_from(self, walk: _Pass, job: Job) -> bool:
-        if job.amount in walk.full and not job.urgent and self._nothing_kept():
-            self._note_no_room(walk, job)
-            return False
         count = job.spec.tasks if job.is_gang else 1
         refusal = self._cell.accounts.refusal(job.team_id, job.amount, count, walk.now)
         if refusal:
@@ -142,9 +160,6 @@
             return self._place_gang(walk, job)
         return self._place_task(walk, job)
 
-    def _nothing_kept(self) -> bool:
-        return self.reservations.current is None
-
     def _place_task(self, walk: _Pass, job: Job) -> bool:
         choice = self._choose_for(job)
         if choice is not None:
@@ -156,7 +171,6 @@
         if job.urgent and self._preemption.make_room(job, walk.now):
             job.why_waiting = WAITS_FOR_VICTIMS
             return True
-        walk.full.add(job.amount)
         self._note_no_room(walk, job)
         return False
 
@@ -165,6 +179,7 @@
         if reservation is None or reservation.job is not job:
             return self._choose(job, job.waiting.lowest())
         self.reservations.open_for_holder(kept=False)
+        self._note_grown()
         choice = self._choose(job, job.waiting.lowest())
         if choice is None:
             self.reservations.open_for_holder(kept=True)
@@ -173,10 +188,15 @@
         return choice
 
     def _choose(self, job: Job, index: int) -> PlacementChoice | None:
+        if job.amount in self._full:
+            return None
         avoid = frozenset(job.bad_workers_by_index.get(index, ()))
         request = PlacementRequest(job.amount, avoid, job.tasks_by_rack)
         policy = self._policies.placement_by_kind[job.spec.kind]
-        return policy.choose(self._cell.ledger, request)
+        choice = policy.choose(self._cell.ledger, request)
+        if choice is None:
+            self._full.add(job.amount)
+        return choice
 
     def _backfill(self, walk: _Pass, job: Job) -> bool:
         worker_id = self.reservations.backfill_worker(job, walk.now)
@@ -197,6 +217,7 @@
             return False
         if is_holder:
             self.reservations.open_for_holder(kept=False)
+            self._note_grown()
         choices = self._choose_for_gang(job)
         if not choices:
             if is_holder:
@@ -222,6 +243,8 @@
             ledger.commit(choice.worker_id, job.amount, False)
         for choice in choices:
             ledger.release(choice.worker_id, job.amount, False)
+        if choices:
+            self._full.discard(job.amount)
         return choices if len(choices) == job.spec.tasks else []
 
     def _note_no_room(self, walk: _Pass, job: Job) -> None:
--- a/tamarackmount/kernel/reservations.py
+++ b/tamarackmount/kernel/reservations.py
@@ -17,6 +17,9 @@
 LONGEST_TERM_FACTOR = 16
 """How many times the first reservation's term the longest one lasts."""
 
+REPLAN_S = 2.0
+"""Shortest time after which a reservation is planned anew, in seconds."""
+
 MS_PER_S = 1_000
 
 
@@ -69,11 +72,11 @@
                 job.reservations += 1
                 return
 
-    def keep_up(self, now: Instant) -> None:
-        """Give an overdue reservation back; plan a late one anew."""
+    def keep_up(self, now: Instant) -> bool:
+        """Give an overdue reservation back; plan a late one anew; tell if so."""
         current = self.current
         if current is None:
-            return
+            return False
         job = current.job
         if not self._cell.queue.contains(job):
             self.give_back()
@@ -84,6 +87,9 @@
             self._evict_backfill(current, now)
             self.give_back()
             self._reserve(job, current.deadline, now)
+        else:
+            return False
+        return True
 
     def give_back(self) -> None:
         """Let all work use the kept workers again."""
@@ -154,7 +160,7 @@
         now: Instant,
     ) -> None:
         if planned_start <= now:
-            planned_start = Instant(now + self._cell.timing.worker_sync_s)
+            planned_start = Instant(now + REPLAN_S)
         self.current = Reservation(job, worker_ids, planned_start, deadline)
         self.open_for_holder(kept=True)
         if job.urgent:
