Sizes without room are searched again every second

Cause: a missed change of a worker's room would have kept a size out for good. Change: the memory of sizes without room is emptied every second, so such a fault delays and never blocks; the sync that follows a stop moves to WorkerSyncs. A new test shows that a stop answered while a sync is out is looked up at once; it also passed before this change, since the stale report has the stop sent again, so an idea to flag such syncs was dropped.

--- a/tamarackmount/kernel/placing.py
+++ b/tamarackmount/kernel/placing.py
@@ -81,6 +81,8 @@
             return
         cell.place_needed = False
         self._note_grown()
+        if is_overdue:
+            self._full.clear()
         walk = _Pass(now)
         self._walk(walk, cell.queue.teams(True), urgent=True)
         if is_overdue or self._kept_grew or not self._nothing_fits():
--- a/tamarackmount/kernel/scheduler.py
+++ b/tamarackmount/kernel/scheduler.py
@@ -297,16 +297,11 @@
             if not is_start_reply:
                 self._attempts.stop(attempt, attempt.stop_reason, now)
         elif attempt.phase is AttemptPhase.STOPPING:
-            self._sync_soon(attempt.worker_id, now)
+            link = self._cell.links_by_worker[attempt.worker_id]
+            self._syncs.sync_soon(link, now)
         elif reply.result is CommandResult.DONE:
             attempt.phase = AttemptPhase.RUNNING
 
-    def _sync_soon(self, worker_id: WorkerId, now: Instant) -> None:
-        """Have the worker's report say without delay that an attempt is over."""
-        link = self._cell.links_by_worker[worker_id]
-        if not link.sync_out and link.next_sync_at > now:
-            self._syncs.schedule(link, now)
-
     def _drop_old(self, now: Instant) -> None:
         dropped = self._cell.table.take_dropped(now)
         if not dropped:
--- a/tamarackmount/kernel/worker_syncs.py
+++ b/tamarackmount/kernel/worker_syncs.py
@@ -55,6 +55,11 @@
         link.next_sync_at = at
         heapq.heappush(self._due, _DueSync(at, link.worker_id))
 
+    def sync_soon(self, link: WorkerLink, now: Instant) -> None:
+        """Have the worker's report say without delay what became of a command."""
+        if not link.sync_out and link.next_sync_at > now:
+            self.schedule(link, now)
+
     def send_due(self, now: Instant) -> None:
         """Send the syncs that are due and end what lapsed on those workers."""
         while self._due and self._due[0].at <= now:
--- a/tests/test_scheduler_workers.py
+++ b/tests/test_scheduler_workers.py
@@ -1,9 +1,11 @@
 """Workers that lapse, leave, fail or are too small."""
 
+from tamarackmount.adapters.worker_schema import WorkerReport
 from tamarackmount.ids import Instant, JobId, WorkerId
 from tamarackmount.kernel.job_effects import SyncWorker
+from tamarackmount.kernel.messages import JobAction
 from tamarackmount.kernel.worker_health import HealthState, WorkerHealth
-from tests.utils.build_jobs import worker
+from tests.utils.build_jobs import call_on, worker
 from tests.utils.job_cell import JobCell
 
 
@@ -56,6 +58,22 @@
     assert len(sent) == 1
 
 
+def test_stop_answered_while_a_sync_is_out_is_looked_up_at_once() -> None:
+    cell = JobCell([worker("w1")])
+    cell.submit(kind="service")
+    cell.run(0.5)
+    fake, scheduler = cell.worker("w1"), cell.scheduler
+    cell.now = Instant(cell.now + 1)
+    (sync,) = scheduler.tick(cell.now)
+    assert isinstance(sync, SyncWorker)
+    report = fake.sync(sync.command, cell.now)
+    assert isinstance(report, WorkerReport)
+    cell.call(call_on(JobAction.CANCEL))
+    cell.apply(scheduler.worker_synced(WorkerId("w1"), report, cell.now))
+    cell.apply(scheduler.tick(cell.now))
+    assert cell.job()["state"] == "cancelled"
+
+
 def test_ended_attempts_are_forgotten_only_once_saved() -> None:
     cell = JobCell([worker("w1")])
     cell.submit()
