A ceiling lowered before a takeover is reached after it

Cause: ceilings were enforced when limits changed, so what a new owner adopted later stayed above them. Change: every adoption enforces the team's ceilings; unchanged limits cost nothing. Tested: test_ceiling_lowered_before_tasks_were_adopted_is_reached, seen failing first; make test, 126 passed.

--- a/tamarackmount/kernel/ceilings.py
+++ b/tamarackmount/kernel/ceilings.py
@@ -26,9 +26,9 @@
 
 def enforce(account: TeamAccount, ends: TaskEnds, now: Instant) -> None:
     """Evict the cheapest attempts until the rest is within the ceilings."""
-    rest = _remaining(account)
-    if not _exceeds(account, rest):
+    if not _exceeds(account, _Remaining(account.running_tasks, account.amount)):
         return
+    rest = _remaining(account)
     live = [one for one in account.attempts_by_task.values() if not one.ending]
     for attempt in sorted(live, key=_eviction_rank):
         if not _exceeds(account, rest):
--- a/tamarackmount/kernel/foreign_attempts.py
+++ b/tamarackmount/kernel/foreign_attempts.py
@@ -7,6 +7,7 @@
     WorkerReport,
 )
 from tamarackmount.ids import Instant, TaskId
+from tamarackmount.kernel import ceilings
 from tamarackmount.kernel.cell import Cell
 from tamarackmount.kernel.job_effects import StopTask
 from tamarackmount.kernel.jobs import (
@@ -103,6 +104,7 @@
         elif job.is_gang and (job.gang_broken or not job.held):
             self._ends.break_gang(job, now)
         self._cell.settle(job, now)
+        ceilings.enforce(self._cell.accounts.account(job.team_id), self._ends, now)
 
     def _note_stray(
         self,
--- a/tamarackmount/kernel/scheduler.py
+++ b/tamarackmount/kernel/scheduler.py
@@ -109,7 +109,8 @@
     ) -> list[JobEffect]:
         """Replace the shares and ceilings of all teams in this data centre."""
         self._begin()
-        self._cell.accounts.set_limits(teams_by_id)
+        if not self._cell.accounts.set_limits(teams_by_id):
+            return self._finish(now)
         self._cell.place_needed = True
         runnable.check_all(self._cell, now)
         ceilings.enforce_all(self._cell, self._ends, now)
--- a/tamarackmount/kernel/shares.py
+++ b/tamarackmount/kernel/shares.py
@@ -45,17 +45,22 @@
     def __init__(self) -> None:
         """Start with no usage and no limits."""
         self.accounts_by_team: dict[TeamId, TeamAccount] = {}
+        self._limits_by_team: dict[TeamId, TeamLimits] = {}
 
     def account(self, team_id: TeamId) -> TeamAccount:
         """Return the account of a team, a new one if need be."""
         return self.accounts_by_team.setdefault(team_id, TeamAccount())
 
-    def set_limits(self, limits_by_team: Mapping[TeamId, TeamLimits]) -> None:
-        """Replace the limits of all teams."""
+    def set_limits(self, limits_by_team: Mapping[TeamId, TeamLimits]) -> bool:
+        """Replace the limits of all teams; tell whether that changes any."""
+        if limits_by_team == self._limits_by_team:
+            return False
+        self._limits_by_team = dict(limits_by_team)
         for account in self.accounts_by_team.values():
             account.limits = NO_LIMITS
         for team_id, limits in limits_by_team.items():
             self.account(team_id).limits = limits
+        return True
 
     def add(self, team_id: TeamId, amount: Resources) -> None:
         """Count one more running task."""
--- a/tests/test_scheduler_takeover.py
+++ b/tests/test_scheduler_takeover.py
@@ -138,6 +138,18 @@
     assert cell.job("other", OTHER_TEAM)["state"] == "succeeded"
 
 
+def test_ceiling_lowered_before_tasks_were_adopted_is_reached() -> None:
+    cell = JobCell([worker("w1"), worker("w2")])
+    cell.submit(tasks=6, kind="service")
+    cell.run(1)
+    cell.unreachable = {WorkerId("w1"), WorkerId("w2")}
+    cell.take_over(cell.scheduler.records())
+    cell.apply(cell.scheduler.set_teams({TEAM: TeamLimits(running_tasks=2)}, cell.now))
+    cell.unreachable.clear()
+    cell.run(3)
+    assert len(cell.places()) == 2
+
+
 def test_stray_attempt_counts_until_it_is_over() -> None:
     cell = JobCell([worker("w1", cores=4)])
     cell.submit("lost", cores=3, run_ms=60_000)
