--- a/tamarackmount/kernel/jobs.py
+++ b/tamarackmount/kernel/jobs.py
@@ -45,9 +45,6 @@
 )
 """States that a task does not leave, unless its gang starts anew."""
 
-OPEN_JOB_STATES = frozenset({JobState.WAITING, JobState.RUNNING})
-"""Job states in which a task may still start or run."""
-
 
 class AttemptPhase(Enum):
     """How far an attempt is, as the owner knows it."""
--- a/tamarackmount/kernel/scheduler.py
+++ b/tamarackmount/kernel/scheduler.py
@@ -96,7 +96,6 @@
         self._placing = Placing(cell, self._attempts, self._ends, chosen)
         self._restoring = Restoring(cell, self._ends, self._placing)
         self._calls = JobCalls(cell, self._ends, self._placing)
-        self._taken_over_at = now
 
     def restore(self, records: Sequence[str], now: Instant) -> list[JobEffect]:
         """Take over jobs from records that peers or the log hold."""
--- a/tamarackmount/kernel/waiting_queue.py
+++ b/tamarackmount/kernel/waiting_queue.py
@@ -40,15 +40,6 @@
         jobs = self._jobs_by_team[urgent].get(team_id)
         yield from jobs.values() if jobs else ()
 
-    def all_jobs(self) -> list[Job]:
-        """Return every queued job."""
-        return [
-            job
-            for by_team in self._jobs_by_team.values()
-            for jobs in by_team.values()
-            for job in jobs.values()
-        ]
-
     def contains(self, job: Job) -> bool:
         """Tell whether the job is queued."""
         jobs = self._jobs_by_team[job.urgent].get(job.team_id)
