Test: an interrupted run of the harness ends every process it started

Cause: only errors had been seen to clean up, not Ctrl-C. Change: the test starts the harness as a process, waits for its 26 children, sends SIGINT and looks for survivors. Conclusion: processes are ended by id also on Ctrl-C, and the exit code is 1.

--- a/tamarackmount/demo/processes.py
+++ b/tamarackmount/demo/processes.py
@@ -28,6 +28,8 @@
 class _Transport(Protocol):
     """What twisted gives for controlling a process."""
 
+    pid: int | None
+
     def signalProcess(self, signalID: signal.Signals) -> None:  # noqa: N802, N803
         """Send a signal."""
 
@@ -88,6 +90,11 @@
         """File descriptor of the log."""
         return self._log.fileno()
 
+    @property
+    def pid(self) -> int:
+        """Process id, or 0 when it has ended."""
+        return cast(_Transport, self.transport).pid or 0
+
     def connectionMade(self) -> None:  # noqa: N802
         """Note that the process runs."""
         self.running = True
--- a/tests/test_demo_processes.py
+++ b/tests/test_demo_processes.py
@@ -1,5 +1,6 @@
 """Real processes: started and ended by their ids, and a cell keeps its promises."""
 
+import os
 import signal
 
 import pytest
@@ -8,7 +9,12 @@
 from tamarackmount.demo.processes import Command, ProcessFailedError
 from tamarackmount.demo.report import table
 from tamarackmount.demo.topology import Shape
-from tests.utils.processes import ProcessTestCase
+from tests.utils.processes import (
+    ProcessTestCase,
+    children_of,
+    is_ours,
+    wait_until,
+)
 
 STAND_IN = Command("log", "tamarackmount.standins.log_service")
 MISSING_MODULE = Command("missing", "tamarackmount.no_such_module")
@@ -24,6 +30,9 @@
 LOAD_SECONDS = 6.0
 """Length of the load, in seconds."""
 
+DEMO_PROCESSES = 26
+"""Stand-ins and daemons of the demo."""
+
 
 class ProcessGroupTest(ProcessTestCase):
     async def test_listening_line_is_read(self) -> None:
@@ -73,3 +82,17 @@
         assert verdict.broken_promises == [], table(verdict)
         assert verdict.answered + verdict.not_run + verdict.unknown == REQUESTS
         self.remove_logs()
+
+
+class InterruptTest(ProcessTestCase):
+    async def test_interrupted_run_ends_every_process_it_started(self) -> None:
+        environment = {**os.environ, "TMPDIR": str(self.directory)}
+        self.patch(os, "environ", environment)  # type: ignore[no-untyped-call]
+        group = self.make_group()
+        demo = group.start(Command("demo", "tamarackmount.demo"))
+        await wait_until(lambda: len(children_of(demo.pid)) >= DEMO_PROCESSES)
+        children = children_of(demo.pid)
+        demo.send(signal.SIGINT)
+        assert await demo.ended() == 1
+        assert [pid for pid in children if is_ours(pid)] == []
+        self.remove_logs()
--- a/tests/utils/processes.py
+++ b/tests/utils/processes.py
@@ -2,12 +2,14 @@
 
 import shutil
 import tempfile
+from collections.abc import Callable
 from pathlib import Path
 from typing import cast
 
 from twisted.internet import reactor
 from twisted.internet.base import DelayedCall, ReactorBase
 from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import deferLater
 from twisted.trial.unittest import TestCase
 
 from tamarackmount.demo.checks import Verdict
@@ -17,6 +19,9 @@
 from tamarackmount.demo.scenario import Scenario
 from tamarackmount.demo.topology import Shape, plan_topology
 
+POLL_SECONDS = 0.05
+"""Time between two looks at something that is waited for, in seconds."""
+
 
 class ProcessTestCase(TestCase):
     """Starts processes and ends them, whatever happens.
@@ -51,3 +56,25 @@
     def remove_logs(self) -> None:
         """Remove the logs of a test that passed."""
         shutil.rmtree(self.directory)
+
+
+async def wait_until(check: Callable[[], bool]) -> None:
+    """Look again until the check holds; the test's own timeout bounds it."""
+    clock = IReactorTime(reactor)
+    while not check():
+        await deferLater(clock, POLL_SECONDS, lambda: None)
+
+
+def children_of(pid: int) -> list[int]:
+    """Return the ids of the processes that a process started."""
+    path = Path(f"/proc/{pid}/task/{pid}/children")
+    return [int(child) for child in path.read_text(encoding="ascii").split()]
+
+
+def is_ours(pid: int) -> bool:
+    """Tell whether a process of this project still has the id."""
+    try:
+        command_line = Path(f"/proc/{pid}/cmdline").read_bytes()
+    except OSError:
+        return False
+    return b"tamarackmount" in command_line
