Demo: show that the revoked key worked before, and that tasks ran

Cause: a key that never worked, or workers without any task, would have passed as kept promises. Change: the revocation begins once every entry VM has answered with the key; the table has the number of task attempts. The test of overlaps now judges whole runs and asserts the exit code, in place of the separate count. Conclusion: the zeros of the table rest on something that was seen to happen.

--- a/tamarackmount/demo/checks.py
+++ b/tamarackmount/demo/checks.py
@@ -42,7 +42,7 @@
     execution_count_by_id: Mapping[RequestId, int]
     work_ms: int = 0
     breaches: Sequence[str] = ()
-    task_overlaps: int = 0
+    task_runs: Sequence[TaskRun] = ()
     revocation: Revocation | None = None
     jobs: Sequence[JobEnd] = ()
     work_after_leaving: int = 0
@@ -64,6 +64,7 @@
     waiting_p50_ms: float
     waiting_p99_ms: float
     breaches: int
+    task_attempts: int
     task_overlaps: int
     work_after_leaving: int
     revocation_seconds: float | None
@@ -108,7 +109,8 @@
         waiting_p50_ms=p50,
         waiting_p99_ms=p99,
         breaches=len(evidence.breaches),
-        task_overlaps=evidence.task_overlaps,
+        task_attempts=len(evidence.task_runs),
+        task_overlaps=_task_overlaps(evidence.task_runs),
         work_after_leaving=evidence.work_after_leaving,
         revocation_seconds=revocation.seconds if revocation else None,
         accepted_after_refusal=revocation.accepted_again if revocation else 0,
@@ -222,8 +224,7 @@
     return bool(overlapped) and not any(other.overlaps(attempt) for other in others)
 
 
-def task_overlaps(runs: Iterable[TaskRun]) -> int:
-    """Return how many attempts of a task began while another one still ran."""
+def _task_overlaps(runs: Iterable[TaskRun]) -> int:
     count = 0
     end_by_task: dict[TaskId, float] = {}
     for run in sorted(runs, key=lambda run: run.started):
--- a/tamarackmount/demo/report.py
+++ b/tamarackmount/demo/report.py
@@ -20,6 +20,7 @@
     "waiting_p50_ms": "waiting time, median (ms)",
     "waiting_p99_ms": "waiting time, 99th percentile (ms)",
     "breaches": "limits breached, as stand-ins saw it",
+    "task_attempts": "task attempts that workers ran",
     "task_overlaps": "tasks that ran in two places",
     "work_after_leaving": "requests sent to an upstream that had left",
     "revocation_seconds": "key refused everywhere after (s)",
--- a/tamarackmount/demo/revocation.py
+++ b/tamarackmount/demo/revocation.py
@@ -31,6 +31,14 @@
         self._first_refusal_by_id: dict[MemberId, float] = {}
         self._accepted_at: list[tuple[MemberId, float]] = []
 
+    async def is_accepted_everywhere(self) -> bool:
+        """Tell whether every entry VM answers with the key, before it is revoked."""
+        for daemon in self._cell.topology.daemons:
+            ending, _ = await self._use(daemon)
+            if ending is not Ending.ANSWERED:
+                return False
+        return True
+
     async def run(self) -> None:
         """Probe every entry VM side by side; the key was revoked just now."""
         self._revoked_at = self._cell.http.now()
@@ -65,12 +73,16 @@
         http = self._cell.http
         while self._probing:
             sent_at = http.now()
-            request_id = RequestId(f"probe-{daemon.id}-{sent_at}")
-            client = http.client(daemon, self._key)
-            result = await client.send_request(make_request(self._queue, request_id))
-            ending, error = classify(result)
+            ending, error = await self._use(daemon)
             if error == REFUSED_KEY_ERROR:
                 self._first_refusal_by_id.setdefault(daemon.id, http.now())
             elif ending in ACCEPTED_ENDINGS:
                 self._accepted_at.append((daemon.id, sent_at))
             await http.sleep(PROBE_PERIOD_SECONDS)
+
+    async def _use(self, daemon: DaemonPlan) -> tuple[Ending, str]:
+        client = self._cell.http.client(daemon, self._key)
+        request_id = RequestId(f"probe-{client.make_request_id()}")
+        return classify(
+            await client.send_request(make_request(self._queue, request_id))
+        )
--- a/tamarackmount/demo/scenario.py
+++ b/tamarackmount/demo/scenario.py
@@ -16,7 +16,7 @@
     Load,
 )
 from tamarackmount.demo.cell import Cell, StepFailedError, in_parallel
-from tamarackmount.demo.checks import Evidence, Verdict, judge, task_overlaps
+from tamarackmount.demo.checks import Evidence, Verdict, judge
 from tamarackmount.demo.disturbances import Disturber
 from tamarackmount.demo.jobs import JobWatch, plan_jobs
 from tamarackmount.demo.operators import Operator
@@ -168,6 +168,9 @@
         await step(owner)
 
     async def _revoke(self) -> None:
+        await self.cell.wait_until(
+            self._probe.is_accepted_everywhere, "the key is accepted everywhere"
+        )
         team = replace(self._teams[-1], revoked=frozenset({TEMPORARY_KEY}))
         await self._operator.put(team.path, team.document())
         self._background.append(Deferred.fromCoroutine(self._probe.run()))
@@ -183,7 +186,7 @@
             execution_count_by_id=await self._control.execution_count_by_id(),
             work_ms=WORK_MS,
             breaches=await self._control.breaches(),
-            task_overlaps=task_overlaps(await self._control.task_runs()),
+            task_runs=await self._control.task_runs(),
             revocation=self._revocation(),
             jobs=[job.end() for job in self._jobs],
             work_after_leaving=self._disturber.work_after_leaving,
--- a/tests/test_demo_verdict.py
+++ b/tests/test_demo_verdict.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tamarackmount.demo.checks import Evidence, judge, task_overlaps
+from tamarackmount.demo.checks import Evidence, judge
 from tamarackmount.demo.records import (
     Disturbance,
     DisturbanceWindow,
@@ -129,7 +129,6 @@
     "evidence",
     [
         replace(build_evidence(), breaches=["slots"]),
-        replace(build_evidence(), task_overlaps=1),
         replace(build_evidence(), work_after_leaving=1),
         replace(build_evidence(), revocation=Revocation(None, 0)),
         replace(build_evidence(), revocation=Revocation(13.5, 0)),
@@ -139,7 +138,6 @@
     ],
     ids=[
         "breach",
-        "overlap",
         "leaving",
         "never refused",
         "refused late",
@@ -192,4 +190,7 @@
     ],
 )
 def test_task_must_not_run_in_two_places(runs: list[TaskRun], count: int) -> None:
-    assert task_overlaps(runs) == count
+    verdict = judge(replace(build_evidence(), task_runs=runs))
+    assert verdict.task_overlaps == count
+    assert verdict.task_attempts == len(runs)
+    assert verdict.exit_code == int(count > 0)
