Bench of capacity: slopes, roles and make capacity

Change: a package of benches with one, capacity. It drives the production kernel and codec with synthetic load, and stand-ins and daemons as processes where sockets matter, fits lines through medians, and works the roles out.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Entry points: install, demo, test, codestyle, types, clean.
+# Entry points: install, demo, capacity, test, codestyle, types, clean.
 
 PYTHON ?= python3
 VENV := .venv
@@ -6,7 +6,7 @@
 STAMP := $(VENV)/.installed
 ARGS ?=
 
-.PHONY: install demo test codestyle types format clean
+.PHONY: install demo capacity test codestyle types format clean
 
 install: $(STAMP)
 
@@ -18,6 +18,9 @@
 demo: install
 	@$(BIN)/python -m tamarackmount.demo $(ARGS)
 
+capacity: install
+	@$(BIN)/python -m tamarackmount.bench capacity $(ARGS)
+
 test: install
 	$(BIN)/python -m pytest $(ARGS)
 
--- /dev/null
+++ b/tamarackmount/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches of the project; ``python -m tamarackmount.bench NAME`` runs one."""
--- /dev/null
+++ b/tamarackmount/bench/costs.py
@@ -0,0 +1,154 @@
+"""Names, sizes and units of what is measured."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+from tamarackmount.bench.measuring import Line
+
+
+class Unit(Enum):
+    """Unit of a measured value."""
+
+    CPU_SECONDS = "s of CPU"
+    BYTES = "bytes"
+    MEMORY = "bytes of memory"
+    COUNT = "count"
+
+
+@dataclass(frozen=True, slots=True)
+class CostInfo:
+    """What is measured, in which unit, and what the size counts."""
+
+    text: str
+    unit: Unit
+    size: str
+
+
+class Cost(Enum):
+    """Everything that is measured."""
+
+    TICK = CostInfo("one tick of an idle node", Unit.CPU_SECONDS, "members of fleet")
+    HEARTBEATS = CostInfo(
+        "heartbeats a second sent by a node of a data centre with 8",
+        Unit.COUNT,
+        "data centres",
+    )
+    HEARTBEATS_LOCAL = CostInfo(
+        "heartbeats a second sent by a node of the only data centre",
+        Unit.COUNT,
+        "members of data centre",
+    )
+    HEARTBEAT_HEARD = CostInfo(
+        "kernel takes in one heartbeat", Unit.CPU_SECONDS, "members of fleet"
+    )
+    HEARTBEAT_BYTES = CostInfo("heartbeats with frames", Unit.BYTES, "heartbeats")
+    FRAME = CostInfo(
+        "one peer message sent and one received, codec and socket",
+        Unit.CPU_SECONDS,
+        "job records in it",
+    )
+    HTTP_SYNC = CostInfo(
+        "one sync call of a worker, HTTP and JSON, client side",
+        Unit.CPU_SECONDS,
+        "tasks on the worker",
+    )
+    HTTP_SYNC_BYTES = CostInfo(
+        "one sync call of a worker, both ways", Unit.BYTES, "tasks on the worker"
+    )
+    HTTP_START = CostInfo(
+        "start calls, HTTP and JSON, client side", Unit.CPU_SECONDS, "calls"
+    )
+    HTTP_START_BYTES = CostInfo("start calls, both ways", Unit.BYTES, "calls")
+    LOG_POLL = CostInfo(
+        "one read of the log, HTTP and JSON, client side",
+        Unit.CPU_SECONDS,
+        "records read",
+    )
+    LOG_POLL_BYTES = CostInfo(
+        "one read of the log, both ways", Unit.BYTES, "records read"
+    )
+    LOG_RECORD = CostInfo(
+        "kernel takes in a page of another data centre's job records",
+        Unit.CPU_SECONDS,
+        "records in the page",
+    )
+    CONFIG_CHANGE = CostInfo(
+        "an owner takes in one change of configuration", Unit.CPU_SECONDS, "documents"
+    )
+    CONFIG_MEMORY = CostInfo(
+        "configuration and directory of a node", Unit.MEMORY, "documents"
+    )
+    CONFIG_HISTORY = CostInfo(
+        "versions of one document that are remembered", Unit.MEMORY, "versions"
+    )
+    SNAPSHOT_BYTES = CostInfo("snapshot record in the log", Unit.BYTES, "documents")
+    VM_LIST = CostInfo(
+        "VM list read and taken in by a follower", Unit.CPU_SECONDS, "VMs"
+    )
+    VM_LIST_BYTES = CostInfo("VM list", Unit.BYTES, "VMs")
+    VM_LIST_OWNER = CostInfo(
+        "scheduler takes in the listed workers", Unit.CPU_SECONDS, "workers here"
+    )
+    SYNC_KERNEL = CostInfo(
+        "kernel sends one sync and reads its report",
+        Unit.CPU_SECONDS,
+        "tasks on the worker",
+    )
+    JOB_LIFE = CostInfo(
+        "kernel accepts, places, starts and ends one job",
+        Unit.CPU_SECONDS,
+        "tasks of the job",
+    )
+    JOB_RECORDS = CostInfo(
+        "records saved in the life of a job of 20 tasks",
+        Unit.COUNT,
+        "moments at which tasks end",
+    )
+    PLACE = CostInfo(
+        "kernel accepts and places a job of one task", Unit.CPU_SECONDS, "workers"
+    )
+    RECORD_BYTES = CostInfo("job records in a log page", Unit.BYTES, "records")
+    COPY_BYTES = CostInfo("job records in a peer message", Unit.BYTES, "records")
+    HELD_MEMORY = CostInfo("records that a follower holds", Unit.MEMORY, "jobs")
+    CELL_MEMORY = CostInfo(
+        "an owner's jobs, 20 running tasks each", Unit.MEMORY, "jobs"
+    )
+    WORKER_MEMORY = CostInfo("an owner's idle workers", Unit.MEMORY, "workers")
+    ENTRY_REQUEST = CostInfo(
+        "kernel of an entry VM serves requests", Unit.CPU_SECONDS, "requests"
+    )
+    OWNER_REQUEST = CostInfo(
+        "kernel of the owner lends slots to requests", Unit.CPU_SECONDS, "requests"
+    )
+    REQUEST_MESSAGES = CostInfo("ticket messages", Unit.COUNT, "requests")
+    REQUEST_BYTES = CostInfo("ticket messages with frames", Unit.BYTES, "requests")
+    TAKEOVER = CostInfo(
+        "a new owner reads one peer's records and restores them",
+        Unit.CPU_SECONDS,
+        "jobs",
+    )
+    TAKEOVER_BYTES = CostInfo("one peer's records", Unit.BYTES, "jobs")
+    HOLDINGS = CostInfo(
+        "a new owner reads one peer's holdings", Unit.CPU_SECONDS, "attempts"
+    )
+    HOLDINGS_BYTES = CostInfo("one peer's holdings", Unit.BYTES, "attempts")
+    PROCESS_MEMORY = CostInfo(
+        "resident memory of an idle daemon's process",
+        Unit.MEMORY,
+        "members of the only data centre",
+    )
+    DAEMON_CPU = CostInfo(
+        "an idle daemon's process, a second",
+        Unit.CPU_SECONDS,
+        "members of the only data centre",
+    )
+    HEARTBEAT_FRAMES = CostInfo(
+        "heartbeats sent and received, codec and socket",
+        Unit.CPU_SECONDS,
+        "heartbeats",
+    )
+
+
+Slopes = Mapping[Cost, Line]
+"""Measured lines by what they are of."""
--- /dev/null
+++ b/tamarackmount/bench/idle_fleet.py
@@ -0,0 +1,105 @@
+"""Nodes of a whole fleet without load, in virtual time and in one process."""
+
+from collections import Counter, deque
+from dataclasses import dataclass, field
+
+from tamarackmount.adapters.log_schema import RecordPage, StoredRecord
+from tamarackmount.bench.loads import START
+from tamarackmount.ids import Incarnation, Instant, MemberId, Offset
+from tamarackmount.kernel.effects import AppendToLog, Effect, SendPeer
+from tamarackmount.kernel.log_writer import AppendResult
+from tamarackmount.kernel.membership import Member
+from tamarackmount.kernel.messages import Heartbeat, PeerMessage
+from tamarackmount.kernel.node import Node, NodeTiming
+
+
+@dataclass(frozen=True, slots=True)
+class _Envelope:
+    sender: MemberId
+    to: MemberId
+    message: PeerMessage
+
+
+@dataclass(slots=True)
+class IdleFleet:
+    """A fleet whose messages all arrive and whose log keeps everything."""
+
+    members: list[Member]
+    now: Instant = START
+    sent_by_type: Counter[type] = field(default_factory=Counter)
+    nodes_by_id: dict[MemberId, Node] = field(default_factory=dict)
+    _records: list[StoredRecord] = field(default_factory=list)
+    _mail: deque[_Envelope] = field(default_factory=deque)
+
+    def __post_init__(self) -> None:
+        """Start every node."""
+        for member in self.members:
+            peers = [peer for peer in self.members if peer.id != member.id]
+            node = Node(member, peers, Incarnation(1), NodeTiming(), self.now)
+            self.nodes_by_id[member.id] = node
+
+    def run(self, seconds: float, tick_s: float, log_poll_s: float) -> None:
+        """Let time pass in ticks; every node reads the log at its period."""
+        ticks_per_poll = max(1, round(log_poll_s / tick_s))
+        for number in range(round(seconds / tick_s)):
+            self.now = Instant(self.now + tick_s)
+            if number % ticks_per_poll == 0:
+                self._read_log()
+            self._tick()
+
+    def owners(self) -> list[MemberId]:
+        """Return the members that own their data centre."""
+        return [
+            member_id
+            for member_id, node in self.nodes_by_id.items()
+            if node.ownership.is_owner
+        ]
+
+    def last_heartbeat(self, sender: MemberId) -> Heartbeat:
+        """Return the heartbeat that some member heard last from the sender."""
+        for node in self.nodes_by_id.values():
+            heartbeat = node.membership.heartbeat_of(sender)
+            if heartbeat is not None:
+                return heartbeat
+        raise LookupError(f"nobody heard {sender}")
+
+    def _tick(self) -> None:
+        for member_id, node in self.nodes_by_id.items():
+            self._carry_out(member_id, node, node.tick(self.now))
+        self._deliver()
+
+    def _read_log(self) -> None:
+        for member_id, node in self.nodes_by_id.items():
+            page = self._page(node.log.config.applied)
+            self._carry_out(member_id, node, node.log_read(page, self.now, self.now))
+        self._deliver()
+
+    def _deliver(self) -> None:
+        while self._mail:
+            mail = self._mail.popleft()
+            node = self.nodes_by_id[mail.to]
+            effects = node.peer_message(mail.sender, mail.message, self.now)
+            self._carry_out(mail.to, node, effects)
+
+    def _carry_out(self, me: MemberId, node: Node, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, SendPeer):
+                self.sent_by_type[type(effect.message)] += 1
+                self._mail.append(_Envelope(me, effect.to, effect.message))
+            elif isinstance(effect, AppendToLog):
+                self._append(effect)
+                done = node.log_appended(AppendResult.DONE, self.now)
+                self._carry_out(me, node, done)
+
+    def _append(self, effect: AppendToLog) -> None:
+        for record in effect.records:
+            offset = Offset(len(self._records) + 1)
+            stored = StoredRecord(offset=offset, id=record.id, body=record.text)
+            self._records.append(stored)
+
+    def _page(self, position: Offset) -> RecordPage:
+        return RecordPage(
+            first_offset=Offset(1),
+            next_offset=Offset(len(self._records) + 1),
+            records=self._records[position - 1 :],
+        )
