Bench of capacity: restoring apart, remedies, rates in their own module

Cause: a new owner restores its jobs once, not once a peer; the page has to name what would carry an item that is over the budget. Change: RESTORE is a line of its own; remedies are worked out from the same lines; roles.py was split.

--- a/tamarackmount/bench/capacity.py
+++ b/tamarackmount/bench/capacity.py
@@ -24,6 +24,7 @@
 from tamarackmount.bench.measure_takeover import measure_takeover
 from tamarackmount.bench.measuring import Effort, Line
 from tamarackmount.bench.registry import BENCHES, BenchOptions
+from tamarackmount.bench.remedies import remedies
 from tamarackmount.bench.report import Report, RunNote, json_line, tables
 from tamarackmount.bench.roles import Planner
 from tamarackmount.daemon.service import TICKS_PER_HEARTBEAT
@@ -71,8 +72,8 @@
         load_before=load_before,
         load_after=os.getloadavg()[0],
     )
-    plan = Planner(size, periods, slopes).plan()
-    report = Report(note, size, periods, slopes, plan)
+    planner = Planner(size, periods, slopes)
+    report = Report(note, size, periods, slopes, planner.plan(), remedies(planner))
     return json_line(report) if options.as_json else tables(report)
 
 
--- a/tamarackmount/bench/costs.py
+++ b/tamarackmount/bench/costs.py
@@ -124,9 +124,10 @@
     REQUEST_MESSAGES = CostInfo("ticket messages", Unit.COUNT, "requests")
     REQUEST_BYTES = CostInfo("ticket messages with frames", Unit.BYTES, "requests")
     TAKEOVER = CostInfo(
-        "a new owner reads one peer's records and restores them",
-        Unit.CPU_SECONDS,
-        "jobs",
+        "a new owner reads one peer's records", Unit.CPU_SECONDS, "jobs"
+    )
+    RESTORE = CostInfo(
+        "a new owner restores the jobs of its records", Unit.CPU_SECONDS, "jobs"
     )
     TAKEOVER_BYTES = CostInfo("one peer's records", Unit.BYTES, "jobs")
     HOLDINGS = CostInfo(
--- a/tamarackmount/bench/measure_takeover.py
+++ b/tamarackmount/bench/measure_takeover.py
@@ -32,6 +32,9 @@
     attempts = effort.sizes(200, 1_000, 4_000)
     return {
         Cost.TAKEOVER: measure_line(jobs, _read_records, effort.repeats),
+        Cost.RESTORE: measure_line(
+            effort.sizes(500, 2_000, 5_000), _restore, effort.repeats
+        ),
         Cost.TAKEOVER_BYTES: measure_line(
             jobs, lambda size: float(sum(map(len, _record_messages(size)))), 1
         ),
@@ -53,17 +56,22 @@
 
 def _read_records(jobs: int) -> float:
     frames = _record_messages(jobs)
-    return cpu_seconds(lambda: _restore(frames))
+    return cpu_seconds(lambda: _hold(frames))
 
 
-def _restore(frames: list[bytes]) -> None:
+def _hold(frames: list[bytes]) -> HeldJobs:
     held = HeldJobs()
     for frame in frames:
         message = _decoded(frame).message
         if isinstance(message, JobsHeld):
             held.take(message.records)
+    return held
+
+
+def _restore(jobs: int) -> float:
+    texts = [record_of(number) for number in range(jobs)]
     scheduler = Scheduler(HERE, OWNER, EPOCH, SchedulerTiming(), START)
-    scheduler.restore(held.texts(), START)
+    return cpu_seconds(lambda: scheduler.restore(texts, START))
 
 
 def _holdings_message(attempts: int) -> bytes:
--- a/tamarackmount/bench/report.py
+++ b/tamarackmount/bench/report.py
@@ -9,7 +9,7 @@
 from tamarackmount.bench.costs import Cost, Slopes, Unit
 from tamarackmount.bench.fleet_size import FleetSize, Periods
 from tamarackmount.bench.measuring import Line
-from tamarackmount.bench.spending import Plan, Spending, Total
+from tamarackmount.bench.spending import Plan, Remedy, Spending, Total
 
 MICRO = 1e6
 PERCENT = 100
@@ -38,6 +38,7 @@
     periods: Periods
     slopes: Slopes
     plan: Plan
+    remedies: Sequence[Remedy]
 
 
 def json_line(report: Report) -> str:
@@ -50,6 +51,7 @@
         "slopes": slopes,
         "spendings": [asdict(one) for one in report.plan.spendings],
         "totals": [asdict(one) for one in report.plan.totals],
+        "remedies": [asdict(one) for one in report.remedies],
     }
     return json.dumps(body, default=_enum_value)
 
@@ -66,6 +68,7 @@
         slopes_table(report.slopes),
         spendings_table(report.plan.spendings),
         totals_table(report.plan.totals),
+        remedies_table(report.remedies),
     ]
     return "\n\n".join(parts)
 
@@ -88,6 +91,12 @@
     return markdown(head, [_total_row(one) for one in totals])
 
 
+def remedies_table(remedies: Sequence[Remedy]) -> str:
+    """Return what mechanisms that are not built would cost a node."""
+    head = ["item", "mechanism", "% of a core, today", "with it", "KB/s, today"]
+    return markdown([*head, "with it"], [_remedy_row(one) for one in remedies])
+
+
 def markdown(head: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
     """Return a Markdown table."""
     lines = [head, ["---"] * len(head), *rows]
@@ -133,6 +142,17 @@
     ]
 
 
+def _remedy_row(one: Remedy) -> list[str]:
+    return [
+        one.item,
+        one.mechanism,
+        _number(one.cores_today * PERCENT),
+        _number(one.cores * PERCENT),
+        _number(one.bytes_today / KB),
+        _number(one.bytes / KB),
+    ]
+
+
 def _times(value: float) -> str:
     return f"{value:.2f}x"
 
--- a/tamarackmount/bench/roles.py
+++ b/tamarackmount/bench/roles.py
@@ -2,13 +2,9 @@
 
 from dataclasses import dataclass
 
-from tamarackmount.bench.costs import Cost, Slopes
-from tamarackmount.bench.fleet_size import (
-    SECONDS_PER_DAY,
-    Budget,
-    FleetSize,
-    Periods,
-)
+from tamarackmount.bench.costs import Cost
+from tamarackmount.bench.fleet_size import SECONDS_PER_DAY, Budget
+from tamarackmount.bench.rates import Rates
 from tamarackmount.bench.spending import Load, Plan, Role, Spending, Total
 from tamarackmount.kernel.fleet_config import HISTORY_LENGTH
 from tamarackmount.kernel.job_part import RECORDS_PER_MESSAGE
@@ -24,12 +20,9 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Planner:
+class Planner(Rates):
     """Works out a plan."""
 
-    size: FleetSize
-    periods: Periods
-    slopes: Slopes
     budget: Budget = Budget()
 
     def plan(self) -> Plan:
@@ -66,11 +59,11 @@
 
     def serving(self) -> list[Spending]:
         """Return the ticket traffic of callers' requests."""
-        frames = self._unit(Cost.HEARTBEAT_FRAMES) * FRAMES_PER_REQUEST
-        messages = REQUESTS * self._unit(Cost.REQUEST_MESSAGES)
-        size = REQUESTS * self._unit(Cost.REQUEST_BYTES)
-        entry = REQUESTS * (self._unit(Cost.ENTRY_REQUEST) + frames)
-        owner = REQUESTS * (self._unit(Cost.OWNER_REQUEST) + frames)
+        frames = self.unit(Cost.HEARTBEAT_FRAMES) * FRAMES_PER_REQUEST
+        messages = REQUESTS * self.unit(Cost.REQUEST_MESSAGES)
+        size = REQUESTS * self.unit(Cost.REQUEST_BYTES)
+        entry = REQUESTS * (self.unit(Cost.ENTRY_REQUEST) + frames)
+        owner = REQUESTS * (self.unit(Cost.OWNER_REQUEST) + frames)
         item = "tickets"
         return [
             Spending(Role.SERVING, Load.ALWAYS, item, messages, entry, size),
@@ -85,61 +78,25 @@
         """Return what a new owner reads from its peers, all of them together."""
         peers = self.size.entry_vms - 1
         days = self.periods.job_memory_s / SECONDS_PER_DAY
-        needed = self._jobs_a_day_here() * days + self._running_jobs_here()
+        needed = self.jobs_a_day_here() * days + self.running_jobs_here()
         return [
-            self._records_taken("job records that are needed", peers, needed),
-            self._records_taken("job records of a VM's life", peers, self.held_jobs()),
+            self._records_taken("records that are needed", peers, needed),
+            self._restored("records that are needed", needed),
+            self._records_taken("records of a VM's life", peers, self.held_jobs()),
+            self._restored("records of a VM's life", self.held_jobs()),
             Spending(
                 Role.TAKEOVER,
                 Load.ALWAYS,
                 f"holdings with {ATTEMPTS_REMEMBERED:,} attempts",
                 messages=2.0 * peers,
-                cores=peers * self._at(Cost.HOLDINGS, ATTEMPTS_REMEMBERED),
-                bytes=peers * self._at(Cost.HOLDINGS_BYTES, ATTEMPTS_REMEMBERED),
+                cores=peers * self.at(Cost.HOLDINGS, ATTEMPTS_REMEMBERED),
+                bytes=peers * self.at(Cost.HOLDINGS_BYTES, ATTEMPTS_REMEMBERED),
             ),
         ]
 
-    def jobs_per_second(self, load: Load) -> float:
-        """Return the jobs a second of one data centre."""
-        if load is Load.MEAN:
-            return self.size.mean_jobs_per_second / self.size.data_centres
-        if load is Load.PEAK:
-            return self.size.peak_jobs_per_second / self.size.data_centres
-        return self.size.peak_jobs_per_second
-
-    def records_per_job(self, load: Load) -> float:
-        """Return the records of one job.
-
-        On an ordinary day every task ends at a moment of its own; at the peak the
-        tasks of a job end together.
-        """
-        moments = self.size.tasks_per_job if load is Load.MEAN else 1
-        return self._at(Cost.JOB_RECORDS, moments)
-
-    def records_per_second(self, load: Load) -> float:
-        """Return the job records a second of the whole fleet."""
-        jobs = self.jobs_per_second(load) * self.size.data_centres
-        return jobs * self.records_per_job(load)
-
-    def held_jobs(self) -> float:
-        """Return the jobs whose records a follower holds at the end of its life."""
-        return self._jobs_a_day_here() * self.size.vm_life_days
-
-    def _at(self, cost: Cost, size: float) -> float:
-        return self.slopes[cost].at(size)
-
-    def _unit(self, cost: Cost) -> float:
-        return self.slopes[cost].per_unit
-
-    def _jobs_a_day_here(self) -> float:
-        return self.size.jobs / self.size.data_centres
-
-    def _running_jobs_here(self) -> float:
-        return self.size.running_jobs / self.size.data_centres
-
     def _process(self) -> Spending:
-        held = self.held_jobs() * self._unit(Cost.HELD_MEMORY)
-        base = self._at(Cost.PROCESS_MEMORY, self.size.entry_vms)
+        held = self.held_jobs() * self.unit(Cost.HELD_MEMORY)
+        base = self.at(Cost.PROCESS_MEMORY, self.size.entry_vms)
         return Spending(
             Role.EVERY,
             Load.ALWAYS,
@@ -150,12 +107,12 @@
     def _rest_of_daemon(self) -> Spending:
         """Return what a whole idle daemon uses beyond the parts measured alone."""
         members = self.size.entry_vms
-        sent = self._at(Cost.HEARTBEATS_LOCAL, members)
-        heard = self._at(Cost.HEARTBEAT_HEARD, members)
-        call = self.slopes[Cost.LOG_POLL].base
+        sent = self.at(Cost.HEARTBEATS_LOCAL, members)
+        heard = self.at(Cost.HEARTBEAT_HEARD, members)
+        call = self.base(Cost.LOG_POLL)
         parts = (
-            sent * (self._unit(Cost.HEARTBEAT_FRAMES) + heard),
-            self._at(Cost.TICK, members) / self.periods.tick_s,
+            sent * (self.unit(Cost.HEARTBEAT_FRAMES) + heard),
+            self.at(Cost.TICK, members) / self.periods.tick_s,
             call / self.periods.log_poll_s,
             call / self.periods.vms_poll_s,
         )
@@ -163,25 +120,25 @@
             Role.EVERY,
             Load.ALWAYS,
             "rest of the daemon: reactor, timers, garbage collection",
-            cores=self._at(Cost.DAEMON_CPU, members) - sum(parts),
+            cores=self.at(Cost.DAEMON_CPU, members) - sum(parts),
         )
 
     def _heartbeats(self) -> Spending:
         more = self.size.entry_vms - 8
-        sent = self._at(Cost.HEARTBEATS, self.size.data_centres)
-        sent += more * self._unit(Cost.HEARTBEATS_LOCAL)
-        heard = self._at(Cost.HEARTBEAT_HEARD, self.size.members)
+        sent = self.at(Cost.HEARTBEATS, self.size.data_centres)
+        sent += more * self.unit(Cost.HEARTBEATS_LOCAL)
+        heard = self.at(Cost.HEARTBEAT_HEARD, self.size.members)
         return Spending(
             Role.EVERY,
             Load.ALWAYS,
             "heartbeats",
             messages=2 * sent,
-            cores=sent * (self._unit(Cost.HEARTBEAT_FRAMES) + heard),
-            bytes=2 * sent * self._unit(Cost.HEARTBEAT_BYTES),
+            cores=sent * (self.unit(Cost.HEARTBEAT_FRAMES) + heard),
+            bytes=2 * sent * self.unit(Cost.HEARTBEAT_BYTES),
         )
 
     def _ticks(self) -> Spending:
-        cores = self._at(Cost.TICK, self.size.members) / self.periods.tick_s
+        cores = self.at(Cost.TICK, self.size.members) / self.periods.tick_s
         return Spending(Role.EVERY, Load.ALWAYS, "ticks", cores=cores)
 
     def _log_polls(self) -> Spending:
@@ -191,15 +148,15 @@
             Load.ALWAYS,
             "empty reads of the log",
             messages=2 * rate,
-            cores=rate * self.slopes[Cost.LOG_POLL].base,
-            bytes=rate * self.slopes[Cost.LOG_POLL_BYTES].base,
+            cores=rate * self.base(Cost.LOG_POLL),
+            bytes=rate * self.base(Cost.LOG_POLL_BYTES),
         )
 
     def _vm_list(self) -> Spending:
         rate = 1 / self.periods.vms_poll_s
-        cpu = self.slopes[Cost.LOG_POLL].base + self._at(Cost.VM_LIST, self.size.vms)
-        size = self._at(Cost.VM_LIST_BYTES, self.size.vms)
-        size += self.slopes[Cost.LOG_POLL_BYTES].base
+        cpu = self.base(Cost.LOG_POLL) + self.at(Cost.VM_LIST, self.size.vms)
+        size = self.at(Cost.VM_LIST_BYTES, self.size.vms)
+        size += self.base(Cost.LOG_POLL_BYTES)
         return Spending(
             Role.EVERY,
             Load.ALWAYS,
@@ -212,31 +169,31 @@
     def _config(self) -> Spending:
         rate = self.size.config_changes_per_second
         documents = self.size.documents
-        read = self._unit(Cost.LOG_POLL) + self._at(Cost.CONFIG_CHANGE, documents)
-        history = self._unit(Cost.CONFIG_HISTORY) * HISTORY_LENGTH * documents
+        read = self.unit(Cost.LOG_POLL) + self.at(Cost.CONFIG_CHANGE, documents)
+        history = self.unit(Cost.CONFIG_HISTORY) * HISTORY_LENGTH * documents
         return Spending(
             Role.EVERY,
             Load.ALWAYS,
             "configuration",
             messages=rate,
             cores=rate * read,
-            bytes=rate * self._unit(Cost.LOG_POLL_BYTES),
-            memory_bytes=self._at(Cost.CONFIG_MEMORY, documents) + history,
+            bytes=rate * self.unit(Cost.LOG_POLL_BYTES),
+            memory_bytes=self.at(Cost.CONFIG_MEMORY, documents) + history,
         )
 
     def _log_records(self, load: Load, rate: float) -> Spending:
-        cpu = self._unit(Cost.LOG_POLL) + self._unit(Cost.LOG_RECORD)
+        cpu = self.unit(Cost.LOG_POLL) + self.unit(Cost.LOG_RECORD)
         return Spending(
             Role.EVERY,
             load,
             "job records of the whole fleet, read from the log",
             messages=rate,
             cores=rate * cpu,
-            bytes=rate * self._unit(Cost.LOG_POLL_BYTES),
+            bytes=rate * self.unit(Cost.LOG_POLL_BYTES),
         )
 
     def _worker_list(self) -> Spending:
-        cpu = self._at(Cost.VM_LIST_OWNER, self.size.workers_here)
+        cpu = self.at(Cost.VM_LIST_OWNER, self.size.workers_here)
         return Spending(
             Role.OWNER,
             Load.ALWAYS,
@@ -247,26 +204,26 @@
     def _syncs(self) -> Spending:
         rate = self.size.workers_here / self.periods.worker_sync_s
         tasks = self.size.tasks_per_worker
-        cpu = self._at(Cost.SYNC_KERNEL, tasks) + self._at(Cost.HTTP_SYNC, tasks)
-        jobs = self._running_jobs_here() * self._unit(Cost.CELL_MEMORY)
-        workers = self.size.workers_here * self._unit(Cost.WORKER_MEMORY)
+        cpu = self.at(Cost.SYNC_KERNEL, tasks) + self.at(Cost.HTTP_SYNC, tasks)
+        jobs = self.running_jobs_here() * self.unit(Cost.CELL_MEMORY)
+        workers = self.size.workers_here * self.unit(Cost.WORKER_MEMORY)
         return Spending(
             Role.OWNER,
             Load.ALWAYS,
             "syncs with its workers",
             messages=2 * rate,
             cores=rate * cpu,
-            bytes=rate * self._at(Cost.HTTP_SYNC_BYTES, tasks),
+            bytes=rate * self.at(Cost.HTTP_SYNC_BYTES, tasks),
             memory_bytes=jobs + workers,
         )
 
     def _job_work(self, load: Load) -> list[Spending]:
         jobs = self.jobs_per_second(load)
         starts = jobs * self.size.tasks_per_job
-        life = self._at(Cost.JOB_LIFE, self.size.tasks_per_job)
+        life = self.at(Cost.JOB_LIFE, self.size.tasks_per_job)
         records = jobs * self.records_per_job(load)
         copies = records * (self.size.entry_vms - 1)
-        one, empty = self._at(Cost.COPY_BYTES, 1), self._at(Cost.COPY_BYTES, 0)
+        one, empty = self.at(Cost.COPY_BYTES, 1), self.at(Cost.COPY_BYTES, 0)
         limit = self.periods.appends_per_second / self.size.members
         appends = min(records, limit)
         return [
@@ -275,15 +232,15 @@
                 load,
                 f"{starts:,.1f} task starts a second",
                 messages=2 * starts,
-                cores=jobs * life + starts * self._unit(Cost.HTTP_START),
-                bytes=starts * self._unit(Cost.HTTP_START_BYTES),
+                cores=jobs * life + starts * self.unit(Cost.HTTP_START),
+                bytes=starts * self.unit(Cost.HTTP_START_BYTES),
             ),
             Spending(
                 Role.OWNER,
                 load,
                 "copies of job records to its peers",
                 messages=2 * copies,
-                cores=copies * self._at(Cost.FRAME, 1),
+                cores=copies * self.at(Cost.FRAME, 1),
                 bytes=copies * (one + empty),
             ),
             Spending(
@@ -291,8 +248,8 @@
                 load,
                 "appends to the log",
                 messages=2 * appends,
-                cores=appends * self.slopes[Cost.LOG_POLL].base,
-                bytes=records * self._unit(Cost.LOG_POLL_BYTES),
+                cores=appends * self.base(Cost.LOG_POLL),
+                bytes=records * self.unit(Cost.LOG_POLL_BYTES),
             ),
         ]
 
@@ -302,8 +259,8 @@
         per_owner = min(records / self.size.data_centres, limit)
         changes = self.size.config_changes_per_second
         polls = self.size.members / self.periods.log_poll_s
-        one = self._unit(Cost.LOG_POLL_BYTES)
-        read = polls * self.slopes[Cost.LOG_POLL_BYTES].base
+        one = self.unit(Cost.LOG_POLL_BYTES)
+        read = polls * self.base(Cost.LOG_POLL_BYTES)
         read += (records + changes) * one * self.size.members
         appends = per_owner * self.size.data_centres + changes
         return Spending(
@@ -319,10 +276,18 @@
         return Spending(
             Role.TAKEOVER,
             Load.ALWAYS,
-            f"{item}: {jobs:,.0f} jobs",
+            f"reading {item}, {jobs:,.0f} jobs from every peer",
             messages=peers * (1 + jobs / RECORDS_PER_MESSAGE),
-            cores=peers * self._at(Cost.TAKEOVER, jobs),
-            bytes=peers * self._at(Cost.TAKEOVER_BYTES, jobs),
+            cores=peers * self.at(Cost.TAKEOVER, jobs),
+            bytes=peers * self.at(Cost.TAKEOVER_BYTES, jobs),
+        )
+
+    def _restored(self, item: str, jobs: float) -> Spending:
+        return Spending(
+            Role.TAKEOVER,
+            Load.ALWAYS,
+            f"restoring {item}, in one step",
+            cores=self.at(Cost.RESTORE, jobs),
         )
 
     def _totals(self, spendings: tuple[Spending, ...]) -> tuple[Total, ...]:
--- a/tamarackmount/bench/spending.py
+++ b/tamarackmount/bench/spending.py
@@ -56,7 +56,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """Everything that the page's tables show."""
+    """What every role spends, and the sums."""
 
     spendings: tuple[Spending, ...]
     totals: tuple[Total, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Remedy:
+    """A change that is not built, and what its item would cost a node with it.
+
+    The same measured lines are used as for today's figures.
+    """
+
+    item: str
+    mechanism: str
+    cores_today: float
+    bytes_today: float
+    cores: float
+    bytes: float
--- a/tests/test_bench_capacity.py
+++ b/tests/test_bench_capacity.py
@@ -17,6 +17,7 @@
 from tamarackmount.bench.measure_sockets import SocketBench
 from tamarackmount.bench.measure_takeover import measure_takeover
 from tamarackmount.bench.measuring import Line, Point, fit, summarise
+from tamarackmount.bench.remedies import remedies
 from tamarackmount.bench.report import Report, RunNote, json_line, tables
 from tamarackmount.bench.roles import Planner
 from tamarackmount.bench.spending import Load, Role, Spending
@@ -198,11 +199,58 @@
     planner = build_planner(
         TAKEOVER=build_line(0.0, 100e-6), TAKEOVER_BYTES=build_line(0.0, 300.0)
     )
-    needed = one_of(planner, Role.TAKEOVER, Load.ALWAYS, "job records that are")
+    needed = one_of(
+        planner, Role.TAKEOVER, Load.ALWAYS, "reading records that are needed"
+    )
     assert needed.cores == pytest.approx(7 * 460 * 100e-6)
     assert needed.bytes == pytest.approx(7 * 460 * 300.0)
 
 
+def test_restoring_is_one_step_of_the_new_owner() -> None:
+    planner = build_planner(RESTORE=build_line(0.0, 1e-3))
+    restored = one_of(
+        planner, Role.TAKEOVER, Load.ALWAYS, "restoring records that are needed"
+    )
+    assert restored.cores == pytest.approx(0.46)
+
+
+def test_shared_syncs_of_changes_cost_their_base_alone() -> None:
+    planner = build_planner(
+        HTTP_SYNC=build_line(1e-3, 1e-4), HTTP_SYNC_BYTES=build_line(400.0, 100.0)
+    )
+    (syncs,) = [one for one in remedies(planner) if one.item.startswith("syncs")]
+    assert syncs.cores_today == pytest.approx(200 * 2e-3)
+    assert syncs.cores == pytest.approx(100 / 8 / 5 * 1e-3)
+    assert syncs.bytes == pytest.approx(100 / 8 / 5 * 400.0)
+
+
+def test_slower_heartbeats_leave_those_between_data_centres() -> None:
+    planner = build_planner(
+        HEARTBEATS=build_line(28.0, 2.0),
+        HEARTBEATS_LOCAL=build_line(-4.0, 4.0),
+        HEARTBEAT_BYTES=build_line(0.0, 100.0),
+    )
+    (beats,) = [one for one in remedies(planner) if one.item == "heartbeats"]
+    assert beats.bytes_today == pytest.approx(2 * 48 * 100.0)
+    assert beats.bytes == pytest.approx(2 * 34 * 100.0)
+
+
+def test_vm_list_of_a_data_centre_is_its_part() -> None:
+    planner = build_planner(VM_LIST_BYTES=build_line(0.0, 200.0))
+    (vm_list,) = [one for one in remedies(planner) if one.item == "VM list"]
+    assert vm_list.bytes_today == pytest.approx(224_000.0)
+    assert vm_list.bytes == pytest.approx(2_240.0)
+
+
+def test_stream_for_each_data_centre_divides_the_records() -> None:
+    planner = build_planner(
+        JOB_RECORDS=build_line(1.0, 0.0), LOG_POLL_BYTES=build_line(0.0, 500.0)
+    )
+    peak = remedies(planner)[-1]
+    assert peak.bytes_today == pytest.approx(50_000.0)
+    assert peak.bytes == pytest.approx(5_000.0)
+
+
 def test_totals_are_parts_of_the_budget() -> None:
     planner = build_planner()
     lines = [
@@ -238,7 +286,9 @@
 def test_report_holds_every_line_as_table_and_as_json() -> None:
     planner = build_planner(TICK=build_line(100e-6, 0.0))
     note = RunNote("make capacity", "a day", "abc", "12 cores", 0.5, 0.75)
-    report = Report(note, SIZE, PERIODS, planner.slopes, planner.plan())
+    report = Report(
+        note, SIZE, PERIODS, planner.slopes, planner.plan(), remedies(planner)
+    )
     body = json.loads(json_line(report))
     assert set(body["slopes"]) == {cost.name.lower() for cost in Cost}
     assert body["slopes"]["tick"]["base"] == pytest.approx(100e-6)
