Bench of capacity: a table of its own for takeovers

Cause: totals stood in columns of rates, and a line over far larger sizes gave a negative time for the jobs that are needed. Change: takeovers have their own table; restoring is measured at the needed size and at many jobs apart. Tested: tests/test_bench_capacity.py, ruff, mypy.

--- a/tamarackmount/bench/costs.py
+++ b/tamarackmount/bench/costs.py
@@ -129,6 +129,9 @@
     RESTORE = CostInfo(
         "a new owner restores the jobs of its records", Unit.CPU_SECONDS, "jobs"
     )
+    RESTORE_MANY = CostInfo(
+        "a new owner restores the jobs of many records", Unit.CPU_SECONDS, "jobs"
+    )
     TAKEOVER_BYTES = CostInfo("one peer's records", Unit.BYTES, "jobs")
     HOLDINGS = CostInfo(
         "a new owner reads one peer's holdings", Unit.CPU_SECONDS, "attempts"
--- a/tamarackmount/bench/measure_takeover.py
+++ b/tamarackmount/bench/measure_takeover.py
@@ -33,7 +33,10 @@
     return {
         Cost.TAKEOVER: measure_line(jobs, _read_records, effort.repeats),
         Cost.RESTORE: measure_line(
-            effort.sizes(500, 2_000, 5_000), _restore, effort.repeats
+            effort.sizes(100, 250, 500), _restore, effort.repeats
+        ),
+        Cost.RESTORE_MANY: measure_line(
+            effort.sizes(1_000, 3_000, 6_000), _restore, effort.repeats
         ),
         Cost.TAKEOVER_BYTES: measure_line(
             jobs, lambda size: float(sum(map(len, _record_messages(size)))), 1
--- a/tamarackmount/bench/report.py
+++ b/tamarackmount/bench/report.py
@@ -9,12 +9,13 @@
 from tamarackmount.bench.costs import Cost, Slopes, Unit
 from tamarackmount.bench.fleet_size import FleetSize, Periods
 from tamarackmount.bench.measuring import Line
-from tamarackmount.bench.spending import Plan, Remedy, Spending, Total
+from tamarackmount.bench.spending import Plan, Remedy, Role, Spending, Total
 
 MICRO = 1e6
 PERCENT = 100
 KB = 1e3
 MB = 1e6
+SHOWN_AS_NOTHING = 1e-6
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +68,7 @@
         head,
         slopes_table(report.slopes),
         spendings_table(report.plan.spendings),
+        takeover_table(report.plan.spendings),
         totals_table(report.plan.totals),
         remedies_table(report.remedies),
     ]
@@ -80,9 +82,17 @@
 
 
 def spendings_table(spendings: Sequence[Spending]) -> str:
-    """Return what each role spends."""
+    """Return what each role spends for as long as it lasts."""
     head = ["role", "load", "what", "messages/s", "% of a core", "KB/s", "MB"]
-    return markdown(head, [_spending_row(one) for one in spendings])
+    rows = [_spending_row(one) for one in spendings if one.role is not Role.TAKEOVER]
+    return markdown(head, rows)
+
+
+def takeover_table(spendings: Sequence[Spending]) -> str:
+    """Return what a new owner spends once."""
+    head = ["new owner, once", "messages", "s of CPU", "KB"]
+    taken = [one for one in spendings if one.role is Role.TAKEOVER]
+    return markdown(head, [_takeover_row(one) for one in taken])
 
 
 def totals_table(totals: Sequence[Total]) -> str:
@@ -130,6 +140,15 @@
     ]
 
 
+def _takeover_row(one: Spending) -> list[str]:
+    return [
+        one.item,
+        _number(one.messages),
+        _number(one.cores),
+        _number(one.bytes / KB),
+    ]
+
+
 def _total_row(one: Total) -> list[str]:
     return [
         one.name,
@@ -159,7 +178,7 @@
 
 def _number(value: float) -> str:
     """Return about three digits; nothing for nothing."""
-    if value == 0:
+    if abs(value) < SHOWN_AS_NOTHING:
         return "-"
     if abs(value) >= PERCENT:
         return f"{value:,.0f}"
--- a/tamarackmount/bench/roles.py
+++ b/tamarackmount/bench/roles.py
@@ -81,9 +81,11 @@
         needed = self.jobs_a_day_here() * days + self.running_jobs_here()
         return [
             self._records_taken("records that are needed", peers, needed),
-            self._restored("records that are needed", needed),
+            self._restored("records that are needed", Cost.RESTORE, needed),
             self._records_taken("records of a VM's life", peers, self.held_jobs()),
-            self._restored("records of a VM's life", self.held_jobs()),
+            self._restored(
+                "records of a VM's life", Cost.RESTORE_MANY, self.held_jobs()
+            ),
             Spending(
                 Role.TAKEOVER,
                 Load.ALWAYS,
@@ -282,12 +284,12 @@
             bytes=peers * self.at(Cost.TAKEOVER_BYTES, jobs),
         )
 
-    def _restored(self, item: str, jobs: float) -> Spending:
+    def _restored(self, item: str, cost: Cost, jobs: float) -> Spending:
         return Spending(
             Role.TAKEOVER,
             Load.ALWAYS,
             f"restoring {item}, in one step",
-            cores=self.at(Cost.RESTORE, jobs),
+            cores=self.at(cost, jobs),
         )
 
     def _totals(self, spendings: tuple[Spending, ...]) -> tuple[Total, ...]:
--- a/tests/test_bench_capacity.py
+++ b/tests/test_bench_capacity.py
@@ -207,11 +207,15 @@
 
 
 def test_restoring_is_one_step_of_the_new_owner() -> None:
-    planner = build_planner(RESTORE=build_line(0.0, 1e-3))
+    planner = build_planner(
+        RESTORE=build_line(0.0, 1e-3), RESTORE_MANY=build_line(0.0, 2e-3)
+    )
     restored = one_of(
         planner, Role.TAKEOVER, Load.ALWAYS, "restoring records that are needed"
     )
     assert restored.cores == pytest.approx(0.46)
+    many = one_of(planner, Role.TAKEOVER, Load.ALWAYS, "restoring records of a VM's")
+    assert many.cores == pytest.approx(86_400 * 2e-3)
 
 
 def test_shared_syncs_of_changes_cost_their_base_alone() -> None:
@@ -296,6 +300,7 @@
     text = tables(report)
     assert "12 cores" in text
     assert "| every entry VM | always | ticks | - | 0.4 | - | - |" in text
+    assert "| restoring records that are needed, in one step | - | - | - |" in text
 
 
 def test_unknown_bench_is_refused() -> None:
