--- a/tamarackmount/bench/costs.py
+++ b/tamarackmount/bench/costs.py
@@ -83,6 +83,11 @@
         "versions of one document that are remembered", Unit.MEMORY, "versions"
     )
     SNAPSHOT_BYTES = CostInfo("snapshot record in the log", Unit.BYTES, "documents")
+    SNAPSHOTS = CostInfo(
+        "snapshots that a fleet writes when the log holds none",
+        Unit.COUNT,
+        "data centres with 8 members",
+    )
     VM_LIST = CostInfo(
         "VM list read and taken in by a follower", Unit.CPU_SECONDS, "VMs"
     )
--- a/tamarackmount/bench/idle_fleet.py
+++ b/tamarackmount/bench/idle_fleet.py
@@ -7,6 +7,7 @@
 from tamarackmount.bench.loads import START
 from tamarackmount.ids import Incarnation, Instant, MemberId, Offset
 from tamarackmount.kernel.effects import AppendToLog, Effect, SendPeer
+from tamarackmount.kernel.log_records import ConfigSnapshot, record_from_text
 from tamarackmount.kernel.log_writer import AppendResult
 from tamarackmount.kernel.membership import Member
 from tamarackmount.kernel.messages import Heartbeat, PeerMessage
@@ -39,12 +40,11 @@
             self.nodes_by_id[member.id] = node
 
     def run(self, seconds: float, tick_s: float, log_poll_s: float) -> None:
-        """Let time pass in ticks; every node reads the log at its period."""
+        """Let time pass in ticks; the nodes take turns to read the log."""
         ticks_per_poll = max(1, round(log_poll_s / tick_s))
         for number in range(round(seconds / tick_s)):
             self.now = Instant(self.now + tick_s)
-            if number % ticks_per_poll == 0:
-                self._read_log()
+            self._read_log(number % ticks_per_poll, ticks_per_poll)
             self._tick()
 
     def owners(self) -> list[MemberId]:
@@ -55,6 +55,11 @@
             if node.ownership.is_owner
         ]
 
+    def snapshots(self) -> int:
+        """Return the number of snapshots in the log."""
+        parsed = [record_from_text(record.body).unwrap() for record in self._records]
+        return sum(isinstance(record, ConfigSnapshot) for record in parsed)
+
     def last_heartbeat(self, sender: MemberId) -> Heartbeat:
         """Return the heartbeat that some member heard last from the sender."""
         for node in self.nodes_by_id.values():
@@ -68,8 +73,8 @@
             self._carry_out(member_id, node, node.tick(self.now))
         self._deliver()
 
-    def _read_log(self) -> None:
-        for member_id, node in self.nodes_by_id.items():
+    def _read_log(self, turn: int, turns: int) -> None:
+        for member_id, node in list(self.nodes_by_id.items())[turn::turns]:
             page = self._page(node.log.config.applied)
             self._carry_out(member_id, node, node.log_read(page, self.now, self.now))
         self._deliver()
--- a/tamarackmount/bench/measure_members.py
+++ b/tamarackmount/bench/measure_members.py
@@ -35,6 +35,7 @@
         Cost.HEARTBEATS: _heartbeats(effort, periods),
         Cost.HEARTBEATS_LOCAL: _local_heartbeats(effort, periods),
     }
+    lines[Cost.SNAPSHOTS] = _snapshots(effort, periods)
     fleet = next(iter(fleets.values()))
     lines[Cost.HEARTBEAT_BYTES] = _heartbeat_bytes(fleet, effort)
     return lines
@@ -112,6 +113,16 @@
     )
 
 
+def _snapshots(effort: Effort, periods: Periods) -> Line:
+    """Count the snapshots that a fleet writes when the log holds none."""
+
+    def sample(data_centres: int) -> float:
+        fleet = _settled(members_of(data_centres, ENTRY_VMS), periods)
+        return float(fleet.snapshots())
+
+    return measure_line(effort.sizes(3, 7, 11), sample, 1)
+
+
 def _heartbeat_bytes(fleet: IdleFleet, effort: Effort) -> Line:
     sender = fleet.members[1].id
     last = replace(fleet.last_heartbeat(sender), incarnation=A_REAL_INCARNATION)
--- a/tamarackmount/bench/report.py
+++ b/tamarackmount/bench/report.py
@@ -17,6 +17,9 @@
 MB = 1e6
 SHOWN_AS_NOTHING = 1e-6
 
+ONCE = (Role.TAKEOVER, Role.SNAPSHOT)
+"""Roles whose lines are totals."""
+
 
 @dataclass(frozen=True, slots=True)
 class RunNote:
@@ -68,7 +71,7 @@
         head,
         slopes_table(report.slopes),
         spendings_table(report.plan.spendings),
-        takeover_table(report.plan.spendings),
+        once_table(report.plan.spendings),
         totals_table(report.plan.totals),
         remedies_table(report.remedies),
     ]
@@ -84,15 +87,15 @@
 def spendings_table(spendings: Sequence[Spending]) -> str:
     """Return what each role spends for as long as it lasts."""
     head = ["role", "load", "what", "messages/s", "% of a core", "KB/s", "MB"]
-    rows = [_spending_row(one) for one in spendings if one.role is not Role.TAKEOVER]
+    rows = [_spending_row(one) for one in spendings if one.role not in ONCE]
     return markdown(head, rows)
 
 
-def takeover_table(spendings: Sequence[Spending]) -> str:
-    """Return what a new owner spends once."""
-    head = ["new owner, once", "messages", "s of CPU", "KB"]
-    taken = [one for one in spendings if one.role is Role.TAKEOVER]
-    return markdown(head, [_takeover_row(one) for one in taken])
+def once_table(spendings: Sequence[Spending]) -> str:
+    """Return what is spent once, as totals."""
+    head = ["role", "what", "messages", "s of CPU", "KB"]
+    taken = [one for one in spendings if one.role in ONCE]
+    return markdown(head, [_once_row(one) for one in taken])
 
 
 def totals_table(totals: Sequence[Total]) -> str:
@@ -140,8 +143,9 @@
     ]
 
 
-def _takeover_row(one: Spending) -> list[str]:
+def _once_row(one: Spending) -> list[str]:
     return [
+        one.role.value,
         one.item,
         _number(one.messages),
         _number(one.cores),
--- a/tamarackmount/bench/roles.py
+++ b/tamarackmount/bench/roles.py
@@ -33,6 +33,7 @@
             *self.serving(),
             *self.log_service(),
             *self.takeover(),
+            *self.snapshots(),
         )
         return Plan(spendings, self._totals(spendings))
 
@@ -96,6 +97,15 @@
             ),
         ]
 
+    def snapshots(self) -> list[Spending]:
+        """Return the snapshots written at one time, without the reads of them."""
+        written = self.at(Cost.SNAPSHOTS, self.size.data_centres)
+        size = self.at(Cost.SNAPSHOT_BYTES, self.size.documents)
+        item = f"snapshots with {self.size.documents} documents"
+        return [
+            Spending(Role.SNAPSHOT, Load.ALWAYS, item, written, bytes=written * size)
+        ]
+
     def _process(self) -> Spending:
         held = self.held_jobs() * self.unit(Cost.HELD_MEMORY)
         base = self.at(Cost.PROCESS_MEMORY, self.size.entry_vms)
--- a/tamarackmount/bench/spending.py
+++ b/tamarackmount/bench/spending.py
@@ -13,6 +13,7 @@
     OWNER_SERVING = "owner of 1,000 requests a second, besides"
     LOG = "the platform's log service"
     TAKEOVER = "new owner, once"
+    SNAPSHOT = "the log, at each snapshot"
 
 
 class Load(Enum):
@@ -29,7 +30,8 @@
     """One line of the table.
 
     ``messages`` and ``bytes`` are those sent and received, a second; ``cores`` is
-    processor time a second. Of a takeover all of them are totals.
+    processor time a second. Of what
+    happens once they are totals.
     """
 
     role: Role
--- a/tests/test_bench_capacity.py
+++ b/tests/test_bench_capacity.py
@@ -218,6 +218,15 @@
     assert many.cores == pytest.approx(86_400 * 2e-3)
 
 
+def test_snapshots_are_counted_with_their_documents() -> None:
+    planner = build_planner(
+        SNAPSHOTS=build_line(0.0, 8.0), SNAPSHOT_BYTES=build_line(0.0, 300.0)
+    )
+    (snapshots,) = planner.snapshots()
+    assert snapshots.messages == pytest.approx(80.0)
+    assert snapshots.bytes == pytest.approx(80 * 100 * 300.0)
+
+
 def test_shared_syncs_of_changes_cost_their_base_alone() -> None:
     planner = build_planner(
         HTTP_SYNC=build_line(1e-3, 1e-4), HTTP_SYNC_BYTES=build_line(400.0, 100.0)
@@ -300,7 +309,10 @@
     text = tables(report)
     assert "12 cores" in text
     assert "| every entry VM | always | ticks | - | 0.4 | - | - |" in text
-    assert "| restoring records that are needed, in one step | - | - | - |" in text
+    assert (
+        "| new owner, once | restoring records that are needed, in one step | - | - | - |"
+        in text
+    )
 
 
 def test_unknown_bench_is_refused() -> None:
