--- a/tests/test_log_keeper.py
+++ b/tests/test_log_keeper.py
@@ -62,6 +62,16 @@
     assert len(claims(read_all(keeper(), log))) == 2
 
 
+def test_only_claims_of_this_run_are_its_own() -> None:
+    log = FakeLog()
+    for name in ("a/0/1", "a/1/1"):
+        epoch = epoch_of_offset(Offset(log.next_offset - 1))
+        log.add(claim(epoch, A), name)
+    news = read_all(keeper(), log).news
+    owned = [one.is_own for one in news if isinstance(one, ClaimAccepted)]
+    assert owned == [False, True]
+
+
 def test_claims_after_a_gap_wait_for_a_snapshot() -> None:
     log = FakeLog()
     log.add(claim())
--- a/tests/utils/node_fleet.py
+++ b/tests/utils/node_fleet.py
@@ -91,6 +91,14 @@
     inbox: list[Callable[[], None]] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class LostKind:
+    """Messages of one kind that never reach a member."""
+
+    kind: type
+    to: str
+
+
 @dataclass(frozen=True, slots=True)
 class Term:
     """A term of ownership that began."""
@@ -155,6 +163,7 @@
         self.jitter_s = 0.0
         self.cut_pairs: set[frozenset[str]] = set()
         self.cut_from_log: set[MemberId] = set()
+        self.lost_kinds: set[LostKind] = set()
         self.members = [
             Member(MemberId(f"dc{dc}-{chr(97 + index)}"), DataCentreId(f"dc{dc}"))
             for dc, size in enumerate(sizes, start=1)
@@ -273,6 +282,7 @@
     def heal_network(self) -> None:
         """End every fault between members."""
         self.cut_pairs.clear()
+        self.lost_kinds.clear()
         self.loss = self.doubled = self.jitter_s = 0.0
 
     def names(self, data_centre: str = "") -> list[str]:
@@ -372,6 +382,8 @@
         target = self.runs.get(effect.to)
         if target is None or frozenset((sender, effect.to)) in self.cut_pairs:
             return
+        if LostKind(type(effect.message), effect.to) in self.lost_kinds:
+            return
         node = target.node
         self.feed(target, lambda at: node.peer_message(sender, effect.message, at))
 
