--- a/tamarackmount/bench/measure_jobs.py
+++ b/tamarackmount/bench/measure_jobs.py
@@ -4,7 +4,7 @@
 
 from tamarackmount.bench.cell import EPOCH, OWNER, BenchCell
 from tamarackmount.bench.costs import Cost
-from tamarackmount.bench.loads import HERE, record_of, workers_of
+from tamarackmount.bench.loads import HERE, START, record_of, workers_of
 from tamarackmount.bench.measuring import (
     Effort,
     Line,
@@ -178,7 +178,7 @@
 def _held_memory(effort: Effort) -> Line:
     def build(jobs: int) -> HeldJobs:
         held = HeldJobs()
-        held.take([record_of(number, HERE) for number in range(jobs)])
+        held.take([record_of(number, HERE) for number in range(jobs)], START)
         return held
 
     return measure_line(
--- a/tamarackmount/bench/measure_takeover.py
+++ b/tamarackmount/bench/measure_takeover.py
@@ -67,7 +67,7 @@
     for frame in frames:
         message = _decoded(frame).message
         if isinstance(message, JobsHeld):
-            held.take(message.records)
+            held.take(message.records, START)
     return held
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -22,7 +22,8 @@
 
 
 def view(*names: str) -> Membership:
-    return Membership(member("dc1-a"), [member(one) for one in names], TIMING, START)
+    peers = [member(one) for one in names]
+    return Membership(member("dc1-a"), Incarnation(1), peers, TIMING, START)
 
 
 def beat(
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -98,7 +98,8 @@
     assert taken(effects) == [asked.epoch]
     late = epoch_of_offset(Offset(7))
     effects = driver.own.claim_logged(late, A, True, driver.now)
-    assert effects == [OwnershipLost(asked.epoch), OwnershipTaken(late, False)]
+    again = OwnershipTaken(late, asked.epoch, previous_owner=A, is_first=False)
+    assert effects == [OwnershipLost(asked.epoch), again]
 
 
 def test_a_claim_of_an_earlier_run_makes_nobody_owner() -> None:
