--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,9 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 ARGS ?=
+STEPS ?= 80
+HISTORIES ?= 5
+SEED ?= 1
 
 .PHONY: install demo capacity test codestyle types format clean
 
@@ -24,6 +27,10 @@
 test: install
 	$(BIN)/python -m pytest $(ARGS)
 
+prove: install
+	PROVE_STEPS=$(STEPS) PROVE_HISTORIES=$(HISTORIES) PROVE_SEED=$(SEED) \
+		$(BIN)/python -m pytest $(wildcard tests/test_*machine.py)
+
 codestyle: install
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
--- a/tamarackmount/daemon/metrics.py
+++ b/tamarackmount/daemon/metrics.py
@@ -2,8 +2,10 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from tamarackmount.daemon.peers import LinkCounters
 from tamarackmount.ids import QueueName
 from tamarackmount.kernel.messages import Outcome
+from tamarackmount.kernel.node import Node
 
 TEXT_FORMAT = "text/plain; version=0.0.4; charset=utf-8"
 """Content type of the Prometheus text format."""
@@ -39,15 +41,27 @@
 
 
 class MemberMetrics:
-    """Gauges that are set whenever the metrics are read."""
+    """Gauges of one member, read whenever the metrics are."""
 
     def __init__(self, registry: Registry) -> None:
         """Register the collectors."""
         self._registry = registry
         self._gauges_by_name: dict[str, Gauge] = {}
 
-    def set(self, name: str, text: str, value: float) -> None:
-        """Set the gauge ``name`` (without prefix), described by ``text``."""
+    def read(self, node: Node, links: LinkCounters) -> None:
+        """Set every gauge."""
+        table = node.requests.table
+        self._set("requests_waiting", "Requests without a slot.", table.waiting)
+        self._set("requests_in_flight", "Requests at upstreams.", table.in_flight)
+        self._set("owner", "1 if this member owns.", node.ownership.is_owner)
+        self._set("jobs_held", "Job records held here.", node.jobs.held)
+        self._set("peer_sent_bytes", "Bytes sent to peers.", links.sent_bytes)
+        self._set("peer_received_bytes", "Bytes read.", links.received_bytes)
+        self._set("peer_sent", "Messages sent to peers.", links.sent)
+        self._set("peer_dropped", "Messages not sent.", links.dropped)
+        self._set("peer_malformed", "Connections closed.", links.malformed)
+
+    def _set(self, name: str, text: str, value: float) -> None:
         gauge = self._gauges_by_name.get(name)
         if gauge is None:
             gauge = Gauge(f"tamarackmount_{name}", text, registry=self._registry)
--- a/tamarackmount/daemon/node_settings.py
+++ b/tamarackmount/daemon/node_settings.py
@@ -38,6 +38,7 @@
             clock_margin_s=margin_s,
         ),
         requests=RequestTiming(
+            max_ticket_ms=timing.max_ticket_ms,
             clock_margin_ms=timing.clock_margin_ms,
             attempt_memory_ms=timing.attempt_memory_ms,
         ),
--- a/tamarackmount/daemon/service.py
+++ b/tamarackmount/daemon/service.py
@@ -17,6 +17,7 @@
 from tamarackmount.adapters.vms import VmListClient
 from tamarackmount.adapters.worker_schema import CommandReply, WorkerReport
 from tamarackmount.adapters.workers import StaleEpochError, WorkerClient
+from tamarackmount.daemon.drain import Drain, DrainStep, DrainTimes
 from tamarackmount.daemon.http_answers import write_json, write_metrics
 from tamarackmount.daemon.http_front import Admission, Front, HttpSink, QuietSite
 from tamarackmount.daemon.http_request import BoundedRequest
@@ -85,13 +86,6 @@
 TICKS_PER_HEARTBEAT = 10
 """Ticks of the node in one heartbeat's period."""
 
-LINGER_S = 0.5
-"""How long a planned stop waits after the last answer, in seconds.
-
-The answer's bytes leave in that time, and what a peer sent before it knew of the
-stop still arrives.
-"""
-
 MS_PER_SECOND = 1_000
 
 _log = logging.getLogger(__name__)
@@ -120,9 +114,7 @@
         self._stopped: Deferred[bool] = Deferred()
         self._has_failed = False
         self._last_call_id = 0
-        self._stop_at: Instant | None = None
-        self._refuse_at: Instant | None = None
-        self._linger_until: Instant | None = None
+        self._drain: Drain | None = None
         self._http_port: Any = None
         self._make_tasks(settings, me.id)
         self._ticks = LoopingCall(self._tick)
@@ -178,34 +170,31 @@
 
     def drain(self) -> None:
         """Begin a planned stop: finish what is under way, then end."""
-        if self._stop_at is not None:
+        if self._drain is not None:
             return
-        now = read_clock()
         timing = self._settings.timing
-        self._refuse_at = Instant(now + _seconds(timing.balancer_notice_ms))
-        self._stop_at = Instant(now + _seconds(timing.drain_ms))
+        times = DrainTimes(
+            notice_s=_seconds(timing.balancer_notice_ms),
+            whole_s=_seconds(timing.drain_ms),
+        )
+        self._drain = Drain(times, read_clock())
         _log.info("draining", extra={"under_way": len(self._calls)})
         self._feed(self._node.drain)
 
     def _tick(self) -> None:
         self._feed(self._node.tick)
-        if self._stop_at is not None:
-            self._continue_drain(read_clock(), self._stop_at)
+        if self._drain is not None:
+            self._continue_drain(self._drain)
 
-    def _continue_drain(self, now: Instant, stop_at: Instant) -> None:
-        if self._refuse_at is not None and now < self._refuse_at:
-            return
-        self._node.refuse_new()
+    def _continue_drain(self, drain: Drain) -> None:
         under_way = len(self._calls) + len(self._jobs)
-        if under_way and now < stop_at:
-            self._linger_until = None
-            return
-        if self._linger_until is None:
-            self._linger_until = Instant(now + LINGER_S)
-        if now < min(self._linger_until, stop_at):
+        step = drain.step(under_way, read_clock())
+        if step is DrainStep.NOTICE:
             return
-        _log.info("stopped", extra={"cut_off": under_way})
-        self._stop()
+        self._node.refuse_new()
+        if step is DrainStep.OVER:
+            _log.info("stopped", extra={"cut_off": under_way})
+            self._stop()
 
     def _stop(self) -> None:
         if self._stopped.called:
@@ -404,23 +393,9 @@
         write_json(request, status, {"ready": self._node.is_ready})
 
     def _serve_metrics(self, request: BoundedRequest, _parts: list[str]) -> None:
-        self._set_gauges()
+        self._gauges.read(self._node, self._links.counters)
         write_metrics(request, render_metrics(self._registry))
 
-    def _set_gauges(self) -> None:
-        table = self._node.requests.table
-        counters = self._links.counters
-        gauges = self._gauges
-        gauges.set("requests_waiting", "Requests without a slot.", table.waiting)
-        gauges.set("requests_in_flight", "Requests at upstreams.", table.in_flight)
-        gauges.set("owner", "1 if this member owns.", self._node.ownership.is_owner)
-        gauges.set("jobs_held", "Job records held here.", self._node.jobs.held)
-        gauges.set("peer_sent_bytes", "Bytes sent to peers.", counters.sent_bytes)
-        gauges.set("peer_received_bytes", "Bytes read.", counters.received_bytes)
-        gauges.set("peer_sent", "Messages sent to peers.", counters.sent)
-        gauges.set("peer_dropped", "Messages not sent.", counters.dropped)
-        gauges.set("peer_malformed", "Connections closed.", counters.malformed)
-
 
 def _seconds(milliseconds: int) -> float:
     return milliseconds / MS_PER_SECOND
--- a/tamarackmount/settings.py
+++ b/tamarackmount/settings.py
@@ -63,6 +63,7 @@
     clock_margin_ms: int = Field(default=100, ge=0, le=10_000)
     worker_sync_ms: int = Field(default=500, ge=50, le=60_000)
     task_lease_ms: int = Field(default=4_000, ge=200, le=600_000)
+    max_ticket_ms: int = Field(default=15_000, ge=1_000, le=600_000)
     attempt_memory_ms: int = Field(default=3_600_000, ge=1_000, le=86_400_000)
     balancer_notice_ms: int = Field(default=2_000, ge=0, le=600_000)
     drain_ms: int = Field(default=20_000, ge=0, le=600_000)
