--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Entry points: install, demo, capacity, test, codestyle, types, clean.
+# Entry points: install, demo, capacity, test, prove, codestyle, types, clean.
 
 PYTHON ?= python3
 VENV := .venv
@@ -9,7 +9,7 @@
 HISTORIES ?= 5
 SEED ?= 1
 
-.PHONY: install demo capacity test codestyle types format clean
+.PHONY: install demo capacity test prove codestyle types format clean
 
 install: $(STAMP)
 
