--- a/tamarackmount/kernel/job_part.py
+++ b/tamarackmount/kernel/job_part.py
@@ -5,7 +5,7 @@
 log before it decides anything.
 """
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import replace
 from itertools import count
 
@@ -18,10 +18,8 @@
     Instant,
     MemberId,
     RecordId,
-    TeamId,
     WorkerId,
 )
-from tamarackmount.kernel.allowances import allowance
 from tamarackmount.kernel.directory import Directory
 from tamarackmount.kernel.effects import (
     Address,
@@ -44,10 +42,10 @@
     StartTask,
     StopTask,
     SyncWorker,
-    TeamLimits,
 )
-from tamarackmount.kernel.job_errors import job_error
-from tamarackmount.kernel.job_relays import JobRelays, Relay
+from tamarackmount.kernel.job_limits import job_limits
+from tamarackmount.kernel.job_refusals import no_answer, no_owner, unreachable
+from tamarackmount.kernel.job_relays import JobRelays
 from tamarackmount.kernel.log_keeper import LogKeeper
 from tamarackmount.kernel.log_records import JobRecords
 from tamarackmount.kernel.log_writer import WriteResult
@@ -60,7 +58,6 @@
     JobCopy,
     JobsHeld,
     JobsWanted,
-    Outcome,
     PeerMessage,
 )
 from tamarackmount.kernel.record_collection import RecordCollection
@@ -80,18 +77,12 @@
 RECORDS_PER_MESSAGE = 200
 """Job records in one message between members."""
 
-RETRY_MS = 500
-"""Time to come back after a refusal for want of an owner, in milliseconds."""
-
 NUMBERS_PER_MS = 1 << 20
 """Numbers of messages that one run of a member may use in a millisecond.
 
 Incarnations count milliseconds, so that no two runs use the same number.
 """
 
-MILLICORES_PER_CORE = 1_000
-MIB_PER_GIB = 1_024
-
 
 class JobPart:
     """Jobs as one member sees them."""
@@ -198,7 +189,9 @@
         """Take in the teams of the directory."""
         if self._scheduler is None:
             return []
-        limits = self._team_limits()
+        limits = job_limits(
+            self._directory, self._data_centre, self._membership.data_centres()
+        )
         return self._from_scheduler(self._scheduler.set_teams(limits, now), now)
 
     def records_read(self, records: Sequence[str], now: Instant) -> list[Effect]:
@@ -299,14 +292,14 @@
         if data_centre != self._data_centre:
             target = self._membership.contact(data_centre, now)
             if target is None:
-                return self._answer(origin, _unreachable(call, data_centre))
+                return self._answer(origin, unreachable(call, data_centre))
             return self._relay(origin, target, call, now)
         if self._owner is None:
-            return self._answer(origin, _no_owner(call))
+            return self._answer(origin, no_owner(call))
         if self._owner != self._me:
             return self._relay_to_owner(origin, self._owner, call, now)
         if self._scheduler is None:
-            return self._answer(origin, _no_owner(call))
+            return self._answer(origin, no_owner(call))
         return self._from_scheduler(self._scheduler.call(origin, call, now), now)
 
     def _data_centre_of(self, call: JobCall) -> DataCentreId:
@@ -319,7 +312,7 @@
     ) -> list[Effect]:
         # Two members that take each other for the owner must not pass a call on.
         if self._membership.data_centre_of(origin) == self._data_centre:
-            return self._answer(origin, _no_owner(call))
+            return self._answer(origin, no_owner(call))
         return self._relay(origin, owner, call, now)
 
     def _relay(
@@ -345,9 +338,9 @@
         effects: list[Effect] = []
         for relay in self._relays.expire(now):
             if relay.to == self._me:
-                effects.append(FinishJobCall(_no_answer(relay)))
+                effects.append(FinishJobCall(no_answer(relay)))
             else:
-                effects += self._answer(relay.origin, _no_answer(relay))
+                effects += self._answer(relay.origin, no_answer(relay))
         return effects
 
     def _take_copy(self, sender: MemberId, copy: JobCopy, now: Instant) -> list[Effect]:
@@ -396,7 +389,12 @@
         self._copies = MemberCopies(epoch, self._numbers)
         scheduler = Scheduler(self._data_centre, self._me, epoch, self._timing, now)
         self._scheduler = scheduler
-        effects = scheduler.set_teams(self._team_limits(), now)
+        effects = scheduler.set_teams(
+            job_limits(
+                self._directory, self._data_centre, self._membership.data_centres()
+            ),
+            now,
+        )
         effects += scheduler.restore(self._held.texts(), now)
         effects += scheduler.set_workers(self._listed, now)
         for member_id in self._membership.live_peers(self._data_centre, now):
@@ -468,28 +466,6 @@
                     done += self._from_scheduler(refused, now)
         return done
 
-    def _team_limits(self) -> Mapping[TeamId, TeamLimits]:
-        return {
-            team_id: self._limits_of(team_id) for team_id in self._directory.teams_by_id
-        }
-
-    def _limits_of(self, team_id: TeamId) -> TeamLimits:
-        document = self._directory.teams_by_id[team_id]
-        ceiling = document.ceiling
-        data_centres = self._membership.data_centres()
-
-        def part(total: int | None, unit: int) -> int | None:
-            amount = None if total is None else total * unit
-            return allowance(amount, team_id, self._data_centre, data_centres)
-
-        return TeamLimits(
-            share=document.share,
-            running_tasks=part(ceiling.running_tasks, 1),
-            millicores=part(ceiling.cores, MILLICORES_PER_CORE),
-            memory_mib=part(ceiling.memory_gib, MIB_PER_GIB),
-            accelerators=part(ceiling.accelerators, 1),
-        )
-
 
 _ACTION_BY_EFFECT = {
     SyncWorker: WorkerAction.SYNC,
@@ -514,21 +490,3 @@
     """Return the texts in message-sized lists, at least one."""
     starts = range(0, max(len(texts), 1), RECORDS_PER_MESSAGE)
     return [texts[start : start + RECORDS_PER_MESSAGE] for start in starts]
-
-
-def _no_owner(call: JobCall) -> JobAnswer:
-    message = "the data centre has no owner ready yet; nothing was changed"
-    return job_error(call.call_id, 503, "no_owner", message, Outcome.NOT_RUN, RETRY_MS)
-
-
-def _unreachable(call: JobCall, data_centre: DataCentreId) -> JobAnswer:
-    message = f"data centre {data_centre} can't be reached; nothing was changed"
-    return job_error(
-        call.call_id, 503, "home_unreachable", message, Outcome.NOT_RUN, RETRY_MS
-    )
-
-
-def _no_answer(relay: Relay) -> JobAnswer:
-    outcome = Outcome.UNKNOWN if relay.changes else Outcome.NOT_RUN
-    message = "the owner did not answer in time; ask for the job to learn its state"
-    return job_error(relay.call_id, 504, "deadline", message, outcome, RETRY_MS)
