Node split: inputs in node.py, what members settle in member_core.py

Change: MemberCore holds members, ownership, log and configuration; Node adds the inputs. No change of behaviour.

--- a/tamarackmount/kernel/node.py
+++ b/tamarackmount/kernel/node.py
@@ -4,9 +4,6 @@
 tests feed several nodes and play the network, the log and the clock themselves.
 """
 
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
-
 from tamarackmount.adapters.log_schema import RecordPage
 from tamarackmount.adapters.vm_schema import VmList
 from tamarackmount.adapters.worker_schema import CommandReply, WorkerReport
@@ -14,7 +11,6 @@
 from tamarackmount.ids import (
     ConfigPath,
     Epoch,
-    Incarnation,
     Instant,
     KeyHash,
     MemberId,
@@ -23,40 +19,18 @@
     TeamId,
     TicketId,
 )
-from tamarackmount.kernel.config_spread import ConfigSpread
-from tamarackmount.kernel.directory import Directory
 from tamarackmount.kernel.effects import (
     CallWorker,
     Effect,
     ReportProblem,
-    RoleChanged,
-    SendPeer,
-)
-from tamarackmount.kernel.heartbeats import HeartbeatSchedule, send_to_all
-from tamarackmount.kernel.job_effects import SchedulerTiming
-from tamarackmount.kernel.job_part import JobPart
-from tamarackmount.kernel.log_keeper import (
-    ClaimAccepted,
-    ClaimKnown,
-    ConfigChanged,
-    JobsRead,
-    KeeperStep,
-    LogKeeper,
-    LogNews,
-    RecordWritten,
 )
-from tamarackmount.kernel.log_records import ConfigChange, OwnerClaim
+from tamarackmount.kernel.log_records import ConfigChange
 from tamarackmount.kernel.log_writer import AppendResult
-from tamarackmount.kernel.membership import Heard, Member, Membership
+from tamarackmount.kernel.member_core import MemberCore, NodeTiming
 from tamarackmount.kernel.messages import (
     AttemptCopied,
     AttemptCopy,
     AttemptResult,
-    ClaimReply,
-    ClaimRequest,
-    ConfigSync,
-    ConfigWanted,
-    Heartbeat,
     HoldingsReport,
     HoldingsRequest,
     JobAnswer,
@@ -73,19 +47,9 @@
     TicketRequest,
     TicketWithdrawal,
 )
-from tamarackmount.kernel.ownership import Ownership
-from tamarackmount.kernel.ownership_effects import (
-    AppendClaim,
-    AskMembers,
-    OwnerSeen,
-    OwnershipEffect,
-    OwnershipLost,
-    OwnershipTaken,
-    ReplyClaim,
-)
-from tamarackmount.kernel.request_effects import RequestTiming
-from tamarackmount.kernel.request_part import CallerRequest, RequestPart
-from tamarackmount.kernel.timing import Timing
+from tamarackmount.kernel.request_part import CallerRequest
+
+__all__ = ["Node", "NodeTiming"]
 
 OPEN_TEAM = TeamId("-open")
 """Team of requests without a key on queues open to all; no document names it."""
@@ -93,12 +57,6 @@
 CUT_OFF_AFTER_S = 13.0
 """Age of the configuration from which a member counts as cut off, in seconds."""
 
-NEVER_READ_MS = 2**53
-"""What a heartbeat gives as the log's age when it was never read."""
-
-APPENDS_PER_SECOND = 250.0
-"""Appends a second that all members of the fleet share."""
-
 _REQUEST_MESSAGES = (
     TicketRequest,
     TicketGrant,
@@ -113,79 +71,8 @@
 _JOB_MESSAGES = (JobCall, JobAnswer, JobCopy, JobCopied, JobsWanted, JobsHeld)
 
 
-@dataclass(frozen=True, slots=True)
-class NodeTiming:
-    """Terms of every part of a node."""
-
-    members: Timing = Timing()
-    requests: RequestTiming = RequestTiming()
-    jobs: SchedulerTiming = SchedulerTiming()
-
-
-class Node:
-    """The decisions of one member."""
-
-    def __init__(
-        self,
-        me: Member,
-        peers: Sequence[Member],
-        incarnation: Incarnation,
-        timing: NodeTiming,
-        now: Instant,
-    ) -> None:
-        """Start as a member that knows only its settings."""
-        self._me = me
-        self._incarnation = incarnation
-        self._timing = timing
-        self._sequence = 0
-        self._draining = False
-        self._refusing = False
-        self._last_tick = now
-        self._live: frozenset[MemberId] = frozenset({me.id})
-        rate = APPENDS_PER_SECOND / (len(peers) + 1)
-        self.log = LogKeeper(me.id, str(incarnation), rate, now)
-        self.directory = Directory()
-        self.membership = Membership(me, peers, timing.members, now)
-        self._heartbeats = HeartbeatSchedule(self.membership, timing.members, now)
-        self._spread = ConfigSpread(self.log.config, now)
-        index = sorted([me.id, *self.membership.local_targets()]).index(me.id)
-        self.ownership = Ownership(me.id, incarnation, index, timing.members, now)
-        self.requests = RequestPart(
-            me.id,
-            incarnation,
-            me.data_centre,
-            timing.requests,
-            self.directory,
-            self.membership,
-        )
-        self.jobs = JobPart(
-            me.id,
-            incarnation,
-            me.data_centre,
-            timing.jobs,
-            self.directory,
-            self.membership,
-            self.log,
-        )
-
-    @property
-    def member(self) -> Member:
-        """This member."""
-        return self._me
-
-    def is_log_fresh(self, now: Instant) -> bool:
-        """Whether the end of the log was read a moment ago."""
-        return self.log.is_fresh(self._timing.members.log_fresh_s, now)
-
-    @property
-    def is_ready(self) -> bool:
-        """Whether this member takes new work."""
-        return self.log.config.is_loaded and not self._draining
-
-    @property
-    def is_draining(self) -> bool:
-        """Whether a planned stop is under way."""
-        return self._draining
+class Node(MemberCore):
+    """The inputs of one member: callers, operators, the platform, peers and time."""
 
     def admit(
         self, queue: QueueName, key: KeyHash | None, now: Instant
@@ -328,209 +215,8 @@
         own = self.log.end_read_age_s(now)
         return min(ages if own is None else [*ages, own])
 
-    def _wake(self, now: Instant) -> list[Effect]:
-        """Notice a pause of this member before it acts on anything.
-
-        What it heard and owned before the pause holds no more.
-        """
-        if now - self._last_tick <= self._timing.members.pause_limit_s:
-            return []
-        self.membership.forget_silence(self._last_tick, now)
-        self._last_tick = now
-        return self._ownership_effects(self.ownership.wake(now), now)
-
-    def _hand_over(self, now: Instant) -> list[Effect]:
-        if not self._draining or not self.ownership.is_owner:
-            return []
-        if not self.membership.staying_peers(self._me.data_centre, now):
-            return []
-        return self._ownership_effects(self.ownership.resign(now), now)
-
     def _unless_cut_off(self, team_id: TeamId, now: Instant) -> TeamId | RefusalReason:
         when = self.directory.teams_by_id[team_id].when_cut_off
         if when is WhenCutOff.REFUSE and self.config_age_s(now) > CUT_OFF_AFTER_S:
             return RefusalReason.CUT_OFF
         return team_id
-
-    def _member_message(
-        self, sender: MemberId, message: PeerMessage, now: Instant
-    ) -> list[Effect]:
-        match message:
-            case Heartbeat():
-                return self._heard(message, now)
-            case ClaimRequest():
-                requested = self.ownership.claim_requested(message, now)
-                return self._ownership_effects(requested, now)
-            case ClaimReply():
-                answered = self.ownership.claim_answered(message, now)
-                return self._ownership_effects(answered, now)
-            case ConfigWanted():
-                return self._spread.wanted(sender, message)
-            case ConfigSync(offset, entries):
-                self.log.config.apply_entries(offset, entries)
-                return self._configure(now)
-            case _:
-                return []
-
-    def _tick_ownership(self, now: Instant) -> list[Effect]:
-        local = self._me.data_centre
-        staying = self.membership.staying_peers(local, now)
-        may_stay = not self._draining or not staying
-        ticked = self.ownership.tick(
-            staying=staying,
-            live=self.membership.live_peers(local, now),
-            log_fresh=self.is_log_fresh(now) and self.log.knows_claims,
-            may_own=self.log.config.is_loaded and may_stay,
-            now=now,
-        )
-        return self._ownership_effects(ticked, now)
-
-    def _tick_members(self, now: Instant) -> list[Effect]:
-        live = self._live_members(now)
-        if live == self._live:
-            return []
-        lost = sorted(self._live - live)
-        self._live = live
-        effects = self.requests.set_members(live, now)
-        for member_id in lost:
-            effects += self.jobs.member_lost(member_id, now)
-        return effects
-
-    def _live_members(self, now: Instant) -> frozenset[MemberId]:
-        peers = self.membership.live_peers(self._me.data_centre, now)
-        return frozenset(peers) | {self._me.id}
-
-    def _send_heartbeats(
-        self, targets: Iterable[MemberId], now: Instant
-    ) -> list[Effect]:
-        wanted = list(targets)
-        return send_to_all(wanted, self._heartbeat(now)) if wanted else []
-
-    def _heartbeat(self, now: Instant) -> Heartbeat:
-        self._sequence += 1
-        age_s = self.log.end_read_age_s(now)
-        return Heartbeat(
-            member_id=self._me.id,
-            incarnation=self._incarnation,
-            data_centre=self._me.data_centre,
-            sequence=self._sequence,
-            epoch=self.ownership.epoch,
-            owner=self.ownership.owner or MemberId(""),
-            config_offset=self.log.config.known_to,
-            log_age_ms=NEVER_READ_MS if age_s is None else int(age_s * 1_000),
-            leaving=not self.is_ready,
-        )
-
-    def _heard(self, heartbeat: Heartbeat, now: Instant) -> list[Effect]:
-        told = self.membership.heard(heartbeat, now)
-        if told is Heard.IGNORED:
-            return []
-        effects = self._spread.heard(heartbeat, self.is_log_fresh(now), now)
-        if heartbeat.data_centre != self._me.data_centre:
-            if self._heartbeats.is_echo_due(heartbeat.member_id, now):
-                effects += self._send_heartbeats([heartbeat.member_id], now)
-            return effects
-        heard = self.ownership.heard(heartbeat, now)
-        effects += self._ownership_effects(heard, now)
-        if told is Heard.NEW_RUN:
-            effects += self._member_joined(heartbeat.member_id, now)
-        return effects
-
-    def _member_joined(self, member_id: MemberId, now: Instant) -> list[Effect]:
-        # Set at once, so that a member back within one tick isn't lost after.
-        effects = self._tick_members(now)
-        return effects + self.jobs.member_joined(member_id, now)
-
-    def _ownership_effects(
-        self, effects: Sequence[OwnershipEffect], now: Instant
-    ) -> list[Effect]:
-        done: list[Effect] = []
-        for effect in effects:
-            done += self._ownership_effect(effect, now)
-        return done
-
-    def _ownership_effect(self, effect: OwnershipEffect, now: Instant) -> list[Effect]:
-        match effect:
-            case AppendClaim(expected):
-                return self._append_claim(expected, now)
-            case AskMembers(members, request):
-                return [SendPeer(member_id, request) for member_id in members]
-            case ReplyClaim(to, reply):
-                return [SendPeer(to, reply)]
-            case OwnershipTaken():
-                return self._ownership_taken(effect, now)
-            case OwnershipLost(epoch):
-                return [RoleChanged(None, epoch, is_owner=False)]
-            case OwnerSeen(owner, epoch):
-                effects = self.requests.owner_seen(owner, epoch, now)
-                effects += self.jobs.owner_seen(owner, epoch, now)
-                return [*effects, RoleChanged(owner, epoch, is_owner=False)]
-
-    def _append_claim(self, expected: Epoch, now: Instant) -> list[Effect]:
-        claim = OwnerClaim(
-            data_centre=self._me.data_centre, member_id=self._me.id, expected=expected
-        )
-        return self._keeper_step(self.log.claim(claim, now), now)
-
-    def _ownership_taken(self, effect: OwnershipTaken, now: Instant) -> list[Effect]:
-        live = self._live_members(now)
-        self._live = live
-        effects: list[Effect] = [RoleChanged(self._me.id, effect.epoch, is_owner=True)]
-        effects += self._send_heartbeats(self.membership.local_targets(), now)
-        effects += self.requests.ownership_taken(
-            effect.epoch, effect.is_first, live, now
-        )
-        return effects + self.jobs.ownership_taken(effect.epoch, live, now)
-
-    def _keeper_step(self, step: KeeperStep, now: Instant) -> list[Effect]:
-        effects = list(step.effects)
-        config_changed = False
-        for news in self._without_past_claims(step.news):
-            config_changed = config_changed or isinstance(news, ConfigChanged)
-            effects += self._log_news(news, now)
-        if config_changed:
-            effects += self._configure(now)
-        return effects
-
-    def _without_past_claims(self, news: Sequence[LogNews]) -> list[LogNews]:
-        """Drop the claims of this data centre that later ones superseded already."""
-        claims = [one for one in news if self._is_local_claim(one)]
-        past = claims[:-1]
-        return [one for one in news if one not in past]
-
-    def _is_local_claim(self, news: LogNews) -> bool:
-        if not isinstance(news, ClaimAccepted):
-            return False
-        return news.data_centre == self._me.data_centre
-
-    def _log_news(self, news: LogNews, now: Instant) -> list[Effect]:
-        match news:
-            case ClaimAccepted():
-                return self._claim_accepted(news, now)
-            case ClaimKnown(data_centre, epoch):
-                if data_centre != self._me.data_centre:
-                    return []
-                known = self.ownership.superseded(epoch, now)
-                return self._ownership_effects(known, now)
-            case JobsRead(data_centre, records):
-                if data_centre != self._me.data_centre:
-                    return []
-                return self.jobs.records_read(records, now)
-            case RecordWritten(record_id, result):
-                return self.jobs.record_written(record_id, result, now)
-            case ConfigChanged():
-                return []
-
-    def _claim_accepted(self, news: ClaimAccepted, now: Instant) -> list[Effect]:
-        if not self._is_local_claim(news):
-            return []
-        logged = self.ownership.claim_logged(
-            news.epoch, news.member_id, news.is_own, now
-        )
-        return self._ownership_effects(logged, now)
-
-    def _configure(self, now: Instant) -> list[Effect]:
-        problems = self.directory.update(self.log.config.documents())
-        effects: list[Effect] = [ReportProblem(text) for text in problems]
-        effects += self.requests.configure(now)
-        return effects + self.jobs.configure(now)
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -17,6 +17,7 @@
 )
 from tamarackmount.kernel.epochs import epoch_of_offset, next_term
 from tamarackmount.kernel.job_part import NUMBERS_PER_MS
+from tamarackmount.kernel.member_core import NEVER_READ_MS
 from tamarackmount.kernel.messages import (
     ForwardedReply,
     Heartbeat,
@@ -25,7 +26,6 @@
     Outcome,
     PeerMessage,
 )
-from tamarackmount.kernel.node import NEVER_READ_MS
 
 MAX_U32 = 2**32 - 1
 
