--- a/tamarackmount/kernel/deadline_heap.py
+++ b/tamarackmount/kernel/deadline_heap.py
@@ -30,6 +30,11 @@
         """Tell whether the key has a deadline."""
         return key in self._current_by_key
 
+    @property
+    def items(self) -> int:
+        """Number of items in memory, those of replaced deadlines included."""
+        return len(self._heap)
+
     def set(self, key: K, deadline: Instant) -> None:
         """Set the deadline of a key."""
         serial = next(self._serial)
--- a/tamarackmount/kernel/lending.py
+++ b/tamarackmount/kernel/lending.py
@@ -81,7 +81,7 @@
         others = sorted(self._live - {self._member_id})
         if not others:
             return None
-        # Python's hash of strings differs between runs; the length does not.
+        # Python's hash of strings differs between runs, the sum of bytes does not.
         return others[sum(key.request_id.encode()) % len(others)]
 
     def dispatch(self, now: Instant) -> list[DispatcherEffect]:
--- a/tamarackmount/kernel/request_effects.py
+++ b/tamarackmount/kernel/request_effects.py
@@ -30,8 +30,9 @@
 class RequestTiming:
     """Terms and limits of the request half; times are in milliseconds.
 
-    - ``max_ticket_ms``: longest time that a slot is lent for, and the time that a
-      new owner quarantines slots that it knows nothing of.
+    - ``max_ticket_ms``: longest time that a slot is lent for, so no attempt runs
+      longer, and the time that a new owner quarantines slots that it knows nothing
+      of.
     - ``clock_margin_ms``: most that two clocks drift apart over one ticket.
     - ``attempt_memory_ms``: time that non-idempotent attempts are remembered for.
     - ``resend_ms``: first period after which an unanswered message is sent again.
@@ -69,7 +70,10 @@
 
 @dataclass(frozen=True, slots=True)
 class SendToOwner:
-    """Send a message to the owner of the data centre."""
+    """Send a message to the owner of the data centre.
+
+    It is dropped while there is no owner; the request table asks the next one.
+    """
 
     message: TicketRequest | TicketRelease | TicketWithdrawal
 
--- /dev/null
+++ b/tests/test_request_parts.py
@@ -0,0 +1,79 @@
+"""Deadline heap, retry budget and the owner's takeover questions."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tamarackmount.ids import Epoch
+from tamarackmount.kernel.deadline_heap import DeadlineHeap
+from tamarackmount.kernel.known_owner import KnownOwner
+from tamarackmount.kernel.retry_budget import RetryBudget
+from tests.utils.build_requests import M1, at
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 9), st.one_of(st.none(), st.integers(0, 50))),
+        max_size=300,
+    )
+)
+def test_heap_agrees_with_a_plain_dictionary(
+    changes: list[tuple[int, int | None]],
+) -> None:
+    heap = DeadlineHeap[int]()
+    deadlines_by_key: dict[int, int] = {}
+    for key, deadline in changes:
+        if deadline is None:
+            heap.discard(key)
+            deadlines_by_key.pop(key, None)
+        else:
+            heap.set(key, at(deadline))
+            deadlines_by_key[key] = deadline
+    due = [key for key, deadline in deadlines_by_key.items() if deadline <= 25]
+    assert sorted(heap.pop_due(at(25))) == sorted(due)
+    assert len(heap) == len(deadlines_by_key) - len(due)
+
+
+def test_heap_keeps_its_size_near_its_number_of_keys() -> None:
+    heap = DeadlineHeap[int]()
+    for number in range(10_000):
+        heap.set(number % 10, at(number))
+    assert len(heap) == 10
+    assert heap.items <= 128
+
+
+def test_budget_allows_a_burst_and_then_a_part_of_the_requests() -> None:
+    budget = RetryBudget(ratio=0.1, burst=2)
+    assert [budget.spend() for _ in range(3)] == [True, True, False]
+    for _ in range(9):
+        budget.earn()
+    assert not budget.spend()
+    budget.earn()
+    budget.earn()
+    assert budget.spend()
+
+
+def test_budget_does_not_grow_past_its_burst() -> None:
+    budget = RetryBudget(ratio=1, burst=2)
+    for _ in range(10):
+        budget.earn()
+    assert [budget.spend() for _ in range(3)] == [True, True, False]
+
+
+def test_raised_fence_loses_the_owner_and_an_equal_one_does_not() -> None:
+    owner = KnownOwner(grace_ms=300)
+    owner.found(M1)
+    assert owner.fence(Epoch(2), at(0))
+    assert not owner.is_known
+    owner.found(M1)
+    assert not owner.fence(Epoch(2), at(1))
+    assert owner.is_known
+    assert owner.is_stale(Epoch(1))
+    assert not owner.is_stale(Epoch(2))
+
+
+def test_grace_counts_from_the_loss_of_the_owner() -> None:
+    owner = KnownOwner(grace_ms=300)
+    owner.lost(at(1))
+    owner.lost(at(1.2))
+    assert not owner.refuses(at(1.29))
+    assert owner.refuses(at(1.3))
