A retiring owner hands its loans over, which ends the quarantine

After every planned change of owner the successor lent nothing but returned slots for max_ticket_ms; at a quiet hour no slot is held, so nothing ran at all. The retiring owner is the only one that knows every loan: Dispatcher.retire stops lending and returns them, Dispatcher.predecessor_reported takes them over and ends the quarantine. An owner that is itself in quarantine hands over nothing.

Needs a message between members.

--- a/tamarackmount/kernel/dispatcher.py
+++ b/tamarackmount/kernel/dispatcher.py
@@ -5,30 +5,24 @@
 
 from collections.abc import Mapping, Sequence
 
-from tamarackmount.ids import (
-    Epoch,
-    Instant,
-    MemberId,
-    QueueName,
-    TeamId,
-    TicketId,
-)
+from tamarackmount.ids import Epoch, Instant, MemberId, QueueName, TeamId, TicketId
 from tamarackmount.kernel.admission import Admission
 from tamarackmount.kernel.attempt_copies import AttemptCopies
 from tamarackmount.kernel.attempt_feedback import AttemptFeedback
 from tamarackmount.kernel.attempts import AttemptKey, AttemptMemory
 from tamarackmount.kernel.deadline_heap import DeadlineHeap
+from tamarackmount.kernel.dispatcher_report import explain_queue, view_upstreams
 from tamarackmount.kernel.dispatcher_view import (
     DispatcherCounters,
     DispatcherSnapshot,
     QueueExplanation,
-    UpstreamView,
 )
 from tamarackmount.kernel.lending import Lending, attempt_key
 from tamarackmount.kernel.line_limits import LineLimits
 from tamarackmount.kernel.lines import WaitingTicket
 from tamarackmount.kernel.messages import (
     AttemptResult,
+    HeldTicket,
     HoldingsReport,
     RefusalReason,
     TicketRelease,
@@ -173,7 +167,7 @@
     ) -> list[DispatcherEffect]:
         """Take a slot back and learn from how the attempt went."""
         loan = self._ledger.loan(message.ticket_id)
-        if loan is None or loan.member_id != member_id:
+        if loan is None or not loan.may_be_returned_by(member_id):
             return []
         self._feedback.learn(loan, message, now)
         stays_lent = (
@@ -231,6 +225,29 @@
             return []
         return self._finish_takeover(now)
 
+    def predecessor_reported(
+        self, member_id: MemberId, tickets: Sequence[HeldTicket], now: Instant
+    ) -> list[DispatcherEffect]:
+        """Take over every loan of the owner just before this one; see :meth:`retire`.
+
+        No other owner may have lent anything in between. As all loans are known
+        then, the quarantine ends.
+        """
+        for held in tickets:
+            self._lending.adopt(member_id, held, now)
+        self._ledger.end_quarantine()
+        return self._dispatch(now)
+
+    def retire(self, now: Instant) -> list[HeldTicket] | None:
+        """Lend nothing from now on; return every loan, for the next owner.
+
+        ``None`` while loans of an earlier owner may be unknown here.
+        """
+        self._lending.stop()
+        if not self._takeover.is_done or self._ledger.quarantined_until is not None:
+            return None
+        return self._lending.holdings(now)
+
     def tick(self, now: Instant) -> list[DispatcherEffect]:
         """Act on every deadline that is over."""
         self._attempts.tick(now)
@@ -245,36 +262,12 @@
 
     def explain(self, queue: QueueName) -> QueueExplanation | None:
         """Return why requests of a queue wait; ``None`` for an unknown queue."""
-        rules = self._board.rules(queue)
-        if rules is None:
-            return None
-        line = self._board.line(queue)
-        waiting_by_team = line.waiting_by_team()
-        head = next(line.heads(), None)
-        return QueueExplanation(
-            queue=queue,
-            service=rules.service,
-            policy=rules.policy,
-            waiting_by_team=waiting_by_team,
-            running_by_team=self._board.running_by_team(queue),
-            teams_at_ceiling=frozenset(filter(self._board.at_ceiling, waiting_by_team)),
-            next_team=None if head is None else head.request.team_id,
-            usable_slots=self._ledger.usable_slots(rules.service),
-            wait_ms=self._admission.wait_ms(queue),
-            quarantined_until=self._ledger.quarantined_until,
-            collecting_holdings=not self._takeover.is_done,
+        return explain_queue(
+            queue, self._board, self._ledger, self._admission, self._takeover
         )
 
     def snapshot(self) -> DispatcherSnapshot:
         """Return the dispatcher's state."""
-        upstreams_by_id = {
-            upstream_id: UpstreamView(
-                slots=count,
-                health=self._health.state(upstream_id),
-                service_s=self._health.service_s(upstream_id),
-            )
-            for upstream_id, count in self._ledger.counts().items()
-        }
         return DispatcherSnapshot(
             epoch=self.epoch,
             waiting=self._board.waiting,
@@ -283,7 +276,7 @@
             copies_pending=self._copies.pending,
             collecting_holdings=not self._takeover.is_done,
             quarantined_until=self._ledger.quarantined_until,
-            upstreams_by_id=upstreams_by_id,
+            upstreams_by_id=view_upstreams(self._ledger, self._health),
         )
 
     def _reason_against(
--- /dev/null
+++ b/tamarackmount/kernel/dispatcher_report.py
@@ -0,0 +1,52 @@
+"""Views of a dispatcher's parts for operators and metrics."""
+
+from tamarackmount.ids import QueueName, UpstreamId
+from tamarackmount.kernel.admission import Admission
+from tamarackmount.kernel.dispatcher_view import QueueExplanation, UpstreamView
+from tamarackmount.kernel.queue_board import QueueBoard
+from tamarackmount.kernel.slots import SlotLedger
+from tamarackmount.kernel.takeover import Takeover
+from tamarackmount.kernel.upstream_health import UpstreamHealth
+
+
+def explain_queue(
+    queue: QueueName,
+    board: QueueBoard,
+    ledger: SlotLedger,
+    admission: Admission,
+    takeover: Takeover,
+) -> QueueExplanation | None:
+    """Return why requests of a queue wait; ``None`` for an unknown queue."""
+    rules = board.rules(queue)
+    if rules is None:
+        return None
+    line = board.line(queue)
+    waiting_by_team = line.waiting_by_team()
+    head = next(line.heads(), None)
+    return QueueExplanation(
+        queue=queue,
+        service=rules.service,
+        policy=rules.policy,
+        waiting_by_team=waiting_by_team,
+        running_by_team=board.running_by_team(queue),
+        teams_at_ceiling=frozenset(filter(board.at_ceiling, waiting_by_team)),
+        next_team=None if head is None else head.request.team_id,
+        usable_slots=ledger.usable_slots(rules.service),
+        wait_ms=admission.wait_ms(queue),
+        quarantined_until=ledger.quarantined_until,
+        collecting_holdings=not takeover.is_done,
+    )
+
+
+def view_upstreams(
+    ledger: SlotLedger, health: UpstreamHealth
+) -> dict[UpstreamId, UpstreamView]:
+    """Return the slots and health of each listed upstream."""
+    return {
+        upstream_id: UpstreamView(
+            slots=count,
+            health=health.state(upstream_id),
+            service_s=health.service_s(upstream_id),
+        )
+        for upstream_id, count in ledger.counts().items()
+    }
--- a/tamarackmount/kernel/lending.py
+++ b/tamarackmount/kernel/lending.py
@@ -69,6 +69,7 @@
         self._refusals = refusals
         self._counters = counters
         self._serve_alone = serve_alone
+        self._is_stopped = False
         self._live: frozenset[MemberId] = frozenset()
         self._uncopied_by_key: dict[AttemptKey, TicketId] = {}
 
@@ -86,6 +87,8 @@
 
     def dispatch(self, now: Instant) -> list[DispatcherEffect]:
         """Lend free slots to waiting tickets for as long as there are both."""
+        if self._is_stopped:
+            return []
         effects: list[DispatcherEffect] = []
         self._board.set_quarantined(self._ledger.quarantined_slots())
         for service in self._board.services():
@@ -94,6 +97,26 @@
                 effects += self._lend(choice, now)
         return effects
 
+    def stop(self) -> None:
+        """Send no grants from now on."""
+        self._is_stopped = True
+
+    def holdings(self, now: Instant) -> list[HeldTicket]:
+        """Return every loan whose grant was sent."""
+        return [
+            HeldTicket(
+                ticket_id=loan.ticket_id,
+                request_id=loan.request_id,
+                team_id=loan.team_id,
+                queue=loan.queue,
+                upstream_id=loan.upstream_id,
+                idempotent=loan.attempt is None,
+                remaining_ms=remaining_ms(loan.lent_until, now) + 1,
+            )
+            for loan in self._ledger.loans()
+            if not self.awaits_copy(loan)
+        ]
+
     def grant_again(self, loan: Loan, member_id: MemberId) -> list[DispatcherEffect]:
         """Repeat a grant for a ticket that was asked for again."""
         if loan.member_id != member_id or loan.granted_ms is None:
@@ -156,6 +179,7 @@
         lent_until = after_ms(now, held.remaining_ms)
         loan = Loan(
             ticket_id=held.ticket_id,
+            request_id=held.request_id,
             team_id=held.team_id,
             queue=held.queue,
             upstream_id=held.upstream_id,
@@ -216,6 +240,7 @@
         lent_until = after_ms(ticket.arrived_at, waited_ms + lend_ms)
         return Loan(
             ticket_id=request.ticket_id,
+            request_id=request.request_id,
             team_id=request.team_id,
             queue=request.queue,
             upstream_id=upstream_id,
@@ -239,7 +264,7 @@
         return list(self._copies.send(key, second, now))
 
     def _send_grant(self, loan: Loan) -> list[DispatcherEffect]:
-        if loan.granted_ms is None:
+        if loan.granted_ms is None or self._is_stopped:
             return []
         self._counters.granted += 1
         grant = TicketGrant(
--- a/tamarackmount/kernel/slots.py
+++ b/tamarackmount/kernel/slots.py
@@ -8,7 +8,8 @@
 new owner cannot ask, the old owner included. So every slot starts quarantined, until
 the longest loan that the old owner can have granted is over. A slot that a live
 member reports is turned from quarantined into lent, and is free as soon as that
-member returns it.
+member returns it. Only the old owner knows every loan: when it retires in good order
+and hands them over, the rest is free at once.
 """
 
 from collections.abc import Collection, Iterable
@@ -16,7 +17,15 @@
 
 from sortedcontainers import SortedList
 
-from tamarackmount.ids import Instant, MemberId, QueueName, TeamId, TicketId, UpstreamId
+from tamarackmount.ids import (
+    Instant,
+    MemberId,
+    QueueName,
+    RequestId,
+    TeamId,
+    TicketId,
+    UpstreamId,
+)
 from tamarackmount.kernel.attempts import AttemptKey
 from tamarackmount.kernel.deadline_heap import DeadlineHeap
 
@@ -43,6 +52,7 @@
     """
 
     ticket_id: TicketId
+    request_id: RequestId
     team_id: TeamId
     queue: QueueName
     upstream_id: UpstreamId
@@ -52,6 +62,13 @@
     ends_at: Instant
     granted_ms: int | None = None
 
+    def may_be_returned_by(self, member_id: MemberId) -> bool:
+        """Tell whether the member may hold the slot.
+
+        The holder of a loan that only the earlier owner reported is not known.
+        """
+        return self.granted_ms is None or self.member_id == member_id
+
 
 @dataclass(frozen=True, slots=True)
 class SlotCount:
@@ -192,7 +209,8 @@
 
     def tick(self, now: Instant) -> list[Loan]:
         """End the quarantine and loans that are over; return those loans."""
-        self._end_quarantine(now)
+        if self._quarantined_until is not None and now >= self._quarantined_until:
+            self.end_quarantine()
         ended: list[Loan] = []
         for ticket_id in self._loan_ends.pop_due(now):
             loan = self.give_back(ticket_id)
@@ -200,6 +218,12 @@
                 ended.append(loan)
         return ended
 
+    def end_quarantine(self) -> None:
+        """Lend what no loan is known on; every loan must be known."""
+        self._quarantined_until = None
+        for upstream_id, record in self._records_by_upstream.items():
+            self._reindex(upstream_id, record)
+
     def counts(self) -> dict[UpstreamId, SlotCount]:
         """Return the slots of each listed upstream."""
         return {
@@ -232,13 +256,6 @@
         record.lent += 1
         self._reindex(loan.upstream_id, record)
 
-    def _end_quarantine(self, now: Instant) -> None:
-        if self._quarantined_until is None or now < self._quarantined_until:
-            return
-        self._quarantined_until = None
-        for upstream_id, record in self._records_by_upstream.items():
-            self._reindex(upstream_id, record)
-
     def _quarantined(self, record: _Record) -> int:
         if self._quarantined_until is None:
             return 0
--- a/tests/test_dispatcher_takeover.py
+++ b/tests/test_dispatcher_takeover.py
@@ -223,3 +223,46 @@
     report(dispatcher, M2, build_held("old"))
     ask(dispatcher, "a", now=0.1)
     assert grants(dispatcher.released(M2, build_release("old"), at(0.1))) == ["a"]
+
+
+def test_loans_that_the_earlier_owner_hands_over_end_the_quarantine() -> None:
+    retiring = build_dispatcher(upstreams=build_upstreams(slots=2))
+    ask(retiring, "old")
+    tickets = retiring.retire(at(0.5))
+    assert tickets is not None
+    assert [held.ticket_id for held in tickets] == ["old"]
+    successor = build_successor(slots=2)
+    report(successor, M1)
+    report(successor, M2)
+    ask(successor, "a")
+    assert grants(successor.predecessor_reported(M1, tickets, at(0.1))) == ["a"]
+    assert ask(successor, "b") == []
+    assert grants(successor.released(M2, build_release("old"), at(0.2))) == ["b"]
+
+
+def test_retired_owner_lends_nothing() -> None:
+    dispatcher = build_dispatcher(upstreams=build_upstreams(slots=2))
+    ask(dispatcher, "a")
+    dispatcher.retire(at(0))
+    assert grants(ask(dispatcher, "a")) == []
+    assert grants(ask(dispatcher, "b")) == []
+    assert grants(dispatcher.tick(at(0.1))) == []
+
+
+def test_owner_in_quarantine_does_not_know_every_loan() -> None:
+    dispatcher = build_successor()
+    assert dispatcher.retire(at(0)) is None
+    report(dispatcher, M1)
+    report(dispatcher, M2)
+    assert dispatcher.retire(at(0)) is None
+    dispatcher.tick(at(2.1))
+    assert dispatcher.retire(at(2.1)) == []
+
+
+def test_grant_that_awaits_its_copy_is_not_handed_over() -> None:
+    dispatcher = build_dispatcher()
+    request = build_ticket_request("a", idempotent=False)
+    (copy,) = dispatcher.ticket_requested(M1, request, at(0))
+    assert isinstance(copy.message, AttemptCopy)
+    assert dispatcher.retire(at(0)) == []
+    assert dispatcher.attempt_copied(M2, copy.message.sequence, at(0.1)) == []
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tamarackmount.ids import MemberId, TicketId, UpstreamId
+from tamarackmount.ids import MemberId, RequestId, TicketId, UpstreamId
 from tamarackmount.kernel.slots import ListedUpstream, Loan, SlotLedger
 from tests.utils.build_requests import (
     COUNTER,
@@ -24,6 +24,7 @@
 ) -> Loan:
     return Loan(
         ticket_id=TicketId(ticket_id),
+        request_id=RequestId("r1"),
         team_id=RETAIL,
         queue=COUNTER,
         upstream_id=upstream_id,
--- a/tests/utils/request_fleet.py
+++ b/tests/utils/request_fleet.py
@@ -14,6 +14,7 @@
     AttemptCopied,
     AttemptCopy,
     AttemptResult,
+    HeldTicket,
     HoldingsReport,
     HoldingsRequest,
     Outcome,
@@ -76,6 +77,14 @@
     owner: MemberId
 
 
+@dataclass(frozen=True, slots=True)
+class OwnerRetired:
+    """Every loan of the owner just before ``epoch``."""
+
+    epoch: Epoch
+    tickets: list[HeldTicket]
+
+
 Message = (
     TicketRequest
     | TicketGrant
@@ -87,6 +96,7 @@
     | HoldingsRequest
     | HoldingsReport
     | OwnerNews
+    | OwnerRetired
 )
 
 BOOKKEEPING = (AttemptCopy, AttemptCopied, HoldingsRequest, HoldingsReport, OwnerNews)
@@ -204,9 +214,9 @@
 
     def take_over(self, member: Member, *, fresh: bool = False) -> None:
         old = None if self.owner is None else self.members[self.owner]
-        if old is not None and not old.is_paused:
-            old.dispatcher = None
         self.epoch += 1
+        if old is not None and not old.is_paused:
+            self._retire(old, member)
         self.owner = member.member_id
         now = self.clock(member.member_id)
         dispatcher = Dispatcher(
@@ -224,6 +234,15 @@
         self.tell_owner_of_members()
         self.announce()
 
+    def _retire(self, old: Member, successor: Member) -> None:
+        if old.dispatcher is None:
+            return
+        tickets = old.dispatcher.retire(self.clock(old.member_id))
+        old.dispatcher = None
+        if tickets is not None:
+            news = OwnerRetired(Epoch(self.epoch), tickets)
+            self._send(old.member_id, successor.member_id, news)
+
     def tell_owner_of_members(self) -> None:
         owner = self._dispatching_owner()
         if owner is None or owner.dispatcher is None:
@@ -417,6 +436,8 @@
                 effects = dispatcher.attempt_copied(source, sequence, now)
             case HoldingsReport() as report:
                 effects = dispatcher.holdings_reported(source, report, now)
+            case OwnerRetired(epoch, tickets) if epoch == dispatcher.epoch:
+                effects = dispatcher.predecessor_reported(source, tickets, now)
             case _:
                 return
         self._post(member, effects)
