News of the same owner no longer repeats every question

Heartbeats name the owner several times a second; each call of owner_changed asked it again for every waiting request. test_news_of_the_same_owner_changes_nothing was seen failing first; the 40 tests of the table and its parts pass.

--- a/tamarackmount/kernel/known_owner.py
+++ b/tamarackmount/kernel/known_owner.py
@@ -31,10 +31,12 @@
             return False
         return now >= self._refuse_from
 
-    def found(self, owner: MemberId) -> None:
-        """Note the owner."""
+    def found(self, owner: MemberId) -> bool:
+        """Note the owner; tell whether it is a new one."""
+        is_new = self._owner != owner
         self._owner = owner
         self._refuse_from = None
+        return is_new
 
     def lost(self, now: Instant) -> None:
         """Note that there is no owner; the grace counts from the first time."""
--- a/tamarackmount/kernel/requests.py
+++ b/tamarackmount/kernel/requests.py
@@ -166,7 +166,8 @@
         if owner is None:
             self._owner.lost(now)
             return []
-        self._owner.found(owner)
+        if not self._owner.found(owner):
+            return []
         effects: list[RequestEffect] = []
         for request in self._waiting_requests():
             effects += self._ask(request, now)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -269,6 +269,12 @@
     assert effects == [SendUpstream(1, T1, UpstreamId("u1"), at(4))]
 
 
+def test_news_of_the_same_owner_changes_nothing() -> None:
+    table = build_table()
+    table.submit(build_request(), at(0))
+    assert table.owner_changed(M2, at(0.1)) == []
+
+
 def test_deadline_counts_from_the_first_question_to_the_same_owner() -> None:
     table = build_table()
     table.submit(build_request(), at(0))
