--- a/tests/test_request_machine.py
+++ b/tests/test_request_machine.py
@@ -19,7 +19,8 @@
 from tamarackmount.ids import Instant, RequestId, TeamId
 from tamarackmount.kernel.request_effects import NewRequest
 from tests.utils.build_requests import COUNTER, DESIGN, M1, RETAIL
-from tests.utils.request_fleet import Fleet, Member
+from tests.utils.request_faults import FaultyFleet
+from tests.utils.request_fleet import Member
 
 INDEX = st.integers(0, 1_000)
 """Picks one of what there is, by its remainder."""
@@ -55,7 +56,7 @@
     def __init__(self) -> None:
         """Start with three members and no owner."""
         super().__init__()
-        self.fleet = Fleet()
+        self.fleet = FaultyFleet()
         self.call_number = 0
 
     @initialize()
--- a/tests/test_request_scenarios.py
+++ b/tests/test_request_scenarios.py
@@ -10,19 +10,20 @@
 )
 from tamarackmount.kernel.request_effects import Finish, NewRequest
 from tests.utils.build_requests import COUNTER, DESIGN, M1, M2, M3, RETAIL
-from tests.utils.request_fleet import Envelope, Fleet
+from tests.utils.request_faults import FaultyFleet
+from tests.utils.request_network import Envelope
 
 
-def build_fleet() -> Fleet:
+def build_fleet() -> FaultyFleet:
     """Return a fleet whose owner is ``m1``, with everybody informed."""
-    fleet = Fleet()
+    fleet = FaultyFleet()
     fleet.take_over(fleet.members[M1], fresh=True)
     fleet.settle_attempts()
     return fleet
 
 
 def submit(
-    fleet: Fleet,
+    fleet: FaultyFleet,
     call_id: int,
     member_id: MemberId,
     *,
@@ -41,7 +42,7 @@
     fleet.submit(fleet.members[member_id], request, fleet.now + seconds)
 
 
-def deliver(fleet: Fleet, held_back: type | None = None) -> None:
+def deliver(fleet: FaultyFleet, held_back: type | None = None) -> None:
     """Deliver what is under way and what follows, but for one kind of message."""
     for _ in range(5):
         for envelope in fleet.deliverable():
@@ -50,12 +51,12 @@
                 fleet.deliver(envelope)
 
 
-def connect(fleet: Fleet) -> None:
+def connect(fleet: FaultyFleet) -> None:
     for execution in fleet.connecting():
         fleet.connect(execution)
 
 
-def proceed(fleet: Fleet, seconds: float, held_back: type | None = None) -> None:
+def proceed(fleet: FaultyFleet, seconds: float, held_back: type | None = None) -> None:
     """Let time pass in small steps with a working network."""
     for _ in range(round(seconds / 0.1)):
         deliver(fleet, held_back)
@@ -64,16 +65,16 @@
         fleet.check()
 
 
-def under_way(fleet: Fleet, kind: type) -> list[Envelope]:
+def under_way(fleet: FaultyFleet, kind: type) -> list[Envelope]:
     return [one for one in fleet.network if isinstance(one.message, kind)]
 
 
-def finish_of(fleet: Fleet, call_id: int) -> Finish:
+def finish_of(fleet: FaultyFleet, call_id: int) -> Finish:
     (finish,) = fleet.calls[call_id].finishes
     return finish
 
 
-def start_order(fleet: Fleet, member_id: MemberId) -> None:
+def start_order(fleet: FaultyFleet, member_id: MemberId) -> None:
     """Bring a non-idempotent request to its upstream."""
     submit(fleet, 1, member_id)
     deliver(fleet)
--- /dev/null
+++ b/tests/utils/request_network.py
@@ -0,0 +1,58 @@
+"""Messages under way between the members of a fleet under test."""
+
+from dataclasses import dataclass
+
+from tamarackmount.ids import Epoch, MemberId
+from tamarackmount.kernel.messages import (
+    AttemptCopied,
+    AttemptCopy,
+    HeldTicket,
+    HoldingsReport,
+    HoldingsRequest,
+    TicketGrant,
+    TicketRefusal,
+    TicketRelease,
+    TicketRequest,
+    TicketWithdrawal,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerNews:
+    """Who owns the data centre under which epoch."""
+
+    epoch: Epoch
+    owner: MemberId
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerRetired:
+    """Every loan of the owner just before ``epoch``."""
+
+    epoch: Epoch
+    tickets: list[HeldTicket]
+
+
+Message = (
+    TicketRequest
+    | TicketGrant
+    | TicketRefusal
+    | TicketRelease
+    | TicketWithdrawal
+    | AttemptCopy
+    | AttemptCopied
+    | HoldingsRequest
+    | HoldingsReport
+    | OwnerNews
+    | OwnerRetired
+)
+
+BOOKKEEPING = (AttemptCopy, AttemptCopied, HoldingsRequest, HoldingsReport, OwnerNews)
+"""Messages that bring the memory of attempts to a second member."""
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    source: MemberId
+    target: MemberId
+    message: Message
