A restarted member returns only its own run's tickets as unused

A late grant for a ticket of the member's earlier run was answered UNUSED by the new run, which knows nothing of it. The owner then freed a slot that an upstream still worked on and forgot a non-idempotent attempt, so a repeat ran twice. Tickets of another incarnation are ignored now; their loans end by deadline.

test_restarted_member_does_not_return_what_its_earlier_run_used failed first with 'ran 2 times'.

--- a/tamarackmount/kernel/dispatcher.py
+++ b/tamarackmount/kernel/dispatcher.py
@@ -288,6 +288,8 @@
         reason = self._admission.reason_against(ticket, now)
         if reason is not None or not self._takeover.is_done:
             return reason
+        if not self._lending.is_durable(ticket):
+            return RefusalReason.NOT_DURABLE
         return RefusalReason.NO_UPSTREAM if self._limits.is_hopeless(ticket) else None
 
     def _dispatch(self, now: Instant) -> list[DispatcherEffect]:
--- a/tamarackmount/kernel/lending.py
+++ b/tamarackmount/kernel/lending.py
@@ -77,6 +77,14 @@
         """Set the members that copies can go to."""
         self._live = live
 
+    def is_durable(self, ticket: WaitingTicket) -> bool:
+        """Tell whether enough members can remember a non-idempotent request."""
+        if ticket.request.idempotent or self._serve_alone:
+            return True
+        if ticket.member_id != self._member_id:
+            return True
+        return self.second_member(attempt_key(ticket.request)) is not None
+
     def second_member(self, key: AttemptKey) -> MemberId | None:
         """Return a live member other than the owner, spread by key."""
         others = sorted(self._live - {self._member_id})
@@ -224,11 +232,7 @@
         key = attempt_key(ticket.request)
         if self._attempts.knows(key):
             return RefusalReason.ALREADY_ATTEMPTED
-        if ticket.member_id != self._member_id or self._serve_alone:
-            return None
-        if self.second_member(key) is None:
-            return RefusalReason.NOT_DURABLE
-        return None
+        return None if self.is_durable(ticket) else RefusalReason.NOT_DURABLE
 
     def _loan(
         self, ticket: WaitingTicket, upstream_id: UpstreamId, now: Instant
--- a/tamarackmount/kernel/requests.py
+++ b/tamarackmount/kernel/requests.py
@@ -316,7 +316,9 @@
         self._resends.discard(call_id)
 
     def _give_back_unknown(self, ticket_id: TicketId) -> list[RequestEffect]:
-        if ticket_id in self._used:
+        # An earlier run of this member may have used its tickets.
+        is_own = ticket_id.startswith(self._ticket_prefix)
+        if ticket_id in self._used or not is_own:
             return []
         return [_release(ticket_id, AttemptResult.UNUSED, 0)]
 
--- a/tests/test_dispatcher_attempts.py
+++ b/tests/test_dispatcher_attempts.py
@@ -119,6 +119,13 @@
     ]
 
 
+def test_owner_alone_refuses_at_once_while_others_wait() -> None:
+    dispatcher = build_dispatcher(members=[M1])
+    dispatcher.ticket_requested(M1, build_ticket_request("blocker"), at(0))
+    (refusal,) = refusals(ask(dispatcher, M1, "a"))
+    assert refusal.reason is RefusalReason.NOT_DURABLE
+
+
 def test_owner_left_alone_while_copying_refuses_as_not_durable() -> None:
     dispatcher = build_dispatcher()
     ask(dispatcher, M1, "a")
--- a/tests/test_request_scenarios.py
+++ b/tests/test_request_scenarios.py
@@ -199,3 +199,21 @@
     fleet.resume(fleet.members[M1])
     proceed(fleet, 1.0)
     assert fleet.members[M1].dispatcher is None
+
+
+def test_restarted_member_does_not_return_what_its_earlier_run_used() -> None:
+    fleet = build_fleet()
+    submit(fleet, 1, M2)
+    deliver(fleet, held_back=TicketGrant)
+    (grant,) = under_way(fleet, TicketGrant)
+    deliver(fleet)
+    connect(fleet)
+    fleet.kill(fleet.members[M2])
+    fleet.restart(fleet.members[M2])
+    fleet.announce()
+    deliver(fleet)
+    fleet.deliver(grant)
+    deliver(fleet)
+    submit(fleet, 2, M3)
+    proceed(fleet, 0.5)
+    assert finish_of(fleet, 2).reason is RefusalReason.ALREADY_ATTEMPTED
--- a/tests/utils/request_faults.py
+++ b/tests/utils/request_faults.py
@@ -20,6 +20,8 @@
         self.executions = [one for one in self.executions if one.sent]
 
     def restart(self, member: Member) -> None:
+        # The owner notices the new incarnation: the earlier one is lost first.
+        self.tell_owner_of_members()
         member.incarnation += 1
         member.table = self.new_table(member.member_id, member.incarnation)
         member.owner = None
