Hand-over of loans waits for the reports of the members

A request whose grant was under way at a hand-over was taken out of the line as if it held its slot; its member had dropped the stale grant, so the caller waited until its deadline. Loans that only the retired owner reports are now entered after every live member has reported, without a known holder, and one that a reporting member asks for again is known not to be held.

--- a/tamarackmount/kernel/dispatcher.py
+++ b/tamarackmount/kernel/dispatcher.py
@@ -132,6 +132,8 @@
         A member that was restarted is to be left out once in between, as it has
         forgotten what it held and remembered.
         """
+        if live == self._live:
+            return []
         lost = self._live - live
         joined = live - self._live
         is_first = not self._live
@@ -149,6 +151,9 @@
         """Put a request into its line, grant it at once, or refuse it at once."""
         ticket_id = message.ticket_id
         loan = self._ledger.loan(ticket_id)
+        if loan is not None and self._takeover.is_not_held(loan, member_id):
+            self._lending.undo(loan)
+            loan = None
         if loan is not None:
             return self._lending.grant_again(loan, member_id)
         if ticket_id in self._ended or self._board.find(ticket_id) is not None:
@@ -226,16 +231,15 @@
         return self._finish_takeover(now)
 
     def predecessor_reported(
-        self, member_id: MemberId, tickets: Sequence[HeldTicket], now: Instant
+        self, tickets: Sequence[HeldTicket], now: Instant
     ) -> list[DispatcherEffect]:
         """Take over every loan of the owner just before this one; see :meth:`retire`.
 
         No other owner may have lent anything in between. As all loans are known
         then, the quarantine ends.
         """
-        for held in tickets:
-            self._lending.adopt(member_id, held, now)
-        self._ledger.end_quarantine()
+        self._takeover.hand_over(tickets)
+        self._adopt_handed_over(now)
         return self._dispatch(now)
 
     def retire(self, now: Instant) -> list[HeldTicket] | None:
@@ -252,7 +256,7 @@
         """Act on every deadline that is over."""
         self._attempts.tick(now)
         self._ended.pop_due(now)
-        effects = self._expire_loans(now)
+        effects = self._lending.expire(now)
         effects += self._limits.refuse_expired(now)
         for upstream_id in self._health.tick(now):
             self._feedback.weigh(upstream_id)
@@ -279,6 +283,13 @@
             upstreams_by_id=view_upstreams(self._ledger, self._health),
         )
 
+    def _adopt_handed_over(self, now: Instant) -> None:
+        tickets = self._takeover.pop_handed_over()
+        if tickets is None:
+            return
+        self._lending.adopt_unknown(tickets, self._takeover.has_reported, now)
+        self._ledger.end_quarantine()
+
     def _reason_against(
         self, ticket: WaitingTicket, now: Instant
     ) -> RefusalReason | None:
@@ -323,6 +334,7 @@
 
     def _finish_takeover(self, now: Instant) -> list[DispatcherEffect]:
         """Start lending; copy what only this member remembers."""
+        self._adopt_handed_over(now)
         effects: list[DispatcherEffect] = []
         for key in self._attempts.remembered():
             if not self._copies.has_holder(key):
@@ -333,14 +345,3 @@
         if not self._takeover.is_done:
             return []
         return self._limits.refuse_hopeless(now)
-
-    def _expire_loans(self, now: Instant) -> list[DispatcherEffect]:
-        effects: list[DispatcherEffect] = []
-        for loan in self._ledger.tick(now):
-            self.counters.loans_expired += 1
-            if self._lending.awaits_copy(loan) and loan.attempt is not None:
-                self._attempts.not_sent(loan.attempt, loan.ticket_id)
-                reason = RefusalReason.NOT_DURABLE
-                effects += self._refusals.refuse_loan(loan, reason, now)
-            self._lending.ended(loan)
-        return effects
--- a/tamarackmount/kernel/lending.py
+++ b/tamarackmount/kernel/lending.py
@@ -1,6 +1,6 @@
 """Lending of upstream slots to waiting tickets, and taking them back."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from itertools import islice
 
@@ -175,7 +175,34 @@
             self._attempts.not_sent(loan.attempt, loan.ticket_id)
         self.take_back(loan)
 
-    def adopt(self, member_id: MemberId, held: HeldTicket, now: Instant) -> None:
+    def expire(self, now: Instant) -> list[DispatcherEffect]:
+        """End the loans that are over, and refuse those that were never granted."""
+        effects: list[DispatcherEffect] = []
+        for loan in self._ledger.tick(now):
+            self._counters.loans_expired += 1
+            if self.awaits_copy(loan) and loan.attempt is not None:
+                self._attempts.not_sent(loan.attempt, loan.ticket_id)
+                reason = RefusalReason.NOT_DURABLE
+                effects += self._refusals.refuse_loan(loan, reason, now)
+            self.ended(loan)
+        return effects
+
+    def adopt_unknown(
+        self,
+        tickets: Iterable[HeldTicket],
+        has_reported: Callable[[MemberId], bool],
+        now: Instant,
+    ) -> None:
+        """Enter loans of the retired owner that no member reported.
+
+        One that a member asks for again, which reported without it, is not held.
+        """
+        for held in tickets:
+            waiting = self._board.find(held.ticket_id)
+            if waiting is None or not has_reported(waiting.member_id):
+                self.adopt(None, held, now)
+
+    def adopt(self, member_id: MemberId | None, held: HeldTicket, now: Instant) -> None:
         """Enter a slot that a member holds from an earlier owner."""
         if self._ledger.loan(held.ticket_id) is not None:
             return
@@ -258,7 +285,7 @@
     def _send_durable_grant(
         self, loan: Loan, key: AttemptKey, now: Instant
     ) -> list[DispatcherEffect]:
-        if loan.member_id != self._member_id:
+        if loan.member_id is not None and loan.member_id != self._member_id:
             self._copies.held_by(key, loan.member_id, now)
             return self._send_grant(loan)
         second = self.second_member(key)
@@ -268,7 +295,7 @@
         return list(self._copies.send(key, second, now))
 
     def _send_grant(self, loan: Loan) -> list[DispatcherEffect]:
-        if loan.granted_ms is None or self._is_stopped:
+        if loan.granted_ms is None or loan.member_id is None or self._is_stopped:
             return []
         self._counters.granted += 1
         grant = TicketGrant(
--- a/tamarackmount/kernel/refusals.py
+++ b/tamarackmount/kernel/refusals.py
@@ -35,6 +35,8 @@
         self, loan: Loan, reason: RefusalReason, now: Instant
     ) -> list[DispatcherEffect]:
         """Refuse the ticket of a loan whose grant was not sent."""
+        if loan.member_id is None:
+            return []
         return self._refuse(loan.member_id, loan.ticket_id, loan.queue, reason, now)
 
     def _refuse(
--- a/tamarackmount/kernel/slots.py
+++ b/tamarackmount/kernel/slots.py
@@ -56,18 +56,15 @@
     team_id: TeamId
     queue: QueueName
     upstream_id: UpstreamId
-    member_id: MemberId
+    member_id: MemberId | None
     attempt: AttemptKey | None
     lent_until: Instant
     ends_at: Instant
     granted_ms: int | None = None
 
     def may_be_returned_by(self, member_id: MemberId) -> bool:
-        """Tell whether the member may hold the slot.
-
-        The holder of a loan that only the earlier owner reported is not known.
-        """
-        return self.granted_ms is None or self.member_id == member_id
+        """Tell whether the member may hold the slot."""
+        return self.member_id is None or self.member_id == member_id
 
 
 @dataclass(frozen=True, slots=True)
--- a/tamarackmount/kernel/takeover.py
+++ b/tamarackmount/kernel/takeover.py
@@ -1,10 +1,11 @@
 """Questions of a new owner to the members of its data centre."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from tamarackmount.ids import Epoch, Instant, MemberId
-from tamarackmount.kernel.messages import HoldingsRequest
+from tamarackmount.kernel.messages import HeldTicket, HoldingsRequest
 from tamarackmount.kernel.request_effects import RequestTiming, SendToMember, after_ms
+from tamarackmount.kernel.slots import Loan
 
 
 class Takeover:
@@ -22,6 +23,8 @@
         self._has_begun = is_done
         self._awaited: set[MemberId] = set()
         self._unanswered: set[MemberId] = set()
+        self._reported: set[MemberId] = set()
+        self._handed_over: list[HeldTicket] | None = None
         self._resend_at: Instant | None = None
 
     @property
@@ -48,9 +51,35 @@
     def reported(self, member_id: MemberId) -> bool:
         """Note a report; tell whether it was awaited."""
         was_awaited = member_id in self._awaited
+        if was_awaited:
+            self._reported.add(member_id)
         self.member_lost(member_id)
         return was_awaited
 
+    def has_reported(self, member_id: MemberId) -> bool:
+        """Tell whether the member was waited for and told what it holds."""
+        return member_id in self._reported
+
+    def is_not_held(self, loan: Loan, member_id: MemberId) -> bool:
+        """Tell whether a loan is over, given that the member asks for its ticket.
+
+        That is so when the member reported what it holds and left the ticket out,
+        as it uses no grant of an earlier owner after that.
+        """
+        return loan.member_id is None and self.has_reported(member_id)
+
+    def hand_over(self, tickets: Sequence[HeldTicket]) -> None:
+        """Keep the loans of the retired owner until every member has reported."""
+        self._handed_over = list(tickets)
+
+    def pop_handed_over(self) -> list[HeldTicket] | None:
+        """Return the loans of the retired owner once; ``None`` if there are none."""
+        if not self.is_done:
+            return None
+        handed_over = self._handed_over
+        self._handed_over = None
+        return handed_over
+
     def tick(self, now: Instant) -> list[SendToMember]:
         """Ask again those that have not answered."""
         if self._resend_at is None or now < self._resend_at:
--- a/tests/test_dispatcher_takeover.py
+++ b/tests/test_dispatcher_takeover.py
@@ -235,7 +235,7 @@
     report(successor, M1)
     report(successor, M2)
     ask(successor, "a")
-    assert grants(successor.predecessor_reported(M1, tickets, at(0.1))) == ["a"]
+    assert grants(successor.predecessor_reported(tickets, at(0.1))) == ["a"]
     assert ask(successor, "b") == []
     assert grants(successor.released(M2, build_release("old"), at(0.2))) == ["b"]
 
@@ -266,3 +266,31 @@
     assert isinstance(copy.message, AttemptCopy)
     assert dispatcher.retire(at(0)) == []
     assert dispatcher.attempt_copied(M2, copy.message.sequence, at(0.1)) == []
+
+
+def test_ticket_asked_again_replaces_the_loan_that_its_member_does_not_hold() -> None:
+    successor = build_successor(slots=1)
+    report(successor, M1)
+    report(successor, M2)
+    successor.predecessor_reported([build_held("a")], at(0))
+    assert successor.snapshot().lent == 1
+    assert grants(ask(successor, "a")) == ["a"]
+    assert successor.snapshot().lent == 1
+
+
+def test_hand_over_before_the_reports_waits_for_them() -> None:
+    successor = build_successor(slots=2)
+    ask(successor, "a")
+    successor.predecessor_reported([build_held("a"), build_held("b")], at(0))
+    report(successor, M1)
+    assert grants(report(successor, M2)) == ["a"]
+    assert successor.snapshot().lent == 2
+
+
+def test_loan_of_an_unknown_holder_is_returned_by_whoever_has_it() -> None:
+    successor = build_successor(slots=1)
+    report(successor, M1)
+    report(successor, M2)
+    successor.predecessor_reported([build_held("old")], at(0))
+    successor.released(M2, build_release("old"), at(0))
+    assert successor.snapshot().lent == 0
--- a/tests/test_request_scenarios.py
+++ b/tests/test_request_scenarios.py
@@ -217,3 +217,17 @@
     submit(fleet, 2, M3)
     proceed(fleet, 0.5)
     assert finish_of(fleet, 2).reason is RefusalReason.ALREADY_ATTEMPTED
+
+
+def test_request_whose_grant_was_under_way_at_a_hand_over_is_granted_again() -> None:
+    fleet = build_fleet()
+    submit(fleet, 1, M2, idempotent=True)
+    deliver(fleet, held_back=TicketGrant)
+    fleet.take_over(fleet.members[M3])
+    proceed(fleet, 0.3, held_back=TicketGrant)
+    (stale, fresh) = under_way(fleet, TicketGrant)
+    assert (stale.source, fresh.source) == (M1, M3)
+    fleet.deliver(stale)
+    fleet.deliver(fresh)
+    connect(fleet)
+    assert fleet.calls[1].sent
--- a/tests/utils/request_fleet.py
+++ b/tests/utils/request_fleet.py
@@ -244,7 +244,7 @@
             case HoldingsReport() as report:
                 effects = dispatcher.holdings_reported(source, report, now)
             case OwnerRetired(epoch, tickets) if epoch == dispatcher.epoch:
-                effects = dispatcher.predecessor_reported(source, tickets, now)
+                effects = dispatcher.predecessor_reported(tickets, now)
             case _:
                 return
         self._post(member, effects)
