--- a/tests/test_dispatcher_takeover.py
+++ b/tests/test_dispatcher_takeover.py
@@ -294,3 +294,16 @@
     successor.predecessor_reported([build_held("old")], at(0))
     successor.released(M2, build_release("old"), at(0))
     assert successor.snapshot().lent == 0
+
+
+def test_question_of_a_member_that_did_not_report_frees_no_loan() -> None:
+    successor = build_successor(slots=2)
+    successor.predecessor_reported([build_held("a")], at(0))
+    successor.set_members(frozenset([M1, M2, M3]), at(0))
+    request = build_ticket_request("a", remaining_ms=9_000)
+    successor.ticket_requested(M3, request, at(0))
+    report(successor, M1)
+    assert grants(report(successor, M2)) == []
+    report(successor, M3)
+    assert grants(successor.ticket_requested(M3, request, at(0.1))) == []
+    assert successor.snapshot().lent == 1
