--- a/tamarackmount/kernel/dispatcher.py
+++ b/tamarackmount/kernel/dispatcher.py
@@ -5,31 +5,25 @@
 
 from collections.abc import Collection, Mapping, Sequence
 
-from tamarackmount.ids import (
-    Epoch,
-    Instant,
-    MemberId,
-    QueueName,
-    TeamId,
-    TicketId,
-)
+from tamarackmount.ids import Epoch, Instant, MemberId, QueueName, TeamId, TicketId
 from tamarackmount.kernel.admission import Admission
 from tamarackmount.kernel.attempt_copies import AttemptCopies
 from tamarackmount.kernel.attempt_feedback import AttemptFeedback
 from tamarackmount.kernel.attempts import AttemptKey, AttemptMemory
 from tamarackmount.kernel.deadline_heap import DeadlineHeap
+from tamarackmount.kernel.dispatcher_report import explain_queue, view_upstreams
 from tamarackmount.kernel.dispatcher_view import (
     DispatcherCounters,
     DispatcherSnapshot,
     QueueExplanation,
-    UpstreamView,
 )
 from tamarackmount.kernel.lending import Lending, attempt_key
 from tamarackmount.kernel.line_limits import LineLimits
 from tamarackmount.kernel.lines import WaitingTicket
-from tamarackmount.kernel.loan_copies import LoanCopies, held_ticket
+from tamarackmount.kernel.loan_copies import LoanCopies
 from tamarackmount.kernel.messages import (
     AttemptResult,
+    HeldTicket,
     HoldingsReport,
     LoanCopied,
     LoanCopy,
@@ -46,9 +40,15 @@
     RequestTiming,
     after_ms,
 )
-from tamarackmount.kernel.slots import ListedUpstream, Loan, SlotLedger
+from tamarackmount.kernel.slots import ListedUpstream, SlotLedger
 from tamarackmount.kernel.takeover import Takeover
+from tamarackmount.kernel.ticket_ids import is_of_run
 from tamarackmount.kernel.upstream_health import UpstreamHealth
+from tamarackmount.kernel.witness_keeping import WitnessKeeping
+from tamarackmount.kernel.witness_reports import Predecessor, WitnessReports
+
+NO_PREDECESSOR = Predecessor()
+"""No owner before that is known."""
 
 
 class Dispatcher:
@@ -56,12 +56,9 @@
 
     ``fresh`` says that no earlier owner can exist, so nothing is quarantined.
     ``attempts`` is the member's memory of attempts, shared with its request table.
-    ``previous_epoch`` is that of the owner before; its witness's report can end the
-    quarantine. It does not when ``missing`` names members that may hold slots and
-    can't be asked, nor while the witness doesn't know one of ``newcomers``, members'
-    runs that may follow on ones that held slots. ``serve_alone`` lets non-idempotent
-    requests through while no second member can remember them; otherwise they are
-    refused as not durable.
+    ``predecessor`` is the owner before; its witness's report can end the quarantine.
+    ``serve_alone`` lets non-idempotent requests through while no second member can
+    remember them; otherwise they are refused as not durable.
     """
 
     def __init__(
@@ -73,9 +70,7 @@
         *,
         fresh: bool = False,
         attempts: AttemptMemory | None = None,
-        previous_epoch: Epoch | None = None,
-        missing: Collection[MemberId] = (),
-        newcomers: Collection[MemberRun] = (),
+        predecessor: Predecessor = NO_PREDECESSOR,
         serve_alone: bool = False,
     ) -> None:
         """Take over at ``now``; see :mod:`tamarackmount.kernel.slots`."""
@@ -93,12 +88,7 @@
         self._copies = AttemptCopies(member_id, attempts, timing)
         self._loan_copies = LoanCopies(epoch, member_id, timing)
         self._member_id = member_id
-        self._previous_epoch = previous_epoch
-        self._is_missing_some = bool(missing)
-        self._newcomers = frozenset(newcomers)
-        self._orphans: set[TicketId] = set()
-        self._told_whole = False
-        self._witness_knows_all = False
+        self._reports = WitnessReports(predecessor)
         self._takeover = Takeover(epoch, timing, is_done=fresh)
         self._admission = Admission(self._board, self._ledger, self._health)
         self._ended = DeadlineHeap[TicketId]()
@@ -122,6 +112,9 @@
             self.counters,
             serve_alone,
         )
+        self._witness = WitnessKeeping(
+            epoch, member_id, self._ledger, self._lending, self._loan_copies
+        )
 
     def set_upstreams(
         self, upstreams: Sequence[ListedUpstream], now: Instant
@@ -163,6 +156,8 @@
         A member that was restarted is to be left out once in between, as it has
         forgotten what it held and remembered.
         """
+        if live == self._live:
+            return self._tell_witness(runs, now)
         lost = self._live - live
         joined = live - self._live
         is_first = not self._live
@@ -172,7 +167,7 @@
         effects += self._takeover.members_joined(joined, now)
         if not is_first:
             effects += self._copy_to_joined(joined, now)
-        effects += self._tell_witness(runs, lost, now)
+        effects += self._tell_witness(runs, now)
         return effects + self._dispatch(now)
 
     def ticket_requested(
@@ -208,6 +203,7 @@
         )
         if not stays_lent:
             self._ended.set(loan.ticket_id, loan.ends_at)
+            self._takeover.returned(member_id, loan.ticket_id)
             self._lending.take_back(loan)
         return self._dispatch(now)
 
@@ -244,19 +240,11 @@
         self, member_id: MemberId, message: LoanCopied, now: Instant
     ) -> list[DispatcherEffect]:
         """Send the grants that waited for the witness to know of the loans."""
-        released = self._loan_copies.copied(member_id, message)
-        return self._lending.witnessed(released) + self._dispatch(now)
+        return self._witness.copied(member_id, message) + self._dispatch(now)
 
     def unattended(self, now: Instant) -> LoanCopy:
         """Return the loans that no live member but this one can report."""
-        return LoanCopy(
-            epoch=self.epoch,
-            sequence=0,
-            loans=[held_ticket(loan, now) for loan in self._unattended_loans()],
-            ended=[],
-            runs=self._loan_copies.runs,
-            is_whole=self._knows_all_loans(),
-        )
+        return self._witness.unattended(now, knows_all=self._knows_all_loans())
 
     def holdings_reported(
         self, member_id: MemberId, report: HoldingsReport, now: Instant
@@ -270,14 +258,11 @@
             self._copies.held_by(key, member_id, now)
         if not self._takeover.reported(member_id):
             return []
-        if report.witnessed_epoch == self._previous_epoch:
-            known = self._newcomers <= frozenset(report.witnessed_runs)
-            self._witness_knows_all = self._witness_knows_all or known
+        self._reports.take(report)
         for held in report.tickets:
-            self._lending.adopt(member_id, held, now)
-            if held.holder not in ("", member_id):
-                # The holder's present run, if there is one, can't report it.
-                self._orphans.add(held.ticket_id)
+            if not held.holder:
+                self._lending.adopt(member_id, held, now)
+                self._takeover.holds(member_id, held.ticket_id)
         if not self._takeover.is_done:
             return []
         return self._finish_takeover(now)
@@ -286,48 +271,23 @@
         """Act on every deadline that is over."""
         self._attempts.tick(now)
         self._ended.pop_due(now)
-        effects = self._expire_loans(now)
+        effects = self._lending.expire(now, self._witness.ended)
         effects += self._limits.refuse_expired(now)
         for upstream_id in self._health.tick(now):
             self._feedback.weigh(upstream_id)
         effects += self._takeover.tick(now)
         effects += self._copies.tick(now)
-        effects += self._tell_whole(now)
-        effects += self._loan_copies.tick(now)
+        effects += self._witness.tick(now, knows_all=self._knows_all_loans())
         return effects + self._dispatch(now)
 
     def explain(self, queue: QueueName) -> QueueExplanation | None:
         """Return why requests of a queue wait; ``None`` for an unknown queue."""
-        rules = self._board.rules(queue)
-        if rules is None:
-            return None
-        line = self._board.line(queue)
-        waiting_by_team = line.waiting_by_team()
-        head = next(line.heads(), None)
-        return QueueExplanation(
-            queue=queue,
-            service=rules.service,
-            policy=rules.policy,
-            waiting_by_team=waiting_by_team,
-            running_by_team=self._board.running_by_team(queue),
-            teams_at_ceiling=frozenset(filter(self._board.at_ceiling, waiting_by_team)),
-            next_team=None if head is None else head.request.team_id,
-            usable_slots=self._ledger.usable_slots(rules.service),
-            wait_ms=self._admission.wait_ms(queue),
-            quarantined_until=self._ledger.quarantined_until,
-            collecting_holdings=not self._takeover.is_done,
+        return explain_queue(
+            queue, self._board, self._ledger, self._admission, self._takeover
         )
 
     def snapshot(self) -> DispatcherSnapshot:
         """Return the dispatcher's state."""
-        upstreams_by_id = {
-            upstream_id: UpstreamView(
-                slots=count,
-                health=self._health.state(upstream_id),
-                service_s=self._health.service_s(upstream_id),
-            )
-            for upstream_id, count in self._ledger.counts().items()
-        }
         return DispatcherSnapshot(
             epoch=self.epoch,
             waiting=self._board.waiting,
@@ -336,7 +296,7 @@
             copies_pending=self._copies.pending,
             collecting_holdings=not self._takeover.is_done,
             quarantined_until=self._ledger.quarantined_until,
-            upstreams_by_id=upstreams_by_id,
+            upstreams_by_id=view_upstreams(self._ledger, self._health),
         )
 
     def _reason_against(
@@ -348,6 +308,8 @@
         reason = self._admission.reason_against(ticket, now)
         if reason is not None or not self._takeover.is_done:
             return reason
+        if not self._lending.is_durable(ticket):
+            return RefusalReason.NOT_DURABLE
         return RefusalReason.NO_UPSTREAM if self._limits.is_hopeless(ticket) else None
 
     def _dispatch(self, now: Instant) -> list[DispatcherEffect]:
@@ -362,10 +324,8 @@
         was_done = self._takeover.is_done
         if lost and not was_done:
             # What it held can't be learned any more.
-            self._is_missing_some = True
-        self._orphans |= {
-            loan.ticket_id for loan in self._ledger.loans() if loan.member_id in lost
-        }
+            self._reports.member_lost()
+        self._witness.members_lost(lost)
         self._board.remove_of(lost)
         for member_id in sorted(lost):
             self._takeover.member_lost(member_id)
@@ -388,41 +348,39 @@
     def _knows_all_loans(self) -> bool:
         return self._takeover.is_done and self._ledger.quarantined_until is None
 
-    def _unattended_loans(self) -> list[Loan]:
-        attended = self._live - {self._member_id}
-        return [
-            loan
-            for loan in self._ledger.loans()
-            if loan.member_id not in attended or loan.ticket_id in self._orphans
-        ]
+    def _adopt_witnessed(self, now: Instant) -> None:
+        """Enter the loans that witnesses told and no holder disowned."""
+        for held in self._reports.pop_tickets():
+            is_known = self._ledger.loan(held.ticket_id) is not None
+            if is_known or self._is_disowned(held):
+                continue
+            self._lending.adopt(held.holder, held, now)
+            # The holder's present run, if there is one, can't report it.
+            self._witness.orphaned(held.ticket_id)
+
+    def _is_disowned(self, held: HeldTicket) -> bool:
+        """Tell whether the run that asked for the ticket reported without it.
+
+        It uses no grant of an earlier owner after that.
+        """
+        if not self._takeover.reported_without(held.holder, held.ticket_id):
+            return False
+        return any(is_of_run(held.ticket_id, run) for run in self._loan_copies.runs)
 
     def _tell_witness(
-        self, runs: Collection[MemberRun], lost: frozenset[MemberId], now: Instant
+        self, runs: Collection[MemberRun], now: Instant
     ) -> list[DispatcherEffect]:
-        """Choose a witness, or tell the present one of what changed."""
-        runs_changed = self._loan_copies.set_runs(runs)
-        if self._loan_copies.choose(self._live):
-            self._told_whole = False
-            if self._loan_copies.witness is None:
-                return self._lending.witnessed(self._loan_copies.release_all())
-            return self._tell_whole(now)
-        loans = [loan for loan in self._ledger.loans() if loan.member_id in lost]
-        if not loans and not runs_changed:
-            return []
-        return list(self._loan_copies.tell(loans, now))
-
-    def _tell_whole(self, now: Instant) -> list[DispatcherEffect]:
-        """Tell a new witness of all loans, once they are all known here."""
-        if self._told_whole or self._loan_copies.witness is None:
-            return []
-        self._told_whole = self._knows_all_loans()
-        loans = self._unattended_loans()
-        return list(self._loan_copies.tell(loans, now, is_whole=self._told_whole))
+        return self._witness.set_members(
+            self._live, runs, now, knows_all=self._knows_all_loans()
+        )
 
     def _finish_takeover(self, now: Instant) -> list[DispatcherEffect]:
         """Start lending; copy what only this member remembers."""
         effects: list[DispatcherEffect] = []
-        if self._witness_knows_all and not self._is_missing_some:
+        self._adopt_witnessed(now)
+        runs = self._loan_copies.runs
+        reporting = [run for run in runs if self._takeover.has_reported(run.member_id)]
+        if self._reports.know_all(reporting):
             self._ledger.end_quarantine()
         for key in self._attempts.remembered():
             if not self._copies.has_holder(key):
@@ -433,15 +391,3 @@
         if not self._takeover.is_done:
             return []
         return self._limits.refuse_hopeless(now)
-
-    def _expire_loans(self, now: Instant) -> list[DispatcherEffect]:
-        effects: list[DispatcherEffect] = []
-        for loan in self._ledger.tick(now):
-            self._orphans.discard(loan.ticket_id)
-            self.counters.loans_expired += 1
-            if self._lending.awaits_copy(loan) and loan.attempt is not None:
-                self._attempts.not_sent(loan.attempt, loan.ticket_id)
-                reason = RefusalReason.NOT_DURABLE
-                effects += self._refusals.refuse_loan(loan, reason, now)
-            self._lending.ended(loan)
-        return effects
--- a/tamarackmount/kernel/request_part.py
+++ b/tamarackmount/kernel/request_part.py
@@ -65,6 +65,7 @@
 )
 from tamarackmount.kernel.requests import RequestTable
 from tamarackmount.kernel.slots import ListedUpstream
+from tamarackmount.kernel.witness_reports import Predecessor
 
 HOME_RETRY_MS = 1_000
 """Time to come back after a refusal because of an unreachable data centre."""
@@ -219,11 +220,7 @@
             now,
             fresh=taken.is_first,
             attempts=self._table.attempts,
-            previous_epoch=taken.previous_epoch,
-            missing=self._missing(taken.previous_owner, now),
-            newcomers=self._membership.newcomers(
-                self._data_centre, self._longest_loan_s(), now
-            ),
+            predecessor=self._predecessor(taken, now),
         )
         self._dispatcher = dispatcher
         runs = self._membership.runs(live)
@@ -273,6 +270,17 @@
             effects += self._from_dispatcher(self._dispatcher.tick(now), now)
         return effects + self._expire_forwards(now)
 
+    def _predecessor(self, taken: OwnershipTaken, now: Instant) -> Predecessor:
+        newcomers = self._membership.newcomers(
+            self._data_centre, self._longest_loan_s(), now
+        )
+        return Predecessor(
+            epoch=taken.previous_epoch,
+            owner=taken.previous_owner,
+            missing=self._missing(taken.previous_owner, now),
+            newcomers=newcomers,
+        )
+
     def _missing(self, previous: MemberId | None, now: Instant) -> frozenset[MemberId]:
         """Return members that may hold slots and can't be asked.
 
--- a/tamarackmount/kernel/requests.py
+++ b/tamarackmount/kernel/requests.py
@@ -22,6 +22,7 @@
     AttemptResult,
     HeldTicket,
     HoldingsReport,
+    MemberRun,
     Outcome,
     RefusalReason,
     TicketGrant,
@@ -42,6 +43,7 @@
 )
 from tamarackmount.kernel.request_entry import RequestEntry, RunningAttempt
 from tamarackmount.kernel.retry_budget import RetryBudget
+from tamarackmount.kernel.ticket_ids import ticket_prefix
 from tamarackmount.kernel.used_tickets import UsedTickets
 
 
@@ -57,7 +59,7 @@
     ) -> None:
         """Create an empty table of a member that knows no owner yet."""
         self._timing = timing
-        self._ticket_prefix = f"{member_id}/{incarnation}/"
+        self._ticket_prefix = ticket_prefix(MemberRun(member_id, incarnation))
         self._ticket_numbers = count(1)
         self._owner = KnownOwner(timing.owner_grace_ms)
         self._requests_by_call: dict[int, RequestEntry] = {}
@@ -170,7 +172,8 @@
         if owner is None:
             self._owner.lost(now)
             return []
-        self._owner.found(owner)
+        if not self._owner.found(owner):
+            return []
         effects: list[RequestEffect] = []
         for request in self._waiting_requests():
             effects += self._ask(request, now)
@@ -333,7 +336,9 @@
         self._resends.discard(call_id)
 
     def _give_back_unknown(self, ticket_id: TicketId) -> list[RequestEffect]:
-        if ticket_id in self._used:
+        # An earlier run of this member may have used its tickets.
+        is_own = ticket_id.startswith(self._ticket_prefix)
+        if ticket_id in self._used or not is_own:
             return []
         return [_release(ticket_id, AttemptResult.UNUSED, 0)]
 
--- a/tamarackmount/kernel/takeover.py
+++ b/tamarackmount/kernel/takeover.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from tamarackmount.ids import Epoch, Instant, MemberId
+from tamarackmount.ids import Epoch, Instant, MemberId, TicketId
 from tamarackmount.kernel.messages import HoldingsRequest
 from tamarackmount.kernel.request_effects import RequestTiming, SendToMember, after_ms
 
@@ -22,6 +22,8 @@
         self._has_begun = is_done
         self._awaited: set[MemberId] = set()
         self._unanswered: set[MemberId] = set()
+        self._reported: set[MemberId] = set()
+        self._held_by_member: dict[MemberId, set[TicketId]] = {}
         self._resend_at: Instant | None = None
 
     @property
@@ -41,16 +43,38 @@
         return self._ask(asked, now)
 
     def member_lost(self, member_id: MemberId) -> None:
-        """Wait no longer for a member."""
+        """Wait no longer for a member, whose later runs reported nothing."""
         self._awaited.discard(member_id)
         self._unanswered.discard(member_id)
+        self._reported.discard(member_id)
+        self._held_by_member.pop(member_id, None)
 
     def reported(self, member_id: MemberId) -> bool:
         """Note a report; tell whether it was awaited."""
         was_awaited = member_id in self._awaited
-        self.member_lost(member_id)
+        self._awaited.discard(member_id)
+        self._unanswered.discard(member_id)
+        if was_awaited:
+            self._reported.add(member_id)
         return was_awaited
 
+    def holds(self, member_id: MemberId, ticket_id: TicketId) -> None:
+        """Note a slot that a member itself reports."""
+        self._held_by_member.setdefault(member_id, set()).add(ticket_id)
+
+    def returned(self, member_id: MemberId, ticket_id: TicketId) -> None:
+        """Note that a member gave a slot back."""
+        self._held_by_member.get(member_id, set()).discard(ticket_id)
+
+    def has_reported(self, member_id: MemberId) -> bool:
+        """Tell whether the member was waited for and told what it holds."""
+        return member_id in self._reported
+
+    def reported_without(self, member_id: MemberId, ticket_id: TicketId) -> bool:
+        """Tell whether a member was waited for and left a ticket out."""
+        held = self._held_by_member.get(member_id, set())
+        return self.has_reported(member_id) and ticket_id not in held
+
     def tick(self, now: Instant) -> list[SendToMember]:
         """Ask again those that have not answered."""
         if self._resend_at is None or now < self._resend_at:
--- a/tests/test_loan_witness.py
+++ b/tests/test_loan_witness.py
@@ -12,6 +12,7 @@
     MemberRun,
 )
 from tamarackmount.kernel.request_effects import DispatcherEffect
+from tamarackmount.kernel.witness_reports import Predecessor
 from tests.utils.build_requests import (
     M1,
     M2,
@@ -62,9 +63,12 @@
     return build_dispatcher(
         upstreams=build_upstreams(slots=slots),
         fresh=False,
-        previous_epoch=BEFORE,
-        missing=missing,
-        newcomers=newcomers,
+        predecessor=Predecessor(
+            epoch=BEFORE,
+            owner=M3,
+            missing=frozenset(missing),
+            newcomers=frozenset(newcomers),
+        ),
     )
 
 
