Machine of witnesses: two of three members away at once

Idempotent traffic alone, so members may die, pause or restart at any moment, two at a time; slots, team ceilings and final outcomes are checked.

--- /dev/null
+++ b/tests/test_witness_machine.py
@@ -0,0 +1,197 @@
+"""Slots and ceilings hold while two of three members may be away at once.
+
+All traffic is idempotent, so no attempt has to be remembered and members may fail at
+any moment: dead, paused or freshly restarted.
+"""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from tamarackmount.ids import Instant, MemberId, RequestId, TeamId
+from tamarackmount.kernel.messages import LoanCopied, LoanCopy
+from tamarackmount.kernel.request_effects import NewRequest
+from tests.utils.build_requests import COUNTER, DESIGN, M1, M2, M3, RETAIL
+from tests.utils.request_faults import FaultyFleet
+from tests.utils.request_fleet import Member
+
+MEMBER = st.sampled_from([M1, M2, M3])
+"""A member; most rules pass over one that is away."""
+
+INDEX = st.integers(0, 1_000)
+"""Picks one of what there is, by its remainder."""
+
+TEAMS = st.lists(st.sampled_from([RETAIL, DESIGN, DESIGN]), min_size=1, max_size=4)
+
+
+class WitnessMachine(RuleBasedStateMachine):
+    """One data centre that may lose its owner and another member together."""
+
+    def __init__(self) -> None:
+        """Start with three members and no owner."""
+        super().__init__()
+        self.fleet = FaultyFleet()
+        self.call_number = 0
+
+    @initialize()
+    def first_owner(self) -> None:
+        self.fleet.take_over(self.fleet.members[M1], fresh=True)
+        self.deliver_all()
+        self.deliver_all()
+
+    def running(self, member_id: MemberId) -> Member:
+        """Return a member, or the next one that runs."""
+        running = self.fleet.running()
+        wanted = [member for member in running if member.member_id >= member_id]
+        return (wanted or running)[0]
+
+    @rule(member_id=MEMBER, teams=TEAMS)
+    def submit(self, member_id: MemberId, teams: list[TeamId]) -> None:
+        for team_id in teams:
+            self.submit_one(self.running(member_id), team_id)
+
+    def submit_one(self, member: Member, team_id: TeamId) -> None:
+        self.call_number += 1
+        seconds = 3.0
+        request = NewRequest(
+            call_id=self.call_number,
+            request_id=RequestId(f"query-{self.call_number}"),
+            team_id=team_id,
+            queue=COUNTER,
+            idempotent=True,
+            deadline=Instant(self.fleet.clock(member.member_id, seconds)),
+        )
+        self.fleet.submit(member, request, self.fleet.now + seconds)
+
+    @rule(member_id=MEMBER, teams=TEAMS, holds_copies=st.booleans())
+    def work(
+        self, member_id: MemberId, teams: list[TeamId], holds_copies: bool
+    ) -> None:
+        """Bring requests of one member to their upstreams."""
+        self.submit(member_id, teams)
+        for _ in range(3):
+            self.deliver_all(holds_copies=holds_copies)
+        self.connect_all()
+        self.fleet.check()
+
+    @rule(holds_copies=st.booleans())
+    def deliver_all(self, holds_copies: bool = False) -> None:
+        """Deliver what is under way, but perhaps not what goes to witnesses."""
+        for envelope in self.fleet.deliverable():
+            is_copy = isinstance(envelope.message, LoanCopy | LoanCopied)
+            if not (holds_copies and is_copy):
+                self.fleet.network.remove(envelope)
+                self.fleet.deliver(envelope)
+
+    @precondition(lambda self: self.fleet.deliverable())
+    @rule(index=INDEX)
+    def deliver_one(self, index: int) -> None:
+        envelopes = self.fleet.deliverable()
+        envelope = envelopes[index % len(envelopes)]
+        self.fleet.network.remove(envelope)
+        self.fleet.deliver(envelope)
+
+    @precondition(lambda self: self.fleet.deliverable())
+    @rule(index=INDEX)
+    def double(self, index: int) -> None:
+        envelopes = self.fleet.deliverable()
+        self.fleet.deliver(envelopes[index % len(envelopes)])
+
+    @precondition(lambda self: self.fleet.network)
+    @rule(index=INDEX)
+    def lose(self, index: int) -> None:
+        del self.fleet.network[index % len(self.fleet.network)]
+
+    @rule()
+    def connect_all(self) -> None:
+        for execution in self.fleet.connecting():
+            self.fleet.connect(execution)
+
+    @precondition(lambda self: self.fleet.answerable())
+    @rule(index=INDEX)
+    def answer(self, index: int) -> None:
+        executions = self.fleet.answerable()
+        self.fleet.answer(executions[index % len(executions)])
+
+    @rule(seconds=st.sampled_from([0.01, 0.1, 0.2, 0.5, 0.9]))
+    def advance(self, seconds: float) -> None:
+        self.fleet.advance(seconds)
+        self.fleet.check_in_time()
+
+    @rule()
+    def announce(self) -> None:
+        self.fleet.announce()
+        self.fleet.tell_owner_of_members()
+
+    @precondition(lambda self: len(self.fleet.running()) > 1)
+    @rule(member_id=MEMBER, kills=st.booleans(), is_noticed=st.booleans())
+    def lose_member(self, member_id: MemberId, kills: bool, is_noticed: bool) -> None:
+        self.lose_one(self.running(member_id), kills)
+        if is_noticed:
+            self.fleet.tell_owner_of_members()
+
+    def lose_one(self, member: Member, kills: bool) -> None:
+        if kills:
+            self.fleet.kill(member)
+        else:
+            self.fleet.pause(member)
+
+    @rule(member_id=MEMBER)
+    def come_back(self, member_id: MemberId) -> None:
+        member = self.fleet.members[member_id]
+        if not member.is_up:
+            self.fleet.restart(member)
+        elif member.is_paused:
+            self.fleet.resume(member)
+        self.fleet.tell_owner_of_members()
+
+    @precondition(lambda self: len(self.fleet.running()) > 1)
+    @rule(member_id=MEMBER, kills=st.booleans())
+    def restart(self, member_id: MemberId, kills: bool) -> None:
+        member = self.running(member_id)
+        if member.member_id == self.fleet.owner:
+            return
+        self.fleet.kill(member)
+        self.fleet.restart(member)
+        if kills:
+            self.fleet.tell_owner_of_members()
+
+    @precondition(lambda self: len(self.fleet.running()) > 1)
+    @rule(kills=st.booleans(), successor=MEMBER, rounds=st.integers(0, 3))
+    def fail_over(self, kills: bool, successor: MemberId, rounds: int) -> None:
+        """Lose the owner in the middle of its work; another one takes over."""
+        owner = self.fleet.dispatching_owner()
+        if owner is not None:
+            self.lose_one(owner, kills)
+        self.fleet.take_over(self.running(successor))
+        for _ in range(rounds):
+            self.deliver_all()
+        self.connect_all()
+
+    @precondition(lambda self: self.fleet.owner_is_away())
+    @rule(member_id=MEMBER)
+    def succeed(self, member_id: MemberId) -> None:
+        self.fleet.take_over(self.running(member_id))
+
+    @rule(member_id=MEMBER, chance=st.integers(0, 2))
+    def hand_over(self, member_id: MemberId, chance: int) -> None:
+        if not chance:
+            self.fleet.take_over(self.running(member_id))
+
+    @invariant()
+    def promises_hold(self) -> None:
+        self.fleet.check()
+
+    def teardown(self) -> None:
+        self.fleet.end_quietly()
+        self.fleet.check()
+
+
+TestWitnessMachine = WitnessMachine.TestCase
+TestWitnessMachine.settings = settings(max_examples=150, stateful_step_count=50)
