--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,15 @@
-# Entry points: install, demo, test, codestyle, types, clean.
+# Entry points: install, demo, capacity, test, prove, codestyle, types, clean.
 
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 ARGS ?=
+STEPS ?= 80
+HISTORIES ?= 5
+SEED ?= 1
 
-.PHONY: install demo test codestyle types format clean
+.PHONY: install demo capacity test prove codestyle types format clean
 
 install: $(STAMP)
 
@@ -18,9 +21,16 @@
 demo: install
 	@$(BIN)/python -m tamarackmount.demo $(ARGS)
 
+capacity: install
+	@$(BIN)/python -m tamarackmount.bench capacity $(ARGS)
+
 test: install
 	$(BIN)/python -m pytest $(ARGS)
 
+prove: install
+	PROVE_STEPS=$(STEPS) PROVE_HISTORIES=$(HISTORIES) PROVE_SEED=$(SEED) \
+		$(BIN)/python -m pytest $(wildcard tests/test_*machine.py)
+
 codestyle: install
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
--- a/tamarackmount/kernel/jobs.py
+++ b/tamarackmount/kernel/jobs.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from tamarackmount.ids import Epoch, Instant, JobId, RackId, TaskId, TeamId, WorkerId
@@ -45,9 +45,6 @@
 )
 """States that a task does not leave, unless its gang starts anew."""
 
-OPEN_JOB_STATES = frozenset({JobState.WAITING, JobState.RUNNING})
-"""Job states in which a task may still start or run."""
-
 
 class AttemptPhase(Enum):
     """How far an attempt is, as the owner knows it."""
@@ -123,11 +120,11 @@
     start_answered: bool = False
     stop_reason: StopReason = StopReason.NONE
     why: str = ""
+    task_id: TaskId = field(init=False)
 
-    @property
-    def task_id(self) -> TaskId:
-        """Return the id of the attempt's task."""
-        return task_id(self.job.id, self.index)
+    def __post_init__(self) -> None:
+        """Name the attempt's task."""
+        self.task_id = task_id(self.job.id, self.index)
 
     @property
     def amount(self) -> Resources:
--- a/tamarackmount/kernel/scheduler.py
+++ b/tamarackmount/kernel/scheduler.py
@@ -11,6 +11,8 @@
   takeover, unless the worker has answered a sync of this epoch and so refuses it;
 - a worker ends an attempt whose lease it did not see renewed, and its clock runs
   slow by less than ``clock_margin_s`` over a lease;
+- records that a former owner saves are held no more once those held so far were
+  given to ``restore``;
 - a worker reports every attempt that it has not been told to forget.
 """
 
@@ -94,7 +96,6 @@
         self._placing = Placing(cell, self._attempts, self._ends, chosen)
         self._restoring = Restoring(cell, self._ends, self._placing)
         self._calls = JobCalls(cell, self._ends, self._placing)
-        self._taken_over_at = now
 
     def restore(self, records: Sequence[str], now: Instant) -> list[JobEffect]:
         """Take over jobs from records that peers or the log hold."""
@@ -107,7 +108,8 @@
     ) -> list[JobEffect]:
         """Replace the shares and ceilings of all teams in this data centre."""
         self._begin()
-        self._cell.accounts.set_limits(teams_by_id)
+        if not self._cell.accounts.set_limits(teams_by_id):
+            return self._finish(now)
         self._cell.place_needed = True
         runnable.check_all(self._cell, now)
         ceilings.enforce_all(self._cell, self._ends, now)
@@ -131,6 +133,7 @@
         )
         if before != self._cell.ledger.workers_by_capacity:
             runnable.check_all(self._cell, now)
+            self._cell.place_needed = True
         return self._finish(now)
 
     def call(self, origin: MemberId, call: JobCall, now: Instant) -> list[JobEffect]:
@@ -294,16 +297,11 @@
             if not is_start_reply:
                 self._attempts.stop(attempt, attempt.stop_reason, now)
         elif attempt.phase is AttemptPhase.STOPPING:
-            self._sync_soon(attempt.worker_id, now)
+            link = self._cell.links_by_worker[attempt.worker_id]
+            self._syncs.sync_soon(link, now)
         elif reply.result is CommandResult.DONE:
             attempt.phase = AttemptPhase.RUNNING
 
-    def _sync_soon(self, worker_id: WorkerId, now: Instant) -> None:
-        """Have the worker's report say without delay that an attempt is over."""
-        link = self._cell.links_by_worker[worker_id]
-        if not link.sync_out and link.next_sync_at > now:
-            self._syncs.schedule(link, now)
-
     def _drop_old(self, now: Instant) -> None:
         dropped = self._cell.table.take_dropped(now)
         if not dropped:
