--- a/tamarackmount/kernel/lending.py
+++ b/tamarackmount/kernel/lending.py
@@ -1,6 +1,6 @@
 """Lending of upstream slots to waiting tickets, and taking them back."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from itertools import islice
 
@@ -80,12 +80,20 @@
         """Set the members that copies can go to."""
         self._live = live
 
+    def is_durable(self, ticket: WaitingTicket) -> bool:
+        """Tell whether enough members can remember a non-idempotent request."""
+        if ticket.request.idempotent or self._serve_alone:
+            return True
+        if ticket.member_id != self._member_id:
+            return True
+        return self.second_member(attempt_key(ticket.request)) is not None
+
     def second_member(self, key: AttemptKey) -> MemberId | None:
         """Return a live member other than the owner, spread by key."""
         others = sorted(self._live - {self._member_id})
         if not others:
             return None
-        # Python's hash of strings differs between runs; the length does not.
+        # Python's hash of strings differs between runs; the sum of bytes does not.
         return others[sum(key.request_id.encode()) % len(others)]
 
     def dispatch(self, now: Instant) -> list[DispatcherEffect]:
@@ -165,6 +173,21 @@
             self._attempts.not_sent(loan.attempt, loan.ticket_id)
         self.take_back(loan)
 
+    def expire(
+        self, now: Instant, note_end: Callable[[TicketId], None]
+    ) -> list[DispatcherEffect]:
+        """End the loans that are over, and refuse those that were never granted."""
+        effects: list[DispatcherEffect] = []
+        for loan in self._ledger.tick(now):
+            note_end(loan.ticket_id)
+            self._counters.loans_expired += 1
+            if self.awaits_copy(loan) and loan.attempt is not None:
+                self._attempts.not_sent(loan.attempt, loan.ticket_id)
+                reason = RefusalReason.NOT_DURABLE
+                effects += self._refusals.refuse_loan(loan, reason, now)
+            self.ended(loan)
+        return effects
+
     def adopt(self, member_id: MemberId, held: HeldTicket, now: Instant) -> None:
         """Enter a slot that a member reports, held from an earlier owner."""
         if self._ledger.loan(held.ticket_id) is not None:
@@ -223,11 +246,7 @@
         key = attempt_key(ticket.request)
         if self._attempts.knows(key):
             return RefusalReason.ALREADY_ATTEMPTED
-        if ticket.member_id != self._member_id or self._serve_alone:
-            return None
-        if self.second_member(key) is None:
-            return RefusalReason.NOT_DURABLE
-        return None
+        return None if self.is_durable(ticket) else RefusalReason.NOT_DURABLE
 
     def _loan(
         self, ticket: WaitingTicket, upstream_id: UpstreamId, now: Instant
--- a/tests/utils/build_requests.py
+++ b/tests/utils/build_requests.py
@@ -14,7 +14,7 @@
     TicketId,
     UpstreamId,
 )
-from tamarackmount.kernel.dispatcher import Dispatcher
+from tamarackmount.kernel.dispatcher import NO_PREDECESSOR, Dispatcher
 from tamarackmount.kernel.lines import WaitingTicket
 from tamarackmount.kernel.messages import (
     AttemptResult,
@@ -34,6 +34,7 @@
 )
 from tamarackmount.kernel.requests import RequestTable
 from tamarackmount.kernel.slots import ListedUpstream
+from tamarackmount.kernel.witness_reports import Predecessor
 
 M1 = MemberId("m1")
 M2 = MemberId("m2")
@@ -160,21 +161,20 @@
     members: Sequence[MemberId] = (M1, M2),
     timing: RequestTiming = TIMING,
     fresh: bool = True,
-    previous_epoch: Epoch | None = None,
-    missing: Sequence[MemberId] = (),
-    newcomers: Sequence[MemberRun] = (),
+    predecessor: Predecessor = NO_PREDECESSOR,
     serve_alone: bool = False,
+    epoch: int = 1,
+    member_id: MemberId = M1,
+    runs: Sequence[MemberRun] = (),
 ) -> Dispatcher:
     """Return a dispatcher of ``m1`` in epoch 1 with one queue, as of time 0."""
     dispatcher = Dispatcher(
-        Epoch(1),
-        M1,
+        Epoch(epoch),
+        member_id,
         timing,
         at(0),
         fresh=fresh,
-        previous_epoch=previous_epoch,
-        missing=missing,
-        newcomers=newcomers,
+        predecessor=predecessor,
         serve_alone=serve_alone,
     )
     dispatcher.set_queues({COUNTER: rules or QueueRules(SERVICE)}, at(0))
@@ -182,7 +182,7 @@
     dispatcher.set_upstreams(
         build_upstreams() if upstreams is None else upstreams, at(0)
     )
-    dispatcher.set_members(frozenset(members), at(0))
+    dispatcher.set_members(frozenset(members), at(0), runs)
     return dispatcher
 
 
