--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,7 @@
 """Settings shared by all tests: hypothesis runs the same examples every time.
 
-``PROVE_STEPS`` sets the steps of one run of a state machine and ``PROVE_SEED`` the
-seed, for longer searches by hand. Tests listed in ``KNOWN-RED.txt`` are passed over
+``PROVE_SEED`` sets the seed of longer searches by hand; their size is in
+``tests/utils/prove.py``. Tests listed in ``KNOWN-RED.txt`` are passed over
 and printed, unless ``KNOWN_RED=run``.
 """
 
@@ -20,7 +20,6 @@
     derandomize=_SEED is None,
     deadline=None,
     database=None,
-    stateful_step_count=int(os.environ.get("PROVE_STEPS", "50")),
     suppress_health_check=list(HealthCheck),
 )
 settings.load_profile("ci")
--- a/tests/test_node_machine.py
+++ b/tests/test_node_machine.py
@@ -1,6 +1,5 @@
 """Two data centres of three members under every fault, in any order."""
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -11,6 +10,7 @@
 
 from tamarackmount.ids import ConfigPath, Epoch, Incarnation, MemberId, Offset
 from tests.utils.node_fleet import TEAM_PATH, NodeFleet, Submission
+from tests.utils.prove import machine_settings
 
 NAMES = [f"dc{dc}-{letter}" for dc in (1, 2) for letter in "abc"]
 MEMBERS = st.sampled_from(NAMES)
@@ -230,4 +230,4 @@
 
 
 TestNodes = NodeMachine.TestCase
-TestNodes.settings = settings(max_examples=10)
+TestNodes.settings = machine_settings(histories=10, steps=50)
--- a/tests/test_request_machine.py
+++ b/tests/test_request_machine.py
@@ -6,7 +6,6 @@
 
 from dataclasses import dataclass
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -19,6 +18,7 @@
 from tamarackmount.ids import Instant, RequestId, TeamId
 from tamarackmount.kernel.request_effects import NewRequest
 from tests.utils.build_requests import COUNTER, DESIGN, M1, RETAIL
+from tests.utils.prove import machine_settings
 from tests.utils.request_faults import FaultyFleet
 from tests.utils.request_fleet import Member
 
@@ -228,4 +228,4 @@
 
 
 TestRequestMachine = RequestMachine.TestCase
-TestRequestMachine.settings = settings(max_examples=500, stateful_step_count=40)
+TestRequestMachine.settings = machine_settings(histories=500, steps=40)
--- a/tests/test_scheduler_machine.py
+++ b/tests/test_scheduler_machine.py
@@ -2,7 +2,6 @@
 
 from typing import Any
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -21,6 +20,7 @@
 from tamarackmount.kernel.messages import JobAction
 from tests.utils.build_jobs import call_on, spec_text, submit, worker
 from tests.utils.faulty_cell import FaultyCell
+from tests.utils.prove import machine_settings
 
 TEAMS = [TeamId("retail"), TeamId("print")]
 WORKERS = ["w1", "w2", "w3"]
@@ -214,5 +214,5 @@
 
 def test_invariants_hold_under_faults() -> None:
     run_state_machine_as_test(
-        SchedulerMachine, settings=settings(max_examples=80, stateful_step_count=40)
+        SchedulerMachine, settings=machine_settings(histories=80, steps=40)
     )
--- a/tests/test_witness_machine.py
+++ b/tests/test_witness_machine.py
@@ -4,7 +4,6 @@
 any moment: dead, paused or freshly restarted.
 """
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -18,6 +17,7 @@
 from tamarackmount.kernel.messages import LoanCopied, LoanCopy
 from tamarackmount.kernel.request_effects import NewRequest
 from tests.utils.build_requests import COUNTER, DESIGN, M1, M2, M3, RETAIL
+from tests.utils.prove import machine_settings
 from tests.utils.request_faults import FaultyFleet
 from tests.utils.request_fleet import Member
 
@@ -194,4 +194,4 @@
 
 
 TestWitnessMachine = WitnessMachine.TestCase
-TestWitnessMachine.settings = settings(max_examples=150, stateful_step_count=50)
+TestWitnessMachine.settings = machine_settings(histories=150, steps=50)
