State machine: late writes, falling apart without the log, woken owners

Change: rules for a change written late, a data centre that falls apart without the log and lost confirmations; retention of 15 records; what a member does as owner after a long pause is noted by the fleet.

--- a/tests/test_node_machine.py
+++ b/tests/test_node_machine.py
@@ -10,7 +10,8 @@
 )
 
 from tamarackmount.ids import ConfigPath, Epoch, Incarnation, MemberId, Offset
-from tests.utils.node_fleet import TEAM_PATH, NodeFleet, Submission
+from tamarackmount.kernel.messages import ConfigSync, JobCopied, JobCopy, JobsHeld
+from tests.utils.node_fleet import TEAM_PATH, LostKind, NodeFleet, Submission
 
 NAMES = [f"dc{dc}-{letter}" for dc in (1, 2) for letter in "abc"]
 MEMBERS = st.sampled_from(NAMES)
@@ -31,7 +32,7 @@
     the durability of jobs promises no more.
     """
 
-    @initialize(seed=st.integers(0, 1_000_000), keep=st.sampled_from([60, 100_000]))
+    @initialize(seed=st.integers(0, 1_000_000), keep=st.sampled_from([15, 100_000]))
     def start(self, seed: int, keep: int) -> None:
         self.fleet = NodeFleet(seed=seed).configured()
         self.fleet.log.keep = keep
@@ -141,6 +142,32 @@
         self.fleet.log.late_appends = late
         self.fleet.run(seconds)
 
+    @rule(name=MEMBERS)
+    def change_is_written_late(self, name: str) -> None:
+        # The log fails after it took a change, which takes effect much later.
+        self.fleet.log.down = False
+        self.fleet.log.late_appends = 1
+        self.fleet.log.late_s = 15.0
+        self.operator_changes(name, old=False)
+        self.fleet.run(1.0)
+        self.fleet.log.down = True
+        self.fleet.run(QUIET_S)
+
+    @rule(dc=st.sampled_from(["dc1", "dc2"]), seconds=TIMES)
+    def data_centre_falls_apart_without_the_log(self, dc: str, seconds: float) -> None:
+        self.fleet.log.down = True
+        self.fleet.cut(self.fleet.names(dc), self.fleet.names(dc))
+        self.fleet.run(5.0)
+        self.fleet.heal_network()
+        self.fleet.run(seconds)
+
+    @rule(name=MEMBERS, seconds=TIMES)
+    def confirmations_are_lost(self, name: str, seconds: float) -> None:
+        kinds = (JobCopied, JobsHeld, JobCopy, ConfigSync)
+        self.fleet.lost_kinds |= {LostKind(kind, name) for kind in kinds}
+        self.caller_submits(name, there=False)
+        self.fleet.run(seconds)
+
     @rule(seconds=TIMES)
     def everything_heals(self, seconds: float) -> None:
         self.fleet.heal()
@@ -230,4 +257,4 @@
 
 
 TestNodes = NodeMachine.TestCase
-TestNodes.settings = settings(max_examples=10)
+TestNodes.settings = settings(max_examples=14)
--- a/tests/utils/node_fleet.py
+++ b/tests/utils/node_fleet.py
@@ -55,7 +55,12 @@
 from tamarackmount.kernel.job_records import read_record
 from tamarackmount.kernel.log_writer import AppendResult
 from tamarackmount.kernel.membership import Member
-from tamarackmount.kernel.messages import AttemptResult, JobAction, JobCall
+from tamarackmount.kernel.messages import (
+    AttemptResult,
+    JobAction,
+    JobCall,
+    TicketGrant,
+)
 from tamarackmount.kernel.node import Node, NodeTiming
 from tamarackmount.kernel.request_part import CallerRequest
 from tests.utils.build_jobs import spec_text, worker
@@ -86,6 +91,8 @@
     offset_s: float
     started_at: float
     paused_until: float = 0.0
+    active_at: float = 0.0
+    woke_up: bool = False
     reading: bool = False
     next_poll: float = 0.0
     inbox: list[Callable[[], None]] = field(default_factory=list)
@@ -345,9 +352,24 @@
         if run.paused_until > self.now:
             run.inbox.append(lambda: self.feed(run, decide))
             return
+        lease_s = self.timing.members.owner_lease_s
+        if run.active_at and self.now - run.active_at > lease_s:
+            run.woke_up = True
+        run.active_at = self.now
         for effect in decide(Instant(self.now + run.offset_s)):
+            self._check_woken(run, effect)
             self._carry_out(run, effect)
 
+    def _check_woken(self, run: Run, effect: Effect) -> None:
+        """Note what a member does as owner after a long pause, before it owns anew."""
+        if isinstance(effect, RoleChanged) and effect.is_owner:
+            run.woke_up = False
+        grants = isinstance(effect, SendPeer) and isinstance(
+            effect.message, TicketGrant
+        )
+        if run.woke_up and (grants or isinstance(effect, CallWorker)):
+            self.misowned.append(f"{run.member.id} woke up at {self.now}")
+
     # Effects
 
     def _carry_out(self, run: Run, effect: Effect) -> None:
