--- a/tamarackmount/kernel/dispatcher.py
+++ b/tamarackmount/kernel/dispatcher.py
@@ -3,33 +3,31 @@
 A dispatcher must not be called after its member's ownership has lapsed.
 """
 
-from collections.abc import Mapping, Sequence
-
-from tamarackmount.ids import (
-    Epoch,
-    Instant,
-    MemberId,
-    QueueName,
-    TeamId,
-    TicketId,
-)
+from collections.abc import Collection, Mapping, Sequence
+
+from tamarackmount.ids import Epoch, Instant, MemberId, QueueName, TeamId, TicketId
 from tamarackmount.kernel.admission import Admission
 from tamarackmount.kernel.attempt_copies import AttemptCopies
 from tamarackmount.kernel.attempt_feedback import AttemptFeedback
 from tamarackmount.kernel.attempts import AttemptKey, AttemptMemory
 from tamarackmount.kernel.deadline_heap import DeadlineHeap
+from tamarackmount.kernel.dispatcher_report import explain_queue, view_upstreams
 from tamarackmount.kernel.dispatcher_view import (
     DispatcherCounters,
     DispatcherSnapshot,
     QueueExplanation,
-    UpstreamView,
 )
 from tamarackmount.kernel.lending import Lending, attempt_key
 from tamarackmount.kernel.line_limits import LineLimits
 from tamarackmount.kernel.lines import WaitingTicket
+from tamarackmount.kernel.loan_copies import LoanCopies
 from tamarackmount.kernel.messages import (
     AttemptResult,
+    HeldTicket,
     HoldingsReport,
+    LoanCopied,
+    LoanCopy,
+    MemberRun,
     RefusalReason,
     TicketRelease,
     TicketRequest,
@@ -44,7 +42,13 @@
 )
 from tamarackmount.kernel.slots import ListedUpstream, SlotLedger
 from tamarackmount.kernel.takeover import Takeover
+from tamarackmount.kernel.ticket_ids import is_of_run
 from tamarackmount.kernel.upstream_health import UpstreamHealth
+from tamarackmount.kernel.witness_keeping import WitnessKeeping
+from tamarackmount.kernel.witness_reports import Predecessor, WitnessReports
+
+NO_PREDECESSOR = Predecessor()
+"""No owner before that is known."""
 
 
 class Dispatcher:
@@ -52,6 +56,7 @@
 
     ``fresh`` says that no earlier owner can exist, so nothing is quarantined.
     ``attempts`` is the member's memory of attempts, shared with its request table.
+    ``predecessor`` is the owner before; its witness's report can end the quarantine.
     ``serve_alone`` lets non-idempotent requests through while no second member can
     remember them; otherwise they are refused as not durable.
     """
@@ -65,6 +70,7 @@
         *,
         fresh: bool = False,
         attempts: AttemptMemory | None = None,
+        predecessor: Predecessor = NO_PREDECESSOR,
         serve_alone: bool = False,
     ) -> None:
         """Take over at ``now``; see :mod:`tamarackmount.kernel.slots`."""
@@ -80,6 +86,9 @@
             attempts = AttemptMemory(timing.attempt_memory_ms)
         self._attempts = attempts
         self._copies = AttemptCopies(member_id, attempts, timing)
+        self._loan_copies = LoanCopies(epoch, member_id, timing)
+        self._member_id = member_id
+        self._reports = WitnessReports(predecessor)
         self._takeover = Takeover(epoch, timing, is_done=fresh)
         self._admission = Admission(self._board, self._ledger, self._health)
         self._ended = DeadlineHeap[TicketId]()
@@ -98,10 +107,14 @@
             self._ledger,
             attempts,
             self._copies,
+            self._loan_copies,
             self._refusals,
             self.counters,
             serve_alone,
         )
+        self._witness = WitnessKeeping(
+            epoch, member_id, self._ledger, self._lending, self._loan_copies
+        )
 
     def set_upstreams(
         self, upstreams: Sequence[ListedUpstream], now: Instant
@@ -131,13 +144,20 @@
         return self._dispatch(now)
 
     def set_members(
-        self, live: frozenset[MemberId], now: Instant
+        self,
+        live: frozenset[MemberId],
+        now: Instant,
+        runs: Collection[MemberRun] = (),
     ) -> list[DispatcherEffect]:
         """Set the live members of the data centre, this one among them.
 
+        ``runs`` are the runs of the live members.
+
         A member that was restarted is to be left out once in between, as it has
         forgotten what it held and remembered.
         """
+        if live == self._live:
+            return self._tell_witness(runs, now)
         lost = self._live - live
         joined = live - self._live
         is_first = not self._live
@@ -147,6 +167,7 @@
         effects += self._takeover.members_joined(joined, now)
         if not is_first:
             effects += self._copy_to_joined(joined, now)
+        effects += self._tell_witness(runs, now)
         return effects + self._dispatch(now)
 
     def ticket_requested(
@@ -182,6 +203,7 @@
         )
         if not stays_lent:
             self._ended.set(loan.ticket_id, loan.ends_at)
+            self._takeover.returned(member_id, loan.ticket_id)
             self._lending.take_back(loan)
         return self._dispatch(now)
 
@@ -211,7 +233,18 @@
         self, member_id: MemberId, sequence: int, now: Instant
     ) -> list[DispatcherEffect]:
         """Send the grants that waited for a second member to remember them."""
-        return self._lending.copied(self._copies.copied(member_id, sequence, now))
+        copied = self._copies.copied(member_id, sequence, now)
+        return self._lending.copied(copied, now)
+
+    def loan_copied(
+        self, member_id: MemberId, message: LoanCopied, now: Instant
+    ) -> list[DispatcherEffect]:
+        """Send the grants that waited for the witness to know of the loans."""
+        return self._witness.copied(member_id, message) + self._dispatch(now)
+
+    def unattended(self, now: Instant) -> LoanCopy:
+        """Return the loans that no live member but this one can report."""
+        return self._witness.unattended(now, knows_all=self._knows_all_loans())
 
     def holdings_reported(
         self, member_id: MemberId, report: HoldingsReport, now: Instant
@@ -225,8 +258,11 @@
             self._copies.held_by(key, member_id, now)
         if not self._takeover.reported(member_id):
             return []
+        self._reports.take(report)
         for held in report.tickets:
-            self._lending.adopt(member_id, held, now)
+            if not held.holder:
+                self._lending.adopt(member_id, held, now)
+                self._takeover.holds(member_id, held.ticket_id)
         if not self._takeover.is_done:
             return []
         return self._finish_takeover(now)
@@ -235,46 +271,23 @@
         """Act on every deadline that is over."""
         self._attempts.tick(now)
         self._ended.pop_due(now)
-        effects = self._expire_loans(now)
+        effects = self._lending.expire(now, self._witness.ended)
         effects += self._limits.refuse_expired(now)
         for upstream_id in self._health.tick(now):
             self._feedback.weigh(upstream_id)
         effects += self._takeover.tick(now)
         effects += self._copies.tick(now)
+        effects += self._witness.tick(now, knows_all=self._knows_all_loans())
         return effects + self._dispatch(now)
 
     def explain(self, queue: QueueName) -> QueueExplanation | None:
         """Return why requests of a queue wait; ``None`` for an unknown queue."""
-        rules = self._board.rules(queue)
-        if rules is None:
-            return None
-        line = self._board.line(queue)
-        waiting_by_team = line.waiting_by_team()
-        head = next(line.heads(), None)
-        return QueueExplanation(
-            queue=queue,
-            service=rules.service,
-            policy=rules.policy,
-            waiting_by_team=waiting_by_team,
-            running_by_team=self._board.running_by_team(queue),
-            teams_at_ceiling=frozenset(filter(self._board.at_ceiling, waiting_by_team)),
-            next_team=None if head is None else head.request.team_id,
-            usable_slots=self._ledger.usable_slots(rules.service),
-            wait_ms=self._admission.wait_ms(queue),
-            quarantined_until=self._ledger.quarantined_until,
-            collecting_holdings=not self._takeover.is_done,
+        return explain_queue(
+            queue, self._board, self._ledger, self._admission, self._takeover
         )
 
     def snapshot(self) -> DispatcherSnapshot:
         """Return the dispatcher's state."""
-        upstreams_by_id = {
-            upstream_id: UpstreamView(
-                slots=count,
-                health=self._health.state(upstream_id),
-                service_s=self._health.service_s(upstream_id),
-            )
-            for upstream_id, count in self._ledger.counts().items()
-        }
         return DispatcherSnapshot(
             epoch=self.epoch,
             waiting=self._board.waiting,
@@ -283,7 +296,7 @@
             copies_pending=self._copies.pending,
             collecting_holdings=not self._takeover.is_done,
             quarantined_until=self._ledger.quarantined_until,
-            upstreams_by_id=upstreams_by_id,
+            upstreams_by_id=view_upstreams(self._ledger, self._health),
         )
 
     def _reason_against(
@@ -295,6 +308,8 @@
         reason = self._admission.reason_against(ticket, now)
         if reason is not None or not self._takeover.is_done:
             return reason
+        if not self._lending.is_durable(ticket):
+            return RefusalReason.NOT_DURABLE
         return RefusalReason.NO_UPSTREAM if self._limits.is_hopeless(ticket) else None
 
     def _dispatch(self, now: Instant) -> list[DispatcherEffect]:
@@ -307,6 +322,10 @@
     ) -> list[DispatcherEffect]:
         effects: list[DispatcherEffect] = []
         was_done = self._takeover.is_done
+        if lost and not was_done:
+            # What it held can't be learned any more.
+            self._reports.member_lost()
+        self._witness.members_lost(lost)
         self._board.remove_of(lost)
         for member_id in sorted(lost):
             self._takeover.member_lost(member_id)
@@ -326,9 +345,43 @@
             )
         return effects
 
+    def _knows_all_loans(self) -> bool:
+        return self._takeover.is_done and self._ledger.quarantined_until is None
+
+    def _adopt_witnessed(self, now: Instant) -> None:
+        """Enter the loans that witnesses told and no holder disowned."""
+        for held in self._reports.pop_tickets():
+            is_known = self._ledger.loan(held.ticket_id) is not None
+            if is_known or self._is_disowned(held):
+                continue
+            self._lending.adopt(held.holder, held, now)
+            # The holder's present run, if there is one, can't report it.
+            self._witness.orphaned(held.ticket_id)
+
+    def _is_disowned(self, held: HeldTicket) -> bool:
+        """Tell whether the run that asked for the ticket reported without it.
+
+        It uses no grant of an earlier owner after that.
+        """
+        if not self._takeover.reported_without(held.holder, held.ticket_id):
+            return False
+        return any(is_of_run(held.ticket_id, run) for run in self._loan_copies.runs)
+
+    def _tell_witness(
+        self, runs: Collection[MemberRun], now: Instant
+    ) -> list[DispatcherEffect]:
+        return self._witness.set_members(
+            self._live, runs, now, knows_all=self._knows_all_loans()
+        )
+
     def _finish_takeover(self, now: Instant) -> list[DispatcherEffect]:
         """Start lending; copy what only this member remembers."""
         effects: list[DispatcherEffect] = []
+        self._adopt_witnessed(now)
+        runs = self._loan_copies.runs
+        reporting = [run for run in runs if self._takeover.has_reported(run.member_id)]
+        if self._reports.know_all(reporting):
+            self._ledger.end_quarantine()
         for key in self._attempts.remembered():
             if not self._copies.has_holder(key):
                 effects += self._lending.copy_elsewhere(key, now)
@@ -338,14 +391,3 @@
         if not self._takeover.is_done:
             return []
         return self._limits.refuse_hopeless(now)
-
-    def _expire_loans(self, now: Instant) -> list[DispatcherEffect]:
-        effects: list[DispatcherEffect] = []
-        for loan in self._ledger.tick(now):
-            self.counters.loans_expired += 1
-            if self._lending.awaits_copy(loan) and loan.attempt is not None:
-                self._attempts.not_sent(loan.attempt, loan.ticket_id)
-                reason = RefusalReason.NOT_DURABLE
-                effects += self._refusals.refuse_loan(loan, reason, now)
-            self._lending.ended(loan)
-        return effects
--- a/tamarackmount/kernel/member_core.py
+++ b/tamarackmount/kernel/member_core.py
@@ -97,7 +97,7 @@
         rate = APPENDS_PER_SECOND / (len(peers) + 1)
         self.log = LogKeeper(me.id, str(incarnation), rate, now)
         self.directory = Directory()
-        self.membership = Membership(me, peers, timing.members, now)
+        self.membership = Membership(me, incarnation, peers, timing.members, now)
         self._heartbeats = HeartbeatSchedule(self.membership, timing.members, now)
         self._spread = ConfigSpread(self.log.config, now)
         index = sorted([me.id, *self.membership.local_targets()]).index(me.id)
@@ -146,6 +146,7 @@
         """
         if now - self._last_tick <= self._timing.members.pause_limit_s:
             return []
+        self.requests.was_away(now)
         self.membership.forget_silence(self._last_tick, now)
         self._last_tick = now
         return self._ownership_effects(self.ownership.wake(now), now)
@@ -227,6 +228,7 @@
         )
 
     def _heard(self, heartbeat: Heartbeat, now: Instant) -> list[Effect]:
+        self._note_silence(heartbeat, now)
         told = self.membership.heard(heartbeat, now)
         if told is Heard.IGNORED:
             return []
@@ -241,9 +243,26 @@
             effects += self._member_joined(heartbeat.member_id, now)
         return effects
 
+    def _note_silence(self, heartbeat: Heartbeat, now: Instant) -> None:
+        """Note that the owner was silent, as it may not have heard this one either."""
+        if heartbeat.member_id != self.ownership.owner:
+            return
+        last = self.membership.heartbeat_of(heartbeat.member_id)
+        if last is None or last.incarnation != heartbeat.incarnation:
+            return
+        silence_s = self.membership.silence_s(heartbeat.member_id, now)
+        if silence_s > self._timing.members.pause_limit_s:
+            self.requests.was_away(now)
+
     def _member_joined(self, member_id: MemberId, now: Instant) -> list[Effect]:
+        """Treat a new run of a member as the loss of the old one."""
+        effects: list[Effect] = []
+        if member_id in self._live:
+            self._live = self._live - {member_id}
+            effects += self.requests.set_members(self._live, now)
+            effects += self.jobs.member_lost(member_id, now)
         # Set at once, so that a member back within one tick isn't lost after.
-        effects = self._tick_members(now)
+        effects += self._tick_members(now)
         return effects + self.jobs.member_joined(member_id, now)
 
     def _ownership_effects(
@@ -282,9 +301,7 @@
         self._live = live
         effects: list[Effect] = [RoleChanged(self._me.id, effect.epoch, is_owner=True)]
         effects += self._send_heartbeats(self.membership.local_targets(), now)
-        effects += self.requests.ownership_taken(
-            effect.epoch, effect.is_first, live, now
-        )
+        effects += self.requests.ownership_taken(effect, live, now)
         return effects + self.jobs.ownership_taken(effect.epoch, live, now)
 
     def _keeper_step(self, step: KeeperStep, now: Instant) -> list[Effect]:
--- a/tamarackmount/kernel/membership.py
+++ b/tamarackmount/kernel/membership.py
@@ -13,11 +13,14 @@
 from enum import Enum
 
 from tamarackmount.ids import DataCentreId, Epoch, Incarnation, Instant, MemberId
-from tamarackmount.kernel.messages import Heartbeat
+from tamarackmount.kernel.messages import Heartbeat, MemberRun
 from tamarackmount.kernel.timing import Timing
 
 MS_PER_SECOND = 1_000
 
+NEVER = Instant(-math.inf)
+"""An instant before every other."""
+
 
 class MemberState(Enum):
     """State of a member in another member's view."""
@@ -56,6 +59,7 @@
 class _Peer:
     member: Member
     heard_at: Instant
+    restarted_at: Instant
     heard_until: Instant
     heartbeat: Heartbeat | None = None
 
@@ -71,13 +75,20 @@
     """The members of the fleet and when each was last heard."""
 
     def __init__(
-        self, me: Member, peers: Iterable[Member], timing: Timing, now: Instant
+        self,
+        me: Member,
+        incarnation: Incarnation,
+        peers: Iterable[Member],
+        timing: Timing,
+        now: Instant,
     ) -> None:
         """Start with every peer unseen; ``now`` is when this member started."""
         self._me = me
+        self._incarnation = incarnation
         self._timing = timing
+        self._started_at = now
         self._peers_by_id = {
-            peer.id: _Peer(peer, now, Instant(now + self._silence_s(peer)))
+            peer.id: _Peer(peer, now, NEVER, Instant(now + self._silence_s(peer)))
             for peer in peers
             if peer.id != me.id
         }
@@ -98,9 +109,10 @@
         peer.heartbeat = heartbeat
         peer.heard_at = now
         peer.heard_until = Instant(now + self._silence_s(peer.member))
-        if last is None or last.incarnation != heartbeat.incarnation:
-            return Heard.NEW_RUN
-        return Heard.ALIVE if was_heard else Heard.NEW_RUN
+        is_new_run = last is None or last.incarnation != heartbeat.incarnation
+        if last is not None and is_new_run:
+            peer.restarted_at = now
+        return Heard.NEW_RUN if is_new_run or not was_heard else Heard.ALIVE
 
     def forget_silence(self, paused_at: Instant, now: Instant) -> None:
         """Count silence from ``now``, after a pause of this member.
@@ -145,6 +157,11 @@
         peer = self._peers_by_id.get(member_id)
         return peer.heartbeat if peer is not None else None
 
+    def silence_s(self, member_id: MemberId, now: Instant) -> float:
+        """Return how long ago a peer was last heard, in seconds."""
+        peer = self._peers_by_id.get(member_id)
+        return math.inf if peer is None else now - peer.heard_at
+
     def data_centre_of(self, member_id: MemberId) -> DataCentreId | None:
         """Return the data centre of a peer that the settings name."""
         peer = self._peers_by_id.get(member_id)
@@ -164,16 +181,61 @@
         )
 
     def remote_targets(self, now: Instant) -> list[MemberId]:
-        """Return one peer of every other data centre to keep in touch with.
+        """Return the peers of other data centres to keep in touch with.
 
-        Leaving and lost peers are passed over while another one of their data centre
-        is neither; of a data centre whose peers are all lost, each is tried in turn.
+        That is one of each; while it is leaving or lost, the others are tried in turn
+        too, as lost peers are heard again only when they are asked.
         """
         targets = []
         for data_centre in self.data_centres():
-            if data_centre != self._me.data_centre:
-                targets.append(self._remote_target(data_centre, now))
-        return targets
+            if data_centre == self._me.data_centre:
+                continue
+            target = self._remote_target(data_centre, now)
+            targets.append(target)
+            if self.state(target, now) in _GOING:
+                targets.append(self._turn_of(data_centre, now))
+        return list(dict.fromkeys(targets))
+
+    def lately_missing(
+        self, data_centre: DataCentreId, within_s: float, now: Instant
+    ) -> frozenset[MemberId]:
+        """Return members that ran, or may have run, within ``within_s`` but not now.
+
+        Peers never heard count as long as this member itself began within that time.
+        """
+        since = now - within_s
+        return frozenset(
+            peer_id
+            for peer_id, peer in self._peers_by_id.items()
+            if peer.member.data_centre == data_centre
+            and not self._is_heard(peer, now)
+            and peer.heard_at > since
+        )
+
+    def newcomers(
+        self, data_centre: DataCentreId, within_s: float, now: Instant
+    ) -> frozenset[MemberRun]:
+        """Return runs that began within ``within_s``, after earlier ones perhaps."""
+        since = now - within_s
+        runs = {
+            MemberRun(peer_id, peer.heartbeat.incarnation)
+            for peer_id, peer in self._peers_by_id.items()
+            if peer.member.data_centre == data_centre
+            and peer.heartbeat is not None
+            and peer.restarted_at > since
+        }
+        if self._started_at > since:
+            runs.add(MemberRun(self._me.id, self._incarnation))
+        return frozenset(runs)
+
+    def runs(self, live: Iterable[MemberId]) -> list[MemberRun]:
+        """Return the runs of live members, this one's among them if it is named."""
+        runs = [MemberRun(self._me.id, self._incarnation)]
+        for peer_id, peer in self._peers_by_id.items():
+            if peer.heartbeat is not None:
+                runs.append(MemberRun(peer_id, peer.heartbeat.incarnation))
+        named = frozenset(live)
+        return [run for run in runs if run.member_id in named]
 
     def contact(self, data_centre: DataCentreId, now: Instant) -> MemberId | None:
         """Return the peer of another data centre to send work to, if one is heard.
@@ -221,6 +283,10 @@
             for member_id in ranked:
                 if self.state(member_id, now) not in avoided:
                     return member_id
+        return self._turn_of(data_centre, now)
+
+    def _turn_of(self, data_centre: DataCentreId, now: Instant) -> MemberId:
+        ranked = self._ranked(data_centre)
         turn = int(now / self._timing.remote_heartbeat_s)
         return ranked[turn % len(ranked)]
 
--- a/tamarackmount/kernel/messages.py
+++ b/tamarackmount/kernel/messages.py
@@ -145,7 +145,10 @@
 
 @dataclass(frozen=True, slots=True)
 class HeldTicket:
-    """A slot that a member holds, as it tells a new owner."""
+    """A slot that a member holds, as it is told to a new owner or a witness.
+
+    ``holder`` is the member; when empty, it is the sender.
+    """
 
     ticket_id: TicketId
     request_id: RequestId
@@ -154,6 +157,41 @@
     upstream_id: UpstreamId
     idempotent: bool
     remaining_ms: int
+    holder: MemberId = MemberId("")
+
+
+@dataclass(frozen=True, slots=True)
+class MemberRun:
+    """One run of a member, from its start to its end."""
+
+    member_id: MemberId
+    incarnation: Incarnation
+
+
+@dataclass(frozen=True, slots=True)
+class LoanCopy:
+    """Loans that no live member but the owner can report, told to its witness.
+
+    The witness answers with :class:`LoanCopied`. ``is_whole`` says that ``loans``
+    are all there are now; ``ended`` names loans that are over. ``runs`` are the
+    members' runs that the owner counts on to report their own loans; loans of
+    earlier runs are among those told.
+    """
+
+    epoch: Epoch
+    sequence: int
+    loans: list[HeldTicket]
+    ended: list[TicketId]
+    runs: list[MemberRun]
+    is_whole: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LoanCopied:
+    """The sender remembers the loans of the copy with this number."""
+
+    epoch: Epoch
+    sequence: int
 
 
 class AttemptState(Enum):
@@ -200,11 +238,18 @@
 
 @dataclass(frozen=True, slots=True)
 class HoldingsReport:
-    """What a member holds and remembers, for the owner of the epoch."""
+    """What a member holds and remembers, for the owner of the epoch.
+
+    ``tickets`` includes loans of others that it knows as the owner's witness;
+    ``witnessed_epoch`` is the last epoch whose loans it was told whole, 0 for none;
+    ``witnessed_runs`` are the runs that the owner of that epoch counted on.
+    """
 
     epoch: Epoch
     tickets: list[HeldTicket]
     attempts: list[AttemptEntry]
+    witnessed_epoch: Epoch = Epoch(0)
+    witnessed_runs: list[MemberRun] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -356,6 +401,8 @@
     | TicketRefusal
     | TicketRelease
     | TicketWithdrawal
+    | LoanCopy
+    | LoanCopied
     | AttemptCopy
     | AttemptCopied
     | HoldingsRequest
--- a/tamarackmount/kernel/ownership.py
+++ b/tamarackmount/kernel/ownership.py
@@ -271,12 +271,17 @@
         return [AskMembers(tuple(sorted(self._claim_awaits)), request)]
 
     def _take(self, epoch: Epoch, *, by_log: bool) -> list[OwnershipEffect]:
-        is_first = by_log and self._epoch == NO_EPOCH
+        taken = OwnershipTaken(
+            epoch=epoch,
+            previous_epoch=self._epoch,
+            previous_owner=self._owner,
+            is_first=by_log and self._epoch == NO_EPOCH,
+        )
         self._role = Role.OWNER
         self._epoch = epoch
         self._owner = self._me
         self._claim_awaits.clear()
-        return [OwnershipTaken(epoch, is_first)]
+        return [taken]
 
     def _follow(
         self, owner: MemberId | None, epoch: Epoch, now: Instant
--- a/tamarackmount/kernel/ownership_effects.py
+++ b/tamarackmount/kernel/ownership_effects.py
@@ -33,10 +33,13 @@
 class OwnershipTaken:
     """Effect: this member is owner from now on.
 
-    ``is_first`` says that the data centre never had an owner.
+    ``is_first`` says that the data centre never had an owner; ``previous_owner`` is
+    ``None`` when it is not known or gave up itself.
     """
 
     epoch: Epoch
+    previous_epoch: Epoch
+    previous_owner: MemberId | None
     is_first: bool
 
 
--- a/tamarackmount/kernel/request_part.py
+++ b/tamarackmount/kernel/request_part.py
@@ -40,6 +40,8 @@
     AttemptResult,
     HoldingsReport,
     HoldingsRequest,
+    LoanCopied,
+    LoanCopy,
     Outcome,
     PeerMessage,
     RefusalReason,
@@ -49,6 +51,7 @@
     TicketRequest,
     TicketWithdrawal,
 )
+from tamarackmount.kernel.ownership_effects import OwnershipTaken
 from tamarackmount.kernel.queue_board import QueueRules, RequestLimits
 from tamarackmount.kernel.request_effects import (
     AbortUpstream,
@@ -62,6 +65,7 @@
 )
 from tamarackmount.kernel.requests import RequestTable
 from tamarackmount.kernel.slots import ListedUpstream
+from tamarackmount.kernel.witness_reports import Predecessor
 
 HOME_RETRY_MS = 1_000
 """Time to come back after a refusal because of an unreachable data centre."""
@@ -198,12 +202,15 @@
         """Take in which members of the data centre are alive, this one included."""
         if self._dispatcher is None:
             return []
-        return self._from_dispatcher(self._dispatcher.set_members(live, now), now)
+        runs = self._membership.runs(live)
+        told = self._dispatcher.set_members(live, now, runs)
+        return self._from_dispatcher(told, now)
 
     def ownership_taken(
-        self, epoch: Epoch, fresh: bool, live: frozenset[MemberId], now: Instant
+        self, taken: OwnershipTaken, live: frozenset[MemberId], now: Instant
     ) -> list[Effect]:
         """Begin to dispatch for the data centre."""
+        epoch = taken.epoch
         self._owner = self._me
         self._table.fence(epoch, now)
         dispatcher = Dispatcher(
@@ -211,11 +218,13 @@
             self._me,
             self._timing,
             now,
-            fresh=fresh,
+            fresh=taken.is_first,
             attempts=self._table.attempts,
+            predecessor=self._predecessor(taken, now),
         )
         self._dispatcher = dispatcher
-        effects = dispatcher.set_members(live, now)
+        runs = self._membership.runs(live)
+        effects = dispatcher.set_members(live, now, runs)
         effects += dispatcher.set_upstreams(self._local_upstreams(), now)
         effects += dispatcher.set_queues(self._queue_rules(), now)
         effects += dispatcher.set_teams(self._team_limits(), now)
@@ -226,11 +235,18 @@
         self, owner: MemberId | None, epoch: Epoch, now: Instant
     ) -> list[Effect]:
         """Follow another member, or nobody."""
+        if self._dispatcher is not None:
+            # The next owner asks this member for what it knew as the owner.
+            self._table.witness.take(self._dispatcher.unattended(now), now)
         self._dispatcher = None
         self._owner = owner
         self._table.fence(epoch, now)
         return self._from_table(self._table.owner_changed(owner, now), now)
 
+    def was_away(self, now: Instant) -> None:
+        """Note that the owner may have taken this member for lost until now."""
+        self._table.witness.was_away(now)
+
     def peer_message(
         self, sender: MemberId, message: PeerMessage, now: Instant
     ) -> list[Effect]:
@@ -243,6 +259,9 @@
             case AttemptCopy(sequence, entries):
                 self._table.attempts.take_copies(entries, now)
                 return self._send(sender, AttemptCopied(sequence), now)
+            case LoanCopy():
+                copied = self._table.witness.take(message, now)
+                return [] if copied is None else self._send(sender, copied, now)
             case HoldingsRequest(epoch):
                 return self._report_holdings(sender, epoch, now)
             case _:
@@ -255,6 +274,31 @@
             effects += self._from_dispatcher(self._dispatcher.tick(now), now)
         return effects + self._expire_forwards(now)
 
+    def _predecessor(self, taken: OwnershipTaken, now: Instant) -> Predecessor:
+        newcomers = self._membership.newcomers(
+            self._data_centre, self._longest_loan_s(), now
+        )
+        return Predecessor(
+            epoch=taken.previous_epoch,
+            owner=taken.previous_owner,
+            missing=self._missing(taken.previous_owner, now),
+            newcomers=newcomers,
+        )
+
+    def _missing(self, previous: MemberId | None, now: Instant) -> frozenset[MemberId]:
+        """Return members that may hold slots and can't be asked.
+
+        The previous owner's witness knows what that owner held, and what members
+        held that it had lost; not what a member held that was lost later.
+        """
+        missing = self._membership.lately_missing(
+            self._data_centre, self._longest_loan_s(), now
+        )
+        return missing - {previous}
+
+    def _longest_loan_s(self) -> float:
+        return (self._timing.max_ticket_ms + self._timing.clock_margin_ms) / 1_000
+
     def _serve_here(self, request: CallerRequest, now: Instant) -> list[Effect]:
         new = NewRequest(
             call_id=request.call_id,
@@ -301,12 +345,7 @@
     def _report_holdings(
         self, sender: MemberId, epoch: Epoch, now: Instant
     ) -> list[Effect]:
-        self._table.fence(epoch, now)
-        report = HoldingsReport(
-            epoch=epoch,
-            tickets=self._table.holdings(now),
-            attempts=self._table.attempts.entries(now),
-        )
+        report = self._table.report_holdings(epoch, now)
         return self._send(sender, report, now)
 
     def _to_dispatcher(
@@ -324,6 +363,8 @@
                 effects = dispatcher.withdrawn(sender, message, now)
             case AttemptCopied(sequence):
                 effects = dispatcher.attempt_copied(sender, sequence, now)
+            case LoanCopied():
+                effects = dispatcher.loan_copied(sender, message, now)
             case HoldingsReport():
                 effects = dispatcher.holdings_reported(sender, message, now)
             case _:
--- a/tamarackmount/kernel/requests.py
+++ b/tamarackmount/kernel/requests.py
@@ -17,9 +17,12 @@
 from tamarackmount.kernel.attempts import STATE_BY_RESULT, AttemptMemory
 from tamarackmount.kernel.deadline_heap import DeadlineHeap
 from tamarackmount.kernel.known_owner import KnownOwner
+from tamarackmount.kernel.loan_witness import LoanWitness
 from tamarackmount.kernel.messages import (
     AttemptResult,
     HeldTicket,
+    HoldingsReport,
+    MemberRun,
     Outcome,
     RefusalReason,
     TicketGrant,
@@ -40,6 +43,7 @@
 )
 from tamarackmount.kernel.request_entry import RequestEntry, RunningAttempt
 from tamarackmount.kernel.retry_budget import RetryBudget
+from tamarackmount.kernel.ticket_ids import ticket_prefix
 from tamarackmount.kernel.used_tickets import UsedTickets
 
 
@@ -47,7 +51,7 @@
     """Requests of the callers of one entry VM.
 
     On learning of a new owner, :meth:`fence` is called before
-    :meth:`owner_changed`; on a :class:`HoldingsRequest`, before :meth:`holdings`.
+    :meth:`owner_changed`.
     """
 
     def __init__(
@@ -55,7 +59,7 @@
     ) -> None:
         """Create an empty table of a member that knows no owner yet."""
         self._timing = timing
-        self._ticket_prefix = f"{member_id}/{incarnation}/"
+        self._ticket_prefix = ticket_prefix(MemberRun(member_id, incarnation))
         self._ticket_numbers = count(1)
         self._owner = KnownOwner(timing.owner_grace_ms)
         self._requests_by_call: dict[int, RequestEntry] = {}
@@ -66,6 +70,7 @@
         self._used = UsedTickets()
         self._budget = RetryBudget(timing.retry_ratio, timing.retry_burst)
         self.attempts = AttemptMemory(timing.attempt_memory_ms)
+        self.witness = LoanWitness(timing)
 
     @property
     def in_flight(self) -> int:
@@ -151,6 +156,7 @@
 
     def fence(self, epoch: Epoch, now: Instant) -> None:
         """Ignore grants of epochs below ``epoch``; their owner is not known yet."""
+        self.witness.fence(epoch)
         if not self._owner.fence(epoch, now):
             return
         for request in self._waiting_requests():
@@ -166,7 +172,8 @@
         if owner is None:
             self._owner.lost(now)
             return []
-        self._owner.found(owner)
+        if not self._owner.found(owner):
+            return []
         effects: list[RequestEffect] = []
         for request in self._waiting_requests():
             effects += self._ask(request, now)
@@ -190,6 +197,20 @@
         """Return every slot that this member may still have in use."""
         return [ticket.held(now) for ticket in self._used.in_use()]
 
+    def report_holdings(self, epoch: Epoch, now: Instant) -> HoldingsReport:
+        """Return what this member holds and remembers, for the epoch's owner.
+
+        Nothing that an earlier owner sends is taken any more.
+        """
+        self.fence(epoch, now)
+        return HoldingsReport(
+            epoch=epoch,
+            tickets=[*self.holdings(now), *self.witness.tickets(now)],
+            attempts=self.attempts.entries(now),
+            witnessed_epoch=self.witness.whole_epoch(now),
+            witnessed_runs=self.witness.runs,
+        )
+
     def _next_ticket(self) -> TicketId:
         return TicketId(f"{self._ticket_prefix}{next(self._ticket_numbers)}")
 
@@ -315,7 +336,9 @@
         self._resends.discard(call_id)
 
     def _give_back_unknown(self, ticket_id: TicketId) -> list[RequestEffect]:
-        if ticket_id in self._used:
+        # An earlier run of this member may have used its tickets.
+        is_own = ticket_id.startswith(self._ticket_prefix)
+        if ticket_id in self._used or not is_own:
             return []
         return [_release(ticket_id, AttemptResult.UNUSED, 0)]
 
