Machine of witnesses loses several members while every slot is in use

Change: a rule lets earlier loans end, fills the slots, loses up to three members in turn (dead, paused, restarted; noticed or not) and asks the next owner for all slots.

--- a/tests/test_witness_machine.py
+++ b/tests/test_witness_machine.py
@@ -4,6 +4,8 @@
 any moment: dead, paused or freshly restarted.
 """
 
+from enum import Enum
+
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -27,9 +29,26 @@
 INDEX = st.integers(0, 1_000)
 """Picks one of what there is, by its remainder."""
 
+PASSES = 5
+"""Rounds of messages from a question to the grant, with the witness's part."""
+
 TEAMS = st.lists(st.sampled_from([RETAIL, DESIGN, DESIGN]), min_size=1, max_size=4)
 
 
+class Fault(Enum):
+    """How a member goes away."""
+
+    DEAD = "dead"
+    PAUSED = "paused"
+    RESTARTED = "restarted"
+
+
+LOSSES = st.lists(
+    st.tuples(MEMBER, st.sampled_from(Fault), st.booleans()), min_size=1, max_size=3
+)
+"""Members that go away in turn, and whether the owner notices each."""
+
+
 class WitnessMachine(RuleBasedStateMachine):
     """One data centre that may lose its owner and another member together."""
 
@@ -75,7 +94,7 @@
     ) -> None:
         """Bring requests of one member to their upstreams."""
         self.submit(member_id, teams)
-        for _ in range(3):
+        for _ in range(PASSES):
             self.deliver_all(holds_copies=holds_copies)
         self.connect_all()
         self.fleet.check()
@@ -174,6 +193,64 @@
             self.deliver_all()
         self.connect_all()
 
+    @rule(
+        loaded=st.lists(MEMBER, min_size=1, max_size=3),
+        losses=LOSSES,
+        holds_copies=st.booleans(),
+        pause_s=st.sampled_from([0.0, 0.1, 0.3]),
+        successor=MEMBER,
+    )
+    def lose_several(
+        self,
+        loaded: list[MemberId],
+        losses: list[tuple[MemberId, Fault, bool]],
+        holds_copies: bool,
+        pause_s: float,
+        successor: MemberId,
+    ) -> None:
+        """Lose members while every slot is in use; the next owner is asked for all."""
+        self.calm_down()
+        for member_id in loaded:
+            self.work(member_id, [DESIGN, DESIGN], holds_copies)
+        for member_id, fault, is_noticed in losses:
+            self.lose_for_now(member_id, fault)
+            if is_noticed:
+                self.fleet.tell_owner_of_members()
+                self.deliver_all()
+            self.work(self.running(member_id).member_id, [DESIGN], holds_copies)
+        if pause_s:
+            self.fleet.advance(pause_s)
+        self.fleet.take_over(self.running(successor))
+        self.deliver_all()
+        self.work(successor, [DESIGN, RETAIL, DESIGN, DESIGN], False)
+
+    def calm_down(self) -> None:
+        """Let loans and quarantines of earlier faults end."""
+        self.fleet.bring_everyone_back()
+        if self.fleet.owner_is_away() or not self.owner_dispatches():
+            self.fleet.take_over(self.running(M1))
+        for _ in range(8):
+            self.announce()
+            self.deliver_all()
+            self.deliver_all()
+            self.fleet.advance(0.2)
+            self.fleet.check()
+
+    def owner_dispatches(self) -> bool:
+        owner = self.fleet.dispatching_owner()
+        return owner is not None and owner.dispatcher is not None
+
+    def lose_for_now(self, member_id: MemberId, fault: Fault) -> None:
+        member = self.running(member_id)
+        if len(self.fleet.running()) == 1 and fault is not Fault.RESTARTED:
+            return
+        if fault is Fault.PAUSED:
+            self.fleet.pause(member)
+            return
+        self.fleet.kill(member)
+        if fault is Fault.RESTARTED:
+            self.fleet.restart(member)
+
     @precondition(lambda self: self.fleet.owner_is_away())
     @rule(member_id=MEMBER)
     def succeed(self, member_id: MemberId) -> None:
