A queue document of an unknown policy is refused on its way in

Cause: PUT checked documents without the names of the policies, and the error object of changes had no outcome.

--- a/tamarackmount/daemon/http_answers.py
+++ b/tamarackmount/daemon/http_answers.py
@@ -21,6 +21,11 @@
 """Outcomes by the text that callers see."""
 
 
+def outcome_text(outcome: Outcome) -> str:
+    """Return an outcome as callers see it."""
+    return _OUTCOME_TEXTS[outcome]
+
+
 @dataclass(frozen=True, slots=True)
 class Refusal:
     """How a refusal looks to a caller."""
--- a/tamarackmount/daemon/operator_calls.py
+++ b/tamarackmount/daemon/operator_calls.py
@@ -6,8 +6,13 @@
 
 from returns.result import Failure, Result, Success
 
-from tamarackmount.checks import check_document, check_path
-from tamarackmount.daemon.http_answers import write_error, write_json, write_json_text
+from tamarackmount.checks import check_path
+from tamarackmount.daemon.http_answers import (
+    outcome_text,
+    write_error,
+    write_json,
+    write_json_text,
+)
 from tamarackmount.daemon.http_request import (
     BoundedRequest,
     body_of,
@@ -15,9 +20,12 @@
     key_hash,
 )
 from tamarackmount.daemon.status_view import StatusView
+from tamarackmount.fleet_checks import check_new_document
 from tamarackmount.ids import ConfigPath, KeyHash, Offset
 from tamarackmount.kernel.effects import ChangeOutcome, FinishChange
 from tamarackmount.kernel.fleet_config import FleetConfig
+from tamarackmount.kernel.messages import Outcome
+from tamarackmount.plugins.queue_policies import queue_policies
 from tamarackmount.problems import Problem
 
 LOG_RETRY_MS = 2_000
@@ -45,17 +53,27 @@
     status: int
     error: str
     message: str
+    outcome: Outcome
 
 
 _FAILURES = {
     ChangeOutcome.CONFLICT: _Failure(
-        409, "conflict", "the document has another version: read it and try again"
+        409,
+        "conflict",
+        "the document has another version: read it and try again",
+        Outcome.NOT_RUN,
     ),
     ChangeOutcome.NOT_CHANGED: _Failure(
-        503, "log_down", "the log did not take the change; nothing was changed"
+        503,
+        "log_down",
+        "the log did not take the change; nothing was changed",
+        Outcome.NOT_RUN,
     ),
     ChangeOutcome.UNKNOWN: _Failure(
-        503, "unknown", "the change may have taken effect: read the document back"
+        503,
+        "unknown",
+        "the change may have taken effect: read the document back",
+        Outcome.UNKNOWN,
     ),
 }
 
@@ -126,6 +144,7 @@
         content = {
             "error": failure.error,
             "message": failure.message,
+            "outcome": outcome_text(failure.outcome),
             "version": effect.version,
             "retry_after_ms": LOG_RETRY_MS if failure.status == 503 else 0,
         }
@@ -155,7 +174,7 @@
         if isinstance(text, Failure):
             write_error(request, 400, "bad_request", text.failure())
             return
-        checked = check_document(path, text.unwrap())
+        checked = check_new_document(path, text.unwrap(), queue_policies.names())
         if isinstance(checked, Failure):
             _write_problems(request, checked.failure())
             return
@@ -193,6 +212,8 @@
     content = {
         "error": "bad_document",
         "message": "the document has errors; nothing was changed",
+        "outcome": outcome_text(Outcome.NOT_RUN),
+        "retry_after_ms": 0,
         "problems": [asdict(problem) for problem in problems],
     }
     write_json(request, 400, content)
