--- a/tamarackmount/bench/capacity.py
+++ b/tamarackmount/bench/capacity.py
@@ -30,7 +30,7 @@
 from tamarackmount.daemon.service import TICKS_PER_HEARTBEAT
 from tamarackmount.demo.processes import ProcessGroup
 from tamarackmount.kernel.job_effects import SchedulerTiming
-from tamarackmount.kernel.node import APPENDS_PER_SECOND
+from tamarackmount.kernel.member_core import APPENDS_PER_SECOND
 from tamarackmount.kernel.timing import Timing
 from tamarackmount.settings import PlatformSection
 
