Requests handed to a lost or restarted member end at once; idempotent ones go elsewhere

Change: kernel/forwarding.py remembers the run that has the request; a new run or silence ends it as unknown at once, or serves it in another data centre if it is idempotent; an answer that comes later does not count.

--- a/tamarackmount/daemon/request_calls.py
+++ b/tamarackmount/daemon/request_calls.py
@@ -83,8 +83,8 @@
     def attempt_ended(self, ticket_id: TicketId, result: AttemptResult) -> None:
         """Tell how an attempt at an upstream ended."""
 
-    def forward_ended(self, call_id: int) -> None:
-        """Tell that a forwarded request has its final answer."""
+    def forward_ended(self, call_id: int) -> bool:
+        """Tell that a forwarded request was answered; return if it counts."""
 
 
 @dataclass(slots=True)
@@ -202,7 +202,8 @@
         """Pass on what became of a request handed to another data centre."""
         if reply.call_id not in self._calls_by_id:
             return
-        node.forward_ended(reply.call_id)
+        if not node.forward_ended(reply.call_id):
+            return
         self._deliver(reply.call_id, answer_of_reply(reply))
 
     def _attempt_done(
--- a/tamarackmount/daemon/service.py
+++ b/tamarackmount/daemon/service.py
@@ -71,6 +71,7 @@
     SendPeer,
 )
 from tamarackmount.kernel.fleet_config import FleetConfig
+from tamarackmount.kernel.forwarding import CallerRequest
 from tamarackmount.kernel.log_writer import AppendResult
 from tamarackmount.kernel.messages import (
     AttemptResult,
@@ -80,7 +81,6 @@
     RefusalReason,
 )
 from tamarackmount.kernel.node import Node
-from tamarackmount.kernel.request_part import CallerRequest
 from tamarackmount.settings import Settings
 
 TICKS_PER_HEARTBEAT = 10
@@ -284,9 +284,9 @@
         """Take in how an attempt at an upstream ended."""
         self._feed(self._node.attempt_ended, ticket_id, result)
 
-    def forward_ended(self, call_id: int) -> None:
-        """Take in that a forwarded request has its answer."""
-        self._node.requests.forward_ended(call_id)
+    def forward_ended(self, call_id: int) -> bool:
+        """Take in that a forwarded request was answered; tell if it counts."""
+        return self._node.requests.forward_ended(call_id)
 
     def log_page_read(self, page: RecordPage, asked: Instant) -> None:
         """Take in records of the log."""
--- a/tamarackmount/kernel/node.py
+++ b/tamarackmount/kernel/node.py
@@ -24,6 +24,7 @@
     Effect,
     ReportProblem,
 )
+from tamarackmount.kernel.forwarding import CallerRequest
 from tamarackmount.kernel.log_records import ConfigChange
 from tamarackmount.kernel.log_writer import AppendResult
 from tamarackmount.kernel.member_core import MemberCore, NodeTiming
@@ -49,7 +50,6 @@
     TicketRequest,
     TicketWithdrawal,
 )
-from tamarackmount.kernel.request_part import CallerRequest
 
 __all__ = ["Node", "NodeTiming"]
 
--- a/tamarackmount/kernel/request_part.py
+++ b/tamarackmount/kernel/request_part.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
 
 from tamarackmount.adapters.vm_schema import Vm, VmKind, VmState
 from tamarackmount.ids import (
@@ -33,7 +32,8 @@
     ForwardRequest,
     SendPeer,
 )
-from tamarackmount.kernel.membership import Membership, MemberState, rank_by_hash
+from tamarackmount.kernel.forwarding import CallerRequest, Forward, Forwards
+from tamarackmount.kernel.membership import Membership, rank_by_hash
 from tamarackmount.kernel.messages import (
     AttemptCopied,
     AttemptCopy,
@@ -71,19 +71,6 @@
 """Time to come back after a refusal because of an unreachable data centre."""
 
 
-@dataclass(frozen=True, slots=True)
-class CallerRequest:
-    """A request whose caller was recognised; ``forwarded`` came from a peer."""
-
-    call_id: int
-    request_id: RequestId
-    team_id: TeamId
-    queue: QueueName
-    idempotent: bool
-    deadline: Instant
-    forwarded: bool = False
-
-
 def home_of(
     request_id: RequestId, team_id: TeamId, data_centres: Sequence[DataCentreId]
 ) -> DataCentreId:
@@ -94,15 +81,6 @@
     return DataCentreId(rank_by_hash(f"{team_id}/{request_id}", data_centres)[0])
 
 
-@dataclass(slots=True)
-class _Forward:
-    """A request that another member serves."""
-
-    to: MemberId
-    idempotent: bool
-    deadline: Instant
-
-
 class RequestPart:
     """Requests of one member: those of its callers, and the dispatcher's work."""
 
@@ -125,7 +103,7 @@
         self._dispatcher: Dispatcher | None = None
         self._owner: MemberId | None = None
         self._upstreams_by_id: dict[UpstreamId, Vm] = {}
-        self._forwards_by_call: dict[int, _Forward] = {}
+        self._forwards = Forwards(membership)
 
     @property
     def table(self) -> RequestTable:
@@ -141,7 +119,7 @@
     def under_way(self) -> int:
         """Requests that have no final answer yet."""
         in_table = self._table.in_flight + self._table.waiting
-        return in_table + len(self._forwards_by_call)
+        return in_table + len(self._forwards)
 
     def submit(self, request: CallerRequest, now: Instant) -> list[Effect]:
         """Take a request in: serve it here or hand it to another data centre."""
@@ -155,19 +133,22 @@
             return self._serve_elsewhere(request, now)
         return self._serve_here(request, now)
 
-    def forward_ended(self, call_id: int) -> None:
-        """Note that a forwarded request has its final answer."""
-        self._forwards_by_call.pop(call_id, None)
+    def forward_ended(self, call_id: int) -> bool:
+        """Note that a forwarded request was answered; tell if the answer counts.
+
+        It doesn't when the request was given up there and is served elsewhere.
+        """
+        return self._forwards.end(call_id) is not None
 
     def forward_not_sent(self, call_id: int) -> list[Effect]:
         """Refuse a request that could not be handed over: no byte of it left."""
-        if self._forwards_by_call.pop(call_id, None) is None:
+        if self._forwards.end(call_id) is None:
             return []
         return [_refuse(call_id, RefusalReason.HOME_UNREACHABLE, HOME_RETRY_MS)]
 
     def caller_left(self, call_id: int, now: Instant) -> list[Effect]:
         """Give up a request whose caller is gone."""
-        if self._forwards_by_call.pop(call_id, None) is not None:
+        if self._forwards.end(call_id) is not None:
             return []
         return self._from_table(self._table.caller_left(call_id, now), now)
 
@@ -272,7 +253,7 @@
         effects = self._from_table(self._table.tick(now), now)
         if self._dispatcher is not None:
             effects += self._from_dispatcher(self._dispatcher.tick(now), now)
-        return effects + self._expire_forwards(now)
+        return effects + self._tick_forwards(now)
 
     def _predecessor(self, taken: OwnershipTaken, now: Instant) -> Predecessor:
         newcomers = self._membership.newcomers(
@@ -314,10 +295,18 @@
         if request.forwarded:
             return self._serve_here(request, now)
         for data_centre in self._membership.data_centres():
-            if self._serves(request.queue, data_centre):
+            if self._may_serve(request, data_centre, now):
                 return self._forward(request, data_centre, now)
         return self._serve_here(request, now)
 
+    def _may_serve(
+        self, request: CallerRequest, data_centre: DataCentreId, now: Instant
+    ) -> bool:
+        if data_centre == self._data_centre:
+            return False
+        is_reached = self._membership.contact(data_centre, now) is not None
+        return is_reached and self._serves(request.queue, data_centre)
+
     def _forward(
         self, request: CallerRequest, data_centre: DataCentreId, now: Instant
     ) -> list[Effect]:
@@ -325,21 +314,18 @@
         if target is None:
             reason = RefusalReason.HOME_UNREACHABLE
             return [_refuse(request.call_id, reason, HOME_RETRY_MS)]
-        forward = _Forward(target, request.idempotent, request.deadline)
-        self._forwards_by_call[request.call_id] = forward
+        self._forwards.begin(request, target)
         return [ForwardRequest(request.call_id, target, request.deadline)]
 
-    def _expire_forwards(self, now: Instant) -> list[Effect]:
+    def _tick_forwards(self, now: Instant) -> list[Effect]:
         effects: list[Effect] = []
-        for call_id, forward in list(self._forwards_by_call.items()):
-            lost = self._membership.state(forward.to, now) is MemberState.LOST
-            if not lost and now < forward.deadline:
-                continue
-            del self._forwards_by_call[call_id]
-            reason = RefusalReason.HOME_UNREACHABLE if lost else RefusalReason.DEADLINE
-            effects.append(
-                FinishRequest(call_id, Outcome.UNKNOWN, reason, HOME_RETRY_MS)
-            )
+        for forward in self._forwards.take_late(now):
+            effects.append(_unknown(forward, RefusalReason.DEADLINE))
+        for forward in self._forwards.take_lost(now):
+            if forward.request.idempotent:
+                effects += self.submit(forward.request, now)
+            else:
+                effects.append(_unknown(forward, RefusalReason.HOME_UNREACHABLE))
         return effects
 
     def _report_holdings(
@@ -468,5 +454,10 @@
         }
 
 
+def _unknown(forward: Forward, reason: RefusalReason) -> FinishRequest:
+    call_id = forward.request.call_id
+    return FinishRequest(call_id, Outcome.UNKNOWN, reason, HOME_RETRY_MS)
+
+
 def _refuse(call_id: int, reason: RefusalReason, retry_after_ms: int) -> FinishRequest:
     return FinishRequest(call_id, Outcome.NOT_RUN, reason, retry_after_ms)
--- a/tests/utils/node_fleet.py
+++ b/tests/utils/node_fleet.py
@@ -52,6 +52,7 @@
     SendPeer,
     WorkerAction,
 )
+from tamarackmount.kernel.forwarding import CallerRequest
 from tamarackmount.kernel.job_records import read_record
 from tamarackmount.kernel.log_writer import AppendResult
 from tamarackmount.kernel.membership import Member
@@ -62,7 +63,6 @@
     TicketGrant,
 )
 from tamarackmount.kernel.node import Node, NodeTiming
-from tamarackmount.kernel.request_part import CallerRequest
 from tests.utils.build_jobs import spec_text, worker
 from tests.utils.fake_log import FakeLog
 from tests.utils.fake_workers import FakeWorker
