Tests: the request machines share their fleet's rules

Cause: two state machines spelled out the same rules of the network. Change: tests/utils/fleet_machine.py; rules and checks unchanged.

--- a/tests/test_request_machine.py
+++ b/tests/test_request_machine.py
@@ -8,9 +8,7 @@
 
 from hypothesis import strategies as st
 from hypothesis.stateful import (
-    RuleBasedStateMachine,
     initialize,
-    invariant,
     precondition,
     rule,
 )
@@ -18,13 +16,10 @@
 from tamarackmount.ids import Instant, RequestId, TeamId
 from tamarackmount.kernel.request_effects import NewRequest
 from tests.utils.build_requests import COUNTER, DESIGN, M1, RETAIL
+from tests.utils.fleet_machine import INDEX, FleetMachine
 from tests.utils.prove import machine_settings
-from tests.utils.request_faults import FaultyFleet
 from tests.utils.request_fleet import Member
 
-INDEX = st.integers(0, 1_000)
-"""Picks one of what there is, by its remainder."""
-
 
 @dataclass(frozen=True)
 class Draft:
@@ -50,15 +45,9 @@
 """Rounds in which messages and upstreams do what they should."""
 
 
-class RequestMachine(RuleBasedStateMachine):
+class RequestMachine(FleetMachine):
     """One data centre whose network, members and callers do as they like."""
 
-    def __init__(self) -> None:
-        """Start with three members and no owner."""
-        super().__init__()
-        self.fleet = FaultyFleet()
-        self.call_number = 0
-
     @initialize()
     def first_owner(self) -> None:
         self.fleet.take_over(self.fleet.members[M1], fresh=True)
@@ -90,14 +79,6 @@
         )
         self.fleet.submit(member, request, deadline)
 
-    @precondition(lambda self: self.fleet.deliverable())
-    @rule(index=INDEX)
-    def deliver(self, index: int) -> None:
-        envelopes = self.fleet.deliverable()
-        envelope = envelopes[index % len(envelopes)]
-        self.fleet.network.remove(envelope)
-        self.fleet.deliver(envelope)
-
     @rule(rounds=ROUNDS)
     def work(self, rounds: list[int]) -> None:
         """Let requests make progress."""
@@ -117,26 +98,11 @@
             self.fleet.network.remove(envelope)
             self.fleet.deliver(envelope)
 
-    def connect_all(self) -> None:
-        for execution in self.fleet.connecting():
-            self.fleet.connect(execution)
-
     def answer_one(self, index: int) -> None:
         executions = self.fleet.answerable()
         if executions:
             self.fleet.answer(executions[index % len(executions)])
 
-    @precondition(lambda self: self.fleet.deliverable())
-    @rule(index=INDEX)
-    def double(self, index: int) -> None:
-        envelopes = self.fleet.deliverable()
-        self.fleet.deliver(envelopes[index % len(envelopes)])
-
-    @precondition(lambda self: self.fleet.network)
-    @rule(index=INDEX)
-    def lose(self, index: int) -> None:
-        del self.fleet.network[index % len(self.fleet.network)]
-
     @precondition(lambda self: self.fleet.connecting())
     @rule(index=INDEX)
     def connect(self, index: int) -> None:
@@ -149,12 +115,6 @@
         executions = self.fleet.connecting()
         self.fleet.fail_to_connect(executions[index % len(executions)])
 
-    @precondition(lambda self: self.fleet.answerable())
-    @rule(index=INDEX)
-    def answer(self, index: int) -> None:
-        executions = self.fleet.answerable()
-        self.fleet.answer(executions[index % len(executions)])
-
     @precondition(lambda self: self.fleet.answerable())
     @rule(index=INDEX)
     def disconnect(self, index: int) -> None:
@@ -172,11 +132,6 @@
         self.fleet.advance(seconds)
         self.fleet.check_in_time()
 
-    @rule()
-    def announce(self) -> None:
-        self.fleet.announce()
-        self.fleet.tell_owner_of_members()
-
     @precondition(lambda self: len(self.fleet.running()) == 3)
     @rule(index=INDEX)
     def kill(self, index: int) -> None:
@@ -218,14 +173,6 @@
         if not chance:
             self.fleet.take_over(self.member(index))
 
-    @invariant()
-    def promises_hold(self) -> None:
-        self.fleet.check()
-
-    def teardown(self) -> None:
-        self.fleet.end_quietly()
-        self.fleet.check()
-
 
 TestRequestMachine = RequestMachine.TestCase
 TestRequestMachine.settings = machine_settings(histories=500, steps=40)
--- a/tests/test_witness_machine.py
+++ b/tests/test_witness_machine.py
@@ -8,9 +8,7 @@
 
 from hypothesis import strategies as st
 from hypothesis.stateful import (
-    RuleBasedStateMachine,
     initialize,
-    invariant,
     precondition,
     rule,
 )
@@ -19,16 +17,13 @@
 from tamarackmount.kernel.messages import LoanCopied, LoanCopy
 from tamarackmount.kernel.request_effects import NewRequest
 from tests.utils.build_requests import COUNTER, DESIGN, M1, M2, M3, RETAIL
+from tests.utils.fleet_machine import FleetMachine
 from tests.utils.prove import machine_settings
-from tests.utils.request_faults import FaultyFleet
 from tests.utils.request_fleet import Member
 
 MEMBER = st.sampled_from([M1, M2, M3])
 """A member; most rules pass over one that is away."""
 
-INDEX = st.integers(0, 1_000)
-"""Picks one of what there is, by its remainder."""
-
 PASSES = 5
 """Rounds of messages from a question to the grant, with the witness's part."""
 
@@ -49,15 +44,9 @@
 """Members that go away in turn, and whether the owner notices each."""
 
 
-class WitnessMachine(RuleBasedStateMachine):
+class WitnessMachine(FleetMachine):
     """One data centre that may lose its owner and another member together."""
 
-    def __init__(self) -> None:
-        """Start with three members and no owner."""
-        super().__init__()
-        self.fleet = FaultyFleet()
-        self.call_number = 0
-
     @initialize()
     def first_owner(self) -> None:
         self.fleet.take_over(self.fleet.members[M1], fresh=True)
@@ -108,46 +97,15 @@
                 self.fleet.network.remove(envelope)
                 self.fleet.deliver(envelope)
 
-    @precondition(lambda self: self.fleet.deliverable())
-    @rule(index=INDEX)
-    def deliver_one(self, index: int) -> None:
-        envelopes = self.fleet.deliverable()
-        envelope = envelopes[index % len(envelopes)]
-        self.fleet.network.remove(envelope)
-        self.fleet.deliver(envelope)
-
-    @precondition(lambda self: self.fleet.deliverable())
-    @rule(index=INDEX)
-    def double(self, index: int) -> None:
-        envelopes = self.fleet.deliverable()
-        self.fleet.deliver(envelopes[index % len(envelopes)])
-
-    @precondition(lambda self: self.fleet.network)
-    @rule(index=INDEX)
-    def lose(self, index: int) -> None:
-        del self.fleet.network[index % len(self.fleet.network)]
-
     @rule()
-    def connect_all(self) -> None:
-        for execution in self.fleet.connecting():
-            self.fleet.connect(execution)
-
-    @precondition(lambda self: self.fleet.answerable())
-    @rule(index=INDEX)
-    def answer(self, index: int) -> None:
-        executions = self.fleet.answerable()
-        self.fleet.answer(executions[index % len(executions)])
+    def connect(self) -> None:
+        self.connect_all()
 
     @rule(seconds=st.sampled_from([0.01, 0.1, 0.2, 0.5, 0.9]))
     def advance(self, seconds: float) -> None:
         self.fleet.advance(seconds)
         self.fleet.check_in_time()
 
-    @rule()
-    def announce(self) -> None:
-        self.fleet.announce()
-        self.fleet.tell_owner_of_members()
-
     @precondition(lambda self: len(self.fleet.running()) > 1)
     @rule(member_id=MEMBER, kills=st.booleans(), is_noticed=st.booleans())
     def lose_member(self, member_id: MemberId, kills: bool, is_noticed: bool) -> None:
@@ -261,14 +219,6 @@
         if not chance:
             self.fleet.take_over(self.running(member_id))
 
-    @invariant()
-    def promises_hold(self) -> None:
-        self.fleet.check()
-
-    def teardown(self) -> None:
-        self.fleet.end_quietly()
-        self.fleet.check()
-
 
 TestWitnessMachine = WitnessMachine.TestCase
 TestWitnessMachine.settings = machine_settings(histories=150, steps=50)
