Request part: listed upstreams and limits in modules of their own

Change: kernel/listed_upstreams.py answers by an index made when the list is read; kernel/request_limits.py beside job_limits.py; the log's and the VM list's tasks share PeriodicTask. Behaviour as before.

--- a/tamarackmount/daemon/platform_tasks.py
+++ b/tamarackmount/daemon/platform_tasks.py
@@ -30,6 +30,24 @@
 }
 
 
+class PeriodicTask:
+    """A task that does one thing at a period."""
+
+    def __init__(self, work: Callable[[], None]) -> None:
+        """Do ``work`` at every period, once started."""
+        self._loop = LoopingCall(work)
+
+    def start(self, reactor: Any, period_s: float) -> None:
+        """Begin at once and go on every ``period_s`` seconds."""
+        self._loop.clock = reactor
+        self._loop.start(period_s)
+
+    def stop(self) -> None:
+        """End the periods; what is under way goes on."""
+        if self._loop.running:
+            self._loop.stop()
+
+
 class LogInput(Protocol):
     """What the log task tells the node."""
 
@@ -43,7 +61,7 @@
         """Return the offset to read from."""
 
 
-class LogTask:
+class LogTask(PeriodicTask):
     """Reads the log at a period and on demand, one read at a time; appends."""
 
     def __init__(
@@ -56,17 +74,7 @@
         self._is_reading = False
         self._read_again = False
         self._was_down = False
-        self._loop = LoopingCall(self.read)
-
-    def start(self, reactor: Any, period_s: float) -> None:
-        """Begin to read every ``period_s`` seconds."""
-        self._loop.clock = reactor
-        self._loop.start(period_s)
-
-    def stop(self) -> None:
-        """End the reads."""
-        if self._loop.running:
-            self._loop.stop()
+        super().__init__(self.read)
 
     def read(self) -> None:
         """Read from the node's position on, or once more after the present read."""
@@ -116,7 +124,7 @@
         """Pass on the VM list."""
 
 
-class VmTask:
+class VmTask(PeriodicTask):
     """Fetches the VM list at a period."""
 
     def __init__(self, client: VmListClient, node: VmInput) -> None:
@@ -124,17 +132,7 @@
         self._client = client
         self._node = node
         self._is_fetching = False
-        self._loop = LoopingCall(self._fetch)
-
-    def start(self, reactor: Any, period_s: float) -> None:
-        """Begin to fetch every ``period_s`` seconds."""
-        self._loop.clock = reactor
-        self._loop.start(period_s)
-
-    def stop(self) -> None:
-        """End the fetches."""
-        if self._loop.running:
-            self._loop.stop()
+        super().__init__(self._fetch)
 
     def _fetch(self) -> None:
         if self._is_fetching:
--- a/tamarackmount/kernel/request_part.py
+++ b/tamarackmount/kernel/request_part.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Mapping, Sequence
 
-from tamarackmount.adapters.vm_schema import Vm, VmKind, VmState
+from tamarackmount.adapters.vm_schema import Vm
 from tamarackmount.ids import (
     DataCentreId,
     Epoch,
@@ -18,14 +18,11 @@
     RequestId,
     TeamId,
     TicketId,
-    UpstreamId,
 )
-from tamarackmount.kernel.allowances import allowance
 from tamarackmount.kernel.directory import Directory
 from tamarackmount.kernel.dispatcher import Dispatcher
 from tamarackmount.kernel.effects import (
     AbortCall,
-    Address,
     CallUpstream,
     Effect,
     FinishRequest,
@@ -33,6 +30,7 @@
     SendPeer,
 )
 from tamarackmount.kernel.forwarding import CallerRequest, Forward, Forwards
+from tamarackmount.kernel.listed_upstreams import ListedUpstreams
 from tamarackmount.kernel.membership import Membership, rank_by_hash
 from tamarackmount.kernel.messages import (
     AttemptCopied,
@@ -52,7 +50,7 @@
     TicketWithdrawal,
 )
 from tamarackmount.kernel.ownership_effects import OwnershipTaken
-from tamarackmount.kernel.queue_board import QueueRules, RequestLimits
+from tamarackmount.kernel.queue_board import RequestLimits
 from tamarackmount.kernel.request_effects import (
     AbortUpstream,
     DispatcherEffect,
@@ -63,6 +61,7 @@
     SendToOwner,
     SendUpstream,
 )
+from tamarackmount.kernel.request_limits import queue_rules, request_limits
 from tamarackmount.kernel.requests import RequestTable
 from tamarackmount.kernel.slots import ListedUpstream
 from tamarackmount.kernel.witness_reports import Predecessor
@@ -102,7 +101,7 @@
         self._table = RequestTable(member_id, incarnation, timing)
         self._dispatcher: Dispatcher | None = None
         self._owner: MemberId | None = None
-        self._upstreams_by_id: dict[UpstreamId, Vm] = {}
+        self._upstreams = ListedUpstreams()
         self._forwards = Forwards(membership)
 
     @property
@@ -160,9 +159,7 @@
 
     def set_vms(self, vms: Sequence[Vm], now: Instant) -> list[Effect]:
         """Take in the VM list."""
-        self._upstreams_by_id = {
-            UpstreamId(vm.id): vm for vm in vms if vm.kind is VmKind.UPSTREAM
-        }
+        self._upstreams.update(vms)
         if self._dispatcher is None:
             return []
         upstreams = self._local_upstreams()
@@ -175,7 +172,7 @@
         dispatcher = self._dispatcher
         if dispatcher is None:
             return []
-        effects = dispatcher.set_queues(self._queue_rules(), now)
+        effects = dispatcher.set_queues(queue_rules(self._directory), now)
         effects += dispatcher.set_teams(self._team_limits(), now)
         return self._from_dispatcher(effects, now)
 
@@ -207,7 +204,7 @@
         runs = self._membership.runs(live)
         effects = dispatcher.set_members(live, now, runs)
         effects += dispatcher.set_upstreams(self._local_upstreams(), now)
-        effects += dispatcher.set_queues(self._queue_rules(), now)
+        effects += dispatcher.set_queues(queue_rules(self._directory), now)
         effects += dispatcher.set_teams(self._team_limits(), now)
         done = self._from_dispatcher(effects, now)
         return done + self._from_table(self._table.owner_changed(self._me, now), now)
@@ -391,8 +388,8 @@
         return [SendPeer(to, message)]
 
     def _call_upstream(self, effect: SendUpstream, now: Instant) -> list[Effect]:
-        vm = self._upstreams_by_id.get(effect.upstream_id)
-        if vm is None:
+        address = self._upstreams.address(effect.upstream_id)
+        if address is None:
             failed = AttemptResult.FAILED_BEFORE_SEND
             return self.attempt_ended(effect.ticket_id, failed, now)
         return [
@@ -400,7 +397,7 @@
                 call_id=effect.call_id,
                 ticket_id=effect.ticket_id,
                 upstream_id=effect.upstream_id,
-                address=Address(vm.host, vm.port),
+                address=address,
                 deadline=effect.deadline,
             )
         ]
@@ -409,49 +406,14 @@
         rules = self._directory.queues_by_name.get(queue)
         if rules is None:
             return False
-        return any(
-            vm.service == rules.service
-            and vm.data_centre == data_centre
-            and vm.state is VmState.LIVE
-            for vm in self._upstreams_by_id.values()
-        )
+        return self._upstreams.has_service(rules.service, data_centre)
 
     def _local_upstreams(self) -> list[ListedUpstream]:
-        return [
-            ListedUpstream(
-                id=upstream_id,
-                service=vm.service,
-                slots=vm.slots,
-                leaving=vm.state is VmState.LEAVING,
-            )
-            for upstream_id, vm in self._upstreams_by_id.items()
-            if vm.data_centre == self._data_centre
-        ]
-
-    def _queue_rules(self) -> Mapping[QueueName, QueueRules]:
-        return {
-            name: QueueRules(
-                service=document.service,
-                policy=document.policy,
-                max_waiting=document.max_waiting,
-            )
-            for name, document in self._directory.queues_by_name.items()
-        }
+        return self._upstreams.in_data_centre(self._data_centre)
 
     def _team_limits(self) -> Mapping[TeamId, RequestLimits]:
         data_centres = self._membership.data_centres()
-        return {
-            team_id: RequestLimits(
-                share=document.share,
-                running_requests=allowance(
-                    document.ceiling.running_requests,
-                    team_id,
-                    self._data_centre,
-                    data_centres,
-                ),
-            )
-            for team_id, document in self._directory.teams_by_id.items()
-        }
+        return request_limits(self._directory, self._data_centre, data_centres)
 
 
 def _unknown(forward: Forward, reason: RefusalReason) -> FinishRequest:
