--- a/tamarackmount/core.py
+++ b/tamarackmount/core.py
@@ -17,7 +17,7 @@
 def main(args: Sequence[str], env: Environment) -> ExitStatus:
     """Run the command with the arguments after its name."""
     application = build_application(env)
-    arguments = ArgvInput([PROGRAM, *args])
+    arguments = ArgvInput([PROGRAM, *_with_default(args)])
     arguments.set_stream(env.stdin)
     try:
         code = application.run(
@@ -28,3 +28,12 @@
         env.print_error(f"See `{PROGRAM} list` and `{PROGRAM} COMMAND --help`.")
         return ExitStatus.USAGE
     return ExitStatus(code)
+
+
+def _with_default(args: Sequence[str]) -> Sequence[str]:
+    # Cleo would explain its own command `list` instead of listing the commands.
+    return ["list"] if list(args) in _HELP_ALONE else args
+
+
+_HELP_ALONE = (["--help"], ["-h"], ["help"])
+"""Arguments that ask for help without naming a command."""
