--- a/tamarackmount/kernel/log_keeper.py
+++ b/tamarackmount/kernel/log_keeper.py
@@ -130,9 +130,13 @@
         member_id: MemberId,
         run_name: str,
         appends_per_second: float,
+        snapshot_spread_s: float,
         now: Instant,
     ) -> None:
-        """Start at the first offset; ``run_name`` makes record ids unique."""
+        """Start at the first offset; ``run_name`` makes record ids unique.
+
+        ``snapshot_spread_s`` is the time over which the fleet spreads snapshots.
+        """
         self.config = FleetConfig()
         self._me = member_id
         self._run_name = run_name
@@ -142,7 +146,7 @@
         self._last_end_read: Instant | None = None
         self._read_back_after: Instant | None = None
         self._claims = ClaimBook()
-        self._snapshots = SnapshotSchedule(member_id)
+        self._snapshots = SnapshotSchedule(member_id, snapshot_spread_s)
 
     def is_fresh(self, limit_s: float, now: Instant) -> bool:
         """Tell whether the log's end was read within ``limit_s`` seconds."""
--- a/tamarackmount/kernel/member_core.py
+++ b/tamarackmount/kernel/member_core.py
@@ -56,6 +56,7 @@
 )
 from tamarackmount.kernel.request_effects import RequestTiming
 from tamarackmount.kernel.request_part import RequestPart
+from tamarackmount.kernel.snapshot_schedule import spread_s
 from tamarackmount.kernel.timing import Timing
 
 NEVER_READ_MS = 2**53
@@ -94,8 +95,14 @@
         self._refusing = False
         self._last_tick = now
         self._live: frozenset[MemberId] = frozenset({me.id})
-        rate = APPENDS_PER_SECOND / (len(peers) + 1)
-        self.log = LogKeeper(me.id, str(incarnation), rate, now)
+        fleet_size = len(peers) + 1
+        self.log = LogKeeper(
+            me.id,
+            str(incarnation),
+            APPENDS_PER_SECOND / fleet_size,
+            spread_s(fleet_size),
+            now,
+        )
         self.directory = Directory()
         self.membership = Membership(me, incarnation, peers, timing.members, now)
         self._heartbeats = HeartbeatSchedule(self.membership, timing.members, now)
--- a/tamarackmount/kernel/snapshot_schedule.py
+++ b/tamarackmount/kernel/snapshot_schedule.py
@@ -17,16 +17,25 @@
 MIN_KEPT_FOR_SNAPSHOT = 100
 """Kept records below which dropping is not expected."""
 
-SNAPSHOT_SPREAD_S = 2.0
-"""Time over which the members spread their snapshots, in seconds."""
+SPREAD_PER_MEMBER_S = 0.5
+"""Time by which each member of the fleet lengthens the spread, in seconds.
+
+A snapshot is read by the others about two polls of the log after it is due, so that
+few members write one for nothing however large the fleet is.
+"""
+
+
+def spread_s(members: int) -> float:
+    """Return the time over which so many members spread their snapshots."""
+    return members * SPREAD_PER_MEMBER_S
 
 
 class SnapshotSchedule:
     """Tells one member when to write a snapshot."""
 
-    def __init__(self, member_id: MemberId) -> None:
-        """Start without having seen a snapshot."""
-        self._delay_s = _part_by_hash(member_id) * SNAPSHOT_SPREAD_S
+    def __init__(self, member_id: MemberId, spread: float) -> None:
+        """Start without having seen a snapshot; ``spread`` is in seconds."""
+        self._delay_s = _part_by_hash(member_id) * spread
         self._last_applied = Offset(0)
         self._pending: RecordId | None = None
         self._due_at: Instant | None = None
--- a/tests/test_log_keeper.py
+++ b/tests/test_log_keeper.py
@@ -23,7 +23,7 @@
 
 
 def keeper(name: str = "a") -> LogKeeper:
-    return LogKeeper(MemberId(name), "1", 100.0, Instant(0.0))
+    return LogKeeper(MemberId(name), "1", 100.0, 2.0, Instant(0.0))
 
 
 def read_all(reader: LogKeeper, log: FakeLog, now: Instant = NOW) -> KeeperStep:
