--- a/tamarackmount/bench/idle_fleet.py
+++ b/tamarackmount/bench/idle_fleet.py
@@ -5,9 +5,21 @@
 
 from tamarackmount.adapters.log_schema import RecordPage, StoredRecord
 from tamarackmount.bench.loads import START
-from tamarackmount.ids import Incarnation, Instant, MemberId, Offset
+from tamarackmount.ids import (
+    ConfigPath,
+    Incarnation,
+    Instant,
+    MemberId,
+    Offset,
+    RecordId,
+)
 from tamarackmount.kernel.effects import AppendToLog, Effect, SendPeer
-from tamarackmount.kernel.log_records import ConfigSnapshot, record_from_text
+from tamarackmount.kernel.log_records import (
+    ConfigChange,
+    ConfigSnapshot,
+    record_from_text,
+    record_to_text,
+)
 from tamarackmount.kernel.log_writer import AppendResult
 from tamarackmount.kernel.membership import Member
 from tamarackmount.kernel.messages import Heartbeat, PeerMessage
@@ -47,6 +59,19 @@
             self._read_log(number % ticks_per_poll, ticks_per_poll)
             self._tick()
 
+    def fill_log(self, count: int) -> None:
+        """Append changes of one document, of which all but the first are refused."""
+        change = ConfigChange(
+            path=ConfigPath("teams/retail"), expected=Offset(0), text="share = 1.0\n"
+        )
+        text = record_to_text(change)
+        for number in range(count):
+            offset = Offset(len(self._records) + 1)
+            stored = StoredRecord(
+                offset=offset, id=RecordId(f"filling/{number}"), body=text
+            )
+            self._records.append(stored)
+
     def owners(self) -> list[MemberId]:
         """Return the members that own their data centre."""
         return [
--- a/tamarackmount/bench/measure_members.py
+++ b/tamarackmount/bench/measure_members.py
@@ -11,6 +11,7 @@
 from tamarackmount.internal.codec import Envelope, encode
 from tamarackmount.kernel.membership import Member
 from tamarackmount.kernel.messages import Heartbeat
+from tamarackmount.kernel.snapshot_schedule import MIN_KEPT_FOR_SNAPSHOT, spread_s
 
 ENTRY_VMS = 8
 SETTLING_S = 5.0
@@ -114,10 +115,16 @@
 
 
 def _snapshots(effort: Effort, periods: Periods) -> Line:
-    """Count the snapshots that a fleet writes when the log holds none."""
+    """Count the snapshots that a fleet writes when the log holds none.
+
+    The fleet runs for as long as its members spread their snapshots.
+    """
 
     def sample(data_centres: int) -> float:
-        fleet = _settled(members_of(data_centres, ENTRY_VMS), periods)
+        members = members_of(data_centres, ENTRY_VMS)
+        fleet = _settled(members, periods)
+        fleet.fill_log(MIN_KEPT_FOR_SNAPSHOT)
+        fleet.run(spread_s(len(members)), periods.tick_s, periods.log_poll_s)
         return float(fleet.snapshots())
 
     return measure_line(effort.sizes(3, 7, 11), sample, 1)
