--- /dev/null
+++ b/tests/test_held_jobs.py
@@ -0,0 +1,71 @@
+"""Records that members hold: the newest wins, and ended jobs are forgotten."""
+
+from tamarackmount.ids import Epoch, Instant, JobId
+from tamarackmount.job_spec import parse_job_spec
+from tamarackmount.kernel.held_jobs import OVER_MEMORY_S, HeldJobs
+from tamarackmount.kernel.job_records import RECORD_FORMAT, JobRecord
+from tamarackmount.kernel.jobs import TaskState
+from tests.utils.build_jobs import TEAM, spec_text
+
+NOW = Instant(50.0)
+
+
+def build_record(name: str = "a", version: int = 1, *, ended: int = 0) -> str:
+    """Return the text of a record of two tasks, so many of them ended."""
+    spec = parse_job_spec(spec_text(name, tasks=2)).unwrap()
+    ranges = {TaskState.SUCCEEDED: [(0, ended - 1)]} if ended else {}
+    record = JobRecord(
+        format=RECORD_FORMAT,
+        job_id=JobId(f"dc1:retail:{name}"),
+        team_id=TEAM,
+        epoch=Epoch(1),
+        version=version,
+        accepted_number=1,
+        spec=spec,
+        ended=ranges,
+    )
+    return record.model_dump_json()
+
+
+def after(seconds: float) -> Instant:
+    return Instant(NOW + seconds)
+
+
+def test_newer_record_replaces_an_older_one_and_not_the_other_way() -> None:
+    held = HeldJobs()
+    newer = build_record(version=2)
+    assert held.take([newer], NOW).newer == [newer]
+    assert held.take([build_record(version=1)], NOW).newer == []
+    assert held.texts() == [newer]
+
+
+def test_text_that_is_no_record_is_a_problem_and_harms_nothing() -> None:
+    held = HeldJobs()
+    taken = held.take(["{}", build_record()], NOW)
+    assert len(taken.problems) == 1
+    assert len(held) == 1
+
+
+def test_job_that_is_over_is_forgotten_after_its_time_and_not_before() -> None:
+    held = HeldJobs()
+    held.take([build_record(ended=2)], NOW)
+    held.drop_old(after(OVER_MEMORY_S - 1))
+    assert len(held) == 1
+    held.drop_old(after(OVER_MEMORY_S))
+    assert len(held) == 0
+
+
+def test_job_with_tasks_left_is_never_forgotten() -> None:
+    held = HeldJobs()
+    held.take([build_record(ended=1)], NOW)
+    held.drop_old(after(100 * OVER_MEMORY_S))
+    assert len(held) == 1
+
+
+def test_news_of_a_job_that_was_over_counts_its_time_anew() -> None:
+    held = HeldJobs()
+    held.take([build_record("a", 1, ended=2), build_record("b", 1, ended=2)], NOW)
+    held.take([build_record("a", 2, ended=2)], after(10))
+    held.drop_old(after(OVER_MEMORY_S))
+    assert [text for text in held.texts() if '"a"' in text] == held.texts()
+    assert len(held) == 1
