One name for milliseconds in a second; an unused logger goes

Cause: the last read of the change found MS_PER_SECOND defined in six modules and a logger in daemon/run.py that nothing used.

--- a/tamarackmount/bench/capacity.py
+++ b/tamarackmount/bench/capacity.py
@@ -33,8 +33,8 @@
 from tamarackmount.kernel.member_core import APPENDS_PER_SECOND
 from tamarackmount.kernel.timing import Timing
 from tamarackmount.settings import PlatformSection
+from tamarackmount.units import MS_PER_SECOND
 
-MS_PER_SECOND = 1_000
 COMMAND = "make capacity"
 SMALL_ROUNDS = 5
 
--- a/tamarackmount/daemon/node_settings.py
+++ b/tamarackmount/daemon/node_settings.py
@@ -8,8 +8,7 @@
 from tamarackmount.kernel.request_effects import RequestTiming
 from tamarackmount.kernel.timing import Timing
 from tamarackmount.settings import Settings
-
-MS_PER_SECOND = 1_000
+from tamarackmount.units import MS_PER_SECOND
 
 
 def member_of(settings: Settings) -> Member:
--- a/tamarackmount/daemon/run.py
+++ b/tamarackmount/daemon/run.py
@@ -18,7 +18,6 @@
 from tamarackmount.status import ExitStatus
 
 _TWISTED = "tamarackmount.twisted"
-_log = logging.getLogger(__name__)
 
 
 def run(args: list[str]) -> ExitStatus:
--- a/tamarackmount/daemon/service.py
+++ b/tamarackmount/daemon/service.py
@@ -82,12 +82,11 @@
 )
 from tamarackmount.kernel.node import Node
 from tamarackmount.settings import Settings
+from tamarackmount.units import MS_PER_SECOND
 
 TICKS_PER_HEARTBEAT = 10
 """Ticks of the node in one heartbeat's period."""
 
-MS_PER_SECOND = 1_000
-
 _log = logging.getLogger(__name__)
 
 
--- a/tamarackmount/daemon/status_view.py
+++ b/tamarackmount/daemon/status_view.py
@@ -5,8 +5,7 @@
 from tamarackmount.ids import DataCentreId, Epoch, Instant, MemberId, Offset
 from tamarackmount.kernel.membership import MemberState
 from tamarackmount.kernel.node import Node
-
-MS_PER_SECOND = 1_000
+from tamarackmount.units import MS_PER_SECOND
 
 
 class LogStatus(BaseModel):
--- a/tamarackmount/kernel/admission.py
+++ b/tamarackmount/kernel/admission.py
@@ -4,9 +4,10 @@
 from tamarackmount.kernel.lines import WaitingTicket
 from tamarackmount.kernel.messages import RefusalReason
 from tamarackmount.kernel.queue_board import QueueBoard
-from tamarackmount.kernel.request_effects import MS_PER_SECOND, remaining_ms
+from tamarackmount.kernel.request_effects import remaining_ms
 from tamarackmount.kernel.slots import SlotLedger
 from tamarackmount.kernel.upstream_health import UpstreamHealth
+from tamarackmount.units import MS_PER_SECOND
 
 SHORTEST_RETRY_MS = 50
 """Shortest time to come back that a refusal names, in milliseconds."""
--- a/tamarackmount/kernel/attempt_feedback.py
+++ b/tamarackmount/kernel/attempt_feedback.py
@@ -4,9 +4,9 @@
 from tamarackmount.kernel.attempts import STATE_BY_RESULT, AttemptMemory
 from tamarackmount.kernel.dispatcher_view import DispatcherCounters
 from tamarackmount.kernel.messages import AttemptResult, TicketRelease
-from tamarackmount.kernel.request_effects import MS_PER_SECOND
 from tamarackmount.kernel.slots import Loan, SlotLedger
 from tamarackmount.kernel.upstream_health import SLOW_FACTOR, UpstreamHealth
+from tamarackmount.units import MS_PER_SECOND
 
 TIMEOUT_SLACK_S = 0.1
 """A failure this close to the loan's end, in seconds, counts as a timeout."""
--- a/tamarackmount/kernel/lending.py
+++ b/tamarackmount/kernel/lending.py
@@ -19,7 +19,6 @@
 from tamarackmount.kernel.queue_board import QueueBoard
 from tamarackmount.kernel.refusals import Refusals
 from tamarackmount.kernel.request_effects import (
-    MS_PER_SECOND,
     DispatcherEffect,
     RequestTiming,
     SendToMember,
@@ -27,6 +26,7 @@
     remaining_ms,
 )
 from tamarackmount.kernel.slots import Loan, SlotLedger
+from tamarackmount.units import MS_PER_SECOND
 
 MAX_TEAMS_TRIED = 8
 """Most teams that are asked for a request that the free upstreams may serve."""
--- a/tamarackmount/kernel/membership.py
+++ b/tamarackmount/kernel/membership.py
@@ -15,8 +15,7 @@
 from tamarackmount.ids import DataCentreId, Epoch, Incarnation, Instant, MemberId
 from tamarackmount.kernel.messages import Heartbeat, MemberRun
 from tamarackmount.kernel.timing import Timing
-
-MS_PER_SECOND = 1_000
+from tamarackmount.units import MS_PER_SECOND
 
 NEVER = Instant(-math.inf)
 """An instant before every other."""
--- a/tamarackmount/kernel/request_effects.py
+++ b/tamarackmount/kernel/request_effects.py
@@ -23,8 +23,7 @@
     TicketRequest,
     TicketWithdrawal,
 )
-
-MS_PER_SECOND = 1_000
+from tamarackmount.units import MS_PER_SECOND
 
 
 @dataclass(frozen=True, slots=True)
--- a/tamarackmount/kernel/requests.py
+++ b/tamarackmount/kernel/requests.py
@@ -31,7 +31,6 @@
     TicketWithdrawal,
 )
 from tamarackmount.kernel.request_effects import (
-    MS_PER_SECOND,
     AbortUpstream,
     Finish,
     NewRequest,
@@ -45,6 +44,7 @@
 from tamarackmount.kernel.retry_budget import RetryBudget
 from tamarackmount.kernel.ticket_ids import ticket_prefix
 from tamarackmount.kernel.used_tickets import UsedTickets
+from tamarackmount.units import MS_PER_SECOND
 
 
 class RequestTable:
