--- a/tamarackmount/bench/measure_jobs.py
+++ b/tamarackmount/bench/measure_jobs.py
@@ -12,7 +12,8 @@
     measure_line,
     memory_bytes,
 )
-from tamarackmount.internal.codec import Envelope, encode
+from tamarackmount.internal.codec import Envelope
+from tamarackmount.internal.member_codec import encode
 from tamarackmount.job_spec import JobKind
 from tamarackmount.kernel.held_jobs import HeldJobs
 from tamarackmount.kernel.job_effects import SyncWorker
--- a/tamarackmount/bench/measure_members.py
+++ b/tamarackmount/bench/measure_members.py
@@ -8,7 +8,8 @@
 from tamarackmount.bench.loads import members_of
 from tamarackmount.bench.measuring import Effort, Line, cpu_seconds, measure_line
 from tamarackmount.ids import Incarnation, Instant
-from tamarackmount.internal.codec import Envelope, encode
+from tamarackmount.internal.codec import Envelope
+from tamarackmount.internal.member_codec import encode
 from tamarackmount.kernel.membership import Member
 from tamarackmount.kernel.messages import Heartbeat
 from tamarackmount.kernel.snapshot_schedule import MIN_KEPT_FOR_SNAPSHOT, spread_s
--- a/tamarackmount/bench/measure_requests.py
+++ b/tamarackmount/bench/measure_requests.py
@@ -18,7 +18,8 @@
     TeamId,
     UpstreamId,
 )
-from tamarackmount.internal.codec import Envelope, encode
+from tamarackmount.internal.codec import Envelope
+from tamarackmount.internal.member_codec import encode
 from tamarackmount.kernel.dispatcher import Dispatcher
 from tamarackmount.kernel.messages import (
     AttemptResult,
--- a/tamarackmount/bench/measure_sockets.py
+++ b/tamarackmount/bench/measure_sockets.py
@@ -23,7 +23,6 @@
 from tamarackmount.bench.counting_reactor import CountingReactor
 from tamarackmount.bench.loads import logged_records, record_of
 from tamarackmount.bench.measuring import Effort, Line, fit, summarise
-from tamarackmount.daemon.peers import PeerLinks
 from tamarackmount.demo.ports import LOOPBACK, PortReservation
 from tamarackmount.demo.processes import Command, ProcessGroup
 from tamarackmount.ids import (
@@ -37,6 +36,8 @@
     TeamId,
 )
 from tamarackmount.internal.codec import Envelope
+from tamarackmount.internal.links import PeerLinks
+from tamarackmount.internal.member_codec import MEMBER_CODEC
 from tamarackmount.kernel.effects import Address
 from tamarackmount.kernel.messages import Heartbeat, JobCopy, PeerMessage
 
@@ -258,13 +259,13 @@
     def __init__(self, reactor: Any) -> None:
         """Listen on a free port."""
         self._reactor = reactor
-        self._waiter: Deferred[Envelope] | None = None
+        self._waiter: Deferred[Envelope[PeerMessage]] | None = None
         self._ports = PortReservation()
         address = Address(LOOPBACK, self._ports.take())
-        self._receiver = PeerLinks(reactor, ENTRY, {}, self._received)
+        self._receiver = PeerLinks(reactor, ENTRY, {}, MEMBER_CODEC, self._received)
         self._receiver.listen(address)
         self._sender = PeerLinks(
-            reactor, OWNER, {ENTRY: address}, lambda envelope: None
+            reactor, OWNER, {ENTRY: address}, MEMBER_CODEC, lambda envelope: None
         )
 
     async def connect(self) -> None:
@@ -275,7 +276,7 @@
 
     async def pass_on(self, message: PeerMessage) -> None:
         """Send one message and wait until it is there."""
-        waiter: Deferred[Envelope] = Deferred()
+        waiter: Deferred[Envelope[PeerMessage]] = Deferred()
         self._waiter = waiter
         if not self._sender.send(ENTRY, message):
             raise RuntimeError("the link broke")
@@ -287,7 +288,7 @@
         self._receiver.stop()
         self._ports.release()
 
-    def _received(self, envelope: Envelope) -> None:
+    def _received(self, envelope: Envelope[PeerMessage]) -> None:
         waiter, self._waiter = self._waiter, None
         if waiter is not None:
             waiter.callback(envelope)
--- a/tamarackmount/bench/measure_takeover.py
+++ b/tamarackmount/bench/measure_takeover.py
@@ -6,7 +6,8 @@
 from tamarackmount.bench.loads import HERE, START, record_of, team_of
 from tamarackmount.bench.measuring import Effort, Line, cpu_seconds, measure_line
 from tamarackmount.ids import Epoch, Instant, MemberId, RequestId
-from tamarackmount.internal.codec import Envelope, decode, encode
+from tamarackmount.internal.codec import Envelope
+from tamarackmount.internal.member_codec import decode, encode
 from tamarackmount.kernel.dispatcher import Dispatcher
 from tamarackmount.kernel.held_jobs import HeldJobs
 from tamarackmount.kernel.job_effects import SchedulerTiming
@@ -16,6 +17,7 @@
     AttemptState,
     HoldingsReport,
     JobsHeld,
+    PeerMessage,
 )
 from tamarackmount.kernel.request_effects import RequestTiming
 from tamarackmount.kernel.scheduler import Scheduler
@@ -103,7 +105,7 @@
         dispatcher.holdings_reported(PEER, message, now)
 
 
-def _decoded(frame: bytes) -> Envelope:
+def _decoded(frame: bytes) -> Envelope[PeerMessage]:
     decoded = decode(frame)
     if isinstance(decoded, Failure):
         raise RuntimeError(f"an encoded message is not readable: {decoded.failure()}")
--- a/tamarackmount/daemon/http_front.py
+++ b/tamarackmount/daemon/http_front.py
@@ -5,9 +5,8 @@
 from typing import Protocol
 
 from returns.result import Failure
-from twisted.web.http import Request as HttpRequest
 from twisted.web.resource import Resource
-from twisted.web.server import NOT_DONE_YET, Site
+from twisted.web.server import NOT_DONE_YET
 
 from tamarackmount.daemon.http_answers import (
     FinalAnswer,
@@ -89,16 +88,6 @@
 """Serves a request, given the parts of its path after the route's own."""
 
 
-class QuietSite(Site):
-    """A site that leaves the log of requests to traces and metrics."""
-
-    displayTracebacks = False  # noqa: N815  (twisted's name)
-    noisy = False
-
-    def log(self, request: HttpRequest) -> None:
-        """Write nothing."""
-
-
 class Front(Resource):
     """Every path of the interface, by the first parts of the path."""
 
--- a/tamarackmount/daemon/metrics.py
+++ b/tamarackmount/daemon/metrics.py
@@ -2,8 +2,8 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-from tamarackmount.daemon.peers import LinkCounters
 from tamarackmount.ids import QueueName
+from tamarackmount.internal.links import LinkCounters
 from tamarackmount.kernel.messages import Outcome
 from tamarackmount.kernel.node import Node
 
--- a/tamarackmount/daemon/service.py
+++ b/tamarackmount/daemon/service.py
@@ -19,7 +19,7 @@
 from tamarackmount.adapters.workers import StaleEpochError, WorkerClient
 from tamarackmount.daemon.drain import Drain, DrainStep, DrainTimes
 from tamarackmount.daemon.http_answers import write_json, write_metrics
-from tamarackmount.daemon.http_front import Admission, Front, HttpSink, QuietSite
+from tamarackmount.daemon.http_front import Admission, Front, HttpSink
 from tamarackmount.daemon.http_request import BoundedRequest
 from tamarackmount.daemon.job_calls import JobCalls
 from tamarackmount.daemon.metrics import MemberMetrics, RequestMetrics, render_metrics
@@ -30,8 +30,8 @@
     timing_of,
 )
 from tamarackmount.daemon.operator_calls import OperatorCalls
-from tamarackmount.daemon.peers import PeerLinks
 from tamarackmount.daemon.platform_tasks import LogTask, VmTask, WorkerTask
+from tamarackmount.daemon.quiet_site import QuietSite
 from tamarackmount.daemon.request_calls import (
     AnswerSink,
     PeerSink,
@@ -54,6 +54,8 @@
     TicketId,
 )
 from tamarackmount.internal.codec import Envelope
+from tamarackmount.internal.links import PeerLinks
+from tamarackmount.internal.member_codec import MEMBER_CODEC
 from tamarackmount.kernel.effects import (
     AbortCall,
     Address,
@@ -78,6 +80,7 @@
     ForwardedReply,
     ForwardedRequest,
     JobCall,
+    PeerMessage,
     RefusalReason,
 )
 from tamarackmount.kernel.node import Node
@@ -141,7 +144,9 @@
         metrics = RequestMetrics(self._registry)
         self._calls = RequestCalls(upstreams, read_clock, tracer, metrics)
         addresses = addresses_of(settings)
-        self._links = PeerLinks(reactor, member_id, addresses, self._receive)
+        self._links = PeerLinks(
+            reactor, member_id, addresses, MEMBER_CODEC, self._receive
+        )
         log_client = LogClient(reactor, platform.log_url)
         self._log_task = LogTask(log_client, read_clock, self)
         self._vm_task = VmTask(VmListClient(reactor, platform.vms_url), self)
@@ -243,7 +248,7 @@
 
     # Inputs from the tasks
 
-    def _receive(self, envelope: Envelope) -> None:
+    def _receive(self, envelope: Envelope[PeerMessage]) -> None:
         message = envelope.message
         if isinstance(message, ForwardedRequest):
             self._take_forwarded(envelope.sender, message)
--- a/tamarackmount/internal/codec.py
+++ b/tamarackmount/internal/codec.py
@@ -1,9 +1,9 @@
-"""Encoding of peer messages as Cap'n Proto, by the schema in ``peer.capnp``."""
+"""Encoding of messages between processes as Cap'n Proto, by a schema."""
 
 from dataclasses import dataclass, fields
 from enum import Enum
 from pathlib import Path
-from typing import Any, get_args
+from typing import Any, Generic, TypeVar, get_args
 
 import capnp
 from cattrs import Converter
@@ -11,13 +11,10 @@
 from returns.result import Failure, Result, Success
 
 from tamarackmount.ids import MemberId
-from tamarackmount.kernel.messages import PeerMessage
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 """Largest encoded message that a member accepts."""
 
-_SCHEMA = capnp.load(str(Path(__file__).with_name("peer.capnp")))
-
 
 class DecodeError(Enum):
     """Why bytes from a peer are not a message."""
@@ -26,12 +23,15 @@
     MALFORMED = "malformed"
 
 
+M = TypeVar("M")
+
+
 @dataclass(frozen=True, slots=True)
-class Envelope:
+class Envelope(Generic[M]):
     """A message and the member that sent it."""
 
     sender: MemberId
-    message: PeerMessage
+    message: M
 
 
 def _camel_case(name: str) -> str:
@@ -67,29 +67,39 @@
 
 
 _CONVERTER = _make_converter()
-_CLASS_BY_FIELD = {_lower_first(cls.__name__): cls for cls in get_args(PeerMessage)}
-_FIELD_BY_CLASS = {cls: name for name, cls in _CLASS_BY_FIELD.items()}
-
-
-def encode(envelope: Envelope) -> bytes:
-    """Return the bytes of an envelope."""
-    field = _FIELD_BY_CLASS[type(envelope.message)]
-    payload = _CONVERTER.unstructure(envelope.message)
-    builder = _SCHEMA.Envelope.new_message(sender=envelope.sender, **{field: payload})
-    encoded: bytes = builder.to_bytes()
-    return encoded
-
-
-def decode(data: bytes) -> Result[Envelope, DecodeError]:
-    """Return the envelope in ``data``, or why there is none."""
-    if len(data) > MAX_MESSAGE_BYTES:
-        return Failure(DecodeError.TOO_LARGE)
-    try:
-        with _SCHEMA.Envelope.from_bytes(data) as reader:
-            field = reader.which()
-            payload = getattr(reader, str(field)).to_dict()
-            sender = MemberId(reader.sender)
-        message = _CONVERTER.structure(payload, _CLASS_BY_FIELD[str(field)])
-    except Exception:  # pycapnp and cattrs raise many types for foreign bytes
-        return Failure(DecodeError.MALFORMED)
-    return Success(Envelope(sender=sender, message=message))
+
+
+class Codec(Generic[M]):
+    """Encodes the dataclasses of a union by a schema with structs of their names."""
+
+    def __init__(self, schema: str, union: Any) -> None:
+        """Load ``schema``, a file beside this module, for the members of ``union``."""
+        self._schema = capnp.load(str(Path(__file__).with_name(schema)))
+        self._class_by_field = {
+            _lower_first(cls.__name__): cls for cls in get_args(union)
+        }
+        self._field_by_class = {cls: name for name, cls in self._class_by_field.items()}
+
+    def encode(self, envelope: Envelope[M]) -> bytes:
+        """Return the bytes of an envelope."""
+        field = self._field_by_class[type(envelope.message)]
+        payload = _CONVERTER.unstructure(envelope.message)
+        builder = self._schema.Envelope.new_message(
+            sender=envelope.sender, **{field: payload}
+        )
+        encoded: bytes = builder.to_bytes()
+        return encoded
+
+    def decode(self, data: bytes) -> Result[Envelope[M], DecodeError]:
+        """Return the envelope in ``data``, or why there is none."""
+        if len(data) > MAX_MESSAGE_BYTES:
+            return Failure(DecodeError.TOO_LARGE)
+        try:
+            with self._schema.Envelope.from_bytes(data) as reader:
+                field = reader.which()
+                payload = getattr(reader, str(field)).to_dict()
+                sender = MemberId(reader.sender)
+            message = _CONVERTER.structure(payload, self._class_by_field[str(field)])
+        except Exception:  # pycapnp and cattrs raise many types for foreign bytes
+            return Failure(DecodeError.MALFORMED)
+        return Success(Envelope(sender=sender, message=message))
--- a/tamarackmount/daemon/peers.py
+++ b/tamarackmount/internal/links.py
@@ -10,7 +10,7 @@
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Generic, TypeVar
 
 from returns.result import Failure
 from twisted.application.internet import ClientService, backoffPolicy
@@ -20,9 +20,8 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from tamarackmount.ids import MemberId
-from tamarackmount.internal.codec import MAX_MESSAGE_BYTES, Envelope, decode, encode
+from tamarackmount.internal.codec import MAX_MESSAGE_BYTES, Codec, Envelope
 from tamarackmount.kernel.effects import Address
-from tamarackmount.kernel.messages import PeerMessage
 
 MAX_UNSENT_BYTES = 8 * 1024 * 1024
 """Bytes waiting for a slow peer after which its connection is dropped."""
@@ -35,7 +34,9 @@
 
 _log = logging.getLogger(__name__)
 
-Receive = Callable[[Envelope], None]
+M = TypeVar("M")
+
+Receive = Callable[[Envelope[M]], None]
 
 
 @dataclass(slots=True)
@@ -55,12 +56,15 @@
     return protocol.transport
 
 
-class _Inbound(Int32StringReceiver):
+class _Inbound(Int32StringReceiver, Generic[M]):
     """A connection that another member opened."""
 
     MAX_LENGTH = MAX_MESSAGE_BYTES
 
-    def __init__(self, receive: Receive, counters: LinkCounters) -> None:
+    def __init__(
+        self, codec: Codec[M], receive: Receive[M], counters: LinkCounters
+    ) -> None:
+        self._codec = codec
         self._receive = receive
         self._counters = counters
 
@@ -70,7 +74,7 @@
 
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         """Pass a message on, or close on bytes that are none."""
-        decoded = decode(string)
+        decoded = self._codec.decode(string)
         if isinstance(decoded, Failure):
             self._reject(decoded.failure().value)
             return
@@ -89,15 +93,18 @@
         _transport(self).abortConnection()
 
 
-class _InboundFactory(Factory):
+class _InboundFactory(Factory, Generic[M]):
     noisy = False
 
-    def __init__(self, receive: Receive, counters: LinkCounters) -> None:
+    def __init__(
+        self, codec: Codec[M], receive: Receive[M], counters: LinkCounters
+    ) -> None:
+        self._codec = codec
         self._receive = receive
         self._counters = counters
 
-    def buildProtocol(self, addr: object) -> _Inbound:  # noqa: N802, ARG002
-        return _Inbound(self._receive, self._counters)
+    def buildProtocol(self, addr: object) -> _Inbound[M]:  # noqa: N802, ARG002
+        return _Inbound(self._codec, self._receive, self._counters)
 
 
 class _Outbound(Int32StringReceiver):
@@ -170,6 +177,10 @@
         )
         self._service.startService()
 
+    @property
+    def is_open(self) -> bool:
+        return self._protocol is not None and self._protocol.is_open
+
     def send(self, data: bytes) -> bool:
         if self._protocol is not None and self._protocol.is_open:
             return self._protocol.send(data)
@@ -186,7 +197,7 @@
     return random.uniform(0, RECONNECT_JITTER_S)
 
 
-class PeerLinks:
+class PeerLinks(Generic[M]):
     """The task that owns every connection between this member and others."""
 
     def __init__(
@@ -194,12 +205,14 @@
         reactor: Any,
         member_id: MemberId,
         addresses_by_id: Mapping[MemberId, Address],
-        receive: Receive,
+        codec: Codec[M],
+        receive: Receive[M],
     ) -> None:
         """Know the peers' addresses; nothing is connected before it is needed."""
         self._reactor = reactor
         self._member_id = member_id
         self._addresses_by_id = addresses_by_id
+        self._codec = codec
         self._receive = receive
         self._links_by_id: dict[MemberId, _Link] = {}
         self._port: Any = None
@@ -207,15 +220,15 @@
 
     def listen(self, address: Address) -> None:
         """Accept connections of other members."""
-        factory = _InboundFactory(self._receive, self.counters)
+        factory = _InboundFactory(self._codec, self._receive, self.counters)
         self._port = self._reactor.listenTCP(
             address.port, factory, interface=address.host
         )
 
-    def send(self, to: MemberId, message: PeerMessage) -> bool:
+    def send(self, to: MemberId, message: M) -> bool:
         """Send a message to a peer; return whether there was a connection to it."""
         link = self._link(to)
-        data = encode(Envelope(self._member_id, message))
+        data = self._codec.encode(Envelope(self._member_id, message))
         if link is not None and link.send(data):
             self.counters.sent += 1
             self.counters.sent_bytes += len(data)
@@ -223,6 +236,17 @@
         self.counters.dropped += 1
         return False
 
+    def is_open(self, to: MemberId) -> bool:
+        """Tell whether there is a connection to a peer; ask for one if not."""
+        link = self._link(to)
+        return link is not None and link.is_open
+
+    def forget(self, to: MemberId) -> None:
+        """Close the connection to a peer, whose address has changed or is gone."""
+        link = self._links_by_id.pop(to, None)
+        if link is not None:
+            link.stop()
+
     def stop(self) -> None:
         """Close every connection."""
         if self._port is not None:
--- /dev/null
+++ b/tamarackmount/internal/node_peer.capnp
@@ -0,0 +1,55 @@
+@0xd2a1f3c97b6045e8;
+# Messages between entry VMs on the users' platform; the dataclasses of the same names
+# are in tamarackmount/node/messages.py.
+
+struct Envelope {
+  sender @0 :Text;
+  union {
+    jobStored @1 :JobStored;
+    cancelStored @2 :CancelStored;
+    phaseQuery @3 :PhaseQuery;
+    phaseReply @4 :PhaseReply;
+    adviceQuery @5 :AdviceQuery;
+    adviceReply @6 :AdviceReply;
+    holderReleased @7 :HolderReleased;
+  }
+}
+
+struct JobStored {
+  record @0 :Data;
+}
+
+struct CancelStored {
+  jobId @0 :Text;
+}
+
+struct PhaseQuery {
+  callId @0 :UInt64;
+  jobId @1 :Text;
+}
+
+struct PhaseReply {
+  callId @0 :UInt64;
+  phase @1 :Text;
+}
+
+struct AdviceQuery {
+  callId @0 :UInt64;
+  jobId @1 :Text;
+  occurrence @2 :UInt32;
+  step @3 :UInt32;
+  workers @4 :List(Text);
+  timeoutMs @5 :UInt32;
+}
+
+struct AdviceReply {
+  callId @0 :UInt64;
+  answered @1 :Bool;
+  workers @2 :List(Text);
+  tickets @3 :List(Text);
+  validMs @4 :Float64;
+}
+
+struct HolderReleased {
+  epoch @0 :UInt64;
+}
--- /dev/null
+++ b/tamarackmount/node/holder.py
@@ -0,0 +1,329 @@
+"""The task that carries out the scheduler's decisions while this node holds it."""
+
+import logging
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from returns.result import Failure
+from twisted.internet.defer import Deferred, DeferredSemaphore, ensureDeferred
+from twisted.internet.task import LoopingCall
+
+from tamarackmount.ids import Epoch, Instant, JobId, MemberId
+from tamarackmount.node import clock
+from tamarackmount.node.advice_lanes import AdviceLanes
+from tamarackmount.node.journal_writer import JournalWriter, WriterEvents
+from tamarackmount.node.peer_calls import PeerCalls
+from tamarackmount.node.tail import TopicTail
+from tamarackmount.platform.advice import AdviceService
+from tamarackmount.platform.store import WORKERS_TOPIC, KeyedRecord, Store, Topic
+from tamarackmount.platform.workers import HoldOrder, WorkerCalls, decode_worker
+from tamarackmount.scheduling.book import JobBook
+from tamarackmount.scheduling.effects import (
+    AskAdvice,
+    Effect,
+    HoldWorker,
+    PaceRun,
+    StartRun,
+    StepDown,
+    StopRun,
+)
+from tamarackmount.scheduling.fleet import Fleet
+from tamarackmount.scheduling.model import AcceptedJob, JobPhase, StepKey, WorkerLife
+from tamarackmount.scheduling.scheduler import Batch, Scheduler
+from tamarackmount.scheduling.tickets import AdviceAnswer
+from tamarackmount.scheduling.worker_reports import WorkerEntry
+from tamarackmount.units import MS_PER_SECOND
+
+TICK_S = 0.05
+"""Pause between two ticks without input, in seconds; nothing due is as urgent."""
+
+GATHER_S = 0.002
+"""Pause in which inputs gather before the next decision, in seconds."""
+
+ORDER_TIMEOUT_S = 0.8
+"""Longest wait for the answer to an order, in seconds; round trips take 3 ms."""
+
+HOLD_SLACK_S = 0.8
+"""How much longer than its wait a look at a worker may take, in seconds."""
+
+ORDERS_PER_WORKER = 3
+"""Starts under way at one worker; more would open more connections than they save."""
+
+WORKERS_PAUSE_S = 0.25
+"""Pause between two reads of the workers' registrations, in seconds; each worker
+writes every 1.5 s, and a leaving one has to be known within 2 s."""
+
+WORKERS_WAIT_MS = 1_000
+"""How long such a read waits for news, in milliseconds."""
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class HolderParts:
+    """What a holder works with."""
+
+    reactor: Any
+    node: MemberId
+    store: Store
+    topic: Topic
+    workers: WorkerCalls
+    advice: AdviceService
+    peers: PeerCalls
+
+
+class Holder:
+    """Decides under one epoch, until it is released or another holder follows."""
+
+    def __init__(
+        self,
+        parts: HolderParts,
+        epoch: Epoch,
+        book: JobBook,
+        fleet: Fleet,
+        ended: Callable[[str], None],
+    ) -> None:
+        """Take over what ``book`` holds; ``ended`` is called when it is over."""
+        self._parts = parts
+        self._epoch = epoch
+        self._book = book
+        self._ended = ended
+        self._is_over = False
+        self._poked = False
+        self._entries_by_id: dict[str, WorkerEntry] = {}
+        self._semaphores_by_life: dict[WorkerLife, DeferredSemaphore] = {}
+        self.scheduler = Scheduler(epoch, self._find_job)
+        self.scheduler.set_fleet(fleet, clock.now())
+        events = WriterEvents(self._take_batch, self._stored, self._fenced)
+        self._writer = JournalWriter(
+            parts.reactor, parts.store, parts.topic, parts.node, epoch, events
+        )
+        self._lanes = AdviceLanes(
+            parts.reactor, parts.node, parts.advice, parts.peers, self._advised
+        )
+        self._tail = TopicTail(
+            parts.reactor,
+            parts.store,
+            WORKERS_TOPIC,
+            self._workers_snapshot,
+            self._workers_changed,
+            WORKERS_WAIT_MS,
+            WORKERS_PAUSE_S,
+        )
+        self._ticks = LoopingCall(self._tick)
+        self._ticks.clock = parts.reactor
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            HoldWorker: self._hold,
+            StartRun: self._start_run,
+            StopRun: self._stop_run,
+            PaceRun: self._pace_run,
+            AskAdvice: self._ask,
+            StepDown: self._step_down,
+        }
+
+    @property
+    def epoch(self) -> Epoch:
+        """The epoch under which this holder decides."""
+        return self._epoch
+
+    def start(self) -> None:
+        """Begin to decide."""
+        book = self._book
+        self.scheduler.restore(
+            book.open_jobs(),
+            book.workers_by_life.values(),
+            clock.now(),
+            clock.unix_ms(),
+        )
+        self._tail.start()
+        self._ticks.start(TICK_S, now=True)
+
+    def release(self) -> "Deferred[None]":
+        """Stop deciding and write so; fires once another node may go on."""
+        self._halt()
+        return self._writer.release()
+
+    def stop(self) -> None:
+        """Stop at once."""
+        self._halt()
+        self._writer.stop()
+
+    def set_fleet(self, fleet: Fleet) -> None:
+        """Take a new configuration."""
+        self.scheduler.set_fleet(fleet, clock.now())
+        self._poke()
+
+    def job_stored(self, job: AcceptedJob) -> None:
+        """Take a job that the store holds."""
+        self.scheduler.add_job(job, clock.now(), clock.unix_ms())
+        self._poke()
+
+    def cancel_stored(self, job_id: JobId) -> None:
+        """Take a cancelling that the store holds."""
+        self.scheduler.cancel_job(job_id, clock.now(), clock.unix_ms())
+        self._poke()
+
+    def phase(self, job_id: JobId) -> JobPhase | None:
+        """Return what a caller is told of a job."""
+        return self.scheduler.phase(job_id) or self._book.phase(job_id)
+
+    def _halt(self) -> None:
+        if self._is_over:
+            return
+        self._is_over = True
+        self._tail.stop()
+        if self._ticks.running:
+            self._ticks.stop()
+
+    def _find_job(self, job_id: JobId) -> AcceptedJob | None:
+        known = self._book.jobs_by_id.get(job_id)
+        return known.accepted if known is not None else None
+
+    def _poke(self) -> None:
+        if not self._poked and not self._is_over:
+            self._poked = True
+            self._parts.reactor.callLater(GATHER_S, self._tick)
+
+    def _tick(self) -> None:
+        self._poked = False
+        if self._is_over:
+            return
+        self.scheduler.set_lanes(self._lanes.count())
+        self.scheduler.tick(clock.now(), clock.unix_ms())
+        for effect in self.scheduler.take_effects():
+            self._carry_out(effect)
+        if not self._is_over:
+            self._writer.poke()
+
+    def _carry_out(self, effect: Effect) -> None:
+        self._handlers[type(effect)](effect)
+
+    def _hold(self, effect: HoldWorker) -> None:
+        ensureDeferred(self._hold_worker(effect))
+
+    async def _hold_worker(self, effect: HoldWorker) -> None:
+        sent = clock.now()
+        order = HoldOrder(
+            self._epoch, effect.ack_cursor, effect.lease_end_clock_ms, effect.wait_ms
+        )
+        deadline = Instant(sent + effect.wait_ms / MS_PER_SECOND + HOLD_SLACK_S)
+        answer = await self._parts.workers.hold(
+            effect.address, effect.life, order, deadline
+        )
+        if self._is_over:
+            return
+        self.scheduler.worker_held(effect.life, answer, sent, clock.now())
+        self._poke()
+
+    def _start_run(self, effect: StartRun) -> None:
+        life = effect.order.life
+        semaphore = self._semaphores_by_life.get(life)
+        if semaphore is None:
+            semaphore = DeferredSemaphore(ORDERS_PER_WORKER)
+            self._semaphores_by_life[life] = semaphore
+        semaphore.run(lambda: ensureDeferred(self._start_on_worker(effect)))
+
+    async def _start_on_worker(self, effect: StartRun) -> None:
+        if self._is_over:
+            return
+        order = effect.order
+        deadline = Instant(clock.now() + ORDER_TIMEOUT_S)
+        result = await self._parts.workers.start(
+            effect.address, order, self._epoch, deadline
+        )
+        if self._is_over:
+            return
+        self.scheduler.start_answered(
+            order.life, order.task, order.run, result, clock.now()
+        )
+        self._poke()
+
+    def _stop_run(self, effect: StopRun) -> None:
+        ensureDeferred(self._stop_on_worker(effect))
+
+    async def _stop_on_worker(self, effect: StopRun) -> None:
+        deadline = Instant(clock.now() + ORDER_TIMEOUT_S)
+        result = await self._parts.workers.stop(
+            effect.address,
+            effect.life,
+            effect.task,
+            effect.run,
+            self._epoch,
+            deadline,
+        )
+        if self._is_over:
+            return
+        self.scheduler.stop_answered(
+            effect.life, effect.task, effect.run, result, clock.now()
+        )
+        self._poke()
+
+    def _pace_run(self, effect: PaceRun) -> None:
+        deadline = Instant(clock.now() + ORDER_TIMEOUT_S)
+        ensureDeferred(
+            self._parts.workers.pace(
+                effect.address,
+                effect.life,
+                effect.task,
+                effect.run,
+                effect.percent,
+                self._epoch,
+                deadline,
+            )
+        )
+
+    def _ask(self, effect: AskAdvice) -> None:
+        ensureDeferred(self._lanes.ask(effect))
+
+    def _advised(self, step: StepKey, answer: AdviceAnswer | None) -> None:
+        if self._is_over:
+            return
+        self.scheduler.advice_answered(step, answer, clock.now())
+        self._poke()
+
+    def _step_down(self, effect: StepDown) -> None:
+        self._fenced(effect.reason)
+
+    def _fenced(self, reason: str) -> None:
+        if self._is_over:
+            return
+        self.stop()
+        self._ended(reason)
+
+    def _take_batch(self) -> Batch | None:
+        return self.scheduler.take_batch(clock.unix_ms())
+
+    def _stored(self, batch: Batch) -> None:
+        self.scheduler.stored(batch, clock.now())
+        self._poke()
+
+    def _workers_snapshot(self, records: Sequence[KeyedRecord]) -> None:
+        self._entries_by_id.clear()
+        for record in records:
+            self._take_entry(record)
+        self._pass_workers()
+
+    def _workers_changed(self, records: Sequence[KeyedRecord]) -> None:
+        changed = [record for record in records if self._take_entry(record)]
+        if changed:
+            self._pass_workers()
+
+    def _take_entry(self, record: KeyedRecord) -> bool:
+        """Keep one registration; tell whether it says anything new."""
+        before = self._entries_by_id.get(record.key)
+        if not record.value:
+            self._entries_by_id.pop(record.key, None)
+            return before is not None
+        decoded = decode_worker(record.key, record.value)
+        if isinstance(decoded, Failure):
+            self._entries_by_id.pop(record.key, None)
+            extra = {"worker": record.key, "reason": decoded.failure()}
+            _log.warning("registration skipped", extra=extra)
+            return before is not None
+        self._entries_by_id[record.key] = decoded.unwrap()
+        return before != decoded.unwrap()
+
+    def _pass_workers(self) -> None:
+        self.scheduler.set_workers(list(self._entries_by_id.values()), clock.now())
+        self._poke()
--- /dev/null
+++ b/tamarackmount/node/node.py
@@ -0,0 +1,500 @@
+"""One process on an entry VM: its tasks, and the messages between them."""
+
+import logging
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from returns.result import Failure
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import LoopingCall, deferLater
+
+from tamarackmount.daemon.http_request import BoundedRequest
+from tamarackmount.daemon.quiet_site import QuietSite
+from tamarackmount.ids import Instant, JobId, MemberId, Offset, WorkerId
+from tamarackmount.internal.codec import Codec, Envelope
+from tamarackmount.internal.links import PeerLinks
+from tamarackmount.kernel.effects import Address as PeerAddress
+from tamarackmount.node import clock
+from tamarackmount.node.advice_lanes import reply_to
+from tamarackmount.node.front import (
+    STORE_RETRY_AFTER_S,
+    Answer,
+    JobsFront,
+    ReadyFront,
+    Status,
+)
+from tamarackmount.node.holder import Holder, HolderParts
+from tamarackmount.node.journal_writer import claim
+from tamarackmount.node.messages import (
+    AdviceQuery,
+    AdviceReply,
+    CancelStored,
+    HolderReleased,
+    JobStored,
+    NodeMessage,
+    PhaseQuery,
+    PhaseReply,
+)
+from tamarackmount.node.peer_calls import PeerCalls
+from tamarackmount.node.submissions import Stored, Submissions
+from tamarackmount.node.tail import TopicTail
+from tamarackmount.platform.advice import AdviceService
+from tamarackmount.platform.boot import BootSettings
+from tamarackmount.platform.config import CONFIG_KEY, decode_fleet
+from tamarackmount.platform.http import HttpClient
+from tamarackmount.platform.store import (
+    OPERATOR_TOPIC,
+    Appended,
+    KeyedRecord,
+    Store,
+    Topic,
+)
+from tamarackmount.platform.workers import WorkerCalls
+from tamarackmount.scheduling.book import JobBook
+from tamarackmount.scheduling.fleet import Fleet, Queue
+from tamarackmount.scheduling.holdership import HolderWatch, claim_turn
+from tamarackmount.scheduling.journal import (
+    CancelRecord,
+    RecordKind,
+    decode_record,
+    encode_record,
+    job_key,
+    record_key,
+)
+from tamarackmount.scheduling.model import AcceptedJob, JobPhase, StepKey
+
+JOBS_TOPIC = Topic("keyed.jobs")
+"""Jobs, their cancelling and progress, the holder's claims and signs of life."""
+
+NODES_TOPIC = Topic("keyed.nodes")
+"""Where each entry VM says how the others reach it."""
+
+CONFIG_WAIT_MS = 1_000
+"""How long a read of the operator's documents waits, in milliseconds; a connection that
+went silent is replaced within the 2 s that a change may take."""
+
+JOBS_WAIT_MS = 1_000
+"""How long a read of jobs waits, in milliseconds; bounds how late a holder's silence is
+noticed."""
+
+JOBS_PAUSE_S = 0.5
+"""Pause between two reads of jobs, in seconds; the holder hears of jobs directly."""
+
+NODES_WAIT_MS = 5_000
+"""How long a read of the entry VMs waits, in milliseconds; they change rarely."""
+
+CLAIM_CHECK_S = 0.1
+"""Pause between two looks whether to claim, in seconds."""
+
+REGISTER_TIMEOUT_S = 1.0
+"""Longest wait for the registration of this node, in seconds."""
+
+PHASE_TIMEOUT_S = 0.3
+"""Longest wait for the holder's word on a job, in seconds; then the store's counts."""
+
+DRAIN_MIN_S = 2.5
+"""Least time between the signal to stop and the end, in seconds: the balancer needs two
+missed checks of 1 s to send callers elsewhere."""
+
+EXIT_MARGIN_S = 0.7
+"""Time kept before the platform kills the process, in seconds."""
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class NodeRecord:
+    """How the other entry VMs reach one, and its processor time in cores."""
+
+    ip: str
+    port: int
+    cores: float
+
+
+class Node:
+    """Serves callers, follows the store, and holds the scheduling when it has to."""
+
+    def __init__(self, settings: BootSettings, reactor: Any) -> None:
+        """Prepare; nothing is opened before :meth:`start`."""
+        self._settings = settings
+        self._reactor = reactor
+        self._http = HttpClient(reactor)
+        self._store = Store(self._http, settings.store_address)
+        self._advice = AdviceService(self._http, settings.advice_address)
+        self._book = JobBook()
+        self._records_by_node: dict[MemberId, NodeRecord] = {}
+        self._addresses_by_id: dict[MemberId, PeerAddress] = {}
+        codec: Codec[NodeMessage] = Codec("node_peer.capnp", NodeMessage)
+        self._links = PeerLinks(
+            reactor, settings.node, self._addresses_by_id, codec, self._receive
+        )
+        self._peers = PeerCalls(reactor, self._links)
+        self._submissions = Submissions(reactor, self._store, JOBS_TOPIC)
+        self._watch = HolderWatch(Instant(clock.now()), Instant(float("-inf")))
+        self._holder: Holder | None = None
+        self._is_claiming = False
+        self._fleet: Fleet | None = None
+        self._is_draining = False
+        self._front = JobsFront(self)
+        self._ports: list[Any] = []
+        self._config_tail = TopicTail(
+            reactor,
+            self._store,
+            OPERATOR_TOPIC,
+            self._operator_records,
+            self._operator_records,
+            CONFIG_WAIT_MS,
+            0.0,
+        )
+        self._jobs_tail = TopicTail(
+            reactor,
+            self._store,
+            JOBS_TOPIC,
+            self._jobs_snapshot,
+            self._jobs_records,
+            JOBS_WAIT_MS,
+            JOBS_PAUSE_S,
+        )
+        self._nodes_tail = TopicTail(
+            reactor,
+            self._store,
+            NODES_TOPIC,
+            self._node_records,
+            self._node_records,
+            NODES_WAIT_MS,
+            0.0,
+        )
+        self._claim_checks = LoopingCall(self._check_claim)
+        self._claim_checks.clock = reactor
+
+    @property
+    def fleet(self) -> Fleet | None:
+        """The configuration, if there is one."""
+        return self._fleet
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether the node stops, so that connections should end."""
+        return self._is_draining
+
+    def start(self) -> None:
+        """Open the sockets and begin to follow the store."""
+        settings = self._settings
+        self._listen(settings.entry_address, JobsSite(self._front))
+        ready = QuietSite(ReadyFront(self._is_ready))
+        self._listen(settings.ready_address, ready)
+        self._links.listen(PeerAddress(settings.ip, settings.peer_port))
+        self._config_tail.start()
+        self._jobs_tail.start()
+        self._nodes_tail.start()
+        self._claim_checks.start(CLAIM_CHECK_S, now=False)
+        ensureDeferred(self._register())
+        _log.info("node started", extra={"node": settings.node})
+
+    async def drain(self) -> None:
+        """Stop gracefully: hand over, serve what is under way, then return."""
+        begun = clock.now()
+        self._is_draining = True
+        _log.info("node drains", extra={"holder": self._holder is not None})
+        holder, self._holder = self._holder, None
+        if holder is not None:
+            await holder.release()
+            for peer in self._peers.connected():
+                self._links.send(peer, HolderReleased(holder.epoch))
+        end = begun + self._settings.bounds.stop_grace_s - EXIT_MARGIN_S
+        while clock.now() < end:
+            await deferLater(self._reactor, CLAIM_CHECK_S, lambda: None)
+            if clock.now() >= begun + DRAIN_MIN_S and not self._front.in_flight:
+                break
+        _log.info("node stopped", extra={"in_flight": self._front.in_flight})
+
+    async def submit(self, job: AcceptedJob, deadline: Instant) -> Answer:
+        """Accept or refuse a job; the store's answer decides."""
+        if self._book.phase(job.job_id) is not None:
+            return Answer(Status.OK)
+        record = KeyedRecord(job_key(job), encode_record(job))
+        stored = await self._submissions.store(record, deadline)
+        extra = {"job": job.job_id, "queue": job.queue, "stored": stored.value}
+        _log.info("job handed in", extra=extra)
+        if stored is Stored.YES:
+            self._job_stored(job, record.value)
+        return _ANSWER_BY_STORED[stored]
+
+    async def cancel(self, job_id: JobId, deadline: Instant) -> Answer:
+        """Cancel a job; the store's answer decides."""
+        phase = await self.phase(job_id)
+        if phase is None:
+            return Answer(Status.GONE)
+        if phase.is_final:
+            return Answer(Status.OK)
+        key = record_key(RecordKind.CANCEL, job_id)
+        value = encode_record(CancelRecord(clock.unix_ms()))
+        stored = await self._submissions.store(KeyedRecord(key, value), deadline)
+        _log.info("job cancelled", extra={"job": job_id, "stored": stored.value})
+        if stored is Stored.YES:
+            self._cancel_stored(job_id, key, value)
+        return _ANSWER_BY_STORED[stored]
+
+    async def phase(self, job_id: JobId) -> JobPhase | None:
+        """Return a job's phase; nothing if nobody handed it in."""
+        known = self._book.phase(job_id)
+        if known is not None and known.is_final:
+            return known
+        if self._holder is not None:
+            told = self._holder.phase(job_id)
+        else:
+            told = await self._ask_holder(job_id)
+        if told is not None or known is not None:
+            return told or known
+        await self._jobs_tail.refresh()
+        return self._book.phase(job_id)
+
+    def waiting(self, queue: Queue) -> int:
+        """Return how many jobs of a queue have not begun."""
+        return self._book.waiting(queue.name)
+
+    async def _ask_holder(self, job_id: JobId) -> JobPhase | None:
+        holder = self._book.holder
+        if holder is None or holder.node == self._settings.node:
+            return None
+        query = PhaseQuery(self._peers.next_id(), job_id)
+        reply = await self._peers.call(holder.node, query, PHASE_TIMEOUT_S)
+        if not isinstance(reply, PhaseReply) or not reply.phase:
+            return None
+        return JobPhase(reply.phase)
+
+    def _job_stored(self, job: AcceptedJob, value: bytes) -> None:
+        self._book.apply(job_key(job), value, APPLIED_HERE)
+        if self._holder is not None:
+            self._holder.job_stored(job)
+        else:
+            self._tell_holder(JobStored(value))
+
+    def _cancel_stored(self, job_id: JobId, key: str, value: bytes) -> None:
+        self._book.apply(key, value, APPLIED_HERE)
+        if self._holder is not None:
+            self._holder.cancel_stored(job_id)
+        else:
+            self._tell_holder(CancelStored(job_id))
+
+    def _tell_holder(self, message: NodeMessage) -> None:
+        holder = self._book.holder
+        if holder is not None and holder.node != self._settings.node:
+            self._links.send(holder.node, message)
+
+    def _is_ready(self) -> bool:
+        return (
+            not self._is_draining
+            and self._fleet is not None
+            and self._jobs_tail.next_offset is not None
+        )
+
+    def _listen(self, address: Any, site: Any) -> None:
+        port = self._reactor.listenTCP(
+            address.port, site, backlog=LISTEN_BACKLOG, interface=address.host
+        )
+        self._ports.append(port)
+
+    async def _register(self) -> None:
+        settings = self._settings
+        mine = NodeRecord(settings.ip, settings.peer_port, settings.processor_cores)
+        record = KeyedRecord(settings.node, encode_record(mine))
+        while True:
+            deadline = Instant(self._reactor.seconds() + REGISTER_TIMEOUT_S)
+            result = await self._store.append(NODES_TOPIC, [record], deadline)
+            if isinstance(result, Appended):
+                return
+            _log.info("not registered yet", extra={"reason": str(result)})
+            await deferLater(self._reactor, REGISTER_TIMEOUT_S, lambda: None)
+
+    def _operator_records(self, records: Sequence[KeyedRecord]) -> None:
+        for record in records:
+            if record.key == CONFIG_KEY and record.value:
+                self._take_config(record)
+
+    def _take_config(self, record: KeyedRecord) -> None:
+        decoded = decode_fleet(record.value)
+        if isinstance(decoded, Failure):
+            extra = {"offset": record.offset, "reason": decoded.failure()}
+            _log.error("configuration not readable", extra=extra)
+            return
+        fleet = decoded.unwrap()
+        if self._fleet is not None and fleet.version <= self._fleet.version:
+            return
+        self._fleet = fleet
+        _log.info("configuration in force", extra={"version": fleet.version})
+        if self._holder is not None:
+            self._holder.set_fleet(fleet)
+
+    def _node_records(self, records: Sequence[KeyedRecord]) -> None:
+        for record in records:
+            node = MemberId(record.key)
+            if node == self._settings.node:
+                self._take_node(node, record, is_peer=False)
+            else:
+                self._take_node(node, record, is_peer=True)
+
+    def _take_node(self, node: MemberId, record: KeyedRecord, is_peer: bool) -> None:
+        decoded = decode_record(record.value, NodeRecord) if record.value else None
+        if decoded is None or isinstance(decoded, Failure):
+            self._records_by_node.pop(node, None)
+            self._peers.peers.discard(node)
+            self._links.forget(node)
+            return
+        found = decoded.unwrap()
+        address = PeerAddress(found.ip, found.port)
+        if self._addresses_by_id.get(node) not in (None, address):
+            self._links.forget(node)
+        self._records_by_node[node] = found
+        self._addresses_by_id[node] = address
+        if is_peer:
+            self._peers.peers.add(node)
+
+    def _jobs_snapshot(self, records: Sequence[KeyedRecord]) -> None:
+        self._jobs_records(records)
+
+    def _jobs_records(self, records: Sequence[KeyedRecord]) -> None:
+        before = self._book.holder
+        for record in records:
+            self._book.apply(record.key, record.value, record.offset)
+            self._pass_on(record)
+        holder = self._book.holder
+        if holder != before:
+            self._watch.heard(holder, clock.now())
+            if before is None or holder is None or holder.epoch != before.epoch:
+                extra = {"node": holder.node, "epoch": holder.epoch} if holder else {}
+                _log.info("holder changed", extra=extra)
+        self._check_superseded()
+
+    def _pass_on(self, record: KeyedRecord) -> None:
+        if self._holder is None:
+            return
+        kind, _, name = record.key.partition("/")
+        known = self._book.jobs_by_id.get(JobId(name))
+        if known is None or known.accepted is None:
+            return
+        if kind == RecordKind.JOB.value:
+            self._holder.job_stored(known.accepted)
+        elif kind == RecordKind.CANCEL.value:
+            self._holder.cancel_stored(JobId(name))
+
+    def _check_superseded(self) -> None:
+        holder, record = self._holder, self._book.holder
+        if holder is None or record is None or record.epoch <= holder.epoch:
+            return
+        holder.stop()
+        self._holder_ended(f"{record.node} holds epoch {record.epoch}")
+
+    def _check_claim(self) -> None:
+        now = clock.now()
+        if self._jobs_tail.caught_up_at is not None:
+            self._watch.read(self._jobs_tail.caught_up_at)
+        if self._holder is not None or self._is_claiming or self._is_draining:
+            return
+        if self._fleet is None or self._jobs_tail.next_offset is None:
+            return
+        cores = {
+            node: record.cores
+            for node, record in self._records_by_node.items()
+            if not self._is_former(node)
+        }
+        if self._watch.should_claim(claim_turn(self._settings.node, cores), now):
+            self._is_claiming = True
+            ensureDeferred(self._claim())
+
+    def _is_former(self, node: MemberId) -> bool:
+        """Tell whether a node is the holder that fell silent, or that stops."""
+        record = self._book.holder
+        return record is not None and record.node == node != self._settings.node
+
+    async def _claim(self) -> None:
+        try:
+            await self._claim_now()
+        finally:
+            self._is_claiming = False
+
+    async def _claim_now(self) -> None:
+        if not await self._jobs_tail.refresh():
+            return
+        end = self._jobs_tail.next_offset
+        fleet = self._fleet
+        if end is None or fleet is None:
+            return
+        if not self._watch.should_claim(0, clock.now()):
+            return
+        epoch = await claim(
+            self._reactor, self._store, JOBS_TOPIC, self._settings.node, end
+        )
+        if epoch is None or self._is_draining:
+            return
+        parts = HolderParts(
+            self._reactor,
+            self._settings.node,
+            self._store,
+            JOBS_TOPIC,
+            WorkerCalls(self._http),
+            self._advice,
+            self._peers,
+        )
+        self._holder = Holder(parts, epoch, self._book, fleet, self._holder_ended)
+        _log.info("scheduling held", extra={"epoch": epoch})
+        self._holder.start()
+
+    def _holder_ended(self, reason: str) -> None:
+        _log.warning("scheduling given up", extra={"reason": reason})
+        self._holder = None
+
+    def _receive(self, envelope: Envelope[NodeMessage]) -> None:
+        message = envelope.message
+        if isinstance(message, JobStored):
+            self._hear_job(message)
+        elif isinstance(message, CancelStored):
+            if self._holder is not None:
+                self._holder.cancel_stored(JobId(message.job_id))
+        elif isinstance(message, PhaseQuery):
+            phase = self._holder.phase(JobId(message.job_id)) if self._holder else None
+            text = phase.value if phase is not None else ""
+            self._links.send(envelope.sender, PhaseReply(message.call_id, text))
+        elif isinstance(message, AdviceQuery):
+            ensureDeferred(self._advise(envelope.sender, message))
+        elif isinstance(message, PhaseReply | AdviceReply):
+            self._peers.answered(message)
+        elif isinstance(message, HolderReleased):
+            ensureDeferred(self._jobs_tail.refresh())
+
+    def _hear_job(self, message: JobStored) -> None:
+        decoded = decode_record(message.record, AcceptedJob)
+        if isinstance(decoded, Failure) or self._holder is None:
+            return
+        job = decoded.unwrap()
+        self._book.apply(job_key(job), message.record, APPLIED_HERE)
+        self._holder.job_stored(job)
+
+    async def _advise(self, sender: MemberId, query: AdviceQuery) -> None:
+        step = StepKey(JobId(query.job_id), query.occurrence, query.step)
+        workers = [WorkerId(worker) for worker in query.workers]
+        deadline = Instant(self._reactor.seconds() + query.timeout_ms / 1_000)
+        answer = await self._advice.ask(step, workers, deadline)
+        self._links.send(sender, reply_to(query, answer))
+
+
+class JobsSite(QuietSite):
+    """The site of callers, with bounded bodies."""
+
+    def __init__(self, front: JobsFront) -> None:
+        """Serve ``front``."""
+        QuietSite.__init__(self, front, requestFactory=BoundedRequest)
+
+
+APPLIED_HERE = Offset(-1)
+"""Offset of records that were applied before they were read back."""
+
+LISTEN_BACKLOG = 512
+"""New connections waiting to be taken; more than come in one second."""
+
+_ANSWER_BY_STORED = {
+    Stored.YES: Answer(Status.OK),
+    Stored.NO: Answer(Status.UNAVAILABLE, retry_after_s=STORE_RETRY_AFTER_S),
+    Stored.UNKNOWN: Answer(Status.UNKNOWN),
+}
--- /dev/null
+++ b/tamarackmount/node/run.py
@@ -0,0 +1,54 @@
+"""Starting a node on the users' platform: settings in, logs out, signals."""
+
+import logging
+import signal
+import sys
+from typing import Any
+
+from returns.result import Failure
+from twisted.internet import reactor
+from twisted.internet.defer import ensureDeferred
+from twisted.python.log import PythonLoggingObserver
+
+from tamarackmount.internal import jsonlog
+from tamarackmount.node import clock
+from tamarackmount.node.node import Node
+from tamarackmount.platform.boot import decode_boot, settings_path
+from tamarackmount.status import ExitStatus
+
+_TWISTED = "tamarackmount.twisted"
+_log = logging.getLogger(__name__)
+
+
+def run() -> ExitStatus:
+    """Run a node until it is told to stop, and return its exit status."""
+    jsonlog.configure(sys.stdout)
+    PythonLoggingObserver(_TWISTED).start()
+    logging.getLogger(_TWISTED).setLevel(logging.WARNING)
+    settings = decode_boot(settings_path().read_bytes())
+    if isinstance(settings, Failure):
+        print(settings.failure(), file=sys.stderr)
+        return ExitStatus.INVALID
+    loop: Any = reactor
+    # Timers must neither follow steps of the time of day nor stop while suspended.
+    loop.seconds = clock.now
+    node = Node(settings.unwrap(), loop)
+
+    def drain() -> None:
+        ensureDeferred(node.drain()).addBoth(lambda _: loop.stop())
+
+    signal.signal(signal.SIGTERM, lambda *_: loop.callFromThread(drain))
+    signal.signal(signal.SIGINT, lambda *_: loop.callFromThread(drain))
+    signal.signal(signal.SIGHUP, lambda *_: loop.callFromThread(_reloaded))
+    loop.callWhenRunning(node.start)
+    loop.run(installSignalHandlers=False)
+    return ExitStatus.OK
+
+
+def _reloaded() -> None:
+    """Note a new settings file; all that is read from it needs a restart."""
+    settings = decode_boot(settings_path().read_bytes())
+    if isinstance(settings, Failure):
+        _log.error("settings not readable", extra={"reason": settings.failure()})
+        return
+    _log.info("settings read again")
--- /dev/null
+++ b/tamarackmount/platform/config.py
@@ -0,0 +1,100 @@
+"""The operator's documents in the store, decoded."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import orjson
+from returns.result import Failure, Result, Success
+
+from tamarackmount.ids import KeyHash, QueueName, TeamId
+from tamarackmount.internal.keys import hash_key
+from tamarackmount.platform.amounts import decode_amount
+from tamarackmount.scheduling.fleet import (
+    AdvicePolicy,
+    Fleet,
+    Queue,
+    Service,
+    Team,
+    longest_first,
+)
+from tamarackmount.scheduling.model import ServiceName
+
+CONFIG_KEY = "config"
+"""Key of the configuration under the operator's topic."""
+
+WAVE_PREFIX = "wave/"
+"""Prefix of the keys of upkeep waves under the operator's topic."""
+
+DEFAULT_MAX_BODY_BYTES = 262_144
+"""Largest body where the configuration gives none, in bytes; the site's default."""
+
+
+def decode_fleet(text: bytes) -> Result[Fleet, str]:
+    """Return the configuration, or why it can't be read."""
+    try:
+        return Success(_decode(orjson.loads(text)))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        return Failure(f"{type(error).__name__}: {error}")
+
+
+def _decode(raw: Mapping[str, Any]) -> Fleet:
+    queues = {QueueName(row["name"]): _queue(row) for row in raw.get("routes", ())}
+    teams = [_team(row) for row in raw.get("tenants", ())]
+    return Fleet(
+        version=int(raw["version"]),
+        queues_by_name=queues,
+        teams_by_id={team.team_id: team for team in teams},
+        team_by_key=_keys(raw),
+        services_by_name={
+            ServiceName(row["name"]): Service(
+                ServiceName(row["name"]), bool(row.get("rejectsOverload", False))
+            )
+            for row in raw.get("services", ())
+        },
+        max_body_bytes=int(
+            raw.get("limits", {}).get("maxBodyBytes", DEFAULT_MAX_BODY_BYTES)
+        ),
+        queues_by_host=longest_first(queues),
+    )
+
+
+def _queue(row: Mapping[str, Any]) -> Queue:
+    return Queue(
+        name=QueueName(row["name"]),
+        host=str(row["host"]),
+        prefix=str(row["pathPrefix"]),
+        service=ServiceName(row["service"]),
+        priority=int(row.get("priority", 0)),
+        max_attempts=int(row.get("maxAttempts", 1)),
+        stretch=float(row.get("stretch", 1.0)),
+        # The platform's targetLatencyMs of a route is added to its jobs' stretch.
+        target_ms=int(row.get("targetLatencyMs", 0)),
+        is_public=bool(row.get("public", False)),
+        advice=_advice(row.get("advice")),
+    )
+
+
+def _advice(row: Mapping[str, Any] | None) -> AdvicePolicy | None:
+    if not row:
+        return None
+    return AdvicePolicy(
+        decision_ms=float(row["decisionMs"]),
+        per_worker_ms=float(row["perWorkerMs"]),
+        valid_ms=float(row["validityMs"]),
+    )
+
+
+def _team(row: Mapping[str, Any]) -> Team:
+    return Team(
+        team_id=TeamId(row["name"]),
+        weight=float(row.get("weight", 1.0)),
+        ceiling=decode_amount(row.get("maximum") or {}),
+    )
+
+
+def _keys(raw: Mapping[str, Any]) -> dict[KeyHash, TeamId]:
+    return {
+        hash_key(key): TeamId(row["name"])
+        for row in raw.get("tenants", ())
+        for key in row.get("apiKeys", ())
+    }
--- /dev/null
+++ b/tamarackmount/platform/http.py
@@ -0,0 +1,230 @@
+"""HTTP/1.1 calls for many small exchanges over kept connections.
+
+Bytes are parsed by ``httptools``. A call ends with a reply or with a fault that
+tells whether anything may have been sent. Nothing is retried here.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+import httptools
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure as TwistedFailure
+
+from tamarackmount.ids import Instant
+
+CONNECT_TIMEOUT_S = 1.0
+"""Longest wait for a connection, in seconds; round trips take a few milliseconds."""
+
+IDLE_CONNECTION_S = 10.0
+"""Idle connections older than this are closed, in seconds; the peers keep 15 s."""
+
+MAX_REPLY_BYTES = 16 * 1024 * 1024
+"""Largest reply taken, in bytes; the store's pages are 1 MB."""
+
+
+class Fault(Enum):
+    """Why a call has no reply; only after ``NOT_SENT`` it surely had no effect."""
+
+    NOT_SENT = "not_sent"
+    NO_REPLY = "no_reply"
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole reply."""
+
+    status: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class CallFault:
+    """A call without a reply."""
+
+    fault: Fault
+    detail: str
+
+
+Outcome = Reply | CallFault
+"""How a call ended."""
+
+
+class Address(str):
+    """``HOST:PORT`` of a peer, with an IP number as host."""
+
+    __slots__ = ()
+
+    @property
+    def host(self) -> str:
+        """The IP number."""
+        return self.rpartition(":")[0]
+
+    @property
+    def port(self) -> int:
+        """The port."""
+        return int(self.rpartition(":")[2])
+
+
+class _Connection(Protocol):
+    """One connection with at most one call on it."""
+
+    def __init__(self) -> None:
+        self.idle_since = Instant(0.0)
+        self.is_open = True
+        self._result: Deferred[Outcome] | None = None
+        self._parser: Any = None
+        self._body: list[bytes] = []
+        self._size = 0
+
+    def connectionMade(self) -> None:  # noqa: N802  (twisted's name)
+        transport: Any = self.transport
+        transport.setTcpNoDelay(True)
+        transport.setTcpKeepAlive(True)
+
+    def exchange(self, request: bytes) -> "Deferred[Outcome]":
+        self._result = Deferred()
+        self._parser = httptools.HttpResponseParser(self)
+        self._body = []
+        self._size = 0
+        transport: Any = self.transport
+        transport.write(request)
+        return self._result
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self._parser is None:
+            self.abort("bytes without a call")
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self.abort(f"not HTTP: {error}")
+
+    def on_body(self, data: bytes) -> None:
+        """Collect a part of the reply (called by the parser)."""
+        self._size += len(data)
+        if self._size <= MAX_REPLY_BYTES:
+            self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Finish the call (called by the parser)."""
+        parser, self._parser = self._parser, None
+        reply = Reply(parser.get_status_code(), b"".join(self._body))
+        self._body = []
+        if not parser.should_keep_alive() or self._size > MAX_REPLY_BYTES:
+            self.close()
+        self._finish(reply)
+
+    def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:  # noqa: N802
+        self.is_open = False
+        self._finish(CallFault(Fault.NO_REPLY, reason.getErrorMessage()))
+
+    def abort(self, detail: str) -> None:
+        self.is_open = False
+        transport: Any = self.transport
+        if transport is not None:
+            transport.abortConnection()
+        self._finish(CallFault(Fault.NO_REPLY, detail))
+
+    def close(self) -> None:
+        self.is_open = False
+        transport: Any = self.transport
+        if transport is not None:
+            transport.loseConnection()
+
+    def _finish(self, outcome: Outcome) -> None:
+        result, self._result = self._result, None
+        if result is not None:
+            result.callback(outcome)
+
+
+class HttpClient:
+    """Makes calls; keeps idle connections by address.
+
+    The number of connections is bounded by the callers, each of which has a
+    bounded number of calls under way.
+    """
+
+    def __init__(self, reactor: Any) -> None:
+        """Open connections through ``reactor``."""
+        self._reactor = reactor
+        self._idle_by_address: dict[Address, deque[_Connection]] = {}
+
+    async def call(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        deadline: Instant,
+        body: bytes | None = None,
+        headers: str = "",
+    ) -> Outcome:
+        """Make one call; ``headers`` are whole lines, each ended by CR LF."""
+        connection = self._take_idle(address)
+        if connection is None:
+            opened = await self._connect(address, deadline)
+            if isinstance(opened, CallFault):
+                return opened
+            connection = opened
+        request = _encode(address, method, target, body, headers)
+        result = connection.exchange(request)
+        left_s = max(0.0, deadline - self._reactor.seconds())
+        timer = self._reactor.callLater(left_s, connection.abort, "deadline passed")
+        outcome = await result
+        if timer.active():
+            timer.cancel()
+        self._put_back(address, connection)
+        return outcome
+
+    def forget(self, address: Address) -> None:
+        """Close the idle connections to an address."""
+        for connection in self._idle_by_address.pop(address, ()):
+            connection.close()
+
+    async def _connect(
+        self, address: Address, deadline: Instant
+    ) -> "_Connection | CallFault":
+        left_s = deadline - self._reactor.seconds()
+        if left_s <= 0:
+            return CallFault(Fault.NOT_SENT, "deadline passed")
+        endpoint = TCP4ClientEndpoint(
+            self._reactor,
+            address.host,
+            address.port,
+            timeout=min(left_s, CONNECT_TIMEOUT_S),
+        )
+        try:
+            connecting: Any = connectProtocol
+            opened: _Connection = await connecting(endpoint, _Connection())
+        except Exception as error:  # noqa: BLE001  (twisted raises many types)
+            return CallFault(Fault.NOT_SENT, f"{type(error).__name__}: {error}")
+        return opened
+
+    def _take_idle(self, address: Address) -> _Connection | None:
+        idle = self._idle_by_address.get(address)
+        oldest = self._reactor.seconds() - IDLE_CONNECTION_S
+        while idle:
+            connection = idle.pop()
+            if connection.is_open and connection.idle_since >= oldest:
+                return connection
+            connection.close()
+        return None
+
+    def _put_back(self, address: Address, connection: _Connection) -> None:
+        if not connection.is_open:
+            return
+        connection.idle_since = Instant(self._reactor.seconds())
+        self._idle_by_address.setdefault(address, deque()).append(connection)
+
+
+def _encode(
+    address: Address, method: str, target: str, body: bytes | None, headers: str
+) -> bytes:
+    lines = f"{method} {target} HTTP/1.1\r\nHost: {address}\r\n{headers}"
+    if body is None:
+        return f"{lines}\r\n".encode("latin-1")
+    return f"{lines}Content-Length: {len(body)}\r\n\r\n".encode("latin-1") + body
--- /dev/null
+++ b/tamarackmount/scheduling/advising.py
@@ -0,0 +1,120 @@
+"""When to ask the policy service, and about which workers.
+
+The service takes one question at a time from each entry VM and needs longer the more
+workers are named, so questions are spread over lanes, one on each entry VM.
+"""
+
+from collections.abc import Iterator
+
+from tamarackmount.ids import Instant
+from tamarackmount.scheduling.cell import Cell
+from tamarackmount.scheduling.effects import AskAdvice
+from tamarackmount.scheduling.fleet import AdvicePolicy
+from tamarackmount.scheduling.model import StepKey, WorkerLife
+from tamarackmount.scheduling.placing import could_run
+from tamarackmount.scheduling.runs import StepState
+from tamarackmount.scheduling.tickets import AdviceAnswer
+from tamarackmount.scheduling.workers import WorkerState
+
+RETRY_ADVICE_S = 0.2
+"""Pause after a question without an answer, in seconds; a link's usual hiccup."""
+
+MAX_ASKED = 60
+"""Workers in one question: enough choice, while the service's time stays short."""
+
+
+class Advising:
+    """Questions under way, and the steps that wait for one."""
+
+    def __init__(self, cell: Cell) -> None:
+        """Ask for the steps of ``cell``."""
+        self._cell = cell
+        self._asked_by_step: dict[StepKey, tuple[WorkerLife, ...]] = {}
+        self.lanes = 1
+
+    def ask(self, now: Instant) -> None:
+        """Ask for as many steps as there are free lanes, the most urgent first."""
+        free = self.lanes - len(self._asked_by_step)
+        if free <= 0:
+            return
+        cell = self._cell
+        for step in sorted(cell.ready_by_key.values(), key=lambda row: row.job.aim):
+            free -= self._ask_for(step, now, True)
+            if free <= 0:
+                return
+        for step in self._later_steps():
+            free -= self._ask_for(step, now, False)
+            if free <= 0:
+                return
+
+    def _later_steps(self) -> Iterator[StepState]:
+        """Return steps that wait for others; their answers will be needed."""
+        cell = self._cell
+        for job in sorted(cell.jobs_by_id.values(), key=lambda row: row.aim):
+            if job.phase.is_final:
+                continue
+            for step in job.steps_by_key.values():
+                if step.pending and step.key not in cell.ready_by_key:
+                    yield step
+
+    def answered(self, key: StepKey, answer: AdviceAnswer | None, now: Instant) -> None:
+        """Take the service's answer, or that there was none."""
+        lives = self._asked_by_step.pop(key, ())
+        job = self._cell.jobs_by_id.get(key.job_id)
+        step = job.steps_by_key.get(key) if job is not None else None
+        if step is None:
+            return
+        step.advice.is_asking = False
+        if answer is None:
+            step.advice.retry_at = Instant(now + RETRY_ADVICE_S)
+            return
+        step.advice.answered(lives, answer, now)
+        self._cell.place_needed = True
+
+    def _ask_for(self, step: StepState, now: Instant, is_ready: bool) -> int:
+        """Ask for one step if that helps; return the number of lanes taken."""
+        advice = step.advice
+        queue = self._cell.queue_of(step.job)
+        if queue is None or queue.advice is None:
+            return 0
+        if advice.is_asking or now < advice.retry_at:
+            return 0
+        workers = self._unknown(step) or (self._stale(step, now) if is_ready else [])
+        if not workers:
+            return 0
+        asked = workers[:MAX_ASKED]
+        advice.is_asking = True
+        lives = tuple(worker.life for worker in asked)
+        self._asked_by_step[step.key] = lives
+        expected = _expected_ms(queue.advice, len(lives))
+        ids = tuple(life.worker_id for life in lives)
+        self._cell.emit(AskAdvice(step.key, ids, expected))
+        return 1
+
+    def _unknown(self, step: StepState) -> list[WorkerState]:
+        advice = step.advice
+        return [
+            worker
+            for worker in self._cell.workers_by_life.values()
+            if worker.can_start
+            and worker.life.worker_id not in advice.allowed
+            and worker.life.worker_id not in advice.refused
+            and could_run(step, worker)
+        ]
+
+    def _stale(self, step: StepState, now: Instant) -> list[WorkerState]:
+        """Return allowed workers with room whose tickets have ended."""
+        advice = step.advice
+        amount = step.room_amount
+        return [
+            worker
+            for worker in self._cell.workers_by_life.values()
+            if worker.life.worker_id in advice.allowed
+            and worker.can_start
+            and amount.fits_in(worker.free)
+            and not advice.ticket(worker.life, now)
+        ]
+
+
+def _expected_ms(policy: AdvicePolicy, workers: int) -> float:
+    return policy.decision_ms + policy.per_worker_ms * workers
--- /dev/null
+++ b/tamarackmount/scheduling/cell.py
@@ -0,0 +1,134 @@
+"""The holder's state, which the parts of its decisions share."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tamarackmount.ids import Epoch, Instant, JobId, TeamId
+from tamarackmount.resources import NOTHING, Resources
+from tamarackmount.scheduling.effects import Effect, StopRun
+from tamarackmount.scheduling.fleet import Fleet, Queue
+from tamarackmount.scheduling.model import (
+    AcceptedJob,
+    JobPhase,
+    StepKey,
+    TaskKey,
+    WorkerLife,
+)
+from tamarackmount.scheduling.runs import JobState, Run, RunPhase, StepState
+from tamarackmount.scheduling.workers import WorkerState
+
+_log = logging.getLogger(__name__)
+
+STOP_RETRY_S = 0.5
+"""Pause between two stops of one run, in seconds; an order takes milliseconds."""
+
+
+@dataclass(slots=True)
+class Cell:
+    """Jobs, workers and teams under one holder's token.
+
+    ``ready_by_key`` are steps that may start now and have tasks without a run.
+    ``changed_jobs`` and ``changed_workers`` have news that the store does not hold.
+    ``phase_by_job`` is what callers are told of jobs in a final phase: what the store
+    holds.
+    """
+
+    token: Epoch
+    find_job: Callable[[JobId], AcceptedJob | None]
+    fleet: Fleet | None = None
+    jobs_by_id: dict[JobId, JobState] = field(default_factory=dict)
+    ready_by_key: dict[StepKey, StepState] = field(default_factory=dict)
+    timed_by_key: dict[StepKey, StepState] = field(default_factory=dict)
+    workers_by_life: dict[WorkerLife, WorkerState] = field(default_factory=dict)
+    used_by_team: dict[TeamId, Resources] = field(default_factory=dict)
+    phase_by_job: dict[JobId, JobPhase] = field(default_factory=dict)
+    changed_jobs: set[JobId] = field(default_factory=set)
+    changed_workers: set[WorkerLife] = field(default_factory=set)
+    removed_workers: set[WorkerLife] = field(default_factory=set)
+    effects: list[Effect] = field(default_factory=list)
+    place_needed: bool = True
+    superseded: bool = False
+
+    def emit(self, effect: Effect) -> None:
+        """Ask for something."""
+        self.effects.append(effect)
+
+    def queue_of(self, job: JobState) -> Queue | None:
+        """Return the queue of a job, unless the configuration dropped it."""
+        if self.fleet is None:
+            return None
+        return self.fleet.queues_by_name.get(job.accepted.queue)
+
+    def step_of(self, task: TaskKey) -> StepState | None:
+        """Return the step of a task of an open job."""
+        job = self.jobs_by_id.get(task.job_id)
+        if job is None:
+            return None
+        step = job.steps_by_key.get(task.step_key)
+        if step is None or not 0 <= task.index < step.spec.count:
+            return None
+        return step
+
+    def find_run(self, life: WorkerLife, task: TaskKey, number: int) -> Run | None:
+        """Return a run that is not surely over."""
+        worker = self.workers_by_life.get(life)
+        run = worker.runs_by_task.get(task) if worker is not None else None
+        return run if run is not None and run.number == number else None
+
+    def add_run(self, worker: WorkerState, step: StepState, run: Run) -> None:
+        """Count a new run."""
+        worker.hold_room(run)
+        step.runs_by_index[run.task.index] = run
+        step.pending.discard(run.task.index)
+        if not step.pending:
+            self.ready_by_key.pop(step.key, None)
+        team = step.job.accepted.team_id
+        self.used_by_team[team] = self.used_by_team.get(team, NOTHING) + run.charged
+
+    def drop_run(self, run: Run, now: Instant) -> None:
+        """Count a run no more; its task waits again unless it is done."""
+        worker = self.workers_by_life.get(run.life)
+        if worker is not None:
+            worker.free_room(run)
+        self.place_needed = True
+        job = self.jobs_by_id.get(run.task.job_id)
+        if job is None:
+            return
+        team = job.accepted.team_id
+        self.used_by_team[team] = self.used_by_team.get(team, NOTHING) - run.charged
+        step = job.steps_by_key[run.task.step_key]
+        if step.runs_by_index.get(run.task.index) is run:
+            del step.runs_by_index[run.task.index]
+        self.wait_again(step, run.task.index)
+        self.forget_if_over(job)
+
+    def wait_again(self, step: StepState, index: int) -> None:
+        """Let a task wait for a start, if there is anything left to do."""
+        if step.job.phase.is_final or index in step.done:
+            return
+        if index in step.runs_by_index:
+            return
+        step.pending.add(index)
+        self.ready_by_key[step.key] = step
+
+    def forget_if_over(self, job: JobState) -> None:
+        """Forget a job that is over and has no run left."""
+        if not job.phase.is_final or job.job_id in self.changed_jobs:
+            return
+        if any(step.runs_by_index for step in job.steps_by_key.values()):
+            return
+        self.jobs_by_id.pop(job.job_id, None)
+
+    def stop_run(self, run: Run, now: Instant) -> None:
+        """Order a run to stop, now and again until that is confirmed."""
+        if run.phase is RunPhase.RUNNING:
+            run.phase = RunPhase.STOPPING
+        elif run.phase is RunPhase.STARTING:
+            run.phase = RunPhase.UNSETTLED
+        worker = self.workers_by_life.get(run.life)
+        if worker is None or run.stop_in_flight or now < run.next_stop_at:
+            return
+        run.stop_in_flight = True
+        run.next_stop_at = Instant(now + STOP_RETRY_S)
+        self.emit(StopRun(run.life, worker.entry.address, run.task, run.number))
--- /dev/null
+++ b/tamarackmount/scheduling/effects.py
@@ -0,0 +1,70 @@
+"""What the holder asks its tasks to do."""
+
+from dataclasses import dataclass
+
+from tamarackmount.ids import WorkerId
+from tamarackmount.scheduling.model import StepKey, TaskKey, WorkerLife
+from tamarackmount.scheduling.worker_reports import StartOrder
+
+
+@dataclass(frozen=True, slots=True)
+class HoldWorker:
+    """Look at a worker and renew its lease; the answer is ``worker_held``."""
+
+    life: WorkerLife
+    address: str
+    ack_cursor: int
+    lease_end_clock_ms: int | None
+    wait_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class StartRun:
+    """Send an order to start; the answer is ``start_answered``."""
+
+    address: str
+    order: StartOrder
+
+
+@dataclass(frozen=True, slots=True)
+class StopRun:
+    """Send an order to stop; the answer is ``stop_answered``."""
+
+    life: WorkerLife
+    address: str
+    task: TaskKey
+    run: int
+
+
+@dataclass(frozen=True, slots=True)
+class PaceRun:
+    """Let a run work at ``percent`` of its speed; nothing waits for the answer."""
+
+    life: WorkerLife
+    address: str
+    task: TaskKey
+    run: int
+    percent: int
+
+
+@dataclass(frozen=True, slots=True)
+class AskAdvice:
+    """Ask which workers may run a step; the answer is ``advice_answered``.
+
+    ``expected_ms`` is how long the service takes to decide.
+    """
+
+    step: StepKey
+    workers: tuple[WorkerId, ...]
+    expected_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class StepDown:
+    """Give up the scheduling: another holder has a higher token."""
+
+    reason: str
+
+
+Effect = HoldWorker | StartRun | StopRun | PaceRun | AskAdvice | StepDown
+"""Anything that the scheduler asks for."""
--- /dev/null
+++ b/tamarackmount/scheduling/ends.py
@@ -0,0 +1,184 @@
+"""What the ends of runs mean for tasks, steps and jobs."""
+
+import logging
+
+from tamarackmount.ids import Instant
+from tamarackmount.scheduling.cell import Cell
+from tamarackmount.scheduling.model import JobPhase, StepKey, TaskKey
+from tamarackmount.scheduling.runs import JobState, Run, StepState
+from tamarackmount.scheduling.worker_reports import EndedRun, RunEnd
+from tamarackmount.scheduling.workers import WorkerState
+
+_log = logging.getLogger(__name__)
+
+FAILURES_BEFORE_REST = 2
+"""Failures of unlike jobs in a row after which a worker rests; one may be a job's own
+fault."""
+
+WORKER_REST_S = 4.0
+"""How long such a worker gets no new run, in seconds: the platform's shortest
+disturbance of a worker."""
+
+DEFAULT_MAX_ATTEMPTS = 1
+"""Attempts of a task whose queue is no longer configured."""
+
+
+def take_end(cell: Cell, worker: WorkerState, ended: EndedRun, now: Instant) -> None:
+    """Take the end of a run that was not read before."""
+    worker.known_end = max(worker.known_end, ended.number)
+    cell.changed_workers.add(worker.life)
+    run = cell.find_run(worker.life, ended.task, ended.run)
+    step = cell.step_of(ended.task)
+    if run is not None:
+        _log_end(worker, ended, now, run)
+    if step is not None and not step.job.phase.is_final:
+        step.run_number = max(step.run_number, ended.run)
+        if ended.checkpoint:
+            keep_checkpoint(step, ended.task.index, ended.checkpoint)
+        _TAKE_BY_END[ended.how](cell, worker, step, ended, now)
+    if run is not None:
+        cell.drop_run(run, now)
+
+
+def keep_checkpoint(step: StepState, index: int, checkpoint: str) -> None:
+    """Keep where a task can go on; members of a gang share it."""
+    step.checkpoints_by_index[0 if step.spec.gang else index] = checkpoint
+
+
+def _done(
+    cell: Cell, worker: WorkerState, step: StepState, ended: EndedRun, now: Instant
+) -> None:
+    worker.failures_in_row = 0
+    if step.spec.perpetual:
+        return
+    indexes = range(step.spec.count) if step.spec.gang else (ended.task.index,)
+    for index in indexes:
+        _task_done(cell, step, index, ended, now)
+    cell.changed_jobs.add(step.key.job_id)
+    if step.is_done:
+        cell.ready_by_key.pop(step.key, None)
+        _step_done(cell, step, now)
+
+
+def _task_done(
+    cell: Cell, step: StepState, index: int, ended: EndedRun, now: Instant
+) -> None:
+    step.done.add(index)
+    step.pending.discard(index)
+    run = step.runs_by_index.get(index)
+    if run is not None and not step.spec.gang and run.number != ended.run:
+        cell.stop_run(run, now)
+
+
+def _failed(
+    cell: Cell, worker: WorkerState, step: StepState, ended: EndedRun, now: Instant
+) -> None:
+    _blame_worker(worker, step, now)
+    if step.spec.perpetual:
+        return
+    if step.spec.gang and step.failed_gang_run >= ended.run:
+        return
+    step.failed_gang_run = ended.run
+    index = 0 if step.spec.gang else ended.task.index
+    if index in step.done:
+        return
+    count = step.failures_by_index.get(index, 0) + 1
+    step.failures_by_index[index] = count
+    cell.changed_jobs.add(step.key.job_id)
+    queue = cell.queue_of(step.job)
+    if count >= (queue.max_attempts if queue is not None else DEFAULT_MAX_ATTEMPTS):
+        end_job(cell, step.job, JobPhase.FAILED, now)
+
+
+def _blame_worker(worker: WorkerState, step: StepState, now: Instant) -> None:
+    is_first_place = not step.failed_on - {worker.life.worker_id}
+    step.failed_on.add(worker.life.worker_id)
+    if not is_first_place:
+        return
+    worker.failures_in_row += 1
+    if worker.failures_in_row >= FAILURES_BEFORE_REST:
+        worker.rest_until = Instant(now + WORKER_REST_S)
+        extra = {"worker": worker.life.worker_id, "failures": worker.failures_in_row}
+        _log.info("worker rests", extra=extra)
+
+
+def _not_done(
+    cell: Cell, worker: WorkerState, step: StepState, ended: EndedRun, now: Instant
+) -> None:
+    """Nothing but the run is over."""
+
+
+_TAKE_BY_END = {
+    RunEnd.DONE: _done,
+    RunEnd.FAILED: _failed,
+    RunEnd.STOPPED: _not_done,
+    RunEnd.LAPSED: _not_done,
+    RunEnd.BROKEN: _not_done,
+    RunEnd.ALONE: _not_done,
+}
+
+
+def _step_done(cell: Cell, step: StepState, now: Instant) -> None:
+    job = step.job
+    if all(other.is_done for other in job.steps_by_key.values()):
+        end_job(cell, job, JobPhase.COMPLETED, now)
+        return
+    for other in job.steps_by_key.values():
+        if other.key.occurrence == step.key.occurrence:
+            make_ready(cell, other)
+
+
+def make_ready(cell: Cell, step: StepState) -> None:
+    """Let a step's tasks wait for a start, if earlier steps are done."""
+    if not step.pending or step.job.phase.is_final:
+        return
+    job = step.job
+    for number in step.spec.after:
+        key = StepKey(job.job_id, step.key.occurrence, number)
+        if not job.steps_by_key[key].is_done:
+            return
+    if step.due_unix_ms:
+        cell.timed_by_key[step.key] = step
+    else:
+        cell.ready_by_key[step.key] = step
+        cell.place_needed = True
+
+
+def end_job(cell: Cell, job: JobState, phase: JobPhase, now: Instant) -> None:
+    """End a job and stop what still runs of it."""
+    if job.phase.is_final:
+        return
+    job.phase = phase
+    cell.changed_jobs.add(job.job_id)
+    for step in job.steps_by_key.values():
+        cell.ready_by_key.pop(step.key, None)
+        cell.timed_by_key.pop(step.key, None)
+    for run in job.runs():
+        task = run.task
+        if task.index not in job.steps_by_key[task.step_key].done:
+            cell.stop_run(run, now)
+    extra = {
+        "job": job.job_id,
+        "queue": job.accepted.queue,
+        "phase": phase.value,
+        "age_s": round(now - job.came_at, 3),
+        "late": now > job.aim,
+    }
+    _log.info("job ended", extra=extra)
+
+
+def _log_end(worker: WorkerState, ended: EndedRun, now: Instant, run: Run) -> None:
+    extra = {
+        "job": ended.task.job_id,
+        "task": task_text(ended.task),
+        "run": ended.run,
+        "worker": worker.life.worker_id,
+        "how": ended.how.value,
+        "ran_s": round(now - run.began_at, 3),
+    }
+    _log.info("run ended", extra=extra)
+
+
+def task_text(task: TaskKey) -> str:
+    """Return a task's name inside its job, for logs."""
+    return f"{task.occurrence}.{task.step}.{task.index}"
--- /dev/null
+++ b/tamarackmount/scheduling/holdership.py
@@ -0,0 +1,69 @@
+"""When a node takes the scheduling over.
+
+The holder writes a sign of life to the store every ``BEAT_S``. A node claims when the
+store was read without one for long enough; one of several claims is accepted, as each
+names the offset at which the topic has to end.
+"""
+
+from dataclasses import dataclass
+
+from tamarackmount.ids import Instant, MemberId
+from tamarackmount.scheduling.journal import HolderRecord
+
+BEAT_S = 0.7
+"""Pause between two signs of life, in seconds; one append a second is cheap, and a
+takeover has to end within a worker's lease of 6 s."""
+
+SILENCE_S = 2.2
+"""Silence after which a holder is replaced, in seconds: three signs of life."""
+
+TURN_S = 0.2
+"""Each further candidate waits this much longer, in seconds: a claim's whole way."""
+
+FIRST_CLAIM_S = 1.0
+"""Silence before the first claim of all, in seconds: nodes register within it."""
+
+MAX_READ_GAP_S = 1.6
+"""Silence counts only while the store was read at least this often, in seconds: a read
+waits up to 1 s, and the pause between two is 0.5 s."""
+
+
+@dataclass(slots=True)
+class HolderWatch:
+    """What one node knows of the holder's signs of life.
+
+    ``silent_since`` moves on with each sign of life, and whenever the store could not
+    be read for a while.
+    """
+
+    silent_since: Instant
+    last_read: Instant
+    record: HolderRecord | None = None
+
+    def heard(self, record: HolderRecord | None, now: Instant) -> None:
+        """Take a sign of life, or the record that a holder stops."""
+        self.record = record
+        self.silent_since = now
+
+    def read(self, now: Instant) -> None:
+        """Note that the store was read to its end."""
+        if now - self.last_read > MAX_READ_GAP_S:
+            self.silent_since = now
+        self.last_read = now
+
+    def should_claim(self, turn: int, now: Instant) -> bool:
+        """Tell whether the node whose turn comes as number ``turn`` claims now."""
+        if now - self.last_read > MAX_READ_GAP_S:
+            return False
+        return now >= self.silent_since + self._patience_s() + turn * TURN_S
+
+    def _patience_s(self) -> float:
+        if self.record is None:
+            return FIRST_CLAIM_S
+        return 0.0 if self.record.released else SILENCE_S
+
+
+def claim_turn(me: MemberId, cores_by_node: dict[MemberId, float]) -> int:
+    """Return the node's turn to claim: those with most processor time come first."""
+    order = sorted(cores_by_node, key=lambda node: (-cores_by_node[node], node))
+    return order.index(me) if me in order else len(order)
--- /dev/null
+++ b/tamarackmount/scheduling/journal.py
@@ -0,0 +1,130 @@
+"""Records of jobs in the store: what has to outlive every process.
+
+One topic holds them by key. Entry VMs write a job and its cancelling; only the
+holder, fenced by its epoch, writes the rest.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TypeVar
+
+import orjson
+from cattrs import Converter
+from returns.result import Failure, Result, Success
+
+from tamarackmount.ids import MemberId, WorkerId
+from tamarackmount.scheduling.model import (
+    AcceptedJob,
+    JobPhase,
+    ServiceName,
+    WorkerLife,
+)
+
+
+class RecordKind(Enum):
+    """What a record is about; its key is the kind and an id."""
+
+    HOLDER = "holder"
+    JOB = "job"
+    CANCEL = "cancel"
+    PROGRESS = "progress"
+    WORKER = "worker"
+
+
+@dataclass(frozen=True, slots=True)
+class HolderRecord:
+    """Who holds the scheduling since the record at offset ``epoch``.
+
+    ``beat`` counts its signs of life; ``released`` is set as it stops.
+    """
+
+    node: MemberId
+    epoch: int
+    beat: int
+    released: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class CancelRecord:
+    """A caller cancelled the job at this time of the entry VM's clock."""
+
+    cancelled_unix_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class JobProgress:
+    """What is known for good of a job.
+
+    ``done_by_step`` and ``failures_by_task`` use texts ``OCCURRENCE.STEP`` and
+    ``OCCURRENCE.STEP.INDEX`` as keys. ``final_unix_ms`` is when a final phase began.
+    """
+
+    phase: JobPhase
+    done_by_step: dict[str, list[int]] = field(default_factory=dict)
+    failures_by_task: dict[str, int] = field(default_factory=dict)
+    final_unix_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerRecord:
+    """A life of a worker that was given orders; its ends up to ``ack`` are known."""
+
+    life: WorkerLife
+    service: ServiceName
+    address: str
+    ack: int
+
+
+T = TypeVar("T")
+
+_CONVERTER = Converter()
+
+
+def record_key(kind: RecordKind, name: str = "") -> str:
+    """Return the key of a record."""
+    return f"{kind.value}/{name}" if name else kind.value
+
+
+def worker_key(life: WorkerLife) -> str:
+    """Return the key of a worker's record."""
+    return record_key(RecordKind.WORKER, f"{life.worker_id}@{life.born_unix_ms}")
+
+
+def split_key(key: str) -> tuple[RecordKind, str] | None:
+    """Return kind and name of a key, or nothing for a foreign one."""
+    kind, _, name = key.partition("/")
+    try:
+        return RecordKind(kind), name
+    except ValueError:
+        return None
+
+
+def encode_record(record: object) -> bytes:
+    """Return a record's value."""
+    return orjson.dumps(_CONVERTER.unstructure(record))
+
+
+def decode_record(value: bytes, record_type: type[T]) -> Result[T, str]:
+    """Return the record in a value, or why there is none."""
+    try:
+        return Success(_CONVERTER.structure(orjson.loads(value), record_type))
+    except Exception as error:  # noqa: BLE001  (cattrs raises groups of any type)
+        return Failure(f"{type(error).__name__}: {error}")
+
+
+def job_key(job: AcceptedJob) -> str:
+    """Return the key of a job's own record."""
+    return record_key(RecordKind.JOB, job.job_id)
+
+
+def _unstructure_life(life: WorkerLife) -> list[object]:
+    return [life.worker_id, life.born_unix_ms]
+
+
+def _structure_life(raw: list[object], _: type) -> WorkerLife:
+    worker_id, born = raw
+    return WorkerLife(WorkerId(str(worker_id)), int(str(born)))
+
+
+_CONVERTER.register_unstructure_hook(WorkerLife, _unstructure_life)
+_CONVERTER.register_structure_hook(WorkerLife, _structure_life)
--- /dev/null
+++ b/tamarackmount/scheduling/model.py
@@ -0,0 +1,121 @@
+"""Jobs, steps and tasks as callers hand them in."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import NamedTuple, NewType
+
+from tamarackmount.ids import JobId, QueueName, RackId, TeamId, WorkerId
+from tamarackmount.resources import Resources
+
+ServiceName = NewType("ServiceName", str)
+"""Name of a service: a pool of workers."""
+
+UnixMs = NewType("UnixMs", int)
+"""Milliseconds since 1970 in UTC, by the clock of whoever wrote it."""
+
+
+class StepKey(NamedTuple):
+    """A step of one occurrence of a job."""
+
+    job_id: JobId
+    occurrence: int
+    step: int
+
+
+class TaskKey(NamedTuple):
+    """A task: one of the equal parts of a step."""
+
+    job_id: JobId
+    occurrence: int
+    step: int
+    index: int  # type: ignore[assignment]  # tuple.index is of no use here
+
+    @property
+    def step_key(self) -> StepKey:
+        """The step that the task belongs to."""
+        return StepKey(self.job_id, self.occurrence, self.step)
+
+
+class WorkerLife(NamedTuple):
+    """One run of a worker: a restart under the same id is another life.
+
+    ``born_unix_ms`` is when it started.
+    """
+
+    worker_id: WorkerId
+    born_unix_ms: int
+
+
+class JobPhase(Enum):
+    """What a caller is told of a job."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the phase never changes again."""
+        return self in _FINAL_PHASES
+
+
+_FINAL_PHASES = frozenset({JobPhase.COMPLETED, JobPhase.FAILED, JobPhase.CANCELLED})
+
+
+@dataclass(frozen=True, slots=True)
+class StepSpec:
+    """What the tasks of a step need.
+
+    ``amount`` is for each task. ``estimated_ms`` is the caller's guess of a task's
+    duration. ``after`` lists steps that have to be done first. ``max_per_worker``
+    is 0 without a bound. ``target_ms`` bounds the tail latency of a serving task, 0
+    without one. Tasks of a step that ``fills`` use processor time that others leave.
+    ``may_miss`` tasks of a lasting step may be away through the system's own doing.
+    """
+
+    count: int
+    amount: Resources
+    estimated_ms: int = 0
+    after: tuple[int, ...] = ()
+    gang: bool = False
+    same_rack: bool = False
+    label: str = ""
+    rack: RackId = RackId("")
+    max_per_worker: int = 0
+    saves_progress: bool = False
+    speculative: bool = False
+    perpetual: bool = False
+    image: str = ""
+    target_ms: int = 0
+    fills: bool = False
+    may_miss: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class JobSpec:
+    """What a job consists of; a job without repetitions runs once, at once."""
+
+    text: str
+    steps: tuple[StepSpec, ...]
+    first_run_unix_ms: int = 0
+    interval_ms: int = 0
+    repetitions: int = 0
+
+    @property
+    def occurrences(self) -> int:
+        """How many times the steps run."""
+        return max(1, self.repetitions)
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptedJob:
+    """A job that the store holds."""
+
+    job_id: JobId
+    queue: QueueName
+    service: ServiceName
+    team_id: TeamId
+    accepted_unix_ms: int
+    spec: JobSpec
--- /dev/null
+++ b/tamarackmount/scheduling/orders.py
@@ -0,0 +1,133 @@
+"""What the answers to orders mean for runs."""
+
+import logging
+from collections.abc import Callable
+
+from tamarackmount.ids import Instant
+from tamarackmount.scheduling.cell import Cell
+from tamarackmount.scheduling.model import TaskKey, WorkerLife
+from tamarackmount.scheduling.placing import FIRST_RUN_AFTER_TAKEOVER
+from tamarackmount.scheduling.runs import Run, RunPhase
+from tamarackmount.scheduling.worker_reports import OrderResult
+from tamarackmount.scheduling.worker_watch import fenced, worker_gone
+
+_log = logging.getLogger(__name__)
+
+UNHEALTHY_REST_S = 1.0
+"""How long a worker that refused an order gets no new run, in seconds."""
+
+REPLACE_DELAY_S = 0.05
+"""Pause before a task that was refused is placed again, in seconds; a look at the
+worker in between shows its room."""
+
+
+def start_answered(
+    cell: Cell,
+    life: WorkerLife,
+    task: TaskKey,
+    number: int,
+    result: OrderResult,
+    now: Instant,
+) -> None:
+    """Take the answer to an order to start."""
+    run = cell.find_run(life, task, number)
+    if run is None:
+        return
+    if result is not OrderResult.DONE:
+        extra = {
+            "job": task.job_id,
+            "run": number,
+            "worker": life.worker_id,
+            "result": result.value,
+        }
+        _log.info("start not done", extra=extra)
+    _AFTER_START[result](cell, run, now)
+
+
+def stop_answered(
+    cell: Cell,
+    life: WorkerLife,
+    task: TaskKey,
+    number: int,
+    result: OrderResult,
+    now: Instant,
+) -> None:
+    """Take the answer to an order to stop."""
+    if result is OrderResult.FENCED:
+        fenced(cell, life)
+    run = cell.find_run(life, task, number)
+    if run is None:
+        return
+    run.stop_in_flight = False
+    worker = cell.workers_by_life.get(life)
+    if result is OrderResult.DONE:
+        run.stopped_at = run.stopped_at or now
+    if result is OrderResult.OTHER_LIFE and worker is not None:
+        worker_gone(cell, worker, now, "address has another worker")
+
+
+def _running(_cell: Cell, run: Run, now: Instant) -> None:
+    run.confirmed_at = now
+    if run.phase is RunPhase.STARTING:
+        run.phase = RunPhase.RUNNING
+    elif run.phase is RunPhase.UNSETTLED:
+        run.phase = RunPhase.STOPPING
+
+
+def _not_started(cell: Cell, run: Run, now: Instant) -> None:
+    step = cell.step_of(run.task)
+    if step is not None:
+        step.not_before = Instant(now + REPLACE_DELAY_S)
+    cell.drop_run(run, now)
+
+
+def _old_run(cell: Cell, run: Run, now: Instant) -> None:
+    step = cell.step_of(run.task)
+    if step is not None:
+        step.run_number = max(step.run_number, run.number + FIRST_RUN_AFTER_TAKEOVER)
+    _not_started(cell, run, now)
+
+
+def _bad_ticket(cell: Cell, run: Run, now: Instant) -> None:
+    step = cell.step_of(run.task)
+    if step is not None:
+        step.advice.drop(run.life)
+    _not_started(cell, run, now)
+
+
+def _unhealthy(cell: Cell, run: Run, now: Instant) -> None:
+    worker = cell.workers_by_life.get(run.life)
+    if worker is not None:
+        worker.rest_until = max(worker.rest_until, Instant(now + UNHEALTHY_REST_S))
+    _not_started(cell, run, now)
+
+
+def _fenced(cell: Cell, run: Run, now: Instant) -> None:
+    fenced(cell, run.life)
+    _not_started(cell, run, now)
+
+
+def _other_life(cell: Cell, run: Run, now: Instant) -> None:
+    worker = cell.workers_by_life.get(run.life)
+    if worker is not None:
+        worker_gone(cell, worker, now, "address has another worker")
+
+
+def _unknown(cell: Cell, run: Run, now: Instant) -> None:
+    """Make sure that the order is not carried out later."""
+    cell.stop_run(run, now)
+
+
+_AFTER_START: dict[OrderResult, Callable[[Cell, Run, Instant], None]] = {
+    OrderResult.DONE: _running,
+    OrderResult.FENCED: _fenced,
+    OrderResult.OLD_RUN: _old_run,
+    OrderResult.LATE: _not_started,
+    OrderResult.NO_ROOM: _not_started,
+    OrderResult.BAD_TICKET: _bad_ticket,
+    OrderResult.MALFORMED: _not_started,
+    OrderResult.UNHEALTHY: _unhealthy,
+    OrderResult.OTHER_LIFE: _other_life,
+    OrderResult.NOT_SENT: _unhealthy,
+    OrderResult.UNKNOWN: _unknown,
+}
--- /dev/null
+++ b/tamarackmount/scheduling/placing.py
@@ -0,0 +1,243 @@
+"""Choosing what starts next, and where."""
+
+import logging
+from collections.abc import Iterable
+
+from tamarackmount.ids import Instant
+from tamarackmount.resources import NOTHING, Resources
+from tamarackmount.scheduling.cell import Cell
+from tamarackmount.scheduling.effects import StartRun
+from tamarackmount.scheduling.ends import task_text
+from tamarackmount.scheduling.fleet import Queue
+from tamarackmount.scheduling.model import JobPhase
+from tamarackmount.scheduling.runs import Run, RunPhase, StepState
+from tamarackmount.scheduling.worker_reports import StartOrder
+from tamarackmount.scheduling.workers import Reach, WorkerState
+
+_log = logging.getLogger(__name__)
+
+FIRST_RUN_AFTER_TAKEOVER = 64
+"""Runs of tasks that a former holder may have started are numbered from here, above
+any number that it is likely to have used; workers refuse lower ones, which raises the
+number further."""
+
+
+def place(cell: Cell, now: Instant) -> None:
+    """Start what fits, the most urgent steps first."""
+    cell.place_needed = False
+    unseen = _unseen_services(cell)
+    for step in sorted(cell.ready_by_key.values(), key=_urgency):
+        queue = cell.queue_of(step.job)
+        if queue is None or now < step.not_before:
+            continue
+        if step.job.maybe_started_before and step.job.accepted.service in unseen:
+            continue
+        if step.spec.gang:
+            _place_gang(cell, step, queue, now)
+        else:
+            _place_tasks(cell, step, queue, now)
+
+
+def _urgency(step: StepState) -> tuple[Instant, str]:
+    return step.job.aim, step.key.job_id
+
+
+def _unseen_services(cell: Cell) -> set[str]:
+    """Return services with workers that may run what a former holder started."""
+    return {
+        worker.entry.service
+        for worker in cell.workers_by_life.values()
+        if worker.recorded and worker.reach is Reach.UNSEEN
+    }
+
+
+def could_run(step: StepState, worker: WorkerState) -> bool:
+    """Tell whether a worker can ever take a task of the step."""
+    return (
+        worker.entry.service == step.job.accepted.service
+        and (not step.spec.label or step.spec.label in worker.entry.labels)
+        and step.room_amount.fits_in(worker.entry.capacity)
+    )
+
+
+def candidates(
+    cell: Cell, step: StepState, queue: Queue, now: Instant
+) -> list[WorkerState]:
+    """Return the workers that may take a task of the step now, room apart."""
+    found = [
+        worker
+        for worker in cell.workers_by_life.values()
+        if worker.can_start
+        and worker.recorded
+        and now >= worker.rest_until
+        and could_run(step, worker)
+    ]
+    if queue.advice is not None:
+        found = [row for row in found if step.advice.ticket(row.life, now)]
+    unblamed = [row for row in found if row.life.worker_id not in step.failed_on]
+    return unblamed or found
+
+
+def _place_tasks(cell: Cell, step: StepState, queue: Queue, now: Instant) -> None:
+    workers = candidates(cell, step, queue, now)
+    for index in sorted(step.pending):
+        if not has_quota(cell, step, 1):
+            return
+        worker = _choose(step, workers)
+        if worker is None:
+            return
+        step.run_number = _next_run(step)
+        start(cell, step, index, worker, now)
+
+
+def _place_gang(cell: Cell, step: StepState, queue: Queue, now: Instant) -> None:
+    if step.runs_by_index:
+        # A member is missing; the others would only wait for it.
+        for run in list(step.runs_by_index.values()):
+            cell.stop_run(run, now)
+        return
+    if not has_quota(cell, step, step.spec.count):
+        return
+    workers = candidates(cell, step, queue, now)
+    chosen = _choose_gang(step, workers)
+    if not chosen:
+        return
+    step.run_number = _next_run(step)
+    for index, worker in enumerate(chosen):
+        start(cell, step, index, worker, now)
+
+
+def _choose_gang(step: StepState, workers: list[WorkerState]) -> list[WorkerState]:
+    """Return a worker for each member, on one rack if the step asks for that."""
+    for group in _gang_groups(step, workers):
+        chosen = _spread_gang(step, group)
+        if chosen:
+            return chosen
+    return []
+
+
+def _gang_groups(
+    step: StepState, workers: list[WorkerState]
+) -> Iterable[list[WorkerState]]:
+    if step.spec.same_rack:
+        racks = sorted({worker.entry.rack for worker in workers})
+        for rack in racks:
+            yield [worker for worker in workers if worker.entry.rack == rack]
+    yield workers
+
+
+def _spread_gang(step: StepState, workers: list[WorkerState]) -> list[WorkerState]:
+    amount = step.room_amount
+    free_by_life = {worker.life: worker.free for worker in workers}
+    count_by_life = {worker.life: 0 for worker in workers}
+    chosen: list[WorkerState] = []
+    for _ in range(step.spec.count):
+        fitting = [
+            worker
+            for worker in workers
+            if amount.fits_in(free_by_life[worker.life])
+            and not _is_full_of(step, count_by_life[worker.life])
+        ]
+        if not fitting:
+            return []
+        worker = min(fitting, key=lambda row: _left(free_by_life[row.life], amount))
+        free_by_life[worker.life] = free_by_life[worker.life] - amount
+        count_by_life[worker.life] += 1
+        chosen.append(worker)
+    return chosen
+
+
+def _choose(step: StepState, workers: list[WorkerState]) -> WorkerState | None:
+    """Return the worker that keeps the least room free, near the data if it can."""
+    amount = step.room_amount
+    fitting = [
+        worker
+        for worker in workers
+        if amount.fits_in(worker.free) and not _is_full_of(step, _runs_on(step, worker))
+    ]
+    if not fitting:
+        return None
+    near = [row for row in fitting if row.entry.rack == step.spec.rack]
+    return min(near or fitting, key=lambda row: _left(row.free, amount))
+
+
+def _runs_on(step: StepState, worker: WorkerState) -> int:
+    if not step.spec.max_per_worker:
+        return 0
+    return sum(1 for run in step.runs_by_index.values() if run.life == worker.life)
+
+
+def _is_full_of(step: StepState, count: int) -> bool:
+    bound = step.spec.max_per_worker
+    return bool(bound) and count >= bound
+
+
+def _left(free: Resources, amount: Resources) -> tuple[int, int, int]:
+    left = free - amount
+    return left.accelerators, left.millicores, left.memory_mib
+
+
+def has_quota(cell: Cell, step: StepState, count: int) -> bool:
+    """Tell whether the job's team may have ``count`` more of its tasks running."""
+    if cell.fleet is None:
+        return False
+    team = cell.fleet.teams_by_id.get(step.job.accepted.team_id)
+    if team is None:
+        return True
+    used = cell.used_by_team.get(team.team_id, NOTHING)
+    amount = step.spec.amount
+    ceiling = team.ceiling
+    parts = (
+        (used.millicores, amount.millicores, ceiling.millicores),
+        (used.memory_mib, amount.memory_mib, ceiling.memory_mib),
+        (used.accelerators, amount.accelerators, ceiling.accelerators),
+    )
+    return all(not most or has + one * count <= most for has, one, most in parts)
+
+
+def _next_run(step: StepState) -> int:
+    if step.run_number == 0 and step.job.maybe_started_before:
+        return FIRST_RUN_AFTER_TAKEOVER
+    return step.run_number + 1
+
+
+def start(
+    cell: Cell, step: StepState, index: int, worker: WorkerState, now: Instant
+) -> None:
+    """Order one task to start on a worker."""
+    lease_end = worker.lease_end_clock_ms(now)
+    if lease_end is None:
+        return
+    worker.granted(lease_end)
+    run = Run(
+        task=step.task(index),
+        number=step.run_number,
+        life=worker.life,
+        amount=step.room_amount,
+        charged=step.spec.amount,
+        phase=RunPhase.STARTING,
+        began_at=now,
+    )
+    cell.add_run(worker, step, run)
+    job = step.job
+    if job.phase is JobPhase.QUEUED:
+        job.phase = JobPhase.RUNNING
+        cell.changed_jobs.add(job.job_id)
+    order = StartOrder(
+        life=worker.life,
+        task=run.task,
+        run=run.number,
+        text=job.accepted.spec.text,
+        lease_end_clock_ms=lease_end,
+        checkpoint=step.checkpoints_by_index.get(0 if step.spec.gang else index, ""),
+        ticket=step.advice.ticket(worker.life, now),
+    )
+    cell.emit(StartRun(worker.entry.address, order))
+    extra = {
+        "job": job.job_id,
+        "task": task_text(run.task),
+        "run": run.number,
+        "worker": worker.life.worker_id,
+        "waited_s": round(now - job.came_at, 3),
+    }
+    _log.info("run starts", extra=extra)
--- /dev/null
+++ b/tamarackmount/scheduling/runs.py
@@ -0,0 +1,169 @@
+"""Runs of tasks, and steps and jobs as the holder works on them."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+from tamarackmount.ids import Instant, JobId, WorkerId
+from tamarackmount.resources import Resources
+from tamarackmount.scheduling.journal import JobProgress
+from tamarackmount.scheduling.model import (
+    AcceptedJob,
+    JobPhase,
+    StepKey,
+    StepSpec,
+    TaskKey,
+    WorkerLife,
+)
+from tamarackmount.scheduling.tickets import StepAdvice
+
+
+class RunPhase(Enum):
+    """How far a run is.
+
+    The order of a ``STARTING`` run is under way; that of an ``UNSETTLED`` one had no
+    answer and may still be carried out, until a stop is confirmed.
+    """
+
+    STARTING = "starting"
+    UNSETTLED = "unsettled"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@dataclass(slots=True)
+class Run:
+    """One start of a task on one life of a worker.
+
+    ``amount`` is the room that it takes there, ``charged`` what counts for its team.
+    ``confirmed_at`` is when the worker last was known to have it, ``stopped_at`` when
+    it confirmed a stop.
+    """
+
+    task: TaskKey
+    number: int
+    life: WorkerLife
+    amount: Resources
+    charged: Resources
+    phase: RunPhase
+    began_at: Instant
+    confirmed_at: Instant | None = None
+    stopped_at: Instant | None = None
+    stop_in_flight: bool = False
+    next_stop_at: Instant = Instant(0.0)
+    percent: int = 100
+    reading: int = 0
+
+
+@dataclass(slots=True)
+class StepState:
+    """The tasks of one step of one occurrence.
+
+    ``pending`` are tasks that have no run and are not done. ``not_before`` delays
+    placing after a failure to place. ``run_number`` is the highest one used.
+    """
+
+    key: StepKey
+    spec: StepSpec
+    job: "JobState"
+    pending: set[int]
+    done: set[int] = field(default_factory=set)
+    runs_by_index: dict[int, Run] = field(default_factory=dict)
+    failures_by_index: dict[int, int] = field(default_factory=dict)
+    checkpoints_by_index: dict[int, str] = field(default_factory=dict)
+    run_number: int = 0
+    failed_gang_run: int = 0
+    advice: StepAdvice = field(default_factory=StepAdvice)
+    failed_on: set[WorkerId] = field(default_factory=set)
+    not_before: Instant = Instant(0.0)
+    due_unix_ms: int = 0
+
+    @property
+    def room_amount(self) -> Resources:
+        """Room that a task takes on a worker; filling tasks use what is left."""
+        amount = self.spec.amount
+        if not self.spec.fills:
+            return amount
+        return Resources(0, amount.memory_mib, amount.accelerators)
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every task has ended well."""
+        return len(self.done) == self.spec.count
+
+    def task(self, index: int) -> TaskKey:
+        """Return the name of one task."""
+        return TaskKey(*self.key, index)
+
+
+@dataclass(slots=True)
+class JobState:
+    """A job that is not over.
+
+    ``aim`` and ``late`` are the instants by which it should be done to be worth its
+    whole and its smaller part; both are estimates from the declared durations.
+    """
+
+    accepted: AcceptedJob
+    phase: JobPhase = JobPhase.QUEUED
+    steps_by_key: dict[StepKey, StepState] = field(default_factory=dict)
+    came_at: Instant = Instant(0.0)
+    aim: Instant = Instant(0.0)
+    late: Instant = Instant(0.0)
+    maybe_started_before: bool = False
+    final_unix_ms: int = 0
+
+    @property
+    def job_id(self) -> JobId:
+        """The job's id."""
+        return self.accepted.job_id
+
+    def runs(self) -> Iterator[Run]:
+        """Return every run that is not surely over."""
+        for step in self.steps_by_key.values():
+            yield from list(step.runs_by_index.values())
+
+    def progress(self) -> JobProgress:
+        """Return what the store has to keep."""
+        steps = self.steps_by_key.values()
+        return JobProgress(
+            phase=self.phase,
+            done_by_step={
+                f"{step.key.occurrence}.{step.key.step}": sorted(step.done)
+                for step in steps
+                if step.done and not self.phase.is_final
+            },
+            failures_by_task={
+                f"{step.key.occurrence}.{step.key.step}.{index}": count
+                for step in steps
+                for index, count in step.failures_by_index.items()
+                if not self.phase.is_final
+            },
+            final_unix_ms=self.final_unix_ms,
+        )
+
+
+def make_job(
+    accepted: AcceptedJob, progress: JobProgress | None, now: Instant
+) -> JobState:
+    """Return a job with every step, as far as the store knows it."""
+    job = JobState(accepted, came_at=now)
+    if progress is not None:
+        job.phase = progress.phase
+    done_by_step = progress.done_by_step if progress is not None else {}
+    failures = progress.failures_by_task if progress is not None else {}
+    spec = accepted.spec
+    for occurrence in range(spec.occurrences):
+        due = spec.first_run_unix_ms + occurrence * spec.interval_ms
+        for number, step in enumerate(spec.steps):
+            key = StepKey(accepted.job_id, occurrence, number)
+            done = set(done_by_step.get(f"{occurrence}.{number}", ()))
+            state = StepState(key, step, job, set(range(step.count)) - done, done)
+            state.due_unix_ms = due if spec.repetitions else 0
+            job.steps_by_key[key] = state
+    for name, count in failures.items():
+        occurrence_text, step_text, index = name.split(".")
+        key = StepKey(accepted.job_id, int(occurrence_text), int(step_text))
+        if key in job.steps_by_key:
+            job.steps_by_key[key].failures_by_index[int(index)] = count
+    return job
--- /dev/null
+++ b/tamarackmount/scheduling/scheduler.py
@@ -0,0 +1,272 @@
+"""The holder's decisions about all jobs and workers.
+
+Every method takes what happened and the time; :meth:`Scheduler.take_effects` returns
+what is to be done. Orders and looks are answered by one call each.
+"""
+
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from tamarackmount.ids import Epoch, Instant, JobId, RackId
+from tamarackmount.resources import NOTHING
+from tamarackmount.scheduling.advising import Advising
+from tamarackmount.scheduling.book import KnownJob
+from tamarackmount.scheduling.cell import Cell
+from tamarackmount.scheduling.effects import Effect
+from tamarackmount.scheduling.ends import end_job, make_ready
+from tamarackmount.scheduling.fleet import Fleet
+from tamarackmount.scheduling.journal import (
+    RecordKind,
+    WorkerRecord,
+    encode_record,
+    record_key,
+    worker_key,
+)
+from tamarackmount.scheduling.model import (
+    AcceptedJob,
+    JobPhase,
+    StepKey,
+    TaskKey,
+    WorkerLife,
+)
+from tamarackmount.scheduling.objectives import set_objective
+from tamarackmount.scheduling.orders import start_answered, stop_answered
+from tamarackmount.scheduling.placing import place
+from tamarackmount.scheduling.runs import make_job
+from tamarackmount.scheduling.tickets import AdviceAnswer
+from tamarackmount.scheduling.worker_reports import (
+    OrderResult,
+    WorkerEntry,
+    WorkerReport,
+    WorkerTrouble,
+)
+from tamarackmount.scheduling.worker_watch import (
+    list_workers,
+    restore_worker,
+    watch_workers,
+    worker_held,
+)
+
+_log = logging.getLogger(__name__)
+
+MAX_BATCH_RECORDS = 500
+"""Records in one append; 4 KB each stay far under the store's 2 MB a call."""
+
+
+@dataclass(frozen=True, slots=True)
+class Batch:
+    """News for the store, and what becomes true once it is stored."""
+
+    records: tuple[tuple[str, bytes], ...]
+    phases: tuple[tuple[JobId, JobPhase], ...]
+    acks: tuple[tuple[WorkerLife, int], ...]
+
+
+class Scheduler:
+    """Accepts, places, watches and ends jobs under one token."""
+
+    def __init__(
+        self, token: Epoch, find_job: Callable[[JobId], AcceptedJob | None]
+    ) -> None:
+        """Begin under ``token``; ``find_job`` looks any accepted job up."""
+        self._cell = Cell(token, find_job)
+        self._advising = Advising(self._cell)
+
+    @property
+    def token(self) -> Epoch:
+        """The fencing token of all orders."""
+        return self._cell.token
+
+    def restore(
+        self,
+        jobs: Iterable[KnownJob],
+        workers: Iterable[WorkerRecord],
+        now: Instant,
+        unix_ms: int,
+    ) -> None:
+        """Take over what the store holds."""
+        for record in workers:
+            entry = WorkerEntry(
+                life=record.life,
+                service=record.service,
+                address=record.address,
+                data_centre="",  # type: ignore[arg-type]
+                labels=frozenset(),
+                rack=RackId(""),
+                capacity=NOTHING,
+            )
+            restore_worker(self._cell, entry, record.ack, now)
+        for known in list(jobs):
+            self._restore_job(known, now, unix_ms)
+
+    def set_fleet(self, fleet: Fleet, now: Instant) -> None:
+        """Take a new version of the configuration."""
+        self._cell.fleet = fleet
+        self._cell.place_needed = True
+        for job in self._cell.jobs_by_id.values():
+            set_objective(job, self._cell.queue_of(job))
+
+    def set_lanes(self, lanes: int) -> None:
+        """Take the number of entry VMs that can ask for advice."""
+        self._advising.lanes = max(1, lanes)
+
+    def set_workers(self, entries: list[WorkerEntry], now: Instant) -> None:
+        """Take the workers that are registered now."""
+        list_workers(self._cell, entries, now)
+
+    def add_job(self, accepted: AcceptedJob, now: Instant, unix_ms: int) -> None:
+        """Take a job that the store holds; one that is known is left alone."""
+        cell = self._cell
+        if accepted.job_id in cell.jobs_by_id or accepted.job_id in cell.phase_by_job:
+            return
+        self._restore_job(KnownJob(accepted), now, unix_ms, is_new=True)
+
+    def cancel_job(self, job_id: JobId, now: Instant, unix_ms: int) -> None:
+        """End a job whose cancelling the store holds."""
+        job = self._cell.jobs_by_id.get(job_id)
+        if job is None or job.phase.is_final:
+            return
+        job.final_unix_ms = unix_ms
+        end_job(self._cell, job, JobPhase.CANCELLED, now)
+        self._cell.phase_by_job[job_id] = JobPhase.CANCELLED
+
+    def worker_held(
+        self,
+        life: WorkerLife,
+        answer: WorkerReport | WorkerTrouble,
+        sent: Instant,
+        now: Instant,
+    ) -> None:
+        """Take the answer of a look at a worker that was sent at ``sent``."""
+        worker_held(self._cell, life, answer, sent, now)
+
+    def start_answered(
+        self,
+        life: WorkerLife,
+        task: TaskKey,
+        run: int,
+        result: OrderResult,
+        now: Instant,
+    ) -> None:
+        """Take the answer to an order to start."""
+        start_answered(self._cell, life, task, run, result, now)
+
+    def stop_answered(
+        self,
+        life: WorkerLife,
+        task: TaskKey,
+        run: int,
+        result: OrderResult,
+        now: Instant,
+    ) -> None:
+        """Take the answer to an order to stop."""
+        stop_answered(self._cell, life, task, run, result, now)
+
+    def advice_answered(
+        self, step: StepKey, answer: AdviceAnswer | None, now: Instant
+    ) -> None:
+        """Take the answer to a question about a step."""
+        self._advising.answered(step, answer, now)
+
+    def tick(self, now: Instant, unix_ms: int) -> None:
+        """Do what is due; wanted every few tens of milliseconds and after inputs."""
+        cell = self._cell
+        for step in list(cell.timed_by_key.values()):
+            if unix_ms >= step.due_unix_ms:
+                del cell.timed_by_key[step.key]
+                cell.ready_by_key[step.key] = step
+        watch_workers(cell, now)
+        if cell.ready_by_key:
+            place(cell, now)
+        self._advising.ask(now)
+
+    def take_effects(self) -> list[Effect]:
+        """Return what is to be done since the last call."""
+        effects, self._cell.effects = self._cell.effects, []
+        return effects
+
+    def take_batch(self, unix_ms: int) -> Batch | None:
+        """Return news for the store, or nothing if there are none."""
+        cell = self._cell
+        if not (cell.changed_jobs or cell.changed_workers or cell.removed_workers):
+            return None
+        records: list[tuple[str, bytes]] = []
+        phases: list[tuple[JobId, JobPhase]] = []
+        acks: list[tuple[WorkerLife, int]] = []
+        while cell.changed_jobs and len(records) < MAX_BATCH_RECORDS:
+            job = cell.jobs_by_id.get(cell.changed_jobs.pop())
+            if job is None:
+                continue
+            if job.phase.is_final and not job.final_unix_ms:
+                job.final_unix_ms = unix_ms
+            key = record_key(RecordKind.PROGRESS, job.job_id)
+            records.append((key, encode_record(job.progress())))
+            phases.append((job.job_id, job.phase))
+        for life in list(cell.changed_workers):
+            worker = cell.workers_by_life.get(life)
+            if worker is None:
+                continue
+            record = WorkerRecord(
+                life, worker.entry.service, worker.entry.address, worker.known_end
+            )
+            records.append((worker_key(life), encode_record(record)))
+            acks.append((life, worker.known_end))
+        cell.changed_workers.clear()
+        records.extend((worker_key(life), b"") for life in cell.removed_workers)
+        cell.removed_workers.clear()
+        return Batch(tuple(records), tuple(phases), tuple(acks))
+
+    def stored(self, batch: Batch, now: Instant) -> None:
+        """Take that the store holds a batch."""
+        cell = self._cell
+        for job_id, phase in batch.phases:
+            if phase.is_final:
+                cell.phase_by_job[job_id] = phase
+            job = cell.jobs_by_id.get(job_id)
+            if job is not None:
+                cell.forget_if_over(job)
+        for life, ack in batch.acks:
+            worker = cell.workers_by_life.get(life)
+            if worker is None:
+                continue
+            worker.recorded = True
+            if ack > worker.stored_end:
+                worker.stored_end = ack
+                worker.next_hold_at = now
+        cell.place_needed = True
+
+    def phase(self, job_id: JobId) -> JobPhase | None:
+        """Return what a caller is told; final phases once the store holds them."""
+        cell = self._cell
+        known = cell.phase_by_job.get(job_id)
+        if known is not None:
+            return known
+        job = cell.jobs_by_id.get(job_id)
+        if job is None:
+            return None
+        return JobPhase.RUNNING if job.phase.is_final else job.phase
+
+    def _restore_job(
+        self, known: KnownJob, now: Instant, unix_ms: int, is_new: bool = False
+    ) -> None:
+        if known.accepted is None:
+            return
+        cell = self._cell
+        age_s = max(0.0, (unix_ms - known.accepted.accepted_unix_ms) / 1_000)
+        job = make_job(known.accepted, known.progress, Instant(now - age_s))
+        job.maybe_started_before = not is_new
+        set_objective(job, cell.queue_of(job))
+        cell.jobs_by_id[job.job_id] = job
+        if known.cancelled_unix_ms is not None:
+            self.cancel_job(job.job_id, now, unix_ms)
+            return
+        for step in job.steps_by_key.values():
+            make_ready(cell, step)
+        self._end_if_over(job.job_id, now)
+
+    def _end_if_over(self, job_id: JobId, now: Instant) -> None:
+        """End a restored job whose last end was stored, but not its phase."""
+        job = self._cell.jobs_by_id[job_id]
+        if all(step.is_done for step in job.steps_by_key.values()):
+            end_job(self._cell, job, JobPhase.COMPLETED, now)
--- /dev/null
+++ b/tamarackmount/scheduling/tickets.py
@@ -0,0 +1,76 @@
+"""Permissions to run steps on workers, where a queue's policy asks for them."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from tamarackmount.ids import Instant, WorkerId
+from tamarackmount.scheduling.model import WorkerLife
+from tamarackmount.units import MS_PER_SECOND
+
+TICKET_MARGIN_S = 0.15
+"""Tickets that end within this are not used, in seconds: an order's longest way."""
+
+
+@dataclass(frozen=True, slots=True)
+class Permission:
+    """A worker that may run the step, and the ticket that shows it."""
+
+    worker_id: WorkerId
+    ticket: str
+
+
+@dataclass(frozen=True, slots=True)
+class AdviceAnswer:
+    """The workers that may run a step, out of those asked for."""
+
+    permissions: tuple[Permission, ...]
+    valid_ms: float
+
+
+@dataclass(slots=True)
+class _Ticket:
+    text: str
+    ends: Instant
+    life: WorkerLife
+
+
+@dataclass(slots=True)
+class StepAdvice:
+    """What is known about who may run one step.
+
+    Which workers are allowed never changes; tickets end and are asked for again.
+    """
+
+    allowed: set[WorkerId] = field(default_factory=set)
+    refused: set[WorkerId] = field(default_factory=set)
+    is_asking: bool = False
+    retry_at: Instant = Instant(0.0)
+    _tickets_by_worker: dict[WorkerId, _Ticket] = field(default_factory=dict)
+
+    def answered(
+        self,
+        lives: Iterable[WorkerLife],
+        answer: AdviceAnswer,
+        now: Instant,
+    ) -> None:
+        """Take an answer that has just come for the workers asked about."""
+        ends = Instant(now + answer.valid_ms / MS_PER_SECOND)
+        ticket_by_worker = {row.worker_id: row.ticket for row in answer.permissions}
+        for life in lives:
+            text = ticket_by_worker.get(life.worker_id)
+            if text is None:
+                self.refused.add(life.worker_id)
+                continue
+            self.allowed.add(life.worker_id)
+            self._tickets_by_worker[life.worker_id] = _Ticket(text, ends, life)
+
+    def ticket(self, life: WorkerLife, now: Instant) -> str:
+        """Return a ticket that may be used now, or an empty text."""
+        found = self._tickets_by_worker.get(life.worker_id)
+        if found is None or found.life != life or found.ends < now + TICKET_MARGIN_S:
+            return ""
+        return found.text
+
+    def drop(self, life: WorkerLife) -> None:
+        """Forget a ticket that a worker did not take."""
+        self._tickets_by_worker.pop(life.worker_id, None)
--- /dev/null
+++ b/tamarackmount/scheduling/workers.py
@@ -0,0 +1,118 @@
+"""Workers as the holder sees them: room, lease, clock and runs."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from tamarackmount.ids import Instant
+from tamarackmount.resources import NOTHING, Resources
+from tamarackmount.scheduling.model import TaskKey, WorkerLife
+from tamarackmount.scheduling.runs import Run
+from tamarackmount.scheduling.worker_reports import WorkerEntry
+from tamarackmount.units import MS_PER_SECOND
+
+LEASE_MS = 6_000
+"""Lease of all that a worker runs, in milliseconds: outlives a takeover of 3 s."""
+
+SLOWEST_CLOCK = 0.98
+"""A worker's clock runs at least at this rate, by the platform's page."""
+
+UNKNOWN_LEASE_S = 1.0 + LEASE_MS / MS_PER_SECOND / SLOWEST_CLOCK
+"""Longest lease that an earlier holder may have left on a worker, in seconds, from
+the last moment at which that holder may have sent a renewal."""
+
+FORMER_HOLDER_STOPS_S = 3.0
+"""A former holder has sent its last renewal by then, in seconds from the claim that
+replaced it: it looks at each worker every 2 s and is refused by those that follow
+the new one."""
+
+
+class Reach(Enum):
+    """Whether a worker follows this holder."""
+
+    UNSEEN = "unseen"
+    FOLLOWING = "following"
+    GONE = "gone"
+
+
+@dataclass(slots=True)
+class WorkerState:
+    """One life of a worker.
+
+    ``used`` is the room of all runs that are not surely over. ``acked`` is the
+    cursor that the worker was told, ``known_end`` the highest end that was read and
+    ``stored_end`` the highest one in the store. ``lease_ends`` is the instant by
+    which everything on the worker is over, unless it is renewed.
+    """
+
+    entry: WorkerEntry
+    reach: Reach = Reach.UNSEEN
+    listed: bool = True
+    used: Resources = NOTHING
+    runs_by_task: dict[TaskKey, Run] = field(default_factory=dict)
+    known_end: int = 0
+    stored_end: int = 0
+    recorded: bool = False
+    lease_ends: Instant = Instant(0.0)
+    hold_in_flight: bool = False
+    next_hold_at: Instant = Instant(0.0)
+    rest_until: Instant = Instant(0.0)
+    silent_since: Instant | None = None
+    failures_in_row: int = 0
+    _clock_ms: int = 0
+    _clock_sent: Instant = Instant(0.0)
+    _clock_read: Instant | None = None
+
+    @property
+    def life(self) -> WorkerLife:
+        """Which life of which worker this is."""
+        return self.entry.life
+
+    @property
+    def free(self) -> Resources:
+        """Room that no run has."""
+        return self.entry.capacity - self.used
+
+    @property
+    def can_start(self) -> bool:
+        """Whether new runs may be sent there at all."""
+        return (
+            self.reach is Reach.FOLLOWING
+            and self.listed
+            and not self.entry.is_draining
+            and self.silent_since is None
+        )
+
+    def read_clock(self, clock_ms: int, sent: Instant, now: Instant) -> None:
+        """Take a reading that a worker made between ``sent`` and ``now``."""
+        self._clock_ms = clock_ms
+        self._clock_sent = sent
+        self._clock_read = now
+
+    def lease_end_clock_ms(self, now: Instant) -> int | None:
+        """Return the end of a lease that begins now, on the worker's clock.
+
+        Nothing if the worker's clock was never read.
+        """
+        if self._clock_read is None:
+            return None
+        passed_ms = (now - self._clock_read) * MS_PER_SECOND
+        return self._clock_ms + int(passed_ms) + LEASE_MS
+
+    def granted(self, lease_end_clock_ms: int) -> None:
+        """Note that an order with this lease end was sent."""
+        if self._clock_read is None:
+            return
+        left_ms = (lease_end_clock_ms - self._clock_ms) / SLOWEST_CLOCK
+        ends = Instant(self._clock_read + left_ms / MS_PER_SECOND)
+        self.lease_ends = max(self.lease_ends, ends)
+
+    def hold_room(self, run: Run) -> None:
+        """Count a run's room."""
+        self.runs_by_task[run.task] = run
+        self.used = self.used + run.amount
+
+    def free_room(self, run: Run) -> None:
+        """Count a run's room no more."""
+        if self.runs_by_task.get(run.task) is run:
+            del self.runs_by_task[run.task]
+            self.used = self.used - run.amount
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -8,13 +8,8 @@
 from returns.result import Failure, Success
 
 from tamarackmount.ids import DataCentreId, Incarnation, MemberId, Offset
-from tamarackmount.internal.codec import (
-    MAX_MESSAGE_BYTES,
-    DecodeError,
-    Envelope,
-    decode,
-    encode,
-)
+from tamarackmount.internal.codec import MAX_MESSAGE_BYTES, DecodeError, Envelope
+from tamarackmount.internal.member_codec import decode, encode
 from tamarackmount.kernel.epochs import epoch_of_offset, next_term
 from tamarackmount.kernel.job_part import NUMBERS_PER_MS
 from tamarackmount.kernel.member_core import NEVER_READ_MS
@@ -102,12 +97,12 @@
     )
     numbered = JobCopied(2**42 * NUMBERS_PER_MS + 5)
     for message in (heartbeat, numbered):
-        envelope = Envelope(MemberId("m1"), message)
+        envelope: Envelope[PeerMessage] = Envelope(MemberId("m1"), message)
         assert decode(encode(envelope)) == Success(envelope)
 
 
 def test_headers_keep_their_order() -> None:
     headers = [HttpHeader("b", "1"), HttpHeader("a", "2"), HttpHeader("b", "3")]
     reply = ForwardedReply(1, Outcome.ANSWERED, "", 0, 200, headers, b"\0x")
-    envelope = Envelope(MemberId("m1"), reply)
+    envelope: Envelope[PeerMessage] = Envelope(MemberId("m1"), reply)
     assert decode(encode(envelope)) == Success(envelope)
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -8,8 +8,9 @@
 from tamarackmount.adapters.http_exchange import Answer, HttpExchanger
 from tamarackmount.adapters.http_wire import Limits
 from tamarackmount.daemon.http_answers import FinalAnswer, refusal_answer
-from tamarackmount.daemon.http_front import Admission, Front, HttpSink, QuietSite
+from tamarackmount.daemon.http_front import Admission, Front, HttpSink
 from tamarackmount.daemon.http_request import MAX_BODY_BYTES, BoundedRequest
+from tamarackmount.daemon.quiet_site import QuietSite
 from tamarackmount.daemon.request_calls import RequestContent
 from tamarackmount.ids import Instant, KeyHash, QueueName, TeamId, UpstreamId
 from tamarackmount.internal.keys import hash_key
--- a/tests/test_node_traffic.py
+++ b/tests/test_node_traffic.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from tamarackmount.internal.codec import Envelope, encode
+from tamarackmount.internal.codec import Envelope
+from tamarackmount.internal.member_codec import encode
 from tests.utils.node_fleet import NodeFleet
 
 BYTES_PER_SECOND = 18_000
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,14 +1,15 @@
 """Links between members: reconnection, bounds and malformed bytes."""
 
-from tamarackmount.daemon.peers import (
+from tamarackmount.ids import Epoch, MemberId
+from tamarackmount.internal.codec import MAX_MESSAGE_BYTES, Envelope
+from tamarackmount.internal.links import (
     MAX_RECONNECT_DELAY_S,
     RECONNECT_JITTER_S,
     PeerLinks,
 )
-from tamarackmount.ids import Epoch, MemberId
-from tamarackmount.internal.codec import MAX_MESSAGE_BYTES, Envelope
+from tamarackmount.internal.member_codec import MEMBER_CODEC
 from tamarackmount.kernel.effects import Address
-from tamarackmount.kernel.messages import HoldingsRequest
+from tamarackmount.kernel.messages import HoldingsRequest, PeerMessage
 from tests.utils.memory_network import STEP_S, MemoryNetwork
 
 HOST = "127.0.0.1"
@@ -18,16 +19,20 @@
 MESSAGE = HoldingsRequest(Epoch(7))
 
 
-def make_receiver(network: MemoryNetwork) -> tuple[PeerLinks, list[Envelope]]:
-    received: list[Envelope] = []
-    links = PeerLinks(network, MemberId("b"), {}, received.append)
+def make_receiver(
+    network: MemoryNetwork,
+) -> tuple[PeerLinks[PeerMessage], list[Envelope[PeerMessage]]]:
+    received: list[Envelope[PeerMessage]] = []
+    links = PeerLinks(network, MemberId("b"), {}, MEMBER_CODEC, received.append)
     links.listen(Address(HOST, PORT))
     return links, received
 
 
-def make_sender(network: MemoryNetwork) -> PeerLinks:
+def make_sender(network: MemoryNetwork) -> PeerLinks[PeerMessage]:
     addresses = {MemberId("b"): Address(HOST, PORT)}
-    return PeerLinks(network, MemberId("a"), addresses, lambda envelope: None)
+    return PeerLinks(
+        network, MemberId("a"), addresses, MEMBER_CODEC, lambda envelope: None
+    )
 
 
 def test_message_without_a_connection_is_dropped_and_a_later_one_arrives() -> None:
