Two claims of one epoch no longer both count as accepted

Cause: every claim was sent as number 0 of its epoch by the same producer. Ruled out: workers that don't fence; both used one token.

Change: the number of a claim's append is drawn.

--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -12,7 +12,7 @@
 from tamarackmount.ids import Epoch, Instant, JobId, MemberId
 from tamarackmount.node import clock
 from tamarackmount.node.advice_lanes import AdviceLanes
-from tamarackmount.node.journal_writer import JournalWriter, WriterEvents
+from tamarackmount.node.journal_writer import Claim, JournalWriter, WriterEvents
 from tamarackmount.node.peer_calls import PeerCalls
 from tamarackmount.node.tail import TopicTail
 from tamarackmount.platform.advice import AdviceService
@@ -79,25 +79,25 @@
     def __init__(
         self,
         parts: HolderParts,
-        epoch: Epoch,
+        claimed: Claim,
         book: JobBook,
         fleet: Fleet,
         ended: Callable[[str], None],
     ) -> None:
         """Take over what ``book`` holds; ``ended`` is called when it is over."""
         self._parts = parts
-        self._epoch = epoch
+        self._epoch = claimed.epoch
         self._book = book
         self._ended = ended
         self._is_over = False
         self._poked = False
         self._entries_by_id: dict[str, WorkerEntry] = {}
         self._semaphores_by_life: dict[WorkerLife, DeferredSemaphore] = {}
-        self.scheduler = Scheduler(epoch, self._find_job)
+        self.scheduler = Scheduler(claimed.epoch, self._find_job)
         self.scheduler.set_fleet(fleet, clock.now())
         events = WriterEvents(self._take_batch, self._stored, self._fenced)
         self._writer = JournalWriter(
-            parts.reactor, parts.store, parts.topic, parts.node, epoch, events
+            parts.reactor, parts.store, parts.topic, parts.node, claimed, events
         )
         self._lanes = AdviceLanes(
             parts.reactor, parts.node, parts.advice, parts.peers, self._advised
--- a/tamarackmount/node/journal_writer.py
+++ b/tamarackmount/node/journal_writer.py
@@ -1,6 +1,7 @@
 """The holder's appends: fenced by epoch, numbered, one at a time."""
 
 import logging
+import secrets
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -46,23 +47,37 @@
 _log = logging.getLogger(__name__)
 
 
+MAX_FIRST_SEQUENCE = 2**31
+"""Bound of the number of a claim's append: large enough that two claims differ."""
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """An accepted claim: the epoch that it began, and the number of its append."""
+
+    epoch: Epoch
+    sequence: int
+
+
 async def claim(
     reactor: Any, store: Store, topic: Topic, node: MemberId, end: Offset
-) -> Epoch | None:
+) -> Claim | None:
     """Claim the scheduling if the topic still ends at ``end``.
 
     The epoch is one more than the offset of the claim, so it rises with each claim,
     and the same append fences the writes of earlier holders. Without an answer the
-    claim is repeated until it is settled.
+    claim is repeated until it is settled. Its number is drawn, since the store takes
+    an append with the same epoch and number for a repetition, whoever sends it.
     """
     epoch = Epoch(end + 1)
     record = _holder_record(HolderRecord(node, epoch, beat=0))
-    producer = Producer(PRODUCER_NAME, epoch, 0)
+    sequence = secrets.randbelow(MAX_FIRST_SEQUENCE)
+    producer = Producer(PRODUCER_NAME, epoch, sequence)
     while True:
         deadline = Instant(reactor.seconds() + APPEND_TIMEOUT_S)
         result = await store.append(topic, [record], deadline, end, producer)
         if isinstance(result, Appended):
-            return epoch
+            return Claim(epoch, sequence)
         if not _is_unknown(result):
             extra = {"epoch": epoch, "reason": str(result)}
             _log.info("claim refused", extra=extra)
@@ -99,15 +114,15 @@
         store: Store,
         topic: Topic,
         node: MemberId,
-        epoch: Epoch,
+        claimed: Claim,
         events: WriterEvents,
     ) -> None:
-        """Write under ``epoch`` after its claim."""
+        """Write under the epoch of a claim, after its append."""
         self._reactor = reactor
         self._store = store
         self._topic = topic
-        self._record = HolderRecord(node, epoch, beat=0)
-        self._sequence = 1
+        self._record = HolderRecord(node, claimed.epoch, beat=0)
+        self._sequence = claimed.sequence + 1
         self._events = events
         self._beat_at = Instant(clock.now() + BEAT_S)
         self._is_writing = False
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -423,10 +423,10 @@
             return
         if not self._watch.should_claim(0, clock.now()):
             return
-        epoch = await claim(
+        claimed = await claim(
             self._reactor, self._store, JOBS_TOPIC, self._settings.node, end
         )
-        if epoch is None or self._is_draining:
+        if claimed is None or self._is_draining:
             return
         parts = HolderParts(
             self._reactor,
@@ -437,8 +437,8 @@
             self._advice,
             self._peers,
         )
-        self._holder = Holder(parts, epoch, self._book, fleet, self._holder_ended)
-        _log.info("scheduling held", extra={"epoch": epoch})
+        self._holder = Holder(parts, claimed, self._book, fleet, self._holder_ended)
+        _log.info("scheduling held", extra={"epoch": claimed.epoch})
         self._holder.start()
 
     def _holder_ended(self, reason: str) -> None:
