Jobs are stored through the holder; claims in a topic of their own

Cause: with the store slow by 78 times a partition takes about six appends a second. A claim that names the end of the jobs' topic lost against them.

Change: entry VMs hand records to the holder, which appends for all, one call at a time; without its word they append by themselves. The wait for an answer follows the store's pace. Claims and signs of life have their own topic; the new holder fences the jobs' topic and reads it to the end. A stopping holder decides until its release is stored.

--- a/tamarackmount/internal/node_peer.capnp
+++ b/tamarackmount/internal/node_peer.capnp
@@ -12,6 +12,8 @@
     adviceQuery @5 :AdviceQuery;
     adviceReply @6 :AdviceReply;
     holderReleased @7 :HolderReleased;
+    storeQuery @8 :StoreQuery;
+    storeReply @9 :StoreReply;
   }
 }
 
@@ -19,6 +21,17 @@
   record @0 :Data;
 }
 
+struct StoreQuery {
+  callId @0 :UInt64;
+  key @1 :Text;
+  value @2 :Data;
+}
+
+struct StoreReply {
+  callId @0 :UInt64;
+  stored @1 :Text;
+}
+
 struct CancelStored {
   jobId @0 :Text;
 }
--- /dev/null
+++ b/tamarackmount/node/fenced_log.py
@@ -0,0 +1,114 @@
+"""Appends that count once and only while no later holder writes."""
+
+import logging
+import secrets
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from tamarackmount.ids import Epoch, Instant, Offset
+from tamarackmount.node.append_timeout import AppendTimeout
+from tamarackmount.platform.store import (
+    Appended,
+    AppendResult,
+    KeyedRecord,
+    OutOfSequence,
+    Producer,
+    Store,
+    StoreError,
+    StoreFault,
+    Topic,
+)
+
+RETRY_S = 0.15
+"""Pause after a refused append, in seconds."""
+
+PRODUCER_NAME = "holder"
+"""Name under which all holders write, so that a later one fences those before."""
+
+MAX_FIRST_SEQUENCE = 2**31
+"""Bound of the first append's number: large enough that those of two claims differ."""
+
+_log = logging.getLogger(__name__)
+
+
+class FencedLog:
+    """One topic as one holder writes it: numbered appends under its epoch.
+
+    The first number is drawn, since the store takes an append with the same epoch and
+    number for a repetition, whoever sends it.
+    """
+
+    def __init__(self, reactor: Any, store: Store, topic: Topic, epoch: Epoch) -> None:
+        """Write to ``topic`` under ``epoch``."""
+        self._reactor = reactor
+        self._store = store
+        self._topic = topic
+        self._epoch = epoch
+        self._sequence = secrets.randbelow(MAX_FIRST_SEQUENCE)
+        self._timeout = AppendTimeout()
+        self._is_well = True
+
+    @property
+    def is_well(self) -> bool:
+        """Whether the store takes appends, as far as the last ones tell."""
+        return self._is_well
+
+    async def append_once(
+        self, rows: list[KeyedRecord], at: Offset | None = None
+    ) -> AppendResult:
+        """Append under the next number, if the topic ends ``at``.
+
+        Repeated after ``UNKNOWN`` with the same rows, it counts once.
+        """
+        producer = Producer(PRODUCER_NAME, self._epoch, self._sequence)
+        begun = self._reactor.seconds()
+        deadline = Instant(begun + self._timeout.seconds())
+        result = await self._store.append(self._topic, rows, deadline, at, producer)
+        if _is_repetition(result, self._sequence):
+            result = Appended(Offset(-1), Offset(-1))
+        if is_unknown(result):
+            self._timeout.missed()
+        else:
+            self._timeout.answered(self._reactor.seconds() - begun)
+        if isinstance(result, Appended):
+            self._sequence += 1
+        self._note(result)
+        return result
+
+    async def append(
+        self, rows: list[KeyedRecord], at: Offset | None = None
+    ) -> AppendResult:
+        """Append until the store has taken it, or never will."""
+        while True:
+            result = await self.append_once(rows, at)
+            if not isinstance(result, StoreError):
+                return result
+            if not is_unknown(result):
+                await self.pause()
+
+    def pause(self) -> "Deferred[None]":
+        """Wait before a refused append is made again."""
+        return deferLater(self._reactor, RETRY_S, lambda: None)
+
+    def _note(self, result: AppendResult) -> None:
+        error = result if isinstance(result, StoreError) else None
+        if error is None and not self._is_well:
+            _log.info("store takes appends again", extra={"topic": self._topic})
+        # One lost answer says little; a refusal says that the store is away.
+        is_well = error is None or (is_unknown(result) and self._timeout.is_first_miss)
+        if error is not None and self._is_well and not is_well:
+            extra = {"topic": self._topic, "reason": error.detail}
+            _log.warning("append failed", extra=extra)
+        self._is_well = is_well
+
+
+def is_unknown(result: AppendResult) -> bool:
+    """Tell whether an append may have taken effect or may still do so."""
+    return isinstance(result, StoreError) and result.fault is StoreFault.UNKNOWN
+
+
+def _is_repetition(result: AppendResult, sequence: int) -> bool:
+    # The store names the number that it expects next: ours was taken before.
+    return isinstance(result, OutOfSequence) and result.expected == sequence + 1
--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -12,11 +12,20 @@
 from tamarackmount.ids import Epoch, Instant, JobId, MemberId
 from tamarackmount.node import clock
 from tamarackmount.node.advice_lanes import AdviceLanes
-from tamarackmount.node.journal_writer import Claim, JournalWriter, WriterEvents
+from tamarackmount.node.claims import Claim, SignsOfLife
+from tamarackmount.node.fenced_log import FencedLog
+from tamarackmount.node.journal_writer import JournalWriter, WriterEvents
 from tamarackmount.node.peer_calls import PeerCalls
+from tamarackmount.node.submissions import Stored
 from tamarackmount.node.tail import TopicTail
 from tamarackmount.platform.advice import AdviceService
-from tamarackmount.platform.store import WORKERS_TOPIC, KeyedRecord, Store, Topic
+from tamarackmount.platform.store import (
+    WORKERS_TOPIC,
+    Appended,
+    KeyedRecord,
+    Store,
+    Topic,
+)
 from tamarackmount.platform.workers import HoldOrder, WorkerCalls, decode_worker
 from tamarackmount.scheduling.book import JobBook
 from tamarackmount.scheduling.effects import (
@@ -96,9 +105,9 @@
         self.scheduler = Scheduler(claimed.epoch, self._find_job)
         self.scheduler.set_fleet(fleet, clock.now())
         events = WriterEvents(self._take_batch, self._stored, self._fenced)
-        self._writer = JournalWriter(
-            parts.reactor, parts.store, parts.topic, parts.node, claimed, events
-        )
+        self._log = FencedLog(parts.reactor, parts.store, parts.topic, claimed.epoch)
+        self._writer = JournalWriter(parts.reactor, self._log, events)
+        self._signs = SignsOfLife(parts.reactor, claimed, self._fenced)
         self._lanes = AdviceLanes(
             parts.reactor, parts.node, parts.advice, parts.peers, self._advised
         )
@@ -127,6 +136,14 @@
         """The epoch under which this holder decides."""
         return self._epoch
 
+    async def fence(self) -> bool:
+        """Keep earlier holders from writing; tell whether that is done.
+
+        What they wrote before has to be read before :meth:`start`.
+        """
+        self._signs.start()
+        return isinstance(await self._log.append([]), Appended)
+
     def start(self) -> None:
         """Begin to decide."""
         book = self._book
@@ -139,14 +156,18 @@
         self._tail.start()
         self._ticks.start(TICK_S, now=True)
 
-    def release(self) -> "Deferred[None]":
-        """Stop deciding and write so; fires once another node may go on."""
-        self._halt()
-        return self._writer.release()
+    async def release(self) -> None:
+        """Write that this holder stops, and stop.
+
+        Decisions go on until that is stored: a slow store would leave a gap.
+        """
+        await self._signs.release()
+        self.stop()
 
     def stop(self) -> None:
         """Stop at once."""
         self._halt()
+        self._signs.stop()
         self._writer.stop()
 
     def set_fleet(self, fleet: Fleet) -> None:
@@ -154,6 +175,10 @@
         self.scheduler.set_fleet(fleet, clock.now())
         self._poke()
 
+    def store(self, record: KeyedRecord) -> "Deferred[Stored]":
+        """Store a caller's record with the next append."""
+        return self._writer.add(record)
+
     def job_stored(self, job: AcceptedJob) -> None:
         """Take a job that the store holds."""
         self.scheduler.add_job(job, clock.now(), clock.unix_ms())
--- a/tamarackmount/node/messages.py
+++ b/tamarackmount/node/messages.py
@@ -10,6 +10,23 @@
     record: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class StoreQuery:
+    """Asks the holder to store a record along with its own."""
+
+    call_id: int
+    key: str
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class StoreReply:
+    """Answer: ``yes``, ``no`` or ``unknown``."""
+
+    call_id: int
+    stored: str
+
+
 @dataclass(frozen=True, slots=True)
 class CancelStored:
     """The store has accepted a job's cancelling."""
@@ -66,6 +83,8 @@
 NodeMessage = (
     JobStored
     | CancelStored
+    | StoreQuery
+    | StoreReply
     | PhaseQuery
     | PhaseReply
     | AdviceQuery
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -1,7 +1,7 @@
 """One process on an entry VM: its tasks, and the messages between them."""
 
 import logging
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -17,6 +17,7 @@
 from tamarackmount.kernel.effects import Address as PeerAddress
 from tamarackmount.node import clock
 from tamarackmount.node.advice_lanes import reply_to
+from tamarackmount.node.claims import HOLDER_TOPIC, Claim, claim
 from tamarackmount.node.front import (
     STORE_RETRY_AFTER_S,
     Answer,
@@ -25,7 +26,6 @@
     Status,
 )
 from tamarackmount.node.holder import Holder, HolderParts
-from tamarackmount.node.journal_writer import claim
 from tamarackmount.node.messages import (
     AdviceQuery,
     AdviceReply,
@@ -35,8 +35,10 @@
     NodeMessage,
     PhaseQuery,
     PhaseReply,
+    StoreQuery,
+    StoreReply,
 )
-from tamarackmount.node.peer_calls import PeerCalls
+from tamarackmount.node.peer_calls import PeerCalls, QueryReply
 from tamarackmount.node.submissions import Stored, Submissions
 from tamarackmount.node.tail import TopicTail
 from tamarackmount.platform.advice import AdviceService
@@ -56,6 +58,7 @@
 from tamarackmount.scheduling.holdership import HolderWatch, claim_turn
 from tamarackmount.scheduling.journal import (
     CancelRecord,
+    HolderRecord,
     RecordKind,
     decode_record,
     encode_record,
@@ -78,6 +81,10 @@
 """How long a read of jobs waits, in milliseconds; bounds how late a holder's silence is
 noticed."""
 
+HOLDER_PAUSE_S = 0.3
+"""Pause between two reads of the signs of life, in seconds; half of the time between
+two of them."""
+
 JOBS_PAUSE_S = 0.5
 """Pause between two reads of jobs, in seconds; the holder hears of jobs directly."""
 
@@ -130,13 +137,24 @@
             reactor, settings.node, self._addresses_by_id, codec, self._receive
         )
         self._peers = PeerCalls(reactor, self._links)
-        self._submissions = Submissions(reactor, self._store, JOBS_TOPIC)
+        self._submissions = Submissions(reactor, self._store, JOBS_TOPIC, self._relay)
         self._watch = HolderWatch(Instant(clock.now()), Instant(float("-inf")))
         self._holder: Holder | None = None
         self._is_claiming = False
         self._fleet: Fleet | None = None
         self._is_draining = False
         self._front = JobsFront(self)
+        self._handlers: dict[type, Callable[[MemberId, Any], None]] = {
+            JobStored: self._hear_job,
+            CancelStored: self._hear_cancel,
+            PhaseQuery: self._hear_phase_query,
+            StoreQuery: self._hear_store_query,
+            AdviceQuery: self._hear_advice_query,
+            PhaseReply: self._hear_reply,
+            AdviceReply: self._hear_reply,
+            StoreReply: self._hear_reply,
+            HolderReleased: self._hear_release,
+        }
         self._ports: list[Any] = []
         self._config_tail = TopicTail(
             reactor,
@@ -151,11 +169,20 @@
             reactor,
             self._store,
             JOBS_TOPIC,
-            self._jobs_snapshot,
+            self._jobs_records,
             self._jobs_records,
             JOBS_WAIT_MS,
             JOBS_PAUSE_S,
         )
+        self._holder_tail = TopicTail(
+            reactor,
+            self._store,
+            HOLDER_TOPIC,
+            self._holder_records,
+            self._holder_records,
+            JOBS_WAIT_MS,
+            HOLDER_PAUSE_S,
+        )
         self._nodes_tail = TopicTail(
             reactor,
             self._store,
@@ -187,6 +214,7 @@
         self._links.listen(PeerAddress(settings.ip, settings.peer_port))
         self._config_tail.start()
         self._jobs_tail.start()
+        self._holder_tail.start()
         self._nodes_tail.start()
         self._claim_checks.start(CLAIM_CHECK_S, now=False)
         ensureDeferred(self._register())
@@ -197,18 +225,22 @@
         begun = clock.now()
         self._is_draining = True
         _log.info("node drains", extra={"holder": self._holder is not None})
-        holder, self._holder = self._holder, None
-        if holder is not None:
-            await holder.release()
-            for peer in self._peers.connected():
-                self._links.send(peer, HolderReleased(holder.epoch))
+        if self._holder is not None:
+            ensureDeferred(self._hand_over(self._holder))
         end = begun + self._settings.bounds.stop_grace_s - EXIT_MARGIN_S
         while clock.now() < end:
             await deferLater(self._reactor, CLAIM_CHECK_S, lambda: None)
-            if clock.now() >= begun + DRAIN_MIN_S and not self._front.in_flight:
+            is_idle = self._holder is None and not self._front.in_flight
+            if is_idle and clock.now() >= begun + DRAIN_MIN_S:
                 break
         _log.info("node stopped", extra={"in_flight": self._front.in_flight})
 
+    async def _hand_over(self, holder: Holder) -> None:
+        await holder.release()
+        self._holder = None
+        for peer in self._peers.connected():
+            self._links.send(peer, HolderReleased(holder.epoch))
+
     async def submit(self, job: AcceptedJob, deadline: Instant) -> Answer:
         """Accept or refuse a job; the store's answer decides."""
         if self._book.phase(job.job_id) is not None:
@@ -254,8 +286,29 @@
         """Return how many jobs of a queue have not begun."""
         return self._book.waiting(queue.name)
 
+    async def _relay(self, record: KeyedRecord, timeout_s: float) -> Stored | None:
+        if self._holder is not None:
+            return await self._holder.store(record)
+        holder = self._watch.record
+        if holder is None or not self._links.is_open(holder.node):
+            return None
+        call_id = self._peers.next_id()
+        query = StoreQuery(call_id, record.key, record.value)
+        reply = await self._peers.call(holder.node, query, timeout_s)
+        return Stored(reply.stored) if isinstance(reply, StoreReply) else Stored.UNKNOWN
+
+    async def _store_for(self, sender: MemberId, query: StoreQuery) -> None:
+        stored = Stored.NO
+        if self._holder is not None:
+            record = KeyedRecord(query.key, query.value)
+            stored = await self._holder.store(record)
+            if stored is Stored.YES:
+                self._book.apply(record.key, record.value, APPLIED_HERE)
+                self._pass_on(record)
+        self._links.send(sender, StoreReply(query.call_id, stored.value))
+
     async def _ask_holder(self, job_id: JobId) -> JobPhase | None:
-        holder = self._book.holder
+        holder = self._watch.record
         if holder is None or holder.node == self._settings.node:
             return None
         query = PhaseQuery(self._peers.next_id(), job_id)
@@ -279,7 +332,7 @@
             self._tell_holder(CancelStored(job_id))
 
     def _tell_holder(self, message: NodeMessage) -> None:
-        holder = self._book.holder
+        holder = self._watch.record
         if holder is not None and holder.node != self._settings.node:
             self._links.send(holder.node, message)
 
@@ -351,20 +404,24 @@
         if is_peer:
             self._peers.peers.add(node)
 
-    def _jobs_snapshot(self, records: Sequence[KeyedRecord]) -> None:
-        self._jobs_records(records)
-
     def _jobs_records(self, records: Sequence[KeyedRecord]) -> None:
-        before = self._book.holder
         for record in records:
             self._book.apply(record.key, record.value, record.offset)
             self._pass_on(record)
-        holder = self._book.holder
-        if holder != before:
-            self._watch.heard(holder, clock.now())
-            if before is None or holder is None or holder.epoch != before.epoch:
-                extra = {"node": holder.node, "epoch": holder.epoch} if holder else {}
-                _log.info("holder changed", extra=extra)
+
+    def _holder_records(self, records: Sequence[KeyedRecord]) -> None:
+        before = self._watch.record
+        for record in records:
+            decoded = decode_record(record.value, HolderRecord)
+            if isinstance(decoded, Failure):
+                extra = {"offset": record.offset, "reason": decoded.failure()}
+                _log.error("claim not readable", extra=extra)
+                continue
+            self._watch.heard(decoded.unwrap(), clock.now())
+        now = self._watch.record
+        if now is not None and (before is None or now.epoch != before.epoch):
+            extra = {"node": now.node, "epoch": now.epoch}
+            _log.info("holder changed", extra=extra)
         self._check_superseded()
 
     def _pass_on(self, record: KeyedRecord) -> None:
@@ -380,7 +437,7 @@
             self._holder.cancel_stored(JobId(name))
 
     def _check_superseded(self) -> None:
-        holder, record = self._holder, self._book.holder
+        holder, record = self._holder, self._watch.record
         if holder is None or record is None or record.epoch <= holder.epoch:
             return
         holder.stop()
@@ -388,8 +445,8 @@
 
     def _check_claim(self) -> None:
         now = clock.now()
-        if self._jobs_tail.caught_up_at is not None:
-            self._watch.read(self._jobs_tail.caught_up_at)
+        if self._holder_tail.caught_up_at is not None:
+            self._watch.read(self._holder_tail.caught_up_at)
         if self._holder is not None or self._is_claiming or self._is_draining:
             return
         if self._fleet is None or self._jobs_tail.next_offset is None:
@@ -405,7 +462,7 @@
 
     def _is_former(self, node: MemberId) -> bool:
         """Tell whether a node is the holder that fell silent, or that stops."""
-        record = self._book.holder
+        record = self._watch.record
         return record is not None and record.node == node != self._settings.node
 
     async def _claim(self) -> None:
@@ -415,18 +472,19 @@
             self._is_claiming = False
 
     async def _claim_now(self) -> None:
-        if not await self._jobs_tail.refresh():
-            return
-        end = self._jobs_tail.next_offset
-        fleet = self._fleet
-        if end is None or fleet is None:
+        if not await self._holder_tail.refresh():
             return
-        if not self._watch.should_claim(0, clock.now()):
+        end = self._holder_tail.next_offset
+        if end is None or not self._watch.should_claim(0, clock.now()):
             return
-        claimed = await claim(
-            self._reactor, self._store, JOBS_TOPIC, self._settings.node, end
-        )
-        if claimed is None or self._is_draining:
+        claimed = await claim(self._reactor, self._store, self._settings.node, end)
+        if claimed is not None:
+            _log.info("scheduling claimed", extra={"epoch": claimed.epoch})
+            await self._take_over(claimed)
+
+    async def _take_over(self, claimed: Claim) -> None:
+        fleet = self._fleet
+        if fleet is None:
             return
         parts = HolderParts(
             self._reactor,
@@ -437,33 +495,31 @@
             self._advice,
             self._peers,
         )
-        self._holder = Holder(parts, claimed, self._book, fleet, self._holder_ended)
+        holder = Holder(parts, claimed, self._book, fleet, self._holder_ended)
+        is_fenced = await holder.fence()
+        while is_fenced and not await self._jobs_tail.refresh():
+            await deferLater(self._reactor, CLAIM_CHECK_S, lambda: None)
+        record = self._watch.record
+        is_replaced = record is not None and record.epoch > claimed.epoch
+        if self._is_draining:
+            await holder.release()
+            return
+        if not is_fenced or is_replaced:
+            holder.stop()
+            return
+        self._holder = holder
         _log.info("scheduling held", extra={"epoch": claimed.epoch})
-        self._holder.start()
+        holder.start()
 
     def _holder_ended(self, reason: str) -> None:
         _log.warning("scheduling given up", extra={"reason": reason})
         self._holder = None
 
     def _receive(self, envelope: Envelope[NodeMessage]) -> None:
-        message = envelope.message
-        if isinstance(message, JobStored):
-            self._hear_job(message)
-        elif isinstance(message, CancelStored):
-            if self._holder is not None:
-                self._holder.cancel_stored(JobId(message.job_id))
-        elif isinstance(message, PhaseQuery):
-            phase = self._holder.phase(JobId(message.job_id)) if self._holder else None
-            text = phase.value if phase is not None else ""
-            self._links.send(envelope.sender, PhaseReply(message.call_id, text))
-        elif isinstance(message, AdviceQuery):
-            ensureDeferred(self._advise(envelope.sender, message))
-        elif isinstance(message, PhaseReply | AdviceReply):
-            self._peers.answered(message)
-        elif isinstance(message, HolderReleased):
-            ensureDeferred(self._jobs_tail.refresh())
-
-    def _hear_job(self, message: JobStored) -> None:
+        handler = self._handlers[type(envelope.message)]
+        handler(envelope.sender, envelope.message)
+
+    def _hear_job(self, _sender: MemberId, message: JobStored) -> None:
         decoded = decode_record(message.record, AcceptedJob)
         if isinstance(decoded, Failure) or self._holder is None:
             return
@@ -471,6 +527,27 @@
         self._book.apply(job_key(job), message.record, APPLIED_HERE)
         self._holder.job_stored(job)
 
+    def _hear_cancel(self, _sender: MemberId, message: CancelStored) -> None:
+        if self._holder is not None:
+            self._holder.cancel_stored(JobId(message.job_id))
+
+    def _hear_phase_query(self, sender: MemberId, query: PhaseQuery) -> None:
+        phase = self._holder.phase(JobId(query.job_id)) if self._holder else None
+        text = phase.value if phase is not None else ""
+        self._links.send(sender, PhaseReply(query.call_id, text))
+
+    def _hear_store_query(self, sender: MemberId, query: StoreQuery) -> None:
+        ensureDeferred(self._store_for(sender, query))
+
+    def _hear_advice_query(self, sender: MemberId, query: AdviceQuery) -> None:
+        ensureDeferred(self._advise(sender, query))
+
+    def _hear_reply(self, _sender: MemberId, reply: QueryReply) -> None:
+        self._peers.answered(reply)
+
+    def _hear_release(self, _sender: MemberId, _message: HolderReleased) -> None:
+        ensureDeferred(self._jobs_tail.refresh())
+
     async def _advise(self, sender: MemberId, query: AdviceQuery) -> None:
         step = StepKey(JobId(query.job_id), query.occurrence, query.step)
         workers = [WorkerId(worker) for worker in query.workers]
--- a/tamarackmount/node/peer_calls.py
+++ b/tamarackmount/node/peer_calls.py
@@ -13,10 +13,12 @@
     NodeMessage,
     PhaseQuery,
     PhaseReply,
+    StoreQuery,
+    StoreReply,
 )
 
-Query = PhaseQuery | AdviceQuery
-QueryReply = PhaseReply | AdviceReply
+Query = PhaseQuery | AdviceQuery | StoreQuery
+QueryReply = PhaseReply | AdviceReply | StoreReply
 
 
 class PeerCalls:
--- a/tamarackmount/node/submissions.py
+++ b/tamarackmount/node/submissions.py
@@ -1,7 +1,8 @@
-"""Appends of entry VMs: jobs and cancels, several to a call."""
+"""How entry VMs store jobs and cancels: through the holder, or by themselves."""
 
 import logging
 from collections import deque
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -9,8 +10,10 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 
 from tamarackmount.ids import Instant
+from tamarackmount.node.append_timeout import AppendTimeout
 from tamarackmount.platform.store import (
     Appended,
+    AppendResult,
     KeyedRecord,
     Store,
     StoreError,
@@ -18,19 +21,19 @@
     Topic,
 )
 
-APPEND_TIMEOUT_S = 0.7
-"""Longest wait for the store's answer to an append, in seconds; it takes 6 ms when well
-and up to 400 ms when slow."""
+REPLY_MARGIN_S = 0.15
+"""Time kept to answer the caller, in seconds: links of 3 ms and a busy process."""
 
-REPLY_MARGIN_S = 0.1
-"""Time kept to answer the caller, in seconds."""
-
-MAX_CALLS = 4
-"""Appends under way at once; each takes all that waits."""
+LEAST_TIME_S = 0.5
+"""Time kept for the node to store by itself after the holder said nothing, in seconds:
+one append to a store that is slow."""
 
 MAX_RECORDS = 200
 """Records in one append; 4 KB each stay under the store's 2 MB a call."""
 
+FAILURES_BEFORE_AWAY = 2
+"""Appends in a row without an answer after which the store counts as away."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -42,70 +45,124 @@
     UNKNOWN = "unknown"
 
 
+Relay = Callable[[KeyedRecord, float], Awaitable[Stored | None]]
+"""Asks the holder to store a record within seconds; nothing if it can't be asked,
+``UNKNOWN`` if it did not answer."""
+
+
 @dataclass(slots=True)
 class _Pending:
     record: KeyedRecord
     deadline: Instant
     result: "Deferred[Stored]"
     maybe_stored: bool = False
+    is_answered: bool = False
+
+    def answer(self, stored: Stored) -> None:
+        if not self.is_answered:
+            self.is_answered = True
+            self.result.callback(stored)
+
+    def give_up(self) -> None:
+        self.answer(Stored.UNKNOWN if self.maybe_stored else Stored.NO)
 
 
 class Submissions:
-    """Stores records whose repetition does no harm.
+    """Stores records whose repetition does no harm: the first of an id counts.
 
-    An append without an answer is made again until the caller's deadline: the first
-    record of an id counts.
+    The holder appends for all nodes in one call at a time, so that a slow store is
+    not flooded. A node without a word from the holder appends by itself. Without an
+    answer an append is made again until the caller's deadline.
     """
 
-    def __init__(self, reactor: Any, store: Store, topic: Topic) -> None:
-        """Append to ``topic``."""
+    def __init__(self, reactor: Any, store: Store, topic: Topic, relay: Relay) -> None:
+        """Append to ``topic``, or ``relay``."""
         self._reactor = reactor
         self._store = store
         self._topic = topic
+        self._relay = relay
         self._waiting: deque[_Pending] = deque()
-        self._calls = 0
+        self._is_appending = False
+        self._timeout = AppendTimeout()
+        self._failures = 0
 
-    def store(self, record: KeyedRecord, deadline: Instant) -> "Deferred[Stored]":
+    async def store(self, record: KeyedRecord, deadline: Instant) -> Stored:
         """Store a record by ``deadline``, as far as that can be known then."""
-        result: Deferred[Stored] = Deferred()
-        deadline = Instant(deadline - REPLY_MARGIN_S)
-        self._waiting.append(_Pending(record, deadline, result))
+        last = Instant(deadline - REPLY_MARGIN_S)
+        left_s = last - LEAST_TIME_S - self._reactor.seconds()
+        told = await self._relay(record, left_s) if left_s > 0 else None
+        if told is Stored.YES:
+            return told
+        maybe_stored = told is Stored.UNKNOWN
+        if not maybe_stored and self._is_away and self._is_busy:
+            return Stored.NO
+        return await self._store_here(record, last, maybe_stored)
+
+    @property
+    def _is_busy(self) -> bool:
+        return self._is_appending or bool(self._waiting)
+
+    @property
+    def _is_away(self) -> bool:
+        return self._failures >= FAILURES_BEFORE_AWAY
+
+    async def _store_here(
+        self, record: KeyedRecord, deadline: Instant, maybe_stored: bool
+    ) -> Stored:
+        pending = _Pending(record, deadline, Deferred(), maybe_stored)
+        self._waiting.append(pending)
+        left_s = max(0.0, deadline - self._reactor.seconds())
+        timer = self._reactor.callLater(left_s, pending.give_up)
         self._send()
-        return result
+        stored = await pending.result
+        if timer.active():
+            timer.cancel()
+        return stored
 
     def _send(self) -> None:
-        while self._waiting and self._calls < MAX_CALLS:
-            batch = [
-                self._waiting.popleft()
-                for _ in range(min(len(self._waiting), MAX_RECORDS))
-            ]
-            self._calls += 1
+        if self._is_appending:
+            return
+        batch: list[_Pending] = []
+        while self._waiting and len(batch) < MAX_RECORDS:
+            pending = self._waiting.popleft()
+            if not pending.is_answered:
+                batch.append(pending)
+        if batch:
+            self._is_appending = True
             ensureDeferred(self._append(batch))
 
     async def _append(self, batch: list[_Pending]) -> None:
-        now = self._reactor.seconds()
-        last = max(pending.deadline for pending in batch)
-        deadline = Instant(min(now + APPEND_TIMEOUT_S, max(last, now + REPLY_MARGIN_S)))
+        begun = self._reactor.seconds()
+        deadline = Instant(begun + self._timeout.seconds())
         records = [pending.record for pending in batch]
+        certain = [pending for pending in batch if not pending.maybe_stored]
+        for pending in certain:
+            pending.maybe_stored = True
         result = await self._store.append(self._topic, records, deadline)
-        self._calls -= 1
+        self._is_appending = False
+        self._note(result, begun)
+        if isinstance(result, StoreError) and result.fault is StoreFault.REFUSED:
+            for pending in certain:
+                pending.maybe_stored = False
         for pending in batch:
             self._settle(pending, result)
         self._send()
 
-    def _settle(self, pending: _Pending, result: object) -> None:
+    def _note(self, result: AppendResult, begun: float) -> None:
         if isinstance(result, Appended):
-            pending.result.callback(Stored.YES)
+            self._failures = 0
+            self._timeout.answered(self._reactor.seconds() - begun)
             return
-        is_unknown = (
-            isinstance(result, StoreError) and result.fault is StoreFault.UNKNOWN
-        )
-        pending.maybe_stored = pending.maybe_stored or is_unknown
-        extra = {"key": pending.record.key, "reason": str(result)}
-        _log.info(
-            "append not answered" if is_unknown else "append refused", extra=extra
-        )
-        if pending.maybe_stored and self._reactor.seconds() < pending.deadline:
+        self._failures += 1
+        if self._failures == 1:
+            _log.info("append failed", extra={"reason": str(result)})
+        if isinstance(result, StoreError) and result.fault is StoreFault.UNKNOWN:
+            self._timeout.missed()
+
+    def _settle(self, pending: _Pending, result: AppendResult) -> None:
+        if isinstance(result, Appended):
+            pending.answer(Stored.YES)
+        elif isinstance(result, StoreError) and result.fault is StoreFault.UNKNOWN:
             self._waiting.append(pending)
-            return
-        pending.result.callback(Stored.UNKNOWN if pending.maybe_stored else Stored.NO)
+        else:
+            pending.give_up()
--- a/tamarackmount/scheduling/book.py
+++ b/tamarackmount/scheduling/book.py
@@ -10,7 +10,6 @@
 from tamarackmount.ids import JobId, Offset, QueueName
 from tamarackmount.scheduling.journal import (
     CancelRecord,
-    HolderRecord,
     JobProgress,
     RecordKind,
     WorkerRecord,
@@ -22,7 +21,6 @@
 _log = logging.getLogger(__name__)
 
 _TYPE_BY_KIND: dict[RecordKind, type] = {
-    RecordKind.HOLDER: HolderRecord,
     RecordKind.JOB: AcceptedJob,
     RecordKind.CANCEL: CancelRecord,
     RecordKind.PROGRESS: JobProgress,
@@ -55,11 +53,9 @@
 
     def __init__(self) -> None:
         """Start without records."""
-        self.holder: HolderRecord | None = None
         self.jobs_by_id: dict[JobId, KnownJob] = {}
         self.workers_by_life: dict[WorkerLife, WorkerRecord] = {}
         self._setters = {
-            RecordKind.HOLDER: self._set_holder,
             RecordKind.JOB: self._set_job,
             RecordKind.CANCEL: self._set_cancel,
             RecordKind.PROGRESS: self._set_progress,
@@ -69,7 +65,7 @@
     def apply(self, key: str, value: bytes, offset: Offset) -> None:
         """Take a record; an empty value removes what the key names."""
         found = split_key(key)
-        if found is None:
+        if found is None or found[0] not in _TYPE_BY_KIND:
             _log.warning("record skipped", extra={"key": key, "reason": "foreign key"})
             return
         kind, name = found
@@ -110,9 +106,6 @@
     def _job(self, name: str) -> KnownJob:
         return self.jobs_by_id.setdefault(JobId(name), KnownJob())
 
-    def _set_holder(self, _name: str, record: Any) -> None:
-        self.holder = record
-
     def _set_job(self, name: str, record: Any) -> None:
         known = self._job(name)
         # The first record of an id counts; repeats come from calls made again.
--- a/tamarackmount/scheduling/holdership.py
+++ b/tamarackmount/scheduling/holdership.py
@@ -42,6 +42,9 @@
 
     def heard(self, record: HolderRecord | None, now: Instant) -> None:
         """Take a sign of life, or the record that a holder stops."""
+        known = self.record
+        if known is not None and record is not None and record.epoch < known.epoch:
+            return
         self.record = record
         self.silent_since = now
 
