Urgent jobs get room: order by latest start, learned durations, pre-emption

The new log line 'step waits' showed that 70 of the waits were for the team's own ceiling, which its long jobs filled, and 43 for room. Ruled out: advice (50 ms), acceptance (20 ms).

Change: steps are ranked by tier and latest start, with durations learned by queue; long jobs with time left use 85 % of their team's ceiling; runs that keep their progress are stopped for more urgent ones, for room and for the ceiling; jobs beyond their team's weight go after others; permissions are renewed before they end.

--- a/tamarackmount/scheduling/advising.py
+++ b/tamarackmount/scheduling/advising.py
@@ -12,9 +12,11 @@
 from tamarackmount.scheduling.fleet import AdvicePolicy
 from tamarackmount.scheduling.model import StepKey, WorkerLife
 from tamarackmount.scheduling.placing import could_run
+from tamarackmount.scheduling.ranking import rank
 from tamarackmount.scheduling.runs import StepState
 from tamarackmount.scheduling.tickets import AdviceAnswer
 from tamarackmount.scheduling.workers import WorkerState
+from tamarackmount.units import MS_PER_SECOND
 
 RETRY_ADVICE_S = 0.2
 """Pause after a question without an answer, in seconds; a link's usual hiccup."""
@@ -38,7 +40,7 @@
         if free <= 0:
             return
         cell = self._cell
-        for step in sorted(cell.ready_by_key.values(), key=lambda row: row.job.aim):
+        for step in sorted(cell.ready_by_key.values(), key=lambda row: rank(row, now)):
             free -= self._ask_for(step, now, True)
             if free <= 0:
                 return
@@ -79,7 +81,9 @@
             return 0
         if advice.is_asking or now < advice.retry_at:
             return 0
-        workers = self._unknown(step) or (self._stale(step, now) if is_ready else [])
+        workers = self._unknown(step)
+        if not workers and is_ready:
+            workers = self._stale(step, queue.advice, now)
         if not workers:
             return 0
         asked = workers[:MAX_ASKED]
@@ -102,17 +106,19 @@
             and could_run(step, worker)
         ]
 
-    def _stale(self, step: StepState, now: Instant) -> list[WorkerState]:
-        """Return allowed workers with room whose tickets have ended."""
+    def _stale(
+        self, step: StepState, policy: AdvicePolicy, now: Instant
+    ) -> list[WorkerState]:
+        """Return allowed workers whose tickets end before new ones could come."""
         advice = step.advice
-        amount = step.room_amount
+        known = len(advice.allowed)
+        soon = Instant(now + _expected_ms(policy, known) / MS_PER_SECOND)
         return [
             worker
             for worker in self._cell.workers_by_life.values()
             if worker.life.worker_id in advice.allowed
             and worker.can_start
-            and amount.fits_in(worker.free)
-            and not advice.ticket(worker.life, now)
+            and not advice.ticket(worker.life, soon)
         ]
 
 
--- a/tamarackmount/scheduling/cell.py
+++ b/tamarackmount/scheduling/cell.py
@@ -8,6 +8,7 @@
 from tamarackmount.resources import NOTHING, Resources
 from tamarackmount.scheduling.effects import Effect, StopRun
 from tamarackmount.scheduling.fleet import Fleet, Queue
+from tamarackmount.scheduling.forecast import Forecast
 from tamarackmount.scheduling.model import (
     AcceptedJob,
     JobPhase,
@@ -15,6 +16,7 @@
     TaskKey,
     WorkerLife,
 )
+from tamarackmount.scheduling.ranking import TeamShares
 from tamarackmount.scheduling.runs import JobState, Run, RunPhase, StepState
 from tamarackmount.scheduling.workers import WorkerState
 
@@ -47,6 +49,8 @@
     changed_workers: set[WorkerLife] = field(default_factory=set)
     removed_workers: set[WorkerLife] = field(default_factory=set)
     effects: list[Effect] = field(default_factory=list)
+    forecast: Forecast = field(default_factory=Forecast)
+    shares: TeamShares = field(default_factory=TeamShares)
     place_needed: bool = True
     superseded: bool = False
 
@@ -70,6 +74,11 @@
             return None
         return step
 
+    def team_of(self, run: Run) -> TeamId | None:
+        """Return the team of a run of an open job."""
+        job = self.jobs_by_id.get(run.task.job_id)
+        return job.accepted.team_id if job is not None else None
+
     def find_run(self, life: WorkerLife, task: TaskKey, number: int) -> Run | None:
         """Return a run that is not surely over."""
         worker = self.workers_by_life.get(life)
--- a/tamarackmount/scheduling/ends.py
+++ b/tamarackmount/scheduling/ends.py
@@ -5,6 +5,7 @@
 from tamarackmount.ids import Instant
 from tamarackmount.scheduling.cell import Cell
 from tamarackmount.scheduling.model import JobPhase, StepKey, TaskKey
+from tamarackmount.scheduling.objectives import set_objective
 from tamarackmount.scheduling.runs import JobState, Run, StepState
 from tamarackmount.scheduling.worker_reports import EndedRun, RunEnd
 from tamarackmount.scheduling.workers import WorkerState
@@ -51,15 +52,27 @@
     worker.failures_in_row = 0
     if step.spec.perpetual:
         return
+    _learn(cell, worker, step, ended, now)
     indexes = range(step.spec.count) if step.spec.gang else (ended.task.index,)
     for index in indexes:
         _task_done(cell, step, index, ended, now)
     cell.changed_jobs.add(step.key.job_id)
     if step.is_done:
         cell.ready_by_key.pop(step.key, None)
+        set_objective(step.job, cell.queue_of(step.job), cell.forecast)
         _step_done(cell, step, now)
 
 
+def _learn(
+    cell: Cell, worker: WorkerState, step: StepState, ended: EndedRun, now: Instant
+) -> None:
+    run = cell.find_run(worker.life, ended.task, ended.run)
+    if run is None or run.resumed:
+        return
+    queue = step.job.accepted.queue
+    cell.forecast.learn(queue, step.spec.estimated_ms, now - run.began_at)
+
+
 def _task_done(
     cell: Cell, step: StepState, index: int, ended: EndedRun, now: Instant
 ) -> None:
--- /dev/null
+++ b/tamarackmount/scheduling/forecast.py
@@ -0,0 +1,56 @@
+"""How long tasks take, learned from those that ended.
+
+Callers' estimates are off by up to 90 %, so they are drawn towards what the queue's
+tasks took before. Answers the load in which a queue's order follows wrong estimates.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+from tamarackmount.ids import QueueName
+from tamarackmount.units import MS_PER_SECOND
+
+SMOOTHING = 0.05
+"""Weight of the newest task in a queue's mean: some twenty tasks are remembered."""
+
+TRUST = 0.3
+"""Power with which an estimate counts against its queue's mean; 1 trusts it wholly."""
+
+MIN_ESTIMATE_MS = 1
+"""Least estimate that is used, in milliseconds."""
+
+
+@dataclass(slots=True)
+class _Means:
+    """Means of logarithms, of durations in seconds and of estimates in ms."""
+
+    log_took: float
+    log_estimate: float
+
+
+@dataclass(slots=True)
+class Forecast:
+    """Durations by queue."""
+
+    _means_by_queue: dict[QueueName, _Means] = field(default_factory=dict)
+
+    def learn(self, queue: QueueName, estimated_ms: int, took_s: float) -> None:
+        """Take the duration of a task that ended well on its first run."""
+        if took_s <= 0:
+            return
+        log_took = math.log(took_s)
+        log_estimate = math.log(max(MIN_ESTIMATE_MS, estimated_ms))
+        means = self._means_by_queue.get(queue)
+        if means is None:
+            self._means_by_queue[queue] = _Means(log_took, log_estimate)
+            return
+        means.log_took += SMOOTHING * (log_took - means.log_took)
+        means.log_estimate += SMOOTHING * (log_estimate - means.log_estimate)
+
+    def seconds(self, queue: QueueName, estimated_ms: int) -> float:
+        """Return how long a task with this estimate will take, in seconds."""
+        means = self._means_by_queue.get(queue)
+        if means is None:
+            return estimated_ms / MS_PER_SECOND
+        log_estimate = math.log(max(MIN_ESTIMATE_MS, estimated_ms))
+        return math.exp(means.log_took + TRUST * (log_estimate - means.log_estimate))
--- a/tamarackmount/scheduling/objectives.py
+++ b/tamarackmount/scheduling/objectives.py
@@ -2,7 +2,7 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.scheduling.fleet import Queue
-from tamarackmount.scheduling.model import JobSpec
+from tamarackmount.scheduling.forecast import Forecast
 from tamarackmount.scheduling.runs import JobState
 from tamarackmount.units import MS_PER_SECOND
 
@@ -10,20 +10,27 @@
 """Up to this many times its objective a job is late; after it, worth nothing."""
 
 
-def longest_chain_ms(spec: JobSpec) -> int:
-    """Return the longest chain of declared durations, in milliseconds."""
-    ends: list[int] = []
-    for step in spec.steps:
-        begins = max((ends[before] for before in step.after), default=0)
-        ends.append(begins + step.estimated_ms)
-    return max(ends, default=0)
+def longest_chain_s(job: JobState, forecast: Forecast, only_left: bool) -> float:
+    """Return the longest chain of work, in seconds, of all steps or of those left."""
+    queue = job.accepted.queue
+    ends: list[float] = []
+    for number, step in enumerate(job.accepted.spec.steps):
+        begins = max((ends[before] for before in step.after), default=0.0)
+        took = forecast.seconds(queue, step.estimated_ms)
+        if only_left and job.is_step_done(number):
+            took = 0.0
+        ends.append(begins + took)
+    return max(ends, default=0.0)
 
 
-def set_objective(job: JobState, queue: Queue | None) -> None:
+def set_objective(job: JobState, queue: Queue | None, forecast: Forecast) -> None:
     """Set by when a job should be done; one without a queue keeps what it has."""
     if queue is None:
         return
-    chain_ms = longest_chain_ms(job.accepted.spec)
-    aim_s = (queue.stretch * chain_ms + queue.target_ms) / MS_PER_SECOND
+    chain_s = longest_chain_s(job, forecast, only_left=False)
+    aim_s = queue.stretch * chain_s + queue.target_ms / MS_PER_SECOND
     job.aim = Instant(job.came_at + aim_s)
     job.late = Instant(job.came_at + LATE_FACTOR * aim_s)
+    left_s = longest_chain_s(job, forecast, only_left=True)
+    job.start_by = Instant(job.aim - left_s)
+    job.start_late_by = Instant(job.late - left_s)
--- a/tamarackmount/scheduling/placing.py
+++ b/tamarackmount/scheduling/placing.py
@@ -10,7 +10,8 @@
 from tamarackmount.scheduling.ends import task_text
 from tamarackmount.scheduling.fleet import Queue
 from tamarackmount.scheduling.model import JobPhase
-from tamarackmount.scheduling.runs import Run, RunPhase, StepState
+from tamarackmount.scheduling.ranking import URGENT_PRIORITY, rank
+from tamarackmount.scheduling.runs import Run, RunPhase, StepState, WaitReason
 from tamarackmount.scheduling.worker_reports import StartOrder
 from tamarackmount.scheduling.workers import Reach, WorkerState
 
@@ -21,25 +22,59 @@
 any number that it is likely to have used; workers refuse lower ones, which raises the
 number further."""
 
+PATIENT_S = 4.0
+"""A job that need not start for this long, in seconds, leaves part of its team's
+ceiling to urgent ones; about the length of one long task."""
 
-def place(cell: Cell, now: Instant) -> None:
-    """Start what fits, the most urgent steps first."""
+PATIENT_PART = 0.85
+"""The part of its ceiling that a team's patient jobs may fill, without unit; a burst
+doubles the urgent jobs, which need a quarter of what a team uses."""
+
+
+def place(cell: Cell, now: Instant) -> list[tuple[StepState, Queue]]:
+    """Start what fits, the most urgent steps first; return those that lack room."""
     cell.place_needed = False
+    starved: list[tuple[StepState, Queue]] = []
     unseen = _unseen_services(cell)
-    for step in sorted(cell.ready_by_key.values(), key=_urgency):
+    for step in sorted(cell.ready_by_key.values(), key=lambda row: rank(row, now)):
         queue = cell.queue_of(step.job)
-        if queue is None or now < step.not_before:
-            continue
-        if step.job.maybe_started_before and step.job.accepted.service in unseen:
-            continue
-        if step.spec.gang:
-            _place_gang(cell, step, queue, now)
-        else:
-            _place_tasks(cell, step, queue, now)
-
-
-def _urgency(step: StepState) -> tuple[Instant, str]:
-    return step.job.aim, step.key.job_id
+        reason = _blocked(step, queue, unseen, now)
+        if queue is not None and reason is WaitReason.NONE:
+            policy = _place_gang if step.spec.gang else _place_tasks
+            reason = policy(cell, step, queue, now)
+            if reason in (WaitReason.ROOM, WaitReason.CEILING):
+                starved.append((step, queue))
+        _note_wait(step, reason, now)
+    return starved
+
+
+def _blocked(
+    step: StepState, queue: Queue | None, unseen: set[str], now: Instant
+) -> WaitReason:
+    if queue is None:
+        return WaitReason.NO_QUEUE
+    if now < step.not_before:
+        return WaitReason.PAUSE
+    if step.job.maybe_started_before and step.job.accepted.service in unseen:
+        return WaitReason.TAKEOVER
+    return WaitReason.NONE
+
+
+def _note_wait(step: StepState, reason: WaitReason, now: Instant) -> None:
+    if reason is step.waits_for:
+        return
+    step.waits_for = reason
+    if reason in (WaitReason.NONE, WaitReason.PAUSE):
+        return
+    extra = {
+        "job": step.key.job_id,
+        "step": f"{step.key.occurrence}.{step.key.step}",
+        "reason": reason.value,
+        "waiting": len(step.pending),
+        "allowed": len(step.advice.allowed),
+        "age_s": round(now - step.job.came_at, 3),
+    }
+    _log.info("step waits", extra=extra)
 
 
 def _unseen_services(cell: Cell) -> set[str]:
@@ -78,33 +113,39 @@
     return unblamed or found
 
 
-def _place_tasks(cell: Cell, step: StepState, queue: Queue, now: Instant) -> None:
+def _place_tasks(cell: Cell, step: StepState, queue: Queue, now: Instant) -> WaitReason:
     workers = candidates(cell, step, queue, now)
+    if not workers:
+        return WaitReason.ADVICE
     for index in sorted(step.pending):
-        if not has_quota(cell, step, 1):
-            return
+        if not has_quota(cell, step, 1, _ceiling_part(step, now)):
+            return WaitReason.CEILING
         worker = _choose(step, workers)
         if worker is None:
-            return
+            return WaitReason.ROOM
         step.run_number = _next_run(step)
         start(cell, step, index, worker, now)
+    return WaitReason.NONE
 
 
-def _place_gang(cell: Cell, step: StepState, queue: Queue, now: Instant) -> None:
+def _place_gang(cell: Cell, step: StepState, queue: Queue, now: Instant) -> WaitReason:
     if step.runs_by_index:
         # A member is missing; the others would only wait for it.
         for run in list(step.runs_by_index.values()):
             cell.stop_run(run, now)
-        return
-    if not has_quota(cell, step, step.spec.count):
-        return
+        return WaitReason.PAUSE
+    if not has_quota(cell, step, step.spec.count, _ceiling_part(step, now)):
+        return WaitReason.CEILING
     workers = candidates(cell, step, queue, now)
+    if not workers:
+        return WaitReason.ADVICE
     chosen = _choose_gang(step, workers)
     if not chosen:
-        return
+        return WaitReason.ROOM
     step.run_number = _next_run(step)
     for index, worker in enumerate(chosen):
         start(cell, step, index, worker, now)
+    return WaitReason.NONE
 
 
 def _choose_gang(step: StepState, workers: list[WorkerState]) -> list[WorkerState]:
@@ -177,22 +218,44 @@
     return left.accelerators, left.millicores, left.memory_mib
 
 
-def has_quota(cell: Cell, step: StepState, count: int) -> bool:
-    """Tell whether the job's team may have ``count`` more of its tasks running."""
+def _ceiling_part(step: StepState, now: Instant) -> float:
+    """Return how much of its team's ceiling a step may fill.
+
+    Load pattern: a team's long jobs fill its ceiling, and its urgent ones, which come
+    in bursts and last a second, wait until one of the long ones ends.
+    """
+    job = step.job
+    if job.priority == URGENT_PRIORITY or step.spec.perpetual:
+        return 1.0
+    return PATIENT_PART if now < job.start_by - PATIENT_S else 1.0
+
+
+def has_quota(cell: Cell, step: StepState, count: int, part: float = 1.0) -> bool:
+    """Tell whether the job's team may have ``count`` more of its tasks running.
+
+    Only ``part`` of its ceiling is used.
+    """
     if cell.fleet is None:
         return False
     team = cell.fleet.teams_by_id.get(step.job.accepted.team_id)
     if team is None:
         return True
     used = cell.used_by_team.get(team.team_id, NOTHING)
-    amount = step.spec.amount
-    ceiling = team.ceiling
-    parts = (
+    return all(
+        not most or has + one * count <= most * part
+        for has, one, most in quota_parts(used, step.spec.amount, team.ceiling)
+    )
+
+
+def quota_parts(
+    used: Resources, amount: Resources, ceiling: Resources
+) -> tuple[tuple[int, int, int], ...]:
+    """Return what is used, what a task adds and the ceiling, for each kind of room."""
+    return (
         (used.millicores, amount.millicores, ceiling.millicores),
         (used.memory_mib, amount.memory_mib, ceiling.memory_mib),
         (used.accelerators, amount.accelerators, ceiling.accelerators),
     )
-    return all(not most or has + one * count <= most for has, one, most in parts)
 
 
 def _next_run(step: StepState) -> int:
@@ -209,6 +272,7 @@
     if lease_end is None:
         return
     worker.granted(lease_end)
+    checkpoint = step.checkpoints_by_index.get(0 if step.spec.gang else index, "")
     run = Run(
         task=step.task(index),
         number=step.run_number,
@@ -217,6 +281,7 @@
         charged=step.spec.amount,
         phase=RunPhase.STARTING,
         began_at=now,
+        resumed=bool(checkpoint),
     )
     cell.add_run(worker, step, run)
     job = step.job
@@ -229,7 +294,7 @@
         run=run.number,
         text=job.accepted.spec.text,
         lease_end_clock_ms=lease_end,
-        checkpoint=step.checkpoints_by_index.get(0 if step.spec.gang else index, ""),
+        checkpoint=checkpoint,
         ticket=step.advice.ticket(worker.life, now),
     )
     cell.emit(StartRun(worker.entry.address, order))
--- /dev/null
+++ b/tamarackmount/scheduling/ranking.py
@@ -0,0 +1,72 @@
+"""In which order waiting steps get room.
+
+Load pattern: a burst of urgent small jobs on a pool full of long ones, while one team
+sends many times its usual. Urgent jobs that can still be on time go first, then others
+by the latest time at which they have to start; jobs beyond their team's share, then
+those that will be late, then those that are worth nothing any more, get what is left.
+"""
+
+from enum import IntEnum
+
+from tamarackmount.ids import Instant, TeamId
+from tamarackmount.scheduling.runs import JobState, StepState
+
+URGENT_PRIORITY = 0
+"""Priority of queues whose jobs go before all others."""
+
+SHARE_BURST_S = 2.0
+"""A team may be ahead of its share by this many seconds' worth of jobs."""
+
+
+class Tier(IntEnum):
+    """Classes of waiting steps, the first ones served first."""
+
+    URGENT = 0
+    IN_TIME = 1
+    OVER_SHARE = 2
+    LATE = 3
+    TOO_LATE = 4
+
+
+Rank = tuple[int, float, str, int]
+"""Sort key of a step."""
+
+
+def tier(step: StepState, now: Instant) -> Tier:
+    """Return the class of a step."""
+    job = step.job
+    if step.spec.perpetual:
+        return Tier.IN_TIME
+    if now > job.start_late_by:
+        return Tier.TOO_LATE
+    if now > job.start_by:
+        return Tier.LATE
+    if job.over_share:
+        return Tier.OVER_SHARE
+    return Tier.URGENT if job.priority == URGENT_PRIORITY else Tier.IN_TIME
+
+
+def rank(step: StepState, now: Instant) -> Rank:
+    """Return the step's sort key; lower ones are served first."""
+    found = tier(step, now)
+    by = step.job.start_late_by if found >= Tier.LATE else step.job.start_by
+    return found, by, step.key.job_id, step.key.step
+
+
+class TeamShares:
+    """Which jobs are beyond what their team may hand in each second."""
+
+    def __init__(self) -> None:
+        """Begin with every team at its share."""
+        self._free_at_by_team: dict[TeamId, Instant] = {}
+
+    def is_over(self, job: JobState, weight: float, now: Instant) -> bool:
+        """Count a job that came now; tell whether it is beyond its team's share."""
+        if weight <= 0:
+            return False
+        team = job.accepted.team_id
+        free_at = max(self._free_at_by_team.get(team, now), now)
+        if free_at - now > SHARE_BURST_S:
+            return True
+        self._free_at_by_team[team] = Instant(free_at + 1.0 / weight)
+        return False
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -31,6 +31,18 @@
     STOPPING = "stopping"
 
 
+class WaitReason(Enum):
+    """Why a step's tasks have not started."""
+
+    NONE = "none"
+    NO_QUEUE = "its queue is not configured"
+    TAKEOVER = "a worker that may run it has not answered the new holder"
+    PAUSE = "a start was refused a moment ago"
+    CEILING = "its team is at its ceiling"
+    ADVICE = "no worker is known to be allowed for it, or the permission ended"
+    ROOM = "no allowed worker has room"
+
+
 @dataclass(slots=True)
 class Run:
     """One start of a task on one life of a worker.
@@ -53,6 +65,7 @@
     next_stop_at: Instant = Instant(0.0)
     percent: int = 100
     reading: int = 0
+    resumed: bool = False
 
 
 @dataclass(slots=True)
@@ -76,7 +89,9 @@
     advice: StepAdvice = field(default_factory=StepAdvice)
     failed_on: set[WorkerId] = field(default_factory=set)
     not_before: Instant = Instant(0.0)
+    preempt_again_at: Instant = Instant(0.0)
     due_unix_ms: int = 0
+    waits_for: WaitReason = WaitReason.NONE
 
     @property
     def room_amount(self) -> Resources:
@@ -101,7 +116,9 @@
     """A job that is not over.
 
     ``aim`` and ``late`` are the instants by which it should be done to be worth its
-    whole and its smaller part; both are estimates from the declared durations.
+    whole and its smaller part, ``start_by`` and ``start_late_by`` those at which what
+    is left of it has to start for that; all are forecasts. ``over_share`` jobs came
+    faster than their team's share.
     """
 
     accepted: AcceptedJob
@@ -110,6 +127,10 @@
     came_at: Instant = Instant(0.0)
     aim: Instant = Instant(0.0)
     late: Instant = Instant(0.0)
+    start_by: Instant = Instant(0.0)
+    start_late_by: Instant = Instant(0.0)
+    priority: int = 0
+    over_share: bool = False
     maybe_started_before: bool = False
     final_unix_ms: int = 0
 
@@ -118,6 +139,14 @@
         """The job's id."""
         return self.accepted.job_id
 
+    def is_step_done(self, number: int) -> bool:
+        """Tell whether a step is done in every occurrence."""
+        occurrences = range(self.accepted.spec.occurrences)
+        return all(
+            self.steps_by_key[StepKey(self.job_id, occurrence, number)].is_done
+            for occurrence in occurrences
+        )
+
     def runs(self) -> Iterator[Run]:
         """Return every run that is not surely over."""
         for step in self.steps_by_key.values():
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -33,7 +33,8 @@
 from tamarackmount.scheduling.objectives import set_objective
 from tamarackmount.scheduling.orders import start_answered, stop_answered
 from tamarackmount.scheduling.placing import place
-from tamarackmount.scheduling.runs import make_job
+from tamarackmount.scheduling.preempting import preempt
+from tamarackmount.scheduling.runs import JobState, make_job
 from tamarackmount.scheduling.tickets import AdviceAnswer
 from tamarackmount.scheduling.worker_reports import (
     OrderResult,
@@ -53,6 +54,9 @@
 MAX_BATCH_RECORDS = 500
 """Records in one append; 4 KB each stay far under the store's 2 MB a call."""
 
+MAX_PREEMPTING = 8
+"""Steps for which room is made at once: the most urgent ones; looking costs time."""
+
 
 @dataclass(frozen=True, slots=True)
 class Batch:
@@ -105,7 +109,7 @@
         self._cell.fleet = fleet
         self._cell.place_needed = True
         for job in self._cell.jobs_by_id.values():
-            set_objective(job, self._cell.queue_of(job))
+            self._set_queue(job)
 
     def set_lanes(self, lanes: int) -> None:
         """Take the number of entry VMs that can ask for advice."""
@@ -178,7 +182,8 @@
                 cell.ready_by_key[step.key] = step
         watch_workers(cell, now)
         if cell.ready_by_key:
-            place(cell, now)
+            for step, queue in place(cell, now)[:MAX_PREEMPTING]:
+                preempt(cell, step, queue, now)
         self._advising.ask(now)
 
     def take_effects(self) -> list[Effect]:
@@ -256,7 +261,9 @@
         age_s = max(0.0, (unix_ms - known.accepted.accepted_unix_ms) / 1_000)
         job = make_job(known.accepted, known.progress, Instant(now - age_s))
         job.maybe_started_before = not is_new
-        set_objective(job, cell.queue_of(job))
+        self._set_queue(job)
+        if is_new:
+            job.over_share = self._is_over_share(job, now)
         cell.jobs_by_id[job.job_id] = job
         if known.cancelled_unix_ms is not None:
             self.cancel_job(job.job_id, now, unix_ms)
@@ -265,6 +272,19 @@
             make_ready(cell, step)
         self._end_if_over(job.job_id, now)
 
+    def _set_queue(self, job: JobState) -> None:
+        cell = self._cell
+        queue = cell.queue_of(job)
+        if queue is not None:
+            job.priority = queue.priority
+        set_objective(job, queue, cell.forecast)
+
+    def _is_over_share(self, job: JobState, now: Instant) -> bool:
+        cell = self._cell
+        team_id = job.accepted.team_id
+        team = cell.fleet.teams_by_id.get(team_id) if cell.fleet is not None else None
+        return team is not None and cell.shares.is_over(job, team.weight, now)
+
     def _end_if_over(self, job_id: JobId, now: Instant) -> None:
         """End a restored job whose last end was stored, but not its phase."""
         job = self._cell.jobs_by_id[job_id]
