Silent workers are not renewed; dead holders are known; readiness follows the store

Change: no renewal after 1 s of silence; shorter looks where urgent tasks run; start times in the records of nodes and holders; not ready without the store for 1.8 s; work that keeps progress leaves draining workers.

--- a/tamarackmount/node/claims.py
+++ b/tamarackmount/node/claims.py
@@ -34,12 +34,13 @@
     """An accepted claim, and the log of signs of life under its epoch."""
 
     node: MemberId
+    started_unix_ms: int
     epoch: Epoch
     log: FencedLog
 
 
 async def claim(
-    reactor: Any, store: Store, node: MemberId, end: Offset
+    reactor: Any, store: Store, node: MemberId, started_unix_ms: int, end: Offset
 ) -> Claim | None:
     """Claim the scheduling if the topic of claims still ends at ``end``.
 
@@ -48,9 +49,11 @@
     """
     epoch = Epoch(end + 1)
     log = FencedLog(reactor, store, HOLDER_TOPIC, epoch)
-    result = await log.append([_row(HolderRecord(node, epoch, beat=0))], end)
+    result = await log.append(
+        [_row(HolderRecord(node, epoch, 0, started_unix_ms))], end
+    )
     if isinstance(result, Appended):
-        return Claim(node, epoch, log)
+        return Claim(node, started_unix_ms, epoch, log)
     _log.info("claim refused", extra={"epoch": epoch, "reason": str(result)})
     return None
 
@@ -95,7 +98,13 @@
     async def _write(self, released: bool) -> None:
         self._beat += 1
         claimed = self._claimed
-        record = HolderRecord(claimed.node, claimed.epoch, self._beat, released)
+        record = HolderRecord(
+            claimed.node,
+            claimed.epoch,
+            self._beat,
+            claimed.started_unix_ms,
+            released,
+        )
         result = await claimed.log.append([_row(record)])
         if not isinstance(result, Appended) and not self._is_over:
             self._is_over = True
--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -50,10 +50,10 @@
 GATHER_S = 0.002
 """Pause in which inputs gather before the next decision, in seconds."""
 
-ORDER_TIMEOUT_S = 0.8
+ORDER_TIMEOUT_S = 0.4
 """Longest wait for the answer to an order, in seconds; round trips take 3 ms."""
 
-HOLD_SLACK_S = 0.8
+HOLD_SLACK_S = 0.4
 """How much longer than its wait a look at a worker may take, in seconds."""
 
 ORDERS_PER_WORKER = 3
@@ -91,13 +91,18 @@
         claimed: Claim,
         book: JobBook,
         fleet: Fleet,
+        last_order: Instant,
         ended: Callable[[str], None],
     ) -> None:
-        """Take over what ``book`` holds; ``ended`` is called when it is over."""
+        """Take over what ``book`` holds; ``ended`` is called when it is over.
+
+        An earlier holder sends no more orders after ``last_order``.
+        """
         self._parts = parts
         self._epoch = claimed.epoch
         self._book = book
         self._ended = ended
+        self._last_order = last_order
         self._is_over = False
         self._poked = False
         self._entries_by_id: dict[str, WorkerEntry] = {}
@@ -150,6 +155,7 @@
         self.scheduler.restore(
             book.open_jobs(),
             book.workers_by_life.values(),
+            self._last_order,
             clock.now(),
             clock.unix_ms(),
         )
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -91,6 +91,10 @@
 NODES_WAIT_MS = 5_000
 """How long a read of the entry VMs waits, in milliseconds; they change rarely."""
 
+READY_STORE_GAP_S = 1.8
+"""A node that has not heard the store for this long sends new callers elsewhere, in
+seconds; its reads are answered at least every second."""
+
 CLAIM_CHECK_S = 0.1
 """Pause between two looks whether to claim, in seconds."""
 
@@ -112,11 +116,12 @@
 
 @dataclass(frozen=True, slots=True)
 class NodeRecord:
-    """How the other entry VMs reach one, and its processor time in cores."""
+    """How the other entry VMs reach one, its processor time in cores and its start."""
 
     ip: str
     port: int
     cores: float
+    started_unix_ms: int
 
 
 class Node:
@@ -156,6 +161,7 @@
             HolderReleased: self._hear_release,
         }
         self._ports: list[Any] = []
+        self._started_unix_ms = clock.unix_ms()
         self._config_tail = TopicTail(
             reactor,
             self._store,
@@ -341,8 +347,15 @@
             not self._is_draining
             and self._fleet is not None
             and self._jobs_tail.next_offset is not None
+            and clock.now() < self._store_heard_at + READY_STORE_GAP_S
         )
 
+    @property
+    def _store_heard_at(self) -> Instant:
+        tails = (self._config_tail, self._holder_tail)
+        never = Instant(float("-inf"))
+        return max(tail.last_contact or never for tail in tails)
+
     def _listen(self, address: Any, site: Any) -> None:
         port = self._reactor.listenTCP(
             address.port, site, backlog=LISTEN_BACKLOG, interface=address.host
@@ -351,7 +364,12 @@
 
     async def _register(self) -> None:
         settings = self._settings
-        mine = NodeRecord(settings.ip, settings.peer_port, settings.processor_cores)
+        mine = NodeRecord(
+            settings.ip,
+            settings.peer_port,
+            settings.processor_cores,
+            self._started_unix_ms,
+        )
         record = KeyedRecord(settings.node, encode_record(mine))
         while True:
             deadline = Instant(self._reactor.seconds() + REGISTER_TIMEOUT_S)
@@ -456,7 +474,8 @@
             for node, record in self._records_by_node.items()
             if not self._is_former(node)
         }
-        if self._watch.should_claim(claim_turn(self._settings.node, cores), now):
+        turn = claim_turn(self._settings.node, cores)
+        if self._watch.should_claim(turn, self._started_by_node(), now):
             self._is_claiming = True
             ensureDeferred(self._claim())
 
@@ -475,14 +494,30 @@
         if not await self._holder_tail.refresh():
             return
         end = self._holder_tail.next_offset
-        if end is None or not self._watch.should_claim(0, clock.now()):
+        started = self._started_by_node()
+        if end is None or not self._watch.should_claim(0, started, clock.now()):
             return
-        claimed = await claim(self._reactor, self._store, self._settings.node, end)
+        last_order_in_s = self._watch.last_order_in_s(started)
+        claimed = await claim(
+            self._reactor,
+            self._store,
+            self._settings.node,
+            self._started_unix_ms,
+            end,
+        )
         if claimed is not None:
+            last_order = Instant(clock.now() + last_order_in_s)
             _log.info("scheduling claimed", extra={"epoch": claimed.epoch})
-            await self._take_over(claimed)
+            await self._take_over(claimed, last_order)
+
+    def _started_by_node(self) -> dict[MemberId, int]:
+        started = {
+            node: record.started_unix_ms
+            for node, record in self._records_by_node.items()
+        }
+        return {**started, self._settings.node: self._started_unix_ms}
 
-    async def _take_over(self, claimed: Claim) -> None:
+    async def _take_over(self, claimed: Claim, last_order: Instant) -> None:
         fleet = self._fleet
         if fleet is None:
             return
@@ -495,7 +530,9 @@
             self._advice,
             self._peers,
         )
-        holder = Holder(parts, claimed, self._book, fleet, self._holder_ended)
+        holder = Holder(
+            parts, claimed, self._book, fleet, last_order, self._holder_ended
+        )
         is_fenced = await holder.fence()
         while is_fenced and not await self._jobs_tail.refresh():
             await deferLater(self._reactor, CLAIM_CHECK_S, lambda: None)
--- a/tamarackmount/node/tail.py
+++ b/tamarackmount/node/tail.py
@@ -17,7 +17,7 @@
     Trimmed,
 )
 
-READ_SLACK_S = 1.0
+READ_SLACK_S = 0.7
 """How much longer than its wait a read may take, in seconds; then a new connection is
 used. The store answers in 4 ms."""
 
--- a/tamarackmount/scheduling/holdership.py
+++ b/tamarackmount/scheduling/holdership.py
@@ -5,6 +5,7 @@
 names the offset at which the topic has to end.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from tamarackmount.ids import Instant, MemberId
@@ -23,6 +24,13 @@
 FIRST_CLAIM_S = 1.0
 """Silence before the first claim of all, in seconds: nodes register within it."""
 
+FORMER_HOLDER_STOPS_S = 3.0
+"""A replaced holder that lives has sent its last order by then, in seconds: it looks at
+each worker every 2 s and is refused by those that follow the new holder."""
+
+StartTimes = Mapping[MemberId, int]
+"""When the newest process of each entry VM started, in milliseconds since 1970."""
+
 MAX_READ_GAP_S = 1.6
 """Silence counts only while the store was read at least this often, in seconds: a read
 waits up to 1 s, and the pause between two is 0.5 s."""
@@ -54,16 +62,32 @@
             self.silent_since = now
         self.last_read = now
 
-    def should_claim(self, turn: int, now: Instant) -> bool:
+    def should_claim(self, turn: int, started: StartTimes, now: Instant) -> bool:
         """Tell whether the node whose turn comes as number ``turn`` claims now."""
         if now - self.last_read > MAX_READ_GAP_S:
             return False
-        return now >= self.silent_since + self._patience_s() + turn * TURN_S
+        patience_s = self._patience_s(started)
+        return now >= self.silent_since + patience_s + turn * TURN_S
 
-    def _patience_s(self) -> float:
-        if self.record is None:
+    def is_dead(self, started: StartTimes) -> bool:
+        """Tell whether the holder's process has ended: its VM runs a later one."""
+        record = self.record
+        if record is None:
+            return False
+        return started.get(record.node, 0) > record.started_unix_ms
+
+    def last_order_in_s(self, started: StartTimes) -> float:
+        """Return for how long the holder may send orders after it is replaced."""
+        record = self.record
+        if record is None or record.released or self.is_dead(started):
+            return 0.0
+        return FORMER_HOLDER_STOPS_S
+
+    def _patience_s(self, started: StartTimes) -> float:
+        record = self.record
+        if record is None:
             return FIRST_CLAIM_S
-        return 0.0 if self.record.released else SILENCE_S
+        return 0.0 if record.released or self.is_dead(started) else SILENCE_S
 
 
 def claim_turn(me: MemberId, cores_by_node: dict[MemberId, float]) -> int:
--- a/tamarackmount/scheduling/journal.py
+++ b/tamarackmount/scheduling/journal.py
@@ -36,11 +36,13 @@
     """Who holds the scheduling since the record at offset ``epoch``.
 
     ``beat`` counts its signs of life; ``released`` is set as it stops.
+    ``started_unix_ms`` tells the process from others on the same entry VM.
     """
 
     node: MemberId
     epoch: int
     beat: int
+    started_unix_ms: int
     released: bool = False
 
 
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -86,10 +86,14 @@
         self,
         jobs: Iterable[KnownJob],
         workers: Iterable[WorkerRecord],
+        last_order: Instant,
         now: Instant,
         unix_ms: int,
     ) -> None:
-        """Take over what the store holds."""
+        """Take over what the store holds.
+
+        Earlier holders send no more orders after ``last_order``.
+        """
         for record in workers:
             entry = WorkerEntry(
                 life=record.life,
@@ -100,7 +104,7 @@
                 rack=RackId(""),
                 capacity=NOTHING,
             )
-            restore_worker(self._cell, entry, record.ack, now)
+            restore_worker(self._cell, entry, record.ack, last_order)
         for known in list(jobs):
             self._restore_job(known, now, unix_ms)
 
--- a/tamarackmount/scheduling/worker_watch.py
+++ b/tamarackmount/scheduling/worker_watch.py
@@ -8,6 +8,7 @@
 from tamarackmount.scheduling.effects import HoldWorker, StepDown, StopRun
 from tamarackmount.scheduling.ends import keep_checkpoint, take_end
 from tamarackmount.scheduling.model import WorkerLife
+from tamarackmount.scheduling.ranking import URGENT_PRIORITY
 from tamarackmount.scheduling.runs import Run, RunPhase
 from tamarackmount.scheduling.worker_reports import (
     RunningRun,
@@ -16,17 +17,25 @@
     WorkerTrouble,
 )
 from tamarackmount.scheduling.workers import (
-    FORMER_HOLDER_STOPS_S,
     UNKNOWN_LEASE_S,
     Reach,
     WorkerState,
 )
+from tamarackmount.units import MS_PER_SECOND
 
 _log = logging.getLogger(__name__)
 
 HOLD_WAIT_MS = 1_500
 """How long a look waits for an end, in milliseconds; renews a lease of 6 s in time."""
 
+URGENT_HOLD_WAIT_MS = 400
+"""The same while an urgent task runs there, in milliseconds: a look whose answer is
+lost hides ends until it is given up, and urgent jobs have half a second to spare."""
+
+RENEW_SILENT_S = 1.0
+"""A worker that is silent for longer gets no renewals, in seconds: its lease has to be
+over some time, whether it hears the looks or not."""
+
 UNSTORED_HOLD_S = 0.4
 """Pause between looks while ends are not stored, in seconds: they are listed again at
 once each time."""
@@ -70,13 +79,13 @@
 
 
 def restore_worker(
-    cell: Cell, entry: WorkerEntry, ack: int, claimed_at: Instant
+    cell: Cell, entry: WorkerEntry, ack: int, last_order: Instant
 ) -> None:
-    """Take a worker that a former holder gave orders to."""
+    """Take a worker that a former holder gave orders to until ``last_order``."""
     worker = WorkerState(entry, reach=Reach.UNSEEN, listed=False, recorded=True)
     worker.known_end = ack
     worker.stored_end = ack
-    worker.lease_ends = Instant(claimed_at + FORMER_HOLDER_STOPS_S + UNKNOWN_LEASE_S)
+    worker.lease_ends = Instant(last_order + UNKNOWN_LEASE_S)
     cell.workers_by_life[entry.life] = worker
 
 
@@ -257,10 +266,29 @@
             _lapsed(cell, worker, now)
             if worker.life not in cell.workers_by_life:
                 continue
+        if worker.entry.is_draining:
+            _evacuate(cell, worker, now)
         if not worker.hold_in_flight and now >= worker.next_hold_at:
             _look(cell, worker, now)
 
 
+def _evacuate(cell: Cell, worker: WorkerState, now: Instant) -> None:
+    """Stop what would not end before the worker leaves, so that it goes on elsewhere.
+
+    Work that keeps no progress is left to its luck: workers often stay longer.
+    """
+    for run in list(worker.runs_by_task.values()):
+        step = cell.step_of(run.task)
+        if step is None or run.phase is not RunPhase.RUNNING:
+            continue
+        spec = step.spec
+        queue = step.job.accepted.queue
+        left_s = run.began_at + cell.forecast.seconds(queue, spec.estimated_ms) - now
+        is_done_in_time = left_s * MS_PER_SECOND < worker.entry.drain_left_ms
+        if spec.perpetual or (spec.saves_progress and not is_done_in_time):
+            cell.stop_run(run, now)
+
+
 def _lapsed(cell: Cell, worker: WorkerState, now: Instant) -> None:
     if not worker.listed:
         worker_gone(cell, worker, now, "lease over")
@@ -279,6 +307,9 @@
 
 def _look(cell: Cell, worker: WorkerState, now: Instant) -> None:
     lease_end = worker.lease_end_clock_ms(now)
+    silent_since = worker.silent_since
+    if silent_since is not None and now > silent_since + RENEW_SILENT_S:
+        lease_end = None
     if lease_end is not None:
         worker.granted(lease_end)
     is_settled = (
@@ -294,6 +325,14 @@
             address=worker.entry.address,
             ack_cursor=worker.stored_end,
             lease_end_clock_ms=lease_end,
-            wait_ms=HOLD_WAIT_MS if is_settled else 0,
+            wait_ms=_hold_wait_ms(cell, worker) if is_settled else 0,
         )
     )
+
+
+def _hold_wait_ms(cell: Cell, worker: WorkerState) -> int:
+    for run in worker.runs_by_task.values():
+        job = cell.jobs_by_id.get(run.task.job_id)
+        if job is not None and job.priority == URGENT_PRIORITY:
+            return URGENT_HOLD_WAIT_MS
+    return HOLD_WAIT_MS
--- a/tamarackmount/scheduling/workers.py
+++ b/tamarackmount/scheduling/workers.py
@@ -16,14 +16,10 @@
 SLOWEST_CLOCK = 0.98
 """A worker's clock runs at least at this rate, by the platform's page."""
 
-UNKNOWN_LEASE_S = 1.0 + LEASE_MS / MS_PER_SECOND / SLOWEST_CLOCK
+UNKNOWN_LEASE_S = 0.5 + LEASE_MS / MS_PER_SECOND / SLOWEST_CLOCK
 """Longest lease that an earlier holder may have left on a worker, in seconds, from
-the last moment at which that holder may have sent a renewal."""
-
-FORMER_HOLDER_STOPS_S = 3.0
-"""A former holder has sent its last renewal by then, in seconds from the claim that
-replaced it: it looks at each worker every 2 s and is refused by those that follow
-the new one."""
+the last moment at which that holder may have sent a renewal; half a second is for
+renewals on their way."""
 
 
 class Reach(Enum):
