A holder without the store starts nothing, unless the store is away for all

Change: workers' records name what was ordered there, so a new holder counts it until the lease is over. A holder whose last accepted sign of life is 1.8 s old starts nothing, after 3.5 s it lets leases end, unless most other nodes reach the store no more than it does. After a claim by silence, older tasks wait for workers not yet seen.

--- a/tamarackmount/internal/node_peer.capnp
+++ b/tamarackmount/internal/node_peer.capnp
@@ -14,6 +14,8 @@
     holderReleased @7 :HolderReleased;
     storeQuery @8 :StoreQuery;
     storeReply @9 :StoreReply;
+    storeAgeQuery @10 :StoreAgeQuery;
+    storeAgeReply @11 :StoreAgeReply;
   }
 }
 
@@ -63,6 +65,15 @@
   validMs @4 :Float64;
 }
 
+struct StoreAgeQuery {
+  callId @0 :UInt64;
+}
+
+struct StoreAgeReply {
+  callId @0 :UInt64;
+  ageMs @1 :UInt64;
+}
+
 struct HolderReleased {
   epoch @0 :UInt64;
 }
--- a/tamarackmount/node/append_timeout.py
+++ b/tamarackmount/node/append_timeout.py
@@ -24,8 +24,9 @@
 class AppendTimeout:
     """The wait for the next answer, from those seen so far."""
 
-    def __init__(self) -> None:
-        """Begin with the store's usual answer."""
+    def __init__(self, least_s: float = LEAST_S) -> None:
+        """Begin with the store's usual answer; wait ``least_s`` or longer."""
+        self._least_s = least_s
         self._usual_s = 0.02
         self._backoff = 1.0
 
@@ -36,7 +37,7 @@
 
     def seconds(self) -> float:
         """Return how long to wait."""
-        return min(MOST_S, max(LEAST_S, FACTOR * self._usual_s) * self._backoff)
+        return min(MOST_S, max(self._least_s, FACTOR * self._usual_s) * self._backoff)
 
     def answered(self, took_s: float) -> None:
         """Take the time of an answer."""
--- a/tamarackmount/node/claims.py
+++ b/tamarackmount/node/claims.py
@@ -13,6 +13,7 @@
 from twisted.internet.task import deferLater
 
 from tamarackmount.ids import Epoch, MemberId, Offset
+from tamarackmount.node import clock
 from tamarackmount.node.fenced_log import FencedLog
 from tamarackmount.platform.store import Appended, KeyedRecord, Store, Topic
 from tamarackmount.scheduling.holdership import BEAT_S
@@ -68,12 +69,17 @@
     def __init__(
         self, reactor: Any, claimed: Claim, fenced: Callable[[str], None]
     ) -> None:
-        """Call ``fenced`` once another holder writes."""
+        """Call ``fenced`` once another holder writes.
+
+        ``last_proof`` is when the newest accepted sign of life was first sent: others
+        may claim some time after it.
+        """
         self._reactor = reactor
         self._claimed = claimed
         self._fenced = fenced
         self._beat = 0
         self._is_over = False
+        self.last_proof = clock.now()
 
     def start(self) -> None:
         """Begin to write."""
@@ -97,6 +103,7 @@
 
     async def _write(self, released: bool) -> None:
         self._beat += 1
+        sent = clock.now()
         claimed = self._claimed
         record = HolderRecord(
             claimed.node,
@@ -106,6 +113,8 @@
             released,
         )
         result = await claimed.log.append([_row(record)])
-        if not isinstance(result, Appended) and not self._is_over:
+        if isinstance(result, Appended):
+            self.last_proof = sent
+        elif not self._is_over:
             self._is_over = True
             self._fenced(f"sign of life refused: {result}")
--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -15,6 +15,7 @@
 from tamarackmount.node.claims import Claim, SignsOfLife
 from tamarackmount.node.fenced_log import FencedLog
 from tamarackmount.node.journal_writer import JournalWriter, WriterEvents
+from tamarackmount.node.licence_check import LicenceCheck
 from tamarackmount.node.peer_calls import PeerCalls
 from tamarackmount.node.submissions import Stored
 from tamarackmount.node.tail import TopicTail
@@ -116,6 +117,7 @@
         self._lanes = AdviceLanes(
             parts.reactor, parts.node, parts.advice, parts.peers, self._advised
         )
+        self._licence = LicenceCheck(parts.reactor, parts.peers)
         self._tail = TopicTail(
             parts.reactor,
             parts.store,
@@ -154,7 +156,7 @@
         book = self._book
         self.scheduler.restore(
             book.open_jobs(),
-            book.workers_by_life.values(),
+            book.workers(),
             self._last_order,
             clock.now(),
             clock.unix_ms(),
@@ -221,6 +223,7 @@
         if self._is_over:
             return
         self.scheduler.set_lanes(self._lanes.count())
+        self.scheduler.set_licence(self._licence.check(self._signs.last_proof))
         self.scheduler.tick(clock.now(), clock.unix_ms())
         for effect in self.scheduler.take_effects():
             self._carry_out(effect)
--- a/tamarackmount/node/messages.py
+++ b/tamarackmount/node/messages.py
@@ -73,6 +73,21 @@
     valid_ms: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class StoreAgeQuery:
+    """The holder, without the store, asks whether others reach it."""
+
+    call_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class StoreAgeReply:
+    """Answer: milliseconds since the node last heard the store."""
+
+    call_id: int
+    age_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class HolderReleased:
     """The holder stops and has written so to the store."""
@@ -85,6 +100,8 @@
     | CancelStored
     | StoreQuery
     | StoreReply
+    | StoreAgeQuery
+    | StoreAgeReply
     | PhaseQuery
     | PhaseReply
     | AdviceQuery
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -35,6 +35,8 @@
     NodeMessage,
     PhaseQuery,
     PhaseReply,
+    StoreAgeQuery,
+    StoreAgeReply,
     StoreQuery,
     StoreReply,
 )
@@ -66,6 +68,7 @@
     record_key,
 )
 from tamarackmount.scheduling.model import AcceptedJob, JobPhase, StepKey
+from tamarackmount.units import MS_PER_SECOND
 
 JOBS_TOPIC = Topic("keyed.jobs")
 """Jobs, their cancelling and progress, the holder's claims and signs of life."""
@@ -154,6 +157,8 @@
             CancelStored: self._hear_cancel,
             PhaseQuery: self._hear_phase_query,
             StoreQuery: self._hear_store_query,
+            StoreAgeQuery: self._hear_store_age_query,
+            StoreAgeReply: self._hear_reply,
             AdviceQuery: self._hear_advice_query,
             PhaseReply: self._hear_reply,
             AdviceReply: self._hear_reply,
@@ -576,6 +581,11 @@
     def _hear_store_query(self, sender: MemberId, query: StoreQuery) -> None:
         ensureDeferred(self._store_for(sender, query))
 
+    def _hear_store_age_query(self, sender: MemberId, query: StoreAgeQuery) -> None:
+        heard_at = max(self._store_heard_at, Instant(0.0))
+        age_ms = int((clock.now() - heard_at) * MS_PER_SECOND)
+        self._links.send(sender, StoreAgeReply(query.call_id, age_ms))
+
     def _hear_advice_query(self, sender: MemberId, query: AdviceQuery) -> None:
         ensureDeferred(self._advise(sender, query))
 
@@ -588,7 +598,7 @@
     async def _advise(self, sender: MemberId, query: AdviceQuery) -> None:
         step = StepKey(JobId(query.job_id), query.occurrence, query.step)
         workers = [WorkerId(worker) for worker in query.workers]
-        deadline = Instant(self._reactor.seconds() + query.timeout_ms / 1_000)
+        deadline = Instant(self._reactor.seconds() + query.timeout_ms / MS_PER_SECOND)
         answer = await self._advice.ask(step, workers, deadline)
         self._links.send(sender, reply_to(query, answer))
 
--- a/tamarackmount/node/peer_calls.py
+++ b/tamarackmount/node/peer_calls.py
@@ -13,12 +13,14 @@
     NodeMessage,
     PhaseQuery,
     PhaseReply,
+    StoreAgeQuery,
+    StoreAgeReply,
     StoreQuery,
     StoreReply,
 )
 
-Query = PhaseQuery | AdviceQuery | StoreQuery
-QueryReply = PhaseReply | AdviceReply | StoreReply
+Query = PhaseQuery | AdviceQuery | StoreQuery | StoreAgeQuery
+QueryReply = PhaseReply | AdviceReply | StoreReply | StoreAgeReply
 
 
 class PeerCalls:
--- a/tamarackmount/node/submissions.py
+++ b/tamarackmount/node/submissions.py
@@ -28,6 +28,14 @@
 """Time kept for the node to store by itself after the holder said nothing, in seconds:
 one append to a store that is slow."""
 
+OWN_LEAST_S = 0.6
+"""Shortest wait for an answer to an append of the node's own, in seconds: they are
+the exception, and with a slow store each one too many makes the holder's wait."""
+
+RELAY_REST_S = 0.7
+"""How long a holder that left two questions unanswered is not asked, in seconds;
+another one claims within 3 s."""
+
 MAX_RECORDS = 200
 """Records in one append; 4 KB each stay under the store's 2 MB a call."""
 
@@ -83,14 +91,15 @@
         self._relay = relay
         self._waiting: deque[_Pending] = deque()
         self._is_appending = False
-        self._timeout = AppendTimeout()
+        self._timeout = AppendTimeout(OWN_LEAST_S)
+        self._relay_timeout = AppendTimeout()
+        self._no_relay_until = Instant(0.0)
         self._failures = 0
 
     async def store(self, record: KeyedRecord, deadline: Instant) -> Stored:
         """Store a record by ``deadline``, as far as that can be known then."""
         last = Instant(deadline - REPLY_MARGIN_S)
-        left_s = last - LEAST_TIME_S - self._reactor.seconds()
-        told = await self._relay(record, left_s) if left_s > 0 else None
+        told = await self._store_at_holder(record, last)
         if told is Stored.YES:
             return told
         maybe_stored = told is Stored.UNKNOWN
@@ -98,6 +107,24 @@
             return Stored.NO
         return await self._store_here(record, last, maybe_stored)
 
+    async def _store_at_holder(
+        self, record: KeyedRecord, deadline: Instant
+    ) -> Stored | None:
+        """Ask the holder, unless it left the last questions unanswered."""
+        begun = self._reactor.seconds()
+        if begun < self._no_relay_until:
+            return None
+        left_s = min(self._relay_timeout.seconds(), deadline - LEAST_TIME_S - begun)
+        told = await self._relay(record, left_s) if left_s > 0 else None
+        now = self._reactor.seconds()
+        if told is Stored.UNKNOWN:
+            if not self._relay_timeout.is_first_miss:
+                self._no_relay_until = Instant(now + RELAY_REST_S)
+            self._relay_timeout.missed()
+        elif told is not None:
+            self._relay_timeout.answered(now - begun)
+        return told
+
     @property
     def _is_busy(self) -> bool:
         return self._is_appending or bool(self._waiting)
--- a/tamarackmount/node/tail.py
+++ b/tamarackmount/node/tail.py
@@ -58,6 +58,7 @@
         self._next: Offset | None = None
         self._running = False
         self._is_reachable = True
+        self._caught_up = False
         self.caught_up_at: Instant | None = None
         self.last_contact: Instant | None = None
 
@@ -87,7 +88,8 @@
             if self._next is None:
                 is_read = await self._bootstrap()
             else:
-                is_read = await self._read(self._wait_ms)
+                # The first read after a snapshot tells at once whether it was whole.
+                is_read = await self._read(self._wait_ms if self._caught_up else 0)
             if not is_read:
                 await self._sleep(RETRY_S)
                 continue
@@ -113,6 +115,7 @@
                 break
             after = page.records[-1].key
         self._next = start
+        self._caught_up = False
         self._heard()
         self._on_snapshot(records)
         return True
@@ -150,8 +153,6 @@
         if self._caught_up:
             self.caught_up_at = max(self.caught_up_at or sent, sent)
 
-    _caught_up = False
-
     def _heard(self) -> None:
         self.last_contact = Instant(self._reactor.seconds())
         if not self._is_reachable:
--- a/tamarackmount/scheduling/book.py
+++ b/tamarackmount/scheduling/book.py
@@ -16,7 +16,7 @@
     decode_record,
     split_key,
 )
-from tamarackmount.scheduling.model import AcceptedJob, JobPhase, WorkerLife
+from tamarackmount.scheduling.model import AcceptedJob, JobPhase
 
 _log = logging.getLogger(__name__)
 
@@ -24,7 +24,6 @@
     RecordKind.JOB: AcceptedJob,
     RecordKind.CANCEL: CancelRecord,
     RecordKind.PROGRESS: JobProgress,
-    RecordKind.WORKER: WorkerRecord,
 }
 
 
@@ -54,17 +53,20 @@
     def __init__(self) -> None:
         """Start without records."""
         self.jobs_by_id: dict[JobId, KnownJob] = {}
-        self.workers_by_life: dict[WorkerLife, WorkerRecord] = {}
+        self._workers_by_name: dict[str, bytes] = {}
         self._setters = {
             RecordKind.JOB: self._set_job,
             RecordKind.CANCEL: self._set_cancel,
             RecordKind.PROGRESS: self._set_progress,
-            RecordKind.WORKER: self._set_worker,
         }
 
     def apply(self, key: str, value: bytes, offset: Offset) -> None:
         """Take a record; an empty value removes what the key names."""
         found = split_key(key)
+        if found is not None and found[0] is RecordKind.WORKER:
+            # Decoded only by a new holder: they change with each start and end.
+            self._workers_by_name[found[1]] = value
+            return
         if found is None or found[0] not in _TYPE_BY_KIND:
             _log.warning("record skipped", extra={"key": key, "reason": "foreign key"})
             return
@@ -103,6 +105,18 @@
             if known.progress is None or not known.progress.phase.is_final:
                 yield known
 
+    def workers(self) -> Iterator[WorkerRecord]:
+        """Return the workers that were given orders."""
+        for name, value in self._workers_by_name.items():
+            if not value:
+                continue
+            record = decode_record(value, WorkerRecord)
+            if isinstance(record, Failure):
+                extra = {"worker": name, "reason": record.failure()}
+                _log.error("worker's record not readable", extra=extra)
+                continue
+            yield record.unwrap()
+
     def _job(self, name: str) -> KnownJob:
         return self.jobs_by_id.setdefault(JobId(name), KnownJob())
 
@@ -118,14 +132,6 @@
     def _set_progress(self, name: str, record: Any) -> None:
         self._job(name).progress = record
 
-    def _set_worker(self, _name: str, record: Any) -> None:
-        self.workers_by_life[record.life] = record
-
     def _remove(self, kind: RecordKind, name: str) -> None:
         if kind is RecordKind.JOB:
             self.jobs_by_id.pop(JobId(name), None)
-        elif kind is RecordKind.WORKER:
-            worker_id, _, born = name.rpartition("@")
-            for life in list(self.workers_by_life):
-                if life.worker_id == worker_id and str(life.born_unix_ms) == born:
-                    del self.workers_by_life[life]
--- a/tamarackmount/scheduling/cell.py
+++ b/tamarackmount/scheduling/cell.py
@@ -9,6 +9,7 @@
 from tamarackmount.scheduling.effects import Effect, StopRun
 from tamarackmount.scheduling.fleet import Fleet, Queue
 from tamarackmount.scheduling.forecast import Forecast
+from tamarackmount.scheduling.licence import Licence
 from tamarackmount.scheduling.model import (
     AcceptedJob,
     JobPhase,
@@ -51,6 +52,8 @@
     effects: list[Effect] = field(default_factory=list)
     forecast: Forecast = field(default_factory=Forecast)
     shares: TeamShares = field(default_factory=TeamShares)
+    has_unknown_starts: bool = False
+    licence: Licence = Licence.FULL
     place_needed: bool = True
     superseded: bool = False
 
@@ -88,6 +91,7 @@
     def add_run(self, worker: WorkerState, step: StepState, run: Run) -> None:
         """Count a new run."""
         worker.hold_room(run)
+        self.changed_workers.add(worker.life)
         step.runs_by_index[run.task.index] = run
         step.pending.discard(run.task.index)
         if not step.pending:
@@ -100,6 +104,7 @@
         worker = self.workers_by_life.get(run.life)
         if worker is not None:
             worker.free_room(run)
+            self.changed_workers.add(worker.life)
         self.place_needed = True
         job = self.jobs_by_id.get(run.task.job_id)
         if job is None:
--- a/tamarackmount/scheduling/holdership.py
+++ b/tamarackmount/scheduling/holdership.py
@@ -10,6 +10,7 @@
 
 from tamarackmount.ids import Instant, MemberId
 from tamarackmount.scheduling.journal import HolderRecord
+from tamarackmount.scheduling.licence import KEEP_S
 
 BEAT_S = 0.7
 """Pause between two signs of life, in seconds; one append a second is cheap, and a
@@ -24,9 +25,9 @@
 FIRST_CLAIM_S = 1.0
 """Silence before the first claim of all, in seconds: nodes register within it."""
 
-FORMER_HOLDER_STOPS_S = 3.0
-"""A replaced holder that lives has sent its last order by then, in seconds: it looks at
-each worker every 2 s and is refused by those that follow the new holder."""
+FORMER_HOLDER_STOPS_S = KEEP_S - SILENCE_S + 0.3
+"""A replaced holder that lives has sent its last order by then, in seconds from the
+claim: see ``licence.py``; the rest is for orders on their way."""
 
 StartTimes = Mapping[MemberId, int]
 """When the newest process of each entry VM started, in milliseconds since 1970."""
--- a/tamarackmount/scheduling/journal.py
+++ b/tamarackmount/scheduling/journal.py
@@ -12,11 +12,12 @@
 from cattrs import Converter
 from returns.result import Failure, Result, Success
 
-from tamarackmount.ids import MemberId, WorkerId
+from tamarackmount.ids import JobId, MemberId, WorkerId
 from tamarackmount.scheduling.model import (
     AcceptedJob,
     JobPhase,
     ServiceName,
+    TaskKey,
     WorkerLife,
 )
 
@@ -69,12 +70,17 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerRecord:
-    """A life of a worker that was given orders; its ends up to ``ack`` are known."""
+    """A life of a worker that was given orders; its ends up to ``ack`` are known.
+
+    ``runs`` are the tasks that were ordered there and are not surely over, each with
+    the number of its run.
+    """
 
     life: WorkerLife
     service: ServiceName
     address: str
     ack: int
+    runs: list[tuple[str, int]] = field(default_factory=list)
 
 
 T = TypeVar("T")
@@ -87,6 +93,17 @@
     return f"{kind.value}/{name}" if name else kind.value
 
 
+def run_text(task: TaskKey) -> str:
+    """Return a task's name in a worker's record."""
+    return f"{task.job_id}.{task.occurrence}.{task.step}.{task.index}"
+
+
+def task_of(text: str) -> TaskKey:
+    """Return the task that a worker's record names."""
+    job_id, occurrence, step, index = text.split(".")
+    return TaskKey(JobId(job_id), int(occurrence), int(step), int(index))
+
+
 def worker_key(life: WorkerLife) -> str:
     """Return the key of a worker's record."""
     return record_key(RecordKind.WORKER, f"{life.worker_id}@{life.born_unix_ms}")
--- /dev/null
+++ b/tamarackmount/scheduling/licence.py
@@ -0,0 +1,45 @@
+"""What a holder may do while it can't show the store that it lives.
+
+Another node may claim the scheduling ``SILENCE_S`` after it read the last sign of life.
+Unless the store is away for all, the holder stops before: first it starts nothing that
+the store would not know of, then it lets the leases of what runs come to their end.
+"""
+
+from collections.abc import Collection
+from enum import Enum
+
+FULL_S = 1.8
+"""Up to this age of its last accepted sign of life, in seconds, a holder does all: less
+than the silence of 2.2 s after which another one claims."""
+
+KEEP_S = 3.5
+"""Up to this age, in seconds, it renews leases; cuts of a second or two pass."""
+
+NO_CONTACT_MS = 1_500
+"""A node that heard the store longer ago than this does not reach it, in milliseconds;
+its reads are answered at least every second."""
+
+
+class Licence(Enum):
+    """What a holder may do."""
+
+    FULL = "full"
+    KEEP = "keep"
+    NONE = "none"
+
+
+def licence(proof_age_s: float, peers: int, ages_ms: Collection[int]) -> Licence:
+    """Return what a holder may do.
+
+    ``proof_age_s`` is the age of its last accepted sign of life. ``ages_ms`` are the
+    answers of those of its ``peers`` that it reaches: how long ago they heard the
+    store. When most say that they do not reach it either, nobody can claim.
+    """
+    if proof_age_s <= FULL_S:
+        return Licence.FULL
+    is_away_for_all = (
+        all(age_ms > NO_CONTACT_MS for age_ms in ages_ms) and 2 * len(ages_ms) > peers
+    )
+    if is_away_for_all:
+        return Licence.FULL
+    return Licence.KEEP if proof_age_s <= KEEP_S else Licence.NONE
--- a/tamarackmount/scheduling/placing.py
+++ b/tamarackmount/scheduling/placing.py
@@ -9,7 +9,8 @@
 from tamarackmount.scheduling.effects import StartRun
 from tamarackmount.scheduling.ends import task_text
 from tamarackmount.scheduling.fleet import Queue
-from tamarackmount.scheduling.model import JobPhase
+from tamarackmount.scheduling.licence import Licence
+from tamarackmount.scheduling.model import JobPhase, ServiceName
 from tamarackmount.scheduling.ranking import URGENT_PRIORITY, rank
 from tamarackmount.scheduling.runs import Run, RunPhase, StepState, WaitReason
 from tamarackmount.scheduling.worker_reports import StartOrder
@@ -35,6 +36,8 @@
     """Start what fits, the most urgent steps first; return those that lack room."""
     cell.place_needed = False
     starved: list[tuple[StepState, Queue]] = []
+    if cell.licence is not Licence.FULL:
+        return starved
     unseen = _unseen_services(cell)
     for step in sorted(cell.ready_by_key.values(), key=lambda row: rank(row, now)):
         queue = cell.queue_of(step.job)
@@ -48,14 +51,25 @@
     return starved
 
 
+def _unseen_services(cell: Cell) -> set[ServiceName]:
+    """Return services with workers that may run what nobody recorded."""
+    if not cell.has_unknown_starts:
+        return set()
+    return {
+        worker.entry.service
+        for worker in cell.workers_by_life.values()
+        if worker.recorded and worker.reach is Reach.UNSEEN
+    }
+
+
 def _blocked(
-    step: StepState, queue: Queue | None, unseen: set[str], now: Instant
+    step: StepState, queue: Queue | None, unseen: set[ServiceName], now: Instant
 ) -> WaitReason:
     if queue is None:
         return WaitReason.NO_QUEUE
     if now < step.not_before:
         return WaitReason.PAUSE
-    if step.job.maybe_started_before and step.job.accepted.service in unseen:
+    if step.job.is_restored and step.job.accepted.service in unseen:
         return WaitReason.TAKEOVER
     return WaitReason.NONE
 
@@ -77,15 +91,6 @@
     _log.info("step waits", extra=extra)
 
 
-def _unseen_services(cell: Cell) -> set[str]:
-    """Return services with workers that may run what a former holder started."""
-    return {
-        worker.entry.service
-        for worker in cell.workers_by_life.values()
-        if worker.recorded and worker.reach is Reach.UNSEEN
-    }
-
-
 def could_run(step: StepState, worker: WorkerState) -> bool:
     """Tell whether a worker can ever take a task of the step."""
     return (
@@ -259,7 +264,7 @@
 
 
 def _next_run(step: StepState) -> int:
-    if step.run_number == 0 and step.job.maybe_started_before:
+    if step.run_number == 0 and step.job.is_restored:
         return FIRST_RUN_AFTER_TAKEOVER
     return step.run_number + 1
 
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -131,7 +131,7 @@
     start_late_by: Instant = Instant(0.0)
     priority: int = 0
     over_share: bool = False
-    maybe_started_before: bool = False
+    is_restored: bool = False
     final_unix_ms: int = 0
 
     @property
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -8,8 +8,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from tamarackmount.ids import Epoch, Instant, JobId, RackId
-from tamarackmount.resources import NOTHING
+from tamarackmount.ids import Epoch, Instant, JobId
 from tamarackmount.scheduling.advising import Advising
 from tamarackmount.scheduling.book import KnownJob
 from tamarackmount.scheduling.cell import Cell
@@ -23,6 +22,7 @@
     record_key,
     worker_key,
 )
+from tamarackmount.scheduling.licence import Licence
 from tamarackmount.scheduling.model import (
     AcceptedJob,
     JobPhase,
@@ -47,6 +47,7 @@
     restore_worker,
     watch_workers,
     worker_held,
+    worker_record,
 )
 
 _log = logging.getLogger(__name__)
@@ -92,21 +93,14 @@
     ) -> None:
         """Take over what the store holds.
 
-        Earlier holders send no more orders after ``last_order``.
+        Earlier holders send no more orders after ``last_order``. One that may still
+        send any may have started tasks that the store does not know of.
         """
-        for record in workers:
-            entry = WorkerEntry(
-                life=record.life,
-                service=record.service,
-                address=record.address,
-                data_centre="",  # type: ignore[arg-type]
-                labels=frozenset(),
-                rack=RackId(""),
-                capacity=NOTHING,
-            )
-            restore_worker(self._cell, entry, record.ack, last_order)
+        self._cell.has_unknown_starts = last_order > now
         for known in list(jobs):
             self._restore_job(known, now, unix_ms)
+        for record in list(workers):
+            restore_worker(self._cell, record, last_order, now)
 
     def set_fleet(self, fleet: Fleet, now: Instant) -> None:
         """Take a new version of the configuration."""
@@ -119,6 +113,12 @@
         """Take the number of entry VMs that can ask for advice."""
         self._advising.lanes = max(1, lanes)
 
+    def set_licence(self, licence: Licence) -> None:
+        """Take what this holder may still do."""
+        if licence is not self._cell.licence:
+            _log.info("licence changed", extra={"licence": licence.value})
+        self._cell.licence = licence
+
     def set_workers(self, entries: list[WorkerEntry], now: Instant) -> None:
         """Take the workers that are registered now."""
         list_workers(self._cell, entries, now)
@@ -216,9 +216,7 @@
             worker = cell.workers_by_life.get(life)
             if worker is None:
                 continue
-            record = WorkerRecord(
-                life, worker.entry.service, worker.entry.address, worker.known_end
-            )
+            record = worker_record(worker)
             records.append((worker_key(life), encode_record(record)))
             acks.append((life, worker.known_end))
         cell.changed_workers.clear()
@@ -264,7 +262,7 @@
         cell = self._cell
         age_s = max(0.0, (unix_ms - known.accepted.accepted_unix_ms) / 1_000)
         job = make_job(known.accepted, known.progress, Instant(now - age_s))
-        job.maybe_started_before = not is_new
+        job.is_restored = not is_new
         self._set_queue(job)
         if is_new:
             job.over_share = self._is_over_share(job, now)
--- a/tamarackmount/scheduling/worker_watch.py
+++ b/tamarackmount/scheduling/worker_watch.py
@@ -2,11 +2,13 @@
 
 import logging
 
-from tamarackmount.ids import Instant
+from tamarackmount.ids import DataCentreId, Instant, RackId
 from tamarackmount.resources import NOTHING, Resources
 from tamarackmount.scheduling.cell import Cell
 from tamarackmount.scheduling.effects import HoldWorker, StepDown, StopRun
 from tamarackmount.scheduling.ends import keep_checkpoint, take_end
+from tamarackmount.scheduling.journal import WorkerRecord, run_text, task_of
+from tamarackmount.scheduling.licence import Licence
 from tamarackmount.scheduling.model import WorkerLife
 from tamarackmount.scheduling.ranking import URGENT_PRIORITY
 from tamarackmount.scheduling.runs import Run, RunPhase
@@ -32,6 +34,9 @@
 """The same while an urgent task runs there, in milliseconds: a look whose answer is
 lost hides ends until it is given up, and urgent jobs have half a second to spare."""
 
+FULL_PACE = 100
+"""Pace of a run that was not slowed, in percent."""
+
 RENEW_SILENT_S = 1.0
 """A worker that is silent for longer gets no renewals, in seconds: its lease has to be
 over some time, whether it hears the looks or not."""
@@ -78,15 +83,40 @@
         worker_gone(cell, old, now, "born again")
 
 
+def worker_record(worker: WorkerState) -> WorkerRecord:
+    """Return what the store has to keep of a worker."""
+    runs = [(run_text(run.task), run.number) for run in worker.runs_by_task.values()]
+    entry = worker.entry
+    return WorkerRecord(
+        entry.life, entry.service, entry.address, worker.known_end, runs
+    )
+
+
 def restore_worker(
-    cell: Cell, entry: WorkerEntry, ack: int, last_order: Instant
+    cell: Cell, record: WorkerRecord, last_order: Instant, now: Instant
 ) -> None:
-    """Take a worker that a former holder gave orders to until ``last_order``."""
+    """Take a worker that a former holder gave orders to until ``last_order``.
+
+    What was ordered there counts as running until the worker tells or its lease is
+    over.
+    """
+    entry = WorkerEntry(
+        life=record.life,
+        service=record.service,
+        address=record.address,
+        data_centre=DataCentreId(""),
+        labels=frozenset(),
+        rack=RackId(""),
+        capacity=NOTHING,
+    )
     worker = WorkerState(entry, reach=Reach.UNSEEN, listed=False, recorded=True)
-    worker.known_end = ack
-    worker.stored_end = ack
+    worker.known_end = record.ack
+    worker.stored_end = record.ack
     worker.lease_ends = Instant(last_order + UNKNOWN_LEASE_S)
     cell.workers_by_life[entry.life] = worker
+    for text, number in record.runs:
+        row = RunningRun(task_of(text), number, "", FULL_PACE)
+        _found_running(cell, worker, row, now)
 
 
 def worker_held(
@@ -258,6 +288,8 @@
 
 def watch_workers(cell: Cell, now: Instant) -> None:
     """Send looks that are due, and end what lapsed."""
+    if cell.licence is Licence.NONE:
+        return
     for worker in list(cell.workers_by_life.values()):
         is_out_of_reach = worker.silent_since is not None or (
             worker.reach is Reach.UNSEEN and not worker.listed
