--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -11,7 +11,7 @@
 
 from tamarackmount.daemon.http_request import BoundedRequest
 from tamarackmount.daemon.quiet_site import QuietSite
-from tamarackmount.ids import Instant, JobId, MemberId, Offset, WorkerId
+from tamarackmount.ids import DataCentreId, Instant, JobId, MemberId, Offset, WorkerId
 from tamarackmount.internal.codec import Codec, Envelope
 from tamarackmount.internal.links import PeerLinks
 from tamarackmount.kernel.effects import Address as PeerAddress
@@ -57,7 +57,7 @@
 from tamarackmount.platform.workers import WorkerCalls
 from tamarackmount.scheduling.book import JobBook
 from tamarackmount.scheduling.fleet import Fleet, Queue
-from tamarackmount.scheduling.holdership import HolderWatch, claim_turn
+from tamarackmount.scheduling.holdership import Candidate, HolderWatch, claim_turn
 from tamarackmount.scheduling.journal import (
     CancelRecord,
     HolderRecord,
@@ -123,6 +123,7 @@
 
     ip: str
     port: int
+    data_centre: str
     cores: float
     started_unix_ms: int
 
@@ -372,6 +373,7 @@
         mine = NodeRecord(
             settings.ip,
             settings.peer_port,
+            settings.data_centre,
             settings.processor_cores,
             self._started_unix_ms,
         )
@@ -474,21 +476,16 @@
             return
         if self._fleet is None or self._jobs_tail.next_offset is None:
             return
-        cores = {
-            node: record.cores
+        candidates = [
+            Candidate(node, DataCentreId(record.data_centre), record.cores)
             for node, record in self._records_by_node.items()
-            if not self._is_former(node)
-        }
-        turn = claim_turn(self._settings.node, cores)
+        ]
+        former = self._watch.record.node if self._watch.record is not None else None
+        turn = claim_turn(self._settings.node, candidates, former)
         if self._watch.should_claim(turn, self._started_by_node(), now):
             self._is_claiming = True
             ensureDeferred(self._claim())
 
-    def _is_former(self, node: MemberId) -> bool:
-        """Tell whether a node is the holder that fell silent, or that stops."""
-        record = self._watch.record
-        return record is not None and record.node == node != self._settings.node
-
     async def _claim(self) -> None:
         try:
             await self._claim_now()
--- a/tamarackmount/scheduling/holdership.py
+++ b/tamarackmount/scheduling/holdership.py
@@ -5,21 +5,22 @@
 names the offset at which the topic has to end.
 """
 
-from collections.abc import Mapping
+from collections import Counter
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
-from tamarackmount.ids import Instant, MemberId
+from tamarackmount.ids import DataCentreId, Instant, MemberId
 from tamarackmount.scheduling.journal import HolderRecord
 from tamarackmount.scheduling.licence import KEEP_S
 
-BEAT_S = 0.7
-"""Pause between two signs of life, in seconds; one append a second is cheap, and a
-takeover has to end within a worker's lease of 6 s."""
+BEAT_S = 0.4
+"""Pause between two signs of life, in seconds; a slow store answers each in 0.6 s."""
 
-SILENCE_S = 2.2
-"""Silence after which a holder is replaced, in seconds: three signs of life."""
+SILENCE_S = 1.8
+"""Silence after which a holder is replaced, in seconds: three signs of life while the
+store is well, two while it is slow."""
 
-TURN_S = 0.2
+TURN_S = 0.12
 """Each further candidate waits this much longer, in seconds: a claim's whole way."""
 
 FIRST_CLAIM_S = 1.0
@@ -91,7 +92,33 @@
         return 0.0 if record.released or self.is_dead(started) else SILENCE_S
 
 
-def claim_turn(me: MemberId, cores_by_node: dict[MemberId, float]) -> int:
-    """Return the node's turn to claim: those with most processor time come first."""
-    order = sorted(cores_by_node, key=lambda node: (-cores_by_node[node], node))
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A node that may claim; ``cores`` is its processor time."""
+
+    node: MemberId
+    data_centre: DataCentreId
+    cores: float
+
+
+def claim_turn(
+    me: MemberId, candidates: Collection[Candidate], former: MemberId | None
+) -> int:
+    """Return the node's turn to claim.
+
+    Those with most processor time come first, among equals one of each data centre in
+    turn, and those in the data centre of the ``former`` holder last, as that may be cut
+    off.
+    """
+    homes = {row.node: row.data_centre for row in candidates}
+    lost = homes.get(former) if former is not None and former != me else None
+    seen: Counter[DataCentreId] = Counter()
+    keys: list[tuple[bool, float, int, MemberId]] = []
+    for row in sorted(candidates, key=lambda row: (-row.cores, row.node)):
+        if row.node == former and former != me:
+            continue
+        is_lost = row.data_centre == lost
+        keys.append((is_lost, -row.cores, seen[row.data_centre], row.node))
+        seen[row.data_centre] += 1
+    order = [key[-1] for key in sorted(keys)]
     return order.index(me) if me in order else len(order)
--- a/tamarackmount/scheduling/licence.py
+++ b/tamarackmount/scheduling/licence.py
@@ -8,11 +8,11 @@
 from collections.abc import Collection
 from enum import Enum
 
-FULL_S = 1.8
+FULL_S = 1.5
 """Up to this age of its last accepted sign of life, in seconds, a holder does all: less
-than the silence of 2.2 s after which another one claims."""
+than the silence of 1.8 s after which another one claims."""
 
-KEEP_S = 3.5
+KEEP_S = 3.0
 """Up to this age, in seconds, it renews leases; cuts of a second or two pass."""
 
 NO_CONTACT_MS = 1_500
--- a/tamarackmount/scheduling/preempting.py
+++ b/tamarackmount/scheduling/preempting.py
@@ -1,17 +1,18 @@
 """Making room for what is more urgent.
 
-Load pattern: urgent jobs, or gangs that need a whole worker, come to a pool that
-longer work fills. Runs of less urgent queues that keep their progress are stopped, the
-fewest and youngest since their last saved state, and go on elsewhere later.
+Load pattern: urgent jobs, or gangs that need a whole worker, come to a pool, or to a
+team's ceiling, that longer work fills. Runs of less urgent queues that keep their
+progress are stopped, the largest first, and go on elsewhere later.
 """
 
 import logging
 
-from tamarackmount.ids import Instant
+from tamarackmount.ids import Instant, TeamId
 from tamarackmount.resources import NOTHING, Resources
 from tamarackmount.scheduling.cell import Cell
 from tamarackmount.scheduling.fleet import Queue
-from tamarackmount.scheduling.placing import candidates, has_quota, quota_parts
+from tamarackmount.scheduling.model import WorkerLife
+from tamarackmount.scheduling.placing import candidates, quota_parts
 from tamarackmount.scheduling.ranking import Tier, tier
 from tamarackmount.scheduling.runs import Run, RunPhase, StepState
 from tamarackmount.scheduling.workers import WorkerState
@@ -22,111 +23,153 @@
 """A run is left alone for this long after its start, in seconds: it has saved nothing
 before."""
 
-PREEMPT_PAUSE_S = 0.25
-"""Pause between two stops for one step, in seconds: the first one's room comes free."""
-
-
-def preempt(cell: Cell, step: StepState, queue: Queue, now: Instant) -> None:
-    """Stop less urgent runs, if that makes room for what the step needs at once."""
-    if now < step.preempt_again_at or tier(step, now) > Tier.IN_TIME:
-        return
-    if has_quota(cell, step, step.spec.count if step.spec.gang else 1):
-        victims = _for_room(cell, step, queue, now)
-    else:
-        victims = _for_ceiling(cell, step, queue, now)
-    if not victims:
-        return
-    step.preempt_again_at = Instant(now + PREEMPT_PAUSE_S)
-    for run in victims:
-        cell.stop_run(run, now)
-    extra = {
-        "job": step.key.job_id,
-        "reason": step.waits_for.value,
-        "stopped": len(victims),
-    }
-    _log.info("room made", extra=extra)
-
-
-def _for_room(cell: Cell, step: StepState, queue: Queue, now: Instant) -> list[Run]:
-    """Return runs whose room, on allowed workers, the step's tasks need."""
-    wanted = step.spec.count if step.spec.gang else len(step.pending)
-    victims: list[Run] = []
-    for worker in candidates(cell, step, queue, now):
-        found, room_for = _victims(cell, step, queue, worker, wanted, now)
-        victims.extend(found)
-        wanted -= room_for
-        if wanted <= 0:
-            break
-    return [] if step.spec.gang and wanted > 0 else victims
-
-
-def _for_ceiling(cell: Cell, step: StepState, queue: Queue, now: Instant) -> list[Run]:
-    """Return runs of the step's own team whose share of its ceiling it needs."""
-    team_id = step.job.accepted.team_id
-    team = cell.fleet.teams_by_id.get(team_id) if cell.fleet is not None else None
-    if team is None:
-        return []
-    used = cell.used_by_team.get(team_id, NOTHING)
-    stoppable: list[Run] = []
-    for worker in cell.workers_by_life.values():
+
+class Preemption:
+    """One round: steps take room that comes free, the most urgent ones first.
+
+    Room that is on its way to one step is not counted for the next.
+    """
+
+    def __init__(self, cell: Cell, now: Instant) -> None:
+        """Begin with the room that is free, or will be when stops are done."""
+        self._cell = cell
+        self._now = now
+        self._free_by_life: dict[WorkerLife, Resources] = {}
+        self._used_by_team: dict[TeamId, Resources] = dict(cell.used_by_team)
+        for worker in cell.workers_by_life.values():
+            free = worker.free
+            for run in worker.runs_by_task.values():
+                if run.phase is RunPhase.STOPPING:
+                    free = free + run.amount
+                    self._release(run)
+            self._free_by_life[worker.life] = free
+
+    def make_room(self, step: StepState, queue: Queue) -> None:
+        """Stop less urgent runs for a step, as far as it can still be in time."""
+        is_late = self._now > step.job.start_by
+        if is_late or tier(step, self._now) > Tier.IN_TIME:
+            return
+        wanted = step.spec.count if step.spec.gang else len(step.pending)
+        victims = self._for_ceiling(step, queue, wanted)
+        victims += self._for_room(step, queue, wanted, victims)
+        for run in victims:
+            self._cell.stop_run(run, self._now)
+        if victims:
+            extra = {
+                "job": step.key.job_id,
+                "reason": step.waits_for.value,
+                "stopped": len(victims),
+            }
+            _log.info("room made", extra=extra)
+
+    def _release(self, run: Run) -> None:
+        team = self._cell.team_of(run)
+        if team is not None:
+            used = self._used_by_team.get(team, NOTHING)
+            self._used_by_team[team] = used - run.charged
+
+    def _for_ceiling(self, step: StepState, queue: Queue, wanted: int) -> list[Run]:
+        """Return runs of the step's own team whose part of its ceiling it needs."""
+        fleet = self._cell.fleet
+        team_id = step.job.accepted.team_id
+        team = fleet.teams_by_id.get(team_id) if fleet is not None else None
+        if team is None:
+            return []
+        amount = step.spec.amount
+        victims: list[Run] = []
+        for run in self._stoppable_of(team_id, queue):
+            used = self._used_by_team.get(team_id, NOTHING)
+            if _under_ceiling(used, amount, team.ceiling, wanted):
+                break
+            victims.append(run)
+            self._release(run)
+            self._free_by_life[run.life] = self._free_by_life[run.life] + run.amount
+        used = self._used_by_team.get(team_id, NOTHING)
+        self._used_by_team[team_id] = used + _multiple(amount, wanted)
+        return victims
+
+    def _stoppable_of(self, team_id: TeamId, queue: Queue) -> list[Run]:
+        found = [
+            run
+            for worker in self._cell.workers_by_life.values()
+            for run in self._stoppable(queue, worker)
+            if self._cell.team_of(run) == team_id
+        ]
+        return sorted(found, key=lambda run: -run.charged.millicores)
+
+    def _for_room(
+        self, step: StepState, queue: Queue, wanted: int, chosen: list[Run]
+    ) -> list[Run]:
+        """Return runs whose room, on allowed workers, the step's tasks need."""
+        victims: list[Run] = []
+        taken: dict[WorkerLife, Resources] = {}
+        workers = candidates(self._cell, step, queue, self._now)
+        for worker in sorted(workers, key=lambda row: -self._fits(step, row, wanted)):
+            if wanted <= 0:
+                break
+            stops, free, count = self._on_worker(step, queue, worker, wanted, chosen)
+            victims.extend(stops)
+            taken[worker.life] = free - _multiple(step.room_amount, count)
+            wanted -= count
+        if step.spec.gang and wanted > 0:
+            return []
+        self._free_by_life.update(taken)
+        return victims
+
+    def _fits(self, step: StepState, worker: WorkerState, wanted: int) -> int:
+        free = self._free_by_life[worker.life]
+        return _fits(step.room_amount, free, wanted, step)
+
+    def _on_worker(
+        self,
+        step: StepState,
+        queue: Queue,
+        worker: WorkerState,
+        wanted: int,
+        chosen: list[Run],
+    ) -> tuple[list[Run], Resources, int]:
+        """Return runs to stop on a worker, its room then and the tasks it takes."""
+        amount = step.room_amount
+        free = self._free_by_life[worker.life]
+        count = _fits(amount, free, wanted, step)
+        stops: list[Run] = []
+        useful = 0
+        free_then = free
+        for run in self._stoppable(queue, worker):
+            if count >= wanted:
+                break
+            if run in chosen:
+                continue
+            stops.append(run)
+            free_then = free_then + run.amount
+            more = _fits(amount, free_then, wanted, step)
+            if more > count:
+                count, free, useful = more, free_then, len(stops)
+        return stops[:useful], free, count
+
+    def _stoppable(self, queue: Queue, worker: WorkerState) -> list[Run]:
+        """Return less urgent runs that keep their progress, the largest first."""
+        found = []
         for run in worker.runs_by_task.values():
-            if cell.team_of(run) != team_id:
+            step = self._cell.step_of(run.task)
+            if step is None or run.phase is not RunPhase.RUNNING:
                 continue
-            if run.phase is RunPhase.STOPPING:
-                used = used - run.charged
-        rows = _stoppable(cell, queue, worker, now)
-        stoppable.extend(run for run in rows if cell.team_of(run) == team_id)
-    victims: list[Run] = []
-    count = step.spec.count if step.spec.gang else len(step.pending)
-    amount = step.spec.amount
-    for run in sorted(stoppable, key=lambda row: -row.charged.millicores):
-        if _under_ceiling(used, amount, team.ceiling, count):
-            break
-        victims.append(run)
-        used = used - run.charged
-    return victims
-
-
-def _under_ceiling(
-    used: Resources, amount: Resources, ceiling: Resources, count: int
-) -> bool:
-    parts = quota_parts(used, amount, ceiling)
-    return all(not most or has + one * count <= most for has, one, most in parts)
+            if step.job.priority <= queue.priority:
+                continue
+            if self._now < run.began_at + MIN_RUN_S:
+                continue
+            spec = step.spec
+            if spec.saves_progress and not (spec.gang or spec.perpetual or spec.fills):
+                found.append(run)
+        return sorted(found, key=lambda run: -run.amount.millicores)
 
 
-def _victims(
-    cell: Cell,
-    step: StepState,
-    queue: Queue,
-    worker: WorkerState,
-    wanted: int,
-    now: Instant,
-) -> tuple[list[Run], int]:
-    """Return runs to stop on a worker, and for how many tasks there is room then."""
-    amount = step.room_amount
-    coming = _coming_free(worker)
-    room_for = _fits(amount, worker.free + coming, wanted, step)
-    victims: list[Run] = []
-    free = worker.free + coming
-    for run in _stoppable(cell, queue, worker, now):
-        if room_for >= wanted:
-            break
-        more = _fits(amount, free + run.amount, wanted, step)
-        victims.append(run)
-        free = free + run.amount
-        room_for = max(room_for, more)
-    if room_for == _fits(amount, worker.free + coming, wanted, step):
-        return [], room_for
-    return victims, room_for
-
-
-def _coming_free(worker: WorkerState) -> Resources:
-    """Return the room of runs that are being stopped already."""
-    room = NOTHING
-    for run in worker.runs_by_task.values():
-        if run.phase is RunPhase.STOPPING:
-            room = room + run.amount
-    return room
+def _multiple(amount: Resources, count: int) -> Resources:
+    return Resources(
+        amount.millicores * count,
+        amount.memory_mib * count,
+        amount.accelerators * count,
+    )
 
 
 def _fits(amount: Resources, free: Resources, wanted: int, step: StepState) -> int:
@@ -141,18 +184,8 @@
     return max(0, min(wanted, bound, fits))
 
 
-def _stoppable(
-    cell: Cell, queue: Queue, worker: WorkerState, now: Instant
-) -> list[Run]:
-    """Return less urgent runs that keep their progress, the least work lost first."""
-    found = []
-    for run in worker.runs_by_task.values():
-        step = cell.step_of(run.task)
-        if step is None or run.phase is not RunPhase.RUNNING:
-            continue
-        if step.job.priority <= queue.priority or now < run.began_at + MIN_RUN_S:
-            continue
-        spec = step.spec
-        if spec.saves_progress and not (spec.gang or spec.perpetual or spec.fills):
-            found.append(run)
-    return sorted(found, key=lambda run: -run.amount.millicores)
+def _under_ceiling(
+    used: Resources, amount: Resources, ceiling: Resources, count: int
+) -> bool:
+    parts = quota_parts(used, amount, ceiling)
+    return all(not most or has + one * count <= most for has, one, most in parts)
--- a/tamarackmount/scheduling/ranking.py
+++ b/tamarackmount/scheduling/ranking.py
@@ -2,8 +2,9 @@
 
 Load pattern: a burst of urgent small jobs on a pool full of long ones, while one team
 sends many times its usual. Urgent jobs that can still be on time go first, then others
-by the latest time at which they have to start; jobs beyond their team's share, then
-those that will be late, then those that are worth nothing any more, get what is left.
+by the latest time at which they have to start, urgent ones that are late among them as
+they take room for a second only; jobs beyond their team's share, then other late ones,
+then those that are worth nothing any more, get what is left.
 """
 
 from enum import IntEnum
@@ -39,18 +40,20 @@
         return Tier.IN_TIME
     if now > job.start_late_by:
         return Tier.TOO_LATE
-    if now > job.start_by:
+    is_urgent = job.priority == URGENT_PRIORITY
+    is_late = now > job.start_by
+    if is_late and not is_urgent:
         return Tier.LATE
     if job.over_share:
         return Tier.OVER_SHARE
-    return Tier.URGENT if job.priority == URGENT_PRIORITY else Tier.IN_TIME
+    return Tier.URGENT if is_urgent and not is_late else Tier.IN_TIME
 
 
 def rank(step: StepState, now: Instant) -> Rank:
     """Return the step's sort key; lower ones are served first."""
-    found = tier(step, now)
-    by = step.job.start_late_by if found >= Tier.LATE else step.job.start_by
-    return found, by, step.key.job_id, step.key.step
+    job = step.job
+    by = job.start_late_by if now > job.start_by else job.start_by
+    return tier(step, now), by, step.key.job_id, step.key.step
 
 
 class TeamShares:
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -89,7 +89,6 @@
     advice: StepAdvice = field(default_factory=StepAdvice)
     failed_on: set[WorkerId] = field(default_factory=set)
     not_before: Instant = Instant(0.0)
-    preempt_again_at: Instant = Instant(0.0)
     due_unix_ms: int = 0
     waits_for: WaitReason = WaitReason.NONE
 
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -14,7 +14,7 @@
 from tamarackmount.scheduling.cell import Cell
 from tamarackmount.scheduling.effects import Effect
 from tamarackmount.scheduling.ends import end_job, make_ready
-from tamarackmount.scheduling.fleet import Fleet
+from tamarackmount.scheduling.fleet import Fleet, Queue
 from tamarackmount.scheduling.journal import (
     RecordKind,
     WorkerRecord,
@@ -33,8 +33,8 @@
 from tamarackmount.scheduling.objectives import set_objective
 from tamarackmount.scheduling.orders import start_answered, stop_answered
 from tamarackmount.scheduling.placing import place
-from tamarackmount.scheduling.preempting import preempt
-from tamarackmount.scheduling.runs import JobState, make_job
+from tamarackmount.scheduling.preempting import Preemption
+from tamarackmount.scheduling.runs import JobState, StepState, make_job
 from tamarackmount.scheduling.tickets import AdviceAnswer
 from tamarackmount.scheduling.worker_reports import (
     OrderResult,
@@ -186,8 +186,7 @@
                 cell.ready_by_key[step.key] = step
         watch_workers(cell, now)
         if cell.ready_by_key:
-            for step, queue in place(cell, now)[:MAX_PREEMPTING]:
-                preempt(cell, step, queue, now)
+            self._make_room(place(cell, now)[:MAX_PREEMPTING], now)
         self._advising.ask(now)
 
     def take_effects(self) -> list[Effect]:
@@ -240,7 +239,7 @@
             worker.recorded = True
             if ack > worker.stored_end:
                 worker.stored_end = ack
-                worker.next_hold_at = now
+                worker.next_hold_at = max(now, worker.look_again_at)
         cell.place_needed = True
 
     def phase(self, job_id: JobId) -> JobPhase | None:
@@ -274,6 +273,13 @@
             make_ready(cell, step)
         self._end_if_over(job.job_id, now)
 
+    def _make_room(self, starved: list[tuple[StepState, Queue]], now: Instant) -> None:
+        if not starved:
+            return
+        round_ = Preemption(self._cell, now)
+        for step, queue in starved:
+            round_.make_room(step, queue)
+
     def _set_queue(self, job: JobState) -> None:
         cell = self._cell
         queue = cell.queue_of(job)
--- a/tamarackmount/scheduling/worker_watch.py
+++ b/tamarackmount/scheduling/worker_watch.py
@@ -45,6 +45,10 @@
 """Pause between looks while ends are not stored, in seconds: they are listed again at
 once each time."""
 
+LOOK_GAP_S = 0.1
+"""Least time between two looks at one worker, in seconds: each is paid for, and ends
+that come within it are told together; urgent jobs have half a second to spare."""
+
 RETRY_HOLD_S = 0.3
 """Pause after a look without an answer, in seconds."""
 
@@ -143,7 +147,8 @@
         if ended.number > worker.known_end:
             take_end(cell, worker, ended, now)
     _compare_runs(cell, worker, answer, sent, now)
-    worker.next_hold_at = now
+    worker.look_again_at = Instant(now + LOOK_GAP_S)
+    worker.next_hold_at = worker.look_again_at if answer.ended else now
     if worker.known_end > worker.stored_end:
         worker.next_hold_at = Instant(now + UNSTORED_HOLD_S)
 
--- a/tamarackmount/scheduling/workers.py
+++ b/tamarackmount/scheduling/workers.py
@@ -51,6 +51,7 @@
     lease_ends: Instant = Instant(0.0)
     hold_in_flight: bool = False
     next_hold_at: Instant = Instant(0.0)
+    look_again_at: Instant = Instant(0.0)
     rest_until: Instant = Instant(0.0)
     silent_since: Instant | None = None
     failures_in_row: int = 0
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,67 @@
+"""Claims of the scheduling, over the store's rules for producers."""
+
+from typing import Any
+
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import Clock
+
+from tamarackmount.ids import Epoch, MemberId, Offset
+from tamarackmount.node.claims import HOLDER_TOPIC, Claim, claim
+from tamarackmount.node.fenced_log import FencedLog
+from tamarackmount.platform.store import Appended, Fenced, KeyedRecord, Topic
+from tests.utils.memory_store import MemoryStore
+
+JOBS = Topic("keyed.jobs")
+ROW = KeyedRecord("progress/1", b"{}")
+
+
+def make() -> tuple[Clock, Any]:
+    clock = Clock()
+    return clock, MemoryStore(clock)
+
+
+def run_claims(clock: Clock, store: Any, *nodes: str) -> list[Claim | None]:
+    results: list[Claim | None] = []
+    for node in nodes:
+        claiming = ensureDeferred(claim(clock, store, MemberId(node), 1, Offset(0)))
+        claiming.addCallback(results.append)
+    clock.pump([0.05] * 60)
+    return results
+
+
+def test_of_two_claims_at_one_offset_one_is_accepted() -> None:
+    clock, store = make()
+    results = run_claims(clock, store, "a", "b")
+    assert len(results) == 2
+    assert sum(1 for found in results if found is not None) == 1
+    assert len(store.records(HOLDER_TOPIC)) == 1
+
+
+def test_a_claim_whose_answer_is_lost_counts_once() -> None:
+    clock, store = make()
+    store.lose_answers = 2
+    results = run_claims(clock, store, "a")
+    assert [found is not None for found in results] == [True]
+    assert len(store.records(HOLDER_TOPIC)) == 1
+
+
+def test_a_later_holder_fences_the_writes_of_an_earlier_one() -> None:
+    clock, store = make()
+    early = FencedLog(clock, store, JOBS, Epoch(3))
+    late = FencedLog(clock, store, JOBS, Epoch(9))
+    results: list[object] = []
+    for log in (early, late, early):
+        ensureDeferred(log.append([ROW])).addCallback(results.append)
+        clock.pump([0.05] * 10)
+    assert [type(result) for result in results] == [Appended, Appended, Fenced]
+
+
+def test_an_append_whose_answer_is_lost_is_stored_once() -> None:
+    clock, store = make()
+    log = FencedLog(clock, store, JOBS, Epoch(3))
+    store.lose_answers = 3
+    results: list[object] = []
+    ensureDeferred(log.append([ROW])).addCallback(results.append)
+    clock.pump([0.1] * 80)
+    assert [type(result) for result in results] == [Appended]
+    assert len(store.records(JOBS)) == 1
--- /dev/null
+++ b/tests/test_licence.py
@@ -0,0 +1,109 @@
+"""What a holder may do while the store does not hear it."""
+
+import pytest
+
+from tamarackmount.ids import DataCentreId, Instant, MemberId
+from tamarackmount.scheduling.holdership import (
+    SILENCE_S,
+    Candidate,
+    HolderWatch,
+    claim_turn,
+)
+from tamarackmount.scheduling.journal import HolderRecord
+from tamarackmount.scheduling.licence import (
+    FULL_S,
+    KEEP_S,
+    NO_CONTACT_MS,
+    Licence,
+    licence,
+)
+
+ME = MemberId("a")
+OTHER = MemberId("b")
+AWAY_MS = NO_CONTACT_MS + 1
+
+
+@pytest.mark.parametrize(
+    ("age_s", "ages_ms", "expected"),
+    [
+        (0.0, [], Licence.FULL),
+        (FULL_S + 0.1, [], Licence.KEEP),
+        (FULL_S + 0.1, [AWAY_MS] * 8, Licence.FULL),
+        (FULL_S + 0.1, [AWAY_MS] * 7 + [10], Licence.KEEP),
+        (FULL_S + 0.1, [AWAY_MS] * 3, Licence.KEEP),
+        (KEEP_S + 0.1, [AWAY_MS] * 3, Licence.NONE),
+        (KEEP_S + 10.0, [AWAY_MS] * 8, Licence.FULL),
+    ],
+)
+def test_a_holder_goes_on_only_while_nobody_can_claim(
+    age_s: float, ages_ms: list[int], expected: Licence
+) -> None:
+    assert licence(age_s, 8, ages_ms) is expected
+
+
+def test_a_holder_starts_nothing_any_more_when_others_claim() -> None:
+    assert FULL_S < SILENCE_S
+
+
+def watch_of(record: HolderRecord | None) -> HolderWatch:
+    watch = HolderWatch(Instant(10.0), Instant(10.0))
+    watch.heard(record, Instant(10.0))
+    return watch
+
+
+def test_silence_is_claimed_after_its_time_and_by_turns() -> None:
+    watch = watch_of(HolderRecord(OTHER, 5, 1, 100))
+    now = Instant(10.0 + SILENCE_S)
+    watch.read(Instant(11.0))
+    watch.read(now)
+    assert not watch.should_claim(0, {}, Instant(now - 0.1))
+    assert watch.should_claim(0, {}, now)
+    assert not watch.should_claim(1, {}, now)
+
+
+def test_silence_does_not_count_while_the_store_is_not_read() -> None:
+    watch = watch_of(HolderRecord(OTHER, 5, 1, 100))
+    assert not watch.should_claim(0, {}, Instant(20.0))
+    watch.read(Instant(20.0))
+    assert not watch.should_claim(0, {}, Instant(20.1))
+
+
+def test_a_holder_whose_vm_runs_a_later_process_is_replaced_at_once() -> None:
+    watch = watch_of(HolderRecord(OTHER, 5, 1, 100))
+    assert watch.should_claim(0, {OTHER: 101}, Instant(10.0))
+    assert not watch.should_claim(0, {OTHER: 100}, Instant(10.0))
+    assert watch.last_order_in_s({OTHER: 101}) == 0.0
+    assert watch.last_order_in_s({OTHER: 100}) > 0.0
+
+
+def test_a_sign_of_life_of_an_earlier_epoch_is_not_taken() -> None:
+    watch = watch_of(HolderRecord(OTHER, 5, 1, 100))
+    watch.heard(HolderRecord(ME, 4, 9, 100), Instant(12.0))
+    assert watch.record is not None
+    assert watch.record.epoch == 5
+    assert watch.silent_since == Instant(10.0)
+
+
+def candidate(name: str, data_centre: str, cores: float = 1.0) -> Candidate:
+    return Candidate(MemberId(name), DataCentreId(data_centre), cores)
+
+
+def turns(rows: list[Candidate], names: str, former: MemberId | None) -> list[int]:
+    return [claim_turn(MemberId(name), rows, former) for name in names]
+
+
+def test_nodes_with_most_processor_time_claim_first() -> None:
+    rows = [candidate("a", "x", 0.5), candidate("b", "x", 2), candidate("c", "x", 2)]
+    assert turns(rows, "bca", None) == [0, 1, 2]
+
+
+def test_data_centres_take_turns_and_that_of_the_lost_holder_is_last() -> None:
+    rows = [candidate(name, "x") for name in "abc"]
+    rows += [candidate("d", "y"), candidate("e", "y"), candidate("f", "z")]
+    assert turns(rows, "adfbec", None) == [0, 1, 2, 3, 4, 5]
+    assert turns(rows, "dfebc", MemberId("a")) == [0, 1, 2, 3, 4]
+
+
+def test_a_restarted_holder_is_first_on_its_own_vm() -> None:
+    rows = [candidate("a", "x"), candidate("b", "y")]
+    assert claim_turn(MemberId("a"), rows, MemberId("a")) == 0
--- /dev/null
+++ b/tests/test_scheduling_takeover.py
@@ -0,0 +1,181 @@
+"""What a new holder knows, and what it does not do before it knows."""
+
+from collections.abc import Iterable
+
+from tamarackmount.ids import Instant, JobId, Offset
+from tamarackmount.resources import Resources
+from tamarackmount.scheduling.book import JobBook
+from tamarackmount.scheduling.journal import encode_record, job_key
+from tamarackmount.scheduling.model import AcceptedJob, JobPhase, TaskKey
+from tamarackmount.scheduling.worker_reports import RunEnd, WorkerTrouble
+from tamarackmount.scheduling.workers import UNKNOWN_LEASE_S
+from tests.utils.build_scheduling import (
+    CEILING,
+    Cell,
+    ended,
+    entry,
+    job,
+    life,
+    report,
+    step,
+)
+
+
+def book_of(jobs: Iterable[AcceptedJob], *batches: dict[str, bytes]) -> JobBook:
+    """Return what a node reads from the store."""
+    book = JobBook()
+    for accepted in jobs:
+        book.apply(job_key(accepted), encode_record(accepted), Offset(0))
+    for batch in batches:
+        for key, value in batch.items():
+            book.apply(key, value, Offset(0))
+    return book
+
+
+def successor(
+    before: Cell, book: JobBook, stops_in_s: float = 0.0, ceiling: Resources = CEILING
+) -> Cell:
+    """Return the cell of a new holder."""
+
+    def find_job(job_id: JobId) -> AcceptedJob | None:
+        known = book.jobs_by_id.get(job_id)
+        return known.accepted if known is not None else None
+
+    cell = Cell(ceiling=ceiling, find_job=find_job)
+    cell.now = before.now
+    cell.scheduler.restore(
+        book.open_jobs(),
+        book.workers(),
+        Instant(cell.now + stops_in_s),
+        cell.now,
+        cell.unix_ms,
+    )
+    return cell
+
+
+def test_a_takeover_keeps_what_runs() -> None:
+    before = Cell()
+    before.list_workers(entry("w1"))
+    before.add(job())
+    (start,) = before.answer_starts()
+    book = book_of([job()], before.store())
+    cell = successor(before, book)
+    cell.scheduler.set_workers([entry("w1")], cell.now)
+    cell.hold(report(running=((start.order.task, 1),)))
+    cell.store()
+    cell.tick(1.0)
+    assert not cell.starts
+    assert not cell.stops
+
+
+def test_a_task_recorded_on_an_unreachable_worker_waits_for_its_lease() -> None:
+    before = Cell()
+    before.list_workers(entry("w1"))
+    before.add(job())
+    before.answer_starts()
+    book = book_of([job()], before.store())
+    cell = successor(before, book)
+    cell.list_workers(entry("w2"))
+    for _ in range(int(UNKNOWN_LEASE_S * 10) - 1):
+        cell.hold(WorkerTrouble.SILENT, life("w1"))
+        cell.tick(0.1)
+        assert not cell.starts
+    cell.tick(0.5)
+    assert [start.order.life for start in cell.starts] == [life("w2")]
+
+
+def test_a_task_that_a_silent_holder_may_have_started_waits_too() -> None:
+    before = Cell()
+    before.list_workers(entry("w1"))
+    records = before.store()
+    book = book_of(
+        [job()],
+        records,
+        {
+            "worker/w1@1": b'{"life":["w1",1],'
+            b'"service":"counter","address":"w1:1","ack":0,"runs":[]}'
+        },
+    )
+    silent = successor(before, book, stops_in_s=1.5)
+    silent.list_workers(entry("w2"))
+    assert not silent.starts
+    released = successor(before, book)
+    released.list_workers(entry("w2"))
+    assert len(released.starts) == 1
+
+
+def test_what_may_run_counts_towards_the_ceiling() -> None:
+    ceiling = Resources(1_000, 0, 0)
+    before = Cell(ceiling=ceiling)
+    before.list_workers(entry("w1"))
+    before.add(job(1))
+    before.answer_starts()
+    book = book_of([job(1), job(2)], before.store())
+    cell = successor(before, book, ceiling=ceiling)
+    cell.list_workers(entry("w2"))
+    cell.tick(1.0)
+    assert not cell.starts
+
+
+def test_an_end_that_the_store_has_is_not_counted_again() -> None:
+    before = Cell()
+    before.list_workers(entry("w1"))
+    before.add(job())
+    (start,) = before.answer_starts()
+    row = ended(1, start.order.task, 1, RunEnd.FAILED)
+    before.hold(report(ended=(row,)))
+    book = book_of([job()], before.store())
+    cell = successor(before, book)
+    cell.scheduler.set_workers([entry("w1")], cell.now)
+    cell.hold(report(ended=(row,)))
+    assert cell.scheduler.phase(job().job_id) is JobPhase.RUNNING
+
+
+def test_a_done_task_is_not_started_again() -> None:
+    two = job(1, step(count=2))
+    before = Cell()
+    before.list_workers(entry("w1"))
+    before.add(two)
+    first, second = before.answer_starts()
+    row = ended(1, first.order.task, first.order.run, RunEnd.DONE)
+    running = ((second.order.task, second.order.run),)
+    before.hold(report(ended=(row,), running=running))
+    cell = successor(before, book_of([two], before.store()))
+    cell.list_workers(entry("w2"))
+    cell.tick(UNKNOWN_LEASE_S + 1.0)
+    assert [start.order.task for start in cell.starts] == [second.order.task]
+
+
+def test_a_cancelled_jobs_run_is_stopped_by_the_next_holder() -> None:
+    before = Cell()
+    before.list_workers(entry("w1"))
+    before.add(job())
+    (start,) = before.answer_starts()
+    cancel = {f"cancel/{job().job_id}": b'{"cancelled_unix_ms":1}'}
+    cell = successor(before, book_of([job()], before.store(), cancel))
+    cell.scheduler.set_workers([entry("w1")], cell.now)
+    cell.hold(report(running=((start.order.task, 1),)))
+    assert [stop.task for stop in cell.stops][:1] == [start.order.task]
+    assert cell.scheduler.phase(job().job_id) is JobPhase.CANCELLED
+
+
+def test_a_job_whose_last_end_was_stored_is_completed() -> None:
+    before = Cell()
+    before.list_workers(entry("w1"))
+    before.add(job())
+    (start,) = before.answer_starts()
+    before.hold(report(ended=(ended(1, start.order.task, 1, RunEnd.DONE),)))
+    records = before.store()
+    key = f"progress/{job().job_id}"
+    assert b"completed" in records[key]
+    book = book_of([job()], records)
+    assert book.phase(job().job_id) is JobPhase.COMPLETED
+    assert not list(book.open_jobs())
+
+
+def test_a_run_of_a_job_that_nobody_knows_is_stopped() -> None:
+    cell = Cell()
+    cell.scheduler.set_workers([entry("w1")], cell.now)
+    stray = TaskKey(JobId("f" * 16), 0, 0, 0)
+    cell.hold(report(running=((stray, 3),)))
+    assert [(stop.task, stop.run) for stop in cell.stops] == [(stray, 3)]
