Logs that never block, metrics on the metrics address, histograms of each hop

Change: a handler over a non-blocking descriptor with a bounded buffer, counted drops by message and errors kept; NodeMetrics served at PORT/metrics; a scheduler reports what it decides to an Observer. The line 'job handed in' has the inputs of the decision.

--- a/tamarackmount/daemon/http_answers.py
+++ b/tamarackmount/daemon/http_answers.py
@@ -7,8 +7,8 @@
 
 from twisted.web.http import Request
 
-from tamarackmount.daemon.metrics import TEXT_FORMAT
 from tamarackmount.ids import RequestId, UpstreamId
+from tamarackmount.internal.metrics_text import TEXT_FORMAT
 from tamarackmount.kernel.messages import HttpHeader, Outcome, RefusalReason
 
 _OUTCOME_TEXTS = {
--- a/tamarackmount/daemon/metrics.py
+++ b/tamarackmount/daemon/metrics.py
@@ -1,21 +1,13 @@
 """Metrics of one member, in the Prometheus text format by aioprometheus."""
 
-from aioprometheus import Counter, Gauge, Histogram, Registry, render
+from aioprometheus import Counter, Gauge, Histogram, Registry
 
 from tamarackmount.ids import QueueName
 from tamarackmount.internal.links import LinkCounters
+from tamarackmount.internal.metrics_text import SECONDS_BUCKETS
 from tamarackmount.kernel.messages import Outcome
 from tamarackmount.kernel.node import Node
 
-TEXT_FORMAT = "text/plain; version=0.0.4; charset=utf-8"
-"""Content type of the Prometheus text format."""
-
-REQUEST_BUCKETS_S = (
-    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0,
-    float("inf"),
-)  # fmt: skip
-"""Upper bounds of the request time histogram, in seconds."""
-
 
 class RequestMetrics:
     """Counts and times of callers' requests."""
@@ -31,7 +23,7 @@
             "tamarackmount_request_seconds",
             "Time from arrival to the final answer, by queue.",
             registry=registry,
-            buckets=REQUEST_BUCKETS_S,
+            buckets=SECONDS_BUCKETS,
         )
 
     def finished(self, queue: QueueName, outcome: Outcome, elapsed_s: float) -> None:
@@ -67,9 +59,3 @@
             gauge = Gauge(f"tamarackmount_{name}", text, registry=self._registry)
             self._gauges_by_name[name] = gauge
         gauge.set({}, value)
-
-
-def render_metrics(registry: Registry) -> bytes:
-    """Return the registry in the text format."""
-    content, _headers = render(registry, [TEXT_FORMAT])
-    return bytes(content)
--- a/tamarackmount/daemon/service.py
+++ b/tamarackmount/daemon/service.py
@@ -22,7 +22,7 @@
 from tamarackmount.daemon.http_front import Admission, Front, HttpSink
 from tamarackmount.daemon.http_request import BoundedRequest
 from tamarackmount.daemon.job_calls import JobCalls
-from tamarackmount.daemon.metrics import MemberMetrics, RequestMetrics, render_metrics
+from tamarackmount.daemon.metrics import MemberMetrics, RequestMetrics
 from tamarackmount.daemon.node_settings import (
     addresses_of,
     member_of,
@@ -56,6 +56,7 @@
 from tamarackmount.internal.codec import Envelope
 from tamarackmount.internal.links import PeerLinks
 from tamarackmount.internal.member_codec import MEMBER_CODEC
+from tamarackmount.internal.metrics_text import render_metrics
 from tamarackmount.kernel.effects import (
     AbortCall,
     Address,
--- a/tamarackmount/node/front.py
+++ b/tamarackmount/node/front.py
@@ -17,6 +17,7 @@
 from tamarackmount.ids import Instant, JobId, TeamId
 from tamarackmount.internal.keys import hash_key
 from tamarackmount.node import clock
+from tamarackmount.node.metrics import NodeMetrics
 from tamarackmount.platform.jobs import decode_job, encode_state, encode_waiting
 from tamarackmount.scheduling.fleet import Fleet, Queue
 from tamarackmount.scheduling.model import AcceptedJob, JobPhase
@@ -106,10 +107,11 @@
 
     isLeaf = True  # noqa: N815  (twisted's name)
 
-    def __init__(self, jobs: Jobs) -> None:
+    def __init__(self, jobs: Jobs, metrics: NodeMetrics) -> None:
         """Serve the jobs of one node."""
         Resource.__init__(self)
         self._jobs = jobs
+        self._metrics = metrics
         self._verbs: dict[str, Callable[[Call], Any]] = {
             "POST": self._submit,
             "GET": self._ask,
@@ -125,6 +127,7 @@
         return NOT_DONE_YET
 
     async def _serve(self, request: BoundedRequest, caller: "_Caller") -> None:
+        begun = clock.now()
         try:
             answer = await self._answer(request)
         except Exception:
@@ -133,6 +136,8 @@
             raise
         self.in_flight -= 1
         caller.write(answer, self._jobs.is_draining)
+        verb = request.method.decode("latin-1")
+        self._metrics.called(verb, answer.status.value, clock.now() - begun)
 
     async def _answer(self, request: BoundedRequest) -> Answer:
         fleet = self._jobs.fleet
--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -16,6 +16,7 @@
 from tamarackmount.node.fenced_log import FencedLog
 from tamarackmount.node.journal_writer import JournalWriter, WriterEvents
 from tamarackmount.node.licence_check import LicenceCheck
+from tamarackmount.node.metrics import NodeMetrics
 from tamarackmount.node.peer_calls import PeerCalls
 from tamarackmount.node.submissions import Stored
 from tamarackmount.node.tail import TopicTail
@@ -81,6 +82,7 @@
     workers: WorkerCalls
     advice: AdviceService
     peers: PeerCalls
+    metrics: NodeMetrics
 
 
 class Holder:
@@ -108,7 +110,7 @@
         self._poked = False
         self._entries_by_id: dict[str, WorkerEntry] = {}
         self._semaphores_by_life: dict[WorkerLife, DeferredSemaphore] = {}
-        self.scheduler = Scheduler(claimed.epoch, self._find_job)
+        self.scheduler = Scheduler(claimed.epoch, self._find_job, parts.metrics)
         self.scheduler.set_fleet(fleet, clock.now())
         events = WriterEvents(self._take_batch, self._stored, self._fenced)
         self._log = FencedLog(parts.reactor, parts.store, parts.topic, claimed.epoch)
@@ -266,6 +268,7 @@
         result = await self._parts.workers.start(
             effect.address, order, self._epoch, deadline
         )
+        self._parts.metrics.ordered("start", result.value)
         if self._is_over:
             return
         self.scheduler.start_answered(
@@ -286,6 +289,7 @@
             self._epoch,
             deadline,
         )
+        self._parts.metrics.ordered("stop", result.value)
         if self._is_over:
             return
         self.scheduler.stop_answered(
--- /dev/null
+++ b/tamarackmount/node/metrics.py
@@ -0,0 +1,101 @@
+"""Counters and latency histograms of one node."""
+
+from typing import Any
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from twisted.web.resource import Resource
+
+from tamarackmount.internal.metrics_text import (
+    SECONDS_BUCKETS,
+    TEXT_FORMAT,
+    render_metrics,
+)
+
+
+class NodeMetrics:
+    """What an entry VM counts; names follow Prometheus' conventions."""
+
+    def __init__(self) -> None:
+        """Register every collector."""
+        self.registry = Registry()
+        self._calls = Counter(
+            "tamarackmount_calls_total",
+            "Callers' calls by verb and status.",
+            registry=self.registry,
+        )
+        self._call_seconds = self._histogram(
+            "tamarackmount_call_seconds", "From a call's arrival to its answer."
+        )
+        self._stored_seconds = self._histogram(
+            "tamarackmount_store_record_seconds",
+            "From a caller's job or cancelling to the store's word, by result.",
+        )
+        self._wait_seconds = self._histogram(
+            "tamarackmount_first_start_seconds",
+            "From a job's acceptance to the order of its first start, by queue.",
+        )
+        self._job_seconds = self._histogram(
+            "tamarackmount_job_seconds",
+            "From a job's acceptance to its end, by queue and phase.",
+        )
+        self._runs = Counter(
+            "tamarackmount_run_ends_total",
+            "Ends of runs by how they ended.",
+            registry=self.registry,
+        )
+        self._orders = Counter(
+            "tamarackmount_orders_total",
+            "Orders to workers by verb and result.",
+            registry=self.registry,
+        )
+        self._is_holder = Gauge(
+            "tamarackmount_holder", "1 while this node schedules.", self.registry
+        )
+
+    def called(self, verb: str, status: int, took_s: float) -> None:
+        """Count a caller's call."""
+        self._calls.inc({"verb": verb, "status": str(status)})
+        self._call_seconds.observe({"verb": verb}, took_s)
+
+    def stored(self, result: str, took_s: float) -> None:
+        """Count a record that a caller waited for."""
+        self._stored_seconds.observe({"result": result}, took_s)
+
+    def first_start(self, queue: str, waited_s: float) -> None:
+        """Count a job's first start."""
+        self._wait_seconds.observe({"queue": queue}, waited_s)
+
+    def job_ended(self, queue: str, phase: str, age_s: float) -> None:
+        """Count a job's end."""
+        self._job_seconds.observe({"queue": queue, "phase": phase}, age_s)
+
+    def run_ended(self, how: str) -> None:
+        """Count the end of a run."""
+        self._runs.inc({"how": how})
+
+    def ordered(self, verb: str, result: str) -> None:
+        """Count an order to a worker."""
+        self._orders.inc({"verb": verb, "result": result})
+
+    def holds(self, is_holder: bool) -> None:
+        """Note whether this node schedules."""
+        self._is_holder.set({}, int(is_holder))
+
+    def _histogram(self, name: str, text: str) -> Any:
+        return Histogram(name, text, registry=self.registry, buckets=SECONDS_BUCKETS)
+
+
+class MetricsFront(Resource):
+    """Serves the metrics as text."""
+
+    isLeaf = True  # noqa: N815  (twisted's name)
+
+    def __init__(self, metrics: NodeMetrics) -> None:
+        """Serve ``metrics``."""
+        Resource.__init__(self)
+        self._metrics = metrics
+
+    def render(self, request: Any) -> bytes:
+        """Answer every path alike."""
+        request.setHeader(b"content-type", TEXT_FORMAT.encode())
+        return render_metrics(self._metrics.registry)
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -40,6 +40,7 @@
     StoreQuery,
     StoreReply,
 )
+from tamarackmount.node.metrics import MetricsFront, NodeMetrics
 from tamarackmount.node.peer_calls import PeerCalls, QueryReply
 from tamarackmount.node.submissions import Stored, Submissions
 from tamarackmount.node.tail import TopicTail
@@ -67,7 +68,7 @@
     job_key,
     record_key,
 )
-from tamarackmount.scheduling.model import AcceptedJob, JobPhase, StepKey
+from tamarackmount.scheduling.model import AcceptedJob, JobPhase, StepKey, step_text
 from tamarackmount.units import MS_PER_SECOND
 
 JOBS_TOPIC = Topic("keyed.jobs")
@@ -152,7 +153,8 @@
         self._is_claiming = False
         self._fleet: Fleet | None = None
         self._is_draining = False
-        self._front = JobsFront(self)
+        self._metrics = NodeMetrics()
+        self._front = JobsFront(self, self._metrics)
         self._handlers: dict[type, Callable[[MemberId, Any], None]] = {
             JobStored: self._hear_job,
             CancelStored: self._hear_cancel,
@@ -223,6 +225,8 @@
         self._listen(settings.entry_address, JobsSite(self._front))
         ready = QuietSite(ReadyFront(self._is_ready))
         self._listen(settings.ready_address, ready)
+        metrics = QuietSite(MetricsFront(self._metrics))
+        self._listen(PeerAddress(settings.ip, settings.metrics_port), metrics)
         self._links.listen(PeerAddress(settings.ip, settings.peer_port))
         self._config_tail.start()
         self._jobs_tail.start()
@@ -258,8 +262,21 @@
         if self._book.phase(job.job_id) is not None:
             return Answer(Status.OK)
         record = KeyedRecord(job_key(job), encode_record(job))
+        begun = clock.now()
         stored = await self._submissions.store(record, deadline)
-        extra = {"job": job.job_id, "queue": job.queue, "stored": stored.value}
+        took_s = clock.now() - begun
+        self._metrics.stored(stored.value, took_s)
+        extra = {
+            "job": job.job_id,
+            "queue": job.queue,
+            "team": job.team_id,
+            "steps": [step_text(step) for step in job.spec.steps],
+            "stored": stored.value,
+            "took_s": round(took_s, 3),
+            "left_s": round(deadline - clock.now(), 3),
+            "config": self._fleet.version if self._fleet is not None else None,
+            "holder": self._watch.record.node if self._watch.record else None,
+        }
         _log.info("job handed in", extra=extra)
         if stored is Stored.YES:
             self._job_stored(job, record.value)
@@ -531,6 +548,7 @@
             WorkerCalls(self._http),
             self._advice,
             self._peers,
+            self._metrics,
         )
         holder = Holder(
             parts, claimed, self._book, fleet, last_order, self._holder_ended
@@ -547,12 +565,14 @@
             holder.stop()
             return
         self._holder = holder
+        self._metrics.holds(True)
         _log.info("scheduling held", extra={"epoch": claimed.epoch})
         holder.start()
 
     def _holder_ended(self, reason: str) -> None:
         _log.warning("scheduling given up", extra={"reason": reason})
         self._holder = None
+        self._metrics.holds(False)
 
     def _receive(self, envelope: Envelope[NodeMessage]) -> None:
         handler = self._handlers[type(envelope.message)]
--- a/tamarackmount/node/run.py
+++ b/tamarackmount/node/run.py
@@ -8,6 +8,7 @@
 from returns.result import Failure
 from twisted.internet import reactor
 from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import LoopingCall
 from twisted.python.log import PythonLoggingObserver
 
 from tamarackmount.internal import jsonlog
@@ -16,13 +17,16 @@
 from tamarackmount.platform.boot import decode_boot, settings_path
 from tamarackmount.status import ExitStatus
 
+LOG_FLUSH_S = 0.5
+"""Pause between two tries to write lines that a slow reader left, in seconds."""
+
 _TWISTED = "tamarackmount.twisted"
 _log = logging.getLogger(__name__)
 
 
 def run() -> ExitStatus:
     """Run a node until it is told to stop, and return its exit status."""
-    jsonlog.configure(sys.stdout)
+    handler = jsonlog.configure(sys.stdout)
     PythonLoggingObserver(_TWISTED).start()
     logging.getLogger(_TWISTED).setLevel(logging.WARNING)
     settings = decode_boot(settings_path().read_bytes())
@@ -40,6 +44,9 @@
     signal.signal(signal.SIGTERM, lambda *_: loop.callFromThread(drain))
     signal.signal(signal.SIGINT, lambda *_: loop.callFromThread(drain))
     signal.signal(signal.SIGHUP, lambda *_: loop.callFromThread(_reloaded))
+    flushes = LoopingCall(handler.flush)
+    flushes.clock = loop
+    flushes.start(LOG_FLUSH_S, now=False)
     loop.callWhenRunning(node.start)
     loop.run(installSignalHandlers=False)
     return ExitStatus.OK
--- a/tamarackmount/scheduling/cell.py
+++ b/tamarackmount/scheduling/cell.py
@@ -17,6 +17,7 @@
     TaskKey,
     WorkerLife,
 )
+from tamarackmount.scheduling.observer import NoObserver, Observer
 from tamarackmount.scheduling.ranking import TeamShares
 from tamarackmount.scheduling.runs import JobState, Run, RunPhase, StepState
 from tamarackmount.scheduling.workers import WorkerState
@@ -50,6 +51,7 @@
     changed_workers: set[WorkerLife] = field(default_factory=set)
     removed_workers: set[WorkerLife] = field(default_factory=set)
     effects: list[Effect] = field(default_factory=list)
+    observer: Observer = field(default_factory=NoObserver)
     forecast: Forecast = field(default_factory=Forecast)
     shares: TeamShares = field(default_factory=TeamShares)
     has_unknown_starts: bool = False
--- a/tamarackmount/scheduling/ends.py
+++ b/tamarackmount/scheduling/ends.py
@@ -32,6 +32,7 @@
     step = cell.step_of(ended.task)
     if run is not None:
         _log_end(worker, ended, now, run)
+        cell.observer.run_ended(ended.how.value)
     if step is not None and not step.job.phase.is_final:
         step.run_number = max(step.run_number, ended.run)
         if ended.checkpoint:
@@ -178,6 +179,7 @@
         "late": now > job.aim,
     }
     _log.info("job ended", extra=extra)
+    cell.observer.job_ended(job.accepted.queue, phase.value, now - job.came_at)
 
 
 def _log_end(worker: WorkerState, ended: EndedRun, now: Instant, run: Run) -> None:
--- a/tamarackmount/scheduling/model.py
+++ b/tamarackmount/scheduling/model.py
@@ -93,6 +93,21 @@
     may_miss: int = 0
 
 
+_FLAGS = ("gang", "same_rack", "saves_progress", "speculative", "perpetual", "fills")
+
+
+def step_text(step: StepSpec) -> str:
+    """Return a step's tasks and wishes in a few words, for logs."""
+    amount = step.amount
+    wishes = [name for name in _FLAGS if getattr(step, name)]
+    for name in ("label", "rack", "max_per_worker", "target_ms", "may_miss", "image"):
+        value = getattr(step, name)
+        if value:
+            wishes.append(f"{name}={value}")
+    size = f"{amount.millicores}m/{amount.memory_mib}MiB/{amount.accelerators}acc"
+    return " ".join((f"{step.count}x{size}", f"{step.estimated_ms}ms", *wishes))
+
+
 @dataclass(frozen=True, slots=True)
 class JobSpec:
     """What a job consists of; a job without repetitions runs once, at once."""
--- a/tamarackmount/scheduling/placing.py
+++ b/tamarackmount/scheduling/placing.py
@@ -293,6 +293,7 @@
     if job.phase is JobPhase.QUEUED:
         job.phase = JobPhase.RUNNING
         cell.changed_jobs.add(job.job_id)
+        cell.observer.first_start(job.accepted.queue, now - job.came_at)
     order = StartOrder(
         life=worker.life,
         task=run.task,
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -31,6 +31,7 @@
     WorkerLife,
 )
 from tamarackmount.scheduling.objectives import set_objective
+from tamarackmount.scheduling.observer import NoObserver, Observer
 from tamarackmount.scheduling.orders import start_answered, stop_answered
 from tamarackmount.scheduling.placing import place
 from tamarackmount.scheduling.preempting import Preemption
@@ -72,10 +73,13 @@
     """Accepts, places, watches and ends jobs under one token."""
 
     def __init__(
-        self, token: Epoch, find_job: Callable[[JobId], AcceptedJob | None]
+        self,
+        token: Epoch,
+        find_job: Callable[[JobId], AcceptedJob | None],
+        observer: Observer | None = None,
     ) -> None:
         """Begin under ``token``; ``find_job`` looks any accepted job up."""
-        self._cell = Cell(token, find_job)
+        self._cell = Cell(token, find_job, observer=observer or NoObserver())
         self._advising = Advising(self._cell)
 
     @property
