--- a/tamarackmount/node/metrics.py
+++ b/tamarackmount/node/metrics.py
@@ -49,7 +49,9 @@
             registry=self.registry,
         )
         self._is_holder = Gauge(
-            "tamarackmount_holder", "1 while this node schedules.", self.registry
+            "tamarackmount_holder",
+            "1 while this node schedules.",
+            registry=self.registry,
         )
 
     def called(self, verb: str, status: int, took_s: float) -> None:
