A node that has just started does not deny a job that it has not read yet

Ruled out: a stop lost by the new holder; it never heard of the cancelling.

Change: only a node that has read the store to its end says that there is no job; else a question is answered 503, and a cancelling is stored all the same.

--- a/tamarackmount/node/front.py
+++ b/tamarackmount/node/front.py
@@ -78,6 +78,13 @@
     deadline: Instant
 
 
+class NoPhase(Enum):
+    """Why there is no phase: nobody handed the job in, or the node can't tell now."""
+
+    NOT_HANDED_IN = "not handed in"
+    UNSURE = "unsure"
+
+
 class Jobs(Protocol):
     """What the front asks the node about jobs."""
 
@@ -95,8 +102,8 @@
     async def cancel(self, job_id: JobId, deadline: Instant) -> Answer:
         """Cancel a job."""
 
-    async def phase(self, job_id: JobId) -> JobPhase | None:
-        """Return a job's phase; nothing if nobody handed it in."""
+    async def phase(self, job_id: JobId) -> "JobPhase | NoPhase":
+        """Return a job's phase, or why there is none."""
 
     def waiting(self, queue: Queue) -> int:
         """Return how many jobs of a queue have not begun."""
@@ -174,9 +181,9 @@
         if not call.job_id:
             return Answer(Status.OK, encode_waiting(self._jobs.waiting(call.queue)))
         phase = await self._jobs.phase(call.job_id)
-        if phase is None:
-            return Answer(Status.GONE)
-        return Answer(Status.OK, encode_state(phase))
+        if isinstance(phase, JobPhase):
+            return Answer(Status.OK, encode_state(phase))
+        return _ANSWER_WITHOUT_PHASE[phase]
 
     async def _cancel(self, call: Call) -> Answer:
         if not call.job_id:
@@ -184,6 +191,12 @@
         return await self._jobs.cancel(call.job_id, call.deadline)
 
 
+_ANSWER_WITHOUT_PHASE = {
+    NoPhase.NOT_HANDED_IN: Answer(Status.GONE),
+    NoPhase.UNSURE: Answer(Status.UNAVAILABLE, retry_after_s=STORE_RETRY_AFTER_S),
+}
+
+
 class _Caller:
     """The connection on which one answer is written, if the caller is there still."""
 
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -22,6 +22,7 @@
     STORE_RETRY_AFTER_S,
     Answer,
     JobsFront,
+    NoPhase,
     ReadyFront,
     Status,
 )
@@ -132,12 +133,17 @@
 class Node:
     """Serves callers, follows the store, and holds the scheduling when it has to."""
 
-    def __init__(self, settings: BootSettings, reactor: Any) -> None:
-        """Prepare; nothing is opened before :meth:`start`."""
+    def __init__(
+        self, settings: BootSettings, reactor: Any, store: Store | None = None
+    ) -> None:
+        """Prepare; nothing is opened before :meth:`start`.
+
+        Without ``store``, that of the settings is called.
+        """
         self._settings = settings
         self._reactor = reactor
         self._http = HttpClient(reactor)
-        self._store = Store(self._http, settings.store_address)
+        self._store = store or Store(self._http, settings.store_address)
         self._advice = AdviceService(self._http, settings.advice_address)
         self._book = JobBook()
         self._records_by_node: dict[MemberId, NodeRecord] = {}
@@ -228,13 +234,17 @@
         metrics = QuietSite(MetricsFront(self._metrics))
         self._listen(PeerAddress(settings.ip, settings.metrics_port), metrics)
         self._links.listen(PeerAddress(settings.ip, settings.peer_port))
+        self.follow_store()
+        self._claim_checks.start(CLAIM_CHECK_S, now=False)
+        ensureDeferred(self._register())
+        _log.info("node started", extra={"node": settings.node})
+
+    def follow_store(self) -> None:
+        """Begin to read what the store holds."""
         self._config_tail.start()
         self._jobs_tail.start()
         self._holder_tail.start()
         self._nodes_tail.start()
-        self._claim_checks.start(CLAIM_CHECK_S, now=False)
-        ensureDeferred(self._register())
-        _log.info("node started", extra={"node": settings.node})
 
     async def drain(self) -> None:
         """Stop gracefully: hand over, serve what is under way, then return."""
@@ -285,9 +295,10 @@
     async def cancel(self, job_id: JobId, deadline: Instant) -> Answer:
         """Cancel a job; the store's answer decides."""
         phase = await self.phase(job_id)
-        if phase is None:
+        if phase is NoPhase.NOT_HANDED_IN:
             return Answer(Status.GONE)
-        if phase.is_final:
+        # One that can't be looked up now is cancelled all the same, if there is one.
+        if isinstance(phase, JobPhase) and phase.is_final:
             return Answer(Status.OK)
         key = record_key(RecordKind.CANCEL, job_id)
         value = encode_record(CancelRecord(clock.unix_ms()))
@@ -297,8 +308,11 @@
             self._cancel_stored(job_id, key, value)
         return _ANSWER_BY_STORED[stored]
 
-    async def phase(self, job_id: JobId) -> JobPhase | None:
-        """Return a job's phase; nothing if nobody handed it in."""
+    async def phase(self, job_id: JobId) -> JobPhase | NoPhase:
+        """Return a job's phase, or why there is none.
+
+        Only a node that has read the store to its end knows that there is no job.
+        """
         known = self._book.phase(job_id)
         if known is not None and known.is_final:
             return known
@@ -306,10 +320,15 @@
             told = self._holder.phase(job_id)
         else:
             told = await self._ask_holder(job_id)
-        if told is not None or known is not None:
-            return told or known
-        await self._jobs_tail.refresh()
-        return self._book.phase(job_id)
+        if told is not None:
+            return told
+        if known is not None:
+            return known
+        is_whole = await self._jobs_tail.refresh()
+        found = self._book.phase(job_id)
+        if found is not None:
+            return found
+        return NoPhase.NOT_HANDED_IN if is_whole else NoPhase.UNSURE
 
     def waiting(self, queue: Queue) -> int:
         """Return how many jobs of a queue have not begun."""
--- /dev/null
+++ b/tests/test_platform_documents.py
@@ -0,0 +1,137 @@
+"""What the platform writes, decoded; what is malformed is told and harmless."""
+
+from typing import Any
+
+import orjson
+import pytest
+from returns.result import Failure
+
+from tamarackmount.ids import QueueName, RackId, TeamId
+from tamarackmount.internal.keys import hash_key
+from tamarackmount.platform.boot import decode_boot
+from tamarackmount.platform.config import decode_fleet
+from tamarackmount.platform.jobs import MAX_TEXT_BYTES, decode_job
+from tamarackmount.platform.workers import decode_worker
+from tamarackmount.resources import Resources
+from tests.utils.build_platform_documents import (
+    boot_document,
+    config_document,
+    job_document,
+    route,
+    worker_document,
+)
+
+
+def test_settings_are_decoded() -> None:
+    settings = decode_boot(orjson.dumps(boot_document())).unwrap()
+    assert settings.processor_cores == 1.0
+    assert (settings.peer_port, settings.metrics_port) == (7180, 7195)
+    assert settings.store_address.port == 8683
+    assert settings.bounds.stop_grace_s == 6.0
+
+
+@pytest.mark.parametrize("name", ["node", "listen", "platform", "bounds", "limits"])
+def test_settings_without_a_part_are_refused_by_its_name(name: str) -> None:
+    document = boot_document()
+    del document[name]
+    failure = decode_boot(orjson.dumps(document))
+    assert isinstance(failure, Failure)
+    assert name in failure.failure()
+
+
+def test_a_configuration_is_decoded() -> None:
+    fleet = decode_fleet(orjson.dumps(config_document())).unwrap()
+    queue = fleet.queues_by_name[QueueName("r-1")]
+    assert (queue.priority, queue.max_attempts, queue.target_ms) == (0, 4, 250)
+    assert queue.advice is not None
+    assert queue.advice.valid_ms == 2_000
+    team = fleet.teams_by_id[TeamId("retail")]
+    assert team.ceiling == Resources(348_893, 576_232, 48)
+    assert fleet.team_by_key[hash_key("k2")] == "retail"
+
+
+def test_the_longest_prefix_of_the_host_selects_the_queue() -> None:
+    routes = [
+        route(name="r-1", pathPrefix="/a/"),
+        route(name="r-2", pathPrefix="/a/b/"),
+        route(name="r-3", pathPrefix="/a/b/", host="other.example"),
+    ]
+    fleet = decode_fleet(orjson.dumps(config_document(routes=routes))).unwrap()
+    names = [
+        queue.name if (queue := fleet.queue_for(host, path)) else None
+        for host, path in (
+            ("host.example", "/a/1"),
+            ("host.example", "/a/b/1"),
+            ("other.example", "/a/b/1"),
+            ("other.example", "/a/1"),
+        )
+    ]
+    assert names == ["r-1", "r-2", "r-3", None]
+
+
+@pytest.mark.parametrize("text", [b"", b"[]", b"{}", b'{"version":"x"}', b"\xff\x00"])
+def test_a_configuration_that_can_not_be_read_is_told(text: bytes) -> None:
+    assert isinstance(decode_fleet(text), Failure)
+
+
+def test_a_registration_is_decoded_and_its_last_label_is_the_rack() -> None:
+    entry = decode_worker("i-1", orjson.dumps(worker_document())).unwrap()
+    assert entry.rack == RackId("r1-3")
+    assert entry.labels == {"a", "r1-3"}
+    assert entry.life == ("i-1", 1_700_000_000_000)
+    assert not entry.is_draining
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "asleep"},
+        {"address": 7},
+        {"address": "nowhere"},
+        {"labels": "a"},
+        {"capacity": []},
+        {"born": "yesterday"},
+        {"born": True},
+        {"service": None},
+        {"capacity": {"cpu": "many"}},
+    ],
+)
+def test_a_registration_of_another_writer_names_no_worker(
+    changes: dict[str, Any],
+) -> None:
+    text = orjson.dumps(worker_document(**changes))
+    assert isinstance(decode_worker("i-1", text), Failure)
+
+
+@pytest.mark.parametrize("name", ["service", "address", "labels", "capacity", "born"])
+def test_a_registration_that_lacks_a_field_names_no_worker(name: str) -> None:
+    document = worker_document()
+    del document[name]
+    assert isinstance(decode_worker("i-1", orjson.dumps(document)), Failure)
+
+
+def test_a_job_is_decoded_with_what_it_leaves_out() -> None:
+    job = decode_job(orjson.dumps(job_document())).unwrap()
+    first, second = job.steps
+    assert first.amount == Resources(500, 256, 0)
+    assert second.after == (0,)
+    assert second.saves_progress
+    assert job.occurrences == 1
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        [],
+        {},
+        {"steps": []},
+        {"steps": [{}]},
+        {"steps": [{"count": 0}]},
+        {"steps": [{"count": "four"}]},
+        {"steps": [{"count": 1, "after": [0]}]},
+        {"steps": [{"count": 1, "after": [3]}]},
+        {"spec": "x" * (MAX_TEXT_BYTES + 1), "steps": [{"count": 1}]},
+    ],
+)
+def test_a_job_that_makes_no_sense_is_refused(document: Any) -> None:
+    assert isinstance(decode_job(orjson.dumps(document)), Failure)
--- a/tests/utils/memory_store.py
+++ b/tests/utils/memory_store.py
@@ -57,6 +57,7 @@
         self.is_down = False
         self.lose_answers = 0
         self.calls = 0
+        self.appends = 0
 
     async def append(
         self,
@@ -68,6 +69,7 @@
     ) -> AppendResult:
         """Append one call after the other; late ones take effect all the same."""
         self.calls += 1
+        self.appends += 1
         if self.is_down:
             return REFUSED
         partition = self._partition(topic)
