Jobs keep the terms that they came under; finished ones are forgotten in time

Change: the record of a job has its queue's terms; the holder removes jobs 60 s after nobody asks for them; pauses after refusals grow, and while the store takes nothing one record in 0.25 s is tried, the others are refused at once.

--- a/tamarackmount/node/fenced_log.py
+++ b/tamarackmount/node/fenced_log.py
@@ -22,7 +22,10 @@
 )
 
 RETRY_S = 0.15
-"""Pause after a refused append, in seconds."""
+"""Pause after a first refused append, in seconds."""
+
+MAX_RETRY_S = 0.5
+"""Longest pause after refused appends in a row, in seconds: they are paid for too."""
 
 PRODUCER_NAME = "holder"
 """Name under which all holders write, so that a later one fences those before."""
@@ -49,6 +52,7 @@
         self._sequence = secrets.randbelow(MAX_FIRST_SEQUENCE)
         self._timeout = AppendTimeout()
         self._is_well = True
+        self._retry_s = RETRY_S
 
     @property
     def is_well(self) -> bool:
@@ -74,6 +78,7 @@
             self._timeout.answered(self._reactor.seconds() - begun)
         if isinstance(result, Appended):
             self._sequence += 1
+            self._retry_s = RETRY_S
         self._note(result)
         return result
 
@@ -89,8 +94,10 @@
                 await self.pause()
 
     def pause(self) -> "Deferred[None]":
-        """Wait before a refused append is made again."""
-        return deferLater(self._reactor, RETRY_S, lambda: None)
+        """Wait before a refused append is made again, longer each time."""
+        pause_s = self._retry_s
+        self._retry_s = min(MAX_RETRY_S, 2 * pause_s)
+        return deferLater(self._reactor, pause_s, lambda: None)
 
     def _note(self, result: AppendResult) -> None:
         error = result if isinstance(result, StoreError) else None
--- a/tamarackmount/node/front.py
+++ b/tamarackmount/node/front.py
@@ -19,8 +19,9 @@
 from tamarackmount.node import clock
 from tamarackmount.node.metrics import NodeMetrics
 from tamarackmount.platform.jobs import decode_job, encode_state, encode_waiting
+from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.fleet import Fleet, Queue
-from tamarackmount.scheduling.model import AcceptedJob, JobPhase
+from tamarackmount.scheduling.model import JobPhase
 from tamarackmount.units import MS_PER_SECOND
 
 DEFAULT_DEADLINE_MS = 3_000
@@ -169,8 +170,7 @@
             return Answer(Status.BAD_REQUEST)
         job = AcceptedJob(
             job_id=call.job_id,
-            queue=call.queue.name,
-            service=call.queue.service,
+            terms=call.queue,
             team_id=call.team_id,
             accepted_unix_ms=clock.unix_ms(),
             spec=decoded.unwrap(),
--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -29,6 +29,7 @@
     Topic,
 )
 from tamarackmount.platform.workers import HoldOrder, WorkerCalls, decode_worker
+from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.book import JobBook
 from tamarackmount.scheduling.effects import (
     AskAdvice,
@@ -40,7 +41,8 @@
     StopRun,
 )
 from tamarackmount.scheduling.fleet import Fleet
-from tamarackmount.scheduling.model import AcceptedJob, JobPhase, StepKey, WorkerLife
+from tamarackmount.scheduling.model import JobPhase, StepKey, WorkerLife
+from tamarackmount.scheduling.retention import forgettable
 from tamarackmount.scheduling.scheduler import Batch, Scheduler
 from tamarackmount.scheduling.tickets import AdviceAnswer
 from tamarackmount.scheduling.worker_reports import WorkerEntry
@@ -61,6 +63,9 @@
 ORDERS_PER_WORKER = 3
 """Starts under way at one worker; more would open more connections than they save."""
 
+FORGET_PAUSE_S = 5.0
+"""Pause between two looks for jobs that the store may forget, in seconds."""
+
 WORKERS_PAUSE_S = 0.25
 """Pause between two reads of the workers' registrations, in seconds; each worker
 writes every 1.5 s, and a leaving one has to be known within 2 s."""
@@ -83,6 +88,7 @@
     advice: AdviceService
     peers: PeerCalls
     metrics: NodeMetrics
+    status_s: float
 
 
 class Holder:
@@ -108,6 +114,7 @@
         self._last_order = last_order
         self._is_over = False
         self._poked = False
+        self._forget_at = clock.now()
         self._entries_by_id: dict[str, WorkerEntry] = {}
         self._semaphores_by_life: dict[WorkerLife, DeferredSemaphore] = {}
         self.scheduler = Scheduler(claimed.epoch, self._find_job, parts.metrics)
@@ -229,9 +236,17 @@
         self.scheduler.tick(clock.now(), clock.unix_ms())
         for effect in self.scheduler.take_effects():
             self._carry_out(effect)
+        self._forget_old_jobs()
         if not self._is_over:
             self._writer.poke()
 
+    def _forget_old_jobs(self) -> None:
+        if clock.now() < self._forget_at:
+            return
+        self._forget_at = Instant(clock.now() + FORGET_PAUSE_S)
+        known = self._book.jobs_by_id
+        self.scheduler.forget(forgettable(known, clock.unix_ms(), self._parts.status_s))
+
     def _carry_out(self, effect: Effect) -> None:
         self._handlers[type(effect)](effect)
 
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -57,6 +57,7 @@
     Topic,
 )
 from tamarackmount.platform.workers import WorkerCalls
+from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.book import JobBook
 from tamarackmount.scheduling.fleet import Fleet, Queue
 from tamarackmount.scheduling.holdership import Candidate, HolderWatch, claim_turn
@@ -69,7 +70,7 @@
     job_key,
     record_key,
 )
-from tamarackmount.scheduling.model import AcceptedJob, JobPhase, StepKey, step_text
+from tamarackmount.scheduling.model import JobPhase, StepKey, step_text
 from tamarackmount.units import MS_PER_SECOND
 
 JOBS_TOPIC = Topic("keyed.jobs")
@@ -568,6 +569,7 @@
             self._advice,
             self._peers,
             self._metrics,
+            self._settings.bounds.status_s,
         )
         holder = Holder(
             parts, claimed, self._book, fleet, last_order, self._holder_ended
--- a/tamarackmount/node/submissions.py
+++ b/tamarackmount/node/submissions.py
@@ -36,6 +36,10 @@
 """How long a holder that left two questions unanswered is not asked, in seconds;
 another one claims within 3 s."""
 
+TRY_AGAIN_S = 0.25
+"""Pause between two tries while the store takes nothing, in seconds: each is paid for,
+and callers should be served soon after it is back."""
+
 MAX_RECORDS = 200
 """Records in one append; 4 KB each stay under the store's 2 MB a call."""
 
@@ -95,6 +99,7 @@
         self._relay_timeout = AppendTimeout()
         self._no_relay_until = Instant(0.0)
         self._failures = 0
+        self._try_again_at = Instant(0.0)
 
     async def store(self, record: KeyedRecord, deadline: Instant) -> Stored:
         """Store a record by ``deadline``, as far as that can be known then."""
@@ -103,7 +108,7 @@
         if told is Stored.YES:
             return told
         maybe_stored = told is Stored.UNKNOWN
-        if not maybe_stored and self._is_away and self._is_busy:
+        if not maybe_stored and self._is_known_away():
             return Stored.NO
         return await self._store_here(record, last, maybe_stored)
 
@@ -125,13 +130,18 @@
             self._relay_timeout.answered(now - begun)
         return told
 
-    @property
-    def _is_busy(self) -> bool:
-        return self._is_appending or bool(self._waiting)
+    def _is_known_away(self) -> bool:
+        """Tell whether the store took nothing lately, so that trying is in vain.
 
-    @property
-    def _is_away(self) -> bool:
-        return self._failures >= FAILURES_BEFORE_AWAY
+        Now and then one caller's record is tried all the same.
+        """
+        if self._failures < FAILURES_BEFORE_AWAY:
+            return False
+        now = self._reactor.seconds()
+        if now < self._try_again_at or self._is_appending or self._waiting:
+            return True
+        self._try_again_at = Instant(now + TRY_AGAIN_S)
+        return False
 
     async def _store_here(
         self, record: KeyedRecord, deadline: Instant, maybe_stored: bool
--- a/tamarackmount/node/tail.py
+++ b/tamarackmount/node/tail.py
@@ -22,7 +22,11 @@
 used. The store answers in 4 ms."""
 
 RETRY_S = 0.2
-"""Pause after a failed read, in seconds."""
+"""Pause after a first failed read, in seconds."""
+
+MAX_RETRY_S = 0.8
+"""Longest pause after failed reads in a row, in seconds: refused calls are paid for
+too, and a change of the configuration has to be in force in 2 s."""
 
 NEWEST_TIMEOUT_S = 2.0
 """Longest wait for one page of newest records, in seconds."""
@@ -59,6 +63,7 @@
         self._running = False
         self._is_reachable = True
         self._caught_up = False
+        self._retry_s = RETRY_S
         self.caught_up_at: Instant | None = None
         self.last_contact: Instant | None = None
 
@@ -91,8 +96,10 @@
                 # The first read after a snapshot tells at once whether it was whole.
                 is_read = await self._read(self._wait_ms if self._caught_up else 0)
             if not is_read:
-                await self._sleep(RETRY_S)
+                await self._sleep(self._retry_s)
+                self._retry_s = min(MAX_RETRY_S, 2 * self._retry_s)
                 continue
+            self._retry_s = RETRY_S
             left_s = begun + self._pause_s - self._reactor.seconds()
             if left_s > 0 and self._caught_up:
                 await self._sleep(left_s)
--- a/tamarackmount/scheduling/advising.py
+++ b/tamarackmount/scheduling/advising.py
@@ -77,7 +77,7 @@
         """Ask for one step if that helps; return the number of lanes taken."""
         advice = step.advice
         queue = self._cell.queue_of(step.job)
-        if queue is None or queue.advice is None:
+        if queue.advice is None:
             return 0
         if advice.is_asking or now < advice.retry_at:
             return 0
--- a/tamarackmount/scheduling/book.py
+++ b/tamarackmount/scheduling/book.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result
 
 from tamarackmount.ids import JobId, Offset, QueueName
+from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.journal import (
     CancelRecord,
     JobProgress,
@@ -16,7 +17,7 @@
     decode_record,
     split_key,
 )
-from tamarackmount.scheduling.model import AcceptedJob, JobPhase
+from tamarackmount.scheduling.model import JobPhase
 
 _log = logging.getLogger(__name__)
 
--- a/tamarackmount/scheduling/cell.py
+++ b/tamarackmount/scheduling/cell.py
@@ -6,17 +6,12 @@
 
 from tamarackmount.ids import Epoch, Instant, JobId, TeamId
 from tamarackmount.resources import NOTHING, Resources
+from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.effects import Effect, StopRun
 from tamarackmount.scheduling.fleet import Fleet, Queue
 from tamarackmount.scheduling.forecast import Forecast
 from tamarackmount.scheduling.licence import Licence
-from tamarackmount.scheduling.model import (
-    AcceptedJob,
-    JobPhase,
-    StepKey,
-    TaskKey,
-    WorkerLife,
-)
+from tamarackmount.scheduling.model import JobPhase, StepKey, TaskKey, WorkerLife
 from tamarackmount.scheduling.observer import NoObserver, Observer
 from tamarackmount.scheduling.ranking import TeamShares
 from tamarackmount.scheduling.runs import JobState, Run, RunPhase, StepState
@@ -63,11 +58,12 @@
         """Ask for something."""
         self.effects.append(effect)
 
-    def queue_of(self, job: JobState) -> Queue | None:
-        """Return the queue of a job, unless the configuration dropped it."""
+    def queue_of(self, job: JobState) -> Queue:
+        """Return the terms of a job: its queue's, or those that it came under."""
+        terms = job.accepted.terms
         if self.fleet is None:
-            return None
-        return self.fleet.queues_by_name.get(job.accepted.queue)
+            return terms
+        return self.fleet.queues_by_name.get(terms.name, terms)
 
     def step_of(self, task: TaskKey) -> StepState | None:
         """Return the step of a task of an open job."""
--- a/tamarackmount/scheduling/ends.py
+++ b/tamarackmount/scheduling/ends.py
@@ -20,9 +20,6 @@
 """How long such a worker gets no new run, in seconds: the platform's shortest
 disturbance of a worker."""
 
-DEFAULT_MAX_ATTEMPTS = 1
-"""Attempts of a task whose queue is no longer configured."""
-
 
 def take_end(cell: Cell, worker: WorkerState, ended: EndedRun, now: Instant) -> None:
     """Take the end of a run that was not read before."""
@@ -100,7 +97,7 @@
     step.failures_by_index[index] = count
     cell.changed_jobs.add(step.key.job_id)
     queue = cell.queue_of(step.job)
-    if count >= (queue.max_attempts if queue is not None else DEFAULT_MAX_ATTEMPTS):
+    if count >= queue.max_attempts:
         end_job(cell, step.job, JobPhase.FAILED, now)
 
 
--- a/tamarackmount/scheduling/journal.py
+++ b/tamarackmount/scheduling/journal.py
@@ -13,13 +13,8 @@
 from returns.result import Failure, Result, Success
 
 from tamarackmount.ids import JobId, MemberId, WorkerId
-from tamarackmount.scheduling.model import (
-    AcceptedJob,
-    JobPhase,
-    ServiceName,
-    TaskKey,
-    WorkerLife,
-)
+from tamarackmount.scheduling.accepted_job import AcceptedJob
+from tamarackmount.scheduling.model import JobPhase, ServiceName, TaskKey, WorkerLife
 
 
 class RecordKind(Enum):
--- a/tamarackmount/scheduling/model.py
+++ b/tamarackmount/scheduling/model.py
@@ -4,7 +4,7 @@
 from enum import Enum
 from typing import NamedTuple, NewType
 
-from tamarackmount.ids import JobId, QueueName, RackId, TeamId, WorkerId
+from tamarackmount.ids import JobId, RackId, WorkerId
 from tamarackmount.resources import Resources
 
 ServiceName = NewType("ServiceName", str)
@@ -122,15 +122,3 @@
     def occurrences(self) -> int:
         """How many times the steps run."""
         return max(1, self.repetitions)
-
-
-@dataclass(frozen=True, slots=True)
-class AcceptedJob:
-    """A job that the store holds."""
-
-    job_id: JobId
-    queue: QueueName
-    service: ServiceName
-    team_id: TeamId
-    accepted_unix_ms: int
-    spec: JobSpec
--- a/tamarackmount/scheduling/objectives.py
+++ b/tamarackmount/scheduling/objectives.py
@@ -23,10 +23,8 @@
     return max(ends, default=0.0)
 
 
-def set_objective(job: JobState, queue: Queue | None, forecast: Forecast) -> None:
-    """Set by when a job should be done; one without a queue keeps what it has."""
-    if queue is None:
-        return
+def set_objective(job: JobState, queue: Queue, forecast: Forecast) -> None:
+    """Set by when a job should be done."""
     chain_s = longest_chain_s(job, forecast, only_left=False)
     aim_s = queue.stretch * chain_s + queue.target_ms / MS_PER_SECOND
     job.aim = Instant(job.came_at + aim_s)
--- a/tamarackmount/scheduling/placing.py
+++ b/tamarackmount/scheduling/placing.py
@@ -41,8 +41,8 @@
     unseen = _unseen_services(cell)
     for step in sorted(cell.ready_by_key.values(), key=lambda row: rank(row, now)):
         queue = cell.queue_of(step.job)
-        reason = _blocked(step, queue, unseen, now)
-        if queue is not None and reason is WaitReason.NONE:
+        reason = _blocked(step, unseen, now)
+        if reason is WaitReason.NONE:
             policy = _place_gang if step.spec.gang else _place_tasks
             reason = policy(cell, step, queue, now)
             if reason in (WaitReason.ROOM, WaitReason.CEILING):
@@ -62,11 +62,7 @@
     }
 
 
-def _blocked(
-    step: StepState, queue: Queue | None, unseen: set[ServiceName], now: Instant
-) -> WaitReason:
-    if queue is None:
-        return WaitReason.NO_QUEUE
+def _blocked(step: StepState, unseen: set[ServiceName], now: Instant) -> WaitReason:
     if now < step.not_before:
         return WaitReason.PAUSE
     if step.job.is_restored and step.job.accepted.service in unseen:
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -6,9 +6,9 @@
 
 from tamarackmount.ids import Instant, JobId, WorkerId
 from tamarackmount.resources import Resources
+from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.journal import JobProgress
 from tamarackmount.scheduling.model import (
-    AcceptedJob,
     JobPhase,
     StepKey,
     StepSpec,
@@ -35,7 +35,6 @@
     """Why a step's tasks have not started."""
 
     NONE = "none"
-    NO_QUEUE = "its queue is not configured"
     TAKEOVER = "a worker that may run it has not answered the new holder"
     PAUSE = "a start was refused a moment ago"
     CEILING = "its team is at its ceiling"
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from tamarackmount.ids import Epoch, Instant, JobId
+from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.advising import Advising
 from tamarackmount.scheduling.book import KnownJob
 from tamarackmount.scheduling.cell import Cell
@@ -23,18 +24,13 @@
     worker_key,
 )
 from tamarackmount.scheduling.licence import Licence
-from tamarackmount.scheduling.model import (
-    AcceptedJob,
-    JobPhase,
-    StepKey,
-    TaskKey,
-    WorkerLife,
-)
+from tamarackmount.scheduling.model import JobPhase, StepKey, TaskKey, WorkerLife
 from tamarackmount.scheduling.objectives import set_objective
 from tamarackmount.scheduling.observer import NoObserver, Observer
 from tamarackmount.scheduling.orders import start_answered, stop_answered
 from tamarackmount.scheduling.placing import place
 from tamarackmount.scheduling.preempting import Preemption
+from tamarackmount.scheduling.retention import removals
 from tamarackmount.scheduling.runs import JobState, StepState, make_job
 from tamarackmount.scheduling.tickets import AdviceAnswer
 from tamarackmount.scheduling.worker_reports import (
@@ -81,6 +77,7 @@
         """Begin under ``token``; ``find_job`` looks any accepted job up."""
         self._cell = Cell(token, find_job, observer=observer or NoObserver())
         self._advising = Advising(self._cell)
+        self._removals: list[tuple[str, bytes]] = []
 
     @property
     def token(self) -> Epoch:
@@ -193,6 +190,12 @@
             self._make_room(place(cell, now)[:MAX_PREEMPTING], now)
         self._advising.ask(now)
 
+    def forget(self, job_ids: list[JobId]) -> None:
+        """Remove jobs from the store with the next batch."""
+        for job_id in job_ids:
+            self._cell.phase_by_job.pop(job_id, None)
+        self._removals.extend(removals(job_ids))
+
     def take_effects(self) -> list[Effect]:
         """Return what is to be done since the last call."""
         effects, self._cell.effects = self._cell.effects, []
@@ -201,9 +204,15 @@
     def take_batch(self, unix_ms: int) -> Batch | None:
         """Return news for the store, or nothing if there are none."""
         cell = self._cell
-        if not (cell.changed_jobs or cell.changed_workers or cell.removed_workers):
+        news = (
+            cell.changed_jobs,
+            cell.changed_workers,
+            cell.removed_workers,
+            self._removals,
+        )
+        if not any(news):
             return None
-        records: list[tuple[str, bytes]] = []
+        records, self._removals = self._removals, []
         phases: list[tuple[JobId, JobPhase]] = []
         acks: list[tuple[WorkerLife, int]] = []
         while cell.changed_jobs and len(records) < MAX_BATCH_RECORDS:
@@ -287,8 +296,7 @@
     def _set_queue(self, job: JobState) -> None:
         cell = self._cell
         queue = cell.queue_of(job)
-        if queue is not None:
-            job.priority = queue.priority
+        job.priority = queue.priority
         set_objective(job, queue, cell.forecast)
 
     def _is_over_share(self, job: JobState, now: Instant) -> bool:
--- a/tests/test_scheduling_load.py
+++ b/tests/test_scheduling_load.py
@@ -3,8 +3,9 @@
 import random
 
 from tamarackmount.resources import Resources
+from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.fleet import AdvicePolicy
-from tamarackmount.scheduling.model import AcceptedJob, TaskKey
+from tamarackmount.scheduling.model import TaskKey
 from tamarackmount.scheduling.ranking import TeamShares
 from tamarackmount.scheduling.runs import make_job
 from tamarackmount.scheduling.tickets import AdviceAnswer, Permission
--- a/tests/test_scheduling_takeover.py
+++ b/tests/test_scheduling_takeover.py
@@ -4,9 +4,10 @@
 
 from tamarackmount.ids import Instant, JobId, Offset
 from tamarackmount.resources import Resources
+from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.book import JobBook
 from tamarackmount.scheduling.journal import encode_record, job_key
-from tamarackmount.scheduling.model import AcceptedJob, JobPhase, TaskKey
+from tamarackmount.scheduling.model import JobPhase, TaskKey
 from tamarackmount.scheduling.worker_reports import RunEnd, WorkerTrouble
 from tamarackmount.scheduling.workers import UNKNOWN_LEASE_S
 from tests.utils.build_scheduling import (
--- a/tests/utils/build_scheduling.py
+++ b/tests/utils/build_scheduling.py
@@ -15,6 +15,7 @@
     WorkerId,
 )
 from tamarackmount.resources import Resources
+from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.effects import (
     AskAdvice,
     HoldWorker,
@@ -30,7 +31,6 @@
     longest_first,
 )
 from tamarackmount.scheduling.model import (
-    AcceptedJob,
     JobSpec,
     ServiceName,
     StepSpec,
@@ -51,6 +51,7 @@
 TEAM = TeamId("retail")
 URGENT = QueueName("stock")
 PATIENT = QueueName("books")
+PRIORITY_BY_QUEUE = {URGENT: 0, PATIENT: 2}
 START = Instant(1_000.0)
 UNIX_MS = 1_700_000_000_000
 CLOCK_MS = 50_000
@@ -104,8 +105,7 @@
     """Return an accepted job; without steps it has one task."""
     return AcceptedJob(
         job_id=JobId(f"{number:016x}"),
-        queue=in_queue,
-        service=SERVICE,
+        terms=queue(in_queue, PRIORITY_BY_QUEUE[in_queue]),
         team_id=TEAM,
         accepted_unix_ms=UNIX_MS,
         spec=JobSpec("text", steps or (step(),)),
