--- a/tamarackmount/internal/node_peer.capnp
+++ b/tamarackmount/internal/node_peer.capnp
@@ -32,6 +32,7 @@
 struct StoreReply {
   callId @0 :UInt64;
   stored @1 :Text;
+  retryAfterS @2 :UInt32;
 }
 
 struct CancelStored {
--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -1,12 +1,13 @@
 """The task that carries out the scheduler's decisions while this node holds it."""
 
 import logging
+import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
 from returns.result import Failure
-from twisted.internet.defer import Deferred, DeferredSemaphore, ensureDeferred
+from twisted.internet.defer import DeferredSemaphore, ensureDeferred
 from twisted.internet.task import LoopingCall
 
 from tamarackmount.ids import Epoch, Instant, JobId, MemberId
@@ -18,7 +19,7 @@
 from tamarackmount.node.licence_check import LicenceCheck
 from tamarackmount.node.metrics import NodeMetrics
 from tamarackmount.node.peer_calls import PeerCalls
-from tamarackmount.node.submissions import Stored
+from tamarackmount.node.submissions import Stored, StoreWord
 from tamarackmount.node.tail import TopicTail
 from tamarackmount.platform.advice import AdviceService
 from tamarackmount.platform.store import (
@@ -30,6 +31,7 @@
 )
 from tamarackmount.platform.workers import HoldOrder, WorkerCalls, decode_worker
 from tamarackmount.scheduling.accepted_job import AcceptedJob
+from tamarackmount.scheduling.admission import Refusal, spread
 from tamarackmount.scheduling.book import JobBook
 from tamarackmount.scheduling.effects import (
     AskAdvice,
@@ -41,6 +43,11 @@
     StopRun,
 )
 from tamarackmount.scheduling.fleet import Fleet
+from tamarackmount.scheduling.journal import (
+    RecordKind,
+    decode_record,
+    split_key,
+)
 from tamarackmount.scheduling.model import JobPhase, StepKey, WorkerLife
 from tamarackmount.scheduling.retention import forgettable
 from tamarackmount.scheduling.scheduler import Batch, Scheduler
@@ -114,6 +121,7 @@
         self._last_order = last_order
         self._is_over = False
         self._poked = False
+        self._rng = random.Random()
         self._forget_at = clock.now()
         self._entries_by_id: dict[str, WorkerEntry] = {}
         self._semaphores_by_life: dict[WorkerLife, DeferredSemaphore] = {}
@@ -192,9 +200,25 @@
         self.scheduler.set_fleet(fleet, clock.now())
         self._poke()
 
-    def store(self, record: KeyedRecord) -> "Deferred[Stored]":
-        """Store a caller's record with the next append."""
-        return self._writer.add(record)
+    async def store(self, record: KeyedRecord) -> StoreWord:
+        """Store a caller's record with the next append, if it is worth accepting."""
+        refusal = self._refusal(record)
+        if refusal is not None:
+            retry_after_s = spread(refusal.retry_after_s, self._rng)
+            return StoreWord(Stored.REFUSED, retry_after_s)
+        return StoreWord(await self._writer.add(record))
+
+    def _refusal(self, record: KeyedRecord) -> Refusal | None:
+        found = split_key(record.key)
+        if found is None or found[0] is not RecordKind.JOB:
+            return None
+        known = self._book.jobs_by_id.get(JobId(found[1]))
+        if known is not None and known.accepted is not None:
+            return None
+        job = decode_record(record.value, AcceptedJob)
+        if isinstance(job, Failure):
+            return None
+        return self.scheduler.refusal(job.unwrap(), clock.now())
 
     def job_stored(self, job: AcceptedJob) -> None:
         """Take a job that the store holds."""
--- a/tamarackmount/node/messages.py
+++ b/tamarackmount/node/messages.py
@@ -21,10 +21,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreReply:
-    """Answer: ``yes``, ``no`` or ``unknown``."""
+    """Answer: ``yes``, ``no``, ``unknown`` or ``refused``.
+
+    ``retry_after_s`` is when to come back after a refusal, 0 without one.
+    """
 
     call_id: int
     stored: str
+    retry_after_s: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -43,7 +43,7 @@
 )
 from tamarackmount.node.metrics import MetricsFront, NodeMetrics
 from tamarackmount.node.peer_calls import PeerCalls, QueryReply
-from tamarackmount.node.submissions import Stored, Submissions
+from tamarackmount.node.submissions import NOT_STORED, Stored, StoreWord, Submissions
 from tamarackmount.node.tail import TopicTail
 from tamarackmount.platform.advice import AdviceService
 from tamarackmount.platform.boot import BootSettings
@@ -274,7 +274,8 @@
             return Answer(Status.OK)
         record = KeyedRecord(job_key(job), encode_record(job))
         begun = clock.now()
-        stored = await self._submissions.store(record, deadline)
+        word = await self._submissions.store(record, deadline)
+        stored = word.stored
         took_s = clock.now() - begun
         self._metrics.stored(stored.value, took_s)
         extra = {
@@ -291,6 +292,8 @@
         _log.info("job handed in", extra=extra)
         if stored is Stored.YES:
             self._job_stored(job, record.value)
+        if stored is Stored.REFUSED:
+            return Answer(Status.REFUSED, retry_after_s=word.retry_after_s)
         return _ANSWER_BY_STORED[stored]
 
     async def cancel(self, job_id: JobId, deadline: Instant) -> Answer:
@@ -303,7 +306,8 @@
             return Answer(Status.OK)
         key = record_key(RecordKind.CANCEL, job_id)
         value = encode_record(CancelRecord(clock.unix_ms()))
-        stored = await self._submissions.store(KeyedRecord(key, value), deadline)
+        word = await self._submissions.store(KeyedRecord(key, value), deadline)
+        stored = word.stored
         _log.info("job cancelled", extra={"job": job_id, "stored": stored.value})
         if stored is Stored.YES:
             self._cancel_stored(job_id, key, value)
@@ -335,7 +339,7 @@
         """Return how many jobs of a queue have not begun."""
         return self._book.waiting(queue.name)
 
-    async def _relay(self, record: KeyedRecord, timeout_s: float) -> Stored | None:
+    async def _relay(self, record: KeyedRecord, timeout_s: float) -> StoreWord | None:
         if self._holder is not None:
             return await self._holder.store(record)
         holder = self._watch.record
@@ -344,17 +348,20 @@
         call_id = self._peers.next_id()
         query = StoreQuery(call_id, record.key, record.value)
         reply = await self._peers.call(holder.node, query, timeout_s)
-        return Stored(reply.stored) if isinstance(reply, StoreReply) else Stored.UNKNOWN
+        if not isinstance(reply, StoreReply):
+            return StoreWord(Stored.UNKNOWN)
+        return StoreWord(Stored(reply.stored), reply.retry_after_s)
 
     async def _store_for(self, sender: MemberId, query: StoreQuery) -> None:
-        stored = Stored.NO
+        word = NOT_STORED
         if self._holder is not None:
             record = KeyedRecord(query.key, query.value)
-            stored = await self._holder.store(record)
-            if stored is Stored.YES:
+            word = await self._holder.store(record)
+            if word.stored is Stored.YES:
                 self._book.apply(record.key, record.value, APPLIED_HERE)
                 self._pass_on(record)
-        self._links.send(sender, StoreReply(query.call_id, stored.value))
+        reply = StoreReply(query.call_id, word.stored.value, word.retry_after_s)
+        self._links.send(sender, reply)
 
     async def _ask_holder(self, job_id: JobId) -> JobPhase | None:
         holder = self._watch.record
--- a/tamarackmount/node/submissions.py
+++ b/tamarackmount/node/submissions.py
@@ -50,14 +50,29 @@
 
 
 class Stored(Enum):
-    """Whether the store has a record; ``UNKNOWN`` may still become true."""
+    """Whether the store has a record; ``UNKNOWN`` may still become true.
+
+    ``REFUSED`` is the holder's decision; nothing was sent to the store.
+    """
 
     YES = "yes"
     NO = "no"
     UNKNOWN = "unknown"
+    REFUSED = "refused"
+
+
+@dataclass(frozen=True, slots=True)
+class StoreWord:
+    """What became of a record; ``retry_after_s`` is set when the holder refused it."""
+
+    stored: Stored
+    retry_after_s: int = 0
+
 
+NOT_STORED = StoreWord(Stored.NO)
+"""The store surely has nothing."""
 
-Relay = Callable[[KeyedRecord, float], Awaitable[Stored | None]]
+Relay = Callable[[KeyedRecord, float], Awaitable[StoreWord | None]]
 """Asks the holder to store a record within seconds; nothing if it can't be asked,
 ``UNKNOWN`` if it did not answer."""
 
@@ -101,20 +116,20 @@
         self._failures = 0
         self._try_again_at = Instant(0.0)
 
-    async def store(self, record: KeyedRecord, deadline: Instant) -> Stored:
+    async def store(self, record: KeyedRecord, deadline: Instant) -> StoreWord:
         """Store a record by ``deadline``, as far as that can be known then."""
         last = Instant(deadline - REPLY_MARGIN_S)
         told = await self._store_at_holder(record, last)
-        if told is Stored.YES:
+        if told is not None and told.stored in (Stored.YES, Stored.REFUSED):
             return told
-        maybe_stored = told is Stored.UNKNOWN
+        maybe_stored = told is not None and told.stored is Stored.UNKNOWN
         if not maybe_stored and self._is_known_away():
-            return Stored.NO
-        return await self._store_here(record, last, maybe_stored)
+            return NOT_STORED
+        return StoreWord(await self._store_here(record, last, maybe_stored))
 
     async def _store_at_holder(
         self, record: KeyedRecord, deadline: Instant
-    ) -> Stored | None:
+    ) -> StoreWord | None:
         """Ask the holder, unless it left the last questions unanswered."""
         begun = self._reactor.seconds()
         if begun < self._no_relay_until:
@@ -122,7 +137,7 @@
         left_s = min(self._relay_timeout.seconds(), deadline - LEAST_TIME_S - begun)
         told = await self._relay(record, left_s) if left_s > 0 else None
         now = self._reactor.seconds()
-        if told is Stored.UNKNOWN:
+        if told is not None and told.stored is Stored.UNKNOWN:
             if not self._relay_timeout.is_first_miss:
                 self._no_relay_until = Instant(now + RELAY_REST_S)
             self._relay_timeout.missed()
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -10,6 +10,7 @@
 
 from tamarackmount.ids import Epoch, Instant, JobId
 from tamarackmount.scheduling.accepted_job import AcceptedJob
+from tamarackmount.scheduling.admission import Refusal, admit
 from tamarackmount.scheduling.advising import Advising
 from tamarackmount.scheduling.book import KnownJob
 from tamarackmount.scheduling.cell import Cell
@@ -131,6 +132,25 @@
             return
         self._restore_job(KnownJob(accepted), now, unix_ms, is_new=True)
 
+    def refusal(self, accepted: AcceptedJob, now: Instant) -> Refusal | None:
+        """Return why a job that comes now is not accepted; nothing if it is."""
+        cell = self._cell
+        if accepted.job_id in cell.jobs_by_id or accepted.job_id in cell.phase_by_job:
+            return None
+        job = make_job(accepted, None, now)
+        self._set_queue(job)
+        found = admit(cell, job, now)
+        if found is not None:
+            extra = {
+                "job": accepted.job_id,
+                "team": accepted.team_id,
+                "queue": accepted.queue,
+                "reason": found.reason.value,
+                "retry_after_s": round(found.retry_after_s, 1),
+            }
+            _log.info("job refused", extra=extra)
+        return found
+
     def cancel_job(self, job_id: JobId, now: Instant, unix_ms: int) -> None:
         """End a job whose cancelling the store holds."""
         job = self._cell.jobs_by_id.get(job_id)
