A run that nobody wants blocks its task; a later run ends the recorded one

The new holder took run 4 for unwanted, learned 2 ms later that run 2 had failed, and started the task again 29 ms before run 4 had stopped. Ruled out: the licence (the start came 0.9 s after the last sign of life, within its 1.5 s).

Change: a listed run with a higher number shows that the recorded one is over and is taken over; runs that nobody wants are counted by task, and the task waits for them.

Tests: two in tests/test_scheduling_takeover.py; both failed before.

--- a/tamarackmount/scheduling/cell.py
+++ b/tamarackmount/scheduling/cell.py
@@ -1,6 +1,7 @@
 """The holder's state, which the parts of its decisions share."""
 
 import logging
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -29,6 +30,7 @@
 
     ``ready_by_key`` are steps that may start now and have tasks without a run.
     ``changed_jobs`` and ``changed_workers`` have news that the store does not hold.
+    ``strays_by_task`` counts runs that nobody wants and that are not surely over.
     ``phase_by_job`` is what callers are told of jobs in a final phase: what the store
     holds.
     """
@@ -40,6 +42,7 @@
     ready_by_key: dict[StepKey, StepState] = field(default_factory=dict)
     timed_by_key: dict[StepKey, StepState] = field(default_factory=dict)
     workers_by_life: dict[WorkerLife, WorkerState] = field(default_factory=dict)
+    strays_by_task: Counter[TaskKey] = field(default_factory=Counter)
     used_by_team: dict[TeamId, Resources] = field(default_factory=dict)
     phase_by_job: dict[JobId, JobPhase] = field(default_factory=dict)
     changed_jobs: set[JobId] = field(default_factory=set)
@@ -75,6 +78,18 @@
             return None
         return step
 
+    def add_stray(self, worker: WorkerState, run: Run, now: Instant) -> None:
+        """Count the room of a run that nobody wants, and stop it.
+
+        Its team is not charged: it ends within the time that a stop takes. Its task
+        starts nowhere before.
+        """
+        run.is_stray = True
+        run.charged = NOTHING
+        self.strays_by_task[run.task] += 1
+        worker.hold_room(run)
+        self.stop_run(run, now)
+
     def team_of(self, run: Run) -> TeamId | None:
         """Return the team of a run of an open job."""
         job = self.jobs_by_id.get(run.task.job_id)
@@ -104,6 +119,9 @@
             worker.free_room(run)
             self.changed_workers.add(worker.life)
         self.place_needed = True
+        if run.is_stray:
+            self.strays_by_task -= Counter([run.task])
+            return
         job = self.jobs_by_id.get(run.task.job_id)
         if job is None:
             return
--- a/tamarackmount/scheduling/placing.py
+++ b/tamarackmount/scheduling/placing.py
@@ -119,6 +119,8 @@
     if not workers:
         return WaitReason.ADVICE
     for index in sorted(step.pending):
+        if step.task(index) in cell.strays_by_task:
+            continue
         if not has_quota(cell, step, 1, _ceiling_part(step, now)):
             return WaitReason.CEILING
         worker = _choose(step, workers)
@@ -135,6 +137,8 @@
         for run in list(step.runs_by_index.values()):
             cell.stop_run(run, now)
         return WaitReason.PAUSE
+    if any(step.task(index) in cell.strays_by_task for index in step.pending):
+        return WaitReason.STRAY
     if not has_quota(cell, step, step.spec.count, _ceiling_part(step, now)):
         return WaitReason.CEILING
     workers = candidates(cell, step, queue, now)
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -37,6 +37,7 @@
     NONE = "none"
     TAKEOVER = "a worker that may run it has not answered the new holder"
     PAUSE = "a start was refused a moment ago"
+    STRAY = "an earlier run of it is being stopped"
     CEILING = "its team is at its ceiling"
     ADVICE = "no worker is known to be allowed for it, or the permission ended"
     ROOM = "no allowed worker has room"
@@ -47,6 +48,7 @@
     """One start of a task on one life of a worker.
 
     ``amount`` is the room that it takes there, ``charged`` what counts for its team.
+    A stray run is one that nobody wants, on its way to be stopped.
     ``confirmed_at`` is when the worker last was known to have it, ``stopped_at`` when
     it confirmed a stop.
     """
@@ -65,6 +67,7 @@
     percent: int = 100
     reading: int = 0
     resumed: bool = False
+    is_stray: bool = False
 
 
 @dataclass(slots=True)
--- a/tamarackmount/scheduling/worker_watch.py
+++ b/tamarackmount/scheduling/worker_watch.py
@@ -11,7 +11,7 @@
 from tamarackmount.scheduling.licence import Licence
 from tamarackmount.scheduling.model import WorkerLife
 from tamarackmount.scheduling.ranking import URGENT_PRIORITY
-from tamarackmount.scheduling.runs import Run, RunPhase
+from tamarackmount.scheduling.runs import Run, RunPhase, StepState
 from tamarackmount.scheduling.worker_reports import (
     RunningRun,
     WorkerEntry,
@@ -225,6 +225,8 @@
 ) -> None:
     """Take over a run of an earlier holder, or stop one that nobody wants."""
     step = cell.step_of(row.task)
+    if step is not None:
+        _drop_older(cell, step, row, now)
     amount, charged = _amounts(cell, row)
     run = Run(
         row.task, row.run, worker.life, amount, charged, RunPhase.RUNNING, now, now
@@ -243,14 +245,21 @@
         _seen_running(cell, run, row, now)
         return
     if row.task not in worker.runs_by_task:
-        # Its team is not charged: it ends within the time that a stop takes.
-        run.charged = NOTHING
-        worker.hold_room(run)
-        cell.stop_run(run, now)
+        cell.add_stray(worker, run, now)
         return
     cell.emit(StopRun(worker.life, worker.entry.address, row.task, row.run))
 
 
+def _drop_older(cell: Cell, step: StepState, row: RunningRun, now: Instant) -> None:
+    """Drop a recorded run that a later one of its task shows to be over.
+
+    A holder starts a task again only when its last run is surely over.
+    """
+    older = step.runs_by_index.get(row.task.index)
+    if older is not None and older.number < row.run and not step.spec.speculative:
+        cell.drop_run(older, now)
+
+
 def _amounts(cell: Cell, row: RunningRun) -> tuple[Resources, Resources]:
     accepted = cell.find_job(row.task.job_id)
     if accepted is None or row.task.step >= len(accepted.spec.steps):
--- a/tests/test_scheduling_takeover.py
+++ b/tests/test_scheduling_takeover.py
@@ -180,3 +180,46 @@
     stray = TaskKey(JobId("f" * 16), 0, 0, 0)
     cell.hold(report(running=((stray, 3),)))
     assert [(stop.task, stop.run) for stop in cell.stops] == [(stray, 3)]
+
+
+def test_a_later_run_shows_that_the_recorded_one_is_over() -> None:
+    before = Cell()
+    before.list_workers(entry("w1"), entry("w2"))
+    before.add(job())
+    (start,) = before.answer_starts()
+    first, other = (start.order.life, life("w2"))
+    if first == other:
+        other = life("w1")
+    cell = successor(before, book_of([job()], before.store()))
+    cell.scheduler.set_workers([entry("w1"), entry("w2")], cell.now)
+    later = start.order.run + 1
+    cell.hold(report(running=((start.order.task, later),)), other)
+    row = ended(1, start.order.task, start.order.run, RunEnd.FAILED)
+    cell.hold(report(ended=(row,)), first)
+    cell.store()
+    cell.tick(0.5)
+    assert not cell.starts
+    assert not cell.stops
+
+
+def test_a_task_waits_while_a_run_that_nobody_wants_is_stopped() -> None:
+    before = Cell()
+    before.list_workers(entry("w1"), entry("w2"))
+    before.add(job())
+    (start,) = before.answer_starts()
+    first, other = (start.order.life, life("w2"))
+    if first == other:
+        other = life("w1")
+    cell = successor(before, book_of([job()], before.store()))
+    cell.scheduler.set_workers([entry("w1"), entry("w2")], cell.now)
+    stray = ((start.order.task, start.order.run - 1),)
+    cell.hold(report(running=stray), other)
+    assert [stop.run for stop in cell.stops] == [start.order.run - 1]
+    row = ended(1, start.order.task, start.order.run, RunEnd.FAILED)
+    cell.hold(report(ended=(row,)), first)
+    cell.store()
+    cell.tick(0.5)
+    assert not cell.starts
+    stopped = ended(1, start.order.task, start.order.run - 1, RunEnd.STOPPED)
+    cell.hold(report(ended=(stopped,)), other)
+    assert len(cell.starts) == 1
