Room is made only for tasks that have a worker to go to; stopped work rests a second

Change: only as many tasks as their allowed workers could take, and as fit under the ceiling, make room; the steps of stopped runs pause for 1 s, runs under 1 s are left.

Tests: two in tests/test_scheduling_load.py, both failed before.

--- a/tamarackmount/scheduling/preempting.py
+++ b/tamarackmount/scheduling/preempting.py
@@ -19,9 +19,13 @@
 
 _log = logging.getLogger(__name__)
 
-MIN_RUN_S = 0.5
-"""A run is left alone for this long after its start, in seconds: it has saved nothing
-before."""
+MIN_RUN_S = 1.0
+"""A run is left alone for this long after its start, in seconds: it has saved little
+before, and a task that is stopped again and again gets nowhere."""
+
+RESTART_PAUSE_S = 1.0
+"""A step whose runs were stopped starts none for this long, in seconds: the length of
+an urgent task, which it would only have to make room for again."""
 
 
 class Preemption:
@@ -49,11 +53,14 @@
         is_late = self._now > step.job.start_by
         if is_late or tier(step, self._now) > Tier.IN_TIME:
             return
-        wanted = step.spec.count if step.spec.gang else len(step.pending)
+        workers = candidates(self._cell, step, queue, self._now)
+        wanted = min(self._useful(step), self._hosted(step, queue, workers))
+        if step.spec.gang and wanted < step.spec.count:
+            return
         victims = self._for_ceiling(step, queue, wanted)
-        victims += self._for_room(step, queue, wanted, victims)
+        victims += self._for_room(step, queue, workers, wanted, victims)
         for run in victims:
-            self._cell.stop_run(run, self._now)
+            self._stop(run)
         if victims:
             extra = {
                 "job": step.key.job_id,
@@ -62,6 +69,37 @@
             }
             _log.info("room made", extra=extra)
 
+    def _useful(self, step: StepState) -> int:
+        """Return how many waiting tasks could run at once under the team's ceiling."""
+        fleet = self._cell.fleet
+        team_id = step.job.accepted.team_id
+        team = fleet.teams_by_id.get(team_id) if fleet is not None else None
+        if team is None:
+            return len(step.pending)
+        parts = quota_parts(NOTHING, step.spec.amount, team.ceiling)
+        fits = min(
+            (most // one for _, one, most in parts if most and one),
+            default=len(step.pending),
+        )
+        running = len(step.runs_by_index)
+        return max(0, min(len(step.pending), fits - running))
+
+    def _hosted(self, step: StepState, queue: Queue, workers: list[WorkerState]) -> int:
+        """Return how many tasks allowed workers could take, if all there made room."""
+        count = 0
+        for worker in workers:
+            free = self._free_by_life[worker.life]
+            for run in self._stoppable(queue, worker):
+                free = free + run.amount
+            count += _fits(step.room_amount, free, step.spec.count, step)
+        return count
+
+    def _stop(self, run: Run) -> None:
+        self._cell.stop_run(run, self._now)
+        step = self._cell.step_of(run.task)
+        if step is not None:
+            step.not_before = Instant(self._now + RESTART_PAUSE_S)
+
     def _release(self, run: Run) -> None:
         team = self._cell.team_of(run)
         if team is not None:
@@ -98,12 +136,16 @@
         return sorted(found, key=lambda run: -run.charged.millicores)
 
     def _for_room(
-        self, step: StepState, queue: Queue, wanted: int, chosen: list[Run]
+        self,
+        step: StepState,
+        queue: Queue,
+        workers: list[WorkerState],
+        wanted: int,
+        chosen: list[Run],
     ) -> list[Run]:
         """Return runs whose room, on allowed workers, the step's tasks need."""
         victims: list[Run] = []
         taken: dict[WorkerLife, Resources] = {}
-        workers = candidates(self._cell, step, queue, self._now)
         for worker in sorted(workers, key=lambda row: -self._fits(step, row, wanted)):
             if wanted <= 0:
                 break
--- a/tests/test_scheduling_load.py
+++ b/tests/test_scheduling_load.py
@@ -6,6 +6,7 @@
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.fleet import AdvicePolicy
 from tamarackmount.scheduling.model import TaskKey
+from tamarackmount.scheduling.preempting import RESTART_PAUSE_S
 from tamarackmount.scheduling.ranking import TeamShares
 from tamarackmount.scheduling.runs import make_job
 from tamarackmount.scheduling.tickets import AdviceAnswer, Permission
@@ -198,3 +199,44 @@
     rows = [make_job(job(number), None, cell.now) for number in range(1, 40)]
     over = [shares.is_over(row, 8.0, cell.now) for row in rows]
     assert over == [False] * 17 + [True] * 22
+
+
+def test_nothing_is_stopped_for_tasks_that_have_no_worker_to_go_to() -> None:
+    cell = Cell(ceiling=Resources(8_000, 0, 0))
+    labels = frozenset({"x", "r1"})
+    cell.list_workers(entry("w1", cores=1, labels=labels), entry("w2", cores=32))
+    cell.add(job(1, step(1, label="x", estimated_ms=60_000), in_queue=URGENT))
+    cell.answer_starts()
+    cell.add(job(2, step(20, **LONG)))
+    cell.answer_starts()
+    cell.tick(1.5)
+    cell.add(job(3, step(4, label="x", estimated_ms=700), in_queue=URGENT))
+    cell.tick(0.1)
+    assert not cell.starts
+    assert not cell.stops
+
+
+def test_what_was_stopped_does_not_start_at_once_again() -> None:
+    cell = Cell(ceiling=Resources())
+    cell.list_workers(entry("w1", cores=8))
+    cell.add(job(1, step(8, **LONG)))
+    (first, *_) = cell.answer_starts()
+    cell.tick(1.5)
+    cell.add(job(2, step(1, estimated_ms=700), in_queue=URGENT))
+    (stop,) = cell.stops
+    runs = {row: number + 1 for number, row in enumerate(range(8))}
+    running = tuple(
+        (first.order.task._replace(index=index), run)
+        for index, run in runs.items()
+        if index != stop.task.index
+    )
+    cell.hold(
+        report(running=running, ended=(ended(1, stop.task, stop.run, RunEnd.STOPPED),))
+    )
+    (urgent,) = cell.answer_starts()
+    assert urgent.order.task.job_id == job(2).job_id
+    row = ended(2, urgent.order.task, urgent.order.run, RunEnd.DONE)
+    cell.hold(report(running=running, ended=(row,)))
+    assert not cell.starts
+    cell.tick(RESTART_PAUSE_S)
+    assert [start.order.task for start in cell.starts] == [stop.task]
