--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -174,6 +174,7 @@
         self.scheduler.restore(
             book.open_jobs(),
             book.workers(),
+            book.forecast,
             self._last_order,
             clock.now(),
             clock.unix_ms(),
--- a/tamarackmount/scheduling/book.py
+++ b/tamarackmount/scheduling/book.py
@@ -11,6 +11,7 @@
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.journal import (
     CancelRecord,
+    ForecastRecord,
     JobProgress,
     RecordKind,
     WorkerRecord,
@@ -25,6 +26,7 @@
     RecordKind.JOB: AcceptedJob,
     RecordKind.CANCEL: CancelRecord,
     RecordKind.PROGRESS: JobProgress,
+    RecordKind.FORECAST: ForecastRecord,
 }
 
 
@@ -54,11 +56,13 @@
     def __init__(self) -> None:
         """Start without records."""
         self.jobs_by_id: dict[JobId, KnownJob] = {}
+        self.forecast: ForecastRecord | None = None
         self._workers_by_name: dict[str, bytes] = {}
         self._setters = {
             RecordKind.JOB: self._set_job,
             RecordKind.CANCEL: self._set_cancel,
             RecordKind.PROGRESS: self._set_progress,
+            RecordKind.FORECAST: self._set_forecast,
         }
 
     def apply(self, key: str, value: bytes, offset: Offset) -> None:
@@ -133,6 +137,9 @@
     def _set_progress(self, name: str, record: Any) -> None:
         self._job(name).progress = record
 
+    def _set_forecast(self, _name: str, record: Any) -> None:
+        self.forecast = record
+
     def _remove(self, kind: RecordKind, name: str) -> None:
         if kind is RecordKind.JOB:
             self.jobs_by_id.pop(JobId(name), None)
--- a/tamarackmount/scheduling/cell.py
+++ b/tamarackmount/scheduling/cell.py
@@ -54,6 +54,7 @@
     shares: TeamShares = field(default_factory=TeamShares)
     has_unknown_starts: bool = False
     licence: Licence = Licence.FULL
+    check_stragglers_at: Instant = Instant(0.0)
     place_needed: bool = True
     superseded: bool = False
 
--- a/tamarackmount/scheduling/ends.py
+++ b/tamarackmount/scheduling/ends.py
@@ -12,6 +12,10 @@
 
 _log = logging.getLogger(__name__)
 
+MIN_RATIO = 0.2
+"""Least ratio of a run's time to its forecast that counts for a worker's speed: ends
+are told some 0.1 s late, which says nothing of short runs."""
+
 FAILURES_BEFORE_REST = 2
 """Failures of unlike jobs in a row after which a worker rests; one may be a job's own
 fault."""
@@ -68,6 +72,9 @@
     if run is None or run.resumed:
         return
     queue = step.job.accepted.queue
+    if cell.forecast.is_learned(queue):
+        expected_s = cell.forecast.seconds(queue, step.spec.estimated_ms)
+        worker.note_speed(max(MIN_RATIO, (now - run.began_at) / expected_s), now)
     cell.forecast.learn(queue, step.spec.estimated_ms, now - run.began_at)
 
 
--- a/tamarackmount/scheduling/journal.py
+++ b/tamarackmount/scheduling/journal.py
@@ -25,6 +25,7 @@
     CANCEL = "cancel"
     PROGRESS = "progress"
     WORKER = "worker"
+    FORECAST = "forecast"
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +79,25 @@
     runs: list[tuple[str, int]] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class QueueMeans:
+    """What is known of a queue's tasks, from ``count`` of them.
+
+    Means are of logarithms: of durations in seconds and of estimates in milliseconds.
+    """
+
+    log_took: float
+    log_estimate: float
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class ForecastRecord:
+    """What a holder has learned, so that the next one need not begin anew."""
+
+    means_by_queue: dict[str, QueueMeans]
+
+
 T = TypeVar("T")
 
 _CONVERTER = Converter()
--- a/tamarackmount/scheduling/placing.py
+++ b/tamarackmount/scheduling/placing.py
@@ -110,8 +110,12 @@
     ]
     if queue.advice is not None:
         found = [row for row in found if step.advice.ticket(row.life, now)]
-    unblamed = [row for row in found if row.life.worker_id not in step.failed_on]
-    return unblamed or found
+    sound = [
+        row
+        for row in found
+        if row.life.worker_id not in step.failed_on and not row.is_slow(now)
+    ]
+    return sound or found
 
 
 def _place_tasks(cell: Cell, step: StepState, queue: Queue, now: Instant) -> WaitReason:
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -89,6 +89,7 @@
     run_number: int = 0
     failed_gang_run: int = 0
     advice: StepAdvice = field(default_factory=StepAdvice)
+    straggled_runs: set[int] = field(default_factory=set)
     failed_on: set[WorkerId] = field(default_factory=set)
     not_before: Instant = Instant(0.0)
     due_unix_ms: int = 0
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from tamarackmount.ids import Epoch, Instant, JobId
+from tamarackmount.ids import Epoch, Instant, JobId, QueueName
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.admission import Refusal, admit
 from tamarackmount.scheduling.advising import Advising
@@ -17,7 +17,9 @@
 from tamarackmount.scheduling.effects import Effect
 from tamarackmount.scheduling.ends import end_job, make_ready
 from tamarackmount.scheduling.fleet import Fleet, Queue
+from tamarackmount.scheduling.forecast import STORE_PAUSE_S
 from tamarackmount.scheduling.journal import (
+    ForecastRecord,
     RecordKind,
     WorkerRecord,
     encode_record,
@@ -33,6 +35,7 @@
 from tamarackmount.scheduling.preempting import Preemption
 from tamarackmount.scheduling.retention import removals
 from tamarackmount.scheduling.runs import JobState, StepState, make_job
+from tamarackmount.scheduling.stragglers import stop_stragglers
 from tamarackmount.scheduling.tickets import AdviceAnswer
 from tamarackmount.scheduling.worker_reports import (
     OrderResult,
@@ -47,6 +50,7 @@
     worker_held,
     worker_record,
 )
+from tamarackmount.units import MS_PER_SECOND
 
 _log = logging.getLogger(__name__)
 
@@ -78,6 +82,7 @@
         """Begin under ``token``; ``find_job`` looks any accepted job up."""
         self._cell = Cell(token, find_job, observer=observer or NoObserver())
         self._advising = Advising(self._cell)
+        self._store_forecast_at_unix_ms = 0
         self._removals: list[tuple[str, bytes]] = []
 
     @property
@@ -89,6 +94,7 @@
         self,
         jobs: Iterable[KnownJob],
         workers: Iterable[WorkerRecord],
+        forecast: ForecastRecord | None,
         last_order: Instant,
         now: Instant,
         unix_ms: int,
@@ -99,6 +105,8 @@
         send any may have started tasks that the store does not know of.
         """
         self._cell.has_unknown_starts = last_order > now
+        if forecast is not None:
+            self._cell.forecast.restore(forecast)
         for known in list(jobs):
             self._restore_job(known, now, unix_ms)
         for record in list(workers):
@@ -111,6 +119,10 @@
         for job in self._cell.jobs_by_id.values():
             self._set_queue(job)
 
+    def learn(self, queue: QueueName, estimated_ms: int, took_s: float) -> None:
+        """Take the duration of a task that ended before this holder began."""
+        self._cell.forecast.learn(queue, estimated_ms, took_s)
+
     def set_lanes(self, lanes: int) -> None:
         """Take the number of entry VMs that can ask for advice."""
         self._advising.lanes = max(1, lanes)
@@ -206,6 +218,8 @@
                 del cell.timed_by_key[step.key]
                 cell.ready_by_key[step.key] = step
         watch_workers(cell, now)
+        if cell.licence is Licence.FULL:
+            stop_stragglers(cell, now)
         if cell.ready_by_key:
             self._make_room(place(cell, now)[:MAX_PREEMPTING], now)
         self._advising.ask(now)
@@ -233,6 +247,11 @@
         if not any(news):
             return None
         records, self._removals = self._removals, []
+        if unix_ms >= self._store_forecast_at_unix_ms:
+            pause_ms = int(STORE_PAUSE_S * MS_PER_SECOND)
+            self._store_forecast_at_unix_ms = unix_ms + pause_ms
+            forecast = encode_record(cell.forecast.record())
+            records.append((record_key(RecordKind.FORECAST), forecast))
         phases: list[tuple[JobId, JobPhase]] = []
         acks: list[tuple[WorkerLife, int]] = []
         while cell.changed_jobs and len(records) < MAX_BATCH_RECORDS:
@@ -292,7 +311,7 @@
         if known.accepted is None:
             return
         cell = self._cell
-        age_s = max(0.0, (unix_ms - known.accepted.accepted_unix_ms) / 1_000)
+        age_s = max(0.0, (unix_ms - known.accepted.accepted_unix_ms) / MS_PER_SECOND)
         job = make_job(known.accepted, known.progress, Instant(now - age_s))
         job.is_restored = not is_new
         self._set_queue(job)
--- /dev/null
+++ b/tamarackmount/scheduling/stragglers.py
@@ -0,0 +1,83 @@
+"""Runs that take far longer than their kind does.
+
+Load pattern: a few workers turn several times slower, or let what they run stand still,
+while they answer every look. Their runs are stopped and started elsewhere, and they get
+nothing new for a while; copies are not needed for that, and a task never runs twice.
+"""
+
+import logging
+
+from tamarackmount.ids import Instant
+from tamarackmount.scheduling.cell import Cell
+from tamarackmount.scheduling.ends import WORKER_REST_S, task_text
+from tamarackmount.scheduling.placing import could_run
+from tamarackmount.scheduling.ranking import URGENT_PRIORITY
+from tamarackmount.scheduling.runs import Run, RunPhase, StepState
+from tamarackmount.scheduling.workers import WorkerState
+
+_log = logging.getLogger(__name__)
+
+FACTOR = 3.0
+"""A run is a straggler after this many times its forecast: durations of a kind spread
+up to 2.6 times their mean."""
+
+URGENT_FACTOR = 2.6
+"""The same for urgent jobs, which have no time to wait for certainty."""
+
+LEAST_S = 1.2
+"""No run is a straggler before this, in seconds; the shortest kinds take 0.6 s."""
+
+CHECK_S = 0.2
+"""Pause between two checks, in seconds."""
+
+
+def stop_stragglers(cell: Cell, now: Instant) -> None:
+    """Stop runs that another worker would surely end sooner."""
+    if now < cell.check_stragglers_at:
+        return
+    cell.check_stragglers_at = Instant(now + CHECK_S)
+    for worker in list(cell.workers_by_life.values()):
+        for run in list(worker.runs_by_task.values()):
+            step = cell.step_of(run.task)
+            if step is None or run.is_stray or run.phase is not RunPhase.RUNNING:
+                continue
+            if _is_straggler(cell, step, run, now):
+                _stop(cell, worker, step, run, now)
+
+
+def _is_straggler(cell: Cell, step: StepState, run: Run, now: Instant) -> bool:
+    if step.spec.perpetual or step.spec.fills or run.number in step.straggled_runs:
+        return False
+    if not cell.forecast.is_learned(step.job.accepted.queue):
+        return False
+    expected_s = cell.forecast.seconds(step.job.accepted.queue, step.spec.estimated_ms)
+    factor = URGENT_FACTOR if step.job.priority == URGENT_PRIORITY else FACTOR
+    return now - run.began_at > max(LEAST_S, factor * expected_s)
+
+
+def _stop(
+    cell: Cell, worker: WorkerState, step: StepState, run: Run, now: Instant
+) -> None:
+    """Stop a straggler once; a task that is long by itself is left alone then."""
+    elsewhere = any(
+        other is not worker and other.can_start and could_run(step, other)
+        for other in cell.workers_by_life.values()
+    )
+    if not elsewhere or len(step.straggled_runs) >= step.spec.count:
+        return
+    step.straggled_runs.add(run.number)
+    step.failed_on.add(worker.life.worker_id)
+    worker.stragglers += 1
+    if worker.stragglers >= 2:
+        worker.stragglers = 0
+        worker.rest_until = max(worker.rest_until, Instant(now + WORKER_REST_S))
+    extra = {
+        "job": step.key.job_id,
+        "task": task_text(run.task),
+        "worker": worker.life.worker_id,
+        "ran_s": round(now - run.began_at, 3),
+    }
+    _log.info("straggler stopped", extra=extra)
+    runs = list(step.runs_by_index.values()) if step.spec.gang else [run]
+    for member in runs:
+        cell.stop_run(member, now)
--- a/tamarackmount/scheduling/workers.py
+++ b/tamarackmount/scheduling/workers.py
@@ -1,5 +1,6 @@
 """Workers as the holder sees them: room, lease, clock and runs."""
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -22,6 +23,17 @@
 renewals on their way."""
 
 
+SPEED_SMOOTHING = 0.3
+"""Weight of the newest run in a worker's speed: three slow runs in a row tell."""
+
+SLOW_LOG_RATIO = 0.6
+"""Logarithm of the ratio to the forecast from which on a worker is slow: 1.8 times."""
+
+SLOW_MEMORY_S = 6.0
+"""In this time the memory of a worker's speed fades to a third, in seconds: as long as
+a disturbance lasts."""
+
+
 class Reach(Enum):
     """Whether a worker follows this holder."""
 
@@ -55,6 +67,9 @@
     rest_until: Instant = Instant(0.0)
     silent_since: Instant | None = None
     failures_in_row: int = 0
+    stragglers: int = 0
+    slowness: float = 0.0
+    slowness_at: Instant = Instant(0.0)
     _clock_ms: int = 0
     _clock_sent: Instant = Instant(0.0)
     _clock_read: Instant | None = None
@@ -103,6 +118,19 @@
         ends = Instant(self._clock_read + left_ms / MS_PER_SECOND)
         self.lease_ends = max(self.lease_ends, ends)
 
+    def note_speed(self, ratio: float, now: Instant) -> None:
+        """Take how many times its forecast a run took."""
+        current = self._slowness(now)
+        self.slowness = current + SPEED_SMOOTHING * (math.log(ratio) - current)
+        self.slowness_at = now
+
+    def is_slow(self, now: Instant) -> bool:
+        """Tell whether runs lately took far longer here than elsewhere."""
+        return self._slowness(now) > SLOW_LOG_RATIO
+
+    def _slowness(self, now: Instant) -> float:
+        return self.slowness * math.exp((self.slowness_at - now) / SLOW_MEMORY_S)
+
     def hold_room(self, run: Run) -> None:
         """Count a run's room."""
         self.runs_by_task[run.task] = run
--- /dev/null
+++ b/tests/test_cli_explain.py
@@ -0,0 +1,76 @@
+"""From a job's id to what became of it."""
+
+from pathlib import Path
+
+import pytest
+
+from tamarackmount.status import ExitStatus
+from tests.utils.environment import command_line
+
+JOB = "00000000000000aa"
+
+
+def line(message: str, second: int, node: str = "front-a-1", **fields: object) -> str:
+    parts = [f'"time":"2026-01-09T15:10:{second:02d}.000Z"', f'"message":"{message}"']
+    for name, value in fields.items():
+        text = f'"{value}"' if isinstance(value, str) else str(value).lower()
+        parts.append(f'"{name}":{text}')
+    return f"  12.5 {node} {{{','.join(parts)}}}"
+
+
+LATE = [
+    line("job handed in", 1, job=JOB, stored="yes", took_s=0.02),
+    line("step waits", 2, job=JOB, reason="its team is at its ceiling"),
+    line("holder changed", 3, node="front-b-1", epoch=9),
+    line("run starts", 4, job=JOB, task="0.0.0", run=1, worker="w1"),
+    line("job ended", 6, job=JOB, phase="completed", age_s=5.0, late=True),
+    line("store lost", 9, topic="keyed.op"),
+    "a line that is not JSON",
+]
+REFUSED = [
+    line(
+        "job refused", 1, job=JOB, reason="no worker is large enough", retry_after_s=30
+    ),
+    line("job handed in", 1, job=JOB, stored="refused", took_s=0.0),
+]
+UNKNOWN = [line("job handed in", 1, job=JOB, stored="unknown", took_s=2.85)]
+
+
+@pytest.mark.parametrize(
+    ("lines", "expected"),
+    [
+        (LATE, "completed after 5.0 s, after its objective"),
+        (LATE, "its team is at its ceiling"),
+        (REFUSED, "refused at the door: no worker is large enough"),
+        (UNKNOWN, "its outcome was unknown"),
+    ],
+)
+def test_the_verdict_names_the_cause(
+    lines: list[str], expected: str, tmp_path: Path
+) -> None:
+    log = tmp_path / "node.log"
+    log.write_text("\n".join(lines), encoding="utf-8")
+    run_command, _ = command_line()
+    run = run_command("explain", JOB, str(log))
+    assert run.status is ExitStatus.OK
+    assert expected in run.stdout.splitlines()[0]
+
+
+def test_lines_of_the_system_are_shown_while_the_job_is_under_way(
+    tmp_path: Path,
+) -> None:
+    log = tmp_path / "node.log"
+    log.write_text("\n".join(LATE), encoding="utf-8")
+    run_command, _ = command_line()
+    run = run_command("explain", JOB, str(log))
+    assert "front-b-1 holder changed epoch=9" in run.stdout
+    assert "store lost" not in run.stdout
+
+
+def test_an_unknown_id_is_told(tmp_path: Path) -> None:
+    log = tmp_path / "node.log"
+    log.write_text("\n".join(LATE), encoding="utf-8")
+    run_command, _ = command_line()
+    run = run_command("explain", "ffffffffffffffff", str(log))
+    assert run.status is ExitStatus.ERROR
+    assert "no line names job" in run.stderr
--- a/tests/test_scheduling_takeover.py
+++ b/tests/test_scheduling_takeover.py
@@ -6,12 +6,14 @@
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.book import JobBook
+from tamarackmount.scheduling.forecast import STORE_PAUSE_S
 from tamarackmount.scheduling.journal import encode_record, job_key
 from tamarackmount.scheduling.model import JobPhase, TaskKey
 from tamarackmount.scheduling.worker_reports import RunEnd, WorkerTrouble
 from tamarackmount.scheduling.workers import UNKNOWN_LEASE_S
 from tests.utils.build_scheduling import (
     CEILING,
+    PATIENT,
     Cell,
     ended,
     entry,
@@ -47,6 +49,7 @@
     cell.scheduler.restore(
         book.open_jobs(),
         book.workers(),
+        book.forecast,
         Instant(cell.now + stops_in_s),
         cell.now,
         cell.unix_ms,
@@ -223,3 +226,24 @@
     stopped = ended(1, start.order.task, start.order.run - 1, RunEnd.STOPPED)
     cell.hold(report(ended=(stopped,)), other)
     assert len(cell.starts) == 1
+
+
+def test_what_was_learned_of_durations_outlives_the_holder() -> None:
+    before = Cell(ceiling=Resources())
+    before.list_workers(entry("w1", cores=1))
+    for _ in range(30):
+        before.scheduler.learn(PATIENT, 1_000, 4.0)
+    cell = successor(before, book_of([job(99)], _forecast(before)))
+    cell.list_workers(entry("w1", cores=64), entry("w2", cores=64))
+    cell.add(job())
+    cell.answer_starts()
+    cell.tick(3.0 * 4.0 - 0.2)
+    assert not cell.stops
+    cell.tick(1.0)
+    assert cell.stops
+
+
+def _forecast(cell: Cell) -> dict[str, bytes]:
+    cell.tick(STORE_PAUSE_S + 0.1)
+    cell.add(job(99))
+    return cell.store()
