--- a/tamarackmount/platform/store.py
+++ b/tamarackmount/platform/store.py
@@ -6,7 +6,7 @@
 
 import base64
 import struct
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any, NewType
@@ -166,7 +166,10 @@
         outcome = await self._http.call(
             self._address, "POST", target, deadline, body, _RAW_HEADER
         )
-        return _append_result(outcome)
+        try:
+            return _append_result(outcome)
+        except _MALFORMED as error:
+            return _malformed(error)
 
     async def read(
         self,
@@ -179,11 +182,14 @@
         query = {"topic": topic, "part": _PARTITION, "from": start, "waitMs": wait_ms}
         target = f"/api/log-read?{urlencode(query)}"
         outcome = await self._http.call(self._address, "GET", target, deadline)
-        if isinstance(outcome, Reply) and outcome.status == 410:
-            return Trimmed(Offset(int(orjson.loads(outcome.body)["first"])))
-        if not isinstance(outcome, Reply) or outcome.status != 200:
-            return _error(outcome)
-        return _decode_records(outcome.body, start)
+        try:
+            if isinstance(outcome, Reply) and outcome.status == 410:
+                return Trimmed(Offset(int(orjson.loads(outcome.body)["first"])))
+            if not isinstance(outcome, Reply) or outcome.status != 200:
+                return _error(outcome)
+            return _decode_records(outcome.body, start)
+        except _MALFORMED as error:
+            return _malformed(error)
 
     async def newest(
         self, topic: Topic, after: str, deadline: Instant
@@ -196,14 +202,10 @@
         outcome = await self._http.call(self._address, "GET", target, deadline)
         if not isinstance(outcome, Reply) or outcome.status != 200:
             return _error(outcome)
-        page = orjson.loads(outcome.body)
-        records = [
-            KeyedRecord(
-                item["key"], base64.b64decode(item["value"]), Offset(item["offset"])
-            )
-            for item in page["items"]
-        ]
-        return Newest(records, bool(page["more"]), Offset(int(page["end"])))
+        try:
+            return _decode_page(orjson.loads(outcome.body))
+        except _MALFORMED as error:
+            return _malformed(error)
 
 
 _RAW_HEADER = "Content-Type: application/octet-stream\r\n"
@@ -235,6 +237,24 @@
     return KeyedRecord(key, content[key_end:], offset)
 
 
+_MALFORMED = (IndexError, KeyError, TypeError, ValueError, struct.error)
+
+
+def _malformed(error: Exception) -> StoreError:
+    """Return that an answer makes no sense; the call may have taken effect."""
+    return StoreError(StoreFault.UNKNOWN, f"{type(error).__name__}: {error}")
+
+
+def _decode_page(page: Mapping[str, Any]) -> Newest:
+    records = [
+        KeyedRecord(
+            item["key"], base64.b64decode(item["value"]), Offset(item["offset"])
+        )
+        for item in page["items"]
+    ]
+    return Newest(records, bool(page["more"]), Offset(int(page["end"])))
+
+
 def _append_result(outcome: Outcome) -> AppendResult:
     if isinstance(outcome, CallFault):
         return _error(outcome)
--- a/tamarackmount/platform/workers.py
+++ b/tamarackmount/platform/workers.py
@@ -270,7 +270,7 @@
             running=_running(raw.get("running", ())),
             ended=_ended(raw.get("ended", ())),
         )
-    except (KeyError, TypeError, ValueError):
+    except (IndexError, KeyError, TypeError, ValueError):
         return WorkerTrouble.UNHEALTHY
 
 
