A task or decision that fails unexpectedly stops the process

Cause: an exception in the holder's tick would have ended the tick alone: its signs of life would have gone on and no other node would have taken over.

--- a/tamarackmount/node/claims.py
+++ b/tamarackmount/node/claims.py
@@ -9,12 +9,12 @@
 from dataclasses import dataclass
 from typing import Any
 
-from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import deferLater
 
 from tamarackmount.ids import Epoch, MemberId, Offset
 from tamarackmount.node import clock
 from tamarackmount.node.fenced_log import FencedLog
+from tamarackmount.node.tasks import spawn
 from tamarackmount.platform.store import Appended, KeyedRecord, Store, Topic
 from tamarackmount.scheduling.holdership import BEAT_S
 from tamarackmount.scheduling.journal import (
@@ -83,7 +83,7 @@
 
     def start(self) -> None:
         """Begin to write."""
-        ensureDeferred(self._run())
+        spawn(self._run())
 
     def stop(self) -> None:
         """Write no more."""
--- a/tamarackmount/node/front.py
+++ b/tamarackmount/node/front.py
@@ -8,7 +8,6 @@
 from typing import Any, Protocol
 
 from returns.result import Failure
-from twisted.internet.defer import ensureDeferred
 from twisted.python.failure import Failure as TwistedFailure
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
@@ -18,6 +17,7 @@
 from tamarackmount.internal.keys import hash_key
 from tamarackmount.node import clock
 from tamarackmount.node.metrics import NodeMetrics
+from tamarackmount.node.tasks import spawn
 from tamarackmount.platform.jobs import decode_job, encode_state, encode_waiting
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.fleet import Fleet, Queue
@@ -131,7 +131,7 @@
         """Serve one request; the answer is written later."""
         self.in_flight += 1
         alive = _Caller(request)
-        ensureDeferred(self._serve(request, alive))
+        spawn(self._serve(request, alive))
         return NOT_DONE_YET
 
     async def _serve(self, request: BoundedRequest, caller: "_Caller") -> None:
@@ -139,9 +139,11 @@
         try:
             answer = await self._answer(request)
         except Exception:
-            self.in_flight -= 1
-            caller.write(Answer(Status.UNKNOWN), is_last=True)
-            raise
+            # One caller's call must not end the node for all others.
+            _log.exception(
+                "call failed", extra={"path": request.path.decode("latin-1")}
+            )
+            answer = Answer(Status.UNKNOWN)
         self.in_flight -= 1
         caller.write(answer, self._jobs.is_draining)
         verb = request.method.decode("latin-1")
--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from returns.result import Failure
-from twisted.internet.defer import DeferredSemaphore, ensureDeferred
+from twisted.internet.defer import DeferredSemaphore
 from twisted.internet.task import LoopingCall
 
 from tamarackmount.ids import Epoch, Instant, JobId, MemberId
@@ -21,6 +21,7 @@
 from tamarackmount.node.peer_calls import PeerCalls
 from tamarackmount.node.submissions import Stored, StoreWord
 from tamarackmount.node.tail import TopicTail
+from tamarackmount.node.tasks import guarded, spawn
 from tamarackmount.platform.advice import AdviceService
 from tamarackmount.platform.store import (
     WORKERS_TOPIC,
@@ -144,7 +145,7 @@
             WORKERS_WAIT_MS,
             WORKERS_PAUSE_S,
         )
-        self._ticks = LoopingCall(self._tick)
+        self._ticks = LoopingCall(guarded(self._tick))
         self._ticks.clock = parts.reactor
         self._handlers: dict[type, Callable[[Any], None]] = {
             HoldWorker: self._hold,
@@ -250,7 +251,7 @@
     def _poke(self) -> None:
         if not self._poked and not self._is_over:
             self._poked = True
-            self._parts.reactor.callLater(GATHER_S, self._tick)
+            self._parts.reactor.callLater(GATHER_S, guarded(self._tick))
 
     def _tick(self) -> None:
         self._poked = False
@@ -276,7 +277,7 @@
         self._handlers[type(effect)](effect)
 
     def _hold(self, effect: HoldWorker) -> None:
-        ensureDeferred(self._hold_worker(effect))
+        spawn(self._hold_worker(effect))
 
     async def _hold_worker(self, effect: HoldWorker) -> None:
         sent = clock.now()
@@ -298,7 +299,7 @@
         if semaphore is None:
             semaphore = DeferredSemaphore(ORDERS_PER_WORKER)
             self._semaphores_by_life[life] = semaphore
-        semaphore.run(lambda: ensureDeferred(self._start_on_worker(effect)))
+        semaphore.run(lambda: spawn(self._start_on_worker(effect)))
 
     async def _start_on_worker(self, effect: StartRun) -> None:
         if self._is_over:
@@ -317,7 +318,7 @@
         self._poke()
 
     def _stop_run(self, effect: StopRun) -> None:
-        ensureDeferred(self._stop_on_worker(effect))
+        spawn(self._stop_on_worker(effect))
 
     async def _stop_on_worker(self, effect: StopRun) -> None:
         deadline = Instant(clock.now() + ORDER_TIMEOUT_S)
@@ -339,7 +340,7 @@
 
     def _pace_run(self, effect: PaceRun) -> None:
         deadline = Instant(clock.now() + ORDER_TIMEOUT_S)
-        ensureDeferred(
+        spawn(
             self._parts.workers.pace(
                 effect.address,
                 effect.life,
@@ -352,7 +353,7 @@
         )
 
     def _ask(self, effect: AskAdvice) -> None:
-        ensureDeferred(self._lanes.ask(effect))
+        spawn(self._lanes.ask(effect))
 
     def _advised(self, step: StepKey, answer: AdviceAnswer | None) -> None:
         if self._is_over:
--- a/tamarackmount/node/journal_writer.py
+++ b/tamarackmount/node/journal_writer.py
@@ -5,11 +5,12 @@
 from dataclasses import dataclass
 from typing import Any
 
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
 from tamarackmount.node.fenced_log import FencedLog, is_unknown
 from tamarackmount.node.submissions import Stored
+from tamarackmount.node.tasks import spawn
 from tamarackmount.platform.store import Appended, KeyedRecord, StoreError
 from tamarackmount.scheduling.scheduler import Batch
 
@@ -55,7 +56,7 @@
         """Write what there is to write, unless an append is under way."""
         if not self._is_writing and not self._is_over:
             self._is_writing = True
-            ensureDeferred(self._write())
+            spawn(self._write())
 
     def add(self, record: KeyedRecord) -> "Deferred[Stored]":
         """Store a caller's record; refused at once while the store takes nothing."""
--- a/tamarackmount/node/licence_check.py
+++ b/tamarackmount/node/licence_check.py
@@ -2,12 +2,11 @@
 
 from typing import Any
 
-from twisted.internet.defer import ensureDeferred
-
 from tamarackmount.ids import Instant, MemberId
 from tamarackmount.node import clock
 from tamarackmount.node.messages import StoreAgeQuery, StoreAgeReply
 from tamarackmount.node.peer_calls import PeerCalls
+from tamarackmount.node.tasks import spawn
 from tamarackmount.scheduling.licence import FULL_S, Licence, licence
 
 ASK_AFTER_S = FULL_S - 0.5
@@ -38,7 +37,7 @@
         if age_s > ASK_AFTER_S and now >= self._ask_at:
             self._ask_at = Instant(now + ASK_PAUSE_S)
             for peer in self._peers.connected():
-                ensureDeferred(self._ask(peer))
+                spawn(self._ask(peer))
         fresh = [
             age_ms
             for heard, age_ms in self._answers_by_node.values()
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 from returns.result import Failure
-from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import LoopingCall, deferLater
 
 from tamarackmount.daemon.http_request import BoundedRequest
@@ -45,6 +44,7 @@
 from tamarackmount.node.peer_calls import PeerCalls, QueryReply
 from tamarackmount.node.submissions import NOT_STORED, Stored, StoreWord, Submissions
 from tamarackmount.node.tail import TopicTail
+from tamarackmount.node.tasks import guarded, spawn
 from tamarackmount.platform.advice import AdviceService
 from tamarackmount.platform.boot import BootSettings
 from tamarackmount.platform.config import CONFIG_KEY, decode_fleet
@@ -213,7 +213,7 @@
             NODES_WAIT_MS,
             0.0,
         )
-        self._claim_checks = LoopingCall(self._check_claim)
+        self._claim_checks = LoopingCall(guarded(self._check_claim))
         self._claim_checks.clock = reactor
 
     @property
@@ -237,7 +237,7 @@
         self._links.listen(PeerAddress(settings.ip, settings.peer_port))
         self.follow_store()
         self._claim_checks.start(CLAIM_CHECK_S, now=False)
-        ensureDeferred(self._register())
+        spawn(self._register())
         _log.info("node started", extra={"node": settings.node})
 
     def follow_store(self) -> None:
@@ -253,7 +253,7 @@
         self._is_draining = True
         _log.info("node drains", extra={"holder": self._holder is not None})
         if self._holder is not None:
-            ensureDeferred(self._hand_over(self._holder))
+            spawn(self._hand_over(self._holder))
         end = begun + self._settings.bounds.stop_grace_s - EXIT_MARGIN_S
         while clock.now() < end:
             await deferLater(self._reactor, CLAIM_CHECK_S, lambda: None)
@@ -528,7 +528,7 @@
         turn = claim_turn(self._settings.node, candidates, former)
         if self._watch.should_claim(turn, self._started_by_node(), now):
             self._is_claiming = True
-            ensureDeferred(self._claim())
+            spawn(self._claim())
 
     async def _claim(self) -> None:
         try:
@@ -624,7 +624,7 @@
         self._links.send(sender, PhaseReply(query.call_id, text))
 
     def _hear_store_query(self, sender: MemberId, query: StoreQuery) -> None:
-        ensureDeferred(self._store_for(sender, query))
+        spawn(self._store_for(sender, query))
 
     def _hear_store_age_query(self, sender: MemberId, query: StoreAgeQuery) -> None:
         heard_at = max(self._store_heard_at, Instant(0.0))
@@ -632,13 +632,13 @@
         self._links.send(sender, StoreAgeReply(query.call_id, age_ms))
 
     def _hear_advice_query(self, sender: MemberId, query: AdviceQuery) -> None:
-        ensureDeferred(self._advise(sender, query))
+        spawn(self._advise(sender, query))
 
     def _hear_reply(self, _sender: MemberId, reply: QueryReply) -> None:
         self._peers.answered(reply)
 
     def _hear_release(self, _sender: MemberId, _message: HolderReleased) -> None:
-        ensureDeferred(self._jobs_tail.refresh())
+        spawn(self._jobs_tail.refresh())
 
     async def _advise(self, sender: MemberId, query: AdviceQuery) -> None:
         step = StepKey(JobId(query.job_id), query.occurrence, query.step)
--- a/tamarackmount/node/run.py
+++ b/tamarackmount/node/run.py
@@ -7,13 +7,13 @@
 
 from returns.result import Failure
 from twisted.internet import reactor
-from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import LoopingCall
 from twisted.python.log import PythonLoggingObserver
 
 from tamarackmount.internal import jsonlog
 from tamarackmount.node import clock
 from tamarackmount.node.node import Node
+from tamarackmount.node.tasks import spawn, when_broken
 from tamarackmount.platform.boot import decode_boot, settings_path
 from tamarackmount.status import ExitStatus
 
@@ -37,9 +37,16 @@
     # Timers must neither follow steps of the time of day nor stop while suspended.
     loop.seconds = clock.now
     node = Node(settings.unwrap(), loop)
+    ended = [ExitStatus.OK]
+
+    def broken() -> None:
+        ended[0] = ExitStatus.ERROR
+        loop.crash()
+
+    when_broken(broken)
 
     def drain() -> None:
-        ensureDeferred(node.drain()).addBoth(lambda _: loop.stop())
+        spawn(node.drain()).addBoth(lambda _: loop.stop())
 
     signal.signal(signal.SIGTERM, lambda *_: loop.callFromThread(drain))
     signal.signal(signal.SIGINT, lambda *_: loop.callFromThread(drain))
@@ -49,7 +56,7 @@
     flushes.start(LOG_FLUSH_S, now=False)
     loop.callWhenRunning(node.start)
     loop.run(installSignalHandlers=False)
-    return ExitStatus.OK
+    return ended[0]
 
 
 def _reloaded() -> None:
--- a/tamarackmount/node/submissions.py
+++ b/tamarackmount/node/submissions.py
@@ -7,10 +7,11 @@
 from enum import Enum
 from typing import Any
 
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import Deferred
 
 from tamarackmount.ids import Instant
 from tamarackmount.node.append_timeout import AppendTimeout
+from tamarackmount.node.tasks import spawn
 from tamarackmount.platform.store import (
     Appended,
     AppendResult,
@@ -181,7 +182,7 @@
                 batch.append(pending)
         if batch:
             self._is_appending = True
-            ensureDeferred(self._append(batch))
+            spawn(self._append(batch))
 
     async def _append(self, batch: list[_Pending]) -> None:
         begun = self._reactor.seconds()
--- a/tamarackmount/node/tail.py
+++ b/tamarackmount/node/tail.py
@@ -4,10 +4,11 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
 from tamarackmount.ids import Instant, Offset
+from tamarackmount.node.tasks import spawn
 from tamarackmount.platform.store import (
     KeyedRecord,
     Records,
@@ -75,7 +76,7 @@
     def start(self) -> None:
         """Begin to read."""
         self._running = True
-        ensureDeferred(self._run())
+        spawn(self._run())
 
     def stop(self) -> None:
         """Read no more."""
