Stragglers and slow workers are judged by tasks of the same step

Ruled out: the stored forecast; it only replaces the callers' estimates.

Change: a run is compared with those of its step that have ended, and without them only with 8 times its forecast; a task is stopped so once.

--- a/tamarackmount/scheduling/ends.py
+++ b/tamarackmount/scheduling/ends.py
@@ -12,9 +12,12 @@
 
 _log = logging.getLogger(__name__)
 
+ALIKE_TASKS = 2
+"""Ended tasks of a step by which others of it are judged."""
+
 MIN_RATIO = 0.2
-"""Least ratio of a run's time to its forecast that counts for a worker's speed: ends
-are told some 0.1 s late, which says nothing of short runs."""
+"""Least ratio of a run's time to that of its like that counts for a worker's speed:
+ends are told some 0.1 s late, which says nothing of short runs."""
 
 FAILURES_BEFORE_REST = 2
 """Failures of unlike jobs in a row after which a worker rests; one may be a job's own
@@ -71,11 +74,13 @@
     run = cell.find_run(worker.life, ended.task, ended.run)
     if run is None or run.resumed:
         return
+    took_s = now - run.began_at
+    if len(step.took_s) >= ALIKE_TASKS:
+        usual_s = sum(step.took_s) / len(step.took_s)
+        worker.note_speed(max(MIN_RATIO, took_s / usual_s), now)
+    step.took_s.append(took_s)
     queue = step.job.accepted.queue
-    if cell.forecast.is_learned(queue):
-        expected_s = cell.forecast.seconds(queue, step.spec.estimated_ms)
-        worker.note_speed(max(MIN_RATIO, (now - run.began_at) / expected_s), now)
-    cell.forecast.learn(queue, step.spec.estimated_ms, now - run.began_at)
+    cell.forecast.learn(queue, step.spec.estimated_ms, took_s)
 
 
 def _task_done(
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -74,6 +74,9 @@
 class StepState:
     """The tasks of one step of one occurrence.
 
+    ``straggled`` are tasks that were stopped as stragglers, which happens once.
+    ``took_s`` are durations of tasks that ended well on their first run: those of one
+    step are alike, while steps of one queue differ by several times.
     ``pending`` are tasks that have no run and are not done. ``not_before`` delays
     placing after a failure to place. ``run_number`` is the highest one used.
     """
@@ -89,7 +92,8 @@
     run_number: int = 0
     failed_gang_run: int = 0
     advice: StepAdvice = field(default_factory=StepAdvice)
-    straggled_runs: set[int] = field(default_factory=set)
+    straggled: set[int] = field(default_factory=set)
+    took_s: list[float] = field(default_factory=list)
     failed_on: set[WorkerId] = field(default_factory=set)
     not_before: Instant = Instant(0.0)
     due_unix_ms: int = 0
--- a/tamarackmount/scheduling/stragglers.py
+++ b/tamarackmount/scheduling/stragglers.py
@@ -9,20 +9,20 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.scheduling.cell import Cell
-from tamarackmount.scheduling.ends import WORKER_REST_S, task_text
+from tamarackmount.scheduling.ends import ALIKE_TASKS, WORKER_REST_S, task_text
 from tamarackmount.scheduling.placing import could_run
-from tamarackmount.scheduling.ranking import URGENT_PRIORITY
 from tamarackmount.scheduling.runs import Run, RunPhase, StepState
 from tamarackmount.scheduling.workers import WorkerState
 
 _log = logging.getLogger(__name__)
 
-FACTOR = 3.0
-"""A run is a straggler after this many times its forecast: durations of a kind spread
-up to 2.6 times their mean."""
+FACTOR = 2.5
+"""A run is a straggler after this many times what others of its step took: tasks of a
+step differ by a third."""
 
-URGENT_FACTOR = 2.6
-"""The same for urgent jobs, which have no time to wait for certainty."""
+LONE_FACTOR = 8.0
+"""Without others to compare with, after this many times its forecast: jobs of a queue
+differ by 2.6 times their mean, estimates and workers by half of that again."""
 
 LEAST_S = 1.2
 """No run is a straggler before this, in seconds; the shortest kinds take 0.6 s."""
@@ -46,13 +46,16 @@
 
 
 def _is_straggler(cell: Cell, step: StepState, run: Run, now: Instant) -> bool:
-    if step.spec.perpetual or step.spec.fills or run.number in step.straggled_runs:
+    if step.spec.perpetual or step.spec.fills or run.task.index in step.straggled:
         return False
-    if not cell.forecast.is_learned(step.job.accepted.queue):
+    ran_s = now - run.began_at
+    if len(step.took_s) >= ALIKE_TASKS:
+        return ran_s > max(LEAST_S, FACTOR * max(step.took_s))
+    queue = step.job.accepted.queue
+    if not cell.forecast.is_learned(queue):
         return False
-    expected_s = cell.forecast.seconds(step.job.accepted.queue, step.spec.estimated_ms)
-    factor = URGENT_FACTOR if step.job.priority == URGENT_PRIORITY else FACTOR
-    return now - run.began_at > max(LEAST_S, factor * expected_s)
+    expected_s = cell.forecast.seconds(queue, step.spec.estimated_ms)
+    return ran_s > max(LEAST_S, LONE_FACTOR * expected_s)
 
 
 def _stop(
@@ -63,9 +66,9 @@
         other is not worker and other.can_start and could_run(step, other)
         for other in cell.workers_by_life.values()
     )
-    if not elsewhere or len(step.straggled_runs) >= step.spec.count:
+    if not elsewhere:
         return
-    step.straggled_runs.add(run.number)
+    step.straggled.add(run.task.index)
     step.failed_on.add(worker.life.worker_id)
     worker.stragglers += 1
     if worker.stragglers >= 2:
