--- a/tamarackmount/scheduling/stragglers.py
+++ b/tamarackmount/scheduling/stragglers.py
@@ -27,6 +27,10 @@
 LEAST_S = 1.2
 """No run is a straggler before this, in seconds; the shortest kinds take 0.6 s."""
 
+BLAMED_JOBS = 2
+"""Stragglers of this many jobs at once are a worker's fault; those of one may be the
+job's own."""
+
 CHECK_S = 0.2
 """Pause between two checks, in seconds."""
 
@@ -37,12 +41,26 @@
         return
     cell.check_stragglers_at = Instant(now + CHECK_S)
     for worker in list(cell.workers_by_life.values()):
-        for run in list(worker.runs_by_task.values()):
-            step = cell.step_of(run.task)
-            if step is None or run.is_stray or run.phase is not RunPhase.RUNNING:
-                continue
-            if _is_straggler(cell, step, run, now):
-                _stop(cell, worker, step, run, now)
+        found = _stragglers(cell, worker, now)
+        jobs = {run.task.job_id for _, run in found}
+        if len(jobs) < BLAMED_JOBS and not worker.is_slow(now):
+            continue
+        worker.rest_until = max(worker.rest_until, Instant(now + WORKER_REST_S))
+        for step, run in found:
+            _stop(cell, worker, step, run, now)
+
+
+def _stragglers(
+    cell: Cell, worker: WorkerState, now: Instant
+) -> list[tuple[StepState, Run]]:
+    found = []
+    for run in list(worker.runs_by_task.values()):
+        step = cell.step_of(run.task)
+        if step is None or run.is_stray or run.phase is not RunPhase.RUNNING:
+            continue
+        if _is_straggler(cell, step, run, now):
+            found.append((step, run))
+    return found
 
 
 def _is_straggler(cell: Cell, step: StepState, run: Run, now: Instant) -> bool:
@@ -70,10 +88,6 @@
         return
     step.straggled.add(run.task.index)
     step.failed_on.add(worker.life.worker_id)
-    worker.stragglers += 1
-    if worker.stragglers >= 2:
-        worker.stragglers = 0
-        worker.rest_until = max(worker.rest_until, Instant(now + WORKER_REST_S))
     extra = {
         "job": step.key.job_id,
         "task": task_text(run.task),
--- a/tamarackmount/scheduling/workers.py
+++ b/tamarackmount/scheduling/workers.py
@@ -67,7 +67,6 @@
     rest_until: Instant = Instant(0.0)
     silent_since: Instant | None = None
     failures_in_row: int = 0
-    stragglers: int = 0
     slowness: float = 0.0
     slowness_at: Instant = Instant(0.0)
     _clock_ms: int = 0
