A job that comes again after another holder ended it stays ended; make mutants

A holder knows the ended jobs of its own term only, took it for new and ran it again. Ruled out: a lost end; the progress record was in the store and in the holder's book.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Entry points: install, demo, capacity, test, prove, codestyle, types, clean.
+# Entry points: install, demo, capacity, test, prove, mutants, codestyle, types, clean.
 
 PYTHON ?= python3
 VENV := .venv
@@ -9,7 +9,7 @@
 HISTORIES ?= 5
 SEED ?= 1
 
-.PHONY: install demo capacity test prove codestyle types format clean
+.PHONY: install demo capacity test prove mutants codestyle types format clean
 
 install: $(STAMP)
 
@@ -31,6 +31,9 @@
 	PROVE_STEPS=$(STEPS) PROVE_HISTORIES=$(HISTORIES) PROVE_SEED=$(SEED) \
 		$(BIN)/python -m pytest $(wildcard tests/test_*machine.py)
 
+mutants: install
+	$(BIN)/python -m tests.utils.mutants
+
 codestyle: install
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -222,10 +222,12 @@
             return None
         return self.scheduler.refusal(job.unwrap(), clock.now())
 
-    def job_stored(self, job: AcceptedJob) -> None:
-        """Take a job that the store holds."""
-        self.scheduler.add_job(job, clock.now(), clock.unix_ms())
-        self._poke()
+    def job_stored(self, job_id: JobId) -> None:
+        """Take a job that the store holds, from this node's book."""
+        known = self._book.jobs_by_id.get(job_id)
+        if known is not None:
+            self.scheduler.add_job(known, clock.now(), clock.unix_ms())
+            self._poke()
 
     def cancel_stored(self, job_id: JobId) -> None:
         """Take a cancelling that the store holds."""
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -376,7 +376,7 @@
     def _job_stored(self, job: AcceptedJob, value: bytes) -> None:
         self._book.apply(job_key(job), value, APPLIED_HERE)
         if self._holder is not None:
-            self._holder.job_stored(job)
+            self._holder.job_stored(job.job_id)
         else:
             self._tell_holder(JobStored(value))
 
@@ -501,7 +501,7 @@
         if known is None or known.accepted is None:
             return
         if kind == RecordKind.JOB.value:
-            self._holder.job_stored(known.accepted)
+            self._holder.job_stored(JobId(name))
         elif kind == RecordKind.CANCEL.value:
             self._holder.cancel_stored(JobId(name))
 
@@ -612,7 +612,7 @@
             return
         job = decoded.unwrap()
         self._book.apply(job_key(job), message.record, APPLIED_HERE)
-        self._holder.job_stored(job)
+        self._holder.job_stored(job.job_id)
 
     def _hear_cancel(self, _sender: MemberId, message: CancelStored) -> None:
         if self._holder is not None:
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -137,12 +137,21 @@
         """Take the workers that are registered now."""
         list_workers(self._cell, entries, now)
 
-    def add_job(self, accepted: AcceptedJob, now: Instant, unix_ms: int) -> None:
-        """Take a job that the store holds; one that is known is left alone."""
+    def add_job(self, known: KnownJob, now: Instant, unix_ms: int) -> None:
+        """Take a job that the store holds, with all that the store knows of it.
+
+        One that is worked on is left alone, and one that is over stays so: the record
+        of a job may come again, also after another holder has ended it.
+        """
         cell = self._cell
-        if accepted.job_id in cell.jobs_by_id or accepted.job_id in cell.phase_by_job:
+        accepted, progress = known.accepted, known.progress
+        if accepted is None or accepted.job_id in cell.jobs_by_id:
+            return
+        if accepted.job_id in cell.phase_by_job:
+            return
+        if progress is not None and progress.phase.is_final:
             return
-        self._restore_job(KnownJob(accepted), now, unix_ms, is_new=True)
+        self._restore_job(known, now, unix_ms, is_new=progress is None)
 
     def refusal(self, accepted: AcceptedJob, now: Instant) -> Refusal | None:
         """Return why a job that comes now is not accepted; nothing if it is."""
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -5,7 +5,7 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import Clock
 
-from tamarackmount.ids import Epoch, MemberId, Offset
+from tamarackmount.ids import Epoch, Instant, MemberId, Offset
 from tamarackmount.node.claims import HOLDER_TOPIC, Claim, claim
 from tamarackmount.node.fenced_log import FencedLog
 from tamarackmount.platform.store import Appended, Fenced, KeyedRecord, Topic
@@ -37,6 +37,14 @@
     assert len(store.records(HOLDER_TOPIC)) == 1
 
 
+def test_a_claim_is_refused_after_a_sign_of_life_that_it_has_not_read() -> None:
+    clock, store = make()
+    deadline = Instant(clock.seconds() + 1.0)
+    ensureDeferred(store.append(HOLDER_TOPIC, [ROW], deadline))
+    clock.pump([0.05] * 4)
+    assert run_claims(clock, store, "a") == [None]
+
+
 def test_a_claim_whose_answer_is_lost_counts_once() -> None:
     clock, store = make()
     store.lose_answers = 2
--- a/tests/test_scheduling_leases.py
+++ b/tests/test_scheduling_leases.py
@@ -22,6 +22,9 @@
     step,
 )
 
+SLOW_LEASE_S = 6.0 / 0.98
+"""A lease of 6 s on a clock that runs 2 % slow, in seconds."""
+
 LEASE_S = LEASE_MS / 1_000 / SLOWEST_CLOCK
 
 
@@ -149,9 +152,37 @@
     cell.answer_starts()
     cell.tick(0.5)
     cell.hold(report(ended=(row,), running=((row.task, 2),)))
+    cell.store()
     assert cell.scheduler.phase(job().job_id) is JobPhase.RUNNING
 
 
+def test_a_task_that_failed_as_often_as_it_may_fails_its_job() -> None:
+    cell = Cell()
+    one_run(cell)
+    for number in (1, 2):
+        row = ended(number, task_of(), number, RunEnd.FAILED)
+        cell.hold(report(ended=(row,)))
+        cell.tick(0.5)
+        assert len(cell.answer_starts()) == 2 - number
+    cell.store()
+    assert cell.scheduler.phase(job().job_id) is JobPhase.FAILED
+
+
+def test_a_lease_on_a_clock_that_is_slow_is_waited_for() -> None:
+    cell = Cell()
+    one_run(cell)
+    cell.list_workers(entry("w1"), entry("w2"))
+    renewed_at = cell.now
+    while cell.now < renewed_at + SLOW_LEASE_S:
+        for hold in cell.take_holds():
+            if hold.life == life() and hold.lease_end_clock_ms is not None:
+                renewed_at = cell.now
+            if hold.life == life():
+                cell.hold(WorkerTrouble.SILENT)
+        assert not cell.starts
+        cell.tick(0.02)
+
+
 def test_nothing_starts_on_a_worker_that_drains_or_is_not_listed() -> None:
     cell = Cell()
     cell.list_workers(entry("w1"))
--- a/tests/test_scheduling_takeover.py
+++ b/tests/test_scheduling_takeover.py
@@ -249,3 +249,18 @@
     cell.tick(STORE_PAUSE_S + 0.1)
     cell.add(job(99))
     return cell.store()
+
+
+def test_a_job_that_comes_again_after_another_holder_ended_it_stays_ended() -> None:
+    before = Cell()
+    before.list_workers(entry("w1"))
+    before.add(job())
+    (start,) = before.answer_starts()
+    before.hold(report(ended=(ended(1, start.order.task, 1, RunEnd.DONE),)))
+    book = book_of([job()], before.store())
+    cell = successor(before, book)
+    cell.list_workers(entry("w1"))
+    book.apply(job_key(job()), encode_record(job()), Offset(9))
+    cell.scheduler.add_job(book.jobs_by_id[job().job_id], cell.now, cell.unix_ms)
+    cell.tick(1.0)
+    assert not cell.starts
--- a/tests/utils/build_scheduling.py
+++ b/tests/utils/build_scheduling.py
@@ -16,6 +16,7 @@
 )
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling.accepted_job import AcceptedJob
+from tamarackmount.scheduling.book import KnownJob
 from tamarackmount.scheduling.effects import (
     AskAdvice,
     HoldWorker,
@@ -177,7 +178,7 @@
     def add(self, accepted: AcceptedJob) -> None:
         """Hand a job in that was accepted just now."""
         accepted = replace(accepted, accepted_unix_ms=self.unix_ms)
-        self.scheduler.add_job(accepted, self.now, self.unix_ms)
+        self.scheduler.add_job(KnownJob(accepted), self.now, self.unix_ms)
         self.tick()
 
     def tick(self, seconds: float = 0.0) -> None:
