--- /dev/null
+++ b/tamarackmount/node/context.py
@@ -0,0 +1,45 @@
+"""What the tasks of one node share."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from tamarackmount.ids import MemberId, Offset
+from tamarackmount.internal.links import PeerLinks
+from tamarackmount.node.messages import NodeMessage
+from tamarackmount.node.metrics import NodeMetrics
+from tamarackmount.node.peer_calls import PeerCalls
+from tamarackmount.platform.boot import BootSettings
+from tamarackmount.platform.store import Store, Topic
+from tamarackmount.scheduling.book import JobBook
+from tamarackmount.scheduling.fleet import Fleet
+
+JOBS_TOPIC = Topic("keyed.jobs")
+"""Jobs, their cancelling and progress, and workers that were given orders."""
+
+APPLIED_HERE = Offset(-1)
+"""Offset of records that were applied before they were read back."""
+
+
+@dataclass(slots=True)
+class NodeContext:
+    """One node's parts.
+
+    ``fleet`` is the configuration in force, nothing before the first one.
+    ``started_unix_ms`` tells this process from others on the same entry VM.
+    """
+
+    settings: BootSettings
+    reactor: Any
+    store: Store
+    links: PeerLinks[NodeMessage]
+    peers: PeerCalls
+    book: JobBook
+    metrics: NodeMetrics
+    started_unix_ms: int
+    fleet: Fleet | None = None
+    is_draining: bool = False
+
+    @property
+    def me(self) -> MemberId:
+        """This node's name."""
+        return self.settings.node
--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -2,7 +2,7 @@
 
 import logging
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -19,18 +19,17 @@
 from tamarackmount.node.licence_check import LicenceCheck
 from tamarackmount.node.metrics import NodeMetrics
 from tamarackmount.node.peer_calls import PeerCalls
+from tamarackmount.node.registrations import Registrations
 from tamarackmount.node.submissions import Stored, StoreWord
-from tamarackmount.node.tail import TopicTail
 from tamarackmount.node.tasks import guarded, spawn
 from tamarackmount.platform.advice import AdviceService
 from tamarackmount.platform.store import (
-    WORKERS_TOPIC,
     Appended,
     KeyedRecord,
     Store,
     Topic,
 )
-from tamarackmount.platform.workers import HoldOrder, WorkerCalls, decode_worker
+from tamarackmount.platform.workers import HoldOrder, WorkerCalls
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.admission import Refusal, spread
 from tamarackmount.scheduling.book import JobBook
@@ -74,13 +73,6 @@
 FORGET_PAUSE_S = 5.0
 """Pause between two looks for jobs that the store may forget, in seconds."""
 
-WORKERS_PAUSE_S = 0.25
-"""Pause between two reads of the workers' registrations, in seconds; each worker
-writes every 1.5 s, and a leaving one has to be known within 2 s."""
-
-WORKERS_WAIT_MS = 1_000
-"""How long such a read waits for news, in milliseconds."""
-
 _log = logging.getLogger(__name__)
 
 
@@ -124,7 +116,6 @@
         self._poked = False
         self._rng = random.Random()
         self._forget_at = clock.now()
-        self._entries_by_id: dict[str, WorkerEntry] = {}
         self._semaphores_by_life: dict[WorkerLife, DeferredSemaphore] = {}
         self.scheduler = Scheduler(claimed.epoch, self._find_job, parts.metrics)
         self.scheduler.set_fleet(fleet, clock.now())
@@ -136,14 +127,8 @@
             parts.reactor, parts.node, parts.advice, parts.peers, self._advised
         )
         self._licence = LicenceCheck(parts.reactor, parts.peers)
-        self._tail = TopicTail(
-            parts.reactor,
-            parts.store,
-            WORKERS_TOPIC,
-            self._workers_snapshot,
-            self._workers_changed,
-            WORKERS_WAIT_MS,
-            WORKERS_PAUSE_S,
+        self._registrations = Registrations(
+            parts.reactor, parts.store, self._workers_changed
         )
         self._ticks = LoopingCall(guarded(self._tick))
         self._ticks.clock = parts.reactor
@@ -180,7 +165,7 @@
             clock.now(),
             clock.unix_ms(),
         )
-        self._tail.start()
+        self._registrations.tail.start()
         self._ticks.start(TICK_S, now=True)
 
     async def release(self) -> None:
@@ -242,7 +227,7 @@
         if self._is_over:
             return
         self._is_over = True
-        self._tail.stop()
+        self._registrations.tail.stop()
         if self._ticks.running:
             self._ticks.stop()
 
@@ -379,32 +364,6 @@
         self.scheduler.stored(batch, clock.now())
         self._poke()
 
-    def _workers_snapshot(self, records: Sequence[KeyedRecord]) -> None:
-        self._entries_by_id.clear()
-        for record in records:
-            self._take_entry(record)
-        self._pass_workers()
-
-    def _workers_changed(self, records: Sequence[KeyedRecord]) -> None:
-        changed = [record for record in records if self._take_entry(record)]
-        if changed:
-            self._pass_workers()
-
-    def _take_entry(self, record: KeyedRecord) -> bool:
-        """Keep one registration; tell whether it says anything new."""
-        before = self._entries_by_id.get(record.key)
-        if not record.value:
-            self._entries_by_id.pop(record.key, None)
-            return before is not None
-        decoded = decode_worker(record.key, record.value)
-        if isinstance(decoded, Failure):
-            self._entries_by_id.pop(record.key, None)
-            extra = {"worker": record.key, "reason": decoded.failure()}
-            _log.warning("registration skipped", extra=extra)
-            return before is not None
-        self._entries_by_id[record.key] = decoded.unwrap()
-        return before != decoded.unwrap()
-
-    def _pass_workers(self) -> None:
-        self.scheduler.set_workers(list(self._entries_by_id.values()), clock.now())
+    def _workers_changed(self, entries: list[WorkerEntry]) -> None:
+        self.scheduler.set_workers(entries, clock.now())
         self._poke()
--- /dev/null
+++ b/tamarackmount/node/registry.py
@@ -0,0 +1,117 @@
+"""Which entry VMs there are, and how they are reached, from a topic of their own."""
+
+import logging
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from returns.result import Failure
+from twisted.internet.task import deferLater
+
+from tamarackmount.ids import DataCentreId, Instant, MemberId
+from tamarackmount.kernel.effects import Address as PeerAddress
+from tamarackmount.node.context import NodeContext
+from tamarackmount.node.tail import TopicTail
+from tamarackmount.platform.store import Appended, KeyedRecord, Topic
+from tamarackmount.scheduling.holdership import Candidate
+from tamarackmount.scheduling.journal import decode_record, encode_record
+
+NODES_TOPIC = Topic("keyed.nodes")
+"""Where each entry VM says how the others reach it."""
+
+NODES_WAIT_MS = 5_000
+"""How long a read of the entry VMs waits, in milliseconds; they change rarely."""
+
+REGISTER_TIMEOUT_S = 1.0
+"""Longest wait for the registration of this node, in seconds."""
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class NodeRecord:
+    """How the other entry VMs reach one, its processor time in cores and its start."""
+
+    ip: str
+    port: int
+    data_centre: str
+    cores: float
+    started_unix_ms: int
+
+
+class NodeRegistry:
+    """The entry VMs that have registered; keeps the links to them up to date."""
+
+    def __init__(
+        self, context: NodeContext, addresses_by_id: dict[MemberId, PeerAddress]
+    ) -> None:
+        """Fill ``addresses_by_id``, which the links go by."""
+        self._context = context
+        self._addresses_by_id = addresses_by_id
+        self._records_by_node: dict[MemberId, NodeRecord] = {}
+        self.tail = TopicTail(
+            context.reactor,
+            context.store,
+            NODES_TOPIC,
+            self._take,
+            self._take,
+            NODES_WAIT_MS,
+            0.0,
+        )
+
+    def candidates(self) -> list[Candidate]:
+        """Return the nodes that may hold the scheduling."""
+        return [
+            Candidate(node, DataCentreId(record.data_centre), record.cores)
+            for node, record in self._records_by_node.items()
+        ]
+
+    def started_by_node(self) -> dict[MemberId, int]:
+        """Return when the newest process of each entry VM started."""
+        started = {
+            node: record.started_unix_ms
+            for node, record in self._records_by_node.items()
+        }
+        return {**started, self._context.me: self._context.started_unix_ms}
+
+    async def register(self) -> None:
+        """Write how this node is reached, until that is stored."""
+        context = self._context
+        settings = context.settings
+        mine = NodeRecord(
+            settings.ip,
+            settings.peer_port,
+            settings.data_centre,
+            settings.processor_cores,
+            context.started_unix_ms,
+        )
+        record = KeyedRecord(settings.node, encode_record(mine))
+        while True:
+            deadline = Instant(context.reactor.seconds() + REGISTER_TIMEOUT_S)
+            result = await context.store.append(NODES_TOPIC, [record], deadline)
+            if isinstance(result, Appended):
+                return
+            _log.info("not registered yet", extra={"reason": str(result)})
+            await deferLater(context.reactor, REGISTER_TIMEOUT_S, lambda: None)
+
+    def _take(self, records: Sequence[KeyedRecord]) -> None:
+        for record in records:
+            node = MemberId(record.key)
+            decoded = decode_record(record.value, NodeRecord) if record.value else None
+            if decoded is None or isinstance(decoded, Failure):
+                self._forget(node)
+            else:
+                self._keep(node, decoded.unwrap())
+
+    def _forget(self, node: MemberId) -> None:
+        self._records_by_node.pop(node, None)
+        self._context.peers.peers.discard(node)
+        self._context.links.forget(node)
+
+    def _keep(self, node: MemberId, record: NodeRecord) -> None:
+        address = PeerAddress(record.ip, record.port)
+        if self._addresses_by_id.get(node) not in (None, address):
+            self._context.links.forget(node)
+        self._records_by_node[node] = record
+        self._addresses_by_id[node] = address
+        if node != self._context.me:
+            self._context.peers.peers.add(node)
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -9,8 +9,9 @@
 from twisted.internet.task import Clock
 
 from tamarackmount.ids import Instant
+from tamarackmount.node.context import JOBS_TOPIC
 from tamarackmount.node.front import Answer, NoPhase, Status
-from tamarackmount.node.node import JOBS_TOPIC, Node
+from tamarackmount.node.node import Node
 from tamarackmount.platform.boot import decode_boot
 from tamarackmount.scheduling.model import JobPhase
 from tests.utils.build_platform_documents import boot_document
@@ -56,12 +57,12 @@
 
     def submit(self) -> Answer:
         """Hand a job in."""
-        answer: Answer = self.result(self.node.submit(job(), self.deadline()))
+        answer: Answer = self.result(self.node.jobs.submit(job(), self.deadline()))
         return answer
 
     def cancel(self) -> Answer:
         """Cancel the job."""
-        answer: Answer = self.result(self.node.cancel(ID, self.deadline()))
+        answer: Answer = self.result(self.node.jobs.cancel(ID, self.deadline()))
         return answer
 
     def records(self, key: str) -> int:
@@ -74,7 +75,7 @@
     entry.follow()
     assert entry.submit().status is Status.OK
     assert entry.records(f"job/{ID}") == 1
-    assert entry.result(entry.node.phase(ID)) is JobPhase.QUEUED
+    assert entry.result(entry.node.jobs.phase(ID)) is JobPhase.QUEUED
 
 
 def test_a_job_that_comes_again_is_the_same_job() -> None:
@@ -112,9 +113,9 @@
 
 def test_a_node_that_has_not_read_the_store_does_not_deny_a_job() -> None:
     entry = Entry()
-    assert entry.result(entry.node.phase(ID)) is NoPhase.UNSURE
+    assert entry.result(entry.node.jobs.phase(ID)) is NoPhase.UNSURE
     entry.follow()
-    assert entry.result(entry.node.phase(ID)) is NoPhase.NOT_HANDED_IN
+    assert entry.result(entry.node.jobs.phase(ID)) is NoPhase.NOT_HANDED_IN
 
 
 def test_a_cancel_is_not_lost_on_a_node_that_has_just_started() -> None:
@@ -136,7 +137,7 @@
     entry.follow()
     answers: list[Answer] = []
     for number in range(20):
-        call = entry.node.submit(job(number + 1), entry.deadline())
+        call = entry.node.jobs.submit(job(number + 1), entry.deadline())
         ensureDeferred(call).addCallback(answers.append)
         entry.clock.advance(0.05)
     entry.clock.pump([0.05] * 80)
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -51,7 +51,7 @@
     ),
     Mutant(
         "a node that has not read the store denies no job",
-        "node/node.py",
+        "node/job_desk.py",
         "NoPhase.NOT_HANDED_IN if is_whole else NoPhase.UNSURE",
         "NoPhase.NOT_HANDED_IN",
         NODE,
