A slow store is not taken for one that is away

Change: the store is away when it refuses, or when appends go without an answer for 1.6 s.

Test: test_a_slow_store_is_not_taken (failed before), test_a_store_that_stays_silent.

--- a/tamarackmount/node/append_timeout.py
+++ b/tamarackmount/node/append_timeout.py
@@ -31,6 +31,11 @@
         self._usual_s = 0.02
         self._backoff = 1.0
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether the last answer came in time."""
+        return self._backoff == 1.0
+
     @property
     def is_first_miss(self) -> bool:
         """Whether at most one answer in a row was missed."""
--- a/tamarackmount/node/fenced_log.py
+++ b/tamarackmount/node/fenced_log.py
@@ -27,6 +27,10 @@
 MAX_RETRY_S = 0.5
 """Longest pause after refused appends in a row, in seconds: they are paid for too."""
 
+AWAY_AFTER_S = 1.6
+"""Appends without an answer for this long mean that the store is away, in seconds; a
+slow one answers in 0.6 s, and callers wait 3 s."""
+
 PRODUCER_NAME = "holder"
 """Name under which all holders write, so that a later one fences those before."""
 
@@ -52,6 +56,7 @@
         self._sequence = secrets.randbelow(MAX_FIRST_SEQUENCE)
         self._timeout = AppendTimeout()
         self._is_well = True
+        self._answered_at = Instant(reactor.seconds())
         self._retry_s = RETRY_S
 
     @property
@@ -68,6 +73,8 @@
         """
         producer = Producer(PRODUCER_NAME, self._epoch, self._sequence)
         begun = self._reactor.seconds()
+        if self._is_idle_since_answer(begun):
+            self._answered_at = begun
         deadline = Instant(begun + self._timeout.seconds())
         result = await self._store.append(self._topic, rows, deadline, at, producer)
         if _is_repetition(result, self._sequence):
@@ -93,6 +100,10 @@
             if not is_unknown(result):
                 await self.pause()
 
+    def _is_idle_since_answer(self, now: Instant) -> bool:
+        """Tell whether the last append was answered: time without any says nothing."""
+        return self._is_well and self._timeout.is_answered and now > self._answered_at
+
     def pause(self) -> "Deferred[None]":
         """Wait before a refused append is made again, longer each time."""
         pause_s = self._retry_s
@@ -103,8 +114,12 @@
         error = result if isinstance(result, StoreError) else None
         if error is None and not self._is_well:
             _log.info("store takes appends again", extra={"topic": self._topic})
-        # One lost answer says little; a refusal says that the store is away.
-        is_well = error is None or (is_unknown(result) and self._timeout.is_first_miss)
+        now = self._reactor.seconds()
+        if error is None:
+            self._answered_at = now
+        # A slow store misses a few answers; a refusal says that it is away.
+        is_slow = is_unknown(result) and now <= self._answered_at + AWAY_AFTER_S
+        is_well = error is None or is_slow
         if error is not None and self._is_well and not is_well:
             extra = {"topic": self._topic, "reason": error.detail}
             _log.warning("append failed", extra=extra)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -73,3 +73,29 @@
     clock.pump([0.1] * 80)
     assert [type(result) for result in results] == [Appended]
     assert len(store.records(JOBS)) == 1
+
+
+def test_a_slow_store_is_not_taken_for_one_that_is_away() -> None:
+    clock, store = make()
+    log = FencedLog(clock, store, JOBS, Epoch(3))
+    clock.advance(60.0)
+    store.append_s = 0.5
+    results: list[object] = []
+    ensureDeferred(log.append([ROW])).addCallback(results.append)
+    while not results:
+        clock.advance(0.05)
+        assert log.is_well
+    assert [type(result) for result in results] == [Appended]
+
+
+def test_a_store_that_stays_silent_is_away_before_callers_give_up() -> None:
+    clock, store = make()
+    log = FencedLog(clock, store, JOBS, Epoch(3))
+    clock.advance(60.0)
+    store.lose_answers = 100
+    ensureDeferred(log.append([ROW]))
+    clock.pump([0.05] * 50)
+    assert not log.is_well
+    store.lose_answers = 0
+    clock.pump([0.05] * 30)
+    assert log.is_well
