Nodes wait longer for the holder's word before they append by themselves

With a slow store the holder's word takes 0.6 to 1 s; nodes gave it up after 0.25 to 0.8 s and appended by themselves, which made the partition's queue longer.

Change: the holder's word is waited for from 1.0 to 1.6 s, an append from 0.25 to 1.2 s.

--- a/tamarackmount/node/append_timeout.py
+++ b/tamarackmount/node/append_timeout.py
@@ -8,9 +8,9 @@
 """Shortest wait, in seconds: an append takes 6 ms; a slow store takes 0.3 s, and each
 append given up on too early makes those behind it wait."""
 
-MOST_S = 0.8
-"""Longest wait, in seconds: a slow store answers in 0.3 to 0.6 s, and after an outage
-the first append should not wait for the last one before it."""
+MOST_S = 1.2
+"""Longest wait, in seconds: a slow store answers in 0.3 to 0.6 s, a queue of appends in
+1 s."""
 
 FACTOR = 5.0
 """Wait this many times the usual answer."""
@@ -25,9 +25,10 @@
 class AppendTimeout:
     """The wait for the next answer, from those seen so far."""
 
-    def __init__(self, least_s: float = LEAST_S) -> None:
-        """Begin with the store's usual answer; wait ``least_s`` or longer."""
+    def __init__(self, least_s: float = LEAST_S, most_s: float = MOST_S) -> None:
+        """Begin with the store's usual answer; wait from ``least_s`` to ``most_s``."""
         self._least_s = least_s
+        self._most_s = most_s
         self._usual_s = 0.02
         self._backoff = 1.0
 
@@ -43,7 +44,9 @@
 
     def seconds(self) -> float:
         """Return how long to wait."""
-        return min(MOST_S, max(self._least_s, FACTOR * self._usual_s) * self._backoff)
+        return min(
+            self._most_s, max(self._least_s, FACTOR * self._usual_s) * self._backoff
+        )
 
     def answered(self, took_s: float) -> None:
         """Take the time of an answer."""
--- a/tamarackmount/node/submissions.py
+++ b/tamarackmount/node/submissions.py
@@ -33,6 +33,13 @@
 """Shortest wait for an answer to an append of the node's own, in seconds: they are
 the exception, and with a slow store each one too many makes the holder's wait."""
 
+RELAY_LEAST_S = 1.0
+"""Shortest wait for the holder's word, in seconds: with a slow store it takes 0.6 to 1 s,
+and a node that appends by itself then makes it take longer."""
+
+RELAY_MOST_S = 1.6
+"""Longest wait for the holder's word, in seconds: callers wait 3 s."""
+
 RELAY_REST_S = 0.7
 """How long a holder that left two questions unanswered is not asked, in seconds;
 another one claims within 3 s."""
@@ -112,7 +119,7 @@
         self._waiting: deque[_Pending] = deque()
         self._is_appending = False
         self._timeout = AppendTimeout(OWN_LEAST_S)
-        self._relay_timeout = AppendTimeout()
+        self._relay_timeout = AppendTimeout(RELAY_LEAST_S, RELAY_MOST_S)
         self._no_relay_until = Instant(0.0)
         self._failures = 0
         self._try_again_at = Instant(0.0)
