--- a/tamarackmount/node/submissions.py
+++ b/tamarackmount/node/submissions.py
@@ -34,8 +34,8 @@
 the exception, and with a slow store each one too many makes the holder's wait."""
 
 RELAY_LEAST_S = 1.0
-"""Shortest wait for the holder's word, in seconds: with a slow store it takes 0.6 to 1 s,
-and a node that appends by itself then makes it take longer."""
+"""Shortest wait for the holder's word, in seconds: with a slow store it takes 0.6 to
+1 s, and a node that appends by itself then makes it take longer."""
 
 RELAY_MOST_S = 1.6
 """Longest wait for the holder's word, in seconds: callers wait 3 s."""
