What the scheduler set and never read goes; so does pacing that nothing asked for

Cause: read as a newcomer: place_needed was set in nine places and read in none, PaceRun and the worker's call for it had no decision behind them.

--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -37,7 +37,6 @@
     AskAdvice,
     Effect,
     HoldWorker,
-    PaceRun,
     StartRun,
     StepDown,
     StopRun,
@@ -147,7 +146,6 @@
             HoldWorker: self._hold,
             StartRun: self._start_run,
             StopRun: self._stop_run,
-            PaceRun: self._pace_run,
             AskAdvice: self._ask,
             StepDown: self._step_down,
         }
@@ -342,20 +340,6 @@
         )
         self._poke()
 
-    def _pace_run(self, effect: PaceRun) -> None:
-        deadline = Instant(clock.now() + ORDER_TIMEOUT_S)
-        spawn(
-            self._parts.workers.pace(
-                effect.address,
-                effect.life,
-                effect.task,
-                effect.run,
-                effect.percent,
-                self._epoch,
-                deadline,
-            )
-        )
-
     def _ask(self, effect: AskAdvice) -> None:
         spawn(self._lanes.ask(effect))
 
--- a/tamarackmount/platform/workers.py
+++ b/tamarackmount/platform/workers.py
@@ -180,33 +180,6 @@
         )
         return _report(outcome)
 
-    async def pace(
-        self,
-        address: str,
-        life: WorkerLife,
-        task: TaskKey,
-        run: int,
-        percent: int,
-        token: Epoch,
-        deadline: Instant,
-    ) -> OrderResult:
-        """Let a run work at a share of its speed, in percent."""
-        body = {
-            "task": _task_name(task),
-            "run": run,
-            "percent": percent,
-            "fencingToken": token,
-        }
-        outcome = await self._http.call(
-            Address(address),
-            "POST",
-            "/api/pace",
-            deadline,
-            orjson.dumps(body),
-            _headers(life),
-        )
-        return _order_result(outcome)
-
     async def _order(
         self,
         address: str,
--- a/tamarackmount/scheduling/advising.py
+++ b/tamarackmount/scheduling/advising.py
@@ -71,7 +71,6 @@
             step.advice.retry_at = Instant(now + RETRY_ADVICE_S)
             return
         step.advice.answered(lives, answer, now)
-        self._cell.place_needed = True
 
     def _ask_for(self, step: StepState, now: Instant, is_ready: bool) -> int:
         """Ask for one step if that helps; return the number of lanes taken."""
--- a/tamarackmount/scheduling/cell.py
+++ b/tamarackmount/scheduling/cell.py
@@ -55,7 +55,6 @@
     has_unknown_starts: bool = False
     licence: Licence = Licence.FULL
     check_stragglers_at: Instant = Instant(0.0)
-    place_needed: bool = True
     superseded: bool = False
 
     def emit(self, effect: Effect) -> None:
@@ -119,7 +118,6 @@
         if worker is not None:
             worker.free_room(run)
             self.changed_workers.add(worker.life)
-        self.place_needed = True
         if run.is_stray:
             self.strays_by_task -= Counter([run.task])
             return
--- a/tamarackmount/scheduling/effects.py
+++ b/tamarackmount/scheduling/effects.py
@@ -36,17 +36,6 @@
     run: int
 
 
-@dataclass(frozen=True, slots=True)
-class PaceRun:
-    """Let a run work at ``percent`` of its speed; nothing waits for the answer."""
-
-    life: WorkerLife
-    address: str
-    task: TaskKey
-    run: int
-    percent: int
-
-
 @dataclass(frozen=True, slots=True)
 class AskAdvice:
     """Ask which workers may run a step; the answer is ``advice_answered``.
@@ -66,5 +55,5 @@
     reason: str
 
 
-Effect = HoldWorker | StartRun | StopRun | PaceRun | AskAdvice | StepDown
+Effect = HoldWorker | StartRun | StopRun | AskAdvice | StepDown
 """Anything that the scheduler asks for."""
--- a/tamarackmount/scheduling/ends.py
+++ b/tamarackmount/scheduling/ends.py
@@ -164,7 +164,6 @@
         cell.timed_by_key[step.key] = step
     else:
         cell.ready_by_key[step.key] = step
-        cell.place_needed = True
 
 
 def end_job(cell: Cell, job: JobState, phase: JobPhase, now: Instant) -> None:
--- a/tamarackmount/scheduling/placing.py
+++ b/tamarackmount/scheduling/placing.py
@@ -34,7 +34,6 @@
 
 def place(cell: Cell, now: Instant) -> list[tuple[StepState, Queue]]:
     """Start what fits, the most urgent steps first; return those that lack room."""
-    cell.place_needed = False
     starved: list[tuple[StepState, Queue]] = []
     if cell.licence is not Licence.FULL:
         return starved
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -116,7 +116,6 @@
     def set_fleet(self, fleet: Fleet, now: Instant) -> None:
         """Take a new version of the configuration."""
         self._cell.fleet = fleet
-        self._cell.place_needed = True
         for job in self._cell.jobs_by_id.values():
             self._set_queue(job)
 
@@ -302,7 +301,6 @@
             if ack > worker.stored_end:
                 worker.stored_end = ack
                 worker.next_hold_at = max(now, worker.look_again_at)
-        cell.place_needed = True
 
     def phase(self, job_id: JobId) -> JobPhase | None:
         """Return what a caller is told; final phases once the store holds them."""
--- a/tamarackmount/scheduling/worker_watch.py
+++ b/tamarackmount/scheduling/worker_watch.py
@@ -62,7 +62,6 @@
         if worker.life not in listed and worker.listed:
             worker.listed = False
             _log.info("worker unlisted", extra={"worker": worker.life.worker_id})
-    cell.place_needed = True
 
 
 def _list_worker(cell: Cell, entry: WorkerEntry, now: Instant) -> None:
@@ -141,7 +140,7 @@
     if answer.born_unix_ms not in (None, life.born_unix_ms):
         worker_gone(cell, worker, now, "another life answers")
         return
-    _heard(cell, worker)
+    _heard(worker)
     worker.read_clock(answer.clock_ms, sent, now)
     for ended in sorted(answer.ended, key=lambda row: row.number):
         if ended.number > worker.known_end:
@@ -176,11 +175,10 @@
         cell.emit(StepDown(f"worker {life.worker_id} follows a later holder"))
 
 
-def _heard(cell: Cell, worker: WorkerState) -> None:
+def _heard(worker: WorkerState) -> None:
     if worker.reach is not Reach.FOLLOWING or worker.silent_since is not None:
         extra = {"worker": worker.life.worker_id, "reach": worker.reach.value}
         _log.info("worker follows", extra=extra)
-        cell.place_needed = True
     worker.reach = Reach.FOLLOWING
     worker.silent_since = None
 
@@ -297,7 +295,6 @@
     cell.workers_by_life.pop(worker.life, None)
     cell.changed_workers.discard(worker.life)
     cell.removed_workers.add(worker.life)
-    cell.place_needed = True
 
 
 def watch_workers(cell: Cell, now: Instant) -> None:
