--- a/tamarackmount/scheduling/admission.py
+++ b/tamarackmount/scheduling/admission.py
@@ -78,10 +78,7 @@
 
 
 def _is_over_ceiling(cell: Cell, step: StepState) -> bool:
-    fleet = cell.fleet
-    team = (
-        fleet.teams_by_id.get(step.job.accepted.team_id) if fleet is not None else None
-    )
+    team = cell.team(step.job)
     if team is None:
         return False
     count = step.spec.count if step.spec.gang else 1
@@ -106,11 +103,10 @@
 
 def _team_wait_s(cell: Cell, job: JobState, now: Instant) -> float:
     """Return how long the work ahead keeps the team at its ceiling."""
-    fleet = cell.fleet
-    team_id = job.accepted.team_id
-    team = fleet.teams_by_id.get(team_id) if fleet is not None else None
+    team = cell.team(job)
     if team is None:
         return 0.0
+    team_id = team.team_id
     ahead = [
         step
         for step in _steps_ahead(cell, job, now)
--- a/tamarackmount/scheduling/cell.py
+++ b/tamarackmount/scheduling/cell.py
@@ -9,7 +9,7 @@
 from tamarackmount.resources import NOTHING, Resources
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.effects import Effect, StopRun
-from tamarackmount.scheduling.fleet import Fleet, Queue
+from tamarackmount.scheduling.fleet import Fleet, Queue, Team
 from tamarackmount.scheduling.forecast import Forecast
 from tamarackmount.scheduling.licence import Licence
 from tamarackmount.scheduling.model import JobPhase, StepKey, TaskKey, WorkerLife
@@ -90,6 +90,12 @@
         worker.hold_room(run)
         self.stop_run(run, now)
 
+    def team(self, job: JobState) -> Team | None:
+        """Return a job's team, unless the configuration lacks it."""
+        if self.fleet is None:
+            return None
+        return self.fleet.teams_by_id.get(job.accepted.team_id)
+
     def team_of(self, run: Run) -> TeamId | None:
         """Return the team of a run of an open job."""
         job = self.jobs_by_id.get(run.task.job_id)
--- a/tamarackmount/scheduling/model.py
+++ b/tamarackmount/scheduling/model.py
@@ -92,6 +92,13 @@
     fills: bool = False
     may_miss: int = 0
 
+    @property
+    def room_amount(self) -> Resources:
+        """Room that a task takes on a worker; filling tasks use what is left."""
+        if not self.fills:
+            return self.amount
+        return Resources(0, self.amount.memory_mib, self.amount.accelerators)
+
 
 _FLAGS = ("gang", "same_rack", "saves_progress", "speculative", "perpetual", "fills")
 
--- a/tamarackmount/scheduling/placing.py
+++ b/tamarackmount/scheduling/placing.py
@@ -245,7 +245,7 @@
     """
     if cell.fleet is None:
         return False
-    team = cell.fleet.teams_by_id.get(step.job.accepted.team_id)
+    team = cell.team(step.job)
     if team is None:
         return True
     used = cell.used_by_team.get(team.team_id, NOTHING)
--- a/tamarackmount/scheduling/preempting.py
+++ b/tamarackmount/scheduling/preempting.py
@@ -71,9 +71,7 @@
 
     def _useful(self, step: StepState) -> int:
         """Return how many waiting tasks could run at once under the team's ceiling."""
-        fleet = self._cell.fleet
-        team_id = step.job.accepted.team_id
-        team = fleet.teams_by_id.get(team_id) if fleet is not None else None
+        team = self._cell.team(step.job)
         if team is None:
             return len(step.pending)
         parts = quota_parts(NOTHING, step.spec.amount, team.ceiling)
@@ -108,11 +106,10 @@
 
     def _for_ceiling(self, step: StepState, queue: Queue, wanted: int) -> list[Run]:
         """Return runs of the step's own team whose part of its ceiling it needs."""
-        fleet = self._cell.fleet
-        team_id = step.job.accepted.team_id
-        team = fleet.teams_by_id.get(team_id) if fleet is not None else None
+        team = self._cell.team(step.job)
         if team is None:
             return []
+        team_id = team.team_id
         amount = step.spec.amount
         victims: list[Run] = []
         for run in self._stoppable_of(team_id, queue):
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -101,11 +101,8 @@
 
     @property
     def room_amount(self) -> Resources:
-        """Room that a task takes on a worker; filling tasks use what is left."""
-        amount = self.spec.amount
-        if not self.spec.fills:
-            return amount
-        return Resources(0, amount.memory_mib, amount.accelerators)
+        """Room that a task takes on a worker."""
+        return self.spec.room_amount
 
     @property
     def is_done(self) -> bool:
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -348,8 +348,7 @@
 
     def _is_over_share(self, job: JobState, now: Instant) -> bool:
         cell = self._cell
-        team_id = job.accepted.team_id
-        team = cell.fleet.teams_by_id.get(team_id) if cell.fleet is not None else None
+        team = cell.team(job)
         return team is not None and cell.shares.is_over(job, team.weight, now)
 
     def _end_if_over(self, job_id: JobId, now: Instant) -> None:
--- a/tamarackmount/scheduling/worker_watch.py
+++ b/tamarackmount/scheduling/worker_watch.py
@@ -263,10 +263,7 @@
     if accepted is None or row.task.step >= len(accepted.spec.steps):
         return NOTHING, NOTHING
     step = accepted.spec.steps[row.task.step]
-    if not step.fills:
-        return step.amount, step.amount
-    room = Resources(0, step.amount.memory_mib, step.amount.accelerators)
-    return room, step.amount
+    return step.room_amount, step.amount
 
 
 def _absent(cell: Cell, run: Run, sent: Instant, now: Instant) -> None:
