Copies of speculative tasks whose runs may be lost; doubted workers get no orders

Orders went on to a worker that had left one unanswered.

Now a run of such a step that may be lost (worker silent, order unanswered, or 1.5 times the median of its step) gets one copy elsewhere; the first end counts, the other run is stopped, and both count for room and ceiling until surely over. A worker that left an order unanswered, and has answered nothing since, gets no other until it answers. After a takeover these steps don't wait for unseen workers.

--- a/tamarackmount/scheduling/cell.py
+++ b/tamarackmount/scheduling/cell.py
@@ -135,9 +135,29 @@
         step = job.steps_by_key[run.task.step_key]
         if step.runs_by_index.get(run.task.index) is run:
             del step.runs_by_index[run.task.index]
+        step.copies = [copy for copy in step.copies if copy is not run]
         self.wait_again(step, run.task.index)
         self.forget_if_over(job)
 
+    def copy_elsewhere(self, run: Run) -> bool:
+        """Let a task start again beside a run that may be lost, if its step allows it.
+
+        Load pattern: a worker is cut off, hangs or turns slow under urgent tasks, which
+        would be late long before its lease is over. A task has one copy at a time.
+        """
+        step = self.step_of(run.task)
+        index = run.task.index
+        if step is None or not step.may_copy or index in step.done:
+            return False
+        if step.runs_by_index.get(index) is not run:
+            return False
+        if any(copy.task == run.task for copy in step.copies):
+            return False
+        del step.runs_by_index[index]
+        step.copies.append(run)
+        self.wait_again(step, index)
+        return True
+
     def wait_again(self, step: StepState, index: int) -> None:
         """Let a task wait for a start, if there is anything left to do."""
         if step.job.phase.is_final or index in step.done:
@@ -151,7 +171,7 @@
         """Forget a job that is over and has no run left."""
         if not job.phase.is_final or job.job_id in self.changed_jobs:
             return
-        if any(step.runs_by_index for step in job.steps_by_key.values()):
+        if any(step.runs() for step in job.steps_by_key.values()):
             return
         self.jobs_by_id.pop(job.job_id, None)
 
--- a/tamarackmount/scheduling/ends.py
+++ b/tamarackmount/scheduling/ends.py
@@ -88,9 +88,11 @@
 ) -> None:
     step.done.add(index)
     step.pending.discard(index)
-    run = step.runs_by_index.get(index)
-    if run is not None and not step.spec.gang and run.number != ended.run:
-        cell.stop_run(run, now)
+    if step.spec.gang:
+        return
+    for run in step.runs():
+        if run.task.index == index and run.number != ended.run:
+            cell.stop_run(run, now)
 
 
 def _failed(
--- a/tamarackmount/scheduling/orders.py
+++ b/tamarackmount/scheduling/orders.py
@@ -9,7 +9,7 @@
 from tamarackmount.scheduling.placing import FIRST_RUN_AFTER_TAKEOVER
 from tamarackmount.scheduling.runs import Run, RunPhase
 from tamarackmount.scheduling.worker_reports import OrderResult
-from tamarackmount.scheduling.worker_watch import fenced, worker_gone
+from tamarackmount.scheduling.worker_watch import copy_all, fenced, worker_gone
 
 _log = logging.getLogger(__name__)
 
@@ -21,6 +21,9 @@
 worker in between shows its room."""
 
 
+_NO_ANSWER = (OrderResult.UNKNOWN, OrderResult.NOT_SENT)
+
+
 def start_answered(
     cell: Cell,
     life: WorkerLife,
@@ -30,6 +33,9 @@
     now: Instant,
 ) -> None:
     """Take the answer to an order to start."""
+    worker = cell.workers_by_life.get(life)
+    if worker is not None and result not in _NO_ANSWER:
+        worker.answered(now)
     run = cell.find_run(life, task, number)
     if run is None:
         return
@@ -117,6 +123,13 @@
     """Make sure that the order is not carried out later, unless it was already."""
     if run.confirmed_at is None:
         cell.stop_run(run, now)
+        cell.copy_elsewhere(run)
+    worker = cell.workers_by_life.get(run.life)
+    if worker is None or worker.is_doubted or worker.answered_at > run.began_at:
+        return
+    worker.is_doubted = True
+    _log.info("worker doubted", extra={"worker": run.life.worker_id})
+    copy_all(cell, worker)
 
 
 _AFTER_START: dict[OrderResult, Callable[[Cell, Run, Instant], None]] = {
--- a/tamarackmount/scheduling/placing.py
+++ b/tamarackmount/scheduling/placing.py
@@ -64,7 +64,8 @@
 def _blocked(step: StepState, unseen: set[ServiceName], now: Instant) -> WaitReason:
     if now < step.not_before:
         return WaitReason.PAUSE
-    if step.job.is_restored and step.job.accepted.service in unseen:
+    is_unsure = step.job.is_restored and step.job.accepted.service in unseen
+    if is_unsure and not step.may_copy:
         return WaitReason.TAKEOVER
     return WaitReason.NONE
 
@@ -126,7 +127,7 @@
             continue
         if not has_quota(cell, step, 1, _ceiling_part(step, now)):
             return WaitReason.CEILING
-        worker = _choose(step, workers)
+        worker = _choose(step, index, workers)
         if worker is None:
             return WaitReason.ROOM
         step.run_number = _next_run(step)
@@ -196,13 +197,18 @@
     return chosen
 
 
-def _choose(step: StepState, workers: list[WorkerState]) -> WorkerState | None:
+def _choose(
+    step: StepState, index: int, workers: list[WorkerState]
+) -> WorkerState | None:
     """Return the worker that keeps the least room free, near the data if it can."""
     amount = step.room_amount
+    task = step.task(index)
     fitting = [
         worker
         for worker in workers
-        if amount.fits_in(worker.free) and not _is_full_of(step, _runs_on(step, worker))
+        if amount.fits_in(worker.free)
+        and task not in worker.runs_by_task
+        and not _is_full_of(step, _runs_on(step, worker))
     ]
     if not fitting:
         return None
@@ -213,7 +219,7 @@
 def _runs_on(step: StepState, worker: WorkerState) -> int:
     if not step.spec.max_per_worker:
         return 0
-    return sum(1 for run in step.runs_by_index.values() if run.life == worker.life)
+    return sum(1 for run in step.runs() if run.life == worker.life)
 
 
 def _is_full_of(step: StepState, count: int) -> bool:
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -74,6 +74,8 @@
 class StepState:
     """The tasks of one step of one occurrence.
 
+    ``copies`` are runs of a speculative step that may be lost: their tasks start again
+    beside them, and the first end counts.
     ``straggled`` are tasks that were stopped as stragglers, which happens once.
     ``took_s`` are durations of tasks that ended well on their first run: those of one
     step are alike, while steps of one queue differ by several times.
@@ -87,6 +89,7 @@
     pending: set[int]
     done: set[int] = field(default_factory=set)
     runs_by_index: dict[int, Run] = field(default_factory=dict)
+    copies: list[Run] = field(default_factory=list)
     failures_by_index: dict[int, int] = field(default_factory=dict)
     checkpoints_by_index: dict[int, str] = field(default_factory=dict)
     run_number: int = 0
@@ -109,10 +112,20 @@
         """Whether every task has ended well."""
         return len(self.done) == self.spec.count
 
+    @property
+    def may_copy(self) -> bool:
+        """Whether several runs of one task may be at work together."""
+        spec = self.spec
+        return spec.speculative and not (spec.gang or spec.perpetual)
+
     def task(self, index: int) -> TaskKey:
         """Return the name of one task."""
         return TaskKey(*self.key, index)
 
+    def runs(self) -> list[Run]:
+        """Return every run that is not surely over, copies among them."""
+        return [*self.runs_by_index.values(), *self.copies]
+
 
 @dataclass(slots=True)
 class JobState:
@@ -153,7 +166,7 @@
     def runs(self) -> Iterator[Run]:
         """Return every run that is not surely over."""
         for step in self.steps_by_key.values():
-            yield from list(step.runs_by_index.values())
+            yield from step.runs()
 
     def progress(self) -> JobProgress:
         """Return what the store has to keep."""
--- a/tamarackmount/scheduling/stragglers.py
+++ b/tamarackmount/scheduling/stragglers.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+from statistics import median
 
 from tamarackmount.ids import Instant
 from tamarackmount.scheduling.cell import Cell
@@ -24,6 +25,13 @@
 """Without others to compare with, after this many times its forecast: jobs of a queue
 differ by 2.6 times their mean, estimates and workers by half of that again."""
 
+COPY_FACTOR = 1.5
+"""A task that may have copies gets one after this many times what others of its step
+took: tasks of a step differ by a sixth, and a copy in vain costs a second's room."""
+
+LEAST_COPY_S = 0.4
+"""No task gets a copy before this, in seconds: ends are told up to 0.1 s late."""
+
 LEAST_S = 1.2
 """No run is a straggler before this, in seconds; the shortest kinds take 0.6 s."""
 
@@ -43,6 +51,7 @@
     for worker in list(cell.workers_by_life.values()):
         if worker.silent_since is not None or worker.reach is not Reach.FOLLOWING:
             continue
+        _copy_slow(cell, worker, now)
         found = _stragglers(cell, worker, now)
         jobs = {run.task.job_id for _, run in found}
         if len(jobs) < BLAMED_JOBS and not worker.is_slow(now):
@@ -52,6 +61,31 @@
             _stop(cell, worker, step, run, now)
 
 
+def _copy_slow(cell: Cell, worker: WorkerState, now: Instant) -> None:
+    """Start copies of tasks that others of their step have left behind."""
+    for run in list(worker.runs_by_task.values()):
+        step = cell.step_of(run.task)
+        if step is None or run.phase is not RunPhase.RUNNING:
+            continue
+        if len(step.took_s) < ALIKE_TASKS or run.task.index in step.straggled:
+            continue
+        usual_s = median(step.took_s)
+        ran_s = now - run.began_at
+        if ran_s <= max(LEAST_COPY_S, COPY_FACTOR * usual_s):
+            continue
+        if cell.copy_elsewhere(run):
+            step.straggled.add(run.task.index)
+            step.failed_on.add(worker.life.worker_id)
+            extra = {
+                "job": step.key.job_id,
+                "task": task_text(run.task),
+                "worker": worker.life.worker_id,
+                "ran_s": round(ran_s, 3),
+                "usual_s": round(usual_s, 3),
+            }
+            _log.info("straggler copied", extra=extra)
+
+
 def _stragglers(
     cell: Cell, worker: WorkerState, now: Instant
 ) -> list[tuple[StepState, Run]]:
--- a/tamarackmount/scheduling/worker_watch.py
+++ b/tamarackmount/scheduling/worker_watch.py
@@ -140,7 +140,7 @@
     if answer.born_unix_ms not in (None, life.born_unix_ms):
         worker_gone(cell, worker, now, "another life answers")
         return
-    _heard(worker)
+    _heard(worker, now)
     worker.read_clock(answer.clock_ms, sent, now)
     for ended in sorted(answer.ended, key=lambda row: row.number):
         if ended.number > worker.known_end:
@@ -165,9 +165,19 @@
         worker.silent_since = now
         extra = {"worker": worker.life.worker_id, "reason": trouble.value}
         _log.info("worker lost", extra=extra)
+        copy_all(cell, worker)
     worker.next_hold_at = Instant(now + RETRY_HOLD_S)
 
 
+def copy_all(cell: Cell, worker: WorkerState) -> None:
+    """Start what may have copies elsewhere, as the worker may be lost."""
+    runs = list(worker.runs_by_task.values())
+    copied = [run for run in runs if cell.copy_elsewhere(run)]
+    if copied:
+        extra = {"worker": worker.life.worker_id, "copies": len(copied)}
+        _log.info("copies wanted", extra=extra)
+
+
 def fenced(cell: Cell, life: WorkerLife) -> None:
     """Give up: a worker follows a holder with a higher token."""
     if not cell.superseded:
@@ -175,12 +185,13 @@
         cell.emit(StepDown(f"worker {life.worker_id} follows a later holder"))
 
 
-def _heard(worker: WorkerState) -> None:
+def _heard(worker: WorkerState, now: Instant) -> None:
     if worker.reach is not Reach.FOLLOWING or worker.silent_since is not None:
         extra = {"worker": worker.life.worker_id, "reach": worker.reach.value}
         _log.info("worker follows", extra=extra)
     worker.reach = Reach.FOLLOWING
     worker.silent_since = None
+    worker.answered(now)
 
 
 def _compare_runs(
--- a/tamarackmount/scheduling/workers.py
+++ b/tamarackmount/scheduling/workers.py
@@ -49,7 +49,8 @@
     ``used`` is the room of all runs that are not surely over. ``acked`` is the
     cursor that the worker was told, ``known_end`` the highest end that was read and
     ``stored_end`` the highest one in the store. ``lease_ends`` is the instant by
-    which everything on the worker is over, unless it is renewed.
+    which everything on the worker is over, unless it is renewed. One that left an order
+    unanswered ``is_doubted`` until it answers anything.
     """
 
     entry: WorkerEntry
@@ -66,6 +67,8 @@
     look_again_at: Instant = Instant(0.0)
     rest_until: Instant = Instant(0.0)
     silent_since: Instant | None = None
+    answered_at: Instant = Instant(0.0)
+    is_doubted: bool = False
     failures_in_row: int = 0
     slowness: float = 0.0
     slowness_at: Instant = Instant(0.0)
@@ -91,8 +94,14 @@
             and self.listed
             and not self.entry.is_draining
             and self.silent_since is None
+            and not self.is_doubted
         )
 
+    def answered(self, now: Instant) -> None:
+        """Take that the worker has answered a call just now."""
+        self.answered_at = now
+        self.is_doubted = False
+
     def read_clock(self, clock_ms: int, sent: Instant, now: Instant) -> None:
         """Take a reading that a worker made between ``sent`` and ``now``."""
         self._clock_ms = clock_ms
--- a/tests/test_scheduling_takeover.py
+++ b/tests/test_scheduling_takeover.py
@@ -117,6 +117,16 @@
     assert len(released.starts) == 1
 
 
+def test_a_task_that_may_have_copies_waits_for_nobody() -> None:
+    before = Cell()
+    before.list_workers(entry("w1"))
+    accepted = job(1, step(speculative=True))
+    book = book_of([accepted], before.store())
+    silent = successor(before, book, stops_in_s=1.5, is_complete=False)
+    silent.list_workers(entry("w2"))
+    assert len(silent.starts) == 1
+
+
 def test_what_may_run_counts_towards_the_ceiling() -> None:
     ceiling = Resources(1_000, 0, 0)
     before = Cell(ceiling=ceiling)
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -28,6 +28,24 @@
 
 
 MUTANTS = (
+    Mutant(
+        "only speculative steps have copies",
+        "scheduling/runs.py",
+        "return spec.speculative and not (spec.gang or spec.perpetual)",
+        "return True",
+    ),
+    Mutant(
+        "a copy in work is stopped when the other run is done",
+        "scheduling/ends.py",
+        "if run.task.index == index and run.number != ended.run:",
+        "if False:",
+    ),
+    Mutant(
+        "a worker that left an order unanswered gets no other",
+        "scheduling/workers.py",
+        "and not self.is_doubted",
+        "",
+    ),
     Mutant(
         "a claim's first number is drawn",
         "node/fenced_log.py",
