Orders leave only once the store holds their runs

Cause: after a takeover without a release, all steps that were accepted before waited until each worker had answered or its lease was over (7 s), because the former holder might have started what it had not recorded.

Orders are now held back until the append with their run is answered (a call of some 10 ms, gathered with the other news), so the store knows every run that may exist, and a new holder waits only for those. What was placed and is no longer wanted, or whose worker or licence was lost meanwhile, is not sent. While the store takes nothing, nothing starts.

Ruled out: recording and ordering at once with a mark in the signs of life; a cut holder can't write the mark.

--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -91,18 +91,6 @@
     status_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class FormerHolder:
-    """What is known of the holder before.
-
-    It sends no more orders after ``last_order``; the store ``is_complete`` if it knows
-    all that was ordered.
-    """
-
-    last_order: Instant
-    is_complete: bool
-
-
 class Holder:
     """Decides under one epoch, until it is released or another holder follows."""
 
@@ -112,15 +100,18 @@
         claimed: Claim,
         book: JobBook,
         fleet: Fleet,
-        former: FormerHolder,
+        last_order: Instant,
         ended: Callable[[str], None],
     ) -> None:
-        """Take over what ``book`` holds; ``ended`` is called when it is over."""
+        """Take over what ``book`` holds; ``ended`` is called when it is over.
+
+        Earlier holders send no more orders after ``last_order``.
+        """
         self._parts = parts
         self._epoch = claimed.epoch
         self._book = book
         self._ended = ended
-        self._former = former
+        self._last_order = last_order
         self._is_over = False
         self._is_releasing = False
         self._poked = False
@@ -170,8 +161,7 @@
             book.open_jobs(),
             book.workers(),
             book.forecast,
-            self._former.last_order,
-            self._former.is_complete,
+            self._last_order,
             clock.now(),
             clock.unix_ms(),
         )
@@ -259,8 +249,7 @@
         if self._is_over:
             return
         self.scheduler.set_lanes(self._lanes.count())
-        licence = self._licence.check(self._signs.last_proof)
-        self.scheduler.set_licence(Licence.NONE if self._is_releasing else licence)
+        self._check_licence()
         self.scheduler.tick(clock.now(), clock.unix_ms())
         for effect in self.scheduler.take_effects():
             self._carry_out(effect)
@@ -268,6 +257,10 @@
         if not self._is_over:
             self._writer.poke()
 
+    def _check_licence(self) -> None:
+        licence = self._licence.check(self._signs.last_proof)
+        self.scheduler.set_licence(Licence.NONE if self._is_releasing else licence)
+
     def _forget_old_jobs(self) -> None:
         if clock.now() < self._forget_at:
             return
@@ -362,6 +355,7 @@
         return self.scheduler.take_batch(clock.unix_ms())
 
     def _stored(self, batch: Batch) -> None:
+        self._check_licence()
         self.scheduler.stored(batch, clock.now())
         self._poke()
 
--- a/tamarackmount/node/holding.py
+++ b/tamarackmount/node/holding.py
@@ -10,7 +10,7 @@
 from tamarackmount.node import clock
 from tamarackmount.node.claims import HOLDER_TOPIC, Claim, claim
 from tamarackmount.node.context import NodeContext
-from tamarackmount.node.holder import FormerHolder, Holder, HolderParts
+from tamarackmount.node.holder import Holder, HolderParts
 from tamarackmount.node.messages import HolderReleased
 from tamarackmount.node.registry import NodeRegistry
 from tamarackmount.node.tail import TopicTail
@@ -140,18 +140,16 @@
         started = self._registry.started_by_node()
         if end is None or not self._watch.should_claim(0, started, clock.now()):
             return
-        is_released = self._watch.is_released
         last_order_in_s = self._watch.last_order_in_s(started)
         claimed = await claim(
             context.reactor, context.store, context.me, context.started_unix_ms, end
         )
         if claimed is not None:
             last_order = Instant(clock.now() + last_order_in_s)
-            former = FormerHolder(last_order, is_released)
             _log.info("scheduling claimed", extra={"epoch": claimed.epoch})
-            await self._take_over(claimed, former)
+            await self._take_over(claimed, last_order)
 
-    async def _take_over(self, claimed: Claim, former: FormerHolder) -> None:
+    async def _take_over(self, claimed: Claim, last_order: Instant) -> None:
         """Fence earlier holders, read what they wrote, then begin to decide."""
         context = self._context
         if context.fleet is None:
@@ -161,7 +159,7 @@
             claimed,
             context.book,
             context.fleet,
-            former,
+            last_order,
             self._ended,
         )
         is_fenced = await holder.fence()
--- a/tamarackmount/scheduling/cell.py
+++ b/tamarackmount/scheduling/cell.py
@@ -8,7 +8,7 @@
 from tamarackmount.ids import Epoch, Instant, JobId, TeamId
 from tamarackmount.resources import NOTHING, Resources
 from tamarackmount.scheduling.accepted_job import AcceptedJob
-from tamarackmount.scheduling.effects import Effect, StopRun
+from tamarackmount.scheduling.effects import Effect, StartRun, StopRun
 from tamarackmount.scheduling.fleet import Fleet, Queue, Team
 from tamarackmount.scheduling.forecast import Forecast
 from tamarackmount.scheduling.licence import Licence
@@ -29,7 +29,8 @@
     """Jobs, workers and teams under one holder's token.
 
     ``ready_by_key`` are steps that may start now and have tasks without a run.
-    ``changed_jobs`` and ``changed_workers`` have news that the store does not hold.
+    ``changed_jobs`` and ``changed_workers`` have news that the store does not hold;
+    ``unrecorded`` are orders that are not sent before it holds their runs.
     ``strays_by_task`` counts runs that nobody wants and that are not surely over.
     ``phase_by_job`` is what callers are told of jobs in a final phase: what the store
     holds.
@@ -49,10 +50,10 @@
     changed_workers: set[WorkerLife] = field(default_factory=set)
     removed_workers: set[WorkerLife] = field(default_factory=set)
     effects: list[Effect] = field(default_factory=list)
+    unrecorded: list[StartRun] = field(default_factory=list)
     observer: Observer = field(default_factory=NoObserver)
     forecast: Forecast = field(default_factory=Forecast)
     shares: TeamShares = field(default_factory=TeamShares)
-    has_unknown_starts: bool = False
     licence: Licence = Licence.FULL
     check_stragglers_at: Instant = Instant(0.0)
     superseded: bool = False
--- a/tamarackmount/scheduling/holdership.py
+++ b/tamarackmount/scheduling/holdership.py
@@ -78,11 +78,6 @@
             return False
         return started.get(record.node, 0) > record.started_unix_ms
 
-    @property
-    def is_released(self) -> bool:
-        """Whether the holder stopped after it had stored all that it had ordered."""
-        return self.record is not None and self.record.released
-
     def last_order_in_s(self, started: StartTimes) -> float:
         """Return for how long the holder may send orders after it is replaced."""
         record = self.record
--- a/tamarackmount/scheduling/orders.py
+++ b/tamarackmount/scheduling/orders.py
@@ -5,6 +5,8 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.scheduling.cell import Cell
+from tamarackmount.scheduling.effects import StartRun
+from tamarackmount.scheduling.licence import Licence
 from tamarackmount.scheduling.model import TaskKey, WorkerLife
 from tamarackmount.scheduling.placing import FIRST_RUN_AFTER_TAKEOVER
 from tamarackmount.scheduling.runs import Run, RunPhase
@@ -24,6 +26,25 @@
 _NO_ANSWER = (OrderResult.UNKNOWN, OrderResult.NOT_SENT)
 
 
+def start_recorded(cell: Cell, start: StartRun, now: Instant) -> None:
+    """Send an order whose run the store holds, if it is still wanted and allowed.
+
+    Its lease was reckoned when it was placed: a holder that froze since then sends
+    nothing that outlives the time after which its successor takes the run for over.
+    """
+    order = start.order
+    run = cell.find_run(order.life, order.task, order.run)
+    worker = cell.workers_by_life.get(order.life)
+    if run is None or worker is None:
+        return
+    may_start = worker.can_start and cell.licence is Licence.FULL
+    if may_start and run.phase is RunPhase.STARTING:
+        run.began_at = now
+        cell.emit(start)
+        return
+    cell.drop_run(run, now)
+
+
 def start_answered(
     cell: Cell,
     life: WorkerLife,
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -14,7 +14,7 @@
 from tamarackmount.scheduling.advising import Advising
 from tamarackmount.scheduling.book import KnownJob
 from tamarackmount.scheduling.cell import Cell
-from tamarackmount.scheduling.effects import Effect
+from tamarackmount.scheduling.effects import Effect, StartRun
 from tamarackmount.scheduling.ends import end_job, make_ready
 from tamarackmount.scheduling.fleet import Fleet, Queue
 from tamarackmount.scheduling.forecast import STORE_PAUSE_S
@@ -30,7 +30,11 @@
 from tamarackmount.scheduling.model import JobPhase, StepKey, TaskKey, WorkerLife
 from tamarackmount.scheduling.objectives import set_objective
 from tamarackmount.scheduling.observer import NoObserver, Observer
-from tamarackmount.scheduling.orders import start_answered, stop_answered
+from tamarackmount.scheduling.orders import (
+    start_answered,
+    start_recorded,
+    stop_answered,
+)
 from tamarackmount.scheduling.placing import place
 from tamarackmount.scheduling.preempting import Preemption
 from tamarackmount.scheduling.retention import removals
@@ -63,11 +67,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Batch:
-    """News for the store, and what becomes true once it is stored."""
+    """News for the store, and what becomes true once it is stored.
+
+    ``starts`` are orders whose runs are among the news.
+    """
 
     records: tuple[tuple[str, bytes], ...]
     phases: tuple[tuple[JobId, JobPhase], ...]
     acks: tuple[tuple[WorkerLife, int], ...]
+    starts: tuple[StartRun, ...] = ()
 
 
 class Scheduler:
@@ -96,16 +104,13 @@
         workers: Iterable[WorkerRecord],
         forecast: ForecastRecord | None,
         last_order: Instant,
-        is_complete: bool,
         now: Instant,
         unix_ms: int,
     ) -> None:
-        """Take over what the store holds.
+        """Take over what the store holds, all runs that may have been started included.
 
-        Earlier holders send no more orders after ``last_order``. Unless the store
-        ``is_complete``, they may have started tasks that it does not know of.
+        Earlier holders send no more orders after ``last_order``.
         """
-        self._cell.has_unknown_starts = not is_complete
         if forecast is not None:
             self._cell.forecast.restore(forecast)
         for known in list(jobs):
@@ -244,6 +249,11 @@
         effects, self._cell.effects = self._cell.effects, []
         return effects
 
+    @property
+    def waits_for_record(self) -> bool:
+        """Whether orders are held back until the store holds their runs."""
+        return bool(self._cell.unrecorded)
+
     def take_batch(self, unix_ms: int) -> Batch | None:
         """Return news for the store, or nothing if there are none."""
         cell = self._cell
@@ -282,7 +292,8 @@
         cell.changed_workers.clear()
         records.extend((worker_key(life), b"") for life in cell.removed_workers)
         cell.removed_workers.clear()
-        return Batch(tuple(records), tuple(phases), tuple(acks))
+        starts, cell.unrecorded = cell.unrecorded, []
+        return Batch(tuple(records), tuple(phases), tuple(acks), tuple(starts))
 
     def stored(self, batch: Batch, now: Instant) -> None:
         """Take that the store holds a batch."""
@@ -297,11 +308,13 @@
             worker = cell.workers_by_life.get(life)
             if worker is None:
                 continue
-            worker.recorded = True
             if ack > worker.stored_end:
                 worker.stored_end = ack
                 worker.next_hold_at = max(now, worker.look_again_at)
 
+        for start in batch.starts:
+            start_recorded(cell, start, now)
+
     def phase(self, job_id: JobId) -> JobPhase | None:
         """Return what a caller is told; final phases once the store holds them."""
         cell = self._cell
--- a/tamarackmount/scheduling/workers.py
+++ b/tamarackmount/scheduling/workers.py
@@ -60,7 +60,6 @@
     runs_by_task: dict[TaskKey, Run] = field(default_factory=dict)
     known_end: int = 0
     stored_end: int = 0
-    recorded: bool = False
     lease_ends: Instant = Instant(0.0)
     hold_in_flight: bool = False
     next_hold_at: Instant = Instant(0.0)
