A holder is replaced after 1.3 s of silence

The 1.8 s were bound from below by what a cut-off holder could start without a record (1.5 s); since orders wait for their records, fencing bounds that. A spurious claim in a slow store is still avoided, as a claim reads the topic's end first. Leases are renewed for 2 s after the last accepted sign of life (3 s before).

--- a/tamarackmount/scheduling/holdership.py
+++ b/tamarackmount/scheduling/holdership.py
@@ -16,9 +16,10 @@
 BEAT_S = 0.4
 """Pause between two signs of life, in seconds; a slow store answers each in 0.6 s."""
 
-SILENCE_S = 1.8
+SILENCE_S = 1.3
 """Silence after which a holder is replaced, in seconds: three signs of life while the
-store is well, two while it is slow."""
+store is well, or one whose answer was lost twice. In a slow store they come each
+second, and a claim first reads all that was written."""
 
 TURN_S = 0.12
 """Each further candidate waits this much longer, in seconds: a claim's whole way."""
--- a/tamarackmount/scheduling/licence.py
+++ b/tamarackmount/scheduling/licence.py
@@ -1,19 +1,21 @@
 """What a holder may do while it can't show the store that it lives.
 
-Another node may claim the scheduling ``SILENCE_S`` after it read the last sign of life.
-Unless the store is away for all, the holder stops before: first it starts nothing that
-the store would not know of, then it lets the leases of what runs come to their end.
+Another node may claim the scheduling ``SILENCE_S`` after it read the last sign of life,
+and fences what this one writes. Nothing starts that the store does not hold, so what
+is left to bound is how long an earlier holder may send orders already stored, and renew
+the leases of what runs.
 """
 
 from collections.abc import Collection
 from enum import Enum
 
 FULL_S = 1.5
-"""Up to this age of its last accepted sign of life, in seconds, a holder does all: less
-than the silence of 1.8 s after which another one claims."""
+"""Up to this age of its last accepted sign of life, in seconds, a holder does all: a
+slow store answers one each second."""
 
-KEEP_S = 3.0
-"""Up to this age, in seconds, it renews leases; cuts of a second or two pass."""
+KEEP_S = 2.0
+"""Up to this age, in seconds, it renews leases, which last long enough for the next
+holder to renew them."""
 
 NO_CONTACT_MS = 1_500
 """A node that heard the store longer ago than this does not reach it, in milliseconds;
