A soak: node processes beside stand-ins of the platform, with faults from a seed

make soak SEED=n MINUTES=m starts node processes on loopback addresses of their own. The platform's store, workers and callers live in the soak's process, behind proxies that delay, reset, cut one way and silence connections; signals kill, stop, freeze and reload nodes.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Entry points: install, demo, capacity, test, prove, mutants, codestyle, types, clean.
+# Entry points: install, demo, capacity, test, prove, mutants, soak, codestyle, types, clean.
 
 PYTHON ?= python3
 VENV := .venv
@@ -8,8 +8,9 @@
 STEPS ?= 80
 HISTORIES ?= 5
 SEED ?= 1
+MINUTES ?= 1
 
-.PHONY: install demo capacity test prove mutants codestyle types format clean
+.PHONY: install demo capacity test prove mutants soak codestyle types format clean
 
 install: $(STAMP)
 
@@ -34,6 +35,9 @@
 mutants: install
 	$(BIN)/python -m tests.utils.mutants
 
+soak: install
+	$(BIN)/python -m tests.soak --seed $(SEED) --minutes $(MINUTES) $(ARGS)
+
 codestyle: install
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
--- a/tamarackmount/platform/http.py
+++ b/tamarackmount/platform/http.py
@@ -162,15 +162,19 @@
         deadline: Instant,
         body: bytes | None = None,
         headers: str = "",
+        host: str = "",
     ) -> Outcome:
-        """Make one call; ``headers`` are whole lines, each ended by CR LF."""
+        """Make one call; ``headers`` are whole lines, each ended by CR LF.
+
+        ``host`` is the host asked for, the address if it is empty.
+        """
         connection = self._take_idle(address)
         if connection is None:
             opened = await self._connect(address, deadline)
             if isinstance(opened, CallFault):
                 return opened
             connection = opened
-        request = _encode(address, method, target, body, headers)
+        request = _encode(host or address, method, target, body, headers)
         result = connection.exchange(request)
         left_s = max(0.0, deadline - self._reactor.seconds())
         timer = self._reactor.callLater(left_s, connection.abort, "deadline passed")
@@ -222,9 +226,9 @@
 
 
 def _encode(
-    address: Address, method: str, target: str, body: bytes | None, headers: str
+    host: str, method: str, target: str, body: bytes | None, headers: str
 ) -> bytes:
-    lines = f"{method} {target} HTTP/1.1\r\nHost: {address}\r\n{headers}"
+    lines = f"{method} {target} HTTP/1.1\r\nHost: {host}\r\n{headers}"
     if body is None:
         return f"{lines}\r\n".encode("latin-1")
     return f"{lines}Content-Length: {len(body)}\r\n\r\n".encode("latin-1") + body
--- /dev/null
+++ b/tests/soak/nodes.py
@@ -0,0 +1,92 @@
+"""Node processes of the soak, each on a loopback address of its own."""
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from tests.soak.proxy import Proxy
+from tests.utils.build_platform_documents import boot_document
+
+DATA_CENTRES = ("a", "b", "c")
+RESTART_S = 0.3
+
+
+class NodeProcess:
+    """One entry VM: a process that is started again whenever it ends."""
+
+    def __init__(
+        self, reactor: Any, number: int, base_port: int, ports: "BackEnds", folder: Path
+    ) -> None:
+        """Prepare the settings of the node with this number."""
+        self._reactor = reactor
+        self.name = f"front-{number}"
+        self.ip = f"127.0.1.{number + 1}"
+        self.entry = f"{self.ip}:{base_port}"
+        self.store_proxy = Proxy(reactor, ports.store)
+        self._log = (folder / f"{self.name}.log").open("ab")
+        self._settings = folder / f"{self.name}.json"
+        self._process: subprocess.Popen[bytes] | None = None
+        self._is_over = False
+        self.exits: list[int] = []
+        document = boot_document(
+            node=self.name,
+            ip=self.ip,
+            zone=DATA_CENTRES[number % len(DATA_CENTRES)],
+            listen={"front": self.entry, "ready": f"{self.ip}:{base_port + 1}"},
+            internalPorts=[base_port + 2, base_port + 3],
+            platform={"address": f"127.0.0.1:{self.store_proxy.port}"},
+            advice=f"127.0.0.1:{ports.store}",
+        )
+        self._settings.write_bytes(orjson.dumps(document))
+
+    def start(self) -> None:
+        """Start the process."""
+        if self._is_over:
+            return
+        environment = {**os.environ, "TAMARACKMOUNT_BOOT": str(self._settings)}
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "tamarackmount.node"],
+            stdout=self._log,
+            stderr=subprocess.STDOUT,
+            env=environment,
+        )
+        self._watch()
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
+        process = self._process
+        if process is not None and process.poll() is None:
+            process.send_signal(number)
+
+    def end(self) -> None:
+        """End the process for good."""
+        self._is_over = True
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self._process is not None:
+            self._process.wait()
+        self._log.close()
+
+    def _watch(self) -> None:
+        process = self._process
+        if self._is_over or process is None:
+            return
+        status = process.poll()
+        if status is None:
+            self._reactor.callLater(0.1, self._watch)
+            return
+        self.exits.append(status)
+        self._reactor.callLater(RESTART_S, self.start)
+
+
+class BackEnds:
+    """Ports of what the nodes call."""
+
+    def __init__(self, store: int) -> None:
+        """Serve the store on ``store``."""
+        self.store = store
--- a/tests/utils/memory_store.py
+++ b/tests/utils/memory_store.py
@@ -119,6 +119,14 @@
         rows = [row for row in by_key.values() if row.value]
         return Newest(rows, False, Offset(len(partition.records)))
 
+    def put(self, topic: Topic, record: KeyedRecord) -> None:
+        """Write one record of the platform's own, faults or not."""
+        _append(self._partition(topic), [record], None, None)
+
+    def sleep(self, seconds: float) -> "Deferred[None]":
+        """Wait on the store's clock."""
+        return self._after(seconds)
+
     def records(self, topic: Topic) -> list[KeyedRecord]:
         """Return every record of a topic."""
         return list(self._partition(topic).records)
