In a slow store orders leave at once, after a mark that says so

An append that takes over 0.1 s makes the holder write a mark that the store may lack runs; once that is stored, orders leave at once, until the store has been quick for 2 s and holds the other mark together with all runs. A new holder that finds the first mark waits for workers that it has not heard, as before. What the store is told is in scheduling/news.py.

--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -49,8 +49,9 @@
 )
 from tamarackmount.scheduling.licence import Licence
 from tamarackmount.scheduling.model import JobPhase, StepKey, WorkerLife
+from tamarackmount.scheduling.news import Batch
 from tamarackmount.scheduling.retention import forgettable
-from tamarackmount.scheduling.scheduler import Batch, Scheduler
+from tamarackmount.scheduling.scheduler import Scheduler
 from tamarackmount.scheduling.tickets import AdviceAnswer
 from tamarackmount.scheduling.worker_reports import WorkerEntry
 from tamarackmount.units import MS_PER_SECOND
@@ -163,6 +164,7 @@
             book.workers(),
             book.forecast,
             self._last_order,
+            book.is_complete,
             clock.now(),
             clock.unix_ms(),
         )
@@ -353,7 +355,7 @@
         self._ended(reason)
 
     def _take_batch(self) -> Batch | None:
-        return self.scheduler.take_batch(clock.unix_ms())
+        return self.scheduler.take_batch(clock.now(), clock.unix_ms())
 
     def _stored(self, batch: Batch) -> None:
         self._check_licence()
--- a/tamarackmount/scheduling/book.py
+++ b/tamarackmount/scheduling/book.py
@@ -13,6 +13,7 @@
     CancelRecord,
     ForecastRecord,
     JobProgress,
+    MarkRecord,
     RecordKind,
     WorkerRecord,
     decode_record,
@@ -27,6 +28,7 @@
     RecordKind.CANCEL: CancelRecord,
     RecordKind.PROGRESS: JobProgress,
     RecordKind.FORECAST: ForecastRecord,
+    RecordKind.MARK: MarkRecord,
 }
 
 
@@ -57,12 +59,14 @@
         """Start without records."""
         self.jobs_by_id: dict[JobId, KnownJob] = {}
         self.forecast: ForecastRecord | None = None
+        self.is_complete = True
         self._workers_by_name: dict[str, bytes] = {}
         self._setters = {
             RecordKind.JOB: self._set_job,
             RecordKind.CANCEL: self._set_cancel,
             RecordKind.PROGRESS: self._set_progress,
             RecordKind.FORECAST: self._set_forecast,
+            RecordKind.MARK: self._set_mark,
         }
 
     def apply(self, key: str, value: bytes, offset: Offset) -> None:
@@ -140,6 +144,9 @@
     def _set_forecast(self, _name: str, record: Any) -> None:
         self.forecast = record
 
+    def _set_mark(self, _name: str, record: Any) -> None:
+        self.is_complete = record.is_complete
+
     def _remove(self, kind: RecordKind, name: str) -> None:
         if kind is RecordKind.JOB:
             self.jobs_by_id.pop(JobId(name), None)
--- a/tamarackmount/scheduling/cell.py
+++ b/tamarackmount/scheduling/cell.py
@@ -15,6 +15,7 @@
 from tamarackmount.scheduling.model import JobPhase, StepKey, TaskKey, WorkerLife
 from tamarackmount.scheduling.observer import NoObserver, Observer
 from tamarackmount.scheduling.ranking import TeamShares
+from tamarackmount.scheduling.recording import Recording
 from tamarackmount.scheduling.runs import JobState, Run, RunPhase, StepState
 from tamarackmount.scheduling.workers import WorkerState
 
@@ -30,7 +31,8 @@
 
     ``ready_by_key`` are steps that may start now and have tasks without a run.
     ``changed_jobs`` and ``changed_workers`` have news that the store does not hold;
-    ``unrecorded`` are orders that are not sent before it holds their runs.
+    ``unrecorded`` are orders that are not sent before it holds their runs. After a
+    takeover without such records there may be ``has_unknown_starts``.
     ``strays_by_task`` counts runs that nobody wants and that are not surely over.
     ``phase_by_job`` is what callers are told of jobs in a final phase: what the store
     holds.
@@ -51,6 +53,8 @@
     removed_workers: set[WorkerLife] = field(default_factory=set)
     effects: list[Effect] = field(default_factory=list)
     unrecorded: list[StartRun] = field(default_factory=list)
+    recording: Recording = field(default_factory=Recording)
+    has_unknown_starts: bool = False
     observer: Observer = field(default_factory=NoObserver)
     forecast: Forecast = field(default_factory=Forecast)
     shares: TeamShares = field(default_factory=TeamShares)
--- a/tamarackmount/scheduling/journal.py
+++ b/tamarackmount/scheduling/journal.py
@@ -26,6 +26,7 @@
     PROGRESS = "progress"
     WORKER = "worker"
     FORECAST = "forecast"
+    MARK = "mark"
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +80,13 @@
     runs: list[tuple[str, int]] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class MarkRecord:
+    """Whether the store holds every run that may exist; see ``recording.py``."""
+
+    is_complete: bool
+
+
 @dataclass(frozen=True, slots=True)
 class QueueMeans:
     """What is known of a queue's tasks, from ``count`` of them.
--- a/tamarackmount/scheduling/placing.py
+++ b/tamarackmount/scheduling/placing.py
@@ -10,11 +10,11 @@
 from tamarackmount.scheduling.ends import task_text
 from tamarackmount.scheduling.fleet import Queue
 from tamarackmount.scheduling.licence import Licence
-from tamarackmount.scheduling.model import JobPhase
+from tamarackmount.scheduling.model import JobPhase, ServiceName
 from tamarackmount.scheduling.ranking import URGENT_PRIORITY, rank
 from tamarackmount.scheduling.runs import Run, RunPhase, StepState, WaitReason
 from tamarackmount.scheduling.worker_reports import StartOrder
-from tamarackmount.scheduling.workers import WorkerState
+from tamarackmount.scheduling.workers import Reach, WorkerState
 
 _log = logging.getLogger(__name__)
 
@@ -37,11 +37,11 @@
     starved: list[tuple[StepState, Queue]] = []
     if cell.licence is not Licence.FULL:
         return starved
+    unseen = _unseen_services(cell)
     for step in sorted(cell.ready_by_key.values(), key=lambda row: rank(row, now)):
         queue = cell.queue_of(step.job)
-        if now < step.not_before:
-            reason = WaitReason.PAUSE
-        else:
+        reason = _blocked(step, unseen, now)
+        if reason is WaitReason.NONE:
             policy = _place_gang if step.spec.gang else _place_tasks
             reason = policy(cell, step, queue, now)
         if reason in (WaitReason.ROOM, WaitReason.CEILING):
@@ -50,6 +50,26 @@
     return starved
 
 
+def _unseen_services(cell: Cell) -> set[ServiceName]:
+    """Return services with workers that may run what the store does not know of."""
+    if not cell.has_unknown_starts:
+        return set()
+    return {
+        worker.entry.service
+        for worker in cell.workers_by_life.values()
+        if worker.recorded and worker.reach is Reach.UNSEEN
+    }
+
+
+def _blocked(step: StepState, unseen: set[ServiceName], now: Instant) -> WaitReason:
+    if now < step.not_before:
+        return WaitReason.PAUSE
+    is_unsure = step.job.is_restored and step.job.accepted.service in unseen
+    if is_unsure and not step.may_copy:
+        return WaitReason.TAKEOVER
+    return WaitReason.NONE
+
+
 def _note_wait(step: StepState, reason: WaitReason, now: Instant) -> None:
     if reason is step.waits_for:
         return
@@ -258,10 +278,7 @@
 def start(
     cell: Cell, step: StepState, index: int, worker: WorkerState, now: Instant
 ) -> None:
-    """Place one task on a worker; the order goes out once the store holds the run.
-
-    So the next holder knows every run that an earlier one may have started.
-    """
+    """Place one task on a worker; the order may wait until the store holds the run."""
     lease_end = worker.lease_end_clock_ms(now)
     if lease_end is None:
         return
@@ -292,7 +309,10 @@
         checkpoint=checkpoint,
         ticket=step.advice.ticket(worker.life, now),
     )
-    cell.unrecorded.append(StartRun(worker.entry.address, order))
+    if cell.recording.waits:
+        cell.unrecorded.append(StartRun(worker.entry.address, order))
+    else:
+        cell.emit(StartRun(worker.entry.address, order))
     extra = {
         "job": job.job_id,
         "task": task_text(run.task),
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -35,6 +35,7 @@
     """Why a step's tasks have not started."""
 
     NONE = "none"
+    TAKEOVER = "a worker that may run it has not answered the new holder"
     PAUSE = "a start was refused a moment ago"
     STRAY = "an earlier run of it is being stopped"
     CEILING = "its team is at its ceiling"
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -6,7 +6,6 @@
 
 import logging
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 from tamarackmount.ids import Epoch, Instant, JobId, QueueName
 from tamarackmount.scheduling.accepted_job import AcceptedJob
@@ -14,30 +13,24 @@
 from tamarackmount.scheduling.advising import Advising
 from tamarackmount.scheduling.book import KnownJob
 from tamarackmount.scheduling.cell import Cell
-from tamarackmount.scheduling.effects import Effect, StartRun
+from tamarackmount.scheduling.effects import Effect
 from tamarackmount.scheduling.ends import end_job, make_ready
 from tamarackmount.scheduling.fleet import Fleet, Queue
-from tamarackmount.scheduling.forecast import STORE_PAUSE_S
 from tamarackmount.scheduling.journal import (
     ForecastRecord,
-    RecordKind,
     WorkerRecord,
-    encode_record,
-    record_key,
-    worker_key,
 )
 from tamarackmount.scheduling.licence import Licence
 from tamarackmount.scheduling.model import JobPhase, StepKey, TaskKey, WorkerLife
+from tamarackmount.scheduling.news import Batch, News
 from tamarackmount.scheduling.objectives import set_objective
 from tamarackmount.scheduling.observer import NoObserver, Observer
 from tamarackmount.scheduling.orders import (
     start_answered,
-    start_recorded,
     stop_answered,
 )
 from tamarackmount.scheduling.placing import place
 from tamarackmount.scheduling.preempting import Preemption
-from tamarackmount.scheduling.retention import removals
 from tamarackmount.scheduling.runs import JobState, StepState, make_job
 from tamarackmount.scheduling.stragglers import stop_stragglers
 from tamarackmount.scheduling.tickets import AdviceAnswer
@@ -52,32 +45,15 @@
     restore_worker,
     watch_workers,
     worker_held,
-    worker_record,
 )
 from tamarackmount.units import MS_PER_SECOND
 
 _log = logging.getLogger(__name__)
 
-MAX_BATCH_RECORDS = 500
-"""Records in one append; 4 KB each stay far under the store's 2 MB a call."""
-
 MAX_PREEMPTING = 8
 """Steps for which room is made at once: the most urgent ones; looking costs time."""
 
 
-@dataclass(frozen=True, slots=True)
-class Batch:
-    """News for the store, and what becomes true once it is stored.
-
-    ``starts`` are orders whose runs are among the news.
-    """
-
-    records: tuple[tuple[str, bytes], ...]
-    phases: tuple[tuple[JobId, JobPhase], ...]
-    acks: tuple[tuple[WorkerLife, int], ...]
-    starts: tuple[StartRun, ...] = ()
-
-
 class Scheduler:
     """Accepts, places, watches and ends jobs under one token."""
 
@@ -90,8 +66,7 @@
         """Begin under ``token``; ``find_job`` looks any accepted job up."""
         self._cell = Cell(token, find_job, observer=observer or NoObserver())
         self._advising = Advising(self._cell)
-        self._store_forecast_at_unix_ms = 0
-        self._removals: list[tuple[str, bytes]] = []
+        self._news = News(self._cell)
 
     @property
     def token(self) -> Epoch:
@@ -104,13 +79,17 @@
         workers: Iterable[WorkerRecord],
         forecast: ForecastRecord | None,
         last_order: Instant,
+        is_complete: bool,
         now: Instant,
         unix_ms: int,
     ) -> None:
-        """Take over what the store holds, all runs that may have been started included.
+        """Take over what the store holds.
 
-        Earlier holders send no more orders after ``last_order``.
+        Earlier holders send no more orders after ``last_order``. Unless the store
+        ``is_complete``, they may have started tasks that it does not know of.
         """
+        self._cell.has_unknown_starts = not is_complete
+        self._cell.recording.is_marked_complete = is_complete
         if forecast is not None:
             self._cell.forecast.restore(forecast)
         for known in list(jobs):
@@ -240,9 +219,7 @@
 
     def forget(self, job_ids: list[JobId]) -> None:
         """Remove jobs from the store with the next batch."""
-        for job_id in job_ids:
-            self._cell.phase_by_job.pop(job_id, None)
-        self._removals.extend(removals(job_ids))
+        self._news.forget(job_ids)
 
     def take_effects(self) -> list[Effect]:
         """Return what is to be done since the last call."""
@@ -254,66 +231,13 @@
         """Whether orders are held back until the store holds their runs."""
         return bool(self._cell.unrecorded)
 
-    def take_batch(self, unix_ms: int) -> Batch | None:
+    def take_batch(self, now: Instant, unix_ms: int) -> Batch | None:
         """Return news for the store, or nothing if there are none."""
-        cell = self._cell
-        news = (
-            cell.changed_jobs,
-            cell.changed_workers,
-            cell.removed_workers,
-            self._removals,
-        )
-        if not any(news):
-            return None
-        records, self._removals = self._removals, []
-        if unix_ms >= self._store_forecast_at_unix_ms:
-            pause_ms = int(STORE_PAUSE_S * MS_PER_SECOND)
-            self._store_forecast_at_unix_ms = unix_ms + pause_ms
-            forecast = encode_record(cell.forecast.record())
-            records.append((record_key(RecordKind.FORECAST), forecast))
-        phases: list[tuple[JobId, JobPhase]] = []
-        acks: list[tuple[WorkerLife, int]] = []
-        while cell.changed_jobs and len(records) < MAX_BATCH_RECORDS:
-            job = cell.jobs_by_id.get(cell.changed_jobs.pop())
-            if job is None:
-                continue
-            if job.phase.is_final and not job.final_unix_ms:
-                job.final_unix_ms = unix_ms
-            key = record_key(RecordKind.PROGRESS, job.job_id)
-            records.append((key, encode_record(job.progress())))
-            phases.append((job.job_id, job.phase))
-        for life in list(cell.changed_workers):
-            worker = cell.workers_by_life.get(life)
-            if worker is None:
-                continue
-            record = worker_record(worker)
-            records.append((worker_key(life), encode_record(record)))
-            acks.append((life, worker.known_end))
-        cell.changed_workers.clear()
-        records.extend((worker_key(life), b"") for life in cell.removed_workers)
-        cell.removed_workers.clear()
-        starts, cell.unrecorded = cell.unrecorded, []
-        return Batch(tuple(records), tuple(phases), tuple(acks), tuple(starts))
+        return self._news.take(now, unix_ms)
 
     def stored(self, batch: Batch, now: Instant) -> None:
         """Take that the store holds a batch."""
-        cell = self._cell
-        for job_id, phase in batch.phases:
-            if phase.is_final:
-                cell.phase_by_job[job_id] = phase
-            job = cell.jobs_by_id.get(job_id)
-            if job is not None:
-                cell.forget_if_over(job)
-        for life, ack in batch.acks:
-            worker = cell.workers_by_life.get(life)
-            if worker is None:
-                continue
-            if ack > worker.stored_end:
-                worker.stored_end = ack
-                worker.next_hold_at = max(now, worker.look_again_at)
-
-        for start in batch.starts:
-            start_recorded(cell, start, now)
+        self._news.stored(batch, now)
 
     def phase(self, job_id: JobId) -> JobPhase | None:
         """Return what a caller is told; final phases once the store holds them."""
--- a/tamarackmount/scheduling/worker_watch.py
+++ b/tamarackmount/scheduling/worker_watch.py
@@ -112,7 +112,7 @@
         rack=RackId(""),
         capacity=NOTHING,
     )
-    worker = WorkerState(entry, reach=Reach.UNSEEN, listed=False)
+    worker = WorkerState(entry, reach=Reach.UNSEEN, listed=False, recorded=True)
     worker.known_end = record.ack
     worker.stored_end = record.ack
     worker.lease_ends = Instant(last_order + UNKNOWN_LEASE_S)
--- a/tamarackmount/scheduling/workers.py
+++ b/tamarackmount/scheduling/workers.py
@@ -59,6 +59,7 @@
     listed: bool = True
     used: Resources = NOTHING
     runs_by_task: dict[TaskKey, Run] = field(default_factory=dict)
+    recorded: bool = False
     known_end: int = 0
     stored_end: int = 0
     lease_ends: Instant = Instant(0.0)
