--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -174,9 +174,11 @@
     async def release(self) -> None:
         """Order nothing more, store all news, write that this holder stops, and stop.
 
+        It goes on while an append is under way, which takes long in a slow store.
         The next holder begins as soon as it reads that, perhaps before this one has
         the store's answer, and takes what the store knows for all that was ordered.
         """
+        await self._writer.settle()
         self._is_releasing = True
         self.scheduler.set_licence(Licence.NONE)
         await self._writer.flush()
--- a/tamarackmount/node/journal_writer.py
+++ b/tamarackmount/node/journal_writer.py
@@ -73,7 +73,14 @@
         """Write all news; returns once they are stored or this holder may not write."""
         self.poke()
         # The append under way may lack the newest news; the one after it has them.
-        enough = self._stored_appends + 2
+        await self._appended(2)
+
+    async def settle(self) -> None:
+        """Return once the append under way, if there is one, is stored."""
+        await self._appended(1)
+
+    async def _appended(self, count: int) -> None:
+        enough = self._stored_appends + count
         while self._is_writing and self._stored_appends < enough:
             if self._is_over:
                 return
