Checkpoints of waiting tasks are stored, so a takeover loses no work

Tasks that were stopped for urgent ones keep their checkpoint, but only the holder's memory held it, and after each of three takeovers they began anew. The progress of a job now names the checkpoints of tasks that wait; a worker tells those of tasks that run.

--- a/tamarackmount/scheduling/cell.py
+++ b/tamarackmount/scheduling/cell.py
@@ -171,6 +171,8 @@
             return
         step.pending.add(index)
         self.ready_by_key[step.key] = step
+        if (0 if step.spec.gang else index) in step.checkpoints_by_index:
+            self.changed_jobs.add(step.key.job_id)
 
     def forget_if_over(self, job: JobState) -> None:
         """Forget a job that is over and has no run left."""
--- a/tamarackmount/scheduling/journal.py
+++ b/tamarackmount/scheduling/journal.py
@@ -56,12 +56,15 @@
     """What is known for good of a job.
 
     ``done_by_step`` and ``failures_by_task`` use texts ``OCCURRENCE.STEP`` and
-    ``OCCURRENCE.STEP.INDEX`` as keys. ``final_unix_ms`` is when a final phase began.
+    ``OCCURRENCE.STEP.INDEX`` as keys. ``checkpoints_by_task`` are those of tasks that
+    wait; a worker tells those of tasks that run. ``final_unix_ms`` is when a final
+    phase began.
     """
 
     phase: JobPhase
     done_by_step: dict[str, list[int]] = field(default_factory=dict)
     failures_by_task: dict[str, int] = field(default_factory=dict)
+    checkpoints_by_task: dict[str, str] = field(default_factory=dict)
     final_unix_ms: int = 0
 
 
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -184,6 +184,12 @@
                 for index, count in step.failures_by_index.items()
                 if not self.phase.is_final
             },
+            checkpoints_by_task={
+                f"{step.key.occurrence}.{step.key.step}.{index}": checkpoint
+                for step in steps
+                for index, checkpoint in step.checkpoints_by_index.items()
+                if index in step.pending and not self.phase.is_final
+            },
             final_unix_ms=self.final_unix_ms,
         )
 
@@ -207,8 +213,18 @@
             state.due_unix_ms = due if spec.repetitions else 0
             job.steps_by_key[key] = state
     for name, count in failures.items():
-        occurrence_text, step_text, index = name.split(".")
-        key = StepKey(accepted.job_id, int(occurrence_text), int(step_text))
-        if key in job.steps_by_key:
-            job.steps_by_key[key].failures_by_index[int(index)] = count
+        step_of, index = _find_task(job, name)
+        if step_of is not None:
+            step_of.failures_by_index[index] = count
+    checkpoints = progress.checkpoints_by_task if progress is not None else {}
+    for name, checkpoint in checkpoints.items():
+        step_of, index = _find_task(job, name)
+        if step_of is not None:
+            step_of.checkpoints_by_index[index] = checkpoint
     return job
+
+
+def _find_task(job: JobState, name: str) -> tuple[StepState | None, int]:
+    """Return the step and the index that a record's key names."""
+    occurrence, step, index = (int(part) for part in name.split("."))
+    return job.steps_by_key.get(StepKey(job.job_id, occurrence, step)), index
--- a/tests/test_scheduling_takeover.py
+++ b/tests/test_scheduling_takeover.py
@@ -13,7 +13,7 @@
 from tamarackmount.scheduling.licence import Licence
 from tamarackmount.scheduling.model import JobPhase, TaskKey
 from tamarackmount.scheduling.stragglers import LONE_FACTOR
-from tamarackmount.scheduling.worker_reports import RunEnd, WorkerTrouble
+from tamarackmount.scheduling.worker_reports import EndedRun, RunEnd, WorkerTrouble
 from tamarackmount.scheduling.workers import UNKNOWN_LEASE_S
 from tests.utils.build_scheduling import (
     CEILING,
@@ -156,6 +156,22 @@
     assert not cell.starts
 
 
+def test_a_stopped_task_goes_on_from_its_checkpoint() -> None:
+    before = Cell()
+    before.list_workers(entry("w1"))
+    accepted = job(1, step(saves_progress=True))
+    before.add(accepted)
+    (start,) = before.answer_starts()
+    order = start.order
+    row = EndedRun(1, order.task, order.run, RunEnd.STOPPED, "saved")
+    before.scheduler.set_workers([entry("w1", is_draining=True)], before.now)
+    before.hold(report(ended=(row,)))
+    after = successor(before, book_of([accepted], before.store()))
+    after.list_workers(entry("w2"))
+    (again,) = after.starts
+    assert again.order.checkpoint == "saved"
+
+
 def test_an_end_that_the_store_has_is_not_counted_again() -> None:
     before = Cell()
     before.list_workers(entry("w1"))
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -28,6 +28,12 @@
 
 
 MUTANTS = (
+    Mutant(
+        "checkpoints of waiting tasks are stored",
+        "scheduling/cell.py",
+        "if (0 if step.spec.gang else index) in step.checkpoints_by_index:",
+        "if False:",
+    ),
     Mutant(
         "only speculative steps have copies",
         "scheduling/runs.py",
