config check takes job files; one multiplication of amounts

config check refused examples/derwent/bead-training.toml for want of a table. It checks job files now, and a test runs it over all examples. The twins multiple and _multiple are Resources.__mul__.

--- a/tamarackmount/cli/config_check.py
+++ b/tamarackmount/cli/config_check.py
@@ -8,18 +8,22 @@
 
 from tamarackmount.checks import check_settings, parse_toml
 from tamarackmount.cli.base import EnvironmentCommand
+from tamarackmount.cli.jobs import check_job_file
 from tamarackmount.fleet_checks import FLEET_TABLES, check_fleet_text
 from tamarackmount.plugins.queue_policies import queue_policies
 from tamarackmount.problems import Problem
 from tamarackmount.settings import Settings
 from tamarackmount.status import ExitStatus
 
+JOB_FIELDS = frozenset({"id", "kind"})
+"""Fields that a job file has and no other file does."""
+
 
 class ConfigCheckCommand(EnvironmentCommand):
-    """Check daemon settings and fleet files, without any entry VM."""
+    """Check daemon settings, fleet files and job files, without any entry VM."""
 
     name = "config check"
-    description = "Check files of daemon settings or fleet files; print every problem."
+    description = "Check settings, fleet files and job files; print every problem."
     arguments: ClassVar[list[Argument]] = [
         argument("files", "TOML files, or - for stdin.", multiple=True),
     ]
@@ -47,7 +51,7 @@
 
 
 def check_file(text: str, source: str) -> Result[Any, list[Problem]]:
-    """Check a file of either kind, told apart by its tables."""
+    """Check a file of any kind, told apart by its tables and fields."""
     parsed = parse_toml(text, source)
     if isinstance(parsed, Failure):
         return parsed
@@ -61,7 +65,12 @@
         return check_fleet_text(text, source, queue_policies.names())
     if is_settings:
         return check_settings(text, source)
-    message = "has no table of daemon settings ([member]) or of a fleet file ([teams])"
+    if JOB_FIELDS & names:
+        return check_job_file(text, source)
+    message = (
+        "has no table of daemon settings ([member]) or of a fleet file ([teams]), "
+        "and no field of a job (id, kind)"
+    )
     return Failure([Problem(source, 0, "", message)])
 
 
--- a/tamarackmount/kernel/runnable.py
+++ b/tamarackmount/kernel/runnable.py
@@ -3,7 +3,7 @@
 from tamarackmount.ids import Instant
 from tamarackmount.kernel.cell import Cell
 from tamarackmount.kernel.jobs import Job
-from tamarackmount.kernel.shares import exceeded_ceiling, multiple
+from tamarackmount.kernel.shares import exceeded_ceiling
 
 
 def check_all(cell: Cell, now: Instant) -> None:
@@ -28,7 +28,7 @@
     """Return why no task of the job can run as things are, or an empty text."""
     at_once = job.spec.tasks if job.is_gang else 1
     limits = cell.accounts.account(job.team_id).limits
-    ceiling = exceeded_ceiling(limits, at_once, multiple(job.amount, at_once))
+    ceiling = exceeded_ceiling(limits, at_once, job.amount * at_once)
     if ceiling:
         what = "the gang" if job.is_gang else "one task"
         return f"never runnable: {what} is above the team's ceiling of {ceiling}"
--- a/tamarackmount/kernel/shares.py
+++ b/tamarackmount/kernel/shares.py
@@ -93,9 +93,7 @@
         if now < account.uncertain_until and account.has_ceiling:
             return "a former owner's tasks may still count towards the team's ceiling"
         tasks = account.running_tasks + count
-        name = exceeded_ceiling(
-            account.limits, tasks, account.amount + multiple(amount, count)
-        )
+        name = exceeded_ceiling(account.limits, tasks, account.amount + amount * count)
         return f"the team is at its ceiling of {name}" if name else ""
 
 
@@ -113,15 +111,6 @@
     return ""
 
 
-def multiple(amount: Resources, count: int) -> Resources:
-    """Return ``count`` times the amount."""
-    return Resources(
-        amount.millicores * count,
-        amount.memory_mib * count,
-        amount.accelerators * count,
-    )
-
-
 def _part(used: int, total: int) -> float:
     if used <= 0:
         return 0.0
--- a/tamarackmount/resources.py
+++ b/tamarackmount/resources.py
@@ -31,6 +31,14 @@
             self.accelerators - other.accelerators,
         )
 
+    def __mul__(self, count: int) -> "Resources":
+        """Return ``count`` times this amount."""
+        return Resources(
+            self.millicores * count,
+            self.memory_mib * count,
+            self.accelerators * count,
+        )
+
     def fits_in(self, free: Self) -> bool:
         """Tell whether no part of this amount exceeds that of ``free``."""
         return (
--- a/tamarackmount/scheduling/preempting.py
+++ b/tamarackmount/scheduling/preempting.py
@@ -120,7 +120,7 @@
             self._release(run)
             self._free_by_life[run.life] = self._free_by_life[run.life] + run.amount
         used = self._used_by_team.get(team_id, NOTHING)
-        self._used_by_team[team_id] = used + _multiple(amount, wanted)
+        self._used_by_team[team_id] = used + amount * wanted
         return victims
 
     def _stoppable_of(self, team_id: TeamId, queue: Queue) -> list[Run]:
@@ -148,7 +148,7 @@
                 break
             stops, free, count = self._on_worker(step, queue, worker, wanted, chosen)
             victims.extend(stops)
-            taken[worker.life] = free - _multiple(step.room_amount, count)
+            taken[worker.life] = free - step.room_amount * count
             wanted -= count
         if step.spec.gang and wanted > 0:
             return []
@@ -203,14 +203,6 @@
         return sorted(found, key=lambda run: -run.amount.millicores)
 
 
-def _multiple(amount: Resources, count: int) -> Resources:
-    return Resources(
-        amount.millicores * count,
-        amount.memory_mib * count,
-        amount.accelerators * count,
-    )
-
-
 def _fits(amount: Resources, free: Resources, wanted: int, step: StepState) -> int:
     """Return how many tasks fit, up to the number wanted and the step's bound."""
     parts = (
--- a/tests/test_checks_examples.py
+++ b/tests/test_checks_examples.py
@@ -101,9 +101,29 @@
     assert (line_with(text, old), field) in places
 
 
+@pytest.mark.parametrize(
+    "path", sorted(EXAMPLES.rglob("*.toml")), ids=lambda path: path.name
+)
+def test_every_example_passes_the_check(path: Path) -> None:
+    result = check_file(path.read_text(encoding="utf-8"), path.name)
+    assert isinstance(result, Success)
+
+
 @pytest.mark.parametrize(
     "name", ["hamaguchi/nightly-renders.toml", "derwent/bead-training.toml"]
 )
 def test_job_files_hold_no_fault(name: str) -> None:
     values = parse_toml(read(name), name).unwrap()
     assert isinstance(parse_job_spec(json.dumps(values)), Success)
+
+
+def test_a_fault_of_a_job_file_is_found_on_its_line() -> None:
+    text = read("derwent/bead-training.toml")
+    result = check_file(text.replace("cores = 8", "cores = 0"), "job")
+    assert isinstance(result, Failure)
+    places = [(problem.line, problem.field) for problem in result.failure()]
+    assert places == [(line_with(text, "cores = 8"), "cores")]
+
+
+def test_a_file_of_no_kind_is_refused() -> None:
+    assert isinstance(check_file("colour = 1\n", "file"), Failure)
