Late steps are asked for only once they could start

Steps that can't be in time any more wait for their ceiling or for room first, and are asked for when both are there. The new test failed before. Ruled out: lanes (no question without an answer after 50 s), workers (all followed).

--- a/tamarackmount/scheduling/advising.py
+++ b/tamarackmount/scheduling/advising.py
@@ -12,8 +12,8 @@
 from tamarackmount.scheduling.fleet import AdvicePolicy
 from tamarackmount.scheduling.model import StepKey, WorkerLife
 from tamarackmount.scheduling.placing import could_run
-from tamarackmount.scheduling.ranking import rank
-from tamarackmount.scheduling.runs import StepState
+from tamarackmount.scheduling.ranking import Tier, rank, tier
+from tamarackmount.scheduling.runs import StepState, WaitReason
 from tamarackmount.scheduling.tickets import AdviceAnswer
 from tamarackmount.scheduling.workers import WorkerState
 from tamarackmount.units import MS_PER_SECOND
@@ -41,6 +41,8 @@
             return
         cell = self._cell
         for step in sorted(cell.ready_by_key.values(), key=lambda row: rank(row, now)):
+            if _is_in_vain(step, now):
+                continue
             free -= self._ask_for(step, now, True)
             if free <= 0:
                 return
@@ -121,5 +123,16 @@
         ]
 
 
+def _is_in_vain(step: StepState, now: Instant) -> bool:
+    """Tell whether permissions would end before they could be used.
+
+    Load pattern: after a flood hundreds of late steps wait at ceilings or for room.
+    Asking for them again and again leaves none of the service's time for those that
+    could start.
+    """
+    is_blocked = step.waits_for in (WaitReason.CEILING, WaitReason.ROOM)
+    return is_blocked and tier(step, now) > Tier.IN_TIME
+
+
 def _expected_ms(policy: AdvicePolicy, workers: int) -> float:
     return policy.decision_ms + policy.per_worker_ms * workers
--- a/tamarackmount/scheduling/placing.py
+++ b/tamarackmount/scheduling/placing.py
@@ -11,7 +11,7 @@
 from tamarackmount.scheduling.fleet import Queue
 from tamarackmount.scheduling.licence import Licence
 from tamarackmount.scheduling.model import JobPhase, ServiceName
-from tamarackmount.scheduling.ranking import URGENT_PRIORITY, rank
+from tamarackmount.scheduling.ranking import URGENT_PRIORITY, Tier, rank, tier
 from tamarackmount.scheduling.runs import Run, RunPhase, StepState, WaitReason
 from tamarackmount.scheduling.worker_reports import StartOrder
 from tamarackmount.scheduling.workers import Reach, WorkerState
@@ -118,7 +118,7 @@
 def _place_tasks(cell: Cell, step: StepState, queue: Queue, now: Instant) -> WaitReason:
     workers = candidates(cell, step, queue, now)
     if not workers:
-        return WaitReason.ADVICE
+        return _without_candidates(cell, step, now)
     for index in sorted(step.pending):
         if step.task(index) in cell.strays_by_task:
             continue
@@ -144,7 +144,7 @@
         return WaitReason.CEILING
     workers = candidates(cell, step, queue, now)
     if not workers:
-        return WaitReason.ADVICE
+        return _without_candidates(cell, step, now)
     chosen = _choose_gang(step, workers)
     if not chosen:
         return WaitReason.ROOM
@@ -154,6 +154,27 @@
     return WaitReason.NONE
 
 
+def _without_candidates(cell: Cell, step: StepState, now: Instant) -> WaitReason:
+    """Return what a step waits for that no worker may take now.
+
+    Permission is not worth asking for if a late step could not use it; one that can be
+    in time may get room made at any moment.
+    """
+    if tier(step, now) <= Tier.IN_TIME:
+        return WaitReason.ADVICE
+    if not has_quota(cell, step, 1):
+        return WaitReason.CEILING
+    refused = step.advice.refused
+    has_room = any(
+        worker.can_start
+        and worker.life.worker_id not in refused
+        and step.room_amount.fits_in(worker.free)
+        and could_run(step, worker)
+        for worker in cell.workers_by_life.values()
+    )
+    return WaitReason.ADVICE if has_room else WaitReason.ROOM
+
+
 def _choose_gang(step: StepState, workers: list[WorkerState]) -> list[WorkerState]:
     """Return a worker for each member, on one rack if the step asks for that."""
     for group in _gang_groups(step, workers):
--- a/tests/test_scheduling_load.py
+++ b/tests/test_scheduling_load.py
@@ -78,6 +78,9 @@
         self.cell.hold(report(running=running, ended=tuple(rows)))
 
 
+LONG_AFTER_S = 60.0
+
+
 def test_a_burst_of_urgent_jobs_starts_at_once_on_a_worker_full_of_long_ones() -> None:
     cell = Cell(ceiling=Resources())
     cell.list_workers(entry("w1", cores=8))
@@ -193,6 +196,31 @@
     assert [row.step for row in cell.questions] == [second.step]
 
 
+def test_late_steps_are_asked_for_only_once_they_could_start() -> None:
+    policy = AdvicePolicy(20.0, 0.2, 2_000.0)
+    cell = Cell(ceiling=Resources(1_500, 0, 0), advice=policy)
+    cell.list_workers(entry("w1", cores=64))
+    answer = AdviceAnswer((Permission(life("w1").worker_id, "t1"),), 2_000.0)
+    cell.add(job(1))
+    cell.add(job(2))
+    while cell.questions:
+        question = cell.questions.pop()
+        cell.scheduler.advice_answered(question.step, answer, cell.now)
+        cell.tick()
+    (start,) = cell.answer_starts()
+    cell.tick(LONG_AFTER_S)
+    late = [row for row in cell.questions if row.step != start.order.task.step_key]
+    for question in late:
+        cell.scheduler.advice_answered(question.step, answer, cell.now)
+    cell.questions.clear()
+    cell.tick(3.0)
+    assert not cell.questions
+    row = ended(1, start.order.task, start.order.run, RunEnd.DONE)
+    cell.hold(report(ended=(row,)))
+    cell.tick()
+    assert [row.step.job_id for row in cell.questions] == [job(2).job_id]
+
+
 def test_jobs_beyond_their_teams_share_go_after_the_others() -> None:
     cell = Cell()
     shares = TeamShares()
