Tests set SIGINT's disposition themselves

A run of all tests that a shell had started in the background hung for 2.5 minutes in the test that interrupts 'tamarackmount request': the shell lets SIGINT be ignored there, and the command inherits that. The tests now begin with Python's own handler.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 """
 
 import os
+import signal
 from pathlib import Path
 
 import pytest
@@ -26,6 +27,10 @@
 if _SEED is not None:
     core.global_force_seed = int(_SEED)  # type: ignore[assignment]
 
+# Processes that tests start take SIGINT over as it is here, and a shell that runs the
+# tests in the background lets it be ignored.
+signal.signal(signal.SIGINT, signal.default_int_handler)
+
 _passed_over: list[str] = []
 
 
