--- a/tamarackmount/node/job_desk.py
+++ b/tamarackmount/node/job_desk.py
@@ -8,7 +8,7 @@
 
 from tamarackmount.ids import Instant, JobId, MemberId
 from tamarackmount.node import clock
-from tamarackmount.node.context import APPLIED_HERE, JOBS_TOPIC, NodeContext
+from tamarackmount.node.context import JOBS_TOPIC, NodeContext
 from tamarackmount.node.front import STORE_RETRY_AFTER_S, Answer, NoPhase, Status
 from tamarackmount.node.holding import Holding
 from tamarackmount.node.messages import (
@@ -82,7 +82,7 @@
     def read(self, records: Sequence[KeyedRecord]) -> None:
         """Take records of the jobs' topic."""
         for record in records:
-            self._context.book.apply(record.key, record.value, record.offset)
+            self._context.book.apply(record.key, record.value)
             self._pass_on(record)
 
     async def submit(self, job: AcceptedJob, deadline: Instant) -> Answer:
@@ -187,7 +187,7 @@
 
     def _stored(self, record: KeyedRecord, news: NodeMessage) -> None:
         """Take a record that the store holds, and tell the holder."""
-        self._context.book.apply(record.key, record.value, APPLIED_HERE)
+        self._context.book.apply(record.key, record.value)
         if self._holding.holder is not None:
             self._pass_on(record)
             return
--- a/tamarackmount/scheduling/book.py
+++ b/tamarackmount/scheduling/book.py
@@ -2,12 +2,11 @@
 
 import logging
 from collections.abc import Iterator
-from dataclasses import dataclass
-from typing import Any
+from typing import TypeVar
 
-from returns.result import Failure, Result
+from returns.result import Failure
 
-from tamarackmount.ids import JobId, Offset, QueueName
+from tamarackmount.ids import JobId, QueueName
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.journal import (
     CancelRecord,
@@ -23,33 +22,86 @@
 
 _log = logging.getLogger(__name__)
 
-_TYPE_BY_KIND: dict[RecordKind, type] = {
-    RecordKind.JOB: AcceptedJob,
-    RecordKind.CANCEL: CancelRecord,
-    RecordKind.PROGRESS: JobProgress,
-    RecordKind.FORECAST: ForecastRecord,
-    RecordKind.MARK: MarkRecord,
-}
+_T = TypeVar("_T")
 
 
-@dataclass(slots=True)
 class KnownJob:
-    """The records of one job so far; they may arrive in any order."""
+    """The records of one job so far; they may arrive in any order.
+
+    Records are decoded when they are asked for: each entry VM reads all of them, and
+    most are followed by a newer one before anyone asks.
+    """
+
+    __slots__ = (
+        "_accepted",
+        "_accepted_text",
+        "_progress",
+        "_progress_text",
+        "cancelled_unix_ms",
+        "name",
+    )
+
+    def __init__(
+        self,
+        accepted: AcceptedJob | None = None,
+        progress: JobProgress | None = None,
+        cancelled_unix_ms: int | None = None,
+        name: str = "",
+    ) -> None:
+        """Begin with what is known; ``name`` is the job's id, for logs."""
+        self._accepted = accepted
+        self._progress = progress
+        self._accepted_text = b""
+        self._progress_text = b""
+        self.cancelled_unix_ms = cancelled_unix_ms
+        self.name = name
 
-    accepted: AcceptedJob | None = None
-    progress: JobProgress | None = None
-    cancelled_unix_ms: int | None = None
+    @property
+    def accepted(self) -> AcceptedJob | None:
+        """The job as it was handed in."""
+        if self._accepted_text:
+            text, self._accepted_text = self._accepted_text, b""
+            self._accepted = _decoded(text, AcceptedJob, self.name)
+        return self._accepted
+
+    @property
+    def progress(self) -> JobProgress | None:
+        """How far it is."""
+        if self._progress_text:
+            text, self._progress_text = self._progress_text, b""
+            self._progress = _decoded(text, JobProgress, self.name) or self._progress
+        return self._progress
+
+    def take_accepted(self, text: bytes) -> None:
+        """Take the job's own record; the first counts, others are calls made again."""
+        if self.accepted is None:
+            self._accepted_text = text
+
+    def take_progress(self, text: bytes) -> None:
+        """Take a newer record of its progress."""
+        self._progress_text = text
 
     @property
     def phase(self) -> JobPhase | None:
         """What a caller is told, or nothing for a job that nobody handed in."""
+        progress = self.progress
         if self.accepted is None:
             return None
-        if self.progress is not None and self.progress.phase.is_final:
-            return self.progress.phase
+        if progress is not None and progress.phase.is_final:
+            return progress.phase
         if self.cancelled_unix_ms is not None:
             return JobPhase.CANCELLED
-        return self.progress.phase if self.progress is not None else JobPhase.QUEUED
+        return progress.phase if progress is not None else JobPhase.QUEUED
+
+
+def _decoded(text: bytes, record_type: type[_T], name: str) -> _T | None:
+    """Return the record, or log why it can't be read."""
+    record = decode_record(text, record_type)
+    if isinstance(record, Failure):
+        extra = {"record": record_type.__name__, "name": name}
+        _log.warning("record skipped", extra={**extra, "reason": record.failure()})
+        return None
+    return record.unwrap()
 
 
 class JobBook:
@@ -60,36 +112,27 @@
         self.jobs_by_id: dict[JobId, KnownJob] = {}
         self.forecast: ForecastRecord | None = None
         self.is_complete = True
-        self._workers_by_name: dict[str, bytes] = {}
+        self._text_by_worker: dict[str, bytes] = {}
         self._setters = {
             RecordKind.JOB: self._set_job,
             RecordKind.CANCEL: self._set_cancel,
             RecordKind.PROGRESS: self._set_progress,
+            RecordKind.WORKER: self._set_worker,
             RecordKind.FORECAST: self._set_forecast,
             RecordKind.MARK: self._set_mark,
         }
 
-    def apply(self, key: str, value: bytes, offset: Offset) -> None:
+    def apply(self, key: str, value: bytes) -> None:
         """Take a record; an empty value removes what the key names."""
         found = split_key(key)
-        if found is not None and found[0] is RecordKind.WORKER:
-            # Decoded only by a new holder: they change with each start and end.
-            self._workers_by_name[found[1]] = value
-            return
-        if found is None or found[0] not in _TYPE_BY_KIND:
+        if found is None or found[0] not in self._setters:
             _log.warning("record skipped", extra={"key": key, "reason": "foreign key"})
             return
         kind, name = found
-        if not value:
+        if value:
+            self._setters[kind](name, value)
+        else:
             self._remove(kind, name)
-            return
-        record: Result[Any, str] = decode_record(value, _TYPE_BY_KIND[kind])
-        if isinstance(record, Failure):
-            reason = record.failure()
-            extra = {"key": key, "offset": offset, "reason": reason}
-            _log.warning("record skipped", extra=extra)
-            return
-        self._setters[kind](name, record.unwrap())
 
     def phase(self, job_id: JobId) -> JobPhase | None:
         """Return what a caller is told of a job; nothing if it isn't known."""
@@ -116,37 +159,42 @@
 
     def workers(self) -> Iterator[WorkerRecord]:
         """Return the workers that were given orders."""
-        for name, value in self._workers_by_name.items():
-            if not value:
-                continue
-            record = decode_record(value, WorkerRecord)
-            if isinstance(record, Failure):
-                extra = {"worker": name, "reason": record.failure()}
-                _log.error("worker's record not readable", extra=extra)
-                continue
-            yield record.unwrap()
+        for name, text in self._text_by_worker.items():
+            record = _decoded(text, WorkerRecord, name)
+            if record is not None:
+                yield record
 
     def _job(self, name: str) -> KnownJob:
-        return self.jobs_by_id.setdefault(JobId(name), KnownJob())
+        job_id = JobId(name)
+        known = self.jobs_by_id.get(job_id)
+        if known is None:
+            known = self.jobs_by_id[job_id] = KnownJob(name=name)
+        return known
+
+    def _set_job(self, name: str, text: bytes) -> None:
+        self._job(name).take_accepted(text)
 
-    def _set_job(self, name: str, record: Any) -> None:
-        known = self._job(name)
-        # The first record of an id counts; repeats come from calls made again.
-        if known.accepted is None:
-            known.accepted = record
+    def _set_cancel(self, name: str, text: bytes) -> None:
+        record = _decoded(text, CancelRecord, name)
+        if record is not None:
+            self._job(name).cancelled_unix_ms = record.cancelled_unix_ms
 
-    def _set_cancel(self, name: str, record: Any) -> None:
-        self._job(name).cancelled_unix_ms = record.cancelled_unix_ms
+    def _set_progress(self, name: str, text: bytes) -> None:
+        self._job(name).take_progress(text)
 
-    def _set_progress(self, name: str, record: Any) -> None:
-        self._job(name).progress = record
+    def _set_worker(self, name: str, text: bytes) -> None:
+        self._text_by_worker[name] = text
 
-    def _set_forecast(self, _name: str, record: Any) -> None:
-        self.forecast = record
+    def _set_forecast(self, name: str, text: bytes) -> None:
+        self.forecast = _decoded(text, ForecastRecord, name) or self.forecast
 
-    def _set_mark(self, _name: str, record: Any) -> None:
-        self.is_complete = record.is_complete
+    def _set_mark(self, name: str, text: bytes) -> None:
+        record = _decoded(text, MarkRecord, name)
+        # An unreadable mark may have said that runs are missing.
+        self.is_complete = record is not None and record.is_complete
 
     def _remove(self, kind: RecordKind, name: str) -> None:
         if kind is RecordKind.JOB:
             self.jobs_by_id.pop(JobId(name), None)
+        elif kind is RecordKind.WORKER:
+            self._text_by_worker.pop(name, None)
--- a/tests/test_scheduling_recording.py
+++ b/tests/test_scheduling_recording.py
@@ -1,6 +1,5 @@
 """When orders wait until the store holds their runs, and what a successor knows."""
 
-from tamarackmount.ids import Offset
 from tamarackmount.scheduling.book import JobBook
 from tamarackmount.scheduling.journal import (
     MarkRecord,
@@ -89,7 +88,7 @@
     assert marks(batch) == [True]
     book = JobBook()
     for key, value in batch.records:
-        book.apply(key, value, Offset(0))
+        book.apply(key, value)
     runs = [run for worker in book.workers() for run in worker.runs]
     assert any(start.order.task.job_id in text for text, _ in runs)
     cell.add(job(3))
--- a/tests/test_scheduling_retention.py
+++ b/tests/test_scheduling_retention.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from tamarackmount.ids import Instant, Offset
+from tamarackmount.ids import Instant
 from tamarackmount.scheduling.book import JobBook
 from tamarackmount.scheduling.journal import (
     CancelRecord,
@@ -20,10 +20,10 @@
 
 def book_with(phase: JobPhase) -> JobBook:
     book = JobBook()
-    book.apply(job_key(job()), encode_record(job()), Offset(0))
+    book.apply(job_key(job()), encode_record(job()))
     progress = JobProgress(phase, final_unix_ms=UNIX_MS if phase.is_final else 0)
     key = f"progress/{job().job_id}"
-    book.apply(key, encode_record(progress), Offset(1))
+    book.apply(key, encode_record(progress))
     return book
 
 
@@ -41,7 +41,7 @@
 def test_a_cancelling_of_a_job_that_never_came_is_forgotten() -> None:
     book = JobBook()
     record = encode_record(CancelRecord(UNIX_MS))
-    book.apply(f"cancel/{job().job_id}", record, Offset(0))
+    book.apply(f"cancel/{job().job_id}", record)
     found = forgettable(book.jobs_by_id, UNIX_MS + KEPT_MS + 1, STATUS_S)
     assert found == [job().job_id]
 
@@ -49,7 +49,7 @@
 def test_removed_records_leave_nothing_in_the_book() -> None:
     book = book_with(JobPhase.COMPLETED)
     for key, value in removals([job().job_id]):
-        book.apply(key, value, Offset(2))
+        book.apply(key, value)
     assert book.phase(job().job_id) is None
 
 
--- a/tests/test_scheduling_takeover.py
+++ b/tests/test_scheduling_takeover.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tamarackmount.ids import Instant, JobId, Offset
+from tamarackmount.ids import Instant, JobId
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.book import JobBook
@@ -32,10 +32,10 @@
     """Return what a node reads from the store."""
     book = JobBook()
     for accepted in jobs:
-        book.apply(job_key(accepted), encode_record(accepted), Offset(0))
+        book.apply(job_key(accepted), encode_record(accepted))
     for batch in batches:
         for key, value in batch.items():
-            book.apply(key, value, Offset(0))
+            book.apply(key, value)
     return book
 
 
@@ -310,7 +310,7 @@
     book = book_of([job()], before.store())
     cell = successor(before, book)
     cell.list_workers(entry("w1"))
-    book.apply(job_key(job()), encode_record(job()), Offset(9))
+    book.apply(job_key(job()), encode_record(job()))
     cell.scheduler.add_job(book.jobs_by_id[job().job_id], cell.now, cell.unix_ms)
     cell.tick(1.0)
     assert not cell.starts
