--- a/tests/test_scheduling_takeover.py
+++ b/tests/test_scheduling_takeover.py
@@ -269,7 +269,7 @@
     stray = ((start.order.task, start.order.run - 1),)
     cell.hold(report(running=stray), other)
     assert [stop.run for stop in cell.stops] == [start.order.run - 1]
-    row = ended(1, start.order.task, start.order.run, RunEnd.FAILED)
+    row = ended(1, start.order.task, start.order.run, RunEnd.LAPSED)
     cell.hold(report(ended=(row,)), first)
     cell.store()
     cell.tick(0.5)
