--- a/tamarackmount/scheduling/advising.py
+++ b/tamarackmount/scheduling/advising.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 
 from tamarackmount.ids import Instant
+from tamarackmount.resources import Resources
 from tamarackmount.scheduling.cell import Cell
 from tamarackmount.scheduling.effects import AskAdvice
 from tamarackmount.scheduling.fleet import AdvicePolicy
@@ -21,6 +22,10 @@
 RETRY_ADVICE_S = 0.2
 """Pause after a question without an answer, in seconds; a link's usual hiccup."""
 
+CHECK_S = 0.05
+"""Pause between two looks whether there is anything to ask for a step, in seconds: a
+third of what tickets are renewed ahead."""
+
 MAX_ASKED = 60
 """Workers in one question: enough choice, while the service's time stays short."""
 
@@ -80,14 +85,15 @@
         queue = self._cell.queue_of(step.job)
         if queue.advice is None:
             return 0
-        if advice.is_asking or now < advice.retry_at:
+        if advice.is_asking or now < advice.retry_at or now < advice.check_at:
             return 0
         workers = self._unknown(step)
         if not workers and is_ready:
             workers = self._stale(step, queue.advice, now)
         if not workers:
+            advice.check_at = Instant(now + CHECK_S)
             return 0
-        asked = workers[:MAX_ASKED]
+        asked = _roomiest(workers)
         advice.is_asking = True
         lives = tuple(worker.life for worker in asked)
         self._asked_by_step[step.key] = lives
@@ -101,9 +107,9 @@
         return [
             worker
             for worker in self._cell.workers_by_life.values()
-            if worker.can_start
-            and worker.life.worker_id not in advice.allowed
+            if worker.life.worker_id not in advice.allowed
             and worker.life.worker_id not in advice.refused
+            and worker.can_start
             and could_run(step, worker)
         ]
 
@@ -113,7 +119,9 @@
         """Return allowed workers whose tickets end before new ones could come."""
         advice = step.advice
         known = len(advice.allowed)
-        soon = Instant(now + _expected_ms(policy, known) / MS_PER_SECOND)
+        soon = Instant(now + _expected_ms(policy, known) / MS_PER_SECOND + CHECK_S)
+        if advice.all_valid(soon):
+            return []
         return [
             worker
             for worker in self._cell.workers_by_life.values()
@@ -123,6 +131,18 @@
         ]
 
 
+def _roomiest(workers: list[WorkerState]) -> list[WorkerState]:
+    """Return the workers to ask about first: those that could take most now."""
+    if len(workers) <= MAX_ASKED:
+        return workers
+    rows = sorted(workers, key=lambda row: _room_key(row.free), reverse=True)
+    return rows[:MAX_ASKED]
+
+
+def _room_key(free: Resources) -> tuple[int, int, int]:
+    return free.accelerators, free.millicores, free.memory_mib
+
+
 def _is_in_vain(step: StepState, now: Instant) -> bool:
     """Tell whether permissions would end before they could be used.
 
--- a/tamarackmount/scheduling/placing.py
+++ b/tamarackmount/scheduling/placing.py
@@ -12,6 +12,7 @@
 from tamarackmount.scheduling.licence import Licence
 from tamarackmount.scheduling.model import JobPhase, ServiceName
 from tamarackmount.scheduling.ranking import URGENT_PRIORITY, Tier, rank, tier
+from tamarackmount.scheduling.rooms import Rooms
 from tamarackmount.scheduling.runs import Run, RunPhase, StepState, WaitReason
 from tamarackmount.scheduling.worker_reports import StartOrder
 from tamarackmount.scheduling.workers import Reach, WorkerState
@@ -38,9 +39,12 @@
     if cell.licence is not Licence.FULL:
         return starved
     unseen = _unseen_services(cell)
+    rooms = Rooms(cell.workers_by_life.values(), now)
     for step in sorted(cell.ready_by_key.values(), key=lambda row: rank(row, now)):
         queue = cell.queue_of(step.job)
         reason = _blocked(step, unseen, now)
+        if reason is WaitReason.NONE:
+            reason = _without_place(cell, step, queue, rooms, now)
         if reason is WaitReason.NONE:
             policy = _place_gang if step.spec.gang else _place_tasks
             reason = policy(cell, step, queue, now)
@@ -50,6 +54,34 @@
     return starved
 
 
+def _without_place(
+    cell: Cell, step: StepState, queue: Queue, rooms: Rooms, now: Instant
+) -> WaitReason:
+    """Return why a step can't start, where that is seen without a look at all workers.
+
+    Permission is not worth asking for if a late step could not use it; one that can be
+    in time may get room made at any moment.
+    """
+    advice = step.advice
+    lacks_permission = queue.advice is not None and not advice.has_ticket(now)
+    if lacks_permission and tier(step, now) <= Tier.IN_TIME:
+        return WaitReason.ADVICE
+    if not has_quota(cell, step, 1, _ceiling_part(step, now)):
+        return WaitReason.CEILING
+    if lacks_permission:
+        has_place = rooms.has_place(
+            step, lambda worker: worker.life.worker_id not in advice.refused
+        )
+        return WaitReason.ADVICE if has_place else WaitReason.ROOM
+    if queue.advice is None:
+        has_place = rooms.has_place(step, lambda _: True)
+    else:
+        has_place = rooms.has_place(
+            step, lambda worker: bool(advice.ticket(worker.life, now))
+        )
+    return WaitReason.NONE if has_place else WaitReason.ROOM
+
+
 def _unseen_services(cell: Cell) -> set[ServiceName]:
     """Return services with workers that may run what the store does not know of."""
     if not cell.has_unknown_starts:
@@ -118,7 +150,7 @@
 def _place_tasks(cell: Cell, step: StepState, queue: Queue, now: Instant) -> WaitReason:
     workers = candidates(cell, step, queue, now)
     if not workers:
-        return _without_candidates(cell, step, now)
+        return WaitReason.ADVICE
     for index in sorted(step.pending):
         if step.task(index) in cell.strays_by_task:
             continue
@@ -144,7 +176,7 @@
         return WaitReason.CEILING
     workers = candidates(cell, step, queue, now)
     if not workers:
-        return _without_candidates(cell, step, now)
+        return WaitReason.ADVICE
     chosen = _choose_gang(step, workers)
     if not chosen:
         return WaitReason.ROOM
@@ -154,27 +186,6 @@
     return WaitReason.NONE
 
 
-def _without_candidates(cell: Cell, step: StepState, now: Instant) -> WaitReason:
-    """Return what a step waits for that no worker may take now.
-
-    Permission is not worth asking for if a late step could not use it; one that can be
-    in time may get room made at any moment.
-    """
-    if tier(step, now) <= Tier.IN_TIME:
-        return WaitReason.ADVICE
-    if not has_quota(cell, step, 1):
-        return WaitReason.CEILING
-    refused = step.advice.refused
-    has_room = any(
-        worker.can_start
-        and worker.life.worker_id not in refused
-        and step.room_amount.fits_in(worker.free)
-        and could_run(step, worker)
-        for worker in cell.workers_by_life.values()
-    )
-    return WaitReason.ADVICE if has_room else WaitReason.ROOM
-
-
 def _choose_gang(step: StepState, workers: list[WorkerState]) -> list[WorkerState]:
     """Return a worker for each member, on one rack if the step asks for that."""
     for group in _gang_groups(step, workers):
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -50,6 +50,9 @@
 
 _log = logging.getLogger(__name__)
 
+MAKE_ROOM_PAUSE_S = 0.05
+"""Pause between two rounds of making room, in seconds; a stop takes 0.2 s or more."""
+
 MAX_PREEMPTING = 8
 """Steps for which room is made at once: the most urgent ones; looking costs time."""
 
@@ -67,6 +70,7 @@
         self._cell = Cell(token, find_job, observer=observer or NoObserver())
         self._advising = Advising(self._cell)
         self._news = News(self._cell)
+        self._make_room_at = Instant(0.0)
 
     @property
     def token(self) -> Epoch:
@@ -214,7 +218,10 @@
         if cell.licence is Licence.FULL:
             stop_stragglers(cell, now)
         if cell.ready_by_key:
-            self._make_room(place(cell, now)[:MAX_PREEMPTING], now)
+            starved = place(cell, now)
+            if now >= self._make_room_at:
+                self._make_room_at = Instant(now + MAKE_ROOM_PAUSE_S)
+                self._make_room(starved[:MAX_PREEMPTING], now)
         self._advising.ask(now)
 
     def forget(self, job_ids: list[JobId]) -> None:
--- a/tamarackmount/scheduling/tickets.py
+++ b/tamarackmount/scheduling/tickets.py
@@ -38,14 +38,18 @@
 class StepAdvice:
     """What is known about who may run one step.
 
-    Which workers are allowed never changes; tickets end and are asked for again.
+    Which workers are allowed never changes; tickets end and are asked for again. There
+    is nothing to ask before ``check_at``.
     """
 
     allowed: set[WorkerId] = field(default_factory=set)
     refused: set[WorkerId] = field(default_factory=set)
     is_asking: bool = False
     retry_at: Instant = Instant(0.0)
+    check_at: Instant = Instant(0.0)
     _tickets_by_worker: dict[WorkerId, _Ticket] = field(default_factory=dict)
+    _first_end: Instant = Instant(float("inf"))
+    _last_end: Instant = Instant(0.0)
 
     def answered(
         self,
@@ -63,6 +67,17 @@
                 continue
             self.allowed.add(life.worker_id)
             self._tickets_by_worker[life.worker_id] = _Ticket(text, ends, life)
+        tickets = self._tickets_by_worker.values()
+        self._first_end = min((row.ends for row in tickets), default=self._first_end)
+        self._last_end = max((row.ends for row in tickets), default=self._last_end)
+
+    def has_ticket(self, now: Instant) -> bool:
+        """Tell whether any ticket may be used now."""
+        return self._last_end >= now + TICKET_MARGIN_S
+
+    def all_valid(self, now: Instant) -> bool:
+        """Tell whether every ticket may be used now."""
+        return self._first_end >= now + TICKET_MARGIN_S
 
     def ticket(self, life: WorkerLife, now: Instant) -> str:
         """Return a ticket that may be used now, or an empty text."""
@@ -73,4 +88,5 @@
 
     def drop(self, life: WorkerLife) -> None:
         """Forget a ticket that a worker did not take."""
+        self._first_end = Instant(0.0)
         self._tickets_by_worker.pop(life.worker_id, None)
