A job is kept together in a data centre, away from one that may be cut off

The ten tasks of an urgent job were spread over all data centres by best fit, so a cut of one lost nearly every job at work, and orders went on to each of its workers until that one had left an order unanswered (0.2 s each). Tasks of a job now go to one data centre as far as there is room, the roomiest when it begins; two unanswering workers, a tenth at least, make a data centre the last choice.

--- a/tamarackmount/scheduling/placing.py
+++ b/tamarackmount/scheduling/placing.py
@@ -1,9 +1,10 @@
 """Choosing what starts next, and where."""
 
 import logging
+from collections import Counter
 from collections.abc import Iterable
 
-from tamarackmount.ids import Instant
+from tamarackmount.ids import DataCentreId, Instant
 from tamarackmount.resources import NOTHING, Resources
 from tamarackmount.scheduling.cell import Cell
 from tamarackmount.scheduling.effects import StartRun
@@ -47,7 +48,7 @@
             reason = _without_place(cell, step, queue, rooms, now)
         if reason is WaitReason.NONE:
             policy = _place_gang if step.spec.gang else _place_tasks
-            reason = policy(cell, step, queue, now)
+            reason = policy(cell, step, queue, rooms, now)
         if reason in (WaitReason.ROOM, WaitReason.CEILING):
             starved.append((step, queue))
         _note_wait(step, reason, now)
@@ -147,7 +148,9 @@
     return sound or found
 
 
-def _place_tasks(cell: Cell, step: StepState, queue: Queue, now: Instant) -> WaitReason:
+def _place_tasks(
+    cell: Cell, step: StepState, queue: Queue, rooms: Rooms, now: Instant
+) -> WaitReason:
     workers = candidates(cell, step, queue, now)
     if not workers:
         return WaitReason.ADVICE
@@ -156,7 +159,7 @@
             continue
         if not has_quota(cell, step, 1, _ceiling_part(step, now)):
             return WaitReason.CEILING
-        worker = _choose(step, index, workers)
+        worker = _choose(step, index, workers, rooms)
         if worker is None:
             return WaitReason.ROOM
         step.run_number = _next_run(step)
@@ -164,7 +167,9 @@
     return WaitReason.NONE
 
 
-def _place_gang(cell: Cell, step: StepState, queue: Queue, now: Instant) -> WaitReason:
+def _place_gang(
+    cell: Cell, step: StepState, queue: Queue, _rooms: Rooms, now: Instant
+) -> WaitReason:
     if step.runs_by_index:
         # A member is missing; the others would only wait for it.
         for run in list(step.runs_by_index.values()):
@@ -227,9 +232,14 @@
 
 
 def _choose(
-    step: StepState, index: int, workers: list[WorkerState]
+    step: StepState, index: int, workers: list[WorkerState], rooms: Rooms
 ) -> WorkerState | None:
-    """Return the worker that keeps the least room free, near the data if it can."""
+    """Return the worker for a task: near its data, near its job, with least room left.
+
+    Load pattern: a data centre is cut off. A job that has tasks in all of them is lost
+    with any of them; one that is kept together is lost with its own only. Once a few
+    workers of a data centre have not answered, the others there are chosen last.
+    """
     amount = step.room_amount
     task = step.task(index)
     fitting = [
@@ -241,8 +251,36 @@
     ]
     if not fitting:
         return None
-    near = [row for row in fitting if row.entry.rack == step.spec.rack]
-    return min(near or fitting, key=lambda row: _left(row.free, amount))
+    near = [row for row in fitting if row.entry.rack == step.spec.rack] or fitting
+    home = _home(step, near, rooms)
+    return min(
+        near,
+        key=lambda row: (
+            row.entry.data_centre in rooms.doubted,
+            row.entry.data_centre != home,
+            _left(row.free, amount),
+        ),
+    )
+
+
+def _home(
+    step: StepState, workers: list[WorkerState], rooms: Rooms
+) -> DataCentreId | None:
+    """Return the data centre in which a job is kept together, the roomiest at first."""
+    job = step.job
+    if step.spec.perpetual:
+        return None
+    if job.home is None or job.home in rooms.doubted:
+        free_by_home: Counter[DataCentreId] = Counter()
+        for worker in workers:
+            free_by_home[worker.entry.data_centre] += worker.free.millicores
+        sound = {
+            home: free
+            for home, free in free_by_home.items()
+            if home not in rooms.doubted
+        }
+        job.home = max(sound, key=lambda home: (sound[home], home), default=None)
+    return job.home
 
 
 def _runs_on(step: StepState, worker: WorkerState) -> int:
--- a/tamarackmount/scheduling/rooms.py
+++ b/tamarackmount/scheduling/rooms.py
@@ -5,18 +5,27 @@
 most.
 """
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
 
-from tamarackmount.ids import Instant
+from tamarackmount.ids import DataCentreId, Instant
 from tamarackmount.scheduling.model import ServiceName
 from tamarackmount.scheduling.runs import StepState
 from tamarackmount.scheduling.workers import WorkerState
 
+DOUBTED_WORKERS = 2
+"""Workers of a data centre that don't answer, from which on it may be cut off."""
+
+DOUBTED_PART = 0.1
+"""The part of its workers that this has to be, without unit: some answers are always
+lost in a large one."""
+
 
 class Rooms:
     """The room of all workers at the begin of one round of placing.
 
+    ``doubted`` are data centres that may be cut off.
+
     Workers are kept with the processor time that was free then, the most first; what is
     placed in the round only takes room away.
     """
@@ -25,10 +34,20 @@
         """Take the room of workers that may start anything now."""
         self._rows_by_service: dict[ServiceName, list[tuple[int, WorkerState]]]
         self._rows_by_service = defaultdict(list)
+        known: Counter[DataCentreId] = Counter()
+        lost: Counter[DataCentreId] = Counter()
         for worker in workers:
+            home = worker.entry.data_centre
+            known[home] += 1
+            lost[home] += worker.is_doubted or worker.silent_since is not None
             if worker.can_start and now >= worker.rest_until:
                 row = (worker.free.millicores, worker)
                 self._rows_by_service[worker.entry.service].append(row)
+        self.doubted = frozenset(
+            home
+            for home, count in lost.items()
+            if count >= DOUBTED_WORKERS and count >= DOUBTED_PART * known[home]
+        )
         for rows in self._rows_by_service.values():
             rows.sort(key=lambda row: row[0], reverse=True)
 
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from tamarackmount.ids import Instant, JobId, WorkerId
+from tamarackmount.ids import DataCentreId, Instant, JobId, WorkerId
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.journal import JobProgress
@@ -134,7 +134,7 @@
     ``aim`` and ``late`` are the instants by which it should be done to be worth its
     whole and its smaller part, ``start_by`` and ``start_late_by`` those at which what
     is left of it has to start for that; all are forecasts. ``over_share`` jobs came
-    faster than their team's share.
+    faster than their team's share. Tasks are kept together in the data centre ``home``.
     """
 
     accepted: AcceptedJob
@@ -145,6 +145,7 @@
     late: Instant = Instant(0.0)
     start_by: Instant = Instant(0.0)
     start_late_by: Instant = Instant(0.0)
+    home: DataCentreId | None = None
     priority: int = 0
     over_share: bool = False
     is_restored: bool = False
--- a/tests/test_scheduling_rooms.py
+++ b/tests/test_scheduling_rooms.py
@@ -48,7 +48,7 @@
         row.used = Resources(taken * 1_000, 0, 0)
     waits = waiting(cores, label)
     expected = any(
-        now_free.fits_in(row.free) and NOW >= row.rest_until
+        now_free.fits_in(row.free) and row.rest_until <= NOW
         for row in rows
         for now_free in [waits.room_amount]
         if not label or label in row.entry.labels
