--- a/tamarackmount/scheduling/worker_watch.py
+++ b/tamarackmount/scheduling/worker_watch.py
@@ -9,6 +9,7 @@
 from tamarackmount.scheduling.ends import keep_checkpoint, take_end
 from tamarackmount.scheduling.journal import WorkerRecord, run_text, task_of
 from tamarackmount.scheduling.licence import Licence
+from tamarackmount.scheduling.lost_workers import copy_all, doubt
 from tamarackmount.scheduling.model import WorkerLife
 from tamarackmount.scheduling.ranking import URGENT_PRIORITY
 from tamarackmount.scheduling.runs import Run, RunPhase, StepState
@@ -174,32 +175,10 @@
         worker.silent_since = now
         extra = {"worker": worker.life.worker_id, "reason": trouble.value}
         _log.info("worker lost", extra=extra)
-        _copy_all(cell, worker)
+        copy_all(cell, worker)
     worker.next_hold_at = Instant(now + RETRY_HOLD_S)
 
 
-def doubt(cell: Cell, worker: WorkerState, sent: Instant) -> None:
-    """Take that a call sent at ``sent`` had no answer; others may have had one since.
-
-    Load pattern: a few answers are lost while a worker is well, or a worker is cut off:
-    then each second of orders to it is lost until a look fails.
-    """
-    if worker.is_doubted or worker.answered_at > sent:
-        return
-    worker.is_doubted = True
-    _log.info("worker doubted", extra={"worker": worker.life.worker_id})
-    _copy_all(cell, worker)
-
-
-def _copy_all(cell: Cell, worker: WorkerState) -> None:
-    """Start what may have copies elsewhere, as the worker may be lost."""
-    runs = list(worker.runs_by_task.values())
-    copied = [run for run in runs if cell.copy_elsewhere(run)]
-    if copied:
-        extra = {"worker": worker.life.worker_id, "copies": len(copied)}
-        _log.info("copies wanted", extra=extra)
-
-
 def fenced(cell: Cell, life: WorkerLife) -> None:
     """Give up: a worker follows a holder with a higher token."""
     if not cell.superseded:
