--- a/tamarackmount/node/job_desk.py
+++ b/tamarackmount/node/job_desk.py
@@ -46,6 +46,10 @@
     Stored.UNKNOWN: Answer(Status.UNKNOWN),
 }
 
+STORE_GAP_S = 1.5
+"""A node that has not heard the store for this long is cut off from it, in seconds: its
+reads are answered each second, by a slow store half a second later."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -60,7 +64,7 @@
         self._holding = holding
         self._jobs_tail = jobs_tail
         self._submissions = Submissions(
-            context.reactor, context.store, JOBS_TOPIC, self._relay
+            context.reactor, context.store, JOBS_TOPIC, self._relay, self._hears_store
         )
         self.handlers: dict[type, Callable[[MemberId, Any], None]] = {
             JobStored: self._hear_job,
@@ -74,6 +78,12 @@
         """The configuration, if there is one."""
         return self._context.fleet
 
+    def _hears_store(self) -> bool:
+        tails = (self._jobs_tail, self._holding.tail)
+        heard = [tail.last_contact for tail in tails if tail.last_contact is not None]
+        now = self._context.reactor.seconds()
+        return not heard or now <= max(heard) + STORE_GAP_S
+
     @property
     def is_draining(self) -> bool:
         """Whether the node stops, so that connections should end."""
--- a/tamarackmount/node/submissions.py
+++ b/tamarackmount/node/submissions.py
@@ -44,6 +44,10 @@
 """How long a holder that left two questions unanswered is not asked, in seconds;
 another one claims within 3 s."""
 
+CUT_RELAY_S = 0.3
+"""Longest wait for the holder's word while the store is not heard, in seconds: it may
+reach the store all the same and answers in 20 ms, or the node is cut off from both."""
+
 TRY_AGAIN_S = 0.25
 """Pause between two tries while the store takes nothing, in seconds: each is paid for,
 and callers should be served soon after it is back."""
@@ -110,12 +114,20 @@
     answer an append is made again until the caller's deadline.
     """
 
-    def __init__(self, reactor: Any, store: Store, topic: Topic, relay: Relay) -> None:
-        """Append to ``topic``, or ``relay``."""
+    def __init__(
+        self,
+        reactor: Any,
+        store: Store,
+        topic: Topic,
+        relay: Relay,
+        hears_store: Callable[[], bool],
+    ) -> None:
+        """Append to ``topic``, or ``relay``; ``hears_store`` tells of late answers."""
         self._reactor = reactor
         self._store = store
         self._topic = topic
         self._relay = relay
+        self._hears_store = hears_store
         self._waiting: deque[_Pending] = deque()
         self._is_appending = False
         self._timeout = AppendTimeout(OWN_LEAST_S)
@@ -131,6 +143,9 @@
         if told is not None and told.stored in (Stored.YES, Stored.REFUSED):
             return told
         maybe_stored = told is not None and told.stored is Stored.UNKNOWN
+        if not self._hears_store():
+            # Nothing comes of waiting; another entry VM may be better off.
+            return StoreWord(Stored.UNKNOWN) if maybe_stored else NOT_STORED
         if not maybe_stored and self._is_known_away():
             return NOT_STORED
         return StoreWord(await self._store_here(record, last, maybe_stored))
@@ -142,7 +157,10 @@
         begun = self._reactor.seconds()
         if begun < self._no_relay_until:
             return None
-        left_s = min(self._relay_timeout.seconds(), deadline - LEAST_TIME_S - begun)
+        longest_s = self._relay_timeout.seconds()
+        if not self._hears_store():
+            longest_s = min(longest_s, CUT_RELAY_S)
+        left_s = min(longest_s, deadline - LEAST_TIME_S - begun)
         told = await self._relay(record, left_s) if left_s > 0 else None
         now = self._reactor.seconds()
         if told is not None and told.stored is Stored.UNKNOWN:
