Nothing is placed while the store stands still; lapsed permissions are not sent

Steps now wait once an append stands still for 0.6 s, and a held-back order is checked for its permission before it leaves. The first of the two new tests failed before.

--- a/tamarackmount/scheduling/orders.py
+++ b/tamarackmount/scheduling/orders.py
@@ -38,12 +38,26 @@
     worker = cell.workers_by_life.get(order.life)
     if run is None or worker is None:
         return
-    may_start = worker.can_start and cell.licence is Licence.FULL
-    if may_start and run.phase is RunPhase.STARTING:
-        run.began_at = now
-        cell.emit(start)
+    may_start = (
+        run.phase is RunPhase.STARTING
+        and worker.can_start
+        and cell.licence is Licence.FULL
+        and _is_permitted(cell, start, now)
+    )
+    if not may_start:
+        cell.drop_run(run, now)
         return
-    cell.drop_run(run, now)
+    run.began_at = now
+    cell.emit(start)
+
+
+def _is_permitted(cell: Cell, start: StartRun, now: Instant) -> bool:
+    """Tell whether the order's permission, if it needs one, is still good."""
+    order = start.order
+    step = cell.step_of(order.task)
+    if step is None or not order.ticket:
+        return True
+    return step.advice.ticket(order.life, now) == order.ticket
 
 
 def start_answered(
--- a/tamarackmount/scheduling/placing.py
+++ b/tamarackmount/scheduling/placing.py
@@ -37,7 +37,7 @@
 def place(cell: Cell, now: Instant) -> list[tuple[StepState, Queue]]:
     """Start what fits, the most urgent steps first; return those that lack room."""
     starved: list[tuple[StepState, Queue]] = []
-    if cell.licence is not Licence.FULL:
+    if cell.licence is not Licence.FULL or cell.recording.is_stalled(now):
         return starved
     unseen = _unseen_services(cell)
     rooms = Rooms(cell.workers_by_life.values(), now)
--- a/tamarackmount/scheduling/recording.py
+++ b/tamarackmount/scheduling/recording.py
@@ -16,6 +16,10 @@
 """An append that takes longer makes orders wait too long, in seconds; a store that is
 well answers in 10 ms."""
 
+STALLED_S = 0.6
+"""An append without an answer for this long stands still, in seconds; a slow store
+answers in 0.3 to 0.6 s."""
+
 QUICK_FOR_S = 2.0
 """The store has to be quick for this long before orders wait for it again, in seconds:
 each change costs a mark."""
@@ -43,6 +47,14 @@
         self._note(now)
         self._asked_at = None
 
+    def is_stalled(self, now: Instant) -> bool:
+        """Tell whether orders wait for a store that takes nothing.
+
+        Placed tasks would keep their room and let their permissions end.
+        """
+        asked_at = self._asked_at
+        return self.waits and asked_at is not None and now > asked_at + STALLED_S
+
     def wants_to_wait(self, now: Instant) -> bool:
         """Tell whether orders should wait for the store."""
         self._note(now)
--- a/tests/test_scheduling_recording.py
+++ b/tests/test_scheduling_recording.py
@@ -1,6 +1,7 @@
 """When orders wait until the store holds their runs, and what a successor knows."""
 
 from tamarackmount.scheduling.book import JobBook
+from tamarackmount.scheduling.fleet import AdvicePolicy
 from tamarackmount.scheduling.journal import (
     MarkRecord,
     RecordKind,
@@ -8,9 +9,10 @@
     record_key,
 )
 from tamarackmount.scheduling.news import Batch
-from tamarackmount.scheduling.recording import QUICK_FOR_S, SLOW_S
+from tamarackmount.scheduling.recording import QUICK_FOR_S, SLOW_S, STALLED_S
+from tamarackmount.scheduling.tickets import AdviceAnswer, Permission
 from tests.test_scheduling_takeover import book_of, successor
-from tests.utils.build_scheduling import Cell, entry, job
+from tests.utils.build_scheduling import Cell, entry, job, life
 
 MARK = record_key(RecordKind.MARK)
 SLOW_ANSWER_S = 4 * SLOW_S
@@ -95,6 +97,41 @@
     assert not cell.starts
 
 
+def permit(cell: Cell, valid_ms: float) -> None:
+    """Answer all questions: the worker may take everything."""
+    questions, cell.questions = cell.questions, []
+    answer = AdviceAnswer((Permission(life("w1").worker_id, "t"),), valid_ms)
+    for question in questions:
+        cell.scheduler.advice_answered(question.step, answer, cell.now)
+    cell.tick()
+
+
+def test_an_order_whose_permission_ended_while_it_waited_is_not_sent() -> None:
+    cell = Cell(advice=AdvicePolicy(20.0, 0.2, 2_000.0))
+    cell.list_workers(entry("w1", cores=64))
+    cell.is_store_well = False
+    cell.add(job(1))
+    permit(cell, 2_000.0)
+    batch = take(cell)
+    answer(cell, batch, 3.0)
+    assert not cell.starts
+    permit(cell, 2_000.0)
+    cell.store()
+    assert len(cell.starts) == 1
+
+
+def test_nothing_is_placed_while_the_store_takes_nothing() -> None:
+    cell = cell_with_a_worker()
+    cell.add(job(1))
+    batch = take(cell)
+    cell.tick(STALLED_S + 0.1)
+    cell.add(job(2))
+    assert not cell.scheduler.waits_for_record
+    answer(cell, batch, 0.0)
+    cell.store()
+    assert len(cell.starts) == 2
+
+
 def test_after_a_slow_store_older_tasks_wait_for_silent_workers() -> None:
     before = slowed()
     book = book_of([job(1), job(2)], before.store())
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -163,8 +163,14 @@
     Mutant(
         "a recorded order is checked again before it is sent",
         "scheduling/orders.py",
-        "may_start = worker.can_start and cell.licence is Licence.FULL",
-        "may_start = True",
+        "run.phase is RunPhase.STARTING\n        and worker.can_start",
+        "True",
+    ),
+    Mutant(
+        "an order whose permission ended is not sent",
+        "scheduling/orders.py",
+        "return step.advice.ticket(order.life, now) == order.ticket",
+        "return True",
     ),
     Mutant(
         "a ceiling is kept",
