A gang that lost a member is stopped though there is no room

Found while reading: steps without room, ceiling or permission are passed over before the rule that stops the members of a gang that run without the others; after 3 s they would have ended alone.

--- a/tamarackmount/scheduling/placing.py
+++ b/tamarackmount/scheduling/placing.py
@@ -63,6 +63,9 @@
     Permission is not worth asking for if a late step could not use it; one that can be
     in time may get room made at any moment.
     """
+    if step.spec.gang and step.runs_by_index:
+        # Members that run without the others have to be stopped, room or not.
+        return WaitReason.NONE
     advice = step.advice
     lacks_permission = queue.advice is not None and not advice.has_ticket(now)
     if lacks_permission and tier(step, now) <= Tier.IN_TIME:
--- a/tests/test_scheduling_load.py
+++ b/tests/test_scheduling_load.py
@@ -10,7 +10,7 @@
 from tamarackmount.scheduling.ranking import TeamShares
 from tamarackmount.scheduling.runs import make_job
 from tamarackmount.scheduling.tickets import AdviceAnswer, Permission
-from tamarackmount.scheduling.worker_reports import RunEnd
+from tamarackmount.scheduling.worker_reports import OrderResult, RunEnd
 from tests.utils.build_scheduling import (
     URGENT,
     Cell,
@@ -147,6 +147,21 @@
     assert len({start.order.run for start in cell.starts}) == 1
 
 
+def test_a_gang_that_lost_a_member_is_stopped_though_there_is_no_room() -> None:
+    cell = Cell(ceiling=Resources())
+    cell.list_workers(entry("w1", cores=2), entry("w2", cores=2))
+    cell.add(job(1, step(2, cores=2, gang=True)))
+    first, second = cell.starts
+    cell.starts = []
+    for start, result in ((first, OrderResult.DONE), (second, OrderResult.UNHEALTHY)):
+        order = start.order
+        cell.scheduler.start_answered(
+            order.life, order.task, order.run, result, cell.now
+        )
+    cell.tick(0.1)
+    assert [stop.task for stop in cell.stops] == [first.order.task]
+
+
 def test_a_step_waits_for_those_before_it() -> None:
     cell = Cell(ceiling=Resources())
     cell.list_workers(entry("w1"))
