--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -76,7 +76,7 @@
 
     ``copies`` are runs of a speculative step that may be lost: their tasks start again
     beside them, and the first end counts.
-    ``straggled`` are tasks that were stopped as stragglers, which happens once.
+    ``straggled`` are tasks that were stopped or copied as stragglers, once each.
     ``took_s`` are durations of tasks that ended well on their first run: those of one
     step are alike, while steps of one queue differ by several times.
     ``pending`` are tasks that have no run and are not done. ``not_before`` delays
--- a/tamarackmount/scheduling/stragglers.py
+++ b/tamarackmount/scheduling/stragglers.py
@@ -1,8 +1,9 @@
 """Runs that take far longer than their kind does.
 
 Load pattern: a few workers turn several times slower, or let what they run stand still,
-while they answer every look. Their runs are stopped and started elsewhere, and they get
-nothing new for a while; copies are not needed for that, and a task never runs twice.
+while they answer every look. A task that allows it gets a copy elsewhere as soon as it
+falls behind its step. Other runs are stopped and started elsewhere once two jobs show
+that it is the worker, which gets nothing new for a while.
 """
 
 import logging
--- a/tamarackmount/scheduling/workers.py
+++ b/tamarackmount/scheduling/workers.py
@@ -12,7 +12,7 @@
 from tamarackmount.units import MS_PER_SECOND
 
 LEASE_MS = 6_000
-"""Lease of all that a worker runs, in milliseconds: outlives a takeover of 3 s."""
+"""Lease of all that a worker runs, in milliseconds: outlives a takeover of 2 s."""
 
 SLOWEST_CLOCK = 0.98
 """A worker's clock runs at least at this rate, by the platform's page."""
