Advice requests name as many workers as a step needs

Cause: a request named the 60 workers with most free capacity, and further requests followed until every worker of the pool was decided.

A quarter of the entry VMs is reserved for urgent jobs.

--- a/tamarackmount/scheduling/advice_requests.py
+++ b/tamarackmount/scheduling/advice_requests.py
@@ -3,17 +3,22 @@
 The advice service takes one request at a time from each entry VM and takes longer the
 more workers a request names. So requests are spread over the entry VMs, one at a time
 from each; only if none is free, this node sends a request although it is busy.
+
+Load pattern: decisions for one queue take a second each, and those for urgent jobs
+30 ms. Without a reserve, the slow ones occupy every entry VM, and urgent jobs wait for
+one of them to end. So some entry VMs are reserved for urgent jobs.
 """
 
+import math
 from collections.abc import Iterator
 
 from tamarackmount.ids import Instant
-from tamarackmount.resources import Resources
+from tamarackmount.scheduling.advice_choice import ApprovalRates, workers_to_ask_about
 from tamarackmount.scheduling.effects import AskAdvice
 from tamarackmount.scheduling.fleet_config import AdvicePolicy
 from tamarackmount.scheduling.model import StepKey, WorkerIncarnation
 from tamarackmount.scheduling.placement import could_run
-from tamarackmount.scheduling.ranking import Tier, rank, tier
+from tamarackmount.scheduling.ranking import URGENT_PRIORITY, Tier, rank, tier
 from tamarackmount.scheduling.runs import StepState, WaitReason
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.step_advice import AdviceAnswer
@@ -29,9 +34,9 @@
 short compared with the lead at which tickets are renewed: the expected decision time,
 this interval and ``TICKET_MARGIN_S``, of which it is a third."""
 
-MAX_WORKERS_PER_REQUEST = 60
-"""Maximum number of workers in one request: enough choice, while the advice
-service still decides quickly."""
+URGENT_RESERVE = 0.25
+"""Fraction of the entry VMs that only requests for urgent jobs may use, without
+unit."""
 
 
 class AdviceRequests:
@@ -41,29 +46,39 @@
         """Begin with the steps of ``state`` and no request in flight."""
         self._state = state
         self._requested_by_step: dict[StepKey, tuple[WorkerIncarnation, ...]] = {}
+        self._approval_rates = ApprovalRates()
         self.max_concurrent = 1
 
     def send_due_requests(self, now: Instant) -> None:
-        """Request advice for the most urgent steps, up to the concurrency limit.
+        """Request advice for the most urgent steps, up to the concurrency limits.
 
         Ready steps come first, then steps that wait for others.
         """
-        free = self.max_concurrent - len(self._requested_by_step)
-        if free <= 0:
+        in_use = len(self._requested_by_step)
+        if in_use >= self.max_concurrent:
             return
-        state = self._state
-        for step in sorted(
-            state.ready_steps_by_key.values(), key=lambda step: rank(step, now)
-        ):
-            if _tickets_would_expire_unused(step, now):
+        non_urgent_limit = self._non_urgent_limit()
+        for step, is_ready in self._steps_by_urgency(now):
+            is_urgent = step.job.priority == URGENT_PRIORITY
+            if in_use >= (self.max_concurrent if is_urgent else non_urgent_limit):
                 continue
-            free -= self._request_advice(step, now, True)
-            if free <= 0:
+            in_use += self._request_advice(step, now, is_ready)
+            if in_use >= self.max_concurrent:
                 return
+
+    def _non_urgent_limit(self) -> int:
+        """Return the number of requests from which on only urgent ones are sent."""
+        reserved = math.ceil(URGENT_RESERVE * self.max_concurrent)
+        return max(1, self.max_concurrent - reserved)
+
+    def _steps_by_urgency(self, now: Instant) -> Iterator[tuple[StepState, bool]]:
+        """Yield steps that may need advice, and whether they are ready."""
+        ready_steps = self._state.ready_steps_by_key.values()
+        for step in sorted(ready_steps, key=lambda step: rank(step, now)):
+            if not _tickets_would_expire_unused(step, now):
+                yield step, True
         for step in self._waiting_steps():
-            free -= self._request_advice(step, now, False)
-            if free <= 0:
-                return
+            yield step, False
 
     def _waiting_steps(self) -> Iterator[StepState]:
         """Yield steps that are not ready yet: they will need advice later."""
@@ -88,6 +103,9 @@
         if answer is None:
             step.advice.retry_at = Instant(now + ADVICE_RETRY_DELAY_S)
             return
+        self._approval_rates.record_answer(
+            step.job.accepted.queue_name, len(incarnations), len(answer.tickets)
+        )
         step.advice.record_answer(incarnations, answer, now)
 
     def _request_advice(self, step: StepState, now: Instant, is_ready: bool) -> int:
@@ -105,32 +123,34 @@
             or now < advice.next_check_at
         ):
             return 0
-        workers = self._undecided_workers(step)
+        workers = self._workers_to_ask_about(step)
         if not workers and is_ready:
             workers = self._workers_to_renew(step, queue.advice, now)
         if not workers:
             advice.next_check_at = Instant(now + ADVICE_CHECK_INTERVAL_S)
             return 0
-        selected = _most_free(workers)
         advice.request_in_flight = True
-        incarnations = tuple(worker.incarnation for worker in selected)
+        incarnations = tuple(worker.incarnation for worker in workers)
         self._requested_by_step[step.key] = incarnations
         expected = _expected_decision_ms(queue.advice, len(incarnations))
         ids = tuple(incarnation.worker_id for incarnation in incarnations)
         self._state.emit(AskAdvice(step.key, ids, expected))
         return 1
 
-    def _undecided_workers(self, step: StepState) -> list[WorkerState]:
-        """Return suitable workers on which the advice service has not decided yet."""
+    def _workers_to_ask_about(self, step: StepState) -> list[WorkerState]:
+        """Return the workers that a request for new tickets names."""
         advice = step.advice
-        return [
-            worker
-            for worker in self._state.workers_by_incarnation.values()
-            if worker.incarnation.worker_id not in advice.allowed
-            and worker.incarnation.worker_id not in advice.refused
-            and worker.can_start
-            and could_run(step, worker)
-        ]
+        undecided: list[WorkerState] = []
+        allowed: list[WorkerState] = []
+        for worker in self._state.workers_by_incarnation.values():
+            worker_id = worker.incarnation.worker_id
+            if worker_id in advice.refused or not worker.can_start:
+                continue
+            if could_run(step, worker):
+                is_allowed = worker_id in advice.allowed
+                (allowed if is_allowed else undecided).append(worker)
+        approval = self._approval_rates.fraction(step.job.accepted.queue_name)
+        return workers_to_ask_about(step, undecided, allowed, approval)
 
     def _workers_to_renew(
         self, step: StepState, policy: AdvicePolicy, now: Instant
@@ -154,20 +174,6 @@
         ]
 
 
-def _most_free(workers: list[WorkerState]) -> list[WorkerState]:
-    """Return the workers to request advice for: those with most free capacity."""
-    if len(workers) <= MAX_WORKERS_PER_REQUEST:
-        return workers
-    rows = sorted(
-        workers, key=lambda worker: _free_capacity_key(worker.free), reverse=True
-    )
-    return rows[:MAX_WORKERS_PER_REQUEST]
-
-
-def _free_capacity_key(free: Resources) -> tuple[int, int, int]:
-    return free.accelerators, free.millicores, free.memory_mib
-
-
 def _tickets_would_expire_unused(step: StepState, now: Instant) -> bool:
     """Tell whether tickets of a step would expire before they could be used.
 
--- a/tamarackmount/scheduling/free_capacity.py
+++ b/tamarackmount/scheduling/free_capacity.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable
 
 from tamarackmount.ids import DataCentreId, Instant
+from tamarackmount.resources import Resources
 from tamarackmount.scheduling.model import ServiceName
 from tamarackmount.scheduling.runs import StepState
 from tamarackmount.scheduling.workers import WorkerState
@@ -72,3 +73,22 @@
             if may_take(worker):
                 return True
         return False
+
+
+def count_fitting_tasks(
+    amount: Resources, free: Resources, wanted: int, max_per_worker: int
+) -> int:
+    """Return how many tasks fit into a worker's free capacity, at most ``wanted``.
+
+    ``max_per_worker`` is their limit on one worker; 0 is no limit.
+    """
+    parts = (
+        (amount.millicores, free.millicores),
+        (amount.memory_mib, free.memory_mib),
+        (amount.accelerators, free.accelerators),
+    )
+    fits = min(
+        (free_amount // per_task for per_task, free_amount in parts if per_task),
+        default=wanted,
+    )
+    return max(0, min(wanted, max_per_worker or wanted, fits))
--- a/tamarackmount/scheduling/preemption.py
+++ b/tamarackmount/scheduling/preemption.py
@@ -10,6 +10,7 @@
 from tamarackmount.ids import Instant, TeamId
 from tamarackmount.resources import NOTHING, Resources
 from tamarackmount.scheduling.fleet_config import Queue
+from tamarackmount.scheduling.free_capacity import count_fitting_tasks
 from tamarackmount.scheduling.model import WorkerIncarnation
 from tamarackmount.scheduling.placement import ceiling_parts, eligible_workers
 from tamarackmount.scheduling.ranking import Tier, tier
@@ -101,8 +102,8 @@
             free = self._free_by_incarnation[worker.incarnation]
             for run in self._preemptible_runs(queue, worker):
                 free = free + run.amount
-            count += _count_fitting_tasks(
-                step.reserved_amount, free, step.spec.count, step
+            count += count_fitting_tasks(
+                step.reserved_amount, free, step.spec.count, step.spec.max_per_worker
             )
         return count
 
@@ -183,7 +184,9 @@
         self, step: StepState, worker: WorkerState, wanted: int
     ) -> int:
         free = self._free_by_incarnation[worker.incarnation]
-        return _count_fitting_tasks(step.reserved_amount, free, wanted, step)
+        return count_fitting_tasks(
+            step.reserved_amount, free, wanted, step.spec.max_per_worker
+        )
 
     def _select_on_worker(
         self,
@@ -194,9 +197,9 @@
         chosen: list[Run],
     ) -> tuple[list[Run], Resources, int]:
         """Return runs to stop, the free capacity then and how many tasks fit."""
-        amount = step.reserved_amount
+        amount, bound = step.reserved_amount, step.spec.max_per_worker
         free = self._free_by_incarnation[worker.incarnation]
-        count = _count_fitting_tasks(amount, free, wanted, step)
+        count = count_fitting_tasks(amount, free, wanted, bound)
         to_stop: list[Run] = []
         needed = 0
         free_after = free
@@ -207,7 +210,7 @@
                 continue
             to_stop.append(run)
             free_after = free_after + run.amount
-            count_after = _count_fitting_tasks(amount, free_after, wanted, step)
+            count_after = count_fitting_tasks(amount, free_after, wanted, bound)
             if count_after > count:
                 count, free, needed = count_after, free_after, len(to_stop)
         return to_stop[:needed], free, count
@@ -229,23 +232,6 @@
         return sorted(found, key=lambda run: -run.amount.millicores)
 
 
-def _count_fitting_tasks(
-    amount: Resources, free: Resources, wanted: int, step: StepState
-) -> int:
-    """Return how many tasks fit, at most ``wanted`` and the step's limit per worker."""
-    parts = (
-        (amount.millicores, free.millicores),
-        (amount.memory_mib, free.memory_mib),
-        (amount.accelerators, free.accelerators),
-    )
-    fits = min(
-        (free_amount // per_task for per_task, free_amount in parts if per_task),
-        default=wanted,
-    )
-    bound = step.spec.max_per_worker or wanted
-    return max(0, min(wanted, bound, fits))
-
-
 def _is_under_ceiling(
     used: Resources, amount: Resources, ceiling: Resources, count: int
 ) -> bool:
