Mend faults of records, decoders and submissions that readers had listed

Each has a test that failed first: - a stored record that can't be decoded raised KeyError in logging; it is skipped; - at a stop, at most 200 waiting submissions were answered; - one append could exceed the store's limit of 2 MB: batches are split in an order in which any prefix may stand alone (completeness record last), submissions fill what is left; the limits come from the settings file; - a holder on the same node was waited for without a timeout; - a reply over the maximum length was returned cut as if whole; - odd bodies raised AttributeError; a 409 without a known reason counted as a fence; - count and repetitions had no upper bound, amounts could be negative; - a deadline of nan or inf was accepted; any method became a metric label.

--- a/tamarackmount/node/fenced_log.py
+++ b/tamarackmount/node/fenced_log.py
@@ -61,6 +61,11 @@
         self._last_response_at = Instant(reactor.seconds())
         self._retry_delay_s = RETRY_DELAY_S
 
+    @property
+    def max_append_bytes(self) -> int:
+        """The maximum size of the records of one append, in bytes."""
+        return self._store.max_append_bytes
+
     @property
     def is_store_available(self) -> bool:
         """Whether the store accepts appends, judging by the most recent ones.
--- a/tamarackmount/node/http_api.py
+++ b/tamarackmount/node/http_api.py
@@ -1,6 +1,7 @@
 """The HTTP interface for callers on an entry VM."""
 
 import logging
+import math
 import re
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -9,6 +10,7 @@
 
 from returns.result import Failure
 from twisted.python.failure import Failure as TwistedFailure
+from twisted.web.http import Request as HttpRequest
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
@@ -32,6 +34,10 @@
 """Deadline of callers that send none, in milliseconds; the platform's default
 deadline."""
 
+MAX_DEADLINE_MS = 600_000
+"""Longest deadline that is taken from a caller, in milliseconds; a longer one counts as
+malformed."""
+
 DEADLINE_HEADER = "deadline-remaining"
 """Request header with the time that the caller still waits, in milliseconds."""
 
@@ -42,6 +48,9 @@
 STARTING_RETRY_AFTER_S = 1
 """Retry time that callers get from a node that has no configuration yet, in seconds."""
 
+OTHER_VERB = "other"
+"""Label of requests with a method that is not served; callers choose any text."""
+
 NO_TEAM = TeamId("")
 """Team of callers without a key, on public queues."""
 
@@ -161,8 +170,9 @@
         self.in_flight -= 1
         writer.write(response, self._jobs.is_draining)
         method = request.method.decode("latin-1")
+        verb = method if method in self._handlers_by_method else OTHER_VERB
         self._metrics.record_request(
-            method, response.status.value, clock.now() - started_at
+            verb, response.status.value, clock.now() - started_at
         )
 
     async def _respond(self, request: BoundedRequest) -> ApiResponse:
@@ -266,7 +276,7 @@
     if name and not _JOB_ID_PATTERN.match(name):
         return ApiResponse(HttpStatus.BAD_REQUEST)
     return ApiRequest(
-        queue, team or NO_TEAM, JobId(name), body, _parse_deadline(request)
+        queue, team or NO_TEAM, JobId(name), body, parse_deadline(request)
     )
 
 
@@ -277,13 +287,17 @@
     return fleet.team_by_key.get(hash_key(key.strip()))
 
 
-def _parse_deadline(request: BoundedRequest) -> Instant:
+def parse_deadline(request: HttpRequest) -> Instant:
+    """Return until when the caller waits, from its header or the default."""
     text = header(request, DEADLINE_HEADER)
     try:
         remaining_ms = float(text) if text else DEFAULT_DEADLINE_MS
     except ValueError:
         remaining_ms = DEFAULT_DEADLINE_MS
-    return Instant(clock.now() + remaining_ms / MS_PER_SECOND)
+    # ``float`` accepts "nan" and "inf" too.
+    if math.isnan(remaining_ms) or remaining_ms > MAX_DEADLINE_MS:
+        remaining_ms = DEFAULT_DEADLINE_MS
+    return Instant(clock.now() + max(0.0, remaining_ms) / MS_PER_SECOND)
 
 
 class ReadinessResource(Resource):
--- a/tamarackmount/node/journal_writer.py
+++ b/tamarackmount/node/journal_writer.py
@@ -11,7 +11,12 @@
 from tamarackmount.node.fenced_log import FencedLog, is_outcome_unknown
 from tamarackmount.node.submissions import StoreOutcome
 from tamarackmount.node.tasks import spawn
-from tamarackmount.platform.store import Appended, KeyedRecord, StoreError
+from tamarackmount.platform.store import (
+    Appended,
+    KeyedRecord,
+    StoreError,
+    encoded_bytes,
+)
 from tamarackmount.scheduling.store_batches import Batch
 
 BATCH_DELAY_S = 0.004
@@ -19,9 +24,8 @@
 one append takes."""
 
 MAX_SUBMISSIONS = 200
-"""Maximum number of callers' records in one append. It bounds only this part of the
-append: specs have at most 4 KB, so 200 records take less than half of the store's limit
-of 2 MB per call. The scheduler's batch is added to them; see ``MAX_BATCH_RECORDS``."""
+"""Maximum number of callers' records in one append; a slow store takes longer for a
+larger one."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,19 +97,18 @@
             await self._sleep(BATCH_DELAY_S)
 
     def stop(self) -> None:
-        """Stop writing and reject waiting submissions, up to ``MAX_SUBMISSIONS``."""
+        """Stop writing and reject all waiting submissions."""
         self._is_stopped = True
         self._reject_submissions()
 
     async def _write(self) -> None:
         while not self._is_stopped:
             batch = self._callbacks.take_batch()
-            submissions = self._take_submissions()
-            if batch is None and not submissions:
+            if batch is None and not self._submissions:
                 break
             records = [] if batch is None else list(batch.records)
             rows = [KeyedRecord(key, value) for key, value in records]
-            if not await self._append(rows, submissions):
+            if not await self._append_in_parts(rows):
                 break
             self._append_count += 1
             if batch is not None:
@@ -115,13 +118,32 @@
         if self._is_stopped:
             self._reject_submissions()
 
-    def _take_submissions(self) -> list[_Submission]:
-        count = min(len(self._submissions), MAX_SUBMISSIONS)
-        return [self._submissions.popleft() for _ in range(count)]
+    async def _append_in_parts(self, rows: list[KeyedRecord]) -> bool:
+        """Append a batch in as many appends as its size needs, submissions last.
+
+        The records of a batch are in an order in which any prefix may be stored alone.
+        """
+        limit = self._log.max_append_bytes
+        *first_parts, last_part = split_by_size(rows, limit)
+        for part in first_parts:
+            if not await self._append(part, []):
+                return False
+        left = limit - sum(encoded_bytes(row) for row in last_part)
+        return await self._append(last_part, self._take_submissions(left))
+
+    def _take_submissions(self, max_bytes: int) -> list[_Submission]:
+        """Remove and return the submissions that fit into the next append."""
+        taken: list[_Submission] = []
+        while self._submissions and len(taken) < MAX_SUBMISSIONS:
+            max_bytes -= encoded_bytes(self._submissions[0].record)
+            if max_bytes < 0:
+                break
+            taken.append(self._submissions.popleft())
+        return taken
 
     def _reject_submissions(self) -> None:
-        for submission in self._take_submissions():
-            submission.result.callback(StoreOutcome.NOT_STORED)
+        while self._submissions:
+            self._submissions.popleft().result.callback(StoreOutcome.NOT_STORED)
 
     async def _append(
         self, rows: list[KeyedRecord], submissions: list[_Submission]
@@ -163,6 +185,20 @@
         return deferLater(self._reactor, seconds, lambda: None)
 
 
+def split_by_size(rows: list[KeyedRecord], max_bytes: int) -> list[list[KeyedRecord]]:
+    """Split records into parts of at most ``max_bytes`` each; at least one part."""
+    parts: list[list[KeyedRecord]] = [[]]
+    size = 0
+    for row in rows:
+        row_size = encoded_bytes(row)
+        if parts[-1] and size + row_size > max_bytes:
+            parts.append([])
+            size = 0
+        parts[-1].append(row)
+        size += row_size
+    return parts
+
+
 def _resolve(submissions: list[_Submission], outcome: StoreOutcome) -> None:
     for submission in submissions:
         submission.result.callback(outcome)
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -107,7 +107,13 @@
         self._context = NodeContext(
             settings=settings,
             reactor=reactor,
-            store=store or Store(self._http, settings.store_address),
+            store=store
+            or Store(
+                self._http,
+                settings.store_address,
+                settings.max_append_bytes,
+                settings.max_record_bytes,
+            ),
             links=links,
             peer_calls=PeerCalls(reactor, links),
             job_index=JobIndex(),
--- a/tamarackmount/node/submissions.py
+++ b/tamarackmount/node/submissions.py
@@ -11,7 +11,7 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.node.adaptive_timeout import AdaptiveTimeout
-from tamarackmount.node.tasks import spawn
+from tamarackmount.node.tasks import first_result, spawn
 from tamarackmount.platform.store import (
     Appended,
     AppendResult,
@@ -91,7 +91,7 @@
 Relay = Callable[[KeyedRecord, float], Awaitable[StoreResult | None]]
 """Sends a record to the holder, with a timeout in seconds. The result is ``None`` if
 the holder can't be reached, and ``UNKNOWN`` if it did not answer. A holder on this node
-ignores the timeout."""
+may answer after the timeout, which is not waited for."""
 
 
 @dataclass(slots=True)
@@ -179,7 +179,14 @@
         if not self._has_store_contact():
             timeout_s = min(timeout_s, NO_STORE_RELAY_TIMEOUT_S)
         left_s = min(timeout_s, deadline - DIRECT_APPEND_RESERVE_S - started_at)
-        reply = await self._relay(record, left_s) if left_s > 0 else None
+        reply: StoreResult | None = None
+        if left_s > 0:
+            reply = await first_result(
+                self._reactor,
+                self._relay(record, left_s),
+                left_s,
+                StoreResult(StoreOutcome.UNKNOWN),
+            )
         now = self._reactor.seconds()
         if reply is not None and reply.outcome is StoreOutcome.UNKNOWN:
             if not self._relay_timeout.has_at_most_one_timeout:
--- a/tamarackmount/node/tasks.py
+++ b/tamarackmount/node/tasks.py
@@ -1,7 +1,7 @@
 """Running tasks so that an unhandled exception stops the process."""
 
 import logging
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, TypeVar
 
 from twisted.internet.defer import Deferred, ensureDeferred
@@ -24,6 +24,29 @@
     return running.addErrback(_handle_fatal_error)
 
 
+def first_result(
+    reactor: Any, call: "Awaitable[T]", timeout_s: float, default: T
+) -> "Deferred[T]":
+    """Return the result of a call, or ``default`` if it takes longer than the timeout.
+
+    The call goes on after the timeout, in seconds; its result is dropped then.
+    """
+    result: Deferred[T] = Deferred()
+
+    def finish(value: T) -> None:
+        if timer.active():
+            timer.cancel()
+        if not result.called:
+            result.callback(value)
+
+    async def run() -> None:
+        finish(await call)
+
+    timer = reactor.callLater(timeout_s, lambda: finish(default))
+    spawn(run())
+    return result
+
+
 def stop_process_on_error(step: Callable[[], None]) -> Callable[[], None]:
     """Return ``step`` wrapped so that an exception in it stops the process."""
 
--- a/tamarackmount/platform/advice.py
+++ b/tamarackmount/platform/advice.py
@@ -50,5 +50,5 @@
                 WorkerTicket(WorkerId(row[0]), str(row[1])) for row in raw["good"]
             )
             return AdviceAnswer(tickets, float(raw["validityMs"]))
-        except (KeyError, TypeError, ValueError):
+        except (AttributeError, IndexError, KeyError, TypeError, ValueError):
             return None
--- a/tamarackmount/platform/boot.py
+++ b/tamarackmount/platform/boot.py
@@ -11,6 +11,10 @@
 
 from tamarackmount.ids import DataCentreId, MemberId
 from tamarackmount.platform.http import Address
+from tamarackmount.platform.store import (
+    DEFAULT_MAX_APPEND_BYTES,
+    DEFAULT_MAX_RECORD_BYTES,
+)
 
 PATH_VARIABLE = "TAMARACKMOUNT_BOOT"
 """Name of the environment variable that holds the path of the settings file."""
@@ -53,7 +57,9 @@
 class BootSettings:
     """Settings that the platform gives to a process.
 
-    ``processor_cores`` is the processor time that the machine provides, in cores.
+    ``processor_cores`` is the processor time that the machine provides, in cores. The
+    store takes at most ``max_append_bytes`` in one append and ``max_record_bytes`` in
+    one record.
     ``advice_address`` is empty if the file names no advice service. ``cloud_address``
     and ``worker_heartbeat_ms`` are decoded so that a malformed file is refused, but are
     not used yet.
@@ -67,6 +73,8 @@
     peer_port: int
     metrics_port: int
     store_address: Address
+    max_append_bytes: int
+    max_record_bytes: int
     advice_address: Address
     cloud_address: Address
     worker_heartbeat_ms: int
@@ -83,7 +91,7 @@
     """Return the settings, or an error message if they can't be decoded."""
     try:
         return Success(_decode(orjson.loads(text)))
-    except (KeyError, TypeError, ValueError, IndexError) as error:
+    except (AttributeError, KeyError, TypeError, ValueError, IndexError) as error:
         return Failure(f"invalid settings file: {type(error).__name__}: {error}")
 
 
@@ -100,6 +108,12 @@
         peer_port=int(first_port),
         metrics_port=int(last_port),
         store_address=Address(raw["platform"]["address"]),
+        max_append_bytes=int(
+            raw["platform"].get("maxCallBytes", DEFAULT_MAX_APPEND_BYTES)
+        ),
+        max_record_bytes=int(
+            raw["platform"].get("maxRecordBytes", DEFAULT_MAX_RECORD_BYTES)
+        ),
         advice_address=Address(raw.get("advice") or ""),
         cloud_address=Address(raw["cloud"]["address"]),
         worker_heartbeat_ms=int(raw["heartbeatIntervalMs"]),
--- a/tamarackmount/platform/http.py
+++ b/tamarackmount/platform/http.py
@@ -24,8 +24,7 @@
 """Longest idle time of a reused connection in seconds; peers keep theirs for 15 s."""
 
 MAX_REPLY_BYTES = 16 * 1024 * 1024
-"""Length of a reply's body up to which it is kept, in bytes; a page of the store is
-1 MB."""
+"""Maximum length of a reply's body, in bytes; a page of the store is 1 MB."""
 
 
 class CallErrorKind(Enum):
@@ -37,10 +36,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """A reply.
-
-    Of a body that exceeds ``MAX_REPLY_BYTES``, only the beginning is kept.
-    """
+    """A complete reply."""
 
     status: int
     body: bytes
@@ -111,15 +107,19 @@
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body; called by the parser."""
         self._size += len(data)
-        if self._size <= MAX_REPLY_BYTES:
-            self._body.append(data)
+        if self._size > MAX_REPLY_BYTES:
+            self.abort(f"reply of more than {MAX_REPLY_BYTES} bytes")
+            return
+        self._body.append(data)
 
     def on_message_complete(self) -> None:
         """End the call with the reply; called by the parser."""
         parser, self._parser = self._parser, None
+        if parser is None or not self.is_open:
+            return
         reply = Reply(parser.get_status_code(), b"".join(self._body))
         self._body = []
-        if not parser.should_keep_alive() or self._size > MAX_REPLY_BYTES:
+        if not parser.should_keep_alive():
             self.close()
         self._finish(reply)
 
--- a/tamarackmount/platform/jobs.py
+++ b/tamarackmount/platform/jobs.py
@@ -14,6 +14,12 @@
 """Longest ``spec`` of a job (``JobSpec.text``) in bytes, set by the platform."""
 
 
+MAX_TASKS = 20_000
+"""Maximum number of tasks of a job in all of its repetitions: the record of a job's
+progress, which lists the tasks that are done, has to fit into one record of the
+store."""
+
+
 def decode_job(body: bytes) -> Result[JobSpec, str]:
     """Return the job in a request body, or an error message if it is not valid."""
     try:
@@ -65,14 +71,46 @@
     )
 
 
+def _quantities(step: StepSpec) -> dict[str, int]:
+    """Return the values of a step that may not be negative, by their wire names."""
+    return {
+        "cpu": step.amount.millicores,
+        "requestedMemoryMb": step.amount.memory_mib,
+        "gpu": step.amount.accelerators,
+        "estimatedMs": step.estimated_ms,
+        "antiAffinity": step.max_per_worker,
+        "targetMs": step.target_ms,
+        "mayMiss": step.may_miss,
+    }
+
+
 def _validate(job: JobSpec) -> Result[JobSpec, str]:
     if not job.steps:
         return Failure("steps: must contain at least one step")
     if len(job.text.encode()) > MAX_SPEC_BYTES:
         return Failure(f"spec: must be at most {MAX_SPEC_BYTES} bytes long")
+    if job.repetitions < 0:
+        return Failure(f"repetitions: must be at least 0, got {job.repetitions}")
     for number, step in enumerate(job.steps):
-        if step.count < 1:
-            return Failure(f"steps[{number}].count: must be at least 1")
-        if any(not 0 <= dependency < number for dependency in step.after):
-            return Failure(f"steps[{number}].after: must list only earlier steps")
+        error = _find_step_error(number, step)
+        if error:
+            return Failure(f"steps[{number}].{error}")
+    tasks = job.occurrences * sum(step.count for step in job.steps)
+    if tasks > MAX_TASKS:
+        return Failure(
+            f"steps: must have at most {MAX_TASKS} tasks in all repetitions, "
+            f"got {tasks}"
+        )
     return Success(job)
+
+
+def _find_step_error(number: int, step: StepSpec) -> str:
+    """Return what is wrong with a step, or an empty string."""
+    if step.count < 1:
+        return f"count: must be at least 1, got {step.count}"
+    for name, value in _quantities(step).items():
+        if value < 0:
+            return f"{name}: must be at least 0, got {value}"
+    if any(not 0 <= dependency < number for dependency in step.after):
+        return f"after: must list only earlier steps, got {list(step.after)}"
+    return ""
--- a/tamarackmount/platform/store.py
+++ b/tamarackmount/platform/store.py
@@ -45,6 +45,12 @@
 JSON_HEADER = "Content-Type: application/json\r\n"
 """Header line of requests with a JSON body."""
 
+DEFAULT_MAX_APPEND_BYTES = 2 * 1024 * 1024
+"""Maximum size of the records of one append, in bytes, if the settings name none."""
+
+DEFAULT_MAX_RECORD_BYTES = 256 * 1024
+"""Maximum size of one record, in bytes, if the settings name none."""
+
 _PARTITION = 0
 _RECORD_LENGTH = struct.Struct(">I")
 _READ_HEADER = struct.Struct(">QQ")
@@ -150,10 +156,22 @@
 class Store:
     """Client of the platform's store."""
 
-    def __init__(self, http: HttpClient, address: Address) -> None:
-        """Send requests to ``address``."""
+    def __init__(
+        self,
+        http: HttpClient,
+        address: Address,
+        max_append_bytes: int = DEFAULT_MAX_APPEND_BYTES,
+        max_record_bytes: int = DEFAULT_MAX_RECORD_BYTES,
+    ) -> None:
+        """Send requests to ``address``.
+
+        The store rejects an append of more than ``max_append_bytes`` and a record of
+        more than ``max_record_bytes``.
+        """
         self._http = http
         self._address = address
+        self.max_append_bytes = max_append_bytes
+        self.max_record_bytes = max_record_bytes
 
     async def append(
         self,
@@ -224,6 +242,11 @@
 _BYTES_HEADER = "Content-Type: application/octet-stream\r\n"
 
 
+def encoded_bytes(record: KeyedRecord) -> int:
+    """Return the size of a record in an append, in bytes."""
+    return _RECORD_LENGTH.size + 1 + len(record.key.encode()) + len(record.value)
+
+
 def _encode_record(record: KeyedRecord) -> bytes:
     key = record.key.encode()
     payload = bytes((len(key),)) + key + record.value
@@ -250,7 +273,14 @@
     return KeyedRecord(key, payload[key_end:], offset)
 
 
-_DECODING_ERRORS = (IndexError, KeyError, TypeError, ValueError, struct.error)
+_DECODING_ERRORS = (
+    AttributeError,
+    IndexError,
+    KeyError,
+    TypeError,
+    ValueError,
+    struct.error,
+)
 
 
 def _malformed_reply(error: Exception) -> StoreError:
@@ -280,9 +310,11 @@
         return OffsetMismatch(Offset(int(orjson.loads(result.body)["end"])))
     if result.status == 409:
         reply = orjson.loads(result.body)
-        if reply.get("reason") == "fenced":
+        if reply["reason"] == "fenced":
             return Fenced()
-        return OutOfSequence(int(reply.get("sequence", 0)))
+        if reply["reason"] == "seq":
+            return OutOfSequence(int(reply["sequence"]))
+        raise ValueError(f"reason: expected 'fenced' or 'seq', got {reply['reason']!r}")
     return _call_error(result)
 
 
--- a/tamarackmount/platform/workers.py
+++ b/tamarackmount/platform/workers.py
@@ -234,7 +234,7 @@
     if result.status == 409:
         try:
             reason = _ConflictReason(orjson.loads(result.body)["reason"])
-        except (KeyError, TypeError, ValueError):
+        except (AttributeError, KeyError, TypeError, ValueError):
             return OrderResult.UNKNOWN
         return _RESULT_BY_CONFLICT_REASON[reason]
     return _RESULT_BY_STATUS.get(result.status, OrderResult.UNKNOWN)
@@ -257,7 +257,7 @@
             running=_decode_running(raw.get("running", ())),
             ended=_decode_ended(raw.get("ended", ())),
         )
-    except (IndexError, KeyError, TypeError, ValueError):
+    except (AttributeError, IndexError, KeyError, TypeError, ValueError):
         return PollFailure.UNHEALTHY
 
 
--- a/tamarackmount/scheduling/job_index.py
+++ b/tamarackmount/scheduling/job_index.py
@@ -98,7 +98,7 @@
     """Return the record, or log why it can't be decoded and return None."""
     record = decode_record(text, record_type)
     if isinstance(record, Failure):
-        extra = {"record": record_type.__name__, "name": name}
+        extra = {"record": record_type.__name__, "record_id": name}
         _log.warning(
             "stored record can't be decoded, skipped",
             extra={**extra, "reason": record.failure()},
--- a/tamarackmount/scheduling/store_batches.py
+++ b/tamarackmount/scheduling/store_batches.py
@@ -22,16 +22,17 @@
 from tamarackmount.units import MS_PER_SECOND
 
 MAX_BATCH_RECORDS = 500
-"""Number of records from which a batch takes no further job records. It bounds only
-this part of an append: 500 records of 4 KB would fill the store's limit of 2 MB a call,
-and most are far smaller. Records of workers are added without a limit, and callers'
-submissions have one of their own in the journal writer."""
+"""Number of records from which a batch takes no further job records. Records of workers
+are added without a limit; the journal writer splits what is too large for one
+append."""
 
 
 @dataclass(frozen=True, slots=True)
 class Batch:
     """Records to append, and what follows once they are stored.
 
+    ``records`` may be stored in several appends: jobs come before the workers whose
+    acknowledged run ends they contain, and a completeness record comes last.
     ``phases`` are the phases of the jobs in the batch. ``acks`` are the highest run
     end numbers of its workers, which may be acknowledged then. ``starts`` are start
     orders whose runs are in the batch; they may be sent then. ``completeness`` is set
@@ -77,13 +78,13 @@
             return None
         state.write_ahead.append_sent(now)
         records, self._tombstones = self._tombstones, []
+        self._add_forecast_record(records, unix_ms)
+        phases = self._add_job_records(records, unix_ms)
+        acks = self._add_worker_records(records)
         if completeness is not None:
             records.append(
                 (record_key(RecordKind.COMPLETENESS), encode_record(completeness))
             )
-        self._add_forecast_record(records, unix_ms)
-        phases = self._add_job_records(records, unix_ms)
-        acks = self._add_worker_records(records)
         starts, state.unstored_starts = state.unstored_starts, []
         return Batch(
             tuple(records), tuple(phases), tuple(acks), tuple(starts), completeness
--- a/tests/test_journal_writer.py
+++ b/tests/test_journal_writer.py
@@ -1,5 +1,6 @@
-"""Waiting for the pending append while a holder shuts down."""
+"""Appends of the holder: their size, and what is waited for at a shutdown."""
 
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import ensureDeferred
@@ -11,8 +12,11 @@
     BATCH_DELAY_S,
     JournalWriter,
     WriterCallbacks,
+    split_by_size,
 )
-from tamarackmount.platform.store import KeyedRecord, Topic
+from tamarackmount.node.submissions import StoreOutcome
+from tamarackmount.platform.store import DEFAULT_MAX_APPEND_BYTES, KeyedRecord, Topic
+from tamarackmount.scheduling.store_batches import Batch
 from tests.utils.memory_store import MemoryStore
 
 JOBS = Topic("keyed.jobs")
@@ -23,13 +27,16 @@
 class Writer:
     """A journal writer over an in-memory store, in virtual time."""
 
-    def __init__(self, append_s: float) -> None:
+    def __init__(
+        self, append_s: float, take_batch: Callable[[], Batch | None] = lambda: None
+    ) -> None:
         """Use a store that takes ``append_s`` for an append."""
         self.clock = Clock()
         reactor: Any = self.clock
-        store: Any = MemoryStore(self.clock, append_s)
+        self.store = MemoryStore(self.clock, append_s)
+        store: Any = self.store
         log = FencedLog(reactor, store, JOBS, Epoch(1))
-        callbacks = WriterCallbacks(lambda: None, lambda _: None, lambda _: None)
+        callbacks = WriterCallbacks(take_batch, lambda _: None, lambda _: None)
         self.writer = JournalWriter(reactor, log, callbacks)
         self.finished_waits: list[None] = []
 
@@ -55,3 +62,39 @@
     writer.writer.add(ROW)
     writer.clock.pump([BATCH_DELAY_S] * 5)
     assert writer.finished_waits
+
+
+def outcomes_of(writer: Writer, count: int, value: bytes = b"{}") -> list[StoreOutcome]:
+    """Submit records; the list is filled as they are answered."""
+    outcomes: list[StoreOutcome] = []
+    for number in range(count):
+        record = KeyedRecord(f"job/{number}", value)
+        writer.writer.add(record).addCallback(outcomes.append)
+    return outcomes
+
+
+def test_every_waiting_submission_is_answered_at_a_stop() -> None:
+    writer = Writer(SLOW_S)
+    outcomes = outcomes_of(writer, 700)
+    writer.writer.stop()
+    writer.clock.pump([BATCH_DELAY_S] * 100)
+    assert len(outcomes) == 700
+
+
+def test_an_append_stays_below_the_limit_of_the_store() -> None:
+    worker_rows = tuple((f"worker/{number}", b"w" * 4_000) for number in range(300))
+    # The submissions wait behind the first append, and meet the batch in the second.
+    batches = [Batch(worker_rows, (), ()), None]
+    writer = Writer(0.002, take_batch=lambda: batches.pop() if batches else None)
+    outcomes = outcomes_of(writer, 700, b"j" * 6_000)
+    writer.clock.pump([BATCH_DELAY_S] * 400)
+    assert outcomes == [StoreOutcome.STORED] * 700
+    assert max(writer.store.append_sizes) <= DEFAULT_MAX_APPEND_BYTES
+
+
+def test_records_keep_their_order_when_they_are_split() -> None:
+    rows = [KeyedRecord(f"worker/{number}", b"w" * 900) for number in range(11)]
+    parts = split_by_size(rows, 2_000)
+    assert [len(part) for part in parts] == [2, 2, 2, 2, 2, 1]
+    assert [row for part in parts for row in part] == rows
+    assert split_by_size([], 2_000) == [[]]
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -200,6 +200,46 @@
     assert b"after=0" in peer.requests[0]
 
 
+ODD_BODIES = [b"[]", b"null", b"7", b'"text"', b'{"good":7}', b'{"items":[7]}']
+
+
+@pytest.mark.parametrize("body", ODD_BODIES)
+def test_bodies_of_another_shape_are_errors_of_the_call(body: bytes) -> None:
+    peer = Peer(encode_reply(200, body))
+    calls = WorkerCalls(peer.http)
+    append = peer.wait(peer.store.append(JOBS, [], peer.deadline))
+    assert isinstance(append, StoreError)
+    assert isinstance(
+        peer.wait(peer.store.read_latest(JOBS, "", peer.deadline)), StoreError
+    )
+    poll = calls.poll(
+        peer.address, INCARNATION, PollRequest(Epoch(7), 0, None, 0), peer.deadline
+    )
+    assert peer.wait(poll) is PollFailure.UNHEALTHY
+    advice = AdviceClient(peer.http, peer.address)
+    asked = advice.ask(StepKey(TASK.job_id, 0, 1), [WorkerId("i-1")], peer.deadline)
+    assert peer.wait(asked) is None
+
+
+@pytest.mark.parametrize("body", ODD_BODIES)
+def test_conflicts_of_another_shape_have_an_unknown_outcome(body: bytes) -> None:
+    peer = Peer(encode_reply(409, body))
+    append = peer.wait(peer.store.append(JOBS, [], peer.deadline))
+    assert isinstance(append, StoreError)
+    start = WorkerCalls(peer.http).start(
+        peer.address, start_order(), Epoch(7), peer.deadline
+    )
+    assert peer.wait(start) is OrderResult.UNKNOWN
+
+
+def test_a_reply_that_is_too_long_is_no_reply(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("tamarackmount.platform.http.MAX_REPLY_BYTES", 100)
+    result = Peer(encode_reply(200, b"x" * 101)).get()
+    assert isinstance(result, CallError)
+    assert result.kind is CallErrorKind.NO_REPLY
+    assert Peer(encode_reply(200, b"x" * 100)).get() == Reply(200, b"x" * 100)
+
+
 def start_order() -> StartOrder:
     return StartOrder(INCARNATION, TASK, 2, "text", 486_000, "0000", "t1")
 
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -10,7 +10,7 @@
 from tamarackmount.internal.keys import hash_key
 from tamarackmount.platform.boot import decode_boot
 from tamarackmount.platform.config import decode_fleet_config
-from tamarackmount.platform.jobs import MAX_SPEC_BYTES, decode_job
+from tamarackmount.platform.jobs import MAX_SPEC_BYTES, MAX_TASKS, decode_job
 from tamarackmount.platform.workers import decode_worker
 from tamarackmount.resources import Resources
 from tests.utils.build_platform_documents import (
@@ -132,6 +132,14 @@
         {"steps": [{"count": 1, "after": [0]}]},
         {"steps": [{"count": 1, "after": [3]}]},
         {"spec": "x" * (MAX_SPEC_BYTES + 1), "steps": [{"count": 1}]},
+        {"steps": [{"count": MAX_TASKS + 1}]},
+        {"steps": [{"count": MAX_TASKS // 2}], "repetitions": 3},
+        {"steps": [{"count": 1}], "repetitions": -1},
+        {"steps": [{"count": 1, "cpu": -500}]},
+        {"steps": [{"count": 1, "requestedMemoryMb": -1}]},
+        {"steps": [{"count": 1, "gpu": -1}]},
+        {"steps": [{"count": 1, "estimatedMs": -1}]},
+        {"steps": [{"count": 1, "antiAffinity": -1}]},
     ],
 )
 def test_invalid_job_is_rejected(document: Any) -> None:
--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -74,6 +74,21 @@
     assert entry_vm.store.appends == 0
 
 
+def test_a_holder_on_this_node_is_not_waited_for_beyond_the_timeout() -> None:
+    clock = Clock()
+    reactor: Any = clock
+    store: Any = MemoryStore(clock)
+    answer: Deferred[StoreResult | None] = Deferred()
+    submissions = Submissions(reactor, store, JOBS, lambda *_: answer, lambda: True)
+    results: list[StoreResult] = []
+    deadline = Instant(clock.seconds() + DEADLINE_S)
+    ensureDeferred(submissions.store(ROW, deadline)).addCallback(results.append)
+    clock.pump([0.05] * 50)
+    assert results == [StoreResult(StoreOutcome.STORED)]
+    answer.callback(StoreResult(StoreOutcome.STORED))
+    assert len(results) == 1
+
+
 def test_isolated_node_answers_not_stored_during_relay_backoff() -> None:
     entry_vm = EntryVm(has_store_contact=False, holder=None)
     for _ in range(3):
--- a/tests/utils/memory_store.py
+++ b/tests/utils/memory_store.py
@@ -9,6 +9,8 @@
 
 from tamarackmount.ids import Instant, Offset
 from tamarackmount.platform.store import (
+    DEFAULT_MAX_APPEND_BYTES,
+    DEFAULT_MAX_RECORD_BYTES,
     Appended,
     AppendResult,
     Fenced,
@@ -22,6 +24,7 @@
     StoreErrorKind,
     Topic,
     Trimmed,
+    encoded_bytes,
 )
 
 KEPT_APPEND_RESULTS = 5
@@ -54,6 +57,7 @@
 
     ``append_latency_s`` is the duration of one append. While ``is_down``, calls fail.
     The next ``replies_to_drop`` appends take effect but their replies are lost.
+    ``append_sizes`` are the sizes of the records of each append, in bytes.
     """
 
     def __init__(self, clock: Clock, append_latency_s: float = 0.002) -> None:
@@ -63,6 +67,9 @@
         self.append_latency_s = append_latency_s
         self.is_down = False
         self.replies_to_drop = 0
+        self.max_append_bytes = DEFAULT_MAX_APPEND_BYTES
+        self.max_record_bytes = DEFAULT_MAX_RECORD_BYTES
+        self.append_sizes: list[int] = []
         self.calls = 0
         self.appends = 0
 
@@ -80,6 +87,7 @@
         """
         self.calls += 1
         self.appends += 1
+        self.append_sizes.append(sum(encoded_bytes(record) for record in records))
         if self.is_down:
             return NOT_APPLIED
         partition = self._partition(topic)
