Only a few nodes in each data centre follow the jobs topic

Cause: every entry VM read every record of jobs, progress and workers.

Change: three nodes of each data centre, those with most processor time (the candidates for the holder), keep the index (scheduling/followers.py decides without I/O, node/jobs_follower.py owns the tail). Others ask the holder, then followers, about the ids that their callers name, and deny a job only if the asked node has read the store to its end. When followers are not reachable for a second, the next node in order follows; a node that is to claim follows first. Nodes that do not follow read the holder's heartbeats once a second; a new holder tells its peers.

Weighed: records of workers in a topic of their own (two appends and two fences for each batch); asking the followers before the holder (their index is up to half a second old, which delays what callers see).

Tests: test_followers.py, over eight nodes in memory, with followers lost, cut off and back; reads of the topic with 6 and 24 nodes.

--- a/tamarackmount/internal/node_peer.capnp
+++ b/tamarackmount/internal/node_peer.capnp
@@ -16,6 +16,8 @@
     storeReply @9 :StoreReply;
     storeAgeQuery @10 :StoreAgeQuery;
     storeAgeReply @11 :StoreAgeReply;
+    waitingQuery @12 :WaitingQuery;
+    waitingReply @13 :WaitingReply;
   }
 }
 
@@ -47,6 +49,18 @@
 struct PhaseReply {
   callId @0 :UInt64;
   phase @1 :Text;
+  isDenied @2 :Bool;
+}
+
+struct WaitingQuery {
+  callId @0 :UInt64;
+  queue @1 :Text;
+}
+
+struct WaitingReply {
+  callId @0 :UInt64;
+  isKnown @1 :Bool;
+  count @2 :UInt32;
 }
 
 struct AdviceQuery {
--- a/tamarackmount/node/holder_election.py
+++ b/tamarackmount/node/holder_election.py
@@ -6,11 +6,12 @@
 from returns.result import Failure
 from twisted.internet.task import LoopingCall, deferLater
 
-from tamarackmount.ids import Instant, MemberId
+from tamarackmount.ids import Epoch, Instant, MemberId
 from tamarackmount.node import clock
 from tamarackmount.node.claims import HOLDER_TOPIC, Claim, claim
 from tamarackmount.node.context import NodeContext
 from tamarackmount.node.holder import Holder, HolderDependencies
+from tamarackmount.node.jobs_follower import JobsFollower
 from tamarackmount.node.messages import HolderReleased
 from tamarackmount.node.node_registry import NodeRegistry
 from tamarackmount.node.tasks import spawn, stop_process_on_error
@@ -27,6 +28,10 @@
 """Minimum time between the starts of two reads of holder records, in seconds; less than
 the heartbeat interval."""
 
+RELAXED_READ_INTERVAL_S = 1.0
+"""The same on a node that does not follow the jobs topic, in seconds: it claims after
+all those that do, and a new holder tells its peers."""
+
 CLAIM_CHECK_INTERVAL_S = 0.1
 """Interval between two checks whether to claim the role, in seconds."""
 
@@ -42,17 +47,18 @@
         self,
         context: NodeContext,
         registry: NodeRegistry,
-        jobs_tail: TopicTail,
+        follower: JobsFollower,
         make_dependencies: Callable[[], HolderDependencies],
     ) -> None:
         """Prepare the election.
 
         A new holder is built with ``make_dependencies``. It takes over the jobs that
-        ``jobs_tail`` has read into the job index.
+        ``follower`` has read into the job index.
         """
         self._context = context
         self._registry = registry
-        self._jobs_tail = jobs_tail
+        self._follower = follower
+        follower.is_needed_here = lambda: self._is_claiming or self.holder is not None
         self._make_dependencies = make_dependencies
         self._watch = HolderWatch(Instant(clock.now()), Instant(float("-inf")))
         self._is_claiming = False
@@ -85,8 +91,12 @@
             return
         await holder.release()
         self._set_holder(None)
+        self._notify_peers(holder.epoch)
+
+    def _notify_peers(self, epoch: Epoch) -> None:
+        """Tell connected peers that the record of the holder has changed."""
         for peer in self._context.peer_calls.connected_peers():
-            self._context.links.send(peer, HolderReleased(holder.epoch))
+            self._context.links.send(peer, HolderReleased(epoch))
 
     def _set_holder(self, holder: Holder | None) -> None:
         self.holder = holder
@@ -124,12 +134,21 @@
             self._watch.store_read(self.tail.caught_up_at)
         if self.holder is not None or self._is_claiming or context.is_draining:
             return
-        if context.fleet is None or self._jobs_tail.next_offset is None:
+        self.tail.min_interval_s = (
+            HOLDER_READ_INTERVAL_S
+            if self._follower.is_following
+            else RELAXED_READ_INTERVAL_S
+        )
+        if context.fleet is None:
             return
         candidates = self._registry.candidates()
         rank = candidate_rank(context.node_id, candidates, self.holder_node)
         started = self._registry.started_by_node()
-        if self._watch.should_claim(rank, started, clock.now()):
+        if not self._watch.should_claim(rank, started, clock.now()):
+            return
+        if not self._follower.is_following:
+            self._follower.follow_now()
+        if self._follower.has_snapshot:
             self._is_claiming = True
             spawn(self._claim())
 
@@ -176,7 +195,7 @@
             self._holder_ended,
         )
         is_fenced = await holder.fence()
-        while is_fenced and not await self._jobs_tail.read_now():
+        while is_fenced and not await self._follower.read_now():
             await deferLater(context.reactor, CLAIM_CHECK_INTERVAL_S, lambda: None)
         record = self._watch.record
         is_replaced = record is not None and record.epoch > new_claim.epoch
@@ -191,3 +210,4 @@
         # The configuration may have changed since the claim.
         holder.set_fleet_config(context.fleet)
         holder.start()
+        self._notify_peers(holder.epoch)
--- a/tamarackmount/node/http_api.py
+++ b/tamarackmount/node/http_api.py
@@ -128,8 +128,8 @@
     async def phase(self, job_id: JobId) -> "JobPhase | PhaseLookupFailure":
         """Return a job's phase, or why there is none."""
 
-    def waiting_count(self, queue: Queue) -> int:
-        """Return how many jobs of a queue have not started."""
+    async def waiting_count(self, queue: Queue) -> int | None:
+        """Return how many jobs of a queue have not started, or None if unknown."""
 
 
 class JobsResource(Resource):
@@ -209,10 +209,10 @@
 
     async def _get(self, api_request: ApiRequest) -> ApiResponse:
         if not api_request.job_id:
-            return ApiResponse(
-                HttpStatus.OK,
-                encode_waiting_count(self._jobs.waiting_count(api_request.queue)),
-            )
+            count = await self._jobs.waiting_count(api_request.queue)
+            if count is None:
+                return _RESPONSE_BY_LOOKUP_FAILURE[PhaseLookupFailure.UNAVAILABLE]
+            return ApiResponse(HttpStatus.OK, encode_waiting_count(count))
         phase = await self._jobs.phase(api_request.job_id)
         if isinstance(phase, JobPhase):
             return ApiResponse(HttpStatus.OK, encode_job_state(phase))
--- a/tamarackmount/node/job_service.py
+++ b/tamarackmount/node/job_service.py
@@ -6,7 +6,7 @@
 
 from returns.result import Failure
 
-from tamarackmount.ids import Instant, JobId, MemberId
+from tamarackmount.ids import Instant, JobId, MemberId, QueueName
 from tamarackmount.node import clock
 from tamarackmount.node.context import JOBS_TOPIC, NodeContext
 from tamarackmount.node.holder_election import HolderElection
@@ -16,6 +16,7 @@
     HttpStatus,
     PhaseLookupFailure,
 )
+from tamarackmount.node.jobs_follower import JobsFollower
 from tamarackmount.node.messages import (
     CancelStored,
     JobStored,
@@ -24,6 +25,8 @@
     PhaseReply,
     StoreQuery,
     StoreReply,
+    WaitingQuery,
+    WaitingReply,
 )
 from tamarackmount.node.submissions import (
     NOT_STORED_RESULT,
@@ -32,7 +35,6 @@
     Submissions,
 )
 from tamarackmount.node.tasks import spawn
-from tamarackmount.node.topic_tail import TopicTail
 from tamarackmount.platform.store import KeyedRecord
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.fleet_config import FleetConfig, Queue
@@ -48,8 +50,12 @@
 from tamarackmount.scheduling.model import JobPhase, describe_step
 
 PHASE_TIMEOUT_S = 0.3
-"""Timeout of a phase query to the holder, in seconds; after it, the stored phase is
-used."""
+"""Timeout of a query about a job to another node, in seconds; after it, the stored
+phase is used or the next node asked."""
+
+MAX_NODES_ASKED = 4
+"""Maximum number of nodes that are asked one question, one after the other: all of them
+together take less than half of the time that callers wait."""
 
 _RESPONSE_BY_OUTCOME = {
     StoreOutcome.STORED: ApiResponse(HttpStatus.OK),
@@ -71,12 +77,12 @@
     """Serves callers from the store, the holder and the node's own job index."""
 
     def __init__(
-        self, context: NodeContext, election: HolderElection, jobs_tail: TopicTail
+        self, context: NodeContext, election: HolderElection, follower: JobsFollower
     ) -> None:
-        """Serve the jobs that ``jobs_tail`` reads and those that the holder knows."""
+        """Serve the jobs that ``follower`` reads and those that other nodes know."""
         self._context = context
         self._election = election
-        self._jobs_tail = jobs_tail
+        self._follower = follower
         self._submissions = Submissions(
             context.reactor,
             context.store,
@@ -88,6 +94,7 @@
             JobStored: self._handle_job_stored,
             CancelStored: self._handle_cancel_stored,
             PhaseQuery: self._handle_phase_query,
+            WaitingQuery: self._handle_waiting_query,
             StoreQuery: self._handle_store_query,
         }
 
@@ -97,9 +104,9 @@
         return self._context.fleet
 
     def _has_store_contact(self) -> bool:
-        tails = (self._jobs_tail, self._election.tail)
+        sources = (self._follower, self._election.tail)
         contacts = [
-            tail.last_contact for tail in tails if tail.last_contact is not None
+            source.last_contact for source in sources if source.last_contact is not None
         ]
         now = self._context.reactor.seconds()
         return not contacts or now <= max(contacts) + MAX_STORE_SILENCE_S
@@ -156,6 +163,8 @@
         Only a node that has read the store to its end can tell that there is no such
         job.
         """
+        if not self._follower.has_snapshot:
+            return await self._ask_followers(job_id)
         job_index = self._context.job_index
         indexed_phase = job_index.phase(job_id)
         if indexed_phase is not None and indexed_phase.is_final:
@@ -168,8 +177,31 @@
             return phase_at_holder
         if indexed_phase is not None:
             return indexed_phase
-        has_read_all = await self._jobs_tail.read_now()
-        stored_phase = job_index.phase(job_id)
+        return await self._read_phase(job_id)
+
+    async def waiting_count(self, queue: Queue) -> int | None:
+        """Return how many jobs of a queue have not started, or None if unknown."""
+        if self._follower.has_snapshot:
+            return self._context.job_index.waiting_count(queue.name)
+        peers = self._context.peer_calls
+        for node in self._nodes_to_ask():
+            query = WaitingQuery(peers.next_call_id(), queue.name)
+            reply = await peers.call(node, query, PHASE_TIMEOUT_S)
+            if isinstance(reply, WaitingReply) and reply.is_known:
+                return reply.count
+        return None
+
+    @property
+    def can_look_up(self) -> bool:
+        """Whether this node can tell the phase of jobs, from its index or by asking."""
+        if self._follower.is_following:
+            return self._follower.has_snapshot
+        return any(self._context.links.is_open(node) for node in self._nodes_to_ask())
+
+    async def _read_phase(self, job_id: JobId) -> JobPhase | PhaseLookupFailure:
+        """Return the phase of a job that is not in the index, from the store."""
+        has_read_all = await self._follower.read_now()
+        stored_phase = self._context.job_index.phase(job_id)
         if stored_phase is not None:
             return stored_phase
         return (
@@ -178,9 +210,29 @@
             else PhaseLookupFailure.UNAVAILABLE
         )
 
-    def waiting_count(self, queue: Queue) -> int:
-        """Return how many jobs of a queue have not started."""
-        return self._context.job_index.waiting_count(queue.name)
+    async def _ask_followers(self, job_id: JobId) -> JobPhase | PhaseLookupFailure:
+        """Return the phase that the holder or another follower tells."""
+        peers = self._context.peer_calls
+        for node in self._nodes_to_ask():
+            query = PhaseQuery(peers.next_call_id(), job_id)
+            reply = await peers.call(node, query, PHASE_TIMEOUT_S)
+            if not isinstance(reply, PhaseReply):
+                continue
+            if reply.phase:
+                return JobPhase(reply.phase)
+            if reply.is_denied:
+                return PhaseLookupFailure.NOT_SUBMITTED
+        return PhaseLookupFailure.UNAVAILABLE
+
+    def _nodes_to_ask(self) -> list[MemberId]:
+        """Return the holder and some followers, in the order to ask them."""
+        holder = self._election.holder_node
+        nodes = [
+            node for node in self._follower.reachable_followers() if node != holder
+        ]
+        if holder is not None and holder != self._context.node_id:
+            nodes.insert(0, holder)
+        return nodes[:MAX_NODES_ASKED]
 
     def _report_submission(
         self, job: AcceptedJob, result: StoreResult, took_s: float, deadline: Instant
@@ -228,7 +280,8 @@
 
     def _handle_stored(self, record: KeyedRecord, message: NodeMessage) -> None:
         """Apply a stored record, and tell the holder."""
-        self._context.job_index.apply(record.key, record.value)
+        if self._follower.is_following:
+            self._context.job_index.apply(record.key, record.value)
         if self._election.holder is not None:
             self._notify_local_holder(record)
             return
@@ -258,17 +311,39 @@
                 "job message not readable; ignored", extra={"reason": decoded.failure()}
             )
             return
-        self.apply_records([KeyedRecord(job_key(decoded.unwrap()), message.record)])
+        if self._follower.is_following:
+            record = KeyedRecord(job_key(decoded.unwrap()), message.record)
+            self.apply_records([record])
 
     def _handle_cancel_stored(self, _sender: MemberId, message: CancelStored) -> None:
         if self._election.holder is not None:
             self._election.holder.handle_cancel_stored(JobId(message.job_id))
 
     def _handle_phase_query(self, sender: MemberId, query: PhaseQuery) -> None:
+        spawn(self._answer_phase_query(sender, query))
+
+    async def _answer_phase_query(self, sender: MemberId, query: PhaseQuery) -> None:
+        job_id = JobId(query.job_id)
         holder = self._election.holder
-        phase = holder.phase(JobId(query.job_id)) if holder is not None else None
-        text = phase.value if phase is not None else ""
-        self._context.links.send(sender, PhaseReply(query.call_id, text))
+        phase: JobPhase | PhaseLookupFailure | None = None
+        if holder is not None:
+            phase = holder.phase(job_id)
+        elif self._follower.has_snapshot:
+            phase = self._context.job_index.phase(job_id)
+        if phase is None:
+            phase = await self._read_phase(job_id)
+        reply = PhaseReply(
+            query.call_id,
+            phase.value if isinstance(phase, JobPhase) else "",
+            phase is PhaseLookupFailure.NOT_SUBMITTED,
+        )
+        self._context.links.send(sender, reply)
+
+    def _handle_waiting_query(self, sender: MemberId, query: WaitingQuery) -> None:
+        is_known = self._follower.has_snapshot
+        queue = QueueName(query.queue)
+        count = self._context.job_index.waiting_count(queue) if is_known else 0
+        self._context.links.send(sender, WaitingReply(query.call_id, is_known, count))
 
     def _handle_store_query(self, sender: MemberId, query: StoreQuery) -> None:
         spawn(self._answer_store_query(sender, query))
--- a/tamarackmount/node/messages.py
+++ b/tamarackmount/node/messages.py
@@ -44,7 +44,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PhaseQuery:
-    """Asks the holder for the phase of a job."""
+    """Asks the holder, or another node that follows the store, for a job's phase."""
 
     call_id: int
     job_id: str
@@ -52,10 +52,32 @@
 
 @dataclass(frozen=True, slots=True)
 class PhaseReply:
-    """Answers a ``PhaseQuery``; an empty phase means that the job isn't known."""
+    """Answers a ``PhaseQuery``; an empty phase means that the job isn't known.
+
+    ``is_denied`` is set if the node has read the store to its end without finding the
+    job.
+    """
 
     call_id: int
     phase: str
+    is_denied: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingQuery:
+    """Asks a node that follows the store how many jobs of a queue have not started."""
+
+    call_id: int
+    queue: str
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingReply:
+    """Answers a ``WaitingQuery``; the count ``is_known`` if the node follows."""
+
+    call_id: int
+    is_known: bool
+    count: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,7 +126,10 @@
 
 @dataclass(frozen=True, slots=True)
 class HolderReleased:
-    """Tells other entry VMs that the holder has released its role in the store."""
+    """Tells other entry VMs that the holder has changed or released its role.
+
+    They read the store's newest record of the holder then.
+    """
 
     epoch: int
 
@@ -118,6 +143,8 @@
     | StoreAgeReply
     | PhaseQuery
     | PhaseReply
+    | WaitingQuery
+    | WaitingReply
     | AdviceQuery
     | AdviceReply
     | HolderReleased
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -20,6 +20,7 @@
 from tamarackmount.node.holder_election import HolderElection
 from tamarackmount.node.http_api import JobsResource, ReadinessResource
 from tamarackmount.node.job_service import JobService
+from tamarackmount.node.jobs_follower import JobsFollower
 from tamarackmount.node.messages import (
     AdviceQuery,
     AdviceReply,
@@ -29,6 +30,7 @@
     StoreAgeQuery,
     StoreAgeReply,
     StoreReply,
+    WaitingReply,
 )
 from tamarackmount.node.metrics import MetricsResource, NodeMetrics
 from tamarackmount.node.node_registry import NodeRegistry
@@ -91,19 +93,25 @@
     """Serves callers, follows the store, and is the holder when elected."""
 
     def __init__(
-        self, settings: BootSettings, reactor: Any, store: Store | None = None
+        self,
+        settings: BootSettings,
+        reactor: Any,
+        store: Store | None = None,
+        links: PeerLinks[NodeMessage] | None = None,
     ) -> None:
         """Prepare the node; nothing is opened before :meth:`start`.
 
-        Without ``store``, the store of the settings is used.
+        Without ``store``, the store of the settings is used; without ``links``, TCP
+        connections to the other nodes.
         """
         self._http = HttpClient(reactor)
         self._advice = AdviceClient(self._http, settings.advice_address)
         addresses_by_id: dict[MemberId, PeerAddress] = {}
-        codec: Codec[NodeMessage] = Codec("node_peer.capnp", NodeMessage)
-        links = PeerLinks(
-            reactor, settings.node, addresses_by_id, codec, self._handle_message
-        )
+        if links is None:
+            codec: Codec[NodeMessage] = Codec("node_peer.capnp", NodeMessage)
+            links = PeerLinks(
+                reactor, settings.node, addresses_by_id, codec, self.handle_message
+            )
         self._context = NodeContext(
             settings=settings,
             reactor=reactor,
@@ -123,14 +131,14 @@
         self._config_tail = self._create_tail(
             OPERATOR_TOPIC, self._apply_operator_records, CONFIG_READ_WAIT_MS, 0.0
         )
-        self._jobs_tail = self._create_tail(
-            JOBS_TOPIC, self._apply_job_records, JOBS_READ_WAIT_MS, JOBS_READ_INTERVAL_S
-        )
         self._registry = NodeRegistry(self._context, addresses_by_id)
+        self._follower = JobsFollower(
+            self._context, self._registry, self._create_jobs_tail
+        )
         self._election = HolderElection(
-            self._context, self._registry, self._jobs_tail, self._holder_dependencies
+            self._context, self._registry, self._follower, self._holder_dependencies
         )
-        self.jobs = JobService(self._context, self._election, self._jobs_tail)
+        self.jobs = JobService(self._context, self._election, self._follower)
         self._jobs_resource = JobsResource(self.jobs, self._context.metrics)
         self._handlers: dict[type, Callable[[MemberId, Any], None]] = {
             **self.jobs.handlers,
@@ -138,7 +146,8 @@
             AdviceQuery: self._handle_advice_query,
             HolderReleased: self._handle_holder_released,
             **dict.fromkeys(
-                (PhaseReply, AdviceReply, StoreReply, StoreAgeReply), self._handle_reply
+                (PhaseReply, WaitingReply, AdviceReply, StoreReply, StoreAgeReply),
+                self._handle_reply,
             ),
         }
 
@@ -159,9 +168,14 @@
     def follow_store(self) -> None:
         """Start reading the store's topics."""
         self._config_tail.start()
-        self._jobs_tail.start()
         self._election.tail.start()
         self._registry.tail.start()
+        self._follower.start()
+
+    @property
+    def follows_jobs(self) -> bool:
+        """Whether this node follows the jobs topic of the store."""
+        return self._follower.is_following
 
     async def drain(self) -> None:
         """Release the holder role and finish the requests in progress.
@@ -205,6 +219,11 @@
             min_interval_s,
         )
 
+    def _create_jobs_tail(self) -> TopicTail:
+        return self._create_tail(
+            JOBS_TOPIC, self._apply_job_records, JOBS_READ_WAIT_MS, JOBS_READ_INTERVAL_S
+        )
+
     def _holder_dependencies(self) -> HolderDependencies:
         context = self._context
         return HolderDependencies(
@@ -223,7 +242,7 @@
         return (
             not self._context.is_draining
             and self._context.fleet is not None
-            and self._jobs_tail.next_offset is not None
+            and self.jobs.can_look_up
             and clock.now() < self._last_store_contact + READY_MAX_STORE_SILENCE_S
         )
 
@@ -261,7 +280,8 @@
         if self._election.holder is not None:
             self._election.holder.set_fleet_config(fleet)
 
-    def _handle_message(self, envelope: Envelope[NodeMessage]) -> None:
+    def handle_message(self, envelope: Envelope[NodeMessage]) -> None:
+        """Handle a message from another node."""
         handler = self._handlers[type(envelope.message)]
         handler(envelope.sender, envelope.message)
 
--- a/tamarackmount/node/peer_calls.py
+++ b/tamarackmount/node/peer_calls.py
@@ -17,10 +17,12 @@
     StoreAgeReply,
     StoreQuery,
     StoreReply,
+    WaitingQuery,
+    WaitingReply,
 )
 
-Query = PhaseQuery | AdviceQuery | StoreQuery | StoreAgeQuery
-QueryReply = PhaseReply | AdviceReply | StoreReply | StoreAgeReply
+Query = PhaseQuery | WaitingQuery | AdviceQuery | StoreQuery | StoreAgeQuery
+QueryReply = PhaseReply | WaitingReply | AdviceReply | StoreReply | StoreAgeReply
 
 
 class PeerCalls:
--- a/tamarackmount/node/topic_tail.py
+++ b/tamarackmount/node/topic_tail.py
@@ -64,7 +64,7 @@
         self._on_snapshot = on_snapshot
         self._on_records = on_records
         self._wait_ms = wait_ms
-        self._min_interval_s = min_interval_s
+        self.min_interval_s = min_interval_s
         self._next_offset: Offset | None = None
         self._is_running = False
         self._is_reachable = True
@@ -107,7 +107,7 @@
                 self._retry_delay_s = min(MAX_RETRY_DELAY_S, 2 * self._retry_delay_s)
                 continue
             self._retry_delay_s = RETRY_DELAY_S
-            left_s = started_at + self._min_interval_s - self._reactor.seconds()
+            left_s = started_at + self.min_interval_s - self._reactor.seconds()
             if left_s > 0 and self._is_caught_up:
                 await self._sleep(left_s)
 
--- a/tamarackmount/scheduling/job_index.py
+++ b/tamarackmount/scheduling/job_index.py
@@ -130,6 +130,13 @@
             RecordKind.COMPLETENESS: self._set_completeness,
         }
 
+    def clear(self) -> None:
+        """Forget all records; the next snapshot of the store brings them again."""
+        self.jobs_by_id.clear()
+        self._text_by_worker.clear()
+        self.forecast = None
+        self.runs_are_complete = True
+
     def apply(self, key: str, value: bytes) -> None:
         """Apply a record; an empty value removes the job or worker of the key."""
         parsed = split_key(key)
--- /dev/null
+++ b/tests/utils/memory_peers.py
@@ -0,0 +1,121 @@
+"""Entry VMs without sockets, which exchange messages in virtual time."""
+
+from collections.abc import Coroutine
+from typing import Any
+
+import orjson
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import Clock
+
+from tamarackmount.ids import Instant, MemberId
+from tamarackmount.internal.codec import Envelope
+from tamarackmount.node.claims import HOLDER_TOPIC
+from tamarackmount.node.node import Node
+from tamarackmount.node.node_registry import NODES_TOPIC, NodeRecord
+from tamarackmount.platform.boot import decode_boot
+from tamarackmount.platform.store import KeyedRecord
+from tamarackmount.scheduling.journal import HolderRecord, encode_record
+from tests.utils.build_platform_documents import boot_document
+from tests.utils.memory_store import MemoryStore
+
+LATENCY_S = 0.001
+"""Time that a message takes, in seconds."""
+
+STEP_S = 0.02
+"""Step of virtual time, in seconds."""
+
+
+class MemoryLinks:
+    """The links of one node to the others, over a shared clock."""
+
+    def __init__(self, fleet: "MemoryFleet", node_id: MemberId) -> None:
+        """Connect a node of a fleet."""
+        self._fleet = fleet
+        self._node_id = node_id
+
+    def send(self, to: MemberId, message: Any) -> bool:
+        """Deliver a message later, unless one of the nodes is lost."""
+        if not self.is_open(to):
+            return False
+        envelope = Envelope(self._node_id, message)
+        node = self._fleet.nodes_by_id[to]
+        self._fleet.clock.callLater(LATENCY_S, node.handle_message, envelope)
+        return True
+
+    def is_open(self, to: MemberId) -> bool:
+        """Tell whether both nodes live."""
+        lost = self._fleet.lost_nodes
+        return to in self._fleet.nodes_by_id and not {to, self._node_id} & lost
+
+    def forget(self, to: MemberId) -> None:
+        """Do nothing: there is no connection to close."""
+
+
+class MemoryFleet:
+    """Entry VMs of one data centre over an in-memory store; the first is the holder.
+
+    Node ``n0`` has the most processor time. None of them schedules: a record in the
+    store names the holder, which follows the store.
+    """
+
+    def __init__(self, size: int) -> None:
+        """Start ``size`` nodes that are registered already."""
+        self.clock = Clock()
+        self.clock.advance(100.0)
+        self.store = MemoryStore(self.clock)
+        self.lost_nodes: set[MemberId] = set()
+        self.nodes_by_id: dict[MemberId, Node] = {}
+        holder = HolderRecord(MemberId("n0"), 1, 0, 1)
+        self.store.put(HOLDER_TOPIC, KeyedRecord("holder", encode_record(holder)))
+        for number in range(size):
+            record = NodeRecord("10.1.0.1", 7_180, "kyushu-a", float(size - number), 1)
+            row = KeyedRecord(f"n{number}", encode_record(record))
+            self.store.put(NODES_TOPIC, row)
+        for number in range(size):
+            self._start_node(MemberId(f"n{number}"))
+        self.run_for(1.0)
+
+    def _start_node(self, node_id: MemberId) -> None:
+        document = boot_document(node=node_id, zone="kyushu-a")
+        settings = decode_boot(orjson.dumps(document)).unwrap()
+        reactor: Any = self.clock
+        store: Any = self.store
+        links: Any = MemoryLinks(self, node_id)
+        node = Node(settings, reactor, store, links)
+        self.nodes_by_id[node_id] = node
+        node.follow_store()
+
+    def node(self, number: int) -> Node:
+        """Return a node by its number."""
+        return self.nodes_by_id[MemberId(f"n{number}")]
+
+    def lose(self, *numbers: int) -> None:
+        """Let nodes send and receive nothing from now on."""
+        self.lost_nodes.update(MemberId(f"n{number}") for number in numbers)
+
+    def followers(self) -> list[int]:
+        """Return the numbers of the nodes that follow the jobs topic."""
+        return [
+            number
+            for number in range(len(self.nodes_by_id))
+            if self.node(number).follows_jobs
+        ]
+
+    def run_for(self, seconds: float) -> None:
+        """Let time pass."""
+        self.clock.pump([STEP_S] * round(seconds / STEP_S))
+
+    def run(self, call: Coroutine[Any, Any, Any]) -> Any:
+        """Return the result of a call."""
+        results: list[Any] = []
+        ensureDeferred(call).addCallback(results.append)
+        for _ in range(200):
+            if results:
+                break
+            self.clock.advance(STEP_S)
+        assert results, "no answer"
+        return results[0]
+
+    def deadline(self) -> Instant:
+        """Return the deadline of a caller that waits three seconds."""
+        return Instant(self.clock.seconds() + 3.0)
--- a/tests/utils/memory_store.py
+++ b/tests/utils/memory_store.py
@@ -1,5 +1,6 @@
 """In-memory platform store with simulated faults, for tests in virtual time."""
 
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Any
@@ -71,6 +72,7 @@
         self.max_record_bytes = DEFAULT_MAX_RECORD_BYTES
         self.append_sizes: list[int] = []
         self.calls = 0
+        self.reads_by_topic: Counter[Topic] = Counter()
         self.appends = 0
 
     async def append(
@@ -114,6 +116,7 @@
     ) -> RecordsPage | Trimmed | StoreError:
         """Return the records from ``start`` on, after a short delay."""
         self.calls += 1
+        self.reads_by_topic[topic] += 1
         await self._delay(min(0.01, max(0.0, deadline - self._clock.seconds())))
         if self.is_down:
             return NOT_APPLIED
