Links between entry VMs end once their peer does not respond

Cause: connections between entry VMs had neither keepalive probes nor a timeout for unacknowledged bytes. One that went silent without a reset stayed in use for the life of the process: each submission waited a second or more for the holder, and each advice request through that VM timed out. Found by reading.

Change: keepalive after a second, two probes a second apart, and TCP_USER_TIMEOUT of 2 s on both ends.

Test: test_keepalive.py reads the options of both ends' sockets; it failed before.

--- a/tamarackmount/internal/links.py
+++ b/tamarackmount/internal/links.py
@@ -22,6 +22,7 @@
 from tamarackmount.ids import MemberId
 from tamarackmount.internal.addresses import Address
 from tamarackmount.internal.codec import MAX_MESSAGE_BYTES, Codec, Envelope
+from tamarackmount.internal.keepalive import close_if_unreachable
 
 MAX_UNSENT_BYTES = 8 * 1024 * 1024
 """Bytes waiting for a slow peer above which its connection is aborted."""
@@ -72,6 +73,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Disable Nagle's algorithm, which would delay small messages."""
         _transport(self).setTcpNoDelay(True)
+        close_if_unreachable(_transport(self))
 
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         """Handle a message; close the connection if it can't be decoded."""
@@ -125,6 +127,7 @@
         """Disable Nagle's algorithm and register for back-pressure."""
         self.is_open = True
         _transport(self).setTcpNoDelay(True)
+        close_if_unreachable(_transport(self))
         _transport(self).registerProducer(self, True)
 
     def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:  # noqa: N802
