Admission: work ahead that fits into free capacity delays nobody

Cause: a job was refused by the pending work of its pool divided by the pool's whole capacity, also while the pool was idle because the steps ahead waited for tickets.

Change: only the part of the work ahead that exceeds the free capacity counts, of the pool and of the team's ceiling.

Not measured yet.

--- a/tamarackmount/scheduling/admission.py
+++ b/tamarackmount/scheduling/admission.py
@@ -6,6 +6,9 @@
 ceiling; such a job would only take capacity from others. Both are refused at once, with
 the time after which to retry: in the second case, when the work ahead fits into the
 time that the job may wait. Jitter keeps callers from returning together.
+
+Work ahead that fits into free capacity delays nobody: while steps wait for tickets of
+the advice service, for example, their pool may be idle. Only the rest of it counts.
 """
 
 import random
@@ -97,15 +100,17 @@
     state: SchedulerState, job: JobState, workers: Iterable[WorkerState], now: Instant
 ) -> float:
     """Return how long the work ahead of a job keeps its pool busy, in seconds."""
-    capacity = NOTHING
+    capacity = free = NOTHING
     for worker in workers:
         capacity = capacity + worker.entry.capacity
+        if worker.can_start:
+            free = free + worker.free
     ahead = [
         step
         for step in _steps_ahead(state, job, now)
         if step.job.accepted.service == job.accepted.service
     ]
-    return _processing_s(state, ahead, capacity)
+    return _processing_s(state, ahead, capacity, free)
 
 
 def _team_wait_s(state: SchedulerState, job: JobState, now: Instant) -> float:
@@ -119,7 +124,8 @@
         for step in _steps_ahead(state, job, now)
         if step.job.accepted.team_id == team_id
     ]
-    return _processing_s(state, ahead, team.ceiling)
+    used = state.used_by_team.get(team_id, NOTHING)
+    return _processing_s(state, ahead, team.ceiling, team.ceiling - used)
 
 
 def _steps_ahead(state: SchedulerState, job: JobState, now: Instant) -> list[StepState]:
@@ -137,25 +143,40 @@
 
 
 def _processing_s(
-    state: SchedulerState, steps: Iterable[StepState], capacity: Resources
+    state: SchedulerState,
+    steps: Iterable[StepState],
+    capacity: Resources,
+    free: Resources,
 ) -> float:
-    """Return how long the pending tasks of steps fill a capacity, in seconds."""
+    """Return how long the pending tasks of steps fill a capacity, in seconds.
+
+    Tasks that fit into what is ``free`` of the capacity are left out.
+    """
+    amount_ahead = NOTHING
     work_by_resource = [0.0, 0.0, 0.0]
     for step in steps:
         queue = step.job.accepted.queue_name
         task_s = state.forecast.estimate_s(queue, step.spec.estimated_ms)
-        work_s = task_s * len(step.pending)
-        amount = step.spec.amount
-        for index, task_amount in enumerate(
-            (amount.millicores, amount.memory_mib, amount.accelerators)
-        ):
-            work_by_resource[index] += task_amount * work_s
-    capacities = (capacity.millicores, capacity.memory_mib, capacity.accelerators)
+        amount = step.spec.amount * len(step.pending)
+        amount_ahead = amount_ahead + amount
+        for index, part in enumerate(_parts(amount)):
+            work_by_resource[index] += part * task_s
+    rows = zip(
+        work_by_resource,
+        _parts(amount_ahead),
+        _parts(capacity),
+        _parts(free),
+        strict=True,
+    )
     return max(
         (
-            work / available
-            for work, available in zip(work_by_resource, capacities, strict=True)
-            if available
+            work / total * max(0.0, 1.0 - max(0, unused) / ahead)
+            for work, ahead, total, unused in rows
+            if total and ahead
         ),
         default=0.0,
     )
+
+
+def _parts(amount: Resources) -> tuple[int, int, int]:
+    return amount.millicores, amount.memory_mib, amount.accelerators
