Cost of a scheduling tick: fewer looks at all workers

Cause: each tick indexed the free capacity of all workers, computed it anew for each (a subtraction of three resources), and the advice check scanned every worker for every waiting step twenty times a second.

Change: the index is built at its first look-up in a tick; a worker's free capacity is kept until one of its inputs is replaced; steps of queues with advice look only at the workers that they have tickets for; all workers are scanned only if a step lacks capacity and another worker has some; steps that wait for others are looked at every 30 ms.

--- a/tamarackmount/scheduling/advice_choice.py
+++ b/tamarackmount/scheduling/advice_choice.py
@@ -64,6 +64,11 @@
         self._fraction_by_queue[queue] = max(MIN_APPROVAL, mean)
 
 
+def lacks_capacity(step: StepState, allowed: Iterable[WorkerState]) -> bool:
+    """Tell whether allowed workers have too little free capacity for a step's tasks."""
+    return _count_fitting(step, allowed) < len(step.pending)
+
+
 def workers_to_ask_about(
     step: StepState,
     undecided: Sequence[WorkerState],
@@ -76,9 +81,9 @@
     ``allowed`` those that may run the step, ``approval`` the fraction of workers that
     it is expected to allow.
     """
-    missing = len(step.pending) - _count_fitting(step, allowed)
-    if missing <= 0:
+    if not lacks_capacity(step, allowed):
         return []
+    missing = len(step.pending) - _count_fitting(step, allowed)
     with_capacity = [worker for worker in undecided if _fits(step, worker) > 0]
     if with_capacity:
         return _select(step, with_capacity, missing, approval)
--- a/tamarackmount/scheduling/advice_requests.py
+++ b/tamarackmount/scheduling/advice_requests.py
@@ -13,9 +13,15 @@
 from collections.abc import Iterator
 
 from tamarackmount.ids import Instant
-from tamarackmount.scheduling.advice_choice import ApprovalRates, workers_to_ask_about
+from tamarackmount.scheduling.advice_choice import (
+    MIN_ALLOWED_WORKERS,
+    ApprovalRates,
+    lacks_capacity,
+    workers_to_ask_about,
+)
 from tamarackmount.scheduling.effects import AskAdvice
 from tamarackmount.scheduling.fleet_config import AdvicePolicy
+from tamarackmount.scheduling.free_capacity import FreeCapacityIndex
 from tamarackmount.scheduling.model import StepKey, WorkerIncarnation
 from tamarackmount.scheduling.placement import could_run
 from tamarackmount.scheduling.ranking import URGENT_PRIORITY, Tier, rank, tier
@@ -34,6 +40,10 @@
 short compared with the lead at which tickets are renewed: the expected decision time,
 this interval and ``TICKET_MARGIN_S``, of which it is a third."""
 
+LOOK_AHEAD_INTERVAL_S = 0.03
+"""Minimum time between two looks at all steps that wait for others, in seconds; the
+steps before them take many times as long."""
+
 URGENT_RESERVE = 0.25
 """Fraction of the entry VMs that only requests for urgent jobs may use, without
 unit."""
@@ -47,9 +57,12 @@
         self._state = state
         self._requested_by_step: dict[StepKey, tuple[WorkerIncarnation, ...]] = {}
         self._approval_rates = ApprovalRates()
+        self._next_look_ahead_at = Instant(0.0)
         self.max_concurrent = 1
 
-    def send_due_requests(self, now: Instant) -> None:
+    def send_due_requests(
+        self, capacity_index: FreeCapacityIndex, now: Instant
+    ) -> None:
         """Request advice for the most urgent steps, up to the concurrency limits.
 
         Ready steps come first, then steps that wait for others.
@@ -62,7 +75,7 @@
             is_urgent = step.job.priority == URGENT_PRIORITY
             if in_use >= (self.max_concurrent if is_urgent else non_urgent_limit):
                 continue
-            in_use += self._request_advice(step, now, is_ready)
+            in_use += self._request_advice(step, capacity_index, now, is_ready)
             if in_use >= self.max_concurrent:
                 return
 
@@ -77,6 +90,9 @@
         for step in sorted(ready_steps, key=lambda step: rank(step, now)):
             if not _tickets_would_expire_unused(step, now):
                 yield step, True
+        if now < self._next_look_ahead_at:
+            return
+        self._next_look_ahead_at = Instant(now + LOOK_AHEAD_INTERVAL_S)
         for step in self._waiting_steps():
             yield step, False
 
@@ -108,7 +124,13 @@
         )
         step.advice.record_answer(incarnations, answer, now)
 
-    def _request_advice(self, step: StepState, now: Instant, is_ready: bool) -> int:
+    def _request_advice(
+        self,
+        step: StepState,
+        capacity_index: FreeCapacityIndex,
+        now: Instant,
+        is_ready: bool,
+    ) -> int:
         """Request advice for a step if it needs any; return the number of requests.
 
         Tickets are renewed only for a step that ``is_ready``.
@@ -123,7 +145,7 @@
             or now < advice.next_check_at
         ):
             return 0
-        workers = self._workers_to_ask_about(step)
+        workers = self._workers_to_ask_about(step, capacity_index)
         if not workers and is_ready:
             workers = self._workers_to_renew(step, queue.advice, now)
         if not workers:
@@ -137,18 +159,38 @@
         self._state.emit(AskAdvice(step.key, ids, expected))
         return 1
 
-    def _workers_to_ask_about(self, step: StepState) -> list[WorkerState]:
-        """Return the workers that a request for new tickets names."""
+    def _workers_to_ask_about(
+        self, step: StepState, capacity_index: FreeCapacityIndex
+    ) -> list[WorkerState]:
+        """Return the workers that a request for new tickets names.
+
+        All workers are looked at only if that can change the result.
+        """
         advice = step.advice
-        undecided: list[WorkerState] = []
-        allowed: list[WorkerState] = []
-        for worker in self._state.workers_by_incarnation.values():
-            worker_id = worker.incarnation.worker_id
-            if worker_id in advice.refused or not worker.can_start:
-                continue
-            if could_run(step, worker):
-                is_allowed = worker_id in advice.allowed
-                (allowed if is_allowed else undecided).append(worker)
+        allowed = [
+            worker
+            for worker in self._state.find_workers(advice.allowed.values())
+            if worker.can_start and could_run(step, worker)
+        ]
+        if not lacks_capacity(step, allowed):
+            return []
+
+        def is_undecided(worker: WorkerState) -> bool:
+            worker_id, _ = incarnation = worker.incarnation
+            return (
+                worker_id not in advice.refused
+                and advice.allowed.get(worker_id) != incarnation
+            )
+
+        if len(allowed) >= MIN_ALLOWED_WORKERS and not (
+            capacity_index.has_fitting_worker(step, is_undecided)
+        ):
+            return []
+        undecided = [
+            worker
+            for worker in self._state.workers_by_incarnation.values()
+            if is_undecided(worker) and worker.can_start and could_run(step, worker)
+        ]
         approval = self._approval_rates.fraction(step.job.accepted.queue_name)
         return workers_to_ask_about(step, undecided, allowed, approval)
 
@@ -167,9 +209,8 @@
             return []
         return [
             worker
-            for worker in self._state.workers_by_incarnation.values()
-            if worker.incarnation.worker_id in advice.allowed
-            and worker.can_start
+            for worker in self._state.find_workers(advice.allowed.values())
+            if worker.can_start
             and not advice.usable_ticket(worker.incarnation, needed_until)
         ]
 
--- a/tamarackmount/scheduling/free_capacity.py
+++ b/tamarackmount/scheduling/free_capacity.py
@@ -5,7 +5,7 @@
 matter most.
 """
 
-from collections import Counter, defaultdict
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 from tamarackmount.ids import DataCentreId, Instant
@@ -24,36 +24,27 @@
 
 
 class FreeCapacityIndex:
-    """The free capacity of all workers at the beginning of one round of placement.
+    """The free capacity of all workers during one tick of the scheduler.
 
-    Workers are sorted by the processor time that was free then, the most first.
-    Placement in the round only lowers it, so a look-up can end at the first worker that
-    had too little. ``suspected_data_centres`` are data centres that may be cut off.
+    Workers of a service are sorted at the first look-up by the processor time that is
+    free then, the most first. Placement in the tick only lowers it, so a look-up can
+    end at the first worker that had too little. Nothing is computed in ticks without
+    look-ups.
     """
 
     def __init__(self, workers: Iterable[WorkerState], now: Instant) -> None:
-        """Index the workers that may start new runs now."""
-        self._rows_by_service: dict[ServiceName, list[tuple[int, WorkerState]]]
-        self._rows_by_service = defaultdict(list)
-        worker_count: Counter[DataCentreId] = Counter()
-        unresponsive_count: Counter[DataCentreId] = Counter()
-        for worker in workers:
-            data_centre = worker.entry.data_centre
-            worker_count[data_centre] += 1
-            unresponsive_count[data_centre] += (
-                worker.is_suspected or worker.silent_since is not None
-            )
-            if worker.can_start and now >= worker.backoff_until:
-                row = (worker.free.millicores, worker)
-                self._rows_by_service[worker.entry.service].append(row)
-        self.suspected_data_centres = frozenset(
-            data_centre
-            for data_centre, count in unresponsive_count.items()
-            if count >= MIN_SUSPECTED_WORKERS
-            and count >= MIN_SUSPECTED_FRACTION * worker_count[data_centre]
-        )
-        for rows in self._rows_by_service.values():
-            rows.sort(key=lambda row: row[0], reverse=True)
+        """Index the workers that may start new runs now, once they are looked up."""
+        self._workers = workers
+        self._now = now
+        self._rows_by_service: dict[ServiceName, list[tuple[int, WorkerState]]] = {}
+        self._suspected: frozenset[DataCentreId] | None = None
+
+    @property
+    def suspected_data_centres(self) -> frozenset[DataCentreId]:
+        """The data centres that may be cut off."""
+        if self._suspected is None:
+            self._suspected = self._find_suspected_data_centres()
+        return self._suspected
 
     def has_fitting_worker(
         self, step: StepState, may_take: Callable[[WorkerState], bool]
@@ -61,9 +52,7 @@
         """Return whether a task of the step fits on any worker that may take it."""
         amount = step.reserved_amount
         label = step.spec.label
-        for free_millicores, worker in self._rows_by_service.get(
-            step.job.accepted.service, ()
-        ):
+        for free_millicores, worker in self._rows_of(step.job.accepted.service):
             if free_millicores < amount.millicores:
                 return False
             if not amount.fits_in(worker.free):
@@ -74,6 +63,35 @@
                 return True
         return False
 
+    def _rows_of(self, service: ServiceName) -> list[tuple[int, WorkerState]]:
+        rows = self._rows_by_service.get(service)
+        if rows is None:
+            rows = [
+                (worker.free.millicores, worker)
+                for worker in self._workers
+                if worker.entry.service == service
+                and worker.can_start
+                and self._now >= worker.backoff_until
+            ]
+            rows.sort(key=lambda row: row[0], reverse=True)
+            self._rows_by_service[service] = rows
+        return rows
+
+    def _find_suspected_data_centres(self) -> frozenset[DataCentreId]:
+        worker_count: Counter[DataCentreId] = Counter()
+        unresponsive_count: Counter[DataCentreId] = Counter()
+        for worker in self._workers:
+            data_centre = worker.entry.data_centre
+            worker_count[data_centre] += 1
+            if worker.is_suspected or worker.silent_since is not None:
+                unresponsive_count[data_centre] += 1
+        return frozenset(
+            data_centre
+            for data_centre, count in unresponsive_count.items()
+            if count >= MIN_SUSPECTED_WORKERS
+            and count >= MIN_SUSPECTED_FRACTION * worker_count[data_centre]
+        )
+
 
 def count_fitting_tasks(
     amount: Resources, free: Resources, wanted: int, max_per_worker: int
--- a/tamarackmount/scheduling/placement.py
+++ b/tamarackmount/scheduling/placement.py
@@ -36,7 +36,9 @@
 jobs need a quarter of what a team uses, and a burst doubles them."""
 
 
-def place(state: SchedulerState, now: Instant) -> list[tuple[StepState, Queue]]:
+def place(
+    state: SchedulerState, capacity_index: FreeCapacityIndex, now: Instant
+) -> list[tuple[StepState, Queue]]:
     """Start the tasks that fit, in order of rank.
 
     Return the steps that lack free capacity, or would exceed the part of their team's
@@ -46,7 +48,6 @@
     if state.authority is not HolderAuthority.FULL or state.write_ahead.is_stalled(now):
         return blocked_steps
     unconfirmed = _services_with_unconfirmed_workers(state)
-    capacity_index = FreeCapacityIndex(state.workers_by_incarnation.values(), now)
     for step in sorted(
         state.ready_steps_by_key.values(), key=lambda step: rank(step, now)
     ):
@@ -94,8 +95,12 @@
     if queue.advice is None:
         has_worker = capacity_index.has_fitting_worker(step, lambda _: True)
     else:
-        has_worker = capacity_index.has_fitting_worker(
-            step, lambda worker: bool(advice.usable_ticket(worker.incarnation, now))
+        # There are far fewer workers with tickets than workers.
+        has_worker = any(
+            step.reserved_amount.fits_in(worker.free)
+            and worker.can_start
+            and advice.usable_ticket(worker.incarnation, now)
+            for worker in state.find_workers(advice.allowed.values())
         )
     return WaitReason.NONE if has_worker else WaitReason.NO_CAPACITY
 
@@ -155,17 +160,19 @@
 
     Slow workers and those on which the step has failed are left out if others remain.
     """
+    candidates: Iterable[WorkerState] = state.workers_by_incarnation.values()
+    if queue.advice is not None:
+        advice = step.advice
+        candidates = (
+            worker
+            for worker in state.find_workers(advice.allowed.values())
+            if advice.usable_ticket(worker.incarnation, now)
+        )
     found = [
         worker
-        for worker in state.workers_by_incarnation.values()
+        for worker in candidates
         if worker.can_start and now >= worker.backoff_until and could_run(step, worker)
     ]
-    if queue.advice is not None:
-        found = [
-            worker
-            for worker in found
-            if step.advice.usable_ticket(worker.incarnation, now)
-        ]
     preferred = [
         worker
         for worker in found
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -14,6 +14,7 @@
 from tamarackmount.scheduling.advice_requests import AdviceRequests
 from tamarackmount.scheduling.effects import Effect
 from tamarackmount.scheduling.fleet_config import FleetConfig, Queue
+from tamarackmount.scheduling.free_capacity import FreeCapacityIndex
 from tamarackmount.scheduling.holder_authority import HolderAuthority
 from tamarackmount.scheduling.job_index import JobRecords
 from tamarackmount.scheduling.journal import (
@@ -231,12 +232,13 @@
         poll_and_expire_workers(state, now)
         if state.authority is HolderAuthority.FULL:
             handle_stragglers(state, now)
+        capacity_index = FreeCapacityIndex(state.workers_by_incarnation.values(), now)
         if state.ready_steps_by_key:
-            blocked_steps = place(state, now)
+            blocked_steps = place(state, capacity_index, now)
             if now >= self._next_preemption_at:
                 self._next_preemption_at = Instant(now + PREEMPTION_INTERVAL_S)
                 self._preempt(blocked_steps[:MAX_PREEMPTING_STEPS], now)
-        self._advice_requests.send_due_requests(now)
+        self._advice_requests.send_due_requests(capacity_index, now)
 
     def remove_jobs(self, job_ids: list[JobId]) -> None:
         """Remove jobs from the store with the next batch."""
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
 from tamarackmount.ids import Epoch, Instant, JobId, TeamId
@@ -112,6 +112,15 @@
         job = self.jobs_by_id.get(run.task.job_id)
         return job.accepted.team_id if job is not None else None
 
+    def find_workers(
+        self, incarnations: Iterable[WorkerIncarnation]
+    ) -> Iterator[WorkerState]:
+        """Yield those of the workers that are known."""
+        for incarnation in incarnations:
+            worker = self.workers_by_incarnation.get(incarnation)
+            if worker is not None:
+                yield worker
+
     def find_run(
         self, incarnation: WorkerIncarnation, task: TaskKey, run_number: int
     ) -> Run | None:
--- a/tamarackmount/scheduling/step_advice.py
+++ b/tamarackmount/scheduling/step_advice.py
@@ -43,13 +43,15 @@
 class StepAdvice:
     """The advice service's decisions about one step, and its tickets.
 
-    Whether a worker is allowed never changes; tickets expire and are requested again.
+    ``allowed`` has the incarnation of each allowed worker for which the newest ticket
+    was given. Whether a worker is allowed never changes; tickets expire, or end with
+    the incarnation, and are requested again.
     No request is sent before ``retry_at``, the retry time after an unanswered one, or
     before ``next_check_at``, the time of the next check for missing or expiring
     tickets.
     """
 
-    allowed: set[WorkerId] = field(default_factory=set)
+    allowed: dict[WorkerId, WorkerIncarnation] = field(default_factory=dict)
     refused: set[WorkerId] = field(default_factory=set)
     request_in_flight: bool = False
     retry_at: Instant = Instant(0.0)
@@ -72,7 +74,7 @@
             if text is None:
                 self.refused.add(incarnation.worker_id)
                 continue
-            self.allowed.add(incarnation.worker_id)
+            self.allowed[incarnation.worker_id] = incarnation
             self._tickets_by_worker[incarnation.worker_id] = _Ticket(
                 text, expires_at, incarnation
             )
--- a/tamarackmount/scheduling/workers.py
+++ b/tamarackmount/scheduling/workers.py
@@ -94,6 +94,8 @@
     _clock_ms: int = 0
     _clock_sent: Instant = Instant(0.0)
     _clock_read: Instant | None = None
+    _free: Resources = NOTHING
+    _free_inputs: tuple[Resources, Resources] | None = None
 
     @property
     def incarnation(self) -> WorkerIncarnation:
@@ -102,8 +104,17 @@
 
     @property
     def free(self) -> Resources:
-        """The capacity that no run has reserved."""
-        return self.entry.capacity - self.used
+        """The capacity that no run has reserved.
+
+        The difference is kept until one of the two amounts is replaced: placement reads
+        it for every worker in each round.
+        """
+        inputs = self._free_inputs
+        capacity, used = self.entry.capacity, self.used
+        if inputs is None or inputs[0] is not capacity or inputs[1] is not used:
+            self._free_inputs = (capacity, used)
+            self._free = capacity - used
+        return self._free
 
     @property
     def can_start(self) -> bool:
