Store away: true refusals in a second, retry times by what a job may take

Cause: while the store gives no answer, records that waited behind an append without answer, and records that an entry VM then appended by itself, ended as 504, which callers can't retry. All callers were told to return after a second, so those of long jobs had used their tries before the store was back.

Change: submissions behind an append that has no answer for a second are rejected as not stored; after the holder's refusal, a node appends by itself only if the store answered it within 1.3 s.

Tests that failed first: submissions behind a silent append; a refused record without fresh contact.

--- a/tamarackmount/node/job_service.py
+++ b/tamarackmount/node/job_service.py
@@ -1,6 +1,7 @@
 """Callers' jobs on one node: storing, cancelling and looking up their phase."""
 
 import logging
+import random
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -37,6 +38,7 @@
 from tamarackmount.node.tasks import spawn
 from tamarackmount.platform.store import KeyedRecord
 from tamarackmount.scheduling.accepted_job import AcceptedJob
+from tamarackmount.scheduling.admission import add_jitter
 from tamarackmount.scheduling.fleet_config import FleetConfig, Queue
 from tamarackmount.scheduling.journal import (
     CancelRecord,
@@ -48,6 +50,7 @@
     split_key,
 )
 from tamarackmount.scheduling.model import JobPhase, describe_step
+from tamarackmount.scheduling.retry_times import store_retry_s
 
 PHASE_TIMEOUT_S = 0.3
 """Timeout of a query about a job to another node, in seconds; after it, the stored
@@ -65,11 +68,6 @@
     StoreOutcome.UNKNOWN: ApiResponse(HttpStatus.GATEWAY_TIMEOUT),
 }
 
-MAX_STORE_SILENCE_S = 1.5
-"""Time without contact after which the node counts as cut off from the store, in
-seconds. Its reads are answered every second, and by a slow store half a second
-later."""
-
 _log = logging.getLogger(__name__)
 
 
@@ -83,12 +81,13 @@
         self._context = context
         self._election = election
         self._follower = follower
+        self._rng = random.Random()
         self._submissions = Submissions(
             context.reactor,
             context.store,
             JOBS_TOPIC,
             self._relay,
-            self._has_store_contact,
+            self._store_silence_s,
         )
         self.handlers: dict[type, Callable[[MemberId, Any], None]] = {
             JobStored: self._handle_job_stored,
@@ -103,13 +102,14 @@
         """The configuration in force, or ``None`` before the first one is read."""
         return self._context.fleet
 
-    def _has_store_contact(self) -> bool:
+    def _store_silence_s(self) -> float:
+        """Return the time since the store's last answer, in seconds."""
         sources = (self._follower, self._election.tail)
         contacts = [
             source.last_contact for source in sources if source.last_contact is not None
         ]
-        now = self._context.reactor.seconds()
-        return not contacts or now <= max(contacts) + MAX_STORE_SILENCE_S
+        now: float = self._context.reactor.seconds()
+        return now - max(contacts, default=Instant(now))
 
     @property
     def is_draining(self) -> bool:
@@ -136,6 +136,11 @@
             return ApiResponse(
                 HttpStatus.TOO_MANY_REQUESTS, retry_after_s=result.retry_after_s
             )
+        if result.outcome is StoreOutcome.NOT_STORED:
+            retry_after_s = add_jitter(store_retry_s(job), self._rng)
+            return ApiResponse(
+                HttpStatus.SERVICE_UNAVAILABLE, retry_after_s=retry_after_s
+            )
         return _RESPONSE_BY_OUTCOME[result.outcome]
 
     async def cancel(self, job_id: JobId, deadline: Instant) -> ApiResponse:
--- a/tamarackmount/node/journal_writer.py
+++ b/tamarackmount/node/journal_writer.py
@@ -8,8 +8,9 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
+from tamarackmount.ids import Instant
 from tamarackmount.node.fenced_log import FencedLog, is_outcome_unknown
-from tamarackmount.node.submissions import StoreOutcome
+from tamarackmount.node.submissions import STALLED_APPEND_S, StoreOutcome
 from tamarackmount.node.tasks import spawn
 from tamarackmount.platform.store import (
     Appended,
@@ -61,6 +62,7 @@
         self._is_writing = False
         self._is_stopped = False
         self._append_count = 0
+        self._append_sent_at: Instant | None = None
         self._submissions: deque[_Submission] = deque()
 
     def start_writing(self) -> None:
@@ -72,13 +74,20 @@
     def add(self, record: KeyedRecord) -> "Deferred[StoreOutcome]":
         """Store a caller's record; reject it at once while the store is unavailable."""
         result: Deferred[StoreOutcome] = Deferred()
-        if self._is_stopped or not self._log.is_store_available:
+        if self._is_stopped or self._is_store_away():
             result.callback(StoreOutcome.NOT_STORED)
             return result
         self._submissions.append(_Submission(record, result))
         self.start_writing()
         return result
 
+    def _is_store_away(self) -> bool:
+        sent_at = self._append_sent_at
+        is_stalled = (
+            sent_at is not None and self._reactor.seconds() > sent_at + STALLED_APPEND_S
+        )
+        return is_stalled or not self._log.is_store_available
+
     async def flush(self) -> None:
         """Write all pending records; return once they are stored or writing stops."""
         self.start_writing()
@@ -152,6 +161,21 @@
 
         Submissions are rejected at once if the store certainly did not take them.
         """
+        self._append_sent_at = Instant(self._reactor.seconds())
+        # Submissions that are not part of this append were certainly not stored.
+        stall_timer = self._reactor.callLater(
+            STALLED_APPEND_S, self._reject_submissions
+        )
+        try:
+            return await self._append_until_settled(rows, submissions)
+        finally:
+            self._append_sent_at = None
+            if stall_timer.active():
+                stall_timer.cancel()
+
+    async def _append_until_settled(
+        self, rows: list[KeyedRecord], submissions: list[_Submission]
+    ) -> bool:
         may_be_stored = False
         while not self._is_stopped:
             all_rows = [*rows, *(submission.record for submission in submissions)]
--- a/tamarackmount/node/submissions.py
+++ b/tamarackmount/node/submissions.py
@@ -54,6 +54,20 @@
 """Interval between trial appends while the store counts as away, in seconds. Each
 append is billed, and callers should be served soon after the store is back."""
 
+MAX_STORE_SILENCE_S = 1.5
+"""Time without contact after which the node counts as cut off from the store, in
+seconds. Its reads are answered every second, and by a slow store half a second
+later."""
+
+FRESH_CONTACT_S = 1.3
+"""Time without contact up to which this node may reach a store that the holder does not
+reach, in seconds: its reads are answered every second."""
+
+STALLED_APPEND_S = 1.0
+"""Time after which an append without an answer shows that the store is away, in
+seconds. A slow store answers in 0.6 s. Records that are not sent yet are rejected
+then."""
+
 MAX_RECORDS = 200
 """Maximum number of records in one append. At 4 KB each, they stay under the store's
 limit of 2 MB per call."""
@@ -128,19 +142,21 @@
         store: Store,
         topic: Topic,
         relay: Relay,
-        has_store_contact: Callable[[], bool],
+        store_silence_s: Callable[[], float],
     ) -> None:
         """Append to ``topic``, or send records through ``relay``.
 
-        ``has_store_contact`` tells whether the store has answered this node recently.
+        ``store_silence_s`` returns the time since the store last answered this node, in
+        seconds.
         """
         self._reactor = reactor
         self._store = store
         self._topic = topic
         self._relay = relay
-        self._has_store_contact = has_store_contact
+        self._store_silence_s = store_silence_s
         self._waiting: deque[_Pending] = deque()
         self._is_appending = False
+        self._unanswered_since = Instant(0.0)
         self._timeout = AdaptiveTimeout(MIN_APPEND_TIMEOUT_S)
         self._relay_timeout = AdaptiveTimeout(MIN_RELAY_TIMEOUT_S, MAX_RELAY_TIMEOUT_S)
         self._relay_backoff_until = Instant(0.0)
@@ -157,6 +173,10 @@
         ):
             return reply
         may_be_stored = reply is not None and reply.outcome is StoreOutcome.UNKNOWN
+        if reply is not None and not may_be_stored and not self._has_fresh_contact():
+            # The holder has no store either; an append whose outcome stays unknown
+            # could not be retried by the caller.
+            return NOT_STORED_RESULT
         if not self._has_store_contact():
             # Waiting would not help; another entry VM may reach the store.
             return (
@@ -168,6 +188,12 @@
             return NOT_STORED_RESULT
         return StoreResult(await self._store_directly(record, answer_by, may_be_stored))
 
+    def _has_store_contact(self) -> bool:
+        return self._store_silence_s() <= MAX_STORE_SILENCE_S
+
+    def _has_fresh_contact(self) -> bool:
+        return self._store_silence_s() <= FRESH_CONTACT_S
+
     async def _store_through_holder(
         self, record: KeyedRecord, deadline: Instant
     ) -> StoreResult | None:
@@ -203,9 +229,11 @@
         at hand is a trial append: on demand only, and never while an append is in
         progress or records wait.
         """
+        now = self._reactor.seconds()
+        if self._is_appending and now > self._unanswered_since + STALLED_APPEND_S:
+            return True
         if self._consecutive_failures < FAILURES_BEFORE_AWAY:
             return False
-        now = self._reactor.seconds()
         if now < self._next_away_retry_at or self._is_appending or self._waiting:
             return True
         self._next_away_retry_at = Instant(now + AWAY_RETRY_INTERVAL_S)
@@ -238,6 +266,8 @@
 
     async def _append(self, batch: list[_Pending]) -> None:
         started_at = self._reactor.seconds()
+        if self._timeout.has_no_timeout:
+            self._unanswered_since = started_at
         deadline = Instant(started_at + self._timeout.seconds())
         records = [pending.record for pending in batch]
         certainly_unstored = [pending for pending in batch if not pending.may_be_stored]
--- a/tests/test_journal_writer.py
+++ b/tests/test_journal_writer.py
@@ -98,3 +98,31 @@
     assert [len(part) for part in parts] == [2, 2, 2, 2, 2, 1]
     assert [row for part in parts for row in part] == rows
     assert split_by_size([], 2_000) == [[]]
+
+
+def test_submissions_behind_an_append_without_answer_are_rejected_in_a_second() -> None:
+    writer = Writer(0.002)
+    writer.store.is_silent = True
+    in_flight = outcomes_of(writer, 1)
+    waiting = outcomes_of(writer, 20)
+    writer.clock.pump([BATCH_DELAY_S] * int(1.1 / BATCH_DELAY_S))
+    assert waiting == [StoreOutcome.NOT_STORED] * 20
+    assert in_flight == []
+    assert outcomes_of(writer, 1) == [StoreOutcome.NOT_STORED]
+    writer.store.is_silent = False
+    writer.clock.pump([BATCH_DELAY_S] * int(3.0 / BATCH_DELAY_S))
+    assert in_flight == [StoreOutcome.STORED]
+    last = outcomes_of(writer, 1)
+    writer.clock.pump([BATCH_DELAY_S] * 10)
+    assert last == [StoreOutcome.STORED]
+
+
+def test_a_slow_store_is_waited_for() -> None:
+    writer = Writer(0.6)
+    # The timeout adapts to the store with the first appends.
+    for _ in range(3):
+        outcomes_of(writer, 1)
+        writer.clock.pump([BATCH_DELAY_S] * int(4.0 / BATCH_DELAY_S))
+    outcomes = outcomes_of(writer, 20)
+    writer.clock.pump([BATCH_DELAY_S] * int(2.0 / BATCH_DELAY_S))
+    assert outcomes == [StoreOutcome.STORED] * 20
--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -30,8 +30,13 @@
         has_store_contact: bool,
         holder: StoreResult | None,
         after_s: float = 0.02,
+        silence_s: float = 0.0,
     ) -> None:
-        """Let the holder, if any, answer after ``after_s`` seconds."""
+        """Let the holder, if any, answer after ``after_s`` seconds.
+
+        The store last answered this entry VM ``silence_s`` ago.
+        """
+        silence_s = silence_s if has_store_contact else 2.0
         self.clock = Clock()
         self._holder = holder
         self._after_s = after_s
@@ -40,7 +45,7 @@
         reactor: Any = self.clock
         store: Any = self.store
         self._submissions = Submissions(
-            reactor, store, JOBS, self._relay, lambda: has_store_contact
+            reactor, store, JOBS, self._relay, lambda: silence_s
         )
 
     def submit(self) -> None:
@@ -79,7 +84,7 @@
     reactor: Any = clock
     store: Any = MemoryStore(clock)
     answer: Deferred[StoreResult | None] = Deferred()
-    submissions = Submissions(reactor, store, JOBS, lambda *_: answer, lambda: True)
+    submissions = Submissions(reactor, store, JOBS, lambda *_: answer, lambda: 0.0)
     results: list[StoreResult] = []
     deadline = Instant(clock.seconds() + DEADLINE_S)
     ensureDeferred(submissions.store(ROW, deadline)).addCallback(results.append)
@@ -106,3 +111,30 @@
     assert not entry_vm.results
     entry_vm.clock.pump([0.05] * 60)
     assert entry_vm.results == [StoreResult(StoreOutcome.STORED)]
+
+
+def test_a_record_that_the_holder_could_not_store_is_appended_with_fresh_contact() -> (
+    None
+):
+    entry_vm = EntryVm(has_store_contact=True, holder=NOT_STORED_RESULT)
+    entry_vm.submit()
+    entry_vm.clock.pump([0.02] * 5)
+    assert entry_vm.results == [StoreResult(StoreOutcome.STORED)]
+
+
+def test_a_record_that_the_holder_could_not_store_is_rejected_without_it() -> None:
+    entry_vm = EntryVm(has_store_contact=True, holder=NOT_STORED_RESULT, silence_s=1.4)
+    entry_vm.submit()
+    entry_vm.clock.advance(0.02)
+    assert entry_vm.results == [NOT_STORED_RESULT]
+    assert entry_vm.store.appends == 0
+
+
+def test_records_behind_an_append_without_answer_are_rejected_at_once() -> None:
+    entry_vm = EntryVm(has_store_contact=True, holder=NOT_STORED_RESULT)
+    entry_vm.store.is_silent = True
+    entry_vm.submit()
+    entry_vm.clock.pump([0.05] * 23)
+    entry_vm.submit()
+    entry_vm.clock.advance(0.02)
+    assert entry_vm.results == [NOT_STORED_RESULT]
--- a/tests/utils/memory_store.py
+++ b/tests/utils/memory_store.py
@@ -56,7 +56,8 @@
 class MemoryStore:
     """In-memory replacement of the platform's store.
 
-    ``append_latency_s`` is the duration of one append. While ``is_down``, calls fail.
+    ``append_latency_s`` is the duration of one append. While ``is_down``, calls fail,
+    and while ``is_silent``, appends get no answer and have no effect.
     The next ``replies_to_drop`` appends take effect but their replies are lost.
     ``append_sizes`` are the sizes of the records of each append, in bytes.
     """
@@ -67,6 +68,7 @@
         self._partitions_by_topic: dict[Topic, _Partition] = {}
         self.append_latency_s = append_latency_s
         self.is_down = False
+        self.is_silent = False
         self.replies_to_drop = 0
         self.max_append_bytes = DEFAULT_MAX_APPEND_BYTES
         self.max_record_bytes = DEFAULT_MAX_RECORD_BYTES
@@ -92,6 +94,9 @@
         self.append_sizes.append(sum(encoded_bytes(record) for record in records))
         if self.is_down:
             return NOT_APPLIED
+        if self.is_silent:
+            await self._delay(deadline - self._clock.seconds())
+            return OUTCOME_UNKNOWN
         partition = self._partition(topic)
         starts_at = max(partition.idle_at, self._clock.seconds())
         partition.idle_at = starts_at + self.append_latency_s
