TWICE: a job is known until the store has its end

The first end of a gang ends its job, whose final phase then waits for the store. If the other members' ends were reported before the store had answered, the job was removed at once; its record, read once more after a repeated submission, made it a new job.

Change: a job is removed only once its final phase is stored.

--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -203,8 +203,14 @@
             self.changed_jobs.add(step.key.job_id)
 
     def remove_if_finished(self, job: JobState) -> None:
-        """Remove a job whose final phase is stored and that has no run left."""
-        if not job.phase.is_final or job.job_id in self.changed_jobs:
+        """Remove a job whose final phase is stored and that has no run left.
+
+        A job that was removed before that would start again if its record is read once
+        more, as after a repeated submission.
+        """
+        if job.job_id in self.changed_jobs:
+            return
+        if job.job_id not in self.stored_final_phase_by_job:
             return
         if any(step.runs() for step in job.steps_by_key.values()):
             return
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -104,6 +104,13 @@
         "if False:\n            return False",
         NODE,
     ),
+    Mutant(
+        "a job is known until the store has its end",
+        "scheduling/scheduler_state.py",
+        "        if job.job_id not in self.stored_final_phase_by_job:\n"
+        "            return\n",
+        "        if not job.phase.is_final:\n            return\n",
+    ),
     Mutant(
         "no lease is longer than the platform allows",
         "scheduling/workers.py",
