--- a/tamarackmount/node/job_service.py
+++ b/tamarackmount/node/job_service.py
@@ -137,7 +137,8 @@
                 HttpStatus.TOO_MANY_REQUESTS, retry_after_s=result.retry_after_s
             )
         if result.outcome is StoreOutcome.NOT_STORED:
-            retry_after_s = add_jitter(store_retry_s(job), self._rng)
+            remaining_s = deadline - clock.now()
+            retry_after_s = add_jitter(store_retry_s(remaining_s), self._rng)
             return ApiResponse(
                 HttpStatus.SERVICE_UNAVAILABLE, retry_after_s=retry_after_s
             )
