scheduling: split placement.py and worker_leases.py by job, holder's dependencies

Change: moves only. ceilings.py, run_starts.py and worker_polls.py in scheduling/, holder_dependencies.py in node/; mutants follow their texts. Seen: scheduling and node tests pass as before.

--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -3,33 +3,28 @@
 import logging
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 from returns.result import Failure
 from twisted.internet.defer import DeferredSemaphore
 from twisted.internet.task import LoopingCall
 
-from tamarackmount.ids import Epoch, Instant, JobId, MemberId
+from tamarackmount.ids import Epoch, Instant, JobId
 from tamarackmount.node import clock
 from tamarackmount.node.authority_check import AuthorityCheck
 from tamarackmount.node.claims import Claim, HeartbeatWriter
 from tamarackmount.node.fenced_log import FencedLog
 from tamarackmount.node.hedged_advice import HedgedAdviceClient
+from tamarackmount.node.holder_dependencies import HolderDependencies
 from tamarackmount.node.journal_writer import JournalWriter, WriterCallbacks
-from tamarackmount.node.metrics import NodeMetrics
-from tamarackmount.node.peer_calls import PeerCalls
 from tamarackmount.node.submissions import StoreOutcome, StoreResult
 from tamarackmount.node.tasks import spawn, stop_process_on_error
 from tamarackmount.node.worker_registrations import WorkerRegistrations
-from tamarackmount.platform.advice import AdviceClient
 from tamarackmount.platform.store import (
     Appended,
     KeyedRecord,
-    Store,
-    Topic,
 )
-from tamarackmount.platform.workers import PollRequest, WorkerCalls
+from tamarackmount.platform.workers import PollRequest
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.admission import Refusal, add_jitter
 from tamarackmount.scheduling.effects import (
@@ -81,21 +76,6 @@
 _log = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class HolderDependencies:
-    """Services and settings that a holder uses."""
-
-    reactor: Any
-    node: MemberId
-    store: Store
-    topic: Topic
-    workers: WorkerCalls
-    advice: AdviceClient
-    peer_calls: PeerCalls
-    metrics: NodeMetrics
-    status_retention_s: float
-
-
 class Holder:
     """Schedules under one epoch, until it is released or another node takes over."""
 
--- /dev/null
+++ b/tamarackmount/node/holder_dependencies.py
@@ -0,0 +1,26 @@
+"""Services and settings that a holder uses."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from tamarackmount.ids import MemberId
+from tamarackmount.node.metrics import NodeMetrics
+from tamarackmount.node.peer_calls import PeerCalls
+from tamarackmount.platform.advice import AdviceClient
+from tamarackmount.platform.store import Store, Topic
+from tamarackmount.platform.workers import WorkerCalls
+
+
+@dataclass(frozen=True, slots=True)
+class HolderDependencies:
+    """Services and settings that a holder uses."""
+
+    reactor: Any
+    node: MemberId
+    store: Store
+    topic: Topic
+    workers: WorkerCalls
+    advice: AdviceClient
+    peer_calls: PeerCalls
+    metrics: NodeMetrics
+    status_retention_s: float
--- a/tamarackmount/node/holder_election.py
+++ b/tamarackmount/node/holder_election.py
@@ -10,7 +10,8 @@
 from tamarackmount.node import clock
 from tamarackmount.node.claims import HOLDER_TOPIC, Claim, claim
 from tamarackmount.node.context import NodeContext
-from tamarackmount.node.holder import Holder, HolderDependencies
+from tamarackmount.node.holder import Holder
+from tamarackmount.node.holder_dependencies import HolderDependencies
 from tamarackmount.node.jobs_follower import JobsFollower
 from tamarackmount.node.messages import HolderReleased
 from tamarackmount.node.node_registry import NodeRegistry
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -16,7 +16,7 @@
 from tamarackmount.node import clock
 from tamarackmount.node.context import JOBS_TOPIC, NodeContext
 from tamarackmount.node.hedged_advice import reply_to
-from tamarackmount.node.holder import HolderDependencies
+from tamarackmount.node.holder_dependencies import HolderDependencies
 from tamarackmount.node.holder_election import HolderElection
 from tamarackmount.node.http_api import JobsResource, ReadinessResource
 from tamarackmount.node.job_service import JobService
--- a/tamarackmount/scheduling/admission.py
+++ b/tamarackmount/scheduling/admission.py
@@ -18,7 +18,8 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.resources import NOTHING, Resources
-from tamarackmount.scheduling.placement import ceiling_parts, could_run
+from tamarackmount.scheduling.ceilings import ceiling_parts
+from tamarackmount.scheduling.placement import could_run
 from tamarackmount.scheduling.ranking import Tier, tier
 from tamarackmount.scheduling.runs import JobState, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
--- a/tamarackmount/scheduling/order_results.py
+++ b/tamarackmount/scheduling/order_results.py
@@ -7,7 +7,7 @@
 from tamarackmount.scheduling.effects import StartRun
 from tamarackmount.scheduling.holder_authority import HolderAuthority
 from tamarackmount.scheduling.model import TaskKey, WorkerIncarnation
-from tamarackmount.scheduling.placement import FIRST_RUN_NUMBER_AFTER_TAKEOVER
+from tamarackmount.scheduling.run_starts import FIRST_RUN_NUMBER_AFTER_TAKEOVER
 from tamarackmount.scheduling.runs import Run, RunPhase
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.suspected_workers import mark_suspected
--- a/tamarackmount/scheduling/placement.py
+++ b/tamarackmount/scheduling/placement.py
@@ -5,36 +5,20 @@
 from collections.abc import Iterable
 
 from tamarackmount.ids import DataCentreId, Instant
-from tamarackmount.resources import NOTHING, Resources
-from tamarackmount.scheduling.effects import StartRun
+from tamarackmount.resources import Resources
+from tamarackmount.scheduling.ceilings import ceiling_fraction, is_under_ceiling
 from tamarackmount.scheduling.fleet_config import Queue
 from tamarackmount.scheduling.free_capacity import FreeCapacityIndex
 from tamarackmount.scheduling.holder_authority import HolderAuthority
-from tamarackmount.scheduling.model import JobPhase, ServiceName
-from tamarackmount.scheduling.ranking import URGENT_PRIORITY, Tier, rank, tier
-from tamarackmount.scheduling.run_ends import format_task
-from tamarackmount.scheduling.runs import Run, RunPhase, StepState, WaitReason
+from tamarackmount.scheduling.model import ServiceName
+from tamarackmount.scheduling.ranking import Tier, rank, tier
+from tamarackmount.scheduling.run_starts import next_run_number, start_run
+from tamarackmount.scheduling.runs import StepState, WaitReason
 from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.worker_reports import StartOrder
 from tamarackmount.scheduling.workers import ContactState, WorkerState
 
 _log = logging.getLogger(__name__)
 
-FIRST_RUN_NUMBER_AFTER_TAKEOVER = 64
-"""First run number of a task that a former holder may have started.
-
-It is above any number that the former holder is likely to have used. Workers refuse
-lower numbers, and each such refusal raises the number further.
-"""
-
-NON_URGENT_SLACK_S = 4.0
-"""Time to its latest start, in seconds, above which a non-urgent job leaves part of
-its team's ceiling to urgent jobs; about the length of one long task."""
-
-NON_URGENT_CEILING_FRACTION = 0.85
-"""Fraction of a team's ceiling that its non-urgent jobs may fill, without unit; urgent
-jobs need a quarter of what a team uses, and a burst doubles them."""
-
 
 def place(
     state: SchedulerState, capacity_index: FreeCapacityIndex, now: Instant
@@ -42,7 +26,7 @@
     """Start the tasks that fit, in order of rank.
 
     Return the steps that lack free capacity, or would exceed the part of their team's
-    ceiling that they may fill: see ``_ceiling_fraction``.
+    ceiling that they may fill: see ``ceiling_fraction``.
     """
     blocked_steps: list[tuple[StepState, Queue]] = []
     if state.authority is not HolderAuthority.FULL or state.write_ahead.is_stalled(now):
@@ -85,7 +69,7 @@
     lacks_ticket = queue.advice is not None and not advice.has_usable_ticket(now)
     if lacks_ticket and tier(step, now) <= Tier.IN_TIME:
         return WaitReason.NO_ELIGIBLE_WORKER
-    if not is_under_ceiling(state, step, 1, _ceiling_fraction(step, now)):
+    if not is_under_ceiling(state, step, 1, ceiling_fraction(step, now)):
         return WaitReason.CEILING
     if lacks_ticket:
         has_worker = capacity_index.has_fitting_worker(
@@ -197,12 +181,12 @@
         if step.task(index) in state.orphaned_run_count_by_task:
             continue
         # Checked for each task, as every start in this loop adds to the team's use.
-        if not is_under_ceiling(state, step, 1, _ceiling_fraction(step, now)):
+        if not is_under_ceiling(state, step, 1, ceiling_fraction(step, now)):
             return WaitReason.CEILING
         worker = _choose_worker(step, index, workers, capacity_index)
         if worker is None:
             return WaitReason.NO_CAPACITY
-        step.run_number = _next_run_number(step)
+        step.run_number = next_run_number(step)
         start_run(state, step, index, worker, now)
     return WaitReason.NONE
 
@@ -224,7 +208,7 @@
         step.task(index) in state.orphaned_run_count_by_task for index in step.pending
     ):
         return WaitReason.ORPHANED_RUN
-    if not is_under_ceiling(state, step, step.spec.count, _ceiling_fraction(step, now)):
+    if not is_under_ceiling(state, step, step.spec.count, ceiling_fraction(step, now)):
         return WaitReason.CEILING
     workers = eligible_workers(state, step, queue, now)
     if not workers:
@@ -232,7 +216,7 @@
     chosen = _choose_gang_workers(step, workers)
     if not chosen:
         return WaitReason.NO_CAPACITY
-    step.run_number = _next_run_number(step)
+    step.run_number = next_run_number(step)
     for index, worker in enumerate(chosen):
         start_run(state, step, index, worker, now)
     return WaitReason.NONE
@@ -372,115 +356,3 @@
 def _remaining(free: Resources, amount: Resources) -> tuple[int, int, int]:
     remaining = free - amount
     return remaining.accelerators, remaining.millicores, remaining.memory_mib
-
-
-def _ceiling_fraction(step: StepState, now: Instant) -> float:
-    """Return the fraction of its team's ceiling that a step may fill.
-
-    Load pattern: a team's long jobs fill its ceiling, and its urgent jobs, which come
-    in bursts and last a second, wait until one of the long jobs ends.
-    """
-    job = step.job
-    if job.priority == URGENT_PRIORITY or step.spec.perpetual:
-        return 1.0
-    return (
-        NON_URGENT_CEILING_FRACTION
-        if now < job.latest_start - NON_URGENT_SLACK_S
-        else 1.0
-    )
-
-
-def is_under_ceiling(
-    state: SchedulerState, step: StepState, count: int, fraction: float = 1.0
-) -> bool:
-    """Return whether ``count`` more tasks of a step fit under its team's ceiling.
-
-    Only ``fraction`` of the ceiling may be filled. A team that the configuration lacks
-    has no ceiling; before the first configuration, no task fits.
-    """
-    if state.fleet_config is None:
-        return False
-    team = state.team_of_job(step.job)
-    if team is None:
-        return True
-    used = state.used_by_team.get(team.team_id, NOTHING)
-    return all(
-        not limit or in_use + per_task * count <= limit * fraction
-        for in_use, per_task, limit in ceiling_parts(
-            used, step.spec.amount, team.ceiling
-        )
-    )
-
-
-def ceiling_parts(
-    used: Resources, amount: Resources, ceiling: Resources
-) -> tuple[tuple[int, int, int], ...]:
-    """Return the use, the amount of one task and the ceiling of each resource."""
-    return (
-        (used.millicores, amount.millicores, ceiling.millicores),
-        (used.memory_mib, amount.memory_mib, ceiling.memory_mib),
-        (used.accelerators, amount.accelerators, ceiling.accelerators),
-    )
-
-
-def _next_run_number(step: StepState) -> int:
-    if step.run_number == 0 and step.job.is_restored:
-        return FIRST_RUN_NUMBER_AFTER_TAKEOVER
-    return step.run_number + 1
-
-
-def start_run(
-    state: SchedulerState,
-    step: StepState,
-    index: int,
-    worker: WorkerState,
-    now: Instant,
-) -> None:
-    """Start one task on a worker.
-
-    With write-ahead enabled, the order waits until the store holds the run.
-    """
-    lease_end = worker.lease_end_clock_ms(now)
-    if lease_end is None:
-        return
-    worker.lease_sent(lease_end)
-    checkpoint = step.checkpoints_by_index.get(0 if step.spec.gang else index, "")
-    run = Run(
-        task=step.task(index),
-        number=step.run_number,
-        incarnation=worker.incarnation,
-        amount=step.reserved_amount,
-        ceiling_usage=step.spec.amount,
-        phase=RunPhase.STARTING,
-        began_at=now,
-        resumed=bool(checkpoint),
-    )
-    state.add_run(worker, step, run)
-    job = step.job
-    if job.phase is JobPhase.QUEUED:
-        job.phase = JobPhase.RUNNING
-        state.changed_jobs.add(job.job_id)
-        state.observer.record_first_start(
-            job.accepted.queue_name, now - job.accepted_at
-        )
-    order = StartOrder(
-        incarnation=worker.incarnation,
-        task=run.task,
-        run_number=run.number,
-        text=job.accepted.spec.text,
-        lease_end_clock_ms=lease_end,
-        checkpoint=checkpoint,
-        ticket=step.advice.usable_ticket(worker.incarnation, now),
-    )
-    if state.write_ahead.is_enabled:
-        state.unstored_starts.append(StartRun(worker.entry.address, order))
-    else:
-        state.emit(StartRun(worker.entry.address, order))
-    extra = {
-        "job": job.job_id,
-        "task": format_task(run.task),
-        "run": run.number,
-        "worker": worker.incarnation.worker_id,
-        "waited_s": round(now - job.accepted_at, 3),
-    }
-    _log.info("run starts", extra=extra)
--- a/tamarackmount/scheduling/preemption.py
+++ b/tamarackmount/scheduling/preemption.py
@@ -9,10 +9,11 @@
 
 from tamarackmount.ids import Instant, TeamId
 from tamarackmount.resources import NOTHING, Resources
+from tamarackmount.scheduling.ceilings import ceiling_parts
 from tamarackmount.scheduling.fleet_config import Queue
 from tamarackmount.scheduling.free_capacity import count_fitting_tasks
 from tamarackmount.scheduling.model import WorkerIncarnation
-from tamarackmount.scheduling.placement import ceiling_parts, eligible_workers
+from tamarackmount.scheduling.placement import eligible_workers
 from tamarackmount.scheduling.ranking import Tier, tier
 from tamarackmount.scheduling.runs import Run, RunPhase, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
--- /dev/null
+++ b/tamarackmount/scheduling/run_starts.py
@@ -0,0 +1,85 @@
+"""Start runs: their numbers, leases and orders."""
+
+import logging
+
+from tamarackmount.ids import Instant
+from tamarackmount.scheduling.effects import StartRun
+from tamarackmount.scheduling.model import JobPhase
+from tamarackmount.scheduling.run_ends import format_task
+from tamarackmount.scheduling.runs import Run, RunPhase, StepState
+from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.worker_reports import StartOrder
+from tamarackmount.scheduling.workers import WorkerState
+
+_log = logging.getLogger(__name__)
+
+FIRST_RUN_NUMBER_AFTER_TAKEOVER = 64
+"""First run number of a task that a former holder may have started.
+
+It is above any number that the former holder is likely to have used. Workers refuse
+lower numbers, and each such refusal raises the number further.
+"""
+
+
+def next_run_number(step: StepState) -> int:
+    """Return the run number of a step's next start."""
+    if step.run_number == 0 and step.job.is_restored:
+        return FIRST_RUN_NUMBER_AFTER_TAKEOVER
+    return step.run_number + 1
+
+
+def start_run(
+    state: SchedulerState,
+    step: StepState,
+    index: int,
+    worker: WorkerState,
+    now: Instant,
+) -> None:
+    """Start one task on a worker.
+
+    With write-ahead enabled, the order waits until the store holds the run.
+    """
+    lease_end = worker.lease_end_clock_ms(now)
+    if lease_end is None:
+        return
+    worker.lease_sent(lease_end)
+    checkpoint = step.checkpoints_by_index.get(0 if step.spec.gang else index, "")
+    run = Run(
+        task=step.task(index),
+        number=step.run_number,
+        incarnation=worker.incarnation,
+        amount=step.reserved_amount,
+        ceiling_usage=step.spec.amount,
+        phase=RunPhase.STARTING,
+        began_at=now,
+        resumed=bool(checkpoint),
+    )
+    state.add_run(worker, step, run)
+    job = step.job
+    if job.phase is JobPhase.QUEUED:
+        job.phase = JobPhase.RUNNING
+        state.changed_jobs.add(job.job_id)
+        state.observer.record_first_start(
+            job.accepted.queue_name, now - job.accepted_at
+        )
+    order = StartOrder(
+        incarnation=worker.incarnation,
+        task=run.task,
+        run_number=run.number,
+        text=job.accepted.spec.text,
+        lease_end_clock_ms=lease_end,
+        checkpoint=checkpoint,
+        ticket=step.advice.usable_ticket(worker.incarnation, now),
+    )
+    if state.write_ahead.is_enabled:
+        state.unstored_starts.append(StartRun(worker.entry.address, order))
+    else:
+        state.emit(StartRun(worker.entry.address, order))
+    extra = {
+        "job": job.job_id,
+        "task": format_task(run.task),
+        "run": run.number,
+        "worker": worker.incarnation.worker_id,
+        "waited_s": round(now - job.accepted_at, 3),
+    }
+    _log.info("run starts", extra=extra)
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -37,11 +37,11 @@
 from tamarackmount.scheduling.store_batches import Batch, StoreBatcher
 from tamarackmount.scheduling.stragglers import handle_stragglers
 from tamarackmount.scheduling.worker_leases import (
-    poll_and_expire_workers,
     poll_answered,
     restore_worker,
     update_registered_workers,
 )
+from tamarackmount.scheduling.worker_polls import poll_and_expire_workers
 from tamarackmount.scheduling.worker_reports import (
     OrderResult,
     PollFailure,
--- /dev/null
+++ b/tamarackmount/scheduling/worker_polls.py
@@ -0,0 +1,128 @@
+"""Polls of workers that are due, expired leases, and workers that drain."""
+
+import logging
+
+from tamarackmount.ids import Instant
+from tamarackmount.scheduling.effects import PollWorker
+from tamarackmount.scheduling.holder_authority import HolderAuthority
+from tamarackmount.scheduling.ranking import URGENT_PRIORITY
+from tamarackmount.scheduling.runs import RunPhase
+from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.worker_leases import remove_worker
+from tamarackmount.scheduling.workers import ContactState, WorkerState
+from tamarackmount.units import MS_PER_SECOND
+
+_log = logging.getLogger(__name__)
+
+POLL_WAIT_MS = 1_500
+"""Longest time for which a worker delays its answer to a poll until a run ends, in
+milliseconds; short enough to renew a lease of 6 s in time."""
+
+URGENT_POLL_WAIT_MS = 400
+"""The same while the worker runs a task of an urgent job, in milliseconds: a poll whose
+answer is lost delays run ends until it times out, and urgent jobs have half a second
+to spare."""
+
+RENEWAL_SILENCE_TIMEOUT_S = 1.0
+"""Silence after which polls no longer renew a worker's lease, in seconds: the lease has
+to expire at some point even if the worker receives the polls and only its answers are
+lost."""
+
+
+def poll_and_expire_workers(state: SchedulerState, now: Instant) -> None:
+    """Send the polls that are due, and drop the runs of workers with expired leases.
+
+    A lease counts as expired only if the worker does not answer, or has not answered
+    this holder yet and is not registered.
+    """
+    if state.authority is HolderAuthority.NONE:
+        return
+    for worker in list(state.workers_by_incarnation.values()):
+        is_unreachable = worker.silent_since is not None or (
+            worker.contact is ContactState.UNCONFIRMED and not worker.is_registered
+        )
+        if is_unreachable and now > worker.lease_ends:
+            _expire_lease(state, worker, now)
+            if worker.incarnation not in state.workers_by_incarnation:
+                continue
+        if worker.entry.is_draining:
+            _stop_runs_before_drain(state, worker, now)
+        if not worker.poll_in_flight and now >= worker.next_poll_at:
+            _send_poll(state, worker, now)
+
+
+def _stop_runs_before_drain(
+    state: SchedulerState, worker: WorkerState, now: Instant
+) -> None:
+    """Stop runs that would not finish before a draining worker leaves.
+
+    These are perpetual ones and those that save progress: they continue elsewhere.
+    Others keep running, since workers often stay longer than announced.
+    """
+    for run in list(worker.runs_by_task.values()):
+        step = state.step_of(run.task)
+        if step is None or run.phase is not RunPhase.RUNNING:
+            continue
+        spec = step.spec
+        queue = step.job.accepted.queue_name
+        left_s = (
+            run.began_at + state.forecast.estimate_s(queue, spec.estimated_ms) - now
+        )
+        will_finish = left_s * MS_PER_SECOND < worker.entry.drain_left_ms
+        if spec.perpetual or (spec.saves_progress and not will_finish):
+            state.stop_run(run, now)
+
+
+def _expire_lease(state: SchedulerState, worker: WorkerState, now: Instant) -> None:
+    if not worker.is_registered:
+        remove_worker(state, worker, now, "lease expired")
+        return
+    if worker.runs_by_task:
+        extra = {
+            "worker": worker.incarnation.worker_id,
+            "runs": len(worker.runs_by_task),
+        }
+        _log.info("worker lease expired", extra=extra)
+    for run in list(worker.runs_by_task.values()):
+        state.drop_run(run, now)
+    if worker.contact is ContactState.UNCONFIRMED:
+        worker.contact = ContactState.EXPIRED
+
+
+def _send_poll(state: SchedulerState, worker: WorkerState, now: Instant) -> None:
+    """Poll a worker; renew its lease too, unless it has been silent for too long.
+
+    The worker is asked to answer at once if its state or its lease is uncertain, or
+    if ends that it reported are not stored yet.
+    """
+    lease_end = worker.lease_end_clock_ms(now)
+    silent_since = worker.silent_since
+    if silent_since is not None and now > silent_since + RENEWAL_SILENCE_TIMEOUT_S:
+        lease_end = None
+    if lease_end is not None:
+        worker.lease_sent(lease_end)
+    may_wait = (
+        worker.contact is ContactState.CONFIRMED
+        and worker.silent_since is None
+        and not worker.last_poll_failed
+        and worker.reported_end_number == worker.stored_end_number
+        and lease_end is not None
+    )
+    worker.poll_in_flight = True
+    state.emit(
+        PollWorker(
+            incarnation=worker.incarnation,
+            address=worker.entry.address,
+            ack_cursor=worker.stored_end_number,
+            lease_end_clock_ms=lease_end,
+            wait_ms=_poll_wait_ms(state, worker) if may_wait else 0,
+        )
+    )
+
+
+def _poll_wait_ms(state: SchedulerState, worker: WorkerState) -> int:
+    for run in worker.runs_by_task.values():
+        job = state.jobs_by_id.get(run.task.job_id)
+        if job is not None and job.priority == URGENT_PRIORITY:
+            return URGENT_POLL_WAIT_MS
+    return POLL_WAIT_MS
--- a/tests/test_scheduling_leases.py
+++ b/tests/test_scheduling_leases.py
@@ -5,10 +5,8 @@
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling.holder_authority import HolderAuthority
 from tamarackmount.scheduling.model import JobPhase, TaskKey
-from tamarackmount.scheduling.worker_leases import (
-    MIN_POLL_INTERVAL_S,
-    RENEWAL_SILENCE_TIMEOUT_S,
-)
+from tamarackmount.scheduling.worker_leases import MIN_POLL_INTERVAL_S
+from tamarackmount.scheduling.worker_polls import RENEWAL_SILENCE_TIMEOUT_S
 from tamarackmount.scheduling.worker_reports import (
     OrderResult,
     PollFailure,
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -147,14 +147,14 @@
     ),
     Mutant(
         "the lease of a silent worker is not renewed",
-        "scheduling/worker_leases.py",
+        "scheduling/worker_polls.py",
         "if silent_since is not None "
         "and now > silent_since + RENEWAL_SILENCE_TIMEOUT_S:",
         "if False:",
     ),
     Mutant(
         "run ends are stored before they are acknowledged",
-        "scheduling/worker_leases.py",
+        "scheduling/worker_polls.py",
         "ack_cursor=worker.stored_end_number",
         "ack_cursor=worker.reported_end_number",
     ),
@@ -191,7 +191,7 @@
     ),
     Mutant(
         "a start order waits until the store holds its run",
-        "scheduling/placement.py",
+        "scheduling/run_starts.py",
         "if state.write_ahead.is_enabled:",
         "if False:",
     ),
@@ -222,7 +222,7 @@
     ),
     Mutant(
         "a team's ceiling is not exceeded",
-        "scheduling/placement.py",
+        "scheduling/ceilings.py",
         "not limit or in_use + per_task * count <= limit * fraction",
         "True",
     ),
