--- a/tests/test_scheduling_leases.py
+++ b/tests/test_scheduling_leases.py
@@ -244,7 +244,10 @@
     start_one_run(harness)
     harness.scheduler.set_authority(HolderAuthority.RENEW_ONLY)
     harness.take_polls()
+    # With a store that is away, a run that was placed would wait for it.
+    harness.is_store_healthy = False
     harness.submit_job(job(2))
+    assert not harness.scheduler.waits_for_store
     harness.answer_poll(worker_report(running=((first_task(), 1),)))
     harness.tick(0.1)
     assert not harness.starts
