Followers begin as soon as the registrations are read

Cause: after a restart a node began to follow up to 0.25 s after it had read the registrations, read the holder's heartbeats only after a second, and a follower that was asked about an unknown job by another one read the store as well.

Change: the decision follows each read of the registrations; heartbeats are read at the usual interval until the node knows that others follow; only a node that does not follow asks for a read of the store (`read_store`).

--- a/tamarackmount/internal/node_peer.capnp
+++ b/tamarackmount/internal/node_peer.capnp
@@ -44,6 +44,7 @@
 struct PhaseQuery {
   callId @0 :UInt64;
   jobId @1 :Text;
+  readStore @2 :Bool;
 }
 
 struct PhaseReply {
--- a/tamarackmount/node/holder_election.py
+++ b/tamarackmount/node/holder_election.py
@@ -136,9 +136,9 @@
         if self.holder is not None or self._is_claiming or context.is_draining:
             return
         self.tail.min_interval_s = (
-            HOLDER_READ_INTERVAL_S
-            if self._follower.is_following
-            else RELAXED_READ_INTERVAL_S
+            RELAXED_READ_INTERVAL_S
+            if self._follower.leaves_jobs_to_others
+            else HOLDER_READ_INTERVAL_S
         )
         if context.fleet is None:
             return
--- a/tamarackmount/node/job_service.py
+++ b/tamarackmount/node/job_service.py
@@ -220,7 +220,7 @@
         """Return the phase that the holder or another follower tells."""
         peers = self._context.peer_calls
         for node in self._nodes_to_ask():
-            query = PhaseQuery(peers.next_call_id(), job_id)
+            query = PhaseQuery(peers.next_call_id(), job_id, read_store=True)
             reply = await peers.call(node, query, PHASE_TIMEOUT_S)
             if not isinstance(reply, PhaseReply):
                 continue
@@ -336,7 +336,7 @@
             phase = holder.phase(job_id)
         elif self._follower.has_snapshot:
             phase = self._context.job_index.phase(job_id)
-        if phase is None:
+        if phase is None and query.read_store:
             phase = await self._read_phase(job_id)
         reply = PhaseReply(
             query.call_id,
--- a/tamarackmount/node/jobs_follower.py
+++ b/tamarackmount/node/jobs_follower.py
@@ -46,12 +46,18 @@
         self._checks = LoopingCall(stop_process_on_error(self._check))
         self._checks.clock = context.reactor
         self.is_needed_here: Callable[[], bool] = lambda: False
+        registry.on_read = self._check
 
     @property
     def is_following(self) -> bool:
         """Whether this node follows the topic."""
         return self._tail is not None
 
+    @property
+    def leaves_jobs_to_others(self) -> bool:
+        """Whether this node does not follow, and knows which others should."""
+        return not self.is_following and self._registry.tail.next_offset is not None
+
     @property
     def has_snapshot(self) -> bool:
         """Whether the index holds what the store had when this node began to follow."""
--- a/tamarackmount/node/messages.py
+++ b/tamarackmount/node/messages.py
@@ -44,10 +44,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PhaseQuery:
-    """Asks the holder, or another node that follows the store, for a job's phase."""
+    """Asks the holder, or another node that follows the store, for a job's phase.
+
+    With ``read_store``, the node reads the store to its end if it does not know the
+    job: the one that asks does not follow, and can't read itself.
+    """
 
     call_id: int
     job_id: str
+    read_store: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tamarackmount/node/node_registry.py
+++ b/tamarackmount/node/node_registry.py
@@ -1,7 +1,7 @@
 """Registration of entry VMs and their addresses, in a store topic of their own."""
 
 import logging
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from returns.result import Failure
@@ -50,10 +50,14 @@
     def __init__(
         self, context: NodeContext, addresses_by_id: dict[MemberId, PeerAddress]
     ) -> None:
-        """Maintain ``addresses_by_id``, which the links use."""
+        """Maintain ``addresses_by_id``, which the links use.
+
+        ``on_read`` is called whenever registrations were read.
+        """
         self._context = context
         self._addresses_by_id = addresses_by_id
         self._records_by_node: dict[MemberId, NodeRecord] = {}
+        self.on_read: Callable[[], None] = lambda: None
         self.tail = TopicTail(
             context.reactor,
             context.store,
@@ -109,6 +113,7 @@
                 self._remove(node)
             else:
                 self._add(node, decoded.unwrap())
+        self.on_read()
 
     def _remove(self, node: MemberId) -> None:
         self._records_by_node.pop(node, None)
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -129,3 +129,19 @@
     assert not timer.update(unwanted, Instant(NOW + FOLLOW_DELAY_S))
     assert not timer.update(wanted, Instant(NOW + 1.5 * FOLLOW_DELAY_S))
     assert timer.update(wanted, Instant(NOW + 2.6 * FOLLOW_DELAY_S))
+
+
+def test_a_node_follows_as_soon_as_it_has_read_the_registrations() -> None:
+    fleet = MemoryFleet(3)
+    fleet.restart(1)
+    fleet.run_for(0.04)
+    assert fleet.node(1).follows_jobs
+
+
+def test_a_follower_that_is_asked_by_another_one_does_not_read_the_store() -> None:
+    fleet = MemoryFleet(3)
+    fleet.store.is_down = True
+    before = fleet.store.reads_by_topic[JOBS_TOPIC]
+    found = fleet.run(fleet.node(2).jobs.phase(ID))
+    assert found is PhaseLookupFailure.UNAVAILABLE
+    assert fleet.store.reads_by_topic[JOBS_TOPIC] - before <= 1 + 3
--- a/tests/utils/memory_peers.py
+++ b/tests/utils/memory_peers.py
@@ -89,6 +89,10 @@
         """Return a node by its number."""
         return self.nodes_by_id[MemberId(f"n{number}")]
 
+    def restart(self, number: int) -> None:
+        """Replace a node's process by a new one, which has read nothing yet."""
+        self._start_node(MemberId(f"n{number}"))
+
     def lose(self, *numbers: int) -> None:
         """Let nodes send and receive nothing from now on."""
         self.lost_nodes.update(MemberId(f"n{number}") for number in numbers)
