A job whose record exceeds the store's limit is rejected with 413

Cause: the store would refuse such a record, and the caller would be told to retry a job that can never be stored.

--- a/tamarackmount/node/job_service.py
+++ b/tamarackmount/node/job_service.py
@@ -36,7 +36,7 @@
     Submissions,
 )
 from tamarackmount.node.tasks import spawn
-from tamarackmount.platform.store import KeyedRecord
+from tamarackmount.platform.store import KeyedRecord, encoded_bytes
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.admission import add_jitter
 from tamarackmount.scheduling.fleet_config import FleetConfig, Queue
@@ -127,6 +127,11 @@
         if self._context.job_index.phase(job.job_id) is not None:
             return ApiResponse(HttpStatus.OK)
         record = KeyedRecord(job_key(job), encode_record(job))
+        max_bytes = self._context.store.max_record_bytes
+        if encoded_bytes(record) > max_bytes:
+            extra = {"job": job.job_id, "bytes": encoded_bytes(record)}
+            _log.info("job rejected: record too large", extra=extra)
+            return ApiResponse(HttpStatus.TOO_LARGE)
         started_at = clock.now()
         result = await self._submissions.store(record, deadline)
         self._report_submission(job, result, clock.now() - started_at, deadline)
--- a/tamarackmount/node/journal_writer.py
+++ b/tamarackmount/node/journal_writer.py
@@ -32,7 +32,6 @@
 """Maximum number of callers' records in one append; a slow store takes longer for a
 larger one."""
 
-
 STALL_CHECK_INTERVAL_S = 0.1
 """Interval between two checks of an append that has no answer, in seconds."""
 
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -85,6 +85,14 @@
     assert harness.records(f"job/{ID}") == 1
 
 
+def test_job_that_exceeds_the_store_limit_of_a_record_is_rejected() -> None:
+    harness = NodeHarness()
+    harness.follow_store()
+    harness.store.max_record_bytes = 100
+    assert harness.submit().status is HttpStatus.TOO_LARGE
+    assert harness.records(f"job/{ID}") == 0
+
+
 def test_job_is_rejected_with_retry_time_while_store_is_down() -> None:
     harness = NodeHarness()
     harness.follow_store()
