--- a/tamarackmount/scheduling/advice_choice.py
+++ b/tamarackmount/scheduling/advice_choice.py
@@ -15,7 +15,7 @@
 
 from tamarackmount.ids import QueueName, RackId
 from tamarackmount.scheduling.free_capacity import count_fitting_tasks
-from tamarackmount.scheduling.runs import StepState
+from tamarackmount.scheduling.runs import StepState, WaitReason
 from tamarackmount.scheduling.workers import WorkerState
 
 MAX_WORKERS_PER_REQUEST = 60
@@ -66,7 +66,12 @@
 
 
 def lacks_capacity(step: StepState, allowed: Iterable[WorkerState]) -> bool:
-    """Tell whether allowed workers have too little free capacity for a step's tasks."""
+    """Tell whether allowed workers have too little free capacity for a step's tasks.
+
+    They have too little, too, if the last placement found none that could take a task.
+    """
+    if step.wait_reason is WaitReason.NO_CAPACITY:
+        return True
     return _count_fitting(step, allowed) < len(step.pending)
 
 
@@ -84,7 +89,7 @@
     """
     if not lacks_capacity(step, allowed):
         return []
-    missing = len(step.pending) - _count_fitting(step, allowed)
+    missing = max(1, len(step.pending) - _count_fitting(step, allowed))
     has_capacity = any(_fits(step, worker) for worker in undecided)
     if not has_capacity and len(allowed) >= MIN_ALLOWED_WORKERS:
         return []
@@ -147,6 +152,12 @@
 
 def _fits(step: StepState, worker: WorkerState) -> int:
     """Return how many of the step's pending tasks fit on a worker now."""
+    limit = step.spec.max_per_worker
+    if limit:
+        incarnation = worker.incarnation
+        limit -= sum(run.incarnation == incarnation for run in step.runs())
+        if limit <= 0:
+            return 0
     return count_fitting_tasks(
-        step.reserved_amount, worker.free, len(step.pending), step.spec.max_per_worker
+        step.reserved_amount, worker.free, len(step.pending), limit
     )
--- a/tamarackmount/scheduling/advice_requests.py
+++ b/tamarackmount/scheduling/advice_requests.py
@@ -145,7 +145,7 @@
             or now < advice.next_check_at
         ):
             return 0
-        workers = self._workers_to_ask_about(step, capacity_index)
+        workers = self._workers_to_ask_about(step, capacity_index, now)
         if not workers and is_ready:
             workers = self._workers_to_renew(step, queue.advice, now)
         if not workers:
@@ -160,7 +160,7 @@
         return 1
 
     def _workers_to_ask_about(
-        self, step: StepState, capacity_index: FreeCapacityIndex
+        self, step: StepState, capacity_index: FreeCapacityIndex, now: Instant
     ) -> list[WorkerState]:
         """Return the workers that a request for new tickets names.
 
@@ -170,7 +170,9 @@
         allowed = [
             worker
             for worker in self._state.find_workers(advice.allowed.values())
-            if worker.can_start and could_run(step, worker)
+            if worker.can_start
+            and now >= worker.backoff_until
+            and could_run(step, worker)
         ]
         if not lacks_capacity(step, allowed):
             return []
--- a/tests/test_scheduling_advice.py
+++ b/tests/test_scheduling_advice.py
@@ -4,7 +4,13 @@
 from tamarackmount.scheduling.advice_choice import ApprovalRates, workers_to_ask_about
 from tamarackmount.scheduling.fleet_config import AdvicePolicy
 from tamarackmount.scheduling.model import WorkerIncarnation
-from tamarackmount.scheduling.runs import StepState, make_job
+from tamarackmount.scheduling.runs import (
+    Run,
+    RunPhase,
+    StepState,
+    WaitReason,
+    make_job,
+)
 from tamarackmount.scheduling.workers import WorkerState
 from tests.utils.advice_replay import AdviceReplay
 from tests.utils.build_scheduling import (
@@ -140,3 +146,27 @@
         rates.record_answer(LOW_PRIORITY, asked=20, allowed=4)
     assert 0.18 <= rates.fraction(LOW_PRIORITY) <= 0.25
     assert rates.fraction(HIGH_PRIORITY) == 0.5
+
+
+def test_allowed_workers_at_the_limit_of_the_step_have_no_capacity_for_it() -> None:
+    pool = workers(30)
+    state = step_state(4, max_per_worker=1)
+    for index, worker in enumerate(pool[:3]):
+        state.pending.discard(index)
+        state.runs_by_index[index] = Run(
+            state.task(index),
+            1,
+            worker.incarnation,
+            state.reserved_amount,
+            state.reserved_amount,
+            RunPhase.RUNNING,
+            START,
+        )
+    assert workers_to_ask_about(state, pool[3:], pool[:3], 0.5)
+
+
+def test_others_are_asked_about_if_placement_found_no_capacity() -> None:
+    pool = workers(30)
+    state = step_state(4)
+    state.wait_reason = WaitReason.NO_CAPACITY
+    assert workers_to_ask_about(state, pool[8:], pool[:8], 0.5)
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -104,6 +104,12 @@
         "if False:\n            return False",
         NODE,
     ),
+    Mutant(
+        "other workers are asked about if the allowed ones can't take a task",
+        "scheduling/advice_choice.py",
+        "    if step.wait_reason is WaitReason.NO_CAPACITY:\n        return True\n",
+        "",
+    ),
     Mutant(
         "a job is known until the store has its end",
         "scheduling/scheduler_state.py",
