Advice: a gang waits only for as many allowed workers as it needs four times over

On a full pool a step stopped asking with eight allowed workers.

Change: it stops once the allowed workers, when idle, have four times what it needs.

Test: test_scheduling_advice.py, failed before.

--- a/tamarackmount/scheduling/advice_choice.py
+++ b/tamarackmount/scheduling/advice_choice.py
@@ -32,8 +32,13 @@
 workers of one request; other steps may take some of it."""
 
 MIN_ALLOWED_WORKERS = 8
-"""Number of allowed workers from which on a step waits for their capacity, rather than
-asking about workers that have none either."""
+"""Number of allowed workers from which on a step may wait for their capacity, rather
+than ask about workers that have none either."""
+
+WAITING_MARGIN = 4.0
+"""Multiple of the capacity that a step needs, without unit, which its allowed workers
+have to have when they are idle for the step to wait for them: tasks that need a whole
+worker wait long for one of a few."""
 
 INITIAL_APPROVAL = 0.5
 """Fraction of the workers in a request that are assumed to be allowed before a queue's
@@ -75,6 +80,22 @@
     return _count_fitting(step, allowed) < len(step.pending)
 
 
+def may_wait_for(step: StepState, allowed: Sequence[WorkerState]) -> bool:
+    """Tell whether enough workers are allowed for a step to wait for their capacity."""
+    fits_when_idle = sum(
+        count_fitting_tasks(
+            step.reserved_amount,
+            worker.entry.capacity,
+            len(step.pending),
+            step.spec.max_per_worker,
+        )
+        for worker in allowed
+    )
+    return len(
+        allowed
+    ) >= MIN_ALLOWED_WORKERS and fits_when_idle >= WAITING_MARGIN * len(step.pending)
+
+
 def workers_to_ask_about(
     step: StepState,
     undecided: Sequence[WorkerState],
@@ -91,7 +112,7 @@
         return []
     missing = max(1, len(step.pending) - _count_fitting(step, allowed))
     has_capacity = any(_fits(step, worker) for worker in undecided)
-    if not has_capacity and len(allowed) >= MIN_ALLOWED_WORKERS:
+    if not has_capacity and may_wait_for(step, allowed):
         return []
     return _select(step, undecided, missing, approval)
 
--- a/tamarackmount/scheduling/advice_requests.py
+++ b/tamarackmount/scheduling/advice_requests.py
@@ -14,9 +14,9 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.scheduling.advice_choice import (
-    MIN_ALLOWED_WORKERS,
     ApprovalRates,
     lacks_capacity,
+    may_wait_for,
     workers_to_ask_about,
 )
 from tamarackmount.scheduling.effects import AskAdvice
@@ -184,7 +184,7 @@
                 and advice.allowed.get(worker_id) != incarnation
             )
 
-        if len(allowed) >= MIN_ALLOWED_WORKERS and not (
+        if may_wait_for(step, allowed) and not (
             capacity_index.has_fitting_worker(step, is_undecided)
         ):
             return []
--- a/tests/test_scheduling_advice.py
+++ b/tests/test_scheduling_advice.py
@@ -170,3 +170,16 @@
     state = step_state(4)
     state.wait_reason = WaitReason.NO_CAPACITY
     assert workers_to_ask_about(state, pool[8:], pool[:8], 0.5)
+
+
+def test_a_gang_of_whole_workers_asks_about_more_of_a_full_pool_than_small_tasks() -> (
+    None
+):
+    pool = workers(76)
+    for worker in pool:
+        worker.used = worker.entry.capacity
+    small, whole = step_state(4, 4), step_state(4, 32, gang=True)
+    allowed, undecided = pool[:9], pool[9:]
+    assert workers_to_ask_about(small, undecided, allowed, 0.3) == []
+    assert len(workers_to_ask_about(whole, undecided, allowed, 0.3)) >= 30
+    assert workers_to_ask_about(whole, pool[16:], pool[:16], 0.3) == []
