--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -126,6 +126,13 @@
     assert harness.run(harness.node.jobs.phase(ID)) is PhaseLookupFailure.NOT_SUBMITTED
 
 
+def test_job_is_not_denied_while_the_store_can_not_be_read() -> None:
+    harness = NodeHarness()
+    harness.follow_store()
+    harness.store.is_down = True
+    assert harness.run(harness.node.jobs.phase(ID)) is PhaseLookupFailure.UNAVAILABLE
+
+
 def test_cancellation_is_stored_before_store_is_read() -> None:
     harness = NodeHarness()
     assert harness.cancel().status is HttpStatus.OK
