scheduling: one count of a step's runs on a worker; clearer advice choice

Found on reading the change once more: advice_choice.py counted a step's runs on a worker beside placement.py, a return was split by the formatter so that it read badly, and the module's text described requests sized by need alone, which changed.

Change: StepState.count_runs_on for both; no change of behaviour.

--- a/tamarackmount/scheduling/advice_choice.py
+++ b/tamarackmount/scheduling/advice_choice.py
@@ -3,9 +3,11 @@
 Load pattern: dozens of steps a second need tickets on a pool of hundreds of workers.
 The advice service takes longer the more workers a request names, and takes one request
 at a time from each entry VM. Requests that name more workers than their steps can use
-keep the entry VMs busy, and urgent steps wait for one of them. So a request names about
-as many workers as the step's tasks need, and steps are spread over the workers, as
-steps that name the same ones would compete for their capacity.
+keep the entry VMs busy, and urgent steps wait for one of them; requests that name too
+few have to be followed by others, each of which takes the base time again. So a request
+names a fixed number of workers, and more only for a step whose tasks need more. Steps
+are spread over the workers, as those that name the same ones would compete for their
+capacity.
 """
 
 import zlib
@@ -91,9 +93,9 @@
         )
         for worker in allowed
     )
-    return len(
-        allowed
-    ) >= MIN_ALLOWED_WORKERS and fits_when_idle >= WAITING_MARGIN * len(step.pending)
+    if len(allowed) < MIN_ALLOWED_WORKERS:
+        return False
+    return fits_when_idle >= WAITING_MARGIN * len(step.pending)
 
 
 def workers_to_ask_about(
@@ -175,8 +177,7 @@
     """Return how many of the step's pending tasks fit on a worker now."""
     limit = step.spec.max_per_worker
     if limit:
-        incarnation = worker.incarnation
-        limit -= sum(run.incarnation == incarnation for run in step.runs())
+        limit -= step.count_runs_on(worker.incarnation)
         if limit <= 0:
             return 0
     return count_fitting_tasks(
--- a/tamarackmount/scheduling/placement.py
+++ b/tamarackmount/scheduling/placement.py
@@ -345,7 +345,7 @@
 def _count_runs_on(step: StepState, worker: WorkerState) -> int:
     if not step.spec.max_per_worker:
         return 0
-    return sum(1 for run in step.runs() if run.incarnation == worker.incarnation)
+    return step.count_runs_on(worker.incarnation)
 
 
 def _is_at_worker_limit(step: StepState, count: int) -> bool:
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -141,6 +141,10 @@
         """Return every run that may still be running, copies included."""
         return [*self.runs_by_index.values(), *self.original_runs]
 
+    def count_runs_on(self, incarnation: WorkerIncarnation) -> int:
+        """Return how many runs may still be running on a worker."""
+        return sum(run.incarnation == incarnation for run in self.runs())
+
 
 @dataclass(slots=True)
 class JobState:
