--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -6,14 +6,14 @@
 is not part of CI, since each mutation runs its tests again.
 """
 
-import shutil
 import subprocess
 import sys
 import tempfile
 from dataclasses import dataclass
 from pathlib import Path
 
-ROOT = Path(__file__).parents[2]
+from tests.utils.source_edits import SourceEdit, StaleEditError, copy_source
+
 SCHEDULING = "tests/test_scheduling_*.py"
 NODE = "tests/test_platform_node.py tests/test_claims.py tests/test_holder_authority.py"
 
@@ -32,6 +32,11 @@
     new: str
     tests: str = SCHEDULING
 
+    @property
+    def edit(self) -> SourceEdit:
+        """The edit of the source."""
+        return SourceEdit(self.path, self.old, self.new)
+
 
 MUTANTS = (
     Mutant(
@@ -263,18 +268,12 @@
 def _is_caught(mutant: Mutant) -> bool:
     with tempfile.TemporaryDirectory() as folder:
         copy = Path(folder)
-        for name in ("tamarackmount", "tests", "pyproject.toml"):
-            source = ROOT / name
-            if source.is_dir():
-                shutil.copytree(source, copy / name)
-            else:
-                shutil.copy(source, copy / name)
-        path = copy / "tamarackmount" / mutant.path
-        text = path.read_text(encoding="utf-8")
-        if text.count(mutant.old) != 1:
-            print(f"STALE     {mutant.guard}: its old text does not occur exactly once")
+        copy_source(copy)
+        try:
+            mutant.edit.apply(copy)
+        except StaleEditError as error:
+            print(f"STALE     {mutant.guard}: {error}")
             return False
-        path.write_text(text.replace(mutant.old, mutant.new), encoding="utf-8")
         tests = [
             str(found.relative_to(copy))
             for pattern in mutant.tests.split()
--- /dev/null
+++ b/tests/utils/switch_offs.py
@@ -0,0 +1,195 @@
+"""Mechanisms that are there for speed or worth, and the edits that switch them off.
+
+``tools/compare_days.py`` plays days with one of them switched off, to measure what it
+is worth. None of them guards a promise: see :mod:`tests.utils.mutants` for those.
+"""
+
+from dataclasses import dataclass
+
+from tests.utils.source_edits import SourceEdit
+
+
+@dataclass(frozen=True, slots=True)
+class SwitchOff:
+    """A mechanism, the load pattern that it answers, and edits that switch it off."""
+
+    name: str
+    load_pattern: str
+    edits: tuple[SourceEdit, ...]
+
+
+def _edit(path: str, old: str, new: str) -> SourceEdit:
+    return SourceEdit(path, old, new)
+
+
+SWITCH_OFFS = (
+    SwitchOff(
+        "followers",
+        "tens of nodes read all jobs from the store",
+        (
+            _edit(
+                "scheduling/followers.py",
+                "FOLLOWERS_PER_DATA_CENTRE = 3",
+                "FOLLOWERS_PER_DATA_CENTRE = 1_000",
+            ),
+        ),
+    ),
+    SwitchOff(
+        "sized-advice",
+        "requests name more workers than their steps can use",
+        (
+            _edit(
+                "scheduling/advice_choice.py",
+                "MIN_WORKERS_PER_REQUEST = 30",
+                "MIN_WORKERS_PER_REQUEST = 60",
+            ),
+        ),
+    ),
+    SwitchOff(
+        "hedged-advice",
+        "an entry VM that requests advice is slow or cut off",
+        (
+            _edit(
+                "node/hedged_advice.py",
+                "if not request.is_done and request.attempts < MAX_ATTEMPTS:",
+                "if False:",
+            ),
+        ),
+    ),
+    SwitchOff(
+        "urgent-advice-reserve",
+        "slow decisions occupy every entry VM",
+        (
+            _edit(
+                "scheduling/advice_requests.py",
+                "return max(1, self.max_concurrent - reserved)",
+                "return self.max_concurrent + 0 * reserved",
+            ),
+        ),
+    ),
+    SwitchOff(
+        "suspected-workers",
+        "a worker is cut off, and orders go to it until a second poll fails",
+        (
+            _edit(
+                "scheduling/suspected_workers.py",
+                "if worker.is_suspected or worker.answered_at > sent_at:",
+                "if True:",
+            ),
+        ),
+    ),
+    SwitchOff(
+        "speculative-copies",
+        "a worker that runs urgent tasks is cut off or becomes slow",
+        (
+            _edit(
+                "scheduling/scheduler_state.py",
+                "if step is None or not step.allows_speculative_copy"
+                " or index in step.done:",
+                "if True:",
+            ),
+        ),
+    ),
+    SwitchOff(
+        "stragglers",
+        "a few workers become several times slower or make no progress",
+        (
+            _edit(
+                "scheduling/stragglers.py",
+                "        for step, run in stragglers:\n",
+                "        for step, run in ():\n",
+            ),
+        ),
+    ),
+    SwitchOff(
+        "probation",
+        "a worker fails all that it starts",
+        (
+            _edit(
+                "scheduling/run_ends.py",
+                "if worker.failures_in_row >= FAILURES_BEFORE_BACKOFF:",
+                "if False:",
+            ),
+        ),
+    ),
+    SwitchOff(
+        "preemption",
+        "urgent jobs arrive while longer work fills the pool",
+        (
+            _edit(
+                "scheduling/scheduler.py",
+                "        if not blocked_steps:\n            return",
+                "        return",
+            ),
+        ),
+    ),
+    SwitchOff(
+        "share-tiers",
+        "one team submits many times its usual number",
+        (
+            _edit(
+                "scheduling/ranking.py",
+                "        if next_free_at - now > SHARE_BURST_S:\n"
+                "            return True\n",
+                "",
+            ),
+        ),
+    ),
+    SwitchOff(
+        "ceiling-fraction",
+        "a team's long jobs fill its ceiling",
+        (
+            _edit(
+                "scheduling/ceilings.py",
+                "NON_URGENT_CEILING_FRACTION = 0.85",
+                "NON_URGENT_CEILING_FRACTION = 1.0",
+            ),
+        ),
+    ),
+    SwitchOff(
+        "one-data-centre",
+        "a data centre is cut off",
+        (
+            _edit(
+                "scheduling/placement.py",
+                "            worker.entry.data_centre != data_centre,\n",
+                "",
+            ),
+        ),
+    ),
+    SwitchOff(
+        "admission",
+        "the work ahead takes longer than a job may wait",
+        (
+            _edit(
+                "scheduling/admission.py",
+                "if wait_s <= BACKLOG_REFUSAL_FACTOR * max(0.0, max_wait_s):",
+                "if True:",
+            ),
+        ),
+    ),
+    SwitchOff(
+        "forecast",
+        "callers' estimates are far off",
+        (
+            _edit(
+                "scheduling/forecast.py",
+                "        if means is None:\n            return estimated_ms",
+                "        if True:\n            return estimated_ms",
+            ),
+        ),
+    ),
+    SwitchOff(
+        "urgent-polls",
+        "an answer to a poll of a worker with urgent runs is lost",
+        (
+            _edit(
+                "scheduling/worker_polls.py",
+                "URGENT_POLL_WAIT_MS = 400",
+                "URGENT_POLL_WAIT_MS = POLL_WAIT_MS",
+            ),
+        ),
+    ),
+)
+
+SWITCH_OFFS_BY_NAME = {switch_off.name: switch_off for switch_off in SWITCH_OFFS}
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools, outside the package."""
