Runs that began before a takeover are no samples of durations

Cause: a new holder counts a run that it adopts from its own start. Change: Run.is_adopted; adopted runs give no sample to their step, their worker or the forecast. The new test failed before (two jobs' runs stopped).

--- a/tamarackmount/scheduling/run_ends.py
+++ b/tamarackmount/scheduling/run_ends.py
@@ -86,7 +86,7 @@
     now: Instant,
 ) -> None:
     run = state.find_run(worker.incarnation, ended.task, ended.run_number)
-    if run is None or run.resumed:
+    if run is None or run.resumed or run.is_adopted:
         return
     took_s = now - run.began_at
     if len(step.durations_s) >= MIN_DURATION_SAMPLES:
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -60,7 +60,8 @@
     being stopped. ``confirmed_at`` is when the worker was last known to have the run,
     ``stopped_at`` when it confirmed a stop. ``speed_percent`` and
     ``tail_ms_or_millicores`` are those of its newest row in a report. A run that
-    ``resumed`` began from a checkpoint.
+    ``resumed`` began from a checkpoint. One that ``is_adopted`` was started by a former
+    holder: it began before ``began_at``, which is when this holder learned of it.
     """
 
     task: TaskKey
@@ -77,6 +78,7 @@
     speed_percent: int = 100
     tail_ms_or_millicores: int = 0
     resumed: bool = False
+    is_adopted: bool = False
     is_orphaned: bool = False
 
 
--- a/tamarackmount/scheduling/worker_leases.py
+++ b/tamarackmount/scheduling/worker_leases.py
@@ -275,6 +275,7 @@
         RunPhase.RUNNING,
         now,
         now,
+        is_adopted=True,
     )
     index = row.task.index
     is_wanted = (
--- a/tests/test_scheduling_takeover.py
+++ b/tests/test_scheduling_takeover.py
@@ -334,6 +334,48 @@
     return harness.store_pending()
 
 
+def test_runs_that_began_before_a_takeover_do_not_make_others_stragglers() -> None:
+    before = SchedulerHarness(ceiling=Resources())
+    workers = [worker_entry("w1", cores=64), worker_entry("w2", cores=64)]
+    before.register_workers(*workers)
+    jobs = [job(number, step(4)) for number in (1, 2)]
+    for accepted in jobs:
+        before.submit_job(accepted)
+    starts = before.answer_starts()
+    index = build_job_index(jobs, before.store_pending())
+    before.tick(4.0)
+
+    harness = build_next_holder(before, index, ceiling=Resources())
+    harness.scheduler.set_registered_workers(workers, harness.now)
+    running = [(row.order.task, row.order.run_number) for row in starts]
+    for worker in workers:
+        on_worker = [
+            pair
+            for pair, row in zip(running, starts, strict=True)
+            if row.order.incarnation == worker.incarnation
+        ]
+        report = worker_report(running=tuple(on_worker))
+        harness.answer_poll(report, worker.incarnation)
+    # Two tasks of each step end just after the takeover, though they took 4 s.
+    harness.tick(0.2)
+    for worker in workers:
+        rows = [row for row in starts if row.order.incarnation == worker.incarnation]
+        short = [row for row in rows if row.order.task.index < 2]
+        ended = tuple(
+            ended_run(number, row.order.task, row.order.run_number, RunEnd.DONE)
+            for number, row in enumerate(short, 1)
+        )
+        left = tuple(
+            (row.order.task, row.order.run_number) for row in rows if row not in short
+        )
+        harness.answer_poll(
+            worker_report(running=left, ended=ended), worker.incarnation
+        )
+    for _ in range(10):
+        harness.tick(0.2)
+    assert not harness.stops
+
+
 def test_a_job_submitted_again_after_an_earlier_holder_ended_it_stays_ended() -> None:
     before = SchedulerHarness()
     before.register_workers(worker_entry("w1"))
