An unresponsive holder is replaced after 0.6 s without a heartbeat

Change: candidates of the first ranks probe a holder whose heartbeats are missing. If it does not answer, or has just read the store in vain, and the store answers the candidate within 0.15 s, it is replaced at once. The grace in which it may still send orders follows from its last heartbeat, as before. Tests in virtual time: a lost holder, one that reads the store, a slow store.

--- a/tamarackmount/internal/node_peer.capnp
+++ b/tamarackmount/internal/node_peer.capnp
@@ -83,6 +83,7 @@
 
 struct StoreAgeQuery {
   callId @0 :UInt64;
+  readNow @1 :Bool;
 }
 
 struct StoreAgeReply {
--- a/tamarackmount/node/holder_election.py
+++ b/tamarackmount/node/holder_election.py
@@ -12,13 +12,18 @@
 from tamarackmount.node.context import NodeContext
 from tamarackmount.node.holder import Holder
 from tamarackmount.node.holder_dependencies import HolderDependencies
+from tamarackmount.node.holder_probe import HolderProbe
 from tamarackmount.node.jobs_follower import JobsFollower
 from tamarackmount.node.messages import HolderReleased
 from tamarackmount.node.node_registry import NodeRegistry
 from tamarackmount.node.tasks import spawn, stop_process_on_error
 from tamarackmount.node.topic_tail import TopicTail
 from tamarackmount.platform.store import KeyedRecord
-from tamarackmount.scheduling.holder_watch import HolderWatch, candidate_rank
+from tamarackmount.scheduling.holder_watch import (
+    MAX_QUICK_READ_S,
+    HolderWatch,
+    candidate_rank,
+)
 from tamarackmount.scheduling.journal import HolderRecord, decode_record
 
 HOLDER_READ_WAIT_MS = 1_000
@@ -36,6 +41,14 @@
 CLAIM_CHECK_INTERVAL_S = 0.1
 """Interval between two checks whether to claim the role, in seconds."""
 
+MAX_PROBING_RANK = 3
+"""Rank among the candidates below which a node probes a silent holder; the others claim
+later."""
+
+SLOW_STORE_BACKOFF_S = 0.5
+"""Time after a slow read of the store in which missing heartbeats do not count as those
+of an unresponsive holder, in seconds."""
+
 # Operators' tools read the messages "scheduling claimed", "scheduling held" and
 # "scheduling given up"; they keep their texts.
 _log = logging.getLogger(__name__)
@@ -62,6 +75,8 @@
         follower.is_needed_here = lambda: self._is_claiming or self.holder is not None
         self._make_dependencies = make_dependencies
         self._watch = HolderWatch(Instant(clock.now()), Instant(float("-inf")))
+        self._probe = HolderProbe(context.peer_calls)
+        self._slow_store_until = Instant(float("-inf"))
         self._is_claiming = False
         self.holder: Holder | None = None
         self.tail = TopicTail(
@@ -145,7 +160,8 @@
         candidates = self._registry.candidates()
         rank = candidate_rank(context.node_id, candidates, self.holder_node)
         started = self._registry.started_by_node()
-        if not self._watch.should_claim(rank, started, clock.now()):
+        is_unresponsive = self._is_holder_unresponsive(rank)
+        if not self._watch.should_claim(rank, started, clock.now(), is_unresponsive):
             return
         if not self._follower.is_following:
             self._follower.follow_now()
@@ -153,6 +169,13 @@
             self._is_claiming = True
             spawn(self._claim())
 
+    def _is_holder_unresponsive(self, rank: int) -> bool:
+        """Tell whether the holder was probed in vain, while the store is quick."""
+        if rank >= MAX_PROBING_RANK or clock.now() < self._slow_store_until:
+            return False
+        self._probe.update(self.holder_node, self._watch.silent_since)
+        return self._probe.is_unresponsive
+
     async def _claim(self) -> None:
         try:
             await self._claim_if_due()
@@ -160,16 +183,24 @@
             self._is_claiming = False
 
     async def _claim_if_due(self) -> None:
+        is_unresponsive = self._probe.is_unresponsive
+        read_started_at = clock.now()
         if not await self.tail.read_now():
             return
+        if clock.now() > read_started_at + MAX_QUICK_READ_S:
+            is_unresponsive = False
+            self._slow_store_until = Instant(clock.now() + SLOW_STORE_BACKOFF_S)
         context = self._context
         end = self.tail.next_offset
         started = self._registry.started_by_node()
         # Rank 0: this node has waited for its rank already. The read above may have
         # shown a newer record of the holder.
-        if end is None or not self._watch.should_claim(0, started, clock.now()):
+        now = clock.now()
+        if end is None or not self._watch.should_claim(
+            0, started, now, is_unresponsive
+        ):
             return
-        grace_s = self._watch.former_holder_grace_s(started)
+        grace_s = self._watch.former_holder_grace_s(started, now)
         new_claim = await claim(
             context.reactor,
             context.store,
--- /dev/null
+++ b/tamarackmount/node/holder_probe.py
@@ -0,0 +1,55 @@
+"""Probing the holder while its heartbeats are missing."""
+
+from tamarackmount.ids import Instant, MemberId
+from tamarackmount.node import clock
+from tamarackmount.node.messages import StoreAgeQuery, StoreAgeReply
+from tamarackmount.node.peer_calls import PeerCalls
+from tamarackmount.node.tasks import spawn
+from tamarackmount.units import MS_PER_SECOND
+
+PROBE_AFTER_S = 0.45
+"""Time without a heartbeat after which the holder is probed, in seconds; heartbeats
+follow each other sooner while the holder and the store are well."""
+
+PROBE_TIMEOUT_S = 0.2
+"""Timeout of a probe, in seconds. The holder reads the store for its answer, which
+takes 20 ms in all, and a slow VM several times as long."""
+
+MAX_STORE_AGE_S = 0.4
+"""Time since the store's last answer to the holder from which on the holder does not
+reach the store, in seconds; it has read the store just before its answer."""
+
+
+class HolderProbe:
+    """Asks the holder whether it lives and reaches the store."""
+
+    def __init__(self, peers: PeerCalls) -> None:
+        """Probe over the links of ``peers``."""
+        self._peers = peers
+        self._probed_node: MemberId | None = None
+        self._is_probing = False
+        self.is_unresponsive = False
+
+    def update(self, holder: MemberId | None, silent_since: Instant) -> None:
+        """Probe the holder if its heartbeats have been missing since ``silent_since``.
+
+        ``is_unresponsive`` is the result of the last probe of this silence.
+        """
+        is_silent = clock.now() > silent_since + PROBE_AFTER_S
+        if holder is None or not is_silent or holder != self._probed_node:
+            self.is_unresponsive = False
+            self._probed_node = holder if is_silent else None
+        if self._probed_node is not None and not self._is_probing:
+            self._is_probing = True
+            spawn(self._probe(self._probed_node))
+
+    async def _probe(self, holder: MemberId) -> None:
+        query = StoreAgeQuery(self._peers.next_call_id(), read_now=True)
+        reply = await self._peers.call(holder, query, PROBE_TIMEOUT_S)
+        self._is_probing = False
+        if holder != self._probed_node:
+            return
+        self.is_unresponsive = (
+            not isinstance(reply, StoreAgeReply)
+            or reply.age_ms > MAX_STORE_AGE_S * MS_PER_SECOND
+        )
--- a/tamarackmount/node/messages.py
+++ b/tamarackmount/node/messages.py
@@ -113,9 +113,13 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreAgeQuery:
-    """Asks other entry VMs whether they reach the store, while the holder does not."""
+    """Asks other entry VMs whether they reach the store.
+
+    With ``read_now`` the node reads the store first, unless it has just done so.
+    """
 
     call_id: int
+    read_now: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -63,6 +63,10 @@
 """Time without contact with the store after which a node is not ready, so that new
 callers go to other nodes, in seconds. Its reads are answered at least every second."""
 
+FRESH_STORE_CONTACT_S = 0.1
+"""Time since the store's last answer within which a node that is asked whether it
+reaches the store need not read first, in seconds."""
+
 DRAIN_CHECK_INTERVAL_S = 0.1
 """Interval between two checks whether a draining node may stop, in seconds."""
 
@@ -161,7 +165,7 @@
         self._listen(PeerAddress(settings.ip, settings.metrics_port), metrics)
         self._context.links.listen(PeerAddress(settings.ip, settings.peer_port))
         self.follow_store()
-        self._election.start()
+        self.start_claiming()
         spawn(self._registry.register())
         _log.info("node started", extra={"node": settings.node})
 
@@ -172,6 +176,10 @@
         self._registry.tail.start()
         self._follower.start()
 
+    def start_claiming(self) -> None:
+        """Start claiming the holder role whenever this node is next in rank."""
+        self._election.start()
+
     @property
     def follows_jobs(self) -> bool:
         """Whether this node follows the jobs topic of the store."""
@@ -236,7 +244,7 @@
             context.peer_calls,
             context.metrics,
             context.settings.bounds.status_retention_s,
-            lambda: clock.now() - self._last_store_contact,
+            self._store_silence_s,
         )
 
     def _is_ready(self) -> bool:
@@ -244,7 +252,7 @@
             not self._context.is_draining
             and self._context.fleet is not None
             and self.jobs.can_look_up
-            and clock.now() < self._last_store_contact + READY_MAX_STORE_SILENCE_S
+            and self._store_silence_s() < READY_MAX_STORE_SILENCE_S
         )
 
     @property
@@ -287,10 +295,20 @@
         handler(envelope.sender, envelope.message)
 
     def _handle_store_age_query(self, sender: MemberId, query: StoreAgeQuery) -> None:
-        last_contact = max(self._last_store_contact, Instant(0.0))
-        age_ms = int((clock.now() - last_contact) * MS_PER_SECOND)
+        spawn(self._answer_store_age_query(sender, query))
+
+    async def _answer_store_age_query(
+        self, sender: MemberId, query: StoreAgeQuery
+    ) -> None:
+        if query.read_now and self._store_silence_s() > FRESH_STORE_CONTACT_S:
+            await self._election.tail.read_now()
+        age_ms = int(self._store_silence_s() * MS_PER_SECOND)
         self._context.links.send(sender, StoreAgeReply(query.call_id, age_ms))
 
+    def _store_silence_s(self) -> float:
+        """Return the time since the store last answered this node, in seconds."""
+        return clock.now() - max(self._last_store_contact, Instant(0.0))
+
     def _handle_advice_query(self, sender: MemberId, query: AdviceQuery) -> None:
         spawn(self._answer_advice_query(sender, query))
 
--- a/tamarackmount/scheduling/holder_watch.py
+++ b/tamarackmount/scheduling/holder_watch.py
@@ -4,6 +4,11 @@
 once it has followed the store for ``HEARTBEAT_TIMEOUT_S`` without a heartbeat, or at
 once if the holder has released its role or its process has ended. Only one of several
 claims is accepted, as each names the offset at which the topic has to end.
+
+Load pattern: the holder is cut off, frozen or turned away by the store, and urgent jobs
+have half a second to spare. So a claim comes earlier, after ``UNRESPONSIVE_TIMEOUT_S``,
+if the holder does not answer a probe or does not reach the store either, and the store
+answers this node quickly: a slow store delays the heartbeats of a healthy holder.
 """
 
 from collections import Counter
@@ -22,6 +27,14 @@
 heartbeats while the store is healthy, or one whose answer was lost twice. With a slow
 store, heartbeats come every second, and a claim first reads all that was written."""
 
+UNRESPONSIVE_TIMEOUT_S = 0.6
+"""Time without a heartbeat after which an unresponsive holder is replaced, in seconds:
+one that is well writes two heartbeats in it."""
+
+MAX_QUICK_READ_S = 0.15
+"""Longest read of the holder topic, in seconds, with which the store counts as quick;
+reads take 5 to 15 ms."""
+
 CLAIM_STAGGER_S = 0.12
 """Delay between the claims of two candidates, in seconds: the time of a whole claim."""
 
@@ -29,9 +42,10 @@
 """Delay before a claim if there was no holder yet, in seconds: nodes register within
 it."""
 
-FORMER_HOLDER_GRACE_S = RENEWAL_LIMIT_S - HEARTBEAT_TIMEOUT_S + 0.3
-"""Time after a claim within which a replaced holder that still runs may send orders, in
-seconds: see ``holder_authority.py``; 0.3 s allows for orders in flight."""
+FORMER_ORDERS_LIMIT_S = RENEWAL_LIMIT_S + 0.3
+"""Time after its last accepted heartbeat within which a replaced holder that still runs
+may send orders, in seconds: see ``holder_authority.py``; 0.3 s allows for orders in
+flight."""
 
 StartTimes = Mapping[MemberId, int]
 """Start of the newest process of each entry VM, in milliseconds since 1970."""
@@ -73,12 +87,21 @@
         self.last_read = now
 
     def should_claim(
-        self, rank: int, started_by_node: StartTimes, now: Instant
+        self,
+        rank: int,
+        started_by_node: StartTimes,
+        now: Instant,
+        is_unresponsive: bool = False,
     ) -> bool:
-        """Tell whether the candidate with this rank claims now."""
+        """Tell whether the candidate with this rank claims now.
+
+        ``is_unresponsive`` tells whether the holder was probed in vain.
+        """
         if now - self.last_read > MAX_READ_GAP_S:
             return False
         delay_s = self._claim_delay_s(started_by_node)
+        if is_unresponsive:
+            delay_s = min(delay_s, UNRESPONSIVE_TIMEOUT_S)
         return now >= self.silent_since + delay_s + rank * CLAIM_STAGGER_S
 
     def has_restarted(self, started_by_node: StartTimes) -> bool:
@@ -88,12 +111,12 @@
             return False
         return started_by_node.get(record.node, 0) > record.started_unix_ms
 
-    def former_holder_grace_s(self, started_by_node: StartTimes) -> float:
-        """Return for how many seconds the holder may send orders after a claim."""
+    def former_holder_grace_s(self, started_by_node: StartTimes, now: Instant) -> float:
+        """Return for how many seconds the holder may send orders after a claim now."""
         record = self.record
         if record is None or record.released or self.has_restarted(started_by_node):
             return 0.0
-        return FORMER_HOLDER_GRACE_S
+        return max(0.0, self.silent_since + FORMER_ORDERS_LIMIT_S - now)
 
     def _claim_delay_s(self, started_by_node: StartTimes) -> float:
         record = self.record
--- a/tests/test_holder_authority.py
+++ b/tests/test_holder_authority.py
@@ -52,7 +52,9 @@
 
 def test_a_replaced_holder_has_no_authority_after_its_grace_period() -> None:
     watch = watch_of(HolderRecord(HOLDER, 5, 1, 100))
-    grace_end_s = HEARTBEAT_TIMEOUT_S + watch.former_holder_grace_s({})
+    grace_end_s = HEARTBEAT_TIMEOUT_S + watch.former_holder_grace_s(
+        {}, Instant(10.0 + HEARTBEAT_TIMEOUT_S)
+    )
     assert holder_authority(grace_end_s, 8, []) is HolderAuthority.NONE
     assert FULL_AUTHORITY_LIMIT_S < RENEWAL_LIMIT_S
 
@@ -94,8 +96,8 @@
     watch = watch_of(HolderRecord(HOLDER, 5, 1, 100))
     assert watch.should_claim(0, {HOLDER: 101}, Instant(10.0))
     assert not watch.should_claim(0, {HOLDER: 100}, Instant(10.0))
-    assert watch.former_holder_grace_s({HOLDER: 101}) == 0.0
-    assert watch.former_holder_grace_s({HOLDER: 100}) > 0.0
+    assert watch.former_holder_grace_s({HOLDER: 101}, Instant(10.0)) == 0.0
+    assert watch.former_holder_grace_s({HOLDER: 100}, Instant(10.0)) > 0.0
 
 
 def test_a_heartbeat_of_an_earlier_epoch_is_ignored() -> None:
--- /dev/null
+++ b/tests/test_holder_probe.py
@@ -0,0 +1,69 @@
+"""Taking over from a holder that does not answer or does not reach the store."""
+
+import pytest
+
+from tamarackmount.ids import Instant, MemberId
+from tamarackmount.node import clock
+from tamarackmount.scheduling.holder_authority import HolderAuthority, holder_authority
+from tamarackmount.scheduling.holder_watch import (
+    HEARTBEAT_INTERVAL_S,
+    HEARTBEAT_TIMEOUT_S,
+    MAX_QUICK_READ_S,
+    UNRESPONSIVE_TIMEOUT_S,
+    HolderWatch,
+)
+from tamarackmount.scheduling.journal import HolderRecord
+from tests.utils.memory_peers import MemoryFleet
+
+HOLDER = MemberId("n0")
+LATEST_PROBED_CLAIM_S = UNRESPONSIVE_TIMEOUT_S + 0.3
+"""Time within which an unresponsive holder is replaced, in seconds: two checks and a
+claim come on top of the timeout."""
+
+
+@pytest.fixture
+def fleet(monkeypatch: pytest.MonkeyPatch) -> MemoryFleet:
+    """Return three nodes that have elected the first one."""
+    fleet = MemoryFleet(3)
+    monkeypatch.setattr(clock, "now", lambda: Instant(fleet.clock.seconds()))
+    fleet.start_claiming()
+    assert fleet.holder() == HOLDER
+    return fleet
+
+
+def test_a_lost_holder_is_replaced_before_the_heartbeat_timeout(
+    fleet: MemoryFleet,
+) -> None:
+    fleet.lose(0)
+    fleet.run_for(LATEST_PROBED_CLAIM_S)
+    assert fleet.holder() != HOLDER
+    assert LATEST_PROBED_CLAIM_S < HEARTBEAT_TIMEOUT_S
+
+
+def test_a_holder_that_reads_the_store_keeps_its_role_until_the_heartbeat_timeout(
+    fleet: MemoryFleet,
+) -> None:
+    fleet.nodes_without_appends.add(HOLDER)
+    fleet.run_for(HEARTBEAT_TIMEOUT_S - HEARTBEAT_INTERVAL_S - 0.05)
+    assert fleet.holder() == HOLDER
+    fleet.run_for(HEARTBEAT_INTERVAL_S + 0.6)
+    assert fleet.holder() != HOLDER
+
+
+def test_a_lost_holder_keeps_its_role_longer_while_the_store_is_slow(
+    fleet: MemoryFleet,
+) -> None:
+    fleet.store.read_latency_s = 2 * MAX_QUICK_READ_S
+    fleet.lose(0)
+    fleet.run_for(HEARTBEAT_TIMEOUT_S - HEARTBEAT_INTERVAL_S - 0.05)
+    assert fleet.holder() == HOLDER
+    fleet.run_for(HEARTBEAT_INTERVAL_S + 1.5)
+    assert fleet.holder() != HOLDER
+
+
+def test_a_holder_replaced_early_has_no_authority_after_its_grace_period() -> None:
+    watch = HolderWatch(Instant(10.0), Instant(10.0))
+    watch.heartbeat_received(HolderRecord(HOLDER, 5, 1, 100), Instant(10.0))
+    claimed_at = Instant(10.0 + UNRESPONSIVE_TIMEOUT_S)
+    grace_ends_at = claimed_at + watch.former_holder_grace_s({}, claimed_at)
+    assert holder_authority(grace_ends_at - 10.0, 8, []) is HolderAuthority.NONE
--- a/tests/utils/memory_peers.py
+++ b/tests/utils/memory_peers.py
@@ -7,16 +7,26 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import Clock
 
-from tamarackmount.ids import Instant, MemberId
+from tamarackmount.ids import Instant, MemberId, Offset
 from tamarackmount.internal.codec import Envelope
 from tamarackmount.node.claims import HOLDER_TOPIC
 from tamarackmount.node.node import Node
 from tamarackmount.node.node_registry import NODES_TOPIC, NodeRecord
 from tamarackmount.platform.boot import decode_boot
-from tamarackmount.platform.store import KeyedRecord
-from tamarackmount.scheduling.journal import HolderRecord, encode_record
-from tests.utils.build_platform_documents import boot_document
-from tests.utils.memory_store import MemoryStore
+from tamarackmount.platform.config import CONFIG_KEY
+from tamarackmount.platform.store import (
+    OPERATOR_TOPIC,
+    KeyedRecord,
+    StoreError,
+    Topic,
+)
+from tamarackmount.scheduling.journal import (
+    HolderRecord,
+    decode_record,
+    encode_record,
+)
+from tests.utils.build_platform_documents import boot_document, config_document
+from tests.utils.memory_store import OUTCOME_UNKNOWN, MemoryStore
 
 LATENCY_S = 0.001
 """Time that a message takes, in seconds."""
@@ -51,11 +61,48 @@
         """Do nothing: there is no connection to close."""
 
 
+class NodeStore:
+    """The store as one node reaches it.
+
+    A lost node gets no answer. Appends of a node in ``nodes_without_appends`` get none
+    and have no effect, while its reads are answered.
+    """
+
+    def __init__(self, fleet: "MemoryFleet", node_id: MemberId) -> None:
+        """Connect a node of a fleet."""
+        self._fleet = fleet
+        self._node_id = node_id
+
+    def __getattr__(self, name: str) -> Any:
+        """Return an attribute of the store that all nodes share."""
+        return getattr(self._fleet.store, name)
+
+    async def append(
+        self, topic: Topic, records: Any, deadline: Instant, *options: Any
+    ) -> Any:
+        """Append, unless the node does not reach the store."""
+        if self._node_id in self._fleet.lost_nodes | self._fleet.nodes_without_appends:
+            return await self._wait_in_vain(deadline)
+        return await self._fleet.store.append(topic, records, deadline, *options)
+
+    async def read(
+        self, topic: Topic, start: Offset, wait_ms: int, deadline: Instant
+    ) -> Any:
+        """Read, unless the node does not reach the store."""
+        if self._node_id in self._fleet.lost_nodes:
+            return await self._wait_in_vain(deadline)
+        return await self._fleet.store.read(topic, start, wait_ms, deadline)
+
+    async def _wait_in_vain(self, deadline: Instant) -> StoreError:
+        await self._fleet.store.sleep(deadline - self._fleet.clock.seconds())
+        return OUTCOME_UNKNOWN
+
+
 class MemoryFleet:
     """Entry VMs of one data centre over an in-memory store; the first is the holder.
 
-    Node ``n0`` has the most processor time. None of them schedules: a record in the
-    store names the holder, which follows the store.
+    Node ``n0`` has the most processor time. A record in the store names it as the
+    holder, but it does not schedule before :meth:`start_claiming`.
     """
 
     def __init__(self, size: int) -> None:
@@ -64,6 +111,7 @@
         self.clock.advance(100.0)
         self.store = MemoryStore(self.clock)
         self.lost_nodes: set[MemberId] = set()
+        self.nodes_without_appends: set[MemberId] = set()
         self.nodes_by_id: dict[MemberId, Node] = {}
         holder = HolderRecord(MemberId("n0"), 1, 0, 1)
         self.store.put(HOLDER_TOPIC, KeyedRecord("holder", encode_record(holder)))
@@ -79,7 +127,7 @@
         document = boot_document(node=node_id, zone="kyushu-a")
         settings = decode_boot(orjson.dumps(document)).unwrap()
         reactor: Any = self.clock
-        store: Any = self.store
+        store: Any = NodeStore(self, node_id)
         links: Any = MemoryLinks(self, node_id)
         node = Node(settings, reactor, store, links)
         self.nodes_by_id[node_id] = node
@@ -93,6 +141,19 @@
         """Replace a node's process by a new one, which has read nothing yet."""
         self._start_node(MemberId(f"n{number}"))
 
+    def start_claiming(self) -> None:
+        """Put a configuration into force, and let the nodes elect a holder."""
+        configuration = orjson.dumps(config_document())
+        self.store.put(OPERATOR_TOPIC, KeyedRecord(CONFIG_KEY, configuration))
+        for node in self.nodes_by_id.values():
+            node.start_claiming()
+        self.run_for(2.0)
+
+    def holder(self) -> MemberId:
+        """Return the node that claimed the holder role last."""
+        newest = self.store.records(HOLDER_TOPIC)[-1]
+        return decode_record(newest.value, HolderRecord).unwrap().node
+
     def lose(self, *numbers: int) -> None:
         """Let nodes send and receive nothing from now on."""
         self.lost_nodes.update(MemberId(f"n{number}") for number in numbers)
--- a/tests/utils/memory_store.py
+++ b/tests/utils/memory_store.py
@@ -34,6 +34,9 @@
 A repeated append gets the result of the first one.
 """
 
+LONG_POLL_STEP_S = 0.02
+"""Interval at which a long poll looks for new records, in seconds."""
+
 OUTCOME_UNKNOWN = StoreError(StoreErrorKind.OUTCOME_UNKNOWN, "deadline passed")
 NOT_APPLIED = StoreError(StoreErrorKind.NOT_APPLIED, "status 503")
 
@@ -56,7 +59,8 @@
 class MemoryStore:
     """In-memory replacement of the platform's store.
 
-    ``append_latency_s`` is the duration of one append. While ``is_down``, calls fail,
+    ``append_latency_s`` is the duration of one append, ``read_latency_s`` that of a
+    read, in seconds. While ``is_down``, calls fail,
     and while ``is_silent``, appends get no answer and have no effect.
     The next ``replies_to_drop`` appends take effect but their replies are lost.
     ``append_sizes`` are the sizes of the records of each append, in bytes.
@@ -67,6 +71,7 @@
         self._clock = clock
         self._partitions_by_topic: dict[Topic, _Partition] = {}
         self.append_latency_s = append_latency_s
+        self.read_latency_s = 0.01
         self.is_down = False
         self.is_silent = False
         self.replies_to_drop = 0
@@ -122,15 +127,17 @@
         """Return the records from ``start`` on, after a short delay."""
         self.calls += 1
         self.reads_by_topic[topic] += 1
-        await self._delay(min(0.01, max(0.0, deadline - self._clock.seconds())))
+        latency_s = self.read_latency_s
+        await self._delay(min(latency_s, max(0.0, deadline - self._clock.seconds())))
         if self.is_down:
             return NOT_APPLIED
         partition = self._partition(topic)
         if start < partition.first_offset:
             return Trimmed(Offset(partition.first_offset))
         rows = partition.records[start:]
-        if not rows and wait_ms:
-            await self._delay(wait_ms / 1_000)
+        wait_ends_at = self._clock.seconds() + wait_ms / 1_000
+        while not rows and self._clock.seconds() < wait_ends_at:
+            await self._delay(LONG_POLL_STEP_S)
             rows = partition.records[start:]
         end = Offset(len(partition.records))
         return RecordsPage(rows, end, Offset(start + len(rows)))
