A record with a lost holder is sent to the next one as soon as it is ready

Cause: nodes hand callers' records to the holder and wait for a second. With the holder lost, all records of that second are late although the next holder is there after 0.7 s. Change: a notice of a new holder repeats the records that wait for the former one. Its outcome stays unknown unless the new one stored or refused it. Kept for the callers of that second, shown by a test that failed before (record answered after 0.9 s at most, was 1.0 s).

--- a/tamarackmount/node/holder_election.py
+++ b/tamarackmount/node/holder_election.py
@@ -16,7 +16,7 @@
 from tamarackmount.node.jobs_follower import JobsFollower
 from tamarackmount.node.messages import HolderReleased
 from tamarackmount.node.node_registry import NodeRegistry
-from tamarackmount.node.tasks import spawn, stop_process_on_error
+from tamarackmount.node.tasks import Change, spawn, stop_process_on_error
 from tamarackmount.node.topic_tail import TopicTail
 from tamarackmount.platform.store import KeyedRecord
 from tamarackmount.scheduling.holder_watch import (
@@ -78,6 +78,7 @@
         self._probe = HolderProbe(context.peer_calls)
         self._slow_store_until = Instant(float("-inf"))
         self._is_claiming = False
+        self.new_holder_ready = Change()
         self.holder: Holder | None = None
         self.tail = TopicTail(
             context.reactor,
@@ -109,6 +110,13 @@
         self._set_holder(None)
         self._notify_peers(holder.epoch)
 
+    async def handle_holder_notice(self, sender: MemberId) -> None:
+        """Read the newest record of the holder, after a notice of another node."""
+        await self.tail.read_now()
+        record = self._watch.record
+        if record is not None and record.node == sender and not record.released:
+            self.new_holder_ready.notify()
+
     def _notify_peers(self, epoch: Epoch) -> None:
         """Tell connected peers that the record of the holder has changed."""
         for peer in self._context.peer_calls.connected_peers():
@@ -242,4 +250,5 @@
         # The configuration may have changed since the claim.
         holder.set_fleet_config(context.fleet)
         holder.start()
+        self.new_holder_ready.notify()
         self._notify_peers(holder.epoch)
--- a/tamarackmount/node/job_service.py
+++ b/tamarackmount/node/job_service.py
@@ -68,6 +68,9 @@
     StoreOutcome.UNKNOWN: ApiResponse(HttpStatus.GATEWAY_TIMEOUT),
 }
 
+_HOLDER_CHANGED = StoreResult(StoreOutcome.UNKNOWN)
+"""The result of a record that was with a holder when the next one was ready."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -265,7 +268,28 @@
         _log.info("job handed in", extra=extra)
 
     async def _relay(self, record: KeyedRecord, timeout_s: float) -> StoreResult | None:
-        """Store a record through the holder, on this node or another one."""
+        """Store a record through the holder, on this node or another one.
+
+        Load pattern: the holder is lost, and each caller's record is with it until it
+        times out, although the next holder is there by then. So the record is sent to
+        the next holder as soon as that one is ready. The lost one may have stored it,
+        and a caller is told that it is not stored only if no holder left an answer out.
+        """
+        deadline = Instant(clock.now() + timeout_s)
+        result = await self._election.new_holder_ready.result_before(
+            self._relay_once(record, timeout_s), _HOLDER_CHANGED
+        )
+        if result is not _HOLDER_CHANGED:
+            return result
+        left_s = max(0.0, deadline - clock.now())
+        result = await self._relay_once(record, left_s)
+        if result is None or result.outcome is StoreOutcome.NOT_STORED:
+            return StoreResult(StoreOutcome.UNKNOWN)
+        return result
+
+    async def _relay_once(
+        self, record: KeyedRecord, timeout_s: float
+    ) -> StoreResult | None:
         if self._election.holder is not None:
             return await self._election.holder.store(record)
         node = self._election.holder_node
--- a/tamarackmount/node/tasks.py
+++ b/tamarackmount/node/tasks.py
@@ -47,6 +47,39 @@
     return result
 
 
+class Change:
+    """An event that several tasks may wait for at once, again and again."""
+
+    def __init__(self) -> None:
+        """Begin without a task that waits."""
+        self._waiting: set[Deferred[None]] = set()
+
+    def notify(self) -> None:
+        """Tell all tasks that wait now."""
+        waiting, self._waiting = self._waiting, set()
+        for waiter in waiting:
+            waiter.callback(None)
+
+    async def result_before(self, call: "Awaitable[T]", default: T) -> T:
+        """Return the result of a call, or ``default`` if this event comes first.
+
+        The call goes on after the event; its result is dropped then.
+        """
+        waiter: Deferred[None] = Deferred()
+        self._waiting.add(waiter)
+        result: list[T] = []
+
+        async def run() -> None:
+            result.append(await call)
+            if waiter in self._waiting:
+                self._waiting.discard(waiter)
+                waiter.callback(None)
+
+        spawn(run())
+        await waiter
+        return result[0] if result else default
+
+
 def stop_process_on_error(step: Callable[[], None]) -> Callable[[], None]:
     """Return ``step`` wrapped so that an exception in it stops the process."""
 
--- a/tests/test_holder_probe.py
+++ b/tests/test_holder_probe.py
@@ -1,9 +1,11 @@
 """Taking over from a holder that does not answer or does not reach the store."""
 
 import pytest
+from twisted.internet.defer import ensureDeferred
 
 from tamarackmount.ids import Instant, MemberId
 from tamarackmount.node import clock
+from tamarackmount.node.http_api import HttpStatus
 from tamarackmount.scheduling.holder_authority import HolderAuthority, holder_authority
 from tamarackmount.scheduling.holder_watch import (
     HEARTBEAT_INTERVAL_S,
@@ -13,6 +15,7 @@
     HolderWatch,
 )
 from tamarackmount.scheduling.journal import HolderRecord
+from tests.utils.build_scheduling import job
 from tests.utils.memory_peers import MemoryFleet
 
 HOLDER = MemberId("n0")
@@ -67,3 +70,19 @@
     claimed_at = Instant(10.0 + UNRESPONSIVE_TIMEOUT_S)
     grace_ends_at = claimed_at + watch.former_holder_grace_s({}, claimed_at)
     assert holder_authority(grace_ends_at - 10.0, 8, []) is HolderAuthority.NONE
+
+
+def test_a_record_with_a_lost_holder_is_sent_to_the_next_one_at_once(
+    fleet: MemoryFleet,
+) -> None:
+    # A relay through a lost holder must not wait for its own timeout of a second.
+    fleet.lose_silently(0)
+    answers: list[tuple[float, HttpStatus]] = []
+    submission = ensureDeferred(fleet.node(2).jobs.submit(job(), fleet.deadline()))
+    sent_at = fleet.clock.seconds()
+    submission.addCallback(
+        lambda answer: answers.append((fleet.clock.seconds() - sent_at, answer.status))
+    )
+    fleet.run_for(3.0)
+    assert [status for _, status in answers] == [HttpStatus.OK]
+    assert answers[0][0] < LATEST_PROBED_CLAIM_S
--- a/tests/utils/memory_peers.py
+++ b/tests/utils/memory_peers.py
@@ -49,7 +49,8 @@
             return False
         envelope = Envelope(self._node_id, message)
         node = self._fleet.nodes_by_id[to]
-        self._fleet.clock.callLater(LATENCY_S, node.handle_message, envelope)
+        if not {to, self._node_id} & self._fleet.silent_nodes:
+            self._fleet.clock.callLater(LATENCY_S, node.handle_message, envelope)
         return True
 
     def is_open(self, to: MemberId) -> bool:
@@ -64,8 +65,8 @@
 class NodeStore:
     """The store as one node reaches it.
 
-    A lost node gets no answer. Appends of a node in ``nodes_without_appends`` get none
-    and have no effect, while its reads are answered.
+    A lost or silent node gets no answer. Appends of a node in
+    ``nodes_without_appends`` get none and have no effect, but its reads are answered.
     """
 
     def __init__(self, fleet: "MemoryFleet", node_id: MemberId) -> None:
@@ -81,15 +82,17 @@
         self, topic: Topic, records: Any, deadline: Instant, *options: Any
     ) -> Any:
         """Append, unless the node does not reach the store."""
-        if self._node_id in self._fleet.lost_nodes | self._fleet.nodes_without_appends:
+        fleet = self._fleet
+        unserved = fleet.lost_nodes | fleet.silent_nodes | fleet.nodes_without_appends
+        if self._node_id in unserved:
             return await self._wait_in_vain(deadline)
-        return await self._fleet.store.append(topic, records, deadline, *options)
+        return await fleet.store.append(topic, records, deadline, *options)
 
     async def read(
         self, topic: Topic, start: Offset, wait_ms: int, deadline: Instant
     ) -> Any:
         """Read, unless the node does not reach the store."""
-        if self._node_id in self._fleet.lost_nodes:
+        if self._node_id in self._fleet.lost_nodes | self._fleet.silent_nodes:
             return await self._wait_in_vain(deadline)
         return await self._fleet.store.read(topic, start, wait_ms, deadline)
 
@@ -111,6 +114,7 @@
         self.clock.advance(100.0)
         self.store = MemoryStore(self.clock)
         self.lost_nodes: set[MemberId] = set()
+        self.silent_nodes: set[MemberId] = set()
         self.nodes_without_appends: set[MemberId] = set()
         self.nodes_by_id: dict[MemberId, Node] = {}
         holder = HolderRecord(MemberId("n0"), 1, 0, 1)
@@ -158,6 +162,10 @@
         """Let nodes send and receive nothing from now on."""
         self.lost_nodes.update(MemberId(f"n{number}") for number in numbers)
 
+    def lose_silently(self, *numbers: int) -> None:
+        """Let nodes send and receive nothing, while their connections seem open."""
+        self.silent_nodes.update(MemberId(f"n{number}") for number in numbers)
+
     def followers(self) -> list[int]:
         """Return the numbers of the nodes that follow the jobs topic."""
         return [
