Nodes notice sooner that they are cut off from the store

Change: node/store_contact.py is the one place that knows how long the store has been silent (two functions did). After 0.6 s of silence a node reads once more; after 1.3 s it is not ready, turns callers away at once and closes their connections, so that they come back through another node.

--- a/tamarackmount/node/http_api.py
+++ b/tamarackmount/node/http_api.py
@@ -116,8 +116,8 @@
         """The configuration in force, or ``None`` before the first one is read."""
 
     @property
-    def is_draining(self) -> bool:
-        """Whether the node shuts down, so that connections should be closed."""
+    def sends_callers_away(self) -> bool:
+        """Whether callers should come back through another node."""
 
     async def submit(self, job: AcceptedJob, deadline: Instant) -> ApiResponse:
         """Accept or refuse a job."""
@@ -168,7 +168,7 @@
             )
             response = ApiResponse(HttpStatus.GATEWAY_TIMEOUT)
         self.in_flight -= 1
-        writer.write(response, self._jobs.is_draining)
+        writer.write(response, self._jobs.sends_callers_away)
         method = request.method.decode("latin-1")
         verb = method if method in self._handlers_by_method else OTHER_VERB
         self._metrics.record_request(
--- a/tamarackmount/node/job_service.py
+++ b/tamarackmount/node/job_service.py
@@ -29,6 +29,7 @@
     WaitingQuery,
     WaitingReply,
 )
+from tamarackmount.node.store_contact import StoreContact
 from tamarackmount.node.submissions import (
     NOT_STORED_RESULT,
     StoreOutcome,
@@ -78,9 +79,14 @@
     """Serves callers from the store, the holder and the node's own job index."""
 
     def __init__(
-        self, context: NodeContext, election: HolderElection, follower: JobsFollower
+        self,
+        context: NodeContext,
+        election: HolderElection,
+        follower: JobsFollower,
+        store_contact: StoreContact,
     ) -> None:
         """Serve the jobs that ``follower`` reads and those that other nodes know."""
+        self._store_contact = store_contact
         self._context = context
         self._election = election
         self._follower = follower
@@ -90,7 +96,7 @@
             context.store,
             JOBS_TOPIC,
             self._relay,
-            self._store_silence_s,
+            store_contact.silence_s,
         )
         self.handlers: dict[type, Callable[[MemberId, Any], None]] = {
             JobStored: self._handle_job_stored,
@@ -105,19 +111,13 @@
         """The configuration in force, or ``None`` before the first one is read."""
         return self._context.fleet
 
-    def _store_silence_s(self) -> float:
-        """Return the time since the store's last answer, in seconds."""
-        sources = (self._follower, self._election.tail)
-        contacts = [
-            source.last_contact for source in sources if source.last_contact is not None
-        ]
-        now: float = self._context.reactor.seconds()
-        return now - max(contacts, default=Instant(now))
-
     @property
-    def is_draining(self) -> bool:
-        """Whether the node shuts down, so that connections should be closed."""
-        return self._context.is_draining
+    def sends_callers_away(self) -> bool:
+        """Whether callers should come back through another node.
+
+        They do so if their connections are closed while this node is not ready.
+        """
+        return self._context.is_draining or self._store_contact.is_lost
 
     def apply_records(self, records: Sequence[KeyedRecord]) -> None:
         """Apply records of the jobs topic."""
--- a/tamarackmount/node/journal_writer.py
+++ b/tamarackmount/node/journal_writer.py
@@ -10,8 +10,8 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.node.fenced_log import FencedLog, is_outcome_unknown
+from tamarackmount.node.store_contact import MAX_SILENCE_S
 from tamarackmount.node.submissions import (
-    FRESH_CONTACT_S,
     STALLED_APPEND_S,
     StoreOutcome,
 )
@@ -97,7 +97,7 @@
         is_stalled = (
             sent_at is not None
             and self._reactor.seconds() >= sent_at + STALLED_APPEND_S
-            and self._callbacks.store_silence_s() > FRESH_CONTACT_S
+            and self._callbacks.store_silence_s() > MAX_SILENCE_S
         )
         return is_stalled or not self._log.is_store_available
 
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -35,6 +35,7 @@
 from tamarackmount.node.metrics import MetricsResource, NodeMetrics
 from tamarackmount.node.node_registry import NodeRegistry
 from tamarackmount.node.peer_calls import PeerCalls, QueryReply
+from tamarackmount.node.store_contact import StoreContact
 from tamarackmount.node.tasks import spawn
 from tamarackmount.node.topic_tail import TopicTail
 from tamarackmount.platform.advice import AdviceClient
@@ -59,10 +60,6 @@
 """Minimum time between the starts of two reads of jobs, in seconds; the holder is told
 of jobs directly."""
 
-READY_MAX_STORE_SILENCE_S = 1.8
-"""Time without contact with the store after which a node is not ready, so that new
-callers go to other nodes, in seconds. Its reads are answered at least every second."""
-
 FRESH_STORE_CONTACT_S = 0.1
 """Time since the store's last answer within which a node that is asked whether it
 reaches the store need not read first, in seconds."""
@@ -142,7 +139,12 @@
         self._election = HolderElection(
             self._context, self._registry, self._follower, self._holder_dependencies
         )
-        self.jobs = JobService(self._context, self._election, self._follower)
+        self._store_contact = StoreContact(
+            reactor, self._last_store_answers, self._election.tail.read_now
+        )
+        self.jobs = JobService(
+            self._context, self._election, self._follower, self._store_contact
+        )
         self._jobs_resource = JobsResource(self.jobs, self._context.metrics)
         self._handlers: dict[type, Callable[[MemberId, Any], None]] = {
             **self.jobs.handlers,
@@ -175,6 +177,7 @@
         self._election.tail.start()
         self._registry.tail.start()
         self._follower.start()
+        self._store_contact.start()
 
     def start_claiming(self) -> None:
         """Start claiming the holder role whenever this node is next in rank."""
@@ -244,7 +247,7 @@
             context.peer_calls,
             context.metrics,
             context.settings.bounds.status_retention_s,
-            self._store_silence_s,
+            self._store_contact.silence_s,
         )
 
     def _is_ready(self) -> bool:
@@ -252,14 +255,15 @@
             not self._context.is_draining
             and self._context.fleet is not None
             and self.jobs.can_look_up
-            and self._store_silence_s() < READY_MAX_STORE_SILENCE_S
+            and not self._store_contact.is_lost
         )
 
-    @property
-    def _last_store_contact(self) -> Instant:
-        tails = (self._config_tail, self._election.tail)
-        never = Instant(float("-inf"))
-        return max(tail.last_contact or never for tail in tails)
+    def _last_store_answers(self) -> tuple[Instant | None, ...]:
+        return (
+            self._config_tail.last_contact,
+            self._election.tail.last_contact,
+            self._follower.last_contact,
+        )
 
     def _listen(self, address: Any, site: Any) -> None:
         self._context.reactor.listenTCP(
@@ -300,15 +304,11 @@
     async def _answer_store_age_query(
         self, sender: MemberId, query: StoreAgeQuery
     ) -> None:
-        if query.read_now and self._store_silence_s() > FRESH_STORE_CONTACT_S:
+        if query.read_now and self._store_contact.silence_s() > FRESH_STORE_CONTACT_S:
             await self._election.tail.read_now()
-        age_ms = int(self._store_silence_s() * MS_PER_SECOND)
+        age_ms = int(self._store_contact.silence_s() * MS_PER_SECOND)
         self._context.links.send(sender, StoreAgeReply(query.call_id, age_ms))
 
-    def _store_silence_s(self) -> float:
-        """Return the time since the store last answered this node, in seconds."""
-        return clock.now() - max(self._last_store_contact, Instant(0.0))
-
     def _handle_advice_query(self, sender: MemberId, query: AdviceQuery) -> None:
         spawn(self._answer_advice_query(sender, query))
 
--- a/tamarackmount/node/submissions.py
+++ b/tamarackmount/node/submissions.py
@@ -11,6 +11,7 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.node.adaptive_timeout import AdaptiveTimeout
+from tamarackmount.node.store_contact import MAX_SILENCE_S
 from tamarackmount.node.tasks import first_result, spawn
 from tamarackmount.platform.store import (
     Appended,
@@ -54,15 +55,6 @@
 """Interval between trial appends while the store counts as away, in seconds. Each
 append is billed, and callers should be served soon after the store is back."""
 
-MAX_STORE_SILENCE_S = 1.5
-"""Time without contact after which the node counts as cut off from the store, in
-seconds. Its reads are answered every second, and by a slow store half a second
-later."""
-
-FRESH_CONTACT_S = 1.3
-"""Time without contact up to which this node may reach a store that the holder does not
-reach, in seconds: its reads are answered every second."""
-
 STALLED_APPEND_S = 1.0
 """Time after which an append without an answer shows that the store is away, in
 seconds, if it answers no other call either. Records that are not sent yet are rejected
@@ -173,7 +165,7 @@
         ):
             return reply
         may_be_stored = reply is not None and reply.outcome is StoreOutcome.UNKNOWN
-        if reply is not None and not may_be_stored and not self._has_fresh_contact():
+        if reply is not None and not may_be_stored and not self._has_store_contact():
             # The holder has no store either; an append whose outcome stays unknown
             # could not be retried by the caller.
             return NOT_STORED_RESULT
@@ -189,10 +181,7 @@
         return StoreResult(await self._store_directly(record, answer_by, may_be_stored))
 
     def _has_store_contact(self) -> bool:
-        return self._store_silence_s() <= MAX_STORE_SILENCE_S
-
-    def _has_fresh_contact(self) -> bool:
-        return self._store_silence_s() <= FRESH_CONTACT_S
+        return self._store_silence_s() <= MAX_SILENCE_S
 
     async def _store_through_holder(
         self, record: KeyedRecord, deadline: Instant
@@ -231,7 +220,7 @@
         """
         now = self._reactor.seconds()
         is_stalled = now > self._unanswered_since + STALLED_APPEND_S
-        if self._is_appending and is_stalled and not self._has_fresh_contact():
+        if self._is_appending and is_stalled and not self._has_store_contact():
             return True
         if self._consecutive_failures < FAILURES_BEFORE_AWAY:
             return False
--- a/tests/test_entry_calls.py
+++ b/tests/test_entry_calls.py
@@ -45,7 +45,7 @@
     """A node that has no configuration yet."""
 
     fleet = None
-    is_draining = False
+    sends_callers_away = False
 
 
 def test_unknown_methods_are_counted_under_one_label() -> None:
--- a/tests/test_holder_probe.py
+++ b/tests/test_holder_probe.py
@@ -37,7 +37,7 @@
 def test_a_lost_holder_is_replaced_before_the_heartbeat_timeout(
     fleet: MemoryFleet,
 ) -> None:
-    fleet.lose(0)
+    fleet.lose_silently(0)
     fleet.run_for(LATEST_PROBED_CLAIM_S)
     assert fleet.holder() != HOLDER
     assert LATEST_PROBED_CLAIM_S < HEARTBEAT_TIMEOUT_S
@@ -57,7 +57,7 @@
     fleet: MemoryFleet,
 ) -> None:
     fleet.store.read_latency_s = 2 * MAX_QUICK_READ_S
-    fleet.lose(0)
+    fleet.lose_silently(0)
     fleet.run_for(HEARTBEAT_TIMEOUT_S - HEARTBEAT_INTERVAL_S - 0.05)
     assert fleet.holder() == HOLDER
     fleet.run_for(HEARTBEAT_INTERVAL_S + 1.5)
--- a/tests/utils/memory_peers.py
+++ b/tests/utils/memory_peers.py
@@ -65,7 +65,7 @@
 class NodeStore:
     """The store as one node reaches it.
 
-    A lost or silent node gets no answer. Appends of a node in
+    A node in ``nodes_without_store`` gets no answer. Appends of a node in
     ``nodes_without_appends`` get none and have no effect, but its reads are answered.
     """
 
@@ -83,7 +83,7 @@
     ) -> Any:
         """Append, unless the node does not reach the store."""
         fleet = self._fleet
-        unserved = fleet.lost_nodes | fleet.silent_nodes | fleet.nodes_without_appends
+        unserved = fleet.nodes_without_store | fleet.nodes_without_appends
         if self._node_id in unserved:
             return await self._wait_in_vain(deadline)
         return await fleet.store.append(topic, records, deadline, *options)
@@ -92,9 +92,10 @@
         self, topic: Topic, start: Offset, wait_ms: int, deadline: Instant
     ) -> Any:
         """Read, unless the node does not reach the store."""
-        if self._node_id in self._fleet.lost_nodes | self._fleet.silent_nodes:
+        result = await self._fleet.store.read(topic, start, wait_ms, deadline)
+        if self._node_id in self._fleet.nodes_without_store:
             return await self._wait_in_vain(deadline)
-        return await self._fleet.store.read(topic, start, wait_ms, deadline)
+        return result
 
     async def _wait_in_vain(self, deadline: Instant) -> StoreError:
         await self._fleet.store.sleep(deadline - self._fleet.clock.seconds())
@@ -115,6 +116,7 @@
         self.store = MemoryStore(self.clock)
         self.lost_nodes: set[MemberId] = set()
         self.silent_nodes: set[MemberId] = set()
+        self.nodes_without_store: set[MemberId] = set()
         self.nodes_without_appends: set[MemberId] = set()
         self.nodes_by_id: dict[MemberId, Node] = {}
         holder = HolderRecord(MemberId("n0"), 1, 0, 1)
@@ -163,8 +165,9 @@
         self.lost_nodes.update(MemberId(f"n{number}") for number in numbers)
 
     def lose_silently(self, *numbers: int) -> None:
-        """Let nodes send and receive nothing, while their connections seem open."""
+        """Cut nodes off from everything, while their connections seem open."""
         self.silent_nodes.update(MemberId(f"n{number}") for number in numbers)
+        self.nodes_without_store |= self.silent_nodes
 
     def followers(self) -> list[int]:
         """Return the numbers of the nodes that follow the jobs topic."""
