--- a/tamarackmount/delays.py
+++ b/tamarackmount/delays.py
@@ -7,7 +7,7 @@
 what happened before a request reached a node.
 """
 
-from collections import Counter, defaultdict
+from collections import defaultdict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from datetime import datetime
@@ -277,7 +277,7 @@
     medians: dict[tuple[int, str], float],
 ) -> JobDelay:
     handed_in_at = trace.handed_in_at or 0.0
-    seconds: Counter[Cause] = Counter()
+    seconds: dict[Cause, float] = defaultdict(float)
     if trace.ended_at is None:
         cause = _CAUSE_BY_OUTCOME.get(trace.outcome, Cause.NOT_ENDED)
         last_at = (trace.stored_at or handed_in_at) - handed_in_at
@@ -306,7 +306,7 @@
         trace: _Trace,
         gaps: Sequence[tuple[float, float]],
         medians: dict[tuple[int, str], float],
-        seconds: "Counter[Cause]",
+        seconds: dict[Cause, float],
     ) -> None:
         self._trace = trace
         self._gaps = gaps
--- a/tests/test_store_contact.py
+++ b/tests/test_store_contact.py
@@ -1,5 +1,7 @@
 """Noticing that the store no longer answers a node."""
 
+from typing import Any
+
 from twisted.internet.task import Clock, deferLater
 
 from tamarackmount.ids import Instant
@@ -30,7 +32,8 @@
     async def _read(self) -> bool:
         self.reads += 1
         waits_s = 100.0 if self._answer_s is None else self._answer_s
-        await deferLater(self.clock, waits_s, lambda: None)
+        reactor: Any = self.clock
+        await deferLater(reactor, waits_s, lambda: None)
         self.last_answer = Instant(self.clock.seconds())
         return True
 
