A small VM does not keep the holder role, and does not take it by chance

The holder's process was killed with others; all nodes learned of it at once, 0.7 s after its last heartbeat, when the waits of the first six ranks were over, and a VM of 0.5 cores took the role. Its heartbeats went on, so it kept it for 11 s. Change: the wait by rank counts from when a node learns that the role is vacant. A holder hands the role over to a connected VM with half as much processor time again that reaches the store, a second after it took the role. Tests: ranks after a restart, hand-over, no hand-over without the store.

--- a/tamarackmount/internal/links.py
+++ b/tamarackmount/internal/links.py
@@ -27,6 +27,11 @@
 MAX_UNSENT_BYTES = 8 * 1024 * 1024
 """Bytes waiting for a slow peer above which its connection is aborted."""
 
+CONNECT_TIMEOUT_S = 0.4
+"""Timeout of an attempt to connect to a peer, in seconds. Round trips take a few
+milliseconds, and an opening packet that reached a peer before its start is repeated by
+the system only after a second."""
+
 MAX_RECONNECT_DELAY_S = 0.5
 """Longest delay between attempts to connect to a peer, without jitter, in seconds."""
 
@@ -169,7 +174,7 @@
     def __init__(self, reactor: Any, address: Address) -> None:
         self._protocol: _Outbound | None = None
         endpoint: Any = TCP4ClientEndpoint(
-            reactor, address.host, address.port, timeout=2
+            reactor, address.host, address.port, timeout=CONNECT_TIMEOUT_S
         )
         policy = backoffPolicy(
             initialDelay=0.1, maxDelay=MAX_RECONNECT_DELAY_S, jitter=_jitter_s
--- a/tamarackmount/node/holder_election.py
+++ b/tamarackmount/node/holder_election.py
@@ -12,9 +12,17 @@
 from tamarackmount.node.context import NodeContext
 from tamarackmount.node.holder import Holder
 from tamarackmount.node.holder_dependencies import HolderDependencies
-from tamarackmount.node.holder_probe import HolderProbe
+from tamarackmount.node.holder_probe import (
+    MAX_STORE_AGE_MS,
+    PROBE_TIMEOUT_S,
+    HolderProbe,
+)
 from tamarackmount.node.jobs_follower import JobsFollower
-from tamarackmount.node.messages import HolderReleased
+from tamarackmount.node.messages import (
+    HolderReleased,
+    StoreAgeQuery,
+    StoreAgeReply,
+)
 from tamarackmount.node.node_registry import NodeRegistry
 from tamarackmount.node.tasks import Change, spawn, stop_process_on_error
 from tamarackmount.node.topic_tail import TopicTail
@@ -45,6 +53,14 @@
 """Rank among the candidates below which a node probes a silent holder; the others claim
 later."""
 
+HAND_OVER_CHECK_INTERVAL_S = 1.0
+"""Interval between two checks whether a larger VM should be the holder, in seconds; a
+VM that has just started is connected within it."""
+
+LARGER_VM_FACTOR = 1.5
+"""Ratio of the processor times of two VMs, without unit, from which on the larger one
+is worth a change of the holder."""
+
 SLOW_STORE_BACKOFF_S = 0.5
 """Time after a slow read of the store in which missing heartbeats do not count as those
 of an unresponsive holder, in seconds."""
@@ -77,6 +93,8 @@
         self._watch = HolderWatch(Instant(clock.now()), Instant(float("-inf")))
         self._probe = HolderProbe(context.peer_calls)
         self._slow_store_until = Instant(float("-inf"))
+        self._is_handing_over = False
+        self._next_hand_over_check_at = Instant(0.0)
         self._is_claiming = False
         self.new_holder_ready = Change()
         self.holder: Holder | None = None
@@ -101,7 +119,7 @@
         """Start checking whether to claim the role."""
         self._checks.start(CLAIM_CHECK_INTERVAL_S, now=False)
 
-    async def release_for_shutdown(self) -> None:
+    async def release(self) -> None:
         """Release the role, if this node is the holder, and tell the other nodes."""
         holder = self.holder
         if holder is None:
@@ -156,7 +174,10 @@
         context = self._context
         if self.tail.caught_up_at is not None:
             self._watch.store_read(self.tail.caught_up_at)
-        if self.holder is not None or self._is_claiming or context.is_draining:
+        if self.holder is not None:
+            self._check_hand_over()
+            return
+        if self._is_claiming or context.is_draining:
             return
         self.tail.min_interval_s = (
             RELAXED_READ_INTERVAL_S
@@ -169,7 +190,8 @@
         rank = candidate_rank(context.node_id, candidates, self.holder_node)
         started = self._registry.started_by_node()
         is_unresponsive = self._is_holder_unresponsive(rank)
-        if not self._watch.should_claim(rank, started, clock.now(), is_unresponsive):
+        self._watch.update_vacancy(started, clock.now())
+        if not self._watch.should_claim(rank, clock.now(), is_unresponsive):
             return
         if not self._follower.is_following:
             self._follower.follow_now()
@@ -177,6 +199,37 @@
             self._is_claiming = True
             spawn(self._claim())
 
+    def _check_hand_over(self) -> None:
+        """Hand the role over to a larger VM, if there is one that reaches the store.
+
+        Load pattern: all large VMs are lost for a moment, and a small one becomes the
+        holder. Its processor time does not suffice for the orders of a whole fleet.
+        """
+        now = clock.now()
+        if self._is_handing_over or now < self._next_hand_over_check_at:
+            return
+        self._next_hand_over_check_at = Instant(now + HAND_OVER_CHECK_INTERVAL_S)
+        larger = [
+            candidate
+            for candidate in self._registry.candidates()
+            if candidate.cores
+            >= LARGER_VM_FACTOR * self._context.settings.processor_cores
+            and self._context.links.is_open(candidate.node)
+        ]
+        if larger:
+            self._is_handing_over = True
+            best = max(larger, key=lambda candidate: (candidate.cores, candidate.node))
+            spawn(self._hand_over_to(best.node))
+
+    async def _hand_over_to(self, node: MemberId) -> None:
+        peers = self._context.peer_calls
+        query = StoreAgeQuery(peers.next_call_id(), read_now=True)
+        reply = await peers.call(node, query, PROBE_TIMEOUT_S)
+        if isinstance(reply, StoreAgeReply) and reply.age_ms <= MAX_STORE_AGE_MS:
+            _log.info("holder role handed over", extra={"to": node})
+            await self.release()
+        self._is_handing_over = False
+
     def _is_holder_unresponsive(self, rank: int) -> bool:
         """Tell whether the holder was probed in vain, while the store is quick."""
         if rank >= MAX_PROBING_RANK or clock.now() < self._slow_store_until:
@@ -204,9 +257,8 @@
         # Rank 0: this node has waited for its rank already. The read above may have
         # shown a newer record of the holder.
         now = clock.now()
-        if end is None or not self._watch.should_claim(
-            0, started, now, is_unresponsive
-        ):
+        self._watch.update_vacancy(started, now)
+        if end is None or not self._watch.should_claim(0, now, is_unresponsive):
             return
         grace_s = self._watch.former_holder_grace_s(started, now)
         new_claim = await claim(
@@ -245,6 +297,9 @@
         if not is_fenced or is_replaced or holder.is_stopped:
             holder.stop()
             return
+        self._next_hand_over_check_at = Instant(
+            clock.now() + HAND_OVER_CHECK_INTERVAL_S
+        )
         self._set_holder(holder)
         _log.info("scheduling held", extra={"epoch": new_claim.epoch})
         # The configuration may have changed since the claim.
--- a/tamarackmount/node/holder_probe.py
+++ b/tamarackmount/node/holder_probe.py
@@ -5,7 +5,6 @@
 from tamarackmount.node.messages import StoreAgeQuery, StoreAgeReply
 from tamarackmount.node.peer_calls import PeerCalls
 from tamarackmount.node.tasks import spawn
-from tamarackmount.units import MS_PER_SECOND
 
 PROBE_AFTER_S = 0.45
 """Time without a heartbeat after which the holder is probed, in seconds; heartbeats
@@ -15,9 +14,9 @@
 """Timeout of a probe, in seconds. The holder reads the store for its answer, which
 takes 20 ms in all, and a slow VM several times as long."""
 
-MAX_STORE_AGE_S = 0.4
-"""Time since the store's last answer to the holder from which on the holder does not
-reach the store, in seconds; it has read the store just before its answer."""
+MAX_STORE_AGE_MS = 400
+"""Time since the store's last answer above which a probed node does not reach the
+store, in milliseconds; it has read the store just before its answer."""
 
 
 class HolderProbe:
@@ -50,6 +49,5 @@
         if holder != self._probed_node:
             return
         self.is_unresponsive = (
-            not isinstance(reply, StoreAgeReply)
-            or reply.age_ms > MAX_STORE_AGE_S * MS_PER_SECOND
+            not isinstance(reply, StoreAgeReply) or reply.age_ms > MAX_STORE_AGE_MS
         )
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -198,7 +198,7 @@
         self._context.is_draining = True
         is_holder = self._election.holder is not None
         _log.info("node drains", extra={"holder": is_holder})
-        spawn(self._election.release_for_shutdown())
+        spawn(self._election.release())
         grace_s = self._context.settings.bounds.termination_grace_s
         drain_deadline = started_at + grace_s - EXIT_MARGIN_S
         while clock.now() < drain_deadline:
--- a/tamarackmount/scheduling/holder_watch.py
+++ b/tamarackmount/scheduling/holder_watch.py
@@ -62,12 +62,14 @@
 
     ``silent_since`` is when the last heartbeat was read, or later if the store could
     not be read for a while after that. ``record`` is the newest record of the holder,
-    ``None`` until one is read.
+    ``None`` until one is read. ``vacant_since`` is when this node learned that the
+    holder has released its role or that its process has ended.
     """
 
     silent_since: Instant
     last_read: Instant
     record: HolderRecord | None = None
+    vacant_since: Instant | None = None
 
     def heartbeat_received(self, record: HolderRecord | None, now: Instant) -> None:
         """Record a claim, a heartbeat or a release of the holder.
@@ -80,6 +82,22 @@
         self.record = record
         self.silent_since = now
 
+    def update_vacancy(self, started_by_node: StartTimes, now: Instant) -> None:
+        """Note whether the role is vacant; call this before :meth:`should_claim`.
+
+        Load pattern: the holder's process ends together with others, and all nodes
+        learn it at the same moment, long after its last heartbeat. Those of a lower
+        rank have to wait from that moment, or a small VM takes the role.
+        """
+        record = self.record
+        is_vacant = record is not None and (
+            record.released or self.has_restarted(started_by_node)
+        )
+        if not is_vacant:
+            self.vacant_since = None
+        elif self.vacant_since is None:
+            self.vacant_since = now
+
     def store_read(self, now: Instant) -> None:
         """Record that a read which began at ``now`` reached the end of the topic."""
         if now - self.last_read > MAX_READ_GAP_S:
@@ -89,7 +107,6 @@
     def should_claim(
         self,
         rank: int,
-        started_by_node: StartTimes,
         now: Instant,
         is_unresponsive: bool = False,
     ) -> bool:
@@ -99,10 +116,12 @@
         """
         if now - self.last_read > MAX_READ_GAP_S:
             return False
-        delay_s = self._claim_delay_s(started_by_node)
+        due_at = self.silent_since + self._claim_delay_s()
         if is_unresponsive:
-            delay_s = min(delay_s, UNRESPONSIVE_TIMEOUT_S)
-        return now >= self.silent_since + delay_s + rank * CLAIM_STAGGER_S
+            due_at = min(due_at, self.silent_since + UNRESPONSIVE_TIMEOUT_S)
+        if self.vacant_since is not None:
+            due_at = min(due_at, self.vacant_since)
+        return now >= due_at + rank * CLAIM_STAGGER_S
 
     def has_restarted(self, started_by_node: StartTimes) -> bool:
         """Tell whether the holder's process has ended: its VM runs a later one."""
@@ -118,15 +137,8 @@
             return 0.0
         return max(0.0, self.silent_since + FORMER_ORDERS_LIMIT_S - now)
 
-    def _claim_delay_s(self, started_by_node: StartTimes) -> float:
-        record = self.record
-        if record is None:
-            return FIRST_CLAIM_DELAY_S
-        return (
-            0.0
-            if record.released or self.has_restarted(started_by_node)
-            else HEARTBEAT_TIMEOUT_S
-        )
+    def _claim_delay_s(self) -> float:
+        return FIRST_CLAIM_DELAY_S if self.record is None else HEARTBEAT_TIMEOUT_S
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_holder_authority.py
+++ b/tests/test_holder_authority.py
@@ -70,9 +70,9 @@
     now = Instant(10.0 + HEARTBEAT_TIMEOUT_S)
     watch.store_read(Instant(11.0))
     watch.store_read(now)
-    assert not watch.should_claim(0, {}, Instant(now - 0.1))
-    assert watch.should_claim(0, {}, now)
-    assert not watch.should_claim(1, {}, now)
+    assert not watch.should_claim(0, Instant(now - 0.1))
+    assert watch.should_claim(0, now)
+    assert not watch.should_claim(1, now)
 
 
 def test_a_candidate_of_any_rank_claims_when_its_time_has_come() -> None:
@@ -82,24 +82,39 @@
         claims_at = 10.0 + HEARTBEAT_TIMEOUT_S + rank * CLAIM_STAGGER_S + 0.001
         for read_start in range(10, int(claims_at)):
             watch.store_read(Instant(float(read_start)))
-        assert watch.should_claim(rank, {}, Instant(claims_at))
+        assert watch.should_claim(rank, Instant(claims_at))
 
 
 def test_missing_heartbeats_do_not_count_while_the_store_is_not_read() -> None:
     watch = watch_of(HolderRecord(HOLDER, 5, 1, 100))
-    assert not watch.should_claim(0, {}, Instant(20.0))
+    assert not watch.should_claim(0, Instant(20.0))
     watch.store_read(Instant(20.0))
-    assert not watch.should_claim(0, {}, Instant(20.1))
+    assert not watch.should_claim(0, Instant(20.1))
 
 
 def test_a_holder_whose_vm_runs_a_later_process_is_replaced_at_once() -> None:
     watch = watch_of(HolderRecord(HOLDER, 5, 1, 100))
-    assert watch.should_claim(0, {HOLDER: 101}, Instant(10.0))
-    assert not watch.should_claim(0, {HOLDER: 100}, Instant(10.0))
+    watch.update_vacancy({HOLDER: 100}, Instant(10.0))
+    assert not watch.should_claim(0, Instant(10.0))
+    watch.update_vacancy({HOLDER: 101}, Instant(10.0))
+    assert watch.should_claim(0, Instant(10.0))
     assert watch.former_holder_grace_s({HOLDER: 101}, Instant(10.0)) == 0.0
     assert watch.former_holder_grace_s({HOLDER: 100}, Instant(10.0)) > 0.0
 
 
+def test_nodes_of_lower_rank_wait_after_they_learned_of_the_holders_restart() -> None:
+    watch = watch_of(HolderRecord(HOLDER, 5, 1, 100))
+    learned_at = Instant(11.0)
+    watch.store_read(learned_at)
+    for now in (learned_at, Instant(learned_at + 0.05)):
+        watch.update_vacancy({HOLDER: 101}, now)
+    assert watch.should_claim(0, learned_at)
+    for rank in range(1, 7):
+        claims_at = learned_at + rank * CLAIM_STAGGER_S
+        assert not watch.should_claim(rank, Instant(claims_at - 0.01))
+        assert watch.should_claim(rank, Instant(claims_at + 0.01))
+
+
 def test_a_heartbeat_of_an_earlier_epoch_is_ignored() -> None:
     watch = watch_of(HolderRecord(HOLDER, 5, 1, 100))
     watch.heartbeat_received(HolderRecord(NODE, 4, 9, 100), Instant(12.0))
--- a/tests/test_holder_probe.py
+++ b/tests/test_holder_probe.py
@@ -86,3 +86,23 @@
     fleet.run_for(3.0)
     assert [status for _, status in answers] == [HttpStatus.OK]
     assert answers[0][0] < LATEST_PROBED_CLAIM_S
+
+
+def test_a_small_vm_hands_the_role_over_to_a_larger_one(fleet: MemoryFleet) -> None:
+    fleet.lose_silently(0, 1)
+    fleet.run_for(3.0)
+    assert fleet.holder() == MemberId("n2")
+    fleet.regain(0, 1)
+    fleet.run_for(3.0)
+    assert fleet.holder() == HOLDER
+
+
+def test_a_small_vm_keeps_the_role_while_the_larger_one_lacks_the_store(
+    fleet: MemoryFleet,
+) -> None:
+    fleet.lose_silently(0, 1)
+    fleet.run_for(3.0)
+    fleet.regain(0, 1)
+    fleet.nodes_without_store.update({MemberId("n0"), MemberId("n1")})
+    fleet.run_for(5.0)
+    assert fleet.holder() == MemberId("n2")
--- a/tests/utils/memory_peers.py
+++ b/tests/utils/memory_peers.py
@@ -169,6 +169,12 @@
         self.silent_nodes.update(MemberId(f"n{number}") for number in numbers)
         self.nodes_without_store |= self.silent_nodes
 
+    def regain(self, *numbers: int) -> None:
+        """Connect nodes again that were cut off silently."""
+        regained = {MemberId(f"n{number}") for number in numbers}
+        self.silent_nodes -= regained
+        self.nodes_without_store -= regained
+
     def followers(self) -> list[int]:
         """Return the numbers of the nodes that follow the jobs topic."""
         return [
