A released holder role is released although a heartbeat is being written

Cause: heartbeat and release had the same sequence number if the heartbeat was unanswered, and the store took the release for a repetition of it: the role seemed held until the heartbeat timeout. In a slow store a heartbeat is on its way half of the time. Ruled out: a release that was not sent, since the node stopped normally. The new test failed before.

--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -7,9 +7,16 @@
 from twisted.internet.task import Clock
 
 from tamarackmount.ids import Epoch, Instant, MemberId, Offset
-from tamarackmount.node.claims import HOLDER_TOPIC, Claim, claim
+from tamarackmount.node.claims import (
+    HOLDER_TOPIC,
+    Claim,
+    HeartbeatWriter,
+    claim,
+)
 from tamarackmount.node.fenced_log import FencedLog
 from tamarackmount.platform.store import Appended, Fenced, KeyedRecord, Topic
+from tamarackmount.scheduling.holder_watch import HEARTBEAT_INTERVAL_S
+from tamarackmount.scheduling.journal import HolderRecord, decode_record
 from tests.utils.build_scheduling import fleet_config
 from tests.utils.memory_peers import MemoryFleet
 from tests.utils.memory_store import MemoryStore
@@ -143,3 +150,20 @@
     fleet.run(election._take_over(claimed, Instant(0.0)))
     assert election.holder is None
     assert holder.starts == 0
+
+
+def test_a_release_is_stored_although_a_heartbeat_is_being_written() -> None:
+    clock, store = make()
+    (claimed,) = run_claims(clock, store, "a")
+    assert claimed is not None
+    store.append_latency_s = 0.4
+    heartbeats = HeartbeatWriter(clock, claimed, lambda _: None)
+    heartbeats.start()
+    # The heartbeat is on its way, as it is half of the time in a slow store.
+    clock.advance(HEARTBEAT_INTERVAL_S + 0.1)
+    ensureDeferred(heartbeats.release())
+    clock.pump([0.05] * 60)
+    rows = [
+        decode_record(row.value, HolderRecord) for row in store.records(HOLDER_TOPIC)
+    ]
+    assert [row.unwrap().released for row in rows] == [False, False, True]
