Workers are reserved for gangs that wait for capacity

Gangs of 17 tasks of 10 cores wait for 20 to 50 s: smaller steps take each slot that gets free, also those freed by preemption for the gang, and a gang that has become late is behind all others. Change: scheduling/reservations.py: for up to three gangs, in order of rank, the workers that have capacity for all members soonest are kept free. Others use them only if they end before the gang can start, urgent steps if they fit nowhere else.

--- a/tamarackmount/scheduling/admission.py
+++ b/tamarackmount/scheduling/admission.py
@@ -19,10 +19,10 @@
 from tamarackmount.ids import Instant
 from tamarackmount.resources import NOTHING, Resources
 from tamarackmount.scheduling.ceilings import ceiling_parts
-from tamarackmount.scheduling.placement import could_run
 from tamarackmount.scheduling.ranking import Tier, tier
 from tamarackmount.scheduling.runs import JobState, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.worker_choice import could_run
 from tamarackmount.scheduling.workers import ContactState, WorkerState
 
 UNFIT_JOB_RETRY_S = 30.0
--- a/tamarackmount/scheduling/advice_requests.py
+++ b/tamarackmount/scheduling/advice_requests.py
@@ -23,11 +23,11 @@
 from tamarackmount.scheduling.fleet_config import AdvicePolicy
 from tamarackmount.scheduling.free_capacity import FreeCapacityIndex
 from tamarackmount.scheduling.model import StepKey, WorkerIncarnation
-from tamarackmount.scheduling.placement import could_run
 from tamarackmount.scheduling.ranking import URGENT_PRIORITY, Tier, rank, tier
 from tamarackmount.scheduling.runs import StepState, WaitReason
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.step_advice import AdviceAnswer
+from tamarackmount.scheduling.worker_choice import could_run
 from tamarackmount.scheduling.workers import WorkerState
 from tamarackmount.units import MS_PER_SECOND
 
--- a/tamarackmount/scheduling/placement.py
+++ b/tamarackmount/scheduling/placement.py
@@ -2,19 +2,22 @@
 
 import logging
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Sequence
 
 from tamarackmount.ids import DataCentreId, Instant
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling.ceilings import ceiling_fraction, is_under_ceiling
 from tamarackmount.scheduling.fleet_config import Queue
 from tamarackmount.scheduling.free_capacity import FreeCapacityIndex
+from tamarackmount.scheduling.gang_groups import gang_groups
 from tamarackmount.scheduling.holder_authority import HolderAuthority
 from tamarackmount.scheduling.model import ServiceName
 from tamarackmount.scheduling.ranking import Tier, rank, tier
+from tamarackmount.scheduling.reservations import Reservations
 from tamarackmount.scheduling.run_starts import next_run_number, start_run
 from tamarackmount.scheduling.runs import StepState, WaitReason
 from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.worker_choice import eligible_workers
 from tamarackmount.scheduling.workers import ContactState, WorkerState
 
 _log = logging.getLogger(__name__)
@@ -32,6 +35,7 @@
     if state.authority is not HolderAuthority.FULL or state.write_ahead.is_stalled(now):
         return blocked_steps
     unconfirmed = _services_with_unconfirmed_workers(state)
+    reservations = Reservations(state, now)
     for step in sorted(
         state.ready_steps_by_key.values(), key=lambda step: rank(step, now)
     ):
@@ -41,7 +45,8 @@
             reason = _quick_wait_reason(state, step, queue, capacity_index, now)
         if reason is WaitReason.NONE:
             place_step = _place_gang if step.spec.gang else _place_tasks
-            reason = place_step(state, step, queue, capacity_index, now)
+            reason = place_step(state, step, queue, capacity_index, reservations, now)
+        reservations.update(step, queue, reason)
         if reason in (WaitReason.NO_CAPACITY, WaitReason.CEILING):
             blocked_steps.append((step, queue))
         _update_wait_reason(step, reason, now)
@@ -128,54 +133,18 @@
     _log.info("step waits", extra=extra)
 
 
-def could_run(step: StepState, worker: WorkerState) -> bool:
-    """Return whether a worker could run a task of the step if it were idle."""
-    return (
-        worker.entry.service == step.job.accepted.service
-        and (not step.spec.label or step.spec.label in worker.entry.labels)
-        and step.reserved_amount.fits_in(worker.entry.capacity)
-    )
-
-
-def eligible_workers(
-    state: SchedulerState, step: StepState, queue: Queue, now: Instant
-) -> list[WorkerState]:
-    """Return the workers that may take a task of the step now, free capacity aside.
-
-    Slow workers and those on which the step has failed are left out if others remain.
-    """
-    candidates: Iterable[WorkerState] = state.workers_by_incarnation.values()
-    if queue.advice is not None:
-        advice = step.advice
-        candidates = (
-            worker
-            for worker in state.find_workers(advice.allowed.values())
-            if advice.usable_ticket(worker.incarnation, now)
-        )
-    found = [
-        worker
-        for worker in candidates
-        if worker.can_start and now >= worker.backoff_until and could_run(step, worker)
-    ]
-    preferred = [
-        worker
-        for worker in found
-        if worker.incarnation.worker_id not in step.failed_on
-        and not worker.is_slow(now)
-    ]
-    return preferred or found
-
-
 def _place_tasks(
     state: SchedulerState,
     step: StepState,
     queue: Queue,
     capacity_index: FreeCapacityIndex,
+    reservations: Reservations,
     now: Instant,
 ) -> WaitReason:
     workers = eligible_workers(state, step, queue, now)
     if not workers:
         return WaitReason.NO_ELIGIBLE_WORKER
+    usable = reservations.usable_workers(step, workers)
     for index in sorted(step.pending):
         # An earlier run of the task may still be running.
         if step.task(index) in state.orphaned_run_count_by_task:
@@ -183,7 +152,7 @@
         # Checked for each task, as every start in this loop adds to the team's use.
         if not is_under_ceiling(state, step, 1, ceiling_fraction(step, now)):
             return WaitReason.CEILING
-        worker = _choose_worker(step, index, workers, capacity_index)
+        worker = _choose_worker(step, index, usable, capacity_index, reservations)
         if worker is None:
             return WaitReason.NO_CAPACITY
         step.run_number = next_run_number(step)
@@ -196,6 +165,7 @@
     step: StepState,
     queue: Queue,
     _capacity_index: FreeCapacityIndex,
+    reservations: Reservations,
     now: Instant,
 ) -> WaitReason:
     # ``_capacity_index`` is not used: the signature is that of ``_place_tasks``.
@@ -213,7 +183,7 @@
     workers = eligible_workers(state, step, queue, now)
     if not workers:
         return WaitReason.NO_ELIGIBLE_WORKER
-    chosen = _choose_gang_workers(step, workers)
+    chosen = _choose_gang_workers(step, workers, reservations)
     if not chosen:
         return WaitReason.NO_CAPACITY
     step.run_number = next_run_number(step)
@@ -223,30 +193,26 @@
 
 
 def _choose_gang_workers(
-    step: StepState, workers: list[WorkerState]
+    step: StepState, workers: Sequence[WorkerState], reservations: Reservations
 ) -> list[WorkerState]:
     """Return a worker for each member; none if the gang does not fit.
 
     If the step asks for one rack, all members go to one rack if they fit on any.
+    Workers that are reserved for others are used only if the gang fits nowhere else.
     """
-    for group in _gang_groups(step, workers):
+    usable = reservations.usable_workers(step, workers)
+    unreserved = [worker for worker in usable if not reservations.is_reserved(worker)]
+    groups = list(gang_groups(step, unreserved))
+    if len(unreserved) < len(usable):
+        groups.extend(gang_groups(step, usable))
+    for group in groups:
         chosen = _assign_gang(step, group)
         if chosen:
             return chosen
     return []
 
 
-def _gang_groups(
-    step: StepState, workers: list[WorkerState]
-) -> Iterable[list[WorkerState]]:
-    if step.spec.same_rack:
-        racks = sorted({worker.entry.rack for worker in workers})
-        for rack in racks:
-            yield [worker for worker in workers if worker.entry.rack == rack]
-    yield workers
-
-
-def _assign_gang(step: StepState, workers: list[WorkerState]) -> list[WorkerState]:
+def _assign_gang(step: StepState, workers: Sequence[WorkerState]) -> list[WorkerState]:
     amount = step.reserved_amount
     free_by_incarnation = {worker.incarnation: worker.free for worker in workers}
     count_by_incarnation = {worker.incarnation: 0 for worker in workers}
@@ -277,8 +243,9 @@
 def _choose_worker(
     step: StepState,
     index: int,
-    workers: list[WorkerState],
+    workers: Sequence[WorkerState],
     capacity_index: FreeCapacityIndex,
+    reservations: Reservations,
 ) -> WorkerState | None:
     """Return the best-fitting worker near the task's data and its job's other tasks.
 
@@ -305,6 +272,7 @@
         near,
         key=lambda worker: (
             worker.entry.data_centre in capacity_index.suspected_data_centres,
+            reservations.is_reserved(worker),
             worker.entry.data_centre != data_centre,
             _remaining(worker.free, amount),
         ),
--- a/tamarackmount/scheduling/preemption.py
+++ b/tamarackmount/scheduling/preemption.py
@@ -13,10 +13,10 @@
 from tamarackmount.scheduling.fleet_config import Queue
 from tamarackmount.scheduling.free_capacity import count_fitting_tasks
 from tamarackmount.scheduling.model import WorkerIncarnation
-from tamarackmount.scheduling.placement import eligible_workers
 from tamarackmount.scheduling.ranking import Tier, tier
 from tamarackmount.scheduling.runs import Run, RunPhase, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.worker_choice import eligible_workers
 from tamarackmount.scheduling.workers import WorkerState
 
 _log = logging.getLogger(__name__)
--- /dev/null
+++ b/tamarackmount/scheduling/reservations.py
@@ -0,0 +1,180 @@
+"""Reserve workers for gangs that wait for capacity.
+
+Load pattern: gangs of large tasks need many slots at one moment, on a pool that smaller
+steps keep busy. These take each slot as soon as it is free, also one that was freed by
+preemption for a gang, and the gang waits until the whole pool is idle. So the workers
+that have capacity for all members soonest are reserved for it. Other steps use them
+only if they end before the gang can start (backfill), and urgent ones if they fit
+nowhere else.
+"""
+
+from collections.abc import Iterable, Sequence
+
+from tamarackmount.ids import Instant
+from tamarackmount.scheduling.fleet_config import Queue
+from tamarackmount.scheduling.free_capacity import count_fitting_tasks
+from tamarackmount.scheduling.gang_groups import gang_groups
+from tamarackmount.scheduling.model import WorkerIncarnation
+from tamarackmount.scheduling.ranking import URGENT_PRIORITY, Tier, tier
+from tamarackmount.scheduling.runs import Reservation, Run, StepState, WaitReason
+from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.worker_choice import eligible_workers
+from tamarackmount.scheduling.workers import WorkerState
+
+MAX_RESERVATIONS = 3
+"""Maximum number of gangs with reserved workers at once: capacity that is kept free for
+one is lost to all others."""
+
+MAX_RESERVED_FRACTION = 0.3
+"""Fraction of a service's workers that may be reserved, without unit. A wider gang gets
+its workers only while no other gang has any."""
+
+CHECK_INTERVAL_S = 0.2
+"""Time after which a reservation is planned anew, in seconds; the search takes about a
+millisecond on hundreds of workers."""
+
+MAX_AGE_S = 3.0
+"""Time for which a reservation is kept while its gang waits for tickets, in seconds;
+the advice service takes a second for a wide gang."""
+
+MOVE_MARGIN_S = 1.0
+"""Time that another worker has to be free sooner to be reserved in place of one that
+was, in seconds: a reservation that moves around keeps nothing free."""
+
+MIN_LEFT_S = 0.2
+"""Time for which an overdue run is expected to go on, in seconds."""
+
+
+class Reservations:
+    """The reserved workers in one round of placement.
+
+    Steps are passed in order of rank, so a reservation binds those of lower rank only.
+    """
+
+    def __init__(self, state: SchedulerState, now: Instant) -> None:
+        """Begin with no worker reserved."""
+        self._state = state
+        self._now = now
+        self._count = 0
+        self._starts_at_by_worker: dict[WorkerIncarnation, Instant] = {}
+
+    def is_reserved(self, worker: WorkerState) -> bool:
+        """Tell whether a worker is reserved for a gang."""
+        return worker.incarnation in self._starts_at_by_worker
+
+    def usable_workers(
+        self, step: StepState, workers: Sequence[WorkerState]
+    ) -> Sequence[WorkerState]:
+        """Return the workers on which a step of lower rank may start tasks now."""
+        if not self._starts_at_by_worker or step.job.priority == URGENT_PRIORITY:
+            return workers
+        ends_at = self._now + self._state.forecast.estimate_s(
+            step.job.accepted.queue_name, step.spec.estimated_ms
+        )
+        never = Instant(float("inf"))
+        return [
+            worker
+            for worker in workers
+            if ends_at <= self._starts_at_by_worker.get(worker.incarnation, never)
+        ]
+
+    def update(self, step: StepState, queue: Queue, reason: WaitReason) -> None:
+        """Reserve workers for a step that was passed to placement, if it needs any.
+
+        ``reason`` is why its tasks did not start.
+        """
+        if not self._may_reserve(step, reason):
+            step.reservation = None
+            return
+        planned = step.reservation
+        if reason is WaitReason.NO_CAPACITY and (
+            planned is None or self._now >= planned.planned_at + CHECK_INTERVAL_S
+        ):
+            step.reservation = planned = self._plan(step, queue)
+        if planned is None or self._now > planned.planned_at + MAX_AGE_S:
+            step.reservation = None
+            return
+        if self._fits_limits(step, planned):
+            self._count += 1
+            for worker in planned.workers:
+                self._starts_at_by_worker.setdefault(worker, planned.starts_at)
+
+    def _may_reserve(self, step: StepState, reason: WaitReason) -> bool:
+        return (
+            step.spec.gang
+            and reason in (WaitReason.NO_CAPACITY, WaitReason.NO_ELIGIBLE_WORKER)
+            and self._count < MAX_RESERVATIONS
+            and tier(step, self._now) <= Tier.LATE
+        )
+
+    def _fits_limits(self, step: StepState, planned: Reservation) -> bool:
+        if not self._starts_at_by_worker:
+            return True
+        service = step.job.accepted.service
+        pool = sum(
+            worker.entry.service == service
+            for worker in self._state.workers_by_incarnation.values()
+        )
+        reserved = self._starts_at_by_worker.keys() | planned.workers
+        return len(reserved) <= MAX_RESERVED_FRACTION * pool
+
+    def _plan(self, step: StepState, queue: Queue) -> Reservation | None:
+        """Return the workers that have capacity for all members soonest."""
+        workers = eligible_workers(self._state, step, queue, self._now)
+        plans = (self._plan_on(step, group) for group in gang_groups(step, workers))
+        return min(
+            (plan for plan in plans if plan is not None),
+            key=lambda plan: plan.starts_at,
+            default=None,
+        )
+
+    def _plan_on(
+        self, step: StepState, workers: Iterable[WorkerState]
+    ) -> Reservation | None:
+        """Return the workers of a group that have capacity soonest, if all fit."""
+        previous = step.reservation.workers if step.reservation else frozenset()
+        slots = [slot for worker in workers for slot in self._slots(step, worker)]
+        slots.sort(key=lambda slot: slot[0] + MOVE_MARGIN_S * (slot[2] not in previous))
+        missing = step.spec.count
+        chosen: set[WorkerIncarnation] = set()
+        starts_at = self._now
+        for free_at, count, incarnation in slots:
+            if missing <= 0:
+                break
+            missing -= count
+            chosen.add(incarnation)
+            starts_at = max(starts_at, free_at)
+        if missing > 0:
+            return None
+        return Reservation(frozenset(chosen), starts_at, self._now)
+
+    def _slots(
+        self, step: StepState, worker: WorkerState
+    ) -> list[tuple[Instant, int, WorkerIncarnation]]:
+        """Return when a worker gets how many more slots for the step's tasks."""
+        spec = step.spec
+        rows = []
+        free = worker.free
+        known = 0
+        runs = ((self._expected_end(run), run) for run in worker.runs_by_task.values())
+        ends = [(self._now, None), *sorted(runs, key=lambda row: row[0])]
+        for free_at, run in ends:
+            free = free if run is None else free + run.amount
+            count = count_fitting_tasks(
+                step.reserved_amount, free, spec.count, spec.max_per_worker
+            )
+            if count > known and free_at < float("inf"):
+                rows.append((free_at, count - known, worker.incarnation))
+                known = count
+        return rows
+
+    def _expected_end(self, run: Run) -> Instant:
+        step = self._state.step_of(run.task)
+        if step is None:
+            return self._now
+        if step.spec.perpetual:
+            return Instant(float("inf"))
+        duration_s = self._state.forecast.estimate_s(
+            step.job.accepted.queue_name, step.spec.estimated_ms
+        )
+        return Instant(max(run.began_at + duration_s, self._now + MIN_LEFT_S))
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -82,6 +82,15 @@
     is_orphaned: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Reservation:
+    """Workers that are kept free for a gang, which can probably start ``starts_at``."""
+
+    workers: frozenset[WorkerIncarnation]
+    starts_at: Instant
+    planned_at: Instant
+
+
 @dataclass(slots=True)
 class StepState:
     """The tasks of one step of one occurrence of a job.
@@ -97,7 +106,8 @@
     differ by several times. ``failed_on`` are workers on which a task of the step
     failed or was a straggler; others are preferred. ``not_before`` delays the next
     placement after a refused start or a preemption. A step with a ``due_unix_ms`` does
-    not start before then.
+    not start before then. ``reservation`` has the workers that are kept free for a
+    gang.
     """
 
     key: StepKey
@@ -117,6 +127,7 @@
     failed_on: set[WorkerId] = field(default_factory=set)
     not_before: Instant = Instant(0.0)
     due_unix_ms: int = 0
+    reservation: Reservation | None = None
     wait_reason: WaitReason = WaitReason.NONE
 
     @property
--- a/tamarackmount/scheduling/stragglers.py
+++ b/tamarackmount/scheduling/stragglers.py
@@ -15,7 +15,6 @@
 from statistics import median
 
 from tamarackmount.ids import Instant
-from tamarackmount.scheduling.placement import could_run
 from tamarackmount.scheduling.run_ends import (
     MIN_DURATION_SAMPLES,
     WORKER_BACKOFF_S,
@@ -23,6 +22,7 @@
 )
 from tamarackmount.scheduling.runs import Run, RunPhase, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.worker_choice import could_run
 from tamarackmount.scheduling.workers import WorkerState
 
 _log = logging.getLogger(__name__)
--- /dev/null
+++ b/tamarackmount/scheduling/worker_choice.py
@@ -0,0 +1,47 @@
+"""Which workers may take tasks of a step, free capacity aside."""
+
+from collections.abc import Iterable
+
+from tamarackmount.ids import Instant
+from tamarackmount.scheduling.fleet_config import Queue
+from tamarackmount.scheduling.runs import StepState
+from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.workers import WorkerState
+
+
+def could_run(step: StepState, worker: WorkerState) -> bool:
+    """Return whether a worker could run a task of the step if it were idle."""
+    return (
+        worker.entry.service == step.job.accepted.service
+        and (not step.spec.label or step.spec.label in worker.entry.labels)
+        and step.reserved_amount.fits_in(worker.entry.capacity)
+    )
+
+
+def eligible_workers(
+    state: SchedulerState, step: StepState, queue: Queue, now: Instant
+) -> list[WorkerState]:
+    """Return the workers that may take a task of the step now, free capacity aside.
+
+    Slow workers and those on which the step has failed are left out if others remain.
+    """
+    candidates: Iterable[WorkerState] = state.workers_by_incarnation.values()
+    if queue.advice is not None:
+        advice = step.advice
+        candidates = (
+            worker
+            for worker in state.find_workers(advice.allowed.values())
+            if advice.usable_ticket(worker.incarnation, now)
+        )
+    found = [
+        worker
+        for worker in candidates
+        if worker.can_start and now >= worker.backoff_until and could_run(step, worker)
+    ]
+    preferred = [
+        worker
+        for worker in found
+        if worker.incarnation.worker_id not in step.failed_on
+        and not worker.is_slow(now)
+    ]
+    return preferred or found
--- /dev/null
+++ b/tests/test_scheduling_reservations.py
@@ -0,0 +1,74 @@
+"""Gangs on a busy pool: reserved workers, backfill, and urgent jobs beside them."""
+
+from tamarackmount.resources import Resources
+from tamarackmount.scheduling.accepted_job import AcceptedJob
+from tests.utils.build_scheduling import (
+    HIGH_PRIORITY,
+    SchedulerHarness,
+    job,
+    step,
+    worker_entry,
+)
+from tests.utils.load_simulation import LoadSimulation
+
+GANG = job(1, step(3, cores=9, estimated_ms=5_000, gang=True))
+GANG_ARRIVES_S = 6.0
+GANG_LATEST_START_S = GANG_ARRIVES_S + 4.0 * 5.0 + 3.0 - 5.0
+"""When the gang has to start to be on time: its queue's stretch times its duration and
+the queue's target, less its duration."""
+
+SMALL_S = 3.0
+
+URGENT_SLACK_S = 1.5 * 0.6 + 0.25 - 0.6
+"""Time for which an urgent job of 0.6 s may wait for its start to be on time."""
+
+
+def busy_pool() -> tuple[LoadSimulation, list[tuple[float, AcceptedJob]]]:
+    """Return a worker and small jobs that keep three quarters of it busy."""
+    harness = SchedulerHarness(ceiling=Resources())
+    harness.register_workers(worker_entry("w1", cores=32))
+    small = [
+        (
+            float(number),
+            job(100 + number, step(4, cores=2, estimated_ms=int(SMALL_S * 1_000))),
+        )
+        for number in range(28)
+    ]
+    return LoadSimulation(harness), small
+
+
+def test_a_gang_starts_in_time_on_a_pool_that_small_jobs_keep_busy() -> None:
+    simulation, small = busy_pool()
+    simulation.run_for([(GANG_ARRIVES_S, GANG), *small], 30.0)
+    assert simulation.first_start_s[GANG.job_id] <= GANG_LATEST_START_S
+
+
+def test_small_jobs_that_end_before_the_gang_can_start_go_on() -> None:
+    harness = SchedulerHarness(ceiling=Resources())
+    harness.register_workers(worker_entry("w1", cores=32))
+    long = job(2, step(1, cores=16, estimated_ms=8_000))
+    # The gang needs what the long task has for 8 s.
+    short = [
+        (1.0 + number, job(100 + number, step(1, cores=2, estimated_ms=1_000)))
+        for number in range(5)
+    ]
+    simulation = LoadSimulation(harness)
+    simulation.run_for([(0.0, long), (0.5, GANG), *short], 7.0)
+    for arrives, accepted in short:
+        assert simulation.first_start_s[accepted.job_id] <= arrives + 0.2
+    assert GANG.job_id not in simulation.first_start_s
+
+
+def test_urgent_jobs_use_reserved_workers_if_they_fit_nowhere_else() -> None:
+    simulation, small = busy_pool()
+    urgent = [
+        (
+            8.0 + 0.5 * number,
+            job(200 + number, step(2, estimated_ms=600), in_queue=HIGH_PRIORITY),
+        )
+        for number in range(20)
+    ]
+    simulation.run_for([(GANG_ARRIVES_S, GANG), *small, *urgent], 30.0)
+    for arrives, accepted in urgent:
+        assert simulation.first_start_s[accepted.job_id] <= arrives + URGENT_SLACK_S
+    assert simulation.first_start_s[GANG.job_id] <= GANG_LATEST_START_S
