An append is sent again while its first call may still be answered

Change: node/hedged_append.py: after the timeout a second call is sent, and the first one is still waited for. A rejection counts only if no other call may have been applied.

--- a/tamarackmount/node/fenced_log.py
+++ b/tamarackmount/node/fenced_log.py
@@ -9,6 +9,7 @@
 
 from tamarackmount.ids import Epoch, Instant, Offset
 from tamarackmount.node.adaptive_timeout import AdaptiveTimeout
+from tamarackmount.node.hedged_append import HedgedAppend
 from tamarackmount.platform.store import (
     Appended,
     AppendResult,
@@ -88,17 +89,22 @@
         started_at = self._reactor.seconds()
         if self._is_idle_since_response(started_at):
             self._last_response_at = started_at
-        deadline = Instant(started_at + self._timeout.seconds())
-        result = await self._store.append(
-            self._topic, rows, deadline, expected_end, producer
-        )
-        if _is_repetition(result, self._sequence):
-            # The offsets were in a lost response; -1 means unknown.
-            result = Appended(Offset(-1), Offset(-1))
+
+        async def call(deadline: Instant) -> AppendResult:
+            result = await self._store.append(
+                self._topic, rows, deadline, expected_end, producer
+            )
+            if _is_repetition(result, producer.sequence):
+                # The offsets were in a lost response; -1 means unknown.
+                return Appended(Offset(-1), Offset(-1))
+            return result
+
+        hedged = HedgedAppend(self._reactor, call)
+        result = await hedged.run(self._timeout.seconds())
         if is_outcome_unknown(result):
             self._timeout.record_timeout()
         else:
-            self._timeout.record_response(self._reactor.seconds() - started_at)
+            self._timeout.record_response(hedged.answered_in_s)
         if isinstance(result, Appended):
             self._sequence += 1
             self._retry_delay_s = RETRY_DELAY_S
