VMs that have left do not delay a claim of the holder role

Change: candidates are the nodes that were connected within the last 2 s. The new test (ten VMs that left) failed before: no claim within 0.9 s.

--- a/tamarackmount/node/holder_election.py
+++ b/tamarackmount/node/holder_election.py
@@ -29,6 +29,7 @@
 from tamarackmount.platform.store import KeyedRecord
 from tamarackmount.scheduling.holder_watch import (
     MAX_QUICK_READ_S,
+    Candidate,
     HolderWatch,
     candidate_rank,
 )
@@ -49,6 +50,10 @@
 CLAIM_CHECK_INTERVAL_S = 0.1
 """Interval between two checks whether to claim the role, in seconds."""
 
+CANDIDATE_LINGER_S = 2.0
+"""Time for which a node that is not connected counts as a candidate, in seconds: since
+its connection was lost, or since its registration was read."""
+
 MAX_PROBING_RANK = 3
 """Rank among the candidates below which a node probes a silent holder; the others claim
 later."""
@@ -94,6 +99,7 @@
         self._probe = HolderProbe(context.peer_calls)
         self._slow_store_until = Instant(float("-inf"))
         self._is_handing_over = False
+        self._connected_at_by_node: dict[MemberId, Instant] = {}
         self._next_hand_over_check_at = Instant(0.0)
         self._is_claiming = False
         self.new_holder_ready = Change()
@@ -186,7 +192,7 @@
         )
         if context.fleet is None:
             return
-        candidates = self._registry.candidates()
+        candidates = self._live_candidates()
         rank = candidate_rank(context.node_id, candidates, self.holder_node)
         started = self._registry.started_by_node()
         is_unresponsive = self._is_holder_unresponsive(rank)
@@ -199,6 +205,22 @@
             self._is_claiming = True
             spawn(self._claim())
 
+    def _live_candidates(self) -> list[Candidate]:
+        """Return this node, and those that were connected a moment ago.
+
+        VMs that have left stay registered; nodes of lower rank must not wait for them.
+        """
+        now = clock.now()
+        live = []
+        for candidate in self._registry.candidates():
+            node = candidate.node
+            if node == self._context.node_id or self._context.links.is_open(node):
+                self._connected_at_by_node[node] = now
+            seen_at = self._connected_at_by_node.setdefault(node, now)
+            if now <= seen_at + CANDIDATE_LINGER_S:
+                live.append(candidate)
+        return live
+
     def _check_hand_over(self) -> None:
         """Hand the role over to a larger VM, if there is one that reaches the store.
 
--- a/tests/test_holder_probe.py
+++ b/tests/test_holder_probe.py
@@ -5,6 +5,7 @@
 
 from tamarackmount.ids import Instant, MemberId
 from tamarackmount.node import clock
+from tamarackmount.node.holder_election import CANDIDATE_LINGER_S
 from tamarackmount.node.http_api import HttpStatus
 from tamarackmount.scheduling.holder_authority import HolderAuthority, holder_authority
 from tamarackmount.scheduling.holder_watch import (
@@ -106,3 +107,13 @@
     fleet.nodes_without_store.update({MemberId("n0"), MemberId("n1")})
     fleet.run_for(5.0)
     assert fleet.holder() == MemberId("n2")
+
+
+def test_vms_that_have_left_do_not_delay_a_claim(fleet: MemoryFleet) -> None:
+    for number in range(10):
+        fleet.register(f"a{number}", cores=9.0)
+    fleet.run_for(CANDIDATE_LINGER_S + 0.2)
+    assert fleet.holder() == HOLDER
+    fleet.lose_silently(0)
+    fleet.run_for(LATEST_PROBED_CLAIM_S)
+    assert fleet.holder() == MemberId("n1")
--- a/tests/utils/memory_peers.py
+++ b/tests/utils/memory_peers.py
@@ -122,9 +122,7 @@
         holder = HolderRecord(MemberId("n0"), 1, 0, 1)
         self.store.put(HOLDER_TOPIC, KeyedRecord("holder", encode_record(holder)))
         for number in range(size):
-            record = NodeRecord("10.1.0.1", 7_180, "kyushu-a", float(size - number), 1)
-            row = KeyedRecord(f"n{number}", encode_record(record))
-            self.store.put(NODES_TOPIC, row)
+            self.register(f"n{number}", cores=float(size - number))
         for number in range(size):
             self._start_node(MemberId(f"n{number}"))
         self.run_for(1.0)
@@ -147,6 +145,11 @@
         """Replace a node's process by a new one, which has read nothing yet."""
         self._start_node(MemberId(f"n{number}"))
 
+    def register(self, name: str, cores: float) -> None:
+        """Register a node, whether it runs or not."""
+        record = NodeRecord("10.1.0.1", 7_180, "kyushu-a", cores, 1)
+        self.store.put(NODES_TOPIC, KeyedRecord(name, encode_record(record)))
+
     def start_claiming(self) -> None:
         """Put a configuration into force, and let the nodes elect a holder."""
         configuration = orjson.dumps(config_document())
