--- a/tamarackmount/delays.py
+++ b/tamarackmount/delays.py
@@ -286,6 +286,9 @@
         )
     path = _CriticalPath(trace, gaps, medians, seconds)
     path.walk()
+    if not trace.runs and trace.phase == "completed":
+        seconds.clear()
+        seconds[Cause.UNEXPLAINED] = trace.ended_at - handed_in_at
     took_s = trace.ended_at - handed_in_at
     return JobDelay(
         job,
@@ -319,10 +322,12 @@
         trace = self._trace
         handed_in_at = trace.handed_in_at or 0.0
         run = self._last_run_before(self._at, trace.runs)
+        waiting_step = run.step if run is not None else self._first_step()
         while run is not None and self._at > handed_in_at:
             ended_at = min(self._at, run.ended_at or self._at)
-            self._add_wait(run.step, max(ended_at, handed_in_at))
+            self._add_wait(waiting_step, max(ended_at, handed_in_at))
             self._add_run(run, max(run.started_at, handed_in_at))
+            waiting_step = run.step
             earlier = [
                 other
                 for other in trace.runs
@@ -332,8 +337,7 @@
             before = [other for other in trace.runs if other.step != run.step]
             run = self._last_start(earlier) or self._last_run_before(self._at, before)
         stored_at = min(self._at, trace.stored_at or handed_in_at)
-        step = run.step if run is not None else self._first_step()
-        self._add_wait(step, max(stored_at, handed_in_at))
+        self._add_wait(waiting_step, max(stored_at, handed_in_at))
         self._seconds[Cause.ACCEPTING] += max(0.0, self._at - handed_in_at)
 
     def _first_step(self) -> str:
