--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 from returns.result import Failure
-from twisted.internet.defer import DeferredSemaphore
 from twisted.internet.task import LoopingCall
 
 from tamarackmount.ids import Epoch, Instant, JobId
@@ -17,6 +16,7 @@
 from tamarackmount.node.hedged_advice import HedgedAdviceClient
 from tamarackmount.node.holder_dependencies import HolderDependencies
 from tamarackmount.node.journal_writer import JournalWriter, WriterCallbacks
+from tamarackmount.node.start_orders import ORDER_TIMEOUT_S, StartOrders
 from tamarackmount.node.submissions import StoreOutcome, StoreResult
 from tamarackmount.node.tasks import spawn, stop_process_on_error
 from tamarackmount.node.worker_registrations import WorkerRegistrations
@@ -43,12 +43,16 @@
     decode_record,
     split_key,
 )
-from tamarackmount.scheduling.model import JobPhase, StepKey, WorkerIncarnation
+from tamarackmount.scheduling.model import JobPhase, StepKey
 from tamarackmount.scheduling.retention import expired_jobs
 from tamarackmount.scheduling.scheduler import Scheduler
 from tamarackmount.scheduling.step_advice import AdviceAnswer
 from tamarackmount.scheduling.store_batches import Batch
-from tamarackmount.scheduling.worker_reports import WorkerEntry
+from tamarackmount.scheduling.worker_reports import (
+    OrderResult,
+    StartOrder,
+    WorkerEntry,
+)
 from tamarackmount.units import MS_PER_SECOND
 
 TICK_INTERVAL_S = 0.05
@@ -58,18 +62,10 @@
 DECISION_DELAY_S = 0.002
 """Delay in which inputs are collected before the next decision, in seconds."""
 
-ORDER_TIMEOUT_S = 0.2
-"""Timeout of an order to a worker, in seconds. Round trips take 3 to 10 ms, and urgent
-jobs have 0.5 s to spare."""
-
 POLL_TIMEOUT_MARGIN_S = 0.2
 """Time that a poll of a worker may take beyond its wait, in seconds. Round trips take 3
 to 10 ms, and urgent jobs have 0.5 s to spare."""
 
-MAX_STARTS_PER_WORKER = 3
-"""Maximum number of concurrent starts per worker; more would open more connections than
-they save."""
-
 RETENTION_CHECK_INTERVAL_S = 5.0
 """Interval between two checks for expired jobs, in seconds."""
 
@@ -103,7 +99,9 @@
         self._is_tick_scheduled = False
         self._rng = random.Random()
         self._next_retention_check_at = clock.now()
-        self._semaphores_by_incarnation: dict[WorkerIncarnation, DeferredSemaphore] = {}
+        self._start_orders = StartOrders(
+            dependencies.workers, claimed.epoch, self._may_start, self._start_answered
+        )
         self.scheduler = Scheduler(claimed.epoch, self._find_job, dependencies.metrics)
         self.scheduler.set_fleet_config(fleet, clock.now())
         callbacks = WriterCallbacks(
@@ -136,7 +134,7 @@
         self._ticks.clock = dependencies.reactor
         self._handlers: dict[type, Callable[[Any], None]] = {
             PollWorker: self._poll,
-            StartRun: self._start_run,
+            StartRun: self._start_orders.send,
             StopRun: self._stop_run,
             AskAdvice: self._request_advice,
             StepDown: self._step_down,
@@ -311,22 +309,13 @@
         self.scheduler.poll_answered(effect.incarnation, answer, sent_at, clock.now())
         self._schedule_tick()
 
-    def _start_run(self, effect: StartRun) -> None:
-        incarnation = effect.order.incarnation
-        semaphore = self._semaphores_by_incarnation.get(incarnation)
-        if semaphore is None:
-            semaphore = DeferredSemaphore(MAX_STARTS_PER_WORKER)
-            self._semaphores_by_incarnation[incarnation] = semaphore
-        semaphore.run(lambda: spawn(self._start_on_worker(effect)))
-
-    async def _start_on_worker(self, effect: StartRun) -> None:
+    def _may_start(self) -> bool:
         if self._is_stopped:
-            return
-        order = effect.order
-        deadline = Instant(clock.now() + ORDER_TIMEOUT_S)
-        result = await self._dependencies.workers.start(
-            effect.address, order, self._epoch, deadline
-        )
+            return False
+        self._update_authority()
+        return self.scheduler.authority is HolderAuthority.FULL
+
+    def _start_answered(self, order: StartOrder, result: OrderResult) -> None:
         self._dependencies.metrics.record_order("start", result.value)
         if self._is_stopped:
             return
@@ -382,13 +371,7 @@
         self.scheduler.batch_stored(batch, clock.now())
         self._schedule_tick()
 
-    def _drop_unused_semaphores(self, entries: list[WorkerEntry]) -> None:
-        """Drop the semaphores of workers that are no longer registered."""
-        registered = {entry.incarnation for entry in entries}
-        for incarnation in self._semaphores_by_incarnation.keys() - registered:
-            del self._semaphores_by_incarnation[incarnation]
-
     def _registrations_changed(self, entries: list[WorkerEntry]) -> None:
         self.scheduler.set_registered_workers(entries, clock.now())
-        self._drop_unused_semaphores(entries)
+        self._start_orders.forget_others(entry.incarnation for entry in entries)
         self._schedule_tick()
--- a/tamarackmount/node/job_service.py
+++ b/tamarackmount/node/job_service.py
@@ -28,6 +28,7 @@
     StoreReply,
     WaitingQuery,
     WaitingReply,
+    enum_value,
 )
 from tamarackmount.node.store_contact import StoreContact
 from tamarackmount.node.submissions import (
@@ -232,8 +233,9 @@
             reply = await peers.call(node, query, PHASE_TIMEOUT_S)
             if not isinstance(reply, PhaseReply):
                 continue
-            if reply.phase:
-                return JobPhase(reply.phase)
+            phase = enum_value(JobPhase, reply.phase) if reply.phase else None
+            if phase is not None:
+                return phase
             if reply.is_denied:
                 return PhaseLookupFailure.NOT_SUBMITTED
         return PhaseLookupFailure.UNAVAILABLE
@@ -300,7 +302,8 @@
         reply = await peers.call(node, query, timeout_s)
         if not isinstance(reply, StoreReply):
             return StoreResult(StoreOutcome.UNKNOWN)
-        return StoreResult(StoreOutcome(reply.stored), reply.retry_after_s)
+        outcome = enum_value(StoreOutcome, reply.stored) or StoreOutcome.UNKNOWN
+        return StoreResult(outcome, reply.retry_after_s)
 
     async def _ask_holder(self, job_id: JobId) -> JobPhase | None:
         node = self._election.holder_node
@@ -311,7 +314,7 @@
         reply = await peers.call(node, query, PHASE_TIMEOUT_S)
         if not isinstance(reply, PhaseReply) or not reply.phase:
             return None
-        return JobPhase(reply.phase)
+        return enum_value(JobPhase, reply.phase)
 
     def _handle_stored(self, record: KeyedRecord, message: NodeMessage) -> None:
         """Apply a stored record, and tell the holder."""
--- a/tamarackmount/node/messages.py
+++ b/tamarackmount/node/messages.py
@@ -1,6 +1,11 @@
 """Messages between entry VMs; ``node_peer.capnp`` has a struct of each one's name."""
 
+import logging
 from dataclasses import dataclass, field
+from enum import Enum
+from typing import TypeVar
+
+_log = logging.getLogger(__name__)
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,6 +148,25 @@
     epoch: int
 
 
+E = TypeVar("E", bound=Enum)
+
+
+def enum_value(kind: type[E], value: str) -> E | None:
+    """Return the member of an enum that a message names.
+
+    Return None for a value that this version does not know: a node of another version
+    may send it.
+    """
+    try:
+        return kind(value)
+    except ValueError:
+        _log.warning(
+            "message has an unknown value; ignored",
+            extra={"type": kind.__name__, "value": value},
+        )
+        return None
+
+
 NodeMessage = (
     JobStored
     | CancelStored
--- /dev/null
+++ b/tamarackmount/node/start_orders.py
@@ -0,0 +1,69 @@
+"""Sends start orders to workers, a few at a time to each."""
+
+from collections.abc import Callable, Iterable
+
+from twisted.internet.defer import DeferredSemaphore
+
+from tamarackmount.ids import Epoch, Instant
+from tamarackmount.node import clock
+from tamarackmount.node.tasks import spawn
+from tamarackmount.platform.workers import WorkerCalls
+from tamarackmount.scheduling.effects import StartRun
+from tamarackmount.scheduling.model import WorkerIncarnation
+from tamarackmount.scheduling.worker_reports import OrderResult, StartOrder
+
+ORDER_TIMEOUT_S = 0.2
+"""Timeout of an order to a worker, in seconds. Round trips take 3 to 10 ms, and urgent
+jobs have 0.5 s to spare."""
+
+MAX_STARTS_PER_WORKER = 3
+"""Maximum number of concurrent starts per worker; more would open more connections than
+they save."""
+
+
+class StartOrders:
+    """Start orders that wait for their turn at their worker.
+
+    The process may be suspended while they wait. So each one is sent only if the holder
+    may still start runs at that moment.
+    """
+
+    def __init__(
+        self,
+        workers: WorkerCalls,
+        epoch: Epoch,
+        may_start: Callable[[], bool],
+        on_result: Callable[[StartOrder, OrderResult], None],
+    ) -> None:
+        """Send orders under ``epoch``; call ``on_result`` once for each.
+
+        ``may_start`` tells whether the holder may start runs now.
+        """
+        self._workers = workers
+        self._epoch = epoch
+        self._may_start = may_start
+        self._on_result = on_result
+        self._turns_by_worker: dict[WorkerIncarnation, DeferredSemaphore] = {}
+
+    def send(self, effect: StartRun) -> None:
+        """Send an order when it is its turn."""
+        incarnation = effect.order.incarnation
+        turns = self._turns_by_worker.get(incarnation)
+        if turns is None:
+            turns = DeferredSemaphore(MAX_STARTS_PER_WORKER)
+            self._turns_by_worker[incarnation] = turns
+        turns.run(lambda: spawn(self._send_now(effect)))
+
+    def forget_others(self, registered: Iterable[WorkerIncarnation]) -> None:
+        """Forget the workers that are not registered."""
+        for incarnation in self._turns_by_worker.keys() - set(registered):
+            del self._turns_by_worker[incarnation]
+
+    async def _send_now(self, effect: StartRun) -> None:
+        result = OrderResult.NOT_SENT
+        if self._may_start():
+            deadline = Instant(clock.now() + ORDER_TIMEOUT_S)
+            result = await self._workers.start(
+                effect.address, effect.order, self._epoch, deadline
+            )
+        self._on_result(effect.order, result)
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -83,6 +83,11 @@
         """The fencing token that all orders carry."""
         return self._state.fencing_token
 
+    @property
+    def authority(self) -> HolderAuthority:
+        """What this holder is still allowed to do."""
+        return self._state.authority
+
     def restore(
         self,
         jobs: Iterable[JobRecords],
--- a/tests/test_holder_probe.py
+++ b/tests/test_holder_probe.py
@@ -7,6 +7,7 @@
 from tamarackmount.node import clock
 from tamarackmount.node.holder_election import CANDIDATE_LINGER_S
 from tamarackmount.node.http_api import HttpStatus
+from tamarackmount.node.messages import PhaseReply, StoreReply, enum_value
 from tamarackmount.scheduling.holder_authority import HolderAuthority, holder_authority
 from tamarackmount.scheduling.holder_watch import (
     HEARTBEAT_INTERVAL_S,
@@ -16,6 +17,7 @@
     HolderWatch,
 )
 from tamarackmount.scheduling.journal import HolderRecord
+from tamarackmount.scheduling.model import JobPhase
 from tests.utils.build_scheduling import job
 from tests.utils.memory_peers import MemoryFleet
 
@@ -117,3 +119,18 @@
     fleet.lose_silently(0)
     fleet.run_for(LATEST_PROBED_CLAIM_S)
     assert fleet.holder() == MemberId("n1")
+
+
+def test_an_answer_of_an_unknown_version_does_not_stop_the_process(
+    fleet: MemoryFleet, caplog: pytest.LogCaptureFixture
+) -> None:
+    assert enum_value(JobPhase, "queued") is JobPhase.QUEUED
+    assert enum_value(JobPhase, "hibernating") is None
+    assert "unknown value" in caplog.text
+    fleet.reply_instead(PhaseReply, phase="hibernating")
+    fleet.reply_instead(StoreReply, stored="perhaps")
+    answer = fleet.run(fleet.node(2).jobs.submit(job(), fleet.deadline()))
+    assert answer.status is HttpStatus.OK
+    found = fleet.run(fleet.node(2).jobs.phase(job().job_id))
+    assert found is JobPhase.QUEUED
+    assert "broken invariant" not in caplog.text
--- /dev/null
+++ b/tests/test_start_orders.py
@@ -0,0 +1,69 @@
+"""Start orders that wait for their turn while the holder's authority ends."""
+
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from tamarackmount.ids import Epoch
+from tamarackmount.node.start_orders import MAX_STARTS_PER_WORKER, StartOrders
+from tamarackmount.scheduling.effects import StartRun
+from tamarackmount.scheduling.model import TaskKey
+from tamarackmount.scheduling.worker_reports import OrderResult, StartOrder
+from tests.utils.build_scheduling import incarnation, job
+
+ORDERS = MAX_STARTS_PER_WORKER + 2
+
+
+class Workers:
+    """Workers that answer when the test says so."""
+
+    def __init__(self) -> None:
+        """Begin without calls."""
+        self.calls: list[Deferred[OrderResult]] = []
+
+    def start(self, *_arguments: Any) -> "Deferred[OrderResult]":
+        self.calls.append(Deferred())
+        return self.calls[-1]
+
+
+class Harness:
+    """Start orders to one worker, under an authority that may end."""
+
+    def __init__(self) -> None:
+        """Send more orders than one worker gets at a time."""
+        self.workers = Workers()
+        self.may_start = True
+        self.results: list[OrderResult] = []
+        workers: Any = self.workers
+        self.orders = StartOrders(
+            workers,
+            Epoch(3),
+            lambda: self.may_start,
+            lambda _, result: self.results.append(result),
+        )
+        for index in range(ORDERS):
+            task = TaskKey(job().job_id, 0, 0, index)
+            order = StartOrder(incarnation(), task, 1, "text", 1_000)
+            self.orders.send(StartRun("w1:1", order))
+
+    def answer_all(self) -> None:
+        """Let the worker carry out the orders that it has."""
+        for call in [call for call in self.workers.calls if not call.called]:
+            call.callback(OrderResult.DONE)
+
+
+def test_orders_that_wait_are_sent_in_turn() -> None:
+    harness = Harness()
+    assert len(harness.workers.calls) == MAX_STARTS_PER_WORKER
+    harness.answer_all()
+    harness.answer_all()
+    assert harness.results == [OrderResult.DONE] * ORDERS
+
+
+def test_orders_that_waited_are_not_sent_once_the_authority_has_ended() -> None:
+    harness = Harness()
+    # The process is suspended here, and another node becomes the holder.
+    harness.may_start = False
+    harness.answer_all()
+    assert len(harness.workers.calls) == MAX_STARTS_PER_WORKER
+    assert harness.results.count(OrderResult.NOT_SENT) == 2
--- a/tests/utils/memory_peers.py
+++ b/tests/utils/memory_peers.py
@@ -1,6 +1,7 @@
 """Entry VMs without sockets, which exchange messages in virtual time."""
 
 from collections.abc import Coroutine
+from dataclasses import replace
 from typing import Any
 
 import orjson
@@ -49,6 +50,9 @@
             return False
         envelope = Envelope(self._node_id, message)
         node = self._fleet.nodes_by_id[to]
+        changes = self._fleet.changes_by_reply.get(type(message))
+        if changes is not None:
+            envelope = Envelope(self._node_id, replace(message, **changes))
         if not {to, self._node_id} & self._fleet.silent_nodes:
             self._fleet.clock.callLater(LATENCY_S, node.handle_message, envelope)
         return True
@@ -116,6 +120,7 @@
         self.store = MemoryStore(self.clock)
         self.lost_nodes: set[MemberId] = set()
         self.silent_nodes: set[MemberId] = set()
+        self.changes_by_reply: dict[type, dict[str, Any]] = {}
         self.nodes_without_store: set[MemberId] = set()
         self.nodes_without_appends: set[MemberId] = set()
         self.nodes_by_id: dict[MemberId, Node] = {}
@@ -172,6 +177,10 @@
         self.silent_nodes.update(MemberId(f"n{number}") for number in numbers)
         self.nodes_without_store |= self.silent_nodes
 
+    def reply_instead(self, reply: type, **changes: Any) -> None:
+        """Change fields of all replies of a type, as of another version."""
+        self.changes_by_reply[reply] = changes
+
     def regain(self, *numbers: int) -> None:
         """Connect nodes again that were cut off silently."""
         regained = {MemberId(f"n{number}") for number in numbers}
--- a/tools/compare_days.py
+++ b/tools/compare_days.py
@@ -30,6 +30,9 @@
 BASE = "base"
 """Name of the version that the variants are compared with."""
 
+REQUIREMENTS = ("constraints.txt", "deploy/requirements.txt")
+"""Files that decide which libraries a version needs."""
+
 SNAPSHOT_LINE = re.compile(r"^snapshot (\w+)$", re.MULTILINE)
 STOPPED_RUNS = re.compile(r" (\d+) stopped,")
 THROWN_AWAY = "core-seconds of work thrown away"
@@ -148,8 +151,25 @@
                     edit.apply(checkout)
                 except StaleEditError as error:
                     raise CompareError(f"{version.switch_off}: {error}") from error
+        self._share_libraries(checkout)
         _run([str(self._program), "build"], checkout)
 
+    def _share_libraries(self, checkout: Path) -> None:
+        """Copy the installed libraries of the base, if the version wants the same."""
+        base = self._folder / BASE
+        built = base / "target" / "deps"
+        if checkout == base or not built.is_dir():
+            return
+        if any(
+            (base / name).read_bytes() != (checkout / name).read_bytes()
+            for name in REQUIREMENTS
+        ):
+            return
+        copied = checkout / "target" / "deps"
+        shutil.copytree(built, copied)
+        # The build step compares the time of this folder with that of the list.
+        copied.touch()
+
     def play(self, version: Version, play: Play, why: str) -> Result:
         """Play a day; raise :exc:`CompareError` if the bench did not finish it."""
         checkout = self._checkout(version)
