--- a/tools/compare_days.py
+++ b/tools/compare_days.py
@@ -200,7 +200,7 @@
         """End the plays that are still running."""
         with self._lock:
             for process in self._processes:
-                process.send_signal(signal.SIGINT)
+                process.terminate()
 
     def collect_journal(self, versions: Sequence[Version]) -> None:
         """Copy the journal entries of all checkouts to this repository."""
@@ -370,6 +370,9 @@
     except CompareError as error:
         print(f"compare_days: {error}", file=sys.stderr)
         return 2
+    # A program that a shell started in the background ignores SIGINT otherwise.
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, signal.default_int_handler)
     try:
         comparison = compare(
             bench, versions, plays, options.jobs, options.why, sys.stderr
