--- a/tests/utils/switch_offs.py
+++ b/tests/utils/switch_offs.py
@@ -179,6 +179,27 @@
             ),
         ),
     ),
+    SwitchOff(
+        "reservations",
+        "gangs of large tasks on a pool that smaller steps keep busy",
+        (
+            _edit(
+                "scheduling/reservations.py",
+                "if self._fits_limits(step, planned):",
+                "if False:",
+            ),
+        ),
+    ),
+    SwitchOff(
+        "early-claim",
+        "the holder is cut off, frozen or turned away by the store",
+        (_edit("scheduling/holder_watch.py", "if is_unresponsive:", "if False:"),),
+    ),
+    SwitchOff(
+        "hand-over",
+        "a small VM becomes the holder while all large ones are lost",
+        (_edit("node/holder_election.py", "        if larger:", "        if False:"),),
+    ),
     SwitchOff(
         "urgent-polls",
         "an answer to a poll of a worker with urgent runs is lost",
