The grace of a replaced holder is a second at least

Cause, found on rereading: the grace follows from the last heartbeat since claims come early, and it shrank for claims that come late. A holder that no node could replace, since none reached the store, relies on their replies for a second after the store is back, and may renew leases in it. The new test failed before (0 s).

--- a/tamarackmount/scheduling/holder_watch.py
+++ b/tamarackmount/scheduling/holder_watch.py
@@ -47,6 +47,10 @@
 may send orders, in seconds: see ``holder_authority.py``; 0.3 s allows for orders in
 flight."""
 
+MIN_FORMER_HOLDER_GRACE_S = 1.0
+"""Least such time after a claim, in seconds: a holder that no node could replace just
+before may rely for so long on what other nodes said of the store."""
+
 StartTimes = Mapping[MemberId, int]
 """Start of the newest process of each entry VM, in milliseconds since 1970."""
 
@@ -135,7 +139,9 @@
         record = self.record
         if record is None or record.released or self.has_restarted(started_by_node):
             return 0.0
-        return max(0.0, self.silent_since + FORMER_ORDERS_LIMIT_S - now)
+        return max(
+            MIN_FORMER_HOLDER_GRACE_S, self.silent_since + FORMER_ORDERS_LIMIT_S - now
+        )
 
     def _claim_delay_s(self) -> float:
         return FIRST_CLAIM_DELAY_S if self.record is None else HEARTBEAT_TIMEOUT_S
--- a/tests/test_holder_authority.py
+++ b/tests/test_holder_authority.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tamarackmount.ids import DataCentreId, Instant, MemberId
+from tamarackmount.node.authority_check import REPLY_TTL_S
 from tamarackmount.scheduling.holder_authority import (
     FULL_AUTHORITY_LIMIT_S,
     RENEWAL_LIMIT_S,
@@ -115,6 +116,12 @@
         assert watch.should_claim(rank, Instant(claims_at + 0.01))
 
 
+def test_a_late_claim_allows_for_a_holder_that_relied_on_other_nodes() -> None:
+    watch = watch_of(HolderRecord(HOLDER, 5, 1, 100))
+    claimed_at = Instant(10.0 + RENEWAL_LIMIT_S + 5.0)
+    assert watch.former_holder_grace_s({}, claimed_at) >= REPLY_TTL_S
+
+
 def test_a_heartbeat_of_an_earlier_epoch_is_ignored() -> None:
     watch = watch_of(HolderRecord(HOLDER, 5, 1, 100))
     watch.heartbeat_received(HolderRecord(NODE, 4, 9, 100), Instant(12.0))
