--- a/tests/test_holder_probe.py
+++ b/tests/test_holder_probe.py
@@ -5,6 +5,7 @@
 
 from tamarackmount.ids import Instant, MemberId
 from tamarackmount.node import clock
+from tamarackmount.node.claims import HOLDER_TOPIC
 from tamarackmount.node.holder_election import CANDIDATE_LINGER_S
 from tamarackmount.node.http_api import HttpStatus
 from tamarackmount.node.messages import PhaseReply, StoreReply, enum_value
@@ -19,7 +20,7 @@
 from tamarackmount.scheduling.journal import HolderRecord
 from tamarackmount.scheduling.model import JobPhase
 from tests.utils.build_scheduling import job
-from tests.utils.memory_peers import MemoryFleet
+from tests.utils.memory_peers import STEP_S, MemoryFleet
 
 HOLDER = MemberId("n0")
 LATEST_PROBED_CLAIM_S = UNRESPONSIVE_TIMEOUT_S + 0.3
@@ -60,10 +61,13 @@
     fleet: MemoryFleet,
 ) -> None:
     fleet.store.read_latency_s = 2 * MAX_QUICK_READ_S
+    heartbeats = len(fleet.store.records(HOLDER_TOPIC))
+    while len(fleet.store.records(HOLDER_TOPIC)) == heartbeats:
+        fleet.run_for(STEP_S)
     fleet.lose_silently(0)
-    fleet.run_for(HEARTBEAT_TIMEOUT_S - HEARTBEAT_INTERVAL_S - 0.05)
+    fleet.run_for(HEARTBEAT_TIMEOUT_S - STEP_S)
     assert fleet.holder() == HOLDER
-    fleet.run_for(HEARTBEAT_INTERVAL_S + 1.5)
+    fleet.run_for(1.5)
     assert fleet.holder() != HOLDER
 
 
