delays: a job without an end keeps its one cause without a made-up time

Cause, found on rereading: such a job had a cause of a billionth of a second, so that its parts did not add up. Change: JobDelay.cause.

--- a/tamarackmount/delays.py
+++ b/tamarackmount/delays.py
@@ -118,9 +118,12 @@
             for cause, seconds in self.seconds_by_cause.items()
             if cause is not Cause.WORK and seconds > 0
         }
-        if not others:
+        if others:
+            return max(others, key=lambda cause: others[cause])
+        if Cause.WORK in self.seconds_by_cause:
             return Cause.WORK
-        return max(others, key=lambda cause: others[cause])
+        # A job that did not end has one cause, perhaps without any time.
+        return next(iter(self.seconds_by_cause))
 
 
 @dataclass(slots=True)
@@ -282,7 +285,13 @@
         cause = _CAUSE_BY_OUTCOME.get(trace.outcome, Cause.NOT_ENDED)
         last_at = (trace.stored_at or handed_in_at) - handed_in_at
         return JobDelay(
-            job, trace.queue, handed_in_at, trace.outcome, False, last_at, {cause: 1e-9}
+            job,
+            trace.queue,
+            handed_in_at,
+            trace.outcome,
+            False,
+            last_at,
+            {cause: last_at},
         )
     path = _CriticalPath(trace, gaps, medians, seconds)
     path.walk()
