Rereading: appends of one log in turn, one probe, the project's own enums

Cause: two appends under one sequence number were kept apart in the heartbeat writer alone, by a loop that looked every 10 ms; the log that deals the numbers is the place for it. Probing a node for the store was written twice. The causes of delays had texts of their own for wait reasons, ends of runs and final phases, which would have drifted from the enums that write the logs. Change: FencedLog.append takes turns (DeferredLock); holder_probe.reaches_store serves the probe and the hand-over; delays.py uses WaitReason, RunEnd and JobPhase. Two mutations name the new places. No test changed.

--- a/tamarackmount/delays.py
+++ b/tamarackmount/delays.py
@@ -15,6 +15,9 @@
 from statistics import median
 
 from tamarackmount.explain import LogLine
+from tamarackmount.scheduling.model import JobPhase
+from tamarackmount.scheduling.runs import WaitReason
+from tamarackmount.scheduling.worker_reports import RunEnd
 
 SLOW_FACTOR = 2.0
 """Multiple, without unit, of the median duration of a step's runs above which a run
@@ -42,7 +45,7 @@
     CAPACITY = "waited for capacity"
     CEILING = "at its workspace's ceiling"
     RETRY = "waited after a refused start, a preemption or a stop"
-    PLACED_AT_ONCE = "waited for its order to be stored and sent"
+    ORDERING = "waited for its order to be stored and sent"
     REFUSED = "refused"
     STORE_AWAY = "not stored"
     NOT_ENDED = "not ended in these logs"
@@ -50,22 +53,24 @@
 
 
 _CAUSE_BY_WAIT_REASON = {
-    "a worker that may run it has not answered the new holder": Cause.TAKEOVER,
-    "a start was refused a moment ago": Cause.RETRY,
-    "an earlier run of it is being stopped": Cause.RETRY,
-    "its team is at its ceiling": Cause.CEILING,
-    "no worker is known to be allowed for it, or the permission ended": Cause.ADVICE,
-    "no allowed worker has room": Cause.CAPACITY,
+    WaitReason.TAKEOVER.value: Cause.TAKEOVER,
+    WaitReason.BACKOFF.value: Cause.RETRY,
+    WaitReason.ORPHANED_RUN.value: Cause.RETRY,
+    WaitReason.CEILING.value: Cause.CEILING,
+    WaitReason.NO_ELIGIBLE_WORKER.value: Cause.ADVICE,
+    WaitReason.NO_CAPACITY.value: Cause.CAPACITY,
 }
 
 _CAUSE_BY_END = {
-    "failed": Cause.FAILED_RUN,
-    "stopped": Cause.STOPPED_RUN,
-    "lapsed": Cause.LOST_RUN,
-    "broken": Cause.FAILED_RUN,
-    "alone": Cause.LOST_RUN,
+    RunEnd.FAILED.value: Cause.FAILED_RUN,
+    RunEnd.STOPPED.value: Cause.STOPPED_RUN,
+    RunEnd.LEASE_EXPIRED.value: Cause.LOST_RUN,
+    RunEnd.GANG_BROKEN.value: Cause.FAILED_RUN,
+    RunEnd.GANG_INCOMPLETE.value: Cause.LOST_RUN,
 }
 
+_FINAL_PHASES = frozenset(phase.value for phase in JobPhase if phase.is_final)
+
 _CAUSE_BY_OUTCOME = {
     "refused": Cause.REFUSED,
     "no": Cause.STORE_AWAY,
@@ -110,6 +115,11 @@
     took_s: float
     seconds_by_cause: dict[Cause, float]
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the logs show the job's end."""
+        return self.phase in _FINAL_PHASES
+
     @property
     def cause(self) -> Cause:
         """The cause that took most of the time, the work itself aside."""
@@ -163,13 +173,13 @@
         count.handed_in += 1
         count.late += row.is_late
         count.refused += row.cause is Cause.REFUSED
-        count.not_done += row.phase not in ("completed", "failed", "cancelled")
+        count.not_done += not row.has_ended
     return dict(sorted(counts.items()))
 
 
 def is_harmed(delay: JobDelay) -> bool:
     """Tell whether a job was late, or not done although nobody cancelled it."""
-    return delay.is_late or delay.phase not in ("completed", "failed", "cancelled")
+    return delay.is_late or not delay.has_ended
 
 
 def _seconds(line: LogLine) -> float:
@@ -265,7 +275,7 @@
     for trace in traces:
         durations: dict[str, list[float]] = defaultdict(list)
         for run in trace.runs:
-            if run.how == "done" and run.ended_at is not None:
+            if run.how == RunEnd.DONE.value and run.ended_at is not None:
                 durations[run.step].append(run.ended_at - run.started_at)
         for step, values in durations.items():
             if len(values) >= MIN_SAMPLES:
@@ -295,7 +305,7 @@
         )
     path = _CriticalPath(trace, gaps, medians, seconds)
     path.walk()
-    if not trace.runs and trace.phase == "completed":
+    if not trace.runs and trace.phase == JobPhase.COMPLETED.value:
         seconds.clear()
         seconds[Cause.UNEXPLAINED] = trace.ended_at - handed_in_at
     took_s = trace.ended_at - handed_in_at
@@ -363,7 +373,7 @@
         return max(ended, key=lambda run: run.ended_at or 0.0, default=None)
 
     def _add_run(self, run: _Run, began_at: float) -> None:
-        if run.how == "done":
+        if run.how == RunEnd.DONE.value:
             usual_s = self._medians.get((id(self._trace), run.step))
             is_slow = usual_s and self._at - began_at > SLOW_FACTOR * usual_s
             cause = Cause.SLOW_RUN if is_slow else Cause.WORK
@@ -384,7 +394,7 @@
                 default=(until, ""),
             )
             began_at = max(began_at, until)
-            cause = _CAUSE_BY_WAIT_REASON.get(reason, Cause.PLACED_AT_ONCE)
+            cause = _CAUSE_BY_WAIT_REASON.get(reason, Cause.ORDERING)
             length = self._at - began_at
             without_holder = sum(
                 max(0.0, min(self._at, end) - max(began_at, start))
--- a/tamarackmount/node/claims.py
+++ b/tamarackmount/node/claims.py
@@ -27,10 +27,6 @@
 HOLDER_TOPIC = Topic("keyed.holder")
 """Topic of holder claims and heartbeats."""
 
-WRITE_CHECK_INTERVAL_S = 0.01
-"""Interval between two checks whether a heartbeat is still being written, in
-seconds."""
-
 _log = logging.getLogger(__name__)
 
 
@@ -87,7 +83,6 @@
         self._on_fenced = on_fenced
         self._heartbeat_number = 0
         self._is_stopped = False
-        self._is_writing = False
         self.last_heartbeat_sent_at = clock.now()
 
     @property
@@ -104,14 +99,8 @@
         self._is_stopped = True
 
     async def release(self) -> None:
-        """Stop, and record in the store that the holder has released its role.
-
-        A heartbeat that is being written is waited for: it and the release would have
-        the same sequence number, and the store would take the release for a repetition.
-        """
+        """Stop, and record in the store that the holder has released its role."""
         self._is_stopped = True
-        while self._is_writing:
-            await deferLater(self._reactor, WRITE_CHECK_INTERVAL_S, lambda: None)
         await self._write(released=True)
 
     async def _run(self) -> None:
@@ -132,9 +121,7 @@
             claimed.started_unix_ms,
             released,
         )
-        self._is_writing = True
         result = await claimed.log.append([_to_row(record)])
-        self._is_writing = False
         if isinstance(result, Appended):
             self.last_heartbeat_sent_at = sent_at
         elif not self._is_stopped:
--- a/tamarackmount/node/fenced_log.py
+++ b/tamarackmount/node/fenced_log.py
@@ -4,7 +4,7 @@
 import secrets
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, DeferredLock
 from twisted.internet.task import deferLater
 
 from tamarackmount.ids import Epoch, Instant, Offset
@@ -56,6 +56,7 @@
         self._store = store
         self._topic = topic
         self._epoch = epoch
+        self._turns = DeferredLock()
         self._sequence = secrets.randbelow(MAX_FIRST_SEQUENCE)
         self._timeout = AdaptiveTimeout()
         self._is_available = True
@@ -119,13 +120,18 @@
     async def append(
         self, rows: list[KeyedRecord], expected_end: Offset | None = None
     ) -> AppendResult:
-        """Append, with retries, until the store accepts or finally rejects the rows."""
-        while True:
-            result = await self.try_append(rows, expected_end)
-            if not isinstance(result, StoreError):
-                return result
-            if not is_outcome_unknown(result):
-                await self.wait_backoff()
+        """Append, with retries, until the store accepts or finally rejects the rows.
+
+        Such appends are made in turn: two at once would have one sequence number, and
+        the store would take the second one for a repetition of the first.
+        """
+        async with self._turns:
+            while True:
+                result = await self.try_append(rows, expected_end)
+                if not isinstance(result, StoreError):
+                    return result
+                if not is_outcome_unknown(result):
+                    await self.wait_backoff()
 
     def _is_idle_since_response(self, now: Instant) -> bool:
         """Tell whether no append has been pending since the last response.
--- a/tamarackmount/node/holder_election.py
+++ b/tamarackmount/node/holder_election.py
@@ -12,17 +12,9 @@
 from tamarackmount.node.context import NodeContext
 from tamarackmount.node.holder import Holder
 from tamarackmount.node.holder_dependencies import HolderDependencies
-from tamarackmount.node.holder_probe import (
-    MAX_STORE_AGE_MS,
-    PROBE_TIMEOUT_S,
-    HolderProbe,
-)
+from tamarackmount.node.holder_probe import HolderProbe, reaches_store
 from tamarackmount.node.jobs_follower import JobsFollower
-from tamarackmount.node.messages import (
-    HolderReleased,
-    StoreAgeQuery,
-    StoreAgeReply,
-)
+from tamarackmount.node.messages import HolderReleased
 from tamarackmount.node.node_registry import NodeRegistry
 from tamarackmount.node.tasks import Event, spawn, stop_process_on_error
 from tamarackmount.node.topic_tail import TopicTail
@@ -248,14 +240,9 @@
             spawn(self._hand_over_to(best.node))
 
     async def _hand_over_to(self, node: MemberId) -> None:
-        peers = self._context.peer_calls
-        query = StoreAgeQuery(peers.next_call_id(), read_now=True)
-        reply = await peers.call(node, query, PROBE_TIMEOUT_S)
-        reaches_store = (
-            isinstance(reply, StoreAgeReply) and reply.age_ms <= MAX_STORE_AGE_MS
-        )
+        reached = await reaches_store(self._context.peer_calls, node)
         # In a slow store the release takes long, and nothing starts meanwhile.
-        if reaches_store and self.holder is not None and self.holder.stores_quickly:
+        if reached and self.holder is not None and self.holder.stores_quickly:
             _log.info("holder role handed over", extra={"to": node})
             await self.release()
         self._is_handing_over = False
--- a/tamarackmount/node/holder_probe.py
+++ b/tamarackmount/node/holder_probe.py
@@ -19,6 +19,13 @@
 store, in milliseconds; it has read the store just before its answer."""
 
 
+async def reaches_store(peers: PeerCalls, node: MemberId) -> bool:
+    """Tell whether another node answers, and has just read the store."""
+    query = StoreAgeQuery(peers.next_call_id(), read_now=True)
+    reply = await peers.call(node, query, PROBE_TIMEOUT_S)
+    return isinstance(reply, StoreAgeReply) and reply.age_ms <= MAX_STORE_AGE_MS
+
+
 class HolderProbe:
     """Asks the holder whether it lives and reaches the store."""
 
@@ -43,11 +50,7 @@
             spawn(self._probe(self._probed_node))
 
     async def _probe(self, holder: MemberId) -> None:
-        query = StoreAgeQuery(self._peers.next_call_id(), read_now=True)
-        reply = await self._peers.call(holder, query, PROBE_TIMEOUT_S)
+        is_responsive = await reaches_store(self._peers, holder)
         self._is_probing = False
-        if holder != self._probed_node:
-            return
-        self.is_unresponsive = (
-            not isinstance(reply, StoreAgeReply) or reply.age_ms > MAX_STORE_AGE_MS
-        )
+        if holder == self._probed_node:
+            self.is_unresponsive = not is_responsive
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -258,9 +258,9 @@
     ),
     Mutant(
         "a release of the holder role is not taken for a repeated heartbeat",
-        "node/claims.py",
-        "while self._is_writing:",
-        "while False:",
+        "node/fenced_log.py",
+        "async with self._turns:",
+        "if True:",
         "tests/test_claims.py",
     ),
     Mutant(
@@ -273,8 +273,8 @@
     Mutant(
         "a holder that reads the store is not replaced early",
         "node/holder_probe.py",
-        "not isinstance(reply, StoreAgeReply) or reply.age_ms > MAX_STORE_AGE_MS",
-        "True",
+        "return isinstance(reply, StoreAgeReply) and reply.age_ms <= MAX_STORE_AGE_MS",
+        "return False",
         "tests/test_holder_probe.py",
     ),
     Mutant(
