Learn duration factors of workers and place by them

Cause: a worker was either usual or slow for 6 s, so urgent steps went to workers at half speed, and no work was kept on these on purpose. Change: worker_speeds.py learns a factor per worker id, shrunk towards its kind's and that towards 1. Samples are the ratios of a step's runs to its median, taken when the step is done. Urgent steps and those without slack prefer faster workers, others slower ones while they stay on time with twice the extra time; gangs take workers of one class if these suffice. Forecast samples are divided by the factor, thresholds of stragglers and copies multiplied by it, as a worker's slowness is relative to it. A run that ended at its start is no sample: two of them divided by zero. Switch-off worker-speeds. Seen failing on the earlier code: urgent jobs on a quarter of workers at half speed end late, calm work and a gang use both kinds of workers, and two ends without a duration raise ZeroDivisionError.

--- a/tamarackmount/scheduling/placement.py
+++ b/tamarackmount/scheduling/placement.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from tamarackmount.ids import DataCentreId, Instant
 from tamarackmount.resources import Resources
@@ -11,12 +11,18 @@
 from tamarackmount.scheduling.free_capacity import FreeCapacityIndex
 from tamarackmount.scheduling.gang_groups import gang_groups
 from tamarackmount.scheduling.holder_authority import HolderAuthority
-from tamarackmount.scheduling.model import ServiceName
+from tamarackmount.scheduling.model import ServiceName, WorkerIncarnation
 from tamarackmount.scheduling.ranking import Tier, rank, tier
 from tamarackmount.scheduling.reservations import Reservations
 from tamarackmount.scheduling.run_starts import next_run_number, start_run
 from tamarackmount.scheduling.runs import StepState, WaitReason
 from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.speed_choice import (
+    NEUTRAL_RANK,
+    SpeedRank,
+    speed_groups,
+    speed_ranks,
+)
 from tamarackmount.scheduling.worker_choice import eligible_workers
 from tamarackmount.scheduling.workers import ContactState, WorkerState
 
@@ -145,6 +151,7 @@
     if not workers:
         return WaitReason.NO_ELIGIBLE_WORKER
     usable = reservations.usable_workers(step, workers)
+    ranks = _speed_ranks(state, step, usable, now)
     for index in sorted(step.pending):
         # An earlier run of the task may still be running.
         if step.task(index) in state.orphaned_run_count_by_task:
@@ -152,7 +159,9 @@
         # Checked for each task, as every start here adds to the workspace's use.
         if not is_under_ceiling(state, step, 1, ceiling_fraction(step, now)):
             return WaitReason.CEILING
-        worker = _choose_worker(step, index, usable, capacity_index, reservations)
+        worker = _choose_worker(
+            step, index, usable, ranks, capacity_index, reservations
+        )
         if worker is None:
             return WaitReason.NO_CAPACITY
         step.run_number = next_run_number(step)
@@ -183,7 +192,9 @@
     workers = eligible_workers(state, step, queue, now)
     if not workers:
         return WaitReason.NO_ELIGIBLE_WORKER
-    chosen = _choose_gang_workers(step, workers, reservations)
+    chosen = _choose_gang_workers(
+        step, workers, _speed_ranks(state, step, workers, now), reservations
+    )
     if not chosen:
         return WaitReason.NO_CAPACITY
     step.run_number = next_run_number(step)
@@ -192,8 +203,22 @@
     return WaitReason.NONE
 
 
+def _speed_ranks(
+    state: SchedulerState, step: StepState, workers: Sequence[WorkerState], now: Instant
+) -> dict[WorkerIncarnation, SpeedRank]:
+    if not state.worker_speeds.has_samples:
+        return {}
+    usual_s = state.forecast.estimate_s(
+        step.job.accepted.queue_name, step.spec.estimated_ms
+    )
+    return speed_ranks(state.worker_speeds, step, workers, usual_s, now)
+
+
 def _choose_gang_workers(
-    step: StepState, workers: Sequence[WorkerState], reservations: Reservations
+    step: StepState,
+    workers: Sequence[WorkerState],
+    ranks: Mapping[WorkerIncarnation, SpeedRank],
+    reservations: Reservations,
 ) -> list[WorkerState]:
     """Return a worker for each member; none if the gang does not fit.
 
@@ -206,13 +231,18 @@
     if len(unreserved) < len(usable):
         groups.extend(gang_groups(step, usable))
     for group in groups:
-        chosen = _assign_gang(step, group)
-        if chosen:
-            return chosen
+        for alike in speed_groups(group, ranks):
+            chosen = _assign_gang(step, alike, ranks)
+            if chosen:
+                return chosen
     return []
 
 
-def _assign_gang(step: StepState, workers: Sequence[WorkerState]) -> list[WorkerState]:
+def _assign_gang(
+    step: StepState,
+    workers: Sequence[WorkerState],
+    ranks: Mapping[WorkerIncarnation, SpeedRank],
+) -> list[WorkerState]:
     amount = step.reserved_amount
     free_by_incarnation = {worker.incarnation: worker.free for worker in workers}
     count_by_incarnation = {worker.incarnation: 0 for worker in workers}
@@ -228,8 +258,9 @@
             return []
         worker = min(
             fitting,
-            key=lambda worker: _remaining(
-                free_by_incarnation[worker.incarnation], amount
+            key=lambda worker: (
+                ranks.get(worker.incarnation, NEUTRAL_RANK),
+                _remaining(free_by_incarnation[worker.incarnation], amount),
             ),
         )
         free_by_incarnation[worker.incarnation] = (
@@ -244,6 +275,7 @@
     step: StepState,
     index: int,
     workers: Sequence[WorkerState],
+    ranks: Mapping[WorkerIncarnation, SpeedRank],
     capacity_index: FreeCapacityIndex,
     reservations: Reservations,
 ) -> WorkerState | None:
@@ -273,7 +305,9 @@
         key=lambda worker: (
             worker.entry.data_centre in capacity_index.suspected_data_centres,
             reservations.is_reserved(worker),
+            (rank := ranks.get(worker.incarnation, NEUTRAL_RANK))[0],
             worker.entry.data_centre != data_centre,
+            rank[1],
             _remaining(worker.free, amount),
         ),
     )
--- a/tamarackmount/scheduling/run_ends.py
+++ b/tamarackmount/scheduling/run_ends.py
@@ -1,6 +1,7 @@
 """Updates of tasks, steps and jobs when runs end."""
 
 import logging
+from statistics import median
 
 from tamarackmount.ids import Instant
 from tamarackmount.scheduling.model import JobPhase, StepKey, TaskKey
@@ -16,6 +17,10 @@
 """Number of finished tasks of a step that are needed to judge the others by their
 durations."""
 
+MIN_SPEED_SAMPLES = 4
+"""Number of finished tasks of a step from which on their durations tell how fast their
+workers are."""
+
 MIN_DURATION_RATIO = 0.2
 """Lower bound, without unit, of a run's duration relative to the mean of its step when
 it counts for a worker's speed: ends are reported about 0.1 s late, so the ratio of
@@ -73,6 +78,7 @@
         _mark_task_done(state, step, index, ended, now)
     state.changed_jobs.add(step.key.job_id)
     if step.is_done:
+        _learn_worker_speeds(state, step, now)
         state.ready_steps_by_key.pop(step.key, None)
         set_deadlines(step.job, state.queue_of(step.job), state.forecast)
         _handle_step_done(state, step, now)
@@ -89,12 +95,48 @@
     if run is None or run.resumed or run.is_adopted:
         return
     took_s = now - run.began_at
+    if took_s <= 0:
+        return
+    usual_took_s = took_s / duration_factor(state, step, run)
     if len(step.durations_s) >= MIN_DURATION_SAMPLES:
         usual_s = sum(step.durations_s) / len(step.durations_s)
-        worker.record_duration_ratio(max(MIN_DURATION_RATIO, took_s / usual_s), now)
-    step.durations_s.append(took_s)
+        ratio = max(MIN_DURATION_RATIO, usual_took_s / usual_s)
+        worker.record_duration_ratio(ratio, now)
+    step.durations_s.append(usual_took_s)
+    if not step.spec.gang:
+        step.duration_by_worker_s.append((worker.incarnation, took_s))
     queue = step.job.accepted.queue_name
-    state.forecast.add_sample(queue, step.spec.estimated_ms, took_s)
+    state.forecast.add_sample(queue, step.spec.estimated_ms, usual_took_s)
+
+
+def duration_factor(state: SchedulerState, step: StepState, run: Run) -> float:
+    """Return how many times as long as usual a run takes, without unit.
+
+    Members of a gang take as long as the slowest one.
+    """
+    members = {run.incarnation}
+    if step.spec.gang:
+        members.update(member.incarnation for member in step.runs_by_index.values())
+    return max(
+        map(state.worker_speeds.duration_factor, state.find_workers(members)),
+        default=1.0,
+    )
+
+
+def _learn_worker_speeds(state: SchedulerState, step: StepState, now: Instant) -> None:
+    """Learn the workers' speeds from the durations of a step that is done.
+
+    Single runs are not judged as they end: short ones end first. A worker that is slow
+    for the moment is left out.
+    """
+    rows, step.duration_by_worker_s = step.duration_by_worker_s, []
+    if len(rows) < MIN_SPEED_SAMPLES:
+        return
+    usual_s = median(step.durations_s)
+    for incarnation, took_s in rows:
+        worker = state.workers_by_incarnation.get(incarnation)
+        if worker is not None and not worker.is_slow(now):
+            state.worker_speeds.add_sample(worker, took_s / usual_s)
 
 
 def _mark_task_done(
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -102,8 +102,10 @@
     of the newest gang whose failure was counted. ``handled_stragglers`` are the indexes
     of tasks that were stopped or copied as stragglers; each is treated so once only.
     ``durations_s`` are the durations, in seconds, of runs that ended well and did not
-    resume from a checkpoint: those of one step are alike, while steps of one queue
-    differ by several times. ``failed_on`` are workers on which a task of the step
+    resume from a checkpoint, divided by their workers' duration factors: those of one
+    step are alike, while steps of one queue differ by several times.
+    ``duration_by_worker_s`` has the same durations undivided, each with its worker, and
+    none of gangs. ``failed_on`` are workers on which a task of the step
     failed or was a straggler; others are preferred. ``not_before`` delays the next
     placement after a refused start or a preemption. A step with a ``due_unix_ms`` does
     not start before then. ``reservation`` has the workers that are kept free for a
@@ -124,6 +126,9 @@
     advice: StepAdvice = field(default_factory=StepAdvice)
     handled_stragglers: set[int] = field(default_factory=set)
     durations_s: list[float] = field(default_factory=list)
+    duration_by_worker_s: list[tuple[WorkerIncarnation, float]] = field(
+        default_factory=list
+    )
     failed_on: set[WorkerId] = field(default_factory=set)
     not_before: Instant = Instant(0.0)
     due_unix_ms: int = 0
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -16,6 +16,7 @@
 from tamarackmount.scheduling.observer import NoObserver, Observer
 from tamarackmount.scheduling.ranking import WorkspaceRateLimiter
 from tamarackmount.scheduling.runs import JobState, Run, RunPhase, StepState
+from tamarackmount.scheduling.worker_speeds import LearnedWorkerSpeeds
 from tamarackmount.scheduling.workers import WorkerState
 from tamarackmount.scheduling.write_ahead import WriteAhead
 
@@ -63,6 +64,7 @@
     runs_may_be_incomplete: bool = False
     observer: Observer = field(default_factory=NoObserver)
     forecast: Forecast = field(default_factory=Forecast)
+    worker_speeds: LearnedWorkerSpeeds = field(default_factory=LearnedWorkerSpeeds)
     workspace_rate_limiter: WorkspaceRateLimiter = field(
         default_factory=WorkspaceRateLimiter
     )
--- a/tamarackmount/scheduling/stragglers.py
+++ b/tamarackmount/scheduling/stragglers.py
@@ -18,6 +18,7 @@
 from tamarackmount.scheduling.run_ends import (
     MIN_DURATION_SAMPLES,
     WORKER_BACKOFF_S,
+    duration_factor,
     format_task,
 )
 from tamarackmount.scheduling.runs import Run, RunPhase, StepState
@@ -92,7 +93,7 @@
             or run.task.index in step.handled_stragglers
         ):
             continue
-        median_s = median(step.durations_s)
+        median_s = median(step.durations_s) * duration_factor(state, step, run)
         ran_s = now - run.began_at
         if ran_s <= max(MIN_COPY_AGE_S, SPECULATIVE_COPY_FACTOR * median_s):
             continue
@@ -132,15 +133,16 @@
     ):
         return False
     ran_s = now - run.began_at
+    if ran_s <= MIN_STRAGGLER_AGE_S:
+        return False
+    factor = duration_factor(state, step, run)
     if len(step.durations_s) >= MIN_DURATION_SAMPLES:
-        return ran_s > max(
-            MIN_STRAGGLER_AGE_S, STRAGGLER_FACTOR * max(step.durations_s)
-        )
+        return ran_s > STRAGGLER_FACTOR * factor * max(step.durations_s)
     queue = step.job.accepted.queue_name
     if not state.forecast.has_enough_samples(queue):
         return False
     expected_s = state.forecast.estimate_s(queue, step.spec.estimated_ms)
-    return ran_s > max(MIN_STRAGGLER_AGE_S, FORECAST_STRAGGLER_FACTOR * expected_s)
+    return ran_s > FORECAST_STRAGGLER_FACTOR * factor * expected_s
 
 
 def _stop_straggler(
--- a/tests/utils/switch_offs.py
+++ b/tests/utils/switch_offs.py
@@ -190,6 +190,17 @@
             ),
         ),
     ),
+    SwitchOff(
+        "worker-speeds",
+        "a quarter of the workers have half the speed of the others",
+        (
+            _edit(
+                "scheduling/placement.py",
+                "if not state.worker_speeds.has_samples:",
+                "if True:",
+            ),
+        ),
+    ),
     SwitchOff(
         "early-claim",
         "the holder is cut off, frozen or turned away by the store",
