Long work leaves headroom for urgent work in its pool

Cause: a stop takes up to 0.9 s and an urgent job has about half a second of slack, so urgent jobs that find a pool full of long work are late, whatever is preempted. Change: urgent_use.py tracks what urgent runs use per pool and the peaks of the last 10 s. In each round, non-urgent steps with slack and those that are too late for any value start only if enough slots for an urgent task stay free for the peak beyond the present use, at most a fifth of the pool. New wait reason HEADROOM, which preempts nothing; delays counts it as capacity. Switch-off urgent-headroom. The first burst finds no headroom, as nothing was seen before it.

--- a/tamarackmount/delays.py
+++ b/tamarackmount/delays.py
@@ -59,6 +59,7 @@
     WaitReason.CEILING.value: Cause.CEILING,
     WaitReason.NO_ELIGIBLE_WORKER.value: Cause.ADVICE,
     WaitReason.NO_CAPACITY.value: Cause.CAPACITY,
+    WaitReason.HEADROOM.value: Cause.CAPACITY,
 }
 
 _CAUSE_BY_END = {
--- a/tamarackmount/scheduling/advice_requests.py
+++ b/tamarackmount/scheduling/advice_requests.py
@@ -224,7 +224,11 @@
     of their workspaces' ceilings. Repeated requests for them would leave the advice
     service no time for the steps that could start.
     """
-    is_blocked = step.wait_reason in (WaitReason.CEILING, WaitReason.NO_CAPACITY)
+    is_blocked = step.wait_reason in (
+        WaitReason.CEILING,
+        WaitReason.NO_CAPACITY,
+        WaitReason.HEADROOM,
+    )
     return is_blocked and tier(step, now) > Tier.IN_TIME
 
 
--- a/tamarackmount/scheduling/placement.py
+++ b/tamarackmount/scheduling/placement.py
@@ -23,6 +23,7 @@
     speed_groups,
     speed_ranks,
 )
+from tamarackmount.scheduling.urgent_headroom import UrgentHeadroom
 from tamarackmount.scheduling.worker_choice import eligible_workers
 from tamarackmount.scheduling.workers import ContactState, WorkerState
 
@@ -42,6 +43,9 @@
         return blocked_steps
     unconfirmed = _services_with_unconfirmed_workers(state)
     reservations = Reservations(state, now)
+    headroom = UrgentHeadroom(
+        state.urgent_use, state.workers_by_incarnation.values(), now
+    )
     for step in sorted(
         state.ready_steps_by_key.values(), key=lambda step: rank(step, now)
     ):
@@ -51,7 +55,9 @@
             reason = _quick_wait_reason(state, step, queue, capacity_index, now)
         if reason is WaitReason.NONE:
             place_step = _place_gang if step.spec.gang else _place_tasks
-            reason = place_step(state, step, queue, capacity_index, reservations, now)
+            reason = place_step(
+                state, step, queue, capacity_index, reservations, headroom, now
+            )
         reservations.update(step, queue, reason)
         if reason in (WaitReason.NO_CAPACITY, WaitReason.CEILING):
             blocked_steps.append((step, queue))
@@ -145,6 +151,7 @@
     queue: Queue,
     capacity_index: FreeCapacityIndex,
     reservations: Reservations,
+    headroom: UrgentHeadroom,
     now: Instant,
 ) -> WaitReason:
     workers = eligible_workers(state, step, queue, now)
@@ -164,8 +171,11 @@
         )
         if worker is None:
             return WaitReason.NO_CAPACITY
+        if not headroom.allows(step, (worker,)):
+            return WaitReason.HEADROOM
         step.run_number = next_run_number(step)
         start_run(state, step, index, worker, now)
+        headroom.record_start(worker)
     return WaitReason.NONE
 
 
@@ -175,6 +185,7 @@
     queue: Queue,
     _capacity_index: FreeCapacityIndex,
     reservations: Reservations,
+    headroom: UrgentHeadroom,
     now: Instant,
 ) -> WaitReason:
     # ``_capacity_index`` is not used: the signature is that of ``_place_tasks``.
@@ -197,12 +208,25 @@
     )
     if not chosen:
         return WaitReason.NO_CAPACITY
+    if not headroom.allows(step, chosen):
+        return WaitReason.HEADROOM
     step.run_number = next_run_number(step)
-    for index, worker in enumerate(chosen):
-        start_run(state, step, index, worker, now)
+    _start_gang(state, step, chosen, headroom, now)
     return WaitReason.NONE
 
 
+def _start_gang(
+    state: SchedulerState,
+    step: StepState,
+    workers: Sequence[WorkerState],
+    headroom: UrgentHeadroom,
+    now: Instant,
+) -> None:
+    for index, worker in enumerate(workers):
+        start_run(state, step, index, worker, now)
+        headroom.record_start(worker)
+
+
 def _speed_ranks(
     state: SchedulerState, step: StepState, workers: Sequence[WorkerState], now: Instant
 ) -> dict[WorkerIncarnation, SpeedRank]:
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -14,8 +14,9 @@
 from tamarackmount.scheduling.holder_authority import HolderAuthority
 from tamarackmount.scheduling.model import JobPhase, StepKey, TaskKey, WorkerIncarnation
 from tamarackmount.scheduling.observer import NoObserver, Observer
-from tamarackmount.scheduling.ranking import WorkspaceRateLimiter
+from tamarackmount.scheduling.ranking import URGENT_PRIORITY, WorkspaceRateLimiter
 from tamarackmount.scheduling.runs import JobState, Run, RunPhase, StepState
+from tamarackmount.scheduling.urgent_use import UrgentUse
 from tamarackmount.scheduling.worker_speeds import LearnedWorkerSpeeds
 from tamarackmount.scheduling.workers import WorkerState
 from tamarackmount.scheduling.write_ahead import WriteAhead
@@ -64,6 +65,7 @@
     runs_may_be_incomplete: bool = False
     observer: Observer = field(default_factory=NoObserver)
     forecast: Forecast = field(default_factory=Forecast)
+    urgent_use: UrgentUse = field(default_factory=UrgentUse)
     worker_speeds: LearnedWorkerSpeeds = field(default_factory=LearnedWorkerSpeeds)
     workspace_rate_limiter: WorkspaceRateLimiter = field(
         default_factory=WorkspaceRateLimiter
@@ -141,9 +143,13 @@
         step.pending.discard(run.task.index)
         if not step.pending:
             self.ready_steps_by_key.pop(step.key, None)
-        workspace = step.job.accepted.workspace_id
-        self.used_by_workspace[workspace] = (
-            self.used_by_workspace.get(workspace, NOTHING) + run.ceiling_usage
+        accepted = step.job.accepted
+        if step.job.priority == URGENT_PRIORITY and not step.spec.perpetual:
+            run.is_urgent = True
+            self.urgent_use.add(accepted.service, run.amount, run.began_at)
+        self.used_by_workspace[accepted.workspace_id] = (
+            self.used_by_workspace.get(accepted.workspace_id, NOTHING)
+            + run.ceiling_usage
         )
 
     def drop_run(self, run: Run, now: Instant) -> None:
@@ -161,6 +167,8 @@
         job = self.jobs_by_id.get(run.task.job_id)
         if job is None:
             return
+        if run.is_urgent:
+            self.urgent_use.remove(job.accepted.service, run.amount)
         workspace = job.accepted.workspace_id
         self.used_by_workspace[workspace] = (
             self.used_by_workspace.get(workspace, NOTHING) - run.ceiling_usage
--- /dev/null
+++ b/tamarackmount/scheduling/urgent_use.py
@@ -0,0 +1,81 @@
+"""Capacity that urgent work uses in each pool, and its recent peak."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from tamarackmount.ids import Instant
+from tamarackmount.resources import NOTHING, Resources
+from tamarackmount.scheduling.model import ServiceName
+
+PEAK_AGE_S = 10.0
+"""Time for which a peak counts, in seconds."""
+
+SPAN_S = 1.0
+"""Length of the spans of time whose peaks are kept, in seconds."""
+
+
+@dataclass(slots=True)
+class _Span:
+    """Peak of use, and the largest task, in a span of time."""
+
+    began_at: Instant
+    peak: Resources
+    largest_task: Resources
+
+
+@dataclass(slots=True)
+class _PoolUse:
+    used: Resources = NOTHING
+    spans: deque[_Span] = field(default_factory=deque)
+
+
+@dataclass(slots=True)
+class UrgentUse:
+    """What urgent work uses in each pool; updated as its runs start and end."""
+
+    _use_by_service: dict[ServiceName, _PoolUse] = field(default_factory=dict)
+
+    def add(self, service: ServiceName, amount: Resources, now: Instant) -> None:
+        """Add a run that starts, or that a former holder started."""
+        use = self._use_by_service.setdefault(service, _PoolUse())
+        use.used = use.used + amount
+        spans = use.spans
+        if not spans or now >= spans[-1].began_at + SPAN_S:
+            spans.append(_Span(now, use.used, amount))
+        spans[-1].peak = _maximum(spans[-1].peak, use.used)
+        spans[-1].largest_task = _maximum(spans[-1].largest_task, amount)
+
+    def remove(self, service: ServiceName, amount: Resources) -> None:
+        """Remove a run that has ended."""
+        use = self._use_by_service.get(service)
+        if use is not None:
+            use.used = use.used - amount
+
+    def unused_peak(
+        self, service: ServiceName, now: Instant
+    ) -> tuple[Resources, Resources] | None:
+        """Return the recent peak less the present use, and the largest urgent task.
+
+        Return None if no urgent task has started in the last ``PEAK_AGE_S``.
+        """
+        use = self._use_by_service.get(service)
+        if use is None:
+            return None
+        spans = use.spans
+        while spans and spans[0].began_at + SPAN_S + PEAK_AGE_S <= now:
+            spans.popleft()
+        if not spans:
+            return None
+        peak, largest_task = NOTHING, NOTHING
+        for span in spans:
+            peak = _maximum(peak, span.peak)
+            largest_task = _maximum(largest_task, span.largest_task)
+        return peak - use.used, largest_task
+
+
+def _maximum(one: Resources, other: Resources) -> Resources:
+    return Resources(
+        max(one.millicores, other.millicores),
+        max(one.memory_mib, other.memory_mib),
+        max(one.accelerators, other.accelerators),
+    )
--- a/tests/utils/switch_offs.py
+++ b/tests/utils/switch_offs.py
@@ -201,6 +201,17 @@
             ),
         ),
     ),
+    SwitchOff(
+        "urgent-headroom",
+        "bursts of urgent jobs on a pool that long work would fill",
+        (
+            _edit(
+                "scheduling/urgent_headroom.py",
+                "if not _leaves_headroom(step, self._now):",
+                "if True:",
+            ),
+        ),
+    ),
     SwitchOff(
         "early-claim",
         "the holder is cut off, frozen or turned away by the store",
