--- a/tamarackmount/scheduling/placement.py
+++ b/tamarackmount/scheduling/placement.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from tamarackmount.ids import DataCentreId, Instant
 from tamarackmount.resources import Resources
@@ -11,12 +11,19 @@
 from tamarackmount.scheduling.free_capacity import FreeCapacityIndex
 from tamarackmount.scheduling.gang_groups import gang_groups
 from tamarackmount.scheduling.holder_authority import HolderAuthority
-from tamarackmount.scheduling.model import ServiceName
+from tamarackmount.scheduling.model import ServiceName, WorkerIncarnation
 from tamarackmount.scheduling.ranking import Tier, rank, tier
 from tamarackmount.scheduling.reservations import Reservations
 from tamarackmount.scheduling.run_starts import next_run_number, start_run
 from tamarackmount.scheduling.runs import StepState, WaitReason
 from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.speed_choice import (
+    NEUTRAL_RANK,
+    SpeedRank,
+    speed_groups,
+    speed_ranks,
+)
+from tamarackmount.scheduling.urgent_headroom import UrgentHeadroom
 from tamarackmount.scheduling.worker_choice import eligible_workers
 from tamarackmount.scheduling.workers import ContactState, WorkerState
 
@@ -36,6 +43,9 @@
         return blocked_steps
     unconfirmed = _services_with_unconfirmed_workers(state)
     reservations = Reservations(state, now)
+    headroom = UrgentHeadroom(
+        state.urgent_use, state.workers_by_incarnation.values(), now
+    )
     for step in sorted(
         state.ready_steps_by_key.values(), key=lambda step: rank(step, now)
     ):
@@ -45,7 +55,9 @@
             reason = _quick_wait_reason(state, step, queue, capacity_index, now)
         if reason is WaitReason.NONE:
             place_step = _place_gang if step.spec.gang else _place_tasks
-            reason = place_step(state, step, queue, capacity_index, reservations, now)
+            reason = place_step(
+                state, step, queue, capacity_index, reservations, headroom, now
+            )
         reservations.update(step, queue, reason)
         if reason in (WaitReason.NO_CAPACITY, WaitReason.CEILING):
             blocked_steps.append((step, queue))
@@ -139,12 +151,14 @@
     queue: Queue,
     capacity_index: FreeCapacityIndex,
     reservations: Reservations,
+    headroom: UrgentHeadroom,
     now: Instant,
 ) -> WaitReason:
     workers = eligible_workers(state, step, queue, now)
     if not workers:
         return WaitReason.NO_ELIGIBLE_WORKER
     usable = reservations.usable_workers(step, workers)
+    ranks = _speed_ranks(state, step, usable, now)
     for index in sorted(step.pending):
         # An earlier run of the task may still be running.
         if step.task(index) in state.orphaned_run_count_by_task:
@@ -152,11 +166,16 @@
         # Checked for each task, as every start here adds to the workspace's use.
         if not is_under_ceiling(state, step, 1, ceiling_fraction(step, now)):
             return WaitReason.CEILING
-        worker = _choose_worker(step, index, usable, capacity_index, reservations)
+        worker = _choose_worker(
+            step, index, usable, ranks, capacity_index, reservations
+        )
         if worker is None:
             return WaitReason.NO_CAPACITY
+        if not headroom.allows(step, (worker,)):
+            return WaitReason.HEADROOM
         step.run_number = next_run_number(step)
         start_run(state, step, index, worker, now)
+        headroom.record_start(worker)
     return WaitReason.NONE
 
 
@@ -166,6 +185,7 @@
     queue: Queue,
     _capacity_index: FreeCapacityIndex,
     reservations: Reservations,
+    headroom: UrgentHeadroom,
     now: Instant,
 ) -> WaitReason:
     # ``_capacity_index`` is not used: the signature is that of ``_place_tasks``.
@@ -183,17 +203,46 @@
     workers = eligible_workers(state, step, queue, now)
     if not workers:
         return WaitReason.NO_ELIGIBLE_WORKER
-    chosen = _choose_gang_workers(step, workers, reservations)
+    chosen = _choose_gang_workers(
+        step, workers, _speed_ranks(state, step, workers, now), reservations
+    )
     if not chosen:
         return WaitReason.NO_CAPACITY
+    if not headroom.allows(step, chosen):
+        return WaitReason.HEADROOM
     step.run_number = next_run_number(step)
-    for index, worker in enumerate(chosen):
-        start_run(state, step, index, worker, now)
+    _start_gang(state, step, chosen, headroom, now)
     return WaitReason.NONE
 
 
+def _start_gang(
+    state: SchedulerState,
+    step: StepState,
+    workers: Sequence[WorkerState],
+    headroom: UrgentHeadroom,
+    now: Instant,
+) -> None:
+    for index, worker in enumerate(workers):
+        start_run(state, step, index, worker, now)
+        headroom.record_start(worker)
+
+
+def _speed_ranks(
+    state: SchedulerState, step: StepState, workers: Sequence[WorkerState], now: Instant
+) -> dict[WorkerIncarnation, SpeedRank]:
+    if not state.worker_speeds.has_samples:
+        return {}
+    usual_s = state.forecast.estimate_s(
+        step.job.accepted.queue_name, step.spec.estimated_ms
+    )
+    return speed_ranks(state.worker_speeds, step, workers, usual_s, now)
+
+
 def _choose_gang_workers(
-    step: StepState, workers: Sequence[WorkerState], reservations: Reservations
+    step: StepState,
+    workers: Sequence[WorkerState],
+    ranks: Mapping[WorkerIncarnation, SpeedRank],
+    reservations: Reservations,
 ) -> list[WorkerState]:
     """Return a worker for each member; none if the gang does not fit.
 
@@ -206,13 +255,18 @@
     if len(unreserved) < len(usable):
         groups.extend(gang_groups(step, usable))
     for group in groups:
-        chosen = _assign_gang(step, group)
-        if chosen:
-            return chosen
+        for alike in speed_groups(group, ranks):
+            chosen = _assign_gang(step, alike, ranks)
+            if chosen:
+                return chosen
     return []
 
 
-def _assign_gang(step: StepState, workers: Sequence[WorkerState]) -> list[WorkerState]:
+def _assign_gang(
+    step: StepState,
+    workers: Sequence[WorkerState],
+    ranks: Mapping[WorkerIncarnation, SpeedRank],
+) -> list[WorkerState]:
     amount = step.reserved_amount
     free_by_incarnation = {worker.incarnation: worker.free for worker in workers}
     count_by_incarnation = {worker.incarnation: 0 for worker in workers}
@@ -228,8 +282,9 @@
             return []
         worker = min(
             fitting,
-            key=lambda worker: _remaining(
-                free_by_incarnation[worker.incarnation], amount
+            key=lambda worker: (
+                ranks.get(worker.incarnation, NEUTRAL_RANK),
+                _remaining(free_by_incarnation[worker.incarnation], amount),
             ),
         )
         free_by_incarnation[worker.incarnation] = (
@@ -244,6 +299,7 @@
     step: StepState,
     index: int,
     workers: Sequence[WorkerState],
+    ranks: Mapping[WorkerIncarnation, SpeedRank],
     capacity_index: FreeCapacityIndex,
     reservations: Reservations,
 ) -> WorkerState | None:
@@ -273,7 +329,9 @@
         key=lambda worker: (
             worker.entry.data_centre in capacity_index.suspected_data_centres,
             reservations.is_reserved(worker),
+            (rank := ranks.get(worker.incarnation, NEUTRAL_RANK))[0],
             worker.entry.data_centre != data_centre,
+            rank[1],
             _remaining(worker.free, amount),
         ),
     )
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -48,6 +48,7 @@
         "no worker is known to be allowed for it, or the permission ended"
     )
     NO_CAPACITY = "no allowed worker has room"
+    HEADROOM = "free capacity of its pool is kept for urgent work"
 
 
 @dataclass(slots=True)
@@ -61,7 +62,8 @@
     run, ``stopped_at`` when it confirmed a stop. ``speed_percent`` and
     ``tail_ms_or_millicores`` are those of its newest row in a report. A run that
     ``resumed`` began from a checkpoint. One that ``is_adopted`` was started by a former
-    holder: it began before ``began_at``, which is when this holder learned of it.
+    holder: it began before ``began_at``, which is when this holder learned of it. One
+    that ``is_urgent`` counts towards the urgent use of its pool.
     """
 
     task: TaskKey
@@ -80,6 +82,7 @@
     resumed: bool = False
     is_adopted: bool = False
     is_orphaned: bool = False
+    is_urgent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,8 +105,10 @@
     of the newest gang whose failure was counted. ``handled_stragglers`` are the indexes
     of tasks that were stopped or copied as stragglers; each is treated so once only.
     ``durations_s`` are the durations, in seconds, of runs that ended well and did not
-    resume from a checkpoint: those of one step are alike, while steps of one queue
-    differ by several times. ``failed_on`` are workers on which a task of the step
+    resume from a checkpoint, divided by their workers' duration factors: those of one
+    step are alike, while steps of one queue differ by several times.
+    ``duration_by_worker_s`` has the same durations undivided, each with its worker, and
+    none of gangs. ``failed_on`` are workers on which a task of the step
     failed or was a straggler; others are preferred. ``not_before`` delays the next
     placement after a refused start or a preemption. A step with a ``due_unix_ms`` does
     not start before then. ``reservation`` has the workers that are kept free for a
@@ -124,6 +129,9 @@
     advice: StepAdvice = field(default_factory=StepAdvice)
     handled_stragglers: set[int] = field(default_factory=set)
     durations_s: list[float] = field(default_factory=list)
+    duration_by_worker_s: list[tuple[WorkerIncarnation, float]] = field(
+        default_factory=list
+    )
     failed_on: set[WorkerId] = field(default_factory=set)
     not_before: Instant = Instant(0.0)
     due_unix_ms: int = 0
--- a/tests/utils/switch_offs.py
+++ b/tests/utils/switch_offs.py
@@ -190,6 +190,28 @@
             ),
         ),
     ),
+    SwitchOff(
+        "worker-speeds",
+        "a quarter of the workers have half the speed of the others",
+        (
+            _edit(
+                "scheduling/placement.py",
+                "if not state.worker_speeds.has_samples:",
+                "if True:",
+            ),
+        ),
+    ),
+    SwitchOff(
+        "urgent-headroom",
+        "bursts of urgent jobs on a pool that long work would fill",
+        (
+            _edit(
+                "scheduling/urgent_headroom.py",
+                "if not _leaves_headroom(step, self._now):",
+                "if True:",
+            ),
+        ),
+    ),
     SwitchOff(
         "early-claim",
         "the holder is cut off, frozen or turned away by the store",
