--- a/tamarackmount/scheduling/run_ends.py
+++ b/tamarackmount/scheduling/run_ends.py
@@ -41,7 +41,7 @@
     run = state.find_run(worker.incarnation, ended.task, ended.run_number)
     step = state.step_of(ended.task)
     if run is not None:
-        _log_end(worker, ended, now, run)
+        _log_end(worker, ended, now, run, step)
         state.observer.record_run_end(ended.outcome.value)
     if step is not None and not step.job.phase.is_final:
         step.run_number = max(step.run_number, ended.run_number)
@@ -225,9 +225,16 @@
     )
 
 
-def _log_end(worker: WorkerState, ended: EndedRun, now: Instant, run: Run) -> None:
+def _log_end(
+    worker: WorkerState,
+    ended: EndedRun,
+    now: Instant,
+    run: Run,
+    step: StepState | None,
+) -> None:
     extra = {
         "job": ended.task.job_id,
+        "queue": step.job.accepted.queue_name if step is not None else "",
         "task": format_task(ended.task),
         "run": ended.run_number,
         "worker": worker.incarnation.worker_id,
--- a/tamarackmount/scheduling/run_starts.py
+++ b/tamarackmount/scheduling/run_starts.py
@@ -77,6 +77,7 @@
         state.emit(StartRun(worker.entry.address, order))
     extra = {
         "job": job.job_id,
+        "queue": job.accepted.queue_name,
         "task": format_task(run.task),
         "run": run.number,
         "worker": worker.incarnation.worker_id,
