A step that alternates between wait reasons is logged once

Cause: each change of a step's wait reason was a `step waits` line, also if it changed at each tick: 14,126 such lines in one report of dropped lines. Change: scheduling/wait_log.py, moved out of placement.py, adds up the time in each reason and writes a line when the reason has been the same for 0.5 s, when the step has started and when its job ends, with `seconds_by_reason`, `started` and the queue. The reason of the step changes at once as before. Switch-offs `log-classes` and `wait-log`. Seen failing: the new tests can't be imported on the earlier code; with the switch-off, which logs each change, three of them fail. With `log-classes` the tests of retention fail.

--- a/tamarackmount/scheduling/placement.py
+++ b/tamarackmount/scheduling/placement.py
@@ -1,6 +1,5 @@
 """Choose which waiting tasks start next, and on which workers."""
 
-import logging
 from collections import Counter
 from collections.abc import Sequence
 
@@ -17,11 +16,10 @@
 from tamarackmount.scheduling.run_starts import next_run_number, start_run
 from tamarackmount.scheduling.runs import StepState, WaitReason
 from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.wait_log import update_wait_reason
 from tamarackmount.scheduling.worker_choice import eligible_workers
 from tamarackmount.scheduling.workers import ContactState, WorkerState
 
-_log = logging.getLogger(__name__)
-
 
 def place(
     state: SchedulerState, capacity_index: FreeCapacityIndex, now: Instant
@@ -49,7 +47,7 @@
         reservations.update(step, queue, reason)
         if reason in (WaitReason.NO_CAPACITY, WaitReason.CEILING):
             blocked_steps.append((step, queue))
-        _update_wait_reason(step, reason, now)
+        update_wait_reason(step, reason, now)
     return blocked_steps
 
 
@@ -116,23 +114,6 @@
     return WaitReason.NONE
 
 
-def _update_wait_reason(step: StepState, reason: WaitReason, now: Instant) -> None:
-    if reason is step.wait_reason:
-        return
-    step.wait_reason = reason
-    if reason in (WaitReason.NONE, WaitReason.BACKOFF):
-        return
-    extra = {
-        "job": step.key.job_id,
-        "step": f"{step.key.occurrence}.{step.key.step}",
-        "reason": reason.value,
-        "waiting": len(step.pending),
-        "allowed": len(step.advice.allowed),
-        "age_s": round(now - step.job.accepted_at, 3),
-    }
-    _log.info("step waits", extra=extra)
-
-
 def _place_tasks(
     state: SchedulerState,
     step: StepState,
--- a/tamarackmount/scheduling/run_ends.py
+++ b/tamarackmount/scheduling/run_ends.py
@@ -7,6 +7,7 @@
 from tamarackmount.scheduling.objectives import set_deadlines
 from tamarackmount.scheduling.runs import JobState, Run, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.wait_log import log_unfinished_waits
 from tamarackmount.scheduling.worker_reports import EndedRun, RunEnd
 from tamarackmount.scheduling.workers import WorkerState
 
@@ -205,6 +206,7 @@
         return
     job.phase = phase
     state.changed_jobs.add(job.job_id)
+    log_unfinished_waits(job, now)
     for step in job.steps_by_key.values():
         state.ready_steps_by_key.pop(step.key, None)
         state.delayed_steps_by_key.pop(step.key, None)
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum
+from math import inf
 
 from tamarackmount.ids import DataCentreId, Instant, JobId, WorkerId
 from tamarackmount.resources import Resources
@@ -50,6 +51,21 @@
     NO_CAPACITY = "no allowed worker has room"
 
 
+@dataclass(slots=True)
+class StepWaits:
+    """Times that a step spent in wait reasons and that are not logged yet.
+
+    ``seconds_by_reason`` counts until ``counted_until``; what has passed since then
+    belongs to the step's present reason. That is logged if it is still the same at
+    ``log_due_at``. ``last_reason`` is the last one with any time.
+    """
+
+    counted_until: Instant = Instant(0.0)
+    log_due_at: Instant = Instant(inf)
+    seconds_by_reason: dict[WaitReason, float] = field(default_factory=dict)
+    last_reason: WaitReason = WaitReason.NONE
+
+
 @dataclass(slots=True)
 class Run:
     """One start of a task on one incarnation of a worker.
@@ -129,6 +145,7 @@
     due_unix_ms: int = 0
     reservation: Reservation | None = None
     wait_reason: WaitReason = WaitReason.NONE
+    waits: StepWaits = field(default_factory=StepWaits)
 
     @property
     def reserved_amount(self) -> Resources:
--- a/tests/utils/switch_offs.py
+++ b/tests/utils/switch_offs.py
@@ -211,6 +211,28 @@
             ),
         ),
     ),
+    SwitchOff(
+        "log-classes",
+        "lines about waits take the rate limit of those about jobs",
+        (
+            _edit(
+                "internal/jsonlog.py",
+                "return _CLASS_BY_MESSAGE.get(message, LineClass.OTHER)",
+                "return LineClass.OTHER",
+            ),
+        ),
+    ),
+    SwitchOff(
+        "wait-log",
+        "hundreds of steps alternate between wait reasons at each tick",
+        (
+            _edit(
+                "scheduling/wait_log.py",
+                "        waits.log_due_at = Instant(now + STABLE_REASON_S)",
+                "        _log_waits(step, now)",
+            ),
+        ),
+    ),
 )
 
 SWITCH_OFFS_BY_NAME = {switch_off.name: switch_off for switch_off in SWITCH_OFFS}
