--- a/tamarackmount/scheduling/placement.py
+++ b/tamarackmount/scheduling/placement.py
@@ -1,6 +1,5 @@
 """Choose which waiting tasks start next, and on which workers."""
 
-import logging
 from collections import Counter
 from collections.abc import Mapping, Sequence
 
@@ -24,11 +23,10 @@
     speed_ranks,
 )
 from tamarackmount.scheduling.urgent_headroom import UrgentHeadroom
+from tamarackmount.scheduling.wait_log import update_wait_reason
 from tamarackmount.scheduling.worker_choice import eligible_workers
 from tamarackmount.scheduling.workers import ContactState, WorkerState
 
-_log = logging.getLogger(__name__)
-
 
 def place(
     state: SchedulerState, capacity_index: FreeCapacityIndex, now: Instant
@@ -61,7 +59,7 @@
         reservations.update(step, queue, reason)
         if reason in (WaitReason.NO_CAPACITY, WaitReason.CEILING):
             blocked_steps.append((step, queue))
-        _update_wait_reason(step, reason, now)
+        update_wait_reason(step, reason, now)
     return blocked_steps
 
 
@@ -128,23 +126,6 @@
     return WaitReason.NONE
 
 
-def _update_wait_reason(step: StepState, reason: WaitReason, now: Instant) -> None:
-    if reason is step.wait_reason:
-        return
-    step.wait_reason = reason
-    if reason in (WaitReason.NONE, WaitReason.BACKOFF):
-        return
-    extra = {
-        "job": step.key.job_id,
-        "step": f"{step.key.occurrence}.{step.key.step}",
-        "reason": reason.value,
-        "waiting": len(step.pending),
-        "allowed": len(step.advice.allowed),
-        "age_s": round(now - step.job.accepted_at, 3),
-    }
-    _log.info("step waits", extra=extra)
-
-
 def _place_tasks(
     state: SchedulerState,
     step: StepState,
--- a/tamarackmount/scheduling/run_ends.py
+++ b/tamarackmount/scheduling/run_ends.py
@@ -8,6 +8,7 @@
 from tamarackmount.scheduling.objectives import set_deadlines
 from tamarackmount.scheduling.runs import JobState, Run, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.wait_log import log_unfinished_waits
 from tamarackmount.scheduling.worker_reports import EndedRun, RunEnd
 from tamarackmount.scheduling.workers import WorkerState
 
@@ -46,7 +47,7 @@
     run = state.find_run(worker.incarnation, ended.task, ended.run_number)
     step = state.step_of(ended.task)
     if run is not None:
-        _log_end(worker, ended, now, run)
+        _log_end(worker, ended, now, run, step)
         state.observer.record_run_end(ended.outcome.value)
     if step is not None and not step.job.phase.is_final:
         step.run_number = max(step.run_number, ended.run_number)
@@ -247,6 +248,7 @@
         return
     job.phase = phase
     state.changed_jobs.add(job.job_id)
+    log_unfinished_waits(job, now)
     for step in job.steps_by_key.values():
         state.ready_steps_by_key.pop(step.key, None)
         state.delayed_steps_by_key.pop(step.key, None)
@@ -267,9 +269,16 @@
     )
 
 
-def _log_end(worker: WorkerState, ended: EndedRun, now: Instant, run: Run) -> None:
+def _log_end(
+    worker: WorkerState,
+    ended: EndedRun,
+    now: Instant,
+    run: Run,
+    step: StepState | None,
+) -> None:
     extra = {
         "job": ended.task.job_id,
+        "queue": step.job.accepted.queue_name if step is not None else "",
         "task": format_task(ended.task),
         "run": ended.run_number,
         "worker": worker.incarnation.worker_id,
