Rank steps beyond their workspace's share of a scarce pool behind the others

Cause: a workspace's share was counted in jobs a second only, so that one with large jobs took most of a full pool by the order of deadlines. Change: shares.py computes weighted max-min shares of each pool's dominant resource, share_round.py marks the steps beyond them before placement, at most every 20 ms, and rank() puts these behind the others of their tier. Nothing is marked while a pool's demand fits. Urgent steps count only urgent use, as long runs are stopped for them. Tests of the scheduler and the node pass.

--- a/tamarackmount/scheduling/ranking.py
+++ b/tamarackmount/scheduling/ranking.py
@@ -3,7 +3,8 @@
 Load pattern: a burst of small urgent jobs on a pool full of long ones, while one
 workspace submits many times its usual number. Urgent jobs that can still be on time go
 first. Others follow by their latest start; late urgent jobs are among them, as they
-take capacity for a second only. Jobs beyond their workspace's share, then other late
+take capacity for a second only. Steps beyond their workspace's share of a scarce pool
+go behind the others of their tier. Jobs beyond their workspace's share, then other late
 jobs, then jobs that are too late to be of any use get what is left.
 """
 
@@ -31,7 +32,7 @@
     TOO_LATE = 4
 
 
-Rank = tuple[int, float, str, int]
+Rank = tuple[int, bool, float, str, int]
 """Sort key of a step."""
 
 
@@ -55,7 +56,13 @@
     """Return the step's sort key; lower ones are placed first."""
     job = step.job
     start_by = job.latest_late_start if now > job.latest_start else job.latest_start
-    return tier(step, now), start_by, step.key.job_id, step.key.step
+    return (
+        tier(step, now),
+        step.exceeds_pool_share,
+        start_by,
+        step.key.job_id,
+        step.key.step,
+    )
 
 
 class WorkspaceRateLimiter:
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -107,7 +107,8 @@
     failed or was a straggler; others are preferred. ``not_before`` delays the next
     placement after a refused start or a preemption. A step with a ``due_unix_ms`` does
     not start before then. ``reservation`` has the workers that are kept free for a
-    gang.
+    gang. A step ``exceeds_pool_share`` while its pool is scarce and the steps before it
+    take all that its workspace is entitled to there.
     """
 
     key: StepKey
@@ -129,6 +130,7 @@
     due_unix_ms: int = 0
     reservation: Reservation | None = None
     wait_reason: WaitReason = WaitReason.NONE
+    exceeds_pool_share: bool = False
 
     @property
     def reserved_amount(self) -> Resources:
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -33,6 +33,7 @@
 from tamarackmount.scheduling.run_ends import end_job, make_ready
 from tamarackmount.scheduling.runs import JobState, StepState, make_job
 from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.share_round import update_shares
 from tamarackmount.scheduling.step_advice import AdviceAnswer
 from tamarackmount.scheduling.store_batches import Batch, StoreBatcher
 from tamarackmount.scheduling.stragglers import handle_stragglers
@@ -56,6 +57,11 @@
 """Minimum time between two rounds of preemption, in seconds; a stop takes 0.2 s or
 more."""
 
+SHARES_INTERVAL_S = 0.02
+"""Minimum time between two rounds in which shares are computed, in seconds. A round
+takes 1.4 ms with 180 workers and 210 waiting steps of 20 workspaces, and the holder
+ticks after each event."""
+
 MAX_PREEMPTING_STEPS = 8
 """Steps for which one round preempts runs, the most urgent ones first; the search for
 runs to preempt takes time."""
@@ -77,6 +83,7 @@
         self._advice_requests = AdviceRequests(self._state)
         self._batcher = StoreBatcher(self._state)
         self._next_preemption_at = Instant(0.0)
+        self._next_shares_at = Instant(0.0)
 
     @property
     def fencing_token(self) -> Epoch:
@@ -239,6 +246,9 @@
             handle_stragglers(state, now)
         capacity_index = FreeCapacityIndex(state.workers_by_incarnation.values(), now)
         if state.ready_steps_by_key:
+            if now >= self._next_shares_at:
+                self._next_shares_at = Instant(now + SHARES_INTERVAL_S)
+                update_shares(state, now)
             blocked_steps = place(state, capacity_index, now)
             if now >= self._next_preemption_at:
                 self._next_preemption_at = Instant(now + PREEMPTION_INTERVAL_S)
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -4,18 +4,26 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
-from tamarackmount.ids import Epoch, Instant, JobId, WorkspaceId
+from tamarackmount.ids import Epoch, Instant, JobId, QueueName, WorkspaceId
 from tamarackmount.resources import NOTHING, Resources
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.effects import Effect, StartRun, StopRun
 from tamarackmount.scheduling.fleet_config import FleetConfig, Queue, Workspace
 from tamarackmount.scheduling.forecast import Forecast
 from tamarackmount.scheduling.holder_authority import HolderAuthority
-from tamarackmount.scheduling.model import JobPhase, StepKey, TaskKey, WorkerIncarnation
+from tamarackmount.scheduling.model import (
+    JobPhase,
+    ServiceName,
+    StepKey,
+    TaskKey,
+    WorkerIncarnation,
+)
 from tamarackmount.scheduling.observer import NoObserver, Observer
-from tamarackmount.scheduling.ranking import WorkspaceRateLimiter
+from tamarackmount.scheduling.ranking import URGENT_PRIORITY, WorkspaceRateLimiter
 from tamarackmount.scheduling.runs import JobState, Run, RunPhase, StepState
+from tamarackmount.scheduling.shares import CapacityShares, WorkspaceShares
 from tamarackmount.scheduling.workers import WorkerState
 from tamarackmount.scheduling.write_ahead import WriteAhead
 
@@ -26,6 +34,20 @@
 milliseconds."""
 
 
+class PoolUse(NamedTuple):
+    """What the capacity that runs reserve is counted by."""
+
+    service: ServiceName
+    workspace: WorkspaceId
+    queue: QueueName
+
+
+def pool_use(job: JobState) -> PoolUse:
+    """Return what the capacity of a job's runs is counted by."""
+    accepted = job.accepted
+    return PoolUse(accepted.service, accepted.workspace_id, accepted.queue_name)
+
+
 @dataclass(slots=True)
 class SchedulerState:
     """Jobs, workers and workspaces as the holder of one fencing token knows them.
@@ -38,8 +60,9 @@
     may have runs that the store does not hold. ``orphaned_run_count_by_task`` counts
     orphaned runs that may still be running. ``stored_final_phase_by_job`` has the final
     phases that the store holds; callers are told of no others. ``used_by_workspace`` is
-    what counts towards each workspace's ceiling. ``superseded`` is set once a worker
-    has refused this holder's fencing token.
+    what counts towards each workspace's ceiling, ``used_by_pool`` the capacity that its
+    runs reserve in each pool, by queue. ``shares`` are those of the last round.
+    ``superseded`` is set once a worker has refused this holder's fencing token.
     """
 
     fencing_token: Epoch
@@ -53,6 +76,8 @@
     )
     orphaned_run_count_by_task: Counter[TaskKey] = field(default_factory=Counter)
     used_by_workspace: dict[WorkspaceId, Resources] = field(default_factory=dict)
+    used_by_pool: dict[PoolUse, Resources] = field(default_factory=dict)
+    shares: WorkspaceShares = field(default_factory=CapacityShares)
     stored_final_phase_by_job: dict[JobId, JobPhase] = field(default_factory=dict)
     changed_jobs: set[JobId] = field(default_factory=set)
     changed_workers: set[WorkerIncarnation] = field(default_factory=set)
@@ -81,6 +106,12 @@
             return terms
         return self.fleet_config.queues_by_name.get(terms.name, terms)
 
+    def is_urgent_queue(self, name: QueueName) -> bool:
+        """Tell whether a queue is configured as urgent now."""
+        config = self.fleet_config
+        queue = config.queues_by_name.get(name) if config is not None else None
+        return queue is not None and queue.priority == URGENT_PRIORITY
+
     def step_of(self, task: TaskKey) -> StepState | None:
         """Return the step of a task, or None if no known job has the task."""
         job = self.jobs_by_id.get(task.job_id)
@@ -143,6 +174,8 @@
         self.used_by_workspace[workspace] = (
             self.used_by_workspace.get(workspace, NOTHING) + run.ceiling_usage
         )
+        use = pool_use(step.job)
+        self.used_by_pool[use] = self.used_by_pool.get(use, NOTHING) + run.amount
 
     def drop_run(self, run: Run, now: Instant) -> None:
         """Remove a run that has ended; make its task pending if it needs a run.
@@ -163,6 +196,7 @@
         self.used_by_workspace[workspace] = (
             self.used_by_workspace.get(workspace, NOTHING) - run.ceiling_usage
         )
+        self._release_pool_use(pool_use(job), run)
         step = job.steps_by_key[run.task.step_key]
         if step.runs_by_index.get(run.task.index) is run:
             del step.runs_by_index[run.task.index]
@@ -172,6 +206,13 @@
         self.make_task_pending(step, run.task.index)
         self.remove_if_finished(job)
 
+    def _release_pool_use(self, use: PoolUse, run: Run) -> None:
+        left = self.used_by_pool.get(use, NOTHING) - run.amount
+        if left == NOTHING:
+            self.used_by_pool.pop(use, None)
+        else:
+            self.used_by_pool[use] = left
+
     def request_speculative_copy(self, run: Run) -> bool:
         """Let a task start again beside a run that may be lost, if its step allows it.
 
--- a/tests/utils/switch_offs.py
+++ b/tests/utils/switch_offs.py
@@ -135,6 +135,17 @@
             ),
         ),
     ),
+    SwitchOff(
+        "pool-shares",
+        "one workspace asks for several times its usual of a full pool",
+        (
+            _edit(
+                "scheduling/ranking.py",
+                "        step.exceeds_pool_share,\n",
+                "        False,\n",
+            ),
+        ),
+    ),
     SwitchOff(
         "ceiling-fraction",
         "a workspace's long jobs fill its ceiling",
