Start no runs in data centres that the operator has evacuated

Cause: the operator can't empty a data centre; its record evacuate/ZONE was not read. Change: every node reads the record from the operator topic; Evacuations keeps the later offset of each data centre. WorkerState.is_evacuated is part of can_start, which all paths that choose workers read. Orders are checked again when their stored record returns and, by Scheduler.may_send, when their turn comes in StartOrders. A new holder reads the operator topic to its end before its first start, at the same time as the jobs. Tickets and reservations on the workers are released. StartOrders takes may_send(order) in place of may_start(); the test and the mutation that name it are adapted, with the same assertions. TopicTail.read_now told that it had reached the end of a topic when it found the records trimmed; now it does not, on any topic. Seen failing: test_a_read_that_finds_records_trimmed_did_not_reach_the_end on the earlier topic_tail.py; test_a_new_holder_reads_the_record_before_its_first_start without the read in _read_all. Reading the two topics one after the other made test_a_record_with_a_lost_holder_is_sent_to_the_next_one_at_once fail, so they are read at once. Seven new mutations are caught.

--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -8,7 +8,7 @@
 from returns.result import Failure
 from twisted.internet.task import LoopingCall
 
-from tamarackmount.ids import Epoch, Instant, JobId
+from tamarackmount.ids import DataCentreId, Epoch, Instant, JobId
 from tamarackmount.node import clock
 from tamarackmount.node.authority_check import AuthorityCheck
 from tamarackmount.node.claims import Claim, HeartbeatWriter
@@ -100,7 +100,7 @@
         self._rng = random.Random()
         self._next_retention_check_at = clock.now()
         self._start_orders = StartOrders(
-            dependencies.workers, claimed.epoch, self._may_start, self._start_answered
+            dependencies.workers, claimed.epoch, self._may_send, self._start_answered
         )
         self.scheduler = Scheduler(claimed.epoch, self._find_job, dependencies.metrics)
         self.scheduler.set_fleet_config(fleet, clock.now())
@@ -205,6 +205,11 @@
         self.scheduler.set_fleet_config(fleet, clock.now())
         self._schedule_tick()
 
+    def set_evacuated_data_centres(self, data_centres: frozenset[DataCentreId]) -> None:
+        """Start no more runs in these data centres, and in no others unless listed."""
+        self.scheduler.set_evacuated_data_centres(data_centres, clock.now())
+        self._schedule_tick()
+
     async def store(self, record: KeyedRecord) -> StoreResult:
         """Store a caller's record with the next append, if admission allows it."""
         refusal = self._check_admission(record)
@@ -314,11 +319,11 @@
         self.scheduler.poll_answered(effect.incarnation, answer, sent_at, clock.now())
         self._schedule_tick()
 
-    def _may_start(self) -> bool:
+    def _may_send(self, order: StartOrder) -> bool:
         if self._is_stopped:
             return False
         self._update_authority()
-        return self.scheduler.authority is HolderAuthority.FULL
+        return self.scheduler.may_send(order)
 
     def _start_answered(self, order: StartOrder, result: OrderResult) -> None:
         self._dependencies.metrics.record_order("start", result.value)
--- a/tamarackmount/node/holder_election.py
+++ b/tamarackmount/node/holder_election.py
@@ -4,12 +4,14 @@
 from collections.abc import Callable, Sequence
 
 from returns.result import Failure
+from twisted.internet.defer import ensureDeferred, gatherResults
 from twisted.internet.task import LoopingCall, deferLater
 
 from tamarackmount.ids import Epoch, Instant, MemberId
 from tamarackmount.node import clock
 from tamarackmount.node.claims import HOLDER_TOPIC, Claim, claim
 from tamarackmount.node.context import NodeContext
+from tamarackmount.node.evacuation_watch import EvacuationWatch
 from tamarackmount.node.holder import Holder
 from tamarackmount.node.holder_dependencies import HolderDependencies
 from tamarackmount.node.holder_probe import HolderProbe, reaches_store
@@ -75,16 +77,19 @@
         context: NodeContext,
         registry: NodeRegistry,
         follower: JobsFollower,
+        evacuations: EvacuationWatch,
         make_dependencies: Callable[[], HolderDependencies],
     ) -> None:
         """Prepare the election.
 
         A new holder is built with ``make_dependencies``. It takes over the jobs that
-        ``follower`` has read into the job index.
+        ``follower`` has read into the job index, and starts no run before
+        ``evacuations`` has read the operator topic to its end.
         """
         self._context = context
         self._registry = registry
         self._follower = follower
+        self._evacuations = evacuations
         follower.is_needed_here = lambda: self._is_claiming or self.holder is not None
         self._make_dependencies = make_dependencies
         self._watch = HolderWatch(Instant(clock.now()), Instant(float("-inf")))
@@ -304,7 +309,7 @@
             self._holder_ended,
         )
         is_fenced = await holder.fence()
-        while is_fenced and not await self._follower.read_now():
+        while is_fenced and not await self._read_all():
             await deferLater(context.reactor, CLAIM_CHECK_INTERVAL_S, lambda: None)
         record = self._watch.record
         is_replaced = record is not None and record.epoch > new_claim.epoch
@@ -321,6 +326,18 @@
         _log.info("scheduling held", extra={"epoch": new_claim.epoch})
         # The configuration may have changed since the claim.
         holder.set_fleet_config(context.fleet)
+        holder.set_evacuated_data_centres(self._evacuations.data_centres)
         holder.start()
         self.new_holder_ready.notify()
         self._notify_peers(holder.epoch)
+
+    async def _read_all(self) -> bool:
+        """Read the jobs and the operator's records; tell whether to their ends.
+
+        Both are read at once, as nothing starts meanwhile.
+        """
+        reads = [self._follower.read_now(), self._evacuations.read_now()]
+        results: list[bool] = await gatherResults(
+            [ensureDeferred(read) for read in reads]
+        )
+        return all(results)
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -15,6 +15,7 @@
 from tamarackmount.internal.links import PeerLinks
 from tamarackmount.node import clock
 from tamarackmount.node.context import JOBS_TOPIC, NodeContext
+from tamarackmount.node.evacuation_watch import EvacuationWatch
 from tamarackmount.node.hedged_advice import reply_to
 from tamarackmount.node.holder_dependencies import HolderDependencies
 from tamarackmount.node.holder_election import HolderElection
@@ -129,15 +130,31 @@
             metrics=NodeMetrics(),
             started_unix_ms=clock.unix_ms(),
         )
-        self._config_tail = self._create_tail(
-            OPERATOR_TOPIC, self._apply_operator_records, CONFIG_READ_WAIT_MS, 0.0
+        self._config_tail = TopicTail(
+            reactor,
+            self._context.store,
+            OPERATOR_TOPIC,
+            self._apply_operator_snapshot,
+            self._apply_operator_records,
+            CONFIG_READ_WAIT_MS,
+            0.0,
+        )
+        self._evacuations = EvacuationWatch(
+            reactor,
+            self._config_tail.read_now,
+            lambda: self._config_tail.caught_up_at,
+            self._evacuations_changed,
         )
         self._registry = NodeRegistry(self._context, addresses_by_id)
         self._follower = JobsFollower(
             self._context, self._registry, self._create_jobs_tail
         )
         self._election = HolderElection(
-            self._context, self._registry, self._follower, self._holder_dependencies
+            self._context,
+            self._registry,
+            self._follower,
+            self._evacuations,
+            self._holder_dependencies,
         )
         self._store_contact = StoreContact(
             reactor, self._last_store_answers, self._election.tail.read_now
@@ -273,7 +290,23 @@
     def _apply_job_records(self, records: Sequence[KeyedRecord]) -> None:
         self.jobs.apply_records(records)
 
+    def _apply_operator_snapshot(self, records: Sequence[KeyedRecord]) -> None:
+        end = self._config_tail.next_offset
+        if end is not None:
+            self._evacuations.apply_snapshot(records, end)
+        self._apply_configs(records)
+
     def _apply_operator_records(self, records: Sequence[KeyedRecord]) -> None:
+        self._evacuations.apply_records(records)
+        self._apply_configs(records)
+
+    def _evacuations_changed(self) -> None:
+        if self._election.holder is not None:
+            self._election.holder.set_evacuated_data_centres(
+                self._evacuations.data_centres
+            )
+
+    def _apply_configs(self, records: Sequence[KeyedRecord]) -> None:
         for record in records:
             if record.key == CONFIG_KEY and record.value:
                 self._apply_config(record)
--- a/tamarackmount/node/start_orders.py
+++ b/tamarackmount/node/start_orders.py
@@ -25,23 +25,23 @@
     """Start orders that wait for their turn at their worker.
 
     The process may be suspended while they wait. So each one is sent only if the holder
-    may still start runs at that moment.
+    may still send it at that moment.
     """
 
     def __init__(
         self,
         workers: WorkerCalls,
         epoch: Epoch,
-        may_start: Callable[[], bool],
+        may_send: Callable[[StartOrder], bool],
         on_result: Callable[[StartOrder, OrderResult], None],
     ) -> None:
         """Send orders under ``epoch``; call ``on_result`` once for each.
 
-        ``may_start`` tells whether the holder may start runs now.
+        ``may_send`` tells whether the holder may send an order now.
         """
         self._workers = workers
         self._epoch = epoch
-        self._may_start = may_start
+        self._may_send = may_send
         self._on_result = on_result
         self._turns_by_worker: dict[WorkerIncarnation, DeferredSemaphore] = {}
 
@@ -61,7 +61,7 @@
 
     async def _send_now(self, effect: StartRun) -> None:
         result = OrderResult.NOT_SENT
-        if self._may_start():
+        if self._may_send(effect.order):
             deadline = Instant(clock.now() + ORDER_TIMEOUT_S)
             result = await self._workers.start(
                 effect.address, effect.order, self._epoch, deadline
--- a/tamarackmount/node/topic_tail.py
+++ b/tamarackmount/node/topic_tail.py
@@ -154,6 +154,7 @@
                 extra=extra,
             )
             self._next_offset = None
+            self._is_caught_up = False
             return True
         if isinstance(result, StoreError):
             self._record_failure(result)
--- a/tamarackmount/platform/config.py
+++ b/tamarackmount/platform/config.py
@@ -1,12 +1,13 @@
 """Decode the documents that operators write to the store."""
 
 from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Any
 
 import orjson
 from returns.result import Failure, Result, Success
 
-from tamarackmount.ids import KeyHash, QueueName, WorkspaceId
+from tamarackmount.ids import DataCentreId, KeyHash, QueueName, WorkspaceId
 from tamarackmount.internal.keys import hash_key
 from tamarackmount.platform.resource_amounts import decode_resources
 from tamarackmount.scheduling.fleet_config import (
@@ -26,11 +27,44 @@
 """Prefix of the keys of maintenance waves in the operator topic; they are not read
 yet."""
 
+EVACUATE_PREFIX = "evacuate/"
+"""Prefix of the keys of evacuations in the operator topic; the name of a data centre
+follows."""
+
 DEFAULT_MAX_BODY_BYTES = 262_144
 """Largest request body in bytes if the configuration sets none; the platform's
 default."""
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationRecord:
+    """The data centre that a record's key evacuates.
+
+    ``fault`` tells what is wrong with its value, or is empty. Such a record counts all
+    the same: the key carries the whole request.
+    """
+
+    data_centre: DataCentreId
+    fault: str = ""
+
+
+def decode_evacuation(key: str, value: bytes) -> EvacuationRecord | None:
+    """Return the evacuation that a record of the operator topic has, or None.
+
+    An empty value withdraws it. A key without the name of a data centre has none.
+    """
+    if not key.startswith(EVACUATE_PREFIX) or key == EVACUATE_PREFIX:
+        return None
+    data_centre = DataCentreId(key.removeprefix(EVACUATE_PREFIX))
+    if not value:
+        return EvacuationRecord(data_centre)
+    try:
+        is_object = isinstance(orjson.loads(value), dict)
+    except ValueError as error:
+        return EvacuationRecord(data_centre, f"{type(error).__name__}: {error}")
+    return EvacuationRecord(data_centre, "" if is_object else "not an object")
+
+
 def decode_fleet_config(text: bytes) -> Result[FleetConfig, str]:
     """Return the configuration, or an error message if it can't be decoded."""
     try:
--- a/tamarackmount/scheduling/advice_requests.py
+++ b/tamarackmount/scheduling/advice_requests.py
@@ -123,6 +123,10 @@
             step.job.accepted.queue_name, len(incarnations), len(answer.tickets)
         )
         step.advice.record_answer(incarnations, answer, now)
+        workers = self._state.find_workers(incarnations)
+        step.advice.release_tickets(
+            [worker.incarnation for worker in workers if worker.is_evacuated]
+        )
 
     def _request_advice(
         self,
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -8,11 +8,15 @@
 import logging
 from collections.abc import Callable, Iterable
 
-from tamarackmount.ids import Epoch, Instant, JobId, QueueName
+from tamarackmount.ids import DataCentreId, Epoch, Instant, JobId, QueueName
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.admission import Refusal, admit
 from tamarackmount.scheduling.advice_requests import AdviceRequests
 from tamarackmount.scheduling.effects import Effect
+from tamarackmount.scheduling.evacuated_workers import (
+    count_evacuated_runs,
+    set_evacuated_data_centres,
+)
 from tamarackmount.scheduling.fleet_config import FleetConfig, Queue
 from tamarackmount.scheduling.free_capacity import FreeCapacityIndex
 from tamarackmount.scheduling.holder_authority import HolderAuthority
@@ -45,6 +49,7 @@
 from tamarackmount.scheduling.worker_reports import (
     OrderResult,
     PollFailure,
+    StartOrder,
     WorkerEntry,
     WorkerReport,
 )
@@ -135,6 +140,35 @@
             _log.info("licence changed", extra={"licence": authority.value})
         self._state.authority = authority
 
+    def set_evacuated_data_centres(
+        self,
+        data_centres: frozenset[DataCentreId],
+        now: Instant,  # noqa: ARG002  (as the other events have it)
+    ) -> None:
+        """Start no more runs in these data centres, and in no others unless listed.
+
+        Runs in them go on; tickets and reservations for their workers are released.
+        """
+        if data_centres != self._state.evacuated_data_centres:
+            set_evacuated_data_centres(self._state, data_centres)
+
+    @property
+    def evacuated_run_count(self) -> int:
+        """The number of runs that go on in evacuated data centres."""
+        return count_evacuated_runs(self._state)
+
+    def may_send(self, order: StartOrder) -> bool:
+        """Return whether a start order may be sent now.
+
+        It may have waited since it was placed, perhaps in a process that was paused.
+        """
+        worker = self._state.workers_by_incarnation.get(order.incarnation)
+        return (
+            self._state.authority is HolderAuthority.FULL
+            and worker is not None
+            and not worker.is_evacuated
+        )
+
     def set_registered_workers(self, entries: list[WorkerEntry], now: Instant) -> None:
         """Replace the list of registered workers."""
         update_registered_workers(self._state, entries, now)
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
-from tamarackmount.ids import Epoch, Instant, JobId, WorkspaceId
+from tamarackmount.ids import DataCentreId, Epoch, Instant, JobId, WorkspaceId
 from tamarackmount.resources import NOTHING, Resources
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.effects import Effect, StartRun, StopRun
@@ -68,6 +68,7 @@
     )
     authority: HolderAuthority = HolderAuthority.FULL
     check_stragglers_at: Instant = Instant(0.0)
+    evacuated_data_centres: frozenset[DataCentreId] = frozenset()
     superseded: bool = False
 
     def emit(self, effect: Effect) -> None:
--- a/tamarackmount/scheduling/step_advice.py
+++ b/tamarackmount/scheduling/step_advice.py
@@ -110,3 +110,18 @@
         # Reset, so that the next check finds the ticket missing and requests it again.
         self._earliest_expiry = Instant(0.0)
         self._tickets_by_worker.pop(incarnation.worker_id, None)
+
+    def release_tickets(self, incarnations: Iterable[WorkerIncarnation]) -> None:
+        """Forget the tickets for workers that may not start runs any more.
+
+        They stay allowed: tickets for them are requested again once they may.
+        """
+        tickets = self._tickets_by_worker
+        held = [one for one in incarnations if one.worker_id in tickets]
+        if not held:
+            return
+        for incarnation in held:
+            self.discard_ticket(incarnation)
+        self._latest_expiry = max(
+            (row.expires_at for row in tickets.values()), default=Instant(0.0)
+        )
--- a/tamarackmount/scheduling/worker_leases.py
+++ b/tamarackmount/scheduling/worker_leases.py
@@ -83,6 +83,7 @@
     if entry.is_draining and not worker.entry.is_draining:
         _log.info("worker draining", extra={"worker": entry.incarnation.worker_id})
     worker.entry = entry
+    worker.is_evacuated = entry.data_centre in state.evacuated_data_centres
     worker.is_registered = True
 
 
--- a/tamarackmount/scheduling/workers.py
+++ b/tamarackmount/scheduling/workers.py
@@ -67,6 +67,8 @@
     (``silent_since``) from a second such poll in a row until a poll gives a report. One
     that is suspected or silent is unresponsive.
 
+    A worker ``is_evacuated`` while the operator keeps its data centre from new runs.
+
     ``slowness`` is the smoothed logarithm of how many times as long as usual its runs
     took, as of ``slowness_at``.
     """
@@ -89,6 +91,7 @@
     is_suspected: bool = False
     last_poll_failed: bool = False
     failures_in_row: int = 0
+    is_evacuated: bool = False
     slowness: float = 0.0
     slowness_at: Instant = Instant(0.0)
     _clock_ms: int = 0
@@ -125,6 +128,7 @@
             and not self.entry.is_draining
             and self.silent_since is None
             and not self.is_suspected
+            and not self.is_evacuated
         )
 
     @property
--- /dev/null
+++ b/tests/test_node_evacuation.py
@@ -0,0 +1,174 @@
+"""Evacuations on their way from the operator's record to the holder."""
+
+import logging
+from typing import Any
+
+import pytest
+from twisted.internet.defer import Deferred
+
+from tamarackmount.ids import DataCentreId, Epoch, Instant, MemberId
+from tamarackmount.node import clock
+from tamarackmount.node.start_orders import MAX_STARTS_PER_WORKER, StartOrders
+from tamarackmount.platform.store import OPERATOR_TOPIC, KeyedRecord
+from tamarackmount.scheduling.effects import StartRun
+from tamarackmount.scheduling.model import TaskKey
+from tamarackmount.scheduling.worker_reports import OrderResult, StartOrder
+from tests.utils.build_scheduling import incarnation, job, worker_entry
+from tests.utils.memory_peers import STEP_S, MemoryFleet
+
+ZONE = DataCentreId("kyushu-a")
+
+
+class AnsweringWorkers:
+    """Workers that answer start orders when the test says so."""
+
+    def __init__(self) -> None:
+        """Begin without calls."""
+        self.calls: list[Deferred[OrderResult]] = []
+        self.results: list[OrderResult] = []
+
+    def start(self, *_arguments: Any) -> "Deferred[OrderResult]":
+        """Take a call."""
+        self.calls.append(Deferred())
+        return self.calls[-1]
+
+    def add_result(self, _order: StartOrder, result: OrderResult) -> None:
+        """Keep the result of an order."""
+        self.results.append(result)
+
+
+@pytest.fixture
+def fleet(monkeypatch: pytest.MonkeyPatch) -> MemoryFleet:
+    """Return three nodes that have elected the first one."""
+    fleet = MemoryFleet(3)
+    monkeypatch.setattr(clock, "now", lambda: Instant(fleet.clock.seconds()))
+    fleet.start_claiming()
+    assert fleet.holder() == MemberId("n0")
+    return fleet
+
+
+def evacuate(fleet: MemoryFleet, value: bytes = b"{}", zone: str = ZONE) -> None:
+    """Write the operator's record; an empty value removes it."""
+    fleet.store.put(OPERATOR_TOPIC, KeyedRecord(f"evacuate/{zone}", value))
+
+
+def evacuated_at_holder(fleet: MemoryFleet) -> frozenset[DataCentreId]:
+    """Return the data centres in which the holder starts nothing."""
+    elections = [node._election for node in fleet.nodes_by_id.values()]
+    for _ in range(50):
+        for election in elections:
+            if election.holder is not None:
+                return election.holder.scheduler._state.evacuated_data_centres
+        # The role is being handed over.
+        fleet.run_for(STEP_S)
+    raise AssertionError("no holder")
+
+
+def test_the_holder_applies_the_record_and_its_withdrawal(
+    fleet: MemoryFleet,
+) -> None:
+    # The data centre is the holder's own: its process goes on.
+    evacuate(fleet)
+    fleet.run_for(1.0)
+    assert evacuated_at_holder(fleet) == {ZONE}
+    evacuate(fleet, zone="kyushu-b")
+    evacuate(fleet, b"")
+    fleet.run_for(1.0)
+    assert evacuated_at_holder(fleet) == {DataCentreId("kyushu-b")}
+
+
+def test_a_value_that_is_not_readable_counts_and_is_logged(
+    fleet: MemoryFleet, caplog: pytest.LogCaptureFixture
+) -> None:
+    with caplog.at_level(logging.INFO):
+        evacuate(fleet, b"{not json")
+        fleet.run_for(1.0)
+    assert evacuated_at_holder(fleet) == {ZONE}
+    messages = [record.getMessage() for record in caplog.records]
+    assert "evacuation record not readable; it counts" in messages
+    assert "data centre evacuated" in messages
+
+
+def test_a_record_that_was_trimmed_after_its_withdrawal_counts_no_more(
+    fleet: MemoryFleet,
+) -> None:
+    evacuate(fleet)
+    fleet.run_for(1.0)
+    fleet.nodes_without_store.add(MemberId("n0"))
+    fleet.run_for(0.1)
+    evacuate(fleet, b"")
+    fleet.store.trim(OPERATOR_TOPIC)
+    fleet.nodes_without_store.clear()
+    fleet.run_for(3.0)
+    assert not fleet.node(0)._evacuations.data_centres
+
+
+def test_a_new_holder_reads_the_record_before_its_first_start(
+    fleet: MemoryFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fleet.nodes_without_operator_topic.add(MemberId("n1"))
+    # Reads that are under way end without an answer.
+    fleet.run_for(2.0)
+    known_at_start: list[frozenset[DataCentreId]] = []
+    election: Any = fleet.node(1)._election
+    original = election._set_holder
+
+    def record(holder: Any) -> None:
+        original(holder)
+        if holder is not None:
+            start = holder.start
+
+            def recorded_start() -> None:
+                known_at_start.append(holder.scheduler._state.evacuated_data_centres)
+                start()
+
+            monkeypatch.setattr(holder, "start", recorded_start)
+
+    monkeypatch.setattr(election, "_set_holder", record)
+    fleet.lose_silently(0)
+    fleet.run_for(0.1)
+    # Nobody else can tell the new holder of it.
+    fleet.lose(2)
+    evacuate(fleet)
+    fleet.run_for(8.0)
+    assert fleet.holder() == MemberId("n1")
+    assert not known_at_start
+    fleet.nodes_without_operator_topic.clear()
+    fleet.run_for(2.0)
+    assert known_at_start == [frozenset({ZONE})]
+
+
+def test_a_read_that_finds_records_trimmed_did_not_reach_the_end(
+    fleet: MemoryFleet,
+) -> None:
+    tail = fleet.node(1)._config_tail
+    tail.stop()
+    fleet.run_for(2.0)
+    evacuate(fleet)
+    fleet.store.trim(OPERATOR_TOPIC)
+    tail._is_running = True
+    assert not fleet.run(tail.read_now())
+
+
+def test_a_queued_order_is_checked_against_the_record_when_its_turn_comes(
+    fleet: MemoryFleet,
+) -> None:
+    (holder,) = [
+        node._election.holder
+        for node in fleet.nodes_by_id.values()
+        if node._election.holder is not None
+    ]
+    workers: Any = AnsweringWorkers()
+    orders = StartOrders(workers, Epoch(3), holder._may_send, workers.add_result)
+    entry = worker_entry(data_centre=ZONE)
+    holder.scheduler.set_registered_workers([entry], clock.now())
+    for index in range(MAX_STARTS_PER_WORKER + 2):
+        task = TaskKey(job().job_id, 0, 0, index)
+        orders.send(StartRun("w1:1", StartOrder(incarnation(), task, 1, "text", 1)))
+    assert len(workers.calls) == MAX_STARTS_PER_WORKER
+    # The record arrives while the other orders wait.
+    holder.set_evacuated_data_centres(frozenset({ZONE}))
+    for call in list(workers.calls):
+        call.callback(OrderResult.DONE)
+    assert len(workers.calls) == MAX_STARTS_PER_WORKER
+    assert workers.results.count(OrderResult.NOT_SENT) == 2
--- a/tests/test_start_orders.py
+++ b/tests/test_start_orders.py
@@ -38,7 +38,7 @@
         self.orders = StartOrders(
             workers,
             Epoch(3),
-            lambda: self.may_start,
+            lambda _: self.may_start,
             lambda _, result: self.results.append(result),
         )
         for index in range(ORDERS):
--- a/tests/utils/memory_peers.py
+++ b/tests/utils/memory_peers.py
@@ -71,6 +71,7 @@
 
     A node in ``nodes_without_store`` gets no answer. Appends of a node in
     ``nodes_without_appends`` get none and have no effect, but its reads are answered.
+    Reads of the operator topic by a node in ``nodes_without_operator_topic`` get none.
     """
 
     def __init__(self, fleet: "MemoryFleet", node_id: MemberId) -> None:
@@ -97,7 +98,12 @@
     ) -> Any:
         """Read, unless the node does not reach the store."""
         result = await self._fleet.store.read(topic, start, wait_ms, deadline)
-        if self._node_id in self._fleet.nodes_without_store:
+        fleet = self._fleet
+        is_unread = (
+            topic == OPERATOR_TOPIC
+            and self._node_id in fleet.nodes_without_operator_topic
+        )
+        if is_unread or self._node_id in fleet.nodes_without_store:
             return await self._wait_in_vain(deadline)
         return result
 
@@ -123,6 +129,7 @@
         self.changes_by_reply: dict[type, dict[str, Any]] = {}
         self.nodes_without_store: set[MemberId] = set()
         self.nodes_without_appends: set[MemberId] = set()
+        self.nodes_without_operator_topic: set[MemberId] = set()
         self.nodes_by_id: dict[MemberId, Node] = {}
         holder = HolderRecord(MemberId("n0"), 1, 0, 1)
         self.store.put(HOLDER_TOPIC, KeyedRecord("holder", encode_record(holder)))
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -16,6 +16,7 @@
 
 SCHEDULING = "tests/test_scheduling_*.py"
 NODE = "tests/test_platform_node.py tests/test_claims.py tests/test_holder_authority.py"
+EVACUATION = "tests/test_*evacuation*.py"
 
 
 @dataclass(frozen=True, slots=True)
@@ -266,7 +267,7 @@
     Mutant(
         "a start order that waited is sent only under the authority of that moment",
         "node/start_orders.py",
-        "if self._may_start():",
+        "if self._may_send(effect.order):",
         "if True:",
         "tests/test_start_orders.py",
     ),
@@ -290,6 +291,56 @@
         "            and not self.entry.is_draining\n",
         "",
     ),
+    Mutant(
+        "no run is placed in an evacuated data centre",
+        "scheduling/workers.py",
+        "            and not self.is_evacuated\n",
+        "",
+        EVACUATION,
+    ),
+    Mutant(
+        "workers that register in an evacuated data centre get no runs",
+        "scheduling/worker_leases.py",
+        "entry.data_centre in state.evacuated_data_centres",
+        "False",
+        EVACUATION,
+    ),
+    Mutant(
+        "an order that waited is not sent to an evacuated data centre",
+        "scheduling/scheduler.py",
+        "            and not worker.is_evacuated\n",
+        "",
+        EVACUATION,
+    ),
+    Mutant(
+        "the holder checks the evacuations when an order's turn comes",
+        "node/holder.py",
+        "return self.scheduler.may_send(order)",
+        "return self.scheduler.authority is HolderAuthority.FULL",
+        EVACUATION,
+    ),
+    Mutant(
+        "a new holder reads the operator topic to its end before its first start",
+        "node/holder_election.py",
+        "return all(results)",
+        "return results[0]",
+        EVACUATION,
+    ),
+    Mutant(
+        "a new holder is told of the evacuations before its first start",
+        "node/holder_election.py",
+        "holder.set_evacuated_data_centres(self._evacuations.data_centres)\n",
+        "holder.set_evacuated_data_centres(frozenset())\n",
+        EVACUATION,
+    ),
+    Mutant(
+        "a read that finds records trimmed has not reached the topic's end",
+        "node/topic_tail.py",
+        "            self._next_offset = None\n"
+        "            self._is_caught_up = False\n",
+        "            self._next_offset = None\n",
+        EVACUATION,
+    ),
 )
 
 
