Store the workers' duration factors with the forecast record

Cause: a new holder would send urgent work to slow workers until it has learned anew. Change: means_by_worker of ForecastRecord, with a default; worker id to mean logarithm and number of runs, about 22 bytes each. Values out of range are limited on restore. Seen failing without the restore: urgent tasks of a new holder use both slow workers.

--- a/tamarackmount/scheduling/journal.py
+++ b/tamarackmount/scheduling/journal.py
@@ -118,9 +118,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ForecastRecord:
-    """The forecast of a holder, stored for the next one to continue from."""
+    """The forecast of a holder, stored for the next one to continue from.
+
+    ``means_by_worker`` has, by worker id, the mean natural logarithm of how many times
+    as long as usual runs took there, and the number of these runs; records of earlier
+    versions lack it.
+    """
 
     means_by_queue: dict[str, QueueMeans]
+    means_by_worker: dict[str, tuple[float, float]] = field(default_factory=dict)
 
 
 T = TypeVar("T")
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -107,6 +107,7 @@
         self._state.write_ahead.runs_are_complete = runs_are_complete
         if forecast is not None:
             self._state.forecast.restore(forecast)
+            self._state.worker_speeds.restore(forecast.means_by_worker)
         for records in list(jobs):
             self._restore_job(records, now, unix_ms)
         for worker in list(workers):
--- a/tamarackmount/scheduling/store_batches.py
+++ b/tamarackmount/scheduling/store_batches.py
@@ -1,7 +1,7 @@
 """Batches of records for the store, and what follows once a batch is stored."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from tamarackmount.ids import Instant, JobId
 from tamarackmount.scheduling.effects import StartRun
@@ -172,8 +172,11 @@
             return
         interval_ms = int(FORECAST_STORE_INTERVAL_S * MS_PER_SECOND)
         self._store_forecast_at_unix_ms = unix_ms + interval_ms
-        forecast = encode_record(self._state.forecast.to_record())
-        records.append((record_key(RecordKind.FORECAST), forecast))
+        state = self._state
+        record = replace(
+            state.forecast.to_record(), means_by_worker=state.worker_speeds.to_record()
+        )
+        records.append((record_key(RecordKind.FORECAST), encode_record(record)))
 
     def _add_job_records(
         self, records: list[tuple[str, bytes]], unix_ms: int
--- a/tamarackmount/scheduling/worker_speeds.py
+++ b/tamarackmount/scheduling/worker_speeds.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple, Protocol
 
@@ -33,6 +34,9 @@
 """Change of a kind's mean logarithm from which on its workers' factors are computed
 anew; smaller ones decide nothing."""
 
+STORED_DIGITS = 3
+"""Number of decimal places of stored means; a thousandth decides nothing."""
+
 MAX_WORKERS = 2_000
 """Number of workers whose samples are kept; those without new ones go first."""
 
@@ -130,6 +134,28 @@
         self._factor_by_worker.pop(worker_id, None)
         self._drop_oldest()
 
+    def to_record(self) -> dict[str, tuple[float, float]]:
+        """Return the workers' means for the store: see ``ForecastRecord``."""
+        return {
+            worker_id: (round(mean.log_ratio, STORED_DIGITS), round(mean.weight, 1))
+            for worker_id, mean in self._mean_by_worker.items()
+            if mean.weight > 0
+        }
+
+    def restore(self, means_by_worker: Mapping[str, tuple[float, float]]) -> None:
+        """Continue from the means of a former holder.
+
+        A worker's kind is known once the worker is; values out of range are limited.
+        """
+        for worker_id, (log_ratio, weight) in means_by_worker.items():
+            if not (math.isfinite(log_ratio) and math.isfinite(weight)):
+                continue
+            self._mean_by_worker[WorkerId(worker_id)] = _Mean(
+                max(-MAX_ABS_LOG_RATIO, min(MAX_ABS_LOG_RATIO, log_ratio)),
+                max(0.0, min(SAMPLE_MEMORY, weight)),
+            )
+        self._drop_oldest()
+
     def _log_factor(self, worker: WorkerState) -> float:
         mean = self._attached_mean(worker)
         kind_sum = self._sum_by_kind[_kind_of(worker)]
--- a/tests/test_scheduling_takeover.py
+++ b/tests/test_scheduling_takeover.py
@@ -17,6 +17,7 @@
 from tamarackmount.scheduling.workers import MAX_INHERITED_LEASE_S
 from tests.utils.build_scheduling import (
     CEILING,
+    HIGH_PRIORITY,
     LOW_PRIORITY,
     SchedulerHarness,
     ended_run,
@@ -26,6 +27,7 @@
     worker_entry,
     worker_report,
 )
+from tests.utils.pool_simulation import PoolSimulation
 
 
 def build_job_index(
@@ -310,6 +312,32 @@
     assert len(harness.starts) == 1
 
 
+def test_the_speeds_of_workers_are_kept_by_the_next_holder() -> None:
+    """Guards against urgent work on slow workers in the first seconds of a holder."""
+    entries = [worker_entry(f"w{number}", cores=8) for number in range(8)]
+    before = SchedulerHarness(ceiling=Resources())
+    simulation = PoolSimulation(before, entries, {"w0": 2.0, "w4": 2.0})
+    warm_up = [
+        (1.5 * number, job(100 + number, step(48, estimated_ms=600)))
+        for number in range(10)
+    ]
+    simulation.run_until(warm_up, 25.0)
+    harness = build_next_holder(
+        before, build_job_index([job(99)], before.store_pending()), ceiling=Resources()
+    )
+    harness.register_workers(*entries)
+    urgent = job(1, step(40, estimated_ms=600), in_queue=HIGH_PRIORITY)
+    harness.submit_job(urgent)
+    orders = [row.order for row in harness.starts]
+    used = [
+        order.incarnation.worker_id
+        for order in orders
+        if order.task.job_id == urgent.job_id
+    ]
+    assert len(used) == 40
+    assert not set(used) & {"w0", "w4"}
+
+
 def test_the_forecast_of_durations_is_kept_by_the_next_holder() -> None:
     before = SchedulerHarness(ceiling=Resources())
     before.register_workers(worker_entry("w1", cores=1))
--- a/tests/test_scheduling_worker_speeds.py
+++ b/tests/test_scheduling_worker_speeds.py
@@ -115,6 +115,13 @@
     assert speeds.duration_factor(first) < 1.3
 
 
+def test_restored_means_out_of_range_are_limited() -> None:
+    speeds = LearnedWorkerSpeeds()
+    speeds.restore({"w1": (99.0, 1e9), "w2": (float("nan"), 3.0), "w3": (0.5, -2.0)})
+    factors = [speeds.duration_factor(make_worker(f"w{n}")) for n in range(1, 4)]
+    assert all(0.5 < factor < 5.0 for factor in factors)
+
+
 def test_urgent_steps_avoid_workers_at_half_speed() -> None:
     simulation = quarter_of_workers_at_half_speed()
     urgent = [
