Forwarded requests end truly when their member stops as planned

Cause: a stopping member announced its drain only within its own data centre, and left the reactor in the turn in which it closed its links. A forward that was still unread in a socket, or was read in the last turn, got no answer, and its sender reported `unknown` (`home_unreachable`) once the member counted as lost.

An answer counts only from the member that the request is at.

`forward_ended` and `forward_not_sent` take a sender and the time; tests/test_forwarding.py and tests/utils/node_fleet.py pass them.

--- a/tamarackmount/daemon/request_calls.py
+++ b/tamarackmount/daemon/request_calls.py
@@ -21,6 +21,7 @@
     UpstreamResponse,
 )
 from tamarackmount.daemon.http_responses import (
+    REFUSALS,
     FinalResponse,
     Refusal,
     error_response,
@@ -48,6 +49,7 @@
     ForwardedRequest,
     HttpHeader,
     Outcome,
+    RefusalReason,
 )
 from tamarackmount.kernel.request_effects import remaining_ms
 
@@ -92,9 +94,12 @@
     def attempt_ended(self, ticket_id: TicketId, result: AttemptResult) -> None:
         """Handle the end of an attempt at an upstream."""
 
-    def forward_ended(self, call_id: int) -> bool:
+    def forward_ended(self, call_id: int, sender: MemberId) -> bool:
         """Handle the response to a forwarded request; return whether it is used."""
 
+    def forward_refused(self, call_id: int, sender: MemberId) -> None:
+        """Handle that a stopping member did not take a forwarded request."""
+
 
 @dataclass(slots=True)
 class _Call:
@@ -212,12 +217,18 @@
         )
 
     def handle_forwarded_response(
-        self, message: ForwardedReply, daemon: DaemonCallbacks
+        self, sender: MemberId, message: ForwardedReply, daemon: DaemonCallbacks
     ) -> None:
-        """Deliver the response to a forwarded request, unless it is no longer used."""
+        """Deliver the response to a forwarded request, unless it is no longer used.
+
+        A request that a stopping member did not take is forwarded elsewhere instead.
+        """
         if message.call_id not in self._calls_by_id:
             return
-        if not daemon.forward_ended(message.call_id):
+        if message.outcome is Outcome.NOT_RUN and message.reason == _DRAINING:
+            daemon.forward_refused(message.call_id, sender)
+            return
+        if not daemon.forward_ended(message.call_id, sender):
             return
         self._deliver(message.call_id, response_from_forwarded(message))
 
@@ -292,8 +303,14 @@
         )
         self._send(self._to, message)
 
+    def refuse(self) -> None:
+        """Answer that this member stops and has not taken the request."""
+        response = refusal_response(RefusalReason.DRAINING, Outcome.NOT_RUN, 0)
+        self.finish(response)
+
 
 _SERVED_BY = "Served-By"
+_DRAINING = REFUSALS[RefusalReason.DRAINING].error
 
 
 def response_from_forwarded(message: ForwardedReply) -> FinalResponse:
--- a/tamarackmount/daemon/service.py
+++ b/tamarackmount/daemon/service.py
@@ -35,6 +35,7 @@
 from tamarackmount.daemon.platform_tasks import LogTask, VmTask, WorkerTask
 from tamarackmount.daemon.quiet_site import QuietSite
 from tamarackmount.daemon.request_calls import (
+    FORWARD_MARGIN_MS,
     PeerSink,
     RequestCalls,
     RequestContent,
@@ -42,6 +43,7 @@
     content_from_forwarded,
 )
 from tamarackmount.daemon.status_view import StatusView, status_of
+from tamarackmount.daemon.taken_forwards import FLUSH_S, TakenForwards
 from tamarackmount.daemon.tracing import make_tracer
 from tamarackmount.ids import (
     ConfigPath,
@@ -121,6 +123,8 @@
         self._has_failed = False
         self._last_call_id = 0
         self._drain: Drain | None = None
+        self._taken_forwards = TakenForwards()
+        self._close_links_at: Instant | None = None
         self._http_port: Any = None
         self._make_components(settings, member.id)
         self._tick_loop = LoopingCall(self._tick)
@@ -186,14 +190,19 @@
         timing = self._settings.timing
         times = DrainTimes(
             notice_s=_seconds(timing.balancer_notice_ms),
-            total_s=_seconds(timing.drain_ms),
+            total_s=max(0.0, _seconds(timing.drain_ms) - FLUSH_S),
         )
         self._drain = Drain(times, read_clock())
         _log.info("draining", extra={"under_way": len(self._calls)})
         self._feed(self._node.drain)
 
     def _tick(self) -> None:
+        if self._close_links_at is not None:
+            if read_clock() >= self._close_links_at:
+                self._stop()
+            return
         self._feed(self._node.tick)
+        self._taken_forwards.expire(read_clock())
         if self._drain is not None:
             self._continue_drain(self._drain)
 
@@ -205,7 +214,14 @@
         self._node.refuse_new()
         if phase is DrainPhase.FINISHED:
             _log.info("stopped", extra={"cut_off": in_flight})
-            self._stop()
+            self._close_forwards()
+
+    def _close_forwards(self) -> None:
+        """Take no more forwards, and tell the peers before the links are closed."""
+        now = read_clock()
+        self._close_links_at = Instant(now + FLUSH_S)
+        taken_by_peer = self._taken_forwards.call_ids_by_peer()
+        self._run(self._node.close_forwards(taken_by_peer))
 
     def _stop(self) -> None:
         if self._stopped.called:
@@ -248,7 +264,7 @@
         message = self._calls.build_forwarded_request(effect)
         if message is not None and self._links.send(effect.to, message):
             return
-        self._run(self._node.requests.forward_not_sent(effect.call_id))
+        self._feed(self._node.requests.forward_not_sent, effect.call_id)
 
     def _finish_job_call(self, effect: FinishJobCall) -> None:
         self._jobs.finish(effect.answer)
@@ -257,17 +273,27 @@
 
     def _receive(self, envelope: Envelope[PeerMessage]) -> None:
         message = envelope.message
+        if self._close_links_at is not None:
+            # Peers were told that nothing is taken any more.
+            if isinstance(message, ForwardedRequest):
+                PeerSink(envelope.sender, message.call_id, self._links.send).refuse()
+            return
         if isinstance(message, ForwardedRequest):
             self._receive_forwarded(envelope.sender, message)
         elif isinstance(message, ForwardedReply):
-            self._calls.handle_forwarded_response(message, self)
+            self._calls.handle_forwarded_response(envelope.sender, message, self)
         else:
             self._feed(self._node.peer_message, envelope.sender, message)
 
     def _receive_forwarded(self, sender: MemberId, message: ForwardedRequest) -> None:
         sink = PeerSink(sender, message.call_id, self._links.send)
+        if self._node.is_refusing:
+            sink.refuse()
+            return
         content = content_from_forwarded(message)
         deadline = Instant(read_clock() + _seconds(message.remaining_ms))
+        own_deadline = Instant(deadline + FORWARD_MARGIN_MS / MS_PER_SECOND)
+        self._taken_forwards.add(sender, message.call_id, own_deadline)
         self._submit(content, deadline, sink, forwarded=True)
 
     def _submit(
@@ -295,9 +321,13 @@
         """Handle the end of an attempt at an upstream."""
         self._feed(self._node.attempt_ended, ticket_id, result)
 
-    def forward_ended(self, call_id: int) -> bool:
+    def forward_ended(self, call_id: int, sender: MemberId) -> bool:
         """Handle the response to a forwarded request; return whether it is used."""
-        return self._node.requests.forward_ended(call_id)
+        return self._node.requests.forward_ended(call_id, sender)
+
+    def forward_refused(self, call_id: int, sender: MemberId) -> None:
+        """Handle that a stopping member did not take a forwarded request."""
+        self._feed(self._node.requests.forward_refused, call_id, sender)
 
     def log_page_read(self, page: RecordPage, asked_at: Instant) -> None:
         """Handle a page of records; ``asked_at`` is when the read was sent."""
--- a/tamarackmount/internal/peer.capnp
+++ b/tamarackmount/internal/peer.capnp
@@ -189,6 +189,11 @@
   body @6 :Data;
 }
 
+struct ForwardsClosed {
+  incarnation @0 :UInt64;
+  taken @1 :List(UInt64);
+}
+
 struct JobCall {
   callId @0 :UInt64;
   action @1 :JobAction;
@@ -267,5 +272,6 @@
     jobsHeld @22 :JobsHeld;
     configWanted @23 :ConfigWanted;
     configSync @24 :ConfigSync;
+    forwardsClosed @25 :ForwardsClosed;
   }
 }
--- a/tamarackmount/kernel/forwarding.py
+++ b/tamarackmount/kernel/forwarding.py
@@ -1,5 +1,6 @@
 """Requests of this member's callers that are forwarded to other data centres."""
 
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from tamarackmount.ids import (
@@ -31,11 +32,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Forward:
-    """A request that was forwarded to one run of another member."""
+    """A request that was forwarded to one run of another member.
+
+    ``tried`` are the members that it was forwarded to, ``to`` among them. All others
+    certainly did not take it.
+    """
 
     request: CallerRequest
     to: MemberId
     incarnation: Incarnation | None
+    tried: frozenset[MemberId] = frozenset()
 
 
 class ForwardTable:
@@ -50,15 +56,46 @@
         """Return the number of unanswered requests."""
         return len(self._forwards_by_call)
 
-    def begin(self, request: CallerRequest, to: MemberId) -> None:
-        """Add a request that is being forwarded to a member."""
-        forward = Forward(request, to, self._incarnation_of(to))
+    def begin(
+        self,
+        request: CallerRequest,
+        to: MemberId,
+        refused_by: frozenset[MemberId] = frozenset(),
+    ) -> None:
+        """Add a request that is being forwarded to a member.
+
+        The members ``refused_by`` certainly did not take it.
+        """
+        forward = Forward(request, to, self._incarnation_of(to), refused_by | {to})
         self._forwards_by_call[request.call_id] = forward
 
     def end(self, call_id: int) -> Forward | None:
         """Remove and return a request; return ``None`` if it is not there."""
         return self._forwards_by_call.pop(call_id, None)
 
+    def end_at(self, call_id: int, member_id: MemberId) -> Forward | None:
+        """Remove and return a request if it is now at ``member_id``.
+
+        An answer from a member that the request is no longer at is out of date.
+        """
+        forward = self._forwards_by_call.get(call_id)
+        if forward is None or forward.to != member_id:
+            return None
+        return self.end(call_id)
+
+    def pop_untaken(
+        self, member_id: MemberId, incarnation: Incarnation, taken: Collection[int]
+    ) -> list[Forward]:
+        """Remove and return the requests that a run of a member did not take."""
+        untaken = [
+            forward
+            for call_id, forward in self._forwards_by_call.items()
+            if forward.to == member_id
+            and forward.incarnation == incarnation
+            and call_id not in taken
+        ]
+        return self._remove(untaken)
+
     def pop_expired(self, now: Instant) -> list[Forward]:
         """Remove and return the requests whose deadlines have passed."""
         expired = [
--- a/tamarackmount/kernel/heartbeats.py
+++ b/tamarackmount/kernel/heartbeats.py
@@ -24,15 +24,28 @@
         self._next_remote_at = now
         self._next_echo_at_by_peer: dict[MemberId, Instant] = {}
 
-    def due(self, now: Instant) -> list[MemberId]:
-        """Return the members to send a heartbeat to now, and schedule the next ones."""
+    def send_remote_now(self, now: Instant) -> None:
+        """Make the heartbeats to other data centres due."""
+        self._next_remote_at = now
+
+    def due(self, now: Instant, *, is_leaving: bool = False) -> list[MemberId]:
+        """Return the members to send a heartbeat to now, and schedule the next ones.
+
+        A leaving member tells all members of other data centres, since each of them may
+        forward requests to it. The first message to a peer without a connection is
+        dropped, so that it repeats this.
+        """
         targets: list[MemberId] = []
         if now >= self._next_local_at:
             self._next_local_at = Instant(now + self._timing.heartbeat_s)
             targets += self._membership.local_targets()
         if now >= self._next_remote_at:
             self._next_remote_at = Instant(now + self._timing.remote_heartbeat_s)
-            targets += self._membership.remote_targets(now)
+            targets += (
+                self._membership.remote_peers()
+                if is_leaving
+                else self._membership.remote_targets(now)
+            )
         return targets
 
     def is_echo_due(self, peer: MemberId, now: Instant) -> bool:
--- a/tamarackmount/kernel/member_core.py
+++ b/tamarackmount/kernel/member_core.py
@@ -40,6 +40,7 @@
     ClaimRequest,
     ConfigSync,
     ConfigWanted,
+    ForwardsClosed,
     Heartbeat,
     PeerMessage,
 )
@@ -182,6 +183,9 @@
             case ConfigSync(offset, entries):
                 self.log.config.apply_entries(offset, entries)
                 return self._configure(now)
+            case ForwardsClosed():
+                self.membership.stop_announced(sender, message.incarnation, now)
+                return self.requests.forwards_closed(sender, message, now)
             case _:
                 return []
 
@@ -236,9 +240,15 @@
 
     def _heartbeat_received(self, heartbeat: Heartbeat, now: Instant) -> list[Effect]:
         self._check_owner_silence(heartbeat, now)
+        last = self.membership.heartbeat_of(heartbeat.member_id)
+        was_leaving = last is not None and last.leaving
         result = self.membership.heartbeat_received(heartbeat, now)
         if result is HeartbeatResult.IGNORED:
             return []
+        if heartbeat.leaving and not was_leaving:
+            # Another member of its data centre may be unknown here, as only one of each
+            # gets regular heartbeats.
+            self._heartbeats.send_remote_now(now)
         effects = self._config_sync.heartbeat_received(
             heartbeat, self.is_log_fresh(now), now
         )
--- a/tamarackmount/kernel/membership.py
+++ b/tamarackmount/kernel/membership.py
@@ -124,6 +124,16 @@
             else HeartbeatResult.ALIVE
         )
 
+    def stop_announced(
+        self, member_id: MemberId, incarnation: Incarnation, now: Instant
+    ) -> None:
+        """Treat a run of a peer as lost at once, since it announced its end."""
+        peer = self._peers_by_id.get(member_id)
+        if peer is None or peer.heartbeat is None:
+            return
+        if peer.heartbeat.incarnation == incarnation:
+            peer.expires_at = min(peer.expires_at, now)
+
     def restart_timeouts(self, paused_at: Instant, now: Instant) -> None:
         """Restart the time-outs of peers after a pause of this member.
 
@@ -190,6 +200,14 @@
             if peer.member.data_centre == self._me.data_centre
         )
 
+    def remote_peers(self) -> list[MemberId]:
+        """Return the peers of all other data centres, sorted by name."""
+        return sorted(
+            peer.member.id
+            for peer in self._peers_by_id.values()
+            if peer.member.data_centre != self._me.data_centre
+        )
+
     def remote_targets(self, now: Instant) -> list[MemberId]:
         """Return the peers of other data centres that get heartbeats.
 
@@ -203,7 +221,7 @@
             target = self._remote_target(data_centre, now)
             targets.append(target)
             if self.state(target, now) in _LEAVING_OR_LOST:
-                targets.append(self._next_in_rotation(data_centre, now))
+                targets.append(self._next_in_rotation(data_centre, now, target))
         return list(dict.fromkeys(targets))
 
     def recently_lost(
@@ -247,7 +265,12 @@
         live_ids = frozenset(live)
         return [run for run in runs if run.member_id in live_ids]
 
-    def contact(self, data_centre: DataCentreId, now: Instant) -> MemberId | None:
+    def contact(
+        self,
+        data_centre: DataCentreId,
+        now: Instant,
+        excluded: frozenset[MemberId] = frozenset(),
+    ) -> MemberId | None:
         """Return the live peer of another data centre to send work to, if any.
 
         A leaving peer serves until it stops, so it is used if no other is alive.
@@ -255,6 +278,8 @@
         ranked = self._ranked(data_centre)
         for wanted in (MemberState.ALIVE, MemberState.LEAVING):
             for member_id in ranked:
+                if member_id in excluded:
+                    continue
                 if self.state(member_id, now) is wanted:
                     return member_id
         return None
@@ -295,8 +320,17 @@
                     return member_id
         return self._next_in_rotation(data_centre, now)
 
-    def _next_in_rotation(self, data_centre: DataCentreId, now: Instant) -> MemberId:
-        ranked = self._ranked(data_centre)
+    def _next_in_rotation(
+        self,
+        data_centre: DataCentreId,
+        now: Instant,
+        other_than: MemberId | None = None,
+    ) -> MemberId:
+        ranked = [
+            member_id
+            for member_id in self._ranked(data_centre)
+            if member_id != other_than
+        ] or self._ranked(data_centre)
         rotation = int(now / self._timing.remote_heartbeat_s)
         return ranked[rotation % len(ranked)]
 
--- a/tamarackmount/kernel/messages.py
+++ b/tamarackmount/kernel/messages.py
@@ -301,6 +301,20 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class ForwardsClosed:
+    """Tell a member of another data centre that the sender takes no more requests.
+
+    ``taken`` has the call ids of the receiver's forwarded requests that reached the
+    sender and whose deadlines have not passed. Every other one was certainly not taken.
+    The answers to those in ``taken`` were sent before, unless the sender's planned stop
+    ended by its deadline. ``incarnation`` is that of the sender.
+    """
+
+    incarnation: Incarnation
+    taken: list[int]
+
+
 class JobAction(Enum):
     """Action of a caller's call about jobs."""
 
@@ -420,5 +434,6 @@
     | JobsHeld
     | ConfigWanted
     | ConfigSync
+    | ForwardsClosed
 )
 """Any message between members."""
--- a/tamarackmount/kernel/node.py
+++ b/tamarackmount/kernel/node.py
@@ -4,6 +4,8 @@
 drive several nodes and simulate the network, the log and the clock.
 """
 
+from collections.abc import Mapping
+
 from tamarackmount.adapters.log_schema import RecordPage
 from tamarackmount.adapters.vm_schema import VmList
 from tamarackmount.adapters.worker_schema import CommandReply, WorkerReport
@@ -23,6 +25,7 @@
     CallWorker,
     Effect,
     ReportProblem,
+    SendPeer,
 )
 from tamarackmount.kernel.forwarding import CallerRequest
 from tamarackmount.kernel.log_records import ConfigChange
@@ -32,6 +35,7 @@
     AttemptCopied,
     AttemptCopy,
     AttemptResult,
+    ForwardsClosed,
     HoldingsReport,
     HoldingsRequest,
     JobAnswer,
@@ -191,12 +195,33 @@
         effects = self._check_for_pause(now)
         self._draining = True
         effects += self._hand_over(now)
-        return effects + self._send_heartbeats(self.membership.local_targets(), now)
+        self._heartbeats.send_remote_now(now)
+        effects += self._send_heartbeats(self.membership.local_targets(), now)
+        return effects + self._send_heartbeats(self.membership.remote_peers(), now)
 
     def refuse_new(self) -> None:
         """Refuse all new requests from now on."""
         self._refusing = True
 
+    @property
+    def is_refusing(self) -> bool:
+        """Whether this member refuses new requests, forwarded ones too."""
+        return self._refusing
+
+    def close_forwards(
+        self, taken_by_peer: Mapping[MemberId, list[int]]
+    ) -> list[Effect]:
+        """Tell all members of other data centres that this one takes no more requests.
+
+        ``taken_by_peer`` has the call ids of the forwarded requests that it took.
+        """
+        return [
+            SendPeer(
+                peer, ForwardsClosed(self._incarnation, taken_by_peer.get(peer, []))
+            )
+            for peer in self.membership.remote_peers()
+        ]
+
     def peer_message(
         self, sender: MemberId, message: PeerMessage, now: Instant
     ) -> list[Effect]:
@@ -224,7 +249,9 @@
         effects += self._hand_over(now)
         effects += self._tick_ownership(now)
         effects += self._tick_members(now)
-        effects += self._send_heartbeats(self._heartbeats.due(now), now)
+        effects += self._send_heartbeats(
+            self._heartbeats.due(now, is_leaving=self._draining), now
+        )
         effects += self._apply_log_output(self.log.tick(now), now)
         effects += self.requests.tick(now)
         effects += self.jobs.tick(now)
--- a/tamarackmount/kernel/request_part.py
+++ b/tamarackmount/kernel/request_part.py
@@ -37,6 +37,7 @@
     AttemptCopied,
     AttemptCopy,
     AttemptResult,
+    ForwardsClosed,
     HoldingsReport,
     HoldingsRequest,
     LoanCopied,
@@ -137,18 +138,36 @@
             return self._serve_elsewhere(request, now)
         return self._serve_here(request, now)
 
-    def forward_ended(self, call_id: int) -> bool:
+    def forward_ended(self, call_id: int, sender: MemberId) -> bool:
         """Handle the answer to a forwarded request; return whether it is valid.
 
         It is not valid if the request has already ended or is served elsewhere.
         """
-        return self._forwards.end(call_id) is not None
+        return self._forwards.end_at(call_id, sender) is not None
 
-    def forward_not_sent(self, call_id: int) -> list[Effect]:
-        """Refuse a request that could not be forwarded; none of its bytes were sent."""
-        if self._forwards.end(call_id) is None:
-            return []
-        return [_finish_not_run(call_id, RefusalReason.HOME_UNREACHABLE, HOME_RETRY_MS)]
+    def forward_refused(
+        self, call_id: int, sender: MemberId, now: Instant
+    ) -> list[Effect]:
+        """Forward a request elsewhere that a stopping member did not take."""
+        forward = self._forwards.end_at(call_id, sender)
+        return [] if forward is None else self._forward_again(forward, now)
+
+    def forwards_closed(
+        self, sender: MemberId, message: ForwardsClosed, now: Instant
+    ) -> list[Effect]:
+        """Forward the requests elsewhere that a member did not take before its end."""
+        untaken = self._forwards.pop_untaken(
+            sender, message.incarnation, frozenset(message.taken)
+        )
+        effects: list[Effect] = []
+        for forward in untaken:
+            effects += self._forward_again(forward, now)
+        return effects
+
+    def forward_not_sent(self, call_id: int, now: Instant) -> list[Effect]:
+        """Forward a request elsewhere of which no byte was sent, or refuse it."""
+        forward = self._forwards.end(call_id)
+        return [] if forward is None else self._forward_again(forward, now)
 
     def caller_disconnected(self, call_id: int, now: Instant) -> list[Effect]:
         """Handle that the caller of a request disconnected."""
@@ -319,15 +338,30 @@
         return is_reachable and self._serves(request.queue, data_centre)
 
     def _forward(
-        self, request: CallerRequest, data_centre: DataCentreId, now: Instant
+        self,
+        request: CallerRequest,
+        data_centre: DataCentreId,
+        now: Instant,
+        refused_by: frozenset[MemberId] = frozenset(),
     ) -> list[Effect]:
-        target = self._membership.contact(data_centre, now)
+        target = self._membership.contact(data_centre, now, refused_by)
         if target is None:
             reason = RefusalReason.HOME_UNREACHABLE
             return [_finish_not_run(request.call_id, reason, HOME_RETRY_MS)]
-        self._forwards.begin(request, target)
+        self._forwards.begin(request, target, refused_by)
         return [ForwardRequest(request.call_id, target, request.deadline)]
 
+    def _forward_again(self, forward: Forward, now: Instant) -> list[Effect]:
+        request = forward.request
+        if now >= request.deadline:
+            reason = RefusalReason.DEADLINE
+            return [_finish_not_run(request.call_id, reason, HOME_RETRY_MS)]
+        data_centre = self._membership.data_centre_of(forward.to)
+        if data_centre is None:
+            reason = RefusalReason.HOME_UNREACHABLE
+            return [_finish_not_run(request.call_id, reason, HOME_RETRY_MS)]
+        return self._forward(request, data_centre, now, forward.tried)
+
     def _tick_forwards(self, now: Instant) -> list[Effect]:
         effects: list[Effect] = []
         for forward in self._forwards.pop_expired(now):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -140,16 +140,16 @@
 def test_answer_is_valid_once_and_not_after_the_request_ended() -> None:
     member = LocalMember()
     member.submit(ORDER, idempotent=False)
-    assert member.part.forward_ended(1)
-    assert not member.part.forward_ended(1)
+    assert member.part.forward_ended(1, X)
+    assert not member.part.forward_ended(1, X)
     member.submit(ORDER, idempotent=False)
     member.part.tick(AFTER_LOSS)
-    assert not member.part.forward_ended(1)
+    assert not member.part.forward_ended(1, X)
 
 
 def test_request_that_could_not_be_forwarded_was_not_run() -> None:
     member = LocalMember()
     member.submit(ORDER, idempotent=False)
-    (finish,) = finishes(member.part.forward_not_sent(1))
+    (finish,) = finishes(member.part.forward_not_sent(1, START))
     assert finish.outcome is Outcome.NOT_RUN
     assert member.part.unfinished == 0
--- a/tests/utils/node_fleet.py
+++ b/tests/utils/node_fleet.py
@@ -502,8 +502,8 @@
         target = self.runs.get(effect.to)
         cut = frozenset((run.member.id, effect.to)) in self.cut_pairs
         if target is None or cut:
-            for refused in run.node.requests.forward_not_sent(effect.call_id):
-                self._perform(run, refused)
+            requests = run.node.requests
+            self.feed(run, lambda at: requests.forward_not_sent(effect.call_id, at))
 
     def _finish_request(self, _run: Run, effect: FinishRequest) -> None:
         call = self.requests[effect.call_id]
