Tell the holder of evacuations that the store does not give it

Cause: a holder that the store turns away, or whose read of the operator topic hangs, would learn of an evacuation too late. Change: new message EvacuationSeen, at the end of the union. A node that reads a change sends it to the holder; nodes repeat what they know with their answer to a StoreAgeQuery, which the holder sends while its heartbeats fail. A message that only a newer version knows is counted and ignored, and no longer closes the connection.

--- a/tamarackmount/internal/codec.py
+++ b/tamarackmount/internal/codec.py
@@ -21,10 +21,15 @@
 
 
 class DecodeError(Enum):
-    """Why bytes from a peer could not be decoded."""
+    """Why bytes from a peer could not be decoded.
+
+    ``UNKNOWN_MESSAGE`` is a message that this version does not know: the peer runs a
+    newer one.
+    """
 
     TOO_LARGE = "too_large"
     MALFORMED = "malformed"
+    UNKNOWN_MESSAGE = "unknown_message"
 
 
 M = TypeVar("M")
@@ -100,9 +105,12 @@
             return Failure(DecodeError.TOO_LARGE)
         try:
             with self._schema.Envelope.from_bytes(data) as reader:
-                field = reader.which()
-                payload = getattr(reader, str(field)).to_dict()
                 sender = MemberId(reader.sender)
+                try:
+                    field = reader.which()
+                except capnp.KjException:
+                    return Failure(DecodeError.UNKNOWN_MESSAGE)
+                payload = getattr(reader, str(field)).to_dict()
             message = _CONVERTER.structure(payload, self._class_by_field[str(field)])
         except Exception:  # pycapnp and cattrs raise many types on invalid data
             return Failure(DecodeError.MALFORMED)
--- a/tamarackmount/internal/links.py
+++ b/tamarackmount/internal/links.py
@@ -3,7 +3,8 @@
 A member sends on connections that it opened and receives on connections that others
 opened. Messages to a peer without a connection are dropped, as a network would drop
 them; the kernel repeats those that have to arrive. A frame that is too large or can't
-be decoded is counted, and its connection is closed.
+be decoded is counted, and its connection is closed. A message that only a newer version
+knows is counted and ignored.
 """
 
 import logging
@@ -21,7 +22,7 @@
 
 from tamarackmount.ids import MemberId
 from tamarackmount.internal.addresses import Address
-from tamarackmount.internal.codec import MAX_MESSAGE_BYTES, Codec, Envelope
+from tamarackmount.internal.codec import MAX_MESSAGE_BYTES, Codec, DecodeError, Envelope
 from tamarackmount.internal.keepalive import close_if_unreachable
 
 MAX_UNSENT_BYTES = 8 * 1024 * 1024
@@ -40,6 +41,8 @@
 
 _log = logging.getLogger(__name__)
 
+_UNKNOWN_MESSAGE = Failure(DecodeError.UNKNOWN_MESSAGE)
+
 M = TypeVar("M")
 
 MessageHandler = Callable[[Envelope[M]], None]
@@ -54,6 +57,7 @@
     received: int = 0
     dropped: int = 0
     malformed: int = 0
+    unknown: int = 0
     sent_bytes: int = 0
     received_bytes: int = 0
 
@@ -83,6 +87,10 @@
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         """Handle a message; close the connection if it can't be decoded."""
         decoded = self._codec.decode(string)
+        if decoded == _UNKNOWN_MESSAGE:
+            # A peer of a newer version; its other messages are still of use.
+            self._counters.unknown += 1
+            return
         if isinstance(decoded, Failure):
             self._reject(decoded.failure().value)
             return
--- a/tamarackmount/internal/node_peer.capnp
+++ b/tamarackmount/internal/node_peer.capnp
@@ -18,6 +18,7 @@
     storeAgeReply @11 :StoreAgeReply;
     waitingQuery @12 :WaitingQuery;
     waitingReply @13 :WaitingReply;
+    evacuationSeen @14 :EvacuationSeen;
   }
 }
 
@@ -94,3 +95,9 @@
 struct HolderReleased {
   epoch @0 :UInt64;
 }
+
+struct EvacuationSeen {
+  dataCentre @0 :Text;
+  offset @1 :UInt64;
+  isEvacuated @2 :Bool;
+}
--- a/tamarackmount/node/evacuation_watch.py
+++ b/tamarackmount/node/evacuation_watch.py
@@ -7,7 +7,7 @@
 from tamarackmount.ids import DataCentreId, Instant, Offset
 from tamarackmount.platform.config import decode_evacuation
 from tamarackmount.platform.store import KeyedRecord
-from tamarackmount.scheduling.evacuations import Evacuations
+from tamarackmount.scheduling.evacuations import EvacuationChange, Evacuations
 
 _log = logging.getLogger(__name__)
 
@@ -17,7 +17,7 @@
 class EvacuationWatch:
     """The evacuated data centres, as far as this node knows.
 
-    ``on_change`` is called after each change.
+    ``on_change`` is called with the changes after each of them.
     """
 
     def __init__(
@@ -25,7 +25,7 @@
         reactor: Any,
         read_now: Callable[[], Coroutine[Any, Any, bool]],
         caught_up_at: Callable[[], Instant | None],
-        on_change: Callable[[], None],
+        on_change: Callable[[list[EvacuationChange]], None],
     ) -> None:
         """Begin with no data centre evacuated.
 
@@ -43,6 +43,15 @@
         """The evacuated data centres."""
         return self._evacuations.data_centres
 
+    def changes(self) -> list[EvacuationChange]:
+        """Return the newest known change of each data centre."""
+        return self._evacuations.changes()
+
+    def apply_notice(self, change: EvacuationChange) -> None:
+        """Apply a change that another node has read."""
+        if change.data_centre:
+            self._apply(change.data_centre, change.offset, change.is_evacuated)
+
     def apply_records(self, records: Sequence[KeyedRecord]) -> None:
         """Apply the evacuations among new records of the operator topic."""
         for record in records:
@@ -62,19 +71,30 @@
         }
         before = self.data_centres
         if self._evacuations.replace(offset_by_data_centre, end):
-            for data_centre in sorted(before ^ self.data_centres):
-                offset = offset_by_data_centre.get(data_centre, end)
-                self._log_change(data_centre, offset)
-            self._on_change()
+            changes = [
+                EvacuationChange(
+                    data_centre,
+                    # The record of a removal that was trimmed is at an offset before
+                    # the snapshot's end.
+                    offset_by_data_centre.get(data_centre, Offset(end - 1)),
+                    data_centre in self.data_centres,
+                )
+                for data_centre in sorted(before ^ self.data_centres)
+            ]
+            self._report(changes)
 
     def _apply(
         self, data_centre: DataCentreId, offset: Offset, is_evacuated: bool
     ) -> None:
         if self._evacuations.apply(data_centre, offset, is_evacuated):
-            self._log_change(data_centre, offset)
-            self._on_change()
+            self._report([EvacuationChange(data_centre, offset, is_evacuated)])
+
+    def _report(self, changes: list[EvacuationChange]) -> None:
+        for change in changes:
+            self._log_change(change)
+        self._on_change(changes)
 
-    def _log_change(self, data_centre: DataCentreId, offset: Offset) -> None:
+    def _log_change(self, change: EvacuationChange) -> None:
         """Log a change with its age: at most so old is the record, in seconds.
 
         The record was written after the last read that reached the topic's end was
@@ -82,16 +102,13 @@
         """
         since = self._caught_up_at()
         extra = {
-            "data_centre": data_centre,
-            "offset": offset,
+            "data_centre": change.data_centre,
+            "offset": change.offset,
             "max_age_s": None
             if since is None
             else round(self._reactor.seconds() - since, 3),
         }
-        _log.info(
-            _MESSAGE_BY_STATE[data_centre in self.data_centres],
-            extra=extra,
-        )
+        _log.info(_MESSAGE_BY_STATE[change.is_evacuated], extra=extra)
 
 
 def _read_data_centre(record: KeyedRecord) -> DataCentreId | None:
--- a/tamarackmount/node/messages.py
+++ b/tamarackmount/node/messages.py
@@ -148,6 +148,18 @@
     epoch: int
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationSeen:
+    """Tells the holder that the operator has evacuated a data centre, or returned it.
+
+    ``offset`` is that of the operator's record; the later one of a data centre counts.
+    """
+
+    data_centre: str
+    offset: int
+    is_evacuated: bool
+
+
 E = TypeVar("E", bound=Enum)
 
 
@@ -181,5 +193,6 @@
     | AdviceQuery
     | AdviceReply
     | HolderReleased
+    | EvacuationSeen
 )
 """Any message between entry VMs of a platform deployment."""
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -8,7 +8,7 @@
 from twisted.internet.task import deferLater
 
 from tamarackmount.daemon.quiet_site import QuietSite
-from tamarackmount.ids import Instant, JobId, MemberId, WorkerId
+from tamarackmount.ids import DataCentreId, Instant, JobId, MemberId, Offset, WorkerId
 from tamarackmount.internal.addresses import Address as PeerAddress
 from tamarackmount.internal.bounded_request import BoundedRequest
 from tamarackmount.internal.codec import Codec, Envelope
@@ -25,6 +25,7 @@
 from tamarackmount.node.messages import (
     AdviceQuery,
     AdviceReply,
+    EvacuationSeen,
     HolderReleased,
     NodeMessage,
     PhaseReply,
@@ -45,6 +46,7 @@
 from tamarackmount.platform.http import HttpClient
 from tamarackmount.platform.store import OPERATOR_TOPIC, KeyedRecord, Store
 from tamarackmount.platform.workers import WorkerCalls
+from tamarackmount.scheduling.evacuations import EvacuationChange
 from tamarackmount.scheduling.job_index import JobIndex
 from tamarackmount.scheduling.model import StepKey
 from tamarackmount.units import MS_PER_SECOND
@@ -168,6 +170,7 @@
             StoreAgeQuery: self._handle_store_age_query,
             AdviceQuery: self._handle_advice_query,
             HolderReleased: self._handle_holder_released,
+            EvacuationSeen: self._handle_evacuation_seen,
             **dict.fromkeys(
                 (PhaseReply, WaitingReply, AdviceReply, StoreReply, StoreAgeReply),
                 self._handle_reply,
@@ -300,11 +303,32 @@
         self._evacuations.apply_records(records)
         self._apply_configs(records)
 
-    def _evacuations_changed(self) -> None:
-        if self._election.holder is not None:
-            self._election.holder.set_evacuated_data_centres(
-                self._evacuations.data_centres
+    def _evacuations_changed(self, changes: list[EvacuationChange]) -> None:
+        """Tell the holder, on this node or another one, which the store may refuse."""
+        holder, holder_node = self._election.holder, self._election.holder_node
+        if holder is not None:
+            holder.set_evacuated_data_centres(self._evacuations.data_centres)
+        elif holder_node is not None and holder_node != self._context.node_id:
+            self._tell_evacuations(holder_node, changes)
+
+    def _tell_evacuations(
+        self, node: MemberId, changes: Sequence[EvacuationChange]
+    ) -> None:
+        for change in changes:
+            message = EvacuationSeen(
+                change.data_centre, change.offset, change.is_evacuated
             )
+            self._context.links.send(node, message)
+
+    def _handle_evacuation_seen(
+        self, _sender: MemberId, message: EvacuationSeen
+    ) -> None:
+        change = EvacuationChange(
+            DataCentreId(message.data_centre),
+            Offset(message.offset),
+            message.is_evacuated,
+        )
+        self._evacuations.apply_notice(change)
 
     def _apply_configs(self, records: Sequence[KeyedRecord]) -> None:
         for record in records:
@@ -341,6 +365,8 @@
             await self._election.tail.read_now()
         age_ms = int(self._store_contact.silence_s() * MS_PER_SECOND)
         self._context.links.send(sender, StoreAgeReply(query.call_id, age_ms))
+        # The holder asks while the store does not answer it; a notice may be lost.
+        self._tell_evacuations(sender, self._evacuations.changes())
 
     def _handle_advice_query(self, sender: MemberId, query: AdviceQuery) -> None:
         spawn(self._answer_advice_query(sender, query))
--- a/tests/test_node_evacuation.py
+++ b/tests/test_node_evacuation.py
@@ -7,7 +7,9 @@
 from twisted.internet.defer import Deferred
 
 from tamarackmount.ids import DataCentreId, Epoch, Instant, MemberId
+from tamarackmount.internal.codec import Envelope
 from tamarackmount.node import clock
+from tamarackmount.node.messages import EvacuationSeen, StoreAgeQuery
 from tamarackmount.node.start_orders import MAX_STARTS_PER_WORKER, StartOrders
 from tamarackmount.platform.store import OPERATOR_TOPIC, KeyedRecord
 from tamarackmount.scheduling.effects import StartRun
@@ -103,6 +105,55 @@
     assert not fleet.node(0)._evacuations.data_centres
 
 
+def test_a_holder_that_the_store_turns_away_is_told_by_the_others(
+    fleet: MemoryFleet,
+) -> None:
+    holder = fleet.holder()
+    fleet.nodes_without_operator_topic.add(holder)
+    # The read that is under way ends without an answer.
+    fleet.run_for(1.5)
+    if fleet.holder() != holder:
+        fleet.nodes_without_operator_topic = {holder := fleet.holder()}
+        fleet.run_for(0.1)
+    evacuate(fleet)
+    fleet.run_for(0.5)
+    assert fleet.nodes_by_id[holder]._evacuations.data_centres == {ZONE}
+    evacuate(fleet, b"")
+    fleet.run_for(0.5)
+    assert not fleet.nodes_by_id[holder]._evacuations.data_centres
+
+
+def test_a_holder_that_asks_for_the_store_hears_of_evacuations_again(
+    fleet: MemoryFleet,
+) -> None:
+    holder = fleet.holder()
+    others = set(fleet.nodes_by_id) - {holder}
+    fleet.nodes_without_operator_topic.add(holder)
+    fleet.run_for(1.5)
+    # The first notice of the others is lost.
+    fleet.silent_nodes.add(holder)
+    evacuate(fleet)
+    fleet.run_for(0.2)
+    fleet.silent_nodes.clear()
+    node = fleet.nodes_by_id[holder]
+    assert not node._evacuations.data_centres
+    calls = node._context.peer_calls
+    fleet.run(calls.call(min(others), StoreAgeQuery(calls.next_call_id()), 0.3))
+    fleet.run_for(0.1)
+    assert node._evacuations.data_centres == {ZONE}
+
+
+def test_late_and_empty_notices_have_no_effect(fleet: MemoryFleet) -> None:
+    evacuate(fleet)
+    evacuate(fleet, b"")
+    fleet.run_for(1.5)
+    node = fleet.node(0)
+    end = len(fleet.store.records(OPERATOR_TOPIC))
+    for notice in (EvacuationSeen(ZONE, end - 2, True), EvacuationSeen("", end, True)):
+        node.handle_message(Envelope(MemberId("n1"), notice))
+    assert not node._evacuations.data_centres
+
+
 def test_a_new_holder_reads_the_record_before_its_first_start(
     fleet: MemoryFleet, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -341,6 +341,27 @@
         "            self._next_offset = None\n",
         EVACUATION,
     ),
+    Mutant(
+        "a node that reads a change tells the holder",
+        "node/node.py",
+        "            self._tell_evacuations(holder_node, changes)",
+        "            return",
+        EVACUATION,
+    ),
+    Mutant(
+        "nodes repeat the evacuations to a holder that asks for the store",
+        "node/node.py",
+        "        self._tell_evacuations(sender, self._evacuations.changes())",
+        "        return",
+        EVACUATION,
+    ),
+    Mutant(
+        "a late notice does not undo a later record",
+        "scheduling/evacuations.py",
+        "if offset < self._snapshot_end or (known and offset <= known.offset):",
+        "if False:",
+        EVACUATION,
+    ),
 )
 
 
