Refuse jobs that only workers of evacuated data centres could run

Cause: such a job would wait until the data centre is returned. Change: one more reason in admission; the forecast counts no evacuated workers. Seen failing on the earlier admission.py: test_a_job_that_only_evacuated_workers_could_run_is_refused_at_once and test_capacity_that_is_evacuated_does_not_shorten_the_forecast.

--- a/tamarackmount/scheduling/admission.py
+++ b/tamarackmount/scheduling/admission.py
@@ -27,7 +27,8 @@
 
 UNFIT_JOB_RETRY_S = 30.0
 """Time after which to retry a job that is too large for every worker or for its
-workspace's ceiling, in seconds: only an operator changes workers and ceilings."""
+workspace's ceiling, or for those outside evacuated data centres, in seconds: only an
+operator changes workers, ceilings and evacuations."""
 
 BACKLOG_REFUSAL_FACTOR = 1.5
 """Multiple, without unit, of the time that a job may wait; a job is refused if the work
@@ -42,6 +43,7 @@
 
     NO_WORKER = "no worker is large enough"
     CEILING = "its team's ceiling is too low for it"
+    EVACUATED = "its workers' data centre is evacuated"
     BACKLOG = "the work ahead of it takes longer than it may wait"
 
 
@@ -71,6 +73,9 @@
         return None
     if any(not any(could_run(step, worker) for worker in workers) for step in steps):
         return Refusal(RefusalReason.NO_WORKER, UNFIT_JOB_RETRY_S)
+    workers = [worker for worker in workers if not worker.is_evacuated]
+    if any(not any(could_run(step, worker) for worker in workers) for step in steps):
+        return Refusal(RefusalReason.EVACUATED, UNFIT_JOB_RETRY_S)
     if any(_exceeds_ceiling(state, step) for step in steps):
         return Refusal(RefusalReason.CEILING, UNFIT_JOB_RETRY_S)
     if any(step.spec.perpetual for step in steps):
--- a/tests/test_scheduling_evacuation.py
+++ b/tests/test_scheduling_evacuation.py
@@ -1,6 +1,8 @@
 """No run starts in an evacuated data centre, whichever way it would be started."""
 
 from tamarackmount.ids import DataCentreId, WorkerId
+from tamarackmount.scheduling.accepted_job import AcceptedJob
+from tamarackmount.scheduling.admission import Refusal, RefusalReason
 from tamarackmount.scheduling.effects import StartRun
 from tamarackmount.scheduling.fleet_config import AdvicePolicy
 from tamarackmount.scheduling.holder_authority import HolderAuthority
@@ -232,3 +234,51 @@
     harness.answer_poll(worker_report(running=((task, 1),)), incarnation("dc1-0"))
     assert not harness.stops
     assert harness.scheduler.evacuated_run_count == 1
+
+
+def refusal_of(harness: SchedulerHarness, accepted: AcceptedJob) -> Refusal | None:
+    """Return why a job that is submitted now would be refused."""
+    return harness.scheduler.check_admission(accepted, harness.now)
+
+
+def test_a_job_that_only_evacuated_workers_could_run_is_refused_at_once() -> None:
+    harness = SchedulerHarness()
+    harness.register_workers(
+        worker_entry("dc1-0", cores=32, data_centre=DC1),
+        worker_entry("dc2-0", cores=8, data_centre=DC2),
+    )
+    large = job(1, step(1, cores=1), step(1, cores=20))
+    assert refusal_of(harness, large) is None
+    evacuate(harness, DC1)
+    refusal = refusal_of(harness, large)
+    assert refusal is not None
+    assert refusal.reason.value == "its workers' data centre is evacuated"
+    assert refusal.retry_after_s == 30.0
+    assert refusal_of(harness, job(2, step(1, cores=8))) is None
+    too_large = refusal_of(harness, job(3, step(1, cores=40)))
+    assert too_large is not None
+    assert too_large.reason is RefusalReason.NO_WORKER
+    evacuate(harness, DC1, DC2)
+    assert refusal_of(harness, job(2, step(1, cores=8))) is not None
+    evacuate(harness)
+    assert refusal_of(harness, large) is None
+
+
+def test_an_accepted_job_is_not_refused_when_its_caller_repeats_it() -> None:
+    harness = harness_with_two_data_centres()
+    harness.submit_job(job(1))
+    evacuate(harness, DC1, DC2)
+    assert refusal_of(harness, job(1)) is None
+
+
+def test_capacity_that_is_evacuated_does_not_shorten_the_forecast() -> None:
+    harness = harness_with_two_data_centres()
+    long_step = step(40, estimated_ms=8_000)
+    harness.submit_job(job(1, long_step))
+    harness.answer_starts()
+    harness.submit_job(job(2, step(68, estimated_ms=8_000)))
+    assert refusal_of(harness, job(3)) is None
+    evacuate(harness, DC1)
+    refusal = refusal_of(harness, job(3))
+    assert refusal is not None
+    assert refusal.reason is RefusalReason.BACKLOG
