Choose workers that have come back cold last

Cause: tasks on a worker that returns from an evacuated data centre take longer for as long as its registration says (coldRemainingMs). Change: such a worker is chosen after the others that have capacity, for tasks and for gangs. The end of its cold time is stored when its registration changes. Seen failing: three new tests, on the earlier placement.py and with the time set anew whenever the list of workers is read.

--- a/tamarackmount/platform/workers.py
+++ b/tamarackmount/platform/workers.py
@@ -66,6 +66,7 @@
             capacity=decode_resources(raw["capacity"]),
             is_draining=state == _DRAINING,
             drain_left_ms=int(raw.get("drainRemainingMs", 0)),
+            cold_remaining_ms=int(raw.get("coldRemainingMs") or 0),
         )
     )
 
--- a/tamarackmount/scheduling/free_capacity.py
+++ b/tamarackmount/scheduling/free_capacity.py
@@ -35,7 +35,7 @@
     def __init__(self, workers: Iterable[WorkerState], now: Instant) -> None:
         """Index the workers that may start new runs now, once they are looked up."""
         self._workers = workers
-        self._now = now
+        self.now = now
         self._rows_by_service: dict[ServiceName, list[tuple[int, WorkerState]]] = {}
         self._suspected: frozenset[DataCentreId] | None = None
 
@@ -71,7 +71,7 @@
                 for worker in self._workers
                 if worker.entry.service == service
                 and worker.can_start
-                and self._now >= worker.backoff_until
+                and self.now >= worker.backoff_until
             ]
             rows.sort(key=lambda row: row[0], reverse=True)
             self._rows_by_service[service] = rows
--- a/tamarackmount/scheduling/placement.py
+++ b/tamarackmount/scheduling/placement.py
@@ -183,7 +183,7 @@
     workers = eligible_workers(state, step, queue, now)
     if not workers:
         return WaitReason.NO_ELIGIBLE_WORKER
-    chosen = _choose_gang_workers(step, workers, reservations)
+    chosen = _choose_gang_workers(step, workers, reservations, now)
     if not chosen:
         return WaitReason.NO_CAPACITY
     step.run_number = next_run_number(step)
@@ -193,22 +193,26 @@
 
 
 def _choose_gang_workers(
-    step: StepState, workers: Sequence[WorkerState], reservations: Reservations
+    step: StepState,
+    workers: Sequence[WorkerState],
+    reservations: Reservations,
+    now: Instant,
 ) -> list[WorkerState]:
     """Return a worker for each member; none if the gang does not fit.
 
     If the step asks for one rack, all members go to one rack if they fit on any.
-    Workers that are reserved for others are used only if the gang fits nowhere else.
+    Cold workers, and then those that are reserved for others, are used only if the gang
+    fits nowhere else.
     """
     usable = reservations.usable_workers(step, workers)
     unreserved = [worker for worker in usable if not reservations.is_reserved(worker)]
-    groups = list(gang_groups(step, unreserved))
-    if len(unreserved) < len(usable):
-        groups.extend(gang_groups(step, usable))
-    for group in groups:
-        chosen = _assign_gang(step, group)
-        if chosen:
-            return chosen
+    warm = [worker for worker in unreserved if not worker.is_cold(now)]
+    pools = {len(pool): pool for pool in (warm, unreserved, usable)}
+    for pool in pools.values():
+        for group in gang_groups(step, pool):
+            chosen = _assign_gang(step, group)
+            if chosen:
+                return chosen
     return []
 
 
@@ -252,6 +256,7 @@
     Load pattern: a data centre is cut off. A job with tasks in all data centres is lost
     with any of them; a job that is kept in one is lost with that one only. Once a few
     workers of a data centre have not answered, its other workers are chosen last.
+    Before them come cold workers: a task there takes longer, but less than a wait.
     """
     amount = step.reserved_amount
     task = step.task(index)
@@ -272,6 +277,7 @@
         near,
         key=lambda worker: (
             worker.entry.data_centre in capacity_index.suspected_data_centres,
+            worker.is_cold(capacity_index.now),
             reservations.is_reserved(worker),
             worker.entry.data_centre != data_centre,
             _remaining(worker.free, amount),
--- a/tamarackmount/scheduling/worker_leases.py
+++ b/tamarackmount/scheduling/worker_leases.py
@@ -31,6 +31,7 @@
     ContactState,
     WorkerState,
 )
+from tamarackmount.units import MS_PER_SECOND
 
 _log = logging.getLogger(__name__)
 
@@ -71,6 +72,7 @@
     state: SchedulerState, entry: WorkerEntry, now: Instant
 ) -> None:
     worker = state.workers_by_incarnation.get(entry.incarnation)
+    is_new = worker is None
     if worker is None:
         for other in list(state.workers_by_incarnation.values()):
             if other.incarnation.worker_id == entry.incarnation.worker_id:
@@ -82,6 +84,9 @@
         _log.info("worker registered", extra=extra)
     if entry.is_draining and not worker.entry.is_draining:
         _log.info("worker draining", extra={"worker": entry.incarnation.worker_id})
+    # Listed again with others' changes, an entry is older than its remaining time.
+    if is_new or entry != worker.entry:
+        worker.cold_until = Instant(now + entry.cold_remaining_ms / MS_PER_SECOND)
     worker.entry = entry
     worker.is_evacuated = entry.data_centre in state.evacuated_data_centres
     worker.is_registered = True
--- a/tamarackmount/scheduling/worker_reports.py
+++ b/tamarackmount/scheduling/worker_reports.py
@@ -12,7 +12,8 @@
 class WorkerEntry:
     """A worker's registration.
 
-    ``drain_left_ms`` is the time left to drain, from when the registration was written.
+    ``drain_left_ms`` is the time left to drain, from when the registration was written,
+    and ``cold_remaining_ms`` that for which tasks take longer there than usual.
     """
 
     incarnation: WorkerIncarnation
@@ -24,6 +25,7 @@
     capacity: Resources
     is_draining: bool = False
     drain_left_ms: int = 0
+    cold_remaining_ms: int = 0
 
 
 class RunEnd(Enum):
--- a/tamarackmount/scheduling/workers.py
+++ b/tamarackmount/scheduling/workers.py
@@ -92,6 +92,7 @@
     last_poll_failed: bool = False
     failures_in_row: int = 0
     is_evacuated: bool = False
+    cold_until: Instant = Instant(0.0)
     slowness: float = 0.0
     slowness_at: Instant = Instant(0.0)
     _clock_ms: int = 0
@@ -179,6 +180,10 @@
         """Tell whether recent runs took far longer here than elsewhere."""
         return self._slowness(now) > MIN_SLOW_LOG_RATIO
 
+    def is_cold(self, now: Instant) -> bool:
+        """Tell whether the worker has come back too recently to run at full speed."""
+        return now < self.cold_until
+
     def _slowness(self, now: Instant) -> float:
         return self.slowness * math.exp((self.slowness_at - now) / SLOWNESS_DECAY_S)
 
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -74,6 +74,21 @@
     assert isinstance(decode_fleet_config(text), Failure)
 
 
+@pytest.mark.parametrize("changes", [{}, {"coldRemainingMs": None}])
+def test_decode_worker_is_warm_unless_it_says_otherwise(
+    changes: dict[str, None],
+) -> None:
+    document = worker_document(**changes)
+    entry = decode_worker("i-1", orjson.dumps(document)).unwrap()
+    assert entry.cold_remaining_ms == 0
+
+
+def test_decode_worker_reads_for_how_long_it_is_cold() -> None:
+    document = worker_document(coldRemainingMs=2_500)
+    entry = decode_worker("i-1", orjson.dumps(document)).unwrap()
+    assert entry.cold_remaining_ms == 2_500
+
+
 def test_decode_worker_takes_the_rack_from_the_last_label() -> None:
     entry = decode_worker("i-1", orjson.dumps(worker_document())).unwrap()
     assert entry.rack == RackId("r1-3")
--- a/tests/test_scheduling_evacuation.py
+++ b/tests/test_scheduling_evacuation.py
@@ -1,6 +1,6 @@
 """No run starts in an evacuated data centre, whichever way it would be started."""
 
-from tamarackmount.ids import DataCentreId, WorkerId
+from tamarackmount.ids import DataCentreId, Instant, WorkerId
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.admission import Refusal, RefusalReason
 from tamarackmount.scheduling.effects import StartRun
@@ -282,3 +282,51 @@
     refusal = refusal_of(harness, job(3))
     assert refusal is not None
     assert refusal.reason is RefusalReason.BACKLOG
+
+
+def test_a_cold_worker_is_chosen_last_until_it_is_warm() -> None:
+    harness = SchedulerHarness()
+    cold = worker_entry("dc1-0", cold_remaining_ms=3_000)
+    warm = worker_entry("dc1-1")
+    harness.register_workers(cold, warm)
+    harness.submit_job(job(1, step(9)))
+    starts = harness.answer_starts()
+    # The last task fits nowhere else.
+    assert [start.order.incarnation.worker_id for start in starts].count(
+        WorkerId("dc1-0")
+    ) == 1
+    assert starts[-1].order.incarnation.worker_id == "dc1-0"
+
+
+def test_a_gang_takes_cold_workers_only_if_it_fits_nowhere_else() -> None:
+    harness = SchedulerHarness()
+    harness.register_workers(
+        worker_entry("dc1-0", cold_remaining_ms=3_000),
+        worker_entry("dc1-1", cores=16),
+        worker_entry("dc1-2", cores=16),
+    )
+    harness.submit_job(job(1, step(4, cores=8, gang=True)))
+    starts = harness.answer_starts()
+    assert len(starts) == 4
+    assert "dc1-0" not in {start.order.incarnation.worker_id for start in starts}
+    harness.submit_job(job(2, step(1, cores=8, gang=True)))
+    (start,) = harness.answer_starts()
+    assert start.order.incarnation.worker_id == "dc1-0"
+
+
+def test_a_cold_worker_is_warm_in_time_although_it_is_listed_again() -> None:
+    harness = SchedulerHarness()
+    cold = worker_entry("dc1-0", cold_remaining_ms=3_000)
+    harness.register_workers(cold, worker_entry("dc1-1"))
+    for _ in range(3):
+        # Another worker's registration has changed; this one is as it was.
+        harness.tick(1.1)
+        harness.scheduler.set_registered_workers(
+            [cold, worker_entry("dc1-1")], harness.now
+        )
+    (worker, _) = harness.scheduler._state.workers_by_incarnation.values()
+    assert not worker.is_cold(harness.now)
+    again = worker_entry("dc1-0", cold_remaining_ms=500)
+    harness.scheduler.set_registered_workers([again], harness.now)
+    assert worker.is_cold(harness.now)
+    assert not worker.is_cold(Instant(harness.now + 0.6))
