Count evacuated data centres and the runs that go on there

Change: two gauges; the run count is set by the holder once a tick, and is 0 elsewhere. The log line's field is age_s, at most the record's age.

--- a/tamarackmount/node/evacuation_watch.py
+++ b/tamarackmount/node/evacuation_watch.py
@@ -104,7 +104,7 @@
         extra = {
             "data_centre": change.data_centre,
             "offset": change.offset,
-            "max_age_s": None
+            "age_s": None
             if since is None
             else round(self._reactor.seconds() - since, 3),
         }
--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -250,6 +250,7 @@
         if self._is_stopped:
             return
         self._is_stopped = True
+        self._dependencies.metrics.set_evacuated_runs(0)
         self._registrations.tail.stop()
         if self._ticks.running:
             self._ticks.stop()
@@ -275,6 +276,9 @@
         for effect in self.scheduler.take_effects():
             self._execute(effect)
         self._remove_expired_jobs()
+        self._dependencies.metrics.set_evacuated_runs(
+            self.scheduler.evacuated_run_count
+        )
         if not self._is_stopped:
             self._writer.start_writing()
 
--- a/tamarackmount/node/metrics.py
+++ b/tamarackmount/node/metrics.py
@@ -53,6 +53,18 @@
             "1 while this node schedules.",
             registry=self.registry,
         )
+        self._evacuated_data_centres = Gauge(
+            "tamarackmount_evacuated_data_centres",
+            "Data centres in which, by the operator's record, nothing starts.",
+            registry=self.registry,
+        )
+        self._evacuated_runs = Gauge(
+            "tamarackmount_runs_in_evacuated_data_centres",
+            "Runs that go on there, at the node that schedules.",
+            registry=self.registry,
+        )
+        self.set_evacuated_data_centres(0)
+        self.set_evacuated_runs(0)
 
     def record_request(self, verb: str, status: int, took_s: float) -> None:
         """Count a caller's request and its duration."""
@@ -83,6 +95,14 @@
         """Record whether this node is the holder."""
         self._is_holder.set({}, int(is_holder))
 
+    def set_evacuated_data_centres(self, count: int) -> None:
+        """Record the number of evacuated data centres."""
+        self._evacuated_data_centres.set({}, count)
+
+    def set_evacuated_runs(self, count: int) -> None:
+        """Record the number of runs in evacuated data centres."""
+        self._evacuated_runs.set({}, count)
+
     def _histogram(self, name: str, text: str) -> Any:
         return Histogram(name, text, registry=self.registry, buckets=SECONDS_BUCKETS)
 
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -305,6 +305,8 @@
 
     def _evacuations_changed(self, changes: list[EvacuationChange]) -> None:
         """Tell the holder, on this node or another one, which the store may refuse."""
+        count = len(self._evacuations.data_centres)
+        self._context.metrics.set_evacuated_data_centres(count)
         holder, holder_node = self._election.holder, self._election.holder_node
         if holder is not None:
             holder.set_evacuated_data_centres(self._evacuations.data_centres)
--- a/tests/test_node_evacuation.py
+++ b/tests/test_node_evacuation.py
@@ -8,6 +8,7 @@
 
 from tamarackmount.ids import DataCentreId, Epoch, Instant, MemberId
 from tamarackmount.internal.codec import Envelope
+from tamarackmount.internal.metrics_text import render_metrics
 from tamarackmount.node import clock
 from tamarackmount.node.messages import EvacuationSeen, StoreAgeQuery
 from tamarackmount.node.start_orders import MAX_STARTS_PER_WORKER, StartOrders
@@ -223,3 +224,25 @@
         call.callback(OrderResult.DONE)
     assert len(workers.calls) == MAX_STARTS_PER_WORKER
     assert workers.results.count(OrderResult.NOT_SENT) == 2
+
+
+def test_metrics_and_logs_tell_of_evacuated_data_centres(
+    fleet: MemoryFleet, caplog: pytest.LogCaptureFixture
+) -> None:
+    with caplog.at_level(logging.INFO):
+        evacuate(fleet)
+        fleet.run_for(1.0)
+        evacuated_at_holder(fleet)
+    for node in fleet.nodes_by_id.values():
+        text = render_metrics(node._context.metrics.registry).decode()
+        assert "tamarackmount_evacuated_data_centres 1" in text
+        assert "tamarackmount_runs_in_evacuated_data_centres 0" in text
+    rows: list[Any] = [
+        record
+        for record in caplog.records
+        if record.getMessage() == "data centre evacuated"
+    ]
+    offset = len(fleet.store.records(OPERATOR_TOPIC)) - 1
+    assert [(row.data_centre, row.offset) for row in rows] == [(ZONE, offset)] * 3
+    # The long poll that brings the record was sent a second before it at most.
+    assert all(0.0 <= row.age_s <= 2.5 for row in rows)
--- a/tests/test_node_metrics.py
+++ b/tests/test_node_metrics.py
@@ -13,6 +13,8 @@
     metrics.record_run_end("done")
     metrics.record_order("start", "done")
     metrics.set_is_holder(True)
+    metrics.set_evacuated_data_centres(2)
+    metrics.set_evacuated_runs(31)
     text = render_metrics(metrics.registry).decode()
     for line in (
         'tamarackmount_calls_total{status="200",verb="POST"} 1',
@@ -23,5 +25,7 @@
         'tamarackmount_run_ends_total{how="done"} 1',
         'tamarackmount_orders_total{result="done",verb="start"} 1',
         "tamarackmount_holder 1",
+        "tamarackmount_evacuated_data_centres 2",
+        "tamarackmount_runs_in_evacuated_data_centres 31",
     ):
         assert line in text
