--- a/tamarackmount/scheduling/placement.py
+++ b/tamarackmount/scheduling/placement.py
@@ -185,7 +185,7 @@
     if not workers:
         return WaitReason.NO_ELIGIBLE_WORKER
     chosen = _choose_gang_workers(
-        step, workers, _speed_ranks(state, step, workers, now), reservations
+        step, workers, _speed_ranks(state, step, workers, now), reservations, now
     )
     if not chosen:
         return WaitReason.NO_CAPACITY
@@ -224,17 +224,19 @@
     workers: Sequence[WorkerState],
     ranks: Mapping[WorkerIncarnation, SpeedRank],
     reservations: Reservations,
+    now: Instant,
 ) -> list[WorkerState]:
     """Return a worker for each member; none if the gang does not fit.
 
     If the step asks for one rack, all members go to one rack if they fit on any.
-    Workers that are reserved for others are used only if the gang fits nowhere else.
+    Cold workers, and then those that are reserved for others, are used only if the gang
+    fits nowhere else.
     """
     usable = reservations.usable_workers(step, workers)
     unreserved = [worker for worker in usable if not reservations.is_reserved(worker)]
-    groups = list(gang_groups(step, unreserved))
-    if len(unreserved) < len(usable):
-        groups.extend(gang_groups(step, usable))
+    warm = [worker for worker in unreserved if not worker.is_cold(now)]
+    pools = {len(pool): pool for pool in (warm, unreserved, usable)}
+    groups = (group for pool in pools.values() for group in gang_groups(step, pool))
     for group in groups:
         for alike in speed_groups(group, ranks):
             chosen = _assign_gang(step, alike, ranks)
@@ -289,6 +291,7 @@
     Load pattern: a data centre is cut off. A job with tasks in all data centres is lost
     with any of them; a job that is kept in one is lost with that one only. Once a few
     workers of a data centre have not answered, its other workers are chosen last.
+    Before them come cold workers: a task there takes longer, but less than a wait.
     """
     amount = step.reserved_amount
     task = step.task(index)
@@ -309,6 +312,7 @@
         near,
         key=lambda worker: (
             worker.entry.data_centre in capacity_index.suspected_data_centres,
+            worker.is_cold(capacity_index.now),
             reservations.is_reserved(worker),
             (rank := ranks.get(worker.incarnation, NEUTRAL_RANK))[0],
             worker.entry.data_centre != data_centre,
