delays: times in each wait reason, and why a job is unexplained

Cause: `step waits` lines have the time in each reason now, which delays has to use. A job without an end was counted as `not ended in these logs`, which tells no cause. Change: job_traces.py, split from delays.py, reads the lines, older ones too, and skips what it can't read; delays.py takes the part of each reason from `seconds_by_reason`. A job that can't be judged is `unexplained` with a reason (lines dropped, last run ended, logs end, no line after its acceptance, no line of its runs); one that waits to the end of the logs, 5 s at least, has the cause of that wait; perpetual tasks that run are served. explain shows the time in each reason. Only a line feed ends a line: U+2028 in a field hid its line.

--- a/tamarackmount/cli/base.py
+++ b/tamarackmount/cli/base.py
@@ -80,6 +80,14 @@
         except UnicodeDecodeError as error:
             raise UsageError(f"{name} is not UTF-8: {error.reason}") from error
 
+    def read_log(self, name: str) -> str:
+        """Read a log file, or standard input if its name is ``-``.
+
+        Bytes that are not UTF-8 are replaced: a log may be cut within a character.
+        """
+        data = self.env.read_bytes() if name == STDIN_NAME else Path(name).read_bytes()
+        return data.decode("utf-8", "replace")
+
     def integer_option(self, name: str) -> int | None:
         """Return the value of a whole-number option, or ``None`` if it is absent."""
         text = self.option(name)
--- a/tamarackmount/cli/delays.py
+++ b/tamarackmount/cli/delays.py
@@ -35,7 +35,7 @@
 
     def run_command(self) -> ExitStatus:
         """Read the logs; print counts by window and causes by queue."""
-        lines = read_lines(self.read_text(name) for name in self.argument("logs"))
+        lines = read_lines(self.read_log(name) for name in self.argument("logs"))
         delays = find_delays(lines)
         if not delays:
             self.env.print_error("delays: no log line tells of a job handed in")
@@ -53,6 +53,8 @@
                 f"{row['queue']}: {row['jobs']} jobs, {row['seconds']} s: "
                 f"{row['cause']}"
             )
+        for reason, count in report["unexplained_by_reason"].items():
+            self.env.print(f"unexplained: {count} jobs: {reason}")
         for row in report["by_window"]:
             self.env.print(
                 f"{row['queue']} from {row['from_s']} s: {row['handed_in']} handed in, "
@@ -65,6 +67,9 @@
 def _report(delays: Sequence[JobDelay]) -> dict[str, Any]:
     harmed = [delay for delay in delays if is_harmed(delay)]
     jobs = Counter((delay.queue, delay.cause) for delay in harmed)
+    reasons = Counter(
+        delay.unexplained for delay in harmed if delay.unexplained is not None
+    )
     seconds: dict[tuple[str, Cause], float] = defaultdict(float)
     for delay in harmed:
         for cause, part in delay.seconds_by_cause.items():
@@ -73,7 +78,10 @@
         "jobs": len(delays),
         "late": sum(delay.is_late for delay in delays),
         "not_served": sum(not delay.is_late for delay in harmed),
-        "unexplained": sum(delay.cause is Cause.UNEXPLAINED for delay in harmed),
+        "unexplained": sum(delay.unexplained is not None for delay in harmed),
+        "unexplained_by_reason": {
+            reason.value: count for reason, count in reasons.most_common()
+        },
         "by_cause": [
             {
                 "queue": queue,
--- a/tamarackmount/cli/explain.py
+++ b/tamarackmount/cli/explain.py
@@ -27,7 +27,7 @@
     def run_command(self) -> ExitStatus:
         """Read the logs; print the verdict and the log lines that support it."""
         job_id = self.argument("id")
-        lines = read_lines(self.read_text(name) for name in self.argument("logs"))
+        lines = read_lines(self.read_log(name) for name in self.argument("logs"))
         explanation = explain(job_id, lines)
         if explanation is None:
             self.env.print_error(f"explain: no log line names job {job_id}")
--- a/tamarackmount/delays.py
+++ b/tamarackmount/delays.py
@@ -9,12 +9,21 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
-from datetime import datetime
+from dataclasses import dataclass
 from enum import Enum
 from statistics import median
 
 from tamarackmount.explain import LogLine
+from tamarackmount.job_traces import (
+    JobTrace,
+    LostLines,
+    RunTrace,
+    WaitSegment,
+    end_of_logs,
+    read_lost_lines,
+    read_traces,
+    times_without_holder,
+)
 from tamarackmount.scheduling.model import JobPhase
 from tamarackmount.scheduling.runs import WaitReason
 from tamarackmount.scheduling.worker_reports import RunEnd
@@ -26,6 +35,10 @@
 MIN_SAMPLES = 3
 """Number of ended runs of a step from which on they have a median to compare with."""
 
+MIN_JUDGED_S = 5.0
+"""Time, in seconds, for which the logs have to go on after a job was handed in to judge
+a job that waits in them to their end. An urgent job has lost its value by then."""
+
 WINDOW_S = 2.0
 """Length of the windows of handing in by which jobs are counted, in seconds."""
 
@@ -48,10 +61,19 @@
     ORDERING = "waited for its order to be stored and sent"
     REFUSED = "refused"
     STORE_AWAY = "not stored"
-    NOT_ENDED = "not ended in these logs"
     UNEXPLAINED = "unexplained"
 
 
+class Unexplained(Enum):
+    """Why the logs don't tell where a job's time went."""
+
+    LINES_DROPPED = "log lines were dropped"
+    LAST_RUN_ENDED = "no end in the logs although its last run ended"
+    LOGS_END = "the logs end before it"
+    NO_TRACE = "no line about it after it was accepted"
+    NO_RUNS = "it was completed, but no line tells of its runs"
+
+
 _CAUSE_BY_WAIT_REASON = {
     WaitReason.TAKEOVER.value: Cause.TAKEOVER,
     WaitReason.BACKOFF.value: Cause.RETRY,
@@ -78,34 +100,14 @@
 }
 
 
-@dataclass(slots=True)
-class _Run:
-    step: str
-    index: str
-    number: int
-    started_at: float
-    ended_at: float | None = None
-    how: str = ""
-
-
-@dataclass(slots=True)
-class _Trace:
-    """The log lines of one job, in seconds since 1970."""
-
-    queue: str = ""
-    handed_in_at: float | None = None
-    stored_at: float | None = None
-    outcome: str = ""
-    ended_at: float | None = None
-    phase: str = ""
-    is_late: bool = False
-    runs: list[_Run] = field(default_factory=list)
-    waits: list[tuple[float, str, str]] = field(default_factory=list)
-
-
 @dataclass(frozen=True, slots=True)
 class JobDelay:
-    """Where the time of one job went; ``seconds_by_cause`` adds up to ``took_s``."""
+    """Where the time of one job went; ``seconds_by_cause`` adds up to ``took_s``.
+
+    ``took_s`` of a job that waits to the end of the logs is until then. A job that
+    ``is_serving`` has perpetual tasks that run. ``unexplained`` says why the logs don't
+    tell its cause.
+    """
 
     job: str
     queue: str
@@ -114,6 +116,8 @@
     is_late: bool
     took_s: float
     seconds_by_cause: dict[Cause, float]
+    unexplained: Unexplained | None = None
+    is_serving: bool = False
 
     @property
     def has_ended(self) -> bool:
@@ -149,13 +153,16 @@
 def find_delays(lines: Sequence[LogLine]) -> list[JobDelay]:
     """Return the delay of every job that the logs name as handed in.
 
-    A job of which several requests were logged counts from the first one.
+    ``lines`` are sorted by time. A job of which several requests were logged counts
+    from the first one.
     """
-    traces = _read_traces(lines)
-    gaps = _times_without_holder(lines)
+    traces = read_traces(lines)
+    log = _LogPeriod(
+        times_without_holder(lines), read_lost_lines(lines), end_of_logs(lines)
+    )
     medians = _median_durations(traces.values())
     return [
-        _delay(job, trace, gaps, medians)
+        _delay(job, trace, log, medians)
         for job, trace in traces.items()
         if trace.handed_in_at is not None
     ]
@@ -179,97 +186,33 @@
 
 def is_harmed(delay: JobDelay) -> bool:
     """Tell whether a job was late, or not done although nobody cancelled it."""
-    return delay.is_late or not delay.has_ended
-
-
-def _seconds(line: LogLine) -> float:
-    return datetime.fromisoformat(line.time).timestamp()
-
+    return delay.is_late or not (delay.has_ended or delay.is_serving)
 
-def _read_traces(lines: Sequence[LogLine]) -> dict[str, _Trace]:
-    traces: dict[str, _Trace] = defaultdict(_Trace)
-    for line in lines:
-        handler = _HANDLERS_BY_MESSAGE.get(line.message)
-        if handler is not None and line.job:
-            handler(traces[line.job], line, _seconds(line))
-    return traces
-
-
-def _read_submission(trace: _Trace, line: LogLine, at: float) -> None:
-    fields = line.fields
-    began_at = at - float(fields.get("took_s", 0.0))
-    trace.queue = trace.queue or str(fields.get("queue", ""))
-    if trace.handed_in_at is None or began_at < trace.handed_in_at:
-        trace.handed_in_at = began_at
-    outcome = str(fields.get("stored", ""))
-    if outcome == "yes" and trace.stored_at is None:
-        trace.stored_at = at
-    if trace.outcome != "yes":
-        trace.outcome = outcome
-
-
-def _read_start(trace: _Trace, line: LogLine, at: float) -> None:
-    step, _, index = str(line.fields.get("task", "")).rpartition(".")
-    trace.runs.append(_Run(step, index, int(line.fields.get("run", 0)), at))
-
-
-def _read_end(trace: _Trace, line: LogLine, at: float) -> None:
-    step, _, index = str(line.fields.get("task", "")).rpartition(".")
-    number = int(line.fields.get("run", 0))
-    for run in trace.runs:
-        if (run.step, run.index, run.number) == (step, index, number):
-            if run.ended_at is None:
-                run.ended_at, run.how = at, str(line.fields.get("how", ""))
-            return
-    # A run of a former holder whose start is not in these logs.
-    began_at = at - float(line.fields.get("ran_s", 0.0))
-    how = str(line.fields.get("how", ""))
-    trace.runs.append(_Run(step, index, number, began_at, at, how))
-
-
-def _read_wait(trace: _Trace, line: LogLine, at: float) -> None:
-    fields = line.fields
-    trace.waits.append((at, str(fields.get("step")), str(fields.get("reason"))))
-
-
-def _read_job_end(trace: _Trace, line: LogLine, at: float) -> None:
-    if trace.ended_at is None:
-        trace.ended_at = at
-        trace.phase = str(line.fields.get("phase", ""))
-        trace.is_late = bool(line.fields.get("late"))
-        trace.queue = trace.queue or str(line.fields.get("queue", ""))
-
-
-_HANDLERS_BY_MESSAGE = {
-    "job handed in": _read_submission,
-    "run starts": _read_start,
-    "run ended": _read_end,
-    "step waits": _read_wait,
-    "job ended": _read_job_end,
-}
-
-
-def _times_without_holder(lines: Sequence[LogLine]) -> list[tuple[float, float]]:
-    """Return the times between a holder's last decision and the next holder's start."""
-    gaps: list[tuple[float, float]] = []
-    last_decision: float | None = None
-    for line in lines:
-        at = _seconds(line) if line.message in _HOLDER_MESSAGES else 0.0
-        if line.message == "scheduling held":
-            if last_decision is not None:
-                gaps.append((last_decision, at))
-            last_decision = at
-        elif line.message in _HOLDER_MESSAGES:
-            last_decision = at
-    return gaps
 
+@dataclass(frozen=True, slots=True)
+class _LogPeriod:
+    """What the logs tell of the system, with times in seconds since 1970."""
+
+    without_holder: Sequence[tuple[float, float]]
+    lost_lines: Sequence[LostLines]
+    end: float
+
+    def may_lack(self, message: str, since: float) -> bool:
+        """Tell whether lines of a message were given up at or after a time."""
+        return any(
+            message in lost.messages and lost.ended_at >= since
+            for lost in self.lost_lines
+        )
 
-_HOLDER_MESSAGES = frozenset(
-    {"scheduling held", "run starts", "run ended", "step waits", "job ended"}
-)
+    def seconds_without_holder(self, began_at: float, ended_at: float) -> float:
+        """Return the time without a holder within a period."""
+        return sum(
+            max(0.0, min(ended_at, end) - max(began_at, start))
+            for start, end in self.without_holder
+        )
 
 
-def _median_durations(traces: Iterable[_Trace]) -> dict[tuple[int, str], float]:
+def _median_durations(traces: Iterable[JobTrace]) -> dict[tuple[int, str], float]:
     """Return the median duration of each step's runs, by trace and step."""
     medians = {}
     for trace in traces:
@@ -285,63 +228,88 @@
 
 def _delay(
     job: str,
-    trace: _Trace,
-    gaps: Sequence[tuple[float, float]],
+    trace: JobTrace,
+    log: _LogPeriod,
     medians: dict[tuple[int, str], float],
 ) -> JobDelay:
     handed_in_at = trace.handed_in_at or 0.0
-    seconds: dict[Cause, float] = defaultdict(float)
-    if trace.ended_at is None:
-        cause = _CAUSE_BY_OUTCOME.get(trace.outcome, Cause.NOT_ENDED)
-        last_at = (trace.stored_at or handed_in_at) - handed_in_at
-        return JobDelay(
-            job,
-            trace.queue,
-            handed_in_at,
-            trace.outcome,
-            False,
-            last_at,
-            {cause: last_at},
-        )
-    path = _CriticalPath(trace, gaps, medians, seconds)
-    path.walk()
-    if not trace.runs and trace.phase == JobPhase.COMPLETED.value:
-        seconds.clear()
-        seconds[Cause.UNEXPLAINED] = trace.ended_at - handed_in_at
-    took_s = trace.ended_at - handed_in_at
+    ended_at = trace.ended_at
+    unexplained = None
+    is_serving = False
+    if ended_at is None:
+        cause = _CAUSE_BY_OUTCOME.get(trace.outcome)
+        is_serving = trace.is_perpetual and _has_unfinished_run(trace)
+        unexplained = None if cause or is_serving else _why_end_is_unknown(trace, log)
+        if cause or unexplained or is_serving:
+            ended_at = trace.stored_at or handed_in_at
+            cause = cause or (Cause.UNEXPLAINED if unexplained else Cause.WORK)
+            seconds = {cause: ended_at - handed_in_at}
+        else:
+            ended_at = max(log.end, handed_in_at)
+            seconds = _CriticalPath(trace, log, medians, ended_at).walk()
+    elif not trace.runs and trace.phase == JobPhase.COMPLETED.value:
+        is_lost = log.may_lack("run starts", handed_in_at)
+        unexplained = Unexplained.LINES_DROPPED if is_lost else Unexplained.NO_RUNS
+        seconds = {Cause.UNEXPLAINED: ended_at - handed_in_at}
+    else:
+        seconds = _CriticalPath(trace, log, medians, ended_at).walk()
     return JobDelay(
         job,
         trace.queue,
         handed_in_at,
-        trace.phase,
+        trace.phase or trace.outcome,
         trace.is_late,
-        took_s,
-        dict(seconds),
+        ended_at - handed_in_at,
+        seconds,
+        unexplained,
+        is_serving,
     )
 
 
+def _has_unfinished_run(trace: JobTrace) -> bool:
+    return any(run.ended_at is None for run in trace.runs)
+
+
+def _why_end_is_unknown(trace: JobTrace, log: _LogPeriod) -> Unexplained | None:
+    """Return why the end of an accepted job is not in the logs.
+
+    None if it was still waiting when they end, after a time that shows why.
+    """
+    if log.may_lack("job ended", trace.last_known_at()):
+        return Unexplained.LINES_DROPPED
+    if log.end - (trace.handed_in_at or 0.0) < MIN_JUDGED_S:
+        return Unexplained.LOGS_END
+    if trace.waiting_step() is not None:
+        return None
+    if _has_unfinished_run(trace):
+        return Unexplained.LOGS_END
+    return Unexplained.LAST_RUN_ENDED if trace.runs else Unexplained.NO_TRACE
+
+
 class _CriticalPath:
     """Walks one job's critical path backwards and adds up the seconds by cause."""
 
     def __init__(
         self,
-        trace: _Trace,
-        gaps: Sequence[tuple[float, float]],
+        trace: JobTrace,
+        log: _LogPeriod,
         medians: dict[tuple[int, str], float],
-        seconds: dict[Cause, float],
+        ended_at: float,
     ) -> None:
         self._trace = trace
-        self._gaps = gaps
+        self._log = log
         self._medians = medians
-        self._seconds = seconds
-        self._at = trace.ended_at or 0.0
+        self._at = ended_at
+        self._seconds: dict[Cause, float] = defaultdict(float)
 
-    def walk(self) -> None:
-        """Walk from the job's end to its first request."""
+    def walk(self) -> dict[Cause, float]:
+        """Walk from the job's end to its first request; return the seconds by cause."""
         trace = self._trace
         handed_in_at = trace.handed_in_at or 0.0
         run = self._last_run_before(self._at, trace.runs)
         waiting_step = run.step if run is not None else self._first_step()
+        if trace.ended_at is None:
+            waiting_step = trace.waiting_step() or waiting_step
         while run is not None and self._at > handed_in_at:
             ended_at = min(self._at, run.ended_at or self._at)
             self._add_wait(waiting_step, max(ended_at, handed_in_at))
@@ -358,21 +326,22 @@
         stored_at = min(self._at, trace.stored_at or handed_in_at)
         self._add_wait(waiting_step, max(stored_at, handed_in_at))
         self._seconds[Cause.ACCEPTING] += max(0.0, self._at - handed_in_at)
+        return dict(self._seconds)
 
     def _first_step(self) -> str:
         steps = [run.step for run in self._trace.runs]
         return min(steps, default="0.0")
 
     @staticmethod
-    def _last_start(runs: Sequence[_Run]) -> _Run | None:
+    def _last_start(runs: Sequence[RunTrace]) -> RunTrace | None:
         return max(runs, key=lambda run: run.started_at, default=None)
 
     @staticmethod
-    def _last_run_before(at: float, runs: Sequence[_Run]) -> _Run | None:
+    def _last_run_before(at: float, runs: Sequence[RunTrace]) -> RunTrace | None:
         ended = [run for run in runs if run.ended_at is not None and run.ended_at <= at]
         return max(ended, key=lambda run: run.ended_at or 0.0, default=None)
 
-    def _add_run(self, run: _Run, began_at: float) -> None:
+    def _add_run(self, run: RunTrace, began_at: float) -> None:
         if run.how == RunEnd.DONE.value:
             usual_s = self._medians.get((id(self._trace), run.step))
             is_slow = usual_s and self._at - began_at > SLOW_FACTOR * usual_s
@@ -384,24 +353,24 @@
 
     def _add_wait(self, step: str, until: float) -> None:
         """Add the wait from ``until``, an earlier time, to the current one."""
-        while self._at > until:
-            began_at, reason = max(
-                (
-                    (at, reason)
-                    for at, name, reason in self._trace.waits
-                    if name == step and at < self._at
-                ),
-                default=(until, ""),
-            )
-            began_at = max(began_at, until)
+        for segment in reversed(self._trace.wait_segments(step)):
+            if segment.began_at >= self._at or segment.ended_at <= until:
+                continue
+            self._add_unknown_wait(max(until, segment.ended_at))
+            self._add_segment(segment, max(until, segment.began_at))
+        self._add_unknown_wait(until)
+
+    def _add_unknown_wait(self, until: float) -> None:
+        """Add a time without a reason to wait: the step's order was under way."""
+        self._add_segment(WaitSegment(until, self._at, {"": 1.0}), until)
+
+    def _add_segment(self, segment: WaitSegment, began_at: float) -> None:
+        length = self._at - began_at
+        if length <= 0:
+            return
+        without_holder = self._log.seconds_without_holder(began_at, self._at)
+        self._seconds[Cause.NO_HOLDER] += without_holder
+        for reason, fraction in segment.fraction_by_reason.items():
             cause = _CAUSE_BY_WAIT_REASON.get(reason, Cause.ORDERING)
-            length = self._at - began_at
-            without_holder = sum(
-                max(0.0, min(self._at, end) - max(began_at, start))
-                for start, end in self._gaps
-            )
-            self._seconds[Cause.NO_HOLDER] += without_holder
-            self._seconds[cause] += length - without_holder
-            self._at = began_at
-            if not reason:
-                return
+            self._seconds[cause] += (length - without_holder) * fraction
+        self._at = began_at
--- a/tamarackmount/explain.py
+++ b/tamarackmount/explain.py
@@ -7,6 +7,7 @@
 that are not JSON are skipped.
 """
 
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
@@ -19,6 +20,8 @@
         "configuration in force",
         "holder changed",
         "licence changed",
+        "log lines dropped",
+        "log lines summed",
         "node drains",
         "node started",
         "scheduling given up",
@@ -61,12 +64,12 @@
 
 
 def read_lines(texts: Iterable[str]) -> list[LogLine]:
-    """Return the log lines of all texts, sorted by time."""
+    """Return the log lines of all texts, sorted by time.
+
+    Only line feeds end a line: a field may have other separators of lines.
+    """
     lines = [
-        line
-        for text in texts
-        for row in text.splitlines()
-        if (line := _parse_line(row))
+        line for text in texts for row in text.split("\n") if (line := _parse_line(row))
     ]
     return sorted(lines, key=lambda line: line.time)
 
@@ -119,11 +122,9 @@
     fields = by_message["job ended"][-1].fields
     late = "after its objective" if fields.get("late") else "within its objective"
     parts = [f"{fields.get('phase')} after {fields.get('age_s')} s, {late}"]
-    reasons = [line.fields.get("reason") for line in by_message.get("step waits", [])]
-    if reasons:
-        counts = {reason: reasons.count(reason) for reason in dict.fromkeys(reasons)}
-        listed = "; ".join(f"{reason} ({count})" for reason, count in counts.items())
-        parts.append(f"its steps waited because: {listed}")
+    waits = _describe_waits(by_message.get("step waits", []))
+    if waits:
+        parts.append(f"its steps waited because: {waits}")
     failed = [
         line
         for line in by_message.get("run ended", [])
@@ -134,6 +135,23 @@
     return "; ".join(parts)
 
 
+def _describe_waits(lines: list[LogLine]) -> str:
+    """Return the reasons with their time, or with the number of lines without times."""
+    seconds_by_reason: dict[str, float] = defaultdict(float)
+    lines_by_reason: Counter[str] = Counter()
+    for line in lines:
+        times = line.fields.get("seconds_by_reason")
+        if not isinstance(times, dict):
+            lines_by_reason[str(line.fields.get("reason"))] += 1
+            continue
+        for reason, seconds in times.items():
+            if isinstance(seconds, (int, float)):
+                seconds_by_reason[reason] += seconds
+    timed = [f"{reason} ({s:.3g} s)" for reason, s in seconds_by_reason.items()]
+    counted = [f"{reason} ({count})" for reason, count in lines_by_reason.items()]
+    return "; ".join(timed + counted)
+
+
 def _describe_refusal(by_message: dict[str, list[LogLine]]) -> str:
     fields = by_message["job refused"][-1].fields
     return (
--- a/tests/test_cli_explain.py
+++ b/tests/test_cli_explain.py
@@ -1,5 +1,6 @@
 """Tests of ``tamarackmount explain``."""
 
+import json
 from pathlib import Path
 
 import pytest
@@ -74,3 +75,14 @@
     run = run_command("explain", "ffffffffffffffff", str(log))
     assert run.status is ExitStatus.ERROR
     assert "no log line names job" in run.stderr
+
+
+def test_the_verdict_has_the_time_in_each_reason(tmp_path: Path) -> None:
+    times = {"no allowed worker has room": 1.25, "its team is at its ceiling": 0.5}
+    extra = {"job": JOB, "message": "step waits", "seconds_by_reason": times}
+    rows = [*LATE[2:], json.dumps({"time": "2026-01-09T15:10:04.000Z", **extra})]
+    log = tmp_path / "node.log"
+    log.write_text("\n".join(rows), encoding="utf-8")
+    run_command, _ = command_line()
+    first_row = run_command("explain", JOB, str(log)).stdout.splitlines()[0]
+    assert "no allowed worker has room (1.25 s)" in first_row
