compare_days runs as a script

Cause: `python tools/compare_days.py` ended with ModuleNotFoundError, as only the folder of a script is searched for modules. Change: the script adds the root of the repository to the search path. Seen failing on the earlier code: test_it_runs_as_a_script_and_as_a_module as a script, and test_the_script_runs_from_any_folder.

--- a/tests/test_compare_days.py
+++ b/tests/test_compare_days.py
@@ -1,6 +1,9 @@
 """Comparing versions of the code on days of the bench."""
 
 import io
+import os
+import subprocess
+import sys
 from collections.abc import Sequence
 from math import sqrt
 from pathlib import Path
@@ -200,3 +203,31 @@
     edit = SourceEdit("a.py", "x = 1", "x = 2")
     with pytest.raises(StaleEditError, match="2 places, not 1"):
         edit.apply(tmp_path)
+
+
+@pytest.mark.parametrize(
+    "command", [["tools/compare_days.py"], ["-m", "tools.compare_days"]]
+)
+def test_it_runs_as_a_script_and_as_a_module(command: list[str]) -> None:
+    """Guards against modules that are found only with the repository in PYTHONPATH."""
+    env = {name: value for name, value in os.environ.items() if name != "PYTHONPATH"}
+    done = subprocess.run(
+        [sys.executable, *command, "--help"],
+        cwd=ROOT,
+        env=env,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert done.returncode == 0, done.stderr
+    assert "--seeds" in done.stdout
+
+
+def test_the_script_runs_from_any_folder(tmp_path: Path) -> None:
+    env = {name: value for name, value in os.environ.items() if name != "PYTHONPATH"}
+    script = str(ROOT / "tools" / "compare_days.py")
+    command = [sys.executable, script, "--help"]
+    done = subprocess.run(
+        command, cwd=tmp_path, env=env, capture_output=True, check=False
+    )
+    assert done.returncode == 0, done.stderr
--- a/tools/compare_days.py
+++ b/tools/compare_days.py
@@ -23,9 +23,12 @@
 from pathlib import Path
 from typing import Any, TextIO
 
-from tests.utils.source_edits import ROOT, StaleEditError
-from tests.utils.switch_offs import SWITCH_OFFS_BY_NAME
-from tools.paired import PairedDifference, compare_pairs
+if not __package__:  # A script: only its own folder would be searched for modules.
+    sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
+
+from tests.utils.source_edits import ROOT, StaleEditError  # noqa: E402
+from tests.utils.switch_offs import SWITCH_OFFS_BY_NAME  # noqa: E402
+from tools.paired import PairedDifference, compare_pairs  # noqa: E402
 
 BASE = "base"
 """Name of the version that the variants are compared with."""
