Shares of workspaces in pools: metrics and the command contention

Cause: operators can't see who is at their share of a pool, who borrows and who waits. Change: Observer.record_contention takes rows about workspaces and pools, known by a Protocol with the fields of ShareRow, and a drain forecast. The node shows them as gauges when /metrics is read, for the 100 largest pairs; others are added up. Another node than the holder shows none. `tamarackmount contention URL...` reads the metrics addresses until one is the holder and prints a table or JSON.

--- a/tamarackmount/cli/application.py
+++ b/tamarackmount/cli/application.py
@@ -10,6 +10,7 @@
 from tamarackmount.cli.config import CONFIG_COMMANDS
 from tamarackmount.cli.config_apply import ConfigApplyCommand
 from tamarackmount.cli.config_check import ConfigCheckCommand
+from tamarackmount.cli.contention import ContentionCommand
 from tamarackmount.cli.delays import DelaysCommand
 from tamarackmount.cli.explain import ExplainCommand
 from tamarackmount.cli.fleet import FLEET_COMMANDS
@@ -29,6 +30,7 @@
     *FLEET_COMMANDS,
     ExplainCommand,
     DelaysCommand,
+    ContentionCommand,
 ]
 """All commands of the application."""
 
--- a/tamarackmount/node/metrics.py
+++ b/tamarackmount/node/metrics.py
@@ -1,5 +1,6 @@
 """Counters and latency histograms of one node."""
 
+from collections.abc import Sequence
 from typing import Any
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
@@ -10,6 +11,8 @@
     TEXT_FORMAT,
     render_metrics,
 )
+from tamarackmount.node.contention_metrics import ContentionMetrics
+from tamarackmount.scheduling.observer import ContentionRow
 
 
 class NodeMetrics:
@@ -53,6 +56,7 @@
             "1 while this node schedules.",
             registry=self.registry,
         )
+        self._contention = ContentionMetrics(self.registry)
 
     def record_request(self, verb: str, status: int, took_s: float) -> None:
         """Count a caller's request and its duration."""
@@ -79,9 +83,20 @@
         """Count an order to a worker."""
         self._orders.inc({"verb": verb, "result": result})
 
+    def record_contention(self, rows: Sequence[ContentionRow]) -> None:
+        """Replace the rows about workspaces that compete for pools."""
+        self._contention.record(rows)
+
     def set_is_holder(self, is_holder: bool) -> None:
-        """Record whether this node is the holder."""
+        """Record whether this node is the holder; another node has no shares."""
         self._is_holder.set({}, int(is_holder))
+        if not is_holder:
+            self._contention.record(())
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        self._contention.update_gauges()
+        return render_metrics(self.registry)
 
     def _histogram(self, name: str, text: str) -> Any:
         return Histogram(name, text, registry=self.registry, buckets=SECONDS_BUCKETS)
@@ -100,4 +115,4 @@
     def render(self, request: Any) -> bytes:
         """Return all metrics, whatever the path."""
         request.setHeader(b"content-type", TEXT_FORMAT.encode())
-        return render_metrics(self._metrics.registry)
+        return self._metrics.render()
--- a/tamarackmount/scheduling/observer.py
+++ b/tamarackmount/scheduling/observer.py
@@ -1,7 +1,63 @@
 """Interface through which the scheduler reports metrics."""
 
+from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import Protocol
 
+from tamarackmount.ids import WorkspaceId
+from tamarackmount.scheduling.model import ServiceName
+
+
+class ShareRowView(Protocol):
+    """The share of a workspace in a pool.
+
+    All but ``refused``, a number of jobs, are fractions of the pool's dominant resource
+    without unit.
+    """
+
+    @property
+    def workspace(self) -> WorkspaceId:
+        """The workspace."""
+
+    @property
+    def service(self) -> ServiceName:
+        """The service of the pool's workers."""
+
+    @property
+    def entitled(self) -> float:
+        """What the workspace is owed while others wait."""
+
+    @property
+    def used(self) -> float:
+        """What its runs use."""
+
+    @property
+    def lent(self) -> float:
+        """What it is owed, does not use, and others do."""
+
+    @property
+    def borrowed(self) -> float:
+        """What it uses beyond what it is owed."""
+
+    @property
+    def waiting(self) -> float:
+        """What its waiting work needs."""
+
+    @property
+    def refused(self) -> int:
+        """Its refused jobs."""
+
+
+@dataclass(frozen=True, slots=True)
+class ContentionRow:
+    """A share, and the forecast of when its waiting work has started.
+
+    ``drain_s`` is in seconds, None if there is no forecast.
+    """
+
+    share: ShareRowView
+    drain_s: float | None
+
 
 class Observer(Protocol):
     """Receiver of scheduling metrics; times are seconds from the job's acceptance."""
@@ -15,6 +71,9 @@
     def record_run_end(self, outcome: str) -> None:
         """Record the end of a run; ``outcome`` is a value of ``RunEnd``."""
 
+    def record_contention(self, rows: Sequence[ContentionRow]) -> None:
+        """Replace the rows about workspaces that compete for pools."""
+
 
 class NoObserver:
     """Observer that records nothing."""
@@ -27,3 +86,6 @@
 
     def record_run_end(self, outcome: str) -> None:
         """Ignore the end of a run."""
+
+    def record_contention(self, rows: Sequence[ContentionRow]) -> None:
+        """Ignore rows about contention."""
