Leave the observed peak of urgent use free in each workspace's ceiling

Cause: non-urgent work with slack left a fixed 0.15 of a workspace's ceiling free, however much or little its urgent jobs use. Until urgent use was observed for a whole window, no more than the fixed fraction may be filled: a test of preemption has one urgent task that was seen for 1.5 s, which says little about a burst. With nothing observed nothing changes. New jobs take the values of the last round, so that they don't use another fraction, or freed capacity beyond their share, until the next one. Seen failing with the mechanism switched off: five cases of tests/test_scheduling_ceilings (the three of test_non_urgent_jobs_leave_the_observed_urgent_peak_free among them). Tests of the scheduler and the node pass.

--- a/tamarackmount/scheduling/ceilings.py
+++ b/tamarackmount/scheduling/ceilings.py
@@ -1,9 +1,12 @@
 """Ceilings of workspaces: what each may have running, and what a step may fill."""
 
-from tamarackmount.ids import Instant
+from collections.abc import Mapping
+
+from tamarackmount.ids import Instant, WorkspaceId
 from tamarackmount.resources import NOTHING, Resources
+from tamarackmount.scheduling.fleet_config import Workspace
 from tamarackmount.scheduling.ranking import URGENT_PRIORITY
-from tamarackmount.scheduling.runs import StepState
+from tamarackmount.scheduling.runs import JobState, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 
 NON_URGENT_SLACK_S = 4.0
@@ -12,7 +15,11 @@
 
 NON_URGENT_CEILING_FRACTION = 0.85
 """Fraction of a workspace's ceiling that its non-urgent jobs may fill, without unit;
-urgent jobs need a quarter of what a workspace uses, and a burst doubles them."""
+urgent jobs need a quarter of what a workspace uses, and a burst doubles them. It holds
+while no urgent use of the workspace was observed."""
+
+MIN_NON_URGENT_CEILING_FRACTION = 0.5
+"""Lower limit of that fraction, without unit: other jobs need to go on as well."""
 
 
 def ceiling_fraction(step: StepState, now: Instant) -> float:
@@ -24,11 +31,66 @@
     job = step.job
     if job.priority == URGENT_PRIORITY or step.spec.perpetual:
         return 1.0
-    return (
-        NON_URGENT_CEILING_FRACTION
-        if now < job.latest_start - NON_URGENT_SLACK_S
-        else 1.0
+    if now >= job.latest_start - NON_URGENT_SLACK_S:
+        return 1.0
+    observed = job.non_urgent_ceiling_fraction
+    return NON_URGENT_CEILING_FRACTION if observed is None else observed
+
+
+def update_non_urgent_fractions(state: SchedulerState, now: Instant) -> None:
+    """Set, for waiting jobs, which part of a ceiling non-urgent work may fill.
+
+    As much is left free as urgent jobs used at their peak beyond what they use now.
+    """
+    use_by_workspace: dict[WorkspaceId, Resources] = {}
+    for use, amount in state.used_by_pool.items():
+        if state.is_urgent_queue(use.queue):
+            known = use_by_workspace.get(use.workspace, NOTHING)
+            use_by_workspace[use.workspace] = known + amount
+    state.urgent_peaks.record(use_by_workspace, now)
+    config = state.fleet_config
+    workspaces = config.workspaces_by_id.values() if config is not None else ()
+    state.non_urgent_fraction_by_workspace = {
+        workspace.workspace_id: fraction
+        for workspace in workspaces
+        if (fraction := _observed_fraction(state, workspace, use_by_workspace, now))
+    }
+    for step in state.ready_steps_by_key.values():
+        set_non_urgent_fraction(state, step.job)
+
+
+def set_non_urgent_fraction(state: SchedulerState, job: JobState) -> None:
+    """Set which part of a ceiling a job may fill, as of the last round."""
+    job.non_urgent_ceiling_fraction = state.non_urgent_fraction_by_workspace.get(
+        job.accepted.workspace_id
+    )
+
+
+def _observed_fraction(
+    state: SchedulerState,
+    workspace: Workspace,
+    urgent_use_by_workspace: Mapping[WorkspaceId, Resources],
+    now: Instant,
+) -> float | None:
+    peak = state.urgent_peaks.peak(workspace.workspace_id)
+    if peak is None:
+        return None
+    urgent_use = urgent_use_by_workspace.get(workspace.workspace_id, NOTHING)
+    headroom = max(
+        (
+            (at_peak - in_use) / limit
+            for in_use, at_peak, limit in ceiling_parts(
+                urgent_use, peak, workspace.ceiling
+            )
+            if limit
+        ),
+        default=0.0,
     )
+    fraction = max(MIN_NON_URGENT_CEILING_FRACTION, 1.0 - max(0.0, headroom))
+    if state.urgent_peaks.is_representative(workspace.workspace_id, now):
+        return fraction
+    # The first urgent jobs that are seen tell a lower limit of the peak only.
+    return min(NON_URGENT_CEILING_FRACTION, fraction)
 
 
 def is_under_ceiling(
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -170,7 +170,9 @@
     ``latest_start`` and ``latest_late_start`` are when the work that is left has to
     start to be done by these; all four are forecasts. A job is ``is_over_share`` if its
     workspace submitted jobs faster than its share. Tasks are kept together in
-    ``preferred_data_centre``. ``is_restored`` tells jobs of a former holder from those
+    ``preferred_data_centre``. ``non_urgent_ceiling_fraction`` is the part of its
+    workspace's ceiling that non-urgent jobs may fill, without unit, once urgent use was
+    observed. ``is_restored`` tells jobs of a former holder from those
     submitted to this one.
     """
 
@@ -183,6 +185,7 @@
     latest_start: Instant = Instant(0.0)
     latest_late_start: Instant = Instant(0.0)
     preferred_data_centre: DataCentreId | None = None
+    non_urgent_ceiling_fraction: float | None = None
     priority: int = 0
     is_over_share: bool = False
     is_restored: bool = False
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -12,6 +12,10 @@
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.admission import Refusal, admit
 from tamarackmount.scheduling.advice_requests import AdviceRequests
+from tamarackmount.scheduling.ceilings import (
+    set_non_urgent_fraction,
+    update_non_urgent_fractions,
+)
 from tamarackmount.scheduling.effects import Effect
 from tamarackmount.scheduling.fleet_config import FleetConfig, Queue
 from tamarackmount.scheduling.free_capacity import FreeCapacityIndex
@@ -33,7 +37,7 @@
 from tamarackmount.scheduling.run_ends import end_job, make_ready
 from tamarackmount.scheduling.runs import JobState, StepState, make_job
 from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.share_round import update_shares
+from tamarackmount.scheduling.share_round import mark_new_steps, update_shares
 from tamarackmount.scheduling.step_advice import AdviceAnswer
 from tamarackmount.scheduling.store_batches import Batch, StoreBatcher
 from tamarackmount.scheduling.stragglers import handle_stragglers
@@ -245,10 +249,11 @@
         if state.authority is HolderAuthority.FULL:
             handle_stragglers(state, now)
         capacity_index = FreeCapacityIndex(state.workers_by_incarnation.values(), now)
+        if now >= self._next_shares_at:
+            self._next_shares_at = Instant(now + SHARES_INTERVAL_S)
+            update_shares(state, now)
+            update_non_urgent_fractions(state, now)
         if state.ready_steps_by_key:
-            if now >= self._next_shares_at:
-                self._next_shares_at = Instant(now + SHARES_INTERVAL_S)
-                update_shares(state, now)
             blocked_steps = place(state, capacity_index, now)
             if now >= self._next_preemption_at:
                 self._next_preemption_at = Instant(now + PREEMPTION_INTERVAL_S)
@@ -300,6 +305,8 @@
         self._apply_queue_settings(job)
         if is_new:
             job.is_over_share = self._is_over_share(job, now)
+            set_non_urgent_fraction(state, job)
+            mark_new_steps(state, job)
         state.jobs_by_id[job.job_id] = job
         if records.cancelled_unix_ms is not None:
             self.cancel_job(job.job_id, now, unix_ms)
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -24,6 +24,7 @@
 from tamarackmount.scheduling.ranking import URGENT_PRIORITY, WorkspaceRateLimiter
 from tamarackmount.scheduling.runs import JobState, Run, RunPhase, StepState
 from tamarackmount.scheduling.shares import CapacityShares, WorkspaceShares
+from tamarackmount.scheduling.urgent_peaks import UrgentPeaks
 from tamarackmount.scheduling.workers import WorkerState
 from tamarackmount.scheduling.write_ahead import WriteAhead
 
@@ -91,6 +92,10 @@
     workspace_rate_limiter: WorkspaceRateLimiter = field(
         default_factory=WorkspaceRateLimiter
     )
+    urgent_peaks: UrgentPeaks = field(default_factory=UrgentPeaks)
+    non_urgent_fraction_by_workspace: dict[WorkspaceId, float] = field(
+        default_factory=dict
+    )
     authority: HolderAuthority = HolderAuthority.FULL
     check_stragglers_at: Instant = Instant(0.0)
     superseded: bool = False
--- a/tamarackmount/scheduling/share_round.py
+++ b/tamarackmount/scheduling/share_round.py
@@ -11,7 +11,7 @@
 from tamarackmount.resources import NOTHING, Resources
 from tamarackmount.scheduling.model import ServiceName
 from tamarackmount.scheduling.ranking import URGENT_PRIORITY, rank
-from tamarackmount.scheduling.runs import StepState
+from tamarackmount.scheduling.runs import JobState, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.shares import (
     NO_AMOUNTS,
@@ -64,6 +64,20 @@
             _mark_steps(shares, workspace, steps, now)
 
 
+def mark_new_steps(state: SchedulerState, job: JobState) -> None:
+    """Mark the steps of a new job by the shares of the last round.
+
+    Otherwise it would take what is freed before the next round. Urgent jobs are not
+    marked, as what their workspace uses is mostly long work.
+    """
+    accepted = job.accepted
+    if job.priority == URGENT_PRIORITY:
+        return
+    is_over_share = state.shares.is_over_share(accepted.workspace_id, accepted.service)
+    for step in job.steps_by_key.values():
+        step.exceeds_pool_share = is_over_share
+
+
 def _capacity_by_service(state: SchedulerState) -> dict[ServiceName, Resources]:
     """Return the capacity of each pool's workers that may start tasks."""
     sums: dict[ServiceName, list[int]] = {}
--- a/tests/utils/switch_offs.py
+++ b/tests/utils/switch_offs.py
@@ -157,6 +157,17 @@
             ),
         ),
     ),
+    SwitchOff(
+        "urgent-peaks",
+        "workspaces differ in how much of their ceiling urgent jobs take",
+        (
+            _edit(
+                "scheduling/ceilings.py",
+                "NON_URGENT_CEILING_FRACTION if observed is None else observed",
+                "NON_URGENT_CEILING_FRACTION",
+            ),
+        ),
+    ),
     SwitchOff(
         "one-data-centre",
         "a data centre is cut off",
