--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -31,6 +31,7 @@
 from tamarackmount.scheduling.ranking import URGENT_PRIORITY, WorkspaceRateLimiter
 from tamarackmount.scheduling.runs import JobState, Run, RunPhase, StepState
 from tamarackmount.scheduling.shares import CapacityShares, WorkspaceShares
+from tamarackmount.scheduling.urgent_peaks import UrgentPeaks
 from tamarackmount.scheduling.urgent_use import UrgentUse
 from tamarackmount.scheduling.worker_speeds import LearnedWorkerSpeeds
 from tamarackmount.scheduling.workers import WorkerState
@@ -102,6 +103,10 @@
     workspace_rate_limiter: WorkspaceRateLimiter = field(
         default_factory=WorkspaceRateLimiter
     )
+    urgent_peaks: UrgentPeaks = field(default_factory=UrgentPeaks)
+    non_urgent_fraction_by_workspace: dict[WorkspaceId, float] = field(
+        default_factory=dict
+    )
     authority: HolderAuthority = HolderAuthority.FULL
     check_stragglers_at: Instant = Instant(0.0)
     evacuated_data_centres: frozenset[DataCentreId] = frozenset()
