Ask other nodes before a repeated submission is refused

Cause: a node that does not follow the jobs topic has no index, so it answered a repeated submission with 503 while the store was away, although the job was stored and may have run.

Change: before such a refusal the node looks in its own index and asks the holder and up to three followers at once; one that knows the job is enough for 200. The question takes at most 0.3 s and half of the caller's remaining time.

On the earlier code test_a_repeated_submission_is_not_refused_while_the_store_is_away fails for the nodes 6 and 7, which do not follow; for the followers 1 and 2 it passed.

--- a/tamarackmount/node/job_service.py
+++ b/tamarackmount/node/job_service.py
@@ -18,6 +18,7 @@
     PhaseLookupFailure,
 )
 from tamarackmount.node.jobs_follower import JobsFollower
+from tamarackmount.node.known_jobs import ask_in_turn, is_known_at
 from tamarackmount.node.messages import (
     CancelStored,
     JobStored,
@@ -138,6 +139,12 @@
             return ApiResponse(HttpStatus.TOO_LARGE)
         started_at = clock.now()
         result = await self._submissions.store(record, deadline)
+        if result.outcome is StoreOutcome.NOT_STORED and await self._is_known(
+            job.job_id, deadline
+        ):
+            # A refusal would tell the caller that the job never runs.
+            _log.info("job submitted again; known", extra={"job": job.job_id})
+            return ApiResponse(HttpStatus.OK)
         self._report_submission(job, result, clock.now() - started_at, deadline)
         if result.outcome is StoreOutcome.STORED:
             self._handle_stored(record, JobStored(record.value))
@@ -213,6 +220,22 @@
             return self._follower.has_snapshot
         return any(self._context.links.is_open(node) for node in self._nodes_to_ask())
 
+    async def _is_known(self, job_id: JobId, deadline: Instant) -> bool:
+        """Tell whether this node or others know a job that was submitted again."""
+        context = self._context
+        holder = self._election.holder
+        if holder is not None and holder.phase(job_id) is not None:
+            return True
+        if context.job_index.phase(job_id) is not None:
+            return True
+        return await is_known_at(
+            context.reactor,
+            context.peer_calls,
+            self._nodes_to_ask(),
+            job_id,
+            deadline,
+        )
+
     async def _read_phase(self, job_id: JobId) -> JobPhase | PhaseLookupFailure:
         """Return the phase of a job that is not in the index, from the store."""
         has_read_all = await self._follower.read_now()
@@ -227,18 +250,10 @@
 
     async def _ask_followers(self, job_id: JobId) -> JobPhase | PhaseLookupFailure:
         """Return the phase that the holder or another follower tells."""
-        peers = self._context.peer_calls
-        for node in self._nodes_to_ask():
-            query = PhaseQuery(peers.next_call_id(), job_id, read_store=True)
-            reply = await peers.call(node, query, PHASE_TIMEOUT_S)
-            if not isinstance(reply, PhaseReply):
-                continue
-            phase = enum_value(JobPhase, reply.phase) if reply.phase else None
-            if phase is not None:
-                return phase
-            if reply.is_denied:
-                return PhaseLookupFailure.NOT_SUBMITTED
-        return PhaseLookupFailure.UNAVAILABLE
+        nodes = self._nodes_to_ask()
+        return await ask_in_turn(
+            self._context.peer_calls, nodes, job_id, PHASE_TIMEOUT_S
+        )
 
     def _nodes_to_ask(self) -> list[MemberId]:
         """Return the holder and some followers, in the order to ask them."""
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -72,6 +72,34 @@
     assert fleet.run(fleet.node(7).jobs.waiting_count(queue(LOW_PRIORITY, 2))) is None
 
 
+@pytest.mark.parametrize("asked", [1, 2, 6, 7])
+def test_a_repeated_submission_is_not_refused_while_the_store_is_away(
+    asked: int,
+) -> None:
+    # Guards against a 503, which says that the job never runs, for one that may have
+    # run: the first submission was stored, and its answer was lost.
+    fleet = MemoryFleet(8)
+    fleet.run(fleet.node(6).jobs.submit(job(), fleet.deadline()))
+    fleet.run_for(1.0)
+    fleet.nodes_without_store = {MemberId(f"n{number}") for number in range(8)}
+    fleet.run_for(3.0)
+    answer = fleet.run(fleet.node(asked).jobs.submit(job(), fleet.deadline()))
+    assert answer.status is HttpStatus.OK
+
+
+def test_an_unknown_job_is_refused_soon_while_the_store_is_away() -> None:
+    # The question to other nodes must not use up the caller's time, also if they are
+    # cut off silently. The holder answers that it can't store the job.
+    fleet = MemoryFleet(8)
+    fleet.nodes_without_store = {MemberId(f"n{number}") for number in range(8)}
+    fleet.run_for(3.0)
+    fleet.lose_silently(1, 2)
+    started_at = fleet.clock.seconds()
+    answer = fleet.run(fleet.node(7).jobs.submit(job(), fleet.deadline()))
+    assert answer.status is HttpStatus.SERVICE_UNAVAILABLE
+    assert fleet.clock.seconds() - started_at < 0.8
+
+
 def test_others_follow_once_the_followers_are_lost() -> None:
     fleet = MemoryFleet(8)
     fleet.run(fleet.node(6).jobs.submit(job(), fleet.deadline()))
