Derive the limits for copies and stragglers from the observed spread

Cause: fixed multiples of durations. Where these differ by two times within a step, a copy at 1.5 times the median is wasted, and the median of the tasks that have ended is too low, as short ones end first. Steps on slow workers got copies on purpose placed there. Running tasks count as longer than ended ones in the median. MIN_STRAGGLER_AGE_S, still 1.2 s, is the time of a stop, a report and a check. Runs that allow no copy are not sorted for one. Switch-off duration-spread. Seen failing: without the spread, needless copies on a spread of two times; without the workers' factors in the threshold, copies of tasks on slow workers.

--- a/tamarackmount/scheduling/run_ends.py
+++ b/tamarackmount/scheduling/run_ends.py
@@ -78,7 +78,7 @@
         _mark_task_done(state, step, index, ended, now)
     state.changed_jobs.add(step.key.job_id)
     if step.is_done:
-        _learn_worker_speeds(state, step, now)
+        _learn_from_durations(state, step, now)
         state.ready_steps_by_key.pop(step.key, None)
         set_deadlines(step.job, state.queue_of(step.job), state.forecast)
         _handle_step_done(state, step, now)
@@ -106,6 +106,9 @@
     if not step.spec.gang:
         step.duration_by_worker_s.append((worker.incarnation, took_s))
     queue = step.job.accepted.queue_name
+    if state.forecast.has_enough_samples(queue):
+        forecast_s = state.forecast.estimate_s(queue, step.spec.estimated_ms)
+        state.duration_spread.add_forecast_ratio(queue, usual_took_s / forecast_s)
     state.forecast.add_sample(queue, step.spec.estimated_ms, usual_took_s)
 
 
@@ -123,8 +126,8 @@
     )
 
 
-def _learn_worker_speeds(state: SchedulerState, step: StepState, now: Instant) -> None:
-    """Learn the workers' speeds from the durations of a step that is done.
+def _learn_from_durations(state: SchedulerState, step: StepState, now: Instant) -> None:
+    """Learn the workers' speeds and the spread from a step that is done.
 
     Single runs are not judged as they end: short ones end first. A worker that is slow
     for the moment is left out.
@@ -136,6 +139,9 @@
     for incarnation, took_s in rows:
         worker = state.workers_by_incarnation.get(incarnation)
         if worker is not None and not worker.is_slow(now):
+            factor = state.worker_speeds.duration_factor(worker)
+            queue = step.job.accepted.queue_name
+            state.duration_spread.add_step_ratio(queue, took_s / factor / usual_s)
             state.worker_speeds.add_sample(worker, took_s / usual_s)
 
 
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -8,6 +8,7 @@
 from tamarackmount.ids import Epoch, Instant, JobId, WorkspaceId
 from tamarackmount.resources import NOTHING, Resources
 from tamarackmount.scheduling.accepted_job import AcceptedJob
+from tamarackmount.scheduling.duration_spread import DurationSpread
 from tamarackmount.scheduling.effects import Effect, StartRun, StopRun
 from tamarackmount.scheduling.fleet_config import FleetConfig, Queue, Workspace
 from tamarackmount.scheduling.forecast import Forecast
@@ -65,6 +66,7 @@
     runs_may_be_incomplete: bool = False
     observer: Observer = field(default_factory=NoObserver)
     forecast: Forecast = field(default_factory=Forecast)
+    duration_spread: DurationSpread = field(default_factory=DurationSpread)
     urgent_use: UrgentUse = field(default_factory=UrgentUse)
     worker_speeds: LearnedWorkerSpeeds = field(default_factory=LearnedWorkerSpeeds)
     workspace_rate_limiter: WorkspaceRateLimiter = field(
--- a/tamarackmount/scheduling/stragglers.py
+++ b/tamarackmount/scheduling/stragglers.py
@@ -6,15 +6,15 @@
 elsewhere once stragglers of two jobs, or the durations of its recent runs, show that
 the worker is at fault; it gets no new runs for a while.
 
-There are two thresholds: a task is slow enough for a copy above
-``SPECULATIVE_COPY_FACTOR`` times the median duration of its step's other tasks, and its
-run is a straggler above ``STRAGGLER_FACTOR`` times their longest duration.
+There are two thresholds: a task is slow enough for a copy above a multiple of its
+step's median duration, and its run is a straggler above a multiple of the longest one.
+Both follow from how far durations of its queue differ by themselves.
 """
 
 import logging
-from statistics import median
+import math
 
-from tamarackmount.ids import Instant
+from tamarackmount.ids import Instant, QueueName
 from tamarackmount.scheduling.run_ends import (
     MIN_DURATION_SAMPLES,
     WORKER_BACKOFF_S,
@@ -30,34 +30,70 @@
 
 STRAGGLER_FACTOR = 2.5
 """Multiple, without unit, of the longest duration of its step's other tasks after which
-a run is a straggler: durations within a step differ by a third from the longest, and
-by a sixth from the median."""
+a run is a straggler, while the spread of its queue's durations is not known."""
+
+STRAGGLER_SPREADS = 2.0
+"""Number of standard deviations of a duration's logarithm by which a straggler exceeds
+the longest other duration; one run in forty exceeds even the median by that."""
+
+MIN_STRAGGLER_FACTOR = 1.5
+"""Least multiple, without unit, for stragglers and copies where durations are alike: a
+worker's learned factor is off by up to a fifth while little is known, and ends are
+reported up to a sixth of the shortest task late."""
+
+MAX_STRAGGLER_FACTOR = 4.0
+"""Largest multiple, without unit, for stragglers and copies: work that waits longer for
+a worker at fault is late in any queue."""
 
 FORECAST_STRAGGLER_FACTOR = 8.0
-"""Multiple, without unit, of its forecast after which a run is a straggler. It is used
-while the step has fewer than ``MIN_DURATION_SAMPLES`` durations to compare with, if the
-queue's forecast has ``MIN_SAMPLES``. Jobs of a queue differ by 2.6 times their mean,
-estimates and workers by half of that again."""
+"""Multiple, without unit, of its forecast after which a run is a straggler, while the
+spread around the queue's forecast is not known. It is used while the step has fewer
+than ``MIN_DURATION_SAMPLES`` durations to compare with, if the queue's forecast has
+``MIN_SAMPLES``. Jobs of a queue differ by 2.6 times their mean, estimates and workers
+by half of that again."""
+
+FORECAST_STRAGGLER_SPREADS = 3.0
+"""Number of standard deviations of a duration's logarithm by which a straggler exceeds
+its forecast; one run in seven hundred does by itself."""
+
+MIN_FORECAST_STRAGGLER_FACTOR = 2.5
+"""Least multiple, without unit, of its forecast for a straggler: the jobs of a queue
+may change their kind."""
+
+MAX_FORECAST_STRAGGLER_FACTOR = 16.0
+"""Largest multiple, without unit, of its forecast for a straggler."""
 
 SPECULATIVE_COPY_FACTOR = 1.5
 """Multiple, without unit, of the median duration of its step's other tasks after which
-a task gets a speculative copy, if it allows one: durations within a step differ by a
-sixth from the median, and a needless copy costs a second of capacity."""
+a task gets a speculative copy, if it allows one, while the spread of its queue's
+durations is not known."""
+
+COPY_SPREADS = 2.0
+"""Number of standard deviations of a duration's logarithm by which a task that is
+copied exceeds the median: a needless copy costs a second of capacity, and one run in
+forty gets one."""
 
 MIN_COPY_AGE_S = 0.4
 """Least run time before a speculative copy, in seconds: ends are reported up to 0.1 s
 late."""
 
-MIN_STRAGGLER_AGE_S = 1.2
-"""Least run time of a straggler, in seconds; the shortest kinds of task take 0.6 s."""
+STRAGGLER_CHECK_INTERVAL_S = 0.2
+"""Time between two checks, in seconds."""
+
+MAX_STOP_S = 0.9
+"""Longest time that a stop takes, in seconds."""
+
+MAX_REPORT_DELAY_S = 0.1
+"""Longest time by which an end is reported late, in seconds."""
+
+MIN_STRAGGLER_AGE_S = MAX_STOP_S + MAX_REPORT_DELAY_S + STRAGGLER_CHECK_INTERVAL_S
+"""Least run time of a straggler, in seconds: its task starts anew only after a stop, so
+a younger run would probably have ended sooner by itself."""
 
 MIN_STRAGGLING_JOBS = 2
 """Number of jobs with stragglers on a worker at once from which on the worker is at
 fault; with one, it may be the job itself."""
 
-STRAGGLER_CHECK_INTERVAL_S = 0.2
-"""Time between two checks, in seconds."""
-
 
 def handle_stragglers(state: SchedulerState, now: Instant) -> None:
     """Copy slow tasks that allow it, and stop stragglers on workers at fault.
@@ -88,14 +124,16 @@
         step = state.step_of(run.task)
         if step is None or run.phase is not RunPhase.RUNNING:
             continue
+        ran_s = now - run.began_at
         if (
-            len(step.durations_s) < MIN_DURATION_SAMPLES
+            not step.allows_speculative_copy
+            or ran_s <= MIN_COPY_AGE_S
+            or len(step.durations_s) < MIN_DURATION_SAMPLES
             or run.task.index in step.handled_stragglers
         ):
             continue
-        median_s = median(step.durations_s) * duration_factor(state, step, run)
-        ran_s = now - run.began_at
-        if ran_s <= max(MIN_COPY_AGE_S, SPECULATIVE_COPY_FACTOR * median_s):
+        median_s = _median_s(step) * duration_factor(state, step, run)
+        if ran_s <= _copy_factor(state, step) * median_s:
             continue
         if state.request_speculative_copy(run):
             step.handled_stragglers.add(run.task.index)
@@ -110,6 +148,17 @@
             _log.info("straggler copied", extra=extra)
 
 
+def _median_s(step: StepState) -> float:
+    """Return the median duration of a step's tasks, in seconds.
+
+    Tasks that still run count as longer than those that have ended, as short ones end
+    first. While most of them run, it is at least the longest duration so far.
+    """
+    durations_s = sorted(step.durations_s)
+    count = len(durations_s) + len(step.runs())
+    return durations_s[min(len(durations_s) - 1, (count - 1) // 2)]
+
+
 def _find_stragglers(
     state: SchedulerState, worker: WorkerState, now: Instant
 ) -> list[tuple[StepState, Run]]:
@@ -137,12 +186,38 @@
         return False
     factor = duration_factor(state, step, run)
     if len(step.durations_s) >= MIN_DURATION_SAMPLES:
-        return ran_s > STRAGGLER_FACTOR * factor * max(step.durations_s)
+        return ran_s > _straggler_factor(state, step) * factor * max(step.durations_s)
     queue = step.job.accepted.queue_name
     if not state.forecast.has_enough_samples(queue):
         return False
     expected_s = state.forecast.estimate_s(queue, step.spec.estimated_ms)
-    return ran_s > FORECAST_STRAGGLER_FACTOR * factor * expected_s
+    return ran_s > _forecast_straggler_factor(state, queue) * factor * expected_s
+
+
+def _copy_factor(state: SchedulerState, step: StepState) -> float:
+    spread = state.duration_spread.within_step(step.job.accepted.queue_name)
+    if spread is None:
+        return SPECULATIVE_COPY_FACTOR
+    factor = math.exp(COPY_SPREADS * spread)
+    return min(MAX_STRAGGLER_FACTOR, max(MIN_STRAGGLER_FACTOR, factor))
+
+
+def _straggler_factor(state: SchedulerState, step: StepState) -> float:
+    spread = state.duration_spread.within_step(step.job.accepted.queue_name)
+    if spread is None:
+        return STRAGGLER_FACTOR
+    factor = math.exp(STRAGGLER_SPREADS * spread)
+    return min(MAX_STRAGGLER_FACTOR, max(MIN_STRAGGLER_FACTOR, factor))
+
+
+def _forecast_straggler_factor(state: SchedulerState, queue: QueueName) -> float:
+    spread = state.duration_spread.of_forecast(queue)
+    if spread is None:
+        return FORECAST_STRAGGLER_FACTOR
+    factor = math.exp(FORECAST_STRAGGLER_SPREADS * spread)
+    return min(
+        MAX_FORECAST_STRAGGLER_FACTOR, max(MIN_FORECAST_STRAGGLER_FACTOR, factor)
+    )
 
 
 def _stop_straggler(
--- a/tests/utils/switch_offs.py
+++ b/tests/utils/switch_offs.py
@@ -212,6 +212,17 @@
             ),
         ),
     ),
+    SwitchOff(
+        "duration-spread",
+        "durations within a step differ by two times by themselves",
+        (
+            _edit(
+                "scheduling/duration_spread.py",
+                "if self.count < MIN_SPREAD_SAMPLES:",
+                "if True:",
+            ),
+        ),
+    ),
     SwitchOff(
         "early-claim",
         "the holder is cut off, frozen or turned away by the store",
