--- a/tamarackmount/delays.py
+++ b/tamarackmount/delays.py
@@ -127,17 +127,7 @@
     @property
     def cause(self) -> Cause:
         """The cause that took most of the time, the work itself aside."""
-        others = {
-            cause: seconds
-            for cause, seconds in self.seconds_by_cause.items()
-            if cause is not Cause.WORK and seconds > 0
-        }
-        if others:
-            return max(others, key=lambda cause: others[cause])
-        if Cause.WORK in self.seconds_by_cause:
-            return Cause.WORK
-        # A job that did not end has one cause, perhaps without any time.
-        return next(iter(self.seconds_by_cause))
+        return _main_cause(self.seconds_by_cause)
 
 
 @dataclass(slots=True)
@@ -212,6 +202,21 @@
         )
 
 
+def _main_cause(seconds_by_cause: dict[Cause, float]) -> Cause:
+    """Return the cause that took most of the time, the work itself aside."""
+    others = {
+        cause: seconds
+        for cause, seconds in seconds_by_cause.items()
+        if cause is not Cause.WORK and seconds > 0
+    }
+    if others:
+        return max(others, key=lambda cause: others[cause])
+    if Cause.WORK in seconds_by_cause:
+        return Cause.WORK
+    # A job that did not end has one cause, perhaps without any time.
+    return next(iter(seconds_by_cause))
+
+
 def _median_durations(traces: Iterable[JobTrace]) -> dict[tuple[int, str], float]:
     """Return the median duration of each step's runs, by trace and step."""
     medians = {}
@@ -247,6 +252,8 @@
         else:
             ended_at = max(log.end, handed_in_at)
             seconds = _CriticalPath(trace, log, medians, ended_at).walk()
+            if _main_cause(seconds) is Cause.UNEXPLAINED:
+                unexplained = Unexplained.LOGS_END
     elif not trace.runs and trace.phase == JobPhase.COMPLETED.value:
         is_lost = log.may_lack("run starts", handed_in_at)
         unexplained = Unexplained.LINES_DROPPED if is_lost else Unexplained.NO_RUNS
@@ -273,17 +280,21 @@
 def _why_end_is_unknown(trace: JobTrace, log: _LogPeriod) -> Unexplained | None:
     """Return why the end of an accepted job is not in the logs.
 
-    None if it was still waiting when they end, after a time that shows why.
+    None if it was still waiting or running when they end, after a time that shows why.
     """
     if log.may_lack("job ended", trace.last_known_at()):
         return Unexplained.LINES_DROPPED
     if log.end - (trace.handed_in_at or 0.0) < MIN_JUDGED_S:
         return Unexplained.LOGS_END
-    if trace.waiting_step() is not None:
+    if trace.waiting_step() is not None or _has_unfinished_run(trace):
         return None
-    if _has_unfinished_run(trace):
-        return Unexplained.LOGS_END
-    return Unexplained.LAST_RUN_ENDED if trace.runs else Unexplained.NO_TRACE
+    if trace.runs:
+        return Unexplained.LAST_RUN_ENDED
+    is_lost = any(
+        log.may_lack(message, trace.handed_in_at or 0.0)
+        for message in ("step waits", "run starts")
+    )
+    return Unexplained.LINES_DROPPED if is_lost else Unexplained.NO_TRACE
 
 
 class _CriticalPath:
@@ -310,6 +321,8 @@
         waiting_step = run.step if run is not None else self._first_step()
         if trace.ended_at is None:
             waiting_step = trace.waiting_step() or waiting_step
+            if trace.waiting_step() is None:
+                run = self._last_start([one for one in trace.runs if not one.ended_at])
         while run is not None and self._at > handed_in_at:
             ended_at = min(self._at, run.ended_at or self._at)
             self._add_wait(waiting_step, max(ended_at, handed_in_at))
@@ -346,6 +359,9 @@
             usual_s = self._medians.get((id(self._trace), run.step))
             is_slow = usual_s and self._at - began_at > SLOW_FACTOR * usual_s
             cause = Cause.SLOW_RUN if is_slow else Cause.WORK
+        elif run.ended_at is None and self._trace.ended_at is None:
+            # How a run ends that is under way when the logs end is not known.
+            cause = Cause.UNEXPLAINED
         else:
             cause = _CAUSE_BY_END.get(run.how, Cause.LOST_RUN)
         self._seconds[cause] += max(0.0, self._at - began_at)
--- a/tamarackmount/internal/jsonlog.py
+++ b/tamarackmount/internal/jsonlog.py
@@ -3,7 +3,8 @@
 Writes never block on a slow reader: lines that the stream does not accept are buffered
 up to a limit, and beyond it lines are dropped and counted by message. Lines are given
 up in the order of their :class:`LineClass`: those about runs and waits first, those
-about jobs last. The first record with each error message is never dropped.
+about jobs last. The first record with each error message is never dropped, up to a
+number of such messages.
 """
 
 import logging
@@ -37,6 +38,9 @@
 """Largest number of lines per second about runs and waits, below the total limit so
 that other lines are never given up for them."""
 
+MAX_FIRST_ERRORS = 300
+"""Number of error messages whose first record is never dropped."""
+
 MAX_COUNTERS = 200
 """Number of messages or pairs of message and queue that are counted apart from others;
 bounds the length of a line with counts."""
@@ -89,6 +93,9 @@
 REPORT_FRACTION = 0.5
 """Fraction of the buffer above which counts of lines are kept back."""
 
+_NO_SECOND = -1
+"""A second that is none of a record's."""
+
 _STANDARD_FIELDS = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
 
 
@@ -158,6 +165,13 @@
             self._report_counts(int(self._clock()))
             self._write()
 
+    def close(self) -> None:
+        """Report the counts of the last second, and write what is accepted now."""
+        with self.lock or nullcontext():
+            self._report_counts(_NO_SECOND)
+            self._write()
+        super().close()
+
     def _write(self) -> None:
         while self._lines:
             try:
@@ -178,7 +192,12 @@
     def _accepts(self, record: logging.LogRecord) -> bool:
         """Tell whether to write a record, and count it if not."""
         message = _message(record)
-        if record.levelno >= logging.ERROR and message not in self._seen_errors:
+        is_first_error = (
+            record.levelno >= logging.ERROR
+            and message not in self._seen_errors
+            and len(self._seen_errors) < MAX_FIRST_ERRORS
+        )
+        if is_first_error:
             self._seen_errors.add(message)
             return True
         line_class = _class_of(record.levelno, message)
--- a/tests/test_delays.py
+++ b/tests/test_delays.py
@@ -259,6 +259,13 @@
         ([], Unexplained.NO_TRACE),
         (run("0.0.0", 1, 1.0, 2.0, "done"), Unexplained.LAST_RUN_ENDED),
         ([line(1.0, "run starts", task="0.0.0", run=1)], Unexplained.LOGS_END),
+        (
+            [
+                *run("0.0.0", 1, 1.0, 35.0, "done"),
+                line(35.0, "run starts", task="0.1.0", run=1),
+            ],
+            Unexplained.LOGS_END,
+        ),
         (
             [
                 *run("0.0.0", 1, 1.0, 2.0, "done"),
@@ -311,6 +318,17 @@
     assert delay.took_s == pytest.approx(39.1)
 
 
+def test_a_job_that_runs_at_the_end_of_the_logs_has_the_cause_of_its_long_wait() -> (
+    None
+):
+    delay = lost_job(
+        waits(38.0, started=True, capacity=36.9),
+        line(38.0, "run starts", task="0.0.0", run=1),
+    )
+    assert delay.cause is Cause.CAPACITY
+    assert delay.seconds_by_cause[Cause.UNEXPLAINED] == pytest.approx(2.0)
+
+
 def test_an_older_line_about_a_wait_ends_with_the_start_of_the_step() -> None:
     delay = lost_job(
         line(1.1, "step waits", step="0.0", reason=NO_CAPACITY, waiting=1),
--- a/tests/test_jsonlog.py
+++ b/tests/test_jsonlog.py
@@ -226,3 +226,21 @@
     pipe = PipeLog()
     pipe.handler.handle(logging.makeLogRecord({"levelno": logging.INFO, **fields}))
     assert len(pipe.read()) == 1
+
+
+def test_errors_with_ever_new_texts_are_bounded() -> None:
+    """Guards against a buffer that grows without end, as first errors have no limit."""
+    pipe = PipeLog()
+    for number in range(3_000):
+        pipe.log(f"failed {number} {'x' * 5_000}", logging.ERROR, created=100.0)
+    assert pipe.buffered_bytes < 1.5 * jsonlog.MAX_BUFFERED_BYTES
+
+
+def test_counts_of_the_last_second_are_written_at_the_end() -> None:
+    pipe = PipeLog()
+    for _ in range(jsonlog.MAX_DETAIL_LINES_PER_S + 1):
+        pipe.log("run ended", queue="stock", created=100.0)
+    assert "log lines summed" not in count_messages(pipe.read(at=100.0))
+    pipe.handler.close()
+    (line,) = pipe.read(at=100.0)
+    assert line["counts"] == {"run ended": {"stock": 1}}
