Log handler of tests in a module of its own

Cause: two test files use the handler that writes to a pipe. Change: PipeLog moves from test_jsonlog.py to tests/utils/pipe_log.py. Measured: test_jsonlog.py and test_log_replay.py pass.

--- a/tests/test_log_replay.py
+++ b/tests/test_log_replay.py
@@ -14,7 +14,6 @@
 from tamarackmount.explain import read_lines
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling.accepted_job import AcceptedJob
-from tests.test_jsonlog import PipeLog
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
     SchedulerHarness,
@@ -23,6 +22,7 @@
     worker_entry,
 )
 from tests.utils.load_simulation import LoadSimulation
+from tests.utils.pipe_log import PipeLog
 
 JOBS = 120
 JOBS_PER_S = 24.0
