Keep large workers whole for tasks that need much of one

Cause: tasks on one accelerator each leave a few free on every worker, and a gang of whole workers waits until some are idle. Change: the counting of kept slots moves from urgent_headroom.py to kept_slots.py and is used for large tasks too: those that need more than a quarter of their pool's largest worker in any resource. Other steps with slack leave as many slots free as large tasks used at their peak in the last 30 s beyond the present use, at most a fifth of the pool. The wait reason's text names other work in place of urgent work. Switch-off whole-workers. Seen failing with the large slots off, on 16 workers of 8 accelerators beside two jobs of 16 tasks on one accelerator a second: gangs of three wait up to 8.2 s; with them at most 0.5 s, the other jobs being on time. Measured: 174 tests of the scheduler and the node pass.

--- a/tamarackmount/resources.py
+++ b/tamarackmount/resources.py
@@ -50,3 +50,12 @@
 
 NOTHING = Resources()
 """The empty amount."""
+
+
+def componentwise_maximum(one: Resources, other: Resources) -> Resources:
+    """Return the larger amount of each resource."""
+    return Resources(
+        max(one.millicores, other.millicores),
+        max(one.memory_mib, other.memory_mib),
+        max(one.accelerators, other.accelerators),
+    )
--- a/tamarackmount/scheduling/placement.py
+++ b/tamarackmount/scheduling/placement.py
@@ -43,9 +43,7 @@
         return blocked_steps
     unconfirmed = _services_with_unconfirmed_workers(state)
     reservations = Reservations(state, now)
-    headroom = UrgentHeadroom(
-        state.urgent_use, state.workers_by_incarnation.values(), now
-    )
+    headroom = UrgentHeadroom(state, now)
     for step in sorted(
         state.ready_steps_by_key.values(), key=lambda step: rank(step, now)
     ):
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -15,6 +15,7 @@
     TaskKey,
     WorkerIncarnation,
 )
+from tamarackmount.scheduling.peak_use import PeakUse
 from tamarackmount.scheduling.step_advice import StepAdvice
 
 
@@ -48,7 +49,7 @@
         "no worker is known to be allowed for it, or the permission ended"
     )
     NO_CAPACITY = "no allowed worker has room"
-    HEADROOM = "free capacity of its pool is kept for urgent work"
+    HEADROOM = "free capacity of its pool is kept for other work"
 
 
 @dataclass(slots=True)
@@ -62,8 +63,8 @@
     run, ``stopped_at`` when it confirmed a stop. ``speed_percent`` and
     ``tail_ms_or_millicores`` are those of its newest row in a report. A run that
     ``resumed`` began from a checkpoint. One that ``is_adopted`` was started by a former
-    holder: it began before ``began_at``, which is when this holder learned of it. One
-    that ``is_urgent`` counts towards the urgent use of its pool.
+    holder: it began before ``began_at``, which is when this holder learned of it. It
+    counts towards ``counted_use`` until it ends.
     """
 
     task: TaskKey
@@ -82,7 +83,7 @@
     resumed: bool = False
     is_adopted: bool = False
     is_orphaned: bool = False
-    is_urgent: bool = False
+    counted_use: PeakUse | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -13,11 +13,22 @@
 from tamarackmount.scheduling.fleet_config import FleetConfig, Queue, Workspace
 from tamarackmount.scheduling.forecast import Forecast
 from tamarackmount.scheduling.holder_authority import HolderAuthority
-from tamarackmount.scheduling.model import JobPhase, StepKey, TaskKey, WorkerIncarnation
+from tamarackmount.scheduling.large_tasks import LargeTasks
+from tamarackmount.scheduling.model import (
+    JobPhase,
+    ServiceName,
+    StepKey,
+    TaskKey,
+    WorkerIncarnation,
+)
 from tamarackmount.scheduling.observer import NoObserver, Observer
+from tamarackmount.scheduling.peak_use import (
+    LARGE_PEAK_AGE_S,
+    URGENT_PEAK_AGE_S,
+    PeakUse,
+)
 from tamarackmount.scheduling.ranking import URGENT_PRIORITY, WorkspaceRateLimiter
 from tamarackmount.scheduling.runs import JobState, Run, RunPhase, StepState
-from tamarackmount.scheduling.urgent_use import UrgentUse
 from tamarackmount.scheduling.worker_speeds import LearnedWorkerSpeeds
 from tamarackmount.scheduling.workers import WorkerState
 from tamarackmount.scheduling.write_ahead import WriteAhead
@@ -67,7 +78,9 @@
     observer: Observer = field(default_factory=NoObserver)
     forecast: Forecast = field(default_factory=Forecast)
     duration_spread: DurationSpread = field(default_factory=DurationSpread)
-    urgent_use: UrgentUse = field(default_factory=UrgentUse)
+    urgent_use: PeakUse = field(default_factory=lambda: PeakUse(URGENT_PEAK_AGE_S))
+    large_use: PeakUse = field(default_factory=lambda: PeakUse(LARGE_PEAK_AGE_S))
+    large_tasks: LargeTasks = field(default_factory=LargeTasks)
     worker_speeds: LearnedWorkerSpeeds = field(default_factory=LearnedWorkerSpeeds)
     workspace_rate_limiter: WorkspaceRateLimiter = field(
         default_factory=WorkspaceRateLimiter
@@ -146,14 +159,31 @@
         if not step.pending:
             self.ready_steps_by_key.pop(step.key, None)
         accepted = step.job.accepted
-        if step.job.priority == URGENT_PRIORITY and not step.spec.perpetual:
-            run.is_urgent = True
-            self.urgent_use.add(accepted.service, run.amount, run.began_at)
+        use = self._use_of(step, run.amount, run.began_at)
+        if use is not None:
+            use.add(accepted.service, run.amount, run.began_at)
+            run.counted_use = use
         self.used_by_workspace[accepted.workspace_id] = (
             self.used_by_workspace.get(accepted.workspace_id, NOTHING)
             + run.ceiling_usage
         )
 
+    def is_large(self, service: ServiceName, amount: Resources, now: Instant) -> bool:
+        """Return whether a task needs a large part of its pool's largest workers."""
+        workers = self.workers_by_incarnation.values()
+        return self.large_tasks.is_large(service, amount, workers, now)
+
+    def _use_of(
+        self, step: StepState, amount: Resources, now: Instant
+    ) -> PeakUse | None:
+        """Return the use that a task counts towards, if any."""
+        if step.spec.perpetual:
+            return None
+        if step.job.priority == URGENT_PRIORITY:
+            return self.urgent_use
+        is_large = self.is_large(step.job.accepted.service, amount, now)
+        return self.large_use if is_large else None
+
     def drop_run(self, run: Run, now: Instant) -> None:
         """Remove a run that has ended; make its task pending if it needs a run.
 
@@ -169,8 +199,8 @@
         job = self.jobs_by_id.get(run.task.job_id)
         if job is None:
             return
-        if run.is_urgent:
-            self.urgent_use.remove(job.accepted.service, run.amount)
+        if run.counted_use is not None:
+            run.counted_use.remove(job.accepted.service, run.amount)
         workspace = job.accepted.workspace_id
         self.used_by_workspace[workspace] = (
             self.used_by_workspace.get(workspace, NOTHING) - run.ceiling_usage
--- a/tamarackmount/scheduling/urgent_headroom.py
+++ b/tamarackmount/scheduling/urgent_headroom.py
@@ -1,113 +1,51 @@
-"""Keep capacity of a pool free for urgent work that may come at any moment.
+"""Keep capacity of a pool free for urgent and for large tasks.
 
-Load pattern: bursts of urgent jobs, which have half a second of slack, on a pool that
+Load patterns: bursts of urgent jobs, which have half a second of slack, on a pool that
 long work would fill. A stop takes up to 0.9 s, so preemption comes too late for them.
+Gangs of tasks on whole workers, where tasks on one accelerator each would leave a few
+free on every worker.
 """
 
-from collections.abc import Iterable
-from dataclasses import dataclass, field
+from collections.abc import Sequence
 
 from tamarackmount.ids import Instant
-from tamarackmount.resources import NOTHING, Resources
 from tamarackmount.scheduling.ceilings import NON_URGENT_SLACK_S
-from tamarackmount.scheduling.free_capacity import count_fitting_tasks
-from tamarackmount.scheduling.model import ServiceName, WorkerIncarnation
+from tamarackmount.scheduling.kept_slots import KeptSlots
 from tamarackmount.scheduling.ranking import URGENT_PRIORITY, Tier, tier
 from tamarackmount.scheduling.runs import StepState
-from tamarackmount.scheduling.urgent_use import UrgentUse
+from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.workers import WorkerState
 
-MAX_HEADROOM_DIVISOR = 5
-"""Headroom is at most a pool's capacity divided by this number, without unit."""
-
-
-@dataclass(slots=True)
-class _Pool:
-    """Slots for urgent tasks in one pool: those to keep free and those that are."""
-
-    task: Resources
-    needed: int
-    free: int = 0
-    free_by_worker: dict[WorkerIncarnation, int] = field(default_factory=dict)
-
 
 class UrgentHeadroom:
-    """The headroom of all pools in one round of placement.
+    """What steps that can wait leave free in one round of placement."""
 
-    Slots for an urgent task are counted, not sums of free capacity: a few free cores on
-    each worker are of no use to a larger task. A pool is counted when it is first asked
-    for, and updated by the starts that follow.
-    """
-
-    def __init__(
-        self, urgent_use: UrgentUse, workers: Iterable[WorkerState], now: Instant
-    ) -> None:
+    def __init__(self, state: SchedulerState, now: Instant) -> None:
         """Begin a round."""
-        self._urgent_use = urgent_use
-        self._workers = workers
+        workers = state.workers_by_incarnation.values()
+        self._state = state
         self._now = now
-        self._pool_by_service: dict[ServiceName, _Pool | None] = {}
+        self._urgent = KeptSlots(state.urgent_use, workers, now)
+        self._large = KeptSlots(state.large_use, workers, now)
 
-    def allows(self, step: StepState, chosen: Iterable[WorkerState]) -> bool:
+    def allows(self, step: StepState, chosen: Sequence[WorkerState]) -> bool:
         """Return whether a step may start a task on each of the workers.
 
-        A worker may be listed more than once. A task that takes no slot is allowed.
+        A worker may be listed more than once.
         """
         if not _leaves_headroom(step, self._now):
             return True
-        pool = self._pool(step.job.accepted.service)
-        if pool is None:
+        service, amount = step.job.accepted.service, step.reserved_amount
+        if not self._urgent.allows(service, amount, chosen):
+            return False
+        if self._state.is_large(service, amount, self._now):
             return True
-        free_by_worker: dict[WorkerIncarnation, Resources] = {}
-        for worker in chosen:
-            free = free_by_worker.get(worker.incarnation, worker.free)
-            free_by_worker[worker.incarnation] = free - step.reserved_amount
-        lost = sum(
-            pool.free_by_worker.get(incarnation, 0) - _count_slots(pool.task, free)
-            for incarnation, free in free_by_worker.items()
-        )
-        return lost <= 0 or pool.free - lost >= pool.needed
+        return self._large.allows(service, amount, chosen)
 
     def record_start(self, worker: WorkerState) -> None:
         """Record that a run has started on a worker."""
-        pool = self._pool_by_service.get(worker.entry.service)
-        if pool is None or worker.incarnation not in pool.free_by_worker:
-            return
-        slots = _count_slots(pool.task, worker.free)
-        pool.free += slots - pool.free_by_worker[worker.incarnation]
-        pool.free_by_worker[worker.incarnation] = slots
-
-    def _pool(self, service: ServiceName) -> _Pool | None:
-        """Return a pool, or None if nothing is kept free in it."""
-        if service not in self._pool_by_service:
-            self._pool_by_service[service] = self._count(service)
-        return self._pool_by_service[service]
-
-    def _count(self, service: ServiceName) -> _Pool | None:
-        wanted = self._urgent_use.unused_peak(service, self._now)
-        if wanted is None:
-            return None
-        unused, task = wanted
-        workers = [
-            worker
-            for worker in self._workers
-            if worker.entry.service == service and worker.can_start
-        ]
-        limit = _sum(worker.entry.capacity for worker in workers)
-        kept = Resources(
-            min(unused.millicores, limit.millicores // MAX_HEADROOM_DIVISOR),
-            min(unused.memory_mib, limit.memory_mib // MAX_HEADROOM_DIVISOR),
-            min(unused.accelerators, limit.accelerators // MAX_HEADROOM_DIVISOR),
-        )
-        needed = _count_slots(task, kept)
-        if needed <= 0:
-            return None
-        pool = _Pool(task, needed)
-        for worker in workers:
-            slots = _count_slots(task, worker.free)
-            pool.free_by_worker[worker.incarnation] = slots
-            pool.free += slots
-        return pool
+        self._urgent.record_start(worker)
+        self._large.record_start(worker)
 
 
 def _leaves_headroom(step: StepState, now: Instant) -> bool:
@@ -117,15 +55,3 @@
         return False
     has_slack = now < job.latest_start - NON_URGENT_SLACK_S
     return has_slack or tier(step, now) is Tier.TOO_LATE
-
-
-_MAX_SLOTS = 10_000
-"""Limit of slots on one worker or in one pool, for tasks that need nothing."""
-
-
-def _count_slots(task: Resources, free: Resources) -> int:
-    return count_fitting_tasks(task, free, _MAX_SLOTS, 0)
-
-
-def _sum(amounts: Iterable[Resources]) -> Resources:
-    return sum(amounts, start=NOTHING)
--- a/tests/test_scheduling_urgent_headroom.py
+++ b/tests/test_scheduling_urgent_headroom.py
@@ -5,7 +5,7 @@
 from tamarackmount.ids import Instant
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling.accepted_job import AcceptedJob
-from tamarackmount.scheduling.urgent_use import PEAK_AGE_S, UrgentUse
+from tamarackmount.scheduling.peak_use import URGENT_PEAK_AGE_S, PeakUse
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
     SERVICE,
@@ -133,7 +133,7 @@
     harness = harness_after_a_burst(4)
     harness.submit_job(job(2, step(30, estimated_ms=60_000)))
     harness.answer_starts()
-    harness.tick(PEAK_AGE_S + 1.0)
+    harness.tick(URGENT_PEAK_AGE_S + 1.0)
     assert len(harness.starts) == 4
 
 
@@ -162,10 +162,10 @@
 
 
 def test_present_use_counts_towards_the_peak() -> None:
-    use = UrgentUse()
+    use = PeakUse(URGENT_PEAK_AGE_S)
     use.add(SERVICE, TASK, START)
     use.add(SERVICE, TASK, START)
     assert use.unused_peak(SERVICE, START) == (Resources(), TASK)
     use.remove(SERVICE, TASK)
     assert use.unused_peak(SERVICE, Instant(START + 2.0)) == (TASK, TASK)
-    assert use.unused_peak(SERVICE, Instant(START + PEAK_AGE_S + 1.0)) is None
+    assert use.unused_peak(SERVICE, Instant(START + URGENT_PEAK_AGE_S + 1.0)) is None
--- a/tests/utils/pool_simulation.py
+++ b/tests/utils/pool_simulation.py
@@ -5,7 +5,7 @@
 
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.model import TaskKey, WorkerIncarnation
-from tamarackmount.scheduling.worker_reports import RunEnd, WorkerEntry
+from tamarackmount.scheduling.worker_reports import EndedRun, RunEnd, WorkerEntry
 from tests.utils.build_scheduling import SchedulerHarness, ended_run, worker_report
 
 
@@ -18,6 +18,7 @@
     """
 
     STEP_S = 0.05
+    REPORT_INTERVAL_S = 0.4
 
     def __init__(
         self,
@@ -42,6 +43,7 @@
         self._runs: dict[tuple[TaskKey, int], tuple[WorkerIncarnation, float]] = {}
         self._stopped_at: dict[tuple[TaskKey, int], float] = {}
         self._end_numbers = dict.fromkeys(self._workers, 0)
+        self._next_report_s = 0.0
         self._began_at = harness.now
         harness.register_workers(*workers)
 
@@ -99,27 +101,31 @@
             self._stopped_at.setdefault((stop.task, stop.run_number), stopped_at)
 
     def _report(self) -> None:
-        for incarnation in self._workers:
-            rows = []
-            for key, (where, ends_s) in list(self._runs.items()):
-                if where != incarnation:
-                    continue
-                stopped_s = self._stopped_at.get(key, float("inf"))
-                if min(ends_s, stopped_s) > self.now_s:
-                    continue
-                del self._runs[key]
-                outcome = RunEnd.DONE if ends_s <= stopped_s else RunEnd.STOPPED
-                self._end_numbers[incarnation] += 1
-                number = self._end_numbers[incarnation]
-                rows.append(ended_run(number, *key, outcome))
-                if outcome is RunEnd.DONE:
-                    self._count_done(key[0].job_id)
-            running = tuple(
-                key for key, (where, _) in self._runs.items() if where == incarnation
-            )
-            self.harness.answer_poll(
-                worker_report(running=running, ended=tuple(rows)), incarnation
+        """Let each worker report, if a run of its ended or 0.4 s have passed."""
+        ended: dict[WorkerIncarnation, list[EndedRun]] = {}
+        for key, (where, ends_s) in list(self._runs.items()):
+            stopped_s = self._stopped_at.get(key, float("inf"))
+            if min(ends_s, stopped_s) > self.now_s:
+                continue
+            del self._runs[key]
+            outcome = RunEnd.DONE if ends_s <= stopped_s else RunEnd.STOPPED
+            self._end_numbers[where] += 1
+            row = ended_run(self._end_numbers[where], *key, outcome)
+            ended.setdefault(where, []).append(row)
+            if outcome is RunEnd.DONE:
+                self._count_done(key[0].job_id)
+        is_due = self.now_s >= self._next_report_s
+        if is_due:
+            self._next_report_s = self.now_s + self.REPORT_INTERVAL_S
+        running: dict[WorkerIncarnation, list[tuple[TaskKey, int]]] = {}
+        for key, (where, _) in self._runs.items():
+            running.setdefault(where, []).append(key)
+        for worker in self._workers if is_due else ended:
+            report = worker_report(
+                running=tuple(running.get(worker, ())),
+                ended=tuple(ended.get(worker, ())),
             )
+            self.harness.answer_poll(report, worker)
 
     def _count_done(self, job_id: str) -> None:
         self._left_by_job[job_id] -= 1
--- a/tests/utils/switch_offs.py
+++ b/tests/utils/switch_offs.py
@@ -223,6 +223,17 @@
             ),
         ),
     ),
+    SwitchOff(
+        "whole-workers",
+        "tasks on one accelerator each, beside gangs of whole workers",
+        (
+            _edit(
+                "scheduling/urgent_headroom.py",
+                "return self._large.allows(service, amount, chosen)",
+                "return True",
+            ),
+        ),
+    ),
     SwitchOff(
         "early-claim",
         "the holder is cut off, frozen or turned away by the store",
