Plan reservations by learned speeds, and gangs beside each other

Cause: backfill and the ends of runs were forecast as on a usual worker, so a small task on a slow worker held up a gang. Two gangs were planned on the same workers, and the second one kept capacity idle that it could not use before the first had ended. Change: backfill, expected ends and the drain of a worker use the forecast times the worker's factor. A gang's plan counts what gangs of higher rank will use as used. Reservation has the number of members by worker. Switch-off gang-beside-gang. Seen failing on the earlier code: backfill on a reserved slow worker, and a small task that could have run beside the first of two gangs.

--- a/tamarackmount/scheduling/reservations.py
+++ b/tamarackmount/scheduling/reservations.py
@@ -4,18 +4,22 @@
 steps keep busy. These take each slot as soon as it is free, also one that was freed by
 preemption for a gang, and the gang waits until the whole pool is idle. So the workers
 that have capacity for all members soonest are reserved for it. Other steps use them
-only if they end before the gang can start (backfill), and urgent ones if they fit
-nowhere else.
+only if they end there before the gang can start (backfill), and urgent ones if they
+fit nowhere else. A gang is planned beside those of higher rank, so that no two gangs
+keep parts idle that the other one needs.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Sequence
 
 from tamarackmount.ids import Instant
+from tamarackmount.resources import NOTHING, Resources
 from tamarackmount.scheduling.fleet_config import Queue
 from tamarackmount.scheduling.free_capacity import count_fitting_tasks
 from tamarackmount.scheduling.gang_groups import gang_groups
 from tamarackmount.scheduling.model import WorkerIncarnation
 from tamarackmount.scheduling.ranking import URGENT_PRIORITY, Tier, tier
+from tamarackmount.scheduling.run_ends import expected_duration_s
 from tamarackmount.scheduling.runs import Reservation, Run, StepState, WaitReason
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.worker_choice import eligible_workers
@@ -57,6 +61,7 @@
         self._now = now
         self._count = 0
         self._starts_at_by_worker: dict[WorkerIncarnation, Instant] = {}
+        self._reserved_by_worker: dict[WorkerIncarnation, Resources] = {}
 
     def is_reserved(self, worker: WorkerState) -> bool:
         """Tell whether a worker is reserved for a gang."""
@@ -68,14 +73,16 @@
         """Return the workers on which a step of lower rank may start tasks now."""
         if not self._starts_at_by_worker or step.job.priority == URGENT_PRIORITY:
             return workers
-        ends_at = self._now + self._state.forecast.estimate_s(
+        usual_s = self._state.forecast.estimate_s(
             step.job.accepted.queue_name, step.spec.estimated_ms
         )
-        never = Instant(float("inf"))
+        factor = self._state.worker_speeds.duration_factor
+        starts_at = self._starts_at_by_worker
         return [
             worker
             for worker in workers
-            if ends_at <= self._starts_at_by_worker.get(worker.incarnation, never)
+            if worker.incarnation not in starts_at
+            or self._now + usual_s * factor(worker) <= starts_at[worker.incarnation]
         ]
 
     def update(self, step: StepState, queue: Queue, reason: WaitReason) -> None:
@@ -96,8 +103,12 @@
             return
         if self._fits_limits(step, planned):
             self._count += 1
-            for worker in planned.workers:
+            for worker, count in planned.count_by_worker.items():
                 self._starts_at_by_worker.setdefault(worker, planned.starts_at)
+                reserved = self._reserved_by_worker.get(worker, NOTHING)
+                self._reserved_by_worker[worker] = (
+                    reserved + step.reserved_amount * count
+                )
 
     def _may_reserve(self, step: StepState, reason: WaitReason) -> bool:
         return (
@@ -136,17 +147,18 @@
         slots = [slot for worker in workers for slot in self._slots(step, worker)]
         slots.sort(key=lambda slot: slot[0] + MOVE_MARGIN_S * (slot[2] not in previous))
         missing = step.spec.count
-        chosen: set[WorkerIncarnation] = set()
+        chosen: Counter[WorkerIncarnation] = Counter()
         starts_at = self._now
         for free_at, count, incarnation in slots:
             if missing <= 0:
                 break
-            missing -= count
-            chosen.add(incarnation)
+            taken = min(count, missing)
+            missing -= taken
+            chosen[incarnation] += taken
             starts_at = max(starts_at, free_at)
         if missing > 0:
             return None
-        return Reservation(frozenset(chosen), starts_at, self._now)
+        return Reservation(chosen, starts_at, self._now)
 
     def _slots(
         self, step: StepState, worker: WorkerState
@@ -154,7 +166,8 @@
         """Return when a worker gets how many more slots for the step's tasks."""
         spec = step.spec
         rows = []
-        free = worker.free
+        # What gangs of higher rank will use counts as used from now on.
+        free = worker.free - self._reserved_by_worker.get(worker.incarnation, NOTHING)
         known = 0
         runs = ((self._expected_end(run), run) for run in worker.runs_by_task.values())
         ends = [(self._now, None), *sorted(runs, key=lambda row: row[0])]
@@ -174,7 +187,5 @@
             return self._now
         if step.spec.perpetual:
             return Instant(float("inf"))
-        duration_s = self._state.forecast.estimate_s(
-            step.job.accepted.queue_name, step.spec.estimated_ms
-        )
+        duration_s = expected_duration_s(self._state, step, run)
         return Instant(max(run.began_at + duration_s, self._now + MIN_LEFT_S))
--- a/tamarackmount/scheduling/run_ends.py
+++ b/tamarackmount/scheduling/run_ends.py
@@ -126,6 +126,13 @@
     )
 
 
+def expected_duration_s(state: SchedulerState, step: StepState, run: Run) -> float:
+    """Return the forecast duration of a run on its worker, in seconds."""
+    queue = step.job.accepted.queue_name
+    usual_s = state.forecast.estimate_s(queue, step.spec.estimated_ms)
+    return usual_s * duration_factor(state, step, run)
+
+
 def _learn_from_durations(state: SchedulerState, step: StepState, now: Instant) -> None:
     """Learn the workers' speeds and the spread from a step that is done.
 
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -1,6 +1,7 @@
 """State of jobs, steps and runs as the holder knows it."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -88,12 +89,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Reservation:
-    """Workers that are kept free for a gang, which can probably start ``starts_at``."""
+    """Workers that are kept free for a gang, which can probably start ``starts_at``.
 
-    workers: frozenset[WorkerIncarnation]
+    ``count_by_worker`` is the number of members that each is kept free for.
+    """
+
+    count_by_worker: Mapping[WorkerIncarnation, int]
     starts_at: Instant
     planned_at: Instant
 
+    @property
+    def workers(self) -> AbstractSet[WorkerIncarnation]:
+        """The workers that are kept free."""
+        return self.count_by_worker.keys()
+
 
 @dataclass(slots=True)
 class StepState:
--- a/tamarackmount/scheduling/worker_polls.py
+++ b/tamarackmount/scheduling/worker_polls.py
@@ -6,6 +6,7 @@
 from tamarackmount.scheduling.effects import PollWorker
 from tamarackmount.scheduling.holder_authority import HolderAuthority
 from tamarackmount.scheduling.ranking import URGENT_PRIORITY
+from tamarackmount.scheduling.run_ends import expected_duration_s
 from tamarackmount.scheduling.runs import RunPhase
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.worker_leases import remove_worker
@@ -64,10 +65,7 @@
         if step is None or run.phase is not RunPhase.RUNNING:
             continue
         spec = step.spec
-        queue = step.job.accepted.queue_name
-        left_s = (
-            run.began_at + state.forecast.estimate_s(queue, spec.estimated_ms) - now
-        )
+        left_s = run.began_at + expected_duration_s(state, step, run) - now
         will_finish = left_s * MS_PER_SECOND < worker.entry.drain_left_ms
         if spec.perpetual or (spec.saves_progress and not will_finish):
             state.stop_run(run, now)
--- a/tests/test_scheduling_reservations.py
+++ b/tests/test_scheduling_reservations.py
@@ -1,15 +1,21 @@
 """Gangs on a busy pool: reserved workers, backfill, and urgent jobs beside them."""
 
+import math
+
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling.accepted_job import AcceptedJob
+from tamarackmount.scheduling.journal import ForecastRecord
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
+    START,
     SchedulerHarness,
+    incarnation,
     job,
     step,
     worker_entry,
 )
 from tests.utils.load_simulation import LoadSimulation
+from tests.utils.pool_simulation import PoolSimulation
 
 GANG = job(1, step(3, cores=9, estimated_ms=5_000, gang=True))
 GANG_ARRIVES_S = 6.0
@@ -72,3 +78,53 @@
     for arrives, accepted in urgent:
         assert simulation.first_start_s[accepted.job_id] <= arrives + URGENT_SLACK_S
     assert simulation.first_start_s[GANG.job_id] <= GANG_LATEST_START_S
+
+
+def test_backfill_counts_how_long_a_task_takes_on_the_reserved_worker() -> None:
+    """Guards against small tasks on a slow worker that hold up a gang."""
+    harness = SchedulerHarness(ceiling=Resources())
+    learned = ForecastRecord({}, {"w0": (math.log(2.0), 30.0), "w1": (0.0, 30.0)})
+    harness.scheduler.restore([], [], learned, START, True, START, harness.unix_ms)
+    harness.register_workers(worker_entry("w0", cores=8), worker_entry("w1", cores=8))
+    harness.submit_job(job(1, step(2, cores=5, estimated_ms=3_000)))
+    assert len(harness.answer_starts()) == 2
+    # The gang can start after 6 s, when the slow worker has ended its task.
+    harness.submit_job(job(2, step(2, cores=8, estimated_ms=3_000, gang=True)))
+    harness.submit_job(job(3, step(2, cores=3, estimated_ms=4_000)))
+    assert [row.order.incarnation for row in harness.starts] == [incarnation("w1")]
+
+
+def test_a_gang_does_not_count_on_workers_that_another_will_use() -> None:
+    """Guards against capacity that is kept idle for a gang that waits for another."""
+    harness = SchedulerHarness(ceiling=Resources())
+    harness.register_workers(
+        *(worker_entry(f"w{number:02}", cores=8) for number in range(23))
+    )
+    harness.submit_job(job(1, step(20, cores=8, estimated_ms=60_000)))
+    harness.submit_job(job(2, step(3, cores=5, estimated_ms=10_000)))
+    assert len(harness.answer_starts()) == 23
+    # In 10 s there are three workers: the first gang takes two, the other needs three.
+    first = job(3, step(2, cores=8, estimated_ms=5_000, gang=True))
+    other = job(4, step(3, cores=8, estimated_ms=6_000, gang=True))
+    harness.submit_job(first)
+    harness.submit_job(other)
+    harness.submit_job(job(5, step(3, cores=3, estimated_ms=14_000)))
+    assert len(harness.starts) == 1
+
+
+def test_two_gangs_that_fit_only_one_after_the_other_both_start() -> None:
+    """Guards against two gangs that each keep a part free that the other one needs."""
+    harness = SchedulerHarness(ceiling=Resources())
+    workers = [worker_entry(f"w{number}", cores=8) for number in range(4)]
+    simulation = PoolSimulation(harness, workers)
+    gangs = [
+        (1.0 + 0.1 * number, job(1 + number, step(3, cores=8, gang=True)))
+        for number in range(4)
+    ]
+    small = [
+        (0.3 * number, job(100 + number, step(2, cores=2, estimated_ms=1_500)))
+        for number in range(40)
+    ]
+    simulation.run_until([*gangs, *small], 25.0)
+    for arrives, accepted in gangs:
+        assert simulation.done_s[accepted.job_id] - arrives <= 4.0 * 1.0 + 3.0
--- a/tests/utils/switch_offs.py
+++ b/tests/utils/switch_offs.py
@@ -234,6 +234,18 @@
             ),
         ),
     ),
+    SwitchOff(
+        "gang-beside-gang",
+        "two gangs wait for workers that suffice for one",
+        (
+            _edit(
+                "scheduling/reservations.py",
+                "free = worker.free - self._reserved_by_worker.get(worker.incarnation,"
+                " NOTHING)",
+                "free = worker.free",
+            ),
+        ),
+    ),
     SwitchOff(
         "early-claim",
         "the holder is cut off, frozen or turned away by the store",
