--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -1,6 +1,7 @@
 """State of jobs, steps and runs as the holder knows it."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, field
 from enum import Enum
 from math import inf
@@ -16,6 +17,7 @@
     TaskKey,
     WorkerIncarnation,
 )
+from tamarackmount.scheduling.peak_use import PeakUse
 from tamarackmount.scheduling.step_advice import StepAdvice
 
 
@@ -49,7 +51,7 @@
         "no worker is known to be allowed for it, or the permission ended"
     )
     NO_CAPACITY = "no allowed worker has room"
-    HEADROOM = "free capacity of its pool is kept for urgent work"
+    HEADROOM = "free capacity of its pool is kept for other work"
 
 
 @dataclass(slots=True)
@@ -78,8 +80,8 @@
     run, ``stopped_at`` when it confirmed a stop. ``speed_percent`` and
     ``tail_ms_or_millicores`` are those of its newest row in a report. A run that
     ``resumed`` began from a checkpoint. One that ``is_adopted`` was started by a former
-    holder: it began before ``began_at``, which is when this holder learned of it. One
-    that ``is_urgent`` counts towards the urgent use of its pool.
+    holder: it began before ``began_at``, which is when this holder learned of it. It
+    counts towards ``counted_use`` until it ends.
     """
 
     task: TaskKey
@@ -98,17 +100,25 @@
     resumed: bool = False
     is_adopted: bool = False
     is_orphaned: bool = False
-    is_urgent: bool = False
+    counted_use: PeakUse | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Reservation:
-    """Workers that are kept free for a gang, which can probably start ``starts_at``."""
+    """Workers that are kept free for a gang, which can probably start ``starts_at``.
 
-    workers: frozenset[WorkerIncarnation]
+    ``count_by_worker`` is the number of members that each is kept free for.
+    """
+
+    count_by_worker: Mapping[WorkerIncarnation, int]
     starts_at: Instant
     planned_at: Instant
 
+    @property
+    def workers(self) -> AbstractSet[WorkerIncarnation]:
+        """The workers that are kept free."""
+        return self.count_by_worker.keys()
+
 
 @dataclass(slots=True)
 class StepState:
--- a/tests/utils/switch_offs.py
+++ b/tests/utils/switch_offs.py
@@ -245,6 +245,29 @@
             ),
         ),
     ),
+    SwitchOff(
+        "whole-workers",
+        "tasks on one accelerator each, beside gangs of whole workers",
+        (
+            _edit(
+                "scheduling/urgent_headroom.py",
+                "return self._large.allows(service, amount, chosen)",
+                "return True",
+            ),
+        ),
+    ),
+    SwitchOff(
+        "gang-beside-gang",
+        "two gangs wait for workers that suffice for one",
+        (
+            _edit(
+                "scheduling/reservations.py",
+                "free = worker.free - self._reserved_by_worker.get(worker.incarnation,"
+                " NOTHING)",
+                "free = worker.free",
+            ),
+        ),
+    ),
     SwitchOff(
         "early-claim",
         "the holder is cut off, frozen or turned away by the store",
