Keep urgent headroom only where stops take longer than urgent jobs can wait

Cause: what is new has to take effect only where a deployment's settings call for it. Where a stop is quicker than the slack of urgent queues, preemption frees capacity in time, and headroom would leave capacity idle. Change: the platform's bound for a stop reaches the scheduler; headroom is kept in pools of an urgent queue whose target is shorter than it. Seen failing: the new test with the bound ignored (8 starts in place of 10).

--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -103,6 +103,7 @@
             dependencies.workers, claimed.epoch, self._may_send, self._start_answered
         )
         self.scheduler = Scheduler(claimed.epoch, self._find_job, dependencies.metrics)
+        self.scheduler.set_stop_timeout(dependencies.stop_timeout_ms)
         self.scheduler.set_fleet_config(fleet, clock.now())
         callbacks = WriterCallbacks(
             self._take_batch,
--- a/tamarackmount/node/holder_dependencies.py
+++ b/tamarackmount/node/holder_dependencies.py
@@ -28,4 +28,5 @@
     peer_calls: PeerCalls
     metrics: NodeMetrics
     status_retention_s: float
+    stop_timeout_ms: int
     store_silence_s: Callable[[], float]
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -267,6 +267,7 @@
             context.peer_calls,
             context.metrics,
             context.settings.bounds.status_retention_s,
+            context.settings.bounds.stop_timeout_ms,
             self._store_contact.silence_s,
         )
 
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -141,6 +141,10 @@
         """Add the duration of a task that ended before this holder began."""
         self._state.forecast.add_sample(queue, estimated_ms, took_s)
 
+    def set_stop_timeout(self, stop_timeout_ms: int) -> None:
+        """Set the longest time that a worker takes to stop a run, in milliseconds."""
+        self._state.stop_timeout_ms = stop_timeout_ms
+
     def set_advice_concurrency(self, max_concurrent: int) -> None:
         """Set the number of entry VMs that can request advice."""
         self._advice_requests.max_concurrent = max(1, max_concurrent)
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -45,6 +45,9 @@
 
 _log = logging.getLogger(__name__)
 
+DEFAULT_STOP_TIMEOUT_MS = 1_000
+"""Longest time that a stop may take, in milliseconds, until the settings tell it."""
+
 STOP_RETRY_S = 0.2
 """Minimum time between two stop orders for one run, in seconds; an order takes
 milliseconds."""
@@ -78,7 +81,8 @@
     phases that the store holds; callers are told of no others. ``used_by_workspace`` is
     what counts towards each workspace's ceiling, ``used_by_pool`` the capacity that its
     runs reserve in each pool, by queue. ``shares`` are those of the last round.
-    ``superseded`` is set once a worker has refused this holder's fencing token.
+    ``superseded`` is set once a worker has refused this holder's fencing token. A stop
+    takes at most ``stop_timeout_ms``.
     """
 
     fencing_token: Epoch
@@ -120,6 +124,7 @@
     check_stragglers_at: Instant = Instant(0.0)
     evacuated_data_centres: frozenset[DataCentreId] = frozenset()
     superseded: bool = False
+    stop_timeout_ms: int = DEFAULT_STOP_TIMEOUT_MS
 
     def emit(self, effect: Effect) -> None:
         """Queue an effect for the node to carry out."""
--- a/tamarackmount/scheduling/urgent_headroom.py
+++ b/tamarackmount/scheduling/urgent_headroom.py
@@ -1,7 +1,7 @@
 """Keep capacity of a pool free for urgent and for large tasks.
 
 Load patterns: bursts of urgent jobs, which have half a second of slack, on a pool that
-long work would fill. A stop takes up to 0.9 s, so preemption comes too late for them.
+long work would fill. Where a stop may take longer than that, preemption comes too late.
 Gangs of tasks on whole workers, where tasks on one accelerator each would leave a few
 free on every worker.
 """
@@ -11,6 +11,7 @@
 from tamarackmount.ids import Instant
 from tamarackmount.scheduling.ceilings import NON_URGENT_SLACK_S
 from tamarackmount.scheduling.kept_slots import KeptSlots
+from tamarackmount.scheduling.model import ServiceName
 from tamarackmount.scheduling.ranking import URGENT_PRIORITY, Tier, tier
 from tamarackmount.scheduling.runs import StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
@@ -26,6 +27,7 @@
         self._state = state
         self._now = now
         self._urgent = KeptSlots(state.urgent_use, workers, now)
+        self._is_preemption_late_by_service: dict[ServiceName, bool] = {}
         self._large = KeptSlots(state.large_use, workers, now)
 
     def allows(self, step: StepState, chosen: Sequence[WorkerState]) -> bool:
@@ -36,12 +38,31 @@
         if not _leaves_headroom(step, self._now):
             return True
         service, amount = step.job.accepted.service, step.reserved_amount
-        if not self._urgent.allows(service, amount, chosen):
+        if self._is_preemption_late(service) and not self._urgent.allows(
+            service, amount, chosen
+        ):
             return False
         if self._state.is_large(service, amount, self._now):
             return True
         return self._large.allows(service, amount, chosen)
 
+    def _is_preemption_late(self, service: ServiceName) -> bool:
+        """Return whether a stop may outlast the slack of a pool's urgent jobs.
+
+        Where it does not, preemption frees capacity in time and nothing is kept free.
+        """
+        is_late = self._is_preemption_late_by_service.get(service)
+        if is_late is None:
+            config = self._state.fleet_config
+            queues = config.queues_by_name.values() if config is not None else ()
+            is_late = any(
+                queue.target_ms < self._state.stop_timeout_ms
+                for queue in queues
+                if queue.service == service and queue.priority == URGENT_PRIORITY
+            )
+            self._is_preemption_late_by_service[service] = is_late
+        return is_late
+
     def record_start(self, worker: WorkerState) -> None:
         """Record that a run has started on a worker."""
         self._urgent.record_start(worker)
--- a/tests/test_scheduling_urgent_headroom.py
+++ b/tests/test_scheduling_urgent_headroom.py
@@ -6,14 +6,17 @@
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.peak_use import URGENT_PEAK_AGE_S, PeakUse
+from tamarackmount.scheduling.worker_reports import RunEnd
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
     SERVICE,
     START,
     SchedulerHarness,
+    ended_run,
     job,
     step,
     worker_entry,
+    worker_report,
 )
 from tests.utils.pool_simulation import PoolSimulation
 
@@ -169,3 +172,19 @@
     use.remove(SERVICE, TASK)
     assert use.unused_peak(SERVICE, Instant(START + 2.0)) == (TASK, TASK)
     assert use.unused_peak(SERVICE, Instant(START + URGENT_PEAK_AGE_S + 1.0)) is None
+
+
+def test_no_headroom_is_kept_where_stops_are_quicker_than_urgent_jobs_need() -> None:
+    # Guards against idle capacity in deployments that preempt in time.
+    for stop_timeout_ms, is_kept in ((200, False), (900, True)):
+        harness = SchedulerHarness(ceiling=Resources())
+        harness.scheduler.set_stop_timeout(stop_timeout_ms)
+        harness.register_workers(worker_entry("w1", cores=10))
+        harness.submit_job(job(1, step(2), in_queue=HIGH_PRIORITY))
+        rows = [
+            ended_run(number, start.order.task, start.order.run_number, RunEnd.DONE)
+            for number, start in enumerate(harness.answer_starts(), 1)
+        ]
+        harness.answer_poll(worker_report(ended=tuple(rows)))
+        harness.submit_job(job(2, step(10, estimated_ms=9_000, saves_progress=True)))
+        assert len(harness.starts) == (8 if is_kept else 10)
