Let the soak evacuate data centres; describe an emptied data centre

Change: the soak's workers are in two data centres, which an operator of its own evacuates and returns at random, also all at once and with values that can't be read. A start there is a violation from 5 s after the record on, or 11 s while faults are in effect or ended less than 4 s ago. Faults are drawn as before.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -14,6 +14,7 @@
 
 from tamarackmount.resources import Resources
 from tests.soak.callers import HOST, Callers
+from tests.soak.evacuations import Evacuations
 from tests.soak.fault_injector import FaultInjector
 from tests.soak.invariants import InvariantChecker
 from tests.soak.node_process import BackEndPorts, NodeProcess
@@ -28,6 +29,7 @@
 MAX_WIND_DOWN_S = 40.0
 END_CHECK_INTERVAL_S = 0.5
 CEILING_MILLICORES = 24_000
+ZONES = ("a", "b")
 WORKSPACES = ("retail", "design", "press")
 CONFIG_KEY = "config"
 
@@ -70,6 +72,10 @@
             self._proxy_by_worker,
             self._store,
             self._change_config,
+            self.checker.fault_injected,
+        )
+        self.evacuations = Evacuations(
+            reactor, options.seed + 3, ZONES, self._store, self.checker
         )
 
     def run(self) -> None:
@@ -84,12 +90,14 @@
             node.start()
         self._reactor.callLater(CALLERS_START_DELAY_S, self.callers.start, JOBS_PER_S)
         self._reactor.callLater(CALLERS_START_DELAY_S + 1.0, self.fault_injector.start)
+        self._reactor.callLater(CALLERS_START_DELAY_S + 1.0, self.evacuations.start)
         self._reactor.callLater(self._options.minutes * 60.0, self._wind_down)
         self._reactor.addSystemEventTrigger("after", "shutdown", self._kill_nodes)
         self._reactor.run()
 
     def _wind_down(self) -> None:
         self.fault_injector.stop()
+        self.evacuations.stop()
         self.callers.stop()
         deadline = self._reactor.seconds() + MAX_WIND_DOWN_S
         checks = LoopingCall(lambda: self._stop_if_finished(deadline))
@@ -110,6 +118,7 @@
         worker = WorkerServer(
             reactor,
             f"w{number}",
+            ZONES[number % len(ZONES)],
             self._store,
             self.checker,
             self._options.seed + number,
@@ -173,6 +182,10 @@
         "ended": sum(bool(job.final_state) for job in jobs),
         "starts": soak.checker.start_count,
         "answers": soak.callers.answer_count_by_status,
+        "evacuations": soak.evacuations.count,
+        "latest_start_after_evacuation_s": round(
+            max(soak.checker.starts_after_evacuation_s, default=0.0), 2
+        ),
         "faults": soak.fault_injector.injected,
         "own_ends": unexpected_exits,
         "breaches": soak.checker.violations,
--- a/tests/soak/fault_injector.py
+++ b/tests/soak/fault_injector.py
@@ -26,14 +26,19 @@
         workers: dict[WorkerServer, Proxy],
         store: StoreServer,
         change_config: Callable[[], None],
+        on_fault: Callable[[float], None],
     ) -> None:
-        """Prepare to draw faults from ``seed``."""
+        """Prepare to draw faults from ``seed``.
+
+        ``on_fault`` is called with the time until which a fault is in effect.
+        """
         self._reactor = reactor
         self._rng = random.Random(seed)
         self._nodes = nodes
         self._workers = workers
         self._store = store
         self._change_config = change_config
+        self._on_fault = on_fault
         self._started_at = reactor.seconds()
         self._is_stopped = False
         self.injected: list[str] = []
@@ -67,6 +72,7 @@
         duration_s = self._rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
         at_s = self._reactor.seconds() - self._started_at
         self.injected.append(f"{at_s:.1f} s {kind} for {duration_s:.1f} s")
+        self._on_fault(self._reactor.seconds() + duration_s)
         self._kinds[kind](duration_s)
         delay_s = self._rng.expovariate(1 / MEAN_INTERVAL_S)
         self._reactor.callLater(delay_s, self.start)
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -14,6 +14,17 @@
 The users set this bound.
 """
 
+EVACUATION_S = 5.0
+"""Time after an evacuation within which tasks may start there, in seconds, if nothing
+was disturbed for ``CALM_S``."""
+
+MAX_STRETCH_S = 6.0
+"""Time beyond that which the users allow while the store or the nodes are disturbed, in
+seconds."""
+
+CALM_S = 4.0
+"""Time without a fault after which the nodes count as undisturbed, in seconds."""
+
 TaskKey = tuple[str, int, int]
 """Job id, step number and index of a task."""
 
@@ -71,9 +82,37 @@
         self.violations: list[str] = []
         self.start_count = 0
         self.reported_done: set[TaskKey] = set()
+        self.starts_after_evacuation_s: list[float] = []
         self._ceiling_by_workspace = ceiling_by_workspace
         self._runs_by_task: dict[TaskKey, list[SoakRun]] = defaultdict(list)
         self._usage_by_workspace: dict[str, Resources] = {}
+        self._evacuated_at_by_zone: dict[str, float] = {}
+        self._faults_end_at = float("-inf")
+
+    def fault_injected(self, ends_at: float) -> None:
+        """Record a fault that is in effect until ``ends_at``."""
+        self._faults_end_at = max(self._faults_end_at, ends_at)
+
+    def zone_evacuated(self, zone: str, now: float) -> None:
+        """Record that the store has the operator's record of an evacuation."""
+        self._evacuated_at_by_zone.setdefault(zone, now)
+
+    def zone_taken_back(self, zone: str) -> None:
+        """Record that the operator's record was removed."""
+        self._evacuated_at_by_zone.pop(zone, None)
+
+    def check_zone(self, run: SoakRun, zone: str, now: float) -> None:
+        """Check that a run may start in a data centre."""
+        evacuated_at = self._evacuated_at_by_zone.get(zone)
+        if evacuated_at is None:
+            return
+        self.starts_after_evacuation_s.append(now - evacuated_at)
+        is_calm = now >= self._faults_end_at + CALM_S
+        allowed_s = EVACUATION_S + (0.0 if is_calm else MAX_STRETCH_S)
+        if now > evacuated_at + allowed_s:
+            self.report_violation(
+                "EVACUATED", f"{run} started in {zone} {now - evacuated_at:.1f} s after"
+            )
 
     def report_violation(self, rule: str, detail: str) -> None:
         """Record the violation of a rule."""
--- a/tests/soak/worker_server.py
+++ b/tests/soak/worker_server.py
@@ -69,6 +69,7 @@
         self,
         reactor: Any,
         name: str,
+        zone: str,
         store: StoreServer,
         checker: InvariantChecker,
         seed: int,
@@ -77,6 +78,7 @@
         super().__init__()  # type: ignore[no-untyped-call]
         self._reactor = reactor
         self._name = name
+        self._zone = zone
         self._store = store
         self._checker = checker
         self._rng = random.Random(seed)
@@ -136,7 +138,7 @@
         entry = {
             "service": "counter",
             "address": self.address,
-            "zone": "a",
+            "zone": self._zone,
             "version": "1",
             "slots": 8,
             "state": "ready",
@@ -192,6 +194,7 @@
         self._incarnation.active_by_task[task] = _ActiveRun(run, now + work_s, outcome)
         self._incarnation.highest_run_by_task[task] = run.number
         self._checker.run_started(run, body["spec"], now)
+        self._checker.check_zone(run, self._zone, now)
         self._check_capacity()
 
     def _check_capacity(self) -> None:
--- a/tests/utils/switch_offs.py
+++ b/tests/utils/switch_offs.py
@@ -67,6 +67,22 @@
             ),
         ),
     ),
+    SwitchOff(
+        "cold-workers",
+        "an evacuated data centre is returned, and tasks take longer there at first",
+        (
+            _edit(
+                "scheduling/placement.py",
+                "            worker.is_cold(capacity_index.now),\n",
+                "",
+            ),
+            _edit(
+                "scheduling/placement.py",
+                "[worker for worker in unreserved if not worker.is_cold(now)]",
+                "unreserved + 0 * [now]",
+            ),
+        ),
+    ),
     SwitchOff(
         "suspected-workers",
         "a worker is cut off, and orders go to it until a second poll fails",
