Give refused callers retry times in order, and count what was promised to them

Cause: callers of one workspace who were refused within a moment got one retry time with jitter, returned together, and were overtaken by newcomers. Change: returns.py keeps, per workspace, pool and urgency, when each refused caller should return, one job's work apart. A job that has to wait counts the promised work ahead of it; one for which capacity is free is accepted all the same. Promises expire 3 s after their time, and there are at most 5,000. The holder rounds these times up instead of adding jitter, which would break the order; refusals of unfit jobs keep their jitter. Tests: tests/test_scheduling_returns.py; with promises switched off, a newcomer is accepted before a caller who was told to return.

--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -26,7 +26,7 @@
 )
 from tamarackmount.platform.workers import PollRequest
 from tamarackmount.scheduling.accepted_job import AcceptedJob
-from tamarackmount.scheduling.admission import Refusal, add_jitter
+from tamarackmount.scheduling.admission import Refusal, whole_retry_s
 from tamarackmount.scheduling.effects import (
     AskAdvice,
     Effect,
@@ -209,7 +209,7 @@
         """Store a caller's record with the next append, if admission allows it."""
         refusal = self._check_admission(record)
         if refusal is not None:
-            retry_after_s = add_jitter(refusal.retry_after_s, self._rng)
+            retry_after_s = whole_retry_s(refusal, self._rng)
             return StoreResult(StoreOutcome.REFUSED, retry_after_s)
         return StoreResult(await self._writer.add(record))
 
--- a/tamarackmount/scheduling/admission.py
+++ b/tamarackmount/scheduling/admission.py
@@ -5,7 +5,7 @@
 take longer than the job may wait, on the whole pool, within its workspace's share of it
 or within its ceiling; such a job would only take capacity from others. Both are refused
 at once, with the time after which to retry: in the second case, when the work ahead
-fits into the time that the job may wait. Jitter keeps callers from returning together.
+fits into the time that the job may wait, in order of refusal (see :mod:`returns`).
 
 Only workers that may start tasks count, and work ahead that fits into free capacity
 delays nobody: while steps wait for tickets of the advice service, for example, their
@@ -13,6 +13,7 @@
 refused. The forecast, see :mod:`drain_forecast`, is corrected by observed waits.
 """
 
+import math
 import random
 from dataclasses import dataclass
 from enum import Enum
@@ -21,6 +22,8 @@
 from tamarackmount.resources import NOTHING
 from tamarackmount.scheduling.ceilings import ceiling_parts
 from tamarackmount.scheduling.drain_forecast import STOP_TIME_S, DrainForecast
+from tamarackmount.scheduling.ranking import URGENT_PRIORITY
+from tamarackmount.scheduling.returns import ReturnPool
 from tamarackmount.scheduling.runs import JobState, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.worker_choice import could_run
@@ -81,21 +84,50 @@
     max_wait_s = max(job.latest_start - now, STOP_TIME_S)
     if not state.forecast.has_enough_samples(job.accepted.queue_name):
         max_wait_s *= UNSURE_FACTOR
-    wait_s = _forecast_wait_s(forecast, job, now)
+    wait_s = _forecast_wait_s(state, forecast, job, now)
     if wait_s > max_wait_s:
         forecast.renew(now)
-        wait_s = _forecast_wait_s(forecast, job, now)
+        wait_s = _forecast_wait_s(state, forecast, job, now)
+    pool = _return_pool(job)
     if wait_s <= max_wait_s:
         forecast.add_accepted(job, now)
+        state.returns.fulfil(pool, job.job_id)
         return None
-    retry_s = max(1.0, wait_s - max_wait_s)
+    retry_s = state.returns.refuse(
+        pool, job.job_id, wait_s - max_wait_s, forecast.work_s(job, now), now
+    )
     return Refusal(RefusalReason.BACKLOG, retry_s)
 
 
-def _forecast_wait_s(forecast: DrainForecast, job: JobState, now: Instant) -> float:
-    """Return how long a job waits, in seconds, and note it in the job uncorrected."""
+def _forecast_wait_s(
+    state: SchedulerState, forecast: DrainForecast, job: JobState, now: Instant
+) -> float:
+    """Return how long a job waits, in seconds, and note it in the job uncorrected.
+
+    A job that has to wait comes behind those whose callers were told to return.
+    """
     job.forecast_wait_s = forecast.wait_s(job, now)
-    return forecast.corrected_s(job, job.forecast_wait_s)
+    if job.forecast_wait_s <= 0:
+        return job.forecast_wait_s
+    pool = _return_pool(job)
+    promised_s = state.returns.work_ahead_s(pool, job.job_id, now)
+    return forecast.corrected_s(job, job.forecast_wait_s) + promised_s
+
+
+def _return_pool(job: JobState) -> ReturnPool:
+    accepted = job.accepted
+    is_urgent = job.priority == URGENT_PRIORITY
+    return ReturnPool(accepted.service, accepted.workspace_id, is_urgent)
+
+
+def whole_retry_s(refusal: Refusal, rng: random.Random) -> int:
+    """Return the retry time of a refused job in whole seconds.
+
+    Times that are in order of refusal are rounded up; others get jitter.
+    """
+    if refusal.reason is RefusalReason.BACKLOG:
+        return max(1, math.ceil(refusal.retry_after_s))
+    return add_jitter(refusal.retry_after_s, rng)
 
 
 def add_jitter(retry_after_s: float, rng: random.Random) -> int:
--- a/tamarackmount/scheduling/drain_forecast.py
+++ b/tamarackmount/scheduling/drain_forecast.py
@@ -172,6 +172,22 @@
             return 0.0
         return _work_s(own, capacity, NOTHING) / entitled
 
+    def work_s(self, job: JobState, now: Instant) -> float:
+        """Return how long a job's work fills its workspace's part of the pool."""
+        accepted = job.accepted
+        capacity = self._current_sums(now).capacity_by_service.get(accepted.service)
+        if capacity is None:
+            return 0.0
+        own = Backlog()
+        for step in job.steps_by_key.values():
+            task_s = self._state.forecast.estimate_s(
+                accepted.queue_name, step.spec.estimated_ms
+            )
+            count = step.spec.count
+            own.add_tasks(step.reserved_amount, count, task_s, has_claim=False)
+        entitled = self._state.shares.entitled(accepted.workspace_id, accepted.service)
+        return _work_s(own, capacity, NOTHING) / (entitled or 1.0)
+
     def workspace_wait_s(self, job: JobState, now: Instant) -> float:
         """Return how long the work ahead keeps a job's workspace at its ceiling."""
         workspace = self._state.workspace_of_job(job)
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -22,6 +22,7 @@
 )
 from tamarackmount.scheduling.observer import NoObserver, Observer
 from tamarackmount.scheduling.ranking import URGENT_PRIORITY, WorkspaceRateLimiter
+from tamarackmount.scheduling.returns import Returns
 from tamarackmount.scheduling.runs import JobState, Run, RunPhase, StepState
 from tamarackmount.scheduling.shares import CapacityShares, WorkspaceShares
 from tamarackmount.scheduling.urgent_peaks import UrgentPeaks
@@ -120,6 +121,7 @@
     workspace_rate_limiter: WorkspaceRateLimiter = field(
         default_factory=WorkspaceRateLimiter
     )
+    returns: Returns = field(default_factory=Returns)
     wait_correction: WaitCorrection = field(default_factory=WaitCorrection)
     urgent_peaks: UrgentPeaks = field(default_factory=UrgentPeaks)
     non_urgent_fraction_by_workspace: dict[WorkspaceId, float] = field(
--- a/tests/utils/switch_offs.py
+++ b/tests/utils/switch_offs.py
@@ -190,6 +190,17 @@
             ),
         ),
     ),
+    SwitchOff(
+        "ordered-returns",
+        "many callers of one workspace are refused within a moment",
+        (
+            _edit(
+                "scheduling/returns.py",
+                "        if self._count < MAX_PROMISES:",
+                "        if False:",
+            ),
+        ),
+    ),
     SwitchOff(
         "forecast",
         "callers' estimates are far off",
