Count refused jobs by workspace and pool, and give out the rows of shares

Cause: metrics need per workspace and pool what is entitled, used, lent, borrowed, waiting and refused. Change: Scheduler.share_rows() returns the rows of the last round, with refusals counted since the holder began.

--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from tamarackmount.ids import Epoch, Instant, JobId, QueueName
 from tamarackmount.scheduling.accepted_job import AcceptedJob
@@ -39,6 +39,7 @@
 from tamarackmount.scheduling.runs import JobState, StepState, make_job
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.share_round import mark_new_steps, update_shares
+from tamarackmount.scheduling.shares import ShareRow
 from tamarackmount.scheduling.step_advice import AdviceAnswer
 from tamarackmount.scheduling.store_batches import Batch, StoreBatcher
 from tamarackmount.scheduling.stragglers import handle_stragglers
@@ -185,6 +186,7 @@
         self._apply_queue_settings(job)
         refusal = admit(state, self._drain_forecast, job, now)
         if refusal is not None:
+            state.refused_by_pool[accepted.service, accepted.workspace_id] += 1
             extra = {
                 "job": accepted.job_id,
                 "team": accepted.workspace_id,
@@ -197,6 +199,10 @@
             self._remember_forecast(job)
         return refusal
 
+    def share_rows(self) -> Sequence[ShareRow]:
+        """Return what each workspace has of each pool, as of the last round."""
+        return self._state.shares.rows()
+
     def cancel_job(self, job_id: JobId, now: Instant, unix_ms: int) -> None:
         """End a job whose cancellation is stored."""
         job = self._state.jobs_by_id.get(job_id)
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -121,6 +121,9 @@
     workspace_rate_limiter: WorkspaceRateLimiter = field(
         default_factory=WorkspaceRateLimiter
     )
+    refused_by_pool: Counter[tuple[ServiceName, WorkspaceId]] = field(
+        default_factory=Counter
+    )
     returns: Returns = field(default_factory=Returns)
     wait_correction: WaitCorrection = field(default_factory=WaitCorrection)
     urgent_peaks: UrgentPeaks = field(default_factory=UrgentPeaks)
--- a/tamarackmount/scheduling/share_round.py
+++ b/tamarackmount/scheduling/share_round.py
@@ -57,7 +57,7 @@
         service: share_pool(capacities[service], demands)
         for service, demands in demands_by_service.items()
     }
-    state.shares = CapacityShares(pools)
+    state.shares = CapacityShares(pools, state.refused_by_pool)
     for (service, workspace), steps in waiting_by_pool.items():
         shares = pools.get(service)
         if shares is not None and shares.is_limited(workspace):
--- a/tests/test_scheduling_shares.py
+++ b/tests/test_scheduling_shares.py
@@ -8,6 +8,7 @@
 
 from tamarackmount.ids import WorkspaceId
 from tamarackmount.resources import Resources
+from tamarackmount.scheduling.fleet_config import Workspace
 from tamarackmount.scheduling.scheduler import SHARES_INTERVAL_S
 from tamarackmount.scheduling.shares import (
     Amounts,
@@ -154,6 +155,33 @@
     assert not state.shares.is_over_share(small, SERVICE)
 
 
+def two_workspaces() -> SchedulerHarness:
+    """Return a pool of eight cores and two workspaces with the same weight."""
+    harness = SchedulerHarness()
+    base = fleet_config(2)
+    workspaces = {
+        WorkspaceId(name): Workspace(WorkspaceId(name), 10.0, Resources())
+        for name in ("borrower", "lender")
+    }
+    harness.scheduler.set_fleet_config(
+        replace(base, workspaces_by_id=workspaces), harness.now
+    )
+    harness.register_workers(worker_entry("w1", cores=8))
+    return harness
+
+
+def test_refused_jobs_are_counted_by_workspace_and_pool() -> None:
+    harness = two_workspaces()
+    accepted = replace(job(1, step(1, 99)), workspace_id=WorkspaceId("lender"))
+    assert harness.scheduler.check_admission(accepted, harness.now) is not None
+    fitting = replace(job(2), workspace_id=WorkspaceId("lender"))
+    harness.submit_job(fitting)
+    harness.tick(SHARES_INTERVAL_S)
+    (row,) = harness.scheduler.share_rows()
+    assert (row.workspace, row.service, row.refused) == ("lender", SERVICE, 1)
+    assert row.used == pytest.approx(1 / 8)
+
+
 def test_the_counted_use_of_pools_returns_to_nothing() -> None:
     replay = ContentionReplay([worker_entry(f"w{n}") for n in range(2)], {"a": 1.0})
     replay.run(poisson_arrivals("a", 2.0, (0.0, 3.0), step(4), 1, False), 20.0)
