Read suspected and reserved workers once per choice of a worker

Cause: the key of each candidate worker asked two objects for what does not change during the choice, and the ranks by speed add a look-up to it.

--- a/tamarackmount/scheduling/placement.py
+++ b/tamarackmount/scheduling/placement.py
@@ -322,12 +322,14 @@
         worker for worker in fitting if worker.entry.rack == step.spec.rack
     ] or fitting
     data_centre = _data_centre_of_job(step, near, capacity_index)
+    suspected = capacity_index.suspected_data_centres
+    reserved = reservations.reserved_workers
     return min(
         near,
         key=lambda worker: (
-            worker.entry.data_centre in capacity_index.suspected_data_centres,
-            reservations.is_reserved(worker),
-            (rank := ranks.get(worker.incarnation, NEUTRAL_RANK))[0],
+            (entry := worker.entry).data_centre in suspected,
+            entry.incarnation in reserved,
+            (rank := ranks.get(entry.incarnation, NEUTRAL_RANK))[0],
             worker.entry.data_centre != data_centre,
             rank[1],
             _remaining(worker.free, amount),
--- a/tamarackmount/scheduling/reservations.py
+++ b/tamarackmount/scheduling/reservations.py
@@ -11,6 +11,7 @@
 
 from collections import Counter
 from collections.abc import Iterable, Sequence
+from collections.abc import Set as AbstractSet
 
 from tamarackmount.ids import Instant
 from tamarackmount.resources import NOTHING, Resources
@@ -63,6 +64,11 @@
         self._starts_at_by_worker: dict[WorkerIncarnation, Instant] = {}
         self._reserved_by_worker: dict[WorkerIncarnation, Resources] = {}
 
+    @property
+    def reserved_workers(self) -> AbstractSet[WorkerIncarnation]:
+        """The workers that are reserved for a gang."""
+        return self._starts_at_by_worker.keys()
+
     def is_reserved(self, worker: WorkerState) -> bool:
         """Tell whether a worker is reserved for a gang."""
         return worker.incarnation in self._starts_at_by_worker
