Remove registrations of VMs that left, and dial them rarely

Cause: registrations in keyed.nodes were never removed, and each node dialled each registered address twice a second for good.

Change: after about a minute of failed attempts the delay of a link doubles up to 5 s; a peer that sends a message is dialled at once. A node that reads the removal of its own registration registers again.

--- a/tamarackmount/internal/links.py
+++ b/tamarackmount/internal/links.py
@@ -35,6 +35,18 @@
 MAX_RECONNECT_DELAY_S = 0.5
 """Longest delay between attempts to connect to a peer, without jitter, in seconds."""
 
+USUAL_ATTEMPTS = 120
+"""Number of failed attempts in a row after which the delay doubles with each further
+one: about a minute, in which a VM that was replaced is back."""
+
+MAX_ABSENT_DELAY_S = 5.0
+"""Longest delay between attempts to connect to a peer that has been unreachable for
+long, without jitter, in seconds: after a partition all peers are connected within it.
+A peer that sends a message is dialled at once."""
+
+MAX_DOUBLINGS = 10
+"""Number of doublings of the delay, which bounds the exponent."""
+
 RECONNECT_JITTER_S = 0.1
 """Largest random addition to that delay, in seconds."""
 
@@ -176,14 +188,15 @@
         endpoint: Any = TCP4ClientEndpoint(
             reactor, address.host, address.port, timeout=CONNECT_TIMEOUT_S
         )
-        policy = backoffPolicy(
+        self._failed_attempts = 0
+        self._usual_delay_s = backoffPolicy(
             initialDelay=0.1, maxDelay=MAX_RECONNECT_DELAY_S, jitter=_jitter_s
         )
         factory: Any = _OutboundFactory()
         self._service = ClientService(
             endpoint,
             factory,
-            retryPolicy=policy,
+            retryPolicy=self._delay_s,
             clock=reactor,
             prepareConnection=self._on_connected,
         )
@@ -201,9 +214,21 @@
     def stop(self) -> None:
         self._service.stopService()
 
+    @property
+    def is_rarely_dialled(self) -> bool:
+        return not self.is_open and self._failed_attempts > USUAL_ATTEMPTS
+
     def _on_connected(self, protocol: _Outbound) -> None:
+        self._failed_attempts = 0
         self._protocol = protocol
 
+    def _delay_s(self, failed_attempts: int) -> float:
+        """Return the delay before the next attempt, in seconds."""
+        self._failed_attempts = failed_attempts
+        doublings = min(max(0, failed_attempts - USUAL_ATTEMPTS), MAX_DOUBLINGS)
+        delay_s = self._usual_delay_s(failed_attempts) * 2.0**doublings
+        return min(delay_s, MAX_ABSENT_DELAY_S + _jitter_s())
+
 
 def _jitter_s() -> float:
     return random.uniform(0, RECONNECT_JITTER_S)
@@ -225,7 +250,7 @@
         self._member_id = member_id
         self._addresses_by_id = addresses_by_id
         self._codec = codec
-        self._receive = receive
+        self._receive_message = receive
         self._connections_by_id: dict[MemberId, _PeerConnection] = {}
         self._port: Any = None
         self.counters = LinkCounters()
@@ -266,6 +291,13 @@
         for connection in self._connections_by_id.values():
             connection.stop()
 
+    def _receive(self, envelope: Envelope[M]) -> None:
+        connection = self._connections_by_id.get(envelope.sender)
+        if connection is not None and connection.is_rarely_dialled:
+            self.forget(envelope.sender)
+            self._connection_to(envelope.sender)
+        self._receive_message(envelope)
+
     def _connection_to(self, to: MemberId) -> _PeerConnection | None:
         connection = self._connections_by_id.get(to)
         if connection is None and to in self._addresses_by_id:
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -15,6 +15,7 @@
 from tamarackmount.internal.links import PeerLinks
 from tamarackmount.node import clock
 from tamarackmount.node.context import JOBS_TOPIC, NodeContext
+from tamarackmount.node.departed_nodes import DepartedNodes
 from tamarackmount.node.hedged_advice import reply_to
 from tamarackmount.node.holder_dependencies import HolderDependencies
 from tamarackmount.node.holder_election import HolderElection
@@ -139,6 +140,9 @@
         self._election = HolderElection(
             self._context, self._registry, self._follower, self._holder_dependencies
         )
+        self._departed_nodes = DepartedNodes(
+            self._context, self._registry, lambda: self._election.holder is not None
+        )
         self._store_contact = StoreContact(
             reactor, self._last_store_answers, self._election.tail.read_now
         )
@@ -182,6 +186,7 @@
     def start_claiming(self) -> None:
         """Start claiming the holder role whenever this node is next in rank."""
         self._election.start()
+        self._departed_nodes.start()
 
     @property
     def follows_jobs(self) -> bool:
--- a/tamarackmount/node/node_registry.py
+++ b/tamarackmount/node/node_registry.py
@@ -10,6 +10,7 @@
 from tamarackmount.ids import DataCentreId, Instant, MemberId
 from tamarackmount.internal.addresses import Address as PeerAddress
 from tamarackmount.node.context import NodeContext
+from tamarackmount.node.tasks import spawn
 from tamarackmount.node.topic_tail import TopicTail
 from tamarackmount.platform.store import Appended, KeyedRecord, Topic
 from tamarackmount.scheduling.holder_watch import Candidate
@@ -57,12 +58,13 @@
         self._context = context
         self._addresses_by_id = addresses_by_id
         self._records_by_node: dict[MemberId, NodeRecord] = {}
+        self._is_registered = False
         self.on_read: Callable[[], None] = lambda: None
         self.tail = TopicTail(
             context.reactor,
             context.store,
             NODES_TOPIC,
-            self._apply_records,
+            self._apply_snapshot,
             self._apply_records,
             NODES_READ_WAIT_MS,
             0.0,
@@ -99,12 +101,26 @@
             deadline = Instant(context.reactor.seconds() + REGISTER_TIMEOUT_S)
             result = await context.store.append(NODES_TOPIC, [record], deadline)
             if isinstance(result, Appended):
+                self._is_registered = True
                 return
             _log.info(
                 "node registration not stored; retrying", extra={"reason": str(result)}
             )
             await deferLater(context.reactor, REGISTER_TIMEOUT_S, lambda: None)
 
+    def _apply_snapshot(self, records: Sequence[KeyedRecord]) -> None:
+        """Apply the latest record of each key; nodes without one were removed."""
+        for node in self._records_by_node.keys() - {record.key for record in records}:
+            self._remove(node)
+        self._apply_records(records)
+
+    def _register_again(self) -> None:
+        """Register again after this node's registration was removed."""
+        if self._is_registered:
+            self._is_registered = False
+            _log.info("node registration was removed; registering again")
+            spawn(self.register())
+
     def _apply_records(self, records: Sequence[KeyedRecord]) -> None:
         for record in records:
             node = MemberId(record.key)
@@ -117,6 +133,10 @@
 
     def _remove(self, node: MemberId) -> None:
         self._records_by_node.pop(node, None)
+        if node == self._context.node_id:
+            self._register_again()
+            return
+        self._addresses_by_id.pop(node, None)
         self._context.peer_calls.peers.discard(node)
         self._context.links.forget(node)
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,6 +4,7 @@
 from tamarackmount.internal.addresses import Address
 from tamarackmount.internal.codec import MAX_MESSAGE_BYTES, Envelope
 from tamarackmount.internal.links import (
+    MAX_ABSENT_DELAY_S,
     MAX_RECONNECT_DELAY_S,
     RECONNECT_JITTER_S,
     PeerLinks,
@@ -94,3 +95,36 @@
     make_receiver(network)
     network.elapse(MAX_RECONNECT_DELAY_S + RECONNECT_JITTER_S + 2 * STEP_S)
     assert sender.send(MemberId("b"), MESSAGE)
+
+
+def test_peer_that_is_away_for_long_is_dialled_less_and_less_often() -> None:
+    network = MemoryNetwork()
+    network.dead_ports.add(PORT)
+    sender = make_sender(network)
+    sender.send(MemberId("b"), MESSAGE)
+    network.elapse(300.0)
+    tries_before = len(network.tcpClients)
+    network.elapse(60.0)
+    tries = len(network.tcpClients) - tries_before
+    assert tries <= 60.0 / MAX_ABSENT_DELAY_S
+    assert tries >= 60.0 / (MAX_ABSENT_DELAY_S + 1.0) - 1
+
+
+def test_peer_that_sends_a_message_is_dialled_at_once() -> None:
+    # Guards against a VM that returned and is not reached for as long as the delay.
+    network = MemoryNetwork()
+    network.dead_ports.add(PORT)
+    received: list[Envelope[PeerMessage]] = []
+    addresses = {MemberId("b"): Address(HOST, PORT)}
+    links = PeerLinks(network, MemberId("a"), addresses, MEMBER_CODEC, received.append)
+    links.listen(Address(HOST, PORT + 1))
+    links.send(MemberId("b"), MESSAGE)
+    network.elapse(300.0)
+    network.dead_ports.clear()
+    make_receiver(network)
+    client = network.connect(PORT + 1)
+    data = MEMBER_CODEC.encode(Envelope(MemberId("b"), MESSAGE))
+    client.write(len(data).to_bytes(4, "big") + data)
+    network.elapse(3 * STEP_S)
+    assert len(received) == 1
+    assert links.is_open(MemberId("b"))
