Odd values in replies and messages end no process

Cause: numbers in a worker's report were taken as they came. A task with a negative step raised IndexError when its run was adopted, a huge clock gave a lease end that could not be encoded in the next poll, and both stop the process of the holder. A run end of an unknown kind made the whole report unusable, so that a healthy worker counted as silent. An error while a message of another node was answered stopped the process, as did a record with a key that the store can't take.

Change: numbers in reports are bounded, and a report with an impossible one is rejected as a whole (without its row the report would say that the task does not run). An unknown run end counts as a failure and is logged. Keys and offsets of the store and worker ids of advice are checked. Answers to other nodes' messages run in `spawn_answer`, which logs an error and goes on; records that the store can't take are not passed on to it.

--- a/tamarackmount/node/job_service.py
+++ b/tamarackmount/node/job_service.py
@@ -38,8 +38,8 @@
     StoreResult,
     Submissions,
 )
-from tamarackmount.node.tasks import spawn
-from tamarackmount.platform.store import KeyedRecord, encoded_bytes
+from tamarackmount.node.tasks import spawn_answer
+from tamarackmount.platform.store import MAX_KEY_BYTES, KeyedRecord, encoded_bytes
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.admission import add_jitter
 from tamarackmount.scheduling.fleet_config import FleetConfig, Queue
@@ -373,7 +373,7 @@
             self._election.holder.handle_cancel_stored(JobId(message.job_id))
 
     def _handle_phase_query(self, sender: MemberId, query: PhaseQuery) -> None:
-        spawn(self._answer_phase_query(sender, query))
+        spawn_answer(self._answer_phase_query(sender, query))
 
     async def _answer_phase_query(self, sender: MemberId, query: PhaseQuery) -> None:
         job_id = JobId(query.job_id)
@@ -399,12 +399,20 @@
         self._context.links.send(sender, WaitingReply(query.call_id, is_known, count))
 
     def _handle_store_query(self, sender: MemberId, query: StoreQuery) -> None:
-        spawn(self._answer_store_query(sender, query))
+        spawn_answer(self._answer_store_query(sender, query))
+
+    def _can_store(self, record: KeyedRecord) -> bool:
+        """Tell whether the store can take a record that another node sent."""
+        max_bytes = self._context.store.max_record_bytes
+        return (
+            0 < len(record.key.encode()) <= MAX_KEY_BYTES
+            and encoded_bytes(record) <= max_bytes
+        )
 
     async def _answer_store_query(self, sender: MemberId, query: StoreQuery) -> None:
         result = NOT_STORED_RESULT
-        if self._election.holder is not None:
-            record = KeyedRecord(query.key, query.value)
+        record = KeyedRecord(query.key, query.value)
+        if self._election.holder is not None and self._can_store(record):
             result = await self._election.holder.store(record)
             if result.outcome is StoreOutcome.STORED:
                 self.apply_records([record])
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -37,7 +37,7 @@
 from tamarackmount.node.node_registry import NodeRegistry
 from tamarackmount.node.peer_calls import PeerCalls, QueryReply
 from tamarackmount.node.store_contact import StoreContact
-from tamarackmount.node.tasks import spawn
+from tamarackmount.node.tasks import spawn, spawn_answer
 from tamarackmount.node.topic_tail import TopicTail
 from tamarackmount.platform.advice import AdviceClient
 from tamarackmount.platform.boot import BootSettings
@@ -304,7 +304,7 @@
         handler(envelope.sender, envelope.message)
 
     def _handle_store_age_query(self, sender: MemberId, query: StoreAgeQuery) -> None:
-        spawn(self._answer_store_age_query(sender, query))
+        spawn_answer(self._answer_store_age_query(sender, query))
 
     async def _answer_store_age_query(
         self, sender: MemberId, query: StoreAgeQuery
@@ -315,7 +315,7 @@
         self._context.links.send(sender, StoreAgeReply(query.call_id, age_ms))
 
     def _handle_advice_query(self, sender: MemberId, query: AdviceQuery) -> None:
-        spawn(self._answer_advice_query(sender, query))
+        spawn_answer(self._answer_advice_query(sender, query))
 
     def _handle_reply(self, _sender: MemberId, reply: QueryReply) -> None:
         self._context.peer_calls.handle_reply(reply)
--- a/tamarackmount/node/tasks.py
+++ b/tamarackmount/node/tasks.py
@@ -10,6 +10,12 @@
 T = TypeVar("T")
 
 _log = logging.getLogger(__name__)
+
+
+def _log_failed_answer(failure: TwistedFailure) -> None:
+    _log.error("message not answered: unexpected error", exc_info=failure.value)
+
+
 _fatal_error_callbacks: list[Callable[[], None]] = []
 
 
@@ -24,6 +30,16 @@
     return running.addErrback(_handle_fatal_error)
 
 
+def spawn_answer(task: "Coroutine[Deferred[Any], Any, T]") -> "Deferred[T | None]":
+    """Run a task that answers a message of another node.
+
+    An exception that it does not handle is logged and the message gets no answer: one
+    message must not stop the process.
+    """
+    running: Deferred[Any] = ensureDeferred(task)
+    return running.addErrback(_log_failed_answer)
+
+
 def first_result(
     reactor: Any, call: "Awaitable[T]", timeout_s: float, default: T
 ) -> "Deferred[T]":
--- a/tamarackmount/platform/advice.py
+++ b/tamarackmount/platform/advice.py
@@ -47,7 +47,7 @@
             raw = orjson.loads(result.body)
             # ``good`` lists pairs of a worker's id and its ticket.
             tickets = tuple(
-                WorkerTicket(WorkerId(row[0]), str(row[1])) for row in raw["good"]
+                WorkerTicket(WorkerId(str(row[0])), str(row[1])) for row in raw["good"]
             )
             return AdviceAnswer(tickets, float(raw["validityMs"]))
         except (AttributeError, IndexError, KeyError, TypeError, ValueError):
--- a/tamarackmount/platform/config.py
+++ b/tamarackmount/platform/config.py
@@ -35,7 +35,13 @@
     """Return the configuration, or an error message if it can't be decoded."""
     try:
         return Success(_decode(orjson.loads(text)))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+    ) as error:
         return Failure(f"{type(error).__name__}: {error}")
 
 
--- a/tamarackmount/platform/store.py
+++ b/tamarackmount/platform/store.py
@@ -51,6 +51,9 @@
 DEFAULT_MAX_RECORD_BYTES = 256 * 1024
 """Maximum size of one record, in bytes, if the settings name none."""
 
+MAX_KEY_BYTES = 255
+"""Maximum length of a record's key, in bytes; its length is one byte."""
+
 _PARTITION = 0
 _RECORD_LENGTH = struct.Struct(">I")
 _READ_HEADER = struct.Struct(">QQ")
@@ -277,6 +280,7 @@
     AttributeError,
     IndexError,
     KeyError,
+    OverflowError,
     TypeError,
     ValueError,
     struct.error,
@@ -293,13 +297,21 @@
 def _decode_latest_page(page: Mapping[str, Any]) -> LatestRecordsPage:
     records = [
         KeyedRecord(
-            item["key"], base64.b64decode(item["value"]), Offset(item["offset"])
+            _text(item["key"]),
+            base64.b64decode(item["value"]),
+            Offset(int(item["offset"])),
         )
         for item in page["items"]
     ]
     return LatestRecordsPage(records, bool(page["more"]), Offset(int(page["end"])))
 
 
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"expected a text, got {type(value).__name__}")
+    return value
+
+
 def _decode_append_reply(result: CallResult) -> AppendResult:
     if isinstance(result, CallError):
         return _call_error(result)
--- a/tamarackmount/platform/workers.py
+++ b/tamarackmount/platform/workers.py
@@ -1,5 +1,6 @@
 """Decode the registrations of workers, and send orders and polls to workers."""
 
+import logging
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum
@@ -39,7 +40,14 @@
     """Return a worker's registration, or an error message if it is not valid."""
     try:
         return _decode_entry(WorkerId(worker_id), orjson.loads(text))
-    except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        LookupError,
+        OverflowError,
+    ) as error:
         return Failure(f"{type(error).__name__}: {error}")
 
 
@@ -65,7 +73,7 @@
             rack=RackId(labels[-1]) if labels else RackId(""),
             capacity=decode_resources(raw["capacity"]),
             is_draining=state == _DRAINING,
-            drain_left_ms=int(raw.get("drainRemainingMs", 0)),
+            drain_left_ms=min(MAX_COUNT, max(0, int(raw.get("drainRemainingMs", 0)))),
         )
     )
 
@@ -80,6 +88,16 @@
 }
 
 
+MAX_COUNT = 2**53
+"""Largest number accepted from a worker; all larger ones are errors, and orders and
+records that were computed from them could not be encoded."""
+
+MAX_LOGGED_CHARS = 80
+"""Maximum length of a worker's text in a log line."""
+
+_log = logging.getLogger(__name__)
+
+
 class _ConflictReason(Enum):
     """Reasons why a worker rejects an order with status 409."""
 
@@ -223,7 +241,35 @@
 
 def _decode_task(name: str) -> TaskKey:
     job_id, occurrence, step, index = name.split(".")
-    return TaskKey(JobId(job_id), int(occurrence), int(step), int(index))
+    return TaskKey(JobId(job_id), _count(occurrence), _count(step), _count(index))
+
+
+def _count(value: Any) -> int:
+    """Return a number from 0 to ``MAX_COUNT``; raise ``ValueError`` otherwise."""
+    number = int(value)
+    if not 0 <= number <= MAX_COUNT:
+        raise ValueError(f"expected a number from 0 to {MAX_COUNT}, got {number}")
+    return number
+
+
+def _clock_ms(value: Any) -> int:
+    """Return a clock reading, which may be negative; raise as :func:`_count`."""
+    reading = int(value)
+    return reading if reading < 0 and -reading <= MAX_COUNT else _count(reading)
+
+
+def _run_end(value: Any, task: TaskKey) -> RunEnd:
+    """Return how a run ended; an end of an unknown kind counts as a failure.
+
+    The run is over in any case. Without its end, the report could not be used, and the
+    worker would count as silent for a value that a later version adds.
+    """
+    try:
+        return RunEnd(value)
+    except ValueError:
+        extra = {"job": task.job_id, "value": str(value)[:MAX_LOGGED_CHARS]}
+        _log.warning("run end of unknown kind; taken as failed", extra=extra)
+        return RunEnd.FAILED
 
 
 def _decode_order_result(result: CallResult) -> OrderResult:
@@ -252,12 +298,19 @@
     try:
         raw = orjson.loads(result.body)
         return WorkerReport(
-            born_unix_ms=int(raw["born"]) if "born" in raw else None,
-            clock_ms=int(raw["clockMs"]),
+            born_unix_ms=_count(raw["born"]) if "born" in raw else None,
+            clock_ms=_clock_ms(raw["clockMs"]),
             running=_decode_running(raw.get("running", ())),
             ended=_decode_ended(raw.get("ended", ())),
         )
-    except (AttributeError, IndexError, KeyError, TypeError, ValueError):
+    except (
+        AttributeError,
+        IndexError,
+        KeyError,
+        OverflowError,
+        TypeError,
+        ValueError,
+    ):
         return PollFailure.UNHEALTHY
 
 
@@ -265,12 +318,12 @@
     return tuple(
         RunningRun(
             task=_decode_task(row[0]),
-            run_number=int(row[1]),
+            run_number=_count(row[1]),
             checkpoint=str(row[2]),
-            speed_percent=int(row[3]),
+            speed_percent=_count(row[3]),
             # The tail latency of a serving task in milliseconds; for any other
             # task, the processor time that it uses in thousandths of a core.
-            tail_ms_or_millicores=int(row[4]) if len(row) > 4 else 0,
+            tail_ms_or_millicores=_count(row[4]) if len(row) > 4 else 0,
         )
         for row in rows
     )
@@ -279,10 +332,10 @@
 def _decode_ended(rows: Sequence[Sequence[Any]]) -> tuple[EndedRun, ...]:
     return tuple(
         EndedRun(
-            end_number=int(row[0]),
+            end_number=_count(row[0]),
             task=_decode_task(row[1]),
-            run_number=int(row[2]),
-            outcome=RunEnd(row[3]),
+            run_number=_count(row[2]),
+            outcome=_run_end(row[3], _decode_task(row[1])),
             checkpoint=str(row[4]) if len(row) > 4 else "",
         )
         for row in rows
