A suspended holder gives no lease by an expired authority

Cause: a tick and a stored batch checked the authority and then read the clock. A process that was suspended in between renewed leases from the time at which it resumed, up to 5 s beyond what the next holder assumes. Replies about the store counted from when they were read; those that waited in a socket during a suspension restored the full authority of a holder that had been replaced.

Change: the time is read before the authority is checked, so that leases begin while the authority was valid, and a reply counts from when its query was sent.

Two mutations are added; `make mutants` was not run.

--- a/tamarackmount/node/authority_check.py
+++ b/tamarackmount/node/authority_check.py
@@ -21,7 +21,7 @@
 """Interval between two rounds of queries, in seconds."""
 
 REPLY_TTL_S = 1.0
-"""Time for which a reply is used, in seconds."""
+"""Time from a query for which its reply is used, in seconds."""
 
 
 class AuthorityCheck:
@@ -47,13 +47,15 @@
                 spawn(self._query(peer))
         recent_ages_ms = [
             age_ms
-            for received_at, age_ms in self._replies_by_node.values()
-            if now - received_at <= REPLY_TTL_S
+            for sent_at, age_ms in self._replies_by_node.values()
+            if now - sent_at <= REPLY_TTL_S
         ]
         return holder_authority(heartbeat_age_s, len(self._peers.peers), recent_ages_ms)
 
     async def _query(self, peer: MemberId) -> None:
+        # A reply may be read long after it was made, if this process was suspended.
+        sent_at = clock.now()
         query = StoreAgeQuery(self._peers.next_call_id())
         reply = await self._peers.call(peer, query, QUERY_INTERVAL_S)
         if isinstance(reply, StoreAgeReply):
-            self._replies_by_node[peer] = (clock.now(), reply.age_ms)
+            self._replies_by_node[peer] = (sent_at, reply.age_ms)
--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -265,8 +265,11 @@
         if self._is_stopped:
             return
         self.scheduler.set_advice_concurrency(self._advice.available_concurrency())
+        # Read before the authority is checked: if the process is suspended in between,
+        # leases begin at a time at which the authority was valid.
+        now = clock.now()
         self._update_authority()
-        self.scheduler.tick(clock.now(), clock.unix_ms())
+        self.scheduler.tick(now, clock.unix_ms())
         for effect in self.scheduler.take_effects():
             self._execute(effect)
         self._remove_expired_jobs()
@@ -378,8 +381,9 @@
         return self.scheduler.take_batch(clock.now(), clock.unix_ms())
 
     def _batch_stored(self, batch: Batch) -> None:
+        now = clock.now()
         self._update_authority()
-        self.scheduler.batch_stored(batch, clock.now())
+        self.scheduler.batch_stored(batch, now)
         self._schedule_tick()
 
     def _registrations_changed(self, entries: list[WorkerEntry]) -> None:
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -39,6 +39,20 @@
 
 
 MUTANTS = (
+    Mutant(
+        "the time of a tick is read before the authority is checked",
+        "node/holder.py",
+        "self.scheduler.tick(now, clock.unix_ms())",
+        "self.scheduler.tick(clock.now(), clock.unix_ms())",
+        "tests/test_suspended_holder.py",
+    ),
+    Mutant(
+        "replies read after a suspension do not count",
+        "node/authority_check.py",
+        "self._replies_by_node[peer] = (sent_at, reply.age_ms)",
+        "self._replies_by_node[peer] = (clock.now(), reply.age_ms)",
+        "tests/test_suspended_holder.py",
+    ),
     Mutant(
         "a report that a newer one overtook is not handled",
         "scheduling/worker_leases.py",
