--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -15,6 +15,7 @@
 from tamarackmount.internal.links import PeerLinks
 from tamarackmount.node import clock
 from tamarackmount.node.context import JOBS_TOPIC, NodeContext
+from tamarackmount.node.departed_nodes import DepartedNodes
 from tamarackmount.node.evacuation_watch import EvacuationWatch
 from tamarackmount.node.hedged_advice import reply_to
 from tamarackmount.node.holder_dependencies import HolderDependencies
@@ -38,7 +39,7 @@
 from tamarackmount.node.node_registry import NodeRegistry
 from tamarackmount.node.peer_calls import PeerCalls, QueryReply
 from tamarackmount.node.store_contact import StoreContact
-from tamarackmount.node.tasks import spawn
+from tamarackmount.node.tasks import spawn, spawn_answer
 from tamarackmount.node.topic_tail import TopicTail
 from tamarackmount.platform.advice import AdviceClient
 from tamarackmount.platform.boot import BootSettings
@@ -158,6 +159,9 @@
             self._evacuations,
             self._holder_dependencies,
         )
+        self._departed_nodes = DepartedNodes(
+            self._context, self._registry, lambda: self._election.holder is not None
+        )
         self._store_contact = StoreContact(
             reactor, self._last_store_answers, self._election.tail.read_now
         )
@@ -202,6 +206,7 @@
     def start_claiming(self) -> None:
         """Start claiming the holder role whenever this node is next in rank."""
         self._election.start()
+        self._departed_nodes.start()
 
     @property
     def follows_jobs(self) -> bool:
@@ -359,7 +364,7 @@
         handler(envelope.sender, envelope.message)
 
     def _handle_store_age_query(self, sender: MemberId, query: StoreAgeQuery) -> None:
-        spawn(self._answer_store_age_query(sender, query))
+        spawn_answer(self._answer_store_age_query(sender, query))
 
     async def _answer_store_age_query(
         self, sender: MemberId, query: StoreAgeQuery
@@ -372,7 +377,7 @@
         self._tell_evacuations(sender, self._evacuations.changes())
 
     def _handle_advice_query(self, sender: MemberId, query: AdviceQuery) -> None:
-        spawn(self._answer_advice_query(sender, query))
+        spawn_answer(self._answer_advice_query(sender, query))
 
     def _handle_reply(self, _sender: MemberId, reply: QueryReply) -> None:
         self._context.peer_calls.handle_reply(reply)
