Refuse no urgent job for promises to other urgent callers

Cause: promises to refused urgent callers, most of whom never return, were counted as work ahead of every further one. Change: urgent jobs don't count promised work.

--- a/tamarackmount/scheduling/admission.py
+++ b/tamarackmount/scheduling/admission.py
@@ -104,14 +104,17 @@
 ) -> float:
     """Return how long a job waits, in seconds, and note it in the job uncorrected.
 
-    A job that has to wait comes behind those whose callers were told to return.
+    A job that has to wait comes behind those whose callers were told to return. Urgent
+    jobs don't: their callers wait for a second, and most of them never return.
     """
     job.forecast_wait_s = forecast.wait_s(job, now)
     if job.forecast_wait_s <= 0:
         return job.forecast_wait_s
+    wait_s = forecast.corrected_s(job, job.forecast_wait_s)
+    if job.priority == URGENT_PRIORITY:
+        return wait_s
     pool = _return_pool(job)
-    promised_s = state.returns.work_ahead_s(pool, job.job_id, now)
-    return forecast.corrected_s(job, job.forecast_wait_s) + promised_s
+    return wait_s + state.returns.work_ahead_s(pool, job.job_id, now)
 
 
 def _return_pool(job: JobState) -> ReturnPool:
--- a/tests/test_scheduling_returns.py
+++ b/tests/test_scheduling_returns.py
@@ -86,6 +86,24 @@
     assert len({whole_retry_s(unfit, rng) for _ in range(50)}) > 3
 
 
+def test_promises_to_urgent_callers_cause_no_further_refusal() -> None:
+    # Callers who never return would otherwise shut out all others of a burst.
+    harness = SchedulerHarness(ceiling=Resources())
+    harness.register_workers(worker_entry("w1", cores=8))
+    for number in range(8):
+        accepted = job(
+            100 + number, step(1, estimated_ms=4_000), in_queue=HIGH_PRIORITY
+        )
+        harness.submit_job(accepted)
+    harness.answer_starts()
+    check = harness.scheduler.check_admission
+    for number in range(20):
+        wide = job(200 + number, step(8, estimated_ms=1_000), in_queue=HIGH_PRIORITY)
+        assert check(wide, harness.now) is not None
+    small = job(1, step(1, estimated_ms=1_000), in_queue=HIGH_PRIORITY)
+    assert check(small, harness.now) is None
+
+
 def test_a_caller_who_returns_in_time_is_not_overtaken_by_a_newcomer() -> None:
     harness = SchedulerHarness(ceiling=Resources())
     harness.register_workers(worker_entry("w1", cores=8))
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -56,8 +56,8 @@
     Mutant(
         "newcomers count the work that was promised to earlier callers",
         "scheduling/admission.py",
-        "job.forecast_wait_s) + promised_s",
-        "job.forecast_wait_s) + 0 * promised_s",
+        "return wait_s + state.returns.work_ahead_s(pool, job.job_id, now)",
+        "return wait_s",
         "tests/test_scheduling_returns.py",
     ),
     Mutant(
