--- a/tests/utils/contention_replay.py
+++ b/tests/utils/contention_replay.py
@@ -42,7 +42,8 @@
 class Outcome:
     """What callers got: numbers of jobs by how they ended.
 
-    A job is late if it ended within three times its target time, or has not ended.
+    A job is late if it ended within three times its target time, and too late if it
+    ended after that or not at all.
     """
 
     on_time: int = 0
