--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -66,6 +66,27 @@
         "elif worker.needs_extra_poll and not worker.extra_poll_in_flight:",
         "elif worker.needs_extra_poll:",
     ),
+    Mutant(
+        "runs that ended use nothing of their pool",
+        "scheduling/scheduler_state.py",
+        "            load.add(run, -1, step.spec.is_preemptible)\n",
+        "",
+        "tests/test_scheduling_contention.py",
+    ),
+    Mutant(
+        "no workspace exceeds its ceiling, whatever is observed",
+        "scheduling/ceilings.py",
+        "not limit or in_use + per_task * count <= limit * fraction",
+        "True",
+        "tests/test_scheduling_contention.py",
+    ),
+    Mutant(
+        "newcomers count the work that was promised to earlier callers",
+        "scheduling/admission.py",
+        "return wait_s + state.returns.work_ahead_s(pool, job.job_id, now)",
+        "return wait_s",
+        "tests/test_scheduling_returns.py",
+    ),
     Mutant(
         "no job is refused while capacity for it has just become free",
         "scheduling/admission.py",
