--- a/tamarackmount/node/hedged_advice.py
+++ b/tamarackmount/node/hedged_advice.py
@@ -28,6 +28,14 @@
 through another node, in seconds. Network latency and a busy entry VM take a third of
 it."""
 
+LATE_ANSWER_TOLERANCE_S = 0.1
+"""Time after its deadline within which an answer still counts, in seconds: a busy
+process reads it some milliseconds late. The validity of tickets counts from then."""
+
+MAX_VALID_MS = 3_600_000.0
+"""Longest validity of tickets that is believed, in milliseconds; policies name a few
+seconds."""
+
 MAX_ATTEMPTS = 3
 """Maximum number of nodes for one request; each request is billed."""
 
@@ -125,11 +133,14 @@
     async def _attempt(self, request: _Request, node: MemberId) -> None:
         effect = request.effect
         timeout_s = effect.expected_ms / MS_PER_SECOND + ANSWER_TIMEOUT_MARGIN_S
+        deadline = Instant(self._reactor.seconds() + timeout_s)
         if node == self._node_id:
-            deadline = Instant(self._reactor.seconds() + timeout_s)
             answer = await self._service.ask(effect.step, effect.workers, deadline)
         else:
             answer = await self._request_from_peer(node, effect, timeout_s)
+        if self._reactor.seconds() > deadline + LATE_ANSWER_TOLERANCE_S:
+            # This process was suspended: the tickets may have expired long ago.
+            answer = None
         self._busy_nodes.discard(node)
         request.pending -= 1
         if answer is None:
@@ -158,6 +169,10 @@
         reply = await self._peers.call(node, query, timeout_s)
         if not isinstance(reply, AdviceReply) or not reply.answered:
             return None
+        is_valid = 0.0 <= reply.valid_ms <= MAX_VALID_MS
+        if len(reply.workers) != len(reply.tickets) or not is_valid:
+            _log.warning("advice reply not usable; ignored", extra={"node": node})
+            return None
         pairs = zip(reply.workers, reply.tickets, strict=True)
         return AdviceAnswer(
             tuple(WorkerTicket(WorkerId(worker), ticket) for worker, ticket in pairs),
--- a/tests/test_hedged_advice.py
+++ b/tests/test_hedged_advice.py
@@ -1,8 +1,10 @@
 """Hedged requests to the advice service through several entry VMs."""
 
+import math
 from collections.abc import Sequence
 from typing import Any
 
+import pytest
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
@@ -149,3 +151,31 @@
     for number in range(3):
         harness.ask(number)
     assert harness.asked_peers() == ["b"]
+
+
+def test_an_answer_read_after_a_suspension_gives_no_tickets() -> None:
+    # Guards against expired tickets, whose validity counts from when they are read.
+    harness = Harness()
+    harness.ask()
+    harness.clock.advance(EXPECTED_S + 5.0)
+    harness.service.requests[0].callback(ANSWER)
+    assert harness.answers == [None]
+
+
+@pytest.mark.parametrize(
+    ("tickets", "valid_ms"),
+    [([], 2_000.0), (["t", "u"], 2_000.0), (["t"], math.nan), (["t"], math.inf)],
+)
+def test_a_reply_that_makes_no_sense_counts_as_no_answer(
+    tickets: list[str], valid_ms: float
+) -> None:
+    # Guards against one node's reply that stops the holder's process.
+    harness = Harness("b")
+    harness.ask()
+    harness.clock.advance(EXPECTED_S + HEDGE_DELAY_S)
+    ((_, query, answer),) = harness.peers.requests
+    answer.callback(
+        AdviceReply(query.call_id, True, [WORKER], tickets, valid_ms)  # noqa: FBT003
+    )
+    harness.service.requests[0].callback(None)
+    assert harness.answers == [None]
