Report contention from the scheduler; one type for rows of shares

Cause: the metrics and the command for contention had no caller, and the row of a share stood twice, as ShareRow and as a protocol of the same fields. Change: the scheduler reports its shares once a second with the drain of what waits; the protocol is gone. Seen failing: the new test without the call.

--- a/tamarackmount/scheduling/contention.py
+++ b/tamarackmount/scheduling/contention.py
@@ -5,7 +5,8 @@
 
 from tamarackmount.ids import Instant, WorkspaceId
 from tamarackmount.scheduling.model import ServiceName
-from tamarackmount.scheduling.observer import ContentionRow, Observer, ShareRowView
+from tamarackmount.scheduling.observer import ContentionRow, Observer
+from tamarackmount.scheduling.shares import ShareRow
 
 REPORT_INTERVAL_S = 1.0
 """Interval between two reports, in seconds."""
@@ -14,8 +15,8 @@
 class ShareRows(Protocol):
     """Shares of workspaces in pools."""
 
-    def rows(self) -> Sequence[ShareRowView]:
-        """Return a row for each workspace and pool with shares in force."""
+    def share_rows(self) -> Sequence[ShareRow]:
+        """Return a row for each workspace and pool with demand."""
 
 
 class DrainForecasts(Protocol):
@@ -42,6 +43,6 @@
         observer.record_contention(
             [
                 ContentionRow(row, self._drains.drain_s(row.workspace, row.service))
-                for row in self._shares.rows()
+                for row in self._shares.share_rows()
             ]
         )
--- a/tamarackmount/scheduling/drain_forecast.py
+++ b/tamarackmount/scheduling/drain_forecast.py
@@ -7,7 +7,7 @@
 moment, as the forecast is asked for with each submission.
 """
 
-from tamarackmount.ids import Instant
+from tamarackmount.ids import Instant, WorkspaceId
 from tamarackmount.resources import NOTHING, Resources
 from tamarackmount.scheduling.drain_sums import Backlog, Shape, ShapeCapacity, Sums
 from tamarackmount.scheduling.free_capacity import count_fitting_tasks
@@ -98,6 +98,20 @@
             return 0.0
         return _work_s(own, capacity, NOTHING) / entitled
 
+    def drain_s(self, workspace: WorkspaceId, service: ServiceName) -> float | None:
+        """Return how long what waits fills a workspace's part of a pool, in seconds.
+
+        Return None if no forecast was asked for yet, or if nothing waits.
+        """
+        if self._sums is None:
+            return None
+        own = self._sums.backlog_by_owner.get((service, workspace))
+        capacity = self._sums.capacity_by_service.get(service)
+        if own is None or capacity is None:
+            return None
+        entitled = self._state.shares.entitled(workspace, service)
+        return _work_s(own, capacity, NOTHING) / (entitled or 1.0)
+
     def work_s(self, job: JobState, now: Instant) -> float:
         """Return how long a job's work fills its workspace's part of the pool."""
         accepted = job.accepted
--- a/tamarackmount/scheduling/observer.py
+++ b/tamarackmount/scheduling/observer.py
@@ -4,48 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from tamarackmount.ids import WorkspaceId
-from tamarackmount.scheduling.model import ServiceName
-
-
-class ShareRowView(Protocol):
-    """The share of a workspace in a pool.
-
-    All but ``refused``, a number of jobs, are fractions of the pool's dominant resource
-    without unit.
-    """
-
-    @property
-    def workspace(self) -> WorkspaceId:
-        """The workspace."""
-
-    @property
-    def service(self) -> ServiceName:
-        """The service of the pool's workers."""
-
-    @property
-    def entitled(self) -> float:
-        """What the workspace is owed while others wait."""
-
-    @property
-    def used(self) -> float:
-        """What its runs use."""
-
-    @property
-    def lent(self) -> float:
-        """What it is owed, does not use, and others do."""
-
-    @property
-    def borrowed(self) -> float:
-        """What it uses beyond what it is owed."""
-
-    @property
-    def waiting(self) -> float:
-        """What its waiting work needs."""
-
-    @property
-    def refused(self) -> int:
-        """Its refused jobs."""
+from tamarackmount.scheduling.shares import ShareRow
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +14,7 @@
     ``drain_s`` is in seconds, None if there is no forecast.
     """
 
-    share: ShareRowView
+    share: ShareRow
     drain_s: float | None
 
 
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -16,6 +16,7 @@
     set_non_urgent_fraction,
     update_non_urgent_fractions,
 )
+from tamarackmount.scheduling.contention import ContentionReports
 from tamarackmount.scheduling.drain_forecast import DrainForecast
 from tamarackmount.scheduling.effects import Effect
 from tamarackmount.scheduling.evacuated_workers import (
@@ -98,6 +99,7 @@
         self._advice_requests = AdviceRequests(self._state)
         self._batcher = StoreBatcher(self._state)
         self._drain_forecast = DrainForecast(self._state)
+        self._contention = ContentionReports(self, self._drain_forecast)
         self._next_preemption_at = Instant(0.0)
         self._next_shares_at = Instant(0.0)
         self._forecast_wait_s_by_job: dict[JobId, float] = {}
@@ -316,6 +318,7 @@
                 self._next_preemption_at = Instant(now + PREEMPTION_INTERVAL_S)
                 self._preempt(blocked_steps[:MAX_PREEMPTING_STEPS], now)
         self._advice_requests.send_due_requests(capacity_index, now)
+        self._contention.report_if_due(state.observer, now)
 
     def remove_jobs(self, job_ids: list[JobId]) -> None:
         """Remove jobs from the store with the next batch."""
--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -2,7 +2,7 @@
 
 import json
 from collections.abc import Sequence
-from dataclasses import dataclass
+from typing import Any
 
 import pytest
 from returns.result import Success
@@ -12,11 +12,20 @@
 from tamarackmount.ids import Instant, WorkspaceId
 from tamarackmount.node.contention_metrics import MAX_ROWS, OTHERS
 from tamarackmount.node.metrics import NodeMetrics
+from tamarackmount.resources import Resources
 from tamarackmount.scheduling.contention import REPORT_INTERVAL_S, ContentionReports
 from tamarackmount.scheduling.model import ServiceName
 from tamarackmount.scheduling.observer import ContentionRow, NoObserver
+from tamarackmount.scheduling.shares import ShareRow
 from tamarackmount.status import ExitStatus
-from tests.utils.build_scheduling import START
+from tests.utils.build_scheduling import (
+    START,
+    WORKSPACE,
+    SchedulerHarness,
+    job,
+    step,
+    worker_entry,
+)
 from tests.utils.environment import CallResult, command_line, unreachable
 
 POOL = ServiceName("counter")
@@ -24,29 +33,29 @@
 OTHER_URL = "http://192.0.2.12:9100"
 
 
-@dataclass(frozen=True)
-class Share:
-    """A share with the fields of the specification's ``ShareRow``."""
-
-    workspace: WorkspaceId
-    service: ServiceName = POOL
-    entitled: float = 0.25
-    used: float = 0.5
-    lent: float = 0.0
-    borrowed: float = 0.25
-    waiting: float = 0.125
-    refused: int = 3
+def share(workspace: str, **values: float) -> ShareRow:
+    """Return the share of a workspace that uses twice what it is entitled to."""
+    fields: dict[str, Any] = {
+        "entitled": 0.25,
+        "used": 0.5,
+        "lent": 0.0,
+        "borrowed": 0.25,
+        "waiting": 0.125,
+        "refused": 3,
+        **values,
+    }
+    return ShareRow(WorkspaceId(workspace), POOL, **fields)
 
 
 class Shares:
     """Fixed shares, and the number of times that they were read."""
 
-    def __init__(self, *rows: Share) -> None:
+    def __init__(self, *rows: ShareRow) -> None:
         """Return these rows."""
         self._rows = rows
         self.reads = 0
 
-    def rows(self) -> Sequence[Share]:
+    def share_rows(self) -> Sequence[ShareRow]:
         """Return the rows."""
         self.reads += 1
         return self._rows
@@ -62,8 +71,7 @@
 
 def row(workspace: str, drain_s: float | None = None, **values: float) -> ContentionRow:
     """Return a row of one workspace."""
-    share = Share(WorkspaceId(workspace), **values)  # type: ignore[arg-type]
-    return ContentionRow(share, drain_s)
+    return ContentionRow(share(workspace, **values), drain_s)
 
 
 def metrics_of(*rows: ContentionRow, is_holder: bool = True) -> str:
@@ -75,7 +83,7 @@
 
 
 def test_rows_are_reported_once_per_interval() -> None:
-    shares = Shares(Share(WorkspaceId("retail")), Share(WorkspaceId("books")))
+    shares = Shares(share("retail"), share("books"))
     reports = ContentionReports(shares, Drains())
     found: list[Sequence[ContentionRow]] = []
 
@@ -212,3 +220,22 @@
     shown = run_command("contention", "front-a-1")
     assert shown.status is ExitStatus.USAGE
     assert "'front-a-1' is not a URL" in shown.stderr
+
+
+def test_the_scheduler_reports_who_waits_for_a_pool() -> None:
+    """Guards against metrics of contention that nothing fills."""
+    found: list[ContentionRow] = []
+
+    class Recorder(NoObserver):
+        def record_contention(self, rows: Sequence[ContentionRow]) -> None:
+            found[:] = rows
+
+    harness = SchedulerHarness(ceiling=Resources(), observer=Recorder())
+    harness.register_workers(worker_entry("w1", cores=4))
+    harness.submit_job(job(1, step(8, estimated_ms=8_000)))
+    harness.scheduler.check_admission(job(2), harness.now)
+    harness.tick(1.0)
+    (only,) = found
+    assert only.share.workspace == WORKSPACE
+    assert (only.share.used, only.share.waiting) == (1.0, 1.0)
+    assert only.drain_s == pytest.approx(8.0)
--- a/tests/utils/build_scheduling.py
+++ b/tests/utils/build_scheduling.py
@@ -157,7 +157,11 @@
     def __init__(self, ceiling: Resources = CEILING, **changes: Any) -> None:
         """Start with a configuration and no workers."""
         self.now = START
-        self.scheduler = Scheduler(Epoch(7), changes.pop("find_job", lambda _: None))
+        self.scheduler = Scheduler(
+            Epoch(7),
+            changes.pop("find_job", lambda _: None),
+            changes.pop("observer", None),
+        )
         self.scheduler.set_fleet_config(
             fleet_config(ceiling=ceiling, **changes), self.now
         )
