Mend what the review of shares, admission and headroom found

Cause: a reader who wrote none of it found, by reading and running: an error in admission while no worker of a pool may start tasks; waits of jobs on an idle pool taught the correction that refused urgent jobs; right after a takeover every adopted run counted as large; a wrong estimate pushed the retry times of later callers out by hours; jobs behind perpetual tasks were accepted; steps too late for any value could wait for headroom without end; claims of other shapes made an urgent job wait for a stop that it did not need; gangs that wait for headroom lost their reservation. Change: each of these; the longest stop is the platform's figure in admission too. Seen failing: the new tests of admission, returns and large tasks.

--- a/tamarackmount/scheduling/admission.py
+++ b/tamarackmount/scheduling/admission.py
@@ -22,7 +22,7 @@
 from tamarackmount.ids import Instant
 from tamarackmount.resources import NOTHING
 from tamarackmount.scheduling.ceilings import ceiling_parts
-from tamarackmount.scheduling.drain_forecast import STOP_TIME_S, DrainForecast
+from tamarackmount.scheduling.drain_forecast import DrainForecast
 from tamarackmount.scheduling.ranking import URGENT_PRIORITY
 from tamarackmount.scheduling.returns import ReturnPool
 from tamarackmount.scheduling.runs import JobState, StepState
@@ -83,9 +83,7 @@
         return Refusal(reason, UNFIT_JOB_RETRY_S)
     if any(step.spec.perpetual for step in steps):
         return None
-    max_wait_s = max(job.latest_start - now, STOP_TIME_S)
-    if not state.forecast.has_enough_samples(job.accepted.queue_name):
-        max_wait_s *= UNSURE_FACTOR
+    max_wait_s = _max_wait_s(state, forecast, job, now)
     wait_s = _forecast_wait_s(state, forecast, job, now)
     if wait_s > max_wait_s:
         forecast.renew(now)
@@ -101,6 +99,20 @@
     return Refusal(RefusalReason.BACKLOG, retry_s)
 
 
+def _max_wait_s(
+    state: SchedulerState, forecast: DrainForecast, job: JobState, now: Instant
+) -> float:
+    """Return for how long a job may wait and still be accepted, in seconds.
+
+    An urgent job may have less slack than the stops take that make room for it; a
+    caller that is refused for that would be late in any case.
+    """
+    max_wait_s = max(job.latest_start - now, forecast.stop_s)
+    if not state.forecast.has_enough_samples(job.accepted.queue_name):
+        max_wait_s *= UNSURE_FACTOR
+    return max_wait_s
+
+
 def _unfit_reason(
     state: SchedulerState, steps: Sequence[StepState], workers: Iterable[WorkerState]
 ) -> RefusalReason | None:
--- a/tamarackmount/scheduling/drain_forecast.py
+++ b/tamarackmount/scheduling/drain_forecast.py
@@ -17,13 +17,13 @@
 from tamarackmount.scheduling.scheduler_state import PoolLoad, SchedulerState
 from tamarackmount.scheduling.shares import Amounts, fractions
 from tamarackmount.scheduling.worker_choice import could_run
+from tamarackmount.units import MS_PER_SECOND
 
 SUMS_MAX_AGE_S = 0.05
 """Time for which sums are used again, in seconds; jobs accepted since are added."""
 
-STOP_TIME_S = 0.9
-"""Time within which capacity is free that less urgent work is stopped for, in
-seconds: the longest that a stop takes."""
+NO_RELEASE_WAIT_S = 600.0
+"""Wait for capacity that only perpetual tasks use, in seconds; no job waits so long."""
 
 MANY_TASKS = 1_000_000
 """Limit of counted tasks of a shape on one worker, without unit."""
@@ -147,6 +147,14 @@
             if not step.spec.after:
                 self._add_step(sums, step)
 
+    @property
+    def stop_s(self) -> float:
+        """Time within which capacity is free that less urgent work is stopped for.
+
+        It is the longest that a stop takes, in seconds.
+        """
+        return self._state.stop_timeout_ms / MS_PER_SECOND
+
     def invalidate(self) -> None:
         """Compute the sums anew with the next forecast, as the workers have changed."""
         self._sums = None
@@ -176,8 +184,12 @@
         """
         if wait_s <= 0:
             return wait_s
-        pool = job.accepted.service, job.priority == URGENT_PRIORITY
-        return self._state.wait_correction.corrected_s(pool, wait_s)
+        is_urgent = job.priority == URGENT_PRIORITY
+        # A stop takes its time whatever other jobs have waited.
+        fixed_s = min(wait_s, self.stop_s) if is_urgent else 0.0
+        pool = job.accepted.service, is_urgent
+        correction = self._state.wait_correction
+        return fixed_s + correction.corrected_s(pool, wait_s - fixed_s)
 
     def _current_sums(self, now: Instant) -> Sums:
         sums = self._sums
@@ -243,14 +255,19 @@
         if self._fits_now(step, backlog, now):
             return 0.0
         found = self.capacity_of(step, now)
+        if not found.idle_tasks:
+            # The workers are draining or suspected; others or they are back soon.
+            return 0.0
         count = min(step.spec.count, found.idle_tasks)
         per_task = _parts(step.reserved_amount)
         free = _parts(found.free)
         service = step.job.accepted.service
         sums = self._current_sums(now)
-        parts = fractions(found.capacity, sums.capacity_by_service[service])
+        usable = sums.capacity_by_service.get(service, NOTHING)
+        parts = fractions(found.capacity, usable)
         # What ends on workers that may not start tasks frees nothing for the step.
-        run_parts = fractions(found.capacity, sums.occupied_by_service[service])
+        occupied = sums.occupied_by_service.get(service, NOTHING)
+        run_parts = fractions(found.capacity, occupied)
         gaps = [
             max(
                 amount * part + more * count - max(0, unused),
@@ -263,8 +280,8 @@
             )
         ]
         least_s = 0.0
-        if step.job.priority == URGENT_PRIORITY:
-            least_s = STOP_TIME_S
+        if step.job.priority == URGENT_PRIORITY and any(gap > 0 for gap in gaps):
+            least_s = self.stop_s
             freed = _parts(self._preemptible(service))
             gaps = [
                 gap - amount * part
@@ -272,24 +289,30 @@
             ]
         rates = self._release_rates(step, backlog, parts, run_parts, free)
         waits = [
-            gap / rate
+            gap / rate if rate > 0 else NO_RELEASE_WAIT_S
             for gap, rate in zip(gaps, rates, strict=True)
-            if gap > 0 and rate > 0
+            if gap > 0
         ]
         return max([least_s, *waits])
 
     def _fits_now(self, step: StepState, backlog: Backlog, now: Instant) -> bool:
         found = self.capacity_of(step, now)
         count = min(step.spec.count, found.idle_tasks)
-        return count <= found.free_tasks and all(
-            part * count + claimed <= unused
-            for part, claimed, unused in zip(
-                _parts(step.reserved_amount),
-                backlog.claims,
-                _parts(found.free),
-                strict=True,
-            )
-            if part
+        if count > found.free_tasks:
+            return False
+        sums = self._current_sums(now)
+        usable = sums.capacity_by_service.get(step.job.accepted.service, NOTHING)
+        rows = zip(
+            _parts(step.reserved_amount),
+            backlog.claims,
+            fractions(found.capacity, usable),
+            _parts(found.free),
+            strict=True,
+        )
+        return all(
+            per_task * count + claimed * part <= unused
+            for per_task, claimed, part, unused in rows
+            if per_task
         )
 
     def _loads(self, step: StepState) -> list[PoolLoad]:
--- a/tamarackmount/scheduling/large_tasks.py
+++ b/tamarackmount/scheduling/large_tasks.py
@@ -33,6 +33,9 @@
     ) -> bool:
         """Return whether a task of this amount is large in its pool."""
         largest = self._largest(service, workers, now)
+        if largest == NOTHING:
+            # Right after a takeover, no worker has answered yet.
+            return False
         return (
             amount.millicores * LARGE_DIVISOR > largest.millicores
             or amount.memory_mib * LARGE_DIVISOR > largest.memory_mib
@@ -48,5 +51,6 @@
             for worker in workers:
                 if worker.entry.service == service and worker.can_start:
                     largest = componentwise_maximum(largest, worker.entry.capacity)
-            self._largest_by_service[service] = (now, largest)
+            if largest != NOTHING:
+                self._largest_by_service[service] = (now, largest)
         return largest
--- a/tamarackmount/scheduling/reservations.py
+++ b/tamarackmount/scheduling/reservations.py
@@ -50,6 +50,12 @@
 """Time for which an overdue run is expected to go on, in seconds."""
 
 
+_RESERVING_REASONS = frozenset(
+    {WaitReason.NO_CAPACITY, WaitReason.NO_ELIGIBLE_WORKER, WaitReason.HEADROOM}
+)
+"""Why gangs wait that keep a reservation."""
+
+
 class Reservations:
     """The reserved workers in one round of placement.
 
@@ -119,7 +125,7 @@
     def _may_reserve(self, step: StepState, reason: WaitReason) -> bool:
         return (
             step.spec.gang
-            and reason in (WaitReason.NO_CAPACITY, WaitReason.NO_ELIGIBLE_WORKER)
+            and reason in _RESERVING_REASONS
             and self._count < MAX_RESERVATIONS
             and tier(step, self._now) <= Tier.LATE
         )
--- a/tamarackmount/scheduling/returns.py
+++ b/tamarackmount/scheduling/returns.py
@@ -22,6 +22,14 @@
 """Time after its due time for which a promise holds, in seconds: the retry time is
 rounded up to a second, and a caller may be slow to return."""
 
+MAX_RETRY_S = 60.0
+"""Maximum retry time, in seconds: forecasts do not reach further, and callers that
+never return would push all later ones out."""
+
+MAX_WORK_S = 10.0
+"""Limit of the work that one caller is given time for, in seconds: a wrong estimate
+would keep all callers after it away."""
+
 MAX_PROMISES = 5_000
 """Limit of promises, without unit. Further callers get a retry time only."""
 
@@ -85,7 +93,11 @@
         that has not come yet.
         """
         self._remove_expired(pool, now)
-        earliest_at = now + max(MIN_RETRY_S, retry_s)
+        if self._count >= MAX_PROMISES:
+            for other in list(self._promises_by_pool):
+                self._remove_expired(other, now)
+        work_s = min(work_s, MAX_WORK_S)
+        earliest_at = now + min(MAX_RETRY_S, max(MIN_RETRY_S, retry_s))
         promises = self._promises_by_pool.get(pool, {})
         known = promises.get(job_id)
         if known is not None:
@@ -94,7 +106,8 @@
             return max(MIN_RETRY_S, known.due_at - now)
         last = next(reversed(promises.values()), None)
         if last is not None:
-            earliest_at = max(earliest_at, last.due_at + last.work_s)
+            in_turn_at = min(last.due_at + last.work_s, now + MAX_RETRY_S)
+            earliest_at = max(earliest_at, in_turn_at)
         if self._count < MAX_PROMISES:
             due_at = Instant(earliest_at)
             self._promises_by_pool.setdefault(pool, {})[job_id] = _Promise(
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -47,7 +47,7 @@
 
 _log = logging.getLogger(__name__)
 
-DEFAULT_STOP_TIMEOUT_MS = 1_000
+DEFAULT_STOP_TIMEOUT_MS = 900
 """Longest time that a stop may take, in milliseconds, until the settings tell it."""
 
 STOP_RETRY_S = 0.2
--- a/tamarackmount/scheduling/urgent_headroom.py
+++ b/tamarackmount/scheduling/urgent_headroom.py
@@ -12,6 +12,7 @@
 from tamarackmount.scheduling.ceilings import NON_URGENT_SLACK_S
 from tamarackmount.scheduling.kept_slots import KeptSlots
 from tamarackmount.scheduling.model import ServiceName
+from tamarackmount.scheduling.peak_use import URGENT_PEAK_AGE_S
 from tamarackmount.scheduling.ranking import URGENT_PRIORITY, Tier, tier
 from tamarackmount.scheduling.runs import StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
@@ -74,5 +75,8 @@
     job = step.job
     if job.priority == URGENT_PRIORITY or step.spec.perpetual:
         return False
-    has_slack = now < job.latest_start - NON_URGENT_SLACK_S
-    return has_slack or tier(step, now) is Tier.TOO_LATE
+    if now < job.latest_start - NON_URGENT_SLACK_S:
+        return True
+    # Bounded, as urgent work may come at all times.
+    is_recent = now < job.latest_late_start + URGENT_PEAK_AGE_S
+    return is_recent and tier(step, now) is Tier.TOO_LATE
--- a/tamarackmount/scheduling/urgent_peaks.py
+++ b/tamarackmount/scheduling/urgent_peaks.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 
 from tamarackmount.ids import Instant, WorkspaceId
-from tamarackmount.resources import NOTHING, Resources
+from tamarackmount.resources import NOTHING, Resources, componentwise_maximum
 
 PEAK_WINDOW_S = 20.0
 """Time for which a peak counts, in seconds."""
@@ -37,7 +37,7 @@
             self._observed_since_by_workspace.setdefault(workspace, now)
             if buckets and now < buckets[-1][0] + BUCKET_S:
                 began_at, peak = buckets[-1]
-                buckets[-1] = began_at, largest(peak, used)
+                buckets[-1] = began_at, componentwise_maximum(peak, used)
             else:
                 buckets.append((now, used))
         for workspace in list(self._buckets_by_workspace):
@@ -60,14 +60,5 @@
             return None
         peak = NOTHING
         for _, used in buckets:
-            peak = largest(peak, used)
+            peak = componentwise_maximum(peak, used)
         return peak
-
-
-def largest(first: Resources, second: Resources) -> Resources:
-    """Return the larger amount of each resource."""
-    return Resources(
-        max(first.millicores, second.millicores),
-        max(first.memory_mib, second.memory_mib),
-        max(first.accelerators, second.accelerators),
-    )
--- a/tamarackmount/scheduling/wait_correction.py
+++ b/tamarackmount/scheduling/wait_correction.py
@@ -30,7 +30,12 @@
     def add_sample(
         self, pool: tuple[ServiceName, bool], forecast_s: float, waited_s: float
     ) -> None:
-        """Add how long a job waited, and what was forecast without correction."""
+        """Add how long a job waited, and what was forecast without correction.
+
+        Jobs with free capacity are left out: they wait for the store and for tickets.
+        """
+        if forecast_s <= 0:
+            return
         ratio = (waited_s + ROUNDING_S) / (forecast_s + ROUNDING_S)
         known = self._log_ratio_by_pool.get(pool, 0.0)
         changed = known + SMOOTHING * (math.log(ratio) - known)
--- a/tests/test_scheduling_admission.py
+++ b/tests/test_scheduling_admission.py
@@ -10,6 +10,7 @@
 from tamarackmount.scheduling.drain_forecast import SUMS_MAX_AGE_S
 from tamarackmount.scheduling.fleet_config import AdvicePolicy, Workspace
 from tamarackmount.scheduling.model import TaskKey
+from tamarackmount.scheduling.returns import MAX_RETRY_S
 from tamarackmount.scheduling.scheduler import SHARES_INTERVAL_S
 from tamarackmount.scheduling.wait_correction import MAX_CORRECTION, WaitCorrection
 from tamarackmount.scheduling.worker_reports import RunEnd
@@ -223,3 +224,38 @@
     assert found[HIGH_PRIORITY].accepted_on_time >= 0.9
     assert found[LOW_PRIORITY].accepted_on_time >= 0.9
     assert found[LOW_PRIORITY].refused > 0
+
+
+def test_a_pool_whose_workers_are_all_draining_accepts_jobs() -> None:
+    # Guards against an error in admission while no worker of a pool may start tasks.
+    harness = SchedulerHarness(ceiling=Resources())
+    harness.register_workers(worker_entry("w1"))
+    draining = worker_entry("w1", is_draining=True, drain_left_ms=2_000)
+    harness.scheduler.set_registered_workers([draining], harness.now)
+    refusals = [
+        harness.scheduler.check_admission(job(number), harness.now)
+        for number in range(1, 4)
+    ]
+    assert refusals == [None, None, None]
+
+
+def test_waits_on_an_idle_pool_refuse_no_urgent_job_later() -> None:
+    # Guards against a correction that learns the time of the store and of tickets.
+    harness = SchedulerHarness(ceiling=Resources())
+    harness.register_workers(worker_entry("w1", cores=8))
+    correction = WaitCorrection()
+    for _ in range(40):
+        correction.add_sample((SERVICE, True), 0.0, 0.3)
+    assert correction.corrected_s((SERVICE, True), 0.9) == pytest.approx(0.9)
+
+
+def test_a_job_behind_perpetual_tasks_that_fill_its_pool_is_refused_at_once() -> None:
+    # Guards against jobs that are accepted and never start.
+    harness = SchedulerHarness(ceiling=Resources())
+    harness.register_workers(worker_entry("w1", cores=8))
+    harness.submit_job(job(1, step(8, perpetual=True)))
+    harness.answer_starts()
+    refusal = harness.scheduler.check_admission(job(2), harness.now)
+    assert refusal is not None
+    assert refusal.reason is RefusalReason.BACKLOG
+    assert refusal.retry_after_s <= MAX_RETRY_S
--- a/tests/test_scheduling_large_tasks.py
+++ b/tests/test_scheduling_large_tasks.py
@@ -5,8 +5,16 @@
 
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling.accepted_job import AcceptedJob
+from tamarackmount.scheduling.large_tasks import LargeTasks
 from tamarackmount.scheduling.model import StepSpec
-from tests.utils.build_scheduling import SchedulerHarness, job, step, worker_entry
+from tests.utils.build_scheduling import (
+    SERVICE,
+    START,
+    SchedulerHarness,
+    job,
+    step,
+    worker_entry,
+)
 from tests.utils.pool_simulation import PoolSimulation
 
 CAPACITY = Resources(128_000, 512_000, 8)
@@ -73,3 +81,9 @@
     simulation.run_until([*later, *small], 60.0)
     for arrives, accepted in later:
         assert simulation.first_start_s[accepted.job_id] - arrives <= SLACK_S
+
+
+def test_no_task_is_large_before_a_worker_has_answered() -> None:
+    # Guards against headroom for adopted runs that need little of their workers.
+    large = LargeTasks()
+    assert not large.is_large(SERVICE, Resources(1_000, 1_000, 0), (), START)
--- a/tests/test_scheduling_returns.py
+++ b/tests/test_scheduling_returns.py
@@ -8,7 +8,12 @@
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling import returns as returns_module
 from tamarackmount.scheduling.admission import Refusal, RefusalReason, whole_retry_s
-from tamarackmount.scheduling.returns import GRACE_S, ReturnPool, Returns
+from tamarackmount.scheduling.returns import (
+    GRACE_S,
+    MAX_RETRY_S,
+    ReturnPool,
+    Returns,
+)
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
     SERVICE,
@@ -129,3 +134,12 @@
     assert fresh.scheduler.check_admission(newcomer, fresh.now) is None
     # Urgent jobs are told the same with and without promises to others.
     assert fresh.scheduler.check_admission(urgent, fresh.now) == behind_urgent
+
+
+def test_a_wrong_estimate_does_not_keep_later_callers_away_for_hours() -> None:
+    returns = Returns()
+    returns.refuse(POOL, job_id(1), 5.0, 36_000.0, NOW)
+    assert returns.refuse(POOL, job_id(2), 1.0, 0.1, NOW) <= 15.0
+    for number in range(3, 200):
+        retry_s = returns.refuse(POOL, job_id(number), 1.0, 5.0, NOW)
+        assert retry_s <= MAX_RETRY_S
