Name the new places of two mutated checks

Cause: the code that they break was moved or stands twice now. Change: the mutations' texts. Measured: all 60 texts occur once; the two mutations were not run yet.

--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -219,11 +219,11 @@
     ),
     Mutant(
         "a node that can ask nobody denies no job",
-        "node/job_service.py",
-        "                return PhaseLookupFailure.NOT_SUBMITTED\n"
-        "        return PhaseLookupFailure.UNAVAILABLE",
-        "                return PhaseLookupFailure.NOT_SUBMITTED\n"
-        "        return PhaseLookupFailure.NOT_SUBMITTED",
+        "node/known_jobs.py",
+        "            return PhaseLookupFailure.NOT_SUBMITTED\n"
+        "    return PhaseLookupFailure.UNAVAILABLE",
+        "            return PhaseLookupFailure.NOT_SUBMITTED\n"
+        "    return PhaseLookupFailure.NOT_SUBMITTED",
         "tests/test_followers.py",
     ),
     Mutant(
@@ -249,8 +249,9 @@
     Mutant(
         "run ends are stored before they are acknowledged",
         "scheduling/worker_polls.py",
-        "ack_cursor=worker.stored_end_number",
-        "ack_cursor=worker.reported_end_number",
+        "ack_cursor=worker.stored_end_number,\n            lease_end_clock_ms=lease_end",
+        "ack_cursor=worker.reported_end_number,\n"
+        "            lease_end_clock_ms=lease_end",
     ),
     Mutant(
         "a final phase is reported only once it is stored",
