Restore the size of the test of preempted tasks

Cause: the test had been made smaller so that headroom would not interfere, and so no longer covered its pool of 8 cores. Change: 8 cores and 8 tasks as before, in a deployment with quick stops, where no headroom is kept; its assertions are as they were. Measured: the file's tests pass.

--- a/tests/test_scheduling_load.py
+++ b/tests/test_scheduling_load.py
@@ -219,15 +219,16 @@
 
 
 def test_a_preempted_task_does_not_restart_at_once() -> None:
-    # A fifth of 4 cores is too little for an urgent task, so no headroom is kept.
     harness = SchedulerHarness(ceiling=Resources())
-    harness.register_workers(worker_entry("w1", cores=4))
-    harness.submit_job(job(1, step(4, **LONG)))
+    # Stops are quick here, so that no headroom is kept for urgent work.
+    harness.scheduler.set_stop_timeout(200)
+    harness.register_workers(worker_entry("w1", cores=8))
+    harness.submit_job(job(1, step(8, **LONG)))
     (first, *_) = harness.answer_starts()
     harness.tick(1.5)
     harness.submit_job(job(2, step(1, estimated_ms=700), in_queue=HIGH_PRIORITY))
     (stop,) = harness.stops
-    runs = {row: number + 1 for number, row in enumerate(range(4))}
+    runs = {row: number + 1 for number, row in enumerate(range(8))}
     running = tuple(
         (first.order.task._replace(index=index), run)
         for index, run in runs.items()
