Check the permission and the deadline again before a request is written

HttpClient.call then wrote the request under a permission and a deadline that had been checked before. It now checks both once there is a connection, keeps the connection idle if either has ended, and returns NOT_SENT. Start orders pass the holder's permission on as may_send; the deadline holds for all calls.

On the earlier code these tests failed: four in test_platform_calls.py (permission or deadline ends while connecting, deadline over an idle connection, start without permission) and test_an_order_that_is_being_connected_asks_again_for_the_authority.

--- a/tamarackmount/node/start_orders.py
+++ b/tamarackmount/node/start_orders.py
@@ -25,7 +25,7 @@
     """Start orders that wait for their turn at their worker.
 
     The process may be suspended while they wait. So each one is sent only if the holder
-    may still send it at that moment.
+    may still send it at that moment, and again once there is a connection.
     """
 
     def __init__(
@@ -61,9 +61,14 @@
 
     async def _send_now(self, effect: StartRun) -> None:
         result = OrderResult.NOT_SENT
-        if self._may_send(effect.order):
+        order = effect.order
+        if self._may_send(order):
             deadline = Instant(clock.now() + ORDER_TIMEOUT_S)
             result = await self._workers.start(
-                effect.address, effect.order, self._epoch, deadline
+                effect.address,
+                order,
+                self._epoch,
+                deadline,
+                lambda: self._may_send(order),
             )
-        self._on_result(effect.order, result)
+        self._on_result(order, result)
--- a/tamarackmount/platform/http.py
+++ b/tamarackmount/platform/http.py
@@ -5,6 +5,7 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -167,11 +168,14 @@
         body: bytes | None = None,
         headers: str = "",
         host: str = "",
+        may_send: Callable[[], bool] = lambda: True,
     ) -> CallResult:
         """Send one request and return its reply or error.
 
         ``headers`` are complete lines, each ending in CR LF. ``host`` is the value of
-        the Host header; if it is empty, the address is sent.
+        the Host header; if it is empty, the address is sent. ``may_send`` is asked once
+        there is a connection, right before the request is written; if it says no, or
+        the deadline has passed, the error is ``NOT_SENT``.
         """
         connection = self._take_idle(address)
         if connection is None:
@@ -179,9 +183,14 @@
             if isinstance(opened, CallError):
                 return opened
             connection = opened
+        # Opening takes time, and the process may have been suspended meanwhile.
+        left_s = deadline - self._reactor.seconds()
+        refusal = _refusal(left_s, may_send)
+        if refusal is not None:
+            self._keep_idle(address, connection)
+            return refusal
         request = _encode_request(host or address, method, target, body, headers)
         pending = connection.exchange(request)
-        left_s = max(0.0, deadline - self._reactor.seconds())
         timer = self._reactor.callLater(left_s, connection.abort, "deadline passed")
         result = await pending
         if timer.active():
@@ -230,6 +239,15 @@
         self._idle_by_address.setdefault(address, deque()).append(connection)
 
 
+def _refusal(left_s: float, may_send: Callable[[], bool]) -> CallError | None:
+    """Return why a request is not written with ``left_s`` to its deadline, if so."""
+    if left_s <= 0:
+        return CallError(CallErrorKind.NOT_SENT, "deadline passed")
+    if not may_send():
+        return CallError(CallErrorKind.NOT_SENT, "not permitted any more")
+    return None
+
+
 def _encode_request(
     host: str, method: str, target: str, body: bytes | None, headers: str
 ) -> bytes:
--- a/tamarackmount/platform/workers.py
+++ b/tamarackmount/platform/workers.py
@@ -1,7 +1,7 @@
 """Decode the registrations of workers, and send orders and polls to workers."""
 
 import logging
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -151,9 +151,14 @@
         self._http = http
 
     async def start(
-        self, address: str, order: StartOrder, fencing_token: Epoch, deadline: Instant
+        self,
+        address: str,
+        order: StartOrder,
+        fencing_token: Epoch,
+        deadline: Instant,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> OrderResult:
-        """Order a run to start."""
+        """Order a run to start, if ``may_send`` still says so once connected."""
         body: dict[str, Any] = {
             "task": _encode_task(order.task),
             "run": order.run_number,
@@ -166,7 +171,7 @@
         if order.ticket:
             body["ticket"] = order.ticket
         return await self._send_order(
-            address, "start", order.incarnation, body, deadline
+            address, "start", order.incarnation, body, deadline, may_send
         )
 
     async def stop(
@@ -222,6 +227,7 @@
         incarnation: WorkerIncarnation,
         body: Mapping[str, Any],
         deadline: Instant,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> OrderResult:
         result = await self._http.call(
             Address(address),
@@ -230,6 +236,7 @@
             deadline,
             orjson.dumps(body),
             _request_headers(incarnation),
+            may_send=may_send,
         )
         return _decode_order_result(result)
 
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -127,6 +127,46 @@
     assert result.kind is CallErrorKind.NOT_SENT
 
 
+def test_a_request_whose_permission_ends_while_connecting_is_not_sent() -> None:
+    peer = Peer(encode_reply(200, b"a"))
+    may_send = True
+    call = ensureDeferred(
+        peer.http.call(
+            peer.address, "GET", "/", peer.deadline, may_send=lambda: may_send
+        )
+    )
+    # The connection is being opened.
+    may_send = False
+    result = peer.network.wait(call)
+    assert isinstance(result, CallError)
+    assert result.kind is CallErrorKind.NOT_SENT
+    assert not peer.requests
+    # The connection serves the next request.
+    assert peer.get() == Reply(200, b"a")
+    assert peer.connections == 1
+
+
+def test_a_request_whose_deadline_passes_while_connecting_is_not_sent() -> None:
+    peer = Peer(encode_reply(200, b"a"))
+    call = ensureDeferred(peer.http.call(peer.address, "GET", "/", peer.deadline))
+    # The process is suspended; then the established connection is handled first.
+    peer.network.rightNow += 3.0
+    result = peer.network.wait(call)
+    assert result == CallError(CallErrorKind.NOT_SENT, "deadline passed")
+    assert not peer.requests
+
+
+def test_a_request_is_not_sent_after_its_deadline_over_an_idle_connection() -> None:
+    peer = Peer(encode_reply(200, b"a"))
+    peer.get()
+    past = Instant(peer.network.seconds() - 0.1)
+    result = peer.wait(peer.http.call(peer.address, "GET", "/", past))
+    assert result == CallError(CallErrorKind.NOT_SENT, "deadline passed")
+    assert len(peer.requests) == 1
+    peer.get()
+    assert peer.connections == 1
+
+
 @pytest.mark.parametrize(
     "reply",
     [b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", b"this is not HTTP\r\n\r\n"],
@@ -261,6 +301,16 @@
     assert b"Expect-Instance: i-1\r\n" in peer.requests[0]
 
 
+def test_a_start_whose_permission_ends_while_connecting_is_not_sent() -> None:
+    peer = Peer(encode_reply(200, b"{}"))
+    calls = WorkerCalls(peer.http)
+    call = calls.start(
+        peer.address, start_order(), Epoch(7), peer.deadline, lambda: False
+    )
+    assert peer.wait(call) is OrderResult.NOT_SENT
+    assert not peer.requests
+
+
 @pytest.mark.parametrize(
     ("reply", "expected"),
     [
--- a/tests/test_start_orders.py
+++ b/tests/test_start_orders.py
@@ -1,5 +1,6 @@
 """Start orders that wait for their turn while the holder's authority ends."""
 
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -20,8 +21,10 @@
     def __init__(self) -> None:
         """Begin without calls."""
         self.calls: list[Deferred[OrderResult]] = []
+        self.permissions: list[Callable[[], bool]] = []
 
-    def start(self, *_arguments: Any) -> "Deferred[OrderResult]":
+    def start(self, *arguments: Any) -> "Deferred[OrderResult]":
+        self.permissions.append(arguments[-1])
         self.calls.append(Deferred())
         return self.calls[-1]
 
@@ -67,3 +70,11 @@
     harness.answer_all()
     assert len(harness.workers.calls) == MAX_STARTS_PER_WORKER
     assert harness.results.count(OrderResult.NOT_SENT) == 2
+
+
+def test_an_order_that_is_being_connected_asks_again_for_the_authority() -> None:
+    harness = Harness()
+    permissions = harness.workers.permissions
+    assert all(may_send() for may_send in permissions)
+    harness.may_start = False
+    assert not any(may_send() for may_send in permissions)
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -444,6 +444,20 @@
         "if False:",
         EVACUATION,
     ),
+    Mutant(
+        "an order is checked again once there is a connection to its worker",
+        "node/start_orders.py",
+        "lambda: self._may_send(order),",
+        "lambda: True,",
+        "tests/test_start_orders.py",
+    ),
+    Mutant(
+        "a request is not written if its permission ended while connecting",
+        "platform/http.py",
+        "if not may_send():",
+        "if False:",
+        "tests/test_platform_calls.py",
+    ),
 )
 
 
