--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -52,7 +52,7 @@
 from tamarackmount.scheduling.model import StepKey
 from tamarackmount.units import MS_PER_SECOND
 
-CONFIG_READ_WAIT_MS = 1_000
+OPERATOR_READ_WAIT_MS = 1_000
 """Long-poll wait of a read of the operator's documents, in milliseconds. A connection
 that does not answer is replaced within the 2 s that a change may take."""
 
@@ -133,19 +133,19 @@
             metrics=NodeMetrics(),
             started_unix_ms=clock.unix_ms(),
         )
-        self._config_tail = TopicTail(
+        self._operator_tail = TopicTail(
             reactor,
             self._context.store,
             OPERATOR_TOPIC,
             self._apply_operator_snapshot,
             self._apply_operator_records,
-            CONFIG_READ_WAIT_MS,
+            OPERATOR_READ_WAIT_MS,
             0.0,
         )
         self._evacuations = EvacuationWatch(
             reactor,
-            self._config_tail.read_now,
-            lambda: self._config_tail.caught_up_at,
+            self._operator_tail.read_now,
+            lambda: self._operator_tail.caught_up_at,
             self._evacuations_changed,
         )
         self._registry = NodeRegistry(self._context, addresses_by_id)
@@ -197,7 +197,7 @@
 
     def follow_store(self) -> None:
         """Start reading the store's topics."""
-        self._config_tail.start()
+        self._operator_tail.start()
         self._election.tail.start()
         self._registry.tail.start()
         self._follower.start()
@@ -286,7 +286,7 @@
 
     def _last_store_answers(self) -> tuple[Instant | None, ...]:
         return (
-            self._config_tail.last_contact,
+            self._operator_tail.last_contact,
             self._election.tail.last_contact,
             self._follower.last_contact,
         )
@@ -300,7 +300,7 @@
         self.jobs.apply_records(records)
 
     def _apply_operator_snapshot(self, records: Sequence[KeyedRecord]) -> None:
-        end = self._config_tail.next_offset
+        end = self._operator_tail.next_offset
         if end is not None:
             self._evacuations.apply_snapshot(records, end)
         self._apply_configs(records)
--- a/tests/test_node_evacuation.py
+++ b/tests/test_node_evacuation.py
@@ -193,7 +193,7 @@
 def test_a_read_that_finds_records_trimmed_did_not_reach_the_end(
     fleet: MemoryFleet,
 ) -> None:
-    tail = fleet.node(1)._config_tail
+    tail = fleet.node(1)._operator_tail
     tail.stop()
     fleet.run_for(2.0)
     evacuate(fleet)
