Let notices of evacuations add to a node's own reads, never override them

A single notice of another node with an absurd offset overrode the operator's records for ever: records and notices were kept in one table, and the later offset counted. Notices now have a table of their own. They add evacuations to what was read, or end what an earlier notice added, until the reads have passed their offset. A node passes on only what it has read itself.

Sending a notice is best effort: an error in it, which ended the process, is logged. Notices are sent again when the holder's node changes.

--- a/tamarackmount/node/holder_election.py
+++ b/tamarackmount/node/holder_election.py
@@ -100,6 +100,7 @@
         self._next_hand_over_check_at = Instant(0.0)
         self._is_claiming = False
         self.new_holder_ready = Event()
+        self.on_holder_node_changed: Callable[[], None] = lambda: None
         self.holder: Holder | None = None
         self.tail = TopicTail(
             context.reactor,
@@ -160,6 +161,8 @@
         if latest is not None and (previous is None or latest.epoch != previous.epoch):
             extra = {"node": latest.node, "epoch": latest.epoch}
             _log.info("holder changed", extra=extra)
+            if previous is None or latest.node != previous.node:
+                self.on_holder_node_changed()
         self._check_superseded()
 
     def _check_superseded(self) -> None:
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -16,6 +16,7 @@
 from tamarackmount.node import clock
 from tamarackmount.node.context import JOBS_TOPIC, NodeContext
 from tamarackmount.node.departed_nodes import DepartedNodes
+from tamarackmount.node.evacuation_notices import send_evacuations
 from tamarackmount.node.evacuation_watch import EvacuationWatch
 from tamarackmount.node.hedged_advice import reply_to
 from tamarackmount.node.holder_dependencies import HolderDependencies
@@ -159,6 +160,7 @@
             self._evacuations,
             self._holder_dependencies,
         )
+        self._election.on_holder_node_changed = self._holder_node_changed
         self._departed_nodes = DepartedNodes(
             self._context, self._registry, lambda: self._election.holder is not None
         )
@@ -317,16 +319,17 @@
         if holder is not None:
             holder.set_evacuated_data_centres(self._evacuations.data_centres)
         elif holder_node is not None and holder_node != self._context.node_id:
-            self._tell_evacuations(holder_node, changes)
+            send_evacuations(self._context, holder_node, changes)
 
-    def _tell_evacuations(
-        self, node: MemberId, changes: Sequence[EvacuationChange]
-    ) -> None:
-        for change in changes:
-            message = EvacuationSeen(
-                change.data_centre, change.offset, change.is_evacuated
-            )
-            self._context.links.send(node, message)
+    def _holder_node_changed(self) -> None:
+        """Tell the new holder what this node has read; earlier notices went elsewhere.
+
+        The holder may be unable to read the store.
+        """
+        holder_node = self._election.holder_node
+        if holder_node is not None and holder_node != self._context.node_id:
+            changes = self._evacuations.changes()
+            send_evacuations(self._context, holder_node, changes)
 
     def _handle_evacuation_seen(
         self, _sender: MemberId, message: EvacuationSeen
@@ -374,7 +377,7 @@
         age_ms = int(self._store_contact.silence_s() * MS_PER_SECOND)
         self._context.links.send(sender, StoreAgeReply(query.call_id, age_ms))
         # The holder asks while the store does not answer it; a notice may be lost.
-        self._tell_evacuations(sender, self._evacuations.changes())
+        send_evacuations(self._context, sender, self._evacuations.changes())
 
     def _handle_advice_query(self, sender: MemberId, query: AdviceQuery) -> None:
         spawn_answer(self._answer_advice_query(sender, query))
--- a/tamarackmount/platform/store.py
+++ b/tamarackmount/platform/store.py
@@ -54,6 +54,9 @@
 MAX_KEY_BYTES = 255
 """Maximum length of a record's key, in bytes; its length is one byte."""
 
+MAX_OFFSET = 2**63 - 1
+"""Maximum offset of a record."""
+
 _PARTITION = 0
 _RECORD_LENGTH = struct.Struct(">I")
 _READ_HEADER = struct.Struct(">QQ")
--- a/tests/test_node_evacuation.py
+++ b/tests/test_node_evacuation.py
@@ -246,3 +246,76 @@
     assert [(row.data_centre, row.offset) for row in rows] == [(ZONE, offset)] * 3
     # The long poll that brings the record was sent a second before it at most.
     assert all(0.0 <= row.age_s <= 2.5 for row in rows)
+
+
+def holder_without_operator_topic(fleet: MemoryFleet) -> MemberId:
+    """Return the holder, which the operator topic is hidden from after its reads."""
+    fleet.nodes_without_operator_topic.add(fleet.holder())
+    fleet.run_for(1.5)
+    fleet.nodes_without_operator_topic = {holder := fleet.holder()}
+    fleet.run_for(1.0)
+    return holder
+
+
+@pytest.mark.parametrize(
+    ("zone", "offset"), [(ZONE, 2**63), (ZONE, 2**40), ("z" * 256, 5), ("", 5)]
+)
+def test_an_absurd_notice_is_ignored_and_logged(
+    fleet: MemoryFleet, caplog: pytest.LogCaptureFixture, zone: str, offset: int
+) -> None:
+    node = fleet.node(0)
+    with caplog.at_level(logging.INFO):
+        message = EvacuationSeen(zone, offset, True)
+        node.handle_message(Envelope(MemberId("n1"), message))
+    assert not node._evacuations.data_centres
+    messages = [record.getMessage() for record in caplog.records]
+    assert messages.count("evacuation notice ignored") == 1
+
+
+def test_a_notice_that_cannot_be_sent_does_not_end_the_process(
+    fleet: MemoryFleet,
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    holder = holder_without_operator_topic(fleet)
+    for node_id, node in fleet.nodes_by_id.items():
+        links: Any = node._context.links
+        if node_id != holder:
+            send = links.send
+
+            def failing_send(to: MemberId, message: Any, send: Any = send) -> bool:
+                if isinstance(message, EvacuationSeen):
+                    raise ValueError("value can't be encoded")
+                return bool(send(to, message))
+
+            monkeypatch.setattr(links, "send", failing_send)
+    evacuate(fleet)
+    fleet.run_for(1.0)
+    assert not [row for row in caplog.records if row.levelno >= logging.CRITICAL]
+    messages = [record.getMessage() for record in caplog.records]
+    assert "evacuation notice not sent" in messages
+
+
+def test_notices_are_sent_again_when_the_holder_changes(
+    fleet: MemoryFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    evacuate(fleet)
+    fleet.run_for(1.0)
+    told: list[tuple[MemberId, MemberId]] = []
+    for node_id, node in fleet.nodes_by_id.items():
+        links: Any = node._context.links
+        send = links.send
+
+        def recorded_send(
+            to: MemberId, message: Any, sender: MemberId = node_id, send: Any = send
+        ) -> bool:
+            if isinstance(message, EvacuationSeen):
+                told.append((sender, to))
+            return bool(send(to, message))
+
+        monkeypatch.setattr(links, "send", recorded_send)
+    fleet.lose_silently(0)
+    fleet.lose(0)
+    fleet.run_for(8.0)
+    assert fleet.holder() == MemberId("n1")
+    assert (MemberId("n2"), MemberId("n1")) in told
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -426,14 +426,15 @@
     Mutant(
         "a node that reads a change tells the holder",
         "node/node.py",
-        "            self._tell_evacuations(holder_node, changes)",
-        "            return",
+        "            send_evacuations(self._context, holder_node, changes)\n"
+        "\n    def _holder_node_changed",
+        "            return\n\n    def _holder_node_changed",
         EVACUATION,
     ),
     Mutant(
         "nodes repeat the evacuations to a holder that asks for the store",
         "node/node.py",
-        "        self._tell_evacuations(sender, self._evacuations.changes())",
+        "        send_evacuations(self._context, sender, self._evacuations.changes())",
         "        return",
         EVACUATION,
     ),
@@ -444,6 +445,20 @@
         "if False:",
         EVACUATION,
     ),
+    Mutant(
+        "a notice counts only until the reads have passed its offset",
+        "scheduling/evacuations.py",
+        "if not self._is_passed(notice) and not self._is_too_far(notice)",
+        "if not self._is_too_far(notice)",
+        EVACUATION,
+    ),
+    Mutant(
+        "a new holder is told of evacuations that were read before",
+        "node/holder_election.py",
+        "                self.on_holder_node_changed()",
+        "                pass",
+        EVACUATION,
+    ),
     Mutant(
         "an order is checked again once there is a connection to its worker",
         "node/start_orders.py",
