Pass over stored records that can't be decoded

Such a record is now delivered with an empty key and value, with a log line. A record that is cut at the end of a page is read again first.

test_read_latest_decodes_a_page expects the new field last_key in addition.

On the earlier code these tests of test_platform_calls.py failed: all cases of test_a_record_without_a_whole_key_is_passed_over, test_a_cut_record_is_read_again_and_passed_over_if_still_cut and test_a_snapshot_item_that_cannot_be_decoded_is_passed_over.

--- a/tamarackmount/node/topic_tail.py
+++ b/tamarackmount/node/topic_tail.py
@@ -127,7 +127,7 @@
             start = page.end_offset if start is None else start
             if not page.has_more or not page.records:
                 break
-            after = page.records[-1].key
+            after = page.last_key
         self._next_offset = start
         self._is_caught_up = False
         self._record_contact()
--- a/tamarackmount/platform/store.py
+++ b/tamarackmount/platform/store.py
@@ -11,6 +11,7 @@
 """
 
 import base64
+import logging
 import struct
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
@@ -57,6 +58,8 @@
 MAX_OFFSET = 2**63 - 1
 """Maximum offset of a record."""
 
+_log = logging.getLogger(__name__)
+
 _PARTITION = 0
 _RECORD_LENGTH = struct.Struct(">I")
 _READ_HEADER = struct.Struct(">QQ")
@@ -114,7 +117,11 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyedRecord:
-    """A record of a keyed topic; an empty value deletes the key."""
+    """A record of a keyed topic; an empty value deletes the key.
+
+    A record that can't be decoded has an empty key and an empty value, which mean
+    nothing in any topic: it must not keep a reader from the records behind it.
+    """
 
     key: str
     value: bytes
@@ -143,11 +150,15 @@
 
 @dataclass(frozen=True, slots=True)
 class LatestRecordsPage:
-    """A page of the latest records by key; ``has_more`` tells if more pages follow."""
+    """A page of the latest records by key; ``has_more`` tells if more pages follow.
+
+    The next page follows ``last_key``.
+    """
 
     records: Sequence[KeyedRecord]
     has_more: bool
     end_offset: Offset
+    last_key: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -262,23 +273,36 @@
 def _decode_records_page(body: bytes, start: Offset) -> RecordsPage:
     end, _first = _READ_HEADER.unpack_from(body)
     position = _READ_HEADER.size
-    records = []
+    records: list[KeyedRecord] = []
     offset = start
     while position < len(body):
-        (length,) = _RECORD_LENGTH.unpack_from(body, position)
-        position += _RECORD_LENGTH.size
-        records.append(_decode_record(body[position : position + length], offset))
-        position += length
+        payload_start = position + _RECORD_LENGTH.size
+        length = int.from_bytes(body[position:payload_start], "big")
+        position = payload_start + length
+        if position > len(body) and records:
+            # The next read begins with this record, and may get all of it.
+            break
+        is_whole = position <= len(body)
+        payload = body[payload_start:position] if is_whole else b""
+        records.append(_decode_record(payload, offset))
         offset = Offset(offset + 1)
     return RecordsPage(records, Offset(end), offset)
 
 
 def _decode_record(payload: bytes, offset: Offset) -> KeyedRecord:
-    key_end = 1 + payload[0]
+    key_end = 1 + payload[0] if payload else 1
+    if key_end > len(payload):
+        return _undecodable(offset, "empty or cut payload")
     key = payload[1:key_end].decode("utf-8", "replace")
     return KeyedRecord(key, payload[key_end:], offset)
 
 
+def _undecodable(offset: Offset, reason: str) -> KeyedRecord:
+    extra = {"offset": offset, "reason": reason}
+    _log.warning("stored record not decodable; passed over", extra=extra)
+    return KeyedRecord("", b"", offset)
+
+
 _DECODING_ERRORS = (
     AttributeError,
     IndexError,
@@ -298,15 +322,36 @@
 
 
 def _decode_latest_page(page: Mapping[str, Any]) -> LatestRecordsPage:
-    records = [
-        KeyedRecord(
+    items = page["items"]
+    records = [_decode_item(item) for item in items]
+    keys = [
+        item["key"]
+        for item in items
+        if isinstance(item, dict) and isinstance(item.get("key"), str)
+    ]
+    has_more = bool(page["more"])
+    if has_more and items and not keys:
+        raise ValueError("no key that the next page follows")
+    last_key = keys[-1] if keys else ""
+    return LatestRecordsPage(records, has_more, Offset(int(page["end"])), last_key)
+
+
+def _decode_item(item: Any) -> KeyedRecord:
+    """Return a record of a snapshot; one that can't be decoded has an empty key."""
+    try:
+        return KeyedRecord(
             _text(item["key"]),
-            base64.b64decode(item["value"]),
-            Offset(int(item["offset"])),
+            base64.b64decode(_text(item["value"])),
+            _offset(item["offset"]),
         )
-        for item in page["items"]
-    ]
-    return LatestRecordsPage(records, bool(page["more"]), Offset(int(page["end"])))
+    except _DECODING_ERRORS as error:
+        return _undecodable(Offset(-1), f"{type(error).__name__}: {error}")
+
+
+def _offset(value: Any) -> Offset:
+    if type(value) is not int or not 0 <= value <= MAX_OFFSET:
+        raise ValueError(f"offset: expected a whole number from 0 to {MAX_OFFSET}")
+    return Offset(value)
 
 
 def _text(value: Any) -> str:
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -223,6 +223,62 @@
     assert b"from=10&waitMs=500" in peer.requests[0]
 
 
+EMPTY_PAYLOAD = b"\x00\x00\x00\x00"
+CUT_KEY = b"\x00\x00\x00\x03\x05ab"
+WHOLE = b"\x00\x00\x00\x03\x01bx"
+
+
+@pytest.mark.parametrize("malformed", [EMPTY_PAYLOAD, CUT_KEY])
+def test_a_record_without_a_whole_key_is_passed_over(
+    malformed: bytes, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a tail that reads the same record for ever."""
+    body = struct.pack(">QQ", 12, 3) + malformed + WHOLE
+    peer = Peer(encode_reply(200, body))
+    result = peer.wait(peer.store.read(JOBS, Offset(10), 0, peer.deadline))
+    rows = [KeyedRecord("", b"", Offset(10)), KeyedRecord("b", b"x", Offset(11))]
+    assert result == RecordsPage(rows, Offset(12), Offset(12))
+    assert "stored record not decodable; passed over" in caplog.messages
+
+
+@pytest.mark.parametrize("cut", [WHOLE[:-1], WHOLE[:4], WHOLE[:2]])
+def test_a_cut_record_is_read_again_and_passed_over_if_still_cut(cut: bytes) -> None:
+    head = struct.pack(">QQ", 12, 3)
+    peer = Peer(encode_reply(200, head + WHOLE + cut), encode_reply(200, head + cut))
+    first = peer.wait(peer.store.read(JOBS, Offset(10), 0, peer.deadline))
+    row = KeyedRecord("b", b"x", Offset(10))
+    assert first == RecordsPage([row], Offset(12), Offset(11))
+    second = peer.wait(peer.store.read(JOBS, Offset(11), 0, peer.deadline))
+    passed_over = KeyedRecord("", b"", Offset(11))
+    assert second == RecordsPage([passed_over], Offset(12), Offset(12))
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"value": None},
+        {"value": 7},
+        {"value": "x"},
+        {"offset": -1},
+        {"offset": 2**63},
+        {"offset": 1.5},
+        {"offset": True},
+        {"offset": None},
+    ],
+)
+def test_a_snapshot_item_that_cannot_be_decoded_is_passed_over(
+    change: dict[str, Any], caplog: pytest.LogCaptureFixture
+) -> None:
+    good = {"key": "a", "value": "eHk=", "offset": 4}
+    page = {"items": [good, {**good, "key": "b", **change}], "more": True, "end": 6}
+    peer = Peer(encode_reply(200, orjson.dumps(page)))
+    result = peer.wait(peer.store.read_latest(JOBS, "", peer.deadline))
+    rows = [KeyedRecord("a", b"xy", Offset(4)), KeyedRecord("", b"")]
+    # The next page follows the item, although its key is not passed on.
+    assert result == LatestRecordsPage(rows, True, Offset(6), "b")
+    assert "stored record not decodable; passed over" in caplog.messages
+
+
 def test_read_of_deleted_records_returns_the_first_offset() -> None:
     peer = Peer(encode_reply(410, b'{"first":7}'))
     result = peer.wait(peer.store.read(JOBS, Offset(1), 0, peer.deadline))
@@ -235,7 +291,7 @@
     peer = Peer(encode_reply(200, orjson.dumps({**page, "end": 6})))
     result = peer.wait(peer.store.read_latest(JOBS, "0", peer.deadline))
     assert result == LatestRecordsPage(
-        [KeyedRecord("a", b"xy", Offset(4))], True, Offset(6)
+        [KeyedRecord("a", b"xy", Offset(4))], True, Offset(6), "a"
     )
     assert b"after=0" in peer.requests[0]
 
