End the reads before the first start when the holder must not start

A new holder reads the jobs and the operator topic to their ends before it starts. While a read failed, the loop went on although the holder had stopped, a newer holder had claimed the role, or the node drained, and the node could neither claim again nor release the role. The loop now checks for these.

On the earlier code the three cases of test_reading_before_the_first_start_ends_when_the_holder_must_not_start failed.

--- a/tamarackmount/node/holder_election.py
+++ b/tamarackmount/node/holder_election.py
@@ -312,14 +312,16 @@
             self._holder_ended,
         )
         is_fenced = await holder.fence()
-        while is_fenced and not await self._read_all():
+        while (
+            is_fenced
+            and not self._is_over(holder, new_claim.epoch)
+            and not await self._read_all()
+        ):
             await deferLater(context.reactor, CLAIM_CHECK_INTERVAL_S, lambda: None)
-        record = self._watch.record
-        is_replaced = record is not None and record.epoch > new_claim.epoch
         if context.is_draining:
             await holder.release()
             return
-        if not is_fenced or is_replaced or holder.is_stopped:
+        if not is_fenced or self._is_over(holder, new_claim.epoch):
             holder.stop()
             return
         self._next_hand_over_check_at = Instant(
@@ -334,6 +336,12 @@
         self.new_holder_ready.notify()
         self._notify_peers(holder.epoch)
 
+    def _is_over(self, holder: Holder, epoch: Epoch) -> bool:
+        """Tell whether a holder that has not started must not do so any more."""
+        record = self._watch.record
+        is_replaced = record is not None and record.epoch > epoch
+        return is_replaced or holder.is_stopped or self._context.is_draining
+
     async def _read_all(self) -> bool:
         """Read the jobs and the operator's records; tell whether to their ends.
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -16,7 +16,7 @@
 from tamarackmount.node.fenced_log import FencedLog
 from tamarackmount.platform.store import Appended, Fenced, KeyedRecord, Topic
 from tamarackmount.scheduling.holder_watch import HEARTBEAT_INTERVAL_S
-from tamarackmount.scheduling.journal import HolderRecord, decode_record
+from tamarackmount.scheduling.journal import HolderRecord, decode_record, encode_record
 from tests.utils.build_scheduling import fleet_config
 from tests.utils.memory_peers import MemoryFleet
 from tests.utils.memory_store import MemoryStore
@@ -152,6 +152,45 @@
     assert holder.starts == 0
 
 
+@pytest.mark.parametrize("reason", ["stopped", "replaced", "drains"])
+def test_reading_before_the_first_start_ends_when_the_holder_must_not_start(
+    monkeypatch: pytest.MonkeyPatch, reason: str
+) -> None:
+    """Guards against a node that reads for ever and never claims again."""
+    fleet = MemoryFleet(1)
+    election: Any = fleet.node(0)._election
+    election._context.fleet = fleet_config()
+    holder: Any = FencedHolder()
+    holder.is_stopped = False
+    holder.releases = 0
+
+    async def release() -> None:
+        holder.releases += 1
+
+    holder.release = release
+    monkeypatch.setattr("tamarackmount.node.holder_election.Holder", lambda *_: holder)
+    fleet.nodes_without_operator_topic.add(MemberId("n0"))
+    log: Any = None
+    ended: list[None] = []
+    claimed = Claim(MemberId("n0"), 1, Epoch(2), log)
+    taking_over = ensureDeferred(election._take_over(claimed, Instant(0.0)))
+    taking_over.addCallback(ended.append)
+    fleet.run_for(3.0)
+    assert not ended
+    if reason == "stopped":
+        holder.is_stopped = True
+    elif reason == "replaced":
+        record = HolderRecord(MemberId("n1"), 3, 0, 1)
+        fleet.store.put(HOLDER_TOPIC, KeyedRecord("holder", encode_record(record)))
+    else:
+        election._context.is_draining = True
+    fleet.run_for(3.0)
+    assert ended
+    assert election.holder is None
+    assert holder.starts == 0
+    assert holder.releases == (reason == "drains")
+
+
 def test_a_release_is_stored_although_a_heartbeat_is_being_written() -> None:
     clock, store = make()
     (claimed,) = run_claims(clock, store, "a")
