Compare the offsets of a node's registration and its removal

A removal that was read before the store's answer to the registration was ignored, and the node stayed unregistered. The registry now keeps the offset of both, and registers again exactly if the removal is the later one.

On the earlier code both cases of test_a_removal_that_is_read_before_the_answer_of_the_store_is_noticed failed, and test_a_removal_before_the_registration_is_no_reason_to_register_again.

--- a/tamarackmount/node/node_registry.py
+++ b/tamarackmount/node/node_registry.py
@@ -7,7 +7,7 @@
 from returns.result import Failure
 from twisted.internet.task import deferLater
 
-from tamarackmount.ids import DataCentreId, Instant, MemberId
+from tamarackmount.ids import DataCentreId, Instant, MemberId, Offset
 from tamarackmount.internal.addresses import Address as PeerAddress
 from tamarackmount.node.context import NodeContext
 from tamarackmount.node.tasks import spawn
@@ -58,7 +58,8 @@
         self._context = context
         self._addresses_by_id = addresses_by_id
         self._records_by_node: dict[MemberId, NodeRecord] = {}
-        self._is_registered = False
+        self._registered_at: Offset | None = None
+        self._removed_at = Offset(-1)
         self.on_read: Callable[[], None] = lambda: None
         self.tail = TopicTail(
             context.reactor,
@@ -101,8 +102,11 @@
             deadline = Instant(context.reactor.seconds() + REGISTER_TIMEOUT_S)
             result = await context.store.append(NODES_TOPIC, [record], deadline)
             if isinstance(result, Appended):
-                self._is_registered = True
-                return
+                if result.offset > self._removed_at:
+                    self._registered_at = result.offset
+                    return
+                # The removal that followed was read before the store's answer.
+                continue
             _log.info(
                 "node registration not stored; retrying", extra={"reason": str(result)}
             )
@@ -110,14 +114,22 @@
 
     def _apply_snapshot(self, records: Sequence[KeyedRecord]) -> None:
         """Apply the latest record of each key; nodes without one were removed."""
-        for node in self._records_by_node.keys() - {record.key for record in records}:
-            self._remove(node)
+        listed = {record.key for record in records}
+        # A removal that was trimmed is at an offset before the snapshot's end.
+        removed_at = Offset((self.tail.next_offset or 0) - 1)
+        known = {*self._records_by_node, self._context.node_id}
+        for node in known - listed:
+            self._remove(node, removed_at)
         self._apply_records(records)
 
-    def _register_again(self) -> None:
-        """Register again after this node's registration was removed."""
-        if self._is_registered:
-            self._is_registered = False
+    def _own_registration_removed(self, offset: Offset) -> None:
+        """Register again if the registration before the offset was the last one.
+
+        While one is being stored, its offset is not known; ``register`` checks it.
+        """
+        self._removed_at = max(self._removed_at, offset)
+        if self._registered_at is not None and self._registered_at < offset:
+            self._registered_at = None
             _log.info("node registration was removed; registering again")
             spawn(self.register())
 
@@ -126,15 +138,15 @@
             node = MemberId(record.key)
             decoded = decode_record(record.value, NodeRecord) if record.value else None
             if decoded is None or isinstance(decoded, Failure):
-                self._remove(node)
+                self._remove(node, record.offset)
             else:
                 self._add(node, decoded.unwrap())
         self.on_read()
 
-    def _remove(self, node: MemberId) -> None:
+    def _remove(self, node: MemberId, offset: Offset) -> None:
         self._records_by_node.pop(node, None)
         if node == self._context.node_id:
-            self._register_again()
+            self._own_registration_removed(offset)
             return
         self._addresses_by_id.pop(node, None)
         self._context.peer_calls.peers.discard(node)
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -5,10 +5,12 @@
 """
 
 from collections.abc import Sequence
+from typing import Any
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from twisted.internet.defer import ensureDeferred
 
 from tamarackmount.ids import DataCentreId, Instant, MemberId
 from tamarackmount.node.node_registry import NODES_TOPIC
@@ -129,3 +131,43 @@
     registry.tail._next_offset = None
     fleet.run_for(8.0)
     assert "left" not in {row.node for row in registry.candidates()}
+
+
+@pytest.mark.parametrize("is_trimmed", [False, True])
+def test_a_removal_that_is_read_before_the_answer_of_the_store_is_noticed(
+    is_trimmed: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a node that runs but stays unregistered."""
+    fleet = MemoryFleet(4)
+    registry = fleet.node(3)._registry
+    store: Any = registry._context.store
+    append = store.append
+    answers: list[Any] = []
+
+    async def append_slowly(*arguments: Any) -> Any:
+        result = await append(*arguments)
+        answers.append(result)
+        if len(answers) == 1:
+            # The holder's removal was under way already.
+            fleet.store.put(NODES_TOPIC, KeyedRecord("n3", b""))
+            if is_trimmed:
+                fleet.store.trim(NODES_TOPIC)
+            await fleet.store.sleep(0.8)
+        return result
+
+    monkeypatch.setattr(store, "append", append_slowly)
+    ensureDeferred(registry.register())
+    fleet.run_for(8.0)
+    newest = {row.key: row.value for row in fleet.store.records(NODES_TOPIC)}
+    assert newest["n3"]
+    assert len(answers) == 2
+
+
+def test_a_removal_before_the_registration_is_no_reason_to_register_again() -> None:
+    fleet = MemoryFleet(4)
+    registry = fleet.node(3)._registry
+    fleet.store.put(NODES_TOPIC, KeyedRecord("n3", b""))
+    fleet.run(registry.register())
+    fleet.run_for(8.0)
+    rows = [row for row in fleet.store.records(NODES_TOPIC) if row.key == "n3"]
+    assert [bool(row.value) for row in rows] == [True, False, True]
