Leave the gauge of evacuated runs at zero when the holder stops in a tick

The tick set the gauge again after an effect of the same tick had stopped the holder, so that two nodes reported runs.

test_a_holder_that_stops_in_a_tick_leaves_no_count_of_runs failed on the earlier code.

--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -280,10 +280,9 @@
         for effect in self.scheduler.take_effects():
             self._execute(effect)
         self._remove_expired_jobs()
-        self._dependencies.metrics.set_evacuated_runs(
-            self.scheduler.evacuated_run_count
-        )
         if not self._is_stopped:
+            run_count = self.scheduler.evacuated_run_count
+            self._dependencies.metrics.set_evacuated_runs(run_count)
             self._writer.start_writing()
 
     def _update_authority(self) -> None:
--- a/tests/test_node_evacuation.py
+++ b/tests/test_node_evacuation.py
@@ -13,7 +13,7 @@
 from tamarackmount.node.messages import EvacuationSeen, StoreAgeQuery
 from tamarackmount.node.start_orders import MAX_STARTS_PER_WORKER, StartOrders
 from tamarackmount.platform.store import OPERATOR_TOPIC, KeyedRecord
-from tamarackmount.scheduling.effects import StartRun
+from tamarackmount.scheduling.effects import StartRun, StepDown
 from tamarackmount.scheduling.model import TaskKey
 from tamarackmount.scheduling.worker_reports import OrderResult, StartOrder
 from tests.utils.build_scheduling import incarnation, job, worker_entry
@@ -319,3 +319,21 @@
     fleet.run_for(8.0)
     assert fleet.holder() == MemberId("n1")
     assert (MemberId("n2"), MemberId("n1")) in told
+
+
+def test_a_holder_that_stops_in_a_tick_leaves_no_count_of_runs(
+    fleet: MemoryFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    node = fleet.node(0)
+    holder: Any = node._election.holder
+    count = property(lambda _: 3)
+    monkeypatch.setattr(type(holder.scheduler), "evacuated_run_count", count)
+    metric = "tamarackmount_runs_in_evacuated_data_centres"
+    registry = node._context.metrics.registry
+    holder._tick()
+    assert f"{metric} 3" in render_metrics(registry).decode()
+    effects = [StepDown("fenced by a worker")]
+    monkeypatch.setattr(holder.scheduler, "take_effects", lambda: effects)
+    holder._tick()
+    assert holder.is_stopped
+    assert f"{metric} 0" in render_metrics(registry).decode()
