Keep flushing the log after an unexpected error

The error ended the loop that calls flush, and buffered lines waited for the next record from then on. It is now counted among the dropped lines, and the buffered lines are written all the same.

test_an_unexpected_error_in_a_flush_is_counted_and_does_not_leave_it failed on the earlier code.

--- a/tamarackmount/internal/jsonlog.py
+++ b/tamarackmount/internal/jsonlog.py
@@ -52,6 +52,10 @@
 """Name under which lines are counted that have no counter of their own."""
 
 
+FLUSH_ERROR = "error while flushing"
+"""Label under which unexpected errors in a flush are counted among dropped lines."""
+
+
 class LineClass(Enum):
     """What a line is about, which decides when it is given up."""
 
@@ -159,11 +163,15 @@
     def flush(self) -> None:
         """Write as many buffered bytes as the descriptor accepts now.
 
-        Also report the counts of seconds that have passed.
+        Also report the counts of seconds that have passed. An unexpected error is
+        counted as a dropped line, as the caller flushes at intervals and would end.
         """
         with self.lock or nullcontext():
-            self._report_counts(int(self._clock()))
-            self._write()
+            for step in (self._report_past_counts, self._write):
+                try:
+                    step()
+                except Exception:  # noqa: BLE001  (logging must not end what logs)
+                    self._dropped.add((FLUSH_ERROR,), time.time())
 
     def close(self) -> None:
         """Report the counts of the last second, and write what is accepted now."""
@@ -172,6 +180,9 @@
             self._write()
         super().close()
 
+    def _report_past_counts(self) -> None:
+        self._report_counts(int(self._clock()))
+
     def _write(self) -> None:
         while self._lines:
             try:
--- a/tests/test_jsonlog.py
+++ b/tests/test_jsonlog.py
@@ -203,3 +203,20 @@
     pipe.handler.close()
     (line,) = pipe.read(at=100.0)
     assert line["counts"] == {"run ended": {"stock": 1}}
+
+
+def test_an_unexpected_error_in_a_flush_is_counted_and_does_not_leave_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a loop of flushes that ends at the first error."""
+    pipe = PipeLog()
+
+    def fail(_second: int) -> None:
+        raise ValueError("not foreseen")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(pipe.handler, "_report_counts", fail)
+        pipe.handler.flush()
+    (line,) = pipe.read()
+    assert line["message"] == "log lines dropped"
+    assert line["counts"] == {jsonlog.FLUSH_ERROR: 1}
