--- a/tamarackmount/node/holder_election.py
+++ b/tamarackmount/node/holder_election.py
@@ -100,6 +100,7 @@
         self._next_hand_over_check_at = Instant(0.0)
         self._is_claiming = False
         self.new_holder_ready = Event()
+        self.on_holder_node_changed: Callable[[], None] = lambda: None
         self.holder: Holder | None = None
         self.tail = TopicTail(
             context.reactor,
@@ -160,6 +161,8 @@
         if latest is not None and (previous is None or latest.epoch != previous.epoch):
             extra = {"node": latest.node, "epoch": latest.epoch}
             _log.info("holder changed", extra=extra)
+            if previous is None or latest.node != previous.node:
+                self.on_holder_node_changed()
         self._check_superseded()
 
     def _check_superseded(self) -> None:
@@ -309,14 +312,16 @@
             self._holder_ended,
         )
         is_fenced = await holder.fence()
-        while is_fenced and not await self._read_all():
+        while (
+            is_fenced
+            and not self._is_over(holder, new_claim.epoch)
+            and not await self._read_all()
+        ):
             await deferLater(context.reactor, CLAIM_CHECK_INTERVAL_S, lambda: None)
-        record = self._watch.record
-        is_replaced = record is not None and record.epoch > new_claim.epoch
         if context.is_draining:
             await holder.release()
             return
-        if not is_fenced or is_replaced or holder.is_stopped:
+        if not is_fenced or self._is_over(holder, new_claim.epoch):
             holder.stop()
             return
         self._next_hand_over_check_at = Instant(
@@ -331,6 +336,12 @@
         self.new_holder_ready.notify()
         self._notify_peers(holder.epoch)
 
+    def _is_over(self, holder: Holder, epoch: Epoch) -> bool:
+        """Tell whether a holder that has not started must not do so any more."""
+        record = self._watch.record
+        is_replaced = record is not None and record.epoch > epoch
+        return is_replaced or holder.is_stopped or self._context.is_draining
+
     async def _read_all(self) -> bool:
         """Read the jobs and the operator's records; tell whether to their ends.
 
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -16,6 +16,7 @@
 from tamarackmount.node import clock
 from tamarackmount.node.context import JOBS_TOPIC, NodeContext
 from tamarackmount.node.departed_nodes import DepartedNodes
+from tamarackmount.node.evacuation_notices import send_evacuations
 from tamarackmount.node.evacuation_watch import EvacuationWatch
 from tamarackmount.node.hedged_advice import reply_to
 from tamarackmount.node.holder_dependencies import HolderDependencies
@@ -52,7 +53,7 @@
 from tamarackmount.scheduling.model import StepKey
 from tamarackmount.units import MS_PER_SECOND
 
-CONFIG_READ_WAIT_MS = 1_000
+OPERATOR_READ_WAIT_MS = 1_000
 """Long-poll wait of a read of the operator's documents, in milliseconds. A connection
 that does not answer is replaced within the 2 s that a change may take."""
 
@@ -133,19 +134,19 @@
             metrics=NodeMetrics(),
             started_unix_ms=clock.unix_ms(),
         )
-        self._config_tail = TopicTail(
+        self._operator_tail = TopicTail(
             reactor,
             self._context.store,
             OPERATOR_TOPIC,
             self._apply_operator_snapshot,
             self._apply_operator_records,
-            CONFIG_READ_WAIT_MS,
+            OPERATOR_READ_WAIT_MS,
             0.0,
         )
         self._evacuations = EvacuationWatch(
             reactor,
-            self._config_tail.read_now,
-            lambda: self._config_tail.caught_up_at,
+            self._operator_tail.read_now,
+            lambda: self._operator_tail.caught_up_at,
             self._evacuations_changed,
         )
         self._registry = NodeRegistry(self._context, addresses_by_id)
@@ -159,6 +160,7 @@
             self._evacuations,
             self._holder_dependencies,
         )
+        self._election.on_holder_node_changed = self._holder_node_changed
         self._departed_nodes = DepartedNodes(
             self._context, self._registry, lambda: self._election.holder is not None
         )
@@ -197,7 +199,7 @@
 
     def follow_store(self) -> None:
         """Start reading the store's topics."""
-        self._config_tail.start()
+        self._operator_tail.start()
         self._election.tail.start()
         self._registry.tail.start()
         self._follower.start()
@@ -286,7 +288,7 @@
 
     def _last_store_answers(self) -> tuple[Instant | None, ...]:
         return (
-            self._config_tail.last_contact,
+            self._operator_tail.last_contact,
             self._election.tail.last_contact,
             self._follower.last_contact,
         )
@@ -300,7 +302,7 @@
         self.jobs.apply_records(records)
 
     def _apply_operator_snapshot(self, records: Sequence[KeyedRecord]) -> None:
-        end = self._config_tail.next_offset
+        end = self._operator_tail.next_offset
         if end is not None:
             self._evacuations.apply_snapshot(records, end)
         self._apply_configs(records)
@@ -317,16 +319,17 @@
         if holder is not None:
             holder.set_evacuated_data_centres(self._evacuations.data_centres)
         elif holder_node is not None and holder_node != self._context.node_id:
-            self._tell_evacuations(holder_node, changes)
+            send_evacuations(self._context, holder_node, changes)
 
-    def _tell_evacuations(
-        self, node: MemberId, changes: Sequence[EvacuationChange]
-    ) -> None:
-        for change in changes:
-            message = EvacuationSeen(
-                change.data_centre, change.offset, change.is_evacuated
-            )
-            self._context.links.send(node, message)
+    def _holder_node_changed(self) -> None:
+        """Tell the new holder what this node has read; earlier notices went elsewhere.
+
+        The holder may be unable to read the store.
+        """
+        holder_node = self._election.holder_node
+        if holder_node is not None and holder_node != self._context.node_id:
+            changes = self._evacuations.changes()
+            send_evacuations(self._context, holder_node, changes)
 
     def _handle_evacuation_seen(
         self, _sender: MemberId, message: EvacuationSeen
@@ -374,7 +377,7 @@
         age_ms = int(self._store_contact.silence_s() * MS_PER_SECOND)
         self._context.links.send(sender, StoreAgeReply(query.call_id, age_ms))
         # The holder asks while the store does not answer it; a notice may be lost.
-        self._tell_evacuations(sender, self._evacuations.changes())
+        send_evacuations(self._context, sender, self._evacuations.changes())
 
     def _handle_advice_query(self, sender: MemberId, query: AdviceQuery) -> None:
         spawn_answer(self._answer_advice_query(sender, query))
