--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -439,7 +439,7 @@
         EVACUATION,
     ),
     Mutant(
-        "a late notice does not undo a later record",
+        "a late record does not undo a later one",
         "scheduling/evacuations.py",
         "if offset < self._snapshot_end or (known and offset <= known.offset):",
         "if False:",
@@ -452,6 +452,13 @@
         "if not self._is_too_far(notice)",
         EVACUATION,
     ),
+    Mutant(
+        "a late notice does not undo a later one",
+        "scheduling/evacuations.py",
+        "if is_late or self._is_passed(notice)",
+        "if self._is_passed(notice)",
+        EVACUATION,
+    ),
     Mutant(
         "a new holder is told of evacuations that were read before",
         "node/holder_election.py",
