Follow a renamed variable in a mutation

Cause: two mends touched the check of queued orders. Change: the mutation's text. Measured: all texts of mutations and switch-offs apply (test_compare_days).

--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -351,7 +351,7 @@
     Mutant(
         "a start order that waited is sent only under the authority of that moment",
         "node/start_orders.py",
-        "if self._may_send(effect.order):",
+        "if self._may_send(order):",
         "if True:",
         "tests/test_start_orders.py",
     ),
