One class for recent peaks; admission's state in its own module; headroom by its name

No decision changes, except that a peak of urgent use counts up to a second longer, by the span in which it began. Measured: 376 tests of the scheduler, contention and the source edits pass.

--- a/tamarackmount/scheduling/ceilings.py
+++ b/tamarackmount/scheduling/ceilings.py
@@ -72,7 +72,7 @@
     urgent_use_by_workspace: Mapping[WorkspaceId, Resources],
     now: Instant,
 ) -> float | None:
-    peak = state.urgent_peaks.peak(workspace.workspace_id)
+    peak = state.urgent_peaks.peak(workspace.workspace_id, now)
     if peak is None:
         return None
     urgent_use = urgent_use_by_workspace.get(workspace.workspace_id, NOTHING)
--- a/tamarackmount/scheduling/urgent_headroom.py
+++ b/tamarackmount/scheduling/headroom.py
@@ -19,7 +19,7 @@
 from tamarackmount.scheduling.workers import WorkerState
 
 
-class UrgentHeadroom:
+class Headroom:
     """What steps that can wait leave free in one round of placement."""
 
     def __init__(self, state: SchedulerState, now: Instant) -> None:
--- a/tamarackmount/scheduling/placement.py
+++ b/tamarackmount/scheduling/placement.py
@@ -9,6 +9,7 @@
 from tamarackmount.scheduling.fleet_config import Queue
 from tamarackmount.scheduling.free_capacity import FreeCapacityIndex
 from tamarackmount.scheduling.gang_groups import gang_groups
+from tamarackmount.scheduling.headroom import Headroom
 from tamarackmount.scheduling.holder_authority import HolderAuthority
 from tamarackmount.scheduling.model import ServiceName, WorkerIncarnation
 from tamarackmount.scheduling.ranking import Tier, rank, tier
@@ -22,7 +23,6 @@
     speed_groups,
     speed_ranks,
 )
-from tamarackmount.scheduling.urgent_headroom import UrgentHeadroom
 from tamarackmount.scheduling.wait_log import update_wait_reason
 from tamarackmount.scheduling.worker_choice import eligible_workers
 from tamarackmount.scheduling.workers import ContactState, WorkerState
@@ -41,7 +41,7 @@
         return blocked_steps
     unconfirmed = _services_with_unconfirmed_workers(state)
     reservations = Reservations(state, now)
-    headroom = UrgentHeadroom(state, now)
+    headroom = Headroom(state, now)
     for step in sorted(
         state.ready_steps_by_key.values(), key=lambda step: rank(step, now)
     ):
@@ -130,7 +130,7 @@
     queue: Queue,
     capacity_index: FreeCapacityIndex,
     reservations: Reservations,
-    headroom: UrgentHeadroom,
+    headroom: Headroom,
     now: Instant,
 ) -> WaitReason:
     workers = eligible_workers(state, step, queue, now)
@@ -164,7 +164,7 @@
     queue: Queue,
     _capacity_index: FreeCapacityIndex,
     reservations: Reservations,
-    headroom: UrgentHeadroom,
+    headroom: Headroom,
     now: Instant,
 ) -> WaitReason:
     # ``_capacity_index`` is not used: the signature is that of ``_place_tasks``.
@@ -198,7 +198,7 @@
     state: SchedulerState,
     step: StepState,
     workers: Sequence[WorkerState],
-    headroom: UrgentHeadroom,
+    headroom: Headroom,
     now: Instant,
 ) -> None:
     for index, worker in enumerate(workers):
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -10,14 +10,14 @@
 
 from tamarackmount.ids import DataCentreId, Epoch, Instant, JobId, QueueName
 from tamarackmount.scheduling.accepted_job import AcceptedJob
-from tamarackmount.scheduling.admission import Refusal, admit
+from tamarackmount.scheduling.admission import Refusal
+from tamarackmount.scheduling.admission_control import AdmissionControl
 from tamarackmount.scheduling.advice_requests import AdviceRequests
 from tamarackmount.scheduling.ceilings import (
     set_non_urgent_fraction,
     update_non_urgent_fractions,
 )
 from tamarackmount.scheduling.contention import ContentionReports
-from tamarackmount.scheduling.drain_forecast import DrainForecast
 from tamarackmount.scheduling.effects import Effect
 from tamarackmount.scheduling.evacuated_workers import (
     count_evacuated_runs,
@@ -74,10 +74,6 @@
 takes 1.4 ms with 180 workers and 210 waiting steps of 20 workspaces, and the holder
 ticks after each event."""
 
-MAX_FORECAST_WAITS = 2_000
-"""Limit of forecast waits of accepted jobs that are not stored yet: some seconds' worth
-of submissions."""
-
 MAX_PREEMPTING_STEPS = 8
 """Steps for which one round preempts runs, the most urgent ones first; the search for
 runs to preempt takes time."""
@@ -98,11 +94,10 @@
         )
         self._advice_requests = AdviceRequests(self._state)
         self._batcher = StoreBatcher(self._state)
-        self._drain_forecast = DrainForecast(self._state)
-        self._contention = ContentionReports(self, self._drain_forecast)
+        self._admission = AdmissionControl(self._state)
+        self._contention = ContentionReports(self, self._admission.forecast)
         self._next_preemption_at = Instant(0.0)
         self._next_shares_at = Instant(0.0)
-        self._forecast_wait_s_by_job: dict[JobId, float] = {}
 
     @property
     def fencing_token(self) -> Epoch:
@@ -177,7 +172,7 @@
         """
         if data_centres != self._state.evacuated_data_centres:
             set_evacuated_data_centres(self._state, data_centres)
-            self._drain_forecast.invalidate()
+            self._admission.forecast.invalidate()
 
     @property
     def evacuated_run_count(self) -> int:
@@ -226,20 +221,7 @@
             return None
         job = make_job(accepted, None, now)
         self._apply_queue_settings(job)
-        refusal = admit(state, self._drain_forecast, job, now)
-        if refusal is not None:
-            state.refused_by_pool[accepted.service, accepted.workspace_id] += 1
-            extra = {
-                "job": accepted.job_id,
-                "team": accepted.workspace_id,
-                "queue": accepted.queue_name,
-                "reason": refusal.reason.value,
-                "retry_after_s": round(refusal.retry_after_s, 1),
-            }
-            _log.info("job refused", extra=extra)
-        elif job.forecast_wait_s is not None:
-            self._remember_forecast(job)
-        return refusal
+        return self._admission.check(job, now)
 
     def share_rows(self) -> Sequence[ShareRow]:
         """Return what each workspace has of each pool, as of the last round."""
@@ -365,7 +347,7 @@
         self._apply_queue_settings(job)
         if is_new:
             job.is_over_share = self._is_over_share(job, now)
-            job.forecast_wait_s = self._forecast_wait_s_by_job.pop(job.job_id, None)
+            job.forecast_wait_s = self._admission.take_forecast_wait_s(job.job_id)
             set_non_urgent_fraction(state, job)
             mark_new_steps(state, job)
         state.jobs_by_id[job.job_id] = job
@@ -376,13 +358,6 @@
             make_ready(state, step)
         self._end_if_all_steps_done(job.job_id, now)
 
-    def _remember_forecast(self, job: JobState) -> None:
-        """Keep a job's forecast wait until its record is read back from the store."""
-        if len(self._forecast_wait_s_by_job) >= MAX_FORECAST_WAITS:
-            self._forecast_wait_s_by_job.clear()
-        if job.forecast_wait_s is not None:
-            self._forecast_wait_s_by_job[job.job_id] = job.forecast_wait_s
-
     def _preempt(
         self, blocked_steps: list[tuple[StepState, Queue]], now: Instant
     ) -> None:
--- a/tamarackmount/scheduling/share_round.py
+++ b/tamarackmount/scheduling/share_round.py
@@ -1,7 +1,7 @@
 """Compute the shares of all pools before a round of placement, and mark steps by them.
 
-It runs with each tick of the holder. Use is counted as runs are added and dropped, so
-that a round looks at workers and waiting steps only, and ranks steps only of those
+It runs every 20 ms at most. Use is counted as runs are added and dropped, so that a
+round looks at workers and waiting steps only, and ranks steps only of those
 workspaces that ask for more than they are entitled to.
 """
 
--- a/tamarackmount/scheduling/urgent_peaks.py
+++ b/tamarackmount/scheduling/urgent_peaks.py
@@ -5,27 +5,22 @@
 the others.
 """
 
-from collections import deque
 from collections.abc import Mapping
 
 from tamarackmount.ids import Instant, WorkspaceId
-from tamarackmount.resources import NOTHING, Resources, componentwise_maximum
+from tamarackmount.resources import Resources
+from tamarackmount.scheduling.span_peaks import SpanPeaks
 
 PEAK_WINDOW_S = 20.0
 """Time for which a peak counts, in seconds."""
 
-BUCKET_S = 1.0
-"""Length of the spans, in seconds, of each of which one maximum is kept."""
-
 
 class UrgentPeaks:
     """The largest urgent use of each workspace within the last ``PEAK_WINDOW_S``."""
 
     def __init__(self) -> None:
         """Begin with nothing observed."""
-        self._buckets_by_workspace: dict[
-            WorkspaceId, deque[tuple[Instant, Resources]]
-        ] = {}
+        self._peaks_by_workspace: dict[WorkspaceId, SpanPeaks] = {}
         self._observed_since_by_workspace: dict[WorkspaceId, Instant] = {}
 
     def record(
@@ -33,19 +28,14 @@
     ) -> None:
         """Record what the urgent jobs of workspaces use now."""
         for workspace, used in urgent_use_by_workspace.items():
-            buckets = self._buckets_by_workspace.setdefault(workspace, deque())
             self._observed_since_by_workspace.setdefault(workspace, now)
-            if buckets and now < buckets[-1][0] + BUCKET_S:
-                began_at, peak = buckets[-1]
-                buckets[-1] = began_at, componentwise_maximum(peak, used)
-            else:
-                buckets.append((now, used))
-        for workspace in list(self._buckets_by_workspace):
-            buckets = self._buckets_by_workspace[workspace]
-            while buckets and buckets[0][0] + PEAK_WINDOW_S < now:
-                buckets.popleft()
-            if not buckets:
-                del self._buckets_by_workspace[workspace]
+            peaks = self._peaks_by_workspace.get(workspace)
+            if peaks is None:
+                peaks = self._peaks_by_workspace[workspace] = SpanPeaks(PEAK_WINDOW_S)
+            peaks.record(used, now)
+        for workspace, peaks in list(self._peaks_by_workspace.items()):
+            if peaks.peak(now) is None:
+                del self._peaks_by_workspace[workspace]
                 del self._observed_since_by_workspace[workspace]
 
     def is_representative(self, workspace: WorkspaceId, now: Instant) -> bool:
@@ -53,12 +43,7 @@
         since = self._observed_since_by_workspace.get(workspace)
         return since is not None and now >= since + PEAK_WINDOW_S
 
-    def peak(self, workspace: WorkspaceId) -> Resources | None:
+    def peak(self, workspace: WorkspaceId, now: Instant) -> Resources | None:
         """Return the peak of each resource, or None if no urgent use was observed."""
-        buckets = self._buckets_by_workspace.get(workspace)
-        if not buckets:
-            return None
-        peak = NOTHING
-        for _, used in buckets:
-            peak = componentwise_maximum(peak, used)
-        return peak
+        peaks = self._peaks_by_workspace.get(workspace)
+        return peaks.peak(now) if peaks is not None else None
--- a/tests/test_scheduling_ceilings.py
+++ b/tests/test_scheduling_ceilings.py
@@ -113,8 +113,8 @@
     peaks = UrgentPeaks()
     peaks.record({WORKSPACE: Resources(5_000, 100, 0)}, Instant(0.0))
     peaks.record({WORKSPACE: Resources(1_000, 900, 0)}, Instant(0.5))
-    assert peaks.peak(WORKSPACE) == Resources(5_000, 900, 0)
+    assert peaks.peak(WORKSPACE, Instant(0.5)) == Resources(5_000, 900, 0)
     peaks.record({}, Instant(PEAK_WINDOW_S))
-    assert peaks.peak(WORKSPACE) == Resources(5_000, 900, 0)
+    assert peaks.peak(WORKSPACE, Instant(PEAK_WINDOW_S)) == Resources(5_000, 900, 0)
     peaks.record({}, Instant(PEAK_WINDOW_S + 1.0))
-    assert peaks.peak(WORKSPACE) is None
+    assert peaks.peak(WORKSPACE, Instant(PEAK_WINDOW_S + 1.0)) is None
--- a/tests/utils/switch_offs.py
+++ b/tests/utils/switch_offs.py
@@ -255,7 +255,7 @@
         "bursts of urgent jobs on a pool that long work would fill",
         (
             _edit(
-                "scheduling/urgent_headroom.py",
+                "scheduling/headroom.py",
                 "if not _leaves_headroom(step, self._now):",
                 "if True:",
             ),
@@ -277,7 +277,7 @@
         "tasks on one accelerator each, beside gangs of whole workers",
         (
             _edit(
-                "scheduling/urgent_headroom.py",
+                "scheduling/headroom.py",
                 "return self._large.allows(service, amount, chosen)",
                 "return True",
             ),
