Restart perpetual tasks before urgent work, on workers kept for them

Change: perpetual steps come first in the urgent tier, by the age of their job, are never marked as beyond a share, and reserve workers that urgent steps leave alone meanwhile.

--- a/tamarackmount/scheduling/ranking.py
+++ b/tamarackmount/scheduling/ranking.py
@@ -40,7 +40,8 @@
     """Return the class of a step."""
     job = step.job
     if step.spec.perpetual:
-        return Tier.IN_TIME
+        # Its users are without it until it runs.
+        return Tier.URGENT
     if now > job.latest_late_start:
         return Tier.TOO_LATE
     is_urgent = job.priority == URGENT_PRIORITY
@@ -56,6 +57,8 @@
     """Return the step's sort key; lower ones are placed first."""
     job = step.job
     start_by = job.latest_late_start if now > job.latest_start else job.latest_start
+    if step.spec.perpetual:
+        start_by = job.accepted_at
     return (
         tier(step, now),
         step.exceeds_pool_share,
--- a/tamarackmount/scheduling/reservations.py
+++ b/tamarackmount/scheduling/reservations.py
@@ -1,4 +1,4 @@
-"""Reserve workers for gangs that wait for capacity.
+"""Reserve workers for gangs and perpetual tasks that wait for capacity.
 
 Load pattern: gangs of large tasks need many slots at one moment, on a pool that smaller
 steps keep busy. These take each slot as soon as it is free, also one that was freed by
@@ -7,6 +7,10 @@
 only if they end there before the gang can start (backfill), and urgent ones if they
 fit nowhere else. A gang is planned beside those of higher rank, so that no two gangs
 keep parts idle that the other one needs.
+
+Load pattern: a perpetual task ends, few workers are allowed for it, and smaller urgent
+tasks take what is freed there a slot at a time. These keep off its workers until it
+has started.
 """
 
 from collections import Counter
@@ -53,7 +57,7 @@
 _RESERVING_REASONS = frozenset(
     {WaitReason.NO_CAPACITY, WaitReason.NO_ELIGIBLE_WORKER, WaitReason.HEADROOM}
 )
-"""Why gangs wait that keep a reservation."""
+"""Why steps wait that keep a reservation."""
 
 
 class Reservations:
@@ -69,22 +73,29 @@
         self._count = 0
         self._starts_at_by_worker: dict[WorkerIncarnation, Instant] = {}
         self._reserved_by_worker: dict[WorkerIncarnation, Resources] = {}
+        self._kept_for_perpetual: set[WorkerIncarnation] = set()
 
     @property
     def reserved_workers(self) -> AbstractSet[WorkerIncarnation]:
-        """The workers that are reserved for a gang."""
+        """The workers that are reserved for a step."""
         return self._starts_at_by_worker.keys()
 
     def is_reserved(self, worker: WorkerState) -> bool:
-        """Tell whether a worker is reserved for a gang."""
+        """Tell whether a worker is reserved for a step."""
         return worker.incarnation in self._starts_at_by_worker
 
     def usable_workers(
         self, step: StepState, workers: Sequence[WorkerState]
     ) -> Sequence[WorkerState]:
         """Return the workers on which a step of lower rank may start tasks now."""
-        if not self._starts_at_by_worker or step.job.priority == URGENT_PRIORITY:
+        if not self._starts_at_by_worker:
             return workers
+        if step.job.priority == URGENT_PRIORITY:
+            return [
+                worker
+                for worker in workers
+                if worker.incarnation not in self._kept_for_perpetual
+            ]
         usual_s = self._state.forecast.estimate_s(
             step.job.accepted.queue_name, step.spec.estimated_ms
         )
@@ -115,6 +126,8 @@
             return
         if self._fits_limits(step, planned):
             self._count += 1
+            if step.spec.perpetual:
+                self._kept_for_perpetual.update(planned.workers)
             for worker, count in planned.count_by_worker.items():
                 self._starts_at_by_worker.setdefault(worker, planned.starts_at)
                 reserved = self._reserved_by_worker.get(worker, NOTHING)
@@ -124,7 +137,7 @@
 
     def _may_reserve(self, step: StepState, reason: WaitReason) -> bool:
         return (
-            step.spec.gang
+            (step.spec.gang or step.spec.perpetual)
             and reason in _RESERVING_REASONS
             and self._count < MAX_RESERVATIONS
             and tier(step, self._now) <= Tier.LATE
@@ -142,7 +155,7 @@
         return len(reserved) <= MAX_RESERVED_FRACTION * pool
 
     def _plan(self, step: StepState, queue: Queue) -> Reservation | None:
-        """Return the workers that have capacity for all members soonest."""
+        """Return the workers that have capacity for all waiting tasks soonest."""
         workers = eligible_workers(self._state, step, queue, self._now)
         plans = (self._plan_on(step, group) for group in gang_groups(step, workers))
         return min(
@@ -158,7 +171,7 @@
         previous = step.reservation.workers if step.reservation else frozenset()
         slots = [slot for worker in workers for slot in self._slots(step, worker)]
         slots.sort(key=lambda slot: slot[0] + MOVE_MARGIN_S * (slot[2] not in previous))
-        missing = step.spec.count
+        missing = step.spec.count if step.spec.gang else len(step.pending)
         chosen: Counter[WorkerIncarnation] = Counter()
         starts_at = self._now
         for free_at, count, incarnation in slots:
--- a/tamarackmount/scheduling/share_round.py
+++ b/tamarackmount/scheduling/share_round.py
@@ -148,7 +148,8 @@
             if is_urgent:
                 taken_by_urgent = subtract(taken_by_urgent, running_amounts)
     for step, amounts, is_urgent in rows:
-        step.exceeds_pool_share = shares.exceeds(
+        # A perpetual task that has ended starts again whatever its workspace uses.
+        step.exceeds_pool_share = not step.spec.perpetual and shares.exceeds(
             workspace, taken_by_urgent if is_urgent else taken
         )
         taken = add(taken, amounts)
--- a/tests/test_scheduling_reservations.py
+++ b/tests/test_scheduling_reservations.py
@@ -29,6 +29,10 @@
 """Time for which an urgent job of 0.6 s may wait for its start to be on time."""
 
 
+RESTART_LIMIT_S = 3.0
+"""Time in which a perpetual task has to run again, in seconds."""
+
+
 def busy_pool() -> tuple[LoadSimulation, list[tuple[float, AcceptedJob]]]:
     """Return a worker and small jobs that keep three quarters of it busy."""
     harness = SchedulerHarness(ceiling=Resources())
@@ -128,3 +132,24 @@
     simulation.run_until([*gangs, *small], 25.0)
     for arrives, accepted in gangs:
         assert simulation.done_s[accepted.job_id] - arrives <= 4.0 * 1.0 + 3.0
+
+
+def test_a_perpetual_task_starts_soon_on_a_worker_that_urgent_tasks_fill() -> None:
+    # Guards against a service that stays down while urgent tasks, each smaller than its
+    # task, take what is freed on the only worker that may run it.
+    harness = SchedulerHarness(ceiling=Resources())
+    harness.register_workers(worker_entry("w1", cores=8))
+    service = job(1, step(1, cores=4, perpetual=True, estimated_ms=5_000))
+    simulation = LoadSimulation(harness)
+    down_s = 0.0
+    for number in range(140):
+        arrivals = [
+            job(10 + number, step(2, cores=3, estimated_ms=700), in_queue=HIGH_PRIORITY)
+        ]
+        if number == 20:
+            arrivals.append(service)
+        simulation.run_for([(0.0, arrival) for arrival in arrivals], 0.1)
+        down_s += 0.1 * (number >= 20 and service.job_id not in simulation.running_jobs)
+    assert down_s <= RESTART_LIMIT_S
+    # It ended and started again.
+    assert simulation.start_count_by_job[service.job_id] >= 2
--- a/tests/utils/load_simulation.py
+++ b/tests/utils/load_simulation.py
@@ -1,5 +1,7 @@
 """Replays of a load on one worker in virtual time."""
 
+from collections import Counter
+
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.model import TaskKey
 from tamarackmount.scheduling.worker_reports import RunEnd
@@ -17,9 +19,15 @@
         self._duration_s_by_job: dict[str, float] = {}
         self.harness = harness
         self.first_start_s: dict[str, float] = {}
+        self.start_count_by_job: Counter[str] = Counter()
         self._ends: dict[tuple[TaskKey, int], tuple[float, RunEnd]] = {}
         self._last_end_number = 0
 
+    @property
+    def running_jobs(self) -> set[str]:
+        """The jobs that have a task running."""
+        return {task.job_id for task, _ in self._ends}
+
     def run_for(
         self, arrivals: list[tuple[float, AcceptedJob]], seconds: float
     ) -> None:
@@ -40,6 +48,7 @@
     def _answer_orders(self, began_at: float) -> None:
         for start in self.harness.answer_starts():
             task = start.order.task
+            self.start_count_by_job[task.job_id] += 1
             self.first_start_s.setdefault(task.job_id, self.harness.now - began_at)
             duration_s = self._duration_s_by_job[task.job_id]
             self._ends[task, start.order.run_number] = (
