Only restarts of perpetual tasks go before urgent work

Change: a perpetual step comes first, and keeps workers from urgent steps while these lack capacity, only once it has run before.

--- a/tamarackmount/scheduling/ranking.py
+++ b/tamarackmount/scheduling/ranking.py
@@ -40,8 +40,8 @@
     """Return the class of a step."""
     job = step.job
     if step.spec.perpetual:
-        # Its users are without it until it runs.
-        return Tier.URGENT
+        # The users of one that has run are without it until it runs again.
+        return Tier.URGENT if step.is_restart else Tier.IN_TIME
     if now > job.latest_late_start:
         return Tier.TOO_LATE
     is_urgent = job.priority == URGENT_PRIORITY
@@ -57,7 +57,7 @@
     """Return the step's sort key; lower ones are placed first."""
     job = step.job
     start_by = job.latest_late_start if now > job.latest_start else job.latest_start
-    if step.spec.perpetual:
+    if step.is_restart:
         start_by = job.accepted_at
     return (
         tier(step, now),
--- a/tamarackmount/scheduling/reservations.py
+++ b/tamarackmount/scheduling/reservations.py
@@ -8,9 +8,9 @@
 fit nowhere else. A gang is planned beside those of higher rank, so that no two gangs
 keep parts idle that the other one needs.
 
-Load pattern: a perpetual task ends, few workers are allowed for it, and smaller urgent
-tasks take what is freed there a slot at a time. These keep off its workers until it
-has started.
+Load pattern: a perpetual task has ended, few workers are allowed for it, and smaller
+urgent tasks take what is freed there a slot at a time. These keep off its workers until
+it has started.
 """
 
 from collections import Counter
@@ -126,7 +126,7 @@
             return
         if self._fits_limits(step, planned):
             self._count += 1
-            if step.spec.perpetual:
+            if step.is_restart and reason is WaitReason.NO_CAPACITY:
                 self._kept_for_perpetual.update(planned.workers)
             for worker, count in planned.count_by_worker.items():
                 self._starts_at_by_worker.setdefault(worker, planned.starts_at)
@@ -137,7 +137,7 @@
 
     def _may_reserve(self, step: StepState, reason: WaitReason) -> bool:
         return (
-            (step.spec.gang or step.spec.perpetual)
+            (step.spec.gang or step.is_restart)
             and reason in _RESERVING_REASONS
             and self._count < MAX_RESERVATIONS
             and tier(step, self._now) <= Tier.LATE
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -179,6 +179,11 @@
         """Whether every task has completed."""
         return len(self.done) == self.spec.count
 
+    @property
+    def is_restart(self) -> bool:
+        """Whether the step is perpetual and has run before."""
+        return self.spec.perpetual and (self.run_number > 0 or self.job.is_restored)
+
     @property
     def allows_speculative_copy(self) -> bool:
         """Whether a task may have two runs at the same time."""
