Rereading: one place emits polls, one limit of factors, one sum for what drains

Cause: the extra poll repeated the usual one; two thresholds of stragglers were limited in the same way twice; a workspace's wait and its drain summed the same backlog; after a takeover each adopted run looked at all workers for the largest one, as an empty result was not kept; PoolUse names a key. Change: each of these, without change of a decision: an empty result is kept for its instant only.

--- a/tamarackmount/scheduling/drain_forecast.py
+++ b/tamarackmount/scheduling/drain_forecast.py
@@ -86,17 +86,13 @@
         It is 0 for a workspace whose demand is not limited, and for urgent jobs, which
         don't wait for their workspace's other work.
         """
-        accepted = job.accepted
+        workspace, service = job.accepted.workspace_id, job.accepted.service
         if job.priority == URGENT_PRIORITY:
             return 0.0
-        pool = accepted.service, accepted.workspace_id
-        entitled = self._state.shares.entitled(accepted.workspace_id, accepted.service)
-        sums = self._current_sums(now)
-        own = sums.backlog_by_owner.get(pool)
-        capacity = sums.capacity_by_service.get(accepted.service)
-        if not entitled or own is None or capacity is None:
+        if not self._state.shares.entitled(workspace, service):
             return 0.0
-        return _work_s(own, capacity, NOTHING) / entitled
+        self._current_sums(now)
+        return self.drain_s(workspace, service) or 0.0
 
     def drain_s(self, workspace: WorkspaceId, service: ServiceName) -> float | None:
         """Return how long what waits fills a workspace's part of a pool, in seconds.
--- a/tamarackmount/scheduling/large_tasks.py
+++ b/tamarackmount/scheduling/large_tasks.py
@@ -46,11 +46,12 @@
         self, service: ServiceName, workers: Iterable[WorkerState], now: Instant
     ) -> Resources:
         found_at, largest = self._largest_by_service.get(service, (None, NOTHING))
-        if found_at is None or now >= found_at + MAX_AGE_S:
+        # Nothing is found while a takeover restores hundreds of runs at one instant.
+        max_age_s = MAX_AGE_S if largest != NOTHING else 0.0
+        if found_at is None or (now != found_at and now >= found_at + max_age_s):
             largest = NOTHING
             for worker in workers:
                 if worker.entry.service == service and worker.can_start:
                     largest = componentwise_maximum(largest, worker.entry.capacity)
-            if largest != NOTHING:
-                self._largest_by_service[service] = (now, largest)
+            self._largest_by_service[service] = (now, largest)
         return largest
--- a/tamarackmount/scheduling/placement.py
+++ b/tamarackmount/scheduling/placement.py
@@ -233,6 +233,7 @@
     usable = reservations.usable_workers(step, workers)
     unreserved = [worker for worker in usable if not reservations.is_reserved(worker)]
     warm = [worker for worker in unreserved if not worker.is_cold(now)]
+    # Each contains the one before it, so that equal lengths mean equal pools.
     pools = {len(pool): pool for pool in (warm, unreserved, usable)}
     groups = (group for pool in pools.values() for group in gang_groups(step, pool))
     for group in groups:
--- a/tamarackmount/scheduling/ranking.py
+++ b/tamarackmount/scheduling/ranking.py
@@ -3,9 +3,10 @@
 Load pattern: a burst of small urgent jobs on a pool full of long ones, while one
 workspace submits many times its usual number. Urgent jobs that can still be on time go
 first. Others follow by their latest start; late urgent jobs are among them, as they
-take capacity for a second only. Steps beyond their workspace's share of a scarce pool
-go behind the others of their tier. Jobs beyond their workspace's share, then other late
-jobs, then jobs that are too late to be of any use get what is left.
+take capacity for a second only. Perpetual tasks that have ended go before all. Steps
+beyond their workspace's share of a scarce pool go behind the others of their tier.
+Jobs beyond their workspace's share, then other late jobs, then jobs that are too late
+to be of any use get what is left.
 """
 
 from enum import IntEnum
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -55,7 +55,7 @@
 milliseconds."""
 
 
-class PoolUse(NamedTuple):
+class PoolLoadKey(NamedTuple):
     """What the capacity that runs reserve is counted by."""
 
     service: ServiceName
@@ -90,10 +90,10 @@
             self.release_rates[2] += amount.accelerators / run.expected_s
 
 
-def pool_use(job: JobState) -> PoolUse:
+def pool_load_key(job: JobState) -> PoolLoadKey:
     """Return what the capacity of a job's runs is counted by."""
     accepted = job.accepted
-    return PoolUse(accepted.service, accepted.workspace_id, accepted.queue_name)
+    return PoolLoadKey(accepted.service, accepted.workspace_id, accepted.queue_name)
 
 
 @dataclass(slots=True)
@@ -125,7 +125,7 @@
     )
     orphaned_run_count_by_task: Counter[TaskKey] = field(default_factory=Counter)
     used_by_workspace: dict[WorkspaceId, Resources] = field(default_factory=dict)
-    load_by_pool: dict[PoolUse, PoolLoad] = field(default_factory=dict)
+    load_by_pool: dict[PoolLoadKey, PoolLoad] = field(default_factory=dict)
     shares: WorkspaceShares = field(default_factory=CapacityShares)
     stored_final_phase_by_job: dict[JobId, JobPhase] = field(default_factory=dict)
     changed_jobs: set[JobId] = field(default_factory=set)
@@ -273,7 +273,7 @@
             run.expected_s = self.forecast.estimate_s(
                 accepted.queue_name, spec.estimated_ms
             )
-        load = self.load_by_pool.setdefault(pool_use(step.job), PoolLoad())
+        load = self.load_by_pool.setdefault(pool_load_key(step.job), PoolLoad())
         load.add(run, 1, spec.is_preemptible)
 
     def is_large(self, service: ServiceName, amount: Resources, now: Instant) -> bool:
@@ -323,12 +323,12 @@
             self.used_by_workspace.get(workspace, NOTHING) - run.ceiling_usage
         )
         step = job.steps_by_key[run.task.step_key]
-        use = pool_use(job)
-        load = self.load_by_pool.get(use)
+        key = pool_load_key(job)
+        load = self.load_by_pool.get(key)
         if load is not None:
             load.add(run, -1, step.spec.is_preemptible)
             if load.runs <= 0:
-                del self.load_by_pool[use]
+                del self.load_by_pool[key]
         if step.runs_by_index.get(run.task.index) is run:
             del step.runs_by_index[run.task.index]
         step.original_runs = [
--- a/tamarackmount/scheduling/stragglers.py
+++ b/tamarackmount/scheduling/stragglers.py
@@ -198,16 +198,18 @@
     spread = state.duration_spread.within_step(step.job.accepted.queue_name)
     if spread is None:
         return SPECULATIVE_COPY_FACTOR
-    factor = math.exp(COPY_SPREADS * spread)
-    return min(MAX_STRAGGLER_FACTOR, max(MIN_STRAGGLER_FACTOR, factor))
+    return _limited_factor(COPY_SPREADS * spread)
 
 
 def _straggler_factor(state: SchedulerState, step: StepState) -> float:
     spread = state.duration_spread.within_step(step.job.accepted.queue_name)
     if spread is None:
         return STRAGGLER_FACTOR
-    factor = math.exp(STRAGGLER_SPREADS * spread)
-    return min(MAX_STRAGGLER_FACTOR, max(MIN_STRAGGLER_FACTOR, factor))
+    return _limited_factor(STRAGGLER_SPREADS * spread)
+
+
+def _limited_factor(log_factor: float) -> float:
+    return min(MAX_STRAGGLER_FACTOR, max(MIN_STRAGGLER_FACTOR, math.exp(log_factor)))
 
 
 def _forecast_straggler_factor(state: SchedulerState, queue: QueueName) -> float:
--- a/tamarackmount/scheduling/worker_polls.py
+++ b/tamarackmount/scheduling/worker_polls.py
@@ -110,16 +110,8 @@
         and not worker.needs_extra_poll
     )
     worker.poll_in_flight = True
-    worker.needs_extra_poll = False
-    state.emit(
-        PollWorker(
-            incarnation=worker.incarnation,
-            address=worker.entry.address,
-            ack_cursor=worker.stored_end_number,
-            lease_end_clock_ms=lease_end,
-            wait_ms=_poll_wait_ms(state, worker) if may_wait else 0,
-        )
-    )
+    wait_ms = _poll_wait_ms(state, worker) if may_wait else 0
+    _emit_poll(state, worker, lease_end, wait_ms)
 
 
 def _send_extra_poll(state: SchedulerState, worker: WorkerState) -> None:
@@ -129,16 +121,26 @@
     answers the poll in flight only when a run ends, up to 0.4 s later, while the task
     may not start elsewhere.
     """
-    worker.needs_extra_poll = False
     worker.extra_poll_in_flight = True
+    _emit_poll(state, worker, None, 0, is_extra=True)
+
+
+def _emit_poll(
+    state: SchedulerState,
+    worker: WorkerState,
+    lease_end: int | None,
+    wait_ms: int,
+    is_extra: bool = False,
+) -> None:
+    worker.needs_extra_poll = False
     state.emit(
         PollWorker(
             incarnation=worker.incarnation,
             address=worker.entry.address,
             ack_cursor=worker.stored_end_number,
-            lease_end_clock_ms=None,
-            wait_ms=0,
-            is_extra=True,
+            lease_end_clock_ms=lease_end,
+            wait_ms=wait_ms,
+            is_extra=is_extra,
         )
     )
 
--- a/tests/test_scheduling_contention.py
+++ b/tests/test_scheduling_contention.py
@@ -10,7 +10,7 @@
 from tamarackmount.resources import NOTHING, Resources
 from tamarackmount.scheduling.fleet_config import Workspace
 from tamarackmount.scheduling.scheduler import SHARES_INTERVAL_S
-from tamarackmount.scheduling.scheduler_state import SchedulerState, pool_use
+from tamarackmount.scheduling.scheduler_state import SchedulerState, pool_load_key
 from tamarackmount.scheduling.worker_reports import RunEnd
 from tests.test_scheduling_takeover import build_job_index, build_next_holder
 from tests.utils.build_scheduling import (
@@ -124,7 +124,7 @@
         for worker in state.workers_by_incarnation.values():
             assert worker.used.fits_in(worker.entry.capacity)
             for run in worker.runs_by_task.values():
-                use = pool_use(state.jobs_by_id[run.task.job_id])
+                use = pool_load_key(state.jobs_by_id[run.task.job_id])
                 loads[use] = loads[use] + run.amount
         assert loads == {use: load.used for use, load in state.load_by_pool.items()}
         assert not self.refused & state.jobs_by_id.keys()
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -249,10 +249,8 @@
     Mutant(
         "run ends are stored before they are acknowledged",
         "scheduling/worker_polls.py",
-        "ack_cursor=worker.stored_end_number,\n"
-        "            lease_end_clock_ms=lease_end",
-        "ack_cursor=worker.reported_end_number,\n"
-        "            lease_end_clock_ms=lease_end",
+        "ack_cursor=worker.stored_end_number",
+        "ack_cursor=worker.reported_end_number",
     ),
     Mutant(
         "a final phase is reported only once it is stored",
