Log and count why workers are removed and which runs are lost with them

"worker removed" had a text and a number of runs, and nothing named the tasks that a worker took with it, how old their runs were or whether it had crashed.

Change: each end of a worker has a cause (crashed, drained, unknown, lease expired), "run lost" names each run, "step waits" says how many workers a step avoids, and two counters have the ends and the lost runs by cause. Decisions are as before; the code that removes workers has its own module.

--- a/tamarackmount/node/metrics.py
+++ b/tamarackmount/node/metrics.py
@@ -46,6 +46,16 @@
             "Ends of runs by how they ended.",
             registry=self.registry,
         )
+        self._worker_ends = Counter(
+            "tamarackmount_worker_ends_total",
+            "Workers removed with runs, by the cause of their end.",
+            registry=self.registry,
+        )
+        self._lost_runs = Counter(
+            "tamarackmount_lost_runs_total",
+            "Runs whose end no worker reported, by the cause of their worker's end.",
+            registry=self.registry,
+        )
         self._orders = Counter(
             "tamarackmount_orders_total",
             "Orders to workers by verb and result.",
@@ -91,6 +101,14 @@
         """Count the end of a run."""
         self._runs.inc({"how": outcome})
 
+    def record_worker_end(self, cause: str) -> None:
+        """Count a removed worker that had runs."""
+        self._worker_ends.inc({"cause": cause})
+
+    def record_lost_run(self, cause: str) -> None:
+        """Count a run that its worker never reported as ended."""
+        self._lost_runs.inc({"cause": cause})
+
     def record_order(self, verb: str, result: str) -> None:
         """Count an order to a worker."""
         self._orders.inc({"verb": verb, "result": result})
--- a/tamarackmount/scheduling/observer.py
+++ b/tamarackmount/scheduling/observer.py
@@ -30,6 +30,12 @@
     def record_run_end(self, outcome: str) -> None:
         """Record the end of a run; ``outcome`` is a value of ``RunEnd``."""
 
+    def record_worker_end(self, cause: str) -> None:
+        """Record a removed worker that had runs; a value of ``WorkerEndCause``."""
+
+    def record_lost_run(self, cause: str) -> None:
+        """Record a run that its worker never reported as ended, by the same cause."""
+
     def record_contention(self, rows: Sequence[ContentionRow]) -> None:
         """Replace the rows about workspaces that compete for pools."""
 
@@ -46,5 +52,11 @@
     def record_run_end(self, outcome: str) -> None:
         """Ignore the end of a run."""
 
+    def record_worker_end(self, cause: str) -> None:
+        """Ignore the end of a worker."""
+
+    def record_lost_run(self, cause: str) -> None:
+        """Ignore a lost run."""
+
     def record_contention(self, rows: Sequence[ContentionRow]) -> None:
         """Ignore rows about contention."""
--- a/tamarackmount/scheduling/order_results.py
+++ b/tamarackmount/scheduling/order_results.py
@@ -11,7 +11,8 @@
 from tamarackmount.scheduling.runs import Run, RunPhase
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.suspected_workers import mark_suspected
-from tamarackmount.scheduling.worker_leases import remove_worker, step_down
+from tamarackmount.scheduling.worker_ends import Replacement, remove_replaced_worker
+from tamarackmount.scheduling.worker_leases import step_down
 from tamarackmount.scheduling.worker_reports import OrderResult
 
 _log = logging.getLogger(__name__)
@@ -110,7 +111,7 @@
     if worker is None:
         return
     if result is OrderResult.OTHER_INCARNATION:
-        remove_worker(state, worker, now, "another worker answers at its address")
+        remove_replaced_worker(state, worker, now, Replacement.OTHER_WORKER_ANSWERS)
     elif result in _UNANSWERED and worker.silent_since is None:
         state.stop_run(run, now)
 
@@ -163,7 +164,7 @@
 def _remove_replaced_worker(state: SchedulerState, run: Run, now: Instant) -> None:
     worker = state.workers_by_incarnation.get(run.incarnation)
     if worker is not None:
-        remove_worker(state, worker, now, "another worker answers at its address")
+        remove_replaced_worker(state, worker, now, Replacement.OTHER_WORKER_ANSWERS)
 
 
 def _handle_unknown_start(state: SchedulerState, run: Run, now: Instant) -> None:
@@ -176,6 +177,7 @@
         state.request_speculative_copy(run)
     worker = state.workers_by_incarnation.get(run.incarnation)
     if worker is not None:
+        worker.record_no_answer(now)
         mark_suspected(state, worker, run.began_at)
         worker.needs_extra_poll = True
 
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -77,12 +77,13 @@
     ``amount`` is the capacity that it reserves there, ``ceiling_usage`` what counts
     towards its workspace's ceiling. A run that ``is_orphaned`` is needed by no task and
     is being stopped. ``confirmed_at`` is when the worker was last known to have the
-    run, ``stopped_at`` when it confirmed a stop. ``speed_percent`` and
-    ``tail_ms_or_millicores`` are those of its newest row in a report. A run that
-    ``resumed`` began from a checkpoint. One that ``is_adopted`` was started by a former
-    holder: it began before ``began_at``, which is when this holder learned of it. It
-    counts towards ``counted_use`` until it ends. ``expected_s`` is its duration
-    forecast at its start, in seconds; 0 if it has none.
+    run, ``stopped_at`` when it confirmed a stop. ``listed_s`` is the longest time after
+    its start, in seconds, at which a poll was sent whose report lists it.
+    ``speed_percent`` and ``tail_ms_or_millicores`` are those of its newest row in a
+    report. A run that ``resumed`` began from a checkpoint. One that ``is_adopted`` was
+    started by a former holder: it began before ``began_at``, which is when this holder
+    learned of it. It counts towards ``counted_use`` until it ends. ``expected_s`` is
+    its duration forecast at its start, in seconds; 0 if it has none.
     """
 
     task: TaskKey
@@ -96,6 +97,7 @@
     stopped_at: Instant | None = None
     stop_in_flight: bool = False
     next_stop_at: Instant = Instant(0.0)
+    listed_s: float = 0.0
     speed_percent: int = 100
     tail_ms_or_millicores: int = 0
     resumed: bool = False
--- a/tamarackmount/scheduling/wait_log.py
+++ b/tamarackmount/scheduling/wait_log.py
@@ -77,6 +77,7 @@
         "started": not step.pending,
         "waiting": len(step.pending),
         "allowed": len(step.advice.allowed),
+        "failed_on": len(step.failed_on),
         "age_s": round(now - step.job.accepted_at, 3),
     }
     _log.info("step waits", extra=extra)
--- a/tamarackmount/scheduling/worker_leases.py
+++ b/tamarackmount/scheduling/worker_leases.py
@@ -20,6 +20,7 @@
     mark_suspected,
     request_speculative_copies,
 )
+from tamarackmount.scheduling.worker_ends import Replacement, remove_replaced_worker
 from tamarackmount.scheduling.worker_reports import (
     PollFailure,
     RunningRun,
@@ -90,13 +91,14 @@
     worker.entry = entry
     worker.is_evacuated = entry.data_centre in state.evacuated_data_centres
     worker.is_registered = True
+    worker.was_registered = True
 
 
 def _remove_older_incarnation(
     state: SchedulerState, old: WorkerState, entry: WorkerEntry, now: Instant
 ) -> None:
     if old.incarnation.born_unix_ms < entry.incarnation.born_unix_ms:
-        remove_worker(state, old, now, "restarted as a newer incarnation")
+        remove_replaced_worker(state, old, now, Replacement.RESTARTED)
 
 
 def worker_record(worker: WorkerState) -> WorkerRecord:
@@ -186,7 +188,9 @@
     now: Instant,
 ) -> None:
     if answer.born_unix_ms not in (None, worker.incarnation.born_unix_ms):
-        remove_worker(state, worker, now, "another incarnation answers at its address")
+        remove_replaced_worker(
+            state, worker, now, Replacement.OTHER_INCARNATION_ANSWERS
+        )
         return
     _confirm_contact(worker, now)
     worker.record_clock(answer.clock_ms, sent, now)
@@ -215,8 +219,9 @@
     if failure is PollFailure.FENCED:
         step_down(state, worker.incarnation)
         return
+    worker.record_no_answer(now)
     if failure is PollFailure.OTHER_INCARNATION:
-        remove_worker(state, worker, now, "another worker answers at its address")
+        remove_replaced_worker(state, worker, now, Replacement.OTHER_WORKER_ANSWERS)
         return
     if worker.silent_since is None and not worker.last_poll_failed:
         worker.last_poll_failed = True
@@ -263,6 +268,7 @@
     for row in report.running:
         run = worker.runs_by_task.get(row.task)
         if run is not None and run.number == row.run_number:
+            run.listed_s = max(run.listed_s, sent - run.began_at)
             _confirm_run(state, run, row, now)
         else:
             _adopt_or_stop_run(state, worker, row, now)
@@ -374,21 +380,3 @@
             state.stop_run(run, now)
         return
     state.drop_run(run, now)
-
-
-def remove_worker(
-    state: SchedulerState, worker: WorkerState, now: Instant, reason: str
-) -> None:
-    """Remove a worker incarnation that is certainly over, and drop its runs."""
-    extra = {
-        "worker": worker.incarnation.worker_id,
-        "reason": reason,
-        "runs": len(worker.runs_by_task),
-    }
-    _log.info("worker removed", extra=extra)
-    worker.contact = ContactState.EXPIRED
-    for run in list(worker.runs_by_task.values()):
-        state.drop_run(run, now)
-    state.workers_by_incarnation.pop(worker.incarnation, None)
-    state.changed_workers.discard(worker.incarnation)
-    state.removed_workers.add(worker.incarnation)
--- a/tamarackmount/scheduling/worker_polls.py
+++ b/tamarackmount/scheduling/worker_polls.py
@@ -1,7 +1,5 @@
 """Polls of workers that are due, expired leases, and workers that drain."""
 
-import logging
-
 from tamarackmount.ids import Instant
 from tamarackmount.scheduling.effects import PollWorker
 from tamarackmount.scheduling.holder_authority import HolderAuthority
@@ -9,12 +7,13 @@
 from tamarackmount.scheduling.run_ends import expected_duration_s
 from tamarackmount.scheduling.runs import RunPhase
 from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.worker_leases import remove_worker
+from tamarackmount.scheduling.worker_ends import (
+    drop_runs_of_expired_lease,
+    remove_expired_worker,
+)
 from tamarackmount.scheduling.workers import ContactState, WorkerState
 from tamarackmount.units import MS_PER_SECOND
 
-_log = logging.getLogger(__name__)
-
 POLL_WAIT_MS = 1_500
 """Longest time for which a worker delays its answer to a poll until a run ends, in
 milliseconds; short enough to renew a lease of 6 s in time."""
@@ -75,16 +74,9 @@
 
 def _expire_lease(state: SchedulerState, worker: WorkerState, now: Instant) -> None:
     if not worker.is_registered:
-        remove_worker(state, worker, now, "lease expired")
+        remove_expired_worker(state, worker, now)
         return
-    if worker.runs_by_task:
-        extra = {
-            "worker": worker.incarnation.worker_id,
-            "runs": len(worker.runs_by_task),
-        }
-        _log.info("worker lease expired", extra=extra)
-    for run in list(worker.runs_by_task.values()):
-        state.drop_run(run, now)
+    drop_runs_of_expired_lease(state, worker, now)
     if worker.contact is ContactState.UNCONFIRMED:
         worker.contact = ContactState.EXPIRED
 
--- a/tamarackmount/scheduling/workers.py
+++ b/tamarackmount/scheduling/workers.py
@@ -67,6 +67,10 @@
     (``silent_since``) from a second such poll in a row until a poll gives a report. One
     that is suspected or silent is unresponsive.
 
+    A worker ``was_registered`` if this holder has ever read its registration.
+    ``unanswered_since`` is when the first call without an answer ended since the
+    worker's last answer.
+
     A worker ``is_evacuated`` while the operator keeps its data centre from new runs.
 
     A worker that ``needs_extra_poll`` is polled at once, also while another poll waits
@@ -79,6 +83,7 @@
     entry: WorkerEntry
     contact: ContactState = ContactState.UNCONFIRMED
     is_registered: bool = True
+    was_registered: bool = False
     used: Resources = NOTHING
     runs_by_task: dict[TaskKey, Run] = field(default_factory=dict)
     is_stored: bool = False
@@ -93,6 +98,7 @@
     backoff_until: Instant = Instant(0.0)
     silent_since: Instant | None = None
     answered_at: Instant = Instant(0.0)
+    unanswered_since: Instant | None = None
     is_suspected: bool = False
     last_poll_failed: bool = False
     failures_in_row: int = 0
@@ -149,8 +155,14 @@
     def record_answer(self, now: Instant) -> None:
         """Record that the worker has answered a call just now."""
         self.answered_at = now
+        self.unanswered_since = None
         self.is_suspected = False
 
+    def record_no_answer(self, now: Instant) -> None:
+        """Record that a call has ended without an answer just now."""
+        if self.unanswered_since is None:
+            self.unanswered_since = now
+
     def is_outdated(self, clock_ms: int, sent: Instant) -> bool:
         """Tell whether a report was made before the one that was handled last.
 
