--- a/tests/test_scheduling_contention.py
+++ b/tests/test_scheduling_contention.py
@@ -12,7 +12,6 @@
 from tamarackmount.scheduling.scheduler import SHARES_INTERVAL_S
 from tamarackmount.scheduling.scheduler_state import SchedulerState, pool_load_key
 from tamarackmount.scheduling.worker_reports import RunEnd
-from tests.test_scheduling_takeover import build_job_index, build_next_holder
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
     LOW_PRIORITY,
@@ -24,6 +23,7 @@
     worker_entry,
     worker_report,
 )
+from tests.utils.build_takeover import build_job_index, build_next_holder
 
 CEILING = Resources(10_000, 0, 0)
 NAMES = ("a", "b", "c")
--- a/tests/test_scheduling_write_ahead.py
+++ b/tests/test_scheduling_write_ahead.py
@@ -15,13 +15,13 @@
     SLOW_APPEND_S,
     STALLED_APPEND_S,
 )
-from tests.test_scheduling_takeover import build_job_index, build_next_holder
 from tests.utils.build_scheduling import (
     SchedulerHarness,
     incarnation,
     job,
     worker_entry,
 )
+from tests.utils.build_takeover import build_job_index, build_next_holder
 
 COMPLETENESS_KEY = record_key(RecordKind.COMPLETENESS)
 SLOW_APPEND_DURATION_S = 4 * SLOW_APPEND_S
--- a/tests/utils/build_scheduling.py
+++ b/tests/utils/build_scheduling.py
@@ -170,7 +170,7 @@
         self.stops: list[StopRun] = []
         self.advice_requests: list[AskAdvice] = []
         self.is_store_healthy = True
-        self._records: dict[str, bytes] = {}
+        self.records: dict[str, bytes] = {}
 
     @property
     def unix_ms(self) -> int:
@@ -238,9 +238,9 @@
         while (batch := self.scheduler.take_batch(self.now, self.unix_ms)) is not None:
             self.acknowledge_batch(batch)
         self._collect()
-        return dict(self._records)
+        return dict(self.records)
 
     def acknowledge_batch(self, batch: Batch) -> None:
         """Store a batch, and tell the scheduler that it is stored."""
-        self._records.update(dict(batch.records))
+        self.records.update(dict(batch.records))
         self.scheduler.batch_stored(batch, self.now)
