--- /dev/null
+++ b/tamarackmount/scheduling/crash_evidence.py
@@ -0,0 +1,198 @@
+"""Evidence of which tasks crash the workers that start them.
+
+A crashed worker does not tell which of its runs crashed it, and most of them only
+shared it. So each crash is evidence against every task that the worker may have run,
+and weighs more against a task that had just been started there while tasks of other
+jobs had not. A task is a culprit once its evidence weighs ``CULPRIT_WEIGHT``; that
+takes two crashes if both point at it alone.
+
+Evidence is withdrawn when its reason is gone: a task that ends well, or runs for long,
+is no suspect any more, and a crash that is put down to a culprit speaks against no
+other task. The count of all crashes is limited as well (``MAX_CRASHES``), so that no
+chain of such corrections starts a task without end.
+"""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import replace
+
+from tamarackmount.scheduling.journal import CrashRecord
+from tamarackmount.scheduling.model import TaskKey, WorkerIncarnation
+from tamarackmount.scheduling.runs import JobState, Run, StepState
+from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.units import MS_PER_SECOND
+
+CULPRIT_WEIGHT = 4
+"""Weight of evidence from which on a task is taken to crash its workers."""
+
+SOLE_WEIGHT = 2
+"""Weight of a crash if the task was just started there, and no other job's was."""
+
+SHARED_WEIGHT = 1
+"""Weight of any other crash."""
+
+MAX_CRASHES = 5
+"""Crashes from which on a task is a culprit whatever they weigh: the users allow two
+more starts after three workers have crashed."""
+
+MIN_CLEARING_S = 10.0
+"""Shortest time, in seconds, after which a run that goes on clears its task."""
+
+CLEARING_FACTOR = 4.0
+"""Multiple, without unit, of its longest run at a crash for which a task has to run to
+be cleared."""
+
+
+def evidence_key(step: StepState, index: int) -> TaskKey:
+    """Return the task under which evidence is kept; members of a gang share one."""
+    return step.task(0 if step.spec.gang else index)
+
+
+def is_suspect(state: SchedulerState, step: StepState, index: int) -> bool:
+    """Tell whether there is evidence against a task."""
+    return evidence_key(step, index) in state.suspected_tasks
+
+
+def record_crash(
+    state: SchedulerState, step: StepState, index: int, crash: CrashRecord
+) -> None:
+    """Record that a worker crashed that may have run a task; repetitions are ignored.
+
+    The caller gives up the tasks that :func:`find_culprits` yields then.
+    """
+    task = evidence_key(step, index)
+    crashes = step.crashes_by_index.setdefault(task.index, [])
+    if any(known.worker == crash.worker for known in crashes):
+        return
+    crashes.append(crash)
+    state.changed_jobs.add(task.job_id)
+    _drop_unknown_suspects(state)
+    _index_crash(state, task, crash)
+
+
+def restore_evidence(state: SchedulerState, job: JobState) -> None:
+    """Restore the index of a job's stored evidence."""
+    for step in job.steps_by_key.values():
+        for index, crashes in step.crashes_by_index.items():
+            for crash in crashes:
+                _index_crash(state, step.task(index), crash)
+
+
+def find_culprits(
+    state: SchedulerState, crashes: Iterable[WorkerIncarnation]
+) -> Iterator[tuple[StepState, TaskKey]]:
+    """Yield the culprits among the suspects of some crashes.
+
+    The evidence may change between two of them.
+    """
+    for worker in crashes:
+        for task in sorted(state.suspects_by_crash.get(worker, ())):
+            step = state.step_of(task)
+            if step is None or step.job.phase.is_final:
+                continue
+            if _is_culprit(state, step, task):
+                yield step, task
+
+
+def explain_crashes(state: SchedulerState, step: StepState, task: TaskKey) -> None:
+    """Put the crashes of a culprit down to it alone."""
+    for crash in step.crashes_by_index.get(task.index, ()):
+        for other in state.suspects_by_crash.pop(crash.worker, set()):
+            if other.job_id != task.job_id:
+                _mark_explained(state, other, crash.worker)
+
+
+def clear_task(
+    state: SchedulerState, step: StepState, index: int
+) -> list[WorkerIncarnation]:
+    """Withdraw all evidence against a task; return the crashes that it was about.
+
+    The evidence against their other suspects weighs more from now on.
+    """
+    task = evidence_key(step, index)
+    if task not in state.suspected_tasks:
+        return []
+    state.suspected_tasks.discard(task)
+    state.changed_jobs.add(task.job_id)
+    crashes = step.crashes_by_index.pop(task.index, [])
+    for crash in crashes:
+        _remove_suspect(state, crash.worker, task)
+    return [crash.worker for crash in crashes]
+
+
+def outlives_crashes(step: StepState, run: Run) -> bool:
+    """Tell whether a run has gone on for so long that it clears its task."""
+    crashes = step.crashes_by_index.get(0 if step.spec.gang else run.task.index, ())
+    longest_ms = max((crash.ran_ms for crash in crashes), default=0)
+    longest_s = longest_ms / MS_PER_SECOND
+    return run.listed_s >= max(MIN_CLEARING_S, CLEARING_FACTOR * longest_s)
+
+
+def _is_culprit(state: SchedulerState, step: StepState, task: TaskKey) -> bool:
+    crashes = step.crashes_by_index.get(task.index, [])
+    if len(crashes) >= MAX_CRASHES:
+        return True
+    return sum(_weight(state, task, crash) for crash in crashes) >= CULPRIT_WEIGHT
+
+
+def _weight(state: SchedulerState, task: TaskKey, crash: CrashRecord) -> int:
+    if crash.is_explained:
+        return 0
+    if not crash.is_early:
+        return SHARED_WEIGHT
+    others = state.suspects_by_crash.get(crash.worker, set())
+    is_shared = any(
+        other.job_id != task.job_id and _was_early(state, other, crash.worker)
+        for other in others
+    )
+    return SHARED_WEIGHT if is_shared else SOLE_WEIGHT
+
+
+def _was_early(state: SchedulerState, task: TaskKey, worker: WorkerIncarnation) -> bool:
+    step = state.step_of(task)
+    crashes = step.crashes_by_index.get(task.index, ()) if step is not None else ()
+    return any(crash.is_early for crash in crashes if crash.worker == worker)
+
+
+def _index_crash(state: SchedulerState, task: TaskKey, crash: CrashRecord) -> None:
+    if not crash.is_explained:
+        state.suspected_tasks.add(task)
+        state.suspects_by_crash.setdefault(crash.worker, set()).add(task)
+
+
+def _drop_unknown_suspects(state: SchedulerState) -> None:
+    """Forget the suspects whose jobs are not known any more."""
+    unknown = {task for task in state.suspected_tasks if state.step_of(task) is None}
+    if not unknown:
+        return
+    state.suspected_tasks -= unknown
+    for worker, suspects in list(state.suspects_by_crash.items()):
+        suspects -= unknown
+        if not suspects:
+            del state.suspects_by_crash[worker]
+
+
+def _remove_suspect(
+    state: SchedulerState, worker: WorkerIncarnation, task: TaskKey
+) -> None:
+    suspects = state.suspects_by_crash.get(worker)
+    if suspects is None:
+        return
+    suspects.discard(task)
+    if not suspects:
+        del state.suspects_by_crash[worker]
+
+
+def _mark_explained(
+    state: SchedulerState, task: TaskKey, worker: WorkerIncarnation
+) -> None:
+    step = state.step_of(task)
+    if step is None or task.index not in step.crashes_by_index:
+        return
+    crashes = [
+        replace(crash, is_explained=True) if crash.worker == worker else crash
+        for crash in step.crashes_by_index[task.index]
+    ]
+    step.crashes_by_index[task.index] = crashes
+    state.changed_jobs.add(task.job_id)
+    if all(crash.is_explained for crash in crashes):
+        state.suspected_tasks.discard(task)
--- a/tamarackmount/scheduling/drain_forecast.py
+++ b/tamarackmount/scheduling/drain_forecast.py
@@ -12,9 +12,10 @@
 from tamarackmount.scheduling.drain_sums import Backlog, Shape, ShapeCapacity, Sums
 from tamarackmount.scheduling.free_capacity import count_fitting_tasks
 from tamarackmount.scheduling.model import ServiceName
+from tamarackmount.scheduling.pool_loads import PoolLoad
 from tamarackmount.scheduling.ranking import URGENT_PRIORITY, Tier, tier
 from tamarackmount.scheduling.runs import JobState, StepState, WaitReason
-from tamarackmount.scheduling.scheduler_state import PoolLoad, SchedulerState
+from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.shares import Amounts, fractions
 from tamarackmount.scheduling.worker_choice import could_run
 from tamarackmount.units import MS_PER_SECOND
--- a/tamarackmount/scheduling/journal.py
+++ b/tamarackmount/scheduling/journal.py
@@ -17,6 +17,7 @@
 from tamarackmount.ids import JobId, MemberId, WorkerId
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.model import (
+    FailureCause,
     JobPhase,
     ServiceName,
     TaskKey,
@@ -62,6 +63,22 @@
     cancelled_unix_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class CrashRecord:
+    """A worker that crashed while it may have run a task.
+
+    ``ran_ms`` is how long the run can have worked at most, in milliseconds. The run
+    ``is_early`` if it had just started: the worker crashed soon after, and before it
+    answered a poll that was sent after the start. A crash that was put down to another
+    task ``is_explained``.
+    """
+
+    worker: WorkerIncarnation
+    ran_ms: int
+    is_early: bool
+    is_explained: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class JobProgress:
     """The stored progress of a job.
@@ -70,7 +87,9 @@
     ``OCCURRENCE.STEP``. Keys of ``failures_by_task`` and ``checkpoints_by_task`` are
     ``OCCURRENCE.STEP.INDEX``. ``checkpoints_by_task`` has the checkpoints of tasks that
     wait; workers report those of tasks that run.
-    ``final_unix_ms`` is when the job reached a final phase.
+    ``final_unix_ms`` is when the job reached a final phase. ``crashes_by_task`` is the
+    evidence that tasks crash their workers, under the same keys. ``cause`` says why a
+    job has failed.
     """
 
     phase: JobPhase
@@ -78,6 +97,8 @@
     failures_by_task: dict[str, int] = field(default_factory=dict)
     checkpoints_by_task: dict[str, str] = field(default_factory=dict)
     final_unix_ms: int = 0
+    crashes_by_task: dict[str, list[CrashRecord]] = field(default_factory=dict)
+    cause: FailureCause | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,7 +107,8 @@
 
     ``life``, a name kept in the store, is the incarnation. Ends of its runs up to the
     number ``ack`` are stored. ``runs`` are the tasks that were ordered there and may
-    still be running, each with the number of its run.
+    still be running, each with the number of its run. ``drains`` is set once it has
+    announced that it drains.
     """
 
     life: WorkerIncarnation
@@ -94,6 +116,7 @@
     address: str
     ack: int
     runs: list[tuple[str, int]] = field(default_factory=list)
+    drains: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tamarackmount/scheduling/model.py
+++ b/tamarackmount/scheduling/model.py
@@ -61,6 +61,13 @@
         return self in _FINAL_PHASES
 
 
+class FailureCause(Enum):
+    """Why a job has failed: a task's attempts, or its crashes of workers."""
+
+    ATTEMPTS = "attempts"
+    WORKER_CRASHES = "worker_crashes"
+
+
 _FINAL_PHASES = frozenset({JobPhase.COMPLETED, JobPhase.FAILED, JobPhase.CANCELLED})
 
 
--- a/tamarackmount/scheduling/order_results.py
+++ b/tamarackmount/scheduling/order_results.py
@@ -7,7 +7,10 @@
 from tamarackmount.scheduling.effects import StartRun
 from tamarackmount.scheduling.holder_authority import HolderAuthority
 from tamarackmount.scheduling.model import TaskKey, WorkerIncarnation
-from tamarackmount.scheduling.run_starts import FIRST_RUN_NUMBER_AFTER_TAKEOVER
+from tamarackmount.scheduling.run_starts import (
+    FIRST_RUN_NUMBER_AFTER_TAKEOVER,
+    send_start,
+)
 from tamarackmount.scheduling.runs import Run, RunPhase
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.suspected_workers import mark_suspected
@@ -49,7 +52,7 @@
         state.drop_run(run, now)
         return
     run.began_at = now
-    state.emit(start)
+    send_start(state, run, start)
 
 
 def _has_valid_ticket(state: SchedulerState, start: StartRun, now: Instant) -> bool:
--- a/tamarackmount/scheduling/placement.py
+++ b/tamarackmount/scheduling/placement.py
@@ -6,6 +6,7 @@
 from tamarackmount.ids import DataCentreId, Instant
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling.ceilings import ceiling_fraction, is_under_ceiling
+from tamarackmount.scheduling.crash_evidence import is_suspect
 from tamarackmount.scheduling.fleet_config import Queue
 from tamarackmount.scheduling.free_capacity import FreeCapacityIndex
 from tamarackmount.scheduling.gang_groups import gang_groups
@@ -23,6 +24,7 @@
     speed_groups,
     speed_ranks,
 )
+from tamarackmount.scheduling.suspect_isolation import isolated_workers
 from tamarackmount.scheduling.wait_log import update_wait_reason
 from tamarackmount.scheduling.worker_choice import eligible_workers
 from tamarackmount.scheduling.workers import ContactState, WorkerState
@@ -146,7 +148,7 @@
         if not is_under_ceiling(state, step, 1, ceiling_fraction(step, now)):
             return WaitReason.CEILING
         worker = _choose_worker(
-            step, index, usable, ranks, capacity_index, reservations
+            state, step, index, usable, ranks, capacity_index, reservations
         )
         if worker is None:
             return WaitReason.NO_CAPACITY
@@ -182,9 +184,11 @@
     workers = eligible_workers(state, step, queue, now)
     if not workers:
         return WaitReason.NO_ELIGIBLE_WORKER
+    ranks = _speed_ranks(state, step, workers, now)
+    isolated = isolated_workers(state, step, 0, workers)
     chosen = _choose_gang_workers(
-        step, workers, _speed_ranks(state, step, workers, now), reservations, now
-    )
+        step, isolated, ranks, reservations, now
+    ) or _choose_gang_workers(step, workers, ranks, reservations, now)
     if not chosen:
         return WaitReason.NO_CAPACITY
     if not headroom.allows(step, chosen):
@@ -278,6 +282,7 @@
 
 
 def _choose_worker(
+    state: SchedulerState,
     step: StepState,
     index: int,
     workers: Sequence[WorkerState],
@@ -303,17 +308,21 @@
     ]
     if not fitting:
         return None
+    fitting = list(isolated_workers(state, step, index, fitting))
     near = [
         worker for worker in fitting if worker.entry.rack == step.spec.rack
     ] or fitting
     data_centre = _data_centre_of_job(step, near, capacity_index)
     suspected = capacity_index.suspected_data_centres
     reserved = reservations.reserved_workers
+    # A suspect may take what runs beside it with it.
+    is_spared = is_suspect(state, step, index)
     return min(
         near,
         key=lambda worker: (
             (entry := worker.entry).data_centre in suspected,
             worker.is_cold(capacity_index.now),
+            len(worker.runs_by_task) if is_spared else 0,
             entry.incarnation in reserved,
             (rank := ranks.get(entry.incarnation, NEUTRAL_RANK))[0],
             worker.entry.data_centre != data_centre,
--- a/tamarackmount/scheduling/run_ends.py
+++ b/tamarackmount/scheduling/run_ends.py
@@ -1,10 +1,22 @@
 """Updates of tasks, steps and jobs when runs end."""
 
 import logging
+from collections.abc import Iterable
 from statistics import median
 
 from tamarackmount.ids import Instant
-from tamarackmount.scheduling.model import JobPhase, StepKey, TaskKey
+from tamarackmount.scheduling.crash_evidence import (
+    clear_task,
+    explain_crashes,
+    find_culprits,
+)
+from tamarackmount.scheduling.model import (
+    FailureCause,
+    JobPhase,
+    StepKey,
+    TaskKey,
+    WorkerIncarnation,
+)
 from tamarackmount.scheduling.objectives import set_deadlines
 from tamarackmount.scheduling.runs import JobState, Run, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
@@ -158,6 +170,7 @@
 ) -> None:
     step.done.add(index)
     step.pending.discard(index)
+    give_up_culprits(state, clear_task(state, step, index), now)
     if step.spec.gang:
         return
     for run in step.runs():
@@ -186,7 +199,7 @@
     state.changed_jobs.add(step.key.job_id)
     queue = state.queue_of(step.job)
     if count >= queue.max_attempts:
-        end_job(state, step.job, JobPhase.FAILED, now)
+        end_job(state, step.job, JobPhase.FAILED, now, FailureCause.ATTEMPTS)
 
 
 def _count_worker_failure(worker: WorkerState, step: StepState, now: Instant) -> None:
@@ -253,13 +266,35 @@
         state.ready_steps_by_key[step.key] = step
 
 
+def give_up_culprits(
+    state: SchedulerState, crashes: Iterable[WorkerIncarnation], now: Instant
+) -> None:
+    """Fail the jobs whose tasks are the culprits of some crashes."""
+    for step, task in find_culprits(state, crashes):
+        extra = {
+            "job": task.job_id,
+            "queue": step.job.accepted.queue_name,
+            "task": format_task(task),
+            "crashes": len(step.crashes_by_index[task.index]),
+            "cause": FailureCause.WORKER_CRASHES.value,
+        }
+        _log.warning("task given up", extra=extra)
+        explain_crashes(state, step, task)
+        end_job(state, step.job, JobPhase.FAILED, now, FailureCause.WORKER_CRASHES)
+
+
 def end_job(
-    state: SchedulerState, job: JobState, phase: JobPhase, now: Instant
+    state: SchedulerState,
+    job: JobState,
+    phase: JobPhase,
+    now: Instant,
+    cause: FailureCause | None = None,
 ) -> None:
-    """End a job and stop the remaining runs of its unfinished tasks."""
+    """End a job, with a cause if it failed; stop the runs of its unfinished tasks."""
     if job.phase.is_final:
         return
     job.phase = phase
+    job.failure_cause = cause
     state.changed_jobs.add(job.job_id)
     log_unfinished_waits(job, now)
     for step in job.steps_by_key.values():
@@ -273,6 +308,7 @@
         "job": job.job_id,
         "queue": job.accepted.queue_name,
         "phase": phase.value,
+        "cause": cause.value if cause is not None else "",
         "age_s": round(now - job.accepted_at, 3),
         "late": now > job.target_at,
     }
--- /dev/null
+++ b/tamarackmount/scheduling/run_reconciliation.py
@@ -0,0 +1,154 @@
+"""Reconciliation of runs with worker reports."""
+
+from tamarackmount.ids import Instant
+from tamarackmount.resources import NOTHING, Resources
+from tamarackmount.scheduling.crash_evidence import (
+    clear_task,
+    is_suspect,
+    outlives_crashes,
+)
+from tamarackmount.scheduling.effects import StopRun
+from tamarackmount.scheduling.run_ends import give_up_culprits, record_checkpoint
+from tamarackmount.scheduling.runs import Run, RunPhase, StepState
+from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.worker_reports import RunningRun, WorkerReport
+from tamarackmount.scheduling.workers import WorkerState
+
+
+def reconcile_runs(
+    state: SchedulerState,
+    worker: WorkerState,
+    report: WorkerReport,
+    sent: Instant,
+    now: Instant,
+) -> None:
+    """Compare the runs of a worker with its report on a poll sent at ``sent``."""
+    row_by_task = {row.task: row for row in report.running}
+    for row in report.running:
+        run = worker.runs_by_task.get(row.task)
+        if run is not None and run.number == row.run_number:
+            run.listed_s = max(run.listed_s, sent - run.began_at)
+            _confirm_run(state, run, row, now)
+            _clear_if_outlived(state, run, now)
+        else:
+            adopt_or_stop_run(state, worker, row, now)
+    for run in list(worker.runs_by_task.values()):
+        row_of_run = row_by_task.get(run.task)
+        if row_of_run is None or row_of_run.run_number != run.number:
+            _handle_missing_run(state, run, sent, now)
+
+
+def _clear_if_outlived(state: SchedulerState, run: Run, now: Instant) -> None:
+    """Withdraw the evidence against a task once a run of it has gone on for long."""
+    if not state.suspected_tasks:
+        return
+    step = state.step_of(run.task)
+    if step is None or not is_suspect(state, step, run.task.index):
+        return
+    if outlives_crashes(step, run):
+        give_up_culprits(state, clear_task(state, step, run.task.index), now)
+
+
+def _confirm_run(
+    state: SchedulerState, run: Run, row: RunningRun, now: Instant
+) -> None:
+    run.confirmed_at = now
+    run.speed_percent = row.speed_percent
+    run.tail_ms_or_millicores = row.tail_ms_or_millicores
+    step = state.step_of(run.task)
+    if step is not None and row.checkpoint:
+        record_checkpoint(step, run.task.index, row.checkpoint)
+    if run.phase is RunPhase.STARTING:
+        run.phase = RunPhase.RUNNING
+    elif run.phase is RunPhase.OUTCOME_UNKNOWN:
+        run.phase = RunPhase.STOPPING
+    if run.phase is RunPhase.STOPPING:
+        state.stop_run(run, now)
+
+
+def adopt_or_stop_run(
+    state: SchedulerState, worker: WorkerState, row: RunningRun, now: Instant
+) -> None:
+    """Adopt a run of a former holder, or stop it if its task does not need it."""
+    step = state.step_of(row.task)
+    if step is not None:
+        _drop_older_run(state, step, row, now)
+    reserved, ceiling_usage = _reserved_and_ceiling_amounts(state, row)
+    run = Run(
+        row.task,
+        row.run_number,
+        worker.incarnation,
+        reserved,
+        ceiling_usage,
+        RunPhase.RUNNING,
+        now,
+        now,
+        is_adopted=True,
+        is_ordered=True,
+    )
+    index = row.task.index
+    is_wanted = (
+        step is not None
+        and not step.job.phase.is_final
+        and index not in step.done
+        and index not in step.runs_by_index
+        and row.task not in worker.runs_by_task
+    )
+    if step is not None and is_wanted:
+        step.run_number = max(step.run_number, row.run_number)
+        state.add_run(worker, step, run)
+        _confirm_run(state, run, row, now)
+        return
+    if row.task not in worker.runs_by_task:
+        state.add_orphaned_run(worker, run, now)
+        return
+    state.emit(
+        StopRun(worker.incarnation, worker.entry.address, row.task, row.run_number)
+    )
+
+
+def _drop_older_run(
+    state: SchedulerState, step: StepState, row: RunningRun, now: Instant
+) -> None:
+    """Drop a stored run of a task if the worker reports a later run of it.
+
+    Unless the step allows copies, a holder restarts a task only once its previous run
+    is certainly over, so the later run proves that the older one ended.
+    """
+    older = step.runs_by_index.get(row.task.index)
+    if (
+        older is not None
+        and older.number < row.run_number
+        and not step.spec.speculative
+    ):
+        state.drop_run(older, now)
+
+
+def _reserved_and_ceiling_amounts(
+    state: SchedulerState, row: RunningRun
+) -> tuple[Resources, Resources]:
+    """Return what a run reserves on its worker and what counts for the ceiling."""
+    accepted = state.find_job(row.task.job_id)
+    if accepted is None or row.task.step >= len(accepted.spec.steps):
+        return NOTHING, NOTHING
+    step = accepted.spec.steps[row.task.step]
+    return step.reserved_amount, step.amount
+
+
+def _handle_missing_run(
+    state: SchedulerState, run: Run, sent: Instant, now: Instant
+) -> None:
+    """Handle a run that is missing from the worker's report.
+
+    A run whose start order is in flight is left alone. Others are dropped if they were
+    last confirmed, or confirmed as stopped, before the poll was sent. If not, the
+    report may be older than the run's state, and only a pending stop is repeated.
+    """
+    if run.phase is RunPhase.STARTING:
+        return
+    known_at = run.confirmed_at if run.phase is RunPhase.RUNNING else run.stopped_at
+    if known_at is None or known_at >= sent:
+        if run.phase is not RunPhase.RUNNING:
+            state.stop_run(run, now)
+        return
+    state.drop_run(run, now)
--- a/tamarackmount/scheduling/run_starts.py
+++ b/tamarackmount/scheduling/run_starts.py
@@ -3,6 +3,7 @@
 import logging
 
 from tamarackmount.ids import Instant
+from tamarackmount.scheduling.crash_evidence import is_suspect
 from tamarackmount.scheduling.effects import StartRun
 from tamarackmount.scheduling.model import JobPhase
 from tamarackmount.scheduling.run_ends import format_task
@@ -37,7 +38,8 @@
 ) -> None:
     """Start one task on a worker.
 
-    With write-ahead enabled, the order waits until the store holds the run.
+    With write-ahead enabled, the order waits until the store holds the run. That of a
+    suspect always does: the next holder has to know of each worker that it crashes.
     """
     lease_end = worker.lease_end_clock_ms(now)
     if lease_end is None:
@@ -71,10 +73,11 @@
         checkpoint=checkpoint,
         ticket=step.advice.usable_ticket(worker.incarnation, now),
     )
-    if state.write_ahead.is_enabled:
-        state.unstored_starts.append(StartRun(worker.entry.address, order))
+    start = StartRun(worker.entry.address, order)
+    if state.write_ahead.is_enabled or is_suspect(state, step, index):
+        state.unstored_starts.append(start)
     else:
-        state.emit(StartRun(worker.entry.address, order))
+        send_start(state, run, start)
     extra = {
         "job": job.job_id,
         "queue": job.accepted.queue_name,
@@ -84,3 +87,9 @@
         "waited_s": round(now - job.accepted_at, 3),
     }
     _log.info("run starts", extra=extra)
+
+
+def send_start(state: SchedulerState, run: Run, start: StartRun) -> None:
+    """Send a run's start order."""
+    run.is_ordered = True
+    state.emit(start)
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -5,12 +5,14 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from math import inf
+from typing import TypeVar
 
 from tamarackmount.ids import DataCentreId, Instant, JobId, WorkerId
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling.accepted_job import AcceptedJob
-from tamarackmount.scheduling.journal import JobProgress
+from tamarackmount.scheduling.journal import CrashRecord, JobProgress
 from tamarackmount.scheduling.model import (
+    FailureCause,
     JobPhase,
     StepKey,
     StepSpec,
@@ -20,6 +22,8 @@
 from tamarackmount.scheduling.peak_use import PeakUse
 from tamarackmount.scheduling.step_advice import StepAdvice
 
+T = TypeVar("T")
+
 
 class RunPhase(Enum):
     """State of a run.
@@ -83,7 +87,8 @@
     report. A run that ``resumed`` began from a checkpoint. One that ``is_adopted`` was
     started by a former holder: it began before ``began_at``, which is when this holder
     learned of it. It counts towards ``counted_use`` until it ends. ``expected_s`` is
-    its duration forecast at its start, in seconds; 0 if it has none.
+    its duration forecast at its start, in seconds; 0 if it has none. A run
+    ``is_ordered`` once its start order may have been sent.
     """
 
     task: TaskKey
@@ -102,6 +107,7 @@
     tail_ms_or_millicores: int = 0
     resumed: bool = False
     is_adopted: bool = False
+    is_ordered: bool = False
     is_orphaned: bool = False
     counted_use: PeakUse | None = None
     expected_s: float = 0.0
@@ -131,9 +137,11 @@
     ``pending`` are the indexes of tasks that have no run and are not done.
     ``original_runs`` are the originals beside their copies: runs of a speculative step
     that may be lost, so that their tasks start again, and the first end counts.
-    ``run_number`` is the highest run number used. ``failed_gang_run`` is the run number
-    of the newest gang whose failure was counted. ``handled_stragglers`` are the indexes
-    of tasks that were stopped or copied as stragglers; each is treated so once only.
+    ``crashes_by_index`` is the evidence that tasks crash their workers; see
+    ``crash_evidence.py``. ``run_number`` is the highest run number used.
+    ``failed_gang_run`` is the run number of the newest gang whose failure was counted.
+    ``handled_stragglers`` are the indexes of tasks that were stopped or copied as
+    stragglers; each is treated so once only.
     ``durations_s`` are the durations, in seconds, of runs that ended well and did not
     resume from a checkpoint, divided by their workers' duration factors: those of one
     step are alike, while steps of one queue differ by several times.
@@ -155,6 +163,7 @@
     original_runs: list[Run] = field(default_factory=list)
     failures_by_index: dict[int, int] = field(default_factory=dict)
     checkpoints_by_index: dict[int, str] = field(default_factory=dict)
+    crashes_by_index: dict[int, list[CrashRecord]] = field(default_factory=dict)
     run_number: int = 0
     failed_gang_run: int = 0
     advice: StepAdvice = field(default_factory=StepAdvice)
@@ -236,6 +245,7 @@
     is_over_share: bool = False
     is_restored: bool = False
     final_unix_ms: int = 0
+    failure_cause: FailureCause | None = None
 
     @property
     def job_id(self) -> JobId:
@@ -278,6 +288,13 @@
                 if index in step.pending and not self.phase.is_final
             },
             final_unix_ms=self.final_unix_ms,
+            crashes_by_task={
+                f"{step.key.occurrence}.{step.key.step}.{index}": crashes
+                for step in steps
+                for index, crashes in step.crashes_by_index.items()
+                if crashes and not self.phase.is_final
+            },
+            cause=self.failure_cause,
         )
 
 
@@ -286,32 +303,32 @@
 ) -> JobState:
     """Return the state of a job with all its steps, from its stored progress."""
     job = JobState(accepted, accepted_at=now)
-    if progress is not None:
-        job.phase = progress.phase
-    done_by_step = progress.done_by_step if progress is not None else {}
-    failures = progress.failures_by_task if progress is not None else {}
+    stored = progress or JobProgress(JobPhase.QUEUED)
+    job.phase = stored.phase
     spec = accepted.spec
     for occurrence in range(spec.occurrences):
         due = spec.first_run_unix_ms + occurrence * spec.interval_ms
         for number, step in enumerate(spec.steps):
             key = StepKey(accepted.job_id, occurrence, number)
-            done = set(done_by_step.get(f"{occurrence}.{number}", ()))
+            done = set(stored.done_by_step.get(f"{occurrence}.{number}", ()))
             step_state = StepState(key, step, job, set(range(step.count)) - done, done)
             step_state.due_unix_ms = due if spec.repetitions else 0
             job.steps_by_key[key] = step_state
-    for name, count in failures.items():
-        found, index = _find_task(job, name)
-        if found is not None:
-            found.failures_by_index[index] = count
-    checkpoints = progress.checkpoints_by_task if progress is not None else {}
-    for name, checkpoint in checkpoints.items():
-        found, index = _find_task(job, name)
-        if found is not None:
-            found.checkpoints_by_index[index] = checkpoint
+    for found, index, count in _by_step(job, stored.failures_by_task):
+        found.failures_by_index[index] = count
+    for found, index, checkpoint in _by_step(job, stored.checkpoints_by_task):
+        found.checkpoints_by_index[index] = checkpoint
+    for found, index, crashes in _by_step(job, stored.crashes_by_task):
+        found.crashes_by_index[index] = list(crashes)
     return job
 
 
-def _find_task(job: JobState, name: str) -> tuple[StepState | None, int]:
-    """Return the step, if known, and the index that a progress record's key names."""
-    occurrence, step, index = (int(part) for part in name.split("."))
-    return job.steps_by_key.get(StepKey(job.job_id, occurrence, step)), index
+def _by_step(
+    job: JobState, value_by_task: Mapping[str, T]
+) -> Iterator[tuple[StepState, int, T]]:
+    """Yield the step and the index of each key of a progress record, if known."""
+    for name, value in value_by_task.items():
+        occurrence, step, index = (int(part) for part in name.split("."))
+        found = job.steps_by_key.get(StepKey(job.job_id, occurrence, step))
+        if found is not None:
+            yield found, index, value
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -18,6 +18,7 @@
     update_non_urgent_fractions,
 )
 from tamarackmount.scheduling.contention import ContentionReports
+from tamarackmount.scheduling.crash_evidence import restore_evidence
 from tamarackmount.scheduling.effects import Effect
 from tamarackmount.scheduling.evacuated_workers import (
     count_evacuated_runs,
@@ -40,7 +41,7 @@
 )
 from tamarackmount.scheduling.placement import place
 from tamarackmount.scheduling.preemption import PreemptionRound
-from tamarackmount.scheduling.run_ends import end_job, make_ready
+from tamarackmount.scheduling.run_ends import end_job, give_up_culprits, make_ready
 from tamarackmount.scheduling.runs import JobState, StepState, make_job
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.share_round import mark_new_steps, update_shares
@@ -133,6 +134,7 @@
             self._restore_job(records, now, unix_ms)
         for worker in list(workers):
             restore_worker(self._state, worker, former_orders_end_at, now)
+        give_up_culprits(self._state, list(self._state.suspects_by_crash), now)
 
     def set_fleet_config(self, fleet_config: FleetConfig, now: Instant) -> None:
         """Apply a new version of the configuration."""
@@ -179,6 +181,11 @@
         """The number of runs that go on in evacuated data centres."""
         return count_evacuated_runs(self._state)
 
+    @property
+    def suspected_tasks(self) -> set[TaskKey]:
+        """The tasks with evidence that they crash their workers."""
+        return self._state.suspected_tasks
+
     def may_send(self, order: StartOrder) -> bool:
         """Return whether a start order may be sent now.
 
@@ -351,6 +358,7 @@
             set_non_urgent_fraction(state, job)
             mark_new_steps(state, job)
         state.jobs_by_id[job.job_id] = job
+        restore_evidence(state, job)
         if records.cancelled_unix_ms is not None:
             self.cancel_job(job.job_id, now, unix_ms)
             return
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -4,7 +4,6 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
 from tamarackmount.ids import (
     DataCentreId,
@@ -35,6 +34,7 @@
     URGENT_PEAK_AGE_S,
     PeakUse,
 )
+from tamarackmount.scheduling.pool_loads import PoolLoad, PoolLoadKey, pool_load_key
 from tamarackmount.scheduling.ranking import URGENT_PRIORITY, WorkspaceRateLimiter
 from tamarackmount.scheduling.returns import Returns
 from tamarackmount.scheduling.runs import JobState, Run, RunPhase, StepState
@@ -42,7 +42,7 @@
 from tamarackmount.scheduling.urgent_peaks import UrgentPeaks
 from tamarackmount.scheduling.wait_correction import WaitCorrection
 from tamarackmount.scheduling.worker_speeds import LearnedWorkerSpeeds
-from tamarackmount.scheduling.workers import WorkerState
+from tamarackmount.scheduling.workers import LapsedWorker, WorkerState
 from tamarackmount.scheduling.write_ahead import WriteAhead
 
 _log = logging.getLogger(__name__)
@@ -55,47 +55,6 @@
 milliseconds."""
 
 
-class PoolLoadKey(NamedTuple):
-    """What the capacity that runs reserve is counted by."""
-
-    service: ServiceName
-    workspace: WorkspaceId
-    queue: QueueName
-
-
-@dataclass(slots=True)
-class PoolLoad:
-    """What the runs of one workspace and queue reserve in a pool.
-
-    ``preemptible`` is the part of ``used`` whose runs may be stopped for more urgent
-    work. ``release_rates`` is how much of each resource ends of runs free per second,
-    in the units of ``Resources``, if runs are at any point of their forecast duration.
-    """
-
-    used: Resources = NOTHING
-    preemptible: Resources = NOTHING
-    release_rates: list[float] = field(default_factory=lambda: [0.0, 0.0, 0.0])
-    runs: int = 0
-
-    def add(self, run: Run, count: int, is_preemptible: bool) -> None:
-        """Add a run (``count`` is 1), or remove it (-1)."""
-        amount = run.amount * count
-        self.runs += count
-        self.used = self.used + amount
-        if is_preemptible:
-            self.preemptible = self.preemptible + amount
-        if run.expected_s > 0:
-            self.release_rates[0] += amount.millicores / run.expected_s
-            self.release_rates[1] += amount.memory_mib / run.expected_s
-            self.release_rates[2] += amount.accelerators / run.expected_s
-
-
-def pool_load_key(job: JobState) -> PoolLoadKey:
-    """Return what the capacity of a job's runs is counted by."""
-    accepted = job.accepted
-    return PoolLoadKey(accepted.service, accepted.workspace_id, accepted.queue_name)
-
-
 @dataclass(slots=True)
 class SchedulerState:
     """Jobs, workers and workspaces as the holder of one fencing token knows them.
@@ -110,6 +69,9 @@
     phases that the store holds; callers are told of no others. ``used_by_workspace`` is
     what counts towards each workspace's ceiling, ``load_by_pool`` the capacity that its
     runs reserve in each pool, by queue. ``shares`` are those of the last round.
+    ``suspected_tasks`` are those with evidence that they crash their workers, and
+    ``suspects_by_crash`` those of each crash that is not explained. ``lapsed_workers``
+    did not answer until their leases were over.
     ``superseded`` is set once a worker has refused this holder's fencing token. A stop
     takes at most ``stop_timeout_ms``.
     """
@@ -157,6 +119,11 @@
     authority: HolderAuthority = HolderAuthority.FULL
     check_stragglers_at: Instant = Instant(0.0)
     evacuated_data_centres: frozenset[DataCentreId] = frozenset()
+    suspected_tasks: set[TaskKey] = field(default_factory=set)
+    suspects_by_crash: dict[WorkerIncarnation, set[TaskKey]] = field(
+        default_factory=dict
+    )
+    lapsed_workers: dict[WorkerIncarnation, LapsedWorker] = field(default_factory=dict)
     superseded: bool = False
     stop_timeout_ms: int = DEFAULT_STOP_TIMEOUT_MS
 
@@ -349,6 +316,9 @@
         index = run.task.index
         if step is None or not step.allows_speculative_copy or index in step.done:
             return False
+        if run.task in self.suspected_tasks:
+            # A copy would crash a second worker before the first crash is known.
+            return False
         if step.runs_by_index.get(index) is not run:
             return False
         if any(original.task == run.task for original in step.original_runs):
--- a/tamarackmount/scheduling/store_batches.py
+++ b/tamarackmount/scheduling/store_batches.py
@@ -131,7 +131,12 @@
         if completeness.is_complete:
             return []
         state.write_ahead.is_enabled = False
-        released, state.unstored_starts = state.unstored_starts, []
+        # Those of suspects wait for the batch that has their runs.
+        unstored, state.unstored_starts = state.unstored_starts, []
+        released: list[StartRun] = []
+        for start in unstored:
+            is_held = start.order.task in state.suspected_tasks
+            (state.unstored_starts if is_held else released).append(start)
         return released
 
     def _next_completeness(self, now: Instant) -> CompletenessRecord | None:
--- a/tamarackmount/scheduling/worker_ends.py
+++ b/tamarackmount/scheduling/worker_ends.py
@@ -1,13 +1,27 @@
 """Worker incarnations that are over, and the runs that are lost with them."""
 
 import logging
+from collections.abc import Iterable
 from enum import Enum
 
 from tamarackmount.ids import Instant
-from tamarackmount.scheduling.run_ends import format_task
+from tamarackmount.scheduling.crash_evidence import record_crash
+from tamarackmount.scheduling.journal import CrashRecord
+from tamarackmount.scheduling.model import WorkerIncarnation
+from tamarackmount.scheduling.run_ends import format_task, give_up_culprits
 from tamarackmount.scheduling.runs import Run
 from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.workers import ContactState, WorkerState
+from tamarackmount.scheduling.worker_reports import WorkerEntry
+from tamarackmount.scheduling.workers import ContactState, LapsedWorker, WorkerState
+from tamarackmount.units import MS_PER_SECOND
+
+MAX_EARLY_S = 0.5
+"""Longest time, in seconds, that a run can have worked when its worker crashed for the
+crash to point at its start; an idle worker lists its runs only after 1.5 s."""
+
+LAPSED_RETENTION_S = 60.0
+"""Time for which the runs of a worker are remembered after its lease was over, in
+seconds; a worker that crashed is back by then."""
 
 _log = logging.getLogger(__name__)
 
@@ -42,12 +56,17 @@
     replacement: Replacement,
 ) -> None:
     """Remove an incarnation whose place another one has taken."""
-    if worker.entry.is_draining:
+    if worker.has_announced_drain:
         cause = WorkerEndCause.DRAINED
     elif worker.was_registered:
         cause = WorkerEndCause.CRASHED
     else:
         cause = WorkerEndCause.UNKNOWN
+    if cause is not WorkerEndCause.DRAINED:
+        lost = [(run, _ran_s(worker, run, now)) for run in worker.runs_by_task.values()]
+        is_certain = cause is WorkerEndCause.CRASHED
+        _record_crash(state, worker.incarnation, lost, is_certain, now)
+        _record_crash_of_lapsed(state, worker.incarnation, now)
     _remove_worker(state, worker, now, cause, replacement.value)
 
 
@@ -55,9 +74,33 @@
     state: SchedulerState, worker: WorkerState, now: Instant
 ) -> None:
     """Remove an incarnation that is not registered and whose lease is over."""
+    _remember_lapsed(state, worker, now)
     _remove_worker(state, worker, now, WorkerEndCause.LEASE_EXPIRED, "lease expired")
 
 
+def record_replaced_lapsed_workers(
+    state: SchedulerState, entry: WorkerEntry, now: Instant
+) -> None:
+    """Record the crashes that a new registration shows.
+
+    It shows that former workers of the same id or address are over, also those that had
+    been silent until their leases were over, and whose runs were dropped then.
+    """
+    for incarnation, lapsed in list(state.lapsed_workers.items()):
+        is_replaced = (
+            incarnation not in state.workers_by_incarnation
+            and incarnation != entry.incarnation
+            and (
+                incarnation.worker_id == entry.incarnation.worker_id
+                or lapsed.entry.address == entry.address
+            )
+        )
+        if is_replaced:
+            _record_crash_of_lapsed(state, incarnation, now)
+        elif now >= lapsed.lapsed_at + LAPSED_RETENTION_S:
+            del state.lapsed_workers[incarnation]
+
+
 def drop_runs_of_expired_lease(
     state: SchedulerState, worker: WorkerState, now: Instant
 ) -> None:
@@ -68,6 +111,7 @@
             "runs": len(worker.runs_by_task),
         }
         _log.info("worker lease expired", extra=extra)
+    _remember_lapsed(state, worker, now)
     _drop_runs(state, worker, now, WorkerEndCause.LEASE_EXPIRED)
 
 
@@ -103,7 +147,49 @@
         state.drop_run(run, now)
 
 
-def ran_s(worker: WorkerState, run: Run, now: Instant) -> float:
+def _remember_lapsed(state: SchedulerState, worker: WorkerState, now: Instant) -> None:
+    """Remember the runs of a worker that may have crashed or been cut off."""
+    if worker.has_announced_drain or not worker.runs_by_task:
+        return
+    runs = tuple(
+        (run, _ran_s(worker, run, now)) for run in worker.runs_by_task.values()
+    )
+    state.lapsed_workers[worker.incarnation] = LapsedWorker(worker.entry, runs, now)
+
+
+def _record_crash_of_lapsed(
+    state: SchedulerState, incarnation: WorkerIncarnation, now: Instant
+) -> None:
+    lapsed = state.lapsed_workers.pop(incarnation, None)
+    if lapsed is not None:
+        # Its runs may have ended with the lease, before the crash.
+        _record_crash(state, incarnation, lapsed.runs, False, now)
+
+
+def _record_crash(
+    state: SchedulerState,
+    incarnation: WorkerIncarnation,
+    lost: Iterable[tuple[Run, float]],
+    is_certain: bool,
+    now: Instant,
+) -> None:
+    """Record a crash as evidence against the tasks that the worker may have run.
+
+    No run counts as an early one unless it ``is_certain`` that the crash ended it.
+    """
+    for run, longest_s in lost:
+        step = state.step_of(run.task)
+        if step is None or not run.is_ordered:
+            continue
+        if step.job.phase.is_final or run.task.index in step.done:
+            continue
+        is_early = is_certain and run.listed_s <= 0 and longest_s <= MAX_EARLY_S
+        crash = CrashRecord(incarnation, int(longest_s * MS_PER_SECOND), is_early)
+        record_crash(state, step, run.task.index, crash)
+    give_up_culprits(state, [incarnation], now)
+
+
+def _ran_s(worker: WorkerState, run: Run, now: Instant) -> float:
     """Return how long a lost run may have worked at most, in seconds."""
     ended_at = worker.unanswered_since or now
     return max(0.0, ended_at - run.began_at)
@@ -118,7 +204,7 @@
         "run": run.number,
         "worker": worker.incarnation.worker_id,
         "cause": cause.value,
-        "ran_s": round(ran_s(worker, run, now), 3),
+        "ran_s": round(_ran_s(worker, run, now), 3),
         "listed_s": round(run.listed_s, 3),
     }
     _log.info("run lost", extra=extra)
--- a/tamarackmount/scheduling/worker_leases.py
+++ b/tamarackmount/scheduling/worker_leases.py
@@ -1,4 +1,4 @@
-"""Worker polls, worker leases, and reconciliation of runs with worker reports.
+"""Registrations, reports and leases of workers.
 
 A poll reports what a worker runs and which runs ended, and renews the worker's lease.
 A task that does not allow copies is started elsewhere only once its earlier run is
@@ -9,18 +9,27 @@
 import logging
 
 from tamarackmount.ids import DataCentreId, Instant, RackId
-from tamarackmount.resources import NOTHING, Resources
-from tamarackmount.scheduling.effects import StepDown, StopRun
+from tamarackmount.resources import NOTHING
+from tamarackmount.scheduling.effects import StepDown
 from tamarackmount.scheduling.journal import WorkerRecord, decode_task, encode_task
 from tamarackmount.scheduling.model import WorkerIncarnation
-from tamarackmount.scheduling.run_ends import handle_run_end, record_checkpoint
-from tamarackmount.scheduling.runs import Run, RunPhase, StepState
+from tamarackmount.scheduling.run_ends import (
+    handle_run_end,
+)
+from tamarackmount.scheduling.run_reconciliation import (
+    adopt_or_stop_run,
+    reconcile_runs,
+)
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.suspected_workers import (
     mark_suspected,
     request_speculative_copies,
 )
-from tamarackmount.scheduling.worker_ends import Replacement, remove_replaced_worker
+from tamarackmount.scheduling.worker_ends import (
+    Replacement,
+    record_replaced_lapsed_workers,
+    remove_replaced_worker,
+)
 from tamarackmount.scheduling.worker_reports import (
     PollFailure,
     RunningRun,
@@ -81,10 +90,14 @@
         worker = WorkerState(entry, contact=ContactState.UNCONFIRMED, next_poll_at=now)
         state.workers_by_incarnation[entry.incarnation] = worker
         state.changed_workers.add(entry.incarnation)
+        record_replaced_lapsed_workers(state, entry, now)
         extra = {"worker": entry.incarnation.worker_id, "service": entry.service}
         _log.info("worker registered", extra=extra)
     if entry.is_draining and not worker.entry.is_draining:
         _log.info("worker draining", extra={"worker": entry.incarnation.worker_id})
+    if entry.is_draining and not worker.has_announced_drain:
+        worker.has_announced_drain = True
+        state.changed_workers.add(entry.incarnation)
     # Listed again with others' changes, an entry is older than its remaining time.
     if is_new or entry != worker.entry:
         worker.cold_until = Instant(now + entry.cold_remaining_ms / MS_PER_SECOND)
@@ -111,6 +124,7 @@
         entry.address,
         worker.reported_end_number,
         runs,
+        drains=worker.has_announced_drain,
     )
 
 
@@ -138,13 +152,14 @@
     worker = WorkerState(
         entry, contact=ContactState.UNCONFIRMED, is_registered=False, is_stored=True
     )
+    worker.has_announced_drain = record.drains
     worker.reported_end_number = record.ack
     worker.stored_end_number = record.ack
     worker.lease_ends = Instant(former_orders_end_at + MAX_INHERITED_LEASE_S)
     state.workers_by_incarnation[entry.incarnation] = worker
     for text, number in record.runs:
         row = RunningRun(decode_task(text), number, "", FULL_SPEED_PERCENT)
-        _adopt_or_stop_run(state, worker, row, now)
+        adopt_or_stop_run(state, worker, row, now)
 
 
 def poll_answered(
@@ -193,11 +208,12 @@
         )
         return
     _confirm_contact(worker, now)
+    state.lapsed_workers.pop(worker.incarnation, None)
     worker.record_clock(answer.clock_ms, sent, now)
     for ended in sorted(answer.ended, key=lambda end: end.end_number):
         if ended.end_number > worker.reported_end_number:
             handle_run_end(state, worker, ended, now)
-    _reconcile_runs(state, worker, answer, sent, now)
+    reconcile_runs(state, worker, answer, sent, now)
     worker.earliest_poll_at = Instant(now + MIN_POLL_INTERVAL_S)
     worker.next_poll_at = worker.earliest_poll_at if answer.ended else now
     if worker.reported_end_number > worker.stored_end_number:
@@ -255,128 +271,3 @@
     worker.silent_since = None
     worker.last_poll_failed = False
     worker.record_answer(now)
-
-
-def _reconcile_runs(
-    state: SchedulerState,
-    worker: WorkerState,
-    report: WorkerReport,
-    sent: Instant,
-    now: Instant,
-) -> None:
-    row_by_task = {row.task: row for row in report.running}
-    for row in report.running:
-        run = worker.runs_by_task.get(row.task)
-        if run is not None and run.number == row.run_number:
-            run.listed_s = max(run.listed_s, sent - run.began_at)
-            _confirm_run(state, run, row, now)
-        else:
-            _adopt_or_stop_run(state, worker, row, now)
-    for run in list(worker.runs_by_task.values()):
-        row_of_run = row_by_task.get(run.task)
-        if row_of_run is None or row_of_run.run_number != run.number:
-            _handle_missing_run(state, run, sent, now)
-
-
-def _confirm_run(
-    state: SchedulerState, run: Run, row: RunningRun, now: Instant
-) -> None:
-    run.confirmed_at = now
-    run.speed_percent = row.speed_percent
-    run.tail_ms_or_millicores = row.tail_ms_or_millicores
-    step = state.step_of(run.task)
-    if step is not None and row.checkpoint:
-        record_checkpoint(step, run.task.index, row.checkpoint)
-    if run.phase is RunPhase.STARTING:
-        run.phase = RunPhase.RUNNING
-    elif run.phase is RunPhase.OUTCOME_UNKNOWN:
-        run.phase = RunPhase.STOPPING
-    if run.phase is RunPhase.STOPPING:
-        state.stop_run(run, now)
-
-
-def _adopt_or_stop_run(
-    state: SchedulerState, worker: WorkerState, row: RunningRun, now: Instant
-) -> None:
-    """Adopt a run of a former holder, or stop it if its task does not need it."""
-    step = state.step_of(row.task)
-    if step is not None:
-        _drop_older_run(state, step, row, now)
-    reserved, ceiling_usage = _reserved_and_ceiling_amounts(state, row)
-    run = Run(
-        row.task,
-        row.run_number,
-        worker.incarnation,
-        reserved,
-        ceiling_usage,
-        RunPhase.RUNNING,
-        now,
-        now,
-        is_adopted=True,
-    )
-    index = row.task.index
-    is_wanted = (
-        step is not None
-        and not step.job.phase.is_final
-        and index not in step.done
-        and index not in step.runs_by_index
-        and row.task not in worker.runs_by_task
-    )
-    if step is not None and is_wanted:
-        step.run_number = max(step.run_number, row.run_number)
-        state.add_run(worker, step, run)
-        _confirm_run(state, run, row, now)
-        return
-    if row.task not in worker.runs_by_task:
-        state.add_orphaned_run(worker, run, now)
-        return
-    state.emit(
-        StopRun(worker.incarnation, worker.entry.address, row.task, row.run_number)
-    )
-
-
-def _drop_older_run(
-    state: SchedulerState, step: StepState, row: RunningRun, now: Instant
-) -> None:
-    """Drop a stored run of a task if the worker reports a later run of it.
-
-    Unless the step allows copies, a holder restarts a task only once its previous run
-    is certainly over, so the later run proves that the older one ended.
-    """
-    older = step.runs_by_index.get(row.task.index)
-    if (
-        older is not None
-        and older.number < row.run_number
-        and not step.spec.speculative
-    ):
-        state.drop_run(older, now)
-
-
-def _reserved_and_ceiling_amounts(
-    state: SchedulerState, row: RunningRun
-) -> tuple[Resources, Resources]:
-    """Return what a run reserves on its worker and what counts for the ceiling."""
-    accepted = state.find_job(row.task.job_id)
-    if accepted is None or row.task.step >= len(accepted.spec.steps):
-        return NOTHING, NOTHING
-    step = accepted.spec.steps[row.task.step]
-    return step.reserved_amount, step.amount
-
-
-def _handle_missing_run(
-    state: SchedulerState, run: Run, sent: Instant, now: Instant
-) -> None:
-    """Handle a run that is missing from the worker's report.
-
-    A run whose start order is in flight is left alone. Others are dropped if they were
-    last confirmed, or confirmed as stopped, before the poll was sent. If not, the
-    report may be older than the run's state, and only a pending stop is repeated.
-    """
-    if run.phase is RunPhase.STARTING:
-        return
-    known_at = run.confirmed_at if run.phase is RunPhase.RUNNING else run.stopped_at
-    if known_at is None or known_at >= sent:
-        if run.phase is not RunPhase.RUNNING:
-            state.stop_run(run, now)
-        return
-    state.drop_run(run, now)
--- a/tamarackmount/scheduling/workers.py
+++ b/tamarackmount/scheduling/workers.py
@@ -51,6 +51,19 @@
     EXPIRED = "gone"
 
 
+@dataclass(frozen=True, slots=True)
+class LapsedWorker:
+    """A worker that did not answer until its lease was over, at ``lapsed_at``.
+
+    ``runs`` are those that it had, each with the longest time that it can have worked,
+    in seconds.
+    """
+
+    entry: WorkerEntry
+    runs: tuple[tuple[Run, float], ...]
+    lapsed_at: Instant
+
+
 @dataclass(slots=True)
 class WorkerState:
     """One incarnation of a worker.
@@ -67,7 +80,8 @@
     (``silent_since``) from a second such poll in a row until a poll gives a report. One
     that is suspected or silent is unresponsive.
 
-    A worker ``was_registered`` if this holder has ever read its registration.
+    A worker ``was_registered`` if this holder has ever read its registration, and
+    ``has_announced_drain`` if this holder or a former one has read that it drains.
     ``unanswered_since`` is when the first call without an answer ended since the
     worker's last answer.
 
@@ -84,6 +98,7 @@
     contact: ContactState = ContactState.UNCONFIRMED
     is_registered: bool = True
     was_registered: bool = False
+    has_announced_drain: bool = False
     used: Resources = NOTHING
     runs_by_task: dict[TaskKey, Run] = field(default_factory=dict)
     is_stored: bool = False
--- a/tests/test_scheduling_worker_crashes.py
+++ b/tests/test_scheduling_worker_crashes.py
@@ -1,7 +1,23 @@
 """Tests of tasks that crash the workers that start them, and of tasks beside them."""
 
-from tamarackmount.scheduling.model import JobPhase
-from tests.utils.build_scheduling import incarnation, job, step
+import random
+from collections.abc import Callable
+
+import pytest
+
+from tamarackmount.scheduling.journal import (
+    JobProgress,
+    RecordKind,
+    decode_record,
+    record_key,
+)
+from tamarackmount.scheduling.model import (
+    FailureCause,
+    JobPhase,
+    StepSpec,
+    WorkerIncarnation,
+)
+from tests.utils.build_scheduling import HIGH_PRIORITY, incarnation, job, step
 from tests.utils.crashing_pool import CrashingPool, tasks_of
 
 MAX_STARTS = 5
@@ -9,6 +25,13 @@
 
 LONG_S = 60.0
 
+STEPS = {
+    "task": step(estimated_ms=5_000),
+    "copies": step(estimated_ms=5_000, speculative=True),
+    "gang": step(3, estimated_ms=5_000, gang=True),
+    "perpetual": step(2, perpetual=True),
+}
+
 
 def test_a_task_crashed_worker_after_worker() -> None:
     pool = CrashingPool()
@@ -20,6 +43,208 @@
     assert pool.phase(deadly) is JobPhase.FAILED
 
 
+@pytest.mark.parametrize("keeps_id", [False, True], ids=["new id", "same id"])
+@pytest.mark.parametrize("downtime_s", [0.3, 3.2, 9.0])
+@pytest.mark.parametrize("crash_after_s", [0.0, 2.0])
+@pytest.mark.parametrize("spec", STEPS.values(), ids=STEPS)
+def test_a_kind_of_task_crashed_worker_after_worker(
+    spec: StepSpec, crash_after_s: float, downtime_s: float, keeps_id: bool
+) -> None:
+    pool = CrashingPool(
+        crash_after_s=crash_after_s, downtime_s=downtime_s, keeps_id=keeps_id
+    )
+    deadly = job(1, spec)
+    beside = [job(number, step(2), in_queue=HIGH_PRIORITY) for number in range(2, 6)]
+    pool.deadly.add(tasks_of(deadly)[0])
+    pool.submit(deadly, *beside)
+    pool.run(LONG_S)
+    assert pool.phase(deadly) is JobPhase.FAILED
+    assert pool.started[tasks_of(deadly)[0]] <= MAX_STARTS
+    assert pool.crash_count >= 2
+    assert {pool.phase(other) for other in beside} == {JobPhase.COMPLETED}
+
+
+@pytest.mark.parametrize("vacant_s", [0.5, 2.0, 4.0])
+@pytest.mark.parametrize("killed_after_s", [0.04, 1.0, 3.0, 3.4])
+def test_a_count_of_crashes_was_lost_with_the_holder(
+    killed_after_s: float, vacant_s: float
+) -> None:
+    pool = CrashingPool()
+    deadly = job(1)
+    task = tasks_of(deadly)[0]
+    pool.deadly.add(task)
+    pool.submit(deadly)
+    for _ in range(4):
+        crashes = pool.crash_count
+        pool.run(LONG_S, until=lambda: pool.crash_count > crashes)  # noqa: B023
+        if pool.phase(deadly) is JobPhase.FAILED:
+            break
+        pool.run(killed_after_s)
+        pool.kill_holder(vacant_s)
+    pool.run(LONG_S)
+    assert pool.phase(deadly) is JobPhase.FAILED
+    assert pool.started[task] <= MAX_STARTS
+
+
+def test_tasks_were_given_up_for_the_crashes_of_another_job() -> None:
+    pool = CrashingPool(worker_count=3, downtime_s=1.0)
+    deadly = [job(number) for number in (1, 2)]
+    long = step(3, estimated_ms=5_000)
+    beside = [job(3, long), job(4, step(2, perpetual=True)), job(5, step(2, gang=True))]
+    pool.deadly.update(tasks_of(one)[0] for one in deadly)
+    pool.submit(*beside)
+    pool.run(0.5)
+    pool.submit(*deadly)
+    pool.run(LONG_S)
+    assert {pool.phase(one) for one in deadly} == {JobPhase.FAILED}
+    assert JobPhase.FAILED not in {pool.phase(other) for other in beside}
+    assert pool.phase(beside[0]) is JobPhase.COMPLETED
+
+
+def test_a_task_was_given_up_as_its_workers_crashed_for_other_reasons() -> None:
+    pool = CrashingPool(downtime_s=1.0)
+    unlucky = job(1, step(estimated_ms=5_000))
+    pool.submit(unlucky)
+    for worked_s in (1.0, 3.0, 0.7):
+        pool.run(worked_s)
+        where = pool.worker_of(tasks_of(unlucky)[0])
+        assert where is not None
+        pool.crash(where)
+        pool.run(1.5)
+    pool.run(LONG_S)
+    assert pool.phase(unlucky) is JobPhase.COMPLETED
+
+
+def test_a_perpetual_task_was_given_up_for_crashes_long_ago() -> None:
+    pool = CrashingPool(downtime_s=1.0)
+    lasting = job(1, step(perpetual=True))
+    pool.submit(lasting)
+    for worked_s in (2.0, 15.0, 65.0, 3.0, 20.0):
+        pool.run(worked_s)
+        where = pool.worker_of(tasks_of(lasting)[0])
+        assert where is not None
+        pool.crash(where)
+    pool.run(10.0)
+    assert pool.phase(lasting) is JobPhase.RUNNING
+
+
+def _let_drain(pool: CrashingPool, where: WorkerIncarnation) -> None:
+    pool.drain(where, 0.5)
+    pool.run(0.06)
+    pool.leave(where)
+
+
+def _cut_for_a_while(pool: CrashingPool, where: WorkerIncarnation) -> None:
+    pool.cut(where)
+    pool.run(8.0)
+    pool.cut(where, is_cut=False)
+
+
+def _remove(pool: CrashingPool, where: WorkerIncarnation) -> None:
+    pool.remove(where)
+    pool.run(8.0)
+
+
+@pytest.mark.parametrize(
+    "interrupt",
+    [_let_drain, _cut_for_a_while, _remove],
+    ids=["drain", "cut and lease", "removal"],
+)
+def test_an_end_of_a_worker_was_taken_for_a_crash(
+    interrupt: Callable[[CrashingPool, WorkerIncarnation], None],
+) -> None:
+    pool = CrashingPool(worker_count=12)
+    interrupted = job(1, step(estimated_ms=120_000))
+    task = tasks_of(interrupted)[0]
+    pool.submit(interrupted)
+    for _ in range(6):
+        pool.run(10.0, until=lambda: pool.worker_of(task) is not None)
+        where = pool.worker_of(task)
+        assert where is not None
+        interrupt(pool, where)
+        assert not pool.suspected_tasks
+    pool.run(4 * LONG_S, until=lambda: task in pool.done)
+    pool.run(1.0)
+    assert pool.phase(interrupted) is JobPhase.COMPLETED
+
+
+def test_a_job_that_was_given_up_was_told_late_and_without_its_cause() -> None:
+    pool = CrashingPool(downtime_s=1.0)
+    deadly = job(1, step(2, estimated_ms=30_000))
+    pool.deadly.add(tasks_of(deadly)[0])
+    pool.submit(deadly)
+    pool.run(LONG_S, until=lambda: pool.crash_count == 3)
+    pool.run(1.5)
+    assert pool.phase(deadly) is JobPhase.FAILED
+    record = pool.harness.records[record_key(RecordKind.PROGRESS, deadly.job_id)]
+    progress = decode_record(record, JobProgress).unwrap()
+    assert progress.cause is FailureCause.WORKER_CRASHES
+    pool.run(1.0)
+    assert not any(worker.runs for worker in pool.workers.values())
+
+
+def test_a_start_of_a_suspect_left_before_its_crash_was_stored() -> None:
+    """The store is slow, and start orders of other tasks leave at once."""
+    pool = CrashingPool(downtime_s=0.5)
+    deadly = job(1)
+    pool.deadly.add(tasks_of(deadly)[0])
+    pool.submit(deadly)
+    other = job(2, step(4, estimated_ms=20_000))
+    pool.submit(other)
+    pool.store_latency_s = 0.4
+    pool.run(3.0)
+    late = job(3)
+    pool.submit(late)
+    pool.run(LONG_S)
+    assert pool.started_unstored[tasks_of(late)[0]] == 1
+    assert pool.started[tasks_of(deadly)[0]] > 1
+    assert pool.started_unstored[tasks_of(deadly)[0]] == 0
+
+
+def _disturb(pool: CrashingPool, rng: random.Random) -> None:
+    """Draw a change of the holder, a crash or a cut, or nothing."""
+    pool.run(10.0, until=lambda: bool(pool.workers))
+    event = rng.random()
+    where = rng.choice(list(pool.workers))
+    if event < 0.2:
+        pool.kill_holder(rng.uniform(0.5, 3.0))
+    elif event < 0.4:
+        pool.crash(where)
+    elif event < 0.5:
+        pool.cut(where)
+        pool.run(rng.uniform(0.5, 3.0))
+        if where in pool.workers:
+            pool.cut(where, is_cut=False)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_chance_brought_crashes_cuts_and_holder_changes_together(seed: int) -> None:
+    """No deadly task exceeds its starts, and no other is given up without crashes."""
+    rng = random.Random(seed)
+    pool = CrashingPool(
+        worker_count=rng.randint(4, 10),
+        crash_after_s=rng.choice((0.0, 0.1, 1.0)),
+        downtime_s=rng.choice((0.3, 3.2, 7.0)),
+        keeps_id=rng.random() < 0.5,
+    )
+    jobs = [
+        job(number, rng.choice(list(STEPS.values())), in_queue=HIGH_PRIORITY)
+        for number in range(1, 13)
+    ]
+    pool.deadly.update(tasks_of(one)[0] for one in jobs[:3])
+    for accepted in jobs:
+        pool.submit(accepted)
+        pool.run(rng.uniform(0.1, 1.5))
+        _disturb(pool, rng)
+    pool.run(LONG_S)
+    for task in pool.deadly:
+        assert pool.started[task] <= MAX_STARTS, task
+    for accepted in jobs:
+        if pool.phase(accepted) is JobPhase.FAILED:
+            assert max(pool.crashed_under[task] for task in tasks_of(accepted)) >= 2
+    assert not pool.overloaded
+
+
 def test_a_step_never_used_the_only_free_worker_as_it_had_failed_there() -> None:
     """The other worker stays full, and nothing else needs the free one."""
     pool = CrashingPool(worker_count=2, cores=4)
--- a/tests/utils/crashing_pool.py
+++ b/tests/utils/crashing_pool.py
@@ -8,7 +8,9 @@
 from tamarackmount.resources import NOTHING, Resources
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.effects import PollWorker
+from tamarackmount.scheduling.journal import encode_task, worker_key
 from tamarackmount.scheduling.model import JobPhase, TaskKey, WorkerIncarnation
+from tamarackmount.scheduling.store_batches import Batch
 from tamarackmount.scheduling.worker_reports import (
     EndedRun,
     OrderResult,
@@ -17,6 +19,8 @@
     WorkerEntry,
     WorkerReport,
 )
+from tamarackmount.scheduling.workers import LEASE_MS
+from tamarackmount.units import MS_PER_SECOND
 from tests.utils.build_scheduling import (
     SchedulerHarness,
     incarnation,
@@ -29,6 +33,10 @@
 """Time after which the platform removes the registration of a silent worker."""
 
 
+LEASE_S = LEASE_MS / MS_PER_SECOND
+"""Length of a lease in seconds."""
+
+
 @dataclass(slots=True)
 class SimulatedRun:
     """A run on a worker; ``ends_at`` and ``crashes_at`` are virtual times."""
@@ -83,11 +91,14 @@
         self.harness = SchedulerHarness()
         self.deadly: set[TaskKey] = set()
         self.started: Counter[TaskKey] = Counter()
+        self.started_unstored: Counter[TaskKey] = Counter()
         self.crashed_under: Counter[TaskKey] = Counter()
         self.crash_count = 0
         self.polled: Counter[WorkerIncarnation] = Counter()
         self.overloaded: list[str] = []
         self.done: set[TaskKey] = set()
+        self.store_latency_s = 0.0
+        self._append: tuple[Instant, Batch] | None = None
         self.jobs_by_id: dict[JobId, AcceptedJob] = {}
         self.workers: dict[WorkerIncarnation, SimulatedWorker] = {}
         self._crash_after_s = crash_after_s
@@ -112,8 +123,10 @@
             self.harness.submit_job(accepted)
 
     def phase(self, accepted: AcceptedJob) -> JobPhase | None:
-        """Return the phase that callers are told."""
-        return self.harness.scheduler.phase(accepted.job_id)
+        """Return the phase that callers are told; a new holder reads ended jobs."""
+        index = build_job_index(self.jobs_by_id.values(), self.harness.records)
+        job_id = accepted.job_id
+        return self.harness.scheduler.phase(job_id) or index.phase(job_id)
 
     def run(self, seconds: float, until: Callable[[], bool] = lambda: False) -> None:
         """Let time pass, at most until the condition holds."""
@@ -123,11 +136,9 @@
 
     def crash(self, where: WorkerIncarnation) -> None:
         """Let a worker crash for a reason of its own, or for a task's."""
-        worker = self.workers.pop(where)
+        worker = self._take_away(where)
         self.crash_count += 1
         self.crashed_under.update(task for task, _ in worker.runs)
-        for poll, sent in worker.unanswered:
-            self._answer(poll, PollFailure.NO_ANSWER, sent)
         self._replacements.append((self.now + self._downtime_s, worker.entry))
 
     def drain(self, where: WorkerIncarnation, left_s: float) -> None:
@@ -141,10 +152,16 @@
 
     def leave(self, where: WorkerIncarnation) -> None:
         """Let a worker leave for good; another one takes over its address at once."""
-        worker = self.workers.pop(where)
+        worker = self._take_away(where)
         self._registered.pop(where.worker_id, None)
         self._replacements.append((self.now, worker.entry))
 
+    def remove(self, where: WorkerIncarnation) -> None:
+        """Remove a worker for good; nothing takes its place."""
+        self._take_away(where)
+        self._registered.pop(where.worker_id, None)
+        self._register()
+
     def set_capacity(self, where: WorkerIncarnation, capacity: Resources) -> None:
         """Let a worker's capacity shrink or grow; its registration says so at once."""
         worker = self.workers[where]
@@ -152,12 +169,17 @@
         self._registered[where.worker_id] = worker.entry, float("inf")
         self._register()
 
+    def cut(self, where: WorkerIncarnation, is_cut: bool = True) -> None:
+        """Cut a worker off from the holder, or reconnect it."""
+        self.workers[where].is_cut = is_cut
+
     def kill_holder(self, vacant_s: float = 1.5) -> None:
         """Replace the holder by one that knows what the store holds."""
         for worker in self.workers.values():
             worker.unanswered.clear()
         former = self.harness
         records = dict(former.records)
+        self._append = None
         self._is_holder_lost = True
         self.run(vacant_s)
         self._is_holder_lost = False
@@ -172,6 +194,11 @@
         for key in list(worker.runs):
             self._end(worker, key, RunEnd.FAILED)
 
+    @property
+    def suspected_tasks(self) -> set[TaskKey]:
+        """The tasks against which the holder has evidence."""
+        return self.harness.scheduler.suspected_tasks
+
     def worker_of(self, task: TaskKey) -> WorkerIncarnation | None:
         """Return the worker that runs a task."""
         for where, worker in self.workers.items():
@@ -179,6 +206,13 @@
                 return where
         return None
 
+    def _take_away(self, where: WorkerIncarnation) -> SimulatedWorker:
+        """Remove a worker; its connections are reset."""
+        worker = self.workers.pop(where)
+        for poll, sent in worker.unanswered:
+            self._answer(poll, PollFailure.NO_ANSWER, sent)
+        return worker
+
     def _step(self) -> None:
         self.harness.now = Instant(self.harness.now + self.STEP_S)
         self._advance_workers()
@@ -186,9 +220,22 @@
             return
         self._carry_out_orders()
         self._answer_polls()
-        self.harness.store_pending()
+        self._write_to_store()
         self.harness.tick()
 
+    def _write_to_store(self) -> None:
+        if not self.store_latency_s:
+            self.harness.store_pending()
+            return
+        scheduler = self.harness.scheduler
+        if self._append is not None and self.now >= self._append[0]:
+            self.harness.acknowledge_batch(self._append[1])
+            self._append = None
+        if self._append is None:
+            batch = scheduler.take_batch(self.now, self.harness.unix_ms)
+            if batch is not None:
+                self._append = Instant(self.now + self.store_latency_s), batch
+
     def _advance_workers(self) -> None:
         for where, worker in list(self.workers.items()):
             if any(run.crashes_at <= self.now for run in worker.runs.values()):
@@ -276,12 +323,16 @@
             )
 
     def _start(self, worker: SimulatedWorker, task: TaskKey, number: int) -> None:
+        record = self.harness.records.get(worker_key(worker.entry.incarnation), b"")
+        if encode_task(task).encode() not in record:
+            self.started_unstored[task] += 1
         spec = self.jobs_by_id[task.job_id].spec.steps[task.step]
         ends_at = self.now + spec.estimated_ms / 1_000
         run = SimulatedRun(self.now, float("inf") if spec.perpetual else ends_at)
         if task in self.deadly:
             run.crashes_at = self.now + self._crash_after_s
         worker.runs[task, number] = run
+        worker.lease_ends_at = max(worker.lease_ends_at, self.now + LEASE_S)
         self.started[task] += 1
         used = NOTHING
         for other, _ in worker.runs:
@@ -325,7 +376,7 @@
                 continue
             worker.unanswered.remove((poll, sent))
             if poll.lease_end_clock_ms is not None:
-                worker.lease_ends_at = self.now + 6.0
+                worker.lease_ends_at = self.now + LEASE_S
             report = worker_report(
                 running=tuple(worker.runs),
                 ended=tuple(worker.ended),
