Don't register a worker again that another one has replaced

Cause: the platform lists a worker for up to 4.5 s after it has crashed. Each was polled, logged and stored again, and counted among the workers that may start tasks.

Change: incarnations that are replaced are remembered while they are listed.

--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -71,7 +71,8 @@
     runs reserve in each pool, by queue. ``shares`` are those of the last round.
     ``suspected_tasks`` are those with evidence that they crash their workers, and
     ``suspects_by_crash`` those of each crash that is not explained. ``lapsed_workers``
-    did not answer until their leases were over.
+    did not answer until their leases were over. ``replaced_incarnations`` are over but
+    may still be registered.
     ``superseded`` is set once a worker has refused this holder's fencing token. A stop
     takes at most ``stop_timeout_ms``.
     """
@@ -123,6 +124,7 @@
     suspects_by_crash: dict[WorkerIncarnation, set[TaskKey]] = field(
         default_factory=dict
     )
+    replaced_incarnations: set[WorkerIncarnation] = field(default_factory=set)
     lapsed_workers: dict[WorkerIncarnation, LapsedWorker] = field(default_factory=dict)
     superseded: bool = False
     stop_timeout_ms: int = DEFAULT_STOP_TIMEOUT_MS
--- a/tamarackmount/scheduling/worker_ends.py
+++ b/tamarackmount/scheduling/worker_ends.py
@@ -68,6 +68,7 @@
         _record_crash(state, worker.incarnation, lost, is_certain, now)
         _record_crash_of_lapsed(state, worker.incarnation, now)
     _remove_worker(state, worker, now, cause, replacement.value)
+    state.replaced_incarnations.add(worker.incarnation)
 
 
 def remove_expired_worker(
--- a/tamarackmount/scheduling/worker_leases.py
+++ b/tamarackmount/scheduling/worker_leases.py
@@ -67,8 +67,11 @@
 ) -> None:
     """Replace the list of registered workers."""
     registered = {entry.incarnation for entry in entries}
+    # The list keeps an incarnation for a while after another one has taken its place.
+    state.replaced_incarnations &= registered
     for entry in entries:
-        _add_or_update_worker(state, entry, now)
+        if entry.incarnation not in state.replaced_incarnations:
+            _add_or_update_worker(state, entry, now)
     for worker in list(state.workers_by_incarnation.values()):
         if worker.incarnation not in registered and worker.is_registered:
             worker.is_registered = False
