Start tasks on a worker on which their step failed if no other has capacity

Cause: a step avoids workers on which a task of it failed or was a straggler, as long as any other worker is eligible, whether or not that one has capacity. Of two workers that the policy allowed, one was full for 15 s and the other was avoided. It had nothing to do with the crashes, and the job was no gang.

Change: a step waits for other workers for 2 s after a failure; then it takes those on which it failed last. The choice of a gang's workers has a module of its own, as placement.py was full.

Why it works: the users allow 3 s without a run while there is capacity, and backoff still keeps tasks off a worker that fails all it starts.

With it go mutations that remove the checks of the crash evidence and a switch-off of the isolation of suspects.

--- /dev/null
+++ b/tamarackmount/scheduling/gang_choice.py
@@ -0,0 +1,110 @@
+"""Choose the workers for the members of a gang."""
+
+from collections.abc import Mapping, Sequence
+
+from tamarackmount.ids import Instant
+from tamarackmount.resources import Resources
+from tamarackmount.scheduling.gang_groups import gang_groups
+from tamarackmount.scheduling.model import WorkerIncarnation
+from tamarackmount.scheduling.reservations import Reservations
+from tamarackmount.scheduling.runs import StepState
+from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.speed_choice import (
+    NEUTRAL_RANK,
+    SpeedRank,
+    speed_groups,
+)
+from tamarackmount.scheduling.suspect_isolation import isolated_workers
+from tamarackmount.scheduling.worker_choice import without_failures
+from tamarackmount.scheduling.workers import WorkerState
+
+
+def choose_gang_workers(
+    state: SchedulerState,
+    step: StepState,
+    workers: Sequence[WorkerState],
+    ranks: Mapping[WorkerIncarnation, SpeedRank],
+    reservations: Reservations,
+    now: Instant,
+) -> list[WorkerState]:
+    """Return a worker for each member, apart from suspects and failures if possible."""
+    isolated = isolated_workers(state, step, 0, workers)
+    pools = (without_failures(step, isolated), isolated, workers)
+    # Each contains the one before it, so that equal lengths mean equal pools.
+    for pool in {len(pool): pool for pool in pools}.values():
+        chosen = _choose_in_pool(step, pool, ranks, reservations, now)
+        if chosen:
+            return chosen
+    return []
+
+
+def _choose_in_pool(
+    step: StepState,
+    workers: Sequence[WorkerState],
+    ranks: Mapping[WorkerIncarnation, SpeedRank],
+    reservations: Reservations,
+    now: Instant,
+) -> list[WorkerState]:
+    """Return a worker for each member; none if the gang does not fit.
+
+    If the step asks for one rack, all members go to one rack if they fit on any.
+    Cold workers, and then those that are reserved for others, are used only if the gang
+    fits nowhere else.
+    """
+    usable = reservations.usable_workers(step, workers)
+    unreserved = [worker for worker in usable if not reservations.is_reserved(worker)]
+    warm = [worker for worker in unreserved if not worker.is_cold(now)]
+    # Each contains the one before it, so that equal lengths mean equal pools.
+    pools = {len(pool): pool for pool in (warm, unreserved, usable)}
+    groups = (group for pool in pools.values() for group in gang_groups(step, pool))
+    for group in groups:
+        for alike in speed_groups(group, ranks):
+            chosen = _assign_gang(step, alike, ranks)
+            if chosen:
+                return chosen
+    return []
+
+
+def _assign_gang(
+    step: StepState,
+    workers: Sequence[WorkerState],
+    ranks: Mapping[WorkerIncarnation, SpeedRank],
+) -> list[WorkerState]:
+    amount = step.reserved_amount
+    free_by_incarnation = {worker.incarnation: worker.free for worker in workers}
+    count_by_incarnation = {worker.incarnation: 0 for worker in workers}
+    chosen: list[WorkerState] = []
+    for _ in range(step.spec.count):
+        fitting = [
+            worker
+            for worker in workers
+            if amount.fits_in(free_by_incarnation[worker.incarnation])
+            and not is_at_worker_limit(step, count_by_incarnation[worker.incarnation])
+        ]
+        if not fitting:
+            return []
+        worker = min(
+            fitting,
+            key=lambda worker: (
+                ranks.get(worker.incarnation, NEUTRAL_RANK),
+                remaining(free_by_incarnation[worker.incarnation], amount),
+            ),
+        )
+        free_by_incarnation[worker.incarnation] = (
+            free_by_incarnation[worker.incarnation] - amount
+        )
+        count_by_incarnation[worker.incarnation] += 1
+        chosen.append(worker)
+    return chosen
+
+
+def is_at_worker_limit(step: StepState, count: int) -> bool:
+    """Tell whether a worker with ``count`` tasks of a step may take no more of them."""
+    bound = step.spec.max_per_worker
+    return bool(bound) and count >= bound
+
+
+def remaining(free: Resources, amount: Resources) -> tuple[int, int, int]:
+    """Return what a task leaves free, the scarcest resource first, to compare fits."""
+    left = free - amount
+    return left.accelerators, left.millicores, left.memory_mib
--- a/tamarackmount/scheduling/placement.py
+++ b/tamarackmount/scheduling/placement.py
@@ -4,12 +4,15 @@
 from collections.abc import Mapping, Sequence
 
 from tamarackmount.ids import DataCentreId, Instant
-from tamarackmount.resources import Resources
 from tamarackmount.scheduling.ceilings import ceiling_fraction, is_under_ceiling
 from tamarackmount.scheduling.crash_evidence import is_suspect
 from tamarackmount.scheduling.fleet_config import Queue
 from tamarackmount.scheduling.free_capacity import FreeCapacityIndex
-from tamarackmount.scheduling.gang_groups import gang_groups
+from tamarackmount.scheduling.gang_choice import (
+    choose_gang_workers,
+    is_at_worker_limit,
+    remaining,
+)
 from tamarackmount.scheduling.headroom import Headroom
 from tamarackmount.scheduling.holder_authority import HolderAuthority
 from tamarackmount.scheduling.model import ServiceName, WorkerIncarnation
@@ -21,12 +24,14 @@
 from tamarackmount.scheduling.speed_choice import (
     NEUTRAL_RANK,
     SpeedRank,
-    speed_groups,
     speed_ranks,
 )
 from tamarackmount.scheduling.suspect_isolation import isolated_workers
 from tamarackmount.scheduling.wait_log import update_wait_reason
-from tamarackmount.scheduling.worker_choice import eligible_workers
+from tamarackmount.scheduling.worker_choice import (
+    eligible_workers,
+    has_failed_on,
+)
 from tamarackmount.scheduling.workers import ContactState, WorkerState
 
 
@@ -185,10 +190,7 @@
     if not workers:
         return WaitReason.NO_ELIGIBLE_WORKER
     ranks = _speed_ranks(state, step, workers, now)
-    isolated = isolated_workers(state, step, 0, workers)
-    chosen = _choose_gang_workers(
-        step, isolated, ranks, reservations, now
-    ) or _choose_gang_workers(step, workers, ranks, reservations, now)
+    chosen = choose_gang_workers(state, step, workers, ranks, reservations, now)
     if not chosen:
         return WaitReason.NO_CAPACITY
     if not headroom.allows(step, chosen):
@@ -221,66 +223,6 @@
     return speed_ranks(state.worker_speeds, step, workers, usual_s, now)
 
 
-def _choose_gang_workers(
-    step: StepState,
-    workers: Sequence[WorkerState],
-    ranks: Mapping[WorkerIncarnation, SpeedRank],
-    reservations: Reservations,
-    now: Instant,
-) -> list[WorkerState]:
-    """Return a worker for each member; none if the gang does not fit.
-
-    If the step asks for one rack, all members go to one rack if they fit on any.
-    Cold workers, and then those that are reserved for others, are used only if the gang
-    fits nowhere else.
-    """
-    usable = reservations.usable_workers(step, workers)
-    unreserved = [worker for worker in usable if not reservations.is_reserved(worker)]
-    warm = [worker for worker in unreserved if not worker.is_cold(now)]
-    # Each contains the one before it, so that equal lengths mean equal pools.
-    pools = {len(pool): pool for pool in (warm, unreserved, usable)}
-    groups = (group for pool in pools.values() for group in gang_groups(step, pool))
-    for group in groups:
-        for alike in speed_groups(group, ranks):
-            chosen = _assign_gang(step, alike, ranks)
-            if chosen:
-                return chosen
-    return []
-
-
-def _assign_gang(
-    step: StepState,
-    workers: Sequence[WorkerState],
-    ranks: Mapping[WorkerIncarnation, SpeedRank],
-) -> list[WorkerState]:
-    amount = step.reserved_amount
-    free_by_incarnation = {worker.incarnation: worker.free for worker in workers}
-    count_by_incarnation = {worker.incarnation: 0 for worker in workers}
-    chosen: list[WorkerState] = []
-    for _ in range(step.spec.count):
-        fitting = [
-            worker
-            for worker in workers
-            if amount.fits_in(free_by_incarnation[worker.incarnation])
-            and not _is_at_worker_limit(step, count_by_incarnation[worker.incarnation])
-        ]
-        if not fitting:
-            return []
-        worker = min(
-            fitting,
-            key=lambda worker: (
-                ranks.get(worker.incarnation, NEUTRAL_RANK),
-                _remaining(free_by_incarnation[worker.incarnation], amount),
-            ),
-        )
-        free_by_incarnation[worker.incarnation] = (
-            free_by_incarnation[worker.incarnation] - amount
-        )
-        count_by_incarnation[worker.incarnation] += 1
-        chosen.append(worker)
-    return chosen
-
-
 def _choose_worker(
     state: SchedulerState,
     step: StepState,
@@ -304,7 +246,7 @@
         for worker in workers
         if amount.fits_in(worker.free)
         and task not in worker.runs_by_task
-        and not _is_at_worker_limit(step, _count_runs_on(step, worker))
+        and not is_at_worker_limit(step, _count_runs_on(step, worker))
     ]
     if not fitting:
         return None
@@ -321,13 +263,14 @@
         near,
         key=lambda worker: (
             (entry := worker.entry).data_centre in suspected,
+            has_failed_on(step, worker),
             worker.is_cold(capacity_index.now),
             len(worker.runs_by_task) if is_spared else 0,
             entry.incarnation in reserved,
             (rank := ranks.get(entry.incarnation, NEUTRAL_RANK))[0],
             worker.entry.data_centre != data_centre,
             rank[1],
-            _remaining(worker.free, amount),
+            remaining(worker.free, amount),
         ),
     )
 
@@ -367,13 +310,3 @@
     if not step.spec.max_per_worker:
         return 0
     return step.count_runs_on(worker.incarnation)
-
-
-def _is_at_worker_limit(step: StepState, count: int) -> bool:
-    bound = step.spec.max_per_worker
-    return bool(bound) and count >= bound
-
-
-def _remaining(free: Resources, amount: Resources) -> tuple[int, int, int]:
-    remaining = free - amount
-    return remaining.accelerators, remaining.millicores, remaining.memory_mib
--- a/tamarackmount/scheduling/run_ends.py
+++ b/tamarackmount/scheduling/run_ends.py
@@ -204,7 +204,7 @@
 
 def _count_worker_failure(worker: WorkerState, step: StepState, now: Instant) -> None:
     is_first_worker = not step.failed_on - {worker.incarnation.worker_id}
-    step.failed_on.add(worker.incarnation.worker_id)
+    step.avoid_worker(worker.incarnation.worker_id, now)
     if not is_first_worker:
         return
     worker.failures_in_row += 1
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -24,6 +24,10 @@
 
 T = TypeVar("T")
 
+MAX_AVOIDANCE_S = 2.0
+"""Time, in seconds, for which a step waits for workers other than those on which it has
+failed; the users allow 3 s without a run while there is capacity."""
+
 
 class RunPhase(Enum):
     """State of a run.
@@ -147,7 +151,8 @@
     step are alike, while steps of one queue differ by several times.
     ``duration_by_worker_s`` has the same durations undivided, each with its worker, and
     none of gangs. ``failed_on`` are workers on which a task of the step
-    failed or was a straggler; others are preferred. ``not_before`` delays the next
+    failed or was a straggler; others are preferred, and until ``avoid_failed_on_until``
+    the step waits for them. ``not_before`` delays the next
     placement after a refused start or a preemption. A step with a ``due_unix_ms`` does
     not start before then. ``reservation`` has the workers that are kept free for a
     gang. A step ``exceeds_pool_share`` while its pool is scarce and the steps before it
@@ -173,6 +178,7 @@
         default_factory=list
     )
     failed_on: set[WorkerId] = field(default_factory=set)
+    avoid_failed_on_until: Instant = Instant(0.0)
     not_before: Instant = Instant(0.0)
     due_unix_ms: int = 0
     reservation: Reservation | None = None
@@ -201,6 +207,11 @@
         spec = self.spec
         return spec.speculative and not (spec.gang or spec.perpetual)
 
+    def avoid_worker(self, worker_id: WorkerId, now: Instant) -> None:
+        """Prefer other workers, as a task failed or was a straggler on this one."""
+        self.failed_on.add(worker_id)
+        self.avoid_failed_on_until = Instant(now + MAX_AVOIDANCE_S)
+
     def task(self, index: int) -> TaskKey:
         """Return the key of one task."""
         return TaskKey(*self.key, index)
--- a/tamarackmount/scheduling/stragglers.py
+++ b/tamarackmount/scheduling/stragglers.py
@@ -137,7 +137,7 @@
             continue
         if state.request_speculative_copy(run):
             step.handled_stragglers.add(run.task.index)
-            step.failed_on.add(worker.incarnation.worker_id)
+            step.avoid_worker(worker.incarnation.worker_id, now)
             extra = {
                 "job": step.key.job_id,
                 "task": format_task(run.task),
@@ -237,7 +237,7 @@
     if not can_run_elsewhere:
         return
     step.handled_stragglers.add(run.task.index)
-    step.failed_on.add(worker.incarnation.worker_id)
+    step.avoid_worker(worker.incarnation.worker_id, now)
     extra = {
         "job": step.key.job_id,
         "task": format_task(run.task),
--- a/tamarackmount/scheduling/worker_choice.py
+++ b/tamarackmount/scheduling/worker_choice.py
@@ -1,6 +1,6 @@
 """Which workers may take tasks of a step, free capacity aside."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from tamarackmount.ids import Instant
 from tamarackmount.scheduling.fleet_config import Queue
@@ -23,7 +23,8 @@
 ) -> list[WorkerState]:
     """Return the workers that may take a task of the step now, free capacity aside.
 
-    Slow workers and those on which the step has failed are left out if others remain.
+    Slow workers are left out if others remain, and for a while those on which the step
+    has failed too.
     """
     candidates: Iterable[WorkerState] = state.workers_by_incarnation.values()
     if queue.advice is not None:
@@ -38,10 +39,24 @@
         for worker in candidates
         if worker.can_start and now >= worker.backoff_until and could_run(step, worker)
     ]
+    avoids = now < step.avoid_failed_on_until
     preferred = [
         worker
         for worker in found
-        if worker.incarnation.worker_id not in step.failed_on
-        and not worker.is_slow(now)
+        if not (avoids and has_failed_on(step, worker)) and not worker.is_slow(now)
     ]
     return preferred or found
+
+
+def has_failed_on(step: StepState, worker: WorkerState) -> bool:
+    """Return whether a task of the step failed or was a straggler on a worker."""
+    return worker.incarnation.worker_id in step.failed_on
+
+
+def without_failures(
+    step: StepState, workers: Sequence[WorkerState]
+) -> Sequence[WorkerState]:
+    """Return the workers on which the step has not failed."""
+    if not step.failed_on:
+        return workers
+    return [worker for worker in workers if not has_failed_on(step, worker)]
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -17,6 +17,7 @@
 SCHEDULING = "tests/test_scheduling_*.py"
 NODE = "tests/test_platform_node.py tests/test_claims.py tests/test_holder_authority.py"
 EVACUATION = "tests/test_*evacuation*.py"
+CRASHES = "tests/test_scheduling_worker_crashes.py"
 
 
 @dataclass(frozen=True, slots=True)
@@ -286,8 +287,85 @@
     Mutant(
         "a start order waits until the store holds its run",
         "scheduling/run_starts.py",
+        "if state.write_ahead.is_enabled or is_suspect(state, step, index):",
+        "if is_suspect(state, step, index):",
+    ),
+    Mutant(
+        "a suspect's start order waits for the store, also if others do not",
+        "scheduling/run_starts.py",
+        "if state.write_ahead.is_enabled or is_suspect(state, step, index):",
         "if state.write_ahead.is_enabled:",
-        "if False:",
+        CRASHES,
+    ),
+    Mutant(
+        "a task that crashes its workers is given up",
+        "scheduling/crash_evidence.py",
+        "            if _is_culprit(state, step, task):",
+        "            if False:",
+        CRASHES,
+    ),
+    Mutant(
+        "tasks are not given up for the crashes of another job",
+        "scheduling/crash_evidence.py",
+        "    return SHARED_WEIGHT if is_shared else SOLE_WEIGHT",
+        "    return SOLE_WEIGHT",
+        CRASHES,
+    ),
+    Mutant(
+        "no task is started again without end, however its crashes are explained",
+        "scheduling/crash_evidence.py",
+        "    if len(crashes) >= MAX_CRASHES:\n        return True\n",
+        "",
+        CRASHES,
+    ),
+    Mutant(
+        "each crash counts once for a task",
+        "scheduling/crash_evidence.py",
+        "    if any(known.worker == crash.worker for known in crashes):",
+        "    if False:",
+        CRASHES,
+    ),
+    Mutant(
+        "a run that goes on for long clears its task",
+        "scheduling/run_reconciliation.py",
+        "    if outlives_crashes(step, run):",
+        "    if False:",
+        CRASHES,
+    ),
+    Mutant(
+        "a worker that drains does not count as crashed",
+        "scheduling/worker_ends.py",
+        "    if cause is not WorkerEndCause.DRAINED:",
+        "    if True:",
+        CRASHES,
+    ),
+    Mutant(
+        "a worker that was cut off does not count as crashed",
+        "scheduling/worker_leases.py",
+        "    state.lapsed_workers.pop(worker.incarnation, None)\n",
+        "",
+        CRASHES,
+    ),
+    Mutant(
+        "a worker that is back after its lease was over counts as crashed",
+        "scheduling/worker_leases.py",
+        "        record_replaced_lapsed_workers(state, entry, now)\n",
+        "",
+        CRASHES,
+    ),
+    Mutant(
+        "a suspect gets no copy",
+        "scheduling/scheduler_state.py",
+        "        if run.task in self.suspected_tasks:",
+        "        if False:",
+        CRASHES,
+    ),
+    Mutant(
+        "an order that was not sent is no evidence",
+        "scheduling/worker_ends.py",
+        "        if step is None or not run.is_ordered:",
+        "        if step is None:",
+        CRASHES,
     ),
     Mutant(
         "orders stop waiting only once the store says that runs may be missing",
--- a/tests/utils/switch_offs.py
+++ b/tests/utils/switch_offs.py
@@ -77,7 +77,7 @@
                 "",
             ),
             _edit(
-                "scheduling/placement.py",
+                "scheduling/gang_choice.py",
                 "[worker for worker in unreserved if not worker.is_cold(now)]",
                 "unreserved + 0 * [now]",
             ),
@@ -117,6 +117,17 @@
             ),
         ),
     ),
+    SwitchOff(
+        "suspect-isolation",
+        "tasks that crash their workers restart beside others that just started",
+        (
+            _edit(
+                "scheduling/suspect_isolation.py",
+                "    if not state.suspected_tasks:",
+                "    if True:",
+            ),
+        ),
+    ),
     SwitchOff(
         "probation",
         "a worker fails all that it starts",
