Keep within a worker's capacity while it shrinks and grows

What callers would see: a start on a worker whose capacity shrank after the task was placed (LIMIT), a refusal with 30 s to wait for a job that fits again a moment later, and tasks that wait although there is capacity for them.

Cause: capacity was taken as fixed for the life of a worker. Orders that wait for the store or for their turn at the worker were not checked again; admission, learned speeds and sums took the shrunk value for the worker's kind; a resource of which runs have reserved more than there is left counted against tasks that don't need it, and against the free capacity of other workers.

Change: an order leaves only if the worker's capacity still covers what is reserved there, runs that are being stopped included. New runs use what is available, which is never negative; preemption and reservations go on counting what is reserved beyond the capacity. The largest registered capacity decides whether a job fits at all and which kind a worker is of.

--- a/tamarackmount/scheduling/admission.py
+++ b/tamarackmount/scheduling/admission.py
@@ -27,7 +27,7 @@
 from tamarackmount.scheduling.returns import ReturnPool
 from tamarackmount.scheduling.runs import JobState, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.worker_choice import could_run
+from tamarackmount.scheduling.worker_choice import could_run_at_nominal_capacity
 from tamarackmount.scheduling.workers import ContactState, WorkerState
 
 UNFIT_JOB_RETRY_S = 30.0
@@ -130,7 +130,10 @@
 
 
 def _can_run(steps: Iterable[StepState], workers: Iterable[WorkerState]) -> bool:
-    return all(any(could_run(step, worker) for worker in workers) for step in steps)
+    return all(
+        any(could_run_at_nominal_capacity(step, worker) for worker in workers)
+        for step in steps
+    )
 
 
 def _forecast_wait_s(
--- a/tamarackmount/scheduling/drain_forecast.py
+++ b/tamarackmount/scheduling/drain_forecast.py
@@ -240,7 +240,7 @@
         for worker in self._state.workers_by_incarnation.values():
             if not worker.can_start or not could_run(step, worker):
                 continue
-            capacity, free = worker.entry.capacity, worker.free
+            capacity, free = worker.entry.capacity, worker.available
             found.capacity = found.capacity + capacity
             found.free = found.free + free
             found.free_tasks += count_fitting_tasks(amount, free, MANY_TASKS, bound)
--- a/tamarackmount/scheduling/free_capacity.py
+++ b/tamarackmount/scheduling/free_capacity.py
@@ -55,7 +55,7 @@
         for free_millicores, worker in self._rows_of(step.job.accepted.service):
             if free_millicores < amount.millicores:
                 return False
-            if not amount.fits_in(worker.free):
+            if not amount.fits_in(worker.available):
                 continue
             if label and label not in worker.entry.labels:
                 continue
@@ -67,7 +67,7 @@
         rows = self._rows_by_service.get(service)
         if rows is None:
             rows = [
-                (worker.free.millicores, worker)
+                (worker.available.millicores, worker)
                 for worker in self._workers
                 if worker.entry.service == service
                 and worker.can_start
--- a/tamarackmount/scheduling/gang_choice.py
+++ b/tamarackmount/scheduling/gang_choice.py
@@ -71,7 +71,7 @@
     ranks: Mapping[WorkerIncarnation, SpeedRank],
 ) -> list[WorkerState]:
     amount = step.reserved_amount
-    free_by_incarnation = {worker.incarnation: worker.free for worker in workers}
+    free_by_incarnation = {worker.incarnation: worker.available for worker in workers}
     count_by_incarnation = {worker.incarnation: 0 for worker in workers}
     chosen: list[WorkerState] = []
     for _ in range(step.spec.count):
--- a/tamarackmount/scheduling/order_results.py
+++ b/tamarackmount/scheduling/order_results.py
@@ -45,6 +45,7 @@
     may_start = (
         run.phase is RunPhase.STARTING
         and worker.can_start
+        and worker.covers_reservations(run.amount)
         and state.authority is HolderAuthority.FULL
         and _has_valid_ticket(state, start, now)
     )
--- a/tamarackmount/scheduling/placement.py
+++ b/tamarackmount/scheduling/placement.py
@@ -101,7 +101,7 @@
     else:
         # There are far fewer workers with tickets than workers.
         has_worker = any(
-            step.reserved_amount.fits_in(worker.free)
+            step.reserved_amount.fits_in(worker.available)
             and worker.can_start
             and advice.usable_ticket(worker.incarnation, now)
             for worker in state.find_workers(advice.allowed.values())
@@ -244,7 +244,7 @@
     fitting = [
         worker
         for worker in workers
-        if amount.fits_in(worker.free)
+        if amount.fits_in(worker.available)
         and task not in worker.runs_by_task
         and not is_at_worker_limit(step, _count_runs_on(step, worker))
     ]
@@ -270,7 +270,7 @@
             (rank := ranks.get(entry.incarnation, NEUTRAL_RANK))[0],
             worker.entry.data_centre != data_centre,
             rank[1],
-            remaining(worker.free, amount),
+            remaining(worker.available, amount),
         ),
     )
 
@@ -292,7 +292,7 @@
     ):
         free_by_data_centre: Counter[DataCentreId] = Counter()
         for worker in workers:
-            free_by_data_centre[worker.entry.data_centre] += worker.free.millicores
+            free_by_data_centre[worker.entry.data_centre] += worker.available.millicores
         available = {
             data_centre: free
             for data_centre, free in free_by_data_centre.items()
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -181,21 +181,20 @@
         """The number of runs that go on in evacuated data centres."""
         return count_evacuated_runs(self._state)
 
-    @property
-    def suspected_tasks(self) -> set[TaskKey]:
-        """The tasks with evidence that they crash their workers."""
-        return self._state.suspected_tasks
-
     def may_send(self, order: StartOrder) -> bool:
         """Return whether a start order may be sent now.
 
         It may have waited since it was placed, perhaps in a process that was paused.
         """
-        worker = self._state.workers_by_incarnation.get(order.incarnation)
+        state = self._state
+        worker = state.workers_by_incarnation.get(order.incarnation)
+        run = state.find_run(order.incarnation, order.task, order.run_number)
         return (
-            self._state.authority is HolderAuthority.FULL
+            state.authority is HolderAuthority.FULL
             and worker is not None
+            and run is not None
             and not worker.is_evacuated
+            and worker.covers_reservations(run.amount)
         )
 
     def set_registered_workers(self, entries: list[WorkerEntry], now: Instant) -> None:
--- a/tamarackmount/scheduling/speed_choice.py
+++ b/tamarackmount/scheduling/speed_choice.py
@@ -48,7 +48,7 @@
     class_by_worker = {
         worker.incarnation: _speed_class(speeds.duration_factor(worker))
         for worker in workers
-        if amount.fits_in(worker.free)
+        if amount.fits_in(worker.available)
     }
     if len(set(class_by_worker.values())) <= 1:
         return {}
--- a/tamarackmount/scheduling/worker_choice.py
+++ b/tamarackmount/scheduling/worker_choice.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Sequence
 
 from tamarackmount.ids import Instant
+from tamarackmount.resources import Resources
 from tamarackmount.scheduling.fleet_config import Queue
 from tamarackmount.scheduling.runs import StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
@@ -11,10 +12,19 @@
 
 def could_run(step: StepState, worker: WorkerState) -> bool:
     """Return whether a worker could run a task of the step if it were idle."""
+    return _is_suitable(step, worker, worker.entry.capacity)
+
+
+def could_run_at_nominal_capacity(step: StepState, worker: WorkerState) -> bool:
+    """Return the same, also for a worker whose capacity has shrunk for a while."""
+    return _is_suitable(step, worker, worker.nominal_capacity)
+
+
+def _is_suitable(step: StepState, worker: WorkerState, capacity: Resources) -> bool:
     return (
         worker.entry.service == step.job.accepted.service
         and (not step.spec.label or step.spec.label in worker.entry.labels)
-        and step.reserved_amount.fits_in(worker.entry.capacity)
+        and step.reserved_amount.fits_in(capacity)
     )
 
 
--- a/tamarackmount/scheduling/worker_leases.py
+++ b/tamarackmount/scheduling/worker_leases.py
@@ -104,6 +104,7 @@
     # Listed again with others' changes, an entry is older than its remaining time.
     if is_new or entry != worker.entry:
         worker.cold_until = Instant(now + entry.cold_remaining_ms / MS_PER_SECOND)
+    worker.largest_capacity = worker.nominal_capacity
     worker.entry = entry
     worker.is_evacuated = entry.data_centre in state.evacuated_data_centres
     worker.is_registered = True
--- a/tamarackmount/scheduling/worker_speeds.py
+++ b/tamarackmount/scheduling/worker_speeds.py
@@ -199,4 +199,4 @@
 
 def _kind_of(worker: WorkerState) -> _Kind:
     entry = worker.entry
-    return _Kind(entry.labels - {entry.rack}, entry.capacity)
+    return _Kind(entry.labels - {entry.rack}, worker.nominal_capacity)
--- a/tamarackmount/scheduling/workers.py
+++ b/tamarackmount/scheduling/workers.py
@@ -5,7 +5,7 @@
 from enum import Enum
 
 from tamarackmount.ids import Instant
-from tamarackmount.resources import NOTHING, Resources
+from tamarackmount.resources import NOTHING, Resources, componentwise_maximum
 from tamarackmount.scheduling.model import TaskKey, WorkerIncarnation
 from tamarackmount.scheduling.runs import Run
 from tamarackmount.scheduling.worker_reports import WorkerEntry
@@ -69,7 +69,8 @@
     """One incarnation of a worker.
 
     A worker ``is_stored`` once the store has a record of it. ``used`` is the capacity
-    of all runs that may still be running. ``reported_end_number`` is the
+    of all runs that may still be running, ``largest_capacity`` the largest that was
+    registered before. ``reported_end_number`` is the
     highest end number (see ``EndedRun``) in the worker's reports, ``stored_end_number``
     the highest one that is stored. ``lease_ends`` is when everything on the worker has
     ended, unless the lease is renewed.
@@ -100,6 +101,7 @@
     was_registered: bool = False
     has_announced_drain: bool = False
     used: Resources = NOTHING
+    largest_capacity: Resources = NOTHING
     runs_by_task: dict[TaskKey, Run] = field(default_factory=dict)
     is_stored: bool = False
     reported_end_number: int = 0
@@ -125,6 +127,7 @@
     _clock_sent: Instant = Instant(0.0)
     _clock_read: Instant | None = None
     _free: Resources = NOTHING
+    _available: Resources = NOTHING
     _free_inputs: tuple[Resources, Resources] | None = None
 
     @property
@@ -139,13 +142,33 @@
         The difference is kept until one of the two amounts is replaced: placement reads
         it for every worker in each round.
         """
-        inputs = self._free_inputs
-        capacity, used = self.entry.capacity, self.used
-        if inputs is None or inputs[0] is not capacity or inputs[1] is not used:
-            self._free_inputs = (capacity, used)
-            self._free = capacity - used
+        self._update_free()
         return self._free
 
+    @property
+    def available(self) -> Resources:
+        """The capacity that new runs can use: what is free, and no negative part.
+
+        A worker whose capacity has shrunk may have less of a resource than its runs
+        have reserved.
+        """
+        self._update_free()
+        return self._available
+
+    @property
+    def nominal_capacity(self) -> Resources:
+        """The largest capacity that the worker has had, resource by resource."""
+        return componentwise_maximum(self.largest_capacity, self.entry.capacity)
+
+    def covers_reservations(self, amount: Resources) -> bool:
+        """Whether the capacity covers all runs, in each resource of ``amount``."""
+        parts = (
+            (amount.millicores, self.free.millicores),
+            (amount.memory_mib, self.free.memory_mib),
+            (amount.accelerators, self.free.accelerators),
+        )
+        return all(free >= 0 for needed, free in parts if needed)
+
     @property
     def can_start(self) -> bool:
         """Whether the worker may be given new runs."""
@@ -226,6 +249,14 @@
         """Tell whether the worker has come back too recently to run at full speed."""
         return now < self.cold_until
 
+    def _update_free(self) -> None:
+        inputs = self._free_inputs
+        capacity, used = self.entry.capacity, self.used
+        if inputs is None or inputs[0] is not capacity or inputs[1] is not used:
+            self._free_inputs = (capacity, used)
+            self._free = capacity - used
+            self._available = componentwise_maximum(self._free, NOTHING)
+
     def _slowness(self, now: Instant) -> float:
         return self.slowness * math.exp((self.slowness_at - now) / SLOWNESS_DECAY_S)
 
--- a/tests/utils/crashing_pool.py
+++ b/tests/utils/crashing_pool.py
@@ -197,7 +197,7 @@
     @property
     def suspected_tasks(self) -> set[TaskKey]:
         """The tasks against which the holder has evidence."""
-        return self.harness.scheduler.suspected_tasks
+        return self.harness.scheduler._state.suspected_tasks
 
     def worker_of(self, task: TaskKey) -> WorkerIncarnation | None:
         """Return the worker that runs a task."""
@@ -303,7 +303,8 @@
             order = start.order
             worker = self.workers.get(order.incarnation)
             result = OrderResult.NOT_SENT
-            if worker is not None and not worker.is_cut:
+            may_send = self.harness.scheduler.may_send(order)
+            if may_send and worker is not None and not worker.is_cut:
                 result = OrderResult.DONE
                 self._start(worker, order.task, order.run_number)
             self.harness.scheduler.start_answered(
