Let suspects wait a moment for a worker on which they start apart

Cause: on a pool with one suitable worker, a task that started beside a deadly one after each crash gathered the same evidence, and the task with the lower id was given up, whichever it was.

Change: for 1.5 s after a crash a suspect starts only where no other job's task has just started and no other suspect runs.

--- a/tamarackmount/scheduling/crash_evidence.py
+++ b/tamarackmount/scheduling/crash_evidence.py
@@ -15,6 +15,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import replace
 
+from tamarackmount.ids import Instant
 from tamarackmount.scheduling.journal import CrashRecord
 from tamarackmount.scheduling.model import TaskKey, WorkerIncarnation
 from tamarackmount.scheduling.runs import JobState, Run, StepState
@@ -34,6 +35,10 @@
 """Crashes from which on a task is a culprit whatever they weigh: the users allow two
 more starts after three workers have crashed."""
 
+MAX_ISOLATION_WAIT_S = 1.5
+"""Time, in seconds, for which the tasks of a step wait after a crash for workers on
+which they can start apart from others; the users allow 3 s without a run."""
+
 MIN_CLEARING_S = 10.0
 """Shortest time, in seconds, after which a run that goes on clears its task."""
 
@@ -53,7 +58,11 @@
 
 
 def record_crash(
-    state: SchedulerState, step: StepState, index: int, crash: CrashRecord
+    state: SchedulerState,
+    step: StepState,
+    index: int,
+    crash: CrashRecord,
+    now: Instant,
 ) -> None:
     """Record that a worker crashed that may have run a task; repetitions are ignored.
 
@@ -64,6 +73,7 @@
     if any(known.worker == crash.worker for known in crashes):
         return
     crashes.append(crash)
+    step.isolate_until = Instant(now + MAX_ISOLATION_WAIT_S)
     state.changed_jobs.add(task.job_id)
     _drop_unknown_suspects(state)
     _index_crash(state, task, crash)
--- a/tamarackmount/scheduling/gang_choice.py
+++ b/tamarackmount/scheduling/gang_choice.py
@@ -4,6 +4,7 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.resources import Resources
+from tamarackmount.scheduling.crash_evidence import is_suspect
 from tamarackmount.scheduling.gang_groups import gang_groups
 from tamarackmount.scheduling.model import WorkerIncarnation
 from tamarackmount.scheduling.reservations import Reservations
@@ -28,8 +29,10 @@
     now: Instant,
 ) -> list[WorkerState]:
     """Return a worker for each member, apart from suspects and failures if possible."""
-    isolated = isolated_workers(state, step, 0, workers)
-    pools = (without_failures(step, isolated), isolated, workers)
+    isolated = isolated_workers(state, step, 0, workers, now)
+    must_wait = is_suspect(state, step, 0) and now < step.isolate_until
+    others = isolated if must_wait else workers
+    pools = (without_failures(step, isolated), isolated, others)
     # Each contains the one before it, so that equal lengths mean equal pools.
     for pool in {len(pool): pool for pool in pools}.values():
         chosen = _choose_in_pool(step, pool, ranks, reservations, now)
--- a/tamarackmount/scheduling/placement.py
+++ b/tamarackmount/scheduling/placement.py
@@ -250,7 +250,9 @@
     ]
     if not fitting:
         return None
-    fitting = list(isolated_workers(state, step, index, fitting))
+    fitting = list(isolated_workers(state, step, index, fitting, capacity_index.now))
+    if not fitting:
+        return None
     near = [
         worker for worker in fitting if worker.entry.rack == step.spec.rack
     ] or fitting
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -152,7 +152,8 @@
     ``duration_by_worker_s`` has the same durations undivided, each with its worker, and
     none of gangs. ``failed_on`` are workers on which a task of the step
     failed or was a straggler; others are preferred, and until ``avoid_failed_on_until``
-    the step waits for them. ``not_before`` delays the next
+    the step waits for them. Suspects among its tasks wait until ``isolate_until`` for
+    workers on which they can start apart from others. ``not_before`` delays the next
     placement after a refused start or a preemption. A step with a ``due_unix_ms`` does
     not start before then. ``reservation`` has the workers that are kept free for a
     gang. A step ``exceeds_pool_share`` while its pool is scarce and the steps before it
@@ -179,6 +180,7 @@
     )
     failed_on: set[WorkerId] = field(default_factory=set)
     avoid_failed_on_until: Instant = Instant(0.0)
+    isolate_until: Instant = Instant(0.0)
     not_before: Instant = Instant(0.0)
     due_unix_ms: int = 0
     reservation: Reservation | None = None
--- a/tamarackmount/scheduling/suspect_isolation.py
+++ b/tamarackmount/scheduling/suspect_isolation.py
@@ -4,12 +4,12 @@
 started. The crash then speaks against all of them, and takes them with it. So a suspect
 starts where nothing else has just started and no other suspect runs, and nothing starts
 beside it before its worker is known to have survived the start. Where all suitable
-workers are taken, tasks start there all the same.
+workers are taken, a suspect waits for a while; then tasks start there all the same.
 """
 
 from collections.abc import Sequence
 
-from tamarackmount.ids import JobId
+from tamarackmount.ids import Instant, JobId
 from tamarackmount.scheduling.crash_evidence import evidence_key, is_suspect
 from tamarackmount.scheduling.runs import Run, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
@@ -21,10 +21,11 @@
     step: StepState,
     index: int,
     workers: Sequence[WorkerState],
+    now: Instant,
 ) -> Sequence[WorkerState]:
     """Return the workers on which a task can start apart from suspects of other jobs.
 
-    Return all of them if there are none.
+    If there are none, return all of them, or none while a suspect waits for one.
     """
     if not state.suspected_tasks:
         return workers
@@ -38,6 +39,8 @@
             for run in worker.runs_by_task.values()
         )
     ]
+    if not found and must_be_alone and now < step.isolate_until:
+        return []
     return found or workers
 
 
--- a/tamarackmount/scheduling/worker_ends.py
+++ b/tamarackmount/scheduling/worker_ends.py
@@ -186,7 +186,7 @@
             continue
         is_early = is_certain and run.listed_s <= 0 and longest_s <= MAX_EARLY_S
         crash = CrashRecord(incarnation, int(longest_s * MS_PER_SECOND), is_early)
-        record_crash(state, step, run.task.index, crash)
+        record_crash(state, step, run.task.index, crash, now)
     give_up_culprits(state, [incarnation], now)
 
 
--- a/tests/test_scheduling_worker_crashes.py
+++ b/tests/test_scheduling_worker_crashes.py
@@ -101,6 +101,22 @@
     assert pool.phase(beside[0]) is JobPhase.COMPLETED
 
 
+@pytest.mark.parametrize("deadly_number", [1, 2])
+def test_a_task_that_always_started_beside_a_deadly_one_was_given_up(
+    deadly_number: int,
+) -> None:
+    """There is one worker, so that both start there after each crash."""
+    pool = CrashingPool(worker_count=1)
+    jobs = [job(1), job(2)]
+    deadly = jobs.pop(deadly_number - 1)
+    pool.deadly.update(tasks_of(deadly))
+    pool.submit_together(deadly, *jobs)
+    pool.run(LONG_S)
+    assert pool.phase(deadly) is JobPhase.FAILED
+    assert pool.started[tasks_of(deadly)[0]] <= 3
+    assert pool.phase(jobs[0]) is JobPhase.COMPLETED
+
+
 def test_a_task_was_given_up_as_its_workers_crashed_for_other_reasons() -> None:
     pool = CrashingPool(downtime_s=1.0)
     unlucky = job(1, step(estimated_ms=5_000))
@@ -136,8 +152,12 @@
 
 def _cut_for_a_while(pool: CrashingPool, where: WorkerIncarnation) -> None:
     pool.cut(where)
-    pool.run(8.0)
+    pool.run(12.0)
     pool.cut(where, is_cut=False)
+    # Its lease ended the run that it had, and the task has started elsewhere.
+    pool.run(2.0)
+    pool.crash(where)
+    pool.run(4.0)
 
 
 def _remove(pool: CrashingPool, where: WorkerIncarnation) -> None:
--- a/tests/utils/crashing_pool.py
+++ b/tests/utils/crashing_pool.py
@@ -8,6 +8,7 @@
 from tamarackmount.resources import NOTHING, Resources
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.effects import PollWorker
+from tamarackmount.scheduling.job_index import JobRecords
 from tamarackmount.scheduling.journal import encode_task, worker_key
 from tamarackmount.scheduling.model import JobPhase, TaskKey, WorkerIncarnation
 from tamarackmount.scheduling.store_batches import Batch
@@ -22,6 +23,7 @@
 from tamarackmount.scheduling.workers import LEASE_MS
 from tamarackmount.units import MS_PER_SECOND
 from tests.utils.build_scheduling import (
+    UNIX_MS,
     SchedulerHarness,
     incarnation,
     worker_entry,
@@ -122,6 +124,15 @@
             self.jobs_by_id[accepted.job_id] = accepted
             self.harness.submit_job(accepted)
 
+    def submit_together(self, *jobs: AcceptedJob) -> None:
+        """Submit jobs so that the holder places their tasks at once."""
+        for accepted in jobs:
+            self.jobs_by_id[accepted.job_id] = accepted
+            records = JobRecords(replace(accepted, accepted_unix_ms=UNIX_MS))
+            scheduler = self.harness.scheduler
+            scheduler.add_job(records, self.now, self.harness.unix_ms)
+        self.harness.tick()
+
     def phase(self, accepted: AcceptedJob) -> JobPhase | None:
         """Return the phase that callers are told; a new holder reads ended jobs."""
         index = build_job_index(self.jobs_by_id.values(), self.harness.records)
@@ -171,7 +182,11 @@
 
     def cut(self, where: WorkerIncarnation, is_cut: bool = True) -> None:
         """Cut a worker off from the holder, or reconnect it."""
-        self.workers[where].is_cut = is_cut
+        worker = self.workers[where]
+        worker.is_cut = is_cut
+        if not is_cut:
+            self._registered[where.worker_id] = worker.entry, float("inf")
+            self._register()
 
     def kill_holder(self, vacant_s: float = 1.5) -> None:
         """Replace the holder by one that knows what the store holds."""
