Tell callers why their job has failed

Cause: a job that is given up was shown as "failed" like one whose attempts are used up, and its caller could not tell whether to submit it again.

Change: the cause (attempts, worker_crashes) is stored with the job's final phase and is a field beside "state" in the answer to a GET, on every node; a node that doesn't follow the jobs asks the others. Records and messages of versions without it are read as before.

--- a/tamarackmount/internal/node_peer.capnp
+++ b/tamarackmount/internal/node_peer.capnp
@@ -52,6 +52,7 @@
   callId @0 :UInt64;
   phase @1 :Text;
   isDenied @2 :Bool;
+  cause @3 :Text;
 }
 
 struct WaitingQuery {
--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -20,10 +20,7 @@
 from tamarackmount.node.submissions import StoreOutcome, StoreResult
 from tamarackmount.node.tasks import spawn, stop_process_on_error
 from tamarackmount.node.worker_registrations import WorkerRegistrations
-from tamarackmount.platform.store import (
-    Appended,
-    KeyedRecord,
-)
+from tamarackmount.platform.store import Appended, KeyedRecord
 from tamarackmount.platform.workers import PollRequest
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.admission import Refusal, whole_retry_s
@@ -38,12 +35,8 @@
 from tamarackmount.scheduling.fleet_config import FleetConfig
 from tamarackmount.scheduling.holder_authority import HolderAuthority
 from tamarackmount.scheduling.job_index import JobIndex
-from tamarackmount.scheduling.journal import (
-    RecordKind,
-    decode_record,
-    split_key,
-)
-from tamarackmount.scheduling.model import JobPhase, StepKey
+from tamarackmount.scheduling.journal import RecordKind, decode_record, split_key
+from tamarackmount.scheduling.model import FailureCause, JobPhase, StepKey
 from tamarackmount.scheduling.retention import expired_jobs
 from tamarackmount.scheduling.scheduler import Scheduler
 from tamarackmount.scheduling.step_advice import AdviceAnswer
@@ -247,6 +240,11 @@
         """Return a job's phase as callers see it, or ``None`` if it isn't known."""
         return self.scheduler.phase(job_id) or self._job_index.phase(job_id)
 
+    def failure_cause(self, job_id: JobId) -> FailureCause | None:
+        """Return why a job has failed, if it has."""
+        cause = self.scheduler.failure_cause(job_id)
+        return cause or self._job_index.failure_cause(job_id)
+
     def _stop_ticking(self) -> None:
         if self._is_stopped:
             return
--- a/tamarackmount/node/http_api.py
+++ b/tamarackmount/node/http_api.py
@@ -27,7 +27,7 @@
 )
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.fleet_config import FleetConfig, Queue
-from tamarackmount.scheduling.model import JobPhase
+from tamarackmount.scheduling.model import FailureCause, JobPhase
 from tamarackmount.units import MS_PER_SECOND
 
 DEFAULT_DEADLINE_MS = 3_000
@@ -128,6 +128,9 @@
     async def phase(self, job_id: JobId) -> "JobPhase | PhaseLookupFailure":
         """Return a job's phase, or why there is none."""
 
+    async def failure_cause(self, job_id: JobId) -> FailureCause | None:
+        """Return why a job has failed, or None if that can't be told now."""
+
     async def waiting_count(self, queue: Queue) -> int | None:
         """Return how many jobs of a queue have not started, or None if unknown."""
 
@@ -215,7 +218,10 @@
             return ApiResponse(HttpStatus.OK, encode_waiting_count(count))
         phase = await self._jobs.phase(api_request.job_id)
         if isinstance(phase, JobPhase):
-            return ApiResponse(HttpStatus.OK, encode_job_state(phase))
+            cause = None
+            if phase is JobPhase.FAILED:
+                cause = await self._jobs.failure_cause(api_request.job_id)
+            return ApiResponse(HttpStatus.OK, encode_job_state(phase, cause))
         return _RESPONSE_BY_LOOKUP_FAILURE[phase]
 
     async def _cancel(self, api_request: ApiRequest) -> ApiResponse:
--- a/tamarackmount/node/job_service.py
+++ b/tamarackmount/node/job_service.py
@@ -18,7 +18,11 @@
     PhaseLookupFailure,
 )
 from tamarackmount.node.jobs_follower import JobsFollower
-from tamarackmount.node.known_jobs import ask_in_turn, is_known_at
+from tamarackmount.node.known_jobs import (
+    ask_failure_cause,
+    ask_in_turn,
+    is_known_at,
+)
 from tamarackmount.node.messages import (
     CancelStored,
     JobStored,
@@ -52,7 +56,7 @@
     record_key,
     split_key,
 )
-from tamarackmount.scheduling.model import JobPhase, describe_step
+from tamarackmount.scheduling.model import FailureCause, JobPhase, describe_step
 from tamarackmount.scheduling.retry_times import store_retry_s
 
 PHASE_TIMEOUT_S = 0.3
@@ -201,6 +205,17 @@
             return indexed_phase
         return await self._read_phase(job_id)
 
+    async def failure_cause(self, job_id: JobId) -> FailureCause | None:
+        """Return why a job has failed; ``None`` if that can't be told now."""
+        holder = self._election.holder
+        cause = holder.failure_cause(job_id) if holder is not None else None
+        cause = cause or self._context.job_index.failure_cause(job_id)
+        if cause is not None:
+            return cause
+        return await ask_failure_cause(
+            self._context.peer_calls, self._nodes_to_ask(), job_id, PHASE_TIMEOUT_S
+        )
+
     async def waiting_count(self, queue: Queue) -> int | None:
         """Return how many jobs of a queue have not started, or None if unknown."""
         if self._follower.has_snapshot:
@@ -385,10 +400,13 @@
             phase = self._context.job_index.phase(job_id)
         if phase is None and query.read_store:
             phase = await self._read_phase(job_id)
+        index_cause = self._context.job_index.failure_cause(job_id)
+        cause = index_cause if holder is None else holder.failure_cause(job_id)
         reply = PhaseReply(
             query.call_id,
             phase.value if isinstance(phase, JobPhase) else "",
             phase is PhaseLookupFailure.NOT_SUBMITTED,
+            cause.value if cause is not None else "",
         )
         self._context.links.send(sender, reply)
 
--- a/tamarackmount/node/known_jobs.py
+++ b/tamarackmount/node/known_jobs.py
@@ -10,7 +10,7 @@
 from tamarackmount.node.messages import PhaseQuery, PhaseReply, enum_value
 from tamarackmount.node.peer_calls import PeerCalls
 from tamarackmount.node.tasks import spawn
-from tamarackmount.scheduling.model import JobPhase
+from tamarackmount.scheduling.model import FailureCause, JobPhase
 
 KNOWN_JOB_TIMEOUT_S = 0.3
 """Timeout of the question whether a job is known, in seconds; nodes that can be reached
@@ -56,6 +56,21 @@
     return await is_known
 
 
+async def ask_failure_cause(
+    peer_calls: PeerCalls, nodes: Sequence[MemberId], job_id: JobId, timeout_s: float
+) -> FailureCause | None:
+    """Return why a job has failed, as the first of ``nodes`` tells that knows it.
+
+    Each has ``timeout_s`` seconds.
+    """
+    for node in nodes:
+        query = PhaseQuery(peer_calls.next_call_id(), job_id)
+        reply = await peer_calls.call(node, query, timeout_s)
+        if isinstance(reply, PhaseReply) and reply.cause:
+            return enum_value(FailureCause, reply.cause)
+    return None
+
+
 async def ask_in_turn(
     peer_calls: PeerCalls, nodes: Sequence[MemberId], job_id: JobId, timeout_s: float
 ) -> JobPhase | PhaseLookupFailure:
--- a/tamarackmount/node/messages.py
+++ b/tamarackmount/node/messages.py
@@ -65,12 +65,13 @@
     """Answers a ``PhaseQuery``; an empty phase means that the job isn't known.
 
     ``is_denied`` is set if the node has read the store to its end without finding the
-    job.
+    job. ``cause`` says why a job has failed.
     """
 
     call_id: int
     phase: str
     is_denied: bool = False
+    cause: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tamarackmount/platform/jobs.py
+++ b/tamarackmount/platform/jobs.py
@@ -8,7 +8,7 @@
 
 from tamarackmount.ids import RackId
 from tamarackmount.platform.resource_amounts import decode_resources
-from tamarackmount.scheduling.model import JobPhase, JobSpec, StepSpec
+from tamarackmount.scheduling.model import FailureCause, JobPhase, JobSpec, StepSpec
 
 MAX_SPEC_BYTES = 4_000
 """Longest ``spec`` of a job (``JobSpec.text``) in bytes, set by the platform."""
@@ -29,9 +29,15 @@
         return Failure(f"{type(error).__name__}: {error}")
 
 
-def encode_job_state(phase: JobPhase) -> bytes:
-    """Return the reply body for a request for a job's state."""
-    return orjson.dumps({"state": phase.value})
+def encode_job_state(phase: JobPhase, cause: FailureCause | None = None) -> bytes:
+    """Return the reply body for a request for a job's state.
+
+    That of a failed job has its ``cause``, a field beyond the platform's, if known.
+    """
+    body = {"state": phase.value}
+    if cause is not None:
+        body["cause"] = cause.value
+    return orjson.dumps(body)
 
 
 def encode_waiting_count(count: int) -> bytes:
--- a/tamarackmount/scheduling/job_index.py
+++ b/tamarackmount/scheduling/job_index.py
@@ -18,7 +18,7 @@
     decode_record,
     split_key,
 )
-from tamarackmount.scheduling.model import JobPhase
+from tamarackmount.scheduling.model import FailureCause, JobPhase
 
 _log = logging.getLogger(__name__)
 
@@ -157,6 +157,12 @@
         records = self.jobs_by_id.get(job_id)
         return records.phase if records is not None else None
 
+    def failure_cause(self, job_id: JobId) -> FailureCause | None:
+        """Return why a job has failed, as its stored progress tells."""
+        records = self.jobs_by_id.get(job_id)
+        progress = records.progress if records is not None else None
+        return progress.cause if progress is not None else None
+
     def waiting_count(self, queue: QueueName) -> int:
         """Return how many accepted jobs of a queue have not started."""
         return sum(
--- a/tamarackmount/scheduling/run_ends.py
+++ b/tamarackmount/scheduling/run_ends.py
@@ -295,6 +295,8 @@
         return
     job.phase = phase
     job.failure_cause = cause
+    if cause is not None:
+        state.failure_cause_by_job[job.job_id] = cause
     state.changed_jobs.add(job.job_id)
     log_unfinished_waits(job, now)
     for step in job.steps_by_key.values():
@@ -318,6 +320,15 @@
     )
 
 
+def end_if_all_steps_done(state: SchedulerState, job: JobState, now: Instant) -> None:
+    """End a restored job if all its steps are done.
+
+    The store may hold a job's last run end without its final phase.
+    """
+    if all(step.is_done for step in job.steps_by_key.values()):
+        end_job(state, job, JobPhase.COMPLETED, now)
+
+
 def _log_end(
     worker: WorkerState,
     ended: EndedRun,
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -28,20 +28,25 @@
 from tamarackmount.scheduling.free_capacity import FreeCapacityIndex
 from tamarackmount.scheduling.holder_authority import HolderAuthority
 from tamarackmount.scheduling.job_index import JobRecords
-from tamarackmount.scheduling.journal import (
-    ForecastRecord,
-    WorkerRecord,
+from tamarackmount.scheduling.journal import ForecastRecord, WorkerRecord
+from tamarackmount.scheduling.model import (
+    FailureCause,
+    JobPhase,
+    StepKey,
+    TaskKey,
+    WorkerIncarnation,
 )
-from tamarackmount.scheduling.model import JobPhase, StepKey, TaskKey, WorkerIncarnation
 from tamarackmount.scheduling.objectives import set_deadlines
 from tamarackmount.scheduling.observer import NoObserver, Observer
-from tamarackmount.scheduling.order_results import (
-    start_answered,
-    stop_answered,
-)
+from tamarackmount.scheduling.order_results import start_answered, stop_answered
 from tamarackmount.scheduling.placement import place
 from tamarackmount.scheduling.preemption import PreemptionRound
-from tamarackmount.scheduling.run_ends import end_job, give_up_culprits, make_ready
+from tamarackmount.scheduling.run_ends import (
+    end_if_all_steps_done,
+    end_job,
+    give_up_culprits,
+    make_ready,
+)
 from tamarackmount.scheduling.runs import JobState, StepState, make_job
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.share_round import mark_new_steps, update_shares
@@ -341,6 +346,10 @@
             return None
         return JobPhase.RUNNING if job.phase.is_final else job.phase
 
+    def failure_cause(self, job_id: JobId) -> FailureCause | None:
+        """Return why a job has failed, if it has."""
+        return self._state.failure_cause_by_job.get(job_id)
+
     def _restore_job(
         self, records: JobRecords, now: Instant, unix_ms: int, is_new: bool = False
     ) -> None:
@@ -363,7 +372,7 @@
             return
         for step in job.steps_by_key.values():
             make_ready(state, step)
-        self._end_if_all_steps_done(job.job_id, now)
+        end_if_all_steps_done(state, job, now)
 
     def _preempt(
         self, blocked_steps: list[tuple[StepState, Queue]], now: Instant
@@ -386,12 +395,3 @@
         return workspace is not None and state.workspace_rate_limiter.count_and_check(
             job, workspace.weight, now
         )
-
-    def _end_if_all_steps_done(self, job_id: JobId, now: Instant) -> None:
-        """End a restored job if all its steps are done.
-
-        The store may hold a job's last run end without its final phase.
-        """
-        job = self._state.jobs_by_id[job_id]
-        if all(step.is_done for step in job.steps_by_key.values()):
-            end_job(self._state, job, JobPhase.COMPLETED, now)
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -22,6 +22,7 @@
 from tamarackmount.scheduling.holder_authority import HolderAuthority
 from tamarackmount.scheduling.large_tasks import LargeTasks
 from tamarackmount.scheduling.model import (
+    FailureCause,
     JobPhase,
     ServiceName,
     StepKey,
@@ -91,6 +92,7 @@
     load_by_pool: dict[PoolLoadKey, PoolLoad] = field(default_factory=dict)
     shares: WorkspaceShares = field(default_factory=CapacityShares)
     stored_final_phase_by_job: dict[JobId, JobPhase] = field(default_factory=dict)
+    failure_cause_by_job: dict[JobId, FailureCause] = field(default_factory=dict)
     changed_jobs: set[JobId] = field(default_factory=set)
     changed_workers: set[WorkerIncarnation] = field(default_factory=set)
     removed_workers: set[WorkerIncarnation] = field(default_factory=set)
--- a/tamarackmount/scheduling/store_batches.py
+++ b/tamarackmount/scheduling/store_batches.py
@@ -62,6 +62,7 @@
         """Remove jobs from the store with the next batch."""
         for job_id in job_ids:
             self._state.stored_final_phase_by_job.pop(job_id, None)
+            self._state.failure_cause_by_job.pop(job_id, None)
         self._tombstones.extend(tombstones(job_ids))
 
     def next_batch(self, now: Instant, unix_ms: int) -> Batch | None:
