--- a/tests/test_scheduling_worker_crashes.py
+++ b/tests/test_scheduling_worker_crashes.py
@@ -17,7 +17,15 @@
     StepSpec,
     WorkerIncarnation,
 )
-from tests.utils.build_scheduling import HIGH_PRIORITY, incarnation, job, step
+from tamarackmount.scheduling.worker_reports import PollFailure
+from tests.utils.build_scheduling import (
+    HIGH_PRIORITY,
+    SchedulerHarness,
+    incarnation,
+    job,
+    step,
+    worker_entry,
+)
 from tests.utils.crashing_pool import CrashingPool, tasks_of
 
 MAX_STARTS = 5
@@ -237,6 +245,15 @@
             pool.cut(where, is_cut=False)
 
 
+def test_an_order_that_never_left_was_evidence_of_a_crash() -> None:
+    harness = SchedulerHarness()
+    harness.register_workers(worker_entry("w1"))
+    harness.is_store_healthy = False
+    harness.submit_job(job(1))
+    harness.answer_poll(PollFailure.OTHER_INCARNATION)
+    assert not harness.scheduler._state.suspected_tasks
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_chance_brought_crashes_cuts_and_holder_changes_together(seed: int) -> None:
     """No deadly task exceeds its starts, and no other is given up without crashes."""
