Let no job wait while its workspace uses less than half of its ceiling

Cause: non-urgent work may fill half of a ceiling where urgent work was seen to need the other half, and a task of the job would have gone a little beyond it. The users' rule counts what is in use before the start. The trace: "its team is at its ceiling" from 42.0 s to 51.0 s, with 13 tasks of another job running.

Change: while a workspace uses less than half, the next task may start, up to the ceiling.

Measured: test_a_job_waited_although_its_workspace_used_less_than_half_its_ceiling failed before; the 9 tests of ceilings pass.

--- a/tamarackmount/scheduling/ceilings.py
+++ b/tamarackmount/scheduling/ceilings.py
@@ -19,7 +19,8 @@
 while no urgent use of the workspace was observed."""
 
 MIN_NON_URGENT_CEILING_FRACTION = 0.5
-"""Lower limit of that fraction, without unit: other jobs need to go on as well."""
+"""Lower limit of that fraction, without unit: the users let no job wait whose workspace
+uses less than half of its ceiling."""
 
 
 def ceiling_fraction(step: StepState, now: Instant) -> float:
@@ -98,7 +99,8 @@
 ) -> bool:
     """Return whether ``count`` more tasks of a step fit under its workspace's ceiling.
 
-    Only ``fraction`` of the ceiling may be filled. A workspace that the configuration
+    Only ``fraction`` of the ceiling may be filled, but the task that goes beyond
+    ``MIN_NON_URGENT_CEILING_FRACTION`` may start. A workspace that the configuration
     lacks has no ceiling; before the first configuration, no task fits.
     """
     if state.fleet_config is None:
@@ -107,12 +109,18 @@
     if workspace is None:
         return True
     used = state.used_by_workspace.get(workspace.workspace_id, NOTHING)
-    return all(
-        not limit or in_use + per_task * count <= limit * fraction
+    parts = [
+        (in_use, in_use + per_task * count, limit)
         for in_use, per_task, limit in ceiling_parts(
             used, step.spec.amount, workspace.ceiling
         )
+        if limit
+    ]
+    uses_little = all(
+        in_use < limit * MIN_NON_URGENT_CEILING_FRACTION for in_use, _, limit in parts
     )
+    allowed = 1.0 if uses_little else fraction
+    return all(filled <= limit * allowed for _, filled, limit in parts)
 
 
 def ceiling_parts(
--- a/tests/test_scheduling_ceilings.py
+++ b/tests/test_scheduling_ceilings.py
@@ -118,3 +118,14 @@
     assert peaks.peak(WORKSPACE, Instant(PEAK_WINDOW_S)) == Resources(5_000, 900, 0)
     peaks.record({}, Instant(PEAK_WINDOW_S + 1.0))
     assert peaks.peak(WORKSPACE, Instant(PEAK_WINDOW_S + 1.0)) is None
+
+
+def test_a_job_waited_although_its_workspace_used_less_than_half_its_ceiling() -> None:
+    use = UrgentUse()
+    use.use_for_a_window(18)
+    harness = use.harness
+    harness.submit_job(job(101, step(cores=9)))
+    assert len(harness.answer_starts()) == 1
+    harness.submit_job(job(102, step(2, cores=2)))
+    # The first task of two takes the workspace beyond half, and the other one waits.
+    assert len(harness.answer_starts()) == 1
