Store jobs before the workers from which they learned of ends and crashes

Cause: a batch takes 500 jobs at most but all changed workers. With more jobs changed at once, a worker's record, its acknowledged ends or its removal were stored before the jobs that had counted them, and a holder lost in between left neither. It is the same class of fault as a crash that nobody counts.

Change: while changed jobs are left, a batch has no workers and no orders.

--- a/tamarackmount/scheduling/store_batches.py
+++ b/tamarackmount/scheduling/store_batches.py
@@ -23,8 +23,8 @@
 
 MAX_BATCH_RECORDS = 500
 """Number of records from which a batch takes no further job records. Records of workers
-are added without a limit; the journal writer splits what is too large for one
-append."""
+follow in the batch that has the last of them, without a limit; the journal writer
+splits what is too large for one append."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +81,9 @@
         records, self._tombstones = self._tombstones, []
         self._add_forecast_record(records, unix_ms)
         phases = self._add_job_records(records, unix_ms)
+        if state.changed_jobs:
+            # What the jobs learned from their workers is stored before these forget it.
+            return Batch(tuple(records), tuple(phases), ())
         acks = self._add_worker_records(records)
         if completeness is not None:
             records.append(
--- a/tests/test_scheduling_write_ahead.py
+++ b/tests/test_scheduling_write_ahead.py
@@ -1,5 +1,6 @@
 """Tests for start orders that wait for the store, and takeovers after a slow store."""
 
+from tamarackmount.resources import Resources
 from tamarackmount.scheduling.fleet_config import AdvicePolicy
 from tamarackmount.scheduling.job_index import JobIndex
 from tamarackmount.scheduling.journal import (
@@ -9,7 +10,7 @@
     record_key,
 )
 from tamarackmount.scheduling.step_advice import AdviceAnswer, WorkerTicket
-from tamarackmount.scheduling.store_batches import Batch
+from tamarackmount.scheduling.store_batches import MAX_BATCH_RECORDS, Batch
 from tamarackmount.scheduling.write_ahead import (
     FAST_STORE_PERIOD_S,
     SLOW_APPEND_S,
@@ -151,3 +152,25 @@
     assert not after.starts
     after.register_workers(worker_entry("w1"), worker_entry("w2"))
     assert {start.order.task.job_id for start in after.starts} >= {job(2).job_id}
+
+
+def test_a_worker_record_was_stored_before_the_jobs_that_depend_on_it() -> None:
+    """A holder that is lost between the two knows neither of a crash nor of an end."""
+    harness = SchedulerHarness(ceiling=Resources())
+    harness.register_workers(worker_entry("w1", capacity=Resources(10**7, 10**7, 0)))
+    harness.is_store_healthy = False
+    count = 2 * MAX_BATCH_RECORDS
+    for number in range(1, count + 1):
+        harness.submit_job(job(number))
+    jobs_stored = 0
+    while jobs_stored < count:
+        batch = harness.scheduler.take_batch(harness.now, harness.unix_ms)
+        assert batch is not None
+        keys = [key.partition("/")[0] for key, _ in batch.records]
+        jobs_stored += keys.count("progress")
+        if jobs_stored < count:
+            assert "worker" not in keys
+            assert not batch.starts
+        harness.acknowledge_batch(batch)
+    harness.tick()
+    assert len(harness.starts) == count
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -144,6 +144,13 @@
         "",
         "tests/test_scheduling_capacity_changes.py",
     ),
+    Mutant(
+        "jobs are stored before the workers that they learned from",
+        "scheduling/store_batches.py",
+        "        if state.changed_jobs:\n",
+        "        if False:\n",
+        "tests/test_scheduling_write_ahead.py",
+    ),
     Mutant(
         "checkpoints of waiting tasks are stored",
         "scheduling/scheduler_state.py",
