--- a/tamarackmount/explain.py
+++ b/tamarackmount/explain.py
@@ -122,9 +122,15 @@
     fields = by_message["job ended"][-1].fields
     late = "after its objective" if fields.get("late") else "within its objective"
     parts = [f"{fields.get('phase')} after {fields.get('age_s')} s, {late}"]
+    cause = _TEXT_BY_CAUSE.get(str(fields.get("cause")))
+    if cause is not None:
+        parts.append(cause)
     waits = _describe_waits(by_message.get("step waits", []))
     if waits:
         parts.append(f"its steps waited because: {waits}")
+    lost = by_message.get("run lost", [])
+    if lost:
+        parts.append(f"{len(lost)} runs were lost with their workers")
     failed = [
         line
         for line in by_message.get("run ended", [])
@@ -168,6 +174,11 @@
     return f"{outcome} (after {fields.get('took_s')} s)"
 
 
+_TEXT_BY_CAUSE = {
+    "attempts": "a task used up its attempts",
+    "worker_crashes": "workers crashed again and again under a task of it",
+}
+
 _OUTCOMES_BY_STORED = {
     "yes": "accepted, but not ended in these logs",
     "no": "not accepted: nothing was stored",
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -182,6 +182,7 @@
         "ended": sum(bool(job.final_state) for job in jobs),
         "starts": soak.checker.start_count,
         "answers": soak.callers.answer_count_by_status,
+        "crashes": soak.checker.crash_count,
         "evacuations": soak.evacuations.count,
         "latest_start_after_evacuation_s": round(
             max(soak.checker.starts_after_evacuation_s, default=0.0), 2
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -19,6 +19,7 @@
 RETRY_DELAY_S = 0.4
 MAX_SUBMIT_ATTEMPTS = 5
 CANCELLED_FRACTION = 0.05
+DEADLY_FRACTION = 0.03
 FINAL_STATES = ("completed", "failed", "cancelled")
 REFUSAL_STATUSES = (429, 503)
 
@@ -73,6 +74,8 @@
         job_id = f"{rng.getrandbits(64):016x}"
         workspace = rng.choice(self._workspaces)
         job = SoakJob(job_id, workspace, f"text {job_id}", steps, max_attempts=4)
+        if rng.random() < DEADLY_FRACTION:
+            job.deadly.add((job_id, 0, 0))
         self._checker.jobs_by_id[job_id] = job
         return job
 
--- a/tests/soak/fault_injector.py
+++ b/tests/soak/fault_injector.py
@@ -3,12 +3,18 @@
 import random
 import signal
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from tests.soak.node_process import NodeProcess
 from tests.soak.proxy import Proxy
 from tests.soak.store_server import StoreServer
-from tests.soak.worker_server import WorkerFaults, WorkerServer
+from tests.soak.worker_server import (
+    CAPACITY,
+    COUNTED_LATER_S,
+    WorkerFaults,
+    WorkerServer,
+)
 
 MAX_FAULT_S = 5.0
 MIN_FAULT_S = 0.3
@@ -60,6 +66,7 @@
             "worker silenced": self._worker_silenced,
             "worker slow": self._worker_slow,
             "worker fails": self._worker_fails,
+            "worker shrinks": self._worker_shrinks,
             "worker loses answers": self._worker_drops_replies,
             "configuration": lambda _: self._change_config(),
         }
@@ -170,5 +177,14 @@
     def _worker_fails(self, duration_s: float) -> None:
         self._set_worker_faults(WorkerFaults(fails_all_work=True), min(duration_s, 1.0))
 
+    def _worker_shrinks(self, duration_s: float) -> None:
+        worker, _ = self._random_worker()
+        millicores = self._rng.choice((0, 2_000, 6_000, 10_000))
+        worker.set_capacity(replace(CAPACITY, millicores=millicores))
+        # Longer than a shrunk capacity takes to count.
+        self._undo_after(
+            2.0 * duration_s + COUNTED_LATER_S, lambda: worker.set_capacity(CAPACITY)
+        )
+
     def _worker_drops_replies(self, duration_s: float) -> None:
         self._set_worker_faults(WorkerFaults(lost_reply_fraction=0.3), duration_s)
--- a/tests/test_cli_explain.py
+++ b/tests/test_cli_explain.py
@@ -36,10 +36,18 @@
 ]
 UNKNOWN = [line("job handed in", 1, job=JOB, stored="unknown", took_s=2.85)]
 
+GIVEN_UP = [
+    line("job handed in", 1, job=JOB, stored="yes", took_s=0.02),
+    line("run lost", 4, job=JOB, task="0.0.0", run=1, worker="w1", cause="crashed"),
+    line("job ended", 6, job=JOB, phase="failed", cause="worker_crashes", age_s=5.0),
+]
+
 
 @pytest.mark.parametrize(
     ("lines", "expected"),
     [
+        (GIVEN_UP, "workers crashed again and again under a task of it"),
+        (GIVEN_UP, "1 runs were lost with their workers"),
         (LATE, "completed after 5.0 s, after its objective"),
         (LATE, "its team is at its ceiling"),
         (REFUSED, "refused at submission: no worker is large enough"),
