Own deployment: fail a task that is lost in worker restart after worker restart

The product's own scheduler took an attempt that its worker no longer knew for lost, like one behind a cut, and started its task again without counting.

Change: an attempt that a worker has shown and then lost, while it answers, ends as WORKER_RESTARTED; at the fourth its task fails with the reason. A lease that lapses counts as before.

--- a/tamarackmount/kernel/jobs.py
+++ b/tamarackmount/kernel/jobs.py
@@ -103,6 +103,7 @@
     FAILED = "failed"
     STOPPED = "stopped"
     LOST = "lost"
+    WORKER_RESTARTED = "worker_restarted"
     NOT_STARTED = "not_started"
     START_FAILED = "refused"
     NO_CAPACITY = "no_room"
@@ -188,6 +189,7 @@
         self.attempts_by_index: dict[int, Attempt] = {}
         self.ended_by_state = {state: IndexRanges() for state in END_STATES}
         self.failures_by_index: dict[int, int] = {}
+        self.restarts_by_index: dict[int, int] = {}
         self.checkpoints_by_index: dict[int, str] = {}
         self.attempted = IndexRanges()
         self.bad_workers_by_index: dict[int, set[WorkerId]] = {}
--- a/tamarackmount/kernel/task_ends.py
+++ b/tamarackmount/kernel/task_ends.py
@@ -26,6 +26,7 @@
     WAIT = "wait"
     BACK_OFF = "pause"
     RETRY = "retry"
+    RETRY_ELSEWHERE = "retry_elsewhere"
 
 
 IDEMPOTENT_STEPS = {
@@ -35,6 +36,7 @@
     AttemptEnd.NO_CAPACITY: NextStep.BACK_OFF,
     AttemptEnd.STOPPED: NextStep.WAIT,
     AttemptEnd.LOST: NextStep.WAIT,
+    AttemptEnd.WORKER_RESTARTED: NextStep.RETRY_ELSEWHERE,
     AttemptEnd.NOT_STARTED: NextStep.WAIT,
 }
 """Next step after an attempt of an idempotent task."""
@@ -46,6 +48,7 @@
     AttemptEnd.NO_CAPACITY: NextStep.FAIL,
     AttemptEnd.STOPPED: NextStep.FAIL,
     AttemptEnd.LOST: NextStep.END_UNKNOWN,
+    AttemptEnd.WORKER_RESTARTED: NextStep.END_UNKNOWN,
     AttemptEnd.NOT_STARTED: NextStep.END_UNKNOWN,
 }
 """Next step after the only attempt of a task that must not be started again."""
@@ -57,12 +60,14 @@
     AttemptEnd.NO_CAPACITY: NextStep.CANCEL,
     AttemptEnd.STOPPED: NextStep.CANCEL,
     AttemptEnd.LOST: NextStep.CANCEL,
+    AttemptEnd.WORKER_RESTARTED: NextStep.CANCEL,
     AttemptEnd.NOT_STARTED: NextStep.CANCEL,
 }
 """Next step after an attempt of an idempotent task of a cancelled or failed job."""
 
 CLOSING_NON_IDEMPOTENT_STEPS = CLOSING_IDEMPOTENT_STEPS | {
     AttemptEnd.LOST: NextStep.END_UNKNOWN,
+    AttemptEnd.WORKER_RESTARTED: NextStep.END_UNKNOWN,
     AttemptEnd.NOT_STARTED: NextStep.END_UNKNOWN,
 }
 """Next step in a cancelled or failed job, if the task must not start again."""
@@ -79,6 +84,12 @@
 """Ends that count as failures of the task and of its worker."""
 
 
+MAX_RESTARTS = 4
+"""Restarts of workers that lost an attempt of a task after which the task has failed.
+Others on the same workers lose theirs too, but seldom with the same task each time.
+The number is kept by one owner and begins anew with the next."""
+
+
 class TaskEnds:
     """Applies the ends of attempts to tasks, gangs and jobs."""
 
@@ -172,6 +183,8 @@
         step = self._next_step(job, end)
         if step is NextStep.RETRY:
             self._retry(job, index, now)
+        elif step is NextStep.RETRY_ELSEWHERE:
+            self._retry_elsewhere(job, index, now)
         elif step is NextStep.BACK_OFF:
             self._state.back_off(job, index, now)
         elif step is NextStep.WAIT:
@@ -214,6 +227,17 @@
         job.end(index, TaskState.FAILED)
         self.fail_job(job, f"task {index} failed {failures} times", now)
 
+    def _retry_elsewhere(self, job: Job, index: int, now: Instant) -> None:
+        """Let a task wait again whose worker restarted, unless that happens often."""
+        counted = 0 if job.is_gang else index
+        restarts = job.restarts_by_index.get(counted, 0) + 1
+        job.restarts_by_index[counted] = restarts
+        if restarts < MAX_RESTARTS:
+            job.waiting.add(index)
+            return
+        job.end(index, TaskState.FAILED)
+        self.fail_job(job, f"task {index} was lost in {restarts} worker restarts", now)
+
     def _count_failure(self, attempt: Attempt, now: Instant) -> None:
         job, index = attempt.job, attempt.index
         ran_long_enough = now - attempt.sent_at >= PROVEN_AFTER_S
--- a/tamarackmount/kernel/worker_syncs.py
+++ b/tamarackmount/kernel/worker_syncs.py
@@ -174,7 +174,7 @@
             return
         if attempt.seen_at_step:
             if attempt.seen_at_step < link.sync_step:
-                self._ends.attempt_ended(attempt, AttemptEnd.LOST, now)
+                self._ends.attempt_ended(attempt, AttemptEnd.WORKER_RESTARTED, now)
             return
         arrived_by = attempt.sent_at + self._state.timing.command_timeout_s
         if arrived_by < link.sync_sent_at:
--- a/tests/test_scheduler_workers.py
+++ b/tests/test_scheduler_workers.py
@@ -1,9 +1,12 @@
 """Scheduling with workers that are lost, leaving, faulty or too small."""
 
+import pytest
+
 from tamarackmount.adapters.worker_schema import WorkerReport
 from tamarackmount.ids import Instant, JobId, WorkerId
 from tamarackmount.kernel.job_effects import SyncWorker
 from tamarackmount.kernel.messages import JobAction
+from tamarackmount.kernel.task_ends import MAX_RESTARTS
 from tamarackmount.kernel.worker_health import WorkerHealth, WorkerHealthState
 from tests.utils.build_jobs import call_on, worker
 from tests.utils.scheduler_harness import SchedulerHarness
@@ -189,3 +192,28 @@
     harness.submit("plain", tasks=5, run_ms=60_000)
     harness.run(1)
     assert sorted(harness.places("plain")) == ["g1", "w1", "w1", "w1", "w1"]
+
+
+@pytest.mark.parametrize("kind", ["service", "batch", "gang"])
+def test_a_task_restarted_worker_after_worker_without_end(kind: str) -> None:
+    harness = SchedulerHarness([worker(f"w{number}") for number in range(3)])
+    harness.submit(kind=kind, run_ms=60_000)
+    for _ in range(20):
+        harness.run(2)
+        for name in harness.places():
+            harness.worker(name).restart()
+    harness.run(10)
+    assert len(harness.starts()) == MAX_RESTARTS
+    assert harness.counts() == {"failed": 1}
+    assert "worker restarts" in harness.job()["reason"]
+
+
+def test_a_task_survives_some_restarts_of_its_workers() -> None:
+    harness = SchedulerHarness([worker(f"w{number}") for number in range(3)])
+    harness.submit(kind="service")
+    for _ in range(MAX_RESTARTS - 1):
+        harness.run(2)
+        for name in harness.places():
+            harness.worker(name).restart()
+    harness.run(10)
+    assert harness.counts() == {"running": 1}
--- a/tests/utils/fake_workers.py
+++ b/tests/utils/fake_workers.py
@@ -83,6 +83,10 @@
             if attempt.state is AttemptState.RUNNING
         ]
 
+    def restart(self) -> None:
+        """Lose all attempts, as a worker that has crashed and is back."""
+        self.attempts_by_task.clear()
+
     def used(self) -> Resources:
         """Return the sum of the declared resources of the running attempts."""
         return sum(
