Tell a worker that crashes by itself from a task that crashes workers

Cause: a task that may run on few workers, one of which goes down again and again, gathered evidence with each of them and was given up; suspects also chose the idlest worker, which is the one that has just crashed. A run that a new holder had adopted could count as just started, although nobody knew when it was.

Change: crashes at one address weigh once; suspects prefer other addresses than those of their crashes; an adopted run is never an early one.

--- a/tamarackmount/scheduling/crash_evidence.py
+++ b/tamarackmount/scheduling/crash_evidence.py
@@ -3,7 +3,8 @@
 A crashed worker does not tell which of its runs crashed it, and most of them only
 shared it. So each crash is evidence against every task that the worker may have run,
 and weighs more against a task that had just been started there while tasks of other
-jobs had not. A task is a culprit once its evidence weighs ``CULPRIT_WEIGHT``; that
+jobs had not. Crashes at one address count once, as that worker may be
+at fault. A task is a culprit once its evidence weighs ``CULPRIT_WEIGHT``; that
 takes two crashes if both point at it alone.
 
 Evidence is withdrawn when its reason is gone: a task that ends well, or runs for long,
@@ -57,6 +58,12 @@
     return evidence_key(step, index) in state.suspected_tasks
 
 
+def crash_addresses(step: StepState, index: int) -> set[str]:
+    """Return the addresses at which workers crashed that may have run a task."""
+    crashes = step.crashes_by_index.get(evidence_key(step, index).index, ())
+    return {crash.address for crash in crashes}
+
+
 def record_crash(
     state: SchedulerState,
     step: StepState,
@@ -119,11 +126,11 @@
     The evidence against their other suspects weighs more from now on.
     """
     task = evidence_key(step, index)
-    if task not in state.suspected_tasks:
+    crashes = step.crashes_by_index.pop(task.index, [])
+    if not crashes:
         return []
     state.suspected_tasks.discard(task)
     state.changed_jobs.add(task.job_id)
-    crashes = step.crashes_by_index.pop(task.index, [])
     for crash in crashes:
         _remove_suspect(state, crash.worker, task)
     return [crash.worker for crash in crashes]
@@ -141,7 +148,13 @@
     crashes = step.crashes_by_index.get(task.index, [])
     if len(crashes) >= MAX_CRASHES:
         return True
-    return sum(_weight(state, task, crash) for crash in crashes) >= CULPRIT_WEIGHT
+    weight_by_address: dict[str, int] = {}
+    for crash in crashes:
+        weight = max(
+            _weight(state, task, crash), weight_by_address.get(crash.address, 0)
+        )
+        weight_by_address[crash.address] = weight
+    return sum(weight_by_address.values()) >= CULPRIT_WEIGHT
 
 
 def _weight(state: SchedulerState, task: TaskKey, crash: CrashRecord) -> int:
--- a/tamarackmount/scheduling/journal.py
+++ b/tamarackmount/scheduling/journal.py
@@ -67,13 +67,15 @@
 class CrashRecord:
     """A worker that crashed while it may have run a task.
 
-    ``ran_ms`` is how long the run can have worked at most, in milliseconds. The run
+    ``address`` is where the worker was, which outlives its incarnations. ``ran_ms`` is
+    how long the run can have worked at most, in milliseconds. The run
     ``is_early`` if it had just started: the worker crashed soon after, and before it
     answered a poll that was sent after the start. A crash that was put down to another
     task ``is_explained``.
     """
 
     worker: WorkerIncarnation
+    address: str
     ran_ms: int
     is_early: bool
     is_explained: bool = False
--- a/tamarackmount/scheduling/suspect_isolation.py
+++ b/tamarackmount/scheduling/suspect_isolation.py
@@ -4,13 +4,19 @@
 started. The crash then speaks against all of them, and takes them with it. So a suspect
 starts where nothing else has just started and no other suspect runs, and nothing starts
 beside it before its worker is known to have survived the start. Where all suitable
-workers are taken, a suspect waits for a while; then tasks start there all the same.
+workers are taken, a suspect waits for a while; then tasks start there all the same. A
+suspect prefers other addresses than those of its crashes, since a worker may be at
+fault.
 """
 
 from collections.abc import Sequence
 
 from tamarackmount.ids import Instant, JobId
-from tamarackmount.scheduling.crash_evidence import evidence_key, is_suspect
+from tamarackmount.scheduling.crash_evidence import (
+    crash_addresses,
+    evidence_key,
+    is_suspect,
+)
 from tamarackmount.scheduling.runs import Run, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.workers import WorkerState
@@ -41,7 +47,9 @@
     ]
     if not found and must_be_alone and now < step.isolate_until:
         return []
-    return found or workers
+    crashed_at = crash_addresses(step, index)
+    elsewhere = [worker for worker in found if worker.entry.address not in crashed_at]
+    return elsewhere or found or workers
 
 
 def _interferes(
--- a/tamarackmount/scheduling/worker_ends.py
+++ b/tamarackmount/scheduling/worker_ends.py
@@ -65,7 +65,7 @@
     if cause is not WorkerEndCause.DRAINED:
         lost = [(run, _ran_s(worker, run, now)) for run in worker.runs_by_task.values()]
         is_certain = cause is WorkerEndCause.CRASHED
-        _record_crash(state, worker.incarnation, lost, is_certain, now)
+        _record_crash(state, worker.entry, lost, is_certain, now)
         _record_crash_of_lapsed(state, worker.incarnation, now)
     _remove_worker(state, worker, now, cause, replacement.value)
     state.replaced_incarnations.add(worker.incarnation)
@@ -164,19 +164,20 @@
     lapsed = state.lapsed_workers.pop(incarnation, None)
     if lapsed is not None:
         # Its runs may have ended with the lease, before the crash.
-        _record_crash(state, incarnation, lapsed.runs, False, now)
+        _record_crash(state, lapsed.entry, lapsed.runs, False, now)
 
 
 def _record_crash(
     state: SchedulerState,
-    incarnation: WorkerIncarnation,
+    entry: WorkerEntry,
     lost: Iterable[tuple[Run, float]],
     is_certain: bool,
     now: Instant,
 ) -> None:
     """Record a crash as evidence against the tasks that the worker may have run.
 
-    No run counts as an early one unless it ``is_certain`` that the crash ended it.
+    No run counts as an early one unless it ``is_certain`` that the crash ended it, and
+    this holder knows when it started.
     """
     for run, longest_s in lost:
         step = state.step_of(run.task)
@@ -184,10 +185,16 @@
             continue
         if step.job.phase.is_final or run.task.index in step.done:
             continue
-        is_early = is_certain and run.listed_s <= 0 and longest_s <= MAX_EARLY_S
-        crash = CrashRecord(incarnation, int(longest_s * MS_PER_SECOND), is_early)
+        is_early = (
+            is_certain
+            and not run.is_adopted
+            and run.listed_s <= 0
+            and longest_s <= MAX_EARLY_S
+        )
+        ran_ms = int(longest_s * MS_PER_SECOND)
+        crash = CrashRecord(entry.incarnation, entry.address, ran_ms, is_early)
         record_crash(state, step, run.task.index, crash, now)
-    give_up_culprits(state, [incarnation], now)
+    give_up_culprits(state, [entry.incarnation], now)
 
 
 def _ran_s(worker: WorkerState, run: Run, now: Instant) -> float:
