Read the progress of a job whatever a later version says of its failure

Cause: its progress record had evidence without the address that the code had got a minute before, while the nodes of the soak were restarted from the changed tree; the record could not be decoded as a whole, and the next holder took all tasks for not done. The same would happen with a cause of a later version.

Change: each field of the evidence but the worker has a default, and a cause is decoded where it is told; an unknown one is logged.

--- a/tamarackmount/scheduling/crash_evidence.py
+++ b/tamarackmount/scheduling/crash_evidence.py
@@ -150,10 +150,8 @@
         return True
     weight_by_address: dict[str, int] = {}
     for crash in crashes:
-        weight = max(
-            _weight(state, task, crash), weight_by_address.get(crash.address, 0)
-        )
-        weight_by_address[crash.address] = weight
+        known = weight_by_address.get(crash.address, 0)
+        weight_by_address[crash.address] = max(_weight(state, task, crash), known)
     return sum(weight_by_address.values()) >= CULPRIT_WEIGHT
 
 
--- a/tamarackmount/scheduling/job_index.py
+++ b/tamarackmount/scheduling/job_index.py
@@ -161,7 +161,14 @@
         """Return why a job has failed, as its stored progress tells."""
         records = self.jobs_by_id.get(job_id)
         progress = records.progress if records is not None else None
-        return progress.cause if progress is not None else None
+        if progress is None or not progress.cause:
+            return None
+        try:
+            return FailureCause(progress.cause)
+        except ValueError:
+            extra = {"job": job_id, "value": progress.cause}
+            _log.warning("stored job has an unknown cause; not told", extra=extra)
+            return None
 
     def waiting_count(self, queue: QueueName) -> int:
         """Return how many accepted jobs of a queue have not started."""
--- a/tamarackmount/scheduling/journal.py
+++ b/tamarackmount/scheduling/journal.py
@@ -17,7 +17,6 @@
 from tamarackmount.ids import JobId, MemberId, WorkerId
 from tamarackmount.scheduling.accepted_job import AcceptedJob
 from tamarackmount.scheduling.model import (
-    FailureCause,
     JobPhase,
     ServiceName,
     TaskKey,
@@ -75,9 +74,9 @@
     """
 
     worker: WorkerIncarnation
-    address: str
-    ran_ms: int
-    is_early: bool
+    address: str = ""
+    ran_ms: int = 0
+    is_early: bool = False
     is_explained: bool = False
 
 
@@ -91,7 +90,7 @@
     wait; workers report those of tasks that run.
     ``final_unix_ms`` is when the job reached a final phase. ``crashes_by_task`` is the
     evidence that tasks crash their workers, under the same keys. ``cause`` says why a
-    job has failed.
+    job has failed: a value of ``FailureCause``, or one of a later version.
     """
 
     phase: JobPhase
@@ -100,7 +99,7 @@
     checkpoints_by_task: dict[str, str] = field(default_factory=dict)
     final_unix_ms: int = 0
     crashes_by_task: dict[str, list[CrashRecord]] = field(default_factory=dict)
-    cause: FailureCause | None = None
+    cause: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/runs.py
@@ -307,7 +307,7 @@
                 for index, crashes in step.crashes_by_index.items()
                 if crashes and not self.phase.is_final
             },
-            cause=self.failure_cause,
+            cause=self.failure_cause.value if self.failure_cause is not None else "",
         )
 
 
--- a/tests/test_failure_cause.py
+++ b/tests/test_failure_cause.py
@@ -14,6 +14,7 @@
 )
 from tamarackmount.scheduling.model import FailureCause, JobPhase
 from tests.utils.build_scheduling import job
+from tests.utils.build_takeover import build_job_index
 from tests.utils.memory_peers import MemoryFleet
 
 ID = job().job_id
@@ -24,7 +25,7 @@
     fleet = MemoryFleet(8)
     fleet.run(fleet.node(6).jobs.submit(job(), fleet.deadline()))
     assert fleet.run(fleet.node(asked).jobs.failure_cause(ID)) is None
-    progress = JobProgress(JobPhase.FAILED, cause=FailureCause.WORKER_CRASHES)
+    progress = JobProgress(JobPhase.FAILED, cause=FailureCause.WORKER_CRASHES.value)
     key = record_key(RecordKind.PROGRESS, ID)
     fleet.store.put(JOBS_TOPIC, KeyedRecord(key, encode_record(progress)))
     fleet.run_for(1.0)
@@ -47,3 +48,17 @@
     fleet.run_for(1.0)
     assert fleet.run(fleet.node(1).jobs.phase(ID)) is JobPhase.FAILED
     assert fleet.run(fleet.node(1).jobs.failure_cause(ID)) is None
+
+
+def test_a_cause_or_evidence_of_another_version_made_a_job_run_again() -> None:
+    """A progress record that can't be decoded loses the tasks that are done."""
+    index = build_job_index([job()])
+    record = (
+        b'{"phase":"running","done_by_step":{"0.0":[0]},"cause":"later",'
+        b'"crashes_by_task":{"0.0.1":[{"worker":["w1",1],"later":2}]}}'
+    )
+    index.apply(record_key(RecordKind.PROGRESS, ID), record)
+    progress = index.jobs_by_id[ID].progress
+    assert progress is not None
+    assert progress.done_by_step == {"0.0": [0]}
+    assert index.failure_cause(ID) is None
--- a/tests/test_scheduling_worker_crashes.py
+++ b/tests/test_scheduling_worker_crashes.py
@@ -233,7 +233,7 @@
     assert pool.phase(deadly) is JobPhase.FAILED
     record = pool.harness.records[record_key(RecordKind.PROGRESS, deadly.job_id)]
     progress = decode_record(record, JobProgress).unwrap()
-    assert progress.cause is FailureCause.WORKER_CRASHES
+    assert progress.cause == FailureCause.WORKER_CRASHES.value
     pool.run(1.0)
     assert not any(worker.runs for worker in pool.workers.values())
 
