--- a/tests/test_scheduling_worker_crashes.py
+++ b/tests/test_scheduling_worker_crashes.py
@@ -5,7 +5,13 @@
 
 import pytest
 
+from tamarackmount.scheduling.crash_evidence import (
+    explain_crashes,
+    find_culprits,
+    record_crash,
+)
 from tamarackmount.scheduling.journal import (
+    CrashRecord,
     JobProgress,
     RecordKind,
     decode_record,
@@ -125,6 +131,27 @@
     assert pool.phase(jobs[0]) is JobPhase.COMPLETED
 
 
+def test_tasks_that_started_together_were_both_given_up() -> None:
+    harness = SchedulerHarness()
+    jobs = [job(1), job(2)]
+    for accepted in jobs:
+        harness.submit_job(accepted)
+    state = harness.scheduler._state
+    steps = [state.jobs_by_id[one.job_id].steps_by_key for one in jobs]
+    both = [step for by_key in steps for step in by_key.values()]
+    for number in (1, 2, 3):
+        crash = CrashRecord(incarnation(f"w{number}"), f"w{number}:1", 20, True)
+        # The third worker ran the second task only.
+        for one in both if number < 3 else both[1:]:
+            record_crash(state, one, 0, crash, harness.now)
+        found = list(find_culprits(state, [crash.worker]))
+        assert [task.job_id for _, task in found] == (
+            [jobs[1].job_id] if number == 3 else []
+        )
+    explain_crashes(state, both[1], tasks_of(jobs[1])[0])
+    assert tasks_of(jobs[0])[0] not in state.suspected_tasks
+
+
 def test_a_task_was_given_up_as_its_workers_crashed_for_other_reasons() -> None:
     pool = CrashingPool(downtime_s=1.0)
     unlucky = job(1, step(estimated_ms=5_000))
