Don't give a task up for orders that came to workers that had crashed

Cause: a start order without an answer counted like a task that had just started when its worker crashed. It may have come to a worker that was already gone, and two such orders were enough to fail a job under which nothing had crashed.

Change: only a run that its worker has confirmed is an early one.

--- a/tamarackmount/scheduling/worker_ends.py
+++ b/tamarackmount/scheduling/worker_ends.py
@@ -177,7 +177,8 @@
     """Record a crash as evidence against the tasks that the worker may have run.
 
     No run counts as an early one unless it ``is_certain`` that the crash ended it, and
-    this holder knows when it started.
+    this holder knows when it started. An order without an answer may have come to a
+    worker that had crashed before.
     """
     for run, longest_s in lost:
         step = state.step_of(run.task)
@@ -188,6 +189,7 @@
         is_early = (
             is_certain
             and not run.is_adopted
+            and run.confirmed_at is not None
             and run.listed_s <= 0
             and longest_s <= MAX_EARLY_S
         )
--- a/tests/test_scheduling_worker_crashes.py
+++ b/tests/test_scheduling_worker_crashes.py
@@ -23,14 +23,16 @@
     StepSpec,
     WorkerIncarnation,
 )
-from tamarackmount.scheduling.worker_reports import PollFailure
+from tamarackmount.scheduling.worker_reports import OrderResult, PollFailure, RunEnd
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
     SchedulerHarness,
+    ended_run,
     incarnation,
     job,
     step,
     worker_entry,
+    worker_report,
 )
 from tests.utils.crashing_pool import CrashingPool, tasks_of
 
@@ -59,7 +61,7 @@
 
 @pytest.mark.parametrize("keeps_id", [False, True], ids=["new id", "same id"])
 @pytest.mark.parametrize("downtime_s", [0.3, 3.2, 9.0])
-@pytest.mark.parametrize("crash_after_s", [0.0, 2.0])
+@pytest.mark.parametrize("crash_after_s", [-1.0, 0.0, 2.0])
 @pytest.mark.parametrize("spec", STEPS.values(), ids=STEPS)
 def test_a_kind_of_task_crashed_worker_after_worker(
     spec: StepSpec, crash_after_s: float, downtime_s: float, keeps_id: bool
@@ -166,6 +168,23 @@
     assert pool.phase(unlucky) is JobPhase.COMPLETED
 
 
+def test_a_task_was_given_up_as_its_orders_came_to_crashed_workers() -> None:
+    """Nobody knows whether the task has started on any of them."""
+    harness = SchedulerHarness()
+    harness.register_workers(*(worker_entry(f"w{number}") for number in range(6)))
+    unlucky = job(1)
+    harness.submit_job(unlucky)
+    for _ in range(3):
+        (start,) = harness.answer_starts(OrderResult.UNKNOWN)
+        harness.answer_poll(PollFailure.OTHER_INCARNATION, start.order.incarnation)
+        harness.tick(2.0)
+    (start,) = harness.answer_starts()
+    ended = ended_run(1, start.order.task, start.order.run_number, RunEnd.DONE)
+    harness.answer_poll(worker_report(ended=(ended,)), start.order.incarnation)
+    harness.store_pending()
+    assert harness.scheduler.phase(unlucky.job_id) is JobPhase.COMPLETED
+
+
 def test_a_task_was_given_up_as_the_only_worker_for_it_crashed_by_itself() -> None:
     pool = CrashingPool(worker_count=1, downtime_s=0.5)
     unlucky = job(1, step(estimated_ms=2_000))
--- a/tests/utils/crashing_pool.py
+++ b/tests/utils/crashing_pool.py
@@ -73,7 +73,8 @@
 class CrashingPool:
     """Workers, and a holder that may be replaced.
 
-    A run of a task in ``deadly`` crashes its worker ``crash_after_s`` after its start;
+    A run of a task in ``deadly`` crashes its worker ``crash_after_s`` after its start,
+    and before the order is answered if that is negative;
     another incarnation takes the worker's place ``downtime_s`` later, under the same
     worker id if ``keeps_id`` is set, and otherwise under another id at the same
     address. Other tasks take their estimate.
@@ -322,6 +323,9 @@
             if may_send and worker is not None and not worker.is_cut:
                 result = OrderResult.DONE
                 self._start(worker, order.task, order.run_number)
+                if self._crash_after_s < 0 and order.task in self.deadly:
+                    result = OrderResult.UNKNOWN
+                    self.crash(order.incarnation)
             self.harness.scheduler.start_answered(
                 order.incarnation, order.task, order.run_number, result, self.now
             )
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -346,6 +346,13 @@
         "",
         CRASHES,
     ),
+    Mutant(
+        "orders that came to crashed workers do not give a task up",
+        "scheduling/worker_ends.py",
+        "            and run.confirmed_at is not None\n",
+        "",
+        CRASHES,
+    ),
     Mutant(
         "each crash counts once for a task",
         "scheduling/crash_evidence.py",
