--- a/tests/test_scheduling_worker_crashes.py
+++ b/tests/test_scheduling_worker_crashes.py
@@ -168,6 +168,16 @@
     assert pool.phase(unlucky) is JobPhase.COMPLETED
 
 
+def test_a_gang_was_given_up_for_one_crash_under_all_its_members() -> None:
+    pool = CrashingPool(worker_count=1, downtime_s=0.5)
+    gang = job(1, step(6, estimated_ms=2_000, gang=True))
+    pool.submit(gang)
+    pool.run(0.3)
+    pool.crash(incarnation("w0"))
+    pool.run(10.0)
+    assert pool.phase(gang) is JobPhase.COMPLETED
+
+
 def test_a_task_was_given_up_as_its_orders_came_to_crashed_workers() -> None:
     """Nobody knows whether the task has started on any of them."""
     harness = SchedulerHarness()
