--- a/tamarackmount/kernel/request_entry.py
+++ b/tamarackmount/kernel/request_entry.py
@@ -27,8 +27,8 @@
     """A request that runs while ``attempt`` is set, and otherwise waits for a ticket.
 
     ``first_requested_at`` is when the ticket was first requested from the present
-    owner. ``maybe_sent`` tells whether a byte of any attempt may have reached an
-    upstream. ``excluded`` are the upstreams that failed this request.
+    owner. ``sent_failures`` counts the attempts that failed after a byte of them may
+    have reached an upstream. ``excluded`` are the upstreams that failed this request.
     """
 
     submitted: NewRequest
@@ -36,10 +36,15 @@
     first_requested_at: Instant | None = None
     resend_ms: float = 0.0
     attempt: RunningAttempt | None = None
-    maybe_sent: bool = False
+    sent_failures: int = 0
     caller_disconnected: bool = False
     excluded: list[UpstreamId] = field(default_factory=list)
 
+    @property
+    def maybe_sent(self) -> bool:
+        """Whether a byte of any failed attempt may have reached an upstream."""
+        return self.sent_failures > 0
+
     @property
     def key(self) -> DedupKey:
         """Key that identifies repeats of the request."""
--- a/tamarackmount/kernel/requests.py
+++ b/tamarackmount/kernel/requests.py
@@ -46,6 +46,10 @@
 from tamarackmount.kernel.used_tickets import UsedTickets
 from tamarackmount.units import MS_PER_SECOND
 
+MAX_SENT_FAILURES = 3
+"""Failures of an idempotent request after it was sent from which on it is not tried
+again: it may take each upstream down that works on it."""
+
 
 class RequestTable:
     """State machine of the requests of one entry VM.
@@ -304,7 +308,7 @@
     ) -> None:
         failed_after_send = result is AttemptResult.FAILED_AFTER_SEND
         if failed_after_send:
-            request.maybe_sent = True
+            request.sent_failures += 1
         if not failed_after_send or self._timing.disconnect_frees_slot:
             self._used_tickets.end(request.ticket_id)
         if request.submitted.idempotent:
@@ -321,7 +325,8 @@
             return []
         if request.submitted.deadline <= now:
             return self._refuse(request, RefusalReason.DEADLINE, 0)
-        if request.maybe_sent and not request.submitted.idempotent:
+        max_failures = MAX_SENT_FAILURES if request.submitted.idempotent else 1
+        if request.sent_failures >= max_failures:
             return self._refuse(request, RefusalReason.UPSTREAM_FAILED, 0)
         if not self._retry_budget.spend():
             return self._refuse(
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -22,7 +22,7 @@
     SendToOwner,
     SendUpstream,
 )
-from tamarackmount.kernel.requests import RequestTable
+from tamarackmount.kernel.requests import MAX_SENT_FAILURES, RequestTable
 from tests.utils.build_requests import (
     M1,
     M2,
@@ -337,3 +337,21 @@
     table.granted(build_grant(), at(0.1))
     table.attempt_ended(T1, AttemptResult.FAILED_AFTER_SEND, at(1))
     assert table.holdings(at(1)) == []
+
+
+def test_a_request_broke_off_at_upstream_after_upstream() -> None:
+    """Each retry may take another upstream down, while the budget is full."""
+    table = build_table(replace(TIMING, retry_burst=10.0))
+    table.submit(build_request(), at(0))
+    effects: Sequence[RequestEffect] = []
+    for number in range(1, MAX_SENT_FAILURES + 1):
+        assert finishes(effects) == []
+        ticket = f"m1/1/{number}"
+        table.granted(build_grant(ticket, f"u{number}"), at(0.1))
+        effects = table.attempt_ended(
+            TicketId(ticket), AttemptResult.FAILED_AFTER_SEND, at(0.2)
+        )
+    assert ticket_requests(effects) == []
+    assert finishes(effects) == [
+        Finish(1, Outcome.UNKNOWN, RefusalReason.UPSTREAM_FAILED)
+    ]
