--- a/tamarackmount/scheduling/gang_choice.py
+++ b/tamarackmount/scheduling/gang_choice.py
@@ -4,7 +4,6 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.crash_evidence import is_suspect
 from tamarackmount.scheduling.gang_groups import gang_groups
 from tamarackmount.scheduling.model import WorkerIncarnation
 from tamarackmount.scheduling.reservations import Reservations
@@ -15,7 +14,7 @@
     SpeedRank,
     speed_groups,
 )
-from tamarackmount.scheduling.suspect_isolation import isolated_workers
+from tamarackmount.scheduling.suspect_isolation import isolated_workers, waits_apart
 from tamarackmount.scheduling.worker_choice import without_failures
 from tamarackmount.scheduling.workers import WorkerState
 
@@ -30,8 +29,7 @@
 ) -> list[WorkerState]:
     """Return a worker for each member, apart from suspects and failures if possible."""
     isolated = isolated_workers(state, step, 0, workers, now)
-    must_wait = is_suspect(state, step, 0) and now < step.isolate_until
-    others = isolated if must_wait else workers
+    others = isolated if waits_apart(state, step, 0, now) else workers
     pools = (without_failures(step, isolated), isolated, others)
     # Each contains the one before it, so that equal lengths mean equal pools.
     for pool in {len(pool): pool for pool in pools}.values():
--- a/tamarackmount/scheduling/placement.py
+++ b/tamarackmount/scheduling/placement.py
@@ -26,7 +26,7 @@
     SpeedRank,
     speed_ranks,
 )
-from tamarackmount.scheduling.suspect_isolation import isolated_workers
+from tamarackmount.scheduling.suspect_isolation import isolated_workers, waits_apart
 from tamarackmount.scheduling.wait_log import update_wait_reason
 from tamarackmount.scheduling.worker_choice import (
     eligible_workers,
@@ -145,6 +145,7 @@
         return WaitReason.NO_ELIGIBLE_WORKER
     usable = reservations.usable_workers(step, workers)
     ranks = _speed_ranks(state, step, usable, now)
+    reason = WaitReason.NONE
     for index in sorted(step.pending):
         # An earlier run of the task may still be running.
         if step.task(index) in state.orphaned_run_count_by_task:
@@ -155,6 +156,10 @@
         worker = _choose_worker(
             state, step, index, usable, ranks, capacity_index, reservations
         )
+        if worker is None and waits_apart(state, step, index, now):
+            # The others of its step don't wait with a suspect.
+            reason = WaitReason.NO_CAPACITY
+            continue
         if worker is None:
             return WaitReason.NO_CAPACITY
         if not headroom.allows(step, (worker,)):
@@ -162,7 +167,7 @@
         step.run_number = next_run_number(step)
         start_run(state, step, index, worker, now)
         headroom.record_start(worker)
-    return WaitReason.NONE
+    return reason
 
 
 def _place_gang(
--- a/tamarackmount/scheduling/suspect_isolation.py
+++ b/tamarackmount/scheduling/suspect_isolation.py
@@ -49,13 +49,20 @@
             for run in worker.runs_by_task.values()
         )
     ]
-    if not found and now < step.isolate_until:
+    if not found and waits_apart(state, step, index, now):
         return []
     crashed_at = crash_addresses(step, index)
     elsewhere = [worker for worker in found if worker.entry.address not in crashed_at]
     return elsewhere or found or workers
 
 
+def waits_apart(
+    state: SchedulerState, step: StepState, index: int, now: Instant
+) -> bool:
+    """Tell whether a task is a suspect that starts only apart from others for now."""
+    return now < step.isolate_until and is_suspect(state, step, index)
+
+
 def _workers_of_new_suspects(
     state: SchedulerState, job_id: JobId
 ) -> set[WorkerIncarnation]:
--- a/tests/test_scheduling_worker_crashes.py
+++ b/tests/test_scheduling_worker_crashes.py
@@ -6,10 +6,12 @@
 import pytest
 
 from tamarackmount.scheduling.crash_evidence import (
+    MAX_ISOLATION_WAIT_S,
     explain_crashes,
     find_culprits,
     record_crash,
 )
+from tamarackmount.scheduling.job_index import JobRecords
 from tamarackmount.scheduling.journal import (
     CrashRecord,
     JobProgress,
@@ -207,6 +209,23 @@
     assert pool.phase(unlucky) is JobPhase.COMPLETED
 
 
+def test_a_step_waited_while_a_suspect_of_it_waited_for_a_worker() -> None:
+    harness = SchedulerHarness()
+    harness.register_workers(worker_entry("w1"))
+    harness.submit_job(job(1))
+    harness.answer_starts()
+    accepted = job(2, step(3))
+    state = harness.scheduler._state
+    harness.scheduler.add_job(JobRecords(accepted), harness.now, harness.unix_ms)
+    (waiting,) = state.jobs_by_id[accepted.job_id].steps_by_key.values()
+    crash = CrashRecord(incarnation("w9"), "w9:1", 20, True)
+    record_crash(state, waiting, 0, crash, harness.now)
+    harness.tick()
+    assert sorted(start.order.task.index for start in harness.starts) == [1, 2]
+    harness.tick(MAX_ISOLATION_WAIT_S)
+    assert sorted(start.order.task.index for start in harness.starts) == [0, 1, 2]
+
+
 def test_a_suspect_started_again_where_its_worker_had_crashed() -> None:
     pool = CrashingPool(worker_count=2, downtime_s=0.1)
     unlucky = job(1, step(estimated_ms=2_000))
