Give a task up at four crashes that no culprit explains

The trace: the store was slow when the task was new, so that a copy's order left before its run was stored, and the holder was lost; the next one could not know of that crash. Then one worker was the only one with capacity, and its crashes weigh once.

Change: four crashes that are not put down to another task are enough, whatever they weigh; that leaves room for one start that nobody knows of.

Measured: test_a_task_started_once_more_than_the_next_holder_knew failed before (six starts); the 117 tests of crashes pass.

--- a/tamarackmount/scheduling/crash_evidence.py
+++ b/tamarackmount/scheduling/crash_evidence.py
@@ -32,9 +32,14 @@
 SHARED_WEIGHT = 1
 """Weight of any other crash."""
 
+MAX_UNEXPLAINED_CRASHES = 4
+"""Crashes that are not put down to another task from which on a task is a culprit
+whatever they weigh: the users allow five starts, and a holder that is lost while the
+store is slow may have started it once more than the next one knows."""
+
 MAX_CRASHES = 5
-"""Crashes from which on a task is a culprit whatever they weigh: the users allow two
-more starts after three workers have crashed."""
+"""The same for all crashes: the users allow two more starts after three workers have
+crashed."""
 
 MAX_ISOLATION_WAIT_S = 1.5
 """Time, in seconds, for which the tasks of a step wait after a crash for workers on
@@ -146,7 +151,8 @@
 
 def _is_culprit(state: SchedulerState, step: StepState, task: TaskKey) -> bool:
     crashes = step.crashes_by_index.get(task.index, [])
-    if len(crashes) >= MAX_CRASHES:
+    unexplained = sum(not crash.is_explained for crash in crashes)
+    if unexplained >= MAX_UNEXPLAINED_CRASHES or len(crashes) >= MAX_CRASHES:
         return True
     weight_by_address: dict[str, int] = {}
     for crash in crashes:
--- a/tests/test_scheduling_worker_crashes.py
+++ b/tests/test_scheduling_worker_crashes.py
@@ -7,6 +7,7 @@
 
 from tamarackmount.scheduling.crash_evidence import (
     MAX_ISOLATION_WAIT_S,
+    MAX_UNEXPLAINED_CRASHES,
     explain_crashes,
     find_culprits,
     record_crash,
@@ -197,11 +198,29 @@
     assert harness.scheduler.phase(unlucky.job_id) is JobPhase.COMPLETED
 
 
+def test_a_task_started_once_more_than_the_next_holder_knew() -> None:
+    """The store is slow, so that the first order leaves before its run is stored."""
+    pool = CrashingPool(worker_count=1, downtime_s=0.5)
+    pool.store_latency_s = 0.4
+    pool.submit(job(1))
+    pool.run(3.0)
+    deadly = job(2)
+    task = tasks_of(deadly)[0]
+    pool.deadly.add(task)
+    pool.submit(deadly)
+    pool.run(1.0, until=lambda: pool.started[task] == 1)
+    assert pool.started_unstored[task] == 1
+    pool.kill_holder()
+    pool.run(LONG_S)
+    assert pool.phase(deadly) is JobPhase.FAILED
+    assert pool.started[task] <= MAX_STARTS
+
+
 def test_a_task_was_given_up_as_the_only_worker_for_it_crashed_by_itself() -> None:
     pool = CrashingPool(worker_count=1, downtime_s=0.5)
     unlucky = job(1, step(estimated_ms=2_000))
     pool.submit(unlucky)
-    for _ in range(4):
+    for _ in range(MAX_UNEXPLAINED_CRASHES - 1):
         pool.run(0.1)
         pool.crash(next(iter(pool.workers)))
         pool.run(1.0)
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -342,8 +342,8 @@
     Mutant(
         "no task is started again without end, however its crashes are explained",
         "scheduling/crash_evidence.py",
-        "    if len(crashes) >= MAX_CRASHES:\n        return True\n",
-        "",
+        "    if unexplained >= MAX_UNEXPLAINED_CRASHES or len(crashes) >= MAX_CRASHES:",
+        "    if False:",
         CRASHES,
     ),
     Mutant(
