Wait for a restarted worker's word on orders that were on their way to it

Cause: an order names the worker's id. A worker that restarts under its id takes orders that were meant for its last incarnation; the holder counted their runs as over with that incarnation and started the tasks elsewhere. The trace: run 71 ordered at 47.790 s to an incarnation that was replaced at 47.797 s, run 72 started elsewhere at 48.006 s, run 71 stopped by the new incarnation at 48.242 s.

Change: runs that were ordered after an incarnation's last report go over to the next one as orphaned: one whose order had no answer is stopped there, the others are if its first report lists them, and the task waits until then. An incarnation that is first heard of by a poll is known at once for that, and gets no run before it is registered.

Measured: test_an_order_to_a_worker_that_restarted_under_its_id_ran_beside_the_next failed before; the 179 tests of leases, lost answers, takeovers, copies and crashes pass.

--- a/tamarackmount/scheduling/run_reconciliation.py
+++ b/tamarackmount/scheduling/run_reconciliation.py
@@ -62,7 +62,7 @@
         run.phase = RunPhase.RUNNING
     elif run.phase is RunPhase.OUTCOME_UNKNOWN:
         run.phase = RunPhase.STOPPING
-    if run.phase is RunPhase.STOPPING:
+    if run.is_orphaned or run.phase is RunPhase.STOPPING:
         state.stop_run(run, now)
 
 
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -181,9 +181,13 @@
             return None
         return step
 
-    def add_orphaned_run(self, worker: WorkerState, run: Run, now: Instant) -> None:
+    def add_orphaned_run(
+        self, worker: WorkerState, run: Run, now: Instant, *, stops_now: bool = True
+    ) -> None:
         """Reserve the capacity of a run that no task needs, and stop it.
 
+        Unless it ``stops_now``, it is stopped once the worker reports it.
+
         It does not count towards its workspace's ceiling, as it ends within the time
         that a stop takes. Its task starts nowhere before that.
         """
@@ -191,7 +195,8 @@
         run.ceiling_usage = NOTHING
         self.orphaned_run_count_by_task[run.task] += 1
         worker.reserve_capacity(run)
-        self.stop_run(run, now)
+        if stops_now:
+            self.stop_run(run, now)
 
     def workspace_of_job(self, job: JobState) -> Workspace | None:
         """Return the workspace of a job, or None if the configuration lacks it."""
--- a/tamarackmount/scheduling/worker_ends.py
+++ b/tamarackmount/scheduling/worker_ends.py
@@ -5,11 +5,12 @@
 from enum import Enum
 
 from tamarackmount.ids import Instant
+from tamarackmount.resources import NOTHING
 from tamarackmount.scheduling.crash_evidence import record_crash
 from tamarackmount.scheduling.journal import CrashRecord
 from tamarackmount.scheduling.model import WorkerIncarnation
 from tamarackmount.scheduling.run_ends import format_task, give_up_culprits
-from tamarackmount.scheduling.runs import Run
+from tamarackmount.scheduling.runs import Run, RunPhase
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.worker_reports import WorkerEntry
 from tamarackmount.scheduling.workers import ContactState, LapsedWorker, WorkerState
@@ -23,6 +24,9 @@
 """Time for which the runs of a worker are remembered after its lease was over, in
 seconds; a worker that crashed is back by then."""
 
+LONG_AGO = Instant(0.0)
+"""Before any report."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -54,8 +58,12 @@
     worker: WorkerState,
     now: Instant,
     replacement: Replacement,
-) -> None:
-    """Remove an incarnation whose place another one has taken."""
+) -> list[Run]:
+    """Remove an incarnation whose place another one has taken.
+
+    Return the runs whose orders may have come to the next incarnation under the same
+    id: an order names the id only. :func:`carry_over_runs` stops them there.
+    """
     if worker.has_announced_drain:
         cause = WorkerEndCause.DRAINED
     elif worker.was_registered:
@@ -63,12 +71,42 @@
     else:
         cause = WorkerEndCause.UNKNOWN
     lost = [(run, _ran_s(worker, run, now)) for run in worker.runs_by_task.values()]
+    carried_over = [
+        run
+        for run, _ in lost
+        if run.is_ordered and not run.is_adopted and run.began_at >= worker.reported_at
+    ]
     _remove_worker(state, worker, now, cause, replacement.value)
     state.replaced_incarnations.add(worker.incarnation)
     if cause is not WorkerEndCause.DRAINED:
         is_certain = cause is WorkerEndCause.CRASHED
         _record_crash(state, worker.entry, lost, is_certain, now)
         _record_crash_of_lapsed(state, worker.incarnation, now)
+    return carried_over
+
+
+def carry_over_runs(
+    state: SchedulerState, successor: WorkerState, runs: Iterable[Run], now: Instant
+) -> None:
+    """Stop runs that a worker may have started from orders to its last incarnation.
+
+    Their tasks start nowhere before the worker has reported without them. An order
+    that was not answered may still come, so that its run is stopped in any case.
+    """
+    for run in runs:
+        orphan = Run(
+            run.task,
+            run.number,
+            successor.incarnation,
+            run.amount,
+            NOTHING,
+            RunPhase.STARTING if run.confirmed_at is None else RunPhase.RUNNING,
+            now,
+            confirmed_at=None if run.confirmed_at is None else LONG_AGO,
+        )
+        state.add_orphaned_run(
+            successor, orphan, now, stops_now=run.confirmed_at is None
+        )
 
 
 def remove_expired_worker(
--- a/tamarackmount/scheduling/worker_leases.py
+++ b/tamarackmount/scheduling/worker_leases.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+from dataclasses import replace
 
 from tamarackmount.ids import DataCentreId, Instant, RackId
 from tamarackmount.resources import NOTHING
@@ -20,6 +21,7 @@
     adopt_or_stop_run,
     reconcile_runs,
 )
+from tamarackmount.scheduling.runs import Run
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.suspected_workers import (
     mark_suspected,
@@ -27,6 +29,7 @@
 )
 from tamarackmount.scheduling.worker_ends import (
     Replacement,
+    carry_over_runs,
     record_replaced_lapsed_workers,
     remove_replaced_worker,
 )
@@ -87,12 +90,7 @@
     worker = state.workers_by_incarnation.get(entry.incarnation)
     is_new = worker is None
     if worker is None:
-        for other in list(state.workers_by_incarnation.values()):
-            if other.incarnation.worker_id == entry.incarnation.worker_id:
-                _remove_older_incarnation(state, other, entry, now)
-        worker = WorkerState(entry, contact=ContactState.UNCONFIRMED, next_poll_at=now)
-        state.workers_by_incarnation[entry.incarnation] = worker
-        state.changed_workers.add(entry.incarnation)
+        worker = _add_worker(state, entry, now)
         record_replaced_lapsed_workers(state, entry, now)
         extra = {"worker": entry.incarnation.worker_id, "service": entry.service}
         _log.info("worker registered", extra=extra)
@@ -111,11 +109,26 @@
     worker.was_registered = True
 
 
-def _remove_older_incarnation(
-    state: SchedulerState, old: WorkerState, entry: WorkerEntry, now: Instant
-) -> None:
-    if old.incarnation.born_unix_ms < entry.incarnation.born_unix_ms:
-        remove_replaced_worker(state, old, now, Replacement.RESTARTED)
+def _add_worker(
+    state: SchedulerState,
+    entry: WorkerEntry,
+    now: Instant,
+    replacement: Replacement = Replacement.RESTARTED,
+) -> WorkerState:
+    """Add an incarnation in place of older ones under its id."""
+    worker = WorkerState(entry, contact=ContactState.UNCONFIRMED, next_poll_at=now)
+    carried_over: list[Run] = []
+    for other in list(state.workers_by_incarnation.values()):
+        if (
+            other.incarnation.worker_id == entry.incarnation.worker_id
+            and other.incarnation.born_unix_ms < entry.incarnation.born_unix_ms
+        ):
+            worker.lease_ends = max(worker.lease_ends, other.lease_ends)
+            carried_over += remove_replaced_worker(state, other, now, replacement)
+    state.workers_by_incarnation[entry.incarnation] = worker
+    state.changed_workers.add(entry.incarnation)
+    carry_over_runs(state, worker, carried_over, now)
+    return worker
 
 
 def worker_record(worker: WorkerState) -> WorkerRecord:
@@ -207,9 +220,7 @@
     now: Instant,
 ) -> None:
     if answer.born_unix_ms not in (None, worker.incarnation.born_unix_ms):
-        remove_replaced_worker(
-            state, worker, now, Replacement.OTHER_INCARNATION_ANSWERS
-        )
+        _replace_incarnation(state, worker, answer.born_unix_ms, now)
         return
     _confirm_contact(worker, now)
     state.lapsed_workers.pop(worker.incarnation, None)
@@ -224,6 +235,27 @@
         worker.next_poll_at = Instant(now + UNSTORED_ENDS_POLL_DELAY_S)
 
 
+def _replace_incarnation(
+    state: SchedulerState, worker: WorkerState, born_unix_ms: int | None, now: Instant
+) -> None:
+    """Handle a report of another incarnation under the same id.
+
+    A newer one is known from now on; its registration is read later.
+    """
+    old = worker.incarnation
+    replacement = Replacement.OTHER_INCARNATION_ANSWERS
+    if born_unix_ms is None or born_unix_ms < old.born_unix_ms:
+        remove_replaced_worker(state, worker, now, replacement)
+        return
+    newer = WorkerIncarnation(old.worker_id, born_unix_ms)
+    if newer in state.workers_by_incarnation:
+        remove_replaced_worker(state, worker, now, replacement)
+        return
+    entry = replace(worker.entry, incarnation=newer, is_draining=False)
+    # It may serve another pool, so that it gets no run before it is registered.
+    _add_worker(state, entry, now, replacement).is_registered = False
+
+
 def _handle_poll_failure(
     state: SchedulerState,
     worker: WorkerState,
--- a/tamarackmount/scheduling/workers.py
+++ b/tamarackmount/scheduling/workers.py
@@ -201,6 +201,11 @@
         if self.unanswered_since is None:
             self.unanswered_since = now
 
+    @property
+    def reported_at(self) -> Instant:
+        """When the last report of its runs was handled."""
+        return self._clock_read or Instant(0.0)
+
     def is_outdated(self, clock_ms: int, sent: Instant) -> bool:
         """Tell whether a report was made before the one that was handled last.
 
--- a/tests/test_scheduling_leases.py
+++ b/tests/test_scheduling_leases.py
@@ -278,3 +278,39 @@
     harness.scheduler.set_authority(HolderAuthority.FULL)
     harness.tick(0.1)
     assert harness.starts
+
+
+@pytest.mark.parametrize("is_told_by", ["registration", "poll"])
+@pytest.mark.parametrize("result", [OrderResult.DONE, OrderResult.UNKNOWN])
+@pytest.mark.parametrize("is_started", [True, False])
+def test_an_order_to_a_worker_that_restarted_under_its_id_ran_beside_the_next(
+    is_started: bool, result: OrderResult, is_told_by: str
+) -> None:
+    """The new incarnation accepts it, as the order names the worker's id only."""
+    harness = SchedulerHarness()
+    harness.register_workers(worker_entry("w1"), worker_entry("w2", cores=1))
+    harness.submit_job(job(1, step(cores=2)))
+    (start,) = harness.answer_starts(result)
+    harness.stops.clear()
+    newer = incarnation("w1", born=2)
+    entries = [worker_entry("w1", incarnation=newer), worker_entry("w2")]
+    if is_told_by == "poll":
+        harness.answer_poll(worker_report(born=2))
+    harness.scheduler.set_registered_workers(entries, harness.now)
+    harness.tick(0.5)
+    # The order may have reached the new incarnation, which has not reported yet.
+    assert not harness.starts
+    order = start.order
+    run = (order.task, order.run_number)
+    running = (run,) if is_started else ()
+    harness.answer_poll(worker_report(running=running, born=2), newer)
+    harness.tick(0.5)
+    for stop in harness.stops:
+        assert (stop.incarnation, stop.task, stop.run_number) == (newer, *run)
+        assert not harness.starts
+        harness.scheduler.stop_answered(newer, *run, OrderResult.DONE, harness.now)
+        harness.tick(0.1)
+    assert bool(harness.stops) is (is_started or result is OrderResult.UNKNOWN)
+    harness.answer_poll(worker_report(born=2), newer)
+    harness.tick(0.1)
+    assert len(harness.starts) == 1
