--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -197,9 +197,8 @@
         return (
             state.authority is HolderAuthority.FULL
             and worker is not None
-            and run is not None
             and not worker.is_evacuated
-            and worker.covers_reservations(run.amount)
+            and (run is None or worker.covers_reservations(run.amount))
         )
 
     def set_registered_workers(self, entries: list[WorkerEntry], now: Instant) -> None:
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -140,7 +140,7 @@
     Mutant(
         "an order that waits for its turn is checked again",
         "scheduling/scheduler.py",
-        "            and worker.covers_reservations(run.amount)\n",
+        "            and (run is None or worker.covers_reservations(run.amount))\n",
         "",
         "tests/test_scheduling_capacity_changes.py",
     ),
