--- a/tamarackmount/delays.py
+++ b/tamarackmount/delays.py
@@ -24,9 +24,9 @@
     read_traces,
     times_without_holder,
 )
-from tamarackmount.scheduling.model import JobPhase
-from tamarackmount.scheduling.runs import WaitReason
-from tamarackmount.scheduling.worker_reports import RunEnd
+from tamarackmount.scheduling.domain.model import JobPhase
+from tamarackmount.scheduling.jobs.runs import WaitReason
+from tamarackmount.scheduling.domain.worker_reports import RunEnd
 
 SLOW_FACTOR = 2.0
 """Multiple, without unit, of the median duration of a step's runs above which a run
--- a/tamarackmount/node/authority_check.py
+++ b/tamarackmount/node/authority_check.py
@@ -7,7 +7,7 @@
 from tamarackmount.node.messages import StoreAgeQuery, StoreAgeReply
 from tamarackmount.node.peer_calls import PeerCalls
 from tamarackmount.node.tasks import spawn
-from tamarackmount.scheduling.holder_authority import (
+from tamarackmount.scheduling.membership.holder_authority import (
     FULL_AUTHORITY_LIMIT_S,
     HolderAuthority,
     holder_authority,
--- a/tamarackmount/node/claims.py
+++ b/tamarackmount/node/claims.py
@@ -16,8 +16,8 @@
 from tamarackmount.node.fenced_log import FencedLog
 from tamarackmount.node.tasks import spawn
 from tamarackmount.platform.store import Appended, KeyedRecord, Store, Topic
-from tamarackmount.scheduling.holder_watch import HEARTBEAT_INTERVAL_S
-from tamarackmount.scheduling.journal import (
+from tamarackmount.scheduling.membership.holder_watch import HEARTBEAT_INTERVAL_S
+from tamarackmount.scheduling.store.journal import (
     HolderRecord,
     RecordKind,
     encode_record,
--- a/tamarackmount/node/contention_metrics.py
+++ b/tamarackmount/node/contention_metrics.py
@@ -6,7 +6,7 @@
 from aioprometheus import Gauge, Registry
 from aioprometheus.metricdict import MetricDict
 
-from tamarackmount.scheduling.observer import ContentionRow
+from tamarackmount.scheduling.shares.observer import ContentionRow
 
 MAX_ROWS = 100
 """Number of pairs of workspace and pool with gauges of their own."""
--- a/tamarackmount/node/context.py
+++ b/tamarackmount/node/context.py
@@ -14,8 +14,8 @@
 from tamarackmount.node.peer_calls import PeerCalls
 from tamarackmount.platform.boot import BootSettings
 from tamarackmount.platform.store import Store, Topic
-from tamarackmount.scheduling.fleet_config import FleetConfig
-from tamarackmount.scheduling.job_index import JobIndex
+from tamarackmount.scheduling.domain.fleet_config import FleetConfig
+from tamarackmount.scheduling.store.job_index import JobIndex
 
 JOBS_TOPIC = Topic("keyed.jobs")
 """Topic of jobs, cancellations, progress, and the workers that were given orders."""
--- a/tamarackmount/node/departed_nodes.py
+++ b/tamarackmount/node/departed_nodes.py
@@ -10,7 +10,7 @@
 from tamarackmount.node.node_registry import NODES_TOPIC, NodeRegistry
 from tamarackmount.node.tasks import spawn, stop_process_on_error
 from tamarackmount.platform.store import Appended, KeyedRecord
-from tamarackmount.scheduling.departures import (
+from tamarackmount.scheduling.membership.departures import (
     MAX_REMOVALS,
     Departures,
     RegisteredNode,
--- a/tamarackmount/node/evacuation_notices.py
+++ b/tamarackmount/node/evacuation_notices.py
@@ -6,7 +6,7 @@
 from tamarackmount.ids import MemberId
 from tamarackmount.node.context import NodeContext
 from tamarackmount.node.messages import EvacuationSeen
-from tamarackmount.scheduling.evacuations import EvacuationChange
+from tamarackmount.scheduling.membership.evacuations import EvacuationChange
 
 _log = logging.getLogger(__name__)
 
--- a/tamarackmount/node/hedged_advice.py
+++ b/tamarackmount/node/hedged_advice.py
@@ -13,9 +13,9 @@
 from tamarackmount.node.peer_calls import PeerCalls
 from tamarackmount.node.tasks import spawn, stop_process_on_error
 from tamarackmount.platform.advice import AdviceClient
-from tamarackmount.scheduling.effects import AskAdvice
-from tamarackmount.scheduling.model import StepKey
-from tamarackmount.scheduling.step_advice import AdviceAnswer, WorkerTicket
+from tamarackmount.scheduling.domain.effects import AskAdvice
+from tamarackmount.scheduling.domain.model import StepKey
+from tamarackmount.scheduling.jobs.step_advice import AdviceAnswer, WorkerTicket
 from tamarackmount.units import MS_PER_SECOND
 
 ANSWER_TIMEOUT_MARGIN_S = 0.3
--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -22,9 +22,9 @@
 from tamarackmount.node.worker_registrations import WorkerRegistrations
 from tamarackmount.platform.store import Appended, KeyedRecord
 from tamarackmount.platform.workers import PollRequest
-from tamarackmount.scheduling.accepted_job import AcceptedJob
-from tamarackmount.scheduling.admission import Refusal, whole_retry_s
-from tamarackmount.scheduling.effects import (
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
+from tamarackmount.scheduling.admission.admission import Refusal, whole_retry_s
+from tamarackmount.scheduling.domain.effects import (
     AskAdvice,
     Effect,
     PollWorker,
@@ -32,16 +32,16 @@
     StepDown,
     StopRun,
 )
-from tamarackmount.scheduling.fleet_config import FleetConfig
-from tamarackmount.scheduling.holder_authority import HolderAuthority
-from tamarackmount.scheduling.job_index import JobIndex
-from tamarackmount.scheduling.journal import RecordKind, decode_record, split_key
-from tamarackmount.scheduling.model import FailureCause, JobPhase, StepKey
-from tamarackmount.scheduling.retention import expired_jobs
+from tamarackmount.scheduling.domain.fleet_config import FleetConfig
+from tamarackmount.scheduling.membership.holder_authority import HolderAuthority
+from tamarackmount.scheduling.store.job_index import JobIndex
+from tamarackmount.scheduling.store.journal import RecordKind, decode_record, split_key
+from tamarackmount.scheduling.domain.model import FailureCause, JobPhase, StepKey
+from tamarackmount.scheduling.store.retention import expired_jobs
 from tamarackmount.scheduling.scheduler import Scheduler
-from tamarackmount.scheduling.step_advice import AdviceAnswer
-from tamarackmount.scheduling.store_batches import Batch
-from tamarackmount.scheduling.worker_reports import (
+from tamarackmount.scheduling.jobs.step_advice import AdviceAnswer
+from tamarackmount.scheduling.contact.store_batches import Batch
+from tamarackmount.scheduling.domain.worker_reports import (
     OrderResult,
     StartOrder,
     WorkerEntry,
--- a/tamarackmount/node/holder_election.py
+++ b/tamarackmount/node/holder_election.py
@@ -21,13 +21,13 @@
 from tamarackmount.node.tasks import Event, spawn, stop_process_on_error
 from tamarackmount.node.topic_tail import TopicTail
 from tamarackmount.platform.store import KeyedRecord
-from tamarackmount.scheduling.holder_watch import (
+from tamarackmount.scheduling.membership.holder_watch import (
     MAX_QUICK_READ_S,
     Candidate,
     HolderWatch,
     candidate_rank,
 )
-from tamarackmount.scheduling.journal import HolderRecord, decode_record
+from tamarackmount.scheduling.store.journal import HolderRecord, decode_record
 
 HOLDER_READ_WAIT_MS = 1_000
 """Long-poll wait of a read of holder records, in milliseconds; it bounds how late a
--- a/tamarackmount/node/http_api.py
+++ b/tamarackmount/node/http_api.py
@@ -25,9 +25,9 @@
     encode_job_state,
     encode_waiting_count,
 )
-from tamarackmount.scheduling.accepted_job import AcceptedJob
-from tamarackmount.scheduling.fleet_config import FleetConfig, Queue
-from tamarackmount.scheduling.model import FailureCause, JobPhase
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
+from tamarackmount.scheduling.domain.fleet_config import FleetConfig, Queue
+from tamarackmount.scheduling.domain.model import FailureCause, JobPhase
 from tamarackmount.units import MS_PER_SECOND
 
 DEFAULT_DEADLINE_MS = 3_000
--- a/tamarackmount/node/job_service.py
+++ b/tamarackmount/node/job_service.py
@@ -44,10 +44,10 @@
 )
 from tamarackmount.node.tasks import spawn_answer
 from tamarackmount.platform.store import MAX_KEY_BYTES, KeyedRecord, encoded_bytes
-from tamarackmount.scheduling.accepted_job import AcceptedJob
-from tamarackmount.scheduling.admission import add_jitter
-from tamarackmount.scheduling.fleet_config import FleetConfig, Queue
-from tamarackmount.scheduling.journal import (
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
+from tamarackmount.scheduling.admission.admission import add_jitter
+from tamarackmount.scheduling.domain.fleet_config import FleetConfig, Queue
+from tamarackmount.scheduling.store.journal import (
     CancelRecord,
     RecordKind,
     decode_record,
@@ -56,8 +56,8 @@
     record_key,
     split_key,
 )
-from tamarackmount.scheduling.model import FailureCause, JobPhase, describe_step
-from tamarackmount.scheduling.retry_times import store_retry_s
+from tamarackmount.scheduling.domain.model import FailureCause, JobPhase, describe_step
+from tamarackmount.scheduling.admission.retry_times import store_retry_s
 
 PHASE_TIMEOUT_S = 0.3
 """Timeout of a query about a job to another node, in seconds; after it, the stored
--- a/tamarackmount/node/jobs_follower.py
+++ b/tamarackmount/node/jobs_follower.py
@@ -11,7 +11,7 @@
 from tamarackmount.node.node_registry import NodeRegistry
 from tamarackmount.node.tasks import stop_process_on_error
 from tamarackmount.node.topic_tail import TopicTail
-from tamarackmount.scheduling.followers import (
+from tamarackmount.scheduling.membership.followers import (
     FOLLOWERS_PER_DATA_CENTRE,
     FollowDecision,
     FollowTimer,
--- a/tamarackmount/node/journal_writer.py
+++ b/tamarackmount/node/journal_writer.py
@@ -22,7 +22,7 @@
     StoreError,
     encoded_bytes,
 )
-from tamarackmount.scheduling.store_batches import Batch
+from tamarackmount.scheduling.contact.store_batches import Batch
 
 BATCH_DELAY_S = 0.004
 """Delay in which records are collected before the next append, in seconds: as long as
--- a/tamarackmount/node/known_jobs.py
+++ b/tamarackmount/node/known_jobs.py
@@ -10,7 +10,7 @@
 from tamarackmount.node.messages import PhaseQuery, PhaseReply, enum_value
 from tamarackmount.node.peer_calls import PeerCalls
 from tamarackmount.node.tasks import spawn
-from tamarackmount.scheduling.model import FailureCause, JobPhase
+from tamarackmount.scheduling.domain.model import FailureCause, JobPhase
 
 KNOWN_JOB_TIMEOUT_S = 0.3
 """Timeout of the question whether a job is known, in seconds; nodes that can be reached
--- a/tamarackmount/node/metrics.py
+++ b/tamarackmount/node/metrics.py
@@ -12,7 +12,7 @@
     render_metrics,
 )
 from tamarackmount.node.contention_metrics import ContentionMetrics
-from tamarackmount.scheduling.observer import ContentionRow
+from tamarackmount.scheduling.shares.observer import ContentionRow
 
 
 class NodeMetrics:
--- a/tamarackmount/node/node_registry.py
+++ b/tamarackmount/node/node_registry.py
@@ -13,8 +13,8 @@
 from tamarackmount.node.tasks import spawn
 from tamarackmount.node.topic_tail import TopicTail
 from tamarackmount.platform.store import Appended, KeyedRecord, Topic
-from tamarackmount.scheduling.holder_watch import Candidate
-from tamarackmount.scheduling.journal import decode_record, encode_record
+from tamarackmount.scheduling.membership.holder_watch import Candidate
+from tamarackmount.scheduling.store.journal import decode_record, encode_record
 
 NODES_TOPIC = Topic("keyed.nodes")
 """Topic in which each entry VM registers its address."""
--- a/tamarackmount/node/start_orders.py
+++ b/tamarackmount/node/start_orders.py
@@ -8,9 +8,9 @@
 from tamarackmount.node import clock
 from tamarackmount.node.tasks import spawn
 from tamarackmount.platform.workers import WorkerCalls
-from tamarackmount.scheduling.effects import StartRun
-from tamarackmount.scheduling.model import WorkerIncarnation
-from tamarackmount.scheduling.worker_reports import OrderResult, StartOrder
+from tamarackmount.scheduling.domain.effects import StartRun
+from tamarackmount.scheduling.domain.model import WorkerIncarnation
+from tamarackmount.scheduling.domain.worker_reports import OrderResult, StartOrder
 
 ORDER_TIMEOUT_S = 0.2
 """Timeout of an order to a worker, in seconds. Round trips take 3 to 10 ms, and urgent
--- a/tamarackmount/node/worker_registrations.py
+++ b/tamarackmount/node/worker_registrations.py
@@ -9,7 +9,7 @@
 from tamarackmount.node.topic_tail import TopicTail
 from tamarackmount.platform.store import WORKERS_TOPIC, KeyedRecord, Store
 from tamarackmount.platform.workers import decode_worker
-from tamarackmount.scheduling.worker_reports import WorkerEntry
+from tamarackmount.scheduling.domain.worker_reports import WorkerEntry
 
 WORKERS_READ_INTERVAL_S = 0.25
 """Minimum time between the starts of two reads of the registrations, in seconds. Each
--- a/tamarackmount/platform/advice.py
+++ b/tamarackmount/platform/advice.py
@@ -10,8 +10,8 @@
 from tamarackmount.ids import Instant, WorkerId
 from tamarackmount.platform.http import Address, HttpClient, Reply
 from tamarackmount.platform.store import JSON_HEADER
-from tamarackmount.scheduling.model import StepKey
-from tamarackmount.scheduling.step_advice import AdviceAnswer, WorkerTicket
+from tamarackmount.scheduling.domain.model import StepKey
+from tamarackmount.scheduling.jobs.step_advice import AdviceAnswer, WorkerTicket
 
 MAX_WORKERS_PER_REQUEST = 100
 """Maximum number of workers in one request, set by the platform."""
--- a/tamarackmount/platform/config.py
+++ b/tamarackmount/platform/config.py
@@ -10,7 +10,7 @@
 from tamarackmount.ids import DataCentreId, KeyHash, QueueName, WorkspaceId
 from tamarackmount.internal.keys import hash_key
 from tamarackmount.platform.resource_amounts import decode_resources
-from tamarackmount.scheduling.fleet_config import (
+from tamarackmount.scheduling.domain.fleet_config import (
     AdvicePolicy,
     FleetConfig,
     Queue,
@@ -18,7 +18,7 @@
     Workspace,
     group_by_host,
 )
-from tamarackmount.scheduling.model import ServiceName
+from tamarackmount.scheduling.domain.model import ServiceName
 
 CONFIG_KEY = "config"
 """Key of the configuration in the operator topic."""
--- /dev/null
+++ b/tamarackmount/scheduling/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Which submitted jobs are accepted, and when refused callers return."""
--- a/tamarackmount/scheduling/admission_control.py
+++ b/tamarackmount/scheduling/admission/admission_control.py
@@ -3,9 +3,9 @@
 import logging
 
 from tamarackmount.ids import Instant, JobId
-from tamarackmount.scheduling.admission import Refusal, admit
-from tamarackmount.scheduling.drain_forecast import DrainForecast
-from tamarackmount.scheduling.runs import JobState
+from tamarackmount.scheduling.admission.admission import Refusal, admit
+from tamarackmount.scheduling.admission.drain_forecast import DrainForecast
+from tamarackmount.scheduling.jobs.runs import JobState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 
 _log = logging.getLogger(__name__)
--- a/tamarackmount/scheduling/drain_sums.py
+++ b/tamarackmount/scheduling/admission/drain_sums.py
@@ -5,7 +5,7 @@
 
 from tamarackmount.ids import Instant, WorkspaceId
 from tamarackmount.resources import NOTHING, Resources
-from tamarackmount.scheduling.model import ServiceName
+from tamarackmount.scheduling.domain.model import ServiceName
 
 
 class Shape(NamedTuple):
--- /dev/null
+++ b/tamarackmount/scheduling/advice/__init__.py
@@ -0,0 +1,1 @@
+"""When the advice service is asked, and about which workers."""
--- a/tamarackmount/scheduling/advice_choice.py
+++ b/tamarackmount/scheduling/advice/advice_choice.py
@@ -16,9 +16,9 @@
 from dataclasses import dataclass, field
 
 from tamarackmount.ids import QueueName, RackId
-from tamarackmount.scheduling.free_capacity import count_fitting_tasks
-from tamarackmount.scheduling.runs import StepState, WaitReason
-from tamarackmount.scheduling.workers import WorkerState
+from tamarackmount.scheduling.workers.free_capacity import count_fitting_tasks
+from tamarackmount.scheduling.jobs.runs import StepState, WaitReason
+from tamarackmount.scheduling.workers.workers import WorkerState
 
 MAX_WORKERS_PER_REQUEST = 60
 """Maximum number of workers in one request: enough for a wide gang, while the advice
--- a/tamarackmount/scheduling/advice_requests.py
+++ b/tamarackmount/scheduling/advice/advice_requests.py
@@ -13,22 +13,22 @@
 from collections.abc import Iterator
 
 from tamarackmount.ids import Instant
-from tamarackmount.scheduling.advice_choice import (
+from tamarackmount.scheduling.advice.advice_choice import (
     ApprovalRates,
     lacks_capacity,
     may_wait_for,
     workers_to_ask_about,
 )
-from tamarackmount.scheduling.effects import AskAdvice
-from tamarackmount.scheduling.fleet_config import AdvicePolicy
-from tamarackmount.scheduling.free_capacity import FreeCapacityIndex
-from tamarackmount.scheduling.model import StepKey, WorkerIncarnation
-from tamarackmount.scheduling.ranking import URGENT_PRIORITY, Tier, rank, tier
-from tamarackmount.scheduling.runs import StepState, WaitReason
+from tamarackmount.scheduling.domain.effects import AskAdvice
+from tamarackmount.scheduling.domain.fleet_config import AdvicePolicy
+from tamarackmount.scheduling.workers.free_capacity import FreeCapacityIndex
+from tamarackmount.scheduling.domain.model import StepKey, WorkerIncarnation
+from tamarackmount.scheduling.jobs.ranking import URGENT_PRIORITY, Tier, rank, tier
+from tamarackmount.scheduling.jobs.runs import StepState, WaitReason
 from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.step_advice import AdviceAnswer
-from tamarackmount.scheduling.worker_choice import could_run
-from tamarackmount.scheduling.workers import WorkerState
+from tamarackmount.scheduling.jobs.step_advice import AdviceAnswer
+from tamarackmount.scheduling.placement.worker_choice import could_run
+from tamarackmount.scheduling.workers.workers import WorkerState
 from tamarackmount.units import MS_PER_SECOND
 
 ADVICE_RETRY_DELAY_S = 0.2
--- a/tamarackmount/scheduling/order_results.py
+++ b/tamarackmount/scheduling/contact/order_results.py
@@ -4,19 +4,19 @@
 from collections.abc import Callable
 
 from tamarackmount.ids import Instant
-from tamarackmount.scheduling.effects import StartRun
-from tamarackmount.scheduling.holder_authority import HolderAuthority
-from tamarackmount.scheduling.model import TaskKey, WorkerIncarnation
-from tamarackmount.scheduling.run_starts import (
+from tamarackmount.scheduling.domain.effects import StartRun
+from tamarackmount.scheduling.membership.holder_authority import HolderAuthority
+from tamarackmount.scheduling.domain.model import TaskKey, WorkerIncarnation
+from tamarackmount.scheduling.execution.run_starts import (
     FIRST_RUN_NUMBER_AFTER_TAKEOVER,
     send_start,
 )
-from tamarackmount.scheduling.runs import Run, RunPhase
+from tamarackmount.scheduling.jobs.runs import Run, RunPhase
 from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.suspected_workers import mark_suspected
-from tamarackmount.scheduling.worker_ends import Replacement, remove_replaced_worker
-from tamarackmount.scheduling.worker_leases import step_down
-from tamarackmount.scheduling.worker_reports import OrderResult
+from tamarackmount.scheduling.evidence.suspected_workers import mark_suspected
+from tamarackmount.scheduling.contact.worker_ends import Replacement, remove_replaced_worker
+from tamarackmount.scheduling.contact.worker_leases import step_down
+from tamarackmount.scheduling.domain.worker_reports import OrderResult
 
 _log = logging.getLogger(__name__)
 
--- a/tamarackmount/scheduling/store_batches.py
+++ b/tamarackmount/scheduling/contact/store_batches.py
@@ -4,21 +4,21 @@
 from dataclasses import dataclass, replace
 
 from tamarackmount.ids import Instant, JobId
-from tamarackmount.scheduling.effects import StartRun
-from tamarackmount.scheduling.forecast import FORECAST_STORE_INTERVAL_S
-from tamarackmount.scheduling.journal import (
+from tamarackmount.scheduling.domain.effects import StartRun
+from tamarackmount.scheduling.estimates.forecast import FORECAST_STORE_INTERVAL_S
+from tamarackmount.scheduling.store.journal import (
     CompletenessRecord,
     RecordKind,
     encode_record,
     record_key,
     worker_key,
 )
-from tamarackmount.scheduling.model import JobPhase, WorkerIncarnation
-from tamarackmount.scheduling.order_results import send_stored_start
-from tamarackmount.scheduling.retention import tombstones
+from tamarackmount.scheduling.domain.model import JobPhase, WorkerIncarnation
+from tamarackmount.scheduling.contact.order_results import send_stored_start
+from tamarackmount.scheduling.store.retention import tombstones
 from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.worker_leases import worker_record
-from tamarackmount.scheduling.workers import ContactState
+from tamarackmount.scheduling.contact.worker_leases import worker_record
+from tamarackmount.scheduling.workers.workers import ContactState
 from tamarackmount.units import MS_PER_SECOND
 
 MAX_BATCH_RECORDS = 500
--- /dev/null
+++ b/tamarackmount/scheduling/domain/__init__.py
@@ -0,0 +1,1 @@
+"""Types of jobs, workers and configuration, and the messages about them."""
--- a/tamarackmount/scheduling/accepted_job.py
+++ b/tamarackmount/scheduling/domain/accepted_job.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 
 from tamarackmount.ids import JobId, QueueName, WorkspaceId
-from tamarackmount.scheduling.fleet_config import Queue
-from tamarackmount.scheduling.model import JobSpec, ServiceName
+from tamarackmount.scheduling.domain.fleet_config import Queue
+from tamarackmount.scheduling.domain.model import JobSpec, ServiceName
 
 
 @dataclass(frozen=True, slots=True)
--- a/tamarackmount/scheduling/effects.py
+++ b/tamarackmount/scheduling/domain/effects.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 
 from tamarackmount.ids import WorkerId
-from tamarackmount.scheduling.model import StepKey, TaskKey, WorkerIncarnation
-from tamarackmount.scheduling.worker_reports import StartOrder
+from tamarackmount.scheduling.domain.model import StepKey, TaskKey, WorkerIncarnation
+from tamarackmount.scheduling.domain.worker_reports import StartOrder
 
 
 @dataclass(frozen=True, slots=True)
--- a/tamarackmount/scheduling/fleet_config.py
+++ b/tamarackmount/scheduling/domain/fleet_config.py
@@ -5,7 +5,7 @@
 
 from tamarackmount.ids import KeyHash, QueueName, WorkspaceId
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.model import ServiceName
+from tamarackmount.scheduling.domain.model import ServiceName
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tamarackmount/scheduling/estimates/__init__.py
@@ -0,0 +1,1 @@
+"""Figures that are learned from what was observed."""
--- a/tamarackmount/scheduling/forecast.py
+++ b/tamarackmount/scheduling/estimates/forecast.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from tamarackmount.ids import QueueName
-from tamarackmount.scheduling.journal import ForecastRecord, QueueMeans
+from tamarackmount.scheduling.store.journal import ForecastRecord, QueueMeans
 from tamarackmount.units import MS_PER_SECOND
 
 SMOOTHING = 0.05
--- a/tamarackmount/scheduling/peak_use.py
+++ b/tamarackmount/scheduling/estimates/peak_use.py
@@ -4,8 +4,8 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.resources import NOTHING, Resources
-from tamarackmount.scheduling.model import ServiceName
-from tamarackmount.scheduling.span_peaks import SpanPeaks
+from tamarackmount.scheduling.domain.model import ServiceName
+from tamarackmount.scheduling.estimates.span_peaks import SpanPeaks
 
 URGENT_PEAK_AGE_S = 10.0
 """Time for which a peak of urgent work counts, in seconds."""
--- a/tamarackmount/scheduling/urgent_peaks.py
+++ b/tamarackmount/scheduling/estimates/urgent_peaks.py
@@ -9,7 +9,7 @@
 
 from tamarackmount.ids import Instant, WorkspaceId
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.span_peaks import SpanPeaks
+from tamarackmount.scheduling.estimates.span_peaks import SpanPeaks
 
 PEAK_WINDOW_S = 20.0
 """Time for which a peak counts, in seconds."""
--- a/tamarackmount/scheduling/wait_correction.py
+++ b/tamarackmount/scheduling/estimates/wait_correction.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import dataclass, field
 
-from tamarackmount.scheduling.model import ServiceName
+from tamarackmount.scheduling.domain.model import ServiceName
 
 SMOOTHING = 0.1
 """Weight of the newest job's ratio of real to forecast wait, without unit."""
--- /dev/null
+++ b/tamarackmount/scheduling/evidence/__init__.py
@@ -0,0 +1,1 @@
+"""Evidence that a task crashes its workers, and the isolation of suspects."""
--- a/tamarackmount/scheduling/crash_evidence.py
+++ b/tamarackmount/scheduling/evidence/crash_evidence.py
@@ -17,9 +17,9 @@
 from dataclasses import replace
 
 from tamarackmount.ids import Instant
-from tamarackmount.scheduling.journal import CrashRecord
-from tamarackmount.scheduling.model import TaskKey, WorkerIncarnation
-from tamarackmount.scheduling.runs import JobState, Run, StepState
+from tamarackmount.scheduling.store.journal import CrashRecord
+from tamarackmount.scheduling.domain.model import TaskKey, WorkerIncarnation
+from tamarackmount.scheduling.jobs.runs import JobState, Run, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.units import MS_PER_SECOND
 
--- a/tamarackmount/scheduling/suspect_isolation.py
+++ b/tamarackmount/scheduling/evidence/suspect_isolation.py
@@ -12,15 +12,15 @@
 from collections.abc import Sequence
 
 from tamarackmount.ids import Instant, JobId
-from tamarackmount.scheduling.crash_evidence import (
+from tamarackmount.scheduling.evidence.crash_evidence import (
     crash_addresses,
     evidence_key,
     is_suspect,
 )
-from tamarackmount.scheduling.model import WorkerIncarnation
-from tamarackmount.scheduling.runs import Run, StepState
+from tamarackmount.scheduling.domain.model import WorkerIncarnation
+from tamarackmount.scheduling.jobs.runs import Run, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.workers import WorkerState
+from tamarackmount.scheduling.workers.workers import WorkerState
 
 
 def isolated_workers(
--- a/tamarackmount/scheduling/suspected_workers.py
+++ b/tamarackmount/scheduling/evidence/suspected_workers.py
@@ -4,7 +4,7 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.workers import WorkerState
+from tamarackmount.scheduling.workers.workers import WorkerState
 
 _log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/tamarackmount/scheduling/execution/__init__.py
@@ -0,0 +1,1 @@
+"""The start and end of runs, and their comparison with reports."""
--- a/tamarackmount/scheduling/objectives.py
+++ b/tamarackmount/scheduling/jobs/objectives.py
@@ -5,9 +5,9 @@
 """
 
 from tamarackmount.ids import Instant
-from tamarackmount.scheduling.fleet_config import Queue
-from tamarackmount.scheduling.forecast import Forecast
-from tamarackmount.scheduling.runs import JobState
+from tamarackmount.scheduling.domain.fleet_config import Queue
+from tamarackmount.scheduling.estimates.forecast import Forecast
+from tamarackmount.scheduling.jobs.runs import JobState
 from tamarackmount.units import MS_PER_SECOND
 
 LATE_FACTOR = 3.0
--- a/tamarackmount/scheduling/ranking.py
+++ b/tamarackmount/scheduling/jobs/ranking.py
@@ -12,7 +12,7 @@
 from enum import IntEnum
 
 from tamarackmount.ids import Instant, WorkspaceId
-from tamarackmount.scheduling.runs import JobState, StepState
+from tamarackmount.scheduling.jobs.runs import JobState, StepState
 
 URGENT_PRIORITY = 0
 """Priority of urgent queues, without unit; higher numbers are less urgent. Jobs of
--- a/tamarackmount/scheduling/runs.py
+++ b/tamarackmount/scheduling/jobs/runs.py
@@ -9,9 +9,9 @@
 
 from tamarackmount.ids import DataCentreId, Instant, JobId, WorkerId
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.accepted_job import AcceptedJob
-from tamarackmount.scheduling.journal import CrashRecord, JobProgress
-from tamarackmount.scheduling.model import (
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
+from tamarackmount.scheduling.store.journal import CrashRecord, JobProgress
+from tamarackmount.scheduling.domain.model import (
     FailureCause,
     JobPhase,
     StepKey,
@@ -19,8 +19,8 @@
     TaskKey,
     WorkerIncarnation,
 )
-from tamarackmount.scheduling.peak_use import PeakUse
-from tamarackmount.scheduling.step_advice import StepAdvice
+from tamarackmount.scheduling.estimates.peak_use import PeakUse
+from tamarackmount.scheduling.jobs.step_advice import StepAdvice
 
 T = TypeVar("T")
 
--- a/tamarackmount/scheduling/step_advice.py
+++ b/tamarackmount/scheduling/jobs/step_advice.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from tamarackmount.ids import Instant, WorkerId
-from tamarackmount.scheduling.model import WorkerIncarnation
+from tamarackmount.scheduling.domain.model import WorkerIncarnation
 from tamarackmount.units import MS_PER_SECOND
 
 TICKET_MARGIN_S = 0.15
--- a/tamarackmount/scheduling/wait_log.py
+++ b/tamarackmount/scheduling/jobs/wait_log.py
@@ -9,7 +9,7 @@
 from math import inf
 
 from tamarackmount.ids import Instant
-from tamarackmount.scheduling.runs import JobState, StepState, WaitReason
+from tamarackmount.scheduling.jobs.runs import JobState, StepState, WaitReason
 
 STABLE_REASON_S = 0.5
 """Time, in seconds, for which a reason must be the same to be logged: about the slack
--- /dev/null
+++ b/tamarackmount/scheduling/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Ceilings of workspaces, and the round that computes shares."""
--- a/tamarackmount/scheduling/ceilings.py
+++ b/tamarackmount/scheduling/limits/ceilings.py
@@ -4,9 +4,9 @@
 
 from tamarackmount.ids import Instant, WorkspaceId
 from tamarackmount.resources import NOTHING, Resources
-from tamarackmount.scheduling.fleet_config import Workspace
-from tamarackmount.scheduling.ranking import URGENT_PRIORITY
-from tamarackmount.scheduling.runs import JobState, StepState
+from tamarackmount.scheduling.domain.fleet_config import Workspace
+from tamarackmount.scheduling.jobs.ranking import URGENT_PRIORITY
+from tamarackmount.scheduling.jobs.runs import JobState, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 
 NON_URGENT_SLACK_S = 4.0
--- a/tamarackmount/scheduling/share_round.py
+++ b/tamarackmount/scheduling/limits/share_round.py
@@ -9,11 +9,11 @@
 
 from tamarackmount.ids import Instant, WorkspaceId
 from tamarackmount.resources import NOTHING, Resources
-from tamarackmount.scheduling.model import ServiceName
-from tamarackmount.scheduling.ranking import URGENT_PRIORITY, rank
-from tamarackmount.scheduling.runs import JobState, StepState
+from tamarackmount.scheduling.domain.model import ServiceName
+from tamarackmount.scheduling.jobs.ranking import URGENT_PRIORITY, rank
+from tamarackmount.scheduling.jobs.runs import JobState, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.shares import (
+from tamarackmount.scheduling.shares.shares import (
     NO_AMOUNTS,
     Amounts,
     CapacityShares,
--- /dev/null
+++ b/tamarackmount/scheduling/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Roles of entry VMs: holder, followers, those that left, evacuations."""
--- a/tamarackmount/scheduling/followers.py
+++ b/tamarackmount/scheduling/membership/followers.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from tamarackmount.ids import DataCentreId, Instant, MemberId
-from tamarackmount.scheduling.holder_watch import Candidate
+from tamarackmount.scheduling.membership.holder_watch import Candidate
 
 FOLLOWERS_PER_DATA_CENTRE = 3
 """Number of nodes in each data centre that follow the jobs topic: two may fail before
--- a/tamarackmount/scheduling/holder_watch.py
+++ b/tamarackmount/scheduling/membership/holder_watch.py
@@ -16,8 +16,8 @@
 from dataclasses import dataclass
 
 from tamarackmount.ids import DataCentreId, Instant, MemberId
-from tamarackmount.scheduling.holder_authority import RENEWAL_LIMIT_S
-from tamarackmount.scheduling.journal import HolderRecord
+from tamarackmount.scheduling.membership.holder_authority import RENEWAL_LIMIT_S
+from tamarackmount.scheduling.store.journal import HolderRecord
 
 HEARTBEAT_INTERVAL_S = 0.4
 """Pause between two heartbeats, in seconds; a slow store answers each in 0.6 s."""
--- /dev/null
+++ b/tamarackmount/scheduling/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Where tasks start, and which runs make way for them."""
--- a/tamarackmount/scheduling/evacuated_workers.py
+++ b/tamarackmount/scheduling/placement/evacuated_workers.py
@@ -7,8 +7,8 @@
 from collections.abc import Iterable
 
 from tamarackmount.ids import DataCentreId
-from tamarackmount.scheduling.model import WorkerIncarnation
-from tamarackmount.scheduling.runs import StepState
+from tamarackmount.scheduling.domain.model import WorkerIncarnation
+from tamarackmount.scheduling.jobs.runs import StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 
 
--- a/tamarackmount/scheduling/gang_groups.py
+++ b/tamarackmount/scheduling/placement/gang_groups.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterable, Sequence
 
-from tamarackmount.scheduling.runs import StepState
-from tamarackmount.scheduling.workers import WorkerState
+from tamarackmount.scheduling.jobs.runs import StepState
+from tamarackmount.scheduling.workers.workers import WorkerState
 
 
 def gang_groups(
--- a/tamarackmount/scheduling/headroom.py
+++ b/tamarackmount/scheduling/placement/headroom.py
@@ -9,14 +9,14 @@
 from collections.abc import Sequence
 
 from tamarackmount.ids import Instant
-from tamarackmount.scheduling.ceilings import NON_URGENT_SLACK_S
-from tamarackmount.scheduling.kept_slots import KeptSlots
-from tamarackmount.scheduling.model import ServiceName
-from tamarackmount.scheduling.peak_use import URGENT_PEAK_AGE_S
-from tamarackmount.scheduling.ranking import URGENT_PRIORITY, Tier, tier
-from tamarackmount.scheduling.runs import StepState
+from tamarackmount.scheduling.limits.ceilings import NON_URGENT_SLACK_S
+from tamarackmount.scheduling.placement.kept_slots import KeptSlots
+from tamarackmount.scheduling.domain.model import ServiceName
+from tamarackmount.scheduling.estimates.peak_use import URGENT_PEAK_AGE_S
+from tamarackmount.scheduling.jobs.ranking import URGENT_PRIORITY, Tier, tier
+from tamarackmount.scheduling.jobs.runs import StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.workers import WorkerState
+from tamarackmount.scheduling.workers.workers import WorkerState
 
 
 class Headroom:
--- a/tamarackmount/scheduling/kept_slots.py
+++ b/tamarackmount/scheduling/placement/kept_slots.py
@@ -5,10 +5,10 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.resources import NOTHING, Resources
-from tamarackmount.scheduling.free_capacity import count_fitting_tasks
-from tamarackmount.scheduling.model import ServiceName, WorkerIncarnation
-from tamarackmount.scheduling.peak_use import PeakUse
-from tamarackmount.scheduling.workers import WorkerState
+from tamarackmount.scheduling.workers.free_capacity import count_fitting_tasks
+from tamarackmount.scheduling.domain.model import ServiceName, WorkerIncarnation
+from tamarackmount.scheduling.estimates.peak_use import PeakUse
+from tamarackmount.scheduling.workers.workers import WorkerState
 
 MAX_KEPT_DIVISOR = 5
 """What is kept free is at most a pool's capacity divided by this number."""
--- a/tamarackmount/scheduling/speed_choice.py
+++ b/tamarackmount/scheduling/placement/speed_choice.py
@@ -4,11 +4,11 @@
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 from tamarackmount.ids import Instant
-from tamarackmount.scheduling.model import WorkerIncarnation
-from tamarackmount.scheduling.ranking import URGENT_PRIORITY
-from tamarackmount.scheduling.runs import StepState
-from tamarackmount.scheduling.worker_speeds import WorkerSpeeds
-from tamarackmount.scheduling.workers import WorkerState
+from tamarackmount.scheduling.domain.model import WorkerIncarnation
+from tamarackmount.scheduling.jobs.ranking import URGENT_PRIORITY
+from tamarackmount.scheduling.jobs.runs import StepState
+from tamarackmount.scheduling.workers.worker_speeds import WorkerSpeeds
+from tamarackmount.scheduling.workers.workers import WorkerState
 
 SAME_SPEED_RATIO = 1.2
 """Ratio of duration factors within which workers count as equally fast, without unit;
--- a/tamarackmount/scheduling/stragglers.py
+++ b/tamarackmount/scheduling/placement/stragglers.py
@@ -15,16 +15,16 @@
 import math
 
 from tamarackmount.ids import Instant, QueueName
-from tamarackmount.scheduling.run_ends import (
+from tamarackmount.scheduling.execution.run_ends import (
     MIN_DURATION_SAMPLES,
     WORKER_BACKOFF_S,
     duration_factor,
     format_task,
 )
-from tamarackmount.scheduling.runs import Run, RunPhase, StepState
+from tamarackmount.scheduling.jobs.runs import Run, RunPhase, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.worker_choice import could_run
-from tamarackmount.scheduling.workers import WorkerState
+from tamarackmount.scheduling.placement.worker_choice import could_run
+from tamarackmount.scheduling.workers.workers import WorkerState
 
 _log = logging.getLogger(__name__)
 
--- a/tamarackmount/scheduling/worker_choice.py
+++ b/tamarackmount/scheduling/placement/worker_choice.py
@@ -4,10 +4,10 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.fleet_config import Queue
-from tamarackmount.scheduling.runs import StepState
+from tamarackmount.scheduling.domain.fleet_config import Queue
+from tamarackmount.scheduling.jobs.runs import StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.workers import WorkerState
+from tamarackmount.scheduling.workers.workers import WorkerState
 
 
 def could_run(step: StepState, worker: WorkerState) -> bool:
--- a/tamarackmount/scheduling/contention.py
+++ b/tamarackmount/scheduling/shares/contention.py
@@ -4,9 +4,9 @@
 from typing import Protocol
 
 from tamarackmount.ids import Instant, WorkspaceId
-from tamarackmount.scheduling.model import ServiceName
-from tamarackmount.scheduling.observer import ContentionRow, Observer
-from tamarackmount.scheduling.shares import ShareRow
+from tamarackmount.scheduling.domain.model import ServiceName
+from tamarackmount.scheduling.shares.observer import ContentionRow, Observer
+from tamarackmount.scheduling.shares.shares import ShareRow
 
 REPORT_INTERVAL_S = 1.0
 """Interval between two reports, in seconds."""
--- a/tamarackmount/scheduling/observer.py
+++ b/tamarackmount/scheduling/shares/observer.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from tamarackmount.scheduling.shares import ShareRow
+from tamarackmount.scheduling.shares.shares import ShareRow
 
 
 @dataclass(frozen=True, slots=True)
--- a/tamarackmount/scheduling/returns.py
+++ b/tamarackmount/scheduling/shares/returns.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 
 from tamarackmount.ids import Instant, JobId, WorkspaceId
-from tamarackmount.scheduling.model import ServiceName
+from tamarackmount.scheduling.domain.model import ServiceName
 
 MIN_RETRY_S = 1.0
 """Minimum retry time, in seconds; the answer to a caller has whole seconds."""
--- a/tamarackmount/scheduling/shares.py
+++ b/tamarackmount/scheduling/shares/shares.py
@@ -13,7 +13,7 @@
 
 from tamarackmount.ids import WorkspaceId
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.model import ServiceName
+from tamarackmount.scheduling.domain.model import ServiceName
 
 TOLERANCE = 1e-9
 """Difference of two fractions of a pool that counts as none, without unit."""
--- a/tamarackmount/scheduling/job_index.py
+++ b/tamarackmount/scheduling/store/job_index.py
@@ -7,8 +7,8 @@
 from returns.result import Failure
 
 from tamarackmount.ids import JobId, QueueName
-from tamarackmount.scheduling.accepted_job import AcceptedJob
-from tamarackmount.scheduling.journal import (
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
+from tamarackmount.scheduling.store.journal import (
     CancelRecord,
     CompletenessRecord,
     ForecastRecord,
@@ -18,7 +18,7 @@
     decode_record,
     split_key,
 )
-from tamarackmount.scheduling.model import FailureCause, JobPhase
+from tamarackmount.scheduling.domain.model import FailureCause, JobPhase
 
 _log = logging.getLogger(__name__)
 
--- a/tamarackmount/scheduling/journal.py
+++ b/tamarackmount/scheduling/store/journal.py
@@ -15,8 +15,8 @@
 from returns.result import Failure, Result, Success
 
 from tamarackmount.ids import JobId, MemberId, WorkerId
-from tamarackmount.scheduling.accepted_job import AcceptedJob
-from tamarackmount.scheduling.model import (
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
+from tamarackmount.scheduling.domain.model import (
     JobPhase,
     ServiceName,
     TaskKey,
--- a/tamarackmount/scheduling/retention.py
+++ b/tamarackmount/scheduling/store/retention.py
@@ -3,8 +3,8 @@
 from collections.abc import Mapping
 
 from tamarackmount.ids import JobId
-from tamarackmount.scheduling.job_index import JobRecords
-from tamarackmount.scheduling.journal import RecordKind, record_key
+from tamarackmount.scheduling.store.job_index import JobRecords
+from tamarackmount.scheduling.store.journal import RecordKind, record_key
 from tamarackmount.units import MS_PER_SECOND
 
 LATE_APPEND_MARGIN_S = 60.0
--- /dev/null
+++ b/tamarackmount/scheduling/workers/__init__.py
@@ -0,0 +1,1 @@
+"""The state of workers and pools: capacity, speed and load."""
--- a/tamarackmount/scheduling/free_capacity.py
+++ b/tamarackmount/scheduling/workers/free_capacity.py
@@ -10,9 +10,9 @@
 
 from tamarackmount.ids import DataCentreId, Instant
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.model import ServiceName
-from tamarackmount.scheduling.runs import StepState
-from tamarackmount.scheduling.workers import WorkerState
+from tamarackmount.scheduling.domain.model import ServiceName
+from tamarackmount.scheduling.jobs.runs import StepState
+from tamarackmount.scheduling.workers.workers import WorkerState
 
 MIN_SUSPECTED_WORKERS = 2
 """Number of unresponsive workers (suspected or silent ones, see ``WorkerState``) from
--- a/tamarackmount/scheduling/large_tasks.py
+++ b/tamarackmount/scheduling/workers/large_tasks.py
@@ -5,8 +5,8 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.resources import NOTHING, Resources, componentwise_maximum
-from tamarackmount.scheduling.model import ServiceName
-from tamarackmount.scheduling.workers import WorkerState
+from tamarackmount.scheduling.domain.model import ServiceName
+from tamarackmount.scheduling.workers.workers import WorkerState
 
 LARGE_DIVISOR = 4
 """A task is large if it needs more than the largest worker's capacity divided by this
--- a/tamarackmount/scheduling/pool_loads.py
+++ b/tamarackmount/scheduling/workers/pool_loads.py
@@ -5,8 +5,8 @@
 
 from tamarackmount.ids import QueueName, WorkspaceId
 from tamarackmount.resources import NOTHING, Resources
-from tamarackmount.scheduling.model import ServiceName
-from tamarackmount.scheduling.runs import JobState, Run
+from tamarackmount.scheduling.domain.model import ServiceName
+from tamarackmount.scheduling.jobs.runs import JobState, Run
 
 
 class PoolLoadKey(NamedTuple):
--- a/tamarackmount/scheduling/worker_speeds.py
+++ b/tamarackmount/scheduling/workers/worker_speeds.py
@@ -11,7 +11,7 @@
 
 from tamarackmount.ids import WorkerId
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.workers import WorkerState
+from tamarackmount.scheduling.workers.workers import WorkerState
 
 SAMPLE_MEMORY = 30.0
 """Number of runs that a worker's mean covers. Durations within a step differ by up to
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -15,7 +15,7 @@
 from tamarackmount.ids import DataCentreId, Instant, MemberId
 from tamarackmount.node.node_registry import NODES_TOPIC
 from tamarackmount.platform.store import KeyedRecord
-from tamarackmount.scheduling.departures import (
+from tamarackmount.scheduling.membership.departures import (
     MAX_CHECK_GAP_S,
     MAX_REMOVALS,
     REMOVE_AFTER_S,
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -4,7 +4,7 @@
 
 from tamarackmount.ids import DataCentreId, Offset
 from tamarackmount.platform.config import EvacuationRecord, decode_evacuation
-from tamarackmount.scheduling.evacuations import (
+from tamarackmount.scheduling.membership.evacuations import (
     MAX_DATA_CENTRES,
     MAX_NOTICE_LEAD,
     EvacuationChange,
--- a/tests/test_hedged_advice.py
+++ b/tests/test_hedged_advice.py
@@ -16,9 +16,9 @@
     HedgedAdviceClient,
 )
 from tamarackmount.node.messages import AdviceQuery, AdviceReply
-from tamarackmount.scheduling.effects import AskAdvice
-from tamarackmount.scheduling.model import StepKey
-from tamarackmount.scheduling.step_advice import AdviceAnswer, WorkerTicket
+from tamarackmount.scheduling.domain.effects import AskAdvice
+from tamarackmount.scheduling.domain.model import StepKey
+from tamarackmount.scheduling.jobs.step_advice import AdviceAnswer, WorkerTicket
 
 NODE_ID = MemberId("a")
 EXPECTED_S = 0.1
--- a/tests/test_holder_authority.py
+++ b/tests/test_holder_authority.py
@@ -4,21 +4,21 @@
 
 from tamarackmount.ids import DataCentreId, Instant, MemberId
 from tamarackmount.node.authority_check import REPLY_TTL_S
-from tamarackmount.scheduling.holder_authority import (
+from tamarackmount.scheduling.membership.holder_authority import (
     FULL_AUTHORITY_LIMIT_S,
     RENEWAL_LIMIT_S,
     STORE_CONTACT_TIMEOUT_MS,
     HolderAuthority,
     holder_authority,
 )
-from tamarackmount.scheduling.holder_watch import (
+from tamarackmount.scheduling.membership.holder_watch import (
     CLAIM_STAGGER_S,
     HEARTBEAT_TIMEOUT_S,
     Candidate,
     HolderWatch,
     candidate_rank,
 )
-from tamarackmount.scheduling.journal import HolderRecord
+from tamarackmount.scheduling.store.journal import HolderRecord
 
 NODE = MemberId("a")
 HOLDER = MemberId("b")
--- a/tests/test_holder_probe.py
+++ b/tests/test_holder_probe.py
@@ -9,16 +9,16 @@
 from tamarackmount.node.holder_election import CANDIDATE_LINGER_S
 from tamarackmount.node.http_api import HttpStatus
 from tamarackmount.node.messages import PhaseReply, StoreReply, enum_value
-from tamarackmount.scheduling.holder_authority import HolderAuthority, holder_authority
-from tamarackmount.scheduling.holder_watch import (
+from tamarackmount.scheduling.membership.holder_authority import HolderAuthority, holder_authority
+from tamarackmount.scheduling.membership.holder_watch import (
     HEARTBEAT_INTERVAL_S,
     HEARTBEAT_TIMEOUT_S,
     MAX_QUICK_READ_S,
     UNRESPONSIVE_TIMEOUT_S,
     HolderWatch,
 )
-from tamarackmount.scheduling.journal import HolderRecord
-from tamarackmount.scheduling.model import JobPhase
+from tamarackmount.scheduling.store.journal import HolderRecord
+from tamarackmount.scheduling.domain.model import JobPhase
 from tests.utils.build_scheduling import job
 from tests.utils.memory_peers import STEP_S, MemoryFleet
 
--- a/tests/test_job_index.py
+++ b/tests/test_job_index.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from tamarackmount.scheduling.job_index import JobIndex
-from tamarackmount.scheduling.journal import encode_record, job_key
+from tamarackmount.scheduling.store.job_index import JobIndex
+from tamarackmount.scheduling.store.journal import encode_record, job_key
 from tests.utils.build_scheduling import job
 
 
--- a/tests/test_journal_records.py
+++ b/tests/test_journal_records.py
@@ -4,8 +4,8 @@
 
 import orjson
 
-from tamarackmount.scheduling.accepted_job import AcceptedJob
-from tamarackmount.scheduling.journal import (
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
+from tamarackmount.scheduling.store.journal import (
     ForecastRecord,
     QueueMeans,
     decode_record,
--- a/tests/test_journal_writer.py
+++ b/tests/test_journal_writer.py
@@ -17,7 +17,7 @@
 )
 from tamarackmount.node.submissions import StoreOutcome
 from tamarackmount.platform.store import DEFAULT_MAX_APPEND_BYTES, KeyedRecord, Topic
-from tamarackmount.scheduling.store_batches import Batch
+from tamarackmount.scheduling.contact.store_batches import Batch
 from tests.utils.memory_store import MemoryStore
 
 JOBS = Topic("keyed.jobs")
--- a/tests/test_log_replay.py
+++ b/tests/test_log_replay.py
@@ -13,7 +13,7 @@
 from tamarackmount.delays import Cause, JobDelay, Unexplained, find_delays, is_harmed
 from tamarackmount.explain import read_lines
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.accepted_job import AcceptedJob
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
     SchedulerHarness,
--- a/tests/test_node_evacuation.py
+++ b/tests/test_node_evacuation.py
@@ -13,9 +13,9 @@
 from tamarackmount.node.messages import EvacuationSeen, StoreAgeQuery
 from tamarackmount.node.start_orders import MAX_STARTS_PER_WORKER, StartOrders
 from tamarackmount.platform.store import OPERATOR_TOPIC, KeyedRecord
-from tamarackmount.scheduling.effects import StartRun, StepDown
-from tamarackmount.scheduling.model import TaskKey
-from tamarackmount.scheduling.worker_reports import OrderResult, StartOrder
+from tamarackmount.scheduling.domain.effects import StartRun, StepDown
+from tamarackmount.scheduling.domain.model import TaskKey
+from tamarackmount.scheduling.domain.worker_reports import OrderResult, StartOrder
 from tests.utils.build_scheduling import incarnation, job, worker_entry
 from tests.utils.memory_peers import STEP_S, MemoryFleet
 
--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -25,7 +25,7 @@
 from tamarackmount.platform import store, workers
 from tamarackmount.platform.config import decode_fleet_config
 from tamarackmount.platform.http import Reply
-from tamarackmount.scheduling.worker_reports import (
+from tamarackmount.scheduling.domain.worker_reports import (
     PollFailure,
     RunEnd,
     WorkerReport,
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -34,8 +34,8 @@
     Trimmed,
 )
 from tamarackmount.platform.workers import PollRequest, WorkerCalls
-from tamarackmount.scheduling.model import StepKey, TaskKey, WorkerIncarnation
-from tamarackmount.scheduling.worker_reports import (
+from tamarackmount.scheduling.domain.model import StepKey, TaskKey, WorkerIncarnation
+from tamarackmount.scheduling.domain.worker_reports import (
     OrderResult,
     PollFailure,
     RunEnd,
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -13,7 +13,7 @@
 from tamarackmount.node.http_api import ApiResponse, HttpStatus, PhaseLookupFailure
 from tamarackmount.node.node import Node
 from tamarackmount.platform.boot import decode_boot
-from tamarackmount.scheduling.model import JobPhase
+from tamarackmount.scheduling.domain.model import JobPhase
 from tests.utils.build_platform_documents import boot_document
 from tests.utils.build_scheduling import job
 from tests.utils.memory_store import MemoryStore
--- a/tests/test_scheduling_advice.py
+++ b/tests/test_scheduling_advice.py
@@ -1,17 +1,17 @@
 """Tests of which advice is requested, and when, under the loads that it is made for."""
 
 from tamarackmount.ids import RackId
-from tamarackmount.scheduling.advice_choice import ApprovalRates, workers_to_ask_about
-from tamarackmount.scheduling.fleet_config import AdvicePolicy
-from tamarackmount.scheduling.model import WorkerIncarnation
-from tamarackmount.scheduling.runs import (
+from tamarackmount.scheduling.advice.advice_choice import ApprovalRates, workers_to_ask_about
+from tamarackmount.scheduling.domain.fleet_config import AdvicePolicy
+from tamarackmount.scheduling.domain.model import WorkerIncarnation
+from tamarackmount.scheduling.jobs.runs import (
     Run,
     RunPhase,
     StepState,
     WaitReason,
     make_job,
 )
-from tamarackmount.scheduling.workers import WorkerState
+from tamarackmount.scheduling.workers.workers import WorkerState
 from tests.utils.advice_replay import AdviceReplay
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
--- a/tests/test_scheduling_capacity_changes.py
+++ b/tests/test_scheduling_capacity_changes.py
@@ -3,12 +3,12 @@
 from dataclasses import replace
 
 from tamarackmount.resources import NOTHING, Resources
-from tamarackmount.scheduling.accepted_job import AcceptedJob
-from tamarackmount.scheduling.admission import RefusalReason
-from tamarackmount.scheduling.model import JobPhase, StepKey
-from tamarackmount.scheduling.runs import Reservation
-from tamarackmount.scheduling.worker_reports import OrderResult, RunEnd, WorkerEntry
-from tamarackmount.scheduling.worker_speeds import LearnedWorkerSpeeds
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
+from tamarackmount.scheduling.admission.admission import RefusalReason
+from tamarackmount.scheduling.domain.model import JobPhase, StepKey
+from tamarackmount.scheduling.jobs.runs import Reservation
+from tamarackmount.scheduling.domain.worker_reports import OrderResult, RunEnd, WorkerEntry
+from tamarackmount.scheduling.workers.worker_speeds import LearnedWorkerSpeeds
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
     SchedulerHarness,
--- a/tests/test_scheduling_copies.py
+++ b/tests/test_scheduling_copies.py
@@ -3,14 +3,14 @@
 import pytest
 
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.effects import StartRun
-from tamarackmount.scheduling.model import JobPhase
+from tamarackmount.scheduling.domain.effects import StartRun
+from tamarackmount.scheduling.domain.model import JobPhase
 from tamarackmount.scheduling.scheduler_state import STOP_RETRY_S
-from tamarackmount.scheduling.stragglers import (
+from tamarackmount.scheduling.placement.stragglers import (
     SPECULATIVE_COPY_FACTOR,
     STRAGGLER_CHECK_INTERVAL_S,
 )
-from tamarackmount.scheduling.worker_reports import (
+from tamarackmount.scheduling.domain.worker_reports import (
     OrderResult,
     PollFailure,
     RunEnd,
--- a/tests/test_scheduling_evacuation_sequences.py
+++ b/tests/test_scheduling_evacuation_sequences.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from tamarackmount.ids import DataCentreId
-from tamarackmount.scheduling.worker_reports import OrderResult, PollFailure
+from tamarackmount.scheduling.domain.worker_reports import OrderResult, PollFailure
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
     LOW_PRIORITY,
--- a/tests/test_scheduling_extra_polls.py
+++ b/tests/test_scheduling_extra_polls.py
@@ -5,8 +5,8 @@
 """
 
 from tamarackmount.ids import Instant
-from tamarackmount.scheduling.effects import PollWorker
-from tamarackmount.scheduling.worker_reports import (
+from tamarackmount.scheduling.domain.effects import PollWorker
+from tamarackmount.scheduling.domain.worker_reports import (
     OrderResult,
     PollFailure,
     RunEnd,
--- a/tests/test_scheduling_large_tasks.py
+++ b/tests/test_scheduling_large_tasks.py
@@ -4,9 +4,9 @@
 from dataclasses import replace
 
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.accepted_job import AcceptedJob
-from tamarackmount.scheduling.large_tasks import LargeTasks
-from tamarackmount.scheduling.model import StepSpec
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
+from tamarackmount.scheduling.workers.large_tasks import LargeTasks
+from tamarackmount.scheduling.domain.model import StepSpec
 from tests.utils.build_scheduling import (
     SERVICE,
     START,
--- a/tests/test_scheduling_load.py
+++ b/tests/test_scheduling_load.py
@@ -3,13 +3,13 @@
 import random
 
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.fleet_config import AdvicePolicy
-from tamarackmount.scheduling.model import TaskKey
-from tamarackmount.scheduling.preemption import PREEMPTED_RESTART_DELAY_S
-from tamarackmount.scheduling.ranking import WorkspaceRateLimiter
-from tamarackmount.scheduling.runs import make_job
-from tamarackmount.scheduling.step_advice import AdviceAnswer, WorkerTicket
-from tamarackmount.scheduling.worker_reports import OrderResult, RunEnd
+from tamarackmount.scheduling.domain.fleet_config import AdvicePolicy
+from tamarackmount.scheduling.domain.model import TaskKey
+from tamarackmount.scheduling.placement.preemption import PREEMPTED_RESTART_DELAY_S
+from tamarackmount.scheduling.jobs.ranking import WorkspaceRateLimiter
+from tamarackmount.scheduling.jobs.runs import make_job
+from tamarackmount.scheduling.jobs.step_advice import AdviceAnswer, WorkerTicket
+from tamarackmount.scheduling.domain.worker_reports import OrderResult, RunEnd
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
     SchedulerHarness,
--- a/tests/test_scheduling_lost_answers.py
+++ b/tests/test_scheduling_lost_answers.py
@@ -10,9 +10,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tamarackmount.scheduling.effects import PollWorker
-from tamarackmount.scheduling.model import TaskKey, WorkerIncarnation
-from tamarackmount.scheduling.worker_reports import (
+from tamarackmount.scheduling.domain.effects import PollWorker
+from tamarackmount.scheduling.domain.model import TaskKey, WorkerIncarnation
+from tamarackmount.scheduling.domain.worker_reports import (
     EndedRun,
     OrderResult,
     PollFailure,
--- a/tests/test_scheduling_reservations.py
+++ b/tests/test_scheduling_reservations.py
@@ -3,10 +3,10 @@
 import math
 
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.accepted_job import AcceptedJob
-from tamarackmount.scheduling.job_index import JobRecords
-from tamarackmount.scheduling.journal import ForecastRecord, JobProgress
-from tamarackmount.scheduling.model import JobPhase
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
+from tamarackmount.scheduling.store.job_index import JobRecords
+from tamarackmount.scheduling.store.journal import ForecastRecord, JobProgress
+from tamarackmount.scheduling.domain.model import JobPhase
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
     START,
--- a/tests/test_scheduling_retention.py
+++ b/tests/test_scheduling_retention.py
@@ -3,15 +3,15 @@
 from dataclasses import replace
 
 from tamarackmount.ids import Instant
-from tamarackmount.scheduling.job_index import JobIndex
-from tamarackmount.scheduling.journal import (
+from tamarackmount.scheduling.store.job_index import JobIndex
+from tamarackmount.scheduling.store.journal import (
     CancelRecord,
     JobProgress,
     encode_record,
     job_key,
 )
-from tamarackmount.scheduling.model import JobPhase
-from tamarackmount.scheduling.retention import (
+from tamarackmount.scheduling.domain.model import JobPhase
+from tamarackmount.scheduling.store.retention import (
     LATE_APPEND_MARGIN_S,
     expired_jobs,
     tombstones,
--- a/tests/test_scheduling_retry_times.py
+++ b/tests/test_scheduling_retry_times.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from tamarackmount.scheduling.admission import add_jitter
-from tamarackmount.scheduling.retry_times import store_retry_s
+from tamarackmount.scheduling.admission.admission import add_jitter
+from tamarackmount.scheduling.admission.retry_times import store_retry_s
 
 OUTAGE_S = 6.5
 MAX_RETRIES = 4
--- a/tests/test_scheduling_shares.py
+++ b/tests/test_scheduling_shares.py
@@ -8,9 +8,9 @@
 
 from tamarackmount.ids import WorkspaceId
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.fleet_config import Workspace
+from tamarackmount.scheduling.domain.fleet_config import Workspace
 from tamarackmount.scheduling.scheduler import SHARES_INTERVAL_S
-from tamarackmount.scheduling.shares import (
+from tamarackmount.scheduling.shares.shares import (
     Amounts,
     CapacityShares,
     WorkspaceDemand,
--- a/tests/test_scheduling_stragglers.py
+++ b/tests/test_scheduling_stragglers.py
@@ -1,13 +1,13 @@
 """Tests of workers that become slow, or whose runs make no progress."""
 
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.effects import StartRun
-from tamarackmount.scheduling.forecast import MIN_SAMPLES
-from tamarackmount.scheduling.stragglers import (
+from tamarackmount.scheduling.domain.effects import StartRun
+from tamarackmount.scheduling.estimates.forecast import MIN_SAMPLES
+from tamarackmount.scheduling.placement.stragglers import (
     FORECAST_STRAGGLER_FACTOR,
     STRAGGLER_FACTOR,
 )
-from tamarackmount.scheduling.worker_reports import PollFailure, RunEnd
+from tamarackmount.scheduling.domain.worker_reports import PollFailure, RunEnd
 from tests.utils.build_scheduling import (
     LOW_PRIORITY,
     SchedulerHarness,
--- a/tests/test_scheduling_wait_log.py
+++ b/tests/test_scheduling_wait_log.py
@@ -6,8 +6,8 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.runs import StepState, WaitReason, make_job
-from tamarackmount.scheduling.wait_log import STABLE_REASON_S, update_wait_reason
+from tamarackmount.scheduling.jobs.runs import StepState, WaitReason, make_job
+from tamarackmount.scheduling.jobs.wait_log import STABLE_REASON_S, update_wait_reason
 from tests.utils.build_scheduling import (
     START,
     SchedulerHarness,
--- a/tests/test_scheduling_worker_crashes.py
+++ b/tests/test_scheduling_worker_crashes.py
@@ -5,28 +5,28 @@
 
 import pytest
 
-from tamarackmount.scheduling.crash_evidence import (
+from tamarackmount.scheduling.evidence.crash_evidence import (
     MAX_ISOLATION_WAIT_S,
     MAX_UNEXPLAINED_CRASHES,
     explain_crashes,
     find_culprits,
     record_crash,
 )
-from tamarackmount.scheduling.job_index import JobRecords
-from tamarackmount.scheduling.journal import (
+from tamarackmount.scheduling.store.job_index import JobRecords
+from tamarackmount.scheduling.store.journal import (
     CrashRecord,
     JobProgress,
     RecordKind,
     decode_record,
     record_key,
 )
-from tamarackmount.scheduling.model import (
+from tamarackmount.scheduling.domain.model import (
     FailureCause,
     JobPhase,
     StepSpec,
     WorkerIncarnation,
 )
-from tamarackmount.scheduling.worker_reports import OrderResult, PollFailure, RunEnd
+from tamarackmount.scheduling.domain.worker_reports import OrderResult, PollFailure, RunEnd
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
     SchedulerHarness,
--- a/tests/test_scheduling_worker_speeds.py
+++ b/tests/test_scheduling_worker_speeds.py
@@ -6,13 +6,13 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.accepted_job import AcceptedJob
-from tamarackmount.scheduling.model import StepKey
-from tamarackmount.scheduling.runs import JobState, StepState
-from tamarackmount.scheduling.speed_choice import speed_ranks
-from tamarackmount.scheduling.worker_reports import RunEnd
-from tamarackmount.scheduling.worker_speeds import MAX_WORKERS, LearnedWorkerSpeeds
-from tamarackmount.scheduling.workers import WorkerState
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
+from tamarackmount.scheduling.domain.model import StepKey
+from tamarackmount.scheduling.jobs.runs import JobState, StepState
+from tamarackmount.scheduling.placement.speed_choice import speed_ranks
+from tamarackmount.scheduling.domain.worker_reports import RunEnd
+from tamarackmount.scheduling.workers.worker_speeds import MAX_WORKERS, LearnedWorkerSpeeds
+from tamarackmount.scheduling.workers.workers import WorkerState
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
     START,
--- a/tests/test_scheduling_write_ahead.py
+++ b/tests/test_scheduling_write_ahead.py
@@ -1,17 +1,17 @@
 """Tests for start orders that wait for the store, and takeovers after a slow store."""
 
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.fleet_config import AdvicePolicy
-from tamarackmount.scheduling.job_index import JobIndex
-from tamarackmount.scheduling.journal import (
+from tamarackmount.scheduling.domain.fleet_config import AdvicePolicy
+from tamarackmount.scheduling.store.job_index import JobIndex
+from tamarackmount.scheduling.store.journal import (
     CompletenessRecord,
     RecordKind,
     decode_record,
     record_key,
 )
-from tamarackmount.scheduling.step_advice import AdviceAnswer, WorkerTicket
-from tamarackmount.scheduling.store_batches import MAX_BATCH_RECORDS, Batch
-from tamarackmount.scheduling.write_ahead import (
+from tamarackmount.scheduling.jobs.step_advice import AdviceAnswer, WorkerTicket
+from tamarackmount.scheduling.contact.store_batches import MAX_BATCH_RECORDS, Batch
+from tamarackmount.scheduling.store.write_ahead import (
     FAST_STORE_PERIOD_S,
     SLOW_APPEND_S,
     STALLED_APPEND_S,
--- a/tests/test_start_orders.py
+++ b/tests/test_start_orders.py
@@ -7,9 +7,9 @@
 
 from tamarackmount.ids import Epoch
 from tamarackmount.node.start_orders import MAX_STARTS_PER_WORKER, StartOrders
-from tamarackmount.scheduling.effects import StartRun
-from tamarackmount.scheduling.model import TaskKey
-from tamarackmount.scheduling.worker_reports import OrderResult, StartOrder
+from tamarackmount.scheduling.domain.effects import StartRun
+from tamarackmount.scheduling.domain.model import TaskKey
+from tamarackmount.scheduling.domain.worker_reports import OrderResult, StartOrder
 from tests.utils.build_scheduling import incarnation, job
 
 ORDERS = MAX_STARTS_PER_WORKER + 2
--- a/tests/test_suspended_holder.py
+++ b/tests/test_suspended_holder.py
@@ -16,7 +16,7 @@
 from tamarackmount.node.holder import Holder
 from tamarackmount.node.messages import StoreAgeReply
 from tamarackmount.node.metrics import NodeMetrics
-from tamarackmount.scheduling.holder_authority import (
+from tamarackmount.scheduling.membership.holder_authority import (
     RENEWAL_LIMIT_S,
     STORE_CONTACT_TIMEOUT_MS,
     HolderAuthority,
--- a/tests/utils/advice_replay.py
+++ b/tests/utils/advice_replay.py
@@ -7,10 +7,10 @@
 
 from tamarackmount.ids import Instant, QueueName, WorkerId
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.accepted_job import AcceptedJob
-from tamarackmount.scheduling.effects import AskAdvice
-from tamarackmount.scheduling.fleet_config import AdvicePolicy
-from tamarackmount.scheduling.step_advice import AdviceAnswer, WorkerTicket
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
+from tamarackmount.scheduling.domain.effects import AskAdvice
+from tamarackmount.scheduling.domain.fleet_config import AdvicePolicy
+from tamarackmount.scheduling.jobs.step_advice import AdviceAnswer, WorkerTicket
 from tests.utils.build_scheduling import (
     SchedulerHarness,
     fleet_config,
--- a/tests/utils/build_scheduling.py
+++ b/tests/utils/build_scheduling.py
@@ -15,14 +15,14 @@
     WorkspaceId,
 )
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.accepted_job import AcceptedJob
-from tamarackmount.scheduling.effects import (
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
+from tamarackmount.scheduling.domain.effects import (
     AskAdvice,
     PollWorker,
     StartRun,
     StopRun,
 )
-from tamarackmount.scheduling.fleet_config import (
+from tamarackmount.scheduling.domain.fleet_config import (
     AdvicePolicy,
     FleetConfig,
     Queue,
@@ -30,8 +30,8 @@
     Workspace,
     group_by_host,
 )
-from tamarackmount.scheduling.job_index import JobRecords
-from tamarackmount.scheduling.model import (
+from tamarackmount.scheduling.store.job_index import JobRecords
+from tamarackmount.scheduling.domain.model import (
     JobSpec,
     ServiceName,
     StepSpec,
@@ -39,8 +39,8 @@
     WorkerIncarnation,
 )
 from tamarackmount.scheduling.scheduler import Scheduler
-from tamarackmount.scheduling.store_batches import Batch
-from tamarackmount.scheduling.worker_reports import (
+from tamarackmount.scheduling.contact.store_batches import Batch
+from tamarackmount.scheduling.domain.worker_reports import (
     EndedRun,
     OrderResult,
     RunEnd,
--- a/tests/utils/build_takeover.py
+++ b/tests/utils/build_takeover.py
@@ -4,9 +4,9 @@
 
 from tamarackmount.ids import Instant, JobId
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.accepted_job import AcceptedJob
-from tamarackmount.scheduling.job_index import JobIndex
-from tamarackmount.scheduling.journal import encode_record, job_key
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
+from tamarackmount.scheduling.store.job_index import JobIndex
+from tamarackmount.scheduling.store.journal import encode_record, job_key
 from tests.utils.build_scheduling import CEILING, SchedulerHarness
 
 
--- a/tests/utils/crashing_pool.py
+++ b/tests/utils/crashing_pool.py
@@ -6,13 +6,13 @@
 
 from tamarackmount.ids import Instant, JobId, WorkerId
 from tamarackmount.resources import NOTHING, Resources
-from tamarackmount.scheduling.accepted_job import AcceptedJob
-from tamarackmount.scheduling.effects import PollWorker
-from tamarackmount.scheduling.job_index import JobRecords
-from tamarackmount.scheduling.journal import encode_task, worker_key
-from tamarackmount.scheduling.model import JobPhase, TaskKey, WorkerIncarnation
-from tamarackmount.scheduling.store_batches import Batch
-from tamarackmount.scheduling.worker_reports import (
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
+from tamarackmount.scheduling.domain.effects import PollWorker
+from tamarackmount.scheduling.store.job_index import JobRecords
+from tamarackmount.scheduling.store.journal import encode_task, worker_key
+from tamarackmount.scheduling.domain.model import JobPhase, TaskKey, WorkerIncarnation
+from tamarackmount.scheduling.contact.store_batches import Batch
+from tamarackmount.scheduling.domain.worker_reports import (
     EndedRun,
     OrderResult,
     PollFailure,
@@ -20,7 +20,7 @@
     WorkerEntry,
     WorkerReport,
 )
-from tamarackmount.scheduling.workers import LEASE_MS
+from tamarackmount.scheduling.workers.workers import LEASE_MS
 from tamarackmount.units import MS_PER_SECOND
 from tests.utils.build_scheduling import (
     UNIX_MS,
--- a/tests/utils/load_simulation.py
+++ b/tests/utils/load_simulation.py
@@ -3,9 +3,9 @@
 import math
 from collections import Counter
 
-from tamarackmount.scheduling.accepted_job import AcceptedJob
-from tamarackmount.scheduling.model import TaskKey
-from tamarackmount.scheduling.worker_reports import RunEnd
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
+from tamarackmount.scheduling.domain.model import TaskKey
+from tamarackmount.scheduling.domain.worker_reports import RunEnd
 from tests.utils.build_scheduling import SchedulerHarness, ended_run, worker_report
 
 
--- a/tests/utils/memory_peers.py
+++ b/tests/utils/memory_peers.py
@@ -21,7 +21,7 @@
     StoreError,
     Topic,
 )
-from tamarackmount.scheduling.journal import (
+from tamarackmount.scheduling.store.journal import (
     HolderRecord,
     decode_record,
     encode_record,
--- a/tests/utils/pool_simulation.py
+++ b/tests/utils/pool_simulation.py
@@ -3,9 +3,9 @@
 import random
 from collections.abc import Mapping, Sequence
 
-from tamarackmount.scheduling.accepted_job import AcceptedJob
-from tamarackmount.scheduling.model import TaskKey, WorkerIncarnation
-from tamarackmount.scheduling.worker_reports import EndedRun, RunEnd, WorkerEntry
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
+from tamarackmount.scheduling.domain.model import TaskKey, WorkerIncarnation
+from tamarackmount.scheduling.domain.worker_reports import EndedRun, RunEnd, WorkerEntry
 from tests.utils.build_scheduling import SchedulerHarness, ended_run, worker_report
 
 
--- a/tests/utils/switch_offs.py
+++ b/tests/utils/switch_offs.py
@@ -28,7 +28,7 @@
         "tens of nodes read all jobs from the store",
         (
             _edit(
-                "scheduling/followers.py",
+                "scheduling/membership/followers.py",
                 "FOLLOWERS_PER_DATA_CENTRE = 3",
                 "FOLLOWERS_PER_DATA_CENTRE = 1_000",
             ),
@@ -39,7 +39,7 @@
         "requests name more workers than their steps can use",
         (
             _edit(
-                "scheduling/advice_choice.py",
+                "scheduling/advice/advice_choice.py",
                 "MIN_WORKERS_PER_REQUEST = 30",
                 "MIN_WORKERS_PER_REQUEST = 60",
             ),
@@ -61,7 +61,7 @@
         "slow decisions occupy every entry VM",
         (
             _edit(
-                "scheduling/advice_requests.py",
+                "scheduling/advice/advice_requests.py",
                 "return max(1, self.max_concurrent - reserved)",
                 "return self.max_concurrent + 0 * reserved",
             ),
@@ -72,12 +72,12 @@
         "an evacuated data centre is returned, and tasks take longer there at first",
         (
             _edit(
-                "scheduling/placement.py",
+                "scheduling/placement/placement.py",
                 "            worker.is_cold(capacity_index.now),\n",
                 "",
             ),
             _edit(
-                "scheduling/gang_choice.py",
+                "scheduling/placement/gang_choice.py",
                 "[worker for worker in unreserved if not worker.is_cold(now)]",
                 "unreserved + 0 * [now]",
             ),
@@ -88,7 +88,7 @@
         "a worker is cut off, and orders go to it until a second poll fails",
         (
             _edit(
-                "scheduling/suspected_workers.py",
+                "scheduling/evidence/suspected_workers.py",
                 "if worker.is_suspected or worker.answered_at > sent_at:",
                 "if True:",
             ),
@@ -111,7 +111,7 @@
         "a few workers become several times slower or make no progress",
         (
             _edit(
-                "scheduling/stragglers.py",
+                "scheduling/placement/stragglers.py",
                 "        for step, run in stragglers:\n",
                 "        for step, run in ():\n",
             ),
@@ -122,7 +122,7 @@
         "tasks that crash their workers restart beside others that just started",
         (
             _edit(
-                "scheduling/suspect_isolation.py",
+                "scheduling/evidence/suspect_isolation.py",
                 "    if not state.suspected_tasks:",
                 "    if True:",
             ),
@@ -133,7 +133,7 @@
         "a worker fails all that it starts",
         (
             _edit(
-                "scheduling/run_ends.py",
+                "scheduling/execution/run_ends.py",
                 "if worker.failures_in_row >= FAILURES_BEFORE_BACKOFF:",
                 "if False:",
             ),
@@ -155,7 +155,7 @@
         "one workspace submits many times its usual number",
         (
             _edit(
-                "scheduling/ranking.py",
+                "scheduling/jobs/ranking.py",
                 "        if next_free_at - now > SHARE_BURST_S:\n"
                 "            return True\n",
                 "",
@@ -167,7 +167,7 @@
         "one workspace asks for several times its usual of a full pool",
         (
             _edit(
-                "scheduling/ranking.py",
+                "scheduling/jobs/ranking.py",
                 "        step.exceeds_pool_share,\n",
                 "        False,\n",
             ),
@@ -178,7 +178,7 @@
         "a workspace's long jobs fill its ceiling",
         (
             _edit(
-                "scheduling/ceilings.py",
+                "scheduling/limits/ceilings.py",
                 "NON_URGENT_CEILING_FRACTION = 0.85",
                 "NON_URGENT_CEILING_FRACTION = 1.0",
             ),
@@ -189,7 +189,7 @@
         "workspaces differ in how much of their ceiling urgent jobs take",
         (
             _edit(
-                "scheduling/ceilings.py",
+                "scheduling/limits/ceilings.py",
                 "NON_URGENT_CEILING_FRACTION if observed is None else observed",
                 "NON_URGENT_CEILING_FRACTION",
             ),
@@ -200,7 +200,7 @@
         "a data centre is cut off",
         (
             _edit(
-                "scheduling/placement.py",
+                "scheduling/placement/placement.py",
                 "            worker.entry.data_centre != data_centre,\n",
                 "",
             ),
@@ -211,7 +211,7 @@
         "the work ahead takes longer than a job may wait",
         (
             _edit(
-                "scheduling/admission.py",
+                "scheduling/admission/admission.py",
                 "    if wait_s <= max_wait_s:",
                 "    if True:",
             ),
@@ -222,7 +222,7 @@
         "many callers of one workspace are refused within a moment",
         (
             _edit(
-                "scheduling/returns.py",
+                "scheduling/shares/returns.py",
                 "        if self._count < MAX_PROMISES:",
                 "        if False:",
             ),
@@ -233,7 +233,7 @@
         "callers' estimates are far off",
         (
             _edit(
-                "scheduling/forecast.py",
+                "scheduling/estimates/forecast.py",
                 "        if means is None:\n            return estimated_ms",
                 "        if True:\n            return estimated_ms",
             ),
@@ -244,7 +244,7 @@
         "gangs of large tasks on a pool that smaller steps keep busy",
         (
             _edit(
-                "scheduling/reservations.py",
+                "scheduling/placement/reservations.py",
                 "if self._fits_limits(step, planned):",
                 "if False:",
             ),
@@ -255,7 +255,7 @@
         "a quarter of the workers have half the speed of the others",
         (
             _edit(
-                "scheduling/placement.py",
+                "scheduling/placement/placement.py",
                 "if not state.worker_speeds.has_samples:",
                 "if True:",
             ),
@@ -266,7 +266,7 @@
         "bursts of urgent jobs on a pool that long work would fill",
         (
             _edit(
-                "scheduling/headroom.py",
+                "scheduling/placement/headroom.py",
                 "if not _leaves_headroom(step, self._now):",
                 "if True:",
             ),
@@ -277,7 +277,7 @@
         "durations within a step differ by two times by themselves",
         (
             _edit(
-                "scheduling/duration_spread.py",
+                "scheduling/estimates/duration_spread.py",
                 "if self.count < MIN_SPREAD_SAMPLES:",
                 "if True:",
             ),
@@ -288,7 +288,7 @@
         "tasks on one accelerator each, beside gangs of whole workers",
         (
             _edit(
-                "scheduling/headroom.py",
+                "scheduling/placement/headroom.py",
                 "return self._large.allows(service, amount, chosen)",
                 "return True",
             ),
@@ -299,7 +299,7 @@
         "two gangs wait for workers that suffice for one",
         (
             _edit(
-                "scheduling/reservations.py",
+                "scheduling/placement/reservations.py",
                 "free = worker.free - self._reserved_by_worker.get(worker.incarnation,"
                 " NOTHING)",
                 "free = worker.free",
@@ -309,7 +309,7 @@
     SwitchOff(
         "early-claim",
         "the holder is cut off, frozen or turned away by the store",
-        (_edit("scheduling/holder_watch.py", "if is_unresponsive:", "if False:"),),
+        (_edit("scheduling/membership/holder_watch.py", "if is_unresponsive:", "if False:"),),
     ),
     SwitchOff(
         "hand-over",
@@ -321,7 +321,7 @@
         "an answer to a poll of a worker with urgent runs is lost",
         (
             _edit(
-                "scheduling/worker_polls.py",
+                "scheduling/contact/worker_polls.py",
                 "URGENT_POLL_WAIT_MS = 400",
                 "URGENT_POLL_WAIT_MS = POLL_WAIT_MS",
             ),
@@ -343,7 +343,7 @@
         "hundreds of steps alternate between wait reasons at each tick",
         (
             _edit(
-                "scheduling/wait_log.py",
+                "scheduling/jobs/wait_log.py",
                 "        waits.log_due_at = Instant(now + STABLE_REASON_S)",
                 "        _log_waits(step, now)",
             ),
