--- a/tamarackmount/delays.py
+++ b/tamarackmount/delays.py
@@ -25,8 +25,8 @@
     times_without_holder,
 )
 from tamarackmount.scheduling.domain.model import JobPhase
-from tamarackmount.scheduling.jobs.runs import WaitReason
 from tamarackmount.scheduling.domain.worker_reports import RunEnd
+from tamarackmount.scheduling.jobs.runs import WaitReason
 
 SLOW_FACTOR = 2.0
 """Multiple, without unit, of the median duration of a step's runs above which a run
--- a/tamarackmount/node/evacuation_watch.py
+++ b/tamarackmount/node/evacuation_watch.py
@@ -7,7 +7,10 @@
 from tamarackmount.ids import DataCentreId, Instant, Offset
 from tamarackmount.platform.config import decode_evacuation
 from tamarackmount.platform.store import MAX_KEY_BYTES, MAX_OFFSET, KeyedRecord
-from tamarackmount.scheduling.membership.evacuations import EvacuationChange, Evacuations
+from tamarackmount.scheduling.membership.evacuations import (
+    EvacuationChange,
+    Evacuations,
+)
 
 MAX_LOGGED_CHARS = 64
 """Maximum number of characters of a refused name that are logged."""
--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -22,8 +22,9 @@
 from tamarackmount.node.worker_registrations import WorkerRegistrations
 from tamarackmount.platform.store import Appended, KeyedRecord
 from tamarackmount.platform.workers import PollRequest
-from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.admission.admission import Refusal, whole_retry_s
+from tamarackmount.scheduling.contact.store_batches import Batch
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.domain.effects import (
     AskAdvice,
     Effect,
@@ -33,19 +34,18 @@
     StopRun,
 )
 from tamarackmount.scheduling.domain.fleet_config import FleetConfig
-from tamarackmount.scheduling.membership.holder_authority import HolderAuthority
-from tamarackmount.scheduling.store.job_index import JobIndex
-from tamarackmount.scheduling.store.journal import RecordKind, decode_record, split_key
 from tamarackmount.scheduling.domain.model import FailureCause, JobPhase, StepKey
-from tamarackmount.scheduling.store.retention import expired_jobs
-from tamarackmount.scheduling.scheduler import Scheduler
-from tamarackmount.scheduling.jobs.step_advice import AdviceAnswer
-from tamarackmount.scheduling.contact.store_batches import Batch
 from tamarackmount.scheduling.domain.worker_reports import (
     OrderResult,
     StartOrder,
     WorkerEntry,
 )
+from tamarackmount.scheduling.jobs.step_advice import AdviceAnswer
+from tamarackmount.scheduling.membership.holder_authority import HolderAuthority
+from tamarackmount.scheduling.scheduler import Scheduler
+from tamarackmount.scheduling.store.job_index import JobIndex
+from tamarackmount.scheduling.store.journal import RecordKind, decode_record, split_key
+from tamarackmount.scheduling.store.retention import expired_jobs
 from tamarackmount.units import MS_PER_SECOND
 
 TICK_INTERVAL_S = 0.05
--- a/tamarackmount/node/job_service.py
+++ b/tamarackmount/node/job_service.py
@@ -44,9 +44,11 @@
 )
 from tamarackmount.node.tasks import spawn_answer
 from tamarackmount.platform.store import MAX_KEY_BYTES, KeyedRecord, encoded_bytes
-from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.admission.admission import add_jitter
+from tamarackmount.scheduling.admission.retry_times import store_retry_s
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.domain.fleet_config import FleetConfig, Queue
+from tamarackmount.scheduling.domain.model import FailureCause, JobPhase, describe_step
 from tamarackmount.scheduling.store.journal import (
     CancelRecord,
     RecordKind,
@@ -56,8 +58,6 @@
     record_key,
     split_key,
 )
-from tamarackmount.scheduling.domain.model import FailureCause, JobPhase, describe_step
-from tamarackmount.scheduling.admission.retry_times import store_retry_s
 
 PHASE_TIMEOUT_S = 0.3
 """Timeout of a query about a job to another node, in seconds; after it, the stored
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -48,9 +48,9 @@
 from tamarackmount.platform.http import HttpClient
 from tamarackmount.platform.store import OPERATOR_TOPIC, KeyedRecord, Store
 from tamarackmount.platform.workers import WorkerCalls
+from tamarackmount.scheduling.domain.model import StepKey
 from tamarackmount.scheduling.membership.evacuations import EvacuationChange
 from tamarackmount.scheduling.store.job_index import JobIndex
-from tamarackmount.scheduling.domain.model import StepKey
 from tamarackmount.units import MS_PER_SECOND
 
 OPERATOR_READ_WAIT_MS = 1_000
--- a/tamarackmount/platform/jobs.py
+++ b/tamarackmount/platform/jobs.py
@@ -8,7 +8,12 @@
 
 from tamarackmount.ids import RackId
 from tamarackmount.platform.resource_amounts import decode_resources
-from tamarackmount.scheduling.domain.model import FailureCause, JobPhase, JobSpec, StepSpec
+from tamarackmount.scheduling.domain.model import (
+    FailureCause,
+    JobPhase,
+    JobSpec,
+    StepSpec,
+)
 
 MAX_SPEC_BYTES = 4_000
 """Longest ``spec`` of a job (``JobSpec.text``) in bytes, set by the platform."""
--- a/tamarackmount/platform/workers.py
+++ b/tamarackmount/platform/workers.py
@@ -20,7 +20,11 @@
 )
 from tamarackmount.platform.resource_amounts import decode_resources
 from tamarackmount.platform.store import JSON_HEADER
-from tamarackmount.scheduling.domain.model import ServiceName, TaskKey, WorkerIncarnation
+from tamarackmount.scheduling.domain.model import (
+    ServiceName,
+    TaskKey,
+    WorkerIncarnation,
+)
 from tamarackmount.scheduling.domain.worker_reports import (
     EndedRun,
     OrderResult,
--- a/tamarackmount/scheduling/admission/admission.py
+++ b/tamarackmount/scheduling/admission/admission.py
@@ -21,13 +21,15 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.resources import NOTHING
-from tamarackmount.scheduling.limits.ceilings import ceiling_parts
 from tamarackmount.scheduling.admission.drain_forecast import DrainForecast
 from tamarackmount.scheduling.jobs.ranking import URGENT_PRIORITY
-from tamarackmount.scheduling.shares.returns import ReturnPool
 from tamarackmount.scheduling.jobs.runs import JobState, StepState
+from tamarackmount.scheduling.limits.ceilings import ceiling_parts
+from tamarackmount.scheduling.placement.worker_choice import (
+    could_run_at_nominal_capacity,
+)
 from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.placement.worker_choice import could_run_at_nominal_capacity
+from tamarackmount.scheduling.shares.returns import ReturnPool
 from tamarackmount.scheduling.workers.workers import ContactState, WorkerState
 
 UNFIT_JOB_RETRY_S = 30.0
--- a/tamarackmount/scheduling/admission/drain_forecast.py
+++ b/tamarackmount/scheduling/admission/drain_forecast.py
@@ -9,15 +9,20 @@
 
 from tamarackmount.ids import Instant, WorkspaceId
 from tamarackmount.resources import NOTHING, Resources
-from tamarackmount.scheduling.admission.drain_sums import Backlog, Shape, ShapeCapacity, Sums
-from tamarackmount.scheduling.workers.free_capacity import count_fitting_tasks
+from tamarackmount.scheduling.admission.drain_sums import (
+    Backlog,
+    Shape,
+    ShapeCapacity,
+    Sums,
+)
 from tamarackmount.scheduling.domain.model import ServiceName
-from tamarackmount.scheduling.workers.pool_loads import PoolLoad
 from tamarackmount.scheduling.jobs.ranking import URGENT_PRIORITY, Tier, tier
 from tamarackmount.scheduling.jobs.runs import JobState, StepState, WaitReason
+from tamarackmount.scheduling.placement.worker_choice import could_run
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.shares.shares import Amounts, fractions
-from tamarackmount.scheduling.placement.worker_choice import could_run
+from tamarackmount.scheduling.workers.free_capacity import count_fitting_tasks
+from tamarackmount.scheduling.workers.pool_loads import PoolLoad
 from tamarackmount.units import MS_PER_SECOND
 
 SUMS_MAX_AGE_S = 0.05
--- a/tamarackmount/scheduling/advice/advice_choice.py
+++ b/tamarackmount/scheduling/advice/advice_choice.py
@@ -16,8 +16,8 @@
 from dataclasses import dataclass, field
 
 from tamarackmount.ids import QueueName, RackId
-from tamarackmount.scheduling.workers.free_capacity import count_fitting_tasks
 from tamarackmount.scheduling.jobs.runs import StepState, WaitReason
+from tamarackmount.scheduling.workers.free_capacity import count_fitting_tasks
 from tamarackmount.scheduling.workers.workers import WorkerState
 
 MAX_WORKERS_PER_REQUEST = 60
--- a/tamarackmount/scheduling/advice/advice_requests.py
+++ b/tamarackmount/scheduling/advice/advice_requests.py
@@ -21,13 +21,13 @@
 )
 from tamarackmount.scheduling.domain.effects import AskAdvice
 from tamarackmount.scheduling.domain.fleet_config import AdvicePolicy
-from tamarackmount.scheduling.workers.free_capacity import FreeCapacityIndex
 from tamarackmount.scheduling.domain.model import StepKey, WorkerIncarnation
 from tamarackmount.scheduling.jobs.ranking import URGENT_PRIORITY, Tier, rank, tier
 from tamarackmount.scheduling.jobs.runs import StepState, WaitReason
-from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.jobs.step_advice import AdviceAnswer
 from tamarackmount.scheduling.placement.worker_choice import could_run
+from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.workers.free_capacity import FreeCapacityIndex
 from tamarackmount.scheduling.workers.workers import WorkerState
 from tamarackmount.units import MS_PER_SECOND
 
--- a/tamarackmount/scheduling/contact/order_results.py
+++ b/tamarackmount/scheduling/contact/order_results.py
@@ -4,19 +4,22 @@
 from collections.abc import Callable
 
 from tamarackmount.ids import Instant
+from tamarackmount.scheduling.contact.worker_ends import (
+    Replacement,
+    remove_replaced_worker,
+)
+from tamarackmount.scheduling.contact.worker_leases import step_down
 from tamarackmount.scheduling.domain.effects import StartRun
-from tamarackmount.scheduling.membership.holder_authority import HolderAuthority
 from tamarackmount.scheduling.domain.model import TaskKey, WorkerIncarnation
+from tamarackmount.scheduling.domain.worker_reports import OrderResult
+from tamarackmount.scheduling.evidence.suspected_workers import mark_suspected
 from tamarackmount.scheduling.execution.run_starts import (
     FIRST_RUN_NUMBER_AFTER_TAKEOVER,
     send_start,
 )
 from tamarackmount.scheduling.jobs.runs import Run, RunPhase
+from tamarackmount.scheduling.membership.holder_authority import HolderAuthority
 from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.evidence.suspected_workers import mark_suspected
-from tamarackmount.scheduling.contact.worker_ends import Replacement, remove_replaced_worker
-from tamarackmount.scheduling.contact.worker_leases import step_down
-from tamarackmount.scheduling.domain.worker_reports import OrderResult
 
 _log = logging.getLogger(__name__)
 
--- a/tamarackmount/scheduling/contact/store_batches.py
+++ b/tamarackmount/scheduling/contact/store_batches.py
@@ -4,8 +4,12 @@
 from dataclasses import dataclass, replace
 
 from tamarackmount.ids import Instant, JobId
+from tamarackmount.scheduling.contact.order_results import send_stored_start
+from tamarackmount.scheduling.contact.worker_leases import worker_record
 from tamarackmount.scheduling.domain.effects import StartRun
+from tamarackmount.scheduling.domain.model import JobPhase, WorkerIncarnation
 from tamarackmount.scheduling.estimates.forecast import FORECAST_STORE_INTERVAL_S
+from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.store.journal import (
     CompletenessRecord,
     RecordKind,
@@ -13,11 +17,7 @@
     record_key,
     worker_key,
 )
-from tamarackmount.scheduling.domain.model import JobPhase, WorkerIncarnation
-from tamarackmount.scheduling.contact.order_results import send_stored_start
 from tamarackmount.scheduling.store.retention import tombstones
-from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.contact.worker_leases import worker_record
 from tamarackmount.scheduling.workers.workers import ContactState
 from tamarackmount.units import MS_PER_SECOND
 
--- a/tamarackmount/scheduling/contact/worker_ends.py
+++ b/tamarackmount/scheduling/contact/worker_ends.py
@@ -6,14 +6,18 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.resources import NOTHING
-from tamarackmount.scheduling.evidence.crash_evidence import record_crash
-from tamarackmount.scheduling.store.journal import CrashRecord
 from tamarackmount.scheduling.domain.model import WorkerIncarnation
+from tamarackmount.scheduling.domain.worker_reports import WorkerEntry
+from tamarackmount.scheduling.evidence.crash_evidence import record_crash
 from tamarackmount.scheduling.execution.run_ends import format_task, give_up_culprits
 from tamarackmount.scheduling.jobs.runs import Run, RunPhase
 from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.domain.worker_reports import WorkerEntry
-from tamarackmount.scheduling.workers.workers import ContactState, LapsedWorker, WorkerState
+from tamarackmount.scheduling.store.journal import CrashRecord
+from tamarackmount.scheduling.workers.workers import (
+    ContactState,
+    LapsedWorker,
+    WorkerState,
+)
 from tamarackmount.units import MS_PER_SECOND
 
 MAX_EARLY_S = 0.5
--- a/tamarackmount/scheduling/contact/worker_leases.py
+++ b/tamarackmount/scheduling/contact/worker_leases.py
@@ -11,34 +11,38 @@
 
 from tamarackmount.ids import DataCentreId, Instant, RackId
 from tamarackmount.resources import NOTHING
-from tamarackmount.scheduling.domain.effects import StepDown
-from tamarackmount.scheduling.store.journal import WorkerRecord, decode_task, encode_task
-from tamarackmount.scheduling.domain.model import WorkerIncarnation
-from tamarackmount.scheduling.execution.run_ends import (
-    handle_run_end,
-)
-from tamarackmount.scheduling.execution.run_reconciliation import (
-    adopt_or_stop_run,
-    reconcile_runs,
-)
-from tamarackmount.scheduling.jobs.runs import Run
-from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.evidence.suspected_workers import (
-    mark_suspected,
-    request_speculative_copies,
-)
 from tamarackmount.scheduling.contact.worker_ends import (
     Replacement,
     carry_over_runs,
     record_replaced_lapsed_workers,
     remove_replaced_worker,
 )
+from tamarackmount.scheduling.domain.effects import StepDown
+from tamarackmount.scheduling.domain.model import WorkerIncarnation
 from tamarackmount.scheduling.domain.worker_reports import (
     PollFailure,
     RunningRun,
     WorkerEntry,
     WorkerReport,
 )
+from tamarackmount.scheduling.evidence.suspected_workers import (
+    mark_suspected,
+    request_speculative_copies,
+)
+from tamarackmount.scheduling.execution.run_ends import (
+    handle_run_end,
+)
+from tamarackmount.scheduling.execution.run_reconciliation import (
+    adopt_or_stop_run,
+    reconcile_runs,
+)
+from tamarackmount.scheduling.jobs.runs import Run
+from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.store.journal import (
+    WorkerRecord,
+    decode_task,
+    encode_task,
+)
 from tamarackmount.scheduling.workers.workers import (
     MAX_INHERITED_LEASE_S,
     ContactState,
--- a/tamarackmount/scheduling/contact/worker_polls.py
+++ b/tamarackmount/scheduling/contact/worker_polls.py
@@ -1,16 +1,16 @@
 """Polls of workers that are due, expired leases, and workers that drain."""
 
 from tamarackmount.ids import Instant
-from tamarackmount.scheduling.domain.effects import PollWorker
-from tamarackmount.scheduling.membership.holder_authority import HolderAuthority
-from tamarackmount.scheduling.jobs.ranking import URGENT_PRIORITY
-from tamarackmount.scheduling.execution.run_ends import expected_duration_s
-from tamarackmount.scheduling.jobs.runs import RunPhase
-from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.contact.worker_ends import (
     drop_runs_of_expired_lease,
     remove_expired_worker,
 )
+from tamarackmount.scheduling.domain.effects import PollWorker
+from tamarackmount.scheduling.execution.run_ends import expected_duration_s
+from tamarackmount.scheduling.jobs.ranking import URGENT_PRIORITY
+from tamarackmount.scheduling.jobs.runs import RunPhase
+from tamarackmount.scheduling.membership.holder_authority import HolderAuthority
+from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.workers.workers import ContactState, WorkerState
 from tamarackmount.units import MS_PER_SECOND
 
--- a/tamarackmount/scheduling/domain/worker_reports.py
+++ b/tamarackmount/scheduling/domain/worker_reports.py
@@ -5,7 +5,11 @@
 
 from tamarackmount.ids import DataCentreId, RackId
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.domain.model import ServiceName, TaskKey, WorkerIncarnation
+from tamarackmount.scheduling.domain.model import (
+    ServiceName,
+    TaskKey,
+    WorkerIncarnation,
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tamarackmount/scheduling/evidence/crash_evidence.py
+++ b/tamarackmount/scheduling/evidence/crash_evidence.py
@@ -17,10 +17,10 @@
 from dataclasses import replace
 
 from tamarackmount.ids import Instant
-from tamarackmount.scheduling.store.journal import CrashRecord
 from tamarackmount.scheduling.domain.model import TaskKey, WorkerIncarnation
 from tamarackmount.scheduling.jobs.runs import JobState, Run, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.store.journal import CrashRecord
 from tamarackmount.units import MS_PER_SECOND
 
 CULPRIT_WEIGHT = 4
--- a/tamarackmount/scheduling/evidence/suspect_isolation.py
+++ b/tamarackmount/scheduling/evidence/suspect_isolation.py
@@ -12,12 +12,12 @@
 from collections.abc import Sequence
 
 from tamarackmount.ids import Instant, JobId
+from tamarackmount.scheduling.domain.model import WorkerIncarnation
 from tamarackmount.scheduling.evidence.crash_evidence import (
     crash_addresses,
     evidence_key,
     is_suspect,
 )
-from tamarackmount.scheduling.domain.model import WorkerIncarnation
 from tamarackmount.scheduling.jobs.runs import Run, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.workers.workers import WorkerState
--- a/tamarackmount/scheduling/execution/run_ends.py
+++ b/tamarackmount/scheduling/execution/run_ends.py
@@ -5,11 +5,6 @@
 from statistics import median
 
 from tamarackmount.ids import Instant
-from tamarackmount.scheduling.evidence.crash_evidence import (
-    clear_task,
-    explain_crashes,
-    find_culprits,
-)
 from tamarackmount.scheduling.domain.model import (
     FailureCause,
     JobPhase,
@@ -17,11 +12,16 @@
     TaskKey,
     WorkerIncarnation,
 )
+from tamarackmount.scheduling.domain.worker_reports import EndedRun, RunEnd
+from tamarackmount.scheduling.evidence.crash_evidence import (
+    clear_task,
+    explain_crashes,
+    find_culprits,
+)
 from tamarackmount.scheduling.jobs.objectives import set_deadlines
 from tamarackmount.scheduling.jobs.runs import JobState, Run, StepState
-from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.jobs.wait_log import log_unfinished_waits
-from tamarackmount.scheduling.domain.worker_reports import EndedRun, RunEnd
+from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.workers.workers import WorkerState
 
 _log = logging.getLogger(__name__)
--- a/tamarackmount/scheduling/execution/run_reconciliation.py
+++ b/tamarackmount/scheduling/execution/run_reconciliation.py
@@ -2,16 +2,19 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.resources import NOTHING, Resources
+from tamarackmount.scheduling.domain.effects import StopRun
+from tamarackmount.scheduling.domain.worker_reports import RunningRun, WorkerReport
 from tamarackmount.scheduling.evidence.crash_evidence import (
     clear_task,
     is_suspect,
     outlives_crashes,
 )
-from tamarackmount.scheduling.domain.effects import StopRun
-from tamarackmount.scheduling.execution.run_ends import give_up_culprits, record_checkpoint
+from tamarackmount.scheduling.execution.run_ends import (
+    give_up_culprits,
+    record_checkpoint,
+)
 from tamarackmount.scheduling.jobs.runs import Run, RunPhase, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.domain.worker_reports import RunningRun, WorkerReport
 from tamarackmount.scheduling.workers.workers import WorkerState
 
 
--- a/tamarackmount/scheduling/execution/run_starts.py
+++ b/tamarackmount/scheduling/execution/run_starts.py
@@ -3,13 +3,13 @@
 import logging
 
 from tamarackmount.ids import Instant
-from tamarackmount.scheduling.evidence.crash_evidence import is_suspect
 from tamarackmount.scheduling.domain.effects import StartRun
 from tamarackmount.scheduling.domain.model import JobPhase
+from tamarackmount.scheduling.domain.worker_reports import StartOrder
+from tamarackmount.scheduling.evidence.crash_evidence import is_suspect
 from tamarackmount.scheduling.execution.run_ends import format_task
 from tamarackmount.scheduling.jobs.runs import Run, RunPhase, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.domain.worker_reports import StartOrder
 from tamarackmount.scheduling.workers.workers import WorkerState
 
 _log = logging.getLogger(__name__)
--- a/tamarackmount/scheduling/jobs/runs.py
+++ b/tamarackmount/scheduling/jobs/runs.py
@@ -10,7 +10,6 @@
 from tamarackmount.ids import DataCentreId, Instant, JobId, WorkerId
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
-from tamarackmount.scheduling.store.journal import CrashRecord, JobProgress
 from tamarackmount.scheduling.domain.model import (
     FailureCause,
     JobPhase,
@@ -21,6 +20,7 @@
 )
 from tamarackmount.scheduling.estimates.peak_use import PeakUse
 from tamarackmount.scheduling.jobs.step_advice import StepAdvice
+from tamarackmount.scheduling.store.journal import CrashRecord, JobProgress
 
 T = TypeVar("T")
 
--- a/tamarackmount/scheduling/placement/gang_choice.py
+++ b/tamarackmount/scheduling/placement/gang_choice.py
@@ -4,18 +4,21 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.placement.gang_groups import gang_groups
 from tamarackmount.scheduling.domain.model import WorkerIncarnation
-from tamarackmount.scheduling.placement.reservations import Reservations
+from tamarackmount.scheduling.evidence.suspect_isolation import (
+    isolated_workers,
+    waits_apart,
+)
 from tamarackmount.scheduling.jobs.runs import StepState
-from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.placement.gang_groups import gang_groups
+from tamarackmount.scheduling.placement.reservations import Reservations
 from tamarackmount.scheduling.placement.speed_choice import (
     NEUTRAL_RANK,
     SpeedRank,
     speed_groups,
 )
-from tamarackmount.scheduling.evidence.suspect_isolation import isolated_workers, waits_apart
 from tamarackmount.scheduling.placement.worker_choice import without_failures
+from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.workers.workers import WorkerState
 
 
--- a/tamarackmount/scheduling/placement/headroom.py
+++ b/tamarackmount/scheduling/placement/headroom.py
@@ -9,12 +9,12 @@
 from collections.abc import Sequence
 
 from tamarackmount.ids import Instant
-from tamarackmount.scheduling.limits.ceilings import NON_URGENT_SLACK_S
-from tamarackmount.scheduling.placement.kept_slots import KeptSlots
 from tamarackmount.scheduling.domain.model import ServiceName
 from tamarackmount.scheduling.estimates.peak_use import URGENT_PEAK_AGE_S
 from tamarackmount.scheduling.jobs.ranking import URGENT_PRIORITY, Tier, tier
 from tamarackmount.scheduling.jobs.runs import StepState
+from tamarackmount.scheduling.limits.ceilings import NON_URGENT_SLACK_S
+from tamarackmount.scheduling.placement.kept_slots import KeptSlots
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.workers.workers import WorkerState
 
--- a/tamarackmount/scheduling/placement/kept_slots.py
+++ b/tamarackmount/scheduling/placement/kept_slots.py
@@ -5,9 +5,9 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.resources import NOTHING, Resources
-from tamarackmount.scheduling.workers.free_capacity import count_fitting_tasks
 from tamarackmount.scheduling.domain.model import ServiceName, WorkerIncarnation
 from tamarackmount.scheduling.estimates.peak_use import PeakUse
+from tamarackmount.scheduling.workers.free_capacity import count_fitting_tasks
 from tamarackmount.scheduling.workers.workers import WorkerState
 
 MAX_KEPT_DIVISOR = 5
--- a/tamarackmount/scheduling/placement/placement.py
+++ b/tamarackmount/scheduling/placement/placement.py
@@ -4,34 +4,37 @@
 from collections.abc import Mapping, Sequence
 
 from tamarackmount.ids import DataCentreId, Instant
-from tamarackmount.scheduling.limits.ceilings import ceiling_fraction, is_under_ceiling
-from tamarackmount.scheduling.evidence.crash_evidence import is_suspect
 from tamarackmount.scheduling.domain.fleet_config import Queue
-from tamarackmount.scheduling.workers.free_capacity import FreeCapacityIndex
+from tamarackmount.scheduling.domain.model import ServiceName, WorkerIncarnation
+from tamarackmount.scheduling.evidence.crash_evidence import is_suspect
+from tamarackmount.scheduling.evidence.suspect_isolation import (
+    isolated_workers,
+    waits_apart,
+)
+from tamarackmount.scheduling.execution.run_starts import next_run_number, start_run
+from tamarackmount.scheduling.jobs.ranking import Tier, rank, tier
+from tamarackmount.scheduling.jobs.runs import StepState, WaitReason
+from tamarackmount.scheduling.jobs.wait_log import update_wait_reason
+from tamarackmount.scheduling.limits.ceilings import ceiling_fraction, is_under_ceiling
+from tamarackmount.scheduling.membership.holder_authority import HolderAuthority
 from tamarackmount.scheduling.placement.gang_choice import (
     choose_gang_workers,
     is_at_worker_limit,
     remaining,
 )
 from tamarackmount.scheduling.placement.headroom import Headroom
-from tamarackmount.scheduling.membership.holder_authority import HolderAuthority
-from tamarackmount.scheduling.domain.model import ServiceName, WorkerIncarnation
-from tamarackmount.scheduling.jobs.ranking import Tier, rank, tier
 from tamarackmount.scheduling.placement.reservations import Reservations
-from tamarackmount.scheduling.execution.run_starts import next_run_number, start_run
-from tamarackmount.scheduling.jobs.runs import StepState, WaitReason
-from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.placement.speed_choice import (
     NEUTRAL_RANK,
     SpeedRank,
     speed_ranks,
 )
-from tamarackmount.scheduling.evidence.suspect_isolation import isolated_workers, waits_apart
-from tamarackmount.scheduling.jobs.wait_log import update_wait_reason
 from tamarackmount.scheduling.placement.worker_choice import (
     eligible_workers,
     has_failed_on,
 )
+from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.workers.free_capacity import FreeCapacityIndex
 from tamarackmount.scheduling.workers.workers import ContactState, WorkerState
 
 
--- a/tamarackmount/scheduling/placement/preemption.py
+++ b/tamarackmount/scheduling/placement/preemption.py
@@ -9,14 +9,14 @@
 
 from tamarackmount.ids import Instant, WorkspaceId
 from tamarackmount.resources import NOTHING, Resources
-from tamarackmount.scheduling.limits.ceilings import ceiling_parts
 from tamarackmount.scheduling.domain.fleet_config import Queue
-from tamarackmount.scheduling.workers.free_capacity import count_fitting_tasks
 from tamarackmount.scheduling.domain.model import WorkerIncarnation
 from tamarackmount.scheduling.jobs.ranking import Tier, tier
 from tamarackmount.scheduling.jobs.runs import Run, RunPhase, StepState
-from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.limits.ceilings import ceiling_parts
 from tamarackmount.scheduling.placement.worker_choice import eligible_workers
+from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.workers.free_capacity import count_fitting_tasks
 from tamarackmount.scheduling.workers.workers import WorkerState
 
 _log = logging.getLogger(__name__)
--- a/tamarackmount/scheduling/placement/reservations.py
+++ b/tamarackmount/scheduling/placement/reservations.py
@@ -20,14 +20,14 @@
 from tamarackmount.ids import Instant
 from tamarackmount.resources import NOTHING, Resources
 from tamarackmount.scheduling.domain.fleet_config import Queue
-from tamarackmount.scheduling.workers.free_capacity import count_fitting_tasks
-from tamarackmount.scheduling.placement.gang_groups import gang_groups
 from tamarackmount.scheduling.domain.model import WorkerIncarnation
-from tamarackmount.scheduling.jobs.ranking import URGENT_PRIORITY, Tier, tier
 from tamarackmount.scheduling.execution.run_ends import expected_duration_s
+from tamarackmount.scheduling.jobs.ranking import URGENT_PRIORITY, Tier, tier
 from tamarackmount.scheduling.jobs.runs import Reservation, Run, StepState, WaitReason
-from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.placement.gang_groups import gang_groups
 from tamarackmount.scheduling.placement.worker_choice import eligible_workers
+from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.workers.free_capacity import count_fitting_tasks
 from tamarackmount.scheduling.workers.workers import WorkerState
 
 MAX_RESERVATIONS = 3
--- a/tamarackmount/scheduling/placement/stragglers.py
+++ b/tamarackmount/scheduling/placement/stragglers.py
@@ -22,8 +22,8 @@
     format_task,
 )
 from tamarackmount.scheduling.jobs.runs import Run, RunPhase, StepState
-from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.placement.worker_choice import could_run
+from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.workers.workers import WorkerState
 
 _log = logging.getLogger(__name__)
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -9,26 +9,20 @@
 from collections.abc import Callable, Iterable, Sequence
 
 from tamarackmount.ids import DataCentreId, Epoch, Instant, JobId, QueueName
-from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.admission.admission import Refusal
 from tamarackmount.scheduling.admission.admission_control import AdmissionControl
 from tamarackmount.scheduling.advice.advice_requests import AdviceRequests
-from tamarackmount.scheduling.limits.ceilings import (
-    set_non_urgent_fraction,
-    update_non_urgent_fractions,
+from tamarackmount.scheduling.contact.order_results import start_answered, stop_answered
+from tamarackmount.scheduling.contact.store_batches import Batch, StoreBatcher
+from tamarackmount.scheduling.contact.worker_leases import (
+    poll_answered,
+    restore_worker,
+    update_registered_workers,
 )
-from tamarackmount.scheduling.shares.contention import ContentionReports
-from tamarackmount.scheduling.evidence.crash_evidence import restore_evidence
+from tamarackmount.scheduling.contact.worker_polls import poll_and_expire_workers
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.domain.effects import Effect
-from tamarackmount.scheduling.placement.evacuated_workers import (
-    count_evacuated_runs,
-    set_evacuated_data_centres,
-)
 from tamarackmount.scheduling.domain.fleet_config import FleetConfig, Queue
-from tamarackmount.scheduling.workers.free_capacity import FreeCapacityIndex
-from tamarackmount.scheduling.membership.holder_authority import HolderAuthority
-from tamarackmount.scheduling.store.job_index import JobRecords
-from tamarackmount.scheduling.store.journal import ForecastRecord, WorkerRecord
 from tamarackmount.scheduling.domain.model import (
     FailureCause,
     JobPhase,
@@ -36,37 +30,43 @@
     TaskKey,
     WorkerIncarnation,
 )
-from tamarackmount.scheduling.jobs.objectives import set_deadlines
-from tamarackmount.scheduling.shares.observer import NoObserver, Observer
-from tamarackmount.scheduling.contact.order_results import start_answered, stop_answered
-from tamarackmount.scheduling.placement.placement import place
-from tamarackmount.scheduling.placement.preemption import PreemptionRound
+from tamarackmount.scheduling.domain.worker_reports import (
+    OrderResult,
+    PollFailure,
+    StartOrder,
+    WorkerEntry,
+    WorkerReport,
+)
+from tamarackmount.scheduling.evidence.crash_evidence import restore_evidence
 from tamarackmount.scheduling.execution.run_ends import (
     end_if_all_steps_done,
     end_job,
     give_up_culprits,
     make_ready,
 )
+from tamarackmount.scheduling.jobs.objectives import set_deadlines
 from tamarackmount.scheduling.jobs.runs import JobState, StepState, make_job
-from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.limits.share_round import mark_new_steps, update_shares
-from tamarackmount.scheduling.shares.shares import ShareRow
 from tamarackmount.scheduling.jobs.step_advice import AdviceAnswer
-from tamarackmount.scheduling.contact.store_batches import Batch, StoreBatcher
-from tamarackmount.scheduling.placement.stragglers import handle_stragglers
-from tamarackmount.scheduling.contact.worker_leases import (
-    poll_answered,
-    restore_worker,
-    update_registered_workers,
+from tamarackmount.scheduling.limits.ceilings import (
+    set_non_urgent_fraction,
+    update_non_urgent_fractions,
 )
-from tamarackmount.scheduling.contact.worker_polls import poll_and_expire_workers
-from tamarackmount.scheduling.domain.worker_reports import (
-    OrderResult,
-    PollFailure,
-    StartOrder,
-    WorkerEntry,
-    WorkerReport,
+from tamarackmount.scheduling.limits.share_round import mark_new_steps, update_shares
+from tamarackmount.scheduling.membership.holder_authority import HolderAuthority
+from tamarackmount.scheduling.placement.evacuated_workers import (
+    count_evacuated_runs,
+    set_evacuated_data_centres,
 )
+from tamarackmount.scheduling.placement.placement import place
+from tamarackmount.scheduling.placement.preemption import PreemptionRound
+from tamarackmount.scheduling.placement.stragglers import handle_stragglers
+from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.shares.contention import ContentionReports
+from tamarackmount.scheduling.shares.observer import NoObserver, Observer
+from tamarackmount.scheduling.shares.shares import ShareRow
+from tamarackmount.scheduling.store.job_index import JobRecords
+from tamarackmount.scheduling.store.journal import ForecastRecord, WorkerRecord
+from tamarackmount.scheduling.workers.free_capacity import FreeCapacityIndex
 from tamarackmount.units import MS_PER_SECOND
 
 _log = logging.getLogger(__name__)
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -15,12 +15,8 @@
 )
 from tamarackmount.resources import NOTHING, Resources
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
-from tamarackmount.scheduling.estimates.duration_spread import DurationSpread
 from tamarackmount.scheduling.domain.effects import Effect, StartRun, StopRun
 from tamarackmount.scheduling.domain.fleet_config import FleetConfig, Queue, Workspace
-from tamarackmount.scheduling.estimates.forecast import Forecast
-from tamarackmount.scheduling.membership.holder_authority import HolderAuthority
-from tamarackmount.scheduling.workers.large_tasks import LargeTasks
 from tamarackmount.scheduling.domain.model import (
     FailureCause,
     JobPhase,
@@ -29,22 +25,30 @@
     TaskKey,
     WorkerIncarnation,
 )
-from tamarackmount.scheduling.shares.observer import NoObserver, Observer
+from tamarackmount.scheduling.estimates.duration_spread import DurationSpread
+from tamarackmount.scheduling.estimates.forecast import Forecast
 from tamarackmount.scheduling.estimates.peak_use import (
     LARGE_PEAK_AGE_S,
     URGENT_PEAK_AGE_S,
     PeakUse,
 )
-from tamarackmount.scheduling.workers.pool_loads import PoolLoad, PoolLoadKey, pool_load_key
+from tamarackmount.scheduling.estimates.urgent_peaks import UrgentPeaks
+from tamarackmount.scheduling.estimates.wait_correction import WaitCorrection
 from tamarackmount.scheduling.jobs.ranking import URGENT_PRIORITY, WorkspaceRateLimiter
-from tamarackmount.scheduling.shares.returns import Returns
 from tamarackmount.scheduling.jobs.runs import JobState, Run, RunPhase, StepState
+from tamarackmount.scheduling.membership.holder_authority import HolderAuthority
+from tamarackmount.scheduling.shares.observer import NoObserver, Observer
+from tamarackmount.scheduling.shares.returns import Returns
 from tamarackmount.scheduling.shares.shares import CapacityShares, WorkspaceShares
-from tamarackmount.scheduling.estimates.urgent_peaks import UrgentPeaks
-from tamarackmount.scheduling.estimates.wait_correction import WaitCorrection
+from tamarackmount.scheduling.store.write_ahead import WriteAhead
+from tamarackmount.scheduling.workers.large_tasks import LargeTasks
+from tamarackmount.scheduling.workers.pool_loads import (
+    PoolLoad,
+    PoolLoadKey,
+    pool_load_key,
+)
 from tamarackmount.scheduling.workers.worker_speeds import LearnedWorkerSpeeds
 from tamarackmount.scheduling.workers.workers import LapsedWorker, WorkerState
-from tamarackmount.scheduling.store.write_ahead import WriteAhead
 
 _log = logging.getLogger(__name__)
 
--- a/tamarackmount/scheduling/store/job_index.py
+++ b/tamarackmount/scheduling/store/job_index.py
@@ -8,6 +8,7 @@
 
 from tamarackmount.ids import JobId, QueueName
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
+from tamarackmount.scheduling.domain.model import FailureCause, JobPhase
 from tamarackmount.scheduling.store.journal import (
     CancelRecord,
     CompletenessRecord,
@@ -18,7 +19,6 @@
     decode_record,
     split_key,
 )
-from tamarackmount.scheduling.domain.model import FailureCause, JobPhase
 
 _log = logging.getLogger(__name__)
 
--- a/tamarackmount/scheduling/workers/workers.py
+++ b/tamarackmount/scheduling/workers/workers.py
@@ -7,8 +7,8 @@
 from tamarackmount.ids import Instant
 from tamarackmount.resources import NOTHING, Resources, componentwise_maximum
 from tamarackmount.scheduling.domain.model import TaskKey, WorkerIncarnation
-from tamarackmount.scheduling.jobs.runs import Run
 from tamarackmount.scheduling.domain.worker_reports import WorkerEntry
+from tamarackmount.scheduling.jobs.runs import Run
 from tamarackmount.units import MS_PER_SECOND
 
 LEASE_MS = 6_000
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -16,7 +16,11 @@
 from tamarackmount.node.fenced_log import FencedLog
 from tamarackmount.platform.store import Appended, Fenced, KeyedRecord, Topic
 from tamarackmount.scheduling.membership.holder_watch import HEARTBEAT_INTERVAL_S
-from tamarackmount.scheduling.store.journal import HolderRecord, decode_record, encode_record
+from tamarackmount.scheduling.store.journal import (
+    HolderRecord,
+    decode_record,
+    encode_record,
+)
 from tests.utils.build_scheduling import fleet_config
 from tests.utils.memory_peers import MemoryFleet
 from tests.utils.memory_store import MemoryStore
--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -13,8 +13,11 @@
 from tamarackmount.node.contention_metrics import MAX_ROWS, OTHERS
 from tamarackmount.node.metrics import NodeMetrics
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.shares.contention import REPORT_INTERVAL_S, ContentionReports
 from tamarackmount.scheduling.domain.model import ServiceName
+from tamarackmount.scheduling.shares.contention import (
+    REPORT_INTERVAL_S,
+    ContentionReports,
+)
 from tamarackmount.scheduling.shares.observer import ContentionRow, NoObserver
 from tamarackmount.scheduling.shares.shares import ShareRow
 from tamarackmount.status import ExitStatus
--- a/tests/test_failure_cause.py
+++ b/tests/test_failure_cause.py
@@ -6,13 +6,13 @@
 from tamarackmount.node.context import JOBS_TOPIC
 from tamarackmount.platform.jobs import encode_job_state
 from tamarackmount.platform.store import KeyedRecord
+from tamarackmount.scheduling.domain.model import FailureCause, JobPhase
 from tamarackmount.scheduling.store.journal import (
     JobProgress,
     RecordKind,
     encode_record,
     record_key,
 )
-from tamarackmount.scheduling.domain.model import FailureCause, JobPhase
 from tests.utils.build_scheduling import job
 from tests.utils.build_takeover import build_job_index
 from tests.utils.memory_peers import MemoryFleet
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -5,6 +5,7 @@
 from tamarackmount.ids import DataCentreId, Instant, MemberId
 from tamarackmount.node.context import JOBS_TOPIC
 from tamarackmount.node.http_api import HttpStatus, PhaseLookupFailure
+from tamarackmount.scheduling.domain.model import JobPhase
 from tamarackmount.scheduling.membership.followers import (
     FOLLOW_DELAY_S,
     FOLLOW_LINGER_S,
@@ -14,7 +15,6 @@
     followers_in_order,
 )
 from tamarackmount.scheduling.membership.holder_watch import Candidate
-from tamarackmount.scheduling.domain.model import JobPhase
 from tests.utils.build_scheduling import HIGH_PRIORITY, LOW_PRIORITY, job, queue
 from tests.utils.memory_peers import MemoryFleet
 
--- a/tests/test_holder_probe.py
+++ b/tests/test_holder_probe.py
@@ -9,7 +9,11 @@
 from tamarackmount.node.holder_election import CANDIDATE_LINGER_S
 from tamarackmount.node.http_api import HttpStatus
 from tamarackmount.node.messages import PhaseReply, StoreReply, enum_value
-from tamarackmount.scheduling.membership.holder_authority import HolderAuthority, holder_authority
+from tamarackmount.scheduling.domain.model import JobPhase
+from tamarackmount.scheduling.membership.holder_authority import (
+    HolderAuthority,
+    holder_authority,
+)
 from tamarackmount.scheduling.membership.holder_watch import (
     HEARTBEAT_INTERVAL_S,
     HEARTBEAT_TIMEOUT_S,
@@ -18,7 +22,6 @@
     HolderWatch,
 )
 from tamarackmount.scheduling.store.journal import HolderRecord
-from tamarackmount.scheduling.domain.model import JobPhase
 from tests.utils.build_scheduling import job
 from tests.utils.memory_peers import STEP_S, MemoryFleet
 
--- a/tests/test_scheduling_admission.py
+++ b/tests/test_scheduling_admission.py
@@ -6,14 +6,20 @@
 
 from tamarackmount.ids import WorkspaceId
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.admission.admission import UNFIT_JOB_RETRY_S, RefusalReason
+from tamarackmount.scheduling.admission.admission import (
+    UNFIT_JOB_RETRY_S,
+    RefusalReason,
+)
 from tamarackmount.scheduling.admission.drain_forecast import SUMS_MAX_AGE_S
 from tamarackmount.scheduling.domain.fleet_config import AdvicePolicy, Workspace
 from tamarackmount.scheduling.domain.model import StepSpec, TaskKey
-from tamarackmount.scheduling.shares.returns import MAX_RETRY_S
-from tamarackmount.scheduling.scheduler import SHARES_INTERVAL_S
-from tamarackmount.scheduling.estimates.wait_correction import MAX_CORRECTION, WaitCorrection
 from tamarackmount.scheduling.domain.worker_reports import RunEnd
+from tamarackmount.scheduling.estimates.wait_correction import (
+    MAX_CORRECTION,
+    WaitCorrection,
+)
+from tamarackmount.scheduling.scheduler import SHARES_INTERVAL_S
+from tamarackmount.scheduling.shares.returns import MAX_RETRY_S
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
     LOW_PRIORITY,
--- a/tests/test_scheduling_advice.py
+++ b/tests/test_scheduling_advice.py
@@ -1,7 +1,10 @@
 """Tests of which advice is requested, and when, under the loads that it is made for."""
 
 from tamarackmount.ids import RackId
-from tamarackmount.scheduling.advice.advice_choice import ApprovalRates, workers_to_ask_about
+from tamarackmount.scheduling.advice.advice_choice import (
+    ApprovalRates,
+    workers_to_ask_about,
+)
 from tamarackmount.scheduling.domain.fleet_config import AdvicePolicy
 from tamarackmount.scheduling.domain.model import WorkerIncarnation
 from tamarackmount.scheduling.jobs.runs import (
--- a/tests/test_scheduling_capacity_changes.py
+++ b/tests/test_scheduling_capacity_changes.py
@@ -3,11 +3,15 @@
 from dataclasses import replace
 
 from tamarackmount.resources import NOTHING, Resources
-from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.admission.admission import RefusalReason
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.domain.model import JobPhase, StepKey
+from tamarackmount.scheduling.domain.worker_reports import (
+    OrderResult,
+    RunEnd,
+    WorkerEntry,
+)
 from tamarackmount.scheduling.jobs.runs import Reservation
-from tamarackmount.scheduling.domain.worker_reports import OrderResult, RunEnd, WorkerEntry
 from tamarackmount.scheduling.workers.worker_speeds import LearnedWorkerSpeeds
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
--- a/tests/test_scheduling_ceilings.py
+++ b/tests/test_scheduling_ceilings.py
@@ -4,14 +4,14 @@
 
 from tamarackmount.ids import Instant, WorkspaceId
 from tamarackmount.resources import Resources
+from tamarackmount.scheduling.domain.effects import StartRun
+from tamarackmount.scheduling.domain.worker_reports import RunEnd
+from tamarackmount.scheduling.estimates.urgent_peaks import PEAK_WINDOW_S, UrgentPeaks
 from tamarackmount.scheduling.limits.ceilings import (
     MIN_NON_URGENT_CEILING_FRACTION,
     NON_URGENT_CEILING_FRACTION,
 )
-from tamarackmount.scheduling.domain.effects import StartRun
 from tamarackmount.scheduling.scheduler import SHARES_INTERVAL_S
-from tamarackmount.scheduling.estimates.urgent_peaks import PEAK_WINDOW_S, UrgentPeaks
-from tamarackmount.scheduling.domain.worker_reports import RunEnd
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
     SchedulerHarness,
--- a/tests/test_scheduling_completion.py
+++ b/tests/test_scheduling_completion.py
@@ -1,8 +1,8 @@
 """A job that has ended never starts again, whatever is read or reported meanwhile."""
 
-from tamarackmount.scheduling.store.job_index import JobRecords
 from tamarackmount.scheduling.domain.model import JobPhase, TaskKey
 from tamarackmount.scheduling.domain.worker_reports import RunEnd
+from tamarackmount.scheduling.store.job_index import JobRecords
 from tests.utils.build_scheduling import (
     UNIX_MS,
     SchedulerHarness,
--- a/tests/test_scheduling_contention.py
+++ b/tests/test_scheduling_contention.py
@@ -9,10 +9,10 @@
 from tamarackmount.ids import WorkspaceId
 from tamarackmount.resources import NOTHING, Resources
 from tamarackmount.scheduling.domain.fleet_config import Workspace
-from tamarackmount.scheduling.workers.pool_loads import pool_load_key
+from tamarackmount.scheduling.domain.worker_reports import RunEnd
 from tamarackmount.scheduling.scheduler import SHARES_INTERVAL_S
 from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.domain.worker_reports import RunEnd
+from tamarackmount.scheduling.workers.pool_loads import pool_load_key
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
     LOW_PRIORITY,
--- a/tests/test_scheduling_copies.py
+++ b/tests/test_scheduling_copies.py
@@ -5,16 +5,16 @@
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling.domain.effects import StartRun
 from tamarackmount.scheduling.domain.model import JobPhase
-from tamarackmount.scheduling.scheduler_state import STOP_RETRY_S
-from tamarackmount.scheduling.placement.stragglers import (
-    SPECULATIVE_COPY_FACTOR,
-    STRAGGLER_CHECK_INTERVAL_S,
-)
 from tamarackmount.scheduling.domain.worker_reports import (
     OrderResult,
     PollFailure,
     RunEnd,
 )
+from tamarackmount.scheduling.placement.stragglers import (
+    SPECULATIVE_COPY_FACTOR,
+    STRAGGLER_CHECK_INTERVAL_S,
+)
+from tamarackmount.scheduling.scheduler_state import STOP_RETRY_S
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
     SchedulerHarness,
--- a/tests/test_scheduling_data_centres.py
+++ b/tests/test_scheduling_data_centres.py
@@ -2,8 +2,8 @@
 
 from tamarackmount.ids import DataCentreId
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.workers.free_capacity import MIN_SUSPECTED_WORKERS
 from tamarackmount.scheduling.domain.worker_reports import OrderResult, PollFailure
+from tamarackmount.scheduling.workers.free_capacity import MIN_SUSPECTED_WORKERS
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
     SchedulerHarness,
--- a/tests/test_scheduling_duration_spread.py
+++ b/tests/test_scheduling_duration_spread.py
@@ -6,7 +6,10 @@
 import pytest
 
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.estimates.duration_spread import MIN_SPREAD_SAMPLES, DurationSpread
+from tamarackmount.scheduling.estimates.duration_spread import (
+    MIN_SPREAD_SAMPLES,
+    DurationSpread,
+)
 from tests.utils.build_scheduling import (
     LOW_PRIORITY,
     SchedulerHarness,
--- a/tests/test_scheduling_evacuation.py
+++ b/tests/test_scheduling_evacuation.py
@@ -1,14 +1,14 @@
 """No run starts in an evacuated data centre, whichever way it would be started."""
 
 from tamarackmount.ids import DataCentreId, Instant, WorkerId
-from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.admission.admission import Refusal, RefusalReason
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.domain.effects import StartRun
 from tamarackmount.scheduling.domain.fleet_config import AdvicePolicy
-from tamarackmount.scheduling.membership.holder_authority import HolderAuthority
 from tamarackmount.scheduling.domain.model import TaskKey
-from tamarackmount.scheduling.jobs.step_advice import AdviceAnswer, WorkerTicket
 from tamarackmount.scheduling.domain.worker_reports import PollFailure, RunEnd
+from tamarackmount.scheduling.jobs.step_advice import AdviceAnswer, WorkerTicket
+from tamarackmount.scheduling.membership.holder_authority import HolderAuthority
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
     SchedulerHarness,
--- a/tests/test_scheduling_free_capacity.py
+++ b/tests/test_scheduling_free_capacity.py
@@ -5,9 +5,9 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.workers.free_capacity import FreeCapacityIndex
 from tamarackmount.scheduling.domain.model import StepKey
 from tamarackmount.scheduling.jobs.runs import JobState, StepState
+from tamarackmount.scheduling.workers.free_capacity import FreeCapacityIndex
 from tamarackmount.scheduling.workers.workers import ContactState, WorkerState
 from tests.utils.build_scheduling import START, job, step, worker_entry
 
--- a/tests/test_scheduling_headroom.py
+++ b/tests/test_scheduling_headroom.py
@@ -5,8 +5,8 @@
 from tamarackmount.ids import Instant
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
-from tamarackmount.scheduling.estimates.peak_use import URGENT_PEAK_AGE_S, PeakUse
 from tamarackmount.scheduling.domain.worker_reports import RunEnd
+from tamarackmount.scheduling.estimates.peak_use import URGENT_PEAK_AGE_S, PeakUse
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
     SERVICE,
--- a/tests/test_scheduling_large_tasks.py
+++ b/tests/test_scheduling_large_tasks.py
@@ -5,8 +5,8 @@
 
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
-from tamarackmount.scheduling.workers.large_tasks import LargeTasks
 from tamarackmount.scheduling.domain.model import StepSpec
+from tamarackmount.scheduling.workers.large_tasks import LargeTasks
 from tests.utils.build_scheduling import (
     SERVICE,
     START,
--- a/tests/test_scheduling_leases.py
+++ b/tests/test_scheduling_leases.py
@@ -3,15 +3,15 @@
 import pytest
 
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.membership.holder_authority import HolderAuthority
-from tamarackmount.scheduling.domain.model import JobPhase, TaskKey
 from tamarackmount.scheduling.contact.worker_leases import MIN_POLL_INTERVAL_S
 from tamarackmount.scheduling.contact.worker_polls import RENEWAL_SILENCE_TIMEOUT_S
+from tamarackmount.scheduling.domain.model import JobPhase, TaskKey
 from tamarackmount.scheduling.domain.worker_reports import (
     OrderResult,
     PollFailure,
     RunEnd,
 )
+from tamarackmount.scheduling.membership.holder_authority import HolderAuthority
 from tamarackmount.scheduling.workers.workers import LEASE_MS, MIN_CLOCK_RATE
 from tests.utils.build_scheduling import (
     CLOCK_MS,
--- a/tests/test_scheduling_load.py
+++ b/tests/test_scheduling_load.py
@@ -5,11 +5,11 @@
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling.domain.fleet_config import AdvicePolicy
 from tamarackmount.scheduling.domain.model import TaskKey
-from tamarackmount.scheduling.placement.preemption import PREEMPTED_RESTART_DELAY_S
+from tamarackmount.scheduling.domain.worker_reports import OrderResult, RunEnd
 from tamarackmount.scheduling.jobs.ranking import WorkspaceRateLimiter
 from tamarackmount.scheduling.jobs.runs import make_job
 from tamarackmount.scheduling.jobs.step_advice import AdviceAnswer, WorkerTicket
-from tamarackmount.scheduling.domain.worker_reports import OrderResult, RunEnd
+from tamarackmount.scheduling.placement.preemption import PREEMPTED_RESTART_DELAY_S
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
     SchedulerHarness,
--- a/tests/test_scheduling_reservations.py
+++ b/tests/test_scheduling_reservations.py
@@ -4,9 +4,9 @@
 
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
+from tamarackmount.scheduling.domain.model import JobPhase
 from tamarackmount.scheduling.store.job_index import JobRecords
 from tamarackmount.scheduling.store.journal import ForecastRecord, JobProgress
-from tamarackmount.scheduling.domain.model import JobPhase
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
     START,
--- a/tests/test_scheduling_retention.py
+++ b/tests/test_scheduling_retention.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 from tamarackmount.ids import Instant
+from tamarackmount.scheduling.domain.model import JobPhase
 from tamarackmount.scheduling.store.job_index import JobIndex
 from tamarackmount.scheduling.store.journal import (
     CancelRecord,
@@ -10,7 +11,6 @@
     encode_record,
     job_key,
 )
-from tamarackmount.scheduling.domain.model import JobPhase
 from tamarackmount.scheduling.store.retention import (
     LATE_APPEND_MARGIN_S,
     expired_jobs,
--- a/tests/test_scheduling_returns.py
+++ b/tests/test_scheduling_returns.py
@@ -6,8 +6,12 @@
 
 from tamarackmount.ids import Instant, JobId, WorkspaceId
 from tamarackmount.resources import Resources
+from tamarackmount.scheduling.admission.admission import (
+    Refusal,
+    RefusalReason,
+    whole_retry_s,
+)
 from tamarackmount.scheduling.shares import returns as returns_module
-from tamarackmount.scheduling.admission.admission import Refusal, RefusalReason, whole_retry_s
 from tamarackmount.scheduling.shares.returns import (
     GRACE_S,
     MAX_RETRY_S,
--- a/tests/test_scheduling_stragglers.py
+++ b/tests/test_scheduling_stragglers.py
@@ -2,12 +2,12 @@
 
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling.domain.effects import StartRun
+from tamarackmount.scheduling.domain.worker_reports import PollFailure, RunEnd
 from tamarackmount.scheduling.estimates.forecast import MIN_SAMPLES
 from tamarackmount.scheduling.placement.stragglers import (
     FORECAST_STRAGGLER_FACTOR,
     STRAGGLER_FACTOR,
 )
-from tamarackmount.scheduling.domain.worker_reports import PollFailure, RunEnd
 from tests.utils.build_scheduling import (
     LOW_PRIORITY,
     SchedulerHarness,
--- a/tests/test_scheduling_takeover.py
+++ b/tests/test_scheduling_takeover.py
@@ -6,12 +6,12 @@
 
 from tamarackmount.ids import JobId
 from tamarackmount.resources import Resources
+from tamarackmount.scheduling.domain.model import JobPhase, TaskKey
+from tamarackmount.scheduling.domain.worker_reports import EndedRun, PollFailure, RunEnd
 from tamarackmount.scheduling.estimates.forecast import FORECAST_STORE_INTERVAL_S
 from tamarackmount.scheduling.membership.holder_authority import HolderAuthority
-from tamarackmount.scheduling.store.journal import encode_record, job_key
-from tamarackmount.scheduling.domain.model import JobPhase, TaskKey
 from tamarackmount.scheduling.placement.stragglers import FORECAST_STRAGGLER_FACTOR
-from tamarackmount.scheduling.domain.worker_reports import EndedRun, PollFailure, RunEnd
+from tamarackmount.scheduling.store.journal import encode_record, job_key
 from tamarackmount.scheduling.workers.workers import MAX_INHERITED_LEASE_S
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
--- a/tests/test_scheduling_worker_crashes.py
+++ b/tests/test_scheduling_worker_crashes.py
@@ -5,6 +5,17 @@
 
 import pytest
 
+from tamarackmount.scheduling.domain.model import (
+    FailureCause,
+    JobPhase,
+    StepSpec,
+    WorkerIncarnation,
+)
+from tamarackmount.scheduling.domain.worker_reports import (
+    OrderResult,
+    PollFailure,
+    RunEnd,
+)
 from tamarackmount.scheduling.evidence.crash_evidence import (
     MAX_ISOLATION_WAIT_S,
     MAX_UNEXPLAINED_CRASHES,
@@ -20,13 +31,6 @@
     decode_record,
     record_key,
 )
-from tamarackmount.scheduling.domain.model import (
-    FailureCause,
-    JobPhase,
-    StepSpec,
-    WorkerIncarnation,
-)
-from tamarackmount.scheduling.domain.worker_reports import OrderResult, PollFailure, RunEnd
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
     SchedulerHarness,
--- a/tests/test_scheduling_worker_speeds.py
+++ b/tests/test_scheduling_worker_speeds.py
@@ -8,10 +8,13 @@
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.domain.model import StepKey
+from tamarackmount.scheduling.domain.worker_reports import RunEnd
 from tamarackmount.scheduling.jobs.runs import JobState, StepState
 from tamarackmount.scheduling.placement.speed_choice import speed_ranks
-from tamarackmount.scheduling.domain.worker_reports import RunEnd
-from tamarackmount.scheduling.workers.worker_speeds import MAX_WORKERS, LearnedWorkerSpeeds
+from tamarackmount.scheduling.workers.worker_speeds import (
+    MAX_WORKERS,
+    LearnedWorkerSpeeds,
+)
 from tamarackmount.scheduling.workers.workers import WorkerState
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
--- a/tests/test_scheduling_write_ahead.py
+++ b/tests/test_scheduling_write_ahead.py
@@ -1,7 +1,9 @@
 """Tests for start orders that wait for the store, and takeovers after a slow store."""
 
 from tamarackmount.resources import Resources
+from tamarackmount.scheduling.contact.store_batches import MAX_BATCH_RECORDS, Batch
 from tamarackmount.scheduling.domain.fleet_config import AdvicePolicy
+from tamarackmount.scheduling.jobs.step_advice import AdviceAnswer, WorkerTicket
 from tamarackmount.scheduling.store.job_index import JobIndex
 from tamarackmount.scheduling.store.journal import (
     CompletenessRecord,
@@ -9,8 +11,6 @@
     decode_record,
     record_key,
 )
-from tamarackmount.scheduling.jobs.step_advice import AdviceAnswer, WorkerTicket
-from tamarackmount.scheduling.contact.store_batches import MAX_BATCH_RECORDS, Batch
 from tamarackmount.scheduling.store.write_ahead import (
     FAST_STORE_PERIOD_S,
     SLOW_APPEND_S,
--- a/tests/utils/build_scheduling.py
+++ b/tests/utils/build_scheduling.py
@@ -15,6 +15,7 @@
     WorkspaceId,
 )
 from tamarackmount.resources import Resources
+from tamarackmount.scheduling.contact.store_batches import Batch
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.domain.effects import (
     AskAdvice,
@@ -30,7 +31,6 @@
     Workspace,
     group_by_host,
 )
-from tamarackmount.scheduling.store.job_index import JobRecords
 from tamarackmount.scheduling.domain.model import (
     JobSpec,
     ServiceName,
@@ -38,8 +38,6 @@
     TaskKey,
     WorkerIncarnation,
 )
-from tamarackmount.scheduling.scheduler import Scheduler
-from tamarackmount.scheduling.contact.store_batches import Batch
 from tamarackmount.scheduling.domain.worker_reports import (
     EndedRun,
     OrderResult,
@@ -48,6 +46,8 @@
     WorkerEntry,
     WorkerReport,
 )
+from tamarackmount.scheduling.scheduler import Scheduler
+from tamarackmount.scheduling.store.job_index import JobRecords
 
 SERVICE = ServiceName("counter")
 WORKSPACE = WorkspaceId("retail")
--- a/tests/utils/contention_replay.py
+++ b/tests/utils/contention_replay.py
@@ -9,8 +9,8 @@
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.domain.fleet_config import Workspace
 from tamarackmount.scheduling.domain.model import StepSpec, TaskKey, WorkerIncarnation
-from tamarackmount.scheduling.jobs.objectives import LATE_FACTOR
 from tamarackmount.scheduling.domain.worker_reports import EndedRun, RunEnd, WorkerEntry
+from tamarackmount.scheduling.jobs.objectives import LATE_FACTOR
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
     LOW_PRIORITY,
--- a/tests/utils/crashing_pool.py
+++ b/tests/utils/crashing_pool.py
@@ -6,12 +6,10 @@
 
 from tamarackmount.ids import Instant, JobId, WorkerId
 from tamarackmount.resources import NOTHING, Resources
+from tamarackmount.scheduling.contact.store_batches import Batch
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.domain.effects import PollWorker
-from tamarackmount.scheduling.store.job_index import JobRecords
-from tamarackmount.scheduling.store.journal import encode_task, worker_key
 from tamarackmount.scheduling.domain.model import JobPhase, TaskKey, WorkerIncarnation
-from tamarackmount.scheduling.contact.store_batches import Batch
 from tamarackmount.scheduling.domain.worker_reports import (
     EndedRun,
     OrderResult,
@@ -20,6 +18,8 @@
     WorkerEntry,
     WorkerReport,
 )
+from tamarackmount.scheduling.store.job_index import JobRecords
+from tamarackmount.scheduling.store.journal import encode_task, worker_key
 from tamarackmount.scheduling.workers.workers import LEASE_MS
 from tamarackmount.units import MS_PER_SECOND
 from tests.utils.build_scheduling import (
--- a/tests/utils/switch_offs.py
+++ b/tests/utils/switch_offs.py
@@ -309,7 +309,13 @@
     SwitchOff(
         "early-claim",
         "the holder is cut off, frozen or turned away by the store",
-        (_edit("scheduling/membership/holder_watch.py", "if is_unresponsive:", "if False:"),),
+        (
+            _edit(
+                "scheduling/membership/holder_watch.py",
+                "if is_unresponsive:",
+                "if False:",
+            ),
+        ),
     ),
     SwitchOff(
         "hand-over",
