Keep the holder's authority while only its own topic is away

A holder whose heartbeats have not been accepted for 0.8 s now writes them to the jobs topic too. An append there under its epoch is as good: the next holder fences that topic before it sends its first order. Followers read them and don't claim; a new holder that finds a heartbeat written after its claim lets the former orders end as much later.

Tests fail before: the holder loses its authority after 2 s, and a holder that alone can't write its topic is replaced.

--- a/tamarackmount/node/claims.py
+++ b/tamarackmount/node/claims.py
@@ -2,18 +2,23 @@
 
 A claim names the offset at which the topic has to end. Nothing else is written to this
 topic, so a claim conflicts only with other claims and with heartbeats.
+
+Load pattern: the part of the store with this topic is away, while the part with the
+jobs topic works. Heartbeats go to the jobs topic then. An append there confirms the
+role as well: the next holder fences that topic before it sends its first order.
 """
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
 
 from twisted.internet.task import deferLater
 
-from tamarackmount.ids import Epoch, MemberId, Offset
+from tamarackmount.ids import Epoch, Instant, MemberId, Offset
 from tamarackmount.node import clock
 from tamarackmount.node.fenced_log import FencedLog
+from tamarackmount.node.submissions import StoreOutcome
 from tamarackmount.node.tasks import spawn
 from tamarackmount.platform.store import Appended, KeyedRecord, Store, Topic
 from tamarackmount.scheduling.membership.holder_watch import HEARTBEAT_INTERVAL_S
@@ -27,6 +32,13 @@
 HOLDER_TOPIC = Topic("keyed.holder")
 """Topic of holder claims and heartbeats."""
 
+FALLBACK_AFTER_S = 2 * HEARTBEAT_INTERVAL_S
+"""Time without an accepted heartbeat in the holder topic after which heartbeats are
+written to the jobs topic, in seconds."""
+
+WriteToJobsTopic = Callable[[KeyedRecord], Awaitable[StoreOutcome]]
+"""Stores a record in the jobs topic under the holder's epoch."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -75,15 +87,22 @@
         """Call ``on_fenced`` once heartbeats are rejected for good.
 
         The store rejects them because another holder writes.
-        ``last_heartbeat_sent_at`` is when the newest accepted heartbeat was first sent.
-        Other nodes may claim the role some time after it.
         """
         self._reactor = reactor
         self._claimed = claimed
         self._on_fenced = on_fenced
         self._heartbeat_number = 0
         self._is_stopped = False
-        self.last_heartbeat_sent_at = clock.now()
+        self._sent_to_holder_topic_at = clock.now()
+        self._sent_to_jobs_topic_at = Instant(float("-inf"))
+
+    @property
+    def last_heartbeat_sent_at(self) -> Instant:
+        """When the newest accepted heartbeat was first sent.
+
+        Other nodes may claim the role some time after it.
+        """
+        return max(self._sent_to_holder_topic_at, self._sent_to_jobs_topic_at)
 
     @property
     def is_quick(self) -> bool:
@@ -94,6 +113,13 @@
         """Start writing heartbeats."""
         spawn(self._run())
 
+    def start_fallback(self, write_to_jobs_topic: WriteToJobsTopic) -> None:
+        """Write heartbeats to the jobs topic while the holder topic takes none.
+
+        The jobs topic has to be fenced before.
+        """
+        spawn(self._run_fallback(write_to_jobs_topic))
+
     def stop(self) -> None:
         """Stop writing heartbeats."""
         self._is_stopped = True
@@ -110,20 +136,36 @@
                 return
             await self._write(released=False)
 
-    async def _write(self, released: bool) -> None:
+    async def _run_fallback(self, write_to_jobs_topic: WriteToJobsTopic) -> None:
+        while True:
+            await deferLater(self._reactor, HEARTBEAT_INTERVAL_S, lambda: None)
+            if self._is_stopped:
+                return
+            sent_at = clock.now()
+            if sent_at <= self._sent_to_holder_topic_at + FALLBACK_AFTER_S:
+                continue
+            row = self._next_row(released=False)
+            if await write_to_jobs_topic(row) is StoreOutcome.STORED:
+                self._sent_to_jobs_topic_at = sent_at
+
+    def _next_row(self, released: bool) -> KeyedRecord:
         self._heartbeat_number += 1
-        sent_at = clock.now()
         claimed = self._claimed
-        record = HolderRecord(
-            claimed.node,
-            claimed.epoch,
-            self._heartbeat_number,
-            claimed.started_unix_ms,
-            released,
+        return _to_row(
+            HolderRecord(
+                claimed.node,
+                claimed.epoch,
+                self._heartbeat_number,
+                claimed.started_unix_ms,
+                released,
+            )
         )
-        result = await claimed.log.append([_to_row(record)])
+
+    async def _write(self, released: bool) -> None:
+        sent_at = clock.now()
+        result = await self._claimed.log.append([self._next_row(released)])
         if isinstance(result, Appended):
-            self.last_heartbeat_sent_at = sent_at
+            self._sent_to_holder_topic_at = sent_at
         elif not self._is_stopped:
             self._is_stopped = True
             self._on_fenced(f"heartbeat rejected by the store: {result}")
--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -74,19 +74,17 @@
         claimed: Claim,
         job_index: JobIndex,
         fleet: FleetConfig,
-        former_orders_end_at: Instant,
         on_ended: Callable[[str], None],
     ) -> None:
         """Take over the jobs of ``job_index``.
 
         ``on_ended`` is called with a reason when the store or a worker fences this
-        holder. Former holders send no more orders after ``former_orders_end_at``.
+        holder.
         """
         self._dependencies = dependencies
         self._epoch = claimed.epoch
         self._job_index = job_index
         self._on_ended = on_ended
-        self._former_orders_end_at = former_orders_end_at
         self._is_stopped = False
         self._is_releasing = False
         self._is_tick_scheduled = False
@@ -157,18 +155,22 @@
         self._heartbeats.start()
         return isinstance(await self._log.append([]), Appended)
 
-    def start(self) -> None:
-        """Start scheduling."""
+    def start(self, former_orders_end_at: Instant) -> None:
+        """Start scheduling.
+
+        Former holders send no more orders after ``former_orders_end_at``.
+        """
         job_index = self._job_index
         self.scheduler.restore(
             job_index.open_jobs(),
             job_index.workers(),
             job_index.forecast,
-            self._former_orders_end_at,
+            former_orders_end_at,
             job_index.runs_are_complete,
             clock.now(),
             clock.unix_ms(),
         )
+        self._heartbeats.start_fallback(self._writer.add)
         self._registrations.tail.start()
         self._ticks.start(TICK_INTERVAL_S, now=True)
 
--- a/tamarackmount/node/holder_election.py
+++ b/tamarackmount/node/holder_election.py
@@ -24,6 +24,7 @@
 from tamarackmount.scheduling.membership.holder_watch import (
     MAX_QUICK_READ_S,
     Candidate,
+    FormerHolder,
     HolderWatch,
     candidate_rank,
 )
@@ -157,6 +158,16 @@
                 _log.error("holder record not readable; skipped", extra=extra)
                 continue
             self._watch.heartbeat_received(decoded.unwrap(), clock.now())
+        self._note_changed_holder(previous)
+
+    def _read_heartbeat_in_jobs_topic(self) -> None:
+        previous = self._watch.record
+        heartbeat = self._context.job_index.heartbeat
+        if heartbeat is not None:
+            self._watch.heartbeat_received(heartbeat, clock.now())
+            self._note_changed_holder(previous)
+
+    def _note_changed_holder(self, previous: HolderRecord | None) -> None:
         latest = self._watch.record
         if latest is not None and (previous is None or latest.epoch != previous.epoch):
             extra = {"node": latest.node, "epoch": latest.epoch}
@@ -180,6 +191,7 @@
         context = self._context
         if self.tail.caught_up_at is not None:
             self._watch.store_read(self.tail.caught_up_at)
+        self._read_heartbeat_in_jobs_topic()
         if self.holder is not None:
             self._check_hand_over()
             return
@@ -282,10 +294,12 @@
         # Rank 0: this node has waited for its rank already. The read above may have
         # shown a newer record of the holder.
         now = clock.now()
+        self._read_heartbeat_in_jobs_topic()
         self._watch.update_vacancy(started, now)
         if end is None or not self._watch.should_claim(0, now, is_unresponsive):
             return
         grace_s = self._watch.former_holder_grace_s(started, now)
+        heartbeat_at_claim = context.job_index.heartbeat
         new_claim = await claim(
             context.reactor,
             context.store,
@@ -294,11 +308,11 @@
             end,
         )
         if new_claim is not None:
-            former_orders_end_at = Instant(clock.now() + grace_s)
+            former = FormerHolder(Instant(clock.now() + grace_s), heartbeat_at_claim)
             _log.info("scheduling claimed", extra={"epoch": new_claim.epoch})
-            await self._take_over(new_claim, former_orders_end_at)
+            await self._take_over(new_claim, former)
 
-    async def _take_over(self, new_claim: Claim, former_orders_end_at: Instant) -> None:
+    async def _take_over(self, new_claim: Claim, former: FormerHolder) -> None:
         """Fence former holders, read their records, then start scheduling."""
         context = self._context
         if context.fleet is None:
@@ -308,7 +322,6 @@
             new_claim,
             context.job_index,
             context.fleet,
-            former_orders_end_at,
             self._holder_ended,
         )
         is_fenced = await holder.fence()
@@ -332,7 +345,8 @@
         # The configuration may have changed since the claim.
         holder.set_fleet_config(context.fleet)
         holder.set_evacuated_data_centres(self._evacuations.data_centres)
-        holder.start()
+        newest = context.job_index.heartbeat
+        holder.start(former.orders_end_at(newest, new_claim.epoch, clock.now()))
         self.new_holder_ready.notify()
         self._notify_peers(holder.epoch)
 
--- a/tamarackmount/scheduling/membership/holder_watch.py
+++ b/tamarackmount/scheduling/membership/holder_watch.py
@@ -15,7 +15,7 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
-from tamarackmount.ids import DataCentreId, Instant, MemberId
+from tamarackmount.ids import DataCentreId, Epoch, Instant, MemberId
 from tamarackmount.scheduling.membership.holder_authority import RENEWAL_LIMIT_S
 from tamarackmount.scheduling.store.journal import HolderRecord
 
@@ -78,10 +78,16 @@
     def heartbeat_received(self, record: HolderRecord | None, now: Instant) -> None:
         """Record a claim, a heartbeat or a release of the holder.
 
-        Records of a former holder, which have a lower epoch, are ignored.
+        Records of a former holder, and older or repeated ones of this holder, are
+        ignored: a heartbeat in the jobs topic may be read long after later ones in the
+        holder topic.
         """
         known = self.record
-        if known is not None and record is not None and record.epoch < known.epoch:
+        if (
+            known is not None
+            and record is not None
+            and (record.epoch, record.beat) <= (known.epoch, known.beat)
+        ):
             return
         self.record = record
         self.silent_since = now
@@ -147,6 +153,30 @@
         return FIRST_CLAIM_DELAY_S if self.record is None else HEARTBEAT_TIMEOUT_S
 
 
+@dataclass(frozen=True, slots=True)
+class FormerHolder:
+    """What was known of the former holder when the role was claimed.
+
+    It sends no orders after ``known_orders_end_at``, unless it has written a newer
+    heartbeat to the jobs topic than ``heartbeat``, before that topic was fenced.
+    """
+
+    known_orders_end_at: Instant
+    heartbeat: HolderRecord | None
+
+    def orders_end_at(
+        self, newest: HolderRecord | None, epoch: Epoch, read_at: Instant
+    ) -> Instant:
+        """Return when its orders end.
+
+        ``newest`` is the last heartbeat in the jobs topic, read to its fenced end at
+        ``read_at``; ``epoch`` is that of the new holder.
+        """
+        if newest is None or newest == self.heartbeat or newest.epoch >= epoch:
+            return self.known_orders_end_at
+        return max(self.known_orders_end_at, Instant(read_at + FORMER_ORDERS_LIMIT_S))
+
+
 @dataclass(frozen=True, slots=True)
 class Candidate:
     """A node that may claim; ``cores`` is its processor time, in cores."""
--- a/tamarackmount/scheduling/store/job_index.py
+++ b/tamarackmount/scheduling/store/job_index.py
@@ -13,6 +13,7 @@
     CancelRecord,
     CompletenessRecord,
     ForecastRecord,
+    HolderRecord,
     JobProgress,
     RecordKind,
     WorkerRecord,
@@ -111,17 +112,20 @@
     """The newest records of jobs and workers, and the newest forecast.
 
     ``runs_are_complete`` tells whether the store holds every run that may exist, as the
-    newest completeness record says. Holder records are in a topic of their own, which
-    ``node/claims.py`` writes.
+    newest completeness record says. ``heartbeat`` is the newest one of a holder in this
+    topic; claims and most heartbeats are in a topic of their own, see
+    ``node/claims.py``.
     """
 
     def __init__(self) -> None:
         """Start without records."""
         self.jobs_by_id: dict[JobId, JobRecords] = {}
         self.forecast: ForecastRecord | None = None
+        self.heartbeat: HolderRecord | None = None
         self.runs_are_complete = True
         self._text_by_worker: dict[str, bytes] = {}
         self._setters = {
+            RecordKind.HOLDER: self._set_heartbeat,
             RecordKind.JOB: self._set_job,
             RecordKind.CANCEL: self._set_cancel,
             RecordKind.PROGRESS: self._set_progress,
@@ -135,6 +139,7 @@
         self.jobs_by_id.clear()
         self._text_by_worker.clear()
         self.forecast = None
+        self.heartbeat = None
         self.runs_are_complete = True
 
     def apply(self, key: str, value: bytes) -> None:
@@ -219,6 +224,9 @@
     def _set_forecast(self, name: str, text: bytes) -> None:
         self.forecast = _decode(text, ForecastRecord, name) or self.forecast
 
+    def _set_heartbeat(self, name: str, text: bytes) -> None:
+        self.heartbeat = _decode(text, HolderRecord, name) or self.heartbeat
+
     def _set_completeness(self, name: str, text: bytes) -> None:
         record = _decode(text, CompletenessRecord, name)
         # A record that can't be decoded may have said that runs are missing.
--- a/tamarackmount/scheduling/store/journal.py
+++ b/tamarackmount/scheduling/store/journal.py
@@ -1,8 +1,9 @@
 """Records in the store: the state that has to outlive every process.
 
 One keyed topic has the records of jobs and workers, the forecast and the completeness
-record; holder records have a topic of their own. Any entry VM writes a job's own record
-and its cancellation; only the holder, fenced by its epoch, writes the other records.
+record. Holder records have a topic of their own; while that is away, heartbeats are
+written to the first one. Any entry VM writes a job's own record and its cancellation;
+only the holder, fenced by its epoch, writes the other records.
 """
 
 from dataclasses import dataclass, field
--- a/tests/utils/memory_peers.py
+++ b/tests/utils/memory_peers.py
@@ -27,7 +27,7 @@
     encode_record,
 )
 from tests.utils.build_platform_documents import boot_document, config_document
-from tests.utils.memory_store import OUTCOME_UNKNOWN, MemoryStore
+from tests.utils.memory_store import NOT_APPLIED, OUTCOME_UNKNOWN, MemoryStore
 
 LATENCY_S = 0.001
 """Time that a message takes, in seconds."""
@@ -72,6 +72,7 @@
     A node in ``nodes_without_store`` gets no answer. Appends of a node in
     ``nodes_without_appends`` get none and have no effect, but its reads are answered.
     Reads of the operator topic by a node in ``nodes_without_operator_topic`` get none.
+    Appends of a node to a topic in ``refused_appends`` are refused.
     """
 
     def __init__(self, fleet: "MemoryFleet", node_id: MemberId) -> None:
@@ -88,6 +89,8 @@
     ) -> Any:
         """Append, unless the node does not reach the store."""
         fleet = self._fleet
+        if (self._node_id, topic) in fleet.refused_appends:
+            return NOT_APPLIED
         unserved = fleet.nodes_without_store | fleet.nodes_without_appends
         if self._node_id in unserved:
             return await self._wait_in_vain(deadline)
@@ -130,6 +133,7 @@
         self.nodes_without_store: set[MemberId] = set()
         self.nodes_without_appends: set[MemberId] = set()
         self.nodes_without_operator_topic: set[MemberId] = set()
+        self.refused_appends: set[tuple[MemberId, Topic]] = set()
         self.nodes_by_id: dict[MemberId, Node] = {}
         holder = HolderRecord(MemberId("n0"), 1, 0, 1)
         self.store.put(HOLDER_TOPIC, KeyedRecord("holder", encode_record(holder)))
--- a/tests/utils/memory_store.py
+++ b/tests/utils/memory_store.py
@@ -61,7 +61,8 @@
 
     ``append_latency_s`` is the duration of one append, ``read_latency_s`` that of a
     read, in seconds. While ``is_down``, calls fail,
-    and while ``is_silent``, appends get no answer and have no effect.
+    and while ``is_silent``, appends get no answer and have no effect. Calls about the
+    ``topics_down`` fail.
     The next ``replies_to_drop`` appends take effect but their replies are lost.
     ``append_sizes`` are the sizes of the records of each append, in bytes.
     """
@@ -74,6 +75,7 @@
         self.read_latency_s = 0.01
         self.is_down = False
         self.is_silent = False
+        self.topics_down: set[Topic] = set()
         self.replies_to_drop = 0
         self.max_append_bytes = DEFAULT_MAX_APPEND_BYTES
         self.max_record_bytes = DEFAULT_MAX_RECORD_BYTES
@@ -97,7 +99,7 @@
         self.calls += 1
         self.appends += 1
         self.append_sizes.append(sum(encoded_bytes(record) for record in records))
-        if self.is_down:
+        if self._is_down(topic):
             return NOT_APPLIED
         if self.is_silent:
             await self._delay(deadline - self._clock.seconds())
@@ -129,7 +131,7 @@
         self.reads_by_topic[topic] += 1
         latency_s = self.read_latency_s
         await self._delay(min(latency_s, max(0.0, deadline - self._clock.seconds())))
-        if self.is_down:
+        if self._is_down(topic):
             return NOT_APPLIED
         partition = self._partition(topic)
         if start < partition.first_offset:
@@ -147,7 +149,7 @@
     ) -> LatestRecordsPage | StoreError:
         """Return the latest record of each key in a single page."""
         self.calls += 1
-        if self.is_down or deadline <= self._clock.seconds():
+        if self._is_down(topic) or deadline <= self._clock.seconds():
             return NOT_APPLIED
         partition = self._partition(topic)
         by_key = {row.key: row for row in partition.records if row.key > after}
@@ -171,6 +173,9 @@
         partition = self._partition(topic)
         partition.first_offset = len(partition.records)
 
+    def _is_down(self, topic: Topic) -> bool:
+        return self.is_down or topic in self.topics_down
+
     def _partition(self, topic: Topic) -> _Partition:
         return self._partitions_by_topic.setdefault(topic, _Partition())
 
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -16,6 +16,7 @@
 
 SCHEDULING = "tests/test_scheduling_*.py"
 NODE = "tests/test_platform_node.py tests/test_claims.py tests/test_holder_authority.py"
+PARTIAL_OUTAGE = "tests/test_partial_outage.py"
 EVACUATION = "tests/test_*evacuation*.py"
 CRASHES = "tests/test_scheduling_worker_crashes.py"
 
@@ -214,6 +215,21 @@
         "        HolderAuthority.FULL",
         NODE,
     ),
+    Mutant(
+        "a former holder may have written heartbeats until it was fenced",
+        "scheduling/membership/holder_watch.py",
+        "        return max(self.known_orders_end_at, "
+        "Instant(read_at + FORMER_ORDERS_LIMIT_S))",
+        "        return self.known_orders_end_at",
+        PARTIAL_OUTAGE,
+    ),
+    Mutant(
+        "a heartbeat read late renews no holder",
+        "scheduling/membership/holder_watch.py",
+        "(record.epoch, record.beat) <= (known.epoch, known.beat)",
+        "record.epoch < known.epoch",
+        PARTIAL_OUTAGE,
+    ),
     Mutant(
         "missing heartbeats count only while the store is read",
         "scheduling/membership/holder_watch.py",
--- a/tests/utils/switch_offs.py
+++ b/tests/utils/switch_offs.py
@@ -317,6 +317,17 @@
             ),
         ),
     ),
+    SwitchOff(
+        "heartbeat-fallback",
+        "the part of the store with the holder topic is away, that with jobs works",
+        (
+            _edit(
+                "node/holder.py",
+                "        self._heartbeats.start_fallback(self._writer.add)\n",
+                "",
+            ),
+        ),
+    ),
     SwitchOff(
         "hand-over",
         "a small VM becomes the holder while all large ones are lost",
