Stop or copy runs whose reported progress stands still

A row of a worker's report has the run's progress in percent; the code read it as the worker's speed and used it for nothing.

A run that should have progressed by five percents, and for 0.45 s at least, is stuck now: its task gets a copy, or the run is stopped and started elsewhere, and the worker gets no new runs for 4 s. Reports decide alone: a silent worker, gangs that wait for members, perpetual and filling tasks make no run stuck. The soak's workers report progress.

--- a/tamarackmount/platform/workers.py
+++ b/tamarackmount/platform/workers.py
@@ -334,7 +334,7 @@
             task=_decode_task(row[0]),
             run_number=_count(row[1]),
             checkpoint=str(row[2]),
-            speed_percent=_count(row[3]),
+            progress_percent=_count(row[3]),
             # The tail latency of a serving task in milliseconds; for any other
             # task, the processor time that it uses in thousandths of a core.
             tail_ms_or_millicores=_count(row[4]) if len(row) > 4 else 0,
--- a/tamarackmount/scheduling/contact/worker_leases.py
+++ b/tamarackmount/scheduling/contact/worker_leases.py
@@ -20,6 +20,7 @@
 from tamarackmount.scheduling.domain.effects import StepDown
 from tamarackmount.scheduling.domain.model import WorkerIncarnation
 from tamarackmount.scheduling.domain.worker_reports import (
+    WHOLE_WORK_PERCENT,
     PollFailure,
     RunningRun,
     WorkerEntry,
@@ -52,9 +53,6 @@
 
 _log = logging.getLogger(__name__)
 
-FULL_SPEED_PERCENT = 100
-"""Speed of a run that is not throttled, in percent of full speed."""
-
 UNSTORED_ENDS_POLL_DELAY_S = 0.4
 """Delay before the next poll while run ends are not stored, in seconds: a worker lists
 unacknowledged ends again and answers at once."""
@@ -179,7 +177,7 @@
     worker.lease_ends = Instant(former_orders_end_at + MAX_INHERITED_LEASE_S)
     state.workers_by_incarnation[entry.incarnation] = worker
     for text, number in record.runs:
-        row = RunningRun(decode_task(text), number, "", FULL_SPEED_PERCENT)
+        row = RunningRun(decode_task(text), number, "", WHOLE_WORK_PERCENT)
         adopt_or_stop_run(state, worker, row, now)
 
 
--- a/tamarackmount/scheduling/domain/worker_reports.py
+++ b/tamarackmount/scheduling/domain/worker_reports.py
@@ -47,11 +47,16 @@
     GANG_INCOMPLETE = "alone"
 
 
+WHOLE_WORK_PERCENT = 100
+"""Progress of a run that has done all of its work, in percent."""
+
+
 @dataclass(frozen=True, slots=True)
 class RunningRun:
     """A run in a worker's report.
 
-    ``speed_percent`` is the part of full speed at which the worker lets it run.
+    ``progress_percent`` is the part of its work that is done, as a whole number; a
+    serving task that is at work has ``WHOLE_WORK_PERCENT``.
     ``tail_ms_or_millicores`` is the tail latency of a serving task, and the processor
     time that any other task uses.
     """
@@ -59,7 +64,7 @@
     task: TaskKey
     run_number: int
     checkpoint: str
-    speed_percent: int
+    progress_percent: int
     tail_ms_or_millicores: int = 0
 
 
--- a/tamarackmount/scheduling/execution/run_reconciliation.py
+++ b/tamarackmount/scheduling/execution/run_reconciliation.py
@@ -56,7 +56,9 @@
     state: SchedulerState, run: Run, row: RunningRun, now: Instant
 ) -> None:
     run.confirmed_at = now
-    run.speed_percent = row.speed_percent
+    if row.progress_percent != run.progress_percent:
+        run.progress_percent = row.progress_percent
+        run.progressed_at = now
     run.tail_ms_or_millicores = row.tail_ms_or_millicores
     step = state.step_of(run.task)
     if step is not None and row.checkpoint:
--- a/tamarackmount/scheduling/jobs/runs.py
+++ b/tamarackmount/scheduling/jobs/runs.py
@@ -87,12 +87,13 @@
     is being stopped. ``confirmed_at`` is when the worker was last known to have the
     run, ``stopped_at`` when it confirmed a stop. ``listed_s`` is the longest time after
     its start, in seconds, at which a poll was sent whose report lists it.
-    ``speed_percent`` and ``tail_ms_or_millicores`` are those of its newest row in a
-    report. A run that ``resumed`` began from a checkpoint. One that ``is_adopted`` was
-    started by a former holder: it began before ``began_at``, which is when this holder
-    learned of it. It counts towards ``counted_use`` until it ends. ``expected_s`` is
-    its duration forecast at its start, in seconds; 0 if it has none. A run
-    ``is_ordered`` once its start order may have been sent.
+    ``progress_percent`` and ``tail_ms_or_millicores`` are those of its newest row in a
+    report; ``progressed_at`` is when the former last changed. A run that ``resumed``
+    began from a checkpoint. One that ``is_adopted`` was started by a former holder: it
+    began before ``began_at``, which is when this holder learned of it. It counts
+    towards ``counted_use`` until it ends. ``expected_s`` is its duration forecast at
+    its start, in seconds; 0 if it has none. A run ``is_ordered`` once its start order
+    may have been sent.
     """
 
     task: TaskKey
@@ -107,7 +108,8 @@
     stop_in_flight: bool = False
     next_stop_at: Instant = Instant(0.0)
     listed_s: float = 0.0
-    speed_percent: int = 100
+    progress_percent: int = 0
+    progressed_at: Instant = Instant(0.0)
     tail_ms_or_millicores: int = 0
     resumed: bool = False
     is_adopted: bool = False
@@ -116,6 +118,10 @@
     counted_use: PeakUse | None = None
     expected_s: float = 0.0
 
+    def __post_init__(self) -> None:
+        """Begin without progress."""
+        self.progressed_at = max(self.progressed_at, self.began_at)
+
 
 @dataclass(frozen=True, slots=True)
 class Reservation:
--- a/tamarackmount/scheduling/placement/stragglers.py
+++ b/tamarackmount/scheduling/placement/stragglers.py
@@ -1,10 +1,11 @@
-"""Handle stragglers: runs that take far longer than comparable ones.
+"""Handle stragglers: runs that take far longer than comparable ones, or are stuck.
 
 Load pattern: a few workers become several times slower, or make no progress with their
 runs, while they answer every poll. A task that allows it gets a speculative copy
 elsewhere as soon as it falls behind its step. Other runs are stopped and started
 elsewhere once stragglers of two jobs, or the durations of its recent runs, show that
-the worker is at fault; it gets no new runs for a while.
+the worker is at fault; it gets no new runs for a while. A run whose reported progress
+stands still is stuck: it is copied or stopped without waiting for others.
 
 There are two thresholds: a task is slow enough for a copy above a multiple of its
 step's median duration, and its run is a straggler above a multiple of the longest one.
@@ -15,6 +16,7 @@
 import math
 
 from tamarackmount.ids import Instant, QueueName
+from tamarackmount.scheduling.domain.worker_reports import WHOLE_WORK_PERCENT
 from tamarackmount.scheduling.execution.run_ends import (
     MIN_DURATION_SAMPLES,
     WORKER_BACKOFF_S,
@@ -90,6 +92,14 @@
 """Least run time of a straggler, in seconds: its task starts anew only after a stop, so
 a younger run would probably have ended sooner by itself."""
 
+MIN_STALL_S = 0.45
+"""Least time without progress after which a run is stuck, in seconds: workers with
+urgent tasks report every 0.4 s, and a run starts to progress within 0.1 s."""
+
+STALLED_PERCENTS = 5.0
+"""Progress that a run should have made in that time, in percent of its work: progress
+is reported in whole percents, and a task may be longer than forecast."""
+
 MIN_STRAGGLING_JOBS = 2
 """Number of jobs with stragglers on a worker at once from which on the worker is at
 fault; with one, it may be the job itself."""
@@ -107,15 +117,19 @@
         if not worker.has_fresh_state:
             continue
         _copy_slow_tasks(state, worker, now)
+        to_stop = _find_stuck_runs(state, worker)
         stragglers = _find_stragglers(state, worker, now)
         jobs = {run.task.job_id for _, run in stragglers}
-        if len(jobs) < MIN_STRAGGLING_JOBS and not worker.is_slow(now):
+        if len(jobs) >= MIN_STRAGGLING_JOBS or worker.is_slow(now):
+            to_stop += stragglers
+        if not to_stop:
             continue
         worker.backoff_until = max(
             worker.backoff_until, Instant(now + WORKER_BACKOFF_S)
         )
-        for step, run in stragglers:
-            _stop_straggler(state, worker, step, run, now)
+        for step, run in to_stop:
+            if run.task.index not in step.handled_stragglers:
+                _stop_straggler(state, worker, step, run, now)
 
 
 def _copy_slow_tasks(state: SchedulerState, worker: WorkerState, now: Instant) -> None:
@@ -128,12 +142,12 @@
         if (
             not step.allows_speculative_copy
             or ran_s <= MIN_COPY_AGE_S
-            or len(step.durations_s) < MIN_DURATION_SAMPLES
             or run.task.index in step.handled_stragglers
         ):
             continue
-        median_s = _median_s(step) * duration_factor(state, step, run)
-        if ran_s <= _copy_factor(state, step) * median_s:
+        usual_s = _usual_duration_s(state, step, run)
+        is_slow = usual_s is not None and ran_s > _copy_factor(state, step) * usual_s
+        if not is_slow and not is_stuck(step, run):
             continue
         if state.request_speculative_copy(run):
             step.handled_stragglers.add(run.task.index)
@@ -143,11 +157,58 @@
                 "task": format_task(run.task),
                 "worker": worker.incarnation.worker_id,
                 "ran_s": round(ran_s, 3),
-                "usual_s": round(median_s, 3),
+                "usual_s": round(usual_s or run.expected_s, 3),
             }
             _log.info("straggler copied", extra=extra)
 
 
+def _usual_duration_s(state: SchedulerState, step: StepState, run: Run) -> float | None:
+    """Return how long a run should take by others of its step, in seconds.
+
+    None while too few of them have ended.
+    """
+    if len(step.durations_s) < MIN_DURATION_SAMPLES:
+        return None
+    return _median_s(step) * duration_factor(state, step, run)
+
+
+def is_stuck(step: StepState, run: Run) -> bool:
+    """Tell whether a run has made no progress for longer than it should have.
+
+    Only times at which the worker has reported count. Perpetual tasks and those that
+    fill free capacity may progress as little as they like. Members of a gang make no
+    progress before all are there.
+    """
+    spec = step.spec
+    progress = run.progress_percent
+    if spec.perpetual or spec.fills or progress >= WHOLE_WORK_PERCENT:
+        return False
+    if run.confirmed_at is None or (spec.gang and not progress):
+        return False
+    worked_s = run.progressed_at - run.began_at
+    percent_s = max(
+        run.expected_s / WHOLE_WORK_PERCENT, worked_s / progress if progress else 0.0
+    )
+    stalled_s = run.confirmed_at - run.progressed_at
+    return stalled_s > max(MIN_STALL_S, STALLED_PERCENTS * percent_s)
+
+
+def _find_stuck_runs(
+    state: SchedulerState, worker: WorkerState
+) -> list[tuple[StepState, Run]]:
+    stuck = []
+    for run in worker.runs_by_task.values():
+        step = state.step_of(run.task)
+        if (
+            step is not None
+            and run.phase is RunPhase.RUNNING
+            and not run.is_orphaned
+            and is_stuck(step, run)
+        ):
+            stuck.append((step, run))
+    return stuck
+
+
 def _median_s(step: StepState) -> float:
     """Return the median duration of a step's tasks, in seconds.
 
--- a/tests/soak/worker_server.py
+++ b/tests/soak/worker_server.py
@@ -33,9 +33,15 @@
 @dataclass(slots=True)
 class _ActiveRun:
     run: SoakRun
+    began_at: float
     ends_at: float
     outcome: str
 
+    def progress_percent(self, now: float) -> int:
+        """Return the part of its work that is done."""
+        duration_s = self.ends_at - self.began_at
+        return int(100 * min(1.0, (now - self.began_at) / duration_s))
+
 
 @dataclass(slots=True)
 class _Incarnation:
@@ -230,7 +236,9 @@
         fails = self.faults.fails_all_work or self._rng.random() < 0.02
         now = self._reactor.seconds()
         outcome = "failed" if fails else "done"
-        self._incarnation.active_by_task[task] = _ActiveRun(run, now + work_s, outcome)
+        self._incarnation.active_by_task[task] = _ActiveRun(
+            run, now, now + work_s, outcome
+        )
         self._incarnation.highest_run_by_task[task] = run.number
         self._checker.run_started(run, body["spec"], now)
         self._checker.check_zone(run, self._zone, now)
@@ -307,8 +315,9 @@
                 POLL_INTERVAL_S, self._answer_poll, request, incarnation, poll_ends_at
             )
             return
+        now = self._reactor.seconds()
         running = [
-            [_task_name(task), active.run.number, "", 50, 0]
+            [_task_name(task), active.run.number, "", active.progress_percent(now), 0]
             for task, active in incarnation.active_by_task.items()
         ]
         ended = [
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -403,7 +403,8 @@
     assert isinstance(result, WorkerReport)
     assert (result.born_unix_ms, result.clock_ms) == (9, 5)
     assert result.running[0].task == TASK
-    assert (result.running[0].checkpoint, result.running[0].speed_percent) == ("cp", 41)
+    running = result.running[0]
+    assert (running.checkpoint, running.progress_percent) == ("cp", 41)
     assert (result.ended[0].end_number, result.ended[0].outcome) == (58, RunEnd.DONE)
     assert peer.request_json() == {
         "fencingToken": 7,
--- a/tests/utils/build_scheduling.py
+++ b/tests/utils/build_scheduling.py
@@ -146,6 +146,14 @@
     return WorkerReport(born, clock_ms, rows, ended)
 
 
+def progress_report(progress: dict[tuple[TaskKey, int], int]) -> WorkerReport:
+    """Return a worker's report with the progress of its runs, in percent."""
+    rows = tuple(
+        RunningRun(task, run, "", percent) for (task, run), percent in progress.items()
+    )
+    return WorkerReport(1, CLOCK_MS, rows, ())
+
+
 def ended_run(number: int, task: TaskKey, run: int, outcome: RunEnd) -> EndedRun:
     """Return the end of a run, as a report lists it."""
     return EndedRun(number, task, run, outcome, "")
--- a/tests/utils/switch_offs.py
+++ b/tests/utils/switch_offs.py
@@ -112,8 +112,19 @@
         (
             _edit(
                 "scheduling/placement/stragglers.py",
-                "        for step, run in stragglers:\n",
-                "        for step, run in ():\n",
+                "        if len(jobs) >= MIN_STRAGGLING_JOBS or worker.is_slow(now):",
+                "        if False:",
+            ),
+        ),
+    ),
+    SwitchOff(
+        "stuck-runs",
+        "workers make no progress with some of their runs while they answer polls",
+        (
+            _edit(
+                "scheduling/placement/stragglers.py",
+                "    return stalled_s > max(",
+                "    return False and stalled_s > max(",
             ),
         ),
     ),
