Notice within 0.7 s that a data centre is cut off

Each node now queries nodes of other data centres in turn, every 0.15 s. If none has answered for 0.4 s, it reads the store, and is cut off if that has no answer for 0.2 s. A cut-off node is not ready, sends its callers away, and rejects jobs at once without sending them across the cut. A node that only loses the store, or only the others, judges by the old limit.

--- a/tamarackmount/internal/node_peer.capnp
+++ b/tamarackmount/internal/node_peer.capnp
@@ -86,6 +86,7 @@
 struct StoreAgeQuery {
   callId @0 :UInt64;
   readNow @1 :Bool;
+  contactOnly @2 :Bool;
 }
 
 struct StoreAgeReply {
--- a/tamarackmount/node/job_service.py
+++ b/tamarackmount/node/job_service.py
@@ -35,6 +35,7 @@
     WaitingReply,
     enum_value,
 )
+from tamarackmount.node.node_registry import NodeRegistry
 from tamarackmount.node.store_contact import StoreContact
 from tamarackmount.node.submissions import (
     NOT_STORED_RESULT,
@@ -87,6 +88,7 @@
     def __init__(
         self,
         context: NodeContext,
+        registry: NodeRegistry,
         election: HolderElection,
         follower: JobsFollower,
         store_contact: StoreContact,
@@ -94,6 +96,7 @@
         """Serve the jobs that ``follower`` reads and those that other nodes know."""
         self._store_contact = store_contact
         self._context = context
+        self._registry = registry
         self._election = election
         self._follower = follower
         self._rng = random.Random()
@@ -102,7 +105,7 @@
             context.store,
             JOBS_TOPIC,
             self._relay,
-            store_contact.silence_s,
+            lambda: not store_contact.is_lost,
         )
         self.handlers: dict[type, Callable[[MemberId, Any], None]] = {
             JobStored: self._handle_job_stored,
@@ -278,7 +281,12 @@
         ]
         if holder is not None and holder != self._context.node_id:
             nodes.insert(0, holder)
-        return nodes[:MAX_NODES_ASKED]
+        reachable = [node for node in nodes if self._may_reach(node)]
+        return reachable[:MAX_NODES_ASKED]
+
+    def _may_reach(self, node: MemberId) -> bool:
+        """Tell whether a node may answer: none beyond a cut does."""
+        return not self._store_contact.is_cut_off or self._registry.is_local(node)
 
     def _report_submission(
         self, job: AcceptedJob, result: StoreResult, took_s: float, deadline: Instant
@@ -327,6 +335,9 @@
         node = self._election.holder_node
         if node is None or not self._context.links.is_open(node):
             return None
+        if not self._may_reach(node):
+            # A record that is sent now may arrive once the cut has ended.
+            return None
         peers = self._context.peer_calls
         query = StoreQuery(peers.next_call_id(), record.key, record.value)
         reply = await peers.call(node, query, timeout_s)
--- a/tamarackmount/node/messages.py
+++ b/tamarackmount/node/messages.py
@@ -121,11 +121,13 @@
 class StoreAgeQuery:
     """Asks other entry VMs whether they reach the store.
 
-    With ``read_now`` the node reads the store first, unless it has just done so.
+    With ``read_now`` the node reads the store first, unless it has just done so. With
+    ``contact_only`` any answer will do.
     """
 
     call_id: int
     read_now: bool = False
+    contact_only: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -39,6 +39,7 @@
 from tamarackmount.node.metrics import MetricsResource, NodeMetrics
 from tamarackmount.node.node_registry import NodeRegistry
 from tamarackmount.node.peer_calls import PeerCalls, QueryReply
+from tamarackmount.node.remote_contact import RemoteContact
 from tamarackmount.node.store_contact import StoreContact
 from tamarackmount.node.tasks import spawn, spawn_answer
 from tamarackmount.node.topic_tail import TopicTail
@@ -164,11 +165,24 @@
         self._departed_nodes = DepartedNodes(
             self._context, self._registry, lambda: self._election.holder is not None
         )
+        self._remote_contact = RemoteContact(
+            reactor,
+            self._context.peer_calls,
+            settings.data_centre,
+            self._registry.candidates,
+        )
         self._store_contact = StoreContact(
-            reactor, self._last_store_answers, self._election.tail.read_now
+            reactor,
+            self._last_store_answers,
+            self._election.tail.read_now,
+            lambda: self._remote_contact.is_lost,
         )
         self.jobs = JobService(
-            self._context, self._election, self._follower, self._store_contact
+            self._context,
+            self._registry,
+            self._election,
+            self._follower,
+            self._store_contact,
         )
         self._jobs_resource = JobsResource(self.jobs, self._context.metrics)
         self._handlers: dict[type, Callable[[MemberId, Any], None]] = {
@@ -203,6 +217,7 @@
         self._election.tail.start()
         self._registry.tail.start()
         self._follower.start()
+        self._remote_contact.start()
         self._store_contact.start()
 
     def start_claiming(self) -> None:
@@ -376,8 +391,9 @@
             await self._election.tail.read_now()
         age_ms = int(self._store_contact.silence_s() * MS_PER_SECOND)
         self._context.links.send(sender, StoreAgeReply(query.call_id, age_ms))
-        # The holder asks while the store does not answer it; a notice may be lost.
-        send_evacuations(self._context, sender, self._evacuations.changes())
+        if not query.contact_only:
+            # The holder asks while the store does not answer it; a notice may be lost.
+            send_evacuations(self._context, sender, self._evacuations.changes())
 
     def _handle_advice_query(self, sender: MemberId, query: AdviceQuery) -> None:
         spawn_answer(self._answer_advice_query(sender, query))
--- a/tamarackmount/node/node_registry.py
+++ b/tamarackmount/node/node_registry.py
@@ -78,6 +78,12 @@
             for node, record in self._records_by_node.items()
         ]
 
+    def is_local(self, node: MemberId) -> bool:
+        """Tell whether a node is registered in this node's data centre."""
+        record = self._records_by_node.get(node)
+        own = self._context.settings.data_centre
+        return record is not None and record.data_centre == own
+
     def started_by_node(self) -> dict[MemberId, int]:
         """Return the start of each entry VM's newest process, in Unix milliseconds."""
         started = {
--- a/tamarackmount/node/store_contact.py
+++ b/tamarackmount/node/store_contact.py
@@ -3,7 +3,8 @@
 Load pattern: a data centre is cut off from the store. Callers of its nodes can't be
 served there, and come to other nodes only once the load balancer sees that these are
 not ready. So a node whose reads have brought no answer for a while reads once more, and
-counts as cut off soon after that.
+counts as cut off soon after that. It does so sooner if no other data centre answers
+either: then the store is not just slow.
 """
 
 from collections.abc import Awaitable, Callable, Iterable
@@ -22,6 +23,13 @@
 """Silence of the store after which this node counts as cut off from it, in seconds. A
 slow store answers the additional read in 0.3 to 0.5 s."""
 
+CUT_OFF_PROBE_AFTER_S = 0.2
+"""The same while no other data centre answers, in seconds."""
+
+MAX_CUT_OFF_READ_S = 0.2
+"""Time for which an additional read is unanswered, in seconds, after which this node is
+cut off if no other data centre answers either; reads take 5 to 15 ms."""
+
 CHECK_INTERVAL_S = 0.1
 """Interval between two checks of the silence, in seconds."""
 
@@ -34,24 +42,34 @@
         reactor: Any,
         last_answers: Callable[[], Iterable[Instant | None]],
         read_now: Callable[[], Awaitable[bool]],
+        are_others_lost: Callable[[], bool] = lambda: False,
     ) -> None:
         """Prepare the checks.
 
         ``last_answers`` returns when the store last answered each of the node's reads;
-        ``read_now`` reads once without waiting.
+        ``read_now`` reads once without waiting. ``are_others_lost`` tells whether the
+        other data centres have stopped answering this node.
         """
         self._reactor = reactor
         self._started_at = Instant(reactor.seconds())
         self._last_answers = last_answers
         self._read_now = read_now
+        self._are_others_lost = are_others_lost
         self._is_probing = False
+        self._unanswered_since: Instant | None = None
         self._checks = LoopingCall(stop_process_on_error(self._check))
         self._checks.clock = reactor
 
     @property
     def is_lost(self) -> bool:
-        """Whether this node counts as cut off from the store."""
-        return self.silence_s() > MAX_SILENCE_S
+        """Whether this node does not reach the store."""
+        return self.is_cut_off or self.silence_s() > MAX_SILENCE_S
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether neither the store nor another data centre answers this node."""
+        unanswered_s = self._unanswered_s()
+        return unanswered_s > MAX_CUT_OFF_READ_S and self._are_others_lost()
 
     def start(self) -> None:
         """Start checking."""
@@ -66,9 +84,22 @@
         now: float = self._reactor.seconds()
         return now - max(answers, default=self._started_at)
 
+    def _unanswered_s(self) -> float:
+        """Return for how long additional reads have had no answer, in seconds."""
+        since = self._unanswered_since
+        now: float = self._reactor.seconds()
+        if since is None or self.silence_s() < now - since:
+            return 0.0
+        return now - since
+
     def _check(self) -> None:
-        if not self._is_probing and self.silence_s() > PROBE_AFTER_S:
+        probe_after_s = (
+            CUT_OFF_PROBE_AFTER_S if self._are_others_lost() else PROBE_AFTER_S
+        )
+        if not self._is_probing and self.silence_s() > probe_after_s:
             self._is_probing = True
+            if not self._unanswered_s():
+                self._unanswered_since = Instant(self._reactor.seconds())
             spawn(self._probe())
 
     async def _probe(self) -> None:
--- a/tamarackmount/node/submissions.py
+++ b/tamarackmount/node/submissions.py
@@ -11,7 +11,6 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.node.adaptive_timeout import AdaptiveTimeout
-from tamarackmount.node.store_contact import MAX_SILENCE_S
 from tamarackmount.node.tasks import first_result, spawn
 from tamarackmount.platform.store import (
     Appended,
@@ -145,18 +144,17 @@
         store: Store,
         topic: Topic,
         relay: Relay,
-        store_silence_s: Callable[[], float],
+        has_store_contact: Callable[[], bool],
     ) -> None:
         """Append to ``topic``, or send records through ``relay``.
 
-        ``store_silence_s`` returns the time since the store last answered this node, in
-        seconds.
+        ``has_store_contact`` tells whether this node reaches the store.
         """
         self._reactor = reactor
         self._store = store
         self._topic = topic
         self._relay = relay
-        self._store_silence_s = store_silence_s
+        self._has_store_contact = has_store_contact
         self._waiting: deque[_Pending] = deque()
         self._is_appending = False
         self._unanswered_since = Instant(0.0)
@@ -194,9 +192,6 @@
             return NOT_STORED_RESULT
         return StoreResult(await self._store_directly(record, answer_by, may_be_stored))
 
-    def _has_store_contact(self) -> bool:
-        return self._store_silence_s() <= MAX_SILENCE_S
-
     async def _store_through_holder(
         self, record: KeyedRecord, deadline: Instant
     ) -> StoreResult | None:
--- a/tests/test_store_contact.py
+++ b/tests/test_store_contact.py
@@ -2,14 +2,22 @@
 
 from typing import Any
 
+from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import Clock, deferLater
 
 from tamarackmount.ids import Instant
+from tamarackmount.node.http_api import ApiResponse, HttpStatus
+from tamarackmount.node.remote_contact import MAX_SILENCE_S as MAX_REMOTE_SILENCE_S
+from tamarackmount.node.remote_contact import QUERY_INTERVAL_S
 from tamarackmount.node.store_contact import (
+    CHECK_INTERVAL_S,
+    CUT_OFF_PROBE_AFTER_S,
+    MAX_CUT_OFF_READ_S,
     MAX_SILENCE_S,
     PROBE_AFTER_S,
     StoreContact,
 )
+from tests.utils.build_scheduling import job
 from tests.utils.memory_peers import MemoryFleet
 
 STEP_S = 0.05
@@ -18,14 +26,20 @@
 class Store:
     """A store that answers additional reads after ``answer_s``, or never."""
 
-    def __init__(self, answer_s: float | None) -> None:
-        """Begin with an answer just now."""
+    def __init__(self, answer_s: float | None, are_others_lost: bool = False) -> None:
+        """Begin with an answer just now.
+
+        With ``are_others_lost``, no other data centre answers this node.
+        """
         self.clock = Clock()
         self.last_answer = Instant(0.0)
         self.reads = 0
         self._answer_s = answer_s
         self.contact = StoreContact(
-            self.clock, lambda: (self.last_answer, None), self._read
+            self.clock,
+            lambda: (self.last_answer, None),
+            self._read,
+            lambda: are_others_lost,
         )
         self.contact.start()
 
@@ -74,3 +88,58 @@
     fleet.run_for(MAX_SILENCE_S + 0.1)
     assert fleet.node(2).jobs.sends_callers_away
     assert not fleet.node(1).jobs.sends_callers_away
+
+
+def test_a_node_that_reaches_nothing_is_cut_off_sooner() -> None:
+    store = Store(answer_s=None, are_others_lost=True)
+    detection_s = CUT_OFF_PROBE_AFTER_S + MAX_CUT_OFF_READ_S + 2 * CHECK_INTERVAL_S
+    assert not any(store.run_for(CUT_OFF_PROBE_AFTER_S + MAX_CUT_OFF_READ_S))
+    store.run_for(2 * CHECK_INTERVAL_S)
+    assert all(store.run_for(1.0))
+    assert detection_s < MAX_SILENCE_S / 2
+
+
+def test_a_node_that_reaches_the_store_is_not_cut_off() -> None:
+    store = Store(answer_s=0.01, are_others_lost=True)
+    assert not any(store.run_for(10.0))
+
+
+CUT_DETECTION_S = (
+    MAX_REMOTE_SILENCE_S + QUERY_INTERVAL_S + MAX_CUT_OFF_READ_S + 2 * CHECK_INTERVAL_S
+)
+
+
+def cut_fleet() -> MemoryFleet:
+    """Return nodes of two data centres, of which the second one was just cut off."""
+    fleet = MemoryFleet(4, ("kyushu-a", "kyushu-b"))
+    for number in range(4):
+        fleet.register(f"n{number}", cores=1.0)
+    fleet.start_claiming()
+    assert fleet.holder() == "n0"
+    assert not fleet.node(1).jobs.sends_callers_away
+    fleet.lose_silently(1, 3)
+    return fleet
+
+
+def test_nodes_of_a_cut_data_centre_send_their_callers_away_soon() -> None:
+    fleet = cut_fleet()
+    fleet.run_for(CUT_DETECTION_S)
+    assert [node.jobs.sends_callers_away for node in fleet.nodes_by_id.values()] == [
+        False,
+        True,
+        False,
+        True,
+    ]
+    fleet.regain(1, 3)
+    fleet.run_for(1.0)
+    assert not fleet.node(1).jobs.sends_callers_away
+
+
+def test_a_cut_off_node_rejects_jobs_at_once_as_not_stored() -> None:
+    fleet = cut_fleet()
+    fleet.run_for(CUT_DETECTION_S)
+    submission = ensureDeferred(fleet.node(1).jobs.submit(job(), fleet.deadline()))
+    answers: list[ApiResponse] = []
+    submission.addCallback(answers.append)
+    fleet.run_for(0.05)
+    assert [answer.status for answer in answers] == [HttpStatus.SERVICE_UNAVAILABLE]
--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -6,6 +6,7 @@
 from twisted.internet.task import Clock, deferLater
 
 from tamarackmount.ids import Instant
+from tamarackmount.node.store_contact import MAX_SILENCE_S
 from tamarackmount.node.submissions import (
     NO_STORE_RELAY_TIMEOUT_S,
     NOT_STORED_RESULT,
@@ -45,7 +46,7 @@
         reactor: Any = self.clock
         store: Any = self.store
         self._submissions = Submissions(
-            reactor, store, JOBS, self._relay, lambda: self.silence_s
+            reactor, store, JOBS, self._relay, lambda: self.silence_s <= MAX_SILENCE_S
         )
 
     def submit(self, left_s: float = DEADLINE_S) -> None:
@@ -84,7 +85,7 @@
     reactor: Any = clock
     store: Any = MemoryStore(clock)
     answer: Deferred[StoreResult | None] = Deferred()
-    submissions = Submissions(reactor, store, JOBS, lambda *_: answer, lambda: 0.0)
+    submissions = Submissions(reactor, store, JOBS, lambda *_: answer, lambda: True)
     results: list[StoreResult] = []
     deadline = Instant(clock.seconds() + DEADLINE_S)
     ensureDeferred(submissions.store(ROW, deadline)).addCallback(results.append)
--- a/tests/utils/memory_peers.py
+++ b/tests/utils/memory_peers.py
@@ -1,6 +1,6 @@
 """Entry VMs without sockets, which exchange messages in virtual time."""
 
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Sequence
 from dataclasses import replace
 from typing import Any
 
@@ -122,8 +122,12 @@
     holder, but it does not schedule before :meth:`start_claiming`.
     """
 
-    def __init__(self, size: int) -> None:
-        """Start ``size`` nodes that are registered already."""
+    def __init__(self, size: int, data_centres: Sequence[str] = ("kyushu-a",)) -> None:
+        """Start ``size`` nodes that are registered already.
+
+        They are in the data centres in turn.
+        """
+        self._data_centres = data_centres
         self.clock = Clock()
         self.clock.advance(100.0)
         self.store = MemoryStore(self.clock)
@@ -144,7 +148,7 @@
         self.run_for(1.0)
 
     def _start_node(self, node_id: MemberId) -> None:
-        document = boot_document(node=node_id, zone="kyushu-a")
+        document = boot_document(node=node_id, zone=self._data_centre_of(node_id))
         settings = decode_boot(orjson.dumps(document)).unwrap()
         reactor: Any = self.clock
         store: Any = NodeStore(self, node_id)
@@ -163,9 +167,13 @@
 
     def register(self, name: str, cores: float) -> None:
         """Register a node, whether it runs or not."""
-        record = NodeRecord("10.1.0.1", 7_180, "kyushu-a", cores, 1)
+        data_centre = self._data_centre_of(name)
+        record = NodeRecord("10.1.0.1", 7_180, data_centre, cores, 1)
         self.store.put(NODES_TOPIC, KeyedRecord(name, encode_record(record)))
 
+    def _data_centre_of(self, name: str) -> str:
+        return self._data_centres[int(name[1:]) % len(self._data_centres)]
+
     def start_claiming(self) -> None:
         """Put a configuration into force, and let the nodes elect a holder."""
         configuration = orjson.dumps(config_document())
--- a/tests/utils/switch_offs.py
+++ b/tests/utils/switch_offs.py
@@ -328,6 +328,11 @@
             ),
         ),
     ),
+    SwitchOff(
+        "remote-contact",
+        "a data centre is cut off, and its callers lose their tries there",
+        (_edit("node/node.py", "        self._remote_contact.start()\n", ""),),
+    ),
     SwitchOff(
         "heartbeat-fallback",
         "the part of the store with the holder topic is away, that with jobs works",
