--- a/tamarackmount/node/job_service.py
+++ b/tamarackmount/node/job_service.py
@@ -348,7 +348,7 @@
 
     async def _ask_holder(self, job_id: JobId) -> JobPhase | None:
         node = self._election.holder_node
-        if node is None or node == self._context.node_id:
+        if node is None or node == self._context.node_id or not self._may_reach(node):
             return None
         peers = self._context.peer_calls
         query = PhaseQuery(peers.next_call_id(), job_id)
--- a/tests/utils/memory_peers.py
+++ b/tests/utils/memory_peers.py
@@ -53,7 +53,8 @@
         changes = self._fleet.changes_by_reply.get(type(message))
         if changes is not None:
             envelope = Envelope(self._node_id, replace(message, **changes))
-        if not {to, self._node_id} & self._fleet.silent_nodes:
+        silent = self._fleet.silent_nodes
+        if (to in silent) == (self._node_id in silent):
             self._fleet.clock.callLater(LATENCY_S, node.handle_message, envelope)
         return True
 
@@ -172,7 +173,9 @@
         self.store.put(NODES_TOPIC, KeyedRecord(name, encode_record(record)))
 
     def _data_centre_of(self, name: str) -> str:
-        return self._data_centres[int(name[1:]) % len(self._data_centres)]
+        number = name.removeprefix("n")
+        turn = int(number) if number.isdigit() else 0
+        return self._data_centres[turn % len(self._data_centres)]
 
     def start_claiming(self) -> None:
         """Put a configuration into force, and let the nodes elect a holder."""
@@ -192,7 +195,7 @@
         self.lost_nodes.update(MemberId(f"n{number}") for number in numbers)
 
     def lose_silently(self, *numbers: int) -> None:
-        """Cut nodes off from everything, while their connections seem open."""
+        """Cut nodes off from the store and all others, while connections seem open."""
         self.silent_nodes.update(MemberId(f"n{number}") for number in numbers)
         self.nodes_without_store |= self.silent_nodes
 
