--- a/tamarackmount/node/holder_election.py
+++ b/tamarackmount/node/holder_election.py
@@ -112,6 +112,7 @@
             HOLDER_READ_WAIT_MS,
             HOLDER_READ_INTERVAL_S,
         )
+        self.tail.on_caught_up = self.check_soon
         self._checks = LoopingCall(stop_process_on_error(self._check_claim))
         self._checks.clock = context.reactor
 
@@ -124,6 +125,17 @@
         """Start checking whether to claim the role."""
         self._checks.start(CLAIM_CHECK_INTERVAL_S, now=False)
 
+    def check_soon(self) -> None:
+        """Check whether to claim the role after the current event.
+
+        Load pattern: all processes are killed at once and start again. Nothing is
+        scheduled meanwhile, so the first check must not wait for its interval.
+        """
+        if self._checks.running:
+            self._context.reactor.callLater(
+                0.0, stop_process_on_error(self._check_claim)
+            )
+
     async def release(self) -> None:
         """Release the role, if this node is the holder, and tell the other nodes."""
         holder = self.holder
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -254,27 +254,16 @@
                 break
         _log.info("node stopped", extra={"in_flight": self._jobs_resource.in_flight})
 
-    def _create_tail(
-        self,
-        topic: Any,
-        on_records: Callable[[Sequence[KeyedRecord]], None],
-        wait_ms: int,
-        min_interval_s: float,
-    ) -> TopicTail:
+    def _create_jobs_tail(self) -> TopicTail:
         context = self._context
         return TopicTail(
             context.reactor,
             context.store,
-            topic,
-            on_records,
-            on_records,
-            wait_ms,
-            min_interval_s,
-        )
-
-    def _create_jobs_tail(self) -> TopicTail:
-        return self._create_tail(
-            JOBS_TOPIC, self._apply_job_records, JOBS_READ_WAIT_MS, JOBS_READ_INTERVAL_S
+            JOBS_TOPIC,
+            self._apply_jobs_snapshot,
+            self._apply_job_records,
+            JOBS_READ_WAIT_MS,
+            JOBS_READ_INTERVAL_S,
         )
 
     def _holder_dependencies(self) -> HolderDependencies:
@@ -313,6 +302,10 @@
             address.port, site, backlog=LISTEN_BACKLOG, interface=address.host
         )
 
+    def _apply_jobs_snapshot(self, records: Sequence[KeyedRecord]) -> None:
+        self._apply_job_records(records)
+        self._election.check_soon()
+
     def _apply_job_records(self, records: Sequence[KeyedRecord]) -> None:
         self.jobs.apply_records(records)
 
@@ -373,6 +366,8 @@
             return
         self._context.fleet = fleet
         _log.info("configuration in force", extra={"version": fleet.version})
+        if previous is None:
+            self._election.check_soon()
         if self._election.holder is not None:
             self._election.holder.set_fleet_config(fleet)
 
--- a/tamarackmount/node/topic_tail.py
+++ b/tamarackmount/node/topic_tail.py
@@ -40,7 +40,8 @@
 
     ``on_snapshot`` gets the latest record of each key at the start, and again whenever
     the store has trimmed records before they were read. ``on_records`` gets each later
-    record once, in order.
+    record once, in order. ``on_caught_up`` is called whenever the end of the topic is
+    reached again.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         self._is_reachable = True
         self._is_caught_up = False
         self._retry_delay_s = RETRY_DELAY_S
+        self.on_caught_up: Callable[[], None] = lambda: None
         self.caught_up_at: Instant | None = None
         self.last_contact: Instant | None = None
 
@@ -171,9 +173,12 @@
         self._next_offset = max(self._next_offset, result.next_offset)
         if new_records:
             self._on_records(new_records)
+        was_caught_up = self._is_caught_up
         self._is_caught_up = self._next_offset >= result.end_offset
         if self._is_caught_up:
             self.caught_up_at = max(self.caught_up_at or sent_at, sent_at)
+            if not was_caught_up:
+                self.on_caught_up()
 
     def _record_contact(self) -> None:
         self.last_contact = Instant(self._reactor.seconds())
--- a/tests/utils/memory_peers.py
+++ b/tests/utils/memory_peers.py
@@ -80,6 +80,7 @@
         """Connect a node of a fleet."""
         self._fleet = fleet
         self._node_id = node_id
+        self.is_closed = False
 
     def __getattr__(self, name: str) -> Any:
         """Return an attribute of the store that all nodes share."""
@@ -93,7 +94,7 @@
         if (self._node_id, topic) in fleet.refused_appends:
             return NOT_APPLIED
         unserved = fleet.nodes_without_store | fleet.nodes_without_appends
-        if self._node_id in unserved:
+        if self.is_closed or self._node_id in unserved:
             return await self._wait_in_vain(deadline)
         return await fleet.store.append(topic, records, deadline, *options)
 
@@ -107,7 +108,7 @@
             topic == OPERATOR_TOPIC
             and self._node_id in fleet.nodes_without_operator_topic
         )
-        if is_unread or self._node_id in fleet.nodes_without_store:
+        if self.is_closed or is_unread or self._node_id in fleet.nodes_without_store:
             return await self._wait_in_vain(deadline)
         return result
 
@@ -140,6 +141,7 @@
         self.nodes_without_operator_topic: set[MemberId] = set()
         self.refused_appends: set[tuple[MemberId, Topic]] = set()
         self.nodes_by_id: dict[MemberId, Node] = {}
+        self._stores_by_node: dict[MemberId, NodeStore] = {}
         holder = HolderRecord(MemberId("n0"), 1, 0, 1)
         self.store.put(HOLDER_TOPIC, KeyedRecord("holder", encode_record(holder)))
         for number in range(size):
@@ -153,6 +155,7 @@
         settings = decode_boot(orjson.dumps(document)).unwrap()
         reactor: Any = self.clock
         store: Any = NodeStore(self, node_id)
+        self._stores_by_node[node_id] = store
         links: Any = MemoryLinks(self, node_id)
         node = Node(settings, reactor, store, links)
         self.nodes_by_id[node_id] = node
@@ -162,6 +165,10 @@
         """Return a node by its number."""
         return self.nodes_by_id[MemberId(f"n{number}")]
 
+    def kill(self, number: int) -> None:
+        """End a node's process: it reads and writes nothing any more."""
+        self._stores_by_node[MemberId(f"n{number}")].is_closed = True
+
     def restart(self, number: int) -> None:
         """Replace a node's process by a new one, which has read nothing yet."""
         self._start_node(MemberId(f"n{number}"))
