Test fleet: a node has no connection to itself

With one, a holder in a test saw itself as a larger VM and handed the role over to itself every 1.2 s; which node claimed next depended on the order of events in one step.

--- a/tests/utils/memory_peers.py
+++ b/tests/utils/memory_peers.py
@@ -59,7 +59,9 @@
         return True
 
     def is_open(self, to: MemberId) -> bool:
-        """Tell whether both nodes live."""
+        """Tell whether both nodes live; a node has no connection to itself."""
+        if to == self._node_id:
+            return False
         lost = self._fleet.lost_nodes
         return to in self._fleet.nodes_by_id and not {to, self._node_id} & lost
 
