--- a/tamarackmount/node/holder_election.py
+++ b/tamarackmount/node/holder_election.py
@@ -129,7 +129,7 @@
         """Check whether to claim the role after the current event.
 
         Load pattern: all processes are killed at once and start again. Nothing is
-        scheduled meanwhile, so the first check must not wait for its interval.
+        scheduled meanwhile, so the first check must not wait for the next interval.
         """
         if self._checks.running:
             self._context.reactor.callLater(
--- a/tamarackmount/node/remote_contact.py
+++ b/tamarackmount/node/remote_contact.py
@@ -12,22 +12,21 @@
 
 from twisted.internet.task import LoopingCall
 
-from tamarackmount.ids import DataCentreId, Instant
+from tamarackmount.ids import DataCentreId, Instant, MemberId
 from tamarackmount.node.messages import StoreAgeQuery, StoreAgeReply
 from tamarackmount.node.peer_calls import PeerCalls
 from tamarackmount.node.tasks import spawn, stop_process_on_error
 from tamarackmount.scheduling.membership.holder_watch import Candidate
 
 QUERY_INTERVAL_S = 0.15
-"""Interval between two queries, in seconds. Each takes 0.1 ms of a processor on either
-side."""
+"""Interval between two queries, in seconds."""
 
 QUERY_TIMEOUT_S = 1.0
-"""Time for which a reply is waited for, in seconds: also a late one shows contact."""
+"""Time for which a reply is waited for, in seconds: a late one shows contact, too."""
 
 MAX_SILENCE_S = 0.4
 """Time without an answer from any other data centre after which these count as lost, in
-seconds: two queries of different nodes, which a busy small VM answers in 0.1 s."""
+seconds: two queries of different nodes in a row are unanswered then."""
 
 
 class RemoteContact:
@@ -73,7 +72,7 @@
             return
         spawn(self._query(remote[next(self._turns) % len(remote)]))
 
-    async def _query(self, node: Any) -> None:
+    async def _query(self, node: MemberId) -> None:
         query = StoreAgeQuery(self._peers.next_call_id(), contact_only=True)
         reply = await self._peers.call(node, query, QUERY_TIMEOUT_S)
         if isinstance(reply, StoreAgeReply):
--- a/tamarackmount/node/store_contact.py
+++ b/tamarackmount/node/store_contact.py
@@ -24,7 +24,8 @@
 slow store answers the additional read in 0.3 to 0.5 s."""
 
 CUT_OFF_PROBE_AFTER_S = 0.2
-"""The same while no other data centre answers, in seconds."""
+"""Silence of the store after which this node reads once more while no other data centre
+answers, in seconds."""
 
 MAX_CUT_OFF_READ_S = 0.2
 """Time for which an additional read is unanswered, in seconds, after which this node is
@@ -42,7 +43,7 @@
         reactor: Any,
         last_answers: Callable[[], Iterable[Instant | None]],
         read_now: Callable[[], Awaitable[bool]],
-        are_others_lost: Callable[[], bool] = lambda: False,
+        are_others_lost: Callable[[], bool],
     ) -> None:
         """Prepare the checks.
 
--- a/tamarackmount/scheduling/placement/stragglers.py
+++ b/tamarackmount/scheduling/placement/stragglers.py
@@ -147,7 +147,7 @@
             continue
         usual_s = _usual_duration_s(state, step, run)
         is_slow = usual_s is not None and ran_s > _copy_factor(state, step) * usual_s
-        if not is_slow and not is_stuck(step, run):
+        if not is_slow and not _is_stuck(step, run):
             continue
         if state.request_speculative_copy(run):
             step.handled_stragglers.add(run.task.index)
@@ -172,7 +172,7 @@
     return _median_s(step) * duration_factor(state, step, run)
 
 
-def is_stuck(step: StepState, run: Run) -> bool:
+def _is_stuck(step: StepState, run: Run) -> bool:
     """Tell whether a run has made no progress for longer than it should have.
 
     Only times at which the worker has reported count. Perpetual tasks and those that
@@ -203,7 +203,7 @@
             step is not None
             and run.phase is RunPhase.RUNNING
             and not run.is_orphaned
-            and is_stuck(step, run)
+            and _is_stuck(step, run)
         ):
             stuck.append((step, run))
     return stuck
