--- a/tamarackmount/scheduling/jobs/runs.py
+++ b/tamarackmount/scheduling/jobs/runs.py
@@ -118,10 +118,6 @@
     counted_use: PeakUse | None = None
     expected_s: float = 0.0
 
-    def __post_init__(self) -> None:
-        """Begin without progress."""
-        self.progressed_at = max(self.progressed_at, self.began_at)
-
 
 @dataclass(frozen=True, slots=True)
 class Reservation:
--- a/tamarackmount/scheduling/placement/stragglers.py
+++ b/tamarackmount/scheduling/placement/stragglers.py
@@ -185,11 +185,13 @@
         return False
     if run.confirmed_at is None or (spec.gang and not progress):
         return False
-    worked_s = run.progressed_at - run.began_at
+    # A run begins anew when its order leaves, which may have waited for the store.
+    progressed_at = max(run.progressed_at, run.began_at)
+    worked_s = progressed_at - run.began_at
     percent_s = max(
         run.expected_s / WHOLE_WORK_PERCENT, worked_s / progress if progress else 0.0
     )
-    stalled_s = run.confirmed_at - run.progressed_at
+    stalled_s = run.confirmed_at - progressed_at
     return stalled_s > max(MIN_STALL_S, STALLED_PERCENTS * percent_s)
 
 
--- a/tests/test_scheduling_stuck_runs.py
+++ b/tests/test_scheduling_stuck_runs.py
@@ -82,6 +82,18 @@
     assert stuck.order.incarnation not in incarnations
 
 
+def test_the_time_in_which_an_order_waits_for_the_store_does_not_count() -> None:
+    harness = harness_with_forecast()
+    harness.is_store_healthy = False
+    harness.submit_job(job(1))
+    harness.tick(MIN_STALL_S)
+    harness.is_store_healthy = True
+    harness.tick()
+    (start,) = harness.answer_starts()
+    report_for(harness, start, MIN_STALL_S - REPORT_INTERVAL_S)
+    assert not harness.stops
+
+
 def test_a_slow_run_that_progresses_is_not_stuck() -> None:
     harness = harness_with_forecast()
     harness.submit_job(job(1))
