Query other data centres only while the store is silent

They are sent now once the store has not answered for 0.2 s, every 0.2 s; a read of the store begins 0.1 s after the first one without an answer, beside the next one.

--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -170,12 +170,13 @@
             self._context.peer_calls,
             settings.data_centre,
             self._registry.candidates,
+            lambda: self._store_contact.silence_s(),
         )
         self._store_contact = StoreContact(
             reactor,
             self._last_store_answers,
             self._election.tail.read_now,
-            lambda: self._remote_contact.is_lost,
+            self._remote_contact.unanswered_s,
         )
         self.jobs = JobService(
             self._context,
--- a/tamarackmount/node/store_contact.py
+++ b/tamarackmount/node/store_contact.py
@@ -23,9 +23,13 @@
 """Silence of the store after which this node counts as cut off from it, in seconds. A
 slow store answers the additional read in 0.3 to 0.5 s."""
 
-CUT_OFF_PROBE_AFTER_S = 0.2
-"""Silence of the store after which this node reads once more while no other data centre
-answers, in seconds."""
+CUT_OFF_PROBE_AFTER_S = 0.1
+"""Time for which other data centres have not answered after which this node reads once
+more, in seconds; they answer in 5 ms."""
+
+MAX_REMOTE_SILENCE_S = 0.25
+"""Time for which other data centres have not answered after which they count as lost,
+in seconds: two queries of different nodes are unanswered then."""
 
 MAX_CUT_OFF_READ_S = 0.2
 """Time for which an additional read is unanswered, in seconds, after which this node is
@@ -43,19 +47,19 @@
         reactor: Any,
         last_answers: Callable[[], Iterable[Instant | None]],
         read_now: Callable[[], Awaitable[bool]],
-        are_others_lost: Callable[[], bool],
+        remote_silence_s: Callable[[], float],
     ) -> None:
         """Prepare the checks.
 
         ``last_answers`` returns when the store last answered each of the node's reads;
-        ``read_now`` reads once without waiting. ``are_others_lost`` tells whether the
-        other data centres have stopped answering this node.
+        ``read_now`` reads once without waiting. ``remote_silence_s`` returns for how
+        long other data centres have not answered queries, in seconds.
         """
         self._reactor = reactor
         self._started_at = Instant(reactor.seconds())
         self._last_answers = last_answers
         self._read_now = read_now
-        self._are_others_lost = are_others_lost
+        self._remote_silence_s = remote_silence_s
         self._is_probing = False
         self._unanswered_since: Instant | None = None
         self._checks = LoopingCall(stop_process_on_error(self._check))
@@ -69,8 +73,10 @@
     @property
     def is_cut_off(self) -> bool:
         """Whether neither the store nor another data centre answers this node."""
-        unanswered_s = self._unanswered_s()
-        return unanswered_s > MAX_CUT_OFF_READ_S and self._are_others_lost()
+        return (
+            self._unanswered_s() > MAX_CUT_OFF_READ_S
+            and self._remote_silence_s() > MAX_REMOTE_SILENCE_S
+        )
 
     def start(self) -> None:
         """Start checking."""
@@ -94,10 +100,12 @@
         return now - since
 
     def _check(self) -> None:
-        probe_after_s = (
-            CUT_OFF_PROBE_AFTER_S if self._are_others_lost() else PROBE_AFTER_S
+        silence_s = self.silence_s()
+        is_due = silence_s > PROBE_AFTER_S or (
+            silence_s > CHECK_INTERVAL_S
+            and self._remote_silence_s() > CUT_OFF_PROBE_AFTER_S
         )
-        if not self._is_probing and self.silence_s() > probe_after_s:
+        if is_due and not self._is_probing:
             self._is_probing = True
             if not self._unanswered_s():
                 self._unanswered_since = Instant(self._reactor.seconds())
