--- a/tamarackmount/node/store_contact.py
+++ b/tamarackmount/node/store_contact.py
@@ -25,7 +25,10 @@
 
 CUT_OFF_PROBE_AFTER_S = 0.1
 """Time for which other data centres have not answered after which this node reads once
-more, in seconds; they answer in 5 ms."""
+more, in seconds."""
+
+MIN_CUT_OFF_SILENCE_S = 0.1
+"""Least silence of the store itself for that read, in seconds."""
 
 MAX_REMOTE_SILENCE_S = 0.25
 """Time for which other data centres have not answered after which they count as lost,
@@ -102,7 +105,7 @@
     def _check(self) -> None:
         silence_s = self.silence_s()
         is_due = silence_s > PROBE_AFTER_S or (
-            silence_s > CHECK_INTERVAL_S
+            silence_s > MIN_CUT_OFF_SILENCE_S
             and self._remote_silence_s() > CUT_OFF_PROBE_AFTER_S
         )
         if is_due and not self._is_probing:
--- a/tamarackmount/scheduling/placement/stragglers.py
+++ b/tamarackmount/scheduling/placement/stragglers.py
@@ -117,8 +117,9 @@
         if not worker.has_fresh_state:
             continue
         _copy_slow_tasks(state, worker, now)
-        to_stop = _find_stuck_runs(state, worker)
-        stragglers = _find_stragglers(state, worker, now)
+        rows = _running(state, worker)
+        to_stop = [row for row in rows if _is_stuck(*row)]
+        stragglers = [row for row in rows if _is_straggler(state, *row, now)]
         jobs = {run.task.job_id for _, run in stragglers}
         if len(jobs) >= MIN_STRAGGLING_JOBS or worker.is_slow(now):
             to_stop += stragglers
@@ -134,10 +135,7 @@
 
 def _copy_slow_tasks(state: SchedulerState, worker: WorkerState, now: Instant) -> None:
     """Request speculative copies of tasks that are slower than others of their step."""
-    for run in list(worker.runs_by_task.values()):
-        step = state.step_of(run.task)
-        if step is None or run.phase is not RunPhase.RUNNING:
-            continue
+    for step, run in _running(state, worker):
         ran_s = now - run.began_at
         if (
             not step.allows_speculative_copy
@@ -195,22 +193,6 @@
     return stalled_s > max(MIN_STALL_S, STALLED_PERCENTS * percent_s)
 
 
-def _find_stuck_runs(
-    state: SchedulerState, worker: WorkerState
-) -> list[tuple[StepState, Run]]:
-    stuck = []
-    for run in worker.runs_by_task.values():
-        step = state.step_of(run.task)
-        if (
-            step is not None
-            and run.phase is RunPhase.RUNNING
-            and not run.is_orphaned
-            and _is_stuck(step, run)
-        ):
-            stuck.append((step, run))
-    return stuck
-
-
 def _median_s(step: StepState) -> float:
     """Return the median duration of a step's tasks, in seconds.
 
@@ -222,17 +204,14 @@
     return durations_s[min(len(durations_s) - 1, (count - 1) // 2)]
 
 
-def _find_stragglers(
-    state: SchedulerState, worker: WorkerState, now: Instant
-) -> list[tuple[StepState, Run]]:
-    stragglers = []
-    for run in list(worker.runs_by_task.values()):
-        step = state.step_of(run.task)
-        if step is None or run.is_orphaned or run.phase is not RunPhase.RUNNING:
-            continue
-        if _is_straggler(state, step, run, now):
-            stragglers.append((step, run))
-    return stragglers
+def _running(state: SchedulerState, worker: WorkerState) -> list[tuple[StepState, Run]]:
+    """Return a worker's running runs that a task needs, with their steps."""
+    return [
+        (step, run)
+        for run in worker.runs_by_task.values()
+        if run.phase is RunPhase.RUNNING and not run.is_orphaned
+        if (step := state.step_of(run.task)) is not None
+    ]
 
 
 def _is_straggler(
