Review cases: a standing service is given up after crashes; jobs missing from the waiting count

Claimed: LOST (four crashes of single minions end a perpetual job as failed) and MIXED (jobs whose start was refused are not counted as waiting).

--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -69,6 +69,7 @@
         self.max_hold_ms = max_hold_ms
         self.address = ""
         self.is_down = False
+        self.refuses_starts = False
         self.answers: Callable[[str, dict[str, Any]], bool] = lambda verb, body: True
         self._sequence = 0
         self.life = self._new_life()
@@ -179,6 +180,10 @@
         if not self._takes(request, body):
             return
         task, number = body["task"], body["run"]
+        if self.refuses_starts:
+            self._cell.record("start turned away", worker=self.name, task=task)
+            self._answer(request, 503, {})
+            return
         self._renew(body)
         running = self.life.runs.get(task)
         if running is not None and running.number == number:
