--- a/review/standins/cell.py
+++ b/review/standins/cell.py
@@ -287,6 +287,12 @@
         self.store.put("keyed.op", "config", orjson.dumps(document))
         self.record("configuration", version=self._version)
 
+    def set_store_silent(self, is_silent: bool) -> None:
+        """Let the store answer no call of the nodes, and carry none out."""
+        self.record("store silent" if is_silent else "store answers again")
+        for node in self.nodes:
+            node.store_proxy.is_dropping = {True: is_silent, False: is_silent}
+
     def holder(self) -> Node | None:
         """Return the node that last wrote to the topic of claims, if any."""
         rows = self.store.store.records(Topic("keyed.holder"))
