Review case: after the crash of one minion nothing runs any more

The progress record of a job whose tasks wait with long checkpoints exceeds the store's limit for a record, and the holder repeats the refused append without end.

--- a/review/standins/cell.py
+++ b/review/standins/cell.py
@@ -34,6 +34,7 @@
 HOST = "desk.example"
 PREFIX = "/orders/"
 RESTART_DELAY_S = 0.5
+MAX_RECORD_BYTES = 262_144
 MAX_CASE_S = 110.0
 
 BOUNDS = {
@@ -120,7 +121,7 @@
             "platform": {
                 "address": store_address,
                 "form": "log",
-                "maxRecordBytes": 262144,
+                "maxRecordBytes": MAX_RECORD_BYTES,
                 "maxCallBytes": 2097152,
                 "keep_s": 300,
             },
@@ -176,6 +177,24 @@
         self._cell.reactor.callLater(RESTART_DELAY_S, self.start)
 
 
+class BoundedStore(StoreServer):
+    """The store, which refuses records over its ``maxRecordBytes``."""
+
+    async def _append(self, request: Any) -> None:
+        body = request.content.read()
+        request.content.seek(0)
+        position = 0
+        while position < len(body):
+            length = int.from_bytes(body[position : position + 4], "big")
+            position += 4 + length
+            if length > MAX_RECORD_BYTES:
+                request.setResponseCode(413)
+                request.write(b"{}")
+                request.finish()
+                return
+        await super()._append(request)
+
+
 class Cell:
     """The deployment, its record and what the client has seen."""
 
@@ -188,7 +207,7 @@
         self._began_at = time.monotonic()
         self._record = record.open("w")
         self.rng = random.Random(52)
-        self.store = StoreServer(self.reactor)
+        self.store = BoundedStore(self.reactor)
         port = self.reactor.listenTCP(0, self.store.site, interface="127.0.0.1")
         self.store_port = port.getHost().port
         self.unused_port = _free_ports("127.0.0.1", 1)[0]
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -1,7 +1,8 @@
 """A minion over HTTP, as PROTOCOL.md describes it.
 
 The text of a job (``spec``) is a JSON object that tells how its tasks behave:
-``work_ms`` is how long a run takes, ``how`` is how it ends (``done`` if left out).
+``work_ms`` is how long a run takes, ``how`` is how it ends (``done`` if left out), and
+``checkpoint`` is the length of its checkpoints, 0 if it makes none.
 """
 
 from collections.abc import Callable
@@ -27,8 +28,16 @@
     ends_at: float
     how: str
     cpu: int
+    checkpoint_length: int = 0
     stopping: bool = False
 
+    def checkpoint(self, now: float) -> str:
+        """Return the newest checkpoint; there is a new one with each second of work."""
+        seconds = int(now - self.began_at)
+        if not (self.checkpoint_length and seconds):
+            return ""
+        return f"{seconds:016x}".ljust(self.checkpoint_length, "0")
+
 
 @dataclass(slots=True)
 class Life:
@@ -199,7 +208,8 @@
         now = self._reactor.seconds()
         ends_at = now + plan["work_ms"] / 1_000
         how = plan.get("how", "done")
-        run = Run(task, number, self.name, now, ends_at, how, plan["cpu"])
+        length = plan.get("checkpoint", 0)
+        run = Run(task, number, self.name, now, ends_at, how, plan["cpu"], length)
         self.life.runs[task] = run
         self._cell.run_began(run, body)
         if self.answers(verb, body):
@@ -248,11 +258,17 @@
             return
         now = self._reactor.seconds()
         running = [
-            [run.task, run.number, "", self._percent(run, now), 0]
+            [
+                run.task,
+                run.number,
+                run.checkpoint(now),
+                self._percent(run, now),
+                0,
+            ]
             for run in life.runs.values()
         ]
         ended = [
-            [number, run.task, run.number, how, ""]
+            [number, run.task, run.number, how, run.checkpoint(now)]
             for number, run, how in life.ended[:500]
         ]
         self._answer(request, 200, {"running": running, "ended": ended})
