--- a/review/standins/cell.py
+++ b/review/standins/cell.py
@@ -36,6 +36,8 @@
 RESTART_DELAY_S = 0.5
 MAX_RECORD_BYTES = 262_144
 MAX_CASE_S = 110.0
+BROKEN_STATUS = 10
+"""Exit status of a case whose rule was broken; ``run.sh`` turns it into 1."""
 
 BOUNDS = {
     "seedLagS": 3,
@@ -422,7 +424,7 @@
         if self.breaches:
             print("\n".join(self.breaches))
             self.record("result", broken=len(self.breaches))
-            return 1
+            return BROKEN_STATUS
         if self.failure:
             print(f"could not run: {self.failure}", file=sys.stderr)
             return 2
