--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,8 +10,8 @@
 JOBS = 8
 TASKS = 80
 TASK_CPU = 50
-WORK_MS = 4_500
-CUT_S = 5.0
+WORK_MS = 4_000
+CUT_S = 4.5
 KEY = "key-packers"
 
 
@@ -46,10 +46,19 @@
         if run.task in done:
             self._started_after_done.append(run)
 
+    def _is_noted(self, task: str) -> bool:
+        """Tell whether a first end ``done`` is noted, with no lapse in between."""
+        cell = self._cell
+        ended = min(at for run, at, how in cell.runs if run.task == task)
+        noted = [at for run, how, at in cell.noted if run.task == task]
+        lapses = cell.workers[0].lapsed_at
+        return any(
+            not any(ended <= lapse <= at for lapse in lapses) for at in noted[:1]
+        )
+
     def _check(self) -> None:
         """Report starts after an end ``done`` that was noted then or later."""
-        noted = {run.task for run, how, _ in self._cell.noted if how == "done"}
-        twice = [run for run in self._started_after_done if run.task in noted]
+        twice = [run for run in self._started_after_done if self._is_noted(run.task)]
         for run in twice[:3]:
             self._cell.breach(
                 f"TWICE: {run.task} starts as run {run.number} after a run of it has "
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -81,6 +81,8 @@
         self.is_down = False
         self.refuses_starts = False
         self.answers: Callable[[str, dict[str, Any]], bool] = lambda verb, body: True
+        self.lapsed_at: list[float] = []
+        self._has_lease = False
         self._sequence = 0
         self.life = self._new_life()
         self.site: Any = Site(self)
@@ -150,7 +152,12 @@
         for run in list(self.life.runs.values()):
             if run.ends_at <= now:
                 self._end(run, run.how)
-        if self.life.runs and self.clock_ms() > self.life.lease_ms:
+        has_lease = self.clock_ms() <= self.life.lease_ms
+        if self._has_lease and not has_lease:
+            self.lapsed_at.append(self._cell.now())
+            self._cell.record("lease lapsed", worker=self.name)
+        self._has_lease = has_lease
+        if self.life.runs and not has_lease:
             for run in list(self.life.runs.values()):
                 self._end(run, "lapsed")
 
