Keep a run whose end may be on a later page of its worker's report

Cause: a worker lists at most 500 ends at a time. A run that a report listed neither as running nor as ended was taken for lost, and its task started again before the next page told its end.

Evidence: in the record of the case, the second starts come after end 500 was acknowledged and before the next page was read, and the first ends of their tasks are on that page.

Change: a report tells whether it lists all ends. While it does not, a run that it doesn't list counts as running. A new holder that doesn't know all runs waits for a report of each worker that lists all ends, not for any report. Stragglers aren't looked for on a worker with unlisted ends.

Why this works: ends up to the cursor are forgotten only once they are stored, so a run that has ended is on a page before any report without it is complete. A run that was lost is on no page, and counts as over with the last one.

--- a/tamarackmount/platform/workers.py
+++ b/tamarackmount/platform/workers.py
@@ -99,6 +99,10 @@
 """Largest number accepted from a worker; all larger ones are errors, and orders and
 records that were computed from them could not be encoded."""
 
+MAX_LISTED_ENDS = 500
+"""Largest number of ends in one report; a worker lists the others once these are
+acknowledged."""
+
 MAX_LOGGED_CHARS = 80
 """Maximum length of a worker's text in a log line."""
 
@@ -311,11 +315,13 @@
         return PollFailure.UNHEALTHY
     try:
         raw = orjson.loads(result.body)
+        ended = _decode_ended(raw.get("ended", ()))
         return WorkerReport(
             born_unix_ms=_count(raw["born"]) if "born" in raw else None,
             clock_ms=_clock_ms(raw["clockMs"]),
             running=_decode_running(raw.get("running", ())),
-            ended=_decode_ended(raw.get("ended", ())),
+            ended=ended,
+            lists_all_ends=len(ended) < MAX_LISTED_ENDS,
         )
     except (
         AttributeError,
--- a/tamarackmount/scheduling/contact/store_batches.py
+++ b/tamarackmount/scheduling/contact/store_batches.py
@@ -18,7 +18,6 @@
     worker_key,
 )
 from tamarackmount.scheduling.store.retention import tombstones
-from tamarackmount.scheduling.workers.workers import ContactState
 from tamarackmount.units import MS_PER_SECOND
 
 MAX_BATCH_RECORDS = 500
@@ -169,10 +168,7 @@
 
     def _has_unconfirmed_workers(self) -> bool:
         workers = self._state.workers_by_incarnation.values()
-        return any(
-            worker.is_stored and worker.contact is ContactState.UNCONFIRMED
-            for worker in workers
-        )
+        return any(worker.may_have_unknown_runs for worker in workers)
 
     def _add_forecast_record(
         self, records: list[tuple[str, bytes]], unix_ms: int
--- a/tamarackmount/scheduling/contact/worker_leases.py
+++ b/tamarackmount/scheduling/contact/worker_leases.py
@@ -228,6 +228,7 @@
     for ended in sorted(answer.ended, key=lambda end: end.end_number):
         if ended.end_number > worker.reported_end_number:
             handle_run_end(state, worker, ended, now)
+    worker.record_listed_ends(are_all=answer.lists_all_ends)
     reconcile_runs(state, worker, answer, sent, now)
     worker.earliest_poll_at = Instant(now + MIN_POLL_INTERVAL_S)
     worker.next_poll_at = worker.earliest_poll_at if answer.ended else now
--- a/tamarackmount/scheduling/contact/worker_polls.py
+++ b/tamarackmount/scheduling/contact/worker_polls.py
@@ -77,7 +77,7 @@
         remove_expired_worker(state, worker, now)
         return
     drop_runs_of_expired_lease(state, worker, now)
-    if worker.contact is ContactState.UNCONFIRMED:
+    if not worker.has_listed_all_ends:
         worker.contact = ContactState.EXPIRED
 
 
--- a/tamarackmount/scheduling/domain/worker_reports.py
+++ b/tamarackmount/scheduling/domain/worker_reports.py
@@ -83,13 +83,16 @@
 class WorkerReport:
     """A worker's answer to a poll: its runs and the ends that it lists.
 
-    ``clock_ms`` is a reading of the worker's own clock.
+    ``clock_ms`` is a reading of the worker's own clock. Unless the report
+    ``lists_all_ends``, more follow once those that it lists are acknowledged: a run
+    that it does not list may have ended in any way.
     """
 
     born_unix_ms: int | None
     clock_ms: int
     running: tuple[RunningRun, ...]
     ended: tuple[EndedRun, ...]
+    lists_all_ends: bool = True
 
 
 class PollFailure(Enum):
--- a/tamarackmount/scheduling/execution/run_reconciliation.py
+++ b/tamarackmount/scheduling/execution/run_reconciliation.py
@@ -31,7 +31,8 @@
     ``ADOPTED``, ``ORPHANED``, ``OF_UNKNOWN_JOB`` and ``STOPPED`` are listed runs that
     were not known. An orphaned one reserves its capacity until it has ended, one of an
     unknown job reserves none; a stopped one is of a task with another run there.
-    ``MISSING`` are known runs that are not listed and count as over.
+    ``MISSING`` are known runs that are not listed and count as over; ``UNCERTAIN`` ones
+    may be over, but the report does not list all ends.
     """
 
     ADOPTED = "adopted"
@@ -39,6 +40,7 @@
     OF_UNKNOWN_JOB = "of_unknown_job"
     STOPPED = "stopped"
     MISSING = "missing"
+    UNCERTAIN = "uncertain"
 
 
 def reconcile_runs(
@@ -67,9 +69,8 @@
             unknown_rows.append(row)
     for run in list(worker.runs_by_task.values()):
         row_of_run = row_by_task.get(run.task)
-        is_missing = row_of_run is None or row_of_run.run_number != run.number
-        if is_missing and _handle_missing_run(state, run, sent, now):
-            differences[Difference.MISSING] += 1
+        if row_of_run is None or row_of_run.run_number != run.number:
+            differences.update(_handle_unlisted_run(state, report, run, sent, now))
     for row in unknown_rows:
         difference = adopt_or_stop_run(state, worker, row, now, Presence.CONFIRMED)
         differences[difference] += 1
@@ -219,10 +220,21 @@
     return step.reserved_amount, step.amount
 
 
+def _handle_unlisted_run(
+    state: SchedulerState, report: WorkerReport, run: Run, sent: Instant, now: Instant
+) -> tuple[Difference, ...]:
+    """Handle a run that a report does not list as running; return what it means."""
+    if not report.lists_all_ends:
+        _repeat_stop(state, run, now)
+        return (Difference.UNCERTAIN,)
+    is_over = _handle_missing_run(state, run, sent, now)
+    return (Difference.MISSING,) if is_over else ()
+
+
 def _handle_missing_run(
     state: SchedulerState, run: Run, sent: Instant, now: Instant
 ) -> bool:
-    """Handle a run that is missing from the worker's report; tell whether it is over.
+    """Handle a run that is missing from a complete report; tell whether it is over.
 
     A run whose start order is in flight is left alone. Others are dropped if they were
     last confirmed, or confirmed as stopped, before the poll was sent. If not, the
@@ -234,8 +246,13 @@
         return False
     known_at = run.confirmed_at if run.phase is RunPhase.RUNNING else run.stopped_at
     if known_at is None or known_at >= sent:
-        if run.phase is not RunPhase.RUNNING:
-            state.stop_run(run, now)
+        _repeat_stop(state, run, now)
         return False
     state.drop_run(run, now)
     return True
+
+
+def _repeat_stop(state: SchedulerState, run: Run, now: Instant) -> None:
+    """Send the stop of a run that is to stop once more."""
+    if run.phase in (RunPhase.OUTCOME_UNKNOWN, RunPhase.STOPPING):
+        state.stop_run(run, now)
--- a/tamarackmount/scheduling/placement/placement.py
+++ b/tamarackmount/scheduling/placement/placement.py
@@ -35,7 +35,7 @@
 )
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.workers.free_capacity import FreeCapacityIndex
-from tamarackmount.scheduling.workers.workers import ContactState, WorkerState
+from tamarackmount.scheduling.workers.workers import WorkerState
 
 
 def place(
@@ -119,7 +119,7 @@
     return {
         worker.entry.service
         for worker in state.workers_by_incarnation.values()
-        if worker.is_stored and worker.contact is ContactState.UNCONFIRMED
+        if worker.may_have_unknown_runs
     }
 
 
--- a/tamarackmount/scheduling/workers/workers.py
+++ b/tamarackmount/scheduling/workers/workers.py
@@ -42,8 +42,8 @@
 class ContactState(Enum):
     """Whether a worker has answered this holder.
 
-    A worker is ``EXPIRED`` once it was removed, or once its lease expired before it
-    answered.
+    A worker is ``EXPIRED`` once it was removed, or once its lease expired before it had
+    answered with all ends.
     """
 
     UNCONFIRMED = "unseen"
@@ -108,6 +108,10 @@
     worker's last answer. A poll is nearly always in flight, and ends when the worker
     crashes, while an order without an answer may just be late.
 
+    It ``has_unlisted_ends`` while its last report did not list all ends, and
+    ``has_listed_all_ends`` once a report to this holder did. Before that, it may have
+    run tasks of which neither the store nor this holder knows.
+
     A worker ``is_evacuated`` while the operator keeps its data centre from new runs.
 
     A worker that ``needs_extra_poll`` is polled at once, also while another poll waits
@@ -140,6 +144,8 @@
     fell_silent_at: Instant | None = None
     is_suspected: bool = False
     last_poll_failed: bool = False
+    has_unlisted_ends: bool = False
+    has_listed_all_ends: bool = False
     failures_in_row: int = 0
     is_evacuated: bool = False
     cold_until: Instant = Instant(0.0)
@@ -210,6 +216,19 @@
             self.contact is ContactState.CONFIRMED
             and self.silent_since is None
             and not (self.last_poll_failed or self.is_suspected)
+            and not self.has_unlisted_ends
+        )
+
+    @property
+    def may_have_unknown_runs(self) -> bool:
+        """Whether a former holder's runs may be or have been there unknown to this one.
+
+        Nothing of them is left once the worker's lease has expired.
+        """
+        return (
+            self.is_stored
+            and not self.has_listed_all_ends
+            and self.contact is not ContactState.EXPIRED
         )
 
     def record_answer(self, now: Instant) -> None:
@@ -218,6 +237,11 @@
         self.fell_silent_at = None
         self.is_suspected = False
 
+    def record_listed_ends(self, *, are_all: bool) -> None:
+        """Record whether the report that is handled lists all ends."""
+        self.has_unlisted_ends = not are_all
+        self.has_listed_all_ends |= are_all
+
     def record_unanswered_poll(self, now: Instant) -> None:
         """Record that a regular poll has ended without an answer just now."""
         if self.fell_silent_at is None:
--- a/tests/soak/worker_server.py
+++ b/tests/soak/worker_server.py
@@ -21,6 +21,9 @@
 POLL_INTERVAL_S = 0.02
 HEARTBEAT_INTERVAL_S = 0.5
 CAPACITY = Resources(16_000, 64_000, 0)
+MAX_LISTED_ENDS = 500
+"""Number of ends that one report lists at most."""
+
 COUNTED_LATER_S = 3.5
 """Time after which a shrunk capacity counts, in seconds: ``contactMs`` and a beat."""
 
@@ -320,9 +323,10 @@
             [_task_name(task), active.run.number, "", active.progress_percent(now), 0]
             for task, active in incarnation.active_by_task.items()
         ]
+        listed_ends = incarnation.unacknowledged_ends[:MAX_LISTED_ENDS]
         ended = [
             [number, _task_name(run.task), run.number, outcome, ""]
-            for number, run, outcome in incarnation.unacknowledged_ends
+            for number, run, outcome in listed_ends
         ]
         self._answer(request, 200, {"running": running, "ended": ended})
 
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -19,6 +19,7 @@
 PARTIAL_OUTAGE = "tests/test_partial_outage.py"
 EVACUATION = "tests/test_*evacuation*.py"
 CRASHES = "tests/test_scheduling_worker_crashes.py"
+LISTED_ENDS = "tests/test_scheduling_listed_ends.py"
 CRASH_WAVES = "tests/test_scheduling_crash_waves.py"
 
 
@@ -322,6 +323,20 @@
         "    for text, number in record.runs:",
         "    for text, number in ():",
     ),
+    Mutant(
+        "a run that is not listed is not over while ends may follow",
+        "scheduling/execution/run_reconciliation.py",
+        "if not report.lists_all_ends:",
+        "if False:",
+        LISTED_ENDS,
+    ),
+    Mutant(
+        "a new holder waits for all ends of runs that it does not know",
+        "scheduling/contact/worker_leases.py",
+        "worker.record_listed_ends(are_all=answer.lists_all_ends)",
+        "worker.record_listed_ends(are_all=True)",
+        LISTED_ENDS,
+    ),
     Mutant(
         "a task does not start while it has an orphaned run",
         "scheduling/placement/placement.py",
