Count runs that are being stopped towards their workspace's ceiling

Cause: a new holder stops runs that no task needs, of cancelled, failed or completed jobs and of copied tasks. These orphaned runs reserved capacity on their worker but counted nothing towards the ceiling.

Change: a run carries its workspace and counts until it is dropped, orphan or not; so do runs whose orders may have come to a worker's next incarnation. Forecasts of admission leave orphaned runs out, as these are over before a waiting job starts.

Why this works: a run enters the sum where it reserves its worker's capacity and leaves it where that is released, in the same two functions.

--- a/tamarackmount/scheduling/admission/drain_forecast.py
+++ b/tamarackmount/scheduling/admission/drain_forecast.py
@@ -131,7 +131,10 @@
         return _work_s(own, capacity, NOTHING) / (entitled or 1.0)
 
     def workspace_wait_s(self, job: JobState, now: Instant) -> float:
-        """Return how long the work ahead keeps a job's workspace at its ceiling."""
+        """Return how long the work ahead keeps a job's workspace at its ceiling.
+
+        What orphaned runs use is free before this matters.
+        """
         workspace = self._state.workspace_of_job(job)
         if workspace is None:
             return 0.0
@@ -140,7 +143,9 @@
         sums = self._current_sums(now)
         backlog = sums.backlog_by_workspace.get((name, is_urgent), Backlog())
         used = self._state.used_by_workspace.get(name, NOTHING)
-        return _work_s(backlog, workspace.ceiling, workspace.ceiling - used)
+        orphaned = self._state.orphaned_by_workspace.get(name, NOTHING)
+        free = workspace.ceiling - (used - orphaned)
+        return _work_s(backlog, workspace.ceiling, free)
 
     def add_accepted(self, job: JobState, now: Instant) -> None:
         """Count an accepted job as waiting until the sums are renewed."""
--- a/tamarackmount/scheduling/contact/worker_ends.py
+++ b/tamarackmount/scheduling/contact/worker_ends.py
@@ -5,7 +5,6 @@
 from enum import Enum
 
 from tamarackmount.ids import Instant
-from tamarackmount.resources import NOTHING
 from tamarackmount.scheduling.domain.model import WorkerIncarnation
 from tamarackmount.scheduling.domain.worker_reports import WorkerEntry
 from tamarackmount.scheduling.evidence.common_cause import (
@@ -100,8 +99,9 @@
 ) -> None:
     """Stop runs that a worker may have started from orders to its last incarnation.
 
-    Their tasks start nowhere before the worker has reported without them. An order
-    that was not answered may still come, so that its run is stopped in any case.
+    Their tasks start nowhere before the worker has reported without them, and they
+    count towards their workspaces' ceilings until then. An order that was not answered
+    may still come, so that its run is stopped in any case.
     """
     for run in runs:
         orphan = Run(
@@ -109,7 +109,8 @@
             run.number,
             successor.incarnation,
             run.amount,
-            NOTHING,
+            run.ceiling_usage,
+            run.workspace_id,
             RunPhase.STARTING if run.confirmed_at is None else RunPhase.RUNNING,
             now,
             confirmed_at=None if run.confirmed_at is None else LONG_AGO,
--- a/tamarackmount/scheduling/execution/run_reconciliation.py
+++ b/tamarackmount/scheduling/execution/run_reconciliation.py
@@ -7,6 +7,7 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.resources import NOTHING, Resources
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.domain.effects import StopRun
 from tamarackmount.scheduling.domain.worker_reports import RunningRun, WorkerReport
 from tamarackmount.scheduling.evidence.crash_evidence import (
@@ -137,13 +138,15 @@
         # A later start needs a higher number, whether or not this run is adopted.
         step.run_number = max(step.run_number, row.run_number)
         _drop_older_run(state, worker, step, row, now)
-    reserved, ceiling_usage = _reserved_and_ceiling_amounts(state, row)
+    accepted = state.find_job(row.task.job_id)
+    reserved, ceiling_usage = _reserved_and_ceiling_amounts(accepted, row)
     run = Run(
         row.task,
         row.run_number,
         worker.incarnation,
         reserved,
         ceiling_usage,
+        accepted.workspace_id if accepted is not None else None,
         RunPhase.RUNNING,
         now,
         now,
@@ -165,8 +168,8 @@
         return Difference.ADOPTED
     if row.task not in worker.runs_by_task:
         state.add_orphaned_run(worker, run, now)
-        is_known = state.find_job(row.task.job_id) is not None
-        return Difference.ORPHANED if is_known else Difference.OF_UNKNOWN_JOB
+        is_unknown = accepted is None
+        return Difference.OF_UNKNOWN_JOB if is_unknown else Difference.ORPHANED
     state.emit(
         StopRun(worker.incarnation, worker.entry.address, row.task, row.run_number)
     )
@@ -210,10 +213,9 @@
 
 
 def _reserved_and_ceiling_amounts(
-    state: SchedulerState, row: RunningRun
+    accepted: AcceptedJob | None, row: RunningRun
 ) -> tuple[Resources, Resources]:
     """Return what a run reserves on its worker and what counts for the ceiling."""
-    accepted = state.find_job(row.task.job_id)
     if accepted is None or row.task.step >= len(accepted.spec.steps):
         return NOTHING, NOTHING
     step = accepted.spec.steps[row.task.step]
--- a/tamarackmount/scheduling/execution/run_starts.py
+++ b/tamarackmount/scheduling/execution/run_starts.py
@@ -52,6 +52,7 @@
         incarnation=worker.incarnation,
         amount=step.reserved_amount,
         ceiling_usage=step.spec.amount,
+        workspace_id=step.job.accepted.workspace_id,
         phase=RunPhase.STARTING,
         began_at=now,
         resumed=bool(checkpoint),
--- a/tamarackmount/scheduling/jobs/runs.py
+++ b/tamarackmount/scheduling/jobs/runs.py
@@ -7,7 +7,7 @@
 from math import inf
 from typing import TypeVar
 
-from tamarackmount.ids import DataCentreId, Instant, JobId, WorkerId
+from tamarackmount.ids import DataCentreId, Instant, JobId, WorkerId, WorkspaceId
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.domain.model import (
@@ -96,18 +96,19 @@
 
     ``number`` is its run number: each new start of the task has a higher one.
     ``amount`` is the capacity that it reserves there, ``ceiling_usage`` what counts
-    towards its workspace's ceiling. A run that ``is_orphaned`` is needed by no task and
-    is being stopped. ``confirmed_at`` is when the worker was last known to have the
-    run, ``stopped_at`` when it confirmed a stop. ``listed_s`` is the longest time after
-    its start, in seconds, at which a poll was sent whose report lists it.
-    ``progress_percent`` and ``tail_ms_or_millicores`` are those of its newest row in a
-    report; ``progressed_at`` is when the former last changed. A run that ``resumed``
-    began from a checkpoint. One that ``is_adopted`` was started by a former holder: it
-    began before ``began_at``, which is when this holder learned of it. It counts
-    towards ``counted_use`` until it ends. ``expected_s`` is its duration forecast at
-    its start, in seconds; 0 if it has none. A run ``is_ordered`` once its start order
-    may have been sent. ``presence`` is what its worker itself has told of it, while
-    ``confirmed_at`` also holds for runs that were read from the store.
+    towards its workspace's ceiling; ``workspace_id`` is None if its job is not known. A
+    run that ``is_orphaned`` is needed by no task and is being stopped. ``confirmed_at``
+    is when the worker was last known to have the run, ``stopped_at`` when it confirmed
+    a stop. ``listed_s`` is the longest time after its start, in seconds, at which a
+    poll was sent whose report lists it. ``progress_percent`` and
+    ``tail_ms_or_millicores`` are those of its newest row in a report; ``progressed_at``
+    is when the former last changed. A run that ``resumed`` began from a checkpoint. One
+    that ``is_adopted`` was started by a former holder: it began before ``began_at``,
+    which is when this holder learned of it. It counts towards ``counted_use`` until it
+    ends. ``expected_s`` is its duration forecast at its start, in seconds; 0 if it has
+    none. A run ``is_ordered`` once its start order may have been sent. ``presence`` is
+    what its worker itself has told of it, while ``confirmed_at`` also holds for runs
+    that were read from the store.
     """
 
     task: TaskKey
@@ -115,6 +116,7 @@
     incarnation: WorkerIncarnation
     amount: Resources
     ceiling_usage: Resources
+    workspace_id: WorkspaceId | None
     phase: RunPhase
     began_at: Instant
     confirmed_at: Instant | None = None
--- a/tamarackmount/scheduling/placement/preemption.py
+++ b/tamarackmount/scheduling/placement/preemption.py
@@ -124,10 +124,9 @@
             step.not_before = Instant(self._now + PREEMPTED_RESTART_DELAY_S)
 
     def _release_ceiling_usage(self, run: Run) -> None:
-        workspace = self._state.workspace_id_of_run(run)
-        if workspace is not None:
-            used = self._used_by_workspace.get(workspace, NOTHING)
-            self._used_by_workspace[workspace] = used - run.ceiling_usage
+        if run.workspace_id is not None:
+            used = self._used_by_workspace.get(run.workspace_id, NOTHING)
+            self._used_by_workspace[run.workspace_id] = used - run.ceiling_usage
 
     def _select_for_ceiling(
         self, step: StepState, queue: Queue, wanted: int
@@ -159,7 +158,7 @@
             run
             for worker in self._state.workers_by_incarnation.values()
             for run in self._preemptible_runs(queue, worker)
-            if self._state.workspace_id_of_run(run) == workspace_id
+            if run.workspace_id == workspace_id
         ]
         return sorted(found, key=lambda run: -run.ceiling_usage.millicores)
 
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -76,13 +76,15 @@
     may have runs that the store does not hold. ``orphaned_run_count_by_task`` counts
     orphaned runs that may still be running. ``stored_final_phase_by_job`` has the final
     phases that the store holds; callers are told of no others. ``used_by_workspace`` is
-    what counts towards each workspace's ceiling, ``load_by_pool`` the capacity that its
-    runs reserve in each pool, by queue. ``shares`` are those of the last round.
-    ``suspected_tasks`` are those with evidence that they crash their workers, and
-    ``suspects_by_crash`` those of each crash that is not explained. ``lapsed_workers``
-    did not answer until their leases were over. ``replaced_incarnations`` are over but
-    may still be registered. ``removed_after_silence`` are workers that fell silent
-    and were removed lately.
+    what counts towards each workspace's ceiling: what all runs use that may still be
+    running, orphaned ones included. ``orphaned_by_workspace`` is the part of these,
+    which is free again within the time that a stop takes. ``load_by_pool`` is the
+    capacity that runs other than orphaned ones reserve in each pool, by queue.
+    ``shares`` are those of the last round. ``suspected_tasks`` are those with evidence
+    that they crash their workers, and ``suspects_by_crash`` those of each crash that is
+    not explained. ``lapsed_workers`` did not answer until their leases were over.
+    ``replaced_incarnations`` are over but may still be registered.
+    ``removed_after_silence`` are workers that fell silent and were removed lately.
     ``superseded`` is set once a worker has refused this holder's fencing token. A stop
     takes at most ``stop_timeout_ms``.
     """
@@ -98,6 +100,7 @@
     )
     orphaned_run_count_by_task: Counter[TaskKey] = field(default_factory=Counter)
     used_by_workspace: dict[WorkspaceId, Resources] = field(default_factory=dict)
+    orphaned_by_workspace: dict[WorkspaceId, Resources] = field(default_factory=dict)
     load_by_pool: dict[PoolLoadKey, PoolLoad] = field(default_factory=dict)
     shares: WorkspaceShares = field(default_factory=CapacityShares)
     stored_final_phase_by_job: dict[JobId, JobPhase] = field(default_factory=dict)
@@ -198,13 +201,13 @@
 
         Unless it ``stops_now``, it is stopped once the worker reports it.
 
-        It does not count towards its workspace's ceiling, as it ends within the time
-        that a stop takes. Its task starts nowhere before that.
+        It counts towards its workspace's ceiling until it is over, and its task starts
+        nowhere before that.
         """
         run.is_orphaned = True
-        run.ceiling_usage = NOTHING
         self.orphaned_run_count_by_task[run.task] += 1
         worker.reserve_capacity(run)
+        self._count_ceiling_usage(run, 1)
         if stops_now:
             self.stop_run(run, now)
 
@@ -214,11 +217,6 @@
             return None
         return self.fleet_config.workspaces_by_id.get(job.accepted.workspace_id)
 
-    def workspace_id_of_run(self, run: Run) -> WorkspaceId | None:
-        """Return the id of a run's workspace, or None if its job is not known."""
-        job = self.jobs_by_id.get(run.task.job_id)
-        return job.accepted.workspace_id if job is not None else None
-
     def find_workers(
         self, incarnations: Iterable[WorkerIncarnation]
     ) -> Iterator[WorkerState]:
@@ -250,10 +248,7 @@
         if use is not None:
             use.add(accepted.service, run.amount, run.began_at)
             run.counted_use = use
-        self.used_by_workspace[accepted.workspace_id] = (
-            self.used_by_workspace.get(accepted.workspace_id, NOTHING)
-            + run.ceiling_usage
-        )
+        self._count_ceiling_usage(run, 1)
         spec = step.spec
         if not spec.perpetual:
             run.expected_s = self.forecast.estimate_s(
@@ -296,6 +291,7 @@
         if worker is not None:
             worker.release_capacity(run)
             self.changed_workers.add(worker.incarnation)
+        self._count_ceiling_usage(run, -1)
         if run.is_orphaned:
             self.orphaned_run_count_by_task -= Counter([run.task])
             return
@@ -304,10 +300,6 @@
             return
         if run.counted_use is not None:
             run.counted_use.remove(job.accepted.service, run.amount)
-        workspace = job.accepted.workspace_id
-        self.used_by_workspace[workspace] = (
-            self.used_by_workspace.get(workspace, NOTHING) - run.ceiling_usage
-        )
         step = job.steps_by_key[run.task.step_key]
         key = pool_load_key(job)
         load = self.load_by_pool.get(key)
@@ -323,6 +315,18 @@
         self.make_task_pending(step, run.task.index)
         self.remove_if_finished(job)
 
+    def _count_ceiling_usage(self, run: Run, count: int) -> None:
+        """Add what a run uses of its workspace's ceiling (``count`` is 1 or -1)."""
+        workspace = run.workspace_id
+        if workspace is None:
+            return
+        sums = [self.used_by_workspace]
+        if run.is_orphaned:
+            sums.append(self.orphaned_by_workspace)
+        for by_workspace in sums:
+            used = by_workspace.get(workspace, NOTHING)
+            by_workspace[workspace] = used + run.ceiling_usage * count
+
     def request_speculative_copy(self, run: Run) -> bool:
         """Let a task start again beside a run that may be lost, if its step allows it.
 
--- a/tests/test_scheduling_advice.py
+++ b/tests/test_scheduling_advice.py
@@ -162,6 +162,7 @@
             worker.incarnation,
             state.reserved_amount,
             state.reserved_amount,
+            state.job.accepted.workspace_id,
             RunPhase.RUNNING,
             START,
         )
--- a/tests/test_scheduling_overlapping_holders.py
+++ b/tests/test_scheduling_overlapping_holders.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tamarackmount.ids import JobId
+from tamarackmount.resources import Resources
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.domain.model import StepSpec
 from tests.utils.build_scheduling import (
@@ -14,7 +15,7 @@
     step,
     worker_entry,
 )
-from tests.utils.overlapping_holders import OverlappingHolders
+from tests.utils.overlapping_holders import NO_CEILING, OverlappingHolders
 
 NETWORKS: tuple[dict[str, float], ...] = (
     {},
@@ -45,11 +46,14 @@
     return job(number, *steps, in_queue=queue)
 
 
-def play(seed: int, rounds: int = 3) -> OverlappingHolders:
+def play(
+    seed: int, rounds: int = 3, ceiling: Resources = NO_CEILING
+) -> OverlappingHolders:
     """Play some changes of the holder under load."""
     random = Random(seed)
     entries = [worker_entry(f"w{number}") for number in range(6)]
-    holders = OverlappingHolders(entries, seed, **NETWORKS[seed % len(NETWORKS)])
+    network = NETWORKS[seed % len(NETWORKS)]
+    holders = OverlappingHolders(entries, seed, ceiling=ceiling, **network)
     holders.store_latency_s = random.choice((0.01, 0.15, 0.3))
     for worker in holders.workers.values():
         worker.clock_rate = random.choice((1.0, 0.98))
@@ -77,3 +81,10 @@
     holders = play(seed)
     assert holders.start_count > 0
     assert not holders.overloaded
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_workspace_never_exceeds_its_ceiling_while_holders_overlap(seed: int) -> None:
+    holders = play(seed, ceiling=Resources(24_000, 0, 0))
+    assert holders.start_count > 0
+    assert not holders.over_ceiling
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -19,6 +19,7 @@
 PARTIAL_OUTAGE = "tests/test_partial_outage.py"
 EVACUATION = "tests/test_*evacuation*.py"
 CRASHES = "tests/test_scheduling_worker_crashes.py"
+CEILINGS = "tests/test_scheduling_ceilings*.py"
 LISTED_ENDS = "tests/test_scheduling_listed_ends.py"
 CRASH_WAVES = "tests/test_scheduling_crash_waves.py"
 
@@ -337,6 +338,20 @@
         "worker.record_listed_ends(are_all=True)",
         LISTED_ENDS,
     ),
+    Mutant(
+        "what orphaned runs use counts towards the ceiling",
+        "scheduling/scheduler_state.py",
+        "        self._count_ceiling_usage(run, 1)\n        if stops_now:",
+        "        if stops_now:",
+        CEILINGS,
+    ),
+    Mutant(
+        "an orphaned run that is over holds no workspace back",
+        "scheduling/scheduler_state.py",
+        "        self._count_ceiling_usage(run, -1)\n        if run.is_orphaned:",
+        "        if run.is_orphaned:",
+        CEILINGS,
+    ),
     Mutant(
         "a task does not start while it has an orphaned run",
         "scheduling/placement/placement.py",
--- a/tests/utils/overlapping_holders.py
+++ b/tests/utils/overlapping_holders.py
@@ -54,6 +54,12 @@
 STOP_S = 0.4
 """Longest time that a worker takes to stop a run, in seconds."""
 
+CEILING_OVERAGE_FRACTION = 0.1
+"""Fraction by which a workspace may exceed its ceiling, besides the task that starts,
+as the users allow."""
+
+NO_CEILING = Resources()
+
 MAX_STARTS_PER_WORKER = 3
 """Number of start orders that a holder sends to a worker at once."""
 
@@ -121,6 +127,7 @@
         loss: float = 0.0,
         late: float = 0.0,
         slow_s: float = 0.0,
+        ceiling: Resources = NO_CEILING,
     ) -> None:
         """Begin with one holder."""
         self.now = START
@@ -130,6 +137,8 @@
         self.slow_s = slow_s
         self.store_latency_s = 0.01
         self.overloaded: list[str] = []
+        self.over_ceiling: list[str] = []
+        self._ceiling = ceiling
         self.start_count = 0
         self.workers = {entry.incarnation: PlayedWorker(entry) for entry in entries}
         self.jobs: dict[JobId, AcceptedJob] = {}
@@ -165,7 +174,7 @@
         """Let a new holder restore what the store has; the former one goes on."""
         epoch = Epoch(10 * (len(self.holders) + 1))
         scheduler = Scheduler(epoch, self.jobs.get)
-        scheduler.set_fleet_config(fleet_config(ceiling=Resources()), self.now)
+        scheduler.set_fleet_config(fleet_config(ceiling=self._ceiling), self.now)
         scheduler.set_stop_timeout(int(STOP_S * MS_PER_SECOND))
         index = self._read_store()
         if self.holders:
@@ -398,6 +407,7 @@
         )
         self.start_count += 1
         self._check_capacity(worker, order)
+        self._check_ceiling(order)
         return OrderResult.DONE
 
     def _check_capacity(self, worker: PlayedWorker, order: StartOrder) -> None:
@@ -414,6 +424,19 @@
                 f"{self.now:.3f} {name} by {order.task} {order.run_number}: {runs}"
             )
 
+    def _check_ceiling(self, order: StartOrder) -> None:
+        """Check what the only workspace has running on all workers."""
+        used = NOTHING
+        for worker in self.workers.values():
+            for task in worker.run_by_task:
+                used = used + self._step_of(task).amount
+        limit = self._ceiling.millicores * (1.0 + CEILING_OVERAGE_FRACTION)
+        limit += self._step_of(order.task).amount.millicores
+        if self._ceiling.millicores and used.millicores > limit:
+            self.over_ceiling.append(
+                f"{self.now:.3f} {order.task} {order.run_number}: {used.millicores}"
+            )
+
     def _stop(
         self, holder: PlayedHolder, worker: PlayedWorker, effect: StopRun
     ) -> OrderResult:
