Hold an order until the store has a record of its worker

Callers would see: a task that runs twice, or a workspace beyond its ceiling, after a takeover while the store is slow.

Cause: while the store is slow, orders leave before their runs are stored, and the next holder waits for reports of all workers of which the store has a record. Orders also left for workers whose record was not stored yet, and the next holder didn't wait for these.

Change: such an order waits for the batch that has the worker's record, as those of suspects do already.

Test: test_an_order_left_for_a_worker_of_which_the_store_had_no_record fails on; a mutation.

--- a/tamarackmount/scheduling/contact/store_batches.py
+++ b/tamarackmount/scheduling/contact/store_batches.py
@@ -9,6 +9,7 @@
 from tamarackmount.scheduling.domain.effects import StartRun
 from tamarackmount.scheduling.domain.model import JobPhase, WorkerIncarnation
 from tamarackmount.scheduling.estimates.forecast import FORECAST_STORE_INTERVAL_S
+from tamarackmount.scheduling.execution.run_starts import waits_for_its_record
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.store.journal import (
     CompletenessRecord,
@@ -134,11 +135,13 @@
         if completeness.is_complete:
             return []
         state.write_ahead.is_enabled = False
-        # Those of suspects wait for the batch that has their runs.
+        # The others wait for the batch that has their runs.
         unstored, state.unstored_starts = state.unstored_starts, []
         released: list[StartRun] = []
         for start in unstored:
-            is_held = start.order.task in state.suspected_tasks
+            order = start.order
+            run = state.find_run(order.incarnation, order.task, order.run_number)
+            is_held = run is not None and waits_for_its_record(state, run)
             (state.unstored_starts if is_held else released).append(start)
         return released
 
--- a/tamarackmount/scheduling/execution/run_starts.py
+++ b/tamarackmount/scheduling/execution/run_starts.py
@@ -38,8 +38,8 @@
 ) -> None:
     """Start one task on a worker.
 
-    With write-ahead enabled, the order waits until the store holds the run. That of a
-    suspect always does: the next holder has to know of each worker that it crashes.
+    With write-ahead enabled, the order waits until the store holds the run. Others do
+    if ``waits_for_its_record`` says so.
     """
     lease_end = worker.lease_end_clock_ms(now)
     if lease_end is None:
@@ -75,7 +75,7 @@
         ticket=step.advice.usable_ticket(worker.incarnation, now),
     )
     start = StartRun(worker.entry.address, order)
-    if state.write_ahead.is_enabled or is_suspect(state, step, index):
+    if state.write_ahead.is_enabled or waits_for_its_record(state, run):
         state.unstored_starts.append(start)
     else:
         send_start(state, run, start)
@@ -90,6 +90,20 @@
     _log.info("run starts", extra=extra)
 
 
+def waits_for_its_record(state: SchedulerState, run: Run) -> bool:
+    """Tell whether a start order waits for the store also while that is slow.
+
+    The next holder has to know of each worker that a suspect crashes, and waits only
+    for reports of workers of which the store has a record.
+    """
+    step = state.step_of(run.task)
+    worker = state.workers_by_incarnation.get(run.incarnation)
+    is_recorded = worker is not None and worker.is_stored
+    return not is_recorded or (
+        step is not None and is_suspect(state, step, run.task.index)
+    )
+
+
 def send_start(state: SchedulerState, run: Run, start: StartRun) -> None:
     """Send a run's start order."""
     run.is_ordered = True
--- a/tests/test_scheduling_write_ahead.py
+++ b/tests/test_scheduling_write_ahead.py
@@ -21,6 +21,7 @@
     incarnation,
     job,
     worker_entry,
+    worker_report,
 )
 from tests.utils.build_takeover import build_job_index, build_next_holder
 
@@ -174,3 +175,18 @@
         harness.acknowledge_batch(batch)
     harness.tick()
     assert len(harness.starts) == count
+
+
+def test_an_order_left_for_a_worker_of_which_the_store_had_no_record() -> None:
+    # Guards against a task that runs twice: the next holder waits only for reports of
+    # workers that the store knows.
+    harness = harness_with_slow_store()
+    workers = [worker_entry("w1", cores=1), worker_entry("w2", cores=64)]
+    harness.scheduler.set_registered_workers(workers, harness.now)
+    harness.tick()
+    harness.answer_poll(worker_report(), incarnation("w2"))
+    harness.submit_job(job(2))
+    assert not harness.starts
+    harness.store_pending()
+    (start,) = harness.starts
+    assert start.order.incarnation == incarnation("w2")
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -369,16 +369,23 @@
     Mutant(
         "a start order waits until the store holds its run",
         "scheduling/execution/run_starts.py",
-        "if state.write_ahead.is_enabled or is_suspect(state, step, index):",
-        "if is_suspect(state, step, index):",
+        "if state.write_ahead.is_enabled or waits_for_its_record(state, run):",
+        "if waits_for_its_record(state, run):",
     ),
     Mutant(
         "a suspect's start order waits for the store, also if others do not",
         "scheduling/execution/run_starts.py",
-        "if state.write_ahead.is_enabled or is_suspect(state, step, index):",
+        "if state.write_ahead.is_enabled or waits_for_its_record(state, run):",
         "if state.write_ahead.is_enabled:",
         CRASHES,
     ),
+    Mutant(
+        "an order waits until the store has a record of its worker",
+        "scheduling/execution/run_starts.py",
+        "return not is_recorded or (",
+        "return (",
+        "tests/test_scheduling_write_ahead.py",
+    ),
     Mutant(
         "a task that crashes its workers is given up",
         "scheduling/evidence/crash_evidence.py",
