Count a failed run once, whoever reports its end and how often

Cause: a failure was counted for each report of an end. Ends are reported again if the acknowledgement wasn't stored, or if the worker was removed and came back; each member of a gang reports its run, also to the next holder, which forgot what the former one had counted.

Change: the numbers of failed runs are stored with the progress, by task, and for gangs by step; an end counts if the number is new.

Why this works: the number and the count are in one record, so that no holder has one without the other.

--- a/tamarackmount/scheduling/execution/run_ends.py
+++ b/tamarackmount/scheduling/execution/run_ends.py
@@ -189,18 +189,12 @@
     _count_worker_failure(worker, step, now)
     if step.spec.perpetual:
         return
-    if step.spec.gang and ended.run_number in step.failed_gang_runs:
-        return
-    if step.spec.gang:
-        step.failed_gang_runs.add(ended.run_number)
     index = 0 if step.spec.gang else ended.task.index
-    if index in step.done:
+    if index in step.done or not step.count_failed_run(index, ended.run_number):
         return
-    count = step.failures_by_index.get(index, 0) + 1
-    step.failures_by_index[index] = count
     state.changed_jobs.add(step.key.job_id)
     queue = state.queue_of(step.job)
-    if count >= queue.max_attempts:
+    if step.failures_by_index[index] >= queue.max_attempts:
         end_job(state, step.job, JobPhase.FAILED, now, FailureCause.ATTEMPTS)
 
 
--- a/tamarackmount/scheduling/jobs/runs.py
+++ b/tamarackmount/scheduling/jobs/runs.py
@@ -162,7 +162,10 @@
     that may be lost, so that their tasks start again, and the first end counts.
     ``crashes_by_index`` is the evidence that tasks crash their workers; see
     ``crash_evidence.py``. ``run_number`` is the highest run number used.
-    ``failed_gang_runs`` are the run numbers of gangs whose failure was counted.
+    ``failures_by_index`` is how many runs of a task have failed; those of a gang count
+    for its first task, once for all members. ``failed_runs_by_index`` has the numbers
+    of these runs, as an end may be reported again, also to the next holder; it lacks
+    those that a holder of an earlier version has counted.
     ``handled_stragglers`` are the indexes of tasks that were stopped or copied as
     stragglers; each is treated so once only.
     ``durations_s`` are the durations, in seconds, of runs that ended well and did not
@@ -187,10 +190,10 @@
     runs_by_index: dict[int, Run] = field(default_factory=dict)
     original_runs: list[Run] = field(default_factory=list)
     failures_by_index: dict[int, int] = field(default_factory=dict)
+    failed_runs_by_index: dict[int, set[int]] = field(default_factory=dict)
     checkpoints_by_index: dict[int, str] = field(default_factory=dict)
     crashes_by_index: dict[int, list[CrashRecord]] = field(default_factory=dict)
     run_number: int = 0
-    failed_gang_runs: set[int] = field(default_factory=set)
     advice: StepAdvice = field(default_factory=StepAdvice)
     handled_stragglers: set[int] = field(default_factory=set)
     durations_s: list[float] = field(default_factory=list)
@@ -217,6 +220,21 @@
         """Whether every task has completed."""
         return len(self.done) == self.spec.count
 
+    @property
+    def highest_failed_run(self) -> int:
+        """The highest number of a run whose failure was counted; 0 if there is none."""
+        runs = self.failed_runs_by_index.values()
+        return max((number for numbers in runs for number in numbers), default=0)
+
+    def count_failed_run(self, index: int, run_number: int) -> bool:
+        """Count a failed run of a task; return False if it was counted before."""
+        numbers = self.failed_runs_by_index.setdefault(index, set())
+        if run_number in numbers:
+            return False
+        numbers.add(run_number)
+        self.failures_by_index[index] = self.failures_by_index.get(index, 0) + 1
+        return True
+
     @property
     def is_restart(self) -> bool:
         """Whether the step is perpetual and has run before."""
@@ -313,6 +331,12 @@
                 for index, count in step.failures_by_index.items()
                 if not self.phase.is_final
             },
+            failed_runs_by_task={
+                f"{step.key.occurrence}.{step.key.step}.{index}": sorted(numbers)
+                for step in steps
+                for index, numbers in step.failed_runs_by_index.items()
+                if not self.phase.is_final
+            },
             checkpoints_by_task={
                 f"{step.key.occurrence}.{step.key.step}.{index}": checkpoint
                 for step in steps
@@ -348,6 +372,8 @@
             job.steps_by_key[key] = step_state
     for found, index, count in _by_step(job, stored.failures_by_task):
         found.failures_by_index[index] = count
+    for found, index, numbers in _by_step(job, stored.failed_runs_by_task):
+        found.failed_runs_by_index[index] = set(numbers)
     for found, index, checkpoint in _by_step(job, stored.checkpoints_by_task):
         found.checkpoints_by_index[index] = checkpoint
     for found, index, crashes in _by_step(job, stored.crashes_by_task):
--- a/tamarackmount/scheduling/store/journal.py
+++ b/tamarackmount/scheduling/store/journal.py
@@ -92,17 +92,20 @@
     """The stored progress of a job.
 
     ``done_by_step`` holds the indexes of the tasks that are done; its keys are
-    ``OCCURRENCE.STEP``. Keys of ``failures_by_task`` and ``checkpoints_by_task`` are
-    ``OCCURRENCE.STEP.INDEX``. ``checkpoints_by_task`` has the checkpoints of tasks that
-    wait; workers report those of tasks that run.
-    ``final_unix_ms`` is when the job reached a final phase. ``crashes_by_task`` is the
-    evidence that tasks crash their workers, under the same keys. ``cause`` says why a
-    job has failed: a value of ``FailureCause``, or one of a later version.
+    ``OCCURRENCE.STEP``. Keys of ``failures_by_task``, ``failed_runs_by_task`` and
+    ``checkpoints_by_task`` are ``OCCURRENCE.STEP.INDEX``. ``failed_runs_by_task`` has
+    the numbers of the runs that ``failures_by_task`` counts; records of earlier
+    versions lack it. ``checkpoints_by_task`` has the checkpoints of tasks that wait;
+    workers report those of tasks that run. ``final_unix_ms`` is when the job reached a
+    final phase. ``crashes_by_task`` is the evidence that tasks crash their workers,
+    under the same keys. ``cause`` says why a job has failed: a value of
+    ``FailureCause``, or one of a later version.
     """
 
     phase: JobPhase
     done_by_step: dict[str, list[int]] = field(default_factory=dict)
     failures_by_task: dict[str, int] = field(default_factory=dict)
+    failed_runs_by_task: dict[str, list[int]] = field(default_factory=dict)
     checkpoints_by_task: dict[str, str] = field(default_factory=dict)
     final_unix_ms: int = 0
     crashes_by_task: dict[str, list[CrashRecord]] = field(default_factory=dict)
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -20,6 +20,7 @@
 EVACUATION = "tests/test_*evacuation*.py"
 CRASHES = "tests/test_scheduling_worker_crashes.py"
 CEILINGS = "tests/test_scheduling_ceilings*.py"
+FAILED_RUNS = "tests/test_scheduling_failed_runs.py tests/test_scheduling_gang*.py"
 LISTED_ENDS = "tests/test_scheduling_listed_ends.py"
 CRASH_WAVES = "tests/test_scheduling_crash_waves.py"
 
@@ -312,6 +313,20 @@
         "if ended.end_number > worker.reported_end_number:",
         "if True:",
     ),
+    Mutant(
+        "a failed run counts once, however often its end is reported",
+        "scheduling/jobs/runs.py",
+        "        if run_number in numbers:\n            return False\n",
+        "",
+        FAILED_RUNS,
+    ),
+    Mutant(
+        "a new holder knows which failed runs were counted",
+        "scheduling/jobs/runs.py",
+        "found.failed_runs_by_index[index] = set(numbers)",
+        "pass",
+        FAILED_RUNS,
+    ),
     Mutant(
         "a run whose start order got no answer is stopped before a retry",
         "scheduling/contact/order_results.py",
