Let a process end after a fatal error although it looked up a name

Callers saw nothing of it yet; a trial of odd entries on real nodes did: three of three nodes stood still after a fatal error, neither ended nor serving, and no job was accepted any more.

Cause: Twisted looks up host names in a pool of threads. A node whose event loop is stopped after a fatal error does not stop that pool, and the interpreter waits for its threads. One entry with a host name in place of an IP address was enough to start one. An address without a port was not handled by the client of workers, and was the fatal error.

Change: nodes look no names up, as all addresses of a deployment are IP addresses; a call to any other address isn't sent.

--- a/tamarackmount/node/run.py
+++ b/tamarackmount/node/run.py
@@ -12,6 +12,7 @@
 
 from tamarackmount.internal import jsonlog
 from tamarackmount.node import clock
+from tamarackmount.node.no_resolver import NoResolver
 from tamarackmount.node.node import Node
 from tamarackmount.node.tasks import on_fatal_error, spawn
 from tamarackmount.platform.boot import decode_boot, settings_path
@@ -37,6 +38,7 @@
     loop: Any = reactor
     # Timers must neither follow changes of the wall clock nor stop during suspension.
     loop.seconds = clock.now
+    loop.installResolver(NoResolver())
     node = Node(settings.unwrap(), loop)
     exit_status = [ExitStatus.OK]
 
--- a/tamarackmount/platform/http.py
+++ b/tamarackmount/platform/http.py
@@ -209,13 +209,13 @@
         left_s = deadline - self._reactor.seconds()
         if left_s <= 0:
             return CallError(CallErrorKind.NOT_SENT, "deadline passed")
-        endpoint = TCP4ClientEndpoint(
-            self._reactor,
-            address.host,
-            address.port,
-            timeout=min(left_s, CONNECT_TIMEOUT_S),
-        )
         try:
+            endpoint = TCP4ClientEndpoint(
+                self._reactor,
+                address.host,
+                address.port,
+                timeout=min(left_s, CONNECT_TIMEOUT_S),
+            )
             connecting: Any = connectProtocol
             opened: _Connection = await connecting(endpoint, _Connection())
         except Exception as error:  # noqa: BLE001  (Twisted raises many types)
