Check entries of other writers before any use

Cause: an entry was used before it was checked. The id went into a header and a key as it stood; the message about a value nested 900 to 1,023 deep ran into the recursion limit while printing it; a key with a part of a character hid its whole page of the store; a holder record with a huge epoch kept all nodes from the role; odd names of tasks in stored workers and progress ended each new holder.

Change: registrations are checked field by field, and whatever goes wrong is a reason in the log. Pages are read past keys that are no texts. Epochs are bounded by their offsets. Stored tasks that can't be read are left out and logged.

--- a/tamarackmount/node/claims.py
+++ b/tamarackmount/node/claims.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from returns.result import Failure, Result
 from twisted.internet.task import deferLater
 
 from tamarackmount.ids import Epoch, Instant, MemberId, Offset
@@ -25,6 +26,7 @@
 from tamarackmount.scheduling.store.journal import (
     HolderRecord,
     RecordKind,
+    decode_record,
     encode_record,
     record_key,
 )
@@ -74,6 +76,19 @@
     return None
 
 
+def decode_holder_record(row: KeyedRecord) -> Result[HolderRecord, str]:
+    """Return the record at an offset of the holder topic, or why it is not valid.
+
+    An epoch follows the offset of its claim, so none is above the offset after it. A
+    holder that took a higher one for real would give up its role for good.
+    """
+    decoded = decode_record(row.value, HolderRecord)
+    record = decoded.value_or(None)
+    if record is not None and record.epoch > row.offset + 1:
+        return Failure(f"epoch: at most {row.offset + 1} at its offset")
+    return decoded
+
+
 def _to_row(record: HolderRecord) -> KeyedRecord:
     return KeyedRecord(record_key(RecordKind.HOLDER), encode_record(record))
 
--- a/tamarackmount/node/holder_election.py
+++ b/tamarackmount/node/holder_election.py
@@ -10,7 +10,12 @@
 
 from tamarackmount.ids import Epoch, Instant, MemberId
 from tamarackmount.node import clock
-from tamarackmount.node.claims import HOLDER_TOPIC, Claim, claim
+from tamarackmount.node.claims import (
+    HOLDER_TOPIC,
+    Claim,
+    claim,
+    decode_holder_record,
+)
 from tamarackmount.node.context import NodeContext
 from tamarackmount.node.evacuation_watch import EvacuationWatch
 from tamarackmount.node.hand_over import HandOver, HandOverTarget
@@ -30,7 +35,7 @@
     HolderWatch,
     candidate_rank,
 )
-from tamarackmount.scheduling.store.journal import HolderRecord, decode_record
+from tamarackmount.scheduling.store.journal import HolderRecord
 
 HOLDER_READ_WAIT_MS = 1_000
 """Long-poll wait of a read of holder records, in milliseconds; it bounds how late a
@@ -208,7 +213,7 @@
     def _apply_records(self, records: Sequence[KeyedRecord]) -> None:
         previous = self._watch.record
         for record in records:
-            decoded = decode_record(record.value, HolderRecord)
+            decoded = decode_holder_record(record)
             if isinstance(decoded, Failure):
                 extra = {"offset": record.offset, "reason": decoded.failure()}
                 _log.error("holder record not readable; skipped", extra=extra)
--- a/tamarackmount/platform/store.py
+++ b/tamarackmount/platform/store.py
@@ -11,6 +11,7 @@
 """
 
 import base64
+import json
 import logging
 import struct
 from collections.abc import Mapping, Sequence
@@ -251,7 +252,7 @@
         if not isinstance(result, Reply) or result.status != 200:
             return _call_error(result)
         try:
-            return _decode_latest_page(orjson.loads(result.body))
+            return _decode_latest_page(_load_page(result.body))
         except _DECODING_ERRORS as error:
             return _malformed_reply(error)
 
@@ -308,6 +309,7 @@
     IndexError,
     KeyError,
     OverflowError,
+    RecursionError,
     TypeError,
     ValueError,
     struct.error,
@@ -321,13 +323,21 @@
     )
 
 
+def _load_page(body: bytes) -> Any:
+    """Return the JSON of a page, also if the key of a record is no valid text."""
+    try:
+        return orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return json.loads(body.decode("utf-8", "replace"))
+
+
 def _decode_latest_page(page: Mapping[str, Any]) -> LatestRecordsPage:
     items = page["items"]
     records = [_decode_item(item) for item in items]
     keys = [
         item["key"]
         for item in items
-        if isinstance(item, dict) and isinstance(item.get("key"), str)
+        if isinstance(item, dict) and _is_encodable(item.get("key"))
     ]
     has_more = bool(page["more"])
     if has_more and items and not keys:
@@ -357,9 +367,18 @@
 def _text(value: Any) -> str:
     if not isinstance(value, str):
         raise TypeError(f"expected a text, got {type(value).__name__}")
+    if not _is_encodable(value):
+        raise ValueError("expected a text that can be encoded")
     return value
 
 
+def _is_encodable(value: Any) -> bool:
+    """Tell whether a value is a text without parts of characters (surrogates)."""
+    return isinstance(value, str) and not any(
+        "\ud800" <= character <= "\udfff" for character in value
+    )
+
+
 def _decode_append_reply(result: CallResult) -> AppendResult:
     if isinstance(result, CallError):
         return _call_error(result)
--- a/tamarackmount/platform/workers.py
+++ b/tamarackmount/platform/workers.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum
-from typing import Any
+from ipaddress import IPv4Address
+from typing import Any, TypeVar
 
 import orjson
 from returns.result import Failure, Result, Success
@@ -20,6 +21,7 @@
 )
 from tamarackmount.platform.resource_amounts import decode_resources
 from tamarackmount.platform.store import JSON_HEADER
+from tamarackmount.resources import Resources
 from tamarackmount.scheduling.domain.model import (
     ServiceName,
     TaskKey,
@@ -36,69 +38,96 @@
     WorkerReport,
 )
 
+T = TypeVar("T")
+
 _READY = "ready"
 _DRAINING = "draining"
 
 
 def decode_worker(worker_id: str, text: bytes) -> Result[WorkerEntry, str]:
-    """Return a worker's registration, or an error message if it is not valid."""
+    """Return a worker's registration, or an error message if it is not valid.
+
+    Other writers may have left anything in its place, so no error gets through.
+    """
     try:
-        return _decode_entry(WorkerId(worker_id), orjson.loads(text))
-    except (
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-        LookupError,
-        OverflowError,
-    ) as error:
-        return Failure(f"{type(error).__name__}: {error}")
+        return Success(_decode_entry(_worker_id(worker_id), orjson.loads(text)))
+    except Exception as error:  # noqa: BLE001  (the entry may be of any shape)
+        return Failure(f"{type(error).__name__}: {error}"[:MAX_ERROR_CHARS])
 
 
-def _decode_entry(
-    worker_id: WorkerId, raw: Mapping[str, Any]
-) -> Result[WorkerEntry, str]:
-    state = raw["state"]
+def _decode_entry(worker_id: WorkerId, raw: Mapping[str, Any]) -> WorkerEntry:
+    state = _field(raw, "state", str)
     if state not in (_READY, _DRAINING):
-        return Failure(f"state: expected 'ready' or 'draining', got {state!r}")
-    for name, expected in _ENTRY_TYPES.items():
-        if not isinstance(raw[name], expected) or isinstance(raw[name], bool):
-            return Failure(f"{name}: unexpected value {raw[name]!r}")
-    address = Address(raw["address"])
-    labels = tuple(str(label) for label in raw["labels"])
-    return Success(
-        WorkerEntry(
-            incarnation=WorkerIncarnation(worker_id, raw["born"]),
-            service=ServiceName(raw["service"]),
-            address=f"{address.host}:{address.port}",
-            data_centre=DataCentreId(raw["zone"]),
-            labels=frozenset(labels),
-            # The last label of a worker is the name of its rack.
-            rack=RackId(labels[-1]) if labels else RackId(""),
-            capacity=decode_resources(raw["capacity"]),
-            is_draining=state == _DRAINING,
-            drain_left_ms=min(MAX_COUNT, max(0, int(raw.get("drainRemainingMs", 0)))),
-            cold_remaining_ms=min(
-                MAX_COUNT, max(0, int(raw.get("coldRemainingMs") or 0))
-            ),
-        )
+        raise ValueError(f"state: expected 'ready' or 'draining', got {state!r}")
+    labels = _field(raw, "labels", list)
+    if not all(isinstance(label, str) for label in labels):
+        raise TypeError("labels: expected texts only")
+    return WorkerEntry(
+        incarnation=WorkerIncarnation(worker_id, _count(_field(raw, "born", int))),
+        service=ServiceName(_field(raw, "service", str)),
+        address=_address(_field(raw, "address", str)),
+        data_centre=DataCentreId(_field(raw, "zone", str)),
+        labels=frozenset(labels),
+        # The last label of a worker is the name of its rack.
+        rack=RackId(labels[-1]) if labels else RackId(""),
+        capacity=_capacity(_field(raw, "capacity", dict)),
+        is_draining=state == _DRAINING,
+        drain_left_ms=min(MAX_COUNT, max(0, int(raw.get("drainRemainingMs", 0)))),
+        cold_remaining_ms=min(MAX_COUNT, max(0, int(raw.get("coldRemainingMs") or 0))),
     )
 
 
-_ENTRY_TYPES: Mapping[str, type] = {
-    "service": str,
-    "address": str,
-    "zone": str,
-    "labels": list,
-    "capacity": dict,
-    "born": int,
-}
+def _worker_id(text: str) -> WorkerId:
+    """Return a worker's id, which goes into headers and into keys of the store."""
+    if not text or len(text) > MAX_ID_CHARS:
+        raise ValueError(
+            f"id: expected 1 to {MAX_ID_CHARS} characters, got {len(text)}"
+        )
+    if not text.isascii() or not text.isprintable() or " " in text:
+        raise ValueError("id: expected printable ASCII characters without spaces")
+    return WorkerId(text)
+
+
+def _field(raw: Mapping[str, Any], name: str, expected: type[T]) -> T:
+    """Return a field of a registration; raise ``TypeError`` if its type is wrong.
+
+    The error has no value, which may be of any size or depth.
+    """
+    value = raw[name]
+    if not isinstance(value, expected) or isinstance(value, bool):
+        found = type(value).__name__
+        raise TypeError(f"{name}: expected {expected.__name__}, got {found}")
+    return value
+
+
+def _address(text: str) -> str:
+    """Return an address as ``IP:PORT``; raise ``ValueError`` for any other text."""
+    address = Address(text)
+    host, port = IPv4Address(address.host), address.port
+    if not 0 < port <= MAX_PORT:
+        raise ValueError(f"address: expected a port from 1 to {MAX_PORT}, got {port}")
+    return f"{host}:{port}"
+
+
+def _capacity(raw: Mapping[str, Any]) -> Resources:
+    capacity = decode_resources(raw)
+    for amount in (capacity.millicores, capacity.memory_mib, capacity.accelerators):
+        _count(amount)
+    return capacity
 
 
 MAX_COUNT = 2**53
 """Largest number accepted from a worker; all larger ones are errors, and orders and
 records that were computed from them could not be encoded."""
 
+MAX_ID_CHARS = 200
+"""Largest length of a worker's id; the key of its record has 255 bytes at most."""
+
+MAX_PORT = 65_535
+
+MAX_ERROR_CHARS = 200
+"""Maximum length of the reason why a registration is not valid."""
+
 MAX_LISTED_ENDS = 500
 """Largest number of ends in one report; a worker lists the others once these are
 acknowledged."""
--- a/tamarackmount/scheduling/jobs/runs.py
+++ b/tamarackmount/scheduling/jobs/runs.py
@@ -1,5 +1,6 @@
 """State of jobs, steps and runs as the holder knows it."""
 
+import logging
 from collections.abc import Iterator, Mapping
 from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, field
@@ -24,6 +25,8 @@
 
 T = TypeVar("T")
 
+_log = logging.getLogger(__name__)
+
 MAX_AVOIDANCE_S = 2.0
 """Time, in seconds, for which a step waits for workers other than those on which it has
 failed; the users allow 3 s without a run while there is capacity."""
@@ -386,7 +389,12 @@
 ) -> Iterator[tuple[StepState, int, T]]:
     """Yield the step and the index of each key of a progress record, if known."""
     for name, value in value_by_task.items():
-        occurrence, step, index = (int(part) for part in name.split("."))
+        try:
+            occurrence, step, index = (int(part) for part in name.split("."))
+        except ValueError:
+            extra = {"job": job.job_id, "key": name}
+            _log.warning("task in stored progress not readable; skipped", extra=extra)
+            continue
         found = job.steps_by_key.get(StepKey(job.job_id, occurrence, step))
         if found is not None:
             yield found, index, value
--- a/tamarackmount/scheduling/store/job_index.py
+++ b/tamarackmount/scheduling/store/job_index.py
@@ -18,6 +18,7 @@
     RecordKind,
     WorkerRecord,
     decode_record,
+    decode_task,
     split_key,
 )
 
@@ -108,6 +109,17 @@
     return record.unwrap()
 
 
+def _has_valid_tasks(record: WorkerRecord, name: str) -> bool:
+    try:
+        for text, _ in record.runs:
+            decode_task(text)
+    except ValueError as error:
+        extra = {"record": "WorkerRecord", "record_id": name, "reason": str(error)}
+        _log.warning("stored record can't be decoded, skipped", extra=extra)
+        return False
+    return True
+
+
 class JobIndex:
     """The newest records of jobs and workers, and the newest forecast.
 
@@ -197,7 +209,7 @@
         """Return the records of workers."""
         for name, text in self._text_by_worker.items():
             record = _decode(text, WorkerRecord, name)
-            if record is not None:
+            if record is not None and _has_valid_tasks(record, name):
                 yield record
 
     def _records_of(self, name: str) -> JobRecords:
