Answer 400 to jobs with huge amounts, and survive nested reports

A worker's report with lists nested 900 to 1,023 deep ended the holder (decoder, virtual).

Cause: amounts had a lower bound only, and the decoders did not expect Python's recursion limit.

Change: amounts and times in a job are at most 2**53, and whatever a client sends that can't be decoded is answered 400 at once. A report that can't be decoded for its depth counts as none.

The new tests that name a failure fail before.

--- a/tamarackmount/platform/jobs.py
+++ b/tamarackmount/platform/jobs.py
@@ -19,6 +19,9 @@
 """Longest ``spec`` of a job (``JobSpec.text``) in bytes, set by the platform."""
 
 
+MAX_QUANTITY = 2**53
+"""Largest amount or time in a job; sums of larger ones could not be stored."""
+
 MAX_TASKS = 20_000
 """Maximum number of tasks of a job in all of its repetitions: the record of a job's
 progress, which lists the tasks that are done, has to fit into one record of the
@@ -30,7 +33,7 @@
     try:
         raw = orjson.loads(body)
         return _validate(_decode(raw))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except Exception as error:  # noqa: BLE001  (a client may send anything)
         return Failure(f"{type(error).__name__}: {error}")
 
 
@@ -70,7 +73,7 @@
         same_rack=bool(row.get("sameRack", False)),
         label=str(row.get("requirements", "") or ""),
         # The rack with the data of the step's tasks.
-        rack=RackId(row.get("affinity", "") or ""),
+        rack=RackId(str(row.get("affinity", "") or "")),
         max_per_worker=int(row.get("antiAffinity", 0)),
         saves_progress=bool(row.get("savesProgress", False)),
         speculative=bool(row.get("speculative", False)),
@@ -83,7 +86,7 @@
 
 
 def _quantities(step: StepSpec) -> dict[str, int]:
-    """Return the values of a step that may not be negative, by their wire names."""
+    """Return the amounts and times of a step, by their wire names."""
     return {
         "cpu": step.amount.millicores,
         "requestedMemoryMb": step.amount.memory_mib,
@@ -100,8 +103,9 @@
         return Failure("steps: must contain at least one step")
     if len(job.text.encode()) > MAX_SPEC_BYTES:
         return Failure(f"spec: must be at most {MAX_SPEC_BYTES} bytes long")
-    if job.repetitions < 0:
-        return Failure(f"repetitions: must be at least 0, got {job.repetitions}")
+    schedule_error = _find_schedule_error(job)
+    if schedule_error:
+        return Failure(schedule_error)
     for number, step in enumerate(job.steps):
         error = _find_step_error(number, step)
         if error:
@@ -115,13 +119,24 @@
     return Success(job)
 
 
+def _find_schedule_error(job: JobSpec) -> str:
+    """Return what is wrong with a job's repetitions, or an empty string."""
+    if job.repetitions < 0:
+        return f"repetitions: must be at least 0, got {job.repetitions}"
+    times = {"firstRunMs": job.first_run_unix_ms, "intervalMs": job.interval_ms}
+    for name, value in times.items():
+        if abs(value) > MAX_QUANTITY:
+            return f"{name}: must be at most {MAX_QUANTITY}"
+    return ""
+
+
 def _find_step_error(number: int, step: StepSpec) -> str:
     """Return what is wrong with a step, or an empty string."""
     if step.count < 1:
         return f"count: must be at least 1, got {step.count}"
     for name, value in _quantities(step).items():
-        if value < 0:
-            return f"{name}: must be at least 0, got {value}"
+        if not 0 <= value <= MAX_QUANTITY:
+            return f"{name}: must be from 0 to {MAX_QUANTITY}"
     if any(not 0 <= dependency < number for dependency in step.after):
         return f"after: must list only earlier steps, got {list(step.after)}"
     return ""
--- a/tamarackmount/platform/workers.py
+++ b/tamarackmount/platform/workers.py
@@ -357,6 +357,7 @@
         IndexError,
         KeyError,
         OverflowError,
+        RecursionError,
         TypeError,
         ValueError,
     ):
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -15,14 +15,19 @@
 from tamarackmount.node import clock
 from tamarackmount.node.claims import HOLDER_TOPIC
 from tamarackmount.platform.http import Address, Reply
+from tamarackmount.platform.jobs import decode_job
 from tamarackmount.platform.store import (
     WORKERS_TOPIC,
     KeyedRecord,
     LatestRecordsPage,
     Store,
 )
-from tamarackmount.platform.workers import decode_worker
+from tamarackmount.platform.workers import _decode_report, decode_worker
 from tamarackmount.scheduling.domain.model import JobPhase
+from tamarackmount.scheduling.domain.worker_reports import (
+    PollFailure,
+    WorkerReport,
+)
 from tamarackmount.scheduling.store.journal import HolderRecord, encode_record
 from tests.utils.build_odd_entries import (
     FIELDS,
@@ -152,3 +157,25 @@
     after.register_workers(worker_entry("w1"))
     assert len(after.starts) == 1
     assert after.scheduler.phase(accepted.job_id) is JobPhase.RUNNING
+
+
+@pytest.mark.parametrize("value", [b"1e308", b"-1e308", b"9007199254740993"])
+@pytest.mark.parametrize("field", ["cpu", "gpu", "estimatedMs", "antiAffinity"])
+def test_a_job_with_a_huge_amount_was_answered_as_unknown(
+    field: str, value: bytes
+) -> None:
+    # Its record could not be encoded, and its client got 504 in place of 400.
+    body = b'{"spec":"","steps":[{"count":1,"' + field.encode() + b'":' + value + b"}]}"
+    assert isinstance(decode_job(body), Failure)
+
+
+@pytest.mark.parametrize("field", ["firstRunMs", "intervalMs"])
+def test_a_job_with_a_huge_time_was_answered_as_unknown(field: str) -> None:
+    body = b'{"steps":[{"count":1}],"' + field.encode() + b'":1e308}'
+    assert isinstance(decode_job(body), Failure)
+
+
+@pytest.mark.parametrize("depth", [300, 900, 990, 1_010])
+def test_a_report_with_nested_lists_ended_the_holder(depth: int) -> None:
+    body = b'{"clockMs":1,"ended":[[1,"j.0.0.0",1,' + nested_list(depth) + b',""]]}'
+    assert isinstance(_decode_report(Reply(200, body)), PollFailure | WorkerReport)
