Follow two changes in a test and a mutation

A claim in tests/test_claims.py had epoch 3 at offset 1, which no claim has: its epoch follows its offset, and records with a higher one are skipped now. The test writes a heartbeat first, so that the claim is at offset 2, and checks the same. The mutation of the attempts' limit names the line as it is now.

--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -184,8 +184,12 @@
     if reason == "stopped":
         holder.is_stopped = True
     elif reason == "replaced":
-        record = HolderRecord(MemberId("n1"), 3, 0, 1)
-        fleet.store.put(HOLDER_TOPIC, KeyedRecord("holder", encode_record(record)))
+        # A claim at an offset has the epoch after it, so the topic needs a heartbeat.
+        for record in (
+            HolderRecord(MemberId("n0"), 1, 1, 1),
+            HolderRecord(MemberId("n1"), 3, 0, 1),
+        ):
+            fleet.store.put(HOLDER_TOPIC, KeyedRecord("holder", encode_record(record)))
     else:
         election._context.is_draining = True
     fleet.run_for(3.0)
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -582,7 +582,7 @@
     Mutant(
         "a job fails after its maximum number of attempts",
         "scheduling/execution/run_ends.py",
-        "if count >= queue.max_attempts:",
+        "if step.failures_by_index[index] >= queue.max_attempts:",
         "if count > 99 * queue.max_attempts:",
     ),
     Mutant(
