Keep records within the length that the store takes

Cause: checkpoints of all waiting tasks are in one record, as are the runs of a worker. The store refuses a record of more than maxRecordBytes, and the writer repeated the append without end.

Change: progress records are shortened by what can be missed, a worker gets no more runs than its record holds, and a record that is too long all the same is left out, logged and counted, so that those beside it are stored.

A rolling upgrade was not played.

--- a/tamarackmount/node/fenced_log.py
+++ b/tamarackmount/node/fenced_log.py
@@ -68,6 +68,11 @@
         """The maximum size of the records of one append, in bytes."""
         return self._store.max_append_bytes
 
+    @property
+    def max_record_bytes(self) -> int:
+        """The maximum size of one record, in bytes."""
+        return self._store.max_record_bytes
+
     @property
     def is_store_available(self) -> bool:
         """Whether the store accepts appends, judging by the most recent ones.
--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -95,12 +95,14 @@
         )
         self.scheduler = Scheduler(claimed.epoch, self._find_job, dependencies.metrics)
         self.scheduler.set_stop_timeout(dependencies.stop_timeout_ms)
+        self.scheduler.set_max_record_bytes(dependencies.store.max_record_bytes)
         self.scheduler.set_fleet_config(fleet, clock.now())
         callbacks = WriterCallbacks(
             self._take_batch,
             self._batch_stored,
             self._on_fenced,
             dependencies.store_silence_s,
+            dependencies.metrics.record_too_long_record,
         )
         self._log = FencedLog(
             dependencies.reactor, dependencies.store, dependencies.topic, claimed.epoch
--- a/tamarackmount/node/journal_writer.py
+++ b/tamarackmount/node/journal_writer.py
@@ -1,7 +1,8 @@
 """Writes the holder's records and callers' submissions, one append at a time."""
 
+import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -21,9 +22,12 @@
     KeyedRecord,
     StoreError,
     encoded_bytes,
+    record_bytes,
 )
 from tamarackmount.scheduling.contact.store_batches import Batch
 
+_log = logging.getLogger(__name__)
+
 BATCH_DELAY_S = 0.004
 """Delay in which records are collected before the next append, in seconds: as long as
 one append takes."""
@@ -44,13 +48,15 @@
     each stored batch. ``on_fenced`` is called with a reason once the store rejects this
     holder's appends for good because another holder writes.
     ``store_silence_s`` returns the time since the store last answered any call of this
-    node, in seconds.
+    node, in seconds. ``on_too_long`` is called with the kind of each record that is
+    left out, as it is longer than the store takes.
     """
 
     take_batch: Callable[[], Batch | None]
     on_stored: Callable[[Batch], None]
     on_fenced: Callable[[str], None]
     store_silence_s: Callable[[], float]
+    on_too_long: Callable[[str], None] = lambda kind: None
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,7 +149,7 @@
             if batch is None and not self._submissions:
                 break
             records = [] if batch is None else list(batch.records)
-            rows = [KeyedRecord(key, value) for key, value in records]
+            rows = self._storable_rows(records)
             if not await self._append_in_parts(rows):
                 break
             self._append_count += 1
@@ -154,6 +160,26 @@
         if self._is_stopped:
             self._reject_submissions()
 
+    def _storable_rows(self, records: Sequence[tuple[str, bytes]]) -> list[KeyedRecord]:
+        """Return the rows of a batch, but for those that the store would refuse.
+
+        It would refuse the whole append each time, and nothing would be stored any
+        more. The scheduler keeps records within the limit; one that is longer comes
+        from an earlier version.
+        """
+        limit = self._log.max_record_bytes
+        rows = []
+        for key, value in records:
+            row = KeyedRecord(key, value)
+            size = record_bytes(row)
+            if size <= limit:
+                rows.append(row)
+                continue
+            extra = {"key": key, "bytes": size, "limit": limit}
+            _log.error("record too long for the store, left out", extra=extra)
+            self._callbacks.on_too_long(key.partition("/")[0])
+        return rows
+
     async def _append_in_parts(self, rows: list[KeyedRecord]) -> bool:
         """Append a batch in as many appends as its size needs, submissions last.
 
--- a/tamarackmount/node/metrics.py
+++ b/tamarackmount/node/metrics.py
@@ -71,6 +71,11 @@
             "Holders that this node knows by their notice, without the store's record.",
             registry=self.registry,
         )
+        self._too_long_records = Counter(
+            "tamarackmount_too_long_records_total",
+            "Records left out as the store takes none of their length, by kind.",
+            registry=self.registry,
+        )
         self._processor_slowdown = Gauge(
             "tamarackmount_processor_slowdown",
             "Time that a fixed amount of work takes, relative to this process's best.",
@@ -131,6 +136,10 @@
         """Count a holder whose record this node could not read."""
         self._holder_notices.inc({})
 
+    def record_too_long_record(self, kind: str) -> None:
+        """Count a record that was left out for its length."""
+        self._too_long_records.inc({"kind": kind})
+
     def record_contention(self, rows: Sequence[ContentionRow]) -> None:
         """Replace the rows about workspaces that compete for pools."""
         self._contention.record(rows)
--- a/tamarackmount/platform/store.py
+++ b/tamarackmount/platform/store.py
@@ -260,9 +260,14 @@
 _BYTES_HEADER = "Content-Type: application/octet-stream\r\n"
 
 
+def record_bytes(record: KeyedRecord) -> int:
+    """Return the size of a record as the store limits it, in bytes."""
+    return 1 + len(record.key.encode()) + len(record.value)
+
+
 def encoded_bytes(record: KeyedRecord) -> int:
     """Return the size of a record in an append, in bytes."""
-    return _RECORD_LENGTH.size + 1 + len(record.key.encode()) + len(record.value)
+    return _RECORD_LENGTH.size + record_bytes(record)
 
 
 def _encode_record(record: KeyedRecord) -> bytes:
--- a/tamarackmount/scheduling/contact/store_batches.py
+++ b/tamarackmount/scheduling/contact/store_batches.py
@@ -18,6 +18,7 @@
     record_key,
     worker_key,
 )
+from tamarackmount.scheduling.store.record_limits import encode_progress
 from tamarackmount.scheduling.store.retention import tombstones
 from tamarackmount.units import MS_PER_SECOND
 
@@ -198,7 +199,8 @@
             if job.phase.is_final and not job.final_unix_ms:
                 job.final_unix_ms = unix_ms
             key = record_key(RecordKind.PROGRESS, job.job_id)
-            records.append((key, encode_record(job.progress())))
+            text = encode_progress(job.job_id, job.progress(), state.max_record_bytes)
+            records.append((key, text))
             phases.append((job.job_id, job.phase))
         return phases
 
--- a/tamarackmount/scheduling/placement/gang_choice.py
+++ b/tamarackmount/scheduling/placement/gang_choice.py
@@ -36,13 +36,14 @@
     pools = (without_failures(step, isolated), isolated, others)
     # Each contains the one before it, so that equal lengths mean equal pools.
     for pool in {len(pool): pool for pool in pools}.values():
-        chosen = _choose_in_pool(step, pool, ranks, reservations, now)
+        chosen = _choose_in_pool(state, step, pool, ranks, reservations, now)
         if chosen:
             return chosen
     return []
 
 
 def _choose_in_pool(
+    state: SchedulerState,
     step: StepState,
     workers: Sequence[WorkerState],
     ranks: Mapping[WorkerIncarnation, SpeedRank],
@@ -63,13 +64,14 @@
     groups = (group for pool in pools.values() for group in gang_groups(step, pool))
     for group in groups:
         for alike in speed_groups(group, ranks):
-            chosen = _assign_gang(step, alike, ranks)
+            chosen = _assign_gang(state, step, alike, ranks)
             if chosen:
                 return chosen
     return []
 
 
 def _assign_gang(
+    state: SchedulerState,
     step: StepState,
     workers: Sequence[WorkerState],
     ranks: Mapping[WorkerIncarnation, SpeedRank],
@@ -77,6 +79,7 @@
     amount = step.reserved_amount
     free_by_incarnation = {worker.incarnation: worker.available for worker in workers}
     count_by_incarnation = {worker.incarnation: 0 for worker in workers}
+    recordable = {one.incarnation: state.recordable_runs(one) for one in workers}
     chosen: list[WorkerState] = []
     for _ in range(step.spec.count):
         fitting = [
@@ -84,6 +87,8 @@
             for worker in workers
             if amount.fits_in(free_by_incarnation[worker.incarnation])
             and not is_at_worker_limit(step, count_by_incarnation[worker.incarnation])
+            and count_by_incarnation[worker.incarnation]
+            < recordable[worker.incarnation]
         ]
         if not fitting:
             return []
--- a/tamarackmount/scheduling/placement/placement.py
+++ b/tamarackmount/scheduling/placement/placement.py
@@ -259,6 +259,7 @@
         for worker in workers
         if amount.fits_in(worker.available)
         and task not in worker.runs_by_task
+        and state.recordable_runs(worker) > 0
         and not is_at_worker_limit(step, _count_runs_on(step, worker))
     ]
     if not fitting:
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -157,6 +157,10 @@
         """Set the longest time that a worker takes to stop a run, in milliseconds."""
         self._state.stop_timeout_ms = stop_timeout_ms
 
+    def set_max_record_bytes(self, max_record_bytes: int) -> None:
+        """Set the length of the longest record that the store takes, in bytes."""
+        self._state.max_record_bytes = max_record_bytes
+
     def set_advice_concurrency(self, max_concurrent: int) -> None:
         """Set the number of entry VMs that can request advice."""
         self._advice_requests.max_concurrent = max(1, max_concurrent)
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -40,6 +40,10 @@
 from tamarackmount.scheduling.shares.observer import NoObserver, Observer
 from tamarackmount.scheduling.shares.returns import Returns
 from tamarackmount.scheduling.shares.shares import CapacityShares, WorkspaceShares
+from tamarackmount.scheduling.store.record_limits import (
+    DEFAULT_MAX_RECORD_BYTES,
+    max_runs_per_worker,
+)
 from tamarackmount.scheduling.store.write_ahead import WriteAhead
 from tamarackmount.scheduling.workers.large_tasks import LargeTasks
 from tamarackmount.scheduling.workers.pool_loads import (
@@ -87,7 +91,8 @@
     leases were over. ``replaced_incarnations`` are over but may still be registered.
     ``removed_after_silence`` are workers that fell silent and were removed lately.
     ``superseded`` is set once a worker has refused this holder's fencing token. A stop
-    takes at most ``stop_timeout_ms``.
+    takes at most ``stop_timeout_ms``, and the store takes records of at most
+    ``max_record_bytes``.
     """
 
     fencing_token: Epoch
@@ -145,11 +150,16 @@
     removed_after_silence: deque[RemovedWorker] = field(default_factory=deque)
     superseded: bool = False
     stop_timeout_ms: int = DEFAULT_STOP_TIMEOUT_MS
+    max_record_bytes: int = DEFAULT_MAX_RECORD_BYTES
 
     def emit(self, effect: Effect) -> None:
         """Queue an effect for the node to carry out."""
         self.effects.append(effect)
 
+    def recordable_runs(self, worker: WorkerState) -> int:
+        """Return for how many more runs a worker's record has room."""
+        return max_runs_per_worker(self.max_record_bytes) - len(worker.runs_by_task)
+
     def queue_of(self, job: JobState) -> Queue:
         """Return a job's queue as configured now, or else as it was on acceptance."""
         terms = job.accepted.terms
