Ask a worker at once about stored runs that may never have begun

Cause: such a run is over once a report that was asked for after its stop does not list it. An extra poll is sent for runs of this holder, not for those restored from the store; and no end answers the poll in flight.

Change: the extra poll is sent for each run that its worker has not confirmed to this holder.

Test: test_a_workspace_was_held_back_by_stored_runs_that_never_began fails before.

--- a/tamarackmount/scheduling/contact/order_results.py
+++ b/tamarackmount/scheduling/contact/order_results.py
@@ -114,8 +114,9 @@
     worker = state.workers_by_incarnation.get(incarnation)
     if result is OrderResult.DONE:
         run.stopped_at = run.stopped_at or now
-        if worker is not None and run.confirmed_at is None:
-            # It may never have started; then no end of it answers the poll in flight.
+        if worker is not None and run.presence is not Presence.CONFIRMED:
+            # It may never have started; then no end of it answers the poll in flight,
+            # while it holds back its task and its workspace.
             worker.needs_extra_poll = True
     if worker is None:
         return
--- a/tests/test_scheduling_ceilings_at_takeover.py
+++ b/tests/test_scheduling_ceilings_at_takeover.py
@@ -264,3 +264,30 @@
         assert not after.starts
         after.answer_poll(worker_report(), entry.incarnation)
     assert len(after.starts) == 8
+
+
+def test_a_workspace_was_held_back_by_stored_runs_that_never_began() -> None:
+    # The former holder was killed before their orders left, so that no end of them
+    # answers a poll that waits for one.
+    before, first = full_workspace()
+    before.answer_starts()
+    records = before.store_pending() | cancelled(first)
+    after = take_over(before, [first], records)
+    after.submit_job(job(2, step(8), in_queue=HIGH_PRIORITY))
+    after.take_polls()
+    for entry in WORKERS:
+        after.answer_poll(worker_report(), entry.incarnation)
+    assert not after.starts
+    for stop in after.stops:
+        after.scheduler.stop_answered(
+            stop.incarnation, stop.task, stop.run_number, OrderResult.DONE, after.now
+        )
+    after.tick(0.01)
+    (where,) = {stop.incarnation for stop in after.stops}
+    extra = [poll for poll in after.take_polls() if poll.is_extra]
+    assert [poll.incarnation for poll in extra] == [where]
+    after.scheduler.poll_answered(
+        where, worker_report(), after.now, after.now, is_extra=True
+    )
+    after.tick(0.01)
+    assert len(after.starts) == 8
