Survive nested lists in configurations and in answers of the advice service

Callers saw nothing of it; found while looking for the fault of the odd entries in the other lists that nodes read.

Cause: decoders did not expect Python's recursion limit, which a text made of lists nested 900 to 1,023 deep runs into.

Change: both are rejected like other values of a wrong type.

--- a/tamarackmount/platform/advice.py
+++ b/tamarackmount/platform/advice.py
@@ -50,5 +50,13 @@
                 WorkerTicket(WorkerId(str(row[0])), str(row[1])) for row in raw["good"]
             )
             return AdviceAnswer(tickets, float(raw["validityMs"]))
-        except (AttributeError, IndexError, KeyError, TypeError, ValueError):
+        except (
+            AttributeError,
+            IndexError,
+            KeyError,
+            OverflowError,
+            RecursionError,
+            TypeError,
+            ValueError,
+        ):
             return None
--- a/tamarackmount/platform/config.py
+++ b/tamarackmount/platform/config.py
@@ -75,6 +75,7 @@
         ValueError,
         AttributeError,
         OverflowError,
+        RecursionError,
     ) as error:
         return Failure(f"{type(error).__name__}: {error}")
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -11,9 +11,11 @@
 from returns.result import Failure, Success
 from twisted.internet.defer import ensureDeferred
 
-from tamarackmount.ids import Instant
+from tamarackmount.ids import Instant, JobId
 from tamarackmount.node import clock
 from tamarackmount.node.claims import HOLDER_TOPIC
+from tamarackmount.platform.advice import AdviceClient
+from tamarackmount.platform.config import decode_fleet_config
 from tamarackmount.platform.http import Address, Reply
 from tamarackmount.platform.jobs import decode_job
 from tamarackmount.platform.store import (
@@ -23,11 +25,12 @@
     Store,
 )
 from tamarackmount.platform.workers import _decode_report, decode_worker
-from tamarackmount.scheduling.domain.model import JobPhase
+from tamarackmount.scheduling.domain.model import JobPhase, StepKey
 from tamarackmount.scheduling.domain.worker_reports import (
     PollFailure,
     WorkerReport,
 )
+from tamarackmount.scheduling.jobs.step_advice import AdviceAnswer
 from tamarackmount.scheduling.store.journal import HolderRecord, encode_record
 from tests.utils.build_odd_entries import (
     FIELDS,
@@ -179,3 +182,20 @@
 def test_a_report_with_nested_lists_ended_the_holder(depth: int) -> None:
     body = b'{"clockMs":1,"ended":[[1,"j.0.0.0",1,' + nested_list(depth) + b',""]]}'
     assert isinstance(_decode_report(Reply(200, body)), PollFailure | WorkerReport)
+
+
+@pytest.mark.parametrize("depth", [300, 900, 990, 1_010])
+def test_a_configuration_with_nested_lists_ended_every_process(depth: int) -> None:
+    nested = nested_list(depth)
+    row = b'{"name":"r","service":"s","pathPrefix":"/","host":' + nested + b"}"
+    decoded = decode_fleet_config(b'{"version":1,"routes":[' + row + b"]}")
+    assert isinstance(decoded, Failure | Success)
+
+
+@pytest.mark.parametrize("depth", [300, 900, 990, 1_010])
+def test_an_advice_with_nested_lists_ended_the_holder(depth: int) -> None:
+    body = b'{"validityMs":1,"good":[[' + nested_list(depth) + b',"ticket"]]}'
+    http: Any = OneReply(body)
+    client = AdviceClient(http, Address("10.0.0.1:80"))
+    asking = ensureDeferred(client.ask(StepKey(JobId("j"), 0, 0), [], Instant(1.0)))
+    assert asking.result is None or isinstance(asking.result, AdviceAnswer)
