Ignore registrations whose unused fields are of another type

Callers would see: jobs accepted beyond what the workers can do, for as long as an odd entry with a readable id stands. A worker that never answers keeps admission from counting (accept all until each has).

Cause: the types of version, slots and sequence were not checked, as nothing uses them.

Change: they are checked where they are present.

Measured: the ten new tests fail before.

--- a/tamarackmount/platform/workers.py
+++ b/tamarackmount/platform/workers.py
@@ -62,6 +62,9 @@
     labels = _field(raw, "labels", list)
     if not all(isinstance(label, str) for label in labels):
         raise TypeError("labels: expected texts only")
+    for name, expected in _UNUSED_FIELD_TYPES.items():
+        if name in raw:
+            _field(raw, name, expected)
     return WorkerEntry(
         incarnation=WorkerIncarnation(worker_id, _count(_field(raw, "born", int))),
         service=ServiceName(_field(raw, "service", str)),
@@ -77,6 +80,14 @@
     )
 
 
+_UNUSED_FIELD_TYPES: Mapping[str, type] = {
+    "version": str,
+    "slots": int,
+    "sequence": int,
+}
+"""Types of fields that are not used; another type shows that no worker wrote it."""
+
+
 def _worker_id(text: str) -> WorkerId:
     """Return a worker's id, which goes into headers and into keys of the store."""
     if not text or len(text) > MAX_ID_CHARS:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -70,6 +70,15 @@
         assert len(decoded.failure()) <= 200
 
 
+@pytest.mark.parametrize("field", ["slots", "sequence"])
+@pytest.mark.parametrize("value", [b'"8"', b"null", b"[]", b"0.5", b"true"])
+def test_a_registration_with_a_number_of_another_type_names_no_worker(
+    value: bytes, field: str
+) -> None:
+    # Such a worker never answers, and jobs are accepted without limit meanwhile.
+    assert isinstance(decode_worker("w1", worker_text(field, value)), Failure)
+
+
 @pytest.mark.parametrize(
     ("key", "value"),
     [
--- a/tests/utils/build_odd_entries.py
+++ b/tests/utils/build_odd_entries.py
@@ -55,11 +55,20 @@
     b'{"cpu":1e308}',
     b'{"cpu":-1}',
 )
-"""JSON, or what looks like it, that no field of a registration may have but those in
-``LENIENT_FIELDS`` and ``TEXT_FIELDS``."""
+"""JSON, or what looks like it, that no field of a registration may have, but for texts
+in ``TEXT_FIELDS``."""
 
-FIELDS = ("state", "address", "labels", "capacity", "born", "service", "zone")
-"""Fields that a registration needs."""
+FIELDS = (
+    "state",
+    "address",
+    "labels",
+    "capacity",
+    "born",
+    "service",
+    "zone",
+    "version",
+)
+"""Fields whose type is checked, but for numbers that are not used."""
 
-TEXT_FIELDS = ("service", "zone")
+TEXT_FIELDS = ("service", "zone", "version")
 """Those that may have any text."""
