--- a/tamarackmount/scheduling/placement/gang_choice.py
+++ b/tamarackmount/scheduling/placement/gang_choice.py
@@ -19,6 +19,7 @@
 )
 from tamarackmount.scheduling.placement.worker_choice import without_failures
 from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.store.record_limits import max_runs_per_worker
 from tamarackmount.scheduling.workers.workers import WorkerState
 
 
@@ -79,7 +80,7 @@
     amount = step.reserved_amount
     free_by_incarnation = {worker.incarnation: worker.available for worker in workers}
     count_by_incarnation = {worker.incarnation: 0 for worker in workers}
-    recordable = {one.incarnation: state.recordable_runs(one) for one in workers}
+    max_runs = max_runs_per_worker(state.max_record_bytes)
     chosen: list[WorkerState] = []
     for _ in range(step.spec.count):
         fitting = [
@@ -87,8 +88,8 @@
             for worker in workers
             if amount.fits_in(free_by_incarnation[worker.incarnation])
             and not is_at_worker_limit(step, count_by_incarnation[worker.incarnation])
-            and count_by_incarnation[worker.incarnation]
-            < recordable[worker.incarnation]
+            and len(worker.runs_by_task) + count_by_incarnation[worker.incarnation]
+            < max_runs
         ]
         if not fitting:
             return []
--- a/tamarackmount/scheduling/placement/placement.py
+++ b/tamarackmount/scheduling/placement/placement.py
@@ -38,6 +38,7 @@
     has_failed_on,
 )
 from tamarackmount.scheduling.scheduler_state import SchedulerState
+from tamarackmount.scheduling.store.record_limits import max_runs_per_worker
 from tamarackmount.scheduling.workers.free_capacity import FreeCapacityIndex
 from tamarackmount.scheduling.workers.workers import WorkerState
 
@@ -254,12 +255,13 @@
     """
     amount = step.reserved_amount
     task = step.task(index)
+    max_runs = max_runs_per_worker(state.max_record_bytes)
     fitting = [
         worker
         for worker in workers
         if amount.fits_in(worker.available)
         and task not in worker.runs_by_task
-        and state.recordable_runs(worker) > 0
+        and len(worker.runs_by_task) < max_runs
         and not is_at_worker_limit(step, _count_runs_on(step, worker))
     ]
     if not fitting:
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -40,10 +40,7 @@
 from tamarackmount.scheduling.shares.observer import NoObserver, Observer
 from tamarackmount.scheduling.shares.returns import Returns
 from tamarackmount.scheduling.shares.shares import CapacityShares, WorkspaceShares
-from tamarackmount.scheduling.store.record_limits import (
-    DEFAULT_MAX_RECORD_BYTES,
-    max_runs_per_worker,
-)
+from tamarackmount.scheduling.store.record_limits import DEFAULT_MAX_RECORD_BYTES
 from tamarackmount.scheduling.store.write_ahead import WriteAhead
 from tamarackmount.scheduling.workers.large_tasks import LargeTasks
 from tamarackmount.scheduling.workers.pool_loads import (
@@ -156,10 +153,6 @@
         """Queue an effect for the node to carry out."""
         self.effects.append(effect)
 
-    def recordable_runs(self, worker: WorkerState) -> int:
-        """Return for how many more runs a worker's record has room."""
-        return max_runs_per_worker(self.max_record_bytes) - len(worker.runs_by_task)
-
     def queue_of(self, job: JobState) -> Queue:
         """Return a job's queue as configured now, or else as it was on acceptance."""
         terms = job.accepted.terms
