One list of the errors that decoding may raise

Cause: the same seven errors stood in the decoders of the store, the workers, the advice service and the configuration, and were not the same everywhere.

Change: platform/decoding.py has them. The configuration's decoder and that of orders' results catch a few more than before, and raise nothing.

Measured: the tests of the adapter and of odd entries pass.

--- a/tamarackmount/platform/advice.py
+++ b/tamarackmount/platform/advice.py
@@ -8,6 +8,7 @@
 import orjson
 
 from tamarackmount.ids import Instant, WorkerId
+from tamarackmount.platform.decoding import DECODING_ERRORS
 from tamarackmount.platform.http import Address, HttpClient, Reply
 from tamarackmount.platform.store import JSON_HEADER
 from tamarackmount.scheduling.domain.model import StepKey
@@ -50,13 +51,5 @@
                 WorkerTicket(WorkerId(str(row[0])), str(row[1])) for row in raw["good"]
             )
             return AdviceAnswer(tickets, float(raw["validityMs"]))
-        except (
-            AttributeError,
-            IndexError,
-            KeyError,
-            OverflowError,
-            RecursionError,
-            TypeError,
-            ValueError,
-        ):
+        except DECODING_ERRORS:
             return None
--- a/tamarackmount/platform/config.py
+++ b/tamarackmount/platform/config.py
@@ -9,6 +9,7 @@
 
 from tamarackmount.ids import DataCentreId, KeyHash, QueueName, WorkspaceId
 from tamarackmount.internal.keys import hash_key
+from tamarackmount.platform.decoding import DECODING_ERRORS
 from tamarackmount.platform.resource_amounts import decode_resources
 from tamarackmount.scheduling.domain.fleet_config import (
     AdvicePolicy,
@@ -69,14 +70,7 @@
     """Return the configuration, or an error message if it can't be decoded."""
     try:
         return Success(_decode(orjson.loads(text)))
-    except (
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-        OverflowError,
-        RecursionError,
-    ) as error:
+    except DECODING_ERRORS as error:
         return Failure(f"{type(error).__name__}: {error}")
 
 
--- a/tamarackmount/platform/store.py
+++ b/tamarackmount/platform/store.py
@@ -23,6 +23,7 @@
 import orjson
 
 from tamarackmount.ids import Instant, Offset
+from tamarackmount.platform.decoding import DECODING_ERRORS
 from tamarackmount.platform.http import (
     Address,
     CallError,
@@ -309,16 +310,7 @@
     return KeyedRecord("", b"", offset)
 
 
-_DECODING_ERRORS = (
-    AttributeError,
-    IndexError,
-    KeyError,
-    OverflowError,
-    RecursionError,
-    TypeError,
-    ValueError,
-    struct.error,
-)
+_DECODING_ERRORS = (*DECODING_ERRORS, struct.error)
 
 
 def _malformed_reply(error: Exception) -> StoreError:
--- a/tamarackmount/platform/workers.py
+++ b/tamarackmount/platform/workers.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from tamarackmount.ids import DataCentreId, Epoch, Instant, JobId, RackId, WorkerId
+from tamarackmount.platform.decoding import DECODING_ERRORS
 from tamarackmount.platform.http import (
     Address,
     CallError,
@@ -338,7 +339,7 @@
     if result.status == 409:
         try:
             reason = _ConflictReason(orjson.loads(result.body)["reason"])
-        except (AttributeError, KeyError, TypeError, ValueError):
+        except DECODING_ERRORS:
             return OrderResult.UNKNOWN
         return _RESULT_BY_CONFLICT_REASON[reason]
     return _RESULT_BY_STATUS.get(result.status, OrderResult.UNKNOWN)
@@ -363,15 +364,7 @@
             ended=ended,
             lists_all_ends=len(ended) < MAX_LISTED_ENDS,
         )
-    except (
-        AttributeError,
-        IndexError,
-        KeyError,
-        OverflowError,
-        RecursionError,
-        TypeError,
-        ValueError,
-    ):
+    except DECODING_ERRORS:
         return PollFailure.UNHEALTHY
 
 
