Review case 9: tasks of a completed job start again

Claim: rule TWICE; start orders that wait for a hung minion are sent when it answers again, although the job was completed elsewhere.

--- a/review/standins_2/minion.py
+++ b/review/standins_2/minion.py
@@ -76,6 +76,7 @@
         self._sequence = 0
         self.is_down = False
         self.is_dark = False
+        self.is_hung = False
         self.is_unhealthy = False
         self.ends_by_how: dict[str, int] = {}
         site: Any = Site(self)
@@ -129,6 +130,16 @@
         self.is_dark = True
         self._reactor.callLater(dark_s, self._light_up)
 
+    def hang(self, hang_s: float) -> None:
+        """Answer nothing and do nothing new for a while; runs and leases go on."""
+        self._record("minion hangs", minion=self.name, for_s=hang_s)
+        self.is_hung = True
+        self._reactor.callLater(hang_s, self._recover)
+
+    def _recover(self) -> None:
+        self.is_hung = False
+        self._record("minion answers again", minion=self.name)
+
     def _light_up(self) -> None:
         self.is_dark = False
         for channel in self._channels:
@@ -202,7 +213,7 @@
         if self.is_down:
             request.transport.abortConnection()
             return NOT_DONE_YET
-        if self.is_dark:
+        if self.is_dark or self.is_hung:
             return NOT_DONE_YET
         self.settle()
         path = request.path.decode()
@@ -281,7 +292,7 @@
         self._answer_hold(request, life, wait_ends_at)
 
     def _answer_hold(self, request: Any, life: Life, wait_ends_at: float) -> None:
-        if life is not self.life or self.is_down or self.is_dark:
+        if life is not self.life or self.is_down or self.is_dark or self.is_hung:
             return
         self.settle()
         if not life.ended and self._reactor.seconds() < wait_ends_at:
