--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,78 +1,106 @@
-"""A large scheduled job stops the scheduling of all other jobs."""
+"""After a minion has crashed, the other jobs have nothing running for long."""
 
-import time
 from pathlib import Path
 from typing import Any
 
 from review.standins_2.fleet import BROKEN, HELD, NOT_RUN, Fleet
 
-LARGE = "59a8000000000000"
-REPETITIONS = 19_000
-INTERVAL_MS = 1_000
+JOBS = 12
+CRASHES_AFTER = (5, 8)
+TASKS = 220
+DOWN_S = 3.0
 FINISH_S = 14.0
 WITHOUT_RUN_S = 3.0
-OTHERS = 8
-
-
-def large_job() -> dict[str, Any]:
-    """Return a job whose occurrences are due, one for each second up to now."""
-    step = {"count": 1, "cpu": 10, "requestedMemoryMb": 4, "estimatedMs": 100}
-    return {
-        "spec": '{"work_s": 0.1}',
-        "steps": [step],
-        "firstRunMs": int(time.time() * 1_000) - REPETITIONS * INTERVAL_MS,
-        "intervalMs": INTERVAL_MS,
-        "repetitions": REPETITIONS,
+WATCHED_S = 30.0
+MILLICORES = 250
+CAPACITY = 64_000
+
+
+def body() -> dict[str, Any]:
+    """Return a job of one step of small tasks."""
+    step = {
+        "count": TASKS,
+        "cpu": MILLICORES,
+        "requestedMemoryMb": 256,
+        "estimatedMs": 3_000,
     }
+    return {"spec": '{"work_s": 3.0}', "steps": [step]}
+
+
+def at_work_by_job(fleet: Fleet) -> dict[str, int]:
+    """Return how many tasks of each job are at work."""
+    found: dict[str, int] = {}
+    for minion in fleet.minions:
+        for task in minion.life.active_by_task:
+            job = task.partition(".")[0]
+            found[job] = found.get(job, 0) + 1
+    return found
+
+
+def without_run(fleet: Fleet, accepted: list[str]) -> list[str]:
+    """Return the unfinished jobs that have nothing running, with capacity for them.
 
+    They need less than a tenth of the capacity, and over half of it is free.
+    """
+    done: dict[str, set[str]] = {job: set() for job in accepted}
+    for _, _, task, _, how in fleet.ended:
+        if how == "done" and task.partition(".")[0] in done:
+            done[task.partition(".")[0]].add(task)
+    at_work = at_work_by_job(fleet)
+    in_use = sum(at_work.values()) * MILLICORES
+    if 2 * in_use >= CAPACITY * len(fleet.minions):
+        return []
+    return [
+        job for job in accepted if len(done[job]) < TASKS and not at_work.get(job, 0)
+    ]
 
-async def hand_in(fleet: Fleet, body: dict[str, Any]) -> list[str]:
-    """Hand in ordinary jobs, one a second; return those that were accepted."""
+
+async def hand_in(fleet: Fleet) -> list[str]:
+    """Hand in a job each second, and crash a minion twice meanwhile."""
     accepted = []
-    for number in range(OTHERS):
-        job = f"59a80000000000{16 + number:02x}"
-        if await fleet.submit(job, body, tries=3):
+    for number in range(JOBS):
+        job = f"59a800000000{number:04x}"
+        if await fleet.submit(job, body(), tries=3):
             accepted.append(job)
+        if fleet.has_trouble and number in CRASHES_AFTER:
+            busiest = max(fleet.minions, key=lambda one: len(one.running()))
+            busiest.crash(DOWN_S)
         await fleet.sleep(1.0)
     return accepted
 
 
 async def case(fleet: Fleet) -> int:
-    """Hand in the large job, then small ones, and see whether those run."""
+    """Watch from ``finish_s`` after the end of the traffic."""
     await fleet.sleep(4.0)
-    small_step = {
-        "count": 2,
-        "cpu": 1_000,
-        "requestedMemoryMb": 256,
-        "estimatedMs": 300,
-    }
-    small = {"spec": '{"work_s": 0.3}', "steps": [small_step]}
-    if not await fleet.submit("59a8000000000001", small):
-        return NOT_RUN
-    if not await fleet.until(lambda: len(fleet.ended) == 2, 5.0):
-        return NOT_RUN
-    if fleet.has_trouble and not await fleet.submit(LARGE, large_job()):
-        return NOT_RUN
-    await fleet.sleep(3.0)
-    accepted = await hand_in(fleet, small)
+    accepted = await hand_in(fleet)
     fleet.record("end of the traffic", accepted=accepted)
     if not accepted:
         return NOT_RUN
-    await fleet.sleep(FINISH_S + WITHOUT_RUN_S)
-    begun = {start[2].partition(".")[0] for start in fleet.starts}
-    not_begun = [job for job in accepted if job not in begun]
-    busy = sum(len(minion.life.active_by_task) for minion in fleet.minions)
-    ends = {node.name: node.own_ends for node in fleet.nodes}
-    fleet.record("judged", not_begun=not_begun, tasks_at_work=busy, own_ends=ends)
-    for number, job in enumerate(not_begun):
-        await fleet.call(fleet.nodes[number % len(fleet.nodes)], "GET", job)
-    return BROKEN if not_begun and not busy else HELD
+    await fleet.sleep(FINISH_S)
+    ends_at = fleet.reactor.seconds() + WATCHED_S
+    since: dict[str, float] = {}
+    while fleet.reactor.seconds() < ends_at:
+        now = fleet.reactor.seconds()
+        waiting = without_run(fleet, accepted)
+        since = {job: since.get(job, now) for job in waiting}
+        late = [job for job in waiting if now - since[job] > WITHOUT_RUN_S]
+        if late:
+            fleet.record("nothing running for 3 s", jobs=late, starts=len(fleet.starts))
+            for node in fleet.nodes:
+                await fleet.call(node, "GET", late[0])
+            return BROKEN
+        await fleet.sleep(0.25)
+    return HELD
 
 
 fleet = Fleet(Path(__file__).parent)
 for zone in ("a", "b", "c"):
     fleet.add_node(zone)
 fleet.put_config()
-for number in range(9):
-    fleet.add_minion(f"minion-{number}", zone="abc"[number % 3])
+for number in range(10):
+    fleet.add_minion(
+        f"minion-{number}",
+        zone="abc"[number % 3],
+        capacity={"cpu": CAPACITY, "requestedMemoryMb": 131_072, "gpu": 0},
+    )
 fleet.run(case)
