--- a/review/standins_2/minion.py
+++ b/review/standins_2/minion.py
@@ -70,6 +70,7 @@
         self._store = store
         self.name = name
         self._entry = entry
+        self._labels_since = [(0.0, entry["labels"])]
         self._record = record
         self._on_start = on_start
         self._on_end = on_end
@@ -103,6 +104,17 @@
         self.settle()
         self._reactor.callLater(HEARTBEAT_S, self.begin)
 
+    def set_labels(self, labels: list[str]) -> None:
+        """Be of another kind from now on; a minion changes it while it is dark."""
+        self._entry = {**self._entry, "labels": labels}
+        self._labels_since.append((self._reactor.seconds(), labels))
+        if not (self.is_dark or self.is_down):
+            self._register()
+
+    def labels_at(self, at: float) -> list[str]:
+        """Return the labels that it had at some moment."""
+        return next(row[1] for row in reversed(self._labels_since) if row[0] <= at)
+
     def crash(self, down_s: float) -> None:
         """Lose everything and be back as a new life after ``down_s``."""
         self._record("minion crashes", minion=self.name, runs=self.running())
