--- a/review/6/case.py
+++ b/review/6/case.py
@@ -59,10 +59,10 @@
 for zone in ("a", "b", "c"):
     fleet.add_node(zone)
 fleet.put_config()
-for number in range(6):
+for number in range(7):
     fleet.add_minion(f"minion-{number}", zone="abc"[number % 3])
 fleet.add_minion(
-    "minion-6",
+    "minion-7",
     labels=["b", "r2"],
     capacity={"cpu": 64_000, "requestedMemoryMb": 131_072, "gpu": 0},
 )
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,20 +1,19 @@
-"""Tasks of a completed job start once more when their hung minion answers again."""
+"""Tasks of a completed job start once more when their dark minion is back."""
 
 from pathlib import Path
 from typing import Any
 
 from review.standins_2.fleet import BROKEN, HELD, NOT_RUN, Fleet
 
-JOB = "59a9000000000001"
+ROUNDS = 6
 TASKS = 120
-HANG_S = 4.5
+DARK_S = 3.0
 NOTED_S = 1.0
+COMPLETED_WITHIN_S = 10.0
 
 
-async def case(fleet: Fleet) -> int:
-    """Hang the minion near a job's data, and let the job end elsewhere."""
-    await fleet.sleep(4.0)
-    minion = fleet.minions[-1]
+def body() -> dict[str, Any]:
+    """Return a job whose data are on the rack of one minion."""
     step = {
         "count": TASKS,
         "cpu": 250,
@@ -23,30 +22,44 @@
         "affinity": "r9",
         "speculative": True,
     }
-    body = {"spec": '{"work_s": 0.4}', "steps": [step]}
-    if fleet.has_trouble:
-        minion.hang(HANG_S)
-    await fleet.sleep(0.3)
-    if not await fleet.submit(JOB, body):
-        return NOT_RUN
-    answer: Any = {"state": ""}
-    ends_at = fleet.reactor.seconds() + 20.0
-    while answer["state"] != "completed" and fleet.reactor.seconds() < ends_at:
+    return {"spec": '{"work_s": 0.4}', "steps": [step]}
+
+
+async def completed_at(fleet: Fleet, job: str) -> float | None:
+    """Return when a job was first shown as completed."""
+    ends_at = fleet.reactor.seconds() + COMPLETED_WITHIN_S
+    while fleet.reactor.seconds() < ends_at:
         await fleet.sleep(0.2)
-        status, found = await fleet.call(fleet.nodes[0], "GET", JOB)
-        answer = found if status == 200 else answer
-    if answer["state"] != "completed":
-        return NOT_RUN
-    completed_at = fleet.reactor.seconds()
-    fleet.record("shown as completed")
-    await fleet.sleep(HANG_S + 1.0)
-    again = [
-        (round(at - completed_at, 2), name, task, number)
-        for at, name, task, number in fleet.starts
-        if at > completed_at + NOTED_S
-    ]
-    fleet.record("started over a second later", count=len(again), first=again[:5])
-    return BROKEN if again else HELD
+        status, answer = await fleet.call(fleet.nodes[0], "GET", job)
+        if status == 200 and answer["state"] == "completed":
+            return float(fleet.reactor.seconds())
+    return None
+
+
+async def case(fleet: Fleet) -> int:
+    """Let the minion near a job's data go dark, and the job end elsewhere."""
+    await fleet.sleep(4.0)
+    minion = fleet.minions[-1]
+    for number in range(ROUNDS):
+        if fleet.has_trouble:
+            minion.go_dark(DARK_S, registers_at_once=False)
+        await fleet.sleep(0.3)
+        job = f"59a90000000000{number:02x}"
+        if not await fleet.submit(job, body()):
+            return NOT_RUN
+        shown_at = await completed_at(fleet, job)
+        if shown_at is None:
+            return NOT_RUN
+        await fleet.sleep(DARK_S + 2.0)
+        again = [
+            (round(at - shown_at, 2), name, task, run)
+            for at, name, task, run in fleet.starts
+            if task.startswith(job) and at > shown_at + NOTED_S
+        ]
+        fleet.record("round", number=number, again=len(again), first=again[:5])
+        if again:
+            return BROKEN
+    return HELD
 
 
 fleet = Fleet(Path(__file__).parent)
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # target/deps only; this checks that they can be imported.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-PYTHONPATH="$PWD:$PWD/target/deps" python3 - <<'END'
+PYTHONDONTWRITEBYTECODE=1 PYTHONPATH="$PWD:$PWD/target/deps" python3 - <<'END'
 import review.standins_2.fleet
 import review.standins_2.minion
 END
--- a/review/standins_2/minion.py
+++ b/review/standins_2/minion.py
@@ -77,7 +77,6 @@
         self._sequence = 0
         self.is_down = False
         self.is_dark = False
-        self.is_hung = False
         self.is_unhealthy = False
         self.ends_by_how: dict[str, int] = {}
         self.noted_at_by_task: dict[str, float] = {}
@@ -147,16 +146,6 @@
         self.is_dark = True
         self._reactor.callLater(dark_s, self._light_up, registers_at_once)
 
-    def hang(self, hang_s: float) -> None:
-        """Answer nothing and do nothing new for a while; runs and leases go on."""
-        self._record("minion hangs", minion=self.name, for_s=hang_s)
-        self.is_hung = True
-        self._reactor.callLater(hang_s, self._recover)
-
-    def _recover(self) -> None:
-        self.is_hung = False
-        self._record("minion answers again", minion=self.name)
-
     def _light_up(self, registers_at_once: bool) -> None:
         """Come back: the connections of before are reset once something comes there."""
         self.is_dark = False
@@ -235,7 +224,7 @@
         if self.is_down or self._is_stale(request):
             request.transport.abortConnection()
             return NOT_DONE_YET
-        if self.is_dark or self.is_hung:
+        if self.is_dark:
             return NOT_DONE_YET
         self.settle()
         path = request.path.decode()
@@ -327,7 +316,7 @@
         self._answer_hold(request, life, wait_ends_at)
 
     def _answer_hold(self, request: Any, life: Life, wait_ends_at: float) -> None:
-        if life is not self.life or self.is_down or self.is_dark or self.is_hung:
+        if life is not self.life or self.is_down or self.is_dark:
             return
         self.settle()
         if not life.ended and self._reactor.seconds() < wait_ends_at:
