Send waiting start orders from a loop, not in a chain of calls

Cause: an order that may not be sent any more was settled in the call that released its turn, which ran the next order in the same chain of calls.

Change: an explicit queue for each worker, emptied by one loop. Ruled out as further chains: the lock of FencedLog (three waiters at most), Submissions (an append always waits for the network), Event, rejected submissions.

--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -404,5 +404,4 @@
 
     def _registrations_changed(self, entries: list[WorkerEntry]) -> None:
         self.scheduler.set_registered_workers(entries, clock.now())
-        self._start_orders.forget_others(entry.incarnation for entry in entries)
         self._schedule_tick()
--- a/tamarackmount/node/start_orders.py
+++ b/tamarackmount/node/start_orders.py
@@ -1,8 +1,8 @@
 """Sends start orders to workers, a few at a time to each."""
 
-from collections.abc import Callable, Iterable
-
-from twisted.internet.defer import DeferredSemaphore
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from tamarackmount.ids import Epoch, Instant
 from tamarackmount.node import clock
@@ -21,6 +21,20 @@
 they save."""
 
 
+@dataclass(slots=True)
+class _Queue:
+    """The start orders of one worker.
+
+    ``is_sending`` is set while a loop takes orders from ``waiting``. An order that is
+    settled meanwhile leaves its turn to that loop: settled in a chain of calls, some
+    hundred orders that must not be sent exceed the interpreter's recursion limit.
+    """
+
+    waiting: deque[StartRun] = field(default_factory=deque)
+    in_flight: int = 0
+    is_sending: bool = False
+
+
 class StartOrders:
     """Start orders that wait for their turn at their worker.
 
@@ -43,23 +57,27 @@
         self._epoch = epoch
         self._may_send = may_send
         self._on_result = on_result
-        self._turns_by_worker: dict[WorkerIncarnation, DeferredSemaphore] = {}
+        self._queue_by_worker: dict[WorkerIncarnation, _Queue] = {}
 
     def send(self, effect: StartRun) -> None:
         """Send an order when it is its turn."""
         incarnation = effect.order.incarnation
-        turns = self._turns_by_worker.get(incarnation)
-        if turns is None:
-            turns = DeferredSemaphore(MAX_STARTS_PER_WORKER)
-            self._turns_by_worker[incarnation] = turns
-        turns.run(lambda: spawn(self._send_now(effect)))
-
-    def forget_others(self, registered: Iterable[WorkerIncarnation]) -> None:
-        """Forget the workers that are not registered."""
-        for incarnation in self._turns_by_worker.keys() - set(registered):
-            del self._turns_by_worker[incarnation]
-
-    async def _send_now(self, effect: StartRun) -> None:
+        queue = self._queue_by_worker.setdefault(incarnation, _Queue())
+        queue.waiting.append(effect)
+        self._send_waiting(incarnation, queue)
+
+    def _send_waiting(self, incarnation: WorkerIncarnation, queue: _Queue) -> None:
+        if queue.is_sending:
+            return
+        queue.is_sending = True
+        while queue.waiting and queue.in_flight < MAX_STARTS_PER_WORKER:
+            queue.in_flight += 1
+            spawn(self._send_now(queue.waiting.popleft(), queue))
+        queue.is_sending = False
+        if not queue.waiting and not queue.in_flight:
+            self._queue_by_worker.pop(incarnation, None)
+
+    async def _send_now(self, effect: StartRun, queue: _Queue) -> None:
         result = OrderResult.NOT_SENT
         order = effect.order
         if self._may_send(order):
@@ -71,4 +89,6 @@
                 deadline,
                 lambda: self._may_send(order),
             )
+        queue.in_flight -= 1
         self._on_result(order, result)
+        self._send_waiting(order.incarnation, queue)
