Send a start order that has waited only if its run is still wanted

Cause: start orders wait for their turn at their worker. When it came, nothing asked for the phase of the run, its task or its job; the stop orders had been sent at once, while the worker did not answer.

Change: an order is sent only while its run is known and starting, its job has not ended and its task is not done, also after the wait for the store and for a connection; and not to a worker that drains. An order that was withdrawn does not make its worker back off. Later runs of a gang that turns out to be done are stopped.

--- a/tamarackmount/scheduling/contact/order_results.py
+++ b/tamarackmount/scheduling/contact/order_results.py
@@ -11,7 +11,7 @@
 from tamarackmount.scheduling.contact.worker_leases import step_down
 from tamarackmount.scheduling.domain.effects import StartRun
 from tamarackmount.scheduling.domain.model import TaskKey, WorkerIncarnation
-from tamarackmount.scheduling.domain.worker_reports import OrderResult
+from tamarackmount.scheduling.domain.worker_reports import OrderResult, StartOrder
 from tamarackmount.scheduling.evidence.suspected_workers import mark_suspected
 from tamarackmount.scheduling.execution.run_starts import (
     FIRST_RUN_NUMBER_AFTER_TAKEOVER,
@@ -48,7 +48,7 @@
     if run is None or worker is None:
         return
     may_start = (
-        run.phase is RunPhase.STARTING
+        state.is_start_wanted(run)
         and worker.can_start
         and worker.covers_reservations(run.amount)
         and state.authority is HolderAuthority.FULL
@@ -70,6 +70,25 @@
     return step.advice.usable_ticket(order.incarnation, now) == order.ticket
 
 
+def may_send_start(state: SchedulerState, order: StartOrder) -> bool:
+    """Return whether a start order may be sent now.
+
+    It may have waited since it was placed, perhaps in a process that was paused. Its
+    run may not be wanted any more, or its worker may have begun to drain.
+    """
+    worker = state.workers_by_incarnation.get(order.incarnation)
+    run = state.find_run(order.incarnation, order.task, order.run_number)
+    return (
+        state.authority is HolderAuthority.FULL
+        and worker is not None
+        and run is not None
+        and state.is_start_wanted(run)
+        and not worker.entry.is_draining
+        and not worker.is_evacuated
+        and worker.covers_reservations(run.amount)
+    )
+
+
 def start_answered(
     state: SchedulerState,
     incarnation: WorkerIncarnation,
@@ -167,6 +186,21 @@
     _retry_placement(state, run, now)
 
 
+def _handle_unsent_start(state: SchedulerState, run: Run, now: Instant) -> None:
+    """Place a task again whose start order was not sent.
+
+    The worker backs off only if nothing else explains why it was not sent.
+    """
+    if not state.is_start_wanted(run):
+        state.drop_run(run, now)
+        return
+    worker = state.workers_by_incarnation.get(run.incarnation)
+    if worker is not None and worker.can_start:
+        _back_off_worker(state, run, now)
+    else:
+        _retry_placement(state, run, now)
+
+
 def _step_down(state: SchedulerState, run: Run, now: Instant) -> None:
     step_down(state, run.incarnation)
     _retry_placement(state, run, now)
@@ -204,6 +238,6 @@
     OrderResult.MALFORMED: _retry_placement,
     OrderResult.UNHEALTHY: _back_off_worker,
     OrderResult.OTHER_INCARNATION: _remove_replaced_worker,
-    OrderResult.NOT_SENT: _back_off_worker,
+    OrderResult.NOT_SENT: _handle_unsent_start,
     OrderResult.UNKNOWN: _handle_unknown_start,
 }
--- a/tamarackmount/scheduling/execution/run_ends.py
+++ b/tamarackmount/scheduling/execution/run_ends.py
@@ -172,8 +172,6 @@
     step.done.add(index)
     step.pending.discard(index)
     give_up_culprits(state, clear_task(state, step, index), now)
-    if step.spec.gang:
-        return
     for run in step.runs():
         if run.task.index == index and run.number != ended.run_number:
             state.stop_run(run, now)
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -12,7 +12,11 @@
 from tamarackmount.scheduling.admission.admission import Refusal
 from tamarackmount.scheduling.admission.admission_control import AdmissionControl
 from tamarackmount.scheduling.advice.advice_requests import AdviceRequests
-from tamarackmount.scheduling.contact.order_results import start_answered, stop_answered
+from tamarackmount.scheduling.contact.order_results import (
+    may_send_start,
+    start_answered,
+    stop_answered,
+)
 from tamarackmount.scheduling.contact.store_batches import Batch, StoreBatcher
 from tamarackmount.scheduling.contact.worker_leases import (
     poll_answered,
@@ -191,19 +195,8 @@
         return count_evacuated_runs(self._state)
 
     def may_send(self, order: StartOrder) -> bool:
-        """Return whether a start order may be sent now.
-
-        It may have waited since it was placed, perhaps in a process that was paused.
-        """
-        state = self._state
-        worker = state.workers_by_incarnation.get(order.incarnation)
-        run = state.find_run(order.incarnation, order.task, order.run_number)
-        return (
-            state.authority is HolderAuthority.FULL
-            and worker is not None
-            and not worker.is_evacuated
-            and (run is None or worker.covers_reservations(run.amount))
-        )
+        """Return whether a start order may be sent now."""
+        return may_send_start(self._state, order)
 
     def set_registered_workers(self, entries: list[WorkerEntry], now: Instant) -> None:
         """Replace the list of registered workers."""
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -239,6 +239,20 @@
         run = worker.runs_by_task.get(task) if worker is not None else None
         return run if run is not None and run.number == run_number else None
 
+    def is_start_wanted(self, run: Run) -> bool:
+        """Tell whether a run whose start order is not sent yet should still start.
+
+        Its job may have ended since, its task may be done by another run, or the run
+        may have been stopped.
+        """
+        step = self.step_of(run.task)
+        return (
+            run.phase is RunPhase.STARTING
+            and step is not None
+            and not step.job.phase.is_final
+            and run.task.index not in step.done
+        )
+
     def add_run(self, worker: WorkerState, step: StepState, run: Run) -> None:
         """Add a new run of a step, with its capacity and its workspace's usage."""
         worker.reserve_capacity(run)
--- a/tests/test_node_evacuation.py
+++ b/tests/test_node_evacuation.py
@@ -14,9 +14,16 @@
 from tamarackmount.node.start_orders import MAX_STARTS_PER_WORKER, StartOrders
 from tamarackmount.platform.store import OPERATOR_TOPIC, KeyedRecord
 from tamarackmount.scheduling.domain.effects import StartRun, StepDown
-from tamarackmount.scheduling.domain.model import TaskKey
 from tamarackmount.scheduling.domain.worker_reports import OrderResult, StartOrder
-from tests.utils.build_scheduling import incarnation, job, worker_entry
+from tamarackmount.scheduling.execution.run_starts import start_run
+from tamarackmount.scheduling.store.job_index import JobRecords
+from tests.utils.build_scheduling import (
+    incarnation,
+    job,
+    step,
+    worker_entry,
+    worker_report,
+)
 from tests.utils.memory_peers import STEP_S, MemoryFleet
 
 ZONE = DataCentreId("kyushu-a")
@@ -202,6 +209,24 @@
     assert not fleet.run(tail.read_now())
 
 
+def placed_starts(holder: Any, count: int) -> list[StartRun]:
+    """Let a holder place the tasks of a job on a worker in ``ZONE``."""
+    scheduler, now = holder.scheduler, clock.now()
+    scheduler.set_registered_workers([worker_entry(data_centre=ZONE)], now)
+    scheduler.poll_answered(incarnation(), worker_report(), now, now)
+    scheduler.add_job(JobRecords(job(1, step(count))), now, clock.unix_ms())
+    state = scheduler._state
+    worker = state.workers_by_incarnation[incarnation()]
+    (placed_step,) = state.jobs_by_id[job().job_id].steps_by_key.values()
+    for index in range(count):
+        placed_step.run_number += 1
+        start_run(state, placed_step, index, worker, now)
+    starts: list[StartRun] = state.unstored_starts
+    state.unstored_starts = []
+    assert len(starts) == count
+    return starts
+
+
 def test_a_queued_order_is_checked_against_the_record_when_its_turn_comes(
     fleet: MemoryFleet,
 ) -> None:
@@ -212,11 +237,8 @@
     ]
     workers: Any = AnsweringWorkers()
     orders = StartOrders(workers, Epoch(3), holder._may_send, workers.add_result)
-    entry = worker_entry(data_centre=ZONE)
-    holder.scheduler.set_registered_workers([entry], clock.now())
-    for index in range(MAX_STARTS_PER_WORKER + 2):
-        task = TaskKey(job().job_id, 0, 0, index)
-        orders.send(StartRun("w1:1", StartOrder(incarnation(), task, 1, "text", 1)))
+    for effect in placed_starts(holder, MAX_STARTS_PER_WORKER + 2):
+        orders.send(effect)
     assert len(workers.calls) == MAX_STARTS_PER_WORKER
     # The record arrives while the other orders wait.
     holder.set_evacuated_data_centres(frozenset({ZONE}))
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -23,6 +23,7 @@
 FAILED_RUNS = "tests/test_scheduling_failed_runs.py tests/test_scheduling_gang*.py"
 LISTED_ENDS = "tests/test_scheduling_listed_ends.py"
 CRASH_WAVES = "tests/test_scheduling_crash_waves.py"
+WAITING_ORDERS = "tests/test_scheduling_waiting_orders.py"
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +47,20 @@
 
 
 MUTANTS = (
+    Mutant(
+        "a start order that has waited is sent only if its run is still wanted",
+        "scheduling/contact/order_results.py",
+        "        and state.is_start_wanted(run)\n",
+        "",
+        WAITING_ORDERS,
+    ),
+    Mutant(
+        "a start order that has waited is not sent to a worker that drains",
+        "scheduling/contact/order_results.py",
+        "        and not worker.entry.is_draining\n",
+        "",
+        WAITING_ORDERS,
+    ),
     Mutant(
         "the time of a tick is read before the authority is checked",
         "node/holder.py",
@@ -138,15 +153,17 @@
     Mutant(
         "an order leaves only while its worker has the capacity",
         "scheduling/contact/order_results.py",
-        "        and worker.covers_reservations(run.amount)\n",
-        "",
+        "        and worker.covers_reservations(run.amount)\n"
+        "        and state.authority",
+        "        and state.authority",
         "tests/test_scheduling_capacity_changes.py",
     ),
     Mutant(
         "an order that waits for its turn is checked again",
-        "scheduling/scheduler.py",
-        "            and (run is None or worker.covers_reservations(run.amount))\n",
-        "",
+        "scheduling/contact/order_results.py",
+        "        and not worker.is_evacuated\n"
+        "        and worker.covers_reservations(run.amount)\n",
+        "        and not worker.is_evacuated\n",
         "tests/test_scheduling_capacity_changes.py",
     ),
     Mutant(
@@ -558,7 +575,7 @@
     Mutant(
         "a stored start order is checked again before it is sent",
         "scheduling/contact/order_results.py",
-        "run.phase is RunPhase.STARTING\n        and worker.can_start",
+        "state.is_start_wanted(run)\n        and worker.can_start",
         "True",
     ),
     Mutant(
@@ -670,8 +687,8 @@
     ),
     Mutant(
         "an order that waited is not sent to an evacuated data centre",
-        "scheduling/scheduler.py",
-        "            and not worker.is_evacuated\n",
+        "scheduling/contact/order_results.py",
+        "        and not worker.is_evacuated\n",
         "",
         EVACUATION,
     ),
