Count and withhold what was meant for a worker's former incarnation

Cause: a call names a worker's id only. The next incarnation takes a lease on the former one's clock for as long as a worker takes any (10 s), while the holder reckoned with its own renewals of 6 s. It also forgot its ends up to the former one's acknowledgement, and started orders that the holder had sent to the former one.

Change: the longest lease counts from the last call that may have given one, also for the next holder; calls in progress to a replaced incarnation are aborted; after an unanswered call, and first of all in a new holder, a poll asks who answers, without a lease or an acknowledgement, and orders and renewals wait for it; the clock in an order's answer tells whether another incarnation took it; each run that its incarnation has not confirmed is carried over to the next one, once a task.

Ruled out: renewing no lease of a silent worker in the holder's own reckoning.

The tests of start orders take the reply with the worker's clock where they took the result; the check of each result is the same.

--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -26,6 +26,7 @@
 from tamarackmount.scheduling.contact.store_batches import Batch
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.domain.effects import (
+    AbortCalls,
     AskAdvice,
     Effect,
     PollWorker,
@@ -36,7 +37,7 @@
 from tamarackmount.scheduling.domain.fleet_config import FleetConfig
 from tamarackmount.scheduling.domain.model import FailureCause, JobPhase, StepKey
 from tamarackmount.scheduling.domain.worker_reports import (
-    OrderResult,
+    OrderReply,
     StartOrder,
     WorkerEntry,
 )
@@ -95,6 +96,7 @@
         )
         self.scheduler = Scheduler(claimed.epoch, self._find_job, dependencies.metrics)
         self.scheduler.set_stop_timeout(dependencies.stop_timeout_ms)
+        self.scheduler.set_max_lease(dependencies.max_lease_ms)
         self.scheduler.set_max_record_bytes(dependencies.store.max_record_bytes)
         self.scheduler.set_fleet_config(fleet, clock.now())
         callbacks = WriterCallbacks(
@@ -128,6 +130,7 @@
         self._ticks.clock = dependencies.reactor
         self._handlers: dict[type, Callable[[Any], None]] = {
             PollWorker: self._poll,
+            AbortCalls: self._abort_calls,
             StartRun: self._start_orders.send,
             StopRun: self._stop_run,
             AskAdvice: self._request_advice,
@@ -326,7 +329,11 @@
             sent_at + effect.wait_ms / MS_PER_SECOND + POLL_TIMEOUT_MARGIN_S
         )
         answer = await self._dependencies.workers.poll(
-            effect.address, effect.incarnation, poll_request, deadline
+            effect.address,
+            effect.incarnation,
+            poll_request,
+            deadline,
+            lambda: not self._is_stopped and self.scheduler.may_poll(effect),
         )
         if self._is_stopped:
             return
@@ -339,18 +346,26 @@
         )
         self._schedule_tick()
 
+    def _abort_calls(self, effect: AbortCalls) -> None:
+        self._dependencies.workers.abort_calls(effect.address)
+
     def _may_send(self, order: StartOrder) -> bool:
         if self._is_stopped:
             return False
         self._update_authority()
         return self.scheduler.may_send(order)
 
-    def _start_answered(self, order: StartOrder, result: OrderResult) -> None:
-        self._dependencies.metrics.record_order("start", result.value)
+    def _start_answered(self, order: StartOrder, reply: OrderReply) -> None:
+        self._dependencies.metrics.record_order("start", reply.result.value)
         if self._is_stopped:
             return
         self.scheduler.start_answered(
-            order.incarnation, order.task, order.run_number, result, clock.now()
+            order.incarnation,
+            order.task,
+            order.run_number,
+            reply.result,
+            clock.now(),
+            clock_ms=reply.clock_ms,
         )
         self._schedule_tick()
 
--- a/tamarackmount/node/holder_dependencies.py
+++ b/tamarackmount/node/holder_dependencies.py
@@ -16,6 +16,7 @@
 class HolderDependencies:
     """Services and settings that a holder uses.
 
+    A worker's lease lasts ``max_lease_ms`` at most and a stop ``stop_timeout_ms``.
     ``store_silence_s`` returns the time since the store last answered, in seconds.
     """
 
@@ -29,4 +30,5 @@
     metrics: NodeMetrics
     status_retention_s: float
     stop_timeout_ms: int
+    max_lease_ms: int
     store_silence_s: Callable[[], float]
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -293,6 +293,7 @@
             context.metrics,
             context.settings.bounds.status_retention_s,
             context.settings.bounds.stop_timeout_ms,
+            context.settings.bounds.lease_max_ms,
             self._store_contact.silence_s,
         )
 
--- a/tamarackmount/node/start_orders.py
+++ b/tamarackmount/node/start_orders.py
@@ -10,7 +10,11 @@
 from tamarackmount.platform.workers import WorkerCalls
 from tamarackmount.scheduling.domain.effects import StartRun
 from tamarackmount.scheduling.domain.model import WorkerIncarnation
-from tamarackmount.scheduling.domain.worker_reports import OrderResult, StartOrder
+from tamarackmount.scheduling.domain.worker_reports import (
+    OrderReply,
+    OrderResult,
+    StartOrder,
+)
 
 ORDER_TIMEOUT_S = 0.2
 """Timeout of an order to a worker, in seconds. Round trips take 3 to 10 ms, and urgent
@@ -47,16 +51,16 @@
         workers: WorkerCalls,
         epoch: Epoch,
         may_send: Callable[[StartOrder], bool],
-        on_result: Callable[[StartOrder, OrderResult], None],
+        on_reply: Callable[[StartOrder, OrderReply], None],
     ) -> None:
-        """Send orders under ``epoch``; call ``on_result`` once for each.
+        """Send orders under ``epoch``; call ``on_reply`` once for each.
 
         ``may_send`` tells whether the holder may send an order now.
         """
         self._workers = workers
         self._epoch = epoch
         self._may_send = may_send
-        self._on_result = on_result
+        self._on_reply = on_reply
         self._queue_by_worker: dict[WorkerIncarnation, _Queue] = {}
 
     def send(self, effect: StartRun) -> None:
@@ -78,11 +82,11 @@
             self._queue_by_worker.pop(incarnation, None)
 
     async def _send_now(self, effect: StartRun, queue: _Queue) -> None:
-        result = OrderResult.NOT_SENT
+        reply = OrderReply(OrderResult.NOT_SENT)
         order = effect.order
         if self._may_send(order):
             deadline = Instant(clock.now() + ORDER_TIMEOUT_S)
-            result = await self._workers.start(
+            reply = await self._workers.start(
                 effect.address,
                 order,
                 self._epoch,
@@ -90,5 +94,5 @@
                 lambda: self._may_send(order),
             )
         queue.in_flight -= 1
-        self._on_result(order, result)
+        self._on_reply(order, reply)
         self._send_waiting(order.incarnation, queue)
--- a/tamarackmount/platform/boot.py
+++ b/tamarackmount/platform/boot.py
@@ -27,8 +27,9 @@
 class PlatformBounds:
     """Limits and factors that the platform sets.
 
-    Only ``termination_grace_s``, ``status_retention_s`` and ``stop_timeout_ms`` are
-    used so far. The others are decoded so that a malformed file is refused.
+    Only ``termination_grace_s``, ``lease_max_ms``, ``stop_timeout_ms`` and
+    ``status_retention_s`` are used so far. The others are decoded so that a malformed
+    file is refused.
 
     - ``termination_grace_s``: time between the signal to stop and the kill.
     - ``lease_max_ms``: longest lease of a worker.
--- a/tamarackmount/platform/http.py
+++ b/tamarackmount/platform/http.py
@@ -158,6 +158,7 @@
         """Open connections through ``reactor``."""
         self._reactor = reactor
         self._idle_by_address: dict[Address, deque[_Connection]] = {}
+        self._busy_by_address: dict[Address, set[_Connection]] = {}
 
     async def call(
         self,
@@ -192,12 +193,24 @@
         request = _encode_request(host or address, method, target, body, headers)
         pending = connection.exchange(request)
         timer = self._reactor.callLater(left_s, connection.abort, "deadline passed")
+        self._busy_by_address.setdefault(address, set()).add(connection)
         result = await pending
         if timer.active():
             timer.cancel()
+        self._drop_busy(address, connection)
         self._keep_idle(address, connection)
         return result
 
+    def abort_calls(self, address: Address) -> None:
+        """Abort the calls to an address that are in progress.
+
+        Their requests are not transmitted again, as they would be to a machine that has
+        restarted. Idle connections are closed, too.
+        """
+        for connection in list(self._busy_by_address.get(address, ())):
+            connection.abort("aborted")
+        self.close_idle_connections(address)
+
     def close_idle_connections(self, address: Address) -> None:
         """Close the idle connections to an address."""
         for connection in self._idle_by_address.pop(address, ()):
@@ -232,6 +245,12 @@
             connection.close()
         return None
 
+    def _drop_busy(self, address: Address, connection: _Connection) -> None:
+        busy = self._busy_by_address.get(address, set())
+        busy.discard(connection)
+        if not busy:
+            self._busy_by_address.pop(address, None)
+
     def _keep_idle(self, address: Address, connection: _Connection) -> None:
         if not connection.is_open:
             return
--- a/tamarackmount/platform/workers.py
+++ b/tamarackmount/platform/workers.py
@@ -30,6 +30,7 @@
 )
 from tamarackmount.scheduling.domain.worker_reports import (
     EndedRun,
+    OrderReply,
     OrderResult,
     PollFailure,
     RunEnd,
@@ -206,7 +207,7 @@
         fencing_token: Epoch,
         deadline: Instant,
         may_send: Callable[[], bool] = lambda: True,
-    ) -> OrderResult:
+    ) -> OrderReply:
         """Order a run to start, if ``may_send`` still says so once connected."""
         body: dict[str, Any] = {
             "task": _encode_task(order.task),
@@ -238,7 +239,8 @@
             "run": run_number,
             "fencingToken": fencing_token,
         }
-        return await self._send_order(address, "stop", incarnation, body, deadline)
+        reply = await self._send_order(address, "stop", incarnation, body, deadline)
+        return reply.result
 
     async def poll(
         self,
@@ -246,10 +248,12 @@
         incarnation: WorkerIncarnation,
         request: PollRequest,
         deadline: Instant,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> WorkerReport | PollFailure:
         """Return the worker's running and ended runs.
 
-        Renew its lease if the request has a lease end.
+        Renew its lease if the request has a lease end. Nothing is sent unless
+        ``may_send`` still says so once connected.
         """
         body: dict[str, Any] = {
             "fencingToken": request.fencing_token,
@@ -266,9 +270,14 @@
             deadline,
             orjson.dumps(body),
             _request_headers(incarnation),
+            may_send=may_send,
         )
         return _decode_report(result)
 
+    def abort_calls(self, address: str) -> None:
+        """Abort the calls to a worker's address that are in progress."""
+        self._http.abort_calls(Address(address))
+
     async def _send_order(
         self,
         address: str,
@@ -277,7 +286,7 @@
         body: Mapping[str, Any],
         deadline: Instant,
         may_send: Callable[[], bool] = lambda: True,
-    ) -> OrderResult:
+    ) -> OrderReply:
         result = await self._http.call(
             Address(address),
             "POST",
@@ -287,7 +296,7 @@
             _request_headers(incarnation),
             may_send=may_send,
         )
-        return _decode_order_result(result)
+        return OrderReply(_decode_order_result(result), _decode_reply_clock(result))
 
 
 def _request_headers(incarnation: WorkerIncarnation) -> str:
@@ -345,6 +354,15 @@
     return _RESULT_BY_STATUS.get(result.status, OrderResult.UNKNOWN)
 
 
+def _decode_reply_clock(result: CallResult) -> int | None:
+    if not isinstance(result, Reply) or not result.body:
+        return None
+    try:
+        return _clock_ms(orjson.loads(result.body)["clockMs"])
+    except DECODING_ERRORS:
+        return None
+
+
 def _decode_report(result: CallResult) -> WorkerReport | PollFailure:
     if not isinstance(result, Reply):
         return PollFailure.NO_ANSWER
--- a/tamarackmount/scheduling/contact/order_results.py
+++ b/tamarackmount/scheduling/contact/order_results.py
@@ -74,7 +74,8 @@
     """Return whether a start order may be sent now.
 
     It may have waited since it was placed, perhaps in a process that was paused. Its
-    run may not be wanted any more, or its worker may have begun to drain.
+    run may not be wanted any more, its worker may have begun to drain, or another
+    incarnation may have taken that one's place.
     """
     worker = state.workers_by_incarnation.get(order.incarnation)
     run = state.find_run(order.incarnation, order.task, order.run_number)
@@ -83,8 +84,7 @@
         and worker is not None
         and run is not None
         and state.is_start_wanted(run)
-        and not worker.entry.is_draining
-        and not worker.is_evacuated
+        and worker.can_start
         and worker.covers_reservations(run.amount)
     )
 
@@ -96,11 +96,27 @@
     run_number: int,
     result: OrderResult,
     now: Instant,
+    clock_ms: int | None = None,
 ) -> None:
-    """Handle the result of a start order."""
+    """Handle the result of a start order.
+
+    ``clock_ms`` is the clock reading in the reply. One that this incarnation can't have
+    made shows that another one has taken the order. The outcome counts as unknown then:
+    a poll tells which incarnation it is, and the run is stopped there.
+    """
     worker = state.workers_by_incarnation.get(incarnation)
-    if worker is not None and result not in _NO_ANSWER_OF_WORKER:
-        worker.record_answer(now)
+    if worker is not None:
+        if result is not OrderResult.NOT_SENT:
+            worker.record_lease_call(now)
+        if clock_ms is not None and not worker.may_have_read(clock_ms):
+            _log.info(
+                "order answered by another incarnation",
+                extra={"worker": incarnation.worker_id, "result": result.value},
+            )
+            if result is not OrderResult.FENCED:
+                result = OrderResult.UNKNOWN
+        if result not in _NO_ANSWER_OF_WORKER:
+            worker.record_answer(now)
     run = state.find_run(incarnation, task, run_number)
     if run is None:
         return
--- a/tamarackmount/scheduling/contact/store_batches.py
+++ b/tamarackmount/scheduling/contact/store_batches.py
@@ -85,7 +85,7 @@
         if state.changed_jobs:
             # What the jobs learned from their workers is stored before these forget it.
             return Batch(tuple(records), tuple(phases), ())
-        acks = self._add_worker_records(records)
+        acks = self._add_worker_records(records, now)
         if completeness is not None:
             records.append(
                 (record_key(RecordKind.COMPLETENESS), encode_record(completeness))
@@ -205,7 +205,7 @@
         return phases
 
     def _add_worker_records(
-        self, records: list[tuple[str, bytes]]
+        self, records: list[tuple[str, bytes]], now: Instant
     ) -> list[tuple[WorkerIncarnation, int]]:
         state = self._state
         acks: list[tuple[WorkerIncarnation, int]] = []
@@ -213,7 +213,7 @@
             worker = state.workers_by_incarnation.get(incarnation)
             if worker is None:
                 continue
-            record = worker_record(worker)
+            record = worker_record(worker, now)
             records.append((worker_key(incarnation), encode_record(record)))
             acks.append((incarnation, worker.reported_end_number))
         state.changed_workers.clear()
--- a/tamarackmount/scheduling/contact/worker_ends.py
+++ b/tamarackmount/scheduling/contact/worker_ends.py
@@ -79,11 +79,9 @@
         cause = WorkerEndCause.CRASHED
     else:
         cause = WorkerEndCause.UNKNOWN
-    lost = _lost_runs(state, worker, now)
+    lost = _lost_runs(state, worker, worker.runs_by_task.values(), now)
     carried_over = [
-        run
-        for run in worker.runs_by_task.values()
-        if run.is_ordered and not run.is_adopted and run.began_at >= worker.reported_at
+        run for run in worker.runs_by_task.values() if _may_be_at_next(worker, run)
     ]
     _remove_worker(state, worker, lost, now, cause, replacement.value)
     state.replaced_incarnations.add(worker.incarnation)
@@ -94,6 +92,17 @@
     return carried_over
 
 
+def _may_be_at_next(worker: WorkerState, run: Run) -> bool:
+    """Tell whether a run may have started on the next incarnation under the same id.
+
+    It has not if this one has listed it.
+    """
+    is_unlisted = run.presence is not Presence.CONFIRMED or (
+        not run.is_adopted and run.began_at >= worker.reported_at
+    )
+    return is_unlisted and (run.is_ordered or run.is_orphaned)
+
+
 def carry_over_runs(
     state: SchedulerState, successor: WorkerState, runs: Iterable[Run], now: Instant
 ) -> None:
@@ -101,9 +110,12 @@
 
     Their tasks start nowhere before the worker has reported without them, and they
     count towards their workspaces' ceilings until then. An order that was not answered
-    may still come, so that its run is stopped in any case.
+    may still come, so that its run is stopped in any case. A task is carried over once,
+    also if several former incarnations had runs of it.
     """
-    for run in runs:
+    for run in sorted(runs, key=lambda run: run.number, reverse=True):
+        if run.task in successor.runs_by_task:
+            continue
         orphan = Run(
             run.task,
             run.number,
@@ -124,7 +136,7 @@
     state: SchedulerState, worker: WorkerState, now: Instant
 ) -> None:
     """Remove an incarnation that is not registered and whose lease is over."""
-    lost = _lost_runs(state, worker, now)
+    lost = _lost_runs(state, worker, worker.runs_by_task.values(), now)
     _remember_lapsed(state, worker, lost, now)
     cause = WorkerEndCause.LEASE_EXPIRED
     _remove_worker(state, worker, lost, now, cause, "lease expired")
@@ -156,18 +168,44 @@
 def drop_runs_of_expired_lease(
     state: SchedulerState, worker: WorkerState, now: Instant
 ) -> None:
-    """Drop the runs of a worker that may return after its lease was over."""
-    if worker.runs_by_task:
-        extra = {
-            "worker": worker.incarnation.worker_id,
-            "runs": len(worker.runs_by_task),
-        }
-        _log.info("worker lease expired", extra=extra)
-    lost = _lost_runs(state, worker, now)
+    """Drop the runs of a worker that may return after its lease was over.
+
+    Those that may go on at an incarnation that is not known yet are kept.
+    """
+    over = [
+        run
+        for run in worker.runs_by_task.values()
+        if not may_outlive_lease(state, worker, run, now)
+    ]
+    if not over:
+        return
+    extra = {"worker": worker.incarnation.worker_id, "runs": len(over)}
+    _log.info("worker lease expired", extra=extra)
+    lost = _lost_runs(state, worker, over, now)
     _remember_lapsed(state, worker, lost, now)
     _drop_runs(state, lost, WorkerEndCause.LEASE_EXPIRED, now)
 
 
+def may_outlive_lease(
+    state: SchedulerState, worker: WorkerState, run: Run, now: Instant
+) -> bool:
+    """Tell whether a run may go on at an incarnation that is not known yet.
+
+    Its order was not answered: the worker may have restarted under its id and taken the
+    order, with a longer lease. Perpetual tasks don't wait for that, as they have to run
+    again within seconds.
+    """
+    step = state.step_of(run.task)
+    return (
+        run.is_ordered
+        and not run.is_adopted
+        and run.presence is not Presence.CONFIRMED
+        and step is not None
+        and not step.spec.perpetual
+        and now <= worker.lease_calls_end + state.longest_lease_s
+    )
+
+
 def _remove_worker(
     state: SchedulerState,
     worker: WorkerState,
@@ -207,11 +245,11 @@
     state: SchedulerState, worker: WorkerState, lost: list[LostRun], now: Instant
 ) -> None:
     """Remember the runs of a worker that may have crashed or been cut off."""
-    if worker.has_announced_drain or not worker.runs_by_task:
+    if worker.has_announced_drain or not lost:
         return
-    state.lapsed_workers[worker.incarnation] = LapsedWorker(
-        worker.entry, tuple(lost), now
-    )
+    earlier = state.lapsed_workers.get(worker.incarnation)
+    runs = (*earlier.runs, *lost) if earlier is not None else tuple(lost)
+    state.lapsed_workers[worker.incarnation] = LapsedWorker(worker.entry, runs, now)
 
 
 def _record_crash_of_lapsed(
@@ -267,9 +305,9 @@
 
 
 def _lost_runs(
-    state: SchedulerState, worker: WorkerState, now: Instant
+    state: SchedulerState, worker: WorkerState, runs: Iterable[Run], now: Instant
 ) -> list[LostRun]:
-    """Return the runs of a worker that is over, with what is known of their ends."""
+    """Return runs of a worker that is over, with what is known of their ends."""
     peers = jobs_of_silent_peers(state, worker)
     ended_at = worker.fell_silent_at or now
     return [
@@ -278,7 +316,7 @@
             max(0.0, ended_at - run.began_at),
             sum(run.task.job_id not in jobs for jobs in peers),
         )
-        for run in worker.runs_by_task.values()
+        for run in runs
     ]
 
 
--- a/tamarackmount/scheduling/contact/worker_leases.py
+++ b/tamarackmount/scheduling/contact/worker_leases.py
@@ -17,7 +17,7 @@
     record_replaced_lapsed_workers,
     remove_replaced_worker,
 )
-from tamarackmount.scheduling.domain.effects import StepDown
+from tamarackmount.scheduling.domain.effects import AbortCalls, StepDown
 from tamarackmount.scheduling.domain.model import WorkerIncarnation
 from tamarackmount.scheduling.domain.worker_reports import (
     WHOLE_WORK_PERCENT,
@@ -43,6 +43,7 @@
     encode_task,
 )
 from tamarackmount.scheduling.workers.workers import (
+    CALL_DELAY_S,
     MAX_INHERITED_LEASE_S,
     ContactState,
     WorkerState,
@@ -123,7 +124,8 @@
             other.incarnation.worker_id == entry.incarnation.worker_id
             and other.incarnation.born_unix_ms < entry.incarnation.born_unix_ms
         ):
-            worker.lease_ends = max(worker.lease_ends, other.lease_ends)
+            worker.record_former(other, now, state.longest_lease_s)
+            state.emit(AbortCalls(other.entry.address))
             carried_over += remove_replaced_worker(state, other, now, replacement)
     state.workers_by_incarnation[entry.incarnation] = worker
     state.changed_workers.add(entry.incarnation)
@@ -131,7 +133,7 @@
     return worker
 
 
-def worker_record(worker: WorkerState) -> WorkerRecord:
+def worker_record(worker: WorkerState, now: Instant) -> WorkerRecord:
     """Return a worker's record for the store."""
     runs = [(encode_task(run.task), run.number) for run in worker.runs_by_task.values()]
     entry = worker.entry
@@ -142,6 +144,7 @@
         worker.reported_end_number,
         runs,
         drains=worker.has_announced_drain,
+        has_foreign_lease=now < worker.foreign_lease_ends,
     )
 
 
@@ -173,6 +176,12 @@
     worker.reported_end_number = record.ack
     worker.stored_end_number = record.ack
     worker.lease_ends = Instant(former_orders_end_at + MAX_INHERITED_LEASE_S)
+    worker.lease_calls_end = Instant(former_orders_end_at + CALL_DELAY_S)
+    if record.has_foreign_lease:
+        worker.foreign_lease_ends = Instant(
+            worker.lease_calls_end + state.longest_lease_s
+        )
+        worker.lease_ends = max(worker.lease_ends, worker.foreign_lease_ends)
     state.workers_by_incarnation[entry.incarnation] = worker
     for text, number in record.runs:
         row = RunningRun(decode_task(text), number, "", WHOLE_WORK_PERCENT)
@@ -249,8 +258,11 @@
         remove_replaced_worker(state, worker, now, replacement)
         return
     newer = WorkerIncarnation(old.worker_id, born_unix_ms)
-    if newer in state.workers_by_incarnation:
-        remove_replaced_worker(state, worker, now, replacement)
+    successor = state.workers_by_incarnation.get(newer)
+    if successor is not None:
+        successor.record_former(worker, now, state.longest_lease_s)
+        carried_over = remove_replaced_worker(state, worker, now, replacement)
+        carry_over_runs(state, successor, carried_over, now)
         return
     entry = replace(worker.entry, incarnation=newer, is_draining=False)
     # It may serve another pool, so that it gets no run before it is registered.
--- a/tamarackmount/scheduling/contact/worker_polls.py
+++ b/tamarackmount/scheduling/contact/worker_polls.py
@@ -3,6 +3,7 @@
 from tamarackmount.ids import Instant
 from tamarackmount.scheduling.contact.worker_ends import (
     drop_runs_of_expired_lease,
+    may_outlive_lease,
     remove_expired_worker,
 )
 from tamarackmount.scheduling.domain.effects import PollWorker
@@ -11,7 +12,11 @@
 from tamarackmount.scheduling.jobs.runs import RunPhase
 from tamarackmount.scheduling.membership.holder_authority import HolderAuthority
 from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.workers.workers import ContactState, WorkerState
+from tamarackmount.scheduling.workers.workers import (
+    CALL_DELAY_S,
+    ContactState,
+    WorkerState,
+)
 from tamarackmount.units import MS_PER_SECOND
 
 POLL_WAIT_MS = 1_500
@@ -23,10 +28,11 @@
 answer is lost delays run ends until it times out, and urgent jobs have half a second
 to spare."""
 
+
 RENEWAL_SILENCE_TIMEOUT_S = 1.0
-"""Silence after which polls no longer renew a worker's lease, in seconds: the lease has
-to expire at some point even if the worker receives the polls and only its answers are
-lost."""
+"""Silence until which a worker's lease is reckoned as if polls still renewed it, in
+seconds. A worker that crashed is often back before its lease is over, and what the
+crash tells of its tasks is known before these start elsewhere."""
 
 
 def poll_and_expire_workers(state: SchedulerState, now: Instant) -> None:
@@ -53,6 +59,18 @@
             _send_extra_poll(state, worker)
 
 
+def may_send_poll(state: SchedulerState, poll: PollWorker) -> bool:
+    """Tell whether a poll may be sent now; connecting may have taken some time.
+
+    One with a lease or an acknowledgement is only for the incarnation that it names.
+    """
+    worker = state.workers_by_incarnation.get(poll.incarnation)
+    if worker is None:
+        return False
+    is_question = poll.lease_end_clock_ms is None and not poll.ack_cursor
+    return is_question or worker.is_incarnation_certain
+
+
 def _stop_runs_before_drain(
     state: SchedulerState, worker: WorkerState, now: Instant
 ) -> None:
@@ -73,7 +91,11 @@
 
 
 def _expire_lease(state: SchedulerState, worker: WorkerState, now: Instant) -> None:
-    if not worker.is_registered:
+    may_go_on = any(
+        may_outlive_lease(state, worker, run, now)
+        for run in worker.runs_by_task.values()
+    )
+    if not worker.is_registered and not may_go_on:
         remove_expired_worker(state, worker, now)
         return
     drop_runs_of_expired_lease(state, worker, now)
@@ -82,27 +104,31 @@
 
 
 def _send_poll(state: SchedulerState, worker: WorkerState, now: Instant) -> None:
-    """Poll a worker; renew its lease too, unless it has been silent for too long.
+    """Poll a worker; renew its lease too, if it is certain which incarnation answers.
+
+    Otherwise the poll asks which one it is: the next one under the same id would take a
+    lease on this one's clock.
 
     The worker is asked to answer at once if its state or its lease is uncertain, or
     if ends that it reported are not stored yet.
     """
     lease_end = worker.lease_end_clock_ms(now)
     silent_since = worker.silent_since
-    if silent_since is not None and now > silent_since + RENEWAL_SILENCE_TIMEOUT_S:
-        lease_end = None
-    if lease_end is not None:
+    if lease_end is not None and (
+        silent_since is None or now <= silent_since + RENEWAL_SILENCE_TIMEOUT_S
+    ):
         worker.lease_sent(lease_end)
+    if not worker.is_incarnation_certain:
+        lease_end = None
     may_wait = (
-        worker.contact is ContactState.CONFIRMED
-        and worker.silent_since is None
-        and not worker.last_poll_failed
-        and worker.reported_end_number == worker.stored_end_number
+        worker.reported_end_number == worker.stored_end_number
         and lease_end is not None
         and not worker.needs_extra_poll
     )
     worker.poll_in_flight = True
     wait_ms = _poll_wait_ms(state, worker) if may_wait else 0
+    if lease_end is not None:
+        worker.record_lease_call(Instant(now + wait_ms / MS_PER_SECOND + CALL_DELAY_S))
     _emit_poll(state, worker, lease_end, wait_ms)
 
 
@@ -124,12 +150,19 @@
     wait_ms: int,
     is_extra: bool = False,
 ) -> None:
+    """Emit a poll.
+
+    Ends are acknowledged only if it is certain which incarnation answers: the next one
+    would forget its own.
+    """
     worker.needs_extra_poll = False
     state.emit(
         PollWorker(
             incarnation=worker.incarnation,
             address=worker.entry.address,
-            ack_cursor=worker.stored_end_number,
+            ack_cursor=(
+                worker.stored_end_number if worker.is_incarnation_certain else 0
+            ),
             lease_end_clock_ms=lease_end,
             wait_ms=wait_ms,
             is_extra=is_extra,
--- a/tamarackmount/scheduling/domain/effects.py
+++ b/tamarackmount/scheduling/domain/effects.py
@@ -25,6 +25,17 @@
     is_extra: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class AbortCalls:
+    """Abort the calls to an address that are in progress.
+
+    They were meant for a worker incarnation that is over, and must not reach the next
+    one.
+    """
+
+    address: str
+
+
 @dataclass(frozen=True, slots=True)
 class StartRun:
     """Send an order to start a run; the answer goes to ``start_answered``."""
@@ -62,5 +73,5 @@
     reason: str
 
 
-Effect = PollWorker | StartRun | StopRun | AskAdvice | StepDown
+Effect = PollWorker | AbortCalls | StartRun | StopRun | AskAdvice | StepDown
 """Any effect that the scheduler asks for."""
--- a/tamarackmount/scheduling/domain/worker_reports.py
+++ b/tamarackmount/scheduling/domain/worker_reports.py
@@ -124,6 +124,17 @@
     UNKNOWN = "unknown"
 
 
+@dataclass(frozen=True, slots=True)
+class OrderReply:
+    """A worker's reply to an order.
+
+    ``clock_ms`` is a reading of the worker's own clock, or None without one.
+    """
+
+    result: OrderResult
+    clock_ms: int | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class StartOrder:
     """An order to start a run; ``lease_end_clock_ms`` is on the worker's clock."""
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -23,9 +23,12 @@
     restore_worker,
     update_registered_workers,
 )
-from tamarackmount.scheduling.contact.worker_polls import poll_and_expire_workers
+from tamarackmount.scheduling.contact.worker_polls import (
+    may_send_poll,
+    poll_and_expire_workers,
+)
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
-from tamarackmount.scheduling.domain.effects import Effect
+from tamarackmount.scheduling.domain.effects import Effect, PollWorker
 from tamarackmount.scheduling.domain.fleet_config import FleetConfig, Queue
 from tamarackmount.scheduling.domain.model import (
     FailureCause,
@@ -161,6 +164,10 @@
         """Set the longest time that a worker takes to stop a run, in milliseconds."""
         self._state.stop_timeout_ms = stop_timeout_ms
 
+    def set_max_lease(self, max_lease_ms: int) -> None:
+        """Set the longest lease that a worker takes, in milliseconds."""
+        self._state.max_lease_ms = max_lease_ms
+
     def set_max_record_bytes(self, max_record_bytes: int) -> None:
         """Set the length of the longest record that the store takes, in bytes."""
         self._state.max_record_bytes = max_record_bytes
@@ -198,6 +205,10 @@
         """Return whether a start order may be sent now."""
         return may_send_start(self._state, order)
 
+    def may_poll(self, poll: PollWorker) -> bool:
+        """Return whether a poll may be sent now."""
+        return may_send_poll(self._state, poll)
+
     def set_registered_workers(self, entries: list[WorkerEntry], now: Instant) -> None:
         """Replace the list of registered workers."""
         update_registered_workers(self._state, entries, now)
@@ -262,9 +273,13 @@
         run_number: int,
         result: OrderResult,
         now: Instant,
+        *,
+        clock_ms: int | None = None,
     ) -> None:
-        """Handle the result of a start order."""
-        start_answered(self._state, incarnation, task, run_number, result, now)
+        """Handle the result of a start order and the worker's clock in its reply."""
+        start_answered(
+            self._state, incarnation, task, run_number, result, now, clock_ms
+        )
 
     def stop_answered(
         self,
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -50,16 +50,21 @@
 )
 from tamarackmount.scheduling.workers.worker_speeds import LearnedWorkerSpeeds
 from tamarackmount.scheduling.workers.workers import (
+    MIN_CLOCK_RATE,
     LapsedWorker,
     RemovedWorker,
     WorkerState,
 )
+from tamarackmount.units import MS_PER_SECOND
 
 _log = logging.getLogger(__name__)
 
 DEFAULT_STOP_TIMEOUT_MS = 900
 """Longest time that a stop may take, in milliseconds, until the settings tell it."""
 
+DEFAULT_MAX_LEASE_MS = 10_000
+"""Longest lease that a worker takes, in milliseconds, until the settings tell it."""
+
 STOP_RETRY_S = 0.2
 """Minimum time between two stop orders for one run, in seconds; an order takes
 milliseconds."""
@@ -88,8 +93,8 @@
     leases were over. ``replaced_incarnations`` are over but may still be registered.
     ``removed_after_silence`` are workers that fell silent and were removed lately.
     ``superseded`` is set once a worker has refused this holder's fencing token. A stop
-    takes at most ``stop_timeout_ms``, and the store takes records of at most
-    ``max_record_bytes``.
+    takes at most ``stop_timeout_ms``, a worker takes a lease of at most
+    ``max_lease_ms``, and the store takes records of at most ``max_record_bytes``.
     """
 
     fencing_token: Epoch
@@ -147,8 +152,14 @@
     removed_after_silence: deque[RemovedWorker] = field(default_factory=deque)
     superseded: bool = False
     stop_timeout_ms: int = DEFAULT_STOP_TIMEOUT_MS
+    max_lease_ms: int = DEFAULT_MAX_LEASE_MS
     max_record_bytes: int = DEFAULT_MAX_RECORD_BYTES
 
+    @property
+    def longest_lease_s(self) -> float:
+        """The longest lease on the slowest permitted clock, in seconds."""
+        return self.max_lease_ms / MS_PER_SECOND / MIN_CLOCK_RATE
+
     def emit(self, effect: Effect) -> None:
         """Queue an effect for the node to carry out."""
         self.effects.append(effect)
--- a/tamarackmount/scheduling/store/journal.py
+++ b/tamarackmount/scheduling/store/journal.py
@@ -119,7 +119,8 @@
     ``life``, a name kept in the store, is the incarnation. Ends of its runs up to the
     number ``ack`` are stored. ``runs`` are the tasks that were ordered there and may
     still be running, each with the number of its run. ``drains`` is set once it has
-    announced that it drains.
+    announced that it drains. It ``has_foreign_lease`` while calls to its former
+    incarnation may have given it a longer lease than usual.
     """
 
     life: WorkerIncarnation
@@ -128,6 +129,7 @@
     ack: int
     runs: list[tuple[str, int]] = field(default_factory=list)
     drains: bool = False
+    has_foreign_lease: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tamarackmount/scheduling/workers/workers.py
+++ b/tamarackmount/scheduling/workers/workers.py
@@ -19,11 +19,16 @@
 """Lowest rate that the platform specifies for a worker's clock, as a fraction of real
 time."""
 
-MAX_INHERITED_LEASE_S = 0.5 + LEASE_MS / MS_PER_SECOND / MIN_CLOCK_RATE
+CALL_DELAY_S = 0.5
+"""Time after which a call that was sent has arrived, or never will, in seconds."""
+
+MAX_INHERITED_LEASE_S = CALL_DELAY_S + LEASE_MS / MS_PER_SECOND / MIN_CLOCK_RATE
 """Longest time for which a lease given by a former holder may last, in seconds from
-the last moment at which that holder may have sent a renewal; half a second allows for
-renewals in flight."""
+the last moment at which that holder may have sent a renewal."""
 
+CLOCK_TOLERANCE_MS = 500
+"""Amount by which a reply may be older than the last report that was handled, in
+milliseconds: both may have waited in a process that was paused."""
 
 SLOWNESS_SMOOTHING = 0.3
 """Weight of the newest run's duration ratio in a worker's slowness, without unit. A
@@ -112,6 +117,12 @@
     ``has_listed_all_ends`` once a report to this holder did. Before that, it may have
     run tasks of which neither the store nor this holder knows.
 
+    Calls name a worker's id only, so that the next incarnation under the same id takes
+    those that were meant for this one. ``lease_calls_end`` is when the last call that
+    gave this one a lease has arrived. Such a lease is on this one's clock, which is
+    ahead of the next one's, and lasts there for as long as a worker takes any.
+    ``foreign_lease_ends`` is when leases from calls to former incarnations are over.
+
     A worker ``is_evacuated`` while the operator keeps its data centre from new runs.
 
     A worker that ``needs_extra_poll`` is polled at once, also while another poll waits
@@ -133,6 +144,8 @@
     reported_end_number: int = 0
     stored_end_number: int = 0
     lease_ends: Instant = Instant(0.0)
+    lease_calls_end: Instant = Instant(0.0)
+    foreign_lease_ends: Instant = Instant(0.0)
     poll_in_flight: bool = False
     needs_extra_poll: bool = False
     extra_poll_in_flight: bool = False
@@ -210,15 +223,22 @@
         )
 
     @property
-    def has_fresh_state(self) -> bool:
-        """Whether what is known of its runs is up to date: no call lacks an answer."""
+    def is_incarnation_certain(self) -> bool:
+        """Whether this incarnation has answered, and no call lacks an answer since.
+
+        If not, another one may have taken its place under the same id.
+        """
         return (
             self.contact is ContactState.CONFIRMED
             and self.silent_since is None
             and not (self.last_poll_failed or self.is_suspected)
-            and not self.has_unlisted_ends
         )
 
+    @property
+    def has_fresh_state(self) -> bool:
+        """Whether what is known of its runs is up to date: no call lacks an answer."""
+        return self.is_incarnation_certain and not self.has_unlisted_ends
+
     @property
     def may_have_unknown_runs(self) -> bool:
         """Whether a former holder's runs may be or have been there unknown to this one.
@@ -267,6 +287,17 @@
         self._clock_ms = clock_ms
         self._clock_sent = sent
         self._clock_read = now
+        # Polls with a lease have been answered; only orders may be under way.
+        self.lease_calls_end = min(self.lease_calls_end, Instant(now + CALL_DELAY_S))
+
+    def may_have_read(self, clock_ms: int) -> bool:
+        """Tell whether a reply with this reading may come from this incarnation.
+
+        The clock of the next one starts anew.
+        """
+        return (
+            self._clock_read is None or clock_ms >= self._clock_ms - CLOCK_TOLERANCE_MS
+        )
 
     def lease_end_clock_ms(self, now: Instant) -> int | None:
         """Return the end of a lease that begins now, on the worker's clock.
@@ -286,6 +317,32 @@
         ends = Instant(self._clock_read + left_ms / MS_PER_SECOND)
         self.lease_ends = max(self.lease_ends, ends)
 
+    def record_lease_call(self, arrives_by: Instant) -> None:
+        """Record that a call with a lease was sent, which arrives by then."""
+        self.lease_calls_end = max(self.lease_calls_end, arrives_by)
+
+    def record_former(
+        self, former: "WorkerState", now: Instant, longest_lease_s: float
+    ) -> None:
+        """Record which leases calls to a former incarnation may have given this one.
+
+        Those in progress are aborted now.
+        """
+        has_open_order = any(
+            run.is_ordered and run.confirmed_at is None
+            for run in former.runs_by_task.values()
+        )
+        arrived_by = Instant(now + CALL_DELAY_S)
+        if not has_open_order:
+            arrived_by = min(arrived_by, former.lease_calls_end)
+        ends = Instant(arrived_by + longest_lease_s)
+        self.foreign_lease_ends = max(
+            self.foreign_lease_ends, former.foreign_lease_ends, ends
+        )
+        self.lease_ends = max(
+            self.lease_ends, former.lease_ends, self.foreign_lease_ends
+        )
+
     def record_duration_ratio(self, ratio: float, now: Instant) -> None:
         """Record how many times as long as usual a run took."""
         current = self._slowness(now)
--- a/tests/test_node_evacuation.py
+++ b/tests/test_node_evacuation.py
@@ -14,7 +14,11 @@
 from tamarackmount.node.start_orders import MAX_STARTS_PER_WORKER, StartOrders
 from tamarackmount.platform.store import OPERATOR_TOPIC, KeyedRecord
 from tamarackmount.scheduling.domain.effects import StartRun, StepDown
-from tamarackmount.scheduling.domain.worker_reports import OrderResult, StartOrder
+from tamarackmount.scheduling.domain.worker_reports import (
+    OrderReply,
+    OrderResult,
+    StartOrder,
+)
 from tamarackmount.scheduling.execution.run_starts import start_run
 from tamarackmount.scheduling.store.job_index import JobRecords
 from tests.utils.build_scheduling import (
@@ -34,17 +38,17 @@
 
     def __init__(self) -> None:
         """Begin without calls."""
-        self.calls: list[Deferred[OrderResult]] = []
+        self.calls: list[Deferred[OrderReply]] = []
         self.results: list[OrderResult] = []
 
-    def start(self, *_arguments: Any) -> "Deferred[OrderResult]":
+    def start(self, *_arguments: Any) -> "Deferred[OrderReply]":
         """Take a call."""
         self.calls.append(Deferred())
         return self.calls[-1]
 
-    def add_result(self, _order: StartOrder, result: OrderResult) -> None:
+    def add_reply(self, _order: StartOrder, reply: OrderReply) -> None:
         """Keep the result of an order."""
-        self.results.append(result)
+        self.results.append(reply.result)
 
 
 @pytest.fixture
@@ -236,14 +240,14 @@
         if node._election.holder is not None
     ]
     workers: Any = AnsweringWorkers()
-    orders = StartOrders(workers, Epoch(3), holder._may_send, workers.add_result)
+    orders = StartOrders(workers, Epoch(3), holder._may_send, workers.add_reply)
     for effect in placed_starts(holder, MAX_STARTS_PER_WORKER + 2):
         orders.send(effect)
     assert len(workers.calls) == MAX_STARTS_PER_WORKER
     # The record arrives while the other orders wait.
     holder.set_evacuated_data_centres(frozenset({ZONE}))
     for call in list(workers.calls):
-        call.callback(OrderResult.DONE)
+        call.callback(OrderReply(OrderResult.DONE))
     assert len(workers.calls) == MAX_STARTS_PER_WORKER
     assert workers.results.count(OrderResult.NOT_SENT) == 2
 
--- a/tests/test_odd_registrations.py
+++ b/tests/test_odd_registrations.py
@@ -4,6 +4,7 @@
 or stored under a key, so that it ends each holder in turn.
 """
 
+from collections.abc import Callable
 from typing import Any
 
 import orjson
@@ -53,7 +54,9 @@
         _deadline: Instant,
         body: bytes | None = None,
         headers: str = "",
+        may_send: Callable[[], bool] = lambda: True,
     ) -> CallError:
+        assert may_send()
         self.requests.append(
             http._encode_request(address, method, target, body, headers)
         )
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -36,6 +36,7 @@
 from tamarackmount.platform.workers import PollRequest, WorkerCalls
 from tamarackmount.scheduling.domain.model import StepKey, TaskKey, WorkerIncarnation
 from tamarackmount.scheduling.domain.worker_reports import (
+    OrderReply,
     OrderResult,
     PollFailure,
     RunEnd,
@@ -325,7 +326,7 @@
     start = WorkerCalls(peer.http).start(
         peer.address, start_order(), Epoch(7), peer.deadline
     )
-    assert peer.wait(start) is OrderResult.UNKNOWN
+    assert peer.wait(start).result is OrderResult.UNKNOWN
 
 
 def test_a_reply_that_is_too_long_is_no_reply(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -336,6 +337,40 @@
     assert Peer(encode_reply(200, b"x" * 100)).get() == Reply(200, b"x" * 100)
 
 
+def test_a_call_that_is_aborted_ends_without_a_reply() -> None:
+    peer = Peer(b"")
+    call = ensureDeferred(peer.http.call(peer.address, "GET", "/", peer.deadline))
+    while not peer.requests:
+        peer.network.advance(0.001)
+    peer.http.abort_calls(Address("127.0.0.1:1"))
+    assert not call.called
+    peer.http.abort_calls(peer.address)
+    result = peer.network.wait(call)
+    assert isinstance(result, CallError)
+    assert result.kind is CallErrorKind.NO_REPLY
+    assert not peer.http._busy_by_address
+
+
+def test_idle_connections_to_an_aborted_address_were_used_again() -> None:
+    peer = Peer(encode_reply(200, b"{}"))
+    peer.get()
+    peer.get()
+    assert peer.connections == 1
+    peer.http.abort_calls(peer.address)
+    peer.get()
+    assert peer.connections == 2
+
+
+def test_a_poll_whose_permission_ends_while_connecting_is_not_sent() -> None:
+    peer = Peer(encode_reply(200, b"{}"))
+    request = PollRequest(Epoch(7), 57, 486_000, 0)
+    call = WorkerCalls(peer.http).poll(
+        peer.address, INCARNATION, request, peer.deadline, lambda: False
+    )
+    assert peer.wait(call) is PollFailure.NO_ANSWER
+    assert not peer.requests
+
+
 def start_order() -> StartOrder:
     return StartOrder(INCARNATION, TASK, 2, "text", 486_000, "0000", "t1")
 
@@ -344,7 +379,7 @@
     peer = Peer(encode_reply(200, b'{"clockMs":1}'))
     calls = WorkerCalls(peer.http)
     call = calls.start(peer.address, start_order(), Epoch(7), peer.deadline)
-    assert peer.wait(call) is OrderResult.DONE
+    assert peer.wait(call) == OrderReply(OrderResult.DONE, 1)
     assert peer.request_json() == {
         "task": "5c0e7a21d94b36f8.0.1.17",
         "run": 2,
@@ -363,7 +398,7 @@
     call = calls.start(
         peer.address, start_order(), Epoch(7), peer.deadline, lambda: False
     )
-    assert peer.wait(call) is OrderResult.NOT_SENT
+    assert peer.wait(call) == OrderReply(OrderResult.NOT_SENT)
     assert not peer.requests
 
 
@@ -386,7 +421,7 @@
     peer = Peer(reply)
     calls = WorkerCalls(peer.http)
     call = calls.start(peer.address, start_order(), Epoch(7), peer.deadline)
-    assert peer.wait(call) is expected
+    assert peer.wait(call).result is expected
 
 
 def test_poll_decodes_running_and_ended_runs() -> None:
--- a/tests/test_start_orders.py
+++ b/tests/test_start_orders.py
@@ -12,7 +12,11 @@
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling.domain.effects import StartRun
 from tamarackmount.scheduling.domain.model import TaskKey
-from tamarackmount.scheduling.domain.worker_reports import OrderResult, StartOrder
+from tamarackmount.scheduling.domain.worker_reports import (
+    OrderReply,
+    OrderResult,
+    StartOrder,
+)
 from tamarackmount.scheduling.membership.holder_authority import HolderAuthority
 from tests.utils.build_scheduling import (
     SchedulerHarness,
@@ -35,10 +39,10 @@
 
     def __init__(self) -> None:
         """Begin without calls."""
-        self.calls: list[Deferred[OrderResult]] = []
+        self.calls: list[Deferred[OrderReply]] = []
         self.permissions: list[Callable[[], bool]] = []
 
-    def start(self, *arguments: Any) -> "Deferred[OrderResult]":
+    def start(self, *arguments: Any) -> "Deferred[OrderReply]":
         self.permissions.append(arguments[-1])
         self.calls.append(Deferred())
         return self.calls[-1]
@@ -57,7 +61,7 @@
             workers,
             Epoch(3),
             lambda _: self.may_start,
-            lambda _, result: self.results.append(result),
+            lambda _, reply: self.results.append(reply.result),
         )
         for index in range(orders):
             task = TaskKey(job().job_id, 0, 0, index)
@@ -67,7 +71,7 @@
     def answer_all(self) -> None:
         """Let the worker carry out the orders that it has."""
         for call in [call for call in self.workers.calls if not call.called]:
-            call.callback(OrderResult.DONE)
+            call.callback(OrderReply(OrderResult.DONE))
 
 
 def test_orders_that_wait_are_sent_in_turn() -> None:
@@ -113,7 +117,7 @@
     # Guards against the same with calls that fail before anything is sent.
     harness = Harness(MANY_ORDERS)
     workers: Any = harness.workers
-    workers.start = lambda *_: succeed(OrderResult.NOT_SENT)
+    workers.start = lambda *_: succeed(OrderReply(OrderResult.NOT_SENT))
     harness.answer_all()
     assert len(harness.results) == MANY_ORDERS
 
@@ -149,16 +153,16 @@
     workers: Any = Workers()
     results: list[OrderResult] = []
 
-    def on_result(order: StartOrder, result: OrderResult) -> None:
-        results.append(result)
+    def on_reply(order: StartOrder, reply: OrderReply) -> None:
+        results.append(reply.result)
         harness.scheduler.start_answered(
-            order.incarnation, order.task, order.run_number, result, harness.now
+            order.incarnation, order.task, order.run_number, reply.result, harness.now
         )
 
-    orders = StartOrders(workers, Epoch(7), harness.scheduler.may_send, on_result)
+    orders = StartOrders(workers, Epoch(7), harness.scheduler.may_send, on_reply)
     for start in harness.starts:
         orders.send(start)
     withdraw(harness)
-    workers.calls[0].callback(OrderResult.DONE)
+    workers.calls[0].callback(OrderReply(OrderResult.DONE))
     assert len(results) == MANY_ORDERS - MAX_STARTS_PER_WORKER + 1
     assert len(workers.calls) == MAX_STARTS_PER_WORKER
--- a/tests/utils/build_scheduling.py
+++ b/tests/utils/build_scheduling.py
@@ -18,6 +18,7 @@
 from tamarackmount.scheduling.contact.store_batches import Batch
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.domain.effects import (
+    AbortCalls,
     AskAdvice,
     PollWorker,
     StartRun,
@@ -176,6 +177,7 @@
         self.polls: list[PollWorker] = []
         self.starts: list[StartRun] = []
         self.stops: list[StopRun] = []
+        self.aborts: list[AbortCalls] = []
         self.advice_requests: list[AskAdvice] = []
         self.is_store_healthy = True
         self.records: dict[str, bytes] = {}
@@ -215,6 +217,7 @@
             PollWorker: self.polls,
             StartRun: self.starts,
             StopRun: self.stops,
+            AbortCalls: self.aborts,
             AskAdvice: self.advice_requests,
         }
         for effect in self.scheduler.take_effects():
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -24,6 +24,7 @@
 LISTED_ENDS = "tests/test_scheduling_listed_ends.py"
 CRASH_WAVES = "tests/test_scheduling_crash_waves.py"
 WAITING_ORDERS = "tests/test_scheduling_waiting_orders.py"
+RESTARTED = "tests/test_scheduling_restarted_workers.py"
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,11 +56,75 @@
         WAITING_ORDERS,
     ),
     Mutant(
-        "a start order that has waited is not sent to a worker that drains",
+        "a start order that has waited is sent only if its worker may still start",
         "scheduling/contact/order_results.py",
-        "        and not worker.entry.is_draining\n",
+        "        and worker.can_start\n"
+        "        and worker.covers_reservations(run.amount)\n    )",
+        "        and worker.covers_reservations(run.amount)\n    )",
+        f"{WAITING_ORDERS} {EVACUATION}",
+    ),
+    Mutant(
+        "leases that calls to a former incarnation gave the next one are counted",
+        "scheduling/contact/worker_leases.py",
+        "worker.record_former(other, now, state.longest_lease_s)",
+        "worker.lease_ends = max(worker.lease_ends, other.lease_ends)",
+        RESTARTED,
+    ),
+    Mutant(
+        "ends are acknowledged only to the incarnation that listed them",
+        "scheduling/contact/worker_polls.py",
+        "worker.stored_end_number if worker.is_incarnation_certain else 0",
+        "worker.stored_end_number",
+        RESTARTED,
+    ),
+    Mutant(
+        "a reply with the clock of another incarnation confirms nothing",
+        "scheduling/contact/order_results.py",
+        "if clock_ms is not None and not worker.may_have_read(clock_ms):",
+        "if False:",
+        RESTARTED,
+    ),
+    Mutant(
+        "a poll that was connecting is checked again before it is sent",
+        "scheduling/contact/worker_polls.py",
+        "return is_question or worker.is_incarnation_certain",
+        "return True",
+        RESTARTED,
+    ),
+    Mutant(
+        "runs that a former holder ordered are carried over to the next incarnation",
+        "scheduling/contact/worker_ends.py",
+        "is_unlisted = run.presence is not Presence.CONFIRMED or (",
+        "is_unlisted = not run.is_adopted and (",
+        RESTARTED,
+    ),
+    Mutant(
+        "runs that were carried over are carried over again",
+        "scheduling/contact/worker_ends.py",
+        "(run.is_ordered or run.is_orphaned)",
+        "run.is_ordered",
+        RESTARTED,
+    ),
+    Mutant(
+        "a task is carried over once",
+        "scheduling/contact/worker_ends.py",
+        "        if run.task in successor.runs_by_task:\n            continue\n",
         "",
-        WAITING_ORDERS,
+        RESTARTED,
+    ),
+    Mutant(
+        "an unanswered order may run on at an incarnation that is not known yet",
+        "scheduling/contact/worker_ends.py",
+        "and now <= worker.lease_calls_end + state.longest_lease_s",
+        "and False",
+        RESTARTED,
+    ),
+    Mutant(
+        "the next holder knows of leases from calls to former incarnations",
+        "scheduling/contact/worker_leases.py",
+        "    if record.has_foreign_lease:\n",
+        "    if False:\n",
+        RESTARTED,
     ),
     Mutant(
         "the time of a tick is read before the authority is checked",
@@ -161,9 +226,8 @@
     Mutant(
         "an order that waits for its turn is checked again",
         "scheduling/contact/order_results.py",
-        "        and not worker.is_evacuated\n"
-        "        and worker.covers_reservations(run.amount)\n",
-        "        and not worker.is_evacuated\n",
+        "        and worker.covers_reservations(run.amount)\n    )",
+        "    )",
         "tests/test_scheduling_capacity_changes.py",
     ),
     Mutant(
@@ -308,15 +372,14 @@
     Mutant(
         "the lease of a silent worker is not renewed",
         "scheduling/contact/worker_polls.py",
-        "if silent_since is not None "
-        "and now > silent_since + RENEWAL_SILENCE_TIMEOUT_S:",
-        "if False:",
+        "    if not worker.is_incarnation_certain:\n        lease_end = None\n",
+        "",
     ),
     Mutant(
         "run ends are stored before they are acknowledged",
         "scheduling/contact/worker_polls.py",
-        "ack_cursor=worker.stored_end_number",
-        "ack_cursor=worker.reported_end_number",
+        "worker.stored_end_number if worker.is_incarnation_certain",
+        "worker.reported_end_number if worker.is_incarnation_certain",
     ),
     Mutant(
         "a final phase is reported only once it is stored",
@@ -575,8 +638,9 @@
     Mutant(
         "a stored start order is checked again before it is sent",
         "scheduling/contact/order_results.py",
-        "state.is_start_wanted(run)\n        and worker.can_start",
-        "True",
+        "may_start = (\n        state.is_start_wanted(run)\n"
+        "        and worker.can_start",
+        "may_start = (\n        True",
     ),
     Mutant(
         "a start order whose ticket has expired is not sent",
@@ -686,11 +750,10 @@
         EVACUATION,
     ),
     Mutant(
-        "an order that waited is not sent to an evacuated data centre",
-        "scheduling/contact/order_results.py",
-        "        and not worker.is_evacuated\n",
-        "",
-        EVACUATION,
+        "the lease of a silent worker is over at some time",
+        "scheduling/contact/worker_polls.py",
+        "silent_since is None or now <= silent_since + RENEWAL_SILENCE_TIMEOUT_S",
+        "True",
     ),
     Mutant(
         "the holder checks the evacuations when an order's turn comes",
--- a/tests/utils/switch_offs.py
+++ b/tests/utils/switch_offs.py
@@ -83,6 +83,34 @@
             ),
         ),
     ),
+    SwitchOff(
+        "incarnation-questions",
+        "a worker restarts under its id, and takes calls that were meant for before",
+        (
+            _edit(
+                "scheduling/contact/worker_polls.py",
+                "    if not worker.is_incarnation_certain:\n        lease_end = None\n",
+                "",
+            ),
+            _edit(
+                "scheduling/contact/worker_polls.py",
+                "worker.stored_end_number if worker.is_incarnation_certain else 0",
+                "worker.stored_end_number",
+            ),
+        ),
+    ),
+    SwitchOff(
+        "foreign-leases",
+        "a worker that took a lease of its former incarnation is cut off",
+        (
+            _edit(
+                "scheduling/contact/worker_leases.py",
+                "            worker.record_former(other, now, state.longest_lease_s)\n",
+                "            worker.lease_ends = "
+                "max(worker.lease_ends, other.lease_ends)\n",
+            ),
+        ),
+    ),
     SwitchOff(
         "suspected-workers",
         "a worker is cut off, and orders go to it until a second poll fails",
