--- a/tests/test_scheduling_restarted_workers.py
+++ b/tests/test_scheduling_restarted_workers.py
@@ -7,12 +7,14 @@
 """
 
 import random
+from typing import Any
 
 import pytest
 
 from tamarackmount.ids import Instant
+from tamarackmount.resources import Resources
 from tamarackmount.scheduling.domain.effects import AbortCalls, PollWorker
-from tamarackmount.scheduling.domain.model import JobPhase, TaskKey
+from tamarackmount.scheduling.domain.model import JobPhase, ServiceName, TaskKey
 from tamarackmount.scheduling.domain.worker_reports import (
     OrderResult,
     PollFailure,
@@ -444,3 +446,39 @@
     assert phases <= {JobPhase.COMPLETED, JobPhase.FAILED}
     assert pool.restarts
     assert pool.cuts
+
+
+@pytest.mark.parametrize("is_told_by", ["registration", "poll"])
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"labels": frozenset({"b", "r1"})},
+        {"capacity": Resources(1_000, 64_000, 0)},
+        {"service": ServiceName("imaging")},
+    ],
+    ids=["another kind", "smaller", "another pool"],
+)
+def test_a_task_started_on_an_incarnation_that_may_not_run_it(
+    changes: dict[str, Any], is_told_by: str
+) -> None:
+    harness = SchedulerHarness()
+    harness.register_workers(worker_entry("w1"))
+    harness.submit_job(job(1, step(2, cores=2, label="a")))
+    first, second = (start.order for start in harness.starts)
+    harness.starts.clear()
+    # The worker restarts, takes no call, and the second order still waits.
+    harness.scheduler.start_answered(
+        FORMER, first.task, first.run_number, OrderResult.UNKNOWN, harness.now
+    )
+    assert not harness.scheduler.may_send(second)
+    if is_told_by == "poll":
+        harness.answer_poll(worker_report(born=2, clock_ms=100))
+    else:
+        entry = worker_entry("w1", incarnation=NEXT, **changes)
+        harness.scheduler.set_registered_workers([entry], harness.now)
+    assert not harness.scheduler.may_send(second)
+    harness.answer_poll(worker_report(born=2, clock_ms=200), NEXT)
+    harness.tick(1.0)
+    harness.answer_poll(worker_report(born=2, clock_ms=1_200), NEXT)
+    harness.tick(0.1)
+    assert not harness.starts
