--- a/tests/test_scheduling_restarted_workers.py
+++ b/tests/test_scheduling_restarted_workers.py
@@ -444,6 +444,7 @@
     # A job may be given up after crashes of workers under one of its tasks.
     phases = {pool.phase(accepted) for accepted in jobs}
     assert phases <= {JobPhase.COMPLETED, JobPhase.FAILED}
+    assert pool.reserved() == []
     assert pool.restarts
     assert pool.cuts
 
--- a/tests/utils/restarting_pool.py
+++ b/tests/utils/restarting_pool.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from tamarackmount.ids import Instant
+from tamarackmount.resources import NOTHING
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.domain.effects import (
     AbortCalls,
@@ -185,6 +186,24 @@
         job_id = accepted.job_id
         return self.harness.scheduler.phase(job_id) or index.phase(job_id)
 
+    def reserved(self) -> list[str]:
+        """Return what the holder keeps reserved, be it on a worker or for a task."""
+        state = self.harness.scheduler._state
+        workers = state.workers_by_incarnation.values()
+        return [
+            *(
+                f"{one.incarnation}: {one.used}"
+                for one in workers
+                if one.used != NOTHING
+            ),
+            *(
+                f"{key}: {use}"
+                for key, use in state.used_by_workspace.items()
+                if use != NOTHING
+            ),
+            *map(str, state.orphaned_run_count_by_task),
+        ]
+
     def run(self, seconds: float) -> None:
         """Let time pass."""
         end = self.now + seconds
