Count a poll with a lease until it is answered or over

Cause: the answer to an extra poll ended the time for which calls with a lease count as under way, also while a regular one, which has the lease, was not answered.

Change: only the answer to the regular poll ends it. The new test fails without the change.

--- a/tamarackmount/scheduling/workers/workers.py
+++ b/tamarackmount/scheduling/workers/workers.py
@@ -287,8 +287,10 @@
         self._clock_ms = clock_ms
         self._clock_sent = sent
         self._clock_read = now
-        # Polls with a lease have been answered; only orders may be under way.
-        self.lease_calls_end = min(self.lease_calls_end, Instant(now + CALL_DELAY_S))
+        if not self.poll_in_flight:
+            # Only orders may still be under way.
+            latest = Instant(now + CALL_DELAY_S)
+            self.lease_calls_end = min(self.lease_calls_end, latest)
 
     def may_have_read(self, clock_ms: int) -> bool:
         """Tell whether a reply with this reading may come from this incarnation.
--- a/tests/test_scheduling_restarted_workers.py
+++ b/tests/test_scheduling_restarted_workers.py
@@ -163,6 +163,22 @@
     assert any(carry(poll) for poll in harness.take_polls())
 
 
+def test_a_poll_under_way_was_forgotten_as_another_one_was_answered() -> None:
+    harness = with_stored_ends()
+    poll = harness.polls[-1]
+    assert poll.lease_end_clock_ms is not None
+    worker = harness.scheduler._state.workers_by_incarnation[FORMER]
+    arrives_by = worker.lease_calls_end
+    assert arrives_by > harness.now + poll.wait_ms / 1_000 - 1.0
+    report = worker_report(clock_ms=CLOCK_MS + 600)
+    harness.scheduler.poll_answered(
+        FORMER, report, harness.now, harness.now, is_extra=True
+    )
+    assert worker.lease_calls_end == arrives_by
+    harness.answer_poll(worker_report(clock_ms=CLOCK_MS + 700))
+    assert worker.lease_calls_end > harness.now
+
+
 def test_a_poll_that_was_connecting_when_another_call_failed_was_sent() -> None:
     harness = with_stored_ends()
     poll = harness.polls[-1]
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -70,6 +70,13 @@
         "worker.lease_ends = max(worker.lease_ends, other.lease_ends)",
         RESTARTED,
     ),
+    Mutant(
+        "a poll with a lease counts until it is answered or over",
+        "scheduling/workers/workers.py",
+        "        if not self.poll_in_flight:\n",
+        "        if True:\n",
+        RESTARTED,
+    ),
     Mutant(
         "ends are acknowledged only to the incarnation that listed them",
         "scheduling/contact/worker_polls.py",
