--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -24,7 +24,10 @@
 LISTED_ENDS = "tests/test_scheduling_listed_ends.py"
 CRASH_WAVES = "tests/test_scheduling_crash_waves.py"
 WAITING_ORDERS = "tests/test_scheduling_waiting_orders.py"
-RESTARTED = "tests/test_scheduling_restarted_workers.py"
+RESTARTED = (
+    "tests/test_scheduling_restarted_workers.py "
+    "tests/test_scheduling_carried_over_runs.py"
+)
 
 
 @dataclass(frozen=True, slots=True)
