Two runs of a task after a restart, over connections in virtual time

Callers would see one task run twice. The new pool calls simulated workers with the node's own HTTP client over simulated TCP connections, which belong to one incarnation of a worker each. Workers restart under their ids and are cut off; holders are killed or suspended, and what they have written still arrives.

It fails in three ways:

- An order waits for a connection as its worker restarts, is written to the next incarnation and gives it a lease of 10 s, as it is on the former one's clock.
The worker is cut off, and the holder replaced within 3.6 s.
The next holder restores the former incarnation, counts 6.6 s, and starts the task elsewhere (killed or suspended holders; plain, gang and perpetual tasks).
- The same without a takeover, if the task is perpetual.
- The former incarnation was hardly older than the next one, so that the clock in the answer doesn't tell them apart.
The run counts as confirmed on the former one, and its lease as the usual one, with one holder and plain tasks.

--- a/tests/utils/restarting_pool.py
+++ b/tests/utils/restarting_pool.py
@@ -65,6 +65,7 @@
     born_unix_ms: int
     began_at: float
     lease_until_ms: float = 0.0
+    fencing_token: int = 0
     work_by_run: dict[tuple[TaskKey, int], Work] = field(default_factory=dict)
     ended: list[EndedRun] = field(default_factory=list)
     end_number: int = 0
