Write calls that name an incarnation only to a connection of it

What callers saw: a task ran twice at the same time after its worker had restarted under its id and was cut off.

Cause: a call that waited for a connection was written to whichever incarnation accepted that. The next one took the order, and its lease for as long as it takes any, as that is on the former one's clock. What the holder knows of this is lost with it: the next holder counts the usual lease of the former incarnation. Without a takeover, perpetual tasks don't wait for the longest lease, and an answer whose clock is hardly behind counts as the former one's.

Change: a TCP connection belongs to one incarnation of a worker. A new one carries a poll first that renews and acknowledges nothing; `born` in its answer tells where it leads. Starts, leases and acknowledgements are written only if that is the incarnation that they name, and are `not_sent` otherwise. A poll that asks anyway is not sent twice. No lease of a former incarnation can arise then, whatever becomes of the holder; the bounds on such leases stay as they are.

Tests: `test_platform_calls.py` had the first request of a connection as a start or a renewal; that is the question now. Three tests answer it first, check it, and count the requests. The fake client of `test_odd_registrations.py` encodes the question, too.

--- a/tamarackmount/platform/http.py
+++ b/tamarackmount/platform/http.py
@@ -5,9 +5,10 @@
 """
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass
 from enum import Enum
+from functools import partial
 from typing import Any
 
 import httptools
@@ -24,6 +25,8 @@
 IDLE_CONNECTION_S = 10.0
 """Longest idle time of a reused connection in seconds; peers keep theirs for 15 s."""
 
+HTTP_OK = 200
+
 MAX_REPLY_BYTES = 16 * 1024 * 1024
 """Maximum length of a reply's body, in bytes; a page of the store is 1 MB."""
 
@@ -55,6 +58,26 @@
 """How a call ended."""
 
 
+@dataclass(frozen=True, slots=True)
+class PeerQuestion:
+    """A request that asks which peer a connection leads to.
+
+    An address may be used again, also by the next incarnation of a peer, while a
+    connection belongs to one incarnation. The call is only meant for ``expected``.
+    ``read_peer`` returns the peer that a reply comes from, or ``None`` if it does not
+    tell.
+    """
+
+    expected: Hashable
+    target: str
+    body: bytes
+    read_peer: Callable[[Reply], Hashable | None]
+
+    def is_asked_by(self, target: str, body: bytes | None) -> bool:
+        """Tell whether a request is the question itself."""
+        return (target, body) == (self.target, self.body)
+
+
 class Address(str):
     """``HOST:PORT`` of a peer, with an IP address as host."""
 
@@ -77,6 +100,7 @@
     def __init__(self) -> None:
         self.idle_since = Instant(0.0)
         self.is_open = True
+        self.peer: Hashable | None = None
         self._pending: Deferred[CallResult] | None = None
         self._parser: Any = None
         self._body: list[bytes] = []
@@ -170,6 +194,7 @@
         headers: str = "",
         host: str = "",
         may_send: Callable[[], bool] = lambda: True,
+        question: PeerQuestion | None = None,
     ) -> CallResult:
         """Send one request and return its reply or error.
 
@@ -177,27 +202,33 @@
         the Host header; if it is empty, the address is sent. ``may_send`` is asked once
         there is a connection, right before the request is written; if it says no, or
         the deadline has passed, the error is ``NOT_SENT``.
+
+        With a ``question``, the request is only written to a connection on which the
+        expected peer has answered; a new one carries the question first, unless the
+        request is the question itself. If the answer to it has another status than 200,
+        the call returns that; if another peer or none answers, the error is
+        ``NOT_SENT``.
         """
-        connection = self._take_idle(address)
+        expected = question.expected if question is not None else None
+        connection = self._take_idle(address, expected)
         if connection is None:
             opened = await self._connect(address, deadline)
             if isinstance(opened, CallError):
                 return opened
             connection = opened
+        encode = partial(_encode_request, host or address, headers=headers)
         # Opening takes time, and the process may have been suspended meanwhile.
-        left_s = deadline - self._reactor.seconds()
-        refusal = _refusal(left_s, may_send)
-        if refusal is not None:
-            self._keep_idle(address, connection)
-            return refusal
-        request = _encode_request(host or address, method, target, body, headers)
-        pending = connection.exchange(request)
-        timer = self._reactor.callLater(left_s, connection.abort, "deadline passed")
-        self._busy_by_address.setdefault(address, set()).add(connection)
-        result = await pending
-        if timer.active():
-            timer.cancel()
-        self._drop_busy(address, connection)
+        result: CallResult | None = self._refusal(deadline, may_send)
+        is_question = question is not None and question.is_asked_by(target, body)
+        if result is None and question is not None and not is_question:
+            request = encode("POST", question.target, question.body)
+            result = await self._ask(address, connection, question, request, deadline)
+            result = result or self._refusal(deadline, may_send)
+        if result is None:
+            request = encode(method, target, body)
+            result = await self._exchange(address, connection, request, deadline)
+            if is_question and question is not None:
+                _note_peer(connection, question, result)
         self._keep_idle(address, connection)
         return result
 
@@ -216,6 +247,59 @@
         for connection in self._idle_by_address.pop(address, ()):
             connection.close()
 
+    async def _ask(
+        self,
+        address: Address,
+        connection: _Connection,
+        question: PeerQuestion,
+        request: bytes,
+        deadline: Instant,
+    ) -> CallResult | None:
+        """Ask on a new connection which peer answers.
+
+        Return how the call ends unless it is the expected one.
+        """
+        if connection.peer is not None:
+            return None
+        answer = await self._exchange(address, connection, request, deadline)
+        if isinstance(answer, CallError):
+            return CallError(CallErrorKind.NOT_SENT, f"peer not known: {answer.detail}")
+        if answer.status != HTTP_OK:
+            return answer
+        _note_peer(connection, question, answer)
+        if connection.peer != question.expected:
+            return CallError(CallErrorKind.NOT_SENT, "another peer answers")
+        if not connection.is_open:
+            return CallError(CallErrorKind.NOT_SENT, "connection closed")
+        return None
+
+    async def _exchange(
+        self,
+        address: Address,
+        connection: _Connection,
+        request: bytes,
+        deadline: Instant,
+    ) -> CallResult:
+        pending = connection.exchange(request)
+        left_s = max(0.0, deadline - self._reactor.seconds())
+        timer = self._reactor.callLater(left_s, connection.abort, "deadline passed")
+        self._busy_by_address.setdefault(address, set()).add(connection)
+        result = await pending
+        if timer.active():
+            timer.cancel()
+        self._drop_busy(address, connection)
+        return result
+
+    def _refusal(
+        self, deadline: Instant, may_send: Callable[[], bool]
+    ) -> CallError | None:
+        """Return why a request must not be written now, if so."""
+        if deadline <= self._reactor.seconds():
+            return CallError(CallErrorKind.NOT_SENT, "deadline passed")
+        if not may_send():
+            return CallError(CallErrorKind.NOT_SENT, "not permitted any more")
+        return None
+
     async def _connect(
         self, address: Address, deadline: Instant
     ) -> "_Connection | CallError":
@@ -235,12 +319,15 @@
             return CallError(CallErrorKind.NOT_SENT, f"{type(error).__name__}: {error}")
         return opened
 
-    def _take_idle(self, address: Address) -> _Connection | None:
+    def _take_idle(
+        self, address: Address, expected: Hashable | None
+    ) -> _Connection | None:
         idle = self._idle_by_address.get(address)
         oldest = self._reactor.seconds() - IDLE_CONNECTION_S
         while idle:
             connection = idle.pop()
-            if connection.is_open and connection.idle_since >= oldest:
+            is_usable = connection.is_open and connection.idle_since >= oldest
+            if is_usable and (not expected or connection.peer in (None, expected)):
                 return connection
             connection.close()
         return None
@@ -258,13 +345,11 @@
         self._idle_by_address.setdefault(address, deque()).append(connection)
 
 
-def _refusal(left_s: float, may_send: Callable[[], bool]) -> CallError | None:
-    """Return why a request is not written with ``left_s`` to its deadline, if so."""
-    if left_s <= 0:
-        return CallError(CallErrorKind.NOT_SENT, "deadline passed")
-    if not may_send():
-        return CallError(CallErrorKind.NOT_SENT, "not permitted any more")
-    return None
+def _note_peer(
+    connection: _Connection, question: PeerQuestion, answer: CallResult
+) -> None:
+    if connection.peer is None and isinstance(answer, Reply):
+        connection.peer = question.read_peer(answer)
 
 
 def _encode_request(
--- a/tamarackmount/platform/workers.py
+++ b/tamarackmount/platform/workers.py
@@ -18,8 +18,10 @@
     CallErrorKind,
     CallResult,
     HttpClient,
+    PeerQuestion,
     Reply,
 )
+from tamarackmount.platform.incarnations import POLL_TARGET, incarnation_question
 from tamarackmount.platform.resource_amounts import decode_resources
 from tamarackmount.platform.store import JSON_HEADER
 from tamarackmount.resources import Resources
@@ -208,7 +210,10 @@
         deadline: Instant,
         may_send: Callable[[], bool] = lambda: True,
     ) -> OrderReply:
-        """Order a run to start, if ``may_send`` still says so once connected."""
+        """Order a run to start, if ``may_send`` still says so once connected.
+
+        Only the incarnation that the order names gets it.
+        """
         body: dict[str, Any] = {
             "task": _encode_task(order.task),
             "run": order.run_number,
@@ -220,8 +225,9 @@
             body["checkpoint"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
+        question = incarnation_question(order.incarnation, fencing_token)
         return await self._send_order(
-            address, "start", order.incarnation, body, deadline, may_send
+            address, "start", order.incarnation, body, deadline, may_send, question
         )
 
     async def stop(
@@ -253,7 +259,8 @@
         """Return the worker's running and ended runs.
 
         Renew its lease if the request has a lease end. Nothing is sent unless
-        ``may_send`` still says so once connected.
+        ``may_send`` still says so once connected. A request that renews or acknowledges
+        something is only sent to the incarnation that it names.
         """
         body: dict[str, Any] = {
             "fencingToken": request.fencing_token,
@@ -266,11 +273,12 @@
         result = await self._http.call(
             Address(address),
             "POST",
-            "/api/hold",
+            POLL_TARGET,
             deadline,
             orjson.dumps(body),
             _request_headers(incarnation),
             may_send=may_send,
+            question=incarnation_question(incarnation, request.fencing_token),
         )
         return _decode_report(result)
 
@@ -286,6 +294,7 @@
         body: Mapping[str, Any],
         deadline: Instant,
         may_send: Callable[[], bool] = lambda: True,
+        question: PeerQuestion | None = None,
     ) -> OrderReply:
         result = await self._http.call(
             Address(address),
@@ -295,6 +304,7 @@
             orjson.dumps(body),
             _request_headers(incarnation),
             may_send=may_send,
+            question=question,
         )
         return OrderReply(_decode_order_result(result), _decode_reply_clock(result))
 
--- a/tests/test_odd_registrations.py
+++ b/tests/test_odd_registrations.py
@@ -55,8 +55,11 @@
         body: bytes | None = None,
         headers: str = "",
         may_send: Callable[[], bool] = lambda: True,
+        question: http.PeerQuestion | None = None,
     ) -> CallError:
         assert may_send()
+        assert question is not None
+        http._encode_request(address, "POST", question.target, question.body, headers)
         self.requests.append(
             http._encode_request(address, method, target, body, headers)
         )
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -2,6 +2,7 @@
 
 import base64
 import struct
+from dataclasses import replace
 from typing import Any
 
 import orjson
@@ -371,16 +372,28 @@
     assert not peer.requests
 
 
+IDENTIFIED = encode_reply(
+    200, orjson.dumps({"clockMs": 1, "born": INCARNATION.born_unix_ms})
+)
+"""Answer of the incarnation that calls are meant for to the first poll."""
+
+NEXT_IDENTIFIED = encode_reply(
+    200, orjson.dumps({"clockMs": 1, "born": INCARNATION.born_unix_ms + 1})
+)
+"""The same of the next incarnation."""
+
+
 def start_order() -> StartOrder:
     return StartOrder(INCARNATION, TASK, 2, "text", 486_000, "0000", "t1")
 
 
 def test_start_request() -> None:
-    peer = Peer(encode_reply(200, b'{"clockMs":1}'))
+    peer = Peer(IDENTIFIED, encode_reply(200, b'{"clockMs":1}'))
     calls = WorkerCalls(peer.http)
     call = calls.start(peer.address, start_order(), Epoch(7), peer.deadline)
     assert peer.wait(call) == OrderReply(OrderResult.DONE, 1)
-    assert peer.request_json() == {
+    assert peer.request_json(0) == {"fencingToken": 7, "ackCursor": 0}
+    assert peer.request_json(1) == {
         "task": "5c0e7a21d94b36f8.0.1.17",
         "run": 2,
         "spec": "text",
@@ -389,7 +402,8 @@
         "checkpoint": "0000",
         "ticket": "t1",
     }
-    assert b"Expect-Instance: i-1\r\n" in peer.requests[0]
+    assert all(b"Expect-Instance: i-1\r\n" in request for request in peer.requests)
+    assert len(peer.requests) == 2
 
 
 def test_a_start_whose_permission_ends_while_connecting_is_not_sent() -> None:
@@ -418,30 +432,119 @@
     ],
 )
 def test_start_results(reply: bytes, expected: OrderResult) -> None:
+    peer = Peer(IDENTIFIED, reply)
+    calls = WorkerCalls(peer.http)
+    call = calls.start(peer.address, start_order(), Epoch(7), peer.deadline)
+    assert peer.wait(call).result is expected
+    assert len(peer.requests) == 2
+
+
+RENEWAL = PollRequest(Epoch(7), 57, 486_000, 0)
+QUESTION = PollRequest(Epoch(7), 0, None, 0)
+
+
+def test_an_order_opened_a_connection_to_the_next_incarnation() -> None:
+    peer = Peer(NEXT_IDENTIFIED)
+    calls = WorkerCalls(peer.http)
+    call = calls.start(peer.address, start_order(), Epoch(7), peer.deadline)
+    assert peer.wait(call) == OrderReply(OrderResult.NOT_SENT)
+    assert [peer.request_json()] == [{"fencingToken": 7, "ackCursor": 0}]
+    assert len(peer.requests) == 1
+
+
+@pytest.mark.parametrize(
+    "request_", [RENEWAL, replace(QUESTION, ack_cursor=57)], ids=["lease", "ends"]
+)
+def test_a_poll_opened_a_connection_to_the_next_incarnation(
+    request_: PollRequest,
+) -> None:
+    peer = Peer(NEXT_IDENTIFIED)
+    calls = WorkerCalls(peer.http)
+    call = calls.poll(peer.address, INCARNATION, request_, peer.deadline)
+    assert peer.wait(call) is PollFailure.NO_ANSWER
+    assert [peer.request_json()] == [{"fencingToken": 7, "ackCursor": 0}]
+    assert len(peer.requests) == 1
+
+
+def test_a_poll_that_asks_for_the_incarnation_was_sent_twice() -> None:
+    peer = Peer(IDENTIFIED)
+    calls = WorkerCalls(peer.http)
+    for request in (QUESTION, RENEWAL):
+        poll = calls.poll(peer.address, INCARNATION, request, peer.deadline)
+        assert isinstance(peer.wait(poll), WorkerReport)
+    start = calls.start(peer.address, start_order(), Epoch(7), peer.deadline)
+    assert peer.wait(start).result is OrderResult.DONE
+    # One connection, on which the incarnation has answered once.
+    assert len(peer.requests) == 3
+    assert peer.connections == 1
+
+
+def test_a_connection_to_the_former_incarnation_carried_an_order_to_the_next() -> None:
+    peer = Peer(IDENTIFIED, NEXT_IDENTIFIED)
+    calls = WorkerCalls(peer.http)
+    peer.wait(calls.poll(peer.address, INCARNATION, QUESTION, peer.deadline))
+    born = INCARNATION.born_unix_ms + 1
+    order = replace(
+        start_order(), incarnation=WorkerIncarnation(INCARNATION.worker_id, born)
+    )
+    call = calls.start(peer.address, order, Epoch(7), peer.deadline)
+    assert peer.wait(call).result is OrderResult.DONE
+    assert peer.connections == 2
+
+
+@pytest.mark.parametrize(
+    ("reply", "expected"),
+    [
+        (encode_reply(409, b'{"reason":"fence"}'), OrderResult.FENCED),
+        (encode_reply(421, b""), OrderResult.OTHER_INCARNATION),
+        (encode_reply(503, b""), OrderResult.UNHEALTHY),
+        (encode_reply(200, b"[]"), OrderResult.NOT_SENT),
+        (encode_reply(200, b'{"born":"soon"}'), OrderResult.NOT_SENT),
+        (b"", OrderResult.NOT_SENT),
+    ],
+)
+def test_an_order_was_written_after_a_question_without_an_answer(
+    reply: bytes, expected: OrderResult
+) -> None:
     peer = Peer(reply)
     calls = WorkerCalls(peer.http)
     call = calls.start(peer.address, start_order(), Epoch(7), peer.deadline)
     assert peer.wait(call).result is expected
+    assert len(peer.requests) == 1
+
+
+def test_an_order_was_written_after_its_permission_had_ended() -> None:
+    peer = Peer(IDENTIFIED)
+    calls = WorkerCalls(peer.http)
+    call = calls.start(
+        peer.address,
+        start_order(),
+        Epoch(7),
+        peer.deadline,
+        lambda: not peer.requests,
+    )
+    assert peer.wait(call) == OrderReply(OrderResult.NOT_SENT)
+    assert len(peer.requests) == 1
 
 
 def test_poll_decodes_running_and_ended_runs() -> None:
     body = (
-        b'{"clockMs":5,"born":9,"running":[["5c0e7a21d94b36f8.0.1.17",2,"cp",41,30]],'
+        b'{"clockMs":5,"born":1700000000000,"running":[["5c0e7a21d94b36f8.0.1.17",2,"cp",41,30]],'
         b'"ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]}'
     )
-    peer = Peer(encode_reply(200, body))
+    peer = Peer(IDENTIFIED, encode_reply(200, body))
     request = PollRequest(Epoch(7), 57, 486_000, 1_000)
     call = WorkerCalls(peer.http).poll(
         peer.address, INCARNATION, request, peer.deadline
     )
     result = peer.wait(call)
     assert isinstance(result, WorkerReport)
-    assert (result.born_unix_ms, result.clock_ms) == (9, 5)
+    assert (result.born_unix_ms, result.clock_ms) == (INCARNATION.born_unix_ms, 5)
     assert result.running[0].task == TASK
     running = result.running[0]
     assert (running.checkpoint, running.progress_percent) == ("cp", 41)
     assert (result.ended[0].end_number, result.ended[0].outcome) == (58, RunEnd.DONE)
-    assert peer.request_json() == {
+    assert peer.request_json(1) == {
         "fencingToken": 7,
         "ackCursor": 57,
         "untilMs": 486_000,
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -28,6 +28,7 @@
     "tests/test_scheduling_restarted_workers.py "
     "tests/test_scheduling_carried_over_runs.py"
 )
+OVER_TCP = "tests/test_scheduling_restarts_over_tcp.py"
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +81,27 @@
         "        if True:\n",
         RESTARTED,
     ),
+    Mutant(
+        "an order is written only to a connection of the incarnation that it names",
+        "platform/http.py",
+        "        if connection.peer != question.expected:\n",
+        "        if False:\n",
+        OVER_TCP,
+    ),
+    Mutant(
+        "a connection on which nobody has answered carries a question first",
+        "platform/http.py",
+        "        if connection.peer is not None:\n",
+        "        if True:\n",
+        OVER_TCP,
+    ),
+    Mutant(
+        "a connection to the former incarnation carries nothing for the next one",
+        "platform/http.py",
+        "(not expected or connection.peer in (None, expected))",
+        "True",
+        "tests/test_platform_calls.py",
+    ),
     Mutant(
         "ends are acknowledged only to the incarnation that listed them",
         "scheduling/contact/worker_polls.py",
--- a/tests/utils/switch_offs.py
+++ b/tests/utils/switch_offs.py
@@ -111,6 +111,17 @@
             ),
         ),
     ),
+    SwitchOff(
+        "incarnation-questions",
+        "a worker restarts while calls wait for a connection to it",
+        (
+            _edit(
+                "platform/http.py",
+                "        if connection.peer is not None:\n",
+                "        if True:\n",
+            ),
+        ),
+    ),
     SwitchOff(
         "suspected-workers",
         "a worker is cut off, and orders go to it until a second poll fails",
