Drawn histories with calls that are carried out late

A worker may leave a call unanswered and carry it out up to 12 s later. Three drawn histories have 3% of such calls, while workers restart and are cut off and holders end.

--- a/tests/test_scheduling_restarts_over_tcp.py
+++ b/tests/test_scheduling_restarts_over_tcp.py
@@ -114,6 +114,18 @@
     assert pool.counts.cuts
 
 
+@pytest.mark.parametrize("seed", [9, 48, 71])
+def test_two_runs_of_a_task_as_calls_were_carried_out_late(
+    build_pool: BuildPool, seed: int
+) -> None:
+    rng = random.Random(seed)
+    pool = build_pool(4, lambda: rng.choice((0.5, rng.uniform(8.0, 14.0))), rng)
+    pool.workers.late_share = 0.03
+    draw_history(pool, rng)
+    assert not pool.violations
+    assert pool.workers.late_calls
+
+
 def draw_history(pool: ConnectedPool, rng: random.Random) -> None:
     """Submit jobs while workers restart and are cut off, and holders end."""
     for number in range(1, 9):
