Ask at once after an order has met a restarted worker, in time of its own

What callers would see: urgent tasks start late.

- An order that met the next incarnation counted as not sent for want of a connection.
- Connecting, the question and the order shared the order's 0.2 s, so that nothing started in time on workers with a round trip of 80 ms.

Change: such an order has a result of its own, which marks the worker as suspected and asks it with an extra poll. The time that a question takes is added to the deadline of the call.

--- a/tamarackmount/platform/http.py
+++ b/tamarackmount/platform/http.py
@@ -32,9 +32,14 @@
 
 
 class CallErrorKind(Enum):
-    """Why a call has no reply; only ``NOT_SENT`` guarantees that it had no effect."""
+    """Why a call has no reply.
+
+    ``NOT_SENT`` and ``OTHER_PEER`` guarantee that it had no effect. The latter means
+    that another peer than the expected one has answered at the address.
+    """
 
     NOT_SENT = "not_sent"
+    OTHER_PEER = "other_peer"
     NO_REPLY = "no_reply"
 
 
@@ -205,9 +210,10 @@
 
         With a ``question``, the request is only written to a connection on which the
         expected peer has answered; a new one carries the question first, unless the
-        request is the question itself. If the answer to it has another status than 200,
-        the call returns that; if another peer or none answers, the error is
-        ``NOT_SENT``.
+        request is the question itself. The time that this takes is added to the
+        deadline. If the answer to the question has another status than 200, the call
+        returns that; if another peer answers, the error is ``OTHER_PEER``, and if none
+        does, ``NOT_SENT``.
         """
         expected = question.expected if question is not None else None
         connection = self._take_idle(address, expected)
@@ -222,7 +228,9 @@
         is_question = question is not None and question.is_asked_by(target, body)
         if result is None and question is not None and not is_question:
             request = encode("POST", question.target, question.body)
+            asked_at = self._reactor.seconds()
             result = await self._ask(address, connection, question, request, deadline)
+            deadline = Instant(deadline + self._reactor.seconds() - asked_at)
             result = result or self._refusal(deadline, may_send)
         if result is None:
             request = encode(method, target, body)
@@ -267,8 +275,10 @@
         if answer.status != HTTP_OK:
             return answer
         _note_peer(connection, question, answer)
+        if connection.peer is None:
+            return CallError(CallErrorKind.NOT_SENT, "peer not known: it did not tell")
         if connection.peer != question.expected:
-            return CallError(CallErrorKind.NOT_SENT, "another peer answers")
+            return CallError(CallErrorKind.OTHER_PEER, "another peer answers")
         if not connection.is_open:
             return CallError(CallErrorKind.NOT_SENT, "connection closed")
         return None
--- a/tamarackmount/platform/workers.py
+++ b/tamarackmount/platform/workers.py
@@ -180,6 +180,13 @@
 }
 
 
+_RESULT_BY_CALL_ERROR = {
+    CallErrorKind.NOT_SENT: OrderResult.NOT_SENT,
+    CallErrorKind.OTHER_PEER: OrderResult.RESTARTED,
+    CallErrorKind.NO_REPLY: OrderResult.UNKNOWN,
+}
+
+
 @dataclass(frozen=True, slots=True)
 class PollRequest:
     """A long poll for a worker's report, which also renews the worker's lease.
@@ -352,9 +359,7 @@
 
 def _decode_order_result(result: CallResult) -> OrderResult:
     if isinstance(result, CallError):
-        if result.kind is CallErrorKind.NOT_SENT:
-            return OrderResult.NOT_SENT
-        return OrderResult.UNKNOWN
+        return _RESULT_BY_CALL_ERROR[result.kind]
     if result.status == 409:
         try:
             reason = _ConflictReason(orjson.loads(result.body)["reason"])
--- a/tamarackmount/scheduling/contact/order_results.py
+++ b/tamarackmount/scheduling/contact/order_results.py
@@ -33,7 +33,13 @@
 
 _UNANSWERED = (OrderResult.UNKNOWN, OrderResult.NOT_SENT)
 
-_NO_ANSWER_OF_WORKER = (*_UNANSWERED, OrderResult.OTHER_INCARNATION)
+_NOT_WRITTEN = (OrderResult.NOT_SENT, OrderResult.RESTARTED)
+
+_NO_ANSWER_OF_WORKER = (
+    *_UNANSWERED,
+    OrderResult.OTHER_INCARNATION,
+    OrderResult.RESTARTED,
+)
 
 
 def send_stored_start(state: SchedulerState, start: StartRun, now: Instant) -> None:
@@ -106,7 +112,7 @@
     """
     worker = state.workers_by_incarnation.get(incarnation)
     if worker is not None:
-        if result is not OrderResult.NOT_SENT:
+        if result not in _NOT_WRITTEN:
             worker.record_lease_call(now)
         if clock_ms is not None and not worker.may_have_read(clock_ms):
             _log.info(
@@ -217,6 +223,18 @@
         _retry_placement(state, run, now)
 
 
+def _ask_restarted_worker(state: SchedulerState, run: Run, now: Instant) -> None:
+    """Place a task again, and ask at once which incarnation has answered.
+
+    The regular poll may wait on a connection to the former one until it times out.
+    """
+    worker = state.workers_by_incarnation.get(run.incarnation)
+    if worker is not None:
+        mark_suspected(state, worker, now)
+        worker.needs_extra_poll = True
+    _retry_placement(state, run, now)
+
+
 def _step_down(state: SchedulerState, run: Run, now: Instant) -> None:
     step_down(state, run.incarnation)
     _retry_placement(state, run, now)
@@ -255,5 +273,6 @@
     OrderResult.UNHEALTHY: _back_off_worker,
     OrderResult.OTHER_INCARNATION: _remove_replaced_worker,
     OrderResult.NOT_SENT: _handle_unsent_start,
+    OrderResult.RESTARTED: _ask_restarted_worker,
     OrderResult.UNKNOWN: _handle_unknown_start,
 }
--- a/tamarackmount/scheduling/domain/worker_reports.py
+++ b/tamarackmount/scheduling/domain/worker_reports.py
@@ -108,7 +108,8 @@
     """Result of an order.
 
     A ``DONE`` order was carried out, an ``UNKNOWN`` one may have been, and no other
-    was.
+    was. A ``RESTARTED`` one was not sent, since another incarnation of the worker has
+    answered in place of the one that it names.
     """
 
     DONE = "done"
@@ -121,6 +122,7 @@
     UNHEALTHY = "unhealthy"
     OTHER_INCARNATION = "other_life"
     NOT_SENT = "not_sent"
+    RESTARTED = "restarted"
     UNKNOWN = "unknown"
 
 
