End a call only once its whole segment was parsed

What callers would see: an order was taken for answered by bytes that followed the answer to the question before it (found by the review).

Cause: the reply ended the call from within the parser, the next request was written in the same turn, and the rest of the bytes went to the next call.

Change: a reply ends its call after all received bytes were parsed; bytes after a reply abort the connection. The review's test test_the_rest_of_an_answer_was_taken_for_that_of_an_order failed before.

--- a/tamarackmount/platform/http.py
+++ b/tamarackmount/platform/http.py
@@ -110,6 +110,8 @@
         self._parser: Any = None
         self._body: list[bytes] = []
         self._size = 0
+        self._reply: Reply | None = None
+        self._keeps_alive = True
 
     def connectionMade(self) -> None:  # noqa: N802  (name set by Twisted)
         transport: Any = self.transport
@@ -133,6 +135,16 @@
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self.abort(f"malformed HTTP reply: {error}")
+        if self._reply is not None and self.is_open:
+            self._end_call(self._reply)
+
+    def on_message_begin(self) -> None:
+        """Abort if anything follows a reply; called by the parser.
+
+        The next call would take it for its own reply.
+        """
+        if self._reply is not None:
+            self.abort("bytes received after the reply")
 
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body; called by the parser."""
@@ -143,15 +155,11 @@
         self._body.append(data)
 
     def on_message_complete(self) -> None:
-        """End the call with the reply; called by the parser."""
-        parser, self._parser = self._parser, None
-        if parser is None or not self.is_open:
-            return
-        reply = Reply(parser.get_status_code(), b"".join(self._body))
-        self._body = []
-        if not parser.should_keep_alive():
-            self.close()
-        self._finish(reply)
+        """Keep the complete reply; called by the parser."""
+        if self.is_open and self._reply is None:
+            status = self._parser.get_status_code()
+            self._reply = Reply(status, b"".join(self._body))
+            self._keeps_alive = self._parser.should_keep_alive()
 
     def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:  # noqa: N802
         self.is_open = False
@@ -170,6 +178,13 @@
         if transport is not None:
             transport.loseConnection()
 
+    def _end_call(self, reply: Reply) -> None:
+        self._parser = self._reply = None
+        self._body = []
+        if not self._keeps_alive:
+            self.close()
+        self._finish(reply)
+
     def _finish(self, result: CallResult) -> None:
         pending, self._pending = self._pending, None
         if pending is not None:
