--- a/tamarackmount/scheduling/contact/worker_ends.py
+++ b/tamarackmount/scheduling/contact/worker_ends.py
@@ -179,7 +179,12 @@
     ]
     if not over:
         return
-    extra = {"worker": worker.incarnation.worker_id, "runs": len(over)}
+    extra = {
+        "worker": worker.incarnation.worker_id,
+        "runs": len(over),
+        "silent_s": round(now - worker.answered_at, 3),
+        "foreign_lease": worker.foreign_lease_ends >= worker.lease_ends,
+    }
     _log.info("worker lease expired", extra=extra)
     lost = _lost_runs(state, worker, over, now)
     _remember_lapsed(state, worker, lost, now)
--- a/tests/test_scheduling_restarted_workers.py
+++ b/tests/test_scheduling_restarted_workers.py
@@ -197,3 +197,15 @@
         harness.tick(0.1)
     lapsed = harness.scheduler._state.lapsed_workers[FORMER]
     assert {lost.run.task for lost in lapsed.runs} == {first.task, second.task}
+
+
+def test_the_log_did_not_tell_of_which_calls_a_counted_lease_was(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level("INFO")
+    harness = SchedulerHarness()
+    start_on_next(harness)
+    first_start_s(harness)
+    lapse = next(one for one in caplog.records if one.msg == "worker lease expired")
+    assert lapse.__dict__["foreign_lease"]
+    assert lapse.__dict__["silent_s"] > USUAL_LEASE_S
