Limit what the connections of a node buffer, and refuse the rest at once

Callers' bodies were kept up to 1 MiB each whatever maxBodyBytes said, nothing bounded their sum, and a refused body was read and kept first. limits.memoryMb and limits.fileDescriptors were not read.

It covers unparsed input, header fields, bodies and pipelined requests. A body that doesn't fit is refused with 503, one over maxBodyBytes with 413, and one over 4 KiB that can't be served with its 404, 401 or 503: by announced length before it is read, in chunks as soon as it has grown. "Expect: 100-continue" gets the final status then. The connection half-closes, drops up to 1 MiB for 2 s, and is aborted.

Bodies of forms are no longer decoded into arguments, which nobody reads.

--- a/tamarackmount/internal/bounded_request.py
+++ b/tamarackmount/internal/bounded_request.py
@@ -7,31 +7,38 @@
 from twisted.web.server import Request
 
 MAX_BODY_BYTES = 1024 * 1024
-"""Largest accepted body of a request, in bytes."""
+"""Largest accepted body of a request, in bytes, where no configuration sets one."""
 
 
 class _BoundedBody(io.BytesIO):
-    """Stores a body up to ``MAX_BODY_BYTES`` and drops the parts beyond it."""
+    """Stores a body up to ``max_bytes`` and drops the parts beyond it."""
 
-    too_large = False
+    def __init__(self, max_bytes: int) -> None:
+        super().__init__()
+        self._max_bytes = max_bytes
+        self.too_large = False
 
     def write(self, data: Any) -> int:
-        if self.tell() + len(data) > MAX_BODY_BYTES:
+        if self.tell() + len(data) > self._max_bytes:
             self.too_large = True
             return len(data)
         return super().write(data)
 
 
 class BoundedRequest(Request):
-    """A request whose body is kept in memory, up to ``MAX_BODY_BYTES``."""
+    """A request whose body is kept in memory, up to ``max_body_bytes``."""
+
+    max_body_bytes = MAX_BODY_BYTES
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802, ARG002
         """Prepare to receive the body; the declared length is ignored."""
-        self.content = _BoundedBody()
+        # Decoded forms take many times the memory of the body.
+        self._parsePOSTFormSubmission = False
+        self.content = _BoundedBody(self.max_body_bytes)
 
     @property
     def too_large(self) -> bool:
-        """Whether the body is larger than ``MAX_BODY_BYTES``."""
+        """Whether the body is larger than ``max_body_bytes``."""
         return isinstance(self.content, _BoundedBody) and self.content.too_large
 
 
@@ -46,5 +53,8 @@
     content = request.content
     if content is None:
         return b""
+    if isinstance(content, io.BytesIO):
+        # Unlike the result of ``read``, it shares the memory of the buffer.
+        return content.getvalue()
     content.seek(0)
     return bytes(content.read())
--- a/tamarackmount/node/http_api.py
+++ b/tamarackmount/node/http_api.py
@@ -90,6 +90,12 @@
     retry_after_s: int | None = None
 
 
+NO_CONFIGURATION = ApiResponse(
+    HttpStatus.SERVICE_UNAVAILABLE, retry_after_s=STARTING_RETRY_AFTER_S
+)
+"""The response to callers before the first configuration is read."""
+
+
 @dataclass(frozen=True, slots=True)
 class ApiRequest:
     """A caller's request to a queue; ``job_id`` is empty for the queue itself."""
@@ -181,9 +187,7 @@
     async def _respond(self, request: BoundedRequest) -> ApiResponse:
         fleet = self._jobs.fleet
         if fleet is None:
-            return ApiResponse(
-                HttpStatus.SERVICE_UNAVAILABLE, retry_after_s=STARTING_RETRY_AFTER_S
-            )
+            return NO_CONFIGURATION
         api_request = _parse_request(request, fleet)
         if isinstance(api_request, ApiResponse):
             return api_request
@@ -269,21 +273,30 @@
     request: BoundedRequest, fleet: FleetConfig
 ) -> ApiRequest | ApiResponse:
     path = request.path.decode("latin-1")
-    queue = fleet.queue_for(header(request, "host"), path)
-    if queue is None:
-        return ApiResponse(HttpStatus.NOT_FOUND)
-    workspace = _authenticate(request, fleet)
-    if workspace is None and not queue.is_public:
-        return ApiResponse(HttpStatus.UNAUTHORIZED)
+    target = find_target(request, path, fleet)
+    if isinstance(target, ApiResponse):
+        return target
+    queue, workspace_id = target
     body = body_of(request)
     if request.too_large or len(body) > fleet.max_body_bytes:
         return ApiResponse(HttpStatus.TOO_LARGE)
     name = path[len(queue.prefix) :].strip("/")
     if name and not _JOB_ID_PATTERN.match(name):
         return ApiResponse(HttpStatus.BAD_REQUEST)
-    return ApiRequest(
-        queue, workspace or NO_WORKSPACE, JobId(name), body, parse_deadline(request)
-    )
+    return ApiRequest(queue, workspace_id, JobId(name), body, parse_deadline(request))
+
+
+def find_target(
+    request: BoundedRequest, path: str, fleet: FleetConfig
+) -> tuple[Queue, WorkspaceId] | ApiResponse:
+    """Return the queue and workspace of a request's header, or a refusal."""
+    queue = fleet.queue_for(header(request, "host"), path)
+    if queue is None:
+        return ApiResponse(HttpStatus.NOT_FOUND)
+    workspace = _authenticate(request, fleet)
+    if workspace is None and not queue.is_public:
+        return ApiResponse(HttpStatus.UNAUTHORIZED)
+    return queue, workspace or NO_WORKSPACE
 
 
 def _authenticate(request: BoundedRequest, fleet: FleetConfig) -> WorkspaceId | None:
--- /dev/null
+++ b/tamarackmount/node/http_ports.py
@@ -0,0 +1,74 @@
+"""The HTTP ports of a node, with limits on what their connections hold."""
+
+from typing import Any
+
+from twisted.web.resource import Resource
+
+from tamarackmount.daemon.quiet_site import QuietSite
+from tamarackmount.internal.bounded_channel import (
+    NoBodies,
+    PortLimits,
+    RequestPolicy,
+    channel_factory,
+)
+from tamarackmount.internal.bounded_request import BoundedRequest
+from tamarackmount.internal.buffer_budget import BufferBudget
+from tamarackmount.node.connection_metrics import ConnectionMetrics
+from tamarackmount.node.http_api import Jobs, JobsResource
+from tamarackmount.node.process_limits import ProcessLimits
+from tamarackmount.node.request_policy import CallerPolicy
+
+LISTEN_BACKLOG = 512
+"""Maximum number of connections waiting to be accepted; more than arrive in one
+second."""
+
+
+class BoundedSite(QuietSite):
+    """An HTTP site whose connections have limits."""
+
+    def __init__(self, resource: Resource, limits: PortLimits) -> None:
+        """Serve ``resource`` on connections with ``limits``."""
+        QuietSite.__init__(
+            self, resource, requestFactory=BoundedRequest, reactor=limits.reactor
+        )
+        factory: Any = channel_factory(limits)
+        self.protocol = factory  # type: ignore[method-assign]
+
+
+class HttpPorts:
+    """Listens for callers, for the load balancer and for readers of the metrics."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        limits: ProcessLimits,
+        jobs: Jobs,
+        metrics: ConnectionMetrics,
+    ) -> None:
+        """Prepare the ports; nothing is opened yet."""
+        self._reactor = reactor
+        self._jobs = jobs
+        self._metrics = metrics
+        self.budget = BufferBudget(limits.buffer_bytes)
+        metrics.watch(self.budget)
+
+    def listen_for_callers(self, address: Any, resource: JobsResource) -> None:
+        """Serve callers; bodies are limited by the configuration."""
+        self._listen(address, resource, CallerPolicy(self._jobs))
+
+    def listen_for_checks(self, address: Any, resource: Resource) -> None:
+        """Serve the checks of the load balancer."""
+        self._listen(address, resource, NoBodies())
+
+    def listen_for_metrics(self, address: Any, resource: Resource) -> None:
+        """Serve the metrics."""
+        self._listen(address, resource, NoBodies())
+
+    def _listen(self, address: Any, resource: Resource, policy: RequestPolicy) -> None:
+        limits = PortLimits(self._reactor, self.budget, policy, self._metrics)
+        self._reactor.listenTCP(
+            address.port,
+            BoundedSite(resource, limits),
+            backlog=LISTEN_BACKLOG,
+            interface=address.host,
+        )
--- a/tamarackmount/node/metrics.py
+++ b/tamarackmount/node/metrics.py
@@ -11,6 +11,7 @@
     TEXT_FORMAT,
     render_metrics,
 )
+from tamarackmount.node.connection_metrics import ConnectionMetrics
 from tamarackmount.node.contention_metrics import ContentionMetrics
 from tamarackmount.scheduling.shares.observer import ContentionRow
 
@@ -91,6 +92,7 @@
             "Runs that go on there, at the node that schedules.",
             registry=self.registry,
         )
+        self.connections = ConnectionMetrics(self.registry)
         self.set_evacuated_data_centres(0)
         self.set_evacuated_runs(0)
         self._contention = ContentionMetrics(self.registry)
@@ -153,6 +155,7 @@
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         self._contention.update_gauges()
+        self.connections.update_gauges()
         return render_metrics(self.registry)
 
     def set_evacuated_data_centres(self, count: int) -> None:
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -7,10 +7,8 @@
 from returns.result import Failure
 from twisted.internet.task import deferLater
 
-from tamarackmount.daemon.quiet_site import QuietSite
 from tamarackmount.ids import DataCentreId, Instant, JobId, MemberId, Offset, WorkerId
 from tamarackmount.internal.addresses import Address as PeerAddress
-from tamarackmount.internal.bounded_request import BoundedRequest
 from tamarackmount.internal.codec import Codec, Envelope
 from tamarackmount.internal.links import PeerLinks
 from tamarackmount.node import clock
@@ -23,6 +21,7 @@
 from tamarackmount.node.holder_dependencies import HolderDependencies
 from tamarackmount.node.holder_election import HolderElection
 from tamarackmount.node.http_api import JobsResource, ReadinessResource
+from tamarackmount.node.http_ports import HttpPorts
 from tamarackmount.node.job_service import JobService
 from tamarackmount.node.jobs_follower import JobsFollower
 from tamarackmount.node.messages import (
@@ -40,6 +39,7 @@
 from tamarackmount.node.metrics import MetricsResource, NodeMetrics
 from tamarackmount.node.node_registry import NodeRegistry
 from tamarackmount.node.peer_calls import PeerCalls, QueryReply
+from tamarackmount.node.process_limits import process_limits
 from tamarackmount.node.processor_speed import ProcessorSpeed, time_sample
 from tamarackmount.node.remote_contact import RemoteContact
 from tamarackmount.node.store_contact import StoreContact
@@ -83,21 +83,9 @@
 """Margin between the latest end of a drain and the platform's kill signal, in
 seconds."""
 
-LISTEN_BACKLOG = 512
-"""Maximum number of connections waiting to be accepted; more than arrive in one
-second."""
-
 _log = logging.getLogger(__name__)
 
 
-class JobsSite(QuietSite):
-    """The HTTP site for callers, with bounded request bodies."""
-
-    def __init__(self, jobs_resource: JobsResource) -> None:
-        """Serve ``jobs_resource``."""
-        QuietSite.__init__(self, jobs_resource, requestFactory=BoundedRequest)
-
-
 class Node:
     """Serves callers, follows the store, and is the holder when elected."""
 
@@ -198,6 +186,9 @@
             self._store_contact,
         )
         self._jobs_resource = JobsResource(self.jobs, self._context.metrics)
+        self._ports = HttpPorts(
+            reactor, process_limits(settings), self.jobs, metrics.connections
+        )
         self._handlers: dict[type, Callable[[MemberId, Any], None]] = {
             **self.jobs.handlers,
             StoreAgeQuery: self._handle_store_age_query,
@@ -213,11 +204,14 @@
     def start(self) -> None:
         """Open the sockets and start following the store."""
         settings = self._context.settings
-        self._listen(settings.entry_address, JobsSite(self._jobs_resource))
-        readiness = QuietSite(ReadinessResource(self._is_ready))
-        self._listen(settings.readiness_address, readiness)
-        metrics = QuietSite(MetricsResource(self._context.metrics))
-        self._listen(PeerAddress(settings.ip, settings.metrics_port), metrics)
+        self._ports.listen_for_callers(settings.entry_address, self._jobs_resource)
+        self._ports.listen_for_checks(
+            settings.readiness_address, ReadinessResource(self._is_ready)
+        )
+        self._ports.listen_for_metrics(
+            PeerAddress(settings.ip, settings.metrics_port),
+            MetricsResource(self._context.metrics),
+        )
         self._context.links.listen(PeerAddress(settings.ip, settings.peer_port))
         self.follow_store()
         self.start_claiming()
@@ -312,11 +306,6 @@
             self._follower.last_contact,
         )
 
-    def _listen(self, address: Any, site: Any) -> None:
-        self._context.reactor.listenTCP(
-            address.port, site, backlog=LISTEN_BACKLOG, interface=address.host
-        )
-
     def _apply_jobs_snapshot(self, records: Sequence[KeyedRecord]) -> None:
         self._apply_job_records(records)
         self._election.check_soon()
--- /dev/null
+++ b/tamarackmount/node/process_limits.py
@@ -0,0 +1,59 @@
+"""How much of a process's memory and descriptors each kind of connection may use."""
+
+from dataclasses import dataclass
+
+from tamarackmount.platform.boot import BootSettings
+
+RESERVED_DESCRIPTORS = 200
+"""Number of descriptors that the platform reserves for files."""
+
+BUFFER_MEMORY_DIVISOR = 8
+"""Part of the memory, as a divisor, that buffers of connections share."""
+
+CONNECTION_MEMORY_DIVISOR = 8
+"""Part of the memory, as a divisor, that all entry connections take together beside
+the shared buffers."""
+
+CONNECTION_BYTES = 16 * 1024
+"""Memory that one connection takes beside the shared buffers, in bytes."""
+
+ENTRY_DESCRIPTOR_DIVISOR = 2
+"""Part of the sockets, as a divisor, for callers; the rest is for workers, the store
+and other nodes."""
+
+PEER_DESCRIPTOR_DIVISOR = 8
+"""Part of the sockets, as a divisor, for connections that other nodes opened."""
+
+MIN_CONNECTIONS = 8
+"""Smallest number of connections of a port, however low the limits are."""
+
+INTERNAL_CONNECTIONS = 16
+"""Number of connections of the readiness port, and of the metrics port; each has one or
+two clients."""
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessLimits:
+    """Limits on what the connections of one process hold.
+
+    ``buffer_bytes`` is shared by all connections; the others are numbers of open
+    connections of a port.
+    """
+
+    buffer_bytes: int
+    entry_connections: int
+    peer_connections: int
+    readiness_connections: int = INTERNAL_CONNECTIONS
+    metrics_connections: int = INTERNAL_CONNECTIONS
+
+
+def process_limits(settings: BootSettings) -> ProcessLimits:
+    """Return the limits that follow from the memory and descriptors of the process."""
+    sockets = max(0, settings.file_descriptors - RESERVED_DESCRIPTORS)
+    affordable = settings.memory_bytes // CONNECTION_MEMORY_DIVISOR // CONNECTION_BYTES
+    entry = min(sockets // ENTRY_DESCRIPTOR_DIVISOR, affordable)
+    return ProcessLimits(
+        buffer_bytes=settings.memory_bytes // BUFFER_MEMORY_DIVISOR,
+        entry_connections=max(MIN_CONNECTIONS, entry),
+        peer_connections=max(MIN_CONNECTIONS, sockets // PEER_DESCRIPTOR_DIVISOR),
+    )
--- a/tamarackmount/platform/boot.py
+++ b/tamarackmount/platform/boot.py
@@ -22,6 +22,15 @@
 DEFAULT_PATH = "/etc/tamarackmount/boot.json"
 """Path of the settings file if the environment variable is not set."""
 
+BYTES_PER_MB = 1_000_000
+"""Bytes in a megabyte of the settings file."""
+
+DEFAULT_MEMORY_BYTES = 256 * 1024 * 1024
+"""Memory that a process may use if the file sets no limit, in bytes."""
+
+DEFAULT_FILE_DESCRIPTORS = 1_024
+"""Number of descriptors that a process may open if the file sets no limit."""
+
 
 @dataclass(frozen=True, slots=True)
 class PlatformBounds:
@@ -60,7 +69,8 @@
 
     ``processor_cores`` is the processor time that the machine provides, in cores. The
     store takes at most ``max_append_bytes`` in one append and ``max_record_bytes`` in
-    one record.
+    one record. The process may use ``memory_bytes`` of memory and have
+    ``file_descriptors`` open at once.
     ``advice_address`` is empty if the file names no advice service. ``cloud_address``
     and ``worker_heartbeat_ms`` are decoded so that a malformed file is refused, but are
     not used yet.
@@ -80,6 +90,8 @@
     cloud_address: Address
     worker_heartbeat_ms: int
     processor_cores: float
+    memory_bytes: int
+    file_descriptors: int
     bounds: PlatformBounds
 
 
@@ -120,10 +132,17 @@
         worker_heartbeat_ms=int(raw["heartbeatIntervalMs"]),
         # cpuShare is a fraction of one core at the speed that ``cores`` multiplies.
         processor_cores=float(limits["cpuShare"]) * float(limits["cores"]),
+        memory_bytes=_memory_bytes(limits),
+        file_descriptors=int(limits.get("fileDescriptors") or DEFAULT_FILE_DESCRIPTORS),
         bounds=_decode_bounds(raw["bounds"]),
     )
 
 
+def _memory_bytes(limits: Mapping[str, Any]) -> int:
+    megabytes = float(limits.get("memoryMb") or 0)
+    return int(megabytes * BYTES_PER_MB) or DEFAULT_MEMORY_BYTES
+
+
 def _decode_bounds(raw: Mapping[str, Any]) -> PlatformBounds:
     return PlatformBounds(
         termination_grace_s=float(raw["graceS"]),
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -8,7 +8,11 @@
 
 from tamarackmount.ids import QueueName, RackId, WorkspaceId
 from tamarackmount.internal.keys import hash_key
-from tamarackmount.platform.boot import decode_boot
+from tamarackmount.platform.boot import (
+    DEFAULT_FILE_DESCRIPTORS,
+    DEFAULT_MEMORY_BYTES,
+    decode_boot,
+)
 from tamarackmount.platform.config import decode_fleet_config
 from tamarackmount.platform.jobs import MAX_SPEC_BYTES, MAX_TASKS, decode_job
 from tamarackmount.platform.workers import decode_worker
@@ -30,6 +34,23 @@
     assert settings.bounds.termination_grace_s == 6.0
 
 
+@pytest.mark.parametrize(
+    ("limits", "expected"),
+    [
+        ({}, (DEFAULT_MEMORY_BYTES, DEFAULT_FILE_DESCRIPTORS)),
+        ({"memoryMb": 0, "fileDescriptors": None}, (DEFAULT_MEMORY_BYTES, 1_024)),
+        ({"memoryMb": 300, "fileDescriptors": 4_100}, (300_000_000, 4_100)),
+    ],
+)
+def test_limits_of_the_machine_were_not_read(
+    limits: dict[str, Any], expected: tuple[int, int]
+) -> None:
+    processor = {"cpuShare": 0.5, "cores": 2}
+    document = boot_document(limits={**processor, **limits})
+    settings = decode_boot(orjson.dumps(document)).unwrap()
+    assert (settings.memory_bytes, settings.file_descriptors) == expected
+
+
 @pytest.mark.parametrize("name", ["node", "listen", "platform", "bounds", "limits"])
 def test_error_names_the_missing_part_of_the_settings(name: str) -> None:
     document = boot_document()
