Close connections whose request or response does not come to an end

A connection was closed after 60 s without a byte, so that one byte a minute kept an incomplete request, and what it buffers, for ever. A closing connection whose client doesn't read stayed open without limit.

Each connection has a state, and each state a deadline, in one table of the port: 30 s for a whole request from its first byte (408 then), 60 s idle, 15 s to read the last response, 2 s after a refusal, and 30 s in which nobody reads while responses wait. Where the shared buffers are full, requests that are older than 2 s and not complete give way, oldest first. The table replaces one timer for each connection.

The new tests pass; they drive the table and can't run on the code before.

--- a/tamarackmount/internal/bounded_channel.py
+++ b/tamarackmount/internal/bounded_channel.py
@@ -16,6 +16,11 @@
 from tamarackmount.internal.bounded_request import BoundedRequest
 from tamarackmount.internal.buffer_budget import BufferBudget, Reservation
 from tamarackmount.internal.chunked_body import ChunkedDecoder, MalformedChunkError
+from tamarackmount.internal.connection_limit import (
+    TIMEOUT_S_BY_STATE,
+    ConnectionState,
+    ConnectionTable,
+)
 from tamarackmount.internal.refusals import Refusal, RefusalReason, too_large
 
 CONNECTION_ALLOWANCE_BYTES = 8 * 1024
@@ -40,9 +45,6 @@
 MAX_DISCARDED_BYTES = 1024 * 1024
 """Bytes that are read and dropped after a refusal before the connection is aborted."""
 
-LINGER_S = 2.0
-"""How long bytes are read and dropped after a refusal, in seconds."""
-
 BUFFERS_FULL_RETRY_AFTER_S = 1
 """Retry time of callers whose request does not fit into the buffers, in seconds."""
 
@@ -50,6 +52,12 @@
 
 BAD_REQUEST = Refusal(400, RefusalReason.BAD_REQUEST)
 
+TOO_SLOW = Refusal(
+    408,
+    RefusalReason.TOO_SLOW,
+    bound=TIMEOUT_S_BY_STATE[ConnectionState.RECEIVING],
+)
+
 
 class RequestPolicy(Protocol):
     """Decides by its header whether a request can be served."""
@@ -72,7 +80,7 @@
         return
 
 
-class RefusalObserver(Protocol):
+class ConnectionObserver(Protocol):
     """Records refused requests."""
 
     def record_refusal(self, refusal: Refusal) -> None:
@@ -87,13 +95,14 @@
         reactor: Any,
         budget: BufferBudget,
         policy: RequestPolicy,
-        observer: RefusalObserver,
+        observer: ConnectionObserver,
     ) -> None:
         """Count buffers in ``budget``; refuse by ``policy``."""
         self.reactor = reactor
         self.budget = budget
         self.policy = policy
         self.observer = observer
+        self.connections = ConnectionTable(reactor)
 
 
 class BoundedChannel(HTTPChannel):  # type: ignore[misc]
@@ -113,12 +122,12 @@
         self._is_checked = False
         self._is_discarding = False
         self._discarded_bytes = 0
-        self._linger_call: Any = None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Limit the bytes that one read returns and that wait to be sent."""
         self.transport.bufferSize = READ_BYTES
         HTTPChannel.connectionMade(self)
+        self._limits.connections.add(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse received bytes and account for those that are kept."""
@@ -164,20 +173,33 @@
         """Serve a complete request; its bytes are kept until it is answered."""
         self._served_bytes = self._header_bytes() + self._body_bytes
         self._body_bytes = 0
+        self._limits.connections.move(self, ConnectionState.SERVING)
         HTTPChannel.allContentReceived(self)
 
     def requestDone(self, request: Any) -> None:  # noqa: N802
         """Return the bytes of a request that is answered."""
         self._served_bytes = 0
         self._reservation.release()
+        self._limits.connections.move(self, ConnectionState.IDLE)
         HTTPChannel.requestDone(self, request)
 
     def loseConnection(self) -> None:  # noqa: N802
         """Close the connection; pipelined requests are dropped."""
         self._buffer = b""
         self._dataBuffer = []
+        self._limits.connections.move(self, ConnectionState.CLOSING)
         HTTPChannel.loseConnection(self)
 
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Stop reading, since the client doesn't read."""
+        self._limits.connections.set_unread(self, True)
+        HTTPChannel.pauseProducing(self)
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Read again, since the client does."""
+        self._limits.connections.set_unread(self, False)
+        HTTPChannel.resumeProducing(self)
+
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802, ARG002
         """Refuse a request whose header has too long a line."""
         self.refuse(BAD_REQUEST)
@@ -186,9 +208,28 @@
         """Return all bytes."""
         HTTPChannel.connectionLost(self, reason)
         self._forget()
-        if self._linger_call is not None:
-            self._linger_call.cancel()
-            self._linger_call = None
+        self._limits.connections.remove(self)
+
+    def time_out(self, state: ConnectionState) -> None:
+        """Close the connection, which was in ``state`` for too long."""
+        if state is ConnectionState.RECEIVING:
+            self.refuse(TOO_SLOW)
+        elif state is ConnectionState.IDLE:
+            self.loseConnection()
+        else:
+            self._limits.connections.remove(self)
+            self.abort()
+
+    def displace(self, wanted: int) -> None:
+        """Refuse the incomplete request if it has bytes of the shared budget."""
+        if self._reservation.reserved:
+            self.refuse(self._buffers_full(wanted))
+
+    def abort(self) -> None:
+        """Close the connection at once, and drop what was not sent."""
+        self._is_discarding = True
+        self._forget()
+        self.transport.abortConnection()
 
     def refuse(self, refusal: Refusal) -> None:
         """Respond to an incomplete request, and keep nothing more."""
@@ -200,13 +241,12 @@
             if request.content is not None:
                 request.content.close()
         self.setRawMode()
-        self.setTimeout(None)
         self._limits.observer.record_refusal(refusal)
         self.transport.write(refusal.encode())
         self._networkProducer.unregisterProducer()
         # Sends the end of the stream after the response; reading goes on.
         self.transport.loseWriteConnection()
-        self._linger_call = self._limits.reactor.callLater(LINGER_S, self._abort)
+        self._limits.connections.move(self, ConnectionState.DISCARDING)
 
     def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
         self.refuse(BAD_REQUEST)
@@ -255,9 +295,15 @@
 
     def _account(self) -> None:
         """Reserve what is buffered; refuse the request if that is not possible."""
-        unparsed = len(self._buffer) + sum(map(len, self._dataBuffer))
+        # Bytes of the body that were read with the header are in its length.
+        unparsed = max(0, len(self._buffer) - self._body_bytes)
+        unparsed += sum(map(len, self._dataBuffer))
         held = unparsed + self._header_bytes() + self._body_bytes + self._served_bytes
-        if self._is_discarding or self._reservation.resize(held):
+        if self._is_discarding:
+            return
+        if held and not self._handlingRequest:
+            self._limits.connections.move(self, ConnectionState.RECEIVING)
+        if self._reservation.resize(held) or self._displace_stalled(held):
             return
         if self._handlingRequest:
             # Callers repeat requests that a closed connection left unanswered.
@@ -265,15 +311,26 @@
             self.persistent = False
             self._reservation.resize(held - unparsed)
             return
+        self.refuse(self._buffers_full(held))
+
+    def _displace_stalled(self, held: int) -> bool:
+        """Reserve ``held`` bytes in place of requests that don't come to an end."""
+        for connection in self._limits.connections.stalled():
+            if connection is self:
+                continue
+            connection.displace(held)
+            if self._reservation.resize(held):
+                return True
+        return False
+
+    def _buffers_full(self, wanted: int) -> Refusal:
         budget = self._limits.budget
-        self.refuse(
-            Refusal(
-                503,
-                RefusalReason.BUFFERS_FULL,
-                BUFFERS_FULL_RETRY_AFTER_S,
-                value=budget.used + held,
-                bound=budget.limit,
-            )
+        return Refusal(
+            503,
+            RefusalReason.BUFFERS_FULL,
+            BUFFERS_FULL_RETRY_AFTER_S,
+            value=budget.used + wanted,
+            bound=budget.limit,
         )
 
     def _header_bytes(self) -> int:
@@ -285,10 +342,6 @@
         if self._discarded_bytes > MAX_DISCARDED_BYTES:
             self.transport.abortConnection()
 
-    def _abort(self) -> None:
-        self._linger_call = None
-        self.transport.abortConnection()
-
     def _forget(self) -> None:
         self._buffer = b""
         self._dataBuffer = []
--- a/tamarackmount/internal/refusals.py
+++ b/tamarackmount/internal/refusals.py
@@ -13,6 +13,7 @@
     BODY_TOO_LARGE = "body_too_large"
     BUFFERS_FULL = "buffers_full"
     NOT_SERVED = "not_served"
+    TOO_SLOW = "too_slow"
 
 
 @dataclass(frozen=True, slots=True)
--- a/tamarackmount/node/connection_metrics.py
+++ b/tamarackmount/node/connection_metrics.py
@@ -2,32 +2,39 @@
 
 import logging
 from collections import Counter as Counts
+from collections.abc import Mapping, Sized
+from typing import Any
 
 from aioprometheus import Counter, Gauge, Registry
 
 from tamarackmount.ids import Instant
 from tamarackmount.internal.buffer_budget import BufferBudget
-from tamarackmount.internal.refusals import Refusal, RefusalReason
+from tamarackmount.internal.refusals import Refusal
 from tamarackmount.node import clock
 
 LOG_INTERVAL_S = 1.0
-"""Shortest time between two log lines about refusals for the same reason, in
-seconds."""
+"""Shortest time between two log lines of a port for the same reason, in seconds."""
 
 _log = logging.getLogger(__name__)
 
 
 class ConnectionMetrics:
-    """Counts refused requests and buffered bytes."""
+    """Counts connections, refused requests and buffered bytes, by port."""
 
     def __init__(self, registry: Registry) -> None:
         """Register the collectors."""
         self._budget: BufferBudget | None = None
-        self._next_log_by_reason: dict[RefusalReason, Instant] = {}
-        self._unlogged: Counts[RefusalReason] = Counts()
+        self._connections_by_port: dict[str, Sized] = {}
+        self._next_log_by_reason: dict[tuple[str, str], Instant] = {}
+        self._not_logged: Counts[tuple[str, str]] = Counts()
         self._refusals = Counter(
             "tamarackmount_refused_requests_total",
-            "Requests refused before they were complete, by reason.",
+            "Requests refused before they were complete, by port and reason.",
+            registry=registry,
+        )
+        self._open = Gauge(
+            "tamarackmount_open_connections",
+            "Open connections, by the port that accepted them.",
             registry=registry,
         )
         self._buffered = Gauge(
@@ -45,26 +52,53 @@
         """Report what is reserved of ``budget``."""
         self._budget = budget
 
-    def record_refusal(self, refusal: Refusal) -> None:
-        """Count a refused request; log it unless its reason was logged just now."""
-        reason = refusal.reason
-        self._refusals.inc({"reason": reason.value})
-        now = clock.now()
-        if now < self._next_log_by_reason.get(reason, Instant(0.0)):
-            self._unlogged[reason] += 1
-            return
-        self._next_log_by_reason[reason] = Instant(now + LOG_INTERVAL_S)
+    def watch_port(self, port: str, connections: Sized) -> None:
+        """Report the number of connections of a port."""
+        self._connections_by_port[port] = connections
+
+    def record_refusal(self, port: str, refusal: Refusal) -> None:
+        """Count and log a refused request."""
+        reason = refusal.reason.value
+        self._refusals.inc({"port": port, "reason": reason})
         extra = {
-            "reason": reason.value,
             "status": refusal.status,
             "value": refusal.value,
             "bound": refusal.bound,
-            "not_logged": self._unlogged.pop(reason, 0),
         }
-        _log.info("request refused before it was complete", extra=extra)
+        message = "request refused before it was complete"
+        self._log_sometimes(port, reason, message, extra)
 
     def update_gauges(self) -> None:
         """Copy the current values into the gauges."""
+        for port, connections in self._connections_by_port.items():
+            self._open.set({"port": port}, len(connections))
         if self._budget is not None:
             self._buffered.set({}, self._budget.used)
             self._peak.set({}, self._budget.peak)
+
+    def _log_sometimes(
+        self, port: str, reason: str, message: str, extra: Mapping[str, Any]
+    ) -> None:
+        """Log a line, unless there was one just now; its successor counts it."""
+        now = clock.now()
+        key = port, reason
+        if now < self._next_log_by_reason.get(key, Instant(0.0)):
+            self._not_logged[key] += 1
+            return
+        self._next_log_by_reason[key] = Instant(now + LOG_INTERVAL_S)
+        not_logged = self._not_logged.pop(key, 0)
+        fields = {**extra, "port": port, "reason": reason, "not_logged": not_logged}
+        _log.info(message, extra=fields)
+
+
+class PortMetrics:
+    """What the connections of one port report."""
+
+    def __init__(self, metrics: ConnectionMetrics, port: str) -> None:
+        """Record in ``metrics`` under the name of ``port``."""
+        self._metrics = metrics
+        self._port = port
+
+    def record_refusal(self, refusal: Refusal) -> None:
+        """Count and log a refused request."""
+        self._metrics.record_refusal(self._port, refusal)
--- a/tamarackmount/node/http_ports.py
+++ b/tamarackmount/node/http_ports.py
@@ -13,7 +13,7 @@
 )
 from tamarackmount.internal.bounded_request import BoundedRequest
 from tamarackmount.internal.buffer_budget import BufferBudget
-from tamarackmount.node.connection_metrics import ConnectionMetrics
+from tamarackmount.node.connection_metrics import ConnectionMetrics, PortMetrics
 from tamarackmount.node.http_api import Jobs, JobsResource
 from tamarackmount.node.process_limits import ProcessLimits
 from tamarackmount.node.request_policy import CallerPolicy
@@ -28,8 +28,13 @@
 
     def __init__(self, resource: Resource, limits: PortLimits) -> None:
         """Serve ``resource`` on connections with ``limits``."""
+        # The limits have the deadlines of idle connections too.
         QuietSite.__init__(
-            self, resource, requestFactory=BoundedRequest, reactor=limits.reactor
+            self,
+            resource,
+            requestFactory=BoundedRequest,
+            reactor=limits.reactor,
+            timeout=None,
         )
         factory: Any = channel_factory(limits)
         self.protocol = factory  # type: ignore[method-assign]
@@ -54,18 +59,30 @@
 
     def listen_for_callers(self, address: Any, resource: JobsResource) -> None:
         """Serve callers; bodies are limited by the configuration."""
-        self._listen(address, resource, CallerPolicy(self._jobs))
+        self._listen("entry", address, resource, CallerPolicy(self._jobs))
 
     def listen_for_checks(self, address: Any, resource: Resource) -> None:
         """Serve the checks of the load balancer."""
-        self._listen(address, resource, NoBodies())
+        self._listen("readiness", address, resource, NoBodies())
 
     def listen_for_metrics(self, address: Any, resource: Resource) -> None:
         """Serve the metrics."""
-        self._listen(address, resource, NoBodies())
+        self._listen("metrics", address, resource, NoBodies())
 
-    def _listen(self, address: Any, resource: Resource, policy: RequestPolicy) -> None:
-        limits = PortLimits(self._reactor, self.budget, policy, self._metrics)
+    def _listen(
+        self,
+        name: str,
+        address: Any,
+        resource: Resource,
+        policy: RequestPolicy,
+    ) -> None:
+        limits = PortLimits(
+            self._reactor,
+            self.budget,
+            policy,
+            PortMetrics(self._metrics, name),
+        )
+        self._metrics.watch_port(name, limits.connections)
         self._reactor.listenTCP(
             address.port,
             BoundedSite(resource, limits),
--- a/tests/test_bounded_channel.py
+++ b/tests/test_bounded_channel.py
@@ -5,10 +5,13 @@
 from hypothesis import strategies as st
 
 from tamarackmount.internal.bounded_channel import (
-    LINGER_S,
     MAX_DISCARDED_BYTES,
     SMALL_BODY_BYTES,
 )
+from tamarackmount.internal.connection_limit import (
+    TIMEOUT_S_BY_STATE,
+    ConnectionState,
+)
 from tests.utils.build_channels import (
     CHUNKED,
     MAX_BODY_BYTES,
@@ -18,6 +21,7 @@
     post,
 )
 
+LINGER_S = TIMEOUT_S_BY_STATE[ConnectionState.DISCARDING]
 EXPECT = b"Expect: 100-continue\r\n"
 
 
@@ -216,6 +220,17 @@
 )
 
 
+def apply(port: Port, connection: Connection, name: str, data: bytes) -> None:
+    if name == "send":
+        connection.send(data)
+    elif name == "answer" and port.resource.waiting:
+        port.resource.answer()
+    elif name == "lose":
+        connection.transport.abortConnection()
+    elif name == "wait":
+        port.clock.advance(10.0)
+
+
 @given(st.lists(ACTIONS, max_size=25), st.booleans())
 def test_bytes_stayed_reserved_after_their_connection_was_lost(
     actions: list[tuple[str, int, bytes]], answers_at_once: bool
@@ -223,21 +238,14 @@
     port = Port(60_000)
     port.resource.answers_at_once = answers_at_once
     connections = [port.connect() for _ in range(4)]
-
-    def replace(index: int) -> Connection:
-        connections[index].lose()
-        return port.connect()
-
     for name, index, data in actions:
-        if name == "send":
-            connections[index].send(data)
-        elif name == "answer" and port.resource.waiting:
-            port.resource.answer()
-        elif name == "lose":
-            connections[index] = replace(index)
-        elif name == "wait":
-            port.clock.advance(LINGER_S)
+        apply(port, connections[index], name, data)
+        for number, connection in enumerate(connections):
+            if connection.transport.is_aborted:
+                connection.lose()
+                connections[number] = port.connect()
         assert 0 <= port.budget.used <= port.budget.limit
     for connection in connections:
         connection.lose()
-    assert port.budget.used == 0
+    assert (port.budget.used, len(port.connections)) == (0, 0)
+    assert port.clock.getDelayedCalls() == []
--- a/tests/utils/build_channels.py
+++ b/tests/utils/build_channels.py
@@ -77,15 +77,15 @@
         request.finish()
 
 
-class Refusals:
+class Observer:
     """Keeps refusals, in order."""
 
     def __init__(self) -> None:
-        """Start without refusals."""
-        self.items: list[Refusal] = []
+        """Start without any."""
+        self.refusals: list[Refusal] = []
 
     def record_refusal(self, refusal: Refusal) -> None:
-        self.items.append(refusal)
+        self.refusals.append(refusal)
 
 
 @dataclass(eq=False)
@@ -94,6 +94,7 @@
 
     channel: Any
     transport: SocketTransport = field(default_factory=SocketTransport)
+    is_lost: bool = False
 
     def send(self, data: bytes) -> None:
         """Receive bytes of the client, unless the server has aborted."""
@@ -102,6 +103,7 @@
 
     def lose(self) -> None:
         """Close the connection by the client."""
+        self.is_lost = True
         self.channel.connectionLost(make_failure(ConnectionDone()))
 
     @property
@@ -124,9 +126,10 @@
         """Share ``budget_bytes`` among all connections."""
         self.clock = Clock()
         self.budget = BufferBudget(budget_bytes)
-        self.refusals = Refusals()
+        self.observer = Observer()
         self.resource = WaitingResource()
-        limits = PortLimits(self.clock, self.budget, Policy(), self.refusals)
+        limits = PortLimits(self.clock, self.budget, Policy(), self.observer)
+        self.connections = limits.connections
         self.site: Any = BoundedSite(self.resource, limits)
 
     def connect(self) -> Connection:
