Limit the number of connections of each HTTP port

Clients could open connections until the process had no descriptor left for the store, the workers and the other nodes.

A new connection above that takes the place of one that is closing, of the one with the oldest incomplete request, or of the one idle for longest. Where all are being served, the new one is closed. Metrics and a log line name the port, state and bound.

--- a/tamarackmount/internal/bounded_channel.py
+++ b/tamarackmount/internal/bounded_channel.py
@@ -20,6 +20,7 @@
     TIMEOUT_S_BY_STATE,
     ConnectionState,
     ConnectionTable,
+    EvictionObserver,
 )
 from tamarackmount.internal.refusals import Refusal, RefusalReason, too_large
 
@@ -80,8 +81,8 @@
         return
 
 
-class ConnectionObserver(Protocol):
-    """Records refused requests."""
+class ConnectionObserver(EvictionObserver, Protocol):
+    """Records refused requests and evicted connections."""
 
     def record_refusal(self, refusal: Refusal) -> None:
         """Count and log a refusal."""
@@ -93,6 +94,7 @@
     def __init__(
         self,
         reactor: Any,
+        max_connections: int,
         budget: BufferBudget,
         policy: RequestPolicy,
         observer: ConnectionObserver,
@@ -102,7 +104,7 @@
         self.budget = budget
         self.policy = policy
         self.observer = observer
-        self.connections = ConnectionTable(reactor)
+        self.connections = ConnectionTable(reactor, max_connections, observer)
 
 
 class BoundedChannel(HTTPChannel):  # type: ignore[misc]
@@ -127,7 +129,8 @@
         """Limit the bytes that one read returns and that wait to be sent."""
         self.transport.bufferSize = READ_BYTES
         HTTPChannel.connectionMade(self)
-        self._limits.connections.add(self)
+        if not self._limits.connections.add(self):
+            self.abort()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse received bytes and account for those that are kept."""
--- a/tamarackmount/internal/connection_limit.py
+++ b/tamarackmount/internal/connection_limit.py
@@ -1,4 +1,9 @@
-"""Deadlines of a port's connections."""
+"""Deadlines of a port's connections, and a limit on their number.
+
+Above the limit, a new connection takes the place of the one that has waited longest in
+the first state of ``EVICTION_ORDER`` that any has. One whose request is being served is
+never evicted.
+"""
 
 from collections.abc import Iterator
 from enum import Enum
@@ -40,6 +45,14 @@
 STALLED_AFTER_S = 2.0
 """Age from which an incomplete request gives way to others, in seconds."""
 
+EVICTION_ORDER = (
+    ConnectionState.DISCARDING,
+    ConnectionState.CLOSING,
+    ConnectionState.RECEIVING,
+    ConnectionState.IDLE,
+)
+"""States of connections that may be evicted, the first ones first."""
+
 NEVER = Instant(float("inf"))
 
 
@@ -56,12 +69,21 @@
         """Close the connection at once."""
 
 
+class EvictionObserver(Protocol):
+    """Records connections that were closed to admit others."""
+
+    def record_eviction(self, state: ConnectionState, limit: int) -> None:
+        """Count a connection in ``state``; ``SERVING`` if the new one was closed."""
+
+
 class ConnectionTable:
     """The connections of one port, by state and in the order of their deadlines."""
 
-    def __init__(self, reactor: Any) -> None:
-        """Start without connections."""
+    def __init__(self, reactor: Any, limit: int, observer: EvictionObserver) -> None:
+        """Admit up to ``limit`` connections."""
         self._reactor = reactor
+        self._limit = limit
+        self._observer = observer
         self._state_by_connection: dict[LimitedConnection, ConnectionState] = {}
         self._deadlines_by_state: dict[
             ConnectionState, dict[LimitedConnection, Instant]
@@ -73,9 +95,13 @@
         """Return the number of open connections."""
         return len(self._state_by_connection)
 
-    def add(self, connection: LimitedConnection) -> None:
-        """Add an idle connection."""
+    def add(self, connection: LimitedConnection) -> bool:
+        """Add an idle connection; return False if there is no place for it."""
+        if len(self) >= self._limit and not self._evict():
+            self._observer.record_eviction(ConnectionState.SERVING, self._limit)
+            return False
         self._enter(connection, ConnectionState.IDLE)
+        return True
 
     def move(self, connection: LimitedConnection, state: ConnectionState) -> None:
         """Record that a connection entered a state; its deadline starts anew."""
@@ -123,6 +149,16 @@
         self._deadlines_by_state[state][connection] = deadline
         self._wake_at(deadline)
 
+    def _evict(self) -> bool:
+        for state in EVICTION_ORDER:
+            victim = next(iter(self._deadlines_by_state[state]), None)
+            if victim is not None:
+                self._observer.record_eviction(state, self._limit)
+                self.remove(victim)
+                victim.abort()
+                return True
+        return False
+
     def _wake_at(self, deadline: Instant) -> None:
         delay_s = max(0.0, deadline - self._reactor.seconds())
         if self._timer is None:
--- a/tamarackmount/node/connection_metrics.py
+++ b/tamarackmount/node/connection_metrics.py
@@ -9,12 +9,16 @@
 
 from tamarackmount.ids import Instant
 from tamarackmount.internal.buffer_budget import BufferBudget
+from tamarackmount.internal.connection_limit import ConnectionState
 from tamarackmount.internal.refusals import Refusal
 from tamarackmount.node import clock
 
 LOG_INTERVAL_S = 1.0
 """Shortest time between two log lines of a port for the same reason, in seconds."""
 
+EVICTED = "connection_evicted"
+"""Reason of log lines about connections that were closed to admit others."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -32,6 +36,11 @@
             "Requests refused before they were complete, by port and reason.",
             registry=registry,
         )
+        self._evictions = Counter(
+            "tamarackmount_evicted_connections_total",
+            "Connections closed to admit others, by port and what they waited for.",
+            registry=registry,
+        )
         self._open = Gauge(
             "tamarackmount_open_connections",
             "Open connections, by the port that accepted them.",
@@ -68,6 +77,13 @@
         message = "request refused before it was complete"
         self._log_sometimes(port, reason, message, extra)
 
+    def record_eviction(self, port: str, state: ConnectionState, limit: int) -> None:
+        """Count and log a connection that was closed to admit another one."""
+        self._evictions.inc({"port": port, "state": state.value})
+        extra = {"state": state.value, "value": limit + 1, "bound": limit}
+        message = "connection closed as too many are open"
+        self._log_sometimes(port, EVICTED, message, extra)
+
     def update_gauges(self) -> None:
         """Copy the current values into the gauges."""
         for port, connections in self._connections_by_port.items():
@@ -102,3 +118,7 @@
     def record_refusal(self, refusal: Refusal) -> None:
         """Count and log a refused request."""
         self._metrics.record_refusal(self._port, refusal)
+
+    def record_eviction(self, state: ConnectionState, limit: int) -> None:
+        """Count and log a connection that was closed to admit another one."""
+        self._metrics.record_eviction(self._port, state, limit)
--- a/tamarackmount/node/http_ports.py
+++ b/tamarackmount/node/http_ports.py
@@ -52,6 +52,7 @@
     ) -> None:
         """Prepare the ports; nothing is opened yet."""
         self._reactor = reactor
+        self._limits = limits
         self._jobs = jobs
         self._metrics = metrics
         self.budget = BufferBudget(limits.buffer_bytes)
@@ -59,25 +60,30 @@
 
     def listen_for_callers(self, address: Any, resource: JobsResource) -> None:
         """Serve callers; bodies are limited by the configuration."""
-        self._listen("entry", address, resource, CallerPolicy(self._jobs))
+        count = self._limits.entry_connections
+        self._listen("entry", address, resource, count, CallerPolicy(self._jobs))
 
     def listen_for_checks(self, address: Any, resource: Resource) -> None:
         """Serve the checks of the load balancer."""
-        self._listen("readiness", address, resource, NoBodies())
+        count = self._limits.readiness_connections
+        self._listen("readiness", address, resource, count, NoBodies())
 
     def listen_for_metrics(self, address: Any, resource: Resource) -> None:
         """Serve the metrics."""
-        self._listen("metrics", address, resource, NoBodies())
+        count = self._limits.metrics_connections
+        self._listen("metrics", address, resource, count, NoBodies())
 
     def _listen(
         self,
         name: str,
         address: Any,
         resource: Resource,
+        max_connections: int,
         policy: RequestPolicy,
     ) -> None:
         limits = PortLimits(
             self._reactor,
+            max_connections,
             self.budget,
             policy,
             PortMetrics(self._metrics, name),
--- a/tests/test_bounded_channel.py
+++ b/tests/test_bounded_channel.py
@@ -235,7 +235,7 @@
 def test_bytes_stayed_reserved_after_their_connection_was_lost(
     actions: list[tuple[str, int, bytes]], answers_at_once: bool
 ) -> None:
-    port = Port(60_000)
+    port = Port(60_000, max_connections=4)
     port.resource.answers_at_once = answers_at_once
     connections = [port.connect() for _ in range(4)]
     for name, index, data in actions:
--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -1,6 +1,8 @@
-"""Connections that wait for too long are closed."""
+"""Connections that wait for too long, or are too many, are closed."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from tamarackmount.internal.connection_limit import (
     STALLED_AFTER_S,
@@ -8,7 +10,7 @@
     UNREAD_TIMEOUT_S,
     ConnectionState,
 )
-from tests.utils.build_channels import CHUNKED, Port, post
+from tests.utils.build_channels import CHUNKED, Port, chunks, post
 
 REQUEST_TIMEOUT_S = TIMEOUT_S_BY_STATE[ConnectionState.RECEIVING]
 IDLE_TIMEOUT_S = TIMEOUT_S_BY_STATE[ConnectionState.IDLE]
@@ -112,3 +114,73 @@
     port.clock.advance(STALLED_AFTER_S - 1)
     second.send(post(length=60_000))
     assert (first.statuses, second.statuses) == ([], [503])
+
+
+def test_incomplete_requests_kept_new_connections_out() -> None:
+    port = Port(max_connections=3)
+    idle, oldest, newest = (port.connect() for _ in range(3))
+    oldest.send(b"GET")
+    newest.send(b"GET")
+    connection = port.connect()
+    connection.send(post(b"x"))
+    assert connection.statuses == [200]
+    others = (idle, oldest, newest)
+    assert [c.transport.is_aborted for c in others] == [False, True, False]
+    assert port.observer.evictions == [ConnectionState.RECEIVING]
+
+
+def test_idle_connections_kept_new_ones_out() -> None:
+    port = Port(max_connections=3)
+    first, second, served = (port.connect() for _ in range(3))
+    first.send(post(b"x"))
+    port.resource.answers_at_once = False
+    served.send(post(b"x"))
+    connection = port.connect()
+    assert not connection.transport.is_aborted
+    others = (first, second, served)
+    assert [c.transport.is_aborted for c in others] == [False, True, False]
+
+
+def test_a_request_that_is_served_lost_its_connection_to_a_new_one() -> None:
+    port = Port(max_connections=2)
+    port.resource.answers_at_once = False
+    served = [port.connect() for _ in range(2)]
+    for connection in served:
+        connection.send(post(b"x"))
+    assert port.connect().transport.is_aborted
+    for connection in served:
+        port.resource.answer()
+        assert connection.statuses == [200]
+    assert len(port.connections) == 2
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 4),
+            st.sampled_from(
+                [b"GET", post(b"x"), post(b"x" * 9_000), *INCOMPLETE]
+                + [CHUNKED + chunks(b"x" * 9_000, 100), post(length=100_000)]
+            ),
+            st.sampled_from([0.0, 0.0, 1.0, 15.0, 61.0]),
+        ),
+        max_size=40,
+    ),
+    st.booleans(),
+)
+def test_more_connections_were_open_than_the_limit(
+    actions: list[tuple[int, bytes, float]], answers_at_once: bool
+) -> None:
+    port = Port(max_connections=3)
+    port.resource.answers_at_once = answers_at_once
+    connections = [port.connect() for _ in range(5)]
+    for index, data, wait_s in actions:
+        connections[index].send(data)
+        port.clock.advance(wait_s)
+        for number, connection in enumerate(connections):
+            if connection.transport.is_aborted:
+                connection.lose()
+                connections[number] = port.connect()
+        assert len(port.connections) <= 3
+        is_open = [not c.transport.is_aborted for c in connections]
+        assert sum(is_open) == len(port.connections)
--- a/tests/utils/build_channels.py
+++ b/tests/utils/build_channels.py
@@ -13,6 +13,7 @@
 from tamarackmount.internal.bounded_channel import PortLimits
 from tamarackmount.internal.bounded_request import BoundedRequest, body_of
 from tamarackmount.internal.buffer_budget import BufferBudget
+from tamarackmount.internal.connection_limit import ConnectionState
 from tamarackmount.internal.refusals import Refusal, RefusalReason
 from tamarackmount.node.http_ports import BoundedSite
 
@@ -78,15 +79,19 @@
 
 
 class Observer:
-    """Keeps refusals, in order."""
+    """Keeps refusals and the states of evicted connections, in order."""
 
     def __init__(self) -> None:
         """Start without any."""
         self.refusals: list[Refusal] = []
+        self.evictions: list[ConnectionState] = []
 
     def record_refusal(self, refusal: Refusal) -> None:
         self.refusals.append(refusal)
 
+    def record_eviction(self, state: ConnectionState, _limit: int) -> None:
+        self.evictions.append(state)
+
 
 @dataclass(eq=False)
 class Connection:
@@ -122,13 +127,15 @@
 class Port:
     """A port with limits, without a network."""
 
-    def __init__(self, budget_bytes: int = 200_000) -> None:
-        """Share ``budget_bytes`` among all connections."""
+    def __init__(self, budget_bytes: int = 200_000, max_connections: int = 20) -> None:
+        """Share ``budget_bytes`` among up to ``max_connections``."""
         self.clock = Clock()
         self.budget = BufferBudget(budget_bytes)
         self.observer = Observer()
         self.resource = WaitingResource()
-        limits = PortLimits(self.clock, self.budget, Policy(), self.observer)
+        limits = PortLimits(
+            self.clock, max_connections, self.budget, Policy(), self.observer
+        )
         self.connections = limits.connections
         self.site: Any = BoundedSite(self.resource, limits)
 
