Decode bodies of many tiny chunks in a share of the processor's time

A few hundred chunked bodies in one-byte chunks took all of the processor: each read of 16 KiB has 2,730 chunks to decode, and ordinary callers were served only after all of them.

A part with more than 64 lines in one read waits in a queue of the process. Parts with fewer lines are decoded at once, as before.

--- a/tamarackmount/internal/bounded_channel.py
+++ b/tamarackmount/internal/bounded_channel.py
@@ -7,21 +7,19 @@
 """
 
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure as TwistedFailure
 from twisted.web import http
 
-from tamarackmount.internal.bounded_request import BoundedRequest
-from tamarackmount.internal.buffer_budget import BufferBudget, Reservation
+from tamarackmount.internal.buffer_budget import Reservation
 from tamarackmount.internal.chunked_body import ChunkedDecoder, MalformedChunkError
 from tamarackmount.internal.connection_limit import (
     TIMEOUT_S_BY_STATE,
     ConnectionState,
-    ConnectionTable,
-    EvictionObserver,
 )
+from tamarackmount.internal.port_limits import PortLimits
 from tamarackmount.internal.refusals import Refusal, RefusalReason, too_large
 
 CONNECTION_ALLOWANCE_BYTES = 8 * 1024
@@ -40,6 +38,10 @@
 MAX_HEADER_FIELDS = 100
 """Largest number of header fields of a request."""
 
+MAX_LINES_PER_READ = 64
+"""Number of lines of a chunked body that are decoded at once; more have to wait in the
+queue of the process."""
+
 MAX_PIPELINED_BYTES = 4 * 1024
 """Bytes of further requests that are read while a request is served."""
 
@@ -60,53 +62,6 @@
 )
 
 
-class RequestPolicy(Protocol):
-    """Decides by its header whether a request can be served."""
-
-    @property
-    def max_body_bytes(self) -> int:
-        """The largest body that is accepted, in bytes."""
-
-    def refusal(self, request: BoundedRequest, path: str) -> Refusal | None:
-        """Return the response if the request can't be served, whatever its body."""
-
-
-class NoBodies:
-    """The policy of ports whose requests have no body."""
-
-    max_body_bytes = 0
-
-    def refusal(self, request: BoundedRequest, path: str) -> None:  # noqa: ARG002
-        """Refuse no request by its header."""
-        return
-
-
-class ConnectionObserver(EvictionObserver, Protocol):
-    """Records refused requests and evicted connections."""
-
-    def record_refusal(self, refusal: Refusal) -> None:
-        """Count and log a refusal."""
-
-
-class PortLimits:
-    """What the connections of one port share."""
-
-    def __init__(
-        self,
-        reactor: Any,
-        max_connections: int,
-        budget: BufferBudget,
-        policy: RequestPolicy,
-        observer: ConnectionObserver,
-    ) -> None:
-        """Count buffers in ``budget``; refuse by ``policy``."""
-        self.reactor = reactor
-        self.budget = budget
-        self.policy = policy
-        self.observer = observer
-        self.connections = ConnectionTable(reactor, max_connections, observer)
-
-
 class BoundedChannel(HTTPChannel):  # type: ignore[misc]
     """An HTTP connection that buffers a limited number of bytes."""
 
@@ -119,6 +74,8 @@
         self._buffer = b""
         self._dataBuffer: list[bytes] = []
         self._reservation = Reservation(limits.budget, CONNECTION_ALLOWANCE_BYTES)
+        self._chunked: ChunkedDecoder | None = None
+        self._undecoded = b""
         self._body_bytes = 0
         self._served_bytes = 0
         self._is_checked = False
@@ -145,13 +102,8 @@
         request = self.requests[-1]
         request.max_body_bytes = self._limits.policy.max_body_bytes
         self._is_checked = False
-        if self.length is None:
-            self._body_bytes = 0
-            self._transferDecoder = ChunkedDecoder(
-                self._receive_chunks, self._finishRequestBody
-            )
-        else:
-            self._body_bytes = self.length
+        self._chunked = ChunkedDecoder() if self.length is None else None
+        self._body_bytes = self.length or 0
         expects_continue = request.requestHeaders.hasHeader(b"expect")
         if expects_continue and self.length != 0:
             self._check_header()
@@ -166,11 +118,18 @@
             self._discard(len(data))
         elif self._handlingRequest:
             self._keep_pipelined(data)
+        elif self._chunked is None:
+            self._transferDecoder.dataReceived(data)
         else:
-            try:
-                self._transferDecoder.dataReceived(data)
-            except MalformedChunkError:
-                self.refuse(BAD_REQUEST)
+            self._receive_chunks(data)
+
+    def decode_received(self) -> None:
+        """Decode the part of a chunked body that was received last."""
+        data, self._undecoded = self._undecoded, b""
+        if not self._waitingForTransport:
+            self._networkProducer.resumeProducing()
+        self._decode_chunks(data)
+        self._account()
 
     def allContentReceived(self) -> None:  # noqa: N802
         """Serve a complete request; its bytes are kept until it is answered."""
@@ -202,6 +161,8 @@
         """Read again, since the client does."""
         self._limits.connections.set_unread(self, False)
         HTTPChannel.resumeProducing(self)
+        if self._undecoded:
+            self._networkProducer.pauseProducing()
 
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802, ARG002
         """Refuse a request whose header has too long a line."""
@@ -249,6 +210,7 @@
         self._networkProducer.unregisterProducer()
         # Sends the end of the stream after the response; reading goes on.
         self.transport.loseWriteConnection()
+        self.transport.resumeProducing()
         self._limits.connections.move(self, ConnectionState.DISCARDING)
 
     def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
@@ -282,12 +244,33 @@
         self._account()
 
     def _receive_chunks(self, data: bytes) -> None:
-        self._body_bytes += len(data)
+        """Decode a part of a body, now or, if that is costly, when it is its turn."""
+        is_waiting = bool(self._undecoded)
+        if not is_waiting and data.count(b"\r\n") <= MAX_LINES_PER_READ:
+            self._decode_chunks(data)
+            return
+        self._undecoded += data
+        if not is_waiting:
+            self._networkProducer.pauseProducing()
+            self._limits.queue.add(self)
+
+    def _decode_chunks(self, data: bytes) -> None:
+        decoder = self._chunked
+        if decoder is None:
+            return
+        try:
+            part = decoder.decode(data)
+        except MalformedChunkError:
+            self.refuse(BAD_REQUEST)
+            return
+        self._body_bytes += len(part)
         self._check_body()
         if self._is_discarding:
-            self._transferDecoder.stop()
-        else:
-            self.requests[-1].handleContentChunk(data)
+            return
+        self.requests[-1].handleContentChunk(part)
+        if decoder.is_done:
+            self._chunked = None
+            self._finishRequestBody(decoder.rest)
 
     def _keep_pipelined(self, data: bytes) -> None:
         """Keep bytes of the next requests, and stop reading above a limit."""
@@ -300,7 +283,7 @@
         """Reserve what is buffered; refuse the request if that is not possible."""
         # Bytes of the body that were read with the header are in its length.
         unparsed = max(0, len(self._buffer) - self._body_bytes)
-        unparsed += sum(map(len, self._dataBuffer))
+        unparsed += len(self._undecoded) + sum(map(len, self._dataBuffer))
         held = unparsed + self._header_bytes() + self._body_bytes + self._served_bytes
         if self._is_discarding:
             return
@@ -346,8 +329,10 @@
             self.transport.abortConnection()
 
     def _forget(self) -> None:
-        self._buffer = b""
+        self._limits.queue.remove(self)
+        self._buffer = self._undecoded = b""
         self._dataBuffer = []
+        self._chunked = None
         self._body_bytes = self._served_bytes = 0
         self._reservation.release()
 
--- a/tamarackmount/internal/chunked_body.py
+++ b/tamarackmount/internal/chunked_body.py
@@ -1,7 +1,6 @@
 """Decode bodies in HTTP's chunked transfer coding (RFC 9112, section 7.1)."""
 
 import re
-from collections.abc import Callable
 from enum import Enum
 
 MAX_SIZE_LINE_BYTES = 1_024
@@ -29,21 +28,15 @@
 class ChunkedDecoder:
     """Decodes one body; keeps at most one incomplete line.
 
-    ``receive`` is called at most once for the data of each read, and ``finish`` with
-    the bytes that follow the body, unless the decoder was stopped.
+    ``rest`` has the bytes that follow the body once ``is_done``.
     """
 
-    def __init__(
-        self, receive: Callable[[bytes], None], finish: Callable[[bytes], None]
-    ) -> None:
+    def __init__(self) -> None:
         """Start before the first chunk."""
-        self._receive = receive
-        self._finish = finish
+        self.rest = b""
         self._state = _State.SIZE
-        self._unparsed = b""
         self._remaining = 0
         self._trailer_bytes = 0
-        self._is_stopped = False
         self._step_by_state = {
             _State.SIZE: self._read_chunks,
             _State.DATA: self._read_data,
@@ -51,26 +44,24 @@
             _State.TRAILER: self._read_trailer,
         }
 
-    def stop(self) -> None:
-        """Don't call ``finish`` any more."""
-        self._is_stopped = True
+    @property
+    def is_done(self) -> bool:
+        """Whether the body has ended."""
+        return self._state is _State.DONE
 
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802  (name set by Twisted)
-        """Decode the next bytes of the connection.
+    def decode(self, data: bytes) -> bytes:
+        """Return what the next bytes of the connection add to the body.
 
         Raises MalformedChunkError if they don't follow the coding.
         """
-        buffer = self._unparsed + data
+        buffer = self.rest + data
         parts: list[bytes] = []
         position, previous = 0, None
         while self._state is not _State.DONE and (position, self._state) != previous:
             previous = position, self._state
             position = self._step_by_state[self._state](buffer, position, parts)
-        self._unparsed = b"" if self._state is _State.DONE else buffer[position:]
-        if parts:
-            self._receive(b"".join(parts))
-        if self._state is _State.DONE and not self._is_stopped:
-            self._finish(buffer[position:])
+        self.rest = buffer[position:]
+        return b"".join(parts)
 
     def _read_chunks(self, buffer: bytes, position: int, parts: list[bytes]) -> int:
         """Read chunks that are there as a whole, and the size of the next one."""
--- a/tamarackmount/node/connection_metrics.py
+++ b/tamarackmount/node/connection_metrics.py
@@ -28,6 +28,7 @@
     def __init__(self, registry: Registry) -> None:
         """Register the collectors."""
         self._budget: BufferBudget | None = None
+        self._queue: Sized = ()
         self._connections_by_port: dict[str, Sized] = {}
         self._next_log_by_reason: dict[tuple[str, str], Instant] = {}
         self._not_logged: Counts[tuple[str, str]] = Counts()
@@ -56,10 +57,16 @@
             "Most bytes that were reserved at once since the start.",
             registry=registry,
         )
+        self._waiting_bodies = Gauge(
+            "tamarackmount_bodies_waiting_to_decode",
+            "Connections with a part of a body that is costly to decode.",
+            registry=registry,
+        )
 
-    def watch(self, budget: BufferBudget) -> None:
-        """Report what is reserved of ``budget``."""
+    def watch(self, budget: BufferBudget, queue: Sized) -> None:
+        """Report what is reserved of ``budget``, and the length of ``queue``."""
         self._budget = budget
+        self._queue = queue
 
     def watch_port(self, port: str, connections: Sized) -> None:
         """Report the number of connections of a port."""
@@ -88,6 +95,7 @@
         """Copy the current values into the gauges."""
         for port, connections in self._connections_by_port.items():
             self._open.set({"port": port}, len(connections))
+        self._waiting_bodies.set({}, len(self._queue))
         if self._budget is not None:
             self._buffered.set({}, self._budget.used)
             self._peak.set({}, self._budget.peak)
--- a/tamarackmount/node/http_ports.py
+++ b/tamarackmount/node/http_ports.py
@@ -5,14 +5,15 @@
 from twisted.web.resource import Resource
 
 from tamarackmount.daemon.quiet_site import QuietSite
-from tamarackmount.internal.bounded_channel import (
+from tamarackmount.internal.bounded_channel import channel_factory
+from tamarackmount.internal.bounded_request import BoundedRequest
+from tamarackmount.internal.buffer_budget import BufferBudget
+from tamarackmount.internal.decode_queue import DecodeQueue
+from tamarackmount.internal.port_limits import (
     NoBodies,
     PortLimits,
     RequestPolicy,
-    channel_factory,
 )
-from tamarackmount.internal.bounded_request import BoundedRequest
-from tamarackmount.internal.buffer_budget import BufferBudget
 from tamarackmount.node.connection_metrics import ConnectionMetrics, PortMetrics
 from tamarackmount.node.http_api import Jobs, JobsResource
 from tamarackmount.node.process_limits import ProcessLimits
@@ -56,7 +57,8 @@
         self._jobs = jobs
         self._metrics = metrics
         self.budget = BufferBudget(limits.buffer_bytes)
-        metrics.watch(self.budget)
+        self._queue = DecodeQueue(reactor)
+        metrics.watch(self.budget, self._queue)
 
     def listen_for_callers(self, address: Any, resource: JobsResource) -> None:
         """Serve callers; bodies are limited by the configuration."""
@@ -85,6 +87,7 @@
             self._reactor,
             max_connections,
             self.budget,
+            self._queue,
             policy,
             PortMetrics(self._metrics, name),
         )
--- a/tests/test_bounded_channel.py
+++ b/tests/test_bounded_channel.py
@@ -37,6 +37,7 @@
     for _ in range(2):
         connection.send(post(body))
         connection.send(CHUNKED + chunks(body, 1_000))
+        port.clock.advance(1.0)
     assert connection.statuses == [200] * 4
     assert port.resource.bodies == [body] * 4
     assert (port.budget.used, connection.transport.is_half_closed) == (0, False)
@@ -50,6 +51,7 @@
     data = CHUNKED + chunks(body, 1) if size == 7 else post(body)
     for start in range(0, len(data), size):
         connection.send(data[start : start + size])
+    port.clock.advance(1.0)
     assert (connection.statuses, port.resource.bodies) == ([200], [body])
     assert port.budget.used == 0
 
@@ -247,5 +249,6 @@
         assert 0 <= port.budget.used <= port.budget.limit
     for connection in connections:
         connection.lose()
-    assert (port.budget.used, len(port.connections)) == (0, 0)
+    assert (port.budget.used, len(port.connections), len(port.queue)) == (0, 0, 0)
+    port.clock.advance(1.0)
     assert port.clock.getDelayedCalls() == []
--- a/tests/test_chunked_body.py
+++ b/tests/test_chunked_body.py
@@ -1,7 +1,5 @@
 """Bodies in the chunked coding are decoded in any pieces; others are refused."""
 
-from typing import Any
-
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -15,22 +13,15 @@
 from tests.utils.build_channels import chunks
 
 
-class Decoded:
-    """A decoder with what it decoded."""
-
-    def __init__(self) -> None:
-        """Start a body."""
-        self.parts: list[bytes] = []
-        self.rest: list[bytes] = []
-        self.decoder = ChunkedDecoder(self.parts.append, self.rest.append)
-
-    def feed(self, data: bytes, size: int) -> None:
-        """Decode the bytes in pieces; those after the end are not decoded."""
-        for start in range(0, len(data), size):
-            if self.rest:
-                self.rest.append(data[start:])
-                return
-            self.decoder.dataReceived(data[start : start + size])
+def decode(data: bytes, size: int) -> tuple[bytes, bytes]:
+    """Return a body that comes in pieces of ``size`` bytes, and what follows it."""
+    decoder = ChunkedDecoder()
+    body = b""
+    for start in range(0, len(data), size):
+        body += decoder.decode(data[start : start + size])
+        if decoder.is_done:
+            return body, decoder.rest + data[start + size :]
+    raise AssertionError("the body has no end")
 
 
 @given(
@@ -42,10 +33,7 @@
 def test_a_body_was_decoded_wrongly_when_it_came_in_pieces(
     body: bytes, chunk: int, piece: int, rest: bytes
 ) -> None:
-    decoded = Decoded()
-    decoded.feed(chunks(body, chunk) + rest, piece)
-    assert b"".join(decoded.parts) == body
-    assert b"".join(decoded.rest) == rest
+    assert decode(chunks(body, chunk) + rest, piece) == (body, rest)
 
 
 @given(
@@ -56,10 +44,8 @@
 def test_extensions_and_trailers_became_part_of_the_body(
     piece: int, extension: bytes, trailer: bytes
 ) -> None:
-    decoded = Decoded()
     data = b"3" + extension + b"\r\nabc\r\n0" + extension + b"\r\n" + trailer + b"\r\n"
-    decoded.feed(data, piece)
-    assert (b"".join(decoded.parts), decoded.rest) == (b"abc", [b""])
+    assert decode(data, piece) == (b"abc", b"")
 
 
 @pytest.mark.parametrize(
@@ -83,6 +69,5 @@
 )
 @pytest.mark.parametrize("piece", [1, 100_000])
 def test_malformed_coding_was_accepted_or_kept(data: bytes, piece: int) -> None:
-    decoded: Any = Decoded()
     with pytest.raises(MalformedChunkError):
-        decoded.feed(data + b"\r\n" * 3, piece)
+        decode(data + b"\r\n" * 3, piece)
--- a/tests/utils/build_channels.py
+++ b/tests/utils/build_channels.py
@@ -10,10 +10,11 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
-from tamarackmount.internal.bounded_channel import PortLimits
 from tamarackmount.internal.bounded_request import BoundedRequest, body_of
 from tamarackmount.internal.buffer_budget import BufferBudget
 from tamarackmount.internal.connection_limit import ConnectionState
+from tamarackmount.internal.decode_queue import DecodeQueue
+from tamarackmount.internal.port_limits import PortLimits
 from tamarackmount.internal.refusals import Refusal, RefusalReason
 from tamarackmount.node.http_ports import BoundedSite
 
@@ -124,6 +125,19 @@
         return [int(part[:3]) for part in parts]
 
 
+class FixedWork:
+    """Clock by which each piece of work takes the same time."""
+
+    def __init__(self) -> None:
+        """Let work take 1 ms."""
+        self.took_s = 0.001
+        self._readings = 0
+
+    def __call__(self) -> float:
+        self._readings += 1
+        return self._readings * self.took_s
+
+
 class Port:
     """A port with limits, without a network."""
 
@@ -133,8 +147,15 @@
         self.budget = BufferBudget(budget_bytes)
         self.observer = Observer()
         self.resource = WaitingResource()
+        self.work_time = FixedWork()
+        self.queue = DecodeQueue(self.clock, self.work_time)
         limits = PortLimits(
-            self.clock, max_connections, self.budget, Policy(), self.observer
+            self.clock,
+            max_connections,
+            self.budget,
+            self.queue,
+            Policy(),
+            self.observer,
         )
         self.connections = limits.connections
         self.site: Any = BoundedSite(self.resource, limits)
