Limit what connections of other nodes keep of incomplete messages

The peer port took any number of connections, kept up to 4 MiB of each frame that stopped short, and kept it for ever.

Its connections have a table as those of the HTTP ports: a quarter of the descriptors, 30 s for a frame, and a budget of their own, a sixteenth of the memory, so that callers can't keep the nodes from each other. A connection that has sent no valid message gives way before one that has, so that strangers don't push out the other nodes. Silent connections stay open, as before. The daemon has the same with fixed defaults.

The inbound part of links.py has a module of its own; two tests follow the moved names.

--- a/tamarackmount/daemon/metrics.py
+++ b/tamarackmount/daemon/metrics.py
@@ -3,7 +3,7 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
 from tamarackmount.ids import QueueName
-from tamarackmount.internal.links import LinkCounters
+from tamarackmount.internal.inbound_links import LinkCounters
 from tamarackmount.internal.metrics_text import SECONDS_BUCKETS
 from tamarackmount.kernel.messages import Outcome
 from tamarackmount.kernel.node import Node
--- a/tamarackmount/internal/connection_limit.py
+++ b/tamarackmount/internal/connection_limit.py
@@ -5,7 +5,7 @@
 never evicted.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from enum import Enum
 from typing import Any, Protocol
 
@@ -30,6 +30,9 @@
     DISCARDING = "discarding"
     """The client, to close after a refusal."""
 
+    ESTABLISHED = "established"
+    """The next message of another member, which has sent one before."""
+
 
 TIMEOUT_S_BY_STATE = {
     ConnectionState.IDLE: 60.0,
@@ -50,6 +53,7 @@
     ConnectionState.CLOSING,
     ConnectionState.RECEIVING,
     ConnectionState.IDLE,
+    ConnectionState.ESTABLISHED,
 )
 """States of connections that may be evicted, the first ones first."""
 
@@ -79,11 +83,18 @@
 class ConnectionTable:
     """The connections of one port, by state and in the order of their deadlines."""
 
-    def __init__(self, reactor: Any, limit: int, observer: EvictionObserver) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        limit: int,
+        observer: EvictionObserver,
+        timeout_s_by_state: Mapping[ConnectionState, float] = TIMEOUT_S_BY_STATE,
+    ) -> None:
         """Admit up to ``limit`` connections."""
         self._reactor = reactor
         self._limit = limit
         self._observer = observer
+        self._timeout_s_by_state = timeout_s_by_state
         self._state_by_connection: dict[LimitedConnection, ConnectionState] = {}
         self._deadlines_by_state: dict[
             ConnectionState, dict[LimitedConnection, Instant]
@@ -131,7 +142,7 @@
 
     def stalled(self) -> Iterator[LimitedConnection]:
         """Yield connections with incomplete requests that give way, oldest first."""
-        timeout_s = TIMEOUT_S_BY_STATE[ConnectionState.RECEIVING]
+        timeout_s = self._timeout_s_by_state[ConnectionState.RECEIVING]
         latest = self._reactor.seconds() + timeout_s - STALLED_AFTER_S
         receiving = self._deadlines_by_state[ConnectionState.RECEIVING]
         for connection, deadline in list(receiving.items()):
@@ -141,7 +152,7 @@
 
     def _enter(self, connection: LimitedConnection, state: ConnectionState) -> None:
         self._state_by_connection[connection] = state
-        timeout_s = TIMEOUT_S_BY_STATE.get(state)
+        timeout_s = self._timeout_s_by_state.get(state)
         if timeout_s is None:
             self._deadlines_by_state[state][connection] = NEVER
             return
--- a/tamarackmount/internal/links.py
+++ b/tamarackmount/internal/links.py
@@ -7,23 +7,28 @@
 knows is counted and ignored.
 """
 
-import logging
 import random
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
-from typing import Any, Generic, TypeVar
+from collections.abc import Mapping
+from typing import Any, Generic
 
-from returns.result import Failure
 from twisted.application.internet import ClientService, backoffPolicy
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.internet.protocol import Factory, connectionDone
 from twisted.protocols.basic import Int32StringReceiver
 from twisted.python.failure import Failure as TwistedFailure
 
 from tamarackmount.ids import MemberId
 from tamarackmount.internal.addresses import Address
-from tamarackmount.internal.codec import MAX_MESSAGE_BYTES, Codec, DecodeError, Envelope
+from tamarackmount.internal.codec import MAX_MESSAGE_BYTES, Codec, Envelope
+from tamarackmount.internal.inbound_links import (
+    InboundFactory,
+    LinkCounters,
+    M,
+    MessageHandler,
+    transport_of,
+)
 from tamarackmount.internal.keepalive import close_if_unreachable
+from tamarackmount.internal.peer_limits import PeerLimits
 
 MAX_UNSENT_BYTES = 8 * 1024 * 1024
 """Bytes waiting for a slow peer above which its connection is aborted."""
@@ -51,92 +56,6 @@
 RECONNECT_JITTER_S = 0.1
 """Largest random addition to that delay, in seconds."""
 
-_log = logging.getLogger(__name__)
-
-_UNKNOWN_MESSAGE = Failure(DecodeError.UNKNOWN_MESSAGE)
-
-M = TypeVar("M")
-
-MessageHandler = Callable[[Envelope[M]], None]
-"""Called with each message that a peer sent."""
-
-
-@dataclass(slots=True)
-class LinkCounters:
-    """Counters of messages and bytes since the process started."""
-
-    sent: int = 0
-    received: int = 0
-    dropped: int = 0
-    malformed: int = 0
-    unknown: int = 0
-    sent_bytes: int = 0
-    received_bytes: int = 0
-
-
-def _transport(protocol: Protocol) -> Any:
-    """Return the transport of a connected protocol; mypy can't see its interfaces."""
-    return protocol.transport
-
-
-class _Inbound(Int32StringReceiver, Generic[M]):
-    """A connection that another member opened."""
-
-    MAX_LENGTH = MAX_MESSAGE_BYTES
-
-    def __init__(
-        self, codec: Codec[M], receive: MessageHandler[M], counters: LinkCounters
-    ) -> None:
-        self._codec = codec
-        self._receive = receive
-        self._counters = counters
-
-    def connectionMade(self) -> None:  # noqa: N802
-        """Disable Nagle's algorithm, which would delay small messages."""
-        _transport(self).setTcpNoDelay(True)
-        close_if_unreachable(_transport(self))
-
-    def stringReceived(self, string: bytes) -> None:  # noqa: N802
-        """Handle a message; close the connection if it can't be decoded."""
-        decoded = self._codec.decode(string)
-        if decoded == _UNKNOWN_MESSAGE:
-            # A peer of a newer version; its other messages are still of use.
-            self._counters.unknown += 1
-            return
-        if isinstance(decoded, Failure):
-            self._reject(decoded.failure().value)
-            return
-        self._counters.received += 1
-        self._counters.received_bytes += len(string)
-        self._receive(decoded.unwrap())
-
-    def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
-        """Close the connection, since a frame is too large."""
-        self._reject(f"frame of {length} bytes exceeds the message size limit")
-
-    def _reject(self, reason: str) -> None:
-        self._counters.malformed += 1
-        peer = str(_transport(self).getPeer())
-        _log.warning(
-            "closed peer connection: invalid message",
-            extra={"reason": reason, "peer": peer},
-        )
-        _transport(self).abortConnection()
-
-
-class _InboundFactory(Factory, Generic[M]):
-    noisy = False
-
-    def __init__(
-        self, codec: Codec[M], receive: MessageHandler[M], counters: LinkCounters
-    ) -> None:
-        self._codec = codec
-        self._receive = receive
-        self._counters = counters
-
-    def buildProtocol(self, addr: object) -> _Inbound[M]:  # noqa: N802, ARG002
-        return _Inbound(self._codec, self._receive, self._counters)
-
 
 class _Outbound(Int32StringReceiver):
     """A connection that this member opened."""
@@ -151,9 +70,9 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Disable Nagle's algorithm and register for back-pressure."""
         self.is_open = True
-        _transport(self).setTcpNoDelay(True)
-        close_if_unreachable(_transport(self))
-        _transport(self).registerProducer(self, True)
+        transport_of(self).setTcpNoDelay(True)
+        close_if_unreachable(transport_of(self))
+        transport_of(self).registerProducer(self, True)
 
     def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:  # noqa: N802
         """Mark the connection as closed."""
@@ -164,7 +83,7 @@
         if self._is_paused:
             self._unsent_bytes += len(data)
         if self._unsent_bytes > MAX_UNSENT_BYTES:
-            _transport(self).abortConnection()
+            transport_of(self).abortConnection()
             return False
         self.sendString(data)
         return True
@@ -252,6 +171,7 @@
         addresses_by_id: Mapping[MemberId, Address],
         codec: Codec[M],
         receive: MessageHandler[M],
+        limits: PeerLimits | None = None,
     ) -> None:
         """Store the peers' addresses; connections are opened on first use."""
         self._reactor = reactor
@@ -261,11 +181,14 @@
         self._receive_message = receive
         self._connections_by_id: dict[MemberId, _PeerConnection] = {}
         self._port: Any = None
+        self._limits = limits or PeerLimits(reactor)
         self.counters = LinkCounters()
 
     def listen(self, address: Address) -> None:
         """Accept connections from other members."""
-        factory = _InboundFactory(self._codec, self._receive, self.counters)
+        factory = InboundFactory(
+            self._codec, self._receive, self.counters, self._limits
+        )
         self._port = self._reactor.listenTCP(
             address.port, factory, interface=address.host
         )
--- a/tamarackmount/internal/refusals.py
+++ b/tamarackmount/internal/refusals.py
@@ -20,6 +20,7 @@
 class Refusal:
     """A response to an incomplete request.
 
+    ``status`` is 0 where the connection is closed without a response.
     ``value`` and ``bound`` are what was measured against which limit, for the log.
     """
 
--- a/tamarackmount/node/connection_metrics.py
+++ b/tamarackmount/node/connection_metrics.py
@@ -27,7 +27,7 @@
 
     def __init__(self, registry: Registry) -> None:
         """Register the collectors."""
-        self._budget: BufferBudget | None = None
+        self._budgets_by_owner: dict[str, BufferBudget] = {}
         self._queue: Sized = ()
         self._connections_by_port: dict[str, Sized] = {}
         self._next_log_by_reason: dict[tuple[str, str], Instant] = {}
@@ -49,7 +49,7 @@
         )
         self._buffered = Gauge(
             "tamarackmount_buffered_bytes",
-            "Bytes that connections have reserved of the shared buffers.",
+            "Bytes that connections have reserved of shared buffers, by owner.",
             registry=registry,
         )
         self._peak = Gauge(
@@ -63,9 +63,12 @@
             registry=registry,
         )
 
-    def watch(self, budget: BufferBudget, queue: Sized) -> None:
-        """Report what is reserved of ``budget``, and the length of ``queue``."""
-        self._budget = budget
+    def watch_buffers(self, owner: str, budget: BufferBudget) -> None:
+        """Report what the connections of ``owner`` have reserved of ``budget``."""
+        self._budgets_by_owner[owner] = budget
+
+    def watch_queue(self, queue: Sized) -> None:
+        """Report the length of the queue of bodies to decode."""
         self._queue = queue
 
     def watch_port(self, port: str, connections: Sized) -> None:
@@ -96,9 +99,9 @@
         for port, connections in self._connections_by_port.items():
             self._open.set({"port": port}, len(connections))
         self._waiting_bodies.set({}, len(self._queue))
-        if self._budget is not None:
-            self._buffered.set({}, self._budget.used)
-            self._peak.set({}, self._budget.peak)
+        for owner, budget in self._budgets_by_owner.items():
+            self._buffered.set({"owner": owner}, budget.used)
+            self._peak.set({"owner": owner}, budget.peak)
 
     def _log_sometimes(
         self, port: str, reason: str, message: str, extra: Mapping[str, Any]
--- a/tamarackmount/node/http_ports.py
+++ b/tamarackmount/node/http_ports.py
@@ -1,4 +1,4 @@
-"""The HTTP ports of a node, with limits on what their connections hold."""
+"""The ports of a node, with limits on what their connections hold."""
 
 from typing import Any
 
@@ -9,6 +9,7 @@
 from tamarackmount.internal.bounded_request import BoundedRequest
 from tamarackmount.internal.buffer_budget import BufferBudget
 from tamarackmount.internal.decode_queue import DecodeQueue
+from tamarackmount.internal.peer_limits import PeerLimits
 from tamarackmount.internal.port_limits import (
     NoBodies,
     PortLimits,
@@ -25,6 +26,21 @@
 second."""
 
 
+def peer_limits(
+    reactor: Any, limits: ProcessLimits, metrics: ConnectionMetrics
+) -> PeerLimits:
+    """Return the limits of connections that other nodes opened."""
+    peers = PeerLimits(
+        reactor,
+        limits.peer_connections,
+        BufferBudget(limits.peer_buffer_bytes),
+        PortMetrics(metrics, "peer"),
+    )
+    metrics.watch_port("peer", peers.connections)
+    metrics.watch_buffers("peers", peers.budget)
+    return peers
+
+
 class BoundedSite(QuietSite):
     """An HTTP site whose connections have limits."""
 
@@ -59,7 +75,8 @@
         self._metrics = metrics
         self.budget = BufferBudget(limits.buffer_bytes)
         self._queue = DecodeQueue(reactor)
-        metrics.watch(self.budget, self._queue)
+        metrics.watch_buffers("callers", self.budget)
+        metrics.watch_queue(self._queue)
 
     def listen_for_callers(self, address: Any, resource: JobsResource) -> None:
         """Serve callers; bodies are limited by the configuration."""
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -21,7 +21,7 @@
 from tamarackmount.node.holder_dependencies import HolderDependencies
 from tamarackmount.node.holder_election import HolderElection
 from tamarackmount.node.http_api import JobsResource, ReadinessResource
-from tamarackmount.node.http_ports import HttpPorts
+from tamarackmount.node.http_ports import HttpPorts, peer_limits
 from tamarackmount.node.job_service import JobService
 from tamarackmount.node.jobs_follower import JobsFollower
 from tamarackmount.node.messages import (
@@ -106,12 +106,18 @@
         self._http = HttpClient(reactor)
         self._advice = AdviceClient(self._http, settings.advice_address)
         addresses_by_id: dict[MemberId, PeerAddress] = {}
+        metrics = NodeMetrics()
+        limits = process_limits(settings)
         if links is None:
             codec: Codec[NodeMessage] = Codec("node_peer.capnp", NodeMessage)
             links = PeerLinks(
-                reactor, settings.node, addresses_by_id, codec, self.handle_message
+                reactor,
+                settings.node,
+                addresses_by_id,
+                codec,
+                self.handle_message,
+                peer_limits(reactor, limits, metrics.connections),
             )
-        metrics = NodeMetrics()
         self._context = NodeContext(
             settings=settings,
             reactor=reactor,
@@ -186,9 +192,7 @@
             self._store_contact,
         )
         self._jobs_resource = JobsResource(self.jobs, self._context.metrics)
-        self._ports = HttpPorts(
-            reactor, process_limits(settings), self.jobs, metrics.connections
-        )
+        self._ports = HttpPorts(reactor, limits, self.jobs, metrics.connections)
         self._handlers: dict[type, Callable[[MemberId, Any], None]] = {
             **self.jobs.handlers,
             StoreAgeQuery: self._handle_store_age_query,
--- a/tamarackmount/node/process_limits.py
+++ b/tamarackmount/node/process_limits.py
@@ -11,6 +11,10 @@
 BUFFER_MEMORY_DIVISOR = 8
 """Part of the memory, as a divisor, that buffers of connections share."""
 
+PEER_MEMORY_DIVISOR = 16
+"""Part of the memory, as a divisor, for incomplete messages of other nodes. They have
+bytes of their own, so that callers can't keep the nodes from each other."""
+
 CONNECTION_MEMORY_DIVISOR = 6
 """Part of the memory, as a divisor, that all entry connections take together beside
 the shared buffers."""
@@ -23,7 +27,7 @@
 """Part of the sockets, as a divisor, for callers; the rest is for workers, the store
 and other nodes."""
 
-PEER_DESCRIPTOR_DIVISOR = 8
+PEER_DESCRIPTOR_DIVISOR = 4
 """Part of the sockets, as a divisor, for connections that other nodes opened."""
 
 MIN_CONNECTIONS = 8
@@ -38,11 +42,12 @@
 class ProcessLimits:
     """Limits on what the connections of one process hold.
 
-    ``buffer_bytes`` is shared by all connections; the others are numbers of open
-    connections of a port.
+    ``buffer_bytes`` is shared by all HTTP connections, and ``peer_buffer_bytes`` by
+    those of other nodes; the others are numbers of open connections of a port.
     """
 
     buffer_bytes: int
+    peer_buffer_bytes: int
     entry_connections: int
     peer_connections: int
     readiness_connections: int = INTERNAL_CONNECTIONS
@@ -51,11 +56,13 @@
 
 def process_limits(settings: BootSettings) -> ProcessLimits:
     """Return the limits that follow from the memory and descriptors of the process."""
-    sockets = max(0, settings.file_descriptors - RESERVED_DESCRIPTORS)
+    reserved = RESERVED_DESCRIPTORS + 2 * INTERNAL_CONNECTIONS
+    sockets = max(0, settings.file_descriptors - reserved)
     affordable = settings.memory_bytes // CONNECTION_MEMORY_DIVISOR // CONNECTION_BYTES
     entry = min(sockets // ENTRY_DESCRIPTOR_DIVISOR, affordable)
     return ProcessLimits(
         buffer_bytes=settings.memory_bytes // BUFFER_MEMORY_DIVISOR,
+        peer_buffer_bytes=settings.memory_bytes // PEER_MEMORY_DIVISOR,
         entry_connections=max(MIN_CONNECTIONS, entry),
         peer_connections=max(MIN_CONNECTIONS, sockets // PEER_DESCRIPTOR_DIVISOR),
     )
--- a/tests/test_connection_metrics.py
+++ b/tests/test_connection_metrics.py
@@ -53,7 +53,8 @@
 def test_what_connections_hold_was_missing_in_the_metrics() -> None:
     metrics = NodeMetrics()
     budget = BufferBudget(1_000)
-    metrics.connections.watch(budget, "ab")
+    metrics.connections.watch_buffers("callers", budget)
+    metrics.connections.watch_queue("ab")
     metrics.connections.watch_port("entry", "abc")
     budget.try_reserve(700)
     budget.release(200)
@@ -63,8 +64,8 @@
     lines = set(metrics.render().decode().splitlines())
     assert {
         'tamarackmount_open_connections{port="entry"} 3',
-        "tamarackmount_buffered_bytes 500",
-        "tamarackmount_buffered_bytes_peak 700",
+        'tamarackmount_buffered_bytes{owner="callers"} 500',
+        'tamarackmount_buffered_bytes_peak{owner="callers"} 700',
         "tamarackmount_bodies_waiting_to_decode 2",
         'tamarackmount_refused_requests_total{port="entry",reason="body_too_large"} 1',
         'tamarackmount_evicted_connections_total{port="entry",state="idle"} 1',
--- a/tests/test_keepalive.py
+++ b/tests/test_keepalive.py
@@ -4,8 +4,11 @@
 from typing import Any
 
 import pytest
+from twisted.internet.task import Clock
 
-from tamarackmount.internal.links import _Inbound, _Outbound
+from tamarackmount.internal.inbound_links import Inbound
+from tamarackmount.internal.links import _Outbound
+from tamarackmount.internal.peer_limits import PeerLimits
 
 
 class Transport:
@@ -28,7 +31,7 @@
 
 def inbound() -> Any:
     unused: Any = None
-    return _Inbound(unused, unused, unused)
+    return Inbound(unused, unused, unused, PeerLimits(Clock()))
 
 
 @pytest.mark.parametrize("make_protocol", [inbound, _Outbound])
--- a/tests/test_node_messages.py
+++ b/tests/test_node_messages.py
@@ -4,11 +4,13 @@
 
 import pytest
 from returns.result import Failure, Success
+from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
 from tamarackmount.ids import MemberId
 from tamarackmount.internal.codec import Codec, DecodeError, Envelope
-from tamarackmount.internal.links import LinkCounters, _InboundFactory
+from tamarackmount.internal.inbound_links import InboundFactory, LinkCounters
+from tamarackmount.internal.peer_limits import PeerLimits
 from tamarackmount.node.messages import EvacuationSeen, HolderReleased, NodeMessage
 
 CODEC: Codec[NodeMessage] = Codec("node_peer.capnp", NodeMessage)
@@ -43,9 +45,9 @@
 def test_a_message_of_a_newer_version_does_not_close_the_connection() -> None:
     received: list[Any] = []
     counters = LinkCounters()
-    protocol: Any = _InboundFactory(CODEC, received.append, counters).buildProtocol(
-        None
-    )
+    limits = PeerLimits(Clock())
+    factory = InboundFactory(CODEC, received.append, counters, limits)
+    protocol: Any = factory.buildProtocol(None)
     transport: Any = StringTransport()  # type: ignore[no-untyped-call]
     protocol.transport = transport
     known: Envelope[NodeMessage] = Envelope(MemberId("n1"), HolderReleased(1))
--- a/tests/test_process_limits.py
+++ b/tests/test_process_limits.py
@@ -32,7 +32,7 @@
         + limits.metrics_connections
     )
     assert connections <= 0.85 * (descriptors - RESERVED_DESCRIPTORS)
-    assert limits.buffer_bytes <= memory_mb * 1_000_000 / 4
+    assert limits.buffer_bytes + limits.peer_buffer_bytes <= memory_mb * 1_000_000 / 4
 
 
 def test_a_machine_with_few_descriptors_served_nobody() -> None:
