Reject a job of too many steps before they are decoded

What callers saw: bodies of legal size that are dense in steps ({"count":1}, 240 KB, 20,000 steps) kept a node busy, and all other callers waited. Cause: the steps were decoded and encoded before the record was found to be too large for the store. Each step takes 275 bytes or more there, so that no job of more than 953 steps fits into a record of 256 KB. Change: the steps are counted first; the answer is 413 as before. The test fails without the check, as the steps are decoded then.

--- a/tamarackmount/node/http_api.py
+++ b/tamarackmount/node/http_api.py
@@ -21,6 +21,7 @@
 from tamarackmount.node.metrics import NodeMetrics
 from tamarackmount.node.tasks import spawn
 from tamarackmount.platform.jobs import (
+    JobError,
     decode_job,
     encode_job_state,
     encode_waiting_count,
@@ -125,6 +126,10 @@
     def sends_callers_away(self) -> bool:
         """Whether callers should come back through another node."""
 
+    @property
+    def max_steps(self) -> int:
+        """A number of steps above which no job can be stored."""
+
     async def submit(self, job: AcceptedJob, deadline: Instant) -> ApiResponse:
         """Accept or refuse a job."""
 
@@ -200,11 +205,9 @@
     async def _submit(self, api_request: ApiRequest) -> ApiResponse:
         if not api_request.job_id:
             return ApiResponse(HttpStatus.BAD_METHOD)
-        decoded = decode_job(api_request.body)
+        decoded = decode_job(api_request.body, self._jobs.max_steps)
         if isinstance(decoded, Failure):
-            extra = {"job": api_request.job_id, "reason": decoded.failure()}
-            _log.info("job rejected: body not readable", extra=extra)
-            return ApiResponse(HttpStatus.BAD_REQUEST)
+            return _rejection(api_request.job_id, decoded.failure())
         job = AcceptedJob(
             job_id=api_request.job_id,
             terms=api_request.queue,
@@ -242,6 +245,16 @@
 }
 
 
+def _rejection(job_id: JobId, error: JobError) -> ApiResponse:
+    """Log why a job is rejected, and return the response."""
+    extra = {"job": job_id, "reason": error.detail}
+    if error.is_too_large:
+        _log.info("job rejected: too large", extra=extra)
+        return ApiResponse(HttpStatus.TOO_LARGE)
+    _log.info("job rejected: body not readable", extra=extra)
+    return ApiResponse(HttpStatus.BAD_REQUEST)
+
+
 class _ResponseWriter:
     """Writes one response, unless the caller has disconnected."""
 
--- a/tamarackmount/node/job_service.py
+++ b/tamarackmount/node/job_service.py
@@ -59,6 +59,7 @@
     record_key,
     split_key,
 )
+from tamarackmount.scheduling.store.record_limits import max_steps_per_job
 
 PHASE_TIMEOUT_S = 0.3
 """Timeout of a query about a job to another node, in seconds; after it, the stored
@@ -129,6 +130,11 @@
         """
         return self._context.is_draining or self._store_contact.is_lost
 
+    @property
+    def max_steps(self) -> int:
+        """A number of steps above which no job can be stored."""
+        return max_steps_per_job(self._context.store.max_record_bytes)
+
     def apply_records(self, records: Sequence[KeyedRecord]) -> None:
         """Apply records of the jobs topic."""
         for record in records:
--- a/tamarackmount/platform/jobs.py
+++ b/tamarackmount/platform/jobs.py
@@ -1,6 +1,7 @@
 """Decode the jobs that clients submit and encode the replies to clients."""
 
 from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Any
 
 import orjson
@@ -28,13 +29,32 @@
 store."""
 
 
-def decode_job(body: bytes) -> Result[JobSpec, str]:
-    """Return the job in a request body, or an error message if it is not valid."""
+@dataclass(frozen=True, slots=True)
+class JobError:
+    """Why a job is rejected; one that ``is_too_large`` may be valid otherwise."""
+
+    detail: str
+    is_too_large: bool = False
+
+
+def decode_job(body: bytes, max_steps: int = MAX_TASKS) -> Result[JobSpec, JobError]:
+    """Return the job in a request body, or why it is rejected.
+
+    A job of more than ``max_steps`` is rejected before its steps are decoded.
+    """
     try:
         raw = orjson.loads(body)
-        return _validate(_decode(raw))
+        step_count = len(raw["steps"])
+        if step_count > max_steps:
+            detail = f"steps: must have at most {max_steps} entries, got {step_count}"
+            return Failure(JobError(detail, is_too_large=True))
+        return _validate(_decode(raw)).alt(_job_error)
     except Exception as error:  # noqa: BLE001  (a client may send anything)
-        return Failure(f"{type(error).__name__}: {error}")
+        return Failure(_job_error(f"{type(error).__name__}: {error}"))
+
+
+def _job_error(detail: str) -> JobError:
+    return JobError(detail)
 
 
 def encode_job_state(phase: JobPhase, cause: FailureCause | None = None) -> bytes:
--- a/tamarackmount/scheduling/store/record_limits.py
+++ b/tamarackmount/scheduling/store/record_limits.py
@@ -8,6 +8,8 @@
 from typing import Any
 
 from tamarackmount.ids import JobId
+from tamarackmount.resources import NOTHING
+from tamarackmount.scheduling.domain.model import StepSpec
 from tamarackmount.scheduling.store.journal import JobProgress, encode_record
 
 DEFAULT_MAX_RECORD_BYTES = 256 * 1024
@@ -22,6 +24,21 @@
 RUN_BYTES = 64
 """Bytes that a run takes at most in its worker's record."""
 
+SHORTEST_STEP = StepSpec(
+    count=1,
+    amount=NOTHING,
+    gang=True,
+    same_rack=True,
+    saves_progress=True,
+    speculative=True,
+    perpetual=True,
+    fills=True,
+)
+"""A step whose record is as short as one can be."""
+
+MIN_STEP_BYTES = len(encode_record(SHORTEST_STEP))
+"""Bytes of a job's record that each of its steps takes at least."""
+
 SHORTENED_FIELDS = ("checkpoints_by_task", "crashes_by_task", "failed_runs_by_task")
 """Fields of a progress record that it can do without, those first that are missed
 least: a task without its checkpoint begins anew, one without evidence may crash more
@@ -35,6 +52,11 @@
     return max(1, (max_record_bytes - KEY_BYTES - WORKER_FIELD_BYTES) // RUN_BYTES)
 
 
+def max_steps_per_job(max_record_bytes: int) -> int:
+    """Return a number of steps above which no job fits into its record."""
+    return max_record_bytes // MIN_STEP_BYTES
+
+
 def encode_progress(
     job_id: JobId, progress: JobProgress, max_record_bytes: int
 ) -> bytes:
--- /dev/null
+++ b/tests/test_large_jobs.py
@@ -0,0 +1,43 @@
+"""Jobs with many steps, or with long lists in them."""
+
+from typing import Any
+
+import pytest
+
+from tamarackmount.platform import jobs
+from tamarackmount.platform.jobs import decode_job
+from tamarackmount.resources import Resources
+from tamarackmount.scheduling.domain.model import StepSpec
+from tamarackmount.scheduling.store.journal import encode_record
+from tamarackmount.scheduling.store.record_limits import (
+    DEFAULT_MAX_RECORD_BYTES,
+    max_steps_per_job,
+)
+from tests.utils.build_large_jobs import dense_body
+from tests.utils.build_scheduling import job
+
+MAX_STEPS = max_steps_per_job(DEFAULT_MAX_RECORD_BYTES)
+
+
+def test_steps_of_a_job_too_large_for_its_record_were_all_decoded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    decoded: list[Any] = []
+    monkeypatch.setattr(jobs, "_decode_step", decoded.append)
+    error = decode_job(dense_body(20_000), MAX_STEPS).failure()
+    assert error.is_too_large
+    assert not decoded
+
+
+@pytest.mark.parametrize("max_bytes", [1_000, DEFAULT_MAX_RECORD_BYTES])
+def test_a_job_that_fits_into_its_record_has_no_more_than_the_maximum_of_steps(
+    max_bytes: int,
+) -> None:
+    steps = [StepSpec(1, Resources(), gang=True, same_rack=True, perpetual=True)]
+    record = encode_record(job(1, *steps * (max_steps_per_job(max_bytes) + 1)))
+    assert len(record) > max_bytes
+
+
+def test_a_job_of_the_maximum_of_steps_is_decoded() -> None:
+    spec = decode_job(dense_body(MAX_STEPS), MAX_STEPS).unwrap()
+    assert len(spec.steps) == MAX_STEPS
