Bound the message about a job that is not valid

Cause: the message named the whole list of a step whose dependencies are not valid, and the log line repeated it: 393 kB for a body of 262 kB. Change: it names the first number that is wrong, and no message is longer than 200 characters. The test fails before: the message has over 200,000 characters.

--- a/tamarackmount/platform/jobs.py
+++ b/tamarackmount/platform/jobs.py
@@ -28,6 +28,10 @@
 progress, which lists the tasks that are done, has to fit into one record of the
 store."""
 
+MAX_DETAIL_CHARACTERS = 200
+"""Maximum length of the message about a job that is not valid, in characters; it may
+contain parts of the body."""
+
 
 @dataclass(frozen=True, slots=True)
 class JobError:
@@ -54,7 +58,7 @@
 
 
 def _job_error(detail: str) -> JobError:
-    return JobError(detail)
+    return JobError(detail[:MAX_DETAIL_CHARACTERS])
 
 
 def encode_job_state(phase: JobPhase, cause: FailureCause | None = None) -> bytes:
@@ -157,6 +161,7 @@
     for name, value in _quantities(step).items():
         if not 0 <= value <= MAX_QUANTITY:
             return f"{name}: must be from 0 to {MAX_QUANTITY}"
-    if any(not 0 <= dependency < number for dependency in step.after):
-        return f"after: must list only earlier steps, got {list(step.after)}"
+    for dependency in step.after:
+        if not 0 <= dependency < number:
+            return f"after: must list only earlier steps, got {dependency}"
     return ""
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -13,7 +13,7 @@
     DEFAULT_MAX_RECORD_BYTES,
     max_steps_per_job,
 )
-from tests.utils.build_large_jobs import dense_body
+from tests.utils.build_large_jobs import dense_body, listing_body
 from tests.utils.build_scheduling import job
 
 MAX_STEPS = max_steps_per_job(DEFAULT_MAX_RECORD_BYTES)
@@ -38,6 +38,11 @@
     assert len(record) > max_bytes
 
 
+def test_the_message_about_a_job_repeated_its_body() -> None:
+    error = decode_job(listing_body(100_000, dependency=7)).failure()
+    assert len(error.detail) < 1_000
+
+
 def test_a_job_of_the_maximum_of_steps_is_decoded() -> None:
     spec = decode_job(dense_body(MAX_STEPS), MAX_STEPS).unwrap()
     assert len(spec.steps) == MAX_STEPS
--- a/tests/utils/build_large_jobs.py
+++ b/tests/utils/build_large_jobs.py
@@ -4,3 +4,9 @@
 def dense_body(step_count: int) -> bytes:
     """Return a job of ``step_count`` steps, in as few bytes as possible."""
     return b'{"steps":[' + b",".join([b'{"count":1}'] * step_count) + b"]}"
+
+
+def listing_body(entries: int, dependency: int = 0) -> bytes:
+    """Return a job of two steps; the second lists its dependency again and again."""
+    numbers = b",".join([b"%d" % dependency] * entries)
+    return b'{"steps":[{"count":1},{"count":1,"after":[' + numbers + b"]}]}"
