Bound the log line about a submitted job

Cause: the line "job handed in" described every step, and each in full: 19,531 bytes and 1.5 ms of processor time for a job of 930 steps, and a label of any length was copied. Change: it describes 20 steps, in 300 characters each, and counts the others; 436 bytes and 0.03 ms for the same job. The test fails before, as there is no bounded description.

--- a/tamarackmount/node/job_service.py
+++ b/tamarackmount/node/job_service.py
@@ -49,7 +49,7 @@
 from tamarackmount.scheduling.admission.retry_times import store_retry_s
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.domain.fleet_config import FleetConfig, Queue
-from tamarackmount.scheduling.domain.model import FailureCause, JobPhase, describe_step
+from tamarackmount.scheduling.domain.model import FailureCause, JobPhase, describe_steps
 from tamarackmount.scheduling.store.journal import (
     CancelRecord,
     RecordKind,
@@ -304,7 +304,7 @@
             "job": job.job_id,
             "queue": job.queue_name,
             "team": job.workspace_id,
-            "steps": [describe_step(step) for step in job.spec.steps],
+            "steps": describe_steps(job.spec.steps),
             "stored": result.outcome.value,
             "took_s": round(took_s, 3),
             "left_s": round(deadline - clock.now(), 3),
--- a/tamarackmount/scheduling/domain/model.py
+++ b/tamarackmount/scheduling/domain/model.py
@@ -1,5 +1,6 @@
 """Jobs, steps and tasks as callers submit them."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import NamedTuple, NewType
@@ -13,6 +14,12 @@
 UnixMs = NewType("UnixMs", int)
 """Milliseconds since 1970 in UTC, on the clock of the process that wrote it."""
 
+MAX_DESCRIBED_STEPS = 20
+"""Maximum number of a job's steps that one log line describes."""
+
+MAX_DESCRIPTION_CHARACTERS = 300
+"""Maximum length of the description of a step, in characters."""
+
 
 class StepKey(NamedTuple):
     """Key of a step in one occurrence of a job."""
@@ -127,8 +134,19 @@
 _FLAGS = ("gang", "same_rack", "saves_progress", "speculative", "perpetual", "fills")
 
 
-def describe_step(step: StepSpec) -> str:
-    """Return a short text of a step's tasks and options, for logs."""
+def describe_steps(steps: Sequence[StepSpec]) -> list[str]:
+    """Return a short text of each step, for logs; the last one counts those left out.
+
+    The result is bounded, whatever the steps are.
+    """
+    texts = [_describe_step(step) for step in steps[:MAX_DESCRIBED_STEPS]]
+    if len(steps) > MAX_DESCRIBED_STEPS:
+        texts.append(f"and {len(steps) - MAX_DESCRIBED_STEPS} more")
+    return texts
+
+
+def _describe_step(step: StepSpec) -> str:
+    """Return a short text of a step's tasks and options."""
     amount = step.amount
     options = [name for name in _FLAGS if getattr(step, name)]
     for name in ("label", "rack", "max_per_worker", "target_ms", "may_miss", "image"):
@@ -136,7 +154,8 @@
         if value:
             options.append(f"{name}={value}")
     size = f"{amount.millicores}m/{amount.memory_mib}MiB/{amount.accelerators}acc"
-    return " ".join((f"{step.count}x{size}", f"{step.estimated_ms}ms", *options))
+    text = " ".join((f"{step.count}x{size}", f"{step.estimated_ms}ms", *options))
+    return text[:MAX_DESCRIPTION_CHARACTERS]
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -1,5 +1,6 @@
 """Jobs with many steps, or with long lists in them."""
 
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -7,14 +8,14 @@
 from tamarackmount.platform import jobs
 from tamarackmount.platform.jobs import decode_job
 from tamarackmount.resources import Resources
-from tamarackmount.scheduling.domain.model import StepSpec
+from tamarackmount.scheduling.domain.model import StepSpec, describe_steps
 from tamarackmount.scheduling.store.journal import encode_record
 from tamarackmount.scheduling.store.record_limits import (
     DEFAULT_MAX_RECORD_BYTES,
     max_steps_per_job,
 )
 from tests.utils.build_large_jobs import dense_body, listing_body
-from tests.utils.build_scheduling import job
+from tests.utils.build_scheduling import job, step
 
 MAX_STEPS = max_steps_per_job(DEFAULT_MAX_RECORD_BYTES)
 
@@ -43,6 +44,18 @@
     assert len(error.detail) < 1_000
 
 
+def test_the_description_of_a_job_was_as_long_as_the_job() -> None:
+    steps = [replace(step(), label="l" * 100_000)] * MAX_STEPS
+    texts = describe_steps(steps)
+    assert sum(map(len, texts)) < 10_000
+    assert str(MAX_STEPS - len(texts) + 1) in texts[-1]
+
+
+def test_the_description_of_an_ordinary_job_names_each_step() -> None:
+    texts = describe_steps([step(count) for count in (1, 2, 3)])
+    assert [text.partition("x")[0] for text in texts] == ["1", "2", "3"]
+
+
 def test_a_job_of_the_maximum_of_steps_is_decoded() -> None:
     spec = decode_job(dense_body(MAX_STEPS), MAX_STEPS).unwrap()
     assert len(spec.steps) == MAX_STEPS
