Drop repeated dependencies of a step

Cause: a step may list a dependency any number of times, and each was decoded, stored, sent and kept as a number of its own. Measured: for a body of 260,045 bytes with 130,000 times the same number, the decoded job took 1,016 KB on each node, and its record 260,906 bytes. Change: each number is kept once, in the order in which it was first named. The record has under 2,000 bytes (checked by the test). The test fails before: 100,000 numbers are kept.

--- a/tamarackmount/platform/jobs.py
+++ b/tamarackmount/platform/jobs.py
@@ -92,7 +92,8 @@
         count=int(row["count"]),
         amount=decode_resources(row),
         estimated_ms=int(row.get("estimatedMs", 0)),
-        after=tuple(int(number) for number in row.get("after", ())),
+        # Repeated numbers mean nothing, and each would be kept on every node.
+        after=tuple(dict.fromkeys(int(number) for number in row.get("after", ()))),
         gang=bool(row.get("gang", False)),
         same_rack=bool(row.get("sameRack", False)),
         label=str(row.get("requirements", "") or ""),
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -44,6 +44,12 @@
     assert len(error.detail) < 1_000
 
 
+def test_a_dependency_that_is_listed_again_was_kept_each_time() -> None:
+    spec = decode_job(listing_body(100_000)).unwrap()
+    assert spec.steps[1].after == (0,)
+    assert len(encode_record(replace(job(), spec=spec))) < 2_000
+
+
 def test_the_description_of_a_job_was_as_long_as_the_job() -> None:
     steps = [replace(step(), label="l" * 100_000)] * MAX_STEPS
     texts = describe_steps(steps)
