Decode large bodies in turns

Cause: each body was decoded when its last byte had come; what waits for that was bounded neither in bytes nor by the callers' deadlines. Change: bodies over 8 KB wait in order of arrival and are decoded one at a time, with pauses of twice the time that it took. Together they may take 1/16 of the memory of the settings. One that finds the queue full, or that would miss its deadline, is answered 503 with a retry time at once, unless its job is stored already. Smaller bodies don't wait, and the ordinary path has one comparison more. Refusals are counted by limit. The two tests of test_job_limits.py about bodies that come at once fail without the turns: all bodies are decoded before the small one is answered, and none is refused.

--- a/tamarackmount/node/http_api.py
+++ b/tamarackmount/node/http_api.py
@@ -130,6 +130,12 @@
     def max_steps(self) -> int:
         """A number of steps above which no job can be stored."""
 
+    async def wait_turn(self, size: int, deadline: Instant) -> bool:
+        """Wait until a body of ``size`` bytes may be decoded; False if it may not."""
+
+    async def refuse_large(self, job_id: JobId, deadline: Instant) -> ApiResponse:
+        """Return the response for a job whose body may not be decoded."""
+
     async def submit(self, job: AcceptedJob, deadline: Instant) -> ApiResponse:
         """Accept or refuse a job."""
 
@@ -205,17 +211,20 @@
     async def _submit(self, api_request: ApiRequest) -> ApiResponse:
         if not api_request.job_id:
             return ApiResponse(HttpStatus.BAD_METHOD)
+        job_id, deadline = api_request.job_id, api_request.deadline
+        if not await self._jobs.wait_turn(len(api_request.body), deadline):
+            return await self._jobs.refuse_large(job_id, deadline)
         decoded = decode_job(api_request.body, self._jobs.max_steps)
         if isinstance(decoded, Failure):
-            return _rejection(api_request.job_id, decoded.failure())
+            return _rejection(job_id, decoded.failure())
         job = AcceptedJob(
-            job_id=api_request.job_id,
+            job_id=job_id,
             terms=api_request.queue,
             workspace_id=api_request.workspace_id,
             accepted_unix_ms=clock.unix_ms(),
             spec=decoded.unwrap(),
         )
-        return await self._jobs.submit(job, api_request.deadline)
+        return await self._jobs.submit(job, deadline)
 
     async def _get(self, api_request: ApiRequest) -> ApiResponse:
         if not api_request.job_id:
--- a/tamarackmount/node/job_service.py
+++ b/tamarackmount/node/job_service.py
@@ -17,6 +17,7 @@
     HttpStatus,
     PhaseLookupFailure,
 )
+from tamarackmount.node.job_limits import JobLimit, JobLimits
 from tamarackmount.node.jobs_follower import JobsFollower
 from tamarackmount.node.known_jobs import (
     ask_failure_cause,
@@ -93,8 +94,10 @@
         election: HolderElection,
         follower: JobsFollower,
         store_contact: StoreContact,
+        limits: JobLimits,
     ) -> None:
         """Serve the jobs that ``follower`` reads and those that other nodes know."""
+        self._limits = limits
         self._store_contact = store_contact
         self._context = context
         self._registry = registry
@@ -141,6 +144,14 @@
             self._context.job_index.apply(record.key, record.value)
             self._notify_local_holder(record)
 
+    async def wait_turn(self, size: int, deadline: Instant) -> bool:
+        """Wait until a body of ``size`` bytes may be decoded; False if it may not."""
+        return await self._limits.turns.wait_turn(size, deadline)
+
+    async def refuse_large(self, job_id: JobId, deadline: Instant) -> ApiResponse:
+        """Return the response for a job whose body may not be decoded."""
+        return await self._refuse(job_id, JobLimit.LARGE_JOBS, deadline)
+
     async def submit(self, job: AcceptedJob, deadline: Instant) -> ApiResponse:
         """Accept or refuse a job; it is accepted once the store has it."""
         if self._context.job_index.phase(job.job_id) is not None:
@@ -245,6 +256,14 @@
             return self._follower.has_snapshot
         return any(self._context.links.is_open(node) for node in self._nodes_to_ask())
 
+    async def _refuse(
+        self, job_id: JobId, limit: JobLimit, deadline: Instant
+    ) -> ApiResponse:
+        """Refuse a job that exceeds a limit, unless it was accepted before."""
+        if await self._is_known(job_id, deadline):
+            return ApiResponse(HttpStatus.OK)
+        return self._limits.refusal(job_id, limit)
+
     async def _is_known(self, job_id: JobId, deadline: Instant) -> bool:
         """Tell whether this node or others know a job that was submitted again."""
         context = self._context
--- a/tamarackmount/node/metrics.py
+++ b/tamarackmount/node/metrics.py
@@ -77,6 +77,11 @@
             "Records left out as the store takes none of their length, by kind.",
             registry=self.registry,
         )
+        self._job_limit_refusals = Counter(
+            "tamarackmount_job_limit_refusals_total",
+            "Jobs refused as they would exceed the process's memory or time, by limit.",
+            registry=self.registry,
+        )
         self._processor_slowdown = Gauge(
             "tamarackmount_processor_slowdown",
             "Time that a fixed amount of work takes, relative to this process's best.",
@@ -106,6 +111,10 @@
         """Count a caller's record and the time until its outcome was known."""
         self._store_record_seconds.observe({"result": result}, took_s)
 
+    def record_job_limit_refusal(self, limit: str) -> None:
+        """Count a job that was refused for a limit of this process."""
+        self._job_limit_refusals.inc({"limit": limit})
+
     def record_first_start(self, queue: str, waited_s: float) -> None:
         """Count a job's first start and the time from its acceptance."""
         self._first_start_seconds.observe({"queue": queue}, waited_s)
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -22,6 +22,7 @@
 from tamarackmount.node.holder_election import HolderElection
 from tamarackmount.node.http_api import JobsResource, ReadinessResource
 from tamarackmount.node.http_ports import HttpPorts, peer_limits
+from tamarackmount.node.job_limits import JobLimits, JobLimitSizes
 from tamarackmount.node.job_service import JobService
 from tamarackmount.node.jobs_follower import JobsFollower
 from tamarackmount.node.messages import (
@@ -190,6 +191,7 @@
             self._election,
             self._follower,
             self._store_contact,
+            JobLimits(reactor, JobLimitSizes.of_memory(settings.memory_bytes), metrics),
         )
         self._jobs_resource = JobsResource(self.jobs, self._context.metrics)
         self._ports = HttpPorts(reactor, limits, self.jobs, metrics.connections)
--- /dev/null
+++ b/tests/test_job_limits.py
@@ -0,0 +1,143 @@
+"""What callers' jobs may take of a node's memory and time."""
+
+from collections.abc import Sequence
+from dataclasses import replace
+from typing import Any
+
+import orjson
+import pytest
+from returns.result import Result
+from twisted.internet.defer import Deferred
+
+from tamarackmount.adapters.http_exchange import Answer, HttpExchanger
+from tamarackmount.adapters.http_wire import Limits
+from tamarackmount.ids import Instant
+from tamarackmount.internal.addresses import Address
+from tamarackmount.kernel.messages import HttpHeader
+from tamarackmount.node.job_limits import JobLimitSizes
+from tamarackmount.node.node import Node
+from tamarackmount.platform.boot import decode_boot
+from tamarackmount.platform.jobs import decode_job
+from tamarackmount.scheduling.domain.fleet_config import group_by_host
+from tests.utils.build_large_jobs import padded_body
+from tests.utils.build_platform_documents import boot_document
+from tests.utils.build_scheduling import LOW_PRIORITY, fleet_config, queue
+from tests.utils.memory_network import MemoryNetwork
+from tests.utils.memory_store import MemoryStore
+
+PORT = 7_100
+MAX_BODY_BYTES = 262_144
+DECODE_S = 0.25
+MEMORY_MIB = 64
+
+
+class Callers:
+    """Callers of one node, over a network in memory.
+
+    ``decoded`` has the sizes of the bodies that the node has decoded.
+    """
+
+    def __init__(self, memory_mib: int = MEMORY_MIB) -> None:
+        """Start a node whose process may use ``memory_mib``."""
+        self.network = MemoryNetwork()
+        self.store = MemoryStore(self.network)
+        self.decoded: list[int] = []
+        self.answers: list[Answer] = []
+        document = boot_document()
+        document["limits"]["memoryMb"] = memory_mib
+        settings = decode_boot(orjson.dumps(document)).unwrap()
+        self.sizes = JobLimitSizes.of_memory(settings.memory_bytes)
+        store: Any = self.store
+        self.node = Node(settings, self.network, store)
+        public = queue(LOW_PRIORITY, 2, is_public=True, host=f"127.0.0.1:{PORT}")
+        queues = {LOW_PRIORITY: public}
+        self.node._context.fleet = replace(
+            fleet_config(),
+            queues_by_name=queues,
+            queues_by_host=group_by_host(queues),
+            max_body_bytes=MAX_BODY_BYTES,
+        )
+        self.node.follow_store()
+        self.network.elapse(1.0)
+        self.node._ports.listen_for_callers(
+            Address("127.0.0.1", PORT), self.node._jobs_resource
+        )
+
+    def decode_slowly(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Let each body take ``DECODE_S`` to decode."""
+
+        def decode(body: bytes, max_steps: int) -> Result[Any, Any]:
+            self.decoded.append(len(body))
+            if len(body) > MAX_BODY_BYTES // 2:
+                self.network.rightNow += DECODE_S
+            return decode_job(body, max_steps)
+
+        monkeypatch.setattr("tamarackmount.node.http_api.decode_job", decode)
+
+    def submit(self, number: int, body: bytes) -> "Deferred[Any]":
+        """Send a job; its answer is added to ``answers`` too."""
+        exchanger = HttpExchanger(self.network, Limits(0, 1.0, 1_000_000))
+        answer = exchanger.send(
+            "POST",
+            f"http://127.0.0.1:{PORT}/{LOW_PRIORITY}/{number:016x}",
+            [HttpHeader("Deadline-Remaining", "600000")],
+            body,
+            Instant(self.network.seconds() + 600),
+        )
+        answer.addCallback(self._record)
+        return answer
+
+    def _record(self, result: Result[Answer, Any]) -> Answer:
+        answer = result.unwrap()
+        self.answers.append(answer)
+        return answer
+
+    def statuses(self, answers: Sequence["Deferred[Any]"]) -> list[int]:
+        return [self.network.wait(answer).status for answer in answers]
+
+
+def retry_after_s(answer: Answer) -> int:
+    values = [h.value for h in answer.headers if h.name.lower() == "retry-after"]
+    return int(values[0])
+
+
+def test_large_bodies_that_came_at_once_kept_a_small_one_waiting(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    callers = Callers()
+    callers.decode_slowly(monkeypatch)
+    large = [callers.submit(one, padded_body(MAX_BODY_BYTES)) for one in range(10)]
+    small = callers.submit(99, padded_body(100))
+    assert callers.statuses([small]) == [200]
+    assert len(callers.decoded) < 5
+    assert callers.statuses(large) == [200] * 10
+
+
+def test_large_bodies_were_all_kept_until_they_were_decoded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    callers = Callers()
+    callers.decode_slowly(monkeypatch)
+    fitting = callers.sizes.waiting // MAX_BODY_BYTES
+    large = [
+        callers.submit(one, padded_body(MAX_BODY_BYTES)) for one in range(2 * fitting)
+    ]
+    callers.network.elapse(0.2)
+    assert len(callers.answers) >= fitting - 3
+    assert {answer.status for answer in callers.answers} <= {200, 503}
+    refused = [answer for answer in callers.answers if answer.status == 503]
+    assert all(retry_after_s(answer) >= 1 for answer in refused)
+    statuses = callers.statuses(large)
+    assert statuses.count(200) == len(callers.decoded)
+
+
+def test_a_stored_job_was_refused_when_its_large_body_came_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    callers = Callers()
+    body = padded_body(MAX_BODY_BYTES)
+    assert callers.statuses([callers.submit(1, body)]) == [200]
+    callers.decode_slowly(monkeypatch)
+    for one in range(2, 50):
+        callers.submit(one, body)
+    assert callers.statuses([callers.submit(1, body)]) == [200]
--- a/tests/utils/build_large_jobs.py
+++ b/tests/utils/build_large_jobs.py
@@ -10,3 +10,8 @@
     """Return a job of two steps; the second lists its dependency again and again."""
     numbers = b",".join([b"%d" % dependency] * entries)
     return b'{"steps":[{"count":1},{"count":1,"after":[' + numbers + b"]}]}"
+
+
+def padded_body(size: int) -> bytes:
+    """Return a job of one step, padded to ``size`` bytes."""
+    return b'{"steps":[{"count":1}]}'.ljust(size)
