--- a/tamarackmount/node/job_service.py
+++ b/tamarackmount/node/job_service.py
@@ -31,21 +31,20 @@
     PhaseQuery,
     PhaseReply,
     StoreQuery,
-    StoreReply,
     WaitingQuery,
     WaitingReply,
     enum_value,
 )
 from tamarackmount.node.node_registry import NodeRegistry
+from tamarackmount.node.record_relay import RecordRelay
 from tamarackmount.node.store_contact import StoreContact
 from tamarackmount.node.submissions import (
-    NOT_STORED_RESULT,
     StoreOutcome,
     StoreResult,
     Submissions,
 )
 from tamarackmount.node.tasks import spawn_answer
-from tamarackmount.platform.store import MAX_KEY_BYTES, KeyedRecord, encoded_bytes
+from tamarackmount.platform.store import KeyedRecord, encoded_bytes
 from tamarackmount.scheduling.admission.admission import add_jitter
 from tamarackmount.scheduling.admission.retry_times import store_retry_s
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
@@ -78,9 +77,6 @@
     StoreOutcome.UNKNOWN: ApiResponse(HttpStatus.GATEWAY_TIMEOUT),
 }
 
-_HOLDER_CHANGED = StoreResult(StoreOutcome.UNKNOWN)
-"""The result of a record that was with a holder when the next one was ready."""
-
 _log = logging.getLogger(__name__)
 
 
@@ -104,11 +100,12 @@
         self._election = election
         self._follower = follower
         self._rng = random.Random()
+        relay = RecordRelay(context, election, self._may_reach, self.apply_records)
         self._submissions = Submissions(
             context.reactor,
             context.store,
             JOBS_TOPIC,
-            self._relay,
+            relay.store,
             lambda: not store_contact.is_lost,
             lambda: store_contact.may_be_cut_off,
         )
@@ -117,7 +114,7 @@
             CancelStored: self._handle_cancel_stored,
             PhaseQuery: self._handle_phase_query,
             WaitingQuery: self._handle_waiting_query,
-            StoreQuery: self._handle_store_query,
+            StoreQuery: relay.handle_store_query,
         }
 
     @property
@@ -333,45 +330,6 @@
         # The message is kept for operators' tools: the job was submitted.
         _log.info("job handed in", extra=extra)
 
-    async def _relay(self, record: KeyedRecord, timeout_s: float) -> StoreResult | None:
-        """Store a record through the holder, on this node or another one.
-
-        Load pattern: the holder is lost, and each caller's record is with it until it
-        times out, although the next holder is there by then. So the record is sent to
-        the next holder as soon as that one is ready. The lost one may have stored it
-        too, so that it does not count as not stored if the next one does not store it.
-        """
-        deadline = Instant(clock.now() + timeout_s)
-        result = await self._election.new_holder_ready.result_before(
-            self._relay_once(record, timeout_s), _HOLDER_CHANGED
-        )
-        if result is not _HOLDER_CHANGED:
-            return result
-        left_s = max(0.0, deadline - clock.now())
-        result = await self._relay_once(record, left_s)
-        if result is None or result.outcome is StoreOutcome.NOT_STORED:
-            return StoreResult(StoreOutcome.UNKNOWN)
-        return result
-
-    async def _relay_once(
-        self, record: KeyedRecord, timeout_s: float
-    ) -> StoreResult | None:
-        if self._election.holder is not None:
-            return await self._election.holder.store(record)
-        node = self._election.holder_node
-        if node is None or not self._context.links.is_open(node):
-            return None
-        if not self._may_reach(node):
-            # A record that is sent now may arrive once the cut has ended.
-            return None
-        peers = self._context.peer_calls
-        query = StoreQuery(peers.next_call_id(), record.key, record.value)
-        reply = await peers.call(node, query, timeout_s)
-        if not isinstance(reply, StoreReply):
-            return StoreResult(StoreOutcome.UNKNOWN)
-        outcome = enum_value(StoreOutcome, reply.stored) or StoreOutcome.UNKNOWN
-        return StoreResult(outcome, reply.retry_after_s)
-
     async def _ask_holder(self, job_id: JobId) -> JobPhase | None:
         node = self._election.holder_node
         if node is None or node == self._context.node_id or not self._may_reach(node):
@@ -454,24 +412,3 @@
         queue = QueueName(query.queue)
         count = self._context.job_index.waiting_count(queue) if is_known else 0
         self._context.links.send(sender, WaitingReply(query.call_id, is_known, count))
-
-    def _handle_store_query(self, sender: MemberId, query: StoreQuery) -> None:
-        spawn_answer(self._answer_store_query(sender, query))
-
-    def _can_store(self, record: KeyedRecord) -> bool:
-        """Tell whether the store can take a record that another node sent."""
-        max_bytes = self._context.store.max_record_bytes
-        return (
-            0 < len(record.key.encode()) <= MAX_KEY_BYTES
-            and encoded_bytes(record) <= max_bytes
-        )
-
-    async def _answer_store_query(self, sender: MemberId, query: StoreQuery) -> None:
-        result = NOT_STORED_RESULT
-        record = KeyedRecord(query.key, query.value)
-        if self._election.holder is not None and self._can_store(record):
-            result = await self._election.holder.store(record)
-            if result.outcome is StoreOutcome.STORED:
-                self.apply_records([record])
-        reply = StoreReply(query.call_id, result.outcome.value, result.retry_after_s)
-        self._context.links.send(sender, reply)
--- /dev/null
+++ b/tamarackmount/node/record_relay.py
@@ -0,0 +1,101 @@
+"""Storing records through the holder, which may be on this node or another one."""
+
+from collections.abc import Callable, Sequence
+
+from tamarackmount.ids import Instant, MemberId
+from tamarackmount.node import clock
+from tamarackmount.node.context import NodeContext
+from tamarackmount.node.holder_election import HolderElection
+from tamarackmount.node.messages import StoreQuery, StoreReply, enum_value
+from tamarackmount.node.submissions import (
+    NOT_STORED_RESULT,
+    StoreOutcome,
+    StoreResult,
+)
+from tamarackmount.node.tasks import spawn_answer
+from tamarackmount.platform.store import MAX_KEY_BYTES, KeyedRecord, encoded_bytes
+
+_HOLDER_CHANGED = StoreResult(StoreOutcome.UNKNOWN)
+"""The result of a record that was with a holder when the next one was ready."""
+
+
+class RecordRelay:
+    """Passes records to the holder, and takes those that other nodes pass to it."""
+
+    def __init__(
+        self,
+        context: NodeContext,
+        election: HolderElection,
+        may_reach: Callable[[MemberId], bool],
+        apply_records: Callable[[Sequence[KeyedRecord]], None],
+    ) -> None:
+        """Send records to the holder that ``election`` names.
+
+        ``may_reach`` tells whether a node may answer. ``apply_records`` is called with
+        records that the holder on this node has stored for others.
+        """
+        self._context = context
+        self._election = election
+        self._may_reach = may_reach
+        self._apply_records = apply_records
+
+    async def store(self, record: KeyedRecord, timeout_s: float) -> StoreResult | None:
+        """Store a record through the holder, on this node or another one.
+
+        Load pattern: the holder is lost, and each caller's record is with it until it
+        times out, although the next holder is there by then. So the record is sent to
+        the next holder as soon as that one is ready. The lost one may have stored it
+        too, so that it does not count as not stored if the next one does not store it.
+        """
+        deadline = Instant(clock.now() + timeout_s)
+        result = await self._election.new_holder_ready.result_before(
+            self._store_once(record, timeout_s), _HOLDER_CHANGED
+        )
+        if result is not _HOLDER_CHANGED:
+            return result
+        left_s = max(0.0, deadline - clock.now())
+        result = await self._store_once(record, left_s)
+        if result is None or result.outcome is StoreOutcome.NOT_STORED:
+            return StoreResult(StoreOutcome.UNKNOWN)
+        return result
+
+    async def _store_once(
+        self, record: KeyedRecord, timeout_s: float
+    ) -> StoreResult | None:
+        if self._election.holder is not None:
+            return await self._election.holder.store(record)
+        node = self._election.holder_node
+        if node is None or not self._context.links.is_open(node):
+            return None
+        if not self._may_reach(node):
+            # A record that is sent now may arrive once the cut has ended.
+            return None
+        peers = self._context.peer_calls
+        query = StoreQuery(peers.next_call_id(), record.key, record.value)
+        reply = await peers.call(node, query, timeout_s)
+        if not isinstance(reply, StoreReply):
+            return StoreResult(StoreOutcome.UNKNOWN)
+        outcome = enum_value(StoreOutcome, reply.stored) or StoreOutcome.UNKNOWN
+        return StoreResult(outcome, reply.retry_after_s)
+
+    def handle_store_query(self, sender: MemberId, query: StoreQuery) -> None:
+        """Store another node's record, if the holder is on this node, and reply."""
+        spawn_answer(self._answer_store_query(sender, query))
+
+    def _can_store(self, record: KeyedRecord) -> bool:
+        """Tell whether the store can take a record that another node sent."""
+        max_bytes = self._context.store.max_record_bytes
+        return (
+            0 < len(record.key.encode()) <= MAX_KEY_BYTES
+            and encoded_bytes(record) <= max_bytes
+        )
+
+    async def _answer_store_query(self, sender: MemberId, query: StoreQuery) -> None:
+        result = NOT_STORED_RESULT
+        record = KeyedRecord(query.key, query.value)
+        if self._election.holder is not None and self._can_store(record):
+            result = await self._election.holder.store(record)
+            if result.outcome is StoreOutcome.STORED:
+                self._apply_records([record])
+        reply = StoreReply(query.call_id, result.outcome.value, result.retry_after_s)
+        self._context.links.send(sender, reply)
