Drop a record once its caller is answered

Cause: a node that stores records itself answers a caller at its deadline, but the record stayed in the queue until the append in progress was over. Callers with short deadlines could fill the memory with large jobs while the store was slow. Change: the record is dropped with the answer. The test fails before: ten records wait behind an append whose callers were all answered.

--- a/tamarackmount/node/submissions.py
+++ b/tamarackmount/node/submissions.py
@@ -111,6 +111,9 @@
 may answer after the timeout, which is not waited for."""
 
 
+_NO_RECORD = KeyedRecord("", b"")
+
+
 @dataclass(slots=True)
 class _Pending:
     record: KeyedRecord
@@ -122,6 +125,8 @@
     def answer(self, outcome: StoreOutcome) -> None:
         if not self.is_answered:
             self.is_answered = True
+            # It may stay in the queue for as long as an append takes.
+            self.record = _NO_RECORD
             self.result.callback(outcome)
 
     def give_up(self) -> None:
--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -167,3 +167,16 @@
     entry_vm.clock.pump([0.005] * 16)
     assert entry_vm.results == [StoreResult(StoreOutcome.STORED)]
     assert entry_vm.store.appends == 0
+
+
+def test_records_whose_callers_were_answered_stayed_behind_an_append() -> None:
+    entry_vm = EntryVm(has_store_contact=True, holder=NOT_STORED_RESULT)
+    entry_vm.store.is_silent = True
+    entry_vm.submit()
+    entry_vm.clock.pump([0.02] * 5)
+    for _ in range(10):
+        entry_vm.submit(left_s=0.1)
+    entry_vm.clock.pump([0.02] * 10)
+    assert entry_vm.results == [NOT_STORED_RESULT] * 10
+    waiting = entry_vm._submissions._waiting
+    assert not any(pending.record.value for pending in waiting)
