Bound the memory of jobs that wait for the store

Cause: a decoded job and its record are kept until the store answers or the caller's deadline is over, which may be minutes. Each was bounded by the record's length and their sum by nothing, at the node that the caller reached as well as at the holder. Measured with tracemalloc: a decoded job takes 0.8 times the bytes of its record if it has many steps, 2.0 with many dependencies, and 4.0 with one wide character in a long label.

--- a/tamarackmount/node/job_service.py
+++ b/tamarackmount/node/job_service.py
@@ -161,28 +161,13 @@
             extra = {"job": job.job_id, "bytes": encoded_bytes(record)}
             _log.info("job rejected: record too large", extra=extra)
             return ApiResponse(HttpStatus.TOO_LARGE)
-        started_at = clock.now()
-        result = await self._submissions.store(record, deadline)
-        if result.outcome is StoreOutcome.NOT_STORED and await self._is_known(
-            job.job_id, deadline
-        ):
-            # A refusal would tell the caller that the job never runs.
-            _log.info("job submitted again; known", extra={"job": job.job_id})
-            return ApiResponse(HttpStatus.OK)
-        self._report_submission(job, result, clock.now() - started_at, deadline)
-        if result.outcome is StoreOutcome.STORED:
-            self._handle_stored(record, JobStored(record.value))
-        if result.outcome is StoreOutcome.REFUSED:
-            return ApiResponse(
-                HttpStatus.TOO_MANY_REQUESTS, retry_after_s=result.retry_after_s
-            )
-        if result.outcome is StoreOutcome.NOT_STORED:
-            remaining_s = deadline - clock.now()
-            retry_after_s = add_jitter(store_retry_s(remaining_s), self._rng)
-            return ApiResponse(
-                HttpStatus.SERVICE_UNAVAILABLE, retry_after_s=retry_after_s
-            )
-        return _RESPONSE_BY_OUTCOME[result.outcome]
+        reservation = self._limits.try_reserve(record.value)
+        if isinstance(reservation, JobLimit):
+            return await self._refuse(job.job_id, reservation, deadline)
+        try:
+            return await self._store_job(job, record, deadline)
+        finally:
+            reservation.release()
 
     async def cancel(self, job_id: JobId, deadline: Instant) -> ApiResponse:
         """Cancel a job; it is cancelled once the store has the cancellation."""
@@ -255,6 +240,32 @@
             return self._follower.has_snapshot
         return any(self._context.links.is_open(node) for node in self._nodes_to_ask())
 
+    async def _store_job(
+        self, job: AcceptedJob, record: KeyedRecord, deadline: Instant
+    ) -> ApiResponse:
+        started_at = clock.now()
+        result = await self._submissions.store(record, deadline)
+        if result.outcome is StoreOutcome.NOT_STORED and await self._is_known(
+            job.job_id, deadline
+        ):
+            # A refusal would tell the caller that the job never runs.
+            _log.info("job submitted again; known", extra={"job": job.job_id})
+            return ApiResponse(HttpStatus.OK)
+        self._report_submission(job, result, clock.now() - started_at, deadline)
+        if result.outcome is StoreOutcome.STORED:
+            self._handle_stored(record, JobStored(record.value))
+        if result.outcome is StoreOutcome.REFUSED:
+            return ApiResponse(
+                HttpStatus.TOO_MANY_REQUESTS, retry_after_s=result.retry_after_s
+            )
+        if result.outcome is StoreOutcome.NOT_STORED:
+            remaining_s = deadline - clock.now()
+            retry_after_s = add_jitter(store_retry_s(remaining_s), self._rng)
+            return ApiResponse(
+                HttpStatus.SERVICE_UNAVAILABLE, retry_after_s=retry_after_s
+            )
+        return _RESPONSE_BY_OUTCOME[result.outcome]
+
     async def _refuse(
         self, job_id: JobId, limit: JobLimit, deadline: Instant
     ) -> ApiResponse:
--- /dev/null
+++ b/tamarackmount/scheduling/store/job_sizes.py
@@ -0,0 +1,56 @@
+"""Estimates of the memory that a job takes, from its record in the store."""
+
+import sys
+from dataclasses import dataclass
+
+import orjson
+
+RECORD_BYTES = 1_500
+"""Memory that a node takes for the fixed parts of a job and its progress, in bytes."""
+
+STEP_BYTES = 2_400
+"""Memory that the scheduler takes for a step in one occurrence, in bytes."""
+
+TASK_BYTES = 400
+"""Memory that the scheduler takes for a task, in bytes: more while it runs, and less
+while it waits."""
+
+MAX_TASKS = 20_000
+"""Number of tasks, or of steps, above which no more are counted: no valid job has more,
+and one odd record must not fill the memory by its estimate."""
+
+
+@dataclass(frozen=True, slots=True)
+class JobSize:
+    """Memory that a job takes, in bytes.
+
+    ``record`` is that of its record on each node that follows the store, encoded or
+    decoded. ``state`` is that of the scheduler, until the job ends.
+    """
+
+    record: int
+    state: int
+
+    @property
+    def total(self) -> int:
+        """All of the memory at the holder."""
+        return self.record + self.state
+
+
+def job_size(text: bytes) -> JobSize:
+    """Return an estimate for a job with this record; none of it raises an error."""
+    # A character takes as many bytes as the widest one of its string.
+    record = RECORD_BYTES + len(text) + sys.getsizeof(text.decode("utf-8", "replace"))
+    return JobSize(record, _state_bytes(text))
+
+
+def _state_bytes(text: bytes) -> int:
+    try:
+        spec = orjson.loads(text)["spec"]
+        occurrences = max(1, int(spec["repetitions"]))
+        steps = occurrences * len(spec["steps"])
+        tasks = occurrences * sum(int(step["count"]) for step in spec["steps"])
+    except (KeyError, TypeError, ValueError, OverflowError):
+        # The record has another form, and no scheduler keeps such a job.
+        return 0
+    return STEP_BYTES * min(steps, MAX_TASKS) + TASK_BYTES * min(tasks, MAX_TASKS)
--- a/tests/test_job_limits.py
+++ b/tests/test_job_limits.py
@@ -19,7 +19,7 @@
 from tamarackmount.platform.boot import decode_boot
 from tamarackmount.platform.jobs import decode_job
 from tamarackmount.scheduling.domain.fleet_config import group_by_host
-from tests.utils.build_large_jobs import padded_body
+from tests.utils.build_large_jobs import padded_body, steps_body
 from tests.utils.build_platform_documents import boot_document
 from tests.utils.build_scheduling import LOW_PRIORITY, fleet_config, queue
 from tests.utils.memory_network import MemoryNetwork
@@ -141,3 +141,19 @@
     for one in range(2, 50):
         callers.submit(one, body)
     assert callers.statuses([callers.submit(1, body)]) == [200]
+
+
+def test_jobs_that_waited_for_a_slow_store_were_kept_without_bound() -> None:
+    callers = Callers(memory_mib=16)
+    callers.store.append_latency_s = 30.0
+    jobs = [callers.submit(one, steps_body(60, one)) for one in range(60)]
+    callers.network.elapse(1.0)
+    limits = callers.node.jobs._limits
+    assert 0 < limits.pending.peak <= callers.sizes.pending
+    assert {answer.status for answer in callers.answers} == {503}
+    assert all(retry_after_s(answer) >= 1 for answer in callers.answers)
+    assert len(callers.answers) > len(jobs) // 3
+    callers.store.append_latency_s = 0.002
+    callers.network.elapse(600.0)
+    assert limits.pending.used == 0
+    assert callers.statuses([callers.submit(99, steps_body(60, 99))]) == [200]
--- a/tests/test_job_limits_of_holder.py
+++ b/tests/test_job_limits_of_holder.py
@@ -95,3 +95,23 @@
     large.add(OTHERS[0], large_job(100))
     fleet.run_for(0.1)
     assert large.statuses == [HttpStatus.OK]
+
+
+def test_jobs_of_other_nodes_were_kept_at_the_holder_without_bound(
+    fleet: MemoryFleet,
+) -> None:
+    pending = fleet.node(HOLDER).jobs._limits.pending
+    pending.limit = 50_000
+    fleet.store.append_latency_s = 2.0
+    jobs = Submitted(fleet)
+    for number in range(30):
+        jobs.add(OTHERS[number % len(OTHERS)], job(100 + number))
+    fleet.run_for(0.1)
+    assert pending.peak <= pending.limit
+    assert jobs.responses
+    assert set(jobs.statuses) == {HttpStatus.TOO_MANY_REQUESTS}
+    assert all(response.retry_after_s for response in jobs.responses)
+    fleet.store.append_latency_s = 0.002
+    fleet.run_for(60.0)
+    assert pending.used == 0
+    assert len(jobs.responses) == 30
--- a/tests/utils/build_large_jobs.py
+++ b/tests/utils/build_large_jobs.py
@@ -15,3 +15,9 @@
 def padded_body(size: int) -> bytes:
     """Return a job of one step, padded to ``size`` bytes."""
     return b'{"steps":[{"count":1}]}'.ljust(size)
+
+
+def steps_body(step_count: int, number: int) -> bytes:
+    """Return a job of under 8 KB whose record is many times as long."""
+    step = b'{"count":1,"estimatedMs":%d}' % number
+    return b'{"steps":[' + b",".join([step] * step_count) + b"]}"
