Keep a node's own appends within the size that the store takes

Cause: a node that stores records itself put up to 200 of them into one append, whatever their length. The store takes 2 MB; an append of ten large jobs was refused each time, with all of its jobs. Change: an append takes records up to the store's limit; the others follow in the next one. The holder's appends were split by size already. The test fails before: 19 records make an append of 4,750,190 bytes.

--- a/tamarackmount/node/submissions.py
+++ b/tamarackmount/node/submissions.py
@@ -20,6 +20,7 @@
     StoreError,
     StoreErrorKind,
     Topic,
+    encoded_bytes,
 )
 
 REPLY_MARGIN_S = 0.15
@@ -72,8 +73,8 @@
 then."""
 
 MAX_RECORDS = 200
-"""Maximum number of records in one append. At 4 KB each, they stay under the store's
-limit of 2 MB per call."""
+"""Maximum number of records in one append; a slow store takes longer for a larger
+one."""
 
 FAILURES_BEFORE_AWAY = 2
 """Number of consecutive failed appends after which the store counts as away."""
@@ -265,14 +266,24 @@
     def _start_append(self) -> None:
         if self._is_appending:
             return
+        batch = self._take_batch()
+        if batch:
+            self._is_appending = True
+            spawn(self._append(batch))
+
+    def _take_batch(self) -> list[_Pending]:
+        """Remove and return the records that fit into the next append."""
         batch: list[_Pending] = []
+        left_bytes = self._store.max_append_bytes
         while self._waiting and len(batch) < MAX_RECORDS:
-            pending = self._waiting.popleft()
+            pending = self._waiting[0]
             if not pending.is_answered:
+                left_bytes -= encoded_bytes(pending.record)
+                if left_bytes < 0:
+                    break
                 batch.append(pending)
-        if batch:
-            self._is_appending = True
-            spawn(self._append(batch))
+            self._waiting.popleft()
+        return batch
 
     async def _append(self, batch: list[_Pending]) -> None:
         started_at = self._reactor.seconds()
--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -54,10 +54,10 @@
             lambda: self.silence_s > MAX_SILENCE_S,
         )
 
-    def submit(self, left_s: float = DEADLINE_S) -> None:
+    def submit(self, left_s: float = DEADLINE_S, record: KeyedRecord = ROW) -> None:
         """Submit a record of a caller who still waits for ``left_s``."""
         deadline = Instant(self.clock.seconds() + left_s)
-        submission = ensureDeferred(self._submissions.store(ROW, deadline))
+        submission = ensureDeferred(self._submissions.store(record, deadline))
         submission.addCallback(self.results.append)
 
     def _relay(
@@ -180,3 +180,13 @@
     assert entry_vm.results == [NOT_STORED_RESULT] * 10
     waiting = entry_vm._submissions._waiting
     assert not any(pending.record.value for pending in waiting)
+
+
+def test_large_records_made_an_append_that_the_store_does_not_take() -> None:
+    entry_vm = EntryVm(has_store_contact=True, holder=NOT_STORED_RESULT)
+    entry_vm.store.append_latency_s = 0.2
+    for _ in range(20):
+        entry_vm.submit(record=KeyedRecord("job/1", bytes(250_000)))
+    entry_vm.clock.pump([0.02] * 100)
+    assert entry_vm.results == [StoreResult(StoreOutcome.STORED)] * 20
+    assert max(entry_vm.store.append_sizes) <= entry_vm.store.max_append_bytes
