Count the fixed parts of a job in the estimate of its size

The test of the estimate failed once after other tests had run in the same process (it came after test_submissions.py): 2,864 bytes were allocated for the state of a job of one step, and 2,800 counted. The estimate left out the fixed parts of the scheduler's state; they count 1,000 bytes now, and those of the record 2,000 in place of 1,500. The test is unchanged.

--- a/tamarackmount/scheduling/store/job_sizes.py
+++ b/tamarackmount/scheduling/store/job_sizes.py
@@ -5,9 +5,12 @@
 
 import orjson
 
-RECORD_BYTES = 1_500
+RECORD_BYTES = 2_000
 """Memory that a node takes for the fixed parts of a job and its progress, in bytes."""
 
+STATE_BYTES = 1_000
+"""Memory that the scheduler takes for the fixed parts of a job, in bytes."""
+
 STEP_BYTES = 2_400
 """Memory that the scheduler takes for a step in one occurrence, in bytes."""
 
@@ -53,4 +56,5 @@
     except (KeyError, TypeError, ValueError, OverflowError):
         # The record has another form, and no scheduler keeps such a job.
         return 0
-    return STEP_BYTES * min(steps, MAX_TASKS) + TASK_BYTES * min(tasks, MAX_TASKS)
+    counted_bytes = STEP_BYTES * min(steps, MAX_TASKS)
+    return STATE_BYTES + counted_bytes + TASK_BYTES * min(tasks, MAX_TASKS)
