Don't decode jobs that have ended to list the open ones

Cause: a takeover, and the count of a queue's waiting jobs, decoded the own record of each job that a node keeps, also of those that had ended; the loop looked at the job before its progress. And a record that was read again, as each node's own jobs are, was decoded to see whether it is valid. Change: progress comes first, and a record that equals the one that waits to be decoded is left alone. Both tests fail before.

--- a/tamarackmount/scheduling/store/job_index.py
+++ b/tamarackmount/scheduling/store/job_index.py
@@ -91,7 +91,7 @@
 
     def set_accepted(self, text: bytes) -> None:
         """Set the job's own record; the first counts, later ones are repeated calls."""
-        if self.accepted is None:
+        if text != self._accepted_text and self.accepted is None:
             self._accepted_text = text
             self.size = job_size(text)
 
@@ -215,18 +215,22 @@
         """Return how many accepted jobs of a queue have not started."""
         return sum(
             1
-            for records in self.jobs_by_id.values()
+            for records in self.open_jobs()
             if records.phase is JobPhase.QUEUED
             and records.accepted is not None
             and records.accepted.queue_name == queue
         )
 
     def open_jobs(self) -> Iterator[JobRecords]:
-        """Return the accepted jobs whose stored phase is not final."""
+        """Return the accepted jobs whose stored phase is not final.
+
+        The others, which are the most, need not be decoded for it.
+        """
         for records in self.jobs_by_id.values():
-            if records.accepted is None:
+            progress = records.progress
+            if progress is not None and progress.phase.is_final:
                 continue
-            if records.progress is None or not records.progress.phase.is_final:
+            if records.accepted is not None:
                 yield records
 
     def workers(self) -> Iterator[WorkerRecord]:
--- a/tests/test_job_index.py
+++ b/tests/test_job_index.py
@@ -1,13 +1,17 @@
 """Reading stored records that other versions of the program may have written."""
 
+from typing import Any
+
 import pytest
 
+from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.domain.model import JobPhase
 from tamarackmount.scheduling.store.job_index import JobIndex
 from tamarackmount.scheduling.store.job_sizes import job_size
 from tamarackmount.scheduling.store.journal import (
     JobProgress,
     RecordKind,
+    decode_record,
     encode_record,
     job_key,
     record_key,
@@ -57,3 +61,39 @@
     job_index.apply(job_key(accepted), encode_record(accepted))
     job_index.clear()
     assert job_index.kept_bytes == 0
+
+
+@pytest.fixture
+def decoded(monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    """Return the names of the jobs whose own record is decoded."""
+    names: list[str] = []
+
+    def decode(text: bytes, record_type: type[Any], name: str) -> Any:
+        if record_type is AcceptedJob:
+            names.append(name)
+        return decode_record(text, record_type).value_or(None)
+
+    monkeypatch.setattr("tamarackmount.scheduling.store.job_index._decode", decode)
+    return names
+
+
+def test_a_takeover_or_a_count_decoded_the_jobs_that_had_ended(
+    decoded: list[str],
+) -> None:
+    job_index = JobIndex()
+    ended, waiting = job(1), job(2)
+    for accepted in (ended, waiting):
+        job_index.apply(job_key(accepted), encode_record(accepted))
+    key = record_key(RecordKind.PROGRESS, ended.job_id)
+    job_index.apply(key, encode_record(JobProgress(JobPhase.COMPLETED)))
+    assert job_index.waiting_count(waiting.queue_name) == 1
+    assert [records.accepted for records in job_index.open_jobs()] == [waiting]
+    assert decoded == [waiting.job_id]
+
+
+def test_a_record_that_was_read_again_was_decoded(decoded: list[str]) -> None:
+    job_index = JobIndex()
+    for _ in range(2):
+        job_index.apply(job_key(job()), encode_record(job()))
+    assert not decoded
+    assert job_index.phase(job().job_id) is JobPhase.QUEUED
