Serve further requests of one read in a share of the processor's time

A read of 16 KiB may have hundreds of requests that are answered at once, such as those for an unknown queue. They were served in one go, connection after connection, and ordinary callers only after all of them.

After the first request of a read, the connection waits in the queue for costly bodies, one request at a time. Clients that wait for a response before the next request are not concerned.

--- a/tamarackmount/internal/bounded_channel.py
+++ b/tamarackmount/internal/bounded_channel.py
@@ -72,6 +72,7 @@
         HTTPChannel.__init__(self)
         self._limits = limits
         self._buffer = b""
+        self.paused = False
         self._dataBuffer: list[bytes] = []
         self._reservation = Reservation(limits.budget, CONNECTION_ALLOWANCE_BYTES)
         self._chunked: ChunkedDecoder | None = None
@@ -124,10 +125,14 @@
             self._receive_chunks(data)
 
     def decode_received(self) -> None:
-        """Decode the part of a chunked body that was received last."""
-        data, self._undecoded = self._undecoded, b""
+        """Decode the received part of a chunked body, or the next request."""
         if not self._waitingForTransport:
             self._networkProducer.resumeProducing()
+        if self.paused:
+            self.paused = False
+            self.dataReceived(b"")
+            return
+        data, self._undecoded = self._undecoded, b""
         self._decode_chunks(data)
         self._account()
 
@@ -144,6 +149,10 @@
         self._reservation.release()
         self._limits.connections.move(self, ConnectionState.IDLE)
         HTTPChannel.requestDone(self, request)
+        if self._busyReceiving and self._buffer and not self.paused:
+            # More requests came in the same read; other connections go first.
+            self.paused = True
+            self._wait_in_queue()
 
     def loseConnection(self) -> None:  # noqa: N802
         """Close the connection; pipelined requests are dropped."""
@@ -161,7 +170,7 @@
         """Read again, since the client does."""
         self._limits.connections.set_unread(self, False)
         HTTPChannel.resumeProducing(self)
-        if self._undecoded:
+        if self._undecoded or self.paused:
             self._networkProducer.pauseProducing()
 
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802, ARG002
@@ -251,8 +260,11 @@
             return
         self._undecoded += data
         if not is_waiting:
-            self._networkProducer.pauseProducing()
-            self._limits.queue.add(self)
+            self._wait_in_queue()
+
+    def _wait_in_queue(self) -> None:
+        self._networkProducer.pauseProducing()
+        self._limits.queue.add(self)
 
     def _decode_chunks(self, data: bytes) -> None:
         decoder = self._chunked
--- a/tamarackmount/node/connection_metrics.py
+++ b/tamarackmount/node/connection_metrics.py
@@ -57,9 +57,9 @@
             "Most bytes that were reserved at once since the start.",
             registry=registry,
         )
-        self._waiting_bodies = Gauge(
-            "tamarackmount_bodies_waiting_to_decode",
-            "Connections with a part of a body that is costly to decode.",
+        self._waiting = Gauge(
+            "tamarackmount_connections_waiting_to_decode",
+            "Connections with bytes that are costly to decode.",
             registry=registry,
         )
 
@@ -68,7 +68,7 @@
         self._budgets_by_owner[owner] = budget
 
     def watch_queue(self, queue: Sized) -> None:
-        """Report the length of the queue of bodies to decode."""
+        """Report the length of the queue of connections that wait to decode."""
         self._queue = queue
 
     def watch_port(self, port: str, connections: Sized) -> None:
@@ -98,7 +98,7 @@
         """Copy the current values into the gauges."""
         for port, connections in self._connections_by_port.items():
             self._open.set({"port": port}, len(connections))
-        self._waiting_bodies.set({}, len(self._queue))
+        self._waiting.set({}, len(self._queue))
         for owner, budget in self._budgets_by_owner.items():
             self._buffered.set({"owner": owner}, budget.used)
             self._peak.set({"owner": owner}, budget.peak)
--- a/tests/test_connection_metrics.py
+++ b/tests/test_connection_metrics.py
@@ -66,7 +66,7 @@
         'tamarackmount_open_connections{port="entry"} 3',
         'tamarackmount_buffered_bytes{owner="callers"} 500',
         'tamarackmount_buffered_bytes_peak{owner="callers"} 700',
-        "tamarackmount_bodies_waiting_to_decode 2",
+        "tamarackmount_connections_waiting_to_decode 2",
         'tamarackmount_refused_requests_total{port="entry",reason="body_too_large"} 1',
         'tamarackmount_evicted_connections_total{port="entry",state="idle"} 1',
     } <= lines
--- a/tests/test_decode_queue.py
+++ b/tests/test_decode_queue.py
@@ -82,6 +82,26 @@
     assert set(port.resource.bodies[2:]) == {b"x" * MAX_LINES_PER_READ}
 
 
+@pytest.mark.parametrize(
+    "request_bytes", [post(b"x"), b"GET /served HTTP/1.1\r\nHost: h\r\n\r\n"]
+)
+def test_many_requests_in_one_read_held_the_event_loop(request_bytes: bytes) -> None:
+    port = Port()
+    connections = [port.connect() for _ in range(3)]
+    for connection in connections:
+        connection.send(request_bytes * 20)
+    assert [len(connection.statuses) for connection in connections] == [2, 1, 1]
+    assert all(connection.transport.is_paused for connection in connections)
+    connections[2].lose()
+    for _ in range(100):
+        port.clock.advance(port.work_time.took_s * PAUSE_FACTOR + 1e-6)
+    assert [connection.statuses for connection in connections[:2]] == [[200] * 20] * 2
+    assert not connections[0].transport.is_paused
+    connections[0].send(request_bytes)
+    assert connections[0].statuses == [200] * 21
+    assert (port.budget.used, len(port.queue)) == (0, 0)
+
+
 def test_a_largest_body_in_chunks_of_one_byte_took_as_long_as_clients_wait() -> None:
     port = Port()
     connection = port.connect()
