Free the steps of a job once its admission is decided

Cause: the check builds all steps of a job, and each of them refers to the job, so that they stayed in memory until the garbage collector had looked at them: 46.3 MB for a job of 20,000 repetitions and 2.1 MB for one of 900 steps (measured with tracemalloc), also if the job was refused. The test fails before: 2.1 MB are left.

--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -239,7 +239,10 @@
             return None
         job = make_job(accepted, None, now)
         self._apply_queue_settings(job)
-        return self._admission.check(job, now)
+        refusal = self._admission.check(job, now)
+        # The steps refer to the job; without the cycle their memory is free at once.
+        job.steps_by_key.clear()
+        return refusal
 
     def share_rows(self) -> Sequence[ShareRow]:
         """Return what each workspace has of each pool, as of the last round."""
--- a/tests/test_job_sizes.py
+++ b/tests/test_job_sizes.py
@@ -18,7 +18,13 @@
     encode_record,
     job_key,
 )
-from tests.utils.build_scheduling import START, job
+from tests.utils.build_scheduling import (
+    START,
+    SchedulerHarness,
+    job,
+    step,
+    worker_entry,
+)
 
 TASK = StepSpec(1, NOTHING)
 SPEC_BY_SHAPE = {
@@ -91,3 +97,21 @@
     accepted = replace(job(), spec=JobSpec("", (replace(TASK, label="a" * 200_000),)))
     text = encode_record(accepted)
     assert allocated_bytes(lambda: encode_record(accepted)) < 2 * len(text)
+
+
+@pytest.mark.parametrize("cores", [1, 100])
+def test_the_check_of_a_job_left_its_steps_in_memory(cores: int) -> None:
+    harness = SchedulerHarness(ceiling=NOTHING)
+    harness.register_workers(worker_entry())
+    accepted = job(1, *[step(1, cores)] * 900)
+    harness.scheduler.check_admission(accepted, harness.now)
+    gc.collect()
+    gc.disable()
+    tracemalloc.start()
+    try:
+        harness.scheduler.check_admission(accepted, harness.now)
+        left_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+    assert left_bytes < job_size(encode_record(accepted)).state // 10
