Check jobs of many steps or repetitions in turns at the holder

Cause: a record of 629 bytes may ask for 20,000 repetitions, and the check of its admission builds a step for each: 0.7 s of processor time (measured on an idle machine). Such records were small, so that they were checked as they came. Change: what the scheduler would build counts with a tenth of its bytes towards the size of a record, so that these jobs wait for turns too. Memory is reserved before they wait. One such job still holds up the holder for as long as its check takes. The test of large jobs at the holder has a second case, which fails before: all 14 jobs are checked before the small one is answered.

--- a/tamarackmount/node/job_limits.py
+++ b/tamarackmount/node/job_limits.py
@@ -30,6 +30,10 @@
 """Retry time of a job that finds no memory to be kept in, in seconds: others have to
 end and to be removed first."""
 
+STATE_BYTES_PER_WORK_BYTE = 10
+"""Bytes of the scheduler's state that count as much as one byte of a record when the
+holder gives turns, without unit."""
+
 PENDING_RETRY_S = 2
 """Retry time of a job that finds too many waiting for the store, in seconds; the
 shortest outage of the store is a second."""
@@ -74,10 +78,15 @@
 
 @dataclass(frozen=True, slots=True)
 class JobReservation:
-    """The memory of one job that waits for the store, in bytes."""
+    """The memory of one job that waits for the store, in bytes.
+
+    ``work_bytes`` stands for the work that the holder has with it; small work needs no
+    turn, see ``PacedQueue``.
+    """
 
     job_id: JobId
     pending_bytes: int
+    work_bytes: int
 
 
 @dataclass(slots=True)
@@ -129,7 +138,8 @@
         waiting.kept_bytes += extra_bytes
         self._waiting_bytes += extra_bytes
         self._waiting_by_id[job_id] = waiting
-        return JobReservation(job_id, pending_bytes)
+        work_bytes = len(text) + size.state // STATE_BYTES_PER_WORK_BYTE
+        return JobReservation(job_id, pending_bytes, work_bytes)
 
     def release(self, reservation: JobReservation) -> None:
         """Return the memory of a job that no longer waits; the index counts it then."""
--- a/tamarackmount/node/record_relay.py
+++ b/tamarackmount/node/record_relay.py
@@ -90,13 +90,14 @@
         job_id = job_id_in(record.key)
         if job_id is None:
             return await self._store_at_holder(record)
-        if not await self._limits.turns.wait_turn(len(record.value), deadline):
-            return self._refuse(job_id, JobLimit.LARGE_JOBS)
         # The caller of a record may be gone before the holder has stored it.
         reservation = self._limits.try_reserve(job_id, record.value)
         if isinstance(reservation, JobLimit):
             return self._refuse(job_id, reservation)
         try:
+            work = reservation.work_bytes
+            if not await self._limits.turns.wait_turn(work, deadline):
+                return self._refuse(job_id, JobLimit.LARGE_JOBS)
             return await self._store_at_holder(record)
         finally:
             self._limits.release(reservation)
--- a/tests/test_job_limits_of_holder.py
+++ b/tests/test_job_limits_of_holder.py
@@ -1,5 +1,6 @@
 """What the jobs that other nodes pass to the holder may take of its memory and time."""
 
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 
@@ -14,6 +15,7 @@
 from tamarackmount.scheduling.admission.admission import Refusal
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.domain.model import JobSpec
+from tamarackmount.scheduling.store.job_sizes import job_size
 from tests.utils.build_scheduling import job, step
 from tests.utils.memory_peers import MemoryFleet
 
@@ -21,6 +23,7 @@
 OTHERS = range(1, 8)
 LARGE_STEPS = 700
 CHECK_S = 0.125
+FAR_UNIX_MS = 4_102_444_800_000
 
 
 @pytest.fixture
@@ -58,6 +61,12 @@
         return [response.status for response in self.responses]
 
 
+def scheduled_job(number: int) -> AcceptedJob:
+    """Return a job with a short record whose one task runs many times."""
+    spec = JobSpec("text", (step(),), FAR_UNIX_MS, 1_000, LARGE_STEPS)
+    return replace(job(number), spec=spec)
+
+
 def check_slowly(
     fleet: MemoryFleet, monkeypatch: pytest.MonkeyPatch
 ) -> list[KeyedRecord]:
@@ -66,7 +75,7 @@
     check = Holder._check_admission
 
     def check_record(holder: Holder, record: KeyedRecord) -> Refusal | None:
-        if len(record.value) > 100_000:
+        if job_size(record.value).state > 1_000_000:
             checked.append(record)
             fleet.clock.rightNow += CHECK_S
         return check(holder, record)
@@ -75,13 +84,16 @@
     return checked
 
 
+@pytest.mark.parametrize("build", [large_job, scheduled_job])
 def test_large_jobs_of_other_nodes_kept_a_small_one_waiting_at_the_holder(
-    fleet: MemoryFleet, monkeypatch: pytest.MonkeyPatch
+    build: Callable[[int], AcceptedJob],
+    fleet: MemoryFleet,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     checked = check_slowly(fleet, monkeypatch)
     large, small = Submitted(fleet), Submitted(fleet)
     for number in range(14):
-        large.add(OTHERS[number % len(OTHERS)], large_job(100 + number))
+        large.add(OTHERS[number % len(OTHERS)], build(100 + number))
     fleet.clock.advance(0.005)
     small.add(OTHERS[0], job(1))
     while not small.responses:
