Don't pause for the time in which the process was suspended

Cause: the pause after a turn follows from the turn's duration. If the machine froze during one, large jobs would be refused for twice as long as the freeze had taken. Change: a turn counts at most 1 s. The test fails before: the next job is refused.

--- a/tamarackmount/node/paced_queue.py
+++ b/tamarackmount/node/paced_queue.py
@@ -22,6 +22,10 @@
 PAUSE_FACTOR = 2.0
 """Length of the pause after a turn as a multiple of the turn's, without unit."""
 
+MAX_TURN_S = 1.0
+"""Longest duration of a turn that is believed, in seconds: the process may have been
+suspended meanwhile."""
+
 NEW_RATE_WEIGHT = 0.2
 """Weight of the newest turn in the mean time that a byte takes, without unit."""
 
@@ -93,7 +97,8 @@
         if turn is not None:
             # The work is done within this call.
             turn.result.callback(True)
-            self._record_turn(turn, self._reactor.seconds() - started_at)
+            took_s = min(self._reactor.seconds() - started_at, MAX_TURN_S)
+            self._record_turn(turn, took_s)
         self._schedule()
 
     def _take_turn(self, now: float) -> _Turn | None:
--- a/tests/test_paced_queue.py
+++ b/tests/test_paced_queue.py
@@ -6,7 +6,12 @@
 from twisted.internet.task import Clock
 
 from tamarackmount.ids import Instant
-from tamarackmount.node.paced_queue import SMALL_BYTES, PacedQueue
+from tamarackmount.node.paced_queue import (
+    MAX_TURN_S,
+    PAUSE_FACTOR,
+    SMALL_BYTES,
+    PacedQueue,
+)
 
 LARGE = 100_000
 WORK_S = 0.25
@@ -24,6 +29,7 @@
         self.clock = Clock()
         reactor: Any = self.clock
         self.queue = PacedQueue(reactor, max_bytes)
+        self.work_s = WORK_S
         self.spans_by_name: dict[str, tuple[float, float]] = {}
         self.refused: list[str] = []
 
@@ -40,7 +46,7 @@
             self.refused.append(name)
             return
         started_at = self.clock.seconds()
-        self.clock.rightNow += WORK_S if size > SMALL_BYTES else 0.0
+        self.clock.rightNow += self.work_s if size > SMALL_BYTES else 0.0
         self.spans_by_name[name] = (started_at, self.clock.seconds())
 
 
@@ -101,3 +107,14 @@
     work.run(10.0)
     assert work.refused == ["second"]
     assert list(work.spans_by_name) == ["first"]
+
+
+def test_large_jobs_were_refused_after_the_process_had_been_suspended() -> None:
+    work = PacedWork()
+    work.work_s = 60.0
+    work.add("suspended")
+    work.run(MAX_TURN_S * PAUSE_FACTOR)
+    work.work_s = WORK_S
+    work.add("next", left_s=3.0)
+    work.run(3.0)
+    assert list(work.spans_by_name) == ["suspended", "next"]
