Refuse an announced length of thousands of digits with 400

Python refuses to convert such a number. Twisted let the error pass, so that the connection was closed without a response, and logged a traceback for each such request. A length of over 18 digits is refused as malformed.

The new case of the test failed before (ValueError).

--- a/tamarackmount/internal/bounded_channel.py
+++ b/tamarackmount/internal/bounded_channel.py
@@ -35,6 +35,10 @@
 HEADER_FIELD_BYTES = 256
 """Memory that a header field takes beside its text, in bytes."""
 
+MAX_LENGTH_DIGITS = 18
+"""Largest number of digits of an announced length; Python refuses to convert some
+thousands."""
+
 MAX_HEADER_FIELDS = 100
 """Largest number of header fields of a request."""
 
@@ -225,6 +229,11 @@
     def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
         self.refuse(BAD_REQUEST)
 
+    def _maybeChooseTransferDecoder(self, header: bytes, data: bytes) -> Any:  # noqa: N802
+        if header == b"Content-Length" and len(data) > MAX_LENGTH_DIGITS:
+            return self._failChooseTransferDecoder()
+        return HTTPChannel._maybeChooseTransferDecoder(self, header, data)
+
     def _check_header(self) -> None:
         """Refuse a request that can't be served whatever its body is."""
         if self._is_checked:
--- a/tests/test_bounded_channel.py
+++ b/tests/test_bounded_channel.py
@@ -155,6 +155,7 @@
         b"GET / HTTP/1.1\r\n" + b"A: x\r\n" * 101 + b"\r\n",
         b"GET / HTTP/1.1\r\nnot a header\r\n\r\n",
         b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+        b"POST / HTTP/1.1\r\nContent-Length: " + b"9" * 5_000 + b"\r\n\r\n",
         CHUNKED + b"not a size\r\n",
     ],
 )
