Leave ordinary requests out of the shared buffers

A job with a specification of some kilobytes needed bytes of the shared budget, beside the 8 KiB of its connection, and was refused with 503 while other clients held the budget.

A connection has 16 KiB of its own, which the number of connections allows for: as many as 40 KiB each fit into a sixth of the memory. Two tests have a smaller budget, so that two bodies still don't fit beside the larger allowance.

The new test fails with an allowance of 8 KiB.

--- a/tamarackmount/internal/bounded_channel.py
+++ b/tamarackmount/internal/bounded_channel.py
@@ -22,7 +22,7 @@
 from tamarackmount.internal.port_limits import PortLimits
 from tamarackmount.internal.refusals import Refusal, RefusalReason, too_large
 
-CONNECTION_ALLOWANCE_BYTES = 8 * 1024
+CONNECTION_ALLOWANCE_BYTES = 16 * 1024
 """Bytes that each connection may buffer beside the shared budget; ordinary requests
 need no more."""
 
@@ -159,8 +159,9 @@
             self._wait_in_queue()
 
     def loseConnection(self) -> None:  # noqa: N802
-        """Close the connection; pipelined requests are dropped."""
-        self._buffer = b""
+        """Close the connection; what was received and not served is dropped."""
+        self._limits.queue.remove(self)
+        self._buffer = self._undecoded = b""
         self._dataBuffer = []
         self._limits.connections.move(self, ConnectionState.CLOSING)
         HTTPChannel.loseConnection(self)
--- a/tamarackmount/node/process_limits.py
+++ b/tamarackmount/node/process_limits.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from tamarackmount.internal.bounded_channel import CONNECTION_ALLOWANCE_BYTES
 from tamarackmount.internal.receive_buffer import RECEIVE_BUFFER_BYTES
 from tamarackmount.platform.boot import BootSettings
 
@@ -19,9 +20,9 @@
 """Part of the memory, as a divisor, that all entry connections take together beside
 the shared buffers."""
 
-CONNECTION_BYTES = 16 * 1024 + RECEIVE_BUFFER_BYTES
-"""Memory that one connection takes beside the shared buffers, in bytes: its state, its
-allowance, and what the system has received for it."""
+CONNECTION_BYTES = CONNECTION_ALLOWANCE_BYTES + RECEIVE_BUFFER_BYTES + 8 * 1024
+"""Memory that one connection takes beside the shared buffers, in bytes: its allowance,
+what the system has received for it, and its state."""
 
 ENTRY_DESCRIPTOR_DIVISOR = 2
 """Part of the sockets, as a divisor, for callers; the rest is for workers, the store
--- a/tests/test_bounded_channel.py
+++ b/tests/test_bounded_channel.py
@@ -76,7 +76,7 @@
 
 
 def test_bodies_over_the_budget_were_kept() -> None:
-    port = Port(100_000)
+    port = Port(80_000)
     first, second, third = port.connect(), port.connect(), port.connect()
     first.send(post(length=60_000))
     second.send(post(length=60_000))
@@ -88,6 +88,23 @@
     assert (first.statuses, port.budget.used) == ([200], 0)
 
 
+@pytest.mark.parametrize("answers_at_once", [True, False])
+def test_ordinary_requests_were_refused_while_others_had_the_buffers(
+    answers_at_once: bool,
+) -> None:
+    port = Port(80_000)
+    assert port.budget.try_reserve(80_000)
+    port.resource.answers_at_once = answers_at_once
+    connection = port.connect()
+    fields = b"".join(b"Field-%d: value\r\n" % number for number in range(20))
+    data = post(b"x" * 8_000).replace(b"Host: h\r\n", b"Host: h\r\n" + fields)
+    for start in range(0, len(data), 1_000):
+        connection.send(data[start : start + 1_000])
+    if not answers_at_once:
+        port.resource.answer()
+    assert connection.statuses == [200]
+
+
 def test_chunked_bodies_over_the_budget_were_kept() -> None:
     port = Port(100_000)
     connections = [port.connect() for _ in range(10)]
--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -108,7 +108,7 @@
 
 
 def test_a_new_body_pushed_out_one_that_has_just_begun() -> None:
-    port = Port(100_000)
+    port = Port(80_000)
     first, second = port.connect(), port.connect()
     first.send(post(length=60_000))
     port.clock.advance(STALLED_AFTER_S - 1)
