Leave room for other workspaces' jobs when one fills the memory

Cause: the limit of accepted jobs was one for all. The jobs of one client that never end, as those due in a hundred years, would fill it, and all other callers be refused for as long as they are there. Change: the jobs of one workspace may take twice the memory that is left: two thirds of the limit if it is alone, and others still find room then. The size of a job names its workspace, and the index counts by workspace.

--- a/tamarackmount/node/job_limits.py
+++ b/tamarackmount/node/job_limits.py
@@ -2,11 +2,12 @@
 
 import logging
 import random
+from collections import Counter
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
 
-from tamarackmount.ids import JobId
+from tamarackmount.ids import JobId, WorkspaceId
 from tamarackmount.internal.buffer_budget import BufferBudget
 from tamarackmount.node.metrics import NodeMetrics
 from tamarackmount.node.paced_queue import PacedQueue
@@ -26,6 +27,10 @@
 """Part of a process's memory that accepted jobs may take until they are removed,
 without unit."""
 
+WORKSPACE_SHARE = 2.0
+"""Multiple of the memory that is left for accepted jobs, without unit, which the jobs
+of one workspace may take: alone it gets two thirds, and the others find room."""
+
 KEPT_RETRY_S = 30.0
 """Retry time of a job that finds no memory to be kept in, in seconds: others have to
 end and to be removed first."""
@@ -93,6 +98,7 @@
 class _WaitingJob:
     """A job that waits for the store, submitted ``copies`` times at the moment."""
 
+    workspace_id: WorkspaceId
     kept_bytes: int = 0
     copies: int = 0
 
@@ -116,7 +122,7 @@
         self._metrics = metrics
         self._rng = random.Random()
         self._waiting_by_id: dict[JobId, _WaitingJob] = {}
-        self._waiting_bytes = 0
+        self._waiting_bytes_by_workspace: Counter[WorkspaceId] = Counter()
         self.turns = PacedQueue(reactor, sizes.waiting)
         self.pending = BufferBudget(sizes.pending)
 
@@ -126,9 +132,9 @@
         Return the limit instead that the job would exceed.
         """
         size = job_size(text)
-        waiting = self._waiting_by_id.get(job_id) or _WaitingJob()
+        waiting = self._waiting_by_id.get(job_id) or _WaitingJob(size.workspace_id)
         extra_bytes = max(0, size.total - waiting.kept_bytes)
-        if not self._can_keep(job_id, extra_bytes):
+        if not self._can_keep(job_id, waiting.workspace_id, extra_bytes):
             return JobLimit.KEPT_JOBS
         # It waits as its record, and decoded beside that.
         pending_bytes = len(text) + size.record
@@ -136,7 +142,7 @@
             return JobLimit.PENDING_JOBS
         waiting.copies += 1
         waiting.kept_bytes += extra_bytes
-        self._waiting_bytes += extra_bytes
+        self._waiting_bytes_by_workspace[waiting.workspace_id] += extra_bytes
         self._waiting_by_id[job_id] = waiting
         work_bytes = len(text) + size.state // STATE_BYTES_PER_WORK_BYTE
         return JobReservation(job_id, pending_bytes, work_bytes)
@@ -147,16 +153,24 @@
         waiting = self._waiting_by_id[reservation.job_id]
         waiting.copies -= 1
         if not waiting.copies:
-            self._waiting_bytes -= waiting.kept_bytes
+            self._waiting_bytes_by_workspace.subtract(
+                {waiting.workspace_id: waiting.kept_bytes}
+            )
             del self._waiting_by_id[reservation.job_id]
 
-    def _can_keep(self, job_id: JobId, extra_bytes: int) -> bool:
+    def _can_keep(
+        self, job_id: JobId, workspace_id: WorkspaceId, extra_bytes: int
+    ) -> bool:
         """Tell whether a job may be accepted; one that is stored already may."""
-        index = self._job_index
+        index, waiting = self._job_index, self._waiting_bytes_by_workspace
         if index.is_counted(job_id):
             return True
-        kept_bytes = index.kept_bytes + self._waiting_bytes
-        return kept_bytes + extra_bytes <= self._sizes.kept
+        left_bytes = self._sizes.kept - index.kept_bytes - waiting.total()
+        own_bytes = index.kept_bytes_by_workspace[workspace_id] + waiting[workspace_id]
+        return (
+            extra_bytes <= left_bytes
+            and own_bytes + extra_bytes <= left_bytes * WORKSPACE_SHARE
+        )
 
     def refuse(self, job_id: JobId, limit: JobLimit) -> int:
         """Count a job that exceeds a limit; return after how many seconds to retry."""
--- a/tamarackmount/scheduling/store/job_index.py
+++ b/tamarackmount/scheduling/store/job_index.py
@@ -1,12 +1,13 @@
 """Index of the jobs, which every node builds from the records in the store."""
 
 import logging
+from collections import Counter
 from collections.abc import Iterator
 from typing import TypeVar
 
 from returns.result import Failure
 
-from tamarackmount.ids import JobId, QueueName
+from tamarackmount.ids import JobId, QueueName, WorkspaceId
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.domain.model import FailureCause, JobPhase
 from tamarackmount.scheduling.store.job_sizes import JobSize, job_size
@@ -143,7 +144,8 @@
     ``runs_are_complete`` tells whether the store holds every run that may exist, as the
     newest completeness record says. ``heartbeat`` is the newest one of a holder in this
     topic; claims and most heartbeats are in a topic of their own, see
-    ``node/claims.py``. ``kept_bytes`` is an estimate of the memory that all jobs take.
+    ``node/claims.py``. ``kept_bytes`` is an estimate of the memory that all jobs take,
+    and ``kept_bytes_by_workspace`` that of each workspace's jobs.
     """
 
     def __init__(self) -> None:
@@ -153,6 +155,7 @@
         self.heartbeat: HolderRecord | None = None
         self.runs_are_complete = True
         self.kept_bytes = 0
+        self.kept_bytes_by_workspace: Counter[WorkspaceId] = Counter()
         self._text_by_worker: dict[str, bytes] = {}
         self._setters = {
             RecordKind.HOLDER: self._set_heartbeat,
@@ -172,6 +175,7 @@
         self.heartbeat = None
         self.runs_are_complete = True
         self.kept_bytes = 0
+        self.kept_bytes_by_workspace.clear()
 
     def apply(self, key: str, value: bytes) -> None:
         """Apply a record; an empty value removes the job or worker of the key."""
@@ -247,11 +251,16 @@
             records = self.jobs_by_id[job_id] = JobRecords(name=name)
         return records
 
+    def _count(self, records: JobRecords, added_bytes: int) -> None:
+        """Add to the memory that a job is counted with."""
+        self.kept_bytes += added_bytes
+        self.kept_bytes_by_workspace[records.size.workspace_id] += added_bytes
+
     def _set_job(self, name: str, text: bytes) -> None:
         records = self._records_of(name)
-        before = records.kept_bytes
+        self._count(records, -records.kept_bytes)
         records.set_accepted(text)
-        self.kept_bytes += records.kept_bytes - before
+        self._count(records, records.kept_bytes)
 
     def _set_cancel(self, name: str, text: bytes) -> None:
         record = _decode(text, CancelRecord, name)
@@ -260,9 +269,10 @@
 
     def _set_progress(self, name: str, text: bytes) -> None:
         records = self._records_of(name)
-        before = records.kept_bytes
+        was_final = records.is_final
         records.set_progress(text)
-        self.kept_bytes += records.kept_bytes - before
+        if records.is_final and not was_final:
+            self._count(records, -records.size.state)
 
     def _set_worker(self, name: str, text: bytes) -> None:
         self._text_by_worker[name] = text
@@ -281,6 +291,7 @@
     def _remove(self, kind: RecordKind, name: str) -> None:
         if kind is RecordKind.JOB:
             records = self.jobs_by_id.pop(JobId(name), None)
-            self.kept_bytes -= records.kept_bytes if records is not None else 0
+            if records is not None:
+                self._count(records, -records.kept_bytes)
         elif kind is RecordKind.WORKER:
             self._text_by_worker.pop(name, None)
--- a/tamarackmount/scheduling/store/job_sizes.py
+++ b/tamarackmount/scheduling/store/job_sizes.py
@@ -1,10 +1,15 @@
 """Estimates of the memory that a job takes, from its record in the store."""
 
 import sys
+from collections.abc import Mapping
 from dataclasses import dataclass
+from typing import Any
 
 import orjson
 
+from tamarackmount.ids import WorkspaceId
+from tamarackmount.scheduling.store.journal import WORKSPACE_FIELD
+
 RECORD_BYTES = 2_000
 """Memory that a node takes for the fixed parts of a job and its progress, in bytes."""
 
@@ -25,7 +30,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobSize:
-    """Memory that a job takes, in bytes.
+    """Memory that a job of ``workspace_id`` takes, in bytes.
 
     ``record`` is that of its record on each node that follows the store, encoded or
     decoded. ``state`` is that of the scheduler, until the job ends.
@@ -33,6 +38,7 @@
 
     record: int
     state: int
+    workspace_id: WorkspaceId = WorkspaceId("")
 
     @property
     def total(self) -> int:
@@ -44,17 +50,19 @@
     """Return an estimate for a job with this record; none of it raises an error."""
     # A character takes as many bytes as the widest one of its string.
     record = RECORD_BYTES + len(text) + sys.getsizeof(text.decode("utf-8", "replace"))
-    return JobSize(record, _state_bytes(text))
-
-
-def _state_bytes(text: bytes) -> int:
     try:
-        spec = orjson.loads(text)["spec"]
-        occurrences = max(1, int(spec["repetitions"]))
-        steps = occurrences * len(spec["steps"])
-        tasks = occurrences * sum(int(step["count"]) for step in spec["steps"])
+        raw = orjson.loads(text)
+        state = _state_bytes(raw["spec"])
+        workspace_id = WorkspaceId(str(raw[WORKSPACE_FIELD]))
     except (KeyError, TypeError, ValueError, OverflowError):
         # The record has another form, and no scheduler keeps such a job.
-        return 0
+        return JobSize(record, 0)
+    return JobSize(record, state, workspace_id)
+
+
+def _state_bytes(spec: Mapping[str, Any]) -> int:
+    occurrences = max(1, int(spec["repetitions"]))
+    steps = occurrences * len(spec["steps"])
+    tasks = occurrences * sum(int(step["count"]) for step in spec["steps"])
     counted_bytes = STEP_BYTES * min(steps, MAX_TASKS)
     return STATE_BYTES + counted_bytes + TASK_BYTES * min(tasks, MAX_TASKS)
--- a/tamarackmount/scheduling/store/journal.py
+++ b/tamarackmount/scheduling/store/journal.py
@@ -24,6 +24,9 @@
     WorkerIncarnation,
 )
 
+WORKSPACE_FIELD = "team_id"
+"""Stored name of a job's workspace; records of earlier versions have it."""
+
 
 class RecordKind(Enum):
     """Kind of a record; the record's key is its kind and an id.
@@ -256,14 +259,13 @@
 _CONVERTER.register_unstructure_hook(WorkerIncarnation, _unstructure_incarnation)
 _CONVERTER.register_structure_hook(WorkerIncarnation, _structure_incarnation)
 
-_WORKSPACE_FIELD = override(rename="team_id")
-"""Stored name of a job's workspace; records of earlier versions have it."""
+_WORKSPACE_OVERRIDE = override(rename=WORKSPACE_FIELD)
 
 _CONVERTER.register_unstructure_hook(
     AcceptedJob,
-    make_dict_unstructure_fn(AcceptedJob, _CONVERTER, workspace_id=_WORKSPACE_FIELD),
+    make_dict_unstructure_fn(AcceptedJob, _CONVERTER, workspace_id=_WORKSPACE_OVERRIDE),
 )
 _CONVERTER.register_structure_hook(
     AcceptedJob,
-    make_dict_structure_fn(AcceptedJob, _CONVERTER, workspace_id=_WORKSPACE_FIELD),
+    make_dict_structure_fn(AcceptedJob, _CONVERTER, workspace_id=_WORKSPACE_OVERRIDE),
 )
--- a/tests/test_job_index.py
+++ b/tests/test_job_index.py
@@ -37,6 +37,7 @@
     job_index = JobIndex()
     for record in records:
         job_index.apply(*record)
+    assert job_index.kept_bytes == job_index.kept_bytes_by_workspace.total()
     return job_index.kept_bytes
 
 
