Index the runs that tasks are kept apart from

Cause: for each task that was placed while there were suspects, all suspects were gone through, and for each of them all runs of its step. A suspect that was placed looked at all runs of each worker. After a worker crashed under some hundred small tasks, one placement held the event loop for tens of milliseconds, a job of 400 tasks for seconds, and the holder lost its role.

Change: `IsolationIndex` keeps two counts for each worker and job, updated as runs start, are listed and end, and as tasks become suspects or are cleared. The state owns it; the set of suspects is changed through it only.

--- a/tamarackmount/scheduling/evidence/crash_evidence.py
+++ b/tamarackmount/scheduling/evidence/crash_evidence.py
@@ -29,6 +29,7 @@
 from tamarackmount.scheduling.jobs.runs import JobState, Run, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.store.journal import CrashRecord
+from tamarackmount.scheduling.workers.isolation_index import evidence_key
 from tamarackmount.units import MS_PER_SECOND
 
 CULPRIT_WEIGHT = 4
@@ -76,11 +77,6 @@
 be cleared."""
 
 
-def evidence_key(step: StepState, index: int) -> TaskKey:
-    """Return the task under which evidence is kept; members of a gang share one."""
-    return step.task(0 if step.spec.gang else index)
-
-
 def is_suspect(state: SchedulerState, step: StepState, index: int) -> bool:
     """Tell whether there is evidence against a task."""
     return evidence_key(step, index) in state.suspected_tasks
@@ -165,7 +161,7 @@
     crashes = step.crashes_by_index.pop(task.index, [])
     if not crashes:
         return []
-    state.suspected_tasks.discard(task)
+    state.isolation.remove_suspects([task])
     state.changed_jobs.add(task.job_id)
     for crash in crashes:
         _remove_suspect(state, crash.worker, task)
@@ -271,7 +267,7 @@
 def _index_crash(state: SchedulerState, task: TaskKey, crash: CrashRecord) -> None:
     if not crash.is_explained:
         if crash.is_early or not crash.is_widespread:
-            state.suspected_tasks.add(task)
+            state.isolation.add_suspect(task)
         state.suspects_by_crash.setdefault(crash.worker, set()).add(task)
 
 
@@ -285,7 +281,7 @@
     }
     if not unknown:
         return
-    state.suspected_tasks -= unknown
+    state.isolation.remove_suspects(unknown)
     for worker, suspects in list(state.suspects_by_crash.items()):
         suspects -= unknown
         if not suspects:
@@ -316,4 +312,4 @@
     step.crashes_by_index[task.index] = crashes
     state.changed_jobs.add(task.job_id)
     if all(crash.is_explained for crash in crashes):
-        state.suspected_tasks.discard(task)
+        state.isolation.remove_suspects([task])
--- a/tamarackmount/scheduling/evidence/suspect_isolation.py
+++ b/tamarackmount/scheduling/evidence/suspect_isolation.py
@@ -11,14 +11,12 @@
 
 from collections.abc import Sequence
 
-from tamarackmount.ids import Instant, JobId
-from tamarackmount.scheduling.domain.model import WorkerIncarnation
+from tamarackmount.ids import Instant
 from tamarackmount.scheduling.evidence.crash_evidence import (
     crash_addresses,
-    evidence_key,
     is_suspect,
 )
-from tamarackmount.scheduling.jobs.runs import Run, StepState
+from tamarackmount.scheduling.jobs.runs import StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.workers.workers import WorkerState
 
@@ -36,18 +34,17 @@
     """
     if not state.suspected_tasks:
         return workers
+    isolation = state.isolation
     if not is_suspect(state, step, index):
-        avoided = _workers_of_new_suspects(state, step.key.job_id)
         return [
-            worker for worker in workers if worker.incarnation not in avoided
+            worker
+            for worker in workers
+            if not isolation.has_new_suspects(worker.incarnation, step.key.job_id)
         ] or workers
     found = [
         worker
         for worker in workers
-        if not any(
-            _interferes(state, run, step.key.job_id)
-            for run in worker.runs_by_task.values()
-        )
+        if not isolation.has_interfering_runs(worker.incarnation, step.key.job_id)
     ]
     if not found and waits_apart(state, step, index, now):
         return []
@@ -61,32 +58,3 @@
 ) -> bool:
     """Tell whether a task is a suspect that starts only apart from others for now."""
     return now < step.isolate_until and is_suspect(state, step, index)
-
-
-def _workers_of_new_suspects(
-    state: SchedulerState, job_id: JobId
-) -> set[WorkerIncarnation]:
-    """Return the workers on which suspects of other jobs have just started."""
-    return {
-        run.incarnation
-        for task in state.suspected_tasks
-        if task.job_id != job_id and (step := state.step_of(task)) is not None
-        for run in step.runs()
-        if _has_just_started(run) and evidence_key(step, run.task.index) == task
-    }
-
-
-def _interferes(state: SchedulerState, run: Run, job_id: JobId) -> bool:
-    """Tell whether a crash could be due to a run as well as to a suspect of a job."""
-    if run.task.job_id == job_id:
-        return False
-    if _has_just_started(run):
-        return True
-    step = state.step_of(run.task)
-    task = run.task if step is None else evidence_key(step, run.task.index)
-    return task in state.suspected_tasks
-
-
-def _has_just_started(run: Run) -> bool:
-    """Tell whether no poll that was sent after its start has shown a run yet."""
-    return run.listed_s <= 0
--- a/tamarackmount/scheduling/execution/run_reconciliation.py
+++ b/tamarackmount/scheduling/execution/run_reconciliation.py
@@ -62,7 +62,7 @@
     for row in report.running:
         run = worker.runs_by_task.get(row.task)
         if run is not None and run.number == row.run_number:
-            run.listed_s = max(run.listed_s, sent - run.began_at)
+            record_listed(state, run, sent)
             run.presence = Presence.CONFIRMED
             _confirm_run(state, run, row, now)
             _clear_if_outlived(state, run, now)
@@ -79,6 +79,14 @@
         _log_differences(worker, differences)
 
 
+def record_listed(state: SchedulerState, run: Run, sent: Instant) -> None:
+    """Record that the report on a poll that was sent at ``sent`` lists a run."""
+    was_listed = run.listed_s > 0
+    run.listed_s = max(run.listed_s, sent - run.began_at)
+    if not was_listed:
+        state.isolation.update_run(run, state.step_of(run.task))
+
+
 def _log_differences(
     worker: WorkerState, differences: Mapping[Difference, int]
 ) -> None:
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -379,7 +379,7 @@
             job.forecast_wait_s = self._admission.take_forecast_wait_s(job.job_id)
             set_non_urgent_fraction(state, job)
             mark_new_steps(state, job)
-        state.jobs_by_id[job.job_id] = job
+        state.add_job(job)
         restore_evidence(state, job)
         if records.cancelled_unix_ms is not None:
             self.cancel_job(job.job_id, now, unix_ms)
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -3,6 +3,7 @@
 import logging
 from collections import Counter, deque
 from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, field
 
 from tamarackmount.ids import (
@@ -42,6 +43,7 @@
 from tamarackmount.scheduling.shares.shares import CapacityShares, WorkspaceShares
 from tamarackmount.scheduling.store.record_limits import DEFAULT_MAX_RECORD_BYTES
 from tamarackmount.scheduling.store.write_ahead import WriteAhead
+from tamarackmount.scheduling.workers.isolation_index import IsolationIndex
 from tamarackmount.scheduling.workers.large_tasks import LargeTasks
 from tamarackmount.scheduling.workers.pool_loads import (
     PoolLoad,
@@ -87,11 +89,12 @@
     which is free again within the time that a stop takes. ``unknown_use`` is what runs
     that this holder does not know may use at most, as of the last round.
     ``load_by_pool`` is the capacity that runs other than orphaned ones reserve in each
-    pool, by queue. ``shares`` are those of the last round. ``suspected_tasks`` are
-    those with evidence that they crash their workers, and ``suspects_by_crash`` those
-    of each crash that is not explained. ``lapsed_workers`` did not answer until their
-    leases were over. ``replaced_incarnations`` are over but may still be registered.
-    ``removed_after_silence`` are workers that fell silent and were removed lately.
+    pool, by queue. ``shares`` are those of the last round. ``isolation`` has the
+    suspects and the runs that tasks are kept apart from, and ``suspects_by_crash`` the
+    suspects of each crash that is not explained. ``lapsed_workers`` did not answer
+    until their leases were over. ``replaced_incarnations`` are over but may still be
+    registered. ``removed_after_silence`` are workers that fell silent and were removed
+    lately.
     ``superseded`` is set once a worker has refused this holder's fencing token. A stop
     takes at most ``stop_timeout_ms``, a worker takes a lease of at most
     ``max_lease_ms``, and the store takes records of at most ``max_record_bytes``.
@@ -143,7 +146,7 @@
     authority: HolderAuthority = HolderAuthority.FULL
     check_stragglers_at: Instant = Instant(0.0)
     evacuated_data_centres: frozenset[DataCentreId] = frozenset()
-    suspected_tasks: set[TaskKey] = field(default_factory=set)
+    isolation: IsolationIndex = field(default_factory=IsolationIndex)
     suspects_by_crash: dict[WorkerIncarnation, set[TaskKey]] = field(
         default_factory=dict
     )
@@ -160,6 +163,11 @@
         """The longest lease on the slowest permitted clock, in seconds."""
         return self.max_lease_ms / MS_PER_SECOND / MIN_CLOCK_RATE
 
+    @property
+    def suspected_tasks(self) -> AbstractSet[TaskKey]:
+        """The tasks with evidence that they crash their workers."""
+        return self.isolation.suspects
+
     def emit(self, effect: Effect) -> None:
         """Queue an effect for the node to carry out."""
         self.effects.append(effect)
@@ -200,6 +208,11 @@
                 row[2] += capacity.accelerators
         return {service: Resources(*row) for service, row in sums.items()}
 
+    def add_job(self, job: JobState) -> None:
+        """Add a job; runs of it may be known already."""
+        self.jobs_by_id[job.job_id] = job
+        self.isolation.job_added(job)
+
     def step_of(self, task: TaskKey) -> StepState | None:
         """Return the step of a task, or None if no known job has the task."""
         job = self.jobs_by_id.get(task.job_id)
@@ -223,6 +236,7 @@
         run.is_orphaned = True
         self.orphaned_run_count_by_task[run.task] += 1
         worker.reserve_capacity(run)
+        self.isolation.add_run(run, self.step_of(run.task))
         self._count_ceiling_usage(run, 1)
         if stops_now:
             self.stop_run(run, now)
@@ -267,6 +281,7 @@
     def add_run(self, worker: WorkerState, step: StepState, run: Run) -> None:
         """Add a new run of a step, with its capacity and its workspace's usage."""
         worker.reserve_capacity(run)
+        self.isolation.add_run(run, step)
         self.changed_workers.add(worker.incarnation)
         step.runs_by_index[run.task.index] = run
         step.pending.discard(run.task.index)
@@ -321,6 +336,7 @@
         if worker is not None:
             worker.release_capacity(run)
             self.changed_workers.add(worker.incarnation)
+        self.isolation.remove_run(run, self.step_of(run.task))
         self._count_ceiling_usage(run, -1)
         if run.is_orphaned:
             self.orphaned_run_count_by_task -= Counter([run.task])
@@ -404,7 +420,8 @@
             return
         if any(step.runs() for step in job.steps_by_key.values()):
             return
-        self.jobs_by_id.pop(job.job_id, None)
+        if self.jobs_by_id.pop(job.job_id, None) is not None:
+            self.isolation.job_removed(job)
 
     def stop_run(self, run: Run, now: Instant) -> None:
         """Send a stop order for a run, unless one is in flight or was just sent.
--- a/tests/utils/crashing_pool.py
+++ b/tests/utils/crashing_pool.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from collections.abc import Set as AbstractSet
 from dataclasses import replace
 
 from tamarackmount.ids import Instant, JobId, WorkerId
@@ -179,7 +180,7 @@
             self._end(worker, key, RunEnd.FAILED)
 
     @property
-    def suspected_tasks(self) -> set[TaskKey]:
+    def suspected_tasks(self) -> AbstractSet[TaskKey]:
         """The tasks against which the holder has evidence."""
         return self.harness.scheduler._state.suspected_tasks
 
