Weigh only evidence that may have become heavier

Cause: with each suspect that ended, all suspects of its crashes were weighed again, and for each early crash the other suspects of that crash were searched. With each task under a crash, all suspects of all crashes were looked up to find those whose jobs are gone.

Change: `CrashSuspects` counts the early suspects of each crash by job. A task is weighed again only after another crash, or once no other job has an early suspect of one of its crashes. Suspects of jobs that are removed are noted then. The culprits are the same and come in the same order: the drawn histories compare them to the former search at each of them.

--- a/tamarackmount/scheduling/evidence/crash_evidence.py
+++ b/tamarackmount/scheduling/evidence/crash_evidence.py
@@ -134,7 +134,7 @@
     The evidence may change between two of them.
     """
     for worker in crashes:
-        for task in sorted(state.suspects_by_crash.get(worker, ())):
+        for task in state.crash_suspects.take_unweighed(worker):
             step = state.step_of(task)
             if step is None or step.job.phase.is_final:
                 continue
@@ -145,7 +145,7 @@
 def explain_crashes(state: SchedulerState, step: StepState, task: TaskKey) -> None:
     """Put the crashes of a culprit down to it alone."""
     for crash in step.crashes_by_index.get(task.index, ()):
-        for other in state.suspects_by_crash.pop(crash.worker, set()):
+        for other in state.crash_suspects.remove_crash(crash.worker):
             if other.job_id != task.job_id:
                 _mark_explained(state, other, crash.worker)
 
@@ -163,9 +163,9 @@
         return []
     state.isolation.remove_suspects([task])
     state.changed_jobs.add(task.job_id)
-    for crash in crashes:
-        _remove_suspect(state, crash.worker, task)
-    return [crash.worker for crash in crashes]
+    workers = [crash.worker for crash in crashes]
+    state.crash_suspects.remove(task, workers)
+    return workers
 
 
 def outlives_crashes(step: StepState, run: Run) -> bool:
@@ -250,53 +250,24 @@
         return SHARED_WEIGHT if crash.is_early else 0
     if not crash.is_early:
         return SHARED_WEIGHT
-    others = state.suspects_by_crash.get(crash.worker, set())
-    is_shared = any(
-        other.job_id != task.job_id and _was_early(state, other, crash.worker)
-        for other in others
-    )
+    is_shared = state.crash_suspects.is_shared(task, crash.worker)
     return SHARED_WEIGHT if is_shared else SOLE_WEIGHT
 
 
-def _was_early(state: SchedulerState, task: TaskKey, worker: WorkerIncarnation) -> bool:
-    step = state.step_of(task)
-    crashes = step.crashes_by_index.get(task.index, ()) if step is not None else ()
-    return any(crash.is_early for crash in crashes if crash.worker == worker)
-
-
 def _index_crash(state: SchedulerState, task: TaskKey, crash: CrashRecord) -> None:
     if not crash.is_explained:
         if crash.is_early or not crash.is_widespread:
             state.isolation.add_suspect(task)
-        state.suspects_by_crash.setdefault(crash.worker, set()).add(task)
+        is_known = state.step_of(task) is not None
+        state.crash_suspects.add(task, crash, is_known=is_known)
 
 
 def _drop_unknown_suspects(state: SchedulerState) -> None:
     """Forget the suspects whose jobs are not known any more."""
-    unknown = {
-        task
-        for suspects in state.suspects_by_crash.values()
-        for task in suspects
-        if state.step_of(task) is None
-    }
-    if not unknown:
-        return
+    unknown = state.crash_suspects.remove_unknown(
+        lambda task: state.step_of(task) is not None
+    )
     state.isolation.remove_suspects(unknown)
-    for worker, suspects in list(state.suspects_by_crash.items()):
-        suspects -= unknown
-        if not suspects:
-            del state.suspects_by_crash[worker]
-
-
-def _remove_suspect(
-    state: SchedulerState, worker: WorkerIncarnation, task: TaskKey
-) -> None:
-    suspects = state.suspects_by_crash.get(worker)
-    if suspects is None:
-        return
-    suspects.discard(task)
-    if not suspects:
-        del state.suspects_by_crash[worker]
 
 
 def _mark_explained(
--- a/tamarackmount/scheduling/execution/run_reconciliation.py
+++ b/tamarackmount/scheduling/execution/run_reconciliation.py
@@ -105,7 +105,7 @@
 
 def _clear_if_outlived(state: SchedulerState, run: Run, now: Instant) -> None:
     """Withdraw the evidence against a task once a run of it has gone on for long."""
-    if not state.suspects_by_crash:
+    if not state.crash_suspects.has_any:
         return
     step = state.step_of(run.task)
     if step is None or not has_evidence(step, run.task.index):
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -146,7 +146,7 @@
             self._restore_job(records, now, unix_ms)
         for worker in list(workers):
             restore_worker(self._state, worker, former_orders_end_at, now)
-        give_up_culprits(self._state, list(self._state.suspects_by_crash), now)
+        give_up_culprits(self._state, self._state.crash_suspects.crashes, now)
 
     def set_fleet_config(self, fleet_config: FleetConfig, now: Instant) -> None:
         """Apply a new version of the configuration."""
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -43,6 +43,7 @@
 from tamarackmount.scheduling.shares.shares import CapacityShares, WorkspaceShares
 from tamarackmount.scheduling.store.record_limits import DEFAULT_MAX_RECORD_BYTES
 from tamarackmount.scheduling.store.write_ahead import WriteAhead
+from tamarackmount.scheduling.workers.crash_suspects import CrashSuspects
 from tamarackmount.scheduling.workers.isolation_index import IsolationIndex
 from tamarackmount.scheduling.workers.large_tasks import LargeTasks
 from tamarackmount.scheduling.workers.pool_loads import (
@@ -90,7 +91,7 @@
     that this holder does not know may use at most, as of the last round.
     ``load_by_pool`` is the capacity that runs other than orphaned ones reserve in each
     pool, by queue. ``shares`` are those of the last round. ``isolation`` has the
-    suspects and the runs that tasks are kept apart from, and ``suspects_by_crash`` the
+    suspects and the runs that tasks are kept apart from, and ``crash_suspects`` the
     suspects of each crash that is not explained. ``lapsed_workers`` did not answer
     until their leases were over. ``replaced_incarnations`` are over but may still be
     registered. ``removed_after_silence`` are workers that fell silent and were removed
@@ -147,9 +148,7 @@
     check_stragglers_at: Instant = Instant(0.0)
     evacuated_data_centres: frozenset[DataCentreId] = frozenset()
     isolation: IsolationIndex = field(default_factory=IsolationIndex)
-    suspects_by_crash: dict[WorkerIncarnation, set[TaskKey]] = field(
-        default_factory=dict
-    )
+    crash_suspects: CrashSuspects = field(default_factory=CrashSuspects)
     replaced_incarnations: set[WorkerIncarnation] = field(default_factory=set)
     lapsed_workers: dict[WorkerIncarnation, LapsedWorker] = field(default_factory=dict)
     removed_after_silence: deque[RemovedWorker] = field(default_factory=deque)
@@ -422,6 +421,7 @@
             return
         if self.jobs_by_id.pop(job.job_id, None) is not None:
             self.isolation.job_removed(job)
+            self.crash_suspects.job_removed(job)
 
     def stop_run(self, run: Run, now: Instant) -> None:
         """Send a stop order for a run, unless one is in flight or was just sent.
--- a/tamarackmount/scheduling/workers/isolation_index.py
+++ b/tamarackmount/scheduling/workers/isolation_index.py
@@ -13,6 +13,7 @@
 from tamarackmount.ids import JobId
 from tamarackmount.scheduling.domain.model import TaskKey, WorkerIncarnation
 from tamarackmount.scheduling.jobs.runs import JobState, Run, StepState
+from tamarackmount.scheduling.workers.job_counts import JobCounts
 
 
 def evidence_key(step: StepState, index: int) -> TaskKey:
@@ -20,29 +21,6 @@
     return step.task(0 if step.spec.gang else index)
 
 
-@dataclass(slots=True)
-class JobCounts:
-    """Numbers of runs by worker and job; jobs without any are left out."""
-
-    _count_by_job: dict[WorkerIncarnation, dict[JobId, int]] = field(
-        default_factory=dict
-    )
-
-    def add(self, worker: WorkerIncarnation, job_id: JobId, count: int) -> None:
-        """Add to the runs of a job on a worker; ``count`` may be negative."""
-        by_job = self._count_by_job.setdefault(worker, {})
-        by_job[job_id] = by_job.get(job_id, 0) + count
-        if not by_job[job_id]:
-            del by_job[job_id]
-        if not by_job:
-            del self._count_by_job[worker]
-
-    def has_any_besides(self, worker: WorkerIncarnation, job_id: JobId) -> bool:
-        """Tell whether a worker has runs of other jobs."""
-        by_job = self._count_by_job.get(worker)
-        return by_job is not None and (len(by_job) > 1 or job_id not in by_job)
-
-
 @dataclass(slots=True)
 class _IndexedRun:
     """A run, its task's evidence key, and whether it counts as just started."""
--- a/tests/test_scheduling_many_suspects.py
+++ b/tests/test_scheduling_many_suspects.py
@@ -4,8 +4,11 @@
 
 import pytest
 
+from tamarackmount.scheduling.evidence.crash_evidence import clear_task
+from tamarackmount.scheduling.execution.run_ends import give_up_culprits
 from tamarackmount.scheduling.membership.holder_authority import HolderAuthority
 from tests.utils.build_suspects import (
+    CRASHED,
     only_step,
     pool_of_large_workers,
     record_crash_under,
@@ -58,3 +61,45 @@
     cost: Callable[[int], int],
 ) -> None:
     assert cost(MANY) == cost(FEW)
+
+
+def cost_of_end(suspect_count: int) -> int:
+    """Return the instructions of the end of one suspect among many of two jobs."""
+    harness = pool_of_large_workers(1)
+    jobs = [small_tasks(number, suspect_count) for number in (1, 2)]
+    for accepted in jobs:
+        harness.submit_job(accepted)
+    for accepted in jobs:
+        record_crash_under(harness, accepted)
+    state = harness.scheduler._state
+    ended = only_step(harness, jobs[0])
+    give_up_culprits(state, [CRASHED], harness.now)
+
+    def end() -> None:
+        give_up_culprits(state, clear_task(state, ended, 0), harness.now)
+
+    cost = count_instructions(end)
+    assert len(state.suspected_tasks) == 2 * suspect_count - 1
+    return cost
+
+
+def cost_of_crash(suspect_count: int) -> int:
+    """Return the instructions of recording a crash under all tasks of a job."""
+    harness = pool_of_large_workers(1)
+    suspects = small_tasks(1, suspect_count)
+    harness.submit_job(suspects)
+    cost = count_instructions(lambda: record_crash_under(harness, suspects))
+    assert len(harness.scheduler._state.suspected_tasks) == suspect_count
+    return cost
+
+
+def cost_per_crashed_task(suspect_count: int) -> int:
+    """Return the instructions of one more task under a crash."""
+    return cost_of_crash(suspect_count + 1) - cost_of_crash(suspect_count)
+
+
+@pytest.mark.parametrize("cost", [cost_of_end, cost_per_crashed_task])
+def test_each_end_and_each_crash_looked_at_all_evidence(
+    cost: Callable[[int], int],
+) -> None:
+    assert cost(MANY) == cost(FEW)
--- a/tests/test_scheduling_suspect_index.py
+++ b/tests/test_scheduling_suspect_index.py
@@ -8,14 +8,20 @@
 from hypothesis import strategies as st
 
 from tamarackmount.ids import Instant
-from tamarackmount.scheduling.domain.model import JobPhase, TaskKey
+from tamarackmount.scheduling.domain.model import JobPhase, TaskKey, WorkerIncarnation
 from tamarackmount.scheduling.evidence import suspect_isolation
-from tamarackmount.scheduling.evidence.crash_evidence import clear_task, record_crash
+from tamarackmount.scheduling.evidence.crash_evidence import (
+    clear_task,
+    explain_crashes,
+    record_crash,
+)
+from tamarackmount.scheduling.execution import run_ends
 from tamarackmount.scheduling.execution.run_reconciliation import record_listed
 from tamarackmount.scheduling.jobs.runs import Run, RunPhase, StepState, make_job
 from tamarackmount.scheduling.placement import gang_choice, placement
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.store.journal import CrashRecord
+from tamarackmount.scheduling.workers.isolation_index import evidence_key
 from tamarackmount.scheduling.workers.workers import WorkerState
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
@@ -26,6 +32,7 @@
     worker_entry,
 )
 from tests.utils.crashing_pool import CrashingPool, tasks_of
+from tests.utils.plain_evidence import compared_culprits, unknown_suspects, was_shared
 from tests.utils.plain_isolation import (
     has_interference,
     plain_isolated_workers,
@@ -33,12 +40,12 @@
 )
 
 JOBS = [
-    job(1, step(3)),
+    job(1, step(2)),
     job(2, step(3, gang=True)),
     job(3, step(2, speculative=True)),
-    job(4, step(1), step(2, gang=True)),
 ]
 UNKNOWN_JOB = job(99)
+TASKS = [task for accepted in JOBS for task in tasks_of(accepted)]
 
 
 def assert_index_agrees(state: SchedulerState) -> None:
@@ -52,6 +59,10 @@
             assert found == (where in avoided)
             found = state.isolation.has_interfering_runs(where, job_id)
             assert found == has_interference(state, worker, job_id)
+    for crash in state.crash_suspects.crashes:
+        for task in state.crash_suspects.tasks_of(crash):
+            found = state.crash_suspects.is_shared(task, crash)
+            assert found == was_shared(state, task, crash)
 
 
 class ComparedDecisions:
@@ -83,10 +94,11 @@
 def test_a_decision_about_suspects_differed_from_a_search_through_all_runs(
     seed: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Workers crash, are cut off and drain; tasks crash them; holders are replaced."""
+    """Workers crash and are cut off, tasks crash them, and holders are replaced."""
     decisions = ComparedDecisions()
     for module in (placement, gang_choice):
         monkeypatch.setattr(module, "isolated_workers", decisions.isolated_workers)
+    monkeypatch.setattr(run_ends, "find_culprits", compared_culprits)
     rng = random.Random(seed)
     pool = CrashingPool(
         worker_count=rng.choice((3, 8)),
@@ -135,14 +147,15 @@
     """A scheduler's state that is changed in any order, without its decisions."""
 
     def __init__(self) -> None:
-        """Begin with three workers and no jobs."""
+        """Begin with three workers and two of the jobs."""
         self.harness = SchedulerHarness()
         entries = [worker_entry(f"w{number}", cores=1_000) for number in range(3)]
         self.harness.register_workers(*entries)
         self.state = self.harness.scheduler._state
         self.workers = list(self.state.workers_by_incarnation.values())
         self.runs: list[Run] = []
-        self.crash_count = 0
+        for task in (TASKS[0], TASKS[-1]):
+            self.add_job(task, self.workers[0])
 
     def add_job(self, task: TaskKey, _worker: WorkerState) -> None:
         """Add the job of a task, unless it is known."""
@@ -197,14 +210,20 @@
         if run is not None and not run.is_orphaned:
             self.state.request_speculative_copy(run)
 
-    def suspect(self, task: TaskKey, _worker: WorkerState) -> None:
+    def suspect(self, task: TaskKey, worker: WorkerState) -> None:
         """Record a crash under a task."""
-        found = self.state.step_of(task)
-        if found is not None:
-            self.crash_count += 1
-            where = incarnation(f"crashed{self.crash_count}")
-            crash = CrashRecord(where, "x:1", 20, is_confirmed=True)
-            record_crash(self.state, found, task.index, crash, self.harness.now)
+        self._record_crash(task, worker, is_early=False)
+
+    def suspect_early(self, task: TaskKey, worker: WorkerState) -> None:
+        """Record a crash under a task that had just started."""
+        self._record_crash(task, worker, is_early=True)
+
+    def weigh(self, _task: TaskKey, worker: WorkerState) -> None:
+        """Give up the culprits of the crashes of a worker."""
+        crashes = self._crashes_of(worker)
+        for step_state, culprit in compared_culprits(self.state, crashes):
+            explain_crashes(self.state, step_state, culprit)
+            step_state.job.phase = JobPhase.FAILED
 
     def clear(self, task: TaskKey, _worker: WorkerState) -> None:
         """Withdraw the evidence against a task."""
@@ -217,6 +236,30 @@
         if run is not None:
             record_listed(self.state, run, Instant(run.began_at + after_s))
 
+    def _record_crash(
+        self, task: TaskKey, worker: WorkerState, *, is_early: bool
+    ) -> None:
+        """Record one of three crashes at an address; a task has each of them once."""
+        found = self.state.step_of(task)
+        if found is None:
+            return
+        known = found.crashes_by_index.get(evidence_key(found, task.index).index, ())
+        fresh = [
+            crash
+            for crash in self._crashes_of(worker)
+            if all(one.worker != crash for one in known)
+        ]
+        if not fresh:
+            return
+        address = worker.entry.address
+        crash = CrashRecord(fresh[0], address, 20, is_early=is_early, is_confirmed=True)
+        record_crash(self.state, found, task.index, crash, self.harness.now)
+        assert not unknown_suspects(self.state)
+
+    def _crashes_of(self, worker: WorkerState) -> list[WorkerIncarnation]:
+        name = worker.incarnation.worker_id
+        return [incarnation(name, born=born) for born in (2, 3, 4)]
+
     def _run(self, task: TaskKey, worker: WorkerState) -> Run:
         spec = step()
         return Run(
@@ -243,14 +286,10 @@
     Table.drop,
     Table.copy,
     Table.suspect,
+    Table.suspect_early,
+    Table.weigh,
     Table.clear,
 ]
-TASKS = [
-    task
-    for accepted in JOBS
-    for number in range(len(accepted.spec.steps))
-    for task in tasks_of(accepted, number)
-]
 
 
 # Rare in drawn events: a run is known before the gang that it is a member of.
@@ -262,10 +301,11 @@
         (Table.suspect, tasks_of(JOBS[1])[2], 0),
     ]
 )
-@settings(max_examples=200, deadline=None)
+@settings(max_examples=400, deadline=None)
 @given(
     st.lists(
         st.tuples(st.sampled_from(EVENTS), st.sampled_from(TASKS), st.integers(0, 2)),
+        min_size=40,
         max_size=60,
     )
 )
--- a/tests/utils/build_suspects.py
+++ b/tests/utils/build_suspects.py
@@ -13,6 +13,7 @@
     worker_entry,
 )
 
+CRASHED = incarnation("crashed")
 CEILING = Resources(100_000_000, 100_000_000, 0)
 
 
@@ -39,11 +40,9 @@
     return found
 
 
-def record_crash_under(
-    harness: SchedulerHarness, accepted: AcceptedJob, name: str = "gone"
-) -> None:
-    """Record that a worker crashed under all tasks of a job's only step."""
+def record_crash_under(harness: SchedulerHarness, accepted: AcceptedJob) -> None:
+    """Record that a worker crashed under all tasks of a job, which had just started."""
     found = only_step(harness, accepted)
-    crash = CrashRecord(incarnation(name), f"{name}:1", 20, is_confirmed=True)
+    crash = CrashRecord(CRASHED, "crashed:1", 20, is_early=True, is_confirmed=True)
     for index in range(found.spec.count):
         record_crash(harness.scheduler._state, found, index, crash, harness.now)
