End a round of placement after 200 started tasks

Cause: one round started all tasks that fitted. A job of thousands of tasks held the event loop until the last of them was placed, and answers, heartbeats and more urgent jobs waited for that.

Change: a round ends after `MAX_STARTS_PER_ROUND` started tasks, and the holder schedules the next decision at once. That one begins with the steps of the highest rank again. A gang still starts as a whole. The switch-off "placement-slices" restores the former behaviour.

Not bounded yet: how many ready steps a round looks at, and the restore at a takeover.

--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -294,6 +294,8 @@
             run_count = self.scheduler.evacuated_run_count
             self._dependencies.metrics.set_evacuated_runs(run_count)
             self._writer.start_writing()
+        if self.scheduler.has_more_to_place:
+            self._schedule_tick()
 
     def _update_authority(self) -> None:
         authority = self._authority_check.check(self._heartbeats.last_heartbeat_sent_at)
--- a/tamarackmount/scheduling/placement/headroom.py
+++ b/tamarackmount/scheduling/placement/headroom.py
@@ -25,6 +25,7 @@
     def __init__(self, state: SchedulerState, now: Instant) -> None:
         """Begin a round."""
         workers = state.workers_by_incarnation.values()
+        self.started = 0
         self._state = state
         self._now = now
         self._urgent = KeptSlots(state.urgent_use, workers, now)
@@ -66,6 +67,7 @@
 
     def record_start(self, worker: WorkerState) -> None:
         """Record that a run has started on a worker."""
+        self.started += 1
         self._urgent.record_start(worker)
         self._large.record_start(worker)
 
--- a/tamarackmount/scheduling/placement/placement.py
+++ b/tamarackmount/scheduling/placement/placement.py
@@ -1,7 +1,8 @@
 """Choose which waiting tasks start next, and on which workers."""
 
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
 
 from tamarackmount.ids import DataCentreId, Instant
 from tamarackmount.scheduling.domain.fleet_config import Queue
@@ -42,18 +43,33 @@
 from tamarackmount.scheduling.workers.free_capacity import FreeCapacityIndex
 from tamarackmount.scheduling.workers.workers import WorkerState
 
+MAX_STARTS_PER_ROUND = 200
+"""Number of started tasks after which a round ends. The next one begins a moment later:
+answers and heartbeats in between do not wait for all tasks of a wide job. A gang starts
+as a whole."""
 
-def place(
-    state: SchedulerState, capacity_index: FreeCapacityIndex, now: Instant
-) -> list[tuple[StepState, Queue]]:
-    """Start the tasks that fit, in order of rank.
 
-    Return the steps that lack free capacity, or would exceed the part of their
-    workspace's ceiling that they may fill: see ``ceiling_fraction``.
+@dataclass(slots=True)
+class PlacementResult:
+    """What a round of placement has left.
+
+    ``blocked_steps`` lack free capacity, or would exceed the part of their workspace's
+    ceiling that they may fill: see ``ceiling_fraction``. Unless the round
+    ``is_complete``, it ended after many starts, and the steps of lower rank were not
+    looked at.
     """
-    blocked_steps: list[tuple[StepState, Queue]] = []
+
+    blocked_steps: list[tuple[StepState, Queue]] = field(default_factory=list)
+    is_complete: bool = True
+
+
+def place(
+    state: SchedulerState, capacity_index: FreeCapacityIndex, now: Instant
+) -> PlacementResult:
+    """Start the tasks that fit, in order of rank, up to a number of them."""
+    result = PlacementResult()
     if state.authority is not HolderAuthority.FULL or state.write_ahead.is_stalled(now):
-        return blocked_steps
+        return result
     unconfirmed = _services_with_unconfirmed_workers(state)
     update_unknown_use(state)
     reservations = Reservations(state, now)
@@ -72,9 +88,12 @@
             )
         reservations.update(step, queue, reason)
         if reason in (WaitReason.NO_CAPACITY, WaitReason.CEILING):
-            blocked_steps.append((step, queue))
+            result.blocked_steps.append((step, queue))
         update_wait_reason(step, reason, now)
-    return blocked_steps
+        if headroom.started >= MAX_STARTS_PER_ROUND:
+            result.is_complete = False
+            break
+    return result
 
 
 def _quick_wait_reason(
@@ -155,10 +174,7 @@
     usable = reservations.usable_workers(step, workers)
     ranks = _speed_ranks(state, step, usable, now)
     reason = WaitReason.NONE
-    for index in sorted(step.pending):
-        # An earlier run of the task may still be running.
-        if step.task(index) in state.orphaned_run_count_by_task:
-            continue
+    for index in _indexes_to_start(state, step, headroom):
         # Checked for each task, as every start here adds to the workspace's use.
         if not is_under_ceiling(state, step, 1, ceiling_fraction(step, now)):
             return WaitReason.CEILING
@@ -179,6 +195,19 @@
     return reason
 
 
+def _indexes_to_start(
+    state: SchedulerState, step: StepState, headroom: Headroom
+) -> Iterator[int]:
+    """Yield the tasks of a step that may start, until the round is over."""
+    for index in sorted(step.pending):
+        if headroom.started >= MAX_STARTS_PER_ROUND:
+            return
+        # An earlier run of the task may still be running.
+        if step.task(index) in state.orphaned_run_count_by_task:
+            continue
+        yield index
+
+
 def _place_gang(
     state: SchedulerState,
     step: StepState,
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -111,6 +111,7 @@
         self._contention = ContentionReports(self, self._admission.forecast)
         self._next_preemption_at = Instant(0.0)
         self._next_shares_at = Instant(0.0)
+        self._has_more_to_place = False
 
     @property
     def fencing_token(self) -> Epoch:
@@ -319,14 +320,24 @@
             self._next_shares_at = Instant(now + SHARES_INTERVAL_S)
             update_shares(state, now)
             update_non_urgent_fractions(state, now)
+        self._has_more_to_place = False
         if state.ready_steps_by_key:
-            blocked_steps = place(state, capacity_index, now)
+            placed = place(state, capacity_index, now)
+            self._has_more_to_place = not placed.is_complete
             if now >= self._next_preemption_at:
                 self._next_preemption_at = Instant(now + PREEMPTION_INTERVAL_S)
-                self._preempt(blocked_steps[:MAX_PREEMPTING_STEPS], now)
+                self._preempt(placed.blocked_steps[:MAX_PREEMPTING_STEPS], now)
         self._advice_requests.send_due_requests(capacity_index, now)
         self._contention.report_if_due(state.observer, now)
 
+    @property
+    def has_more_to_place(self) -> bool:
+        """Whether the last tick ended before all ready steps were looked at.
+
+        The next one should follow at once.
+        """
+        return self._has_more_to_place
+
     def remove_jobs(self, job_ids: list[JobId]) -> None:
         """Remove jobs from the store with the next batch."""
         self._batcher.remove_jobs(job_ids)
--- a/tests/utils/build_scheduling.py
+++ b/tests/utils/build_scheduling.py
@@ -208,6 +208,8 @@
         """Let time pass and collect effects; a healthy store takes starts at once."""
         self.now = Instant(self.now + seconds)
         self.scheduler.tick(self.now, self.unix_ms)
+        while self.scheduler.has_more_to_place:
+            self.scheduler.tick(self.now, self.unix_ms)
         if self.is_store_healthy and self.scheduler.waits_for_store:
             self.store_pending()
         self._collect()
--- a/tests/utils/switch_offs.py
+++ b/tests/utils/switch_offs.py
@@ -178,6 +178,17 @@
             ),
         ),
     ),
+    SwitchOff(
+        "placement-slices",
+        "wide jobs start, and answers and heartbeats wait for all of their tasks",
+        (
+            _edit(
+                "scheduling/placement/placement.py",
+                "MAX_STARTS_PER_ROUND = 200",
+                "MAX_STARTS_PER_ROUND = 1_000_000",
+            ),
+        ),
+    ),
     SwitchOff(
         "widespread-crashes",
         "many workers crash at the same moment, again and again",
