Give the stand-in scheduler the new property that the holder reads

Cause: since the holder asks the scheduler whether more is left to place.

Change: the stand-in has the property, always false. What the test asserts is unchanged: with the clock read after the check of the authority it still fails.

--- a/tests/test_suspended_holder.py
+++ b/tests/test_suspended_holder.py
@@ -57,6 +57,10 @@
     def evacuated_run_count(self) -> int:
         return 0
 
+    @property
+    def has_more_to_place(self) -> bool:
+        return False
+
 
 @pytest.mark.parametrize("step", ["_tick", "_batch_stored"])
 def test_a_suspension_after_the_check_of_the_authority_extends_no_lease(
