Measure the longest turn of the holder's work, and log long ones

Cause: a turn that held the event loop for seconds showed only by what followed, as a lost holder role. Nothing said what had taken so long.

Change: the restore, the decisions, workers' reports, stored batches and new jobs are measured. `tamarackmount_longest_turn_seconds` has the longest turn of each since the process began; a turn of half a heartbeat interval (0.2 s) or more is logged as `event loop held`, with the work. A process that was suspended during such a turn is logged too. Turns of other parts of a node are not measured.

--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -3,6 +3,7 @@
 import logging
 import random
 from collections.abc import Callable
+from contextlib import AbstractContextManager
 from typing import Any
 
 from returns.result import Failure
@@ -19,6 +20,7 @@
 from tamarackmount.node.start_orders import ORDER_TIMEOUT_S, StartOrders
 from tamarackmount.node.submissions import StoreOutcome, StoreResult
 from tamarackmount.node.tasks import spawn, stop_process_on_error
+from tamarackmount.node.turns import TurnWork, measured_turn
 from tamarackmount.node.worker_registrations import WorkerRegistrations
 from tamarackmount.platform.store import Appended, KeyedRecord
 from tamarackmount.platform.workers import PollRequest
@@ -166,15 +168,16 @@
         Former holders send no more orders after ``former_orders_end_at``.
         """
         job_index = self._job_index
-        self.scheduler.restore(
-            job_index.open_jobs(),
-            job_index.workers(),
-            job_index.forecast,
-            former_orders_end_at,
-            job_index.runs_are_complete,
-            clock.now(),
-            clock.unix_ms(),
-        )
+        with self._measured_turn(TurnWork.RESTORE):
+            self.scheduler.restore(
+                job_index.open_jobs(),
+                job_index.workers(),
+                job_index.forecast,
+                former_orders_end_at,
+                job_index.runs_are_complete,
+                clock.now(),
+                clock.unix_ms(),
+            )
         self._heartbeats.start_fallback(self._writer.add)
         self._registrations.tail.start()
         self._ticks.start(TICK_INTERVAL_S, now=True)
@@ -240,7 +243,8 @@
         """Schedule a stored job that is in this node's job index."""
         records = self._job_index.jobs_by_id.get(job_id)
         if records is not None:
-            self.scheduler.add_job(records, clock.now(), clock.unix_ms())
+            with self._measured_turn(TurnWork.NEW_JOB):
+                self.scheduler.add_job(records, clock.now(), clock.unix_ms())
             self._schedule_tick()
 
     def handle_cancel_stored(self, job_id: JobId) -> None:
@@ -266,6 +270,9 @@
         if self._ticks.running:
             self._ticks.stop()
 
+    def _measured_turn(self, work: TurnWork) -> AbstractContextManager[None]:
+        return measured_turn(self._dependencies.metrics, work)
+
     def _find_job(self, job_id: JobId) -> AcceptedJob | None:
         records = self._job_index.jobs_by_id.get(job_id)
         return records.accepted if records is not None else None
@@ -281,6 +288,12 @@
         self._is_tick_scheduled = False
         if self._is_stopped:
             return
+        with self._measured_turn(TurnWork.DECISIONS):
+            self._decide()
+        if self.scheduler.has_more_to_place:
+            self._schedule_tick()
+
+    def _decide(self) -> None:
         self.scheduler.set_advice_concurrency(self._advice.available_concurrency())
         # Read before the authority is checked: if the process is suspended in between,
         # leases begin at a time at which the authority was valid.
@@ -294,8 +307,6 @@
             run_count = self.scheduler.evacuated_run_count
             self._dependencies.metrics.set_evacuated_runs(run_count)
             self._writer.start_writing()
-        if self.scheduler.has_more_to_place:
-            self._schedule_tick()
 
     def _update_authority(self) -> None:
         authority = self._authority_check.check(self._heartbeats.last_heartbeat_sent_at)
@@ -339,13 +350,14 @@
         )
         if self._is_stopped:
             return
-        self.scheduler.poll_answered(
-            effect.incarnation,
-            answer,
-            sent_at,
-            clock.now(),
-            is_extra=effect.is_extra,
-        )
+        with self._measured_turn(TurnWork.WORKER_REPORT):
+            self.scheduler.poll_answered(
+                effect.incarnation,
+                answer,
+                sent_at,
+                clock.now(),
+                is_extra=effect.is_extra,
+            )
         self._schedule_tick()
 
     def _abort_calls(self, effect: AbortCalls) -> None:
@@ -416,7 +428,8 @@
     def _batch_stored(self, batch: Batch) -> None:
         now = clock.now()
         self._update_authority()
-        self.scheduler.batch_stored(batch, now)
+        with self._measured_turn(TurnWork.STORED_BATCH):
+            self.scheduler.batch_stored(batch, now)
         self._schedule_tick()
 
     def _registrations_changed(self, entries: list[WorkerEntry]) -> None:
--- a/tamarackmount/node/metrics.py
+++ b/tamarackmount/node/metrics.py
@@ -103,6 +103,12 @@
             registry=self.registry,
         )
         self.connections = ConnectionMetrics(self.registry)
+        self._longest_turn = Gauge(
+            "tamarackmount_longest_turn_seconds",
+            "Longest time for which the holder's work held the event loop, by work.",
+            registry=self.registry,
+        )
+        self._longest_turn_s: dict[str, float] = {}
         self.set_evacuated_data_centres(0)
         self.set_evacuated_runs(0)
         self._contention = ContentionMetrics(self.registry)
@@ -152,6 +158,12 @@
         """Record how much slower the processor is than at its best."""
         self._processor_slowdown.set({}, round(slowdown, 2))
 
+    def record_turn(self, work: str, took_s: float) -> None:
+        """Record how long a turn of the event loop took, in seconds."""
+        if took_s > self._longest_turn_s.get(work, 0.0):
+            self._longest_turn_s[work] = took_s
+            self._longest_turn.set({"work": work}, round(took_s, 4))
+
     def record_holder_notice(self) -> None:
         """Count a holder whose record this node could not read."""
         self._holder_notices.inc({})
