Accept small jobs of a workspace that has no room for large ones

Cause: a workspace's share followed from the memory that was left before its job was accepted. The last large job took it over what was left after, and then none of its small jobs was accepted any more. Change: the share follows from what is left after the job.

--- a/tamarackmount/node/job_limits.py
+++ b/tamarackmount/node/job_limits.py
@@ -165,12 +165,10 @@
         index, waiting = self._job_index, self._waiting_bytes_by_workspace
         if index.is_counted(job_id):
             return True
-        left_bytes = self._sizes.kept - index.kept_bytes - waiting.total()
+        kept_bytes = index.kept_bytes + waiting.total() + extra_bytes
+        left_bytes = self._sizes.kept - kept_bytes
         own_bytes = index.kept_bytes_by_workspace[workspace_id] + waiting[workspace_id]
-        return (
-            extra_bytes <= left_bytes
-            and own_bytes + extra_bytes <= left_bytes * WORKSPACE_SHARE
-        )
+        return own_bytes + extra_bytes <= left_bytes * WORKSPACE_SHARE
 
     def refuse(self, job_id: JobId, limit: JobLimit) -> int:
         """Count a job that exceeds a limit; return after how many seconds to retry."""
--- a/tests/test_job_limits.py
+++ b/tests/test_job_limits.py
@@ -238,3 +238,11 @@
     assert 100 < accepted_by_workspace["greedy"] < 1_500
     assert min(accepted_by_workspace[f"other {one}"] for one in range(3)) > 25
     assert index.kept_bytes == index.kept_bytes_by_workspace.total()
+
+
+def test_a_small_job_was_refused_after_large_ones_of_its_workspace() -> None:
+    callers = Callers(memory_mib=32)
+    for one in range(10):
+        callers.network.wait(callers.submit(one, scheduled_body(700)))
+    assert {answer.status for answer in callers.answers} == {200, 429}
+    assert callers.statuses([callers.submit(99, scheduled_body(1))]) == [200]
