--- a/tests/test_job_limits.py
+++ b/tests/test_job_limits.py
@@ -246,3 +246,16 @@
         callers.network.wait(callers.submit(one, scheduled_body(700)))
     assert {answer.status for answer in callers.answers} == {200, 429}
     assert callers.statuses([callers.submit(99, scheduled_body(1))]) == [200]
+
+
+def test_refusals_and_kept_memory_are_in_the_metrics() -> None:
+    callers = Callers(memory_mib=6)
+    for one in range(10):
+        callers.network.wait(callers.submit(one, scheduled_body(200)))
+    callers.network.elapse(1.0)
+    context = callers.node._context
+    text = context.metrics.render().decode()
+    refused = sum(answer.status == 429 for answer in callers.answers)
+    name = "tamarackmount_job_limit_refusals_total"
+    assert f'{name}{{limit="kept_jobs"}} {refused}' in text
+    assert f"tamarackmount_kept_job_bytes {context.job_index.kept_bytes}" in text
