Show that small jobs keep all other callers out while the store is silent

Cause: a connection whose request is being served is never evicted, and a caller may say that it waits for 600 s. As many small jobs as there are places for connections hold all of them while the store is silent, and new connections are reset. Change: a test only.

--- a/tests/test_hostile_clients_review.py
+++ b/tests/test_hostile_clients_review.py
@@ -231,3 +231,24 @@
             store.set_mode(Mode.NORMAL)
             node.check_that_it_serves()
             node.check_limits()
+
+
+MANY_JOB_NUMBERS = range(1, 701)
+"""One caller each: more than the node may have connections."""
+
+
+def test_small_jobs_that_wait_for_the_store_keep_all_other_callers_out(
+    tmp_path: Path,
+) -> None:
+    body = b'{"steps":[{"count":1}]}'
+    scripts = [
+        Script((with_length(number, len(body)) + body,)) for number in MANY_JOB_NUMBERS
+    ]
+    with running_node(LIMITS, tmp_path) as (node, store):
+        store.set_mode(Mode.SILENT)
+        with connected(node.entry, scripts) as crowd:
+            crowd.wait_until_quiet(node.observe)
+            assert node.get(node.entry, "/unknown") is not None
+            store.set_mode(Mode.NORMAL)
+            node.check_that_it_serves()
+            node.check_limits()
