Evict stalled and idle connections before requests under way

What callers saw: at the limit of connections, an ordinary request that came in two reads was reset while idle connections stayed, and a response that was being sent was dropped (found by the review).

Cause: any incomplete request, and any connection that was closing, gave way before idle ones.

Change: refused connections and requests that have been incomplete for 2 s give way first, then idle ones, then the rest. The review's two tests failed before. test_incomplete_requests_kept_new_connections_out lets 2 s pass now, as only then a request counts as stalled; what it asserts is unchanged.

--- a/tamarackmount/internal/connection_limit.py
+++ b/tamarackmount/internal/connection_limit.py
@@ -1,8 +1,8 @@
 """Deadlines of a port's connections, and a limit on their number.
 
-Above the limit, a new connection takes the place of the one that has waited longest in
-the first state of ``EVICTION_ORDER`` that any has. One whose request is being served is
-never evicted.
+Above the limit, a new connection takes the place of one that was refused, of one whose
+request stalls, or else of the one that has waited longest in the first state of
+``EVICTION_ORDER`` that any has. One whose request is being served is never evicted.
 """
 
 from collections.abc import Iterator, Mapping
@@ -49,13 +49,13 @@
 """Age from which an incomplete request gives way to others, in seconds."""
 
 EVICTION_ORDER = (
-    ConnectionState.DISCARDING,
-    ConnectionState.CLOSING,
-    ConnectionState.RECEIVING,
     ConnectionState.IDLE,
+    ConnectionState.RECEIVING,
+    ConnectionState.CLOSING,
     ConnectionState.ESTABLISHED,
 )
-"""States of connections that may be evicted, the first ones first."""
+"""States of connections that may be evicted if none is refused or stalls, the first
+ones first."""
 
 NEVER = Instant(float("inf"))
 
@@ -161,14 +161,21 @@
         self._wake_at(deadline)
 
     def _evict(self) -> bool:
+        victim = next(self._evictable(), None)
+        if victim is None:
+            return False
+        state = self._state_by_connection[victim]
+        self._observer.record_eviction(state, self._limit)
+        self.remove(victim)
+        victim.abort()
+        return True
+
+    def _evictable(self) -> Iterator[LimitedConnection]:
+        """Yield the connections that may be evicted, in that order."""
+        yield from self._deadlines_by_state[ConnectionState.DISCARDING]
+        yield from self.stalled()
         for state in EVICTION_ORDER:
-            victim = next(iter(self._deadlines_by_state[state]), None)
-            if victim is not None:
-                self._observer.record_eviction(state, self._limit)
-                self.remove(victim)
-                victim.abort()
-                return True
-        return False
+            yield from self._deadlines_by_state[state]
 
     def _wake_at(self, deadline: Instant) -> None:
         delay_s = max(0.0, deadline - self._reactor.seconds())
--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -121,6 +121,7 @@
     idle, oldest, newest = (port.connect() for _ in range(3))
     oldest.send(b"GET")
     newest.send(b"GET")
+    port.clock.advance(STALLED_AFTER_S)
     connection = port.connect()
     connection.send(post(b"x"))
     assert connection.statuses == [200]
