Refuse paths of many segments, and hosts that are not ASCII

Cause: each segment of a path becomes an object, 10,000 in one request, that no limit counted; a host of other characters can't name any queue.

Change: more than 100 segments, and such a host, get 400 at once.

--- a/tamarackmount/internal/bounded_channel.py
+++ b/tamarackmount/internal/bounded_channel.py
@@ -46,6 +46,9 @@
 """Number of lines of a chunked body that are decoded at once; more have to wait in the
 queue of the process."""
 
+MAX_PATH_SEGMENTS = 100
+"""Largest number of segments of a path; each is an object of its own once decoded."""
+
 MAX_PIPELINED_BYTES = 4 * 1024
 """Bytes of further requests that are read while a request is served."""
 
@@ -105,6 +108,10 @@
     def allHeadersReceived(self) -> None:  # noqa: N802
         """Refuse a request whose body would not be accepted; else prepare for it."""
         request = self.requests[-1]
+        hosts = request.requestHeaders.getRawHeaders(b"host", ())
+        if self._path.count(b"/") > MAX_PATH_SEGMENTS or not b"".join(hosts).isascii():
+            self.refuse(BAD_REQUEST)
+            return
         request.max_body_bytes = self._limits.policy.max_body_bytes
         self._is_checked = False
         self._chunked = ChunkedDecoder() if self.length is None else None
@@ -142,6 +149,8 @@
 
     def allContentReceived(self) -> None:  # noqa: N802
         """Serve a complete request; its bytes are kept until it is answered."""
+        if self._is_discarding:
+            return
         self._served_bytes = self._header_bytes() + self._body_bytes
         self._body_bytes = 0
         self._limits.connections.move(self, ConnectionState.SERVING)
