Ask a worker at once whose answer to a question was lost

What callers would see: while workers leave calls unanswered, a healthy one got no start for a second after a question on a new connection was lost, as for a connection that can't be opened.

Change: a question without an answer has the same result as one that another incarnation answers. The task is placed again, and an extra poll asks the worker.

--- a/tamarackmount/platform/http.py
+++ b/tamarackmount/platform/http.py
@@ -34,12 +34,12 @@
 class CallErrorKind(Enum):
     """Why a call has no reply.
 
-    ``NOT_SENT`` and ``OTHER_PEER`` guarantee that it had no effect. The latter means
-    that another peer than the expected one has answered at the address.
+    ``NOT_SENT`` and ``UNIDENTIFIED`` guarantee that it had no effect. The latter means
+    that the expected peer did not answer the question which peer is there.
     """
 
     NOT_SENT = "not_sent"
-    OTHER_PEER = "other_peer"
+    UNIDENTIFIED = "unidentified"
     NO_REPLY = "no_reply"
 
 
@@ -227,8 +227,7 @@
         expected peer has answered; a new one carries the question first, unless the
         request is the question itself. The time that this takes is added to the
         deadline. If the answer to the question has another status than 200, the call
-        returns that; if another peer answers, the error is ``OTHER_PEER``, and if none
-        does, ``NOT_SENT``.
+        returns that; if another peer or none answers, the error is ``UNIDENTIFIED``.
         """
         expected = question.expected if question is not None else None
         connection = self._take_idle(address, expected)
@@ -285,15 +284,16 @@
         if connection.peer is not None:
             return None
         answer = await self._exchange(address, connection, request, deadline)
+        unidentified = CallErrorKind.UNIDENTIFIED
         if isinstance(answer, CallError):
-            return CallError(CallErrorKind.NOT_SENT, f"peer not known: {answer.detail}")
+            return CallError(unidentified, f"peer not known: {answer.detail}")
         if answer.status != HTTP_OK:
             return answer
         _note_peer(connection, question, answer)
         if connection.peer is None:
-            return CallError(CallErrorKind.NOT_SENT, "peer not known: it did not tell")
+            return CallError(unidentified, "peer not known: it did not tell")
         if connection.peer != question.expected:
-            return CallError(CallErrorKind.OTHER_PEER, "another peer answers")
+            return CallError(unidentified, "another peer answers")
         if not connection.is_open:
             return CallError(CallErrorKind.NOT_SENT, "connection closed")
         return None
--- a/tamarackmount/platform/workers.py
+++ b/tamarackmount/platform/workers.py
@@ -182,7 +182,7 @@
 
 _RESULT_BY_CALL_ERROR = {
     CallErrorKind.NOT_SENT: OrderResult.NOT_SENT,
-    CallErrorKind.OTHER_PEER: OrderResult.RESTARTED,
+    CallErrorKind.UNIDENTIFIED: OrderResult.UNIDENTIFIED,
     CallErrorKind.NO_REPLY: OrderResult.UNKNOWN,
 }
 
--- a/tamarackmount/scheduling/contact/order_results.py
+++ b/tamarackmount/scheduling/contact/order_results.py
@@ -33,12 +33,12 @@
 
 _UNANSWERED = (OrderResult.UNKNOWN, OrderResult.NOT_SENT)
 
-_NOT_WRITTEN = (OrderResult.NOT_SENT, OrderResult.RESTARTED)
+_NOT_WRITTEN = (OrderResult.NOT_SENT, OrderResult.UNIDENTIFIED)
 
 _NO_ANSWER_OF_WORKER = (
     *_UNANSWERED,
     OrderResult.OTHER_INCARNATION,
-    OrderResult.RESTARTED,
+    OrderResult.UNIDENTIFIED,
 )
 
 
@@ -223,10 +223,11 @@
         _retry_placement(state, run, now)
 
 
-def _ask_restarted_worker(state: SchedulerState, run: Run, now: Instant) -> None:
-    """Place a task again, and ask at once which incarnation has answered.
+def _ask_unidentified_worker(state: SchedulerState, run: Run, now: Instant) -> None:
+    """Place a task again, and ask the worker at once which incarnation is there.
 
-    The regular poll may wait on a connection to the former one until it times out.
+    The regular poll may wait on a connection to the former one until it times out. A
+    healthy worker whose answer was lost may start runs again after this one.
     """
     worker = state.workers_by_incarnation.get(run.incarnation)
     if worker is not None:
@@ -273,6 +274,6 @@
     OrderResult.UNHEALTHY: _back_off_worker,
     OrderResult.OTHER_INCARNATION: _remove_replaced_worker,
     OrderResult.NOT_SENT: _handle_unsent_start,
-    OrderResult.RESTARTED: _ask_restarted_worker,
+    OrderResult.UNIDENTIFIED: _ask_unidentified_worker,
     OrderResult.UNKNOWN: _handle_unknown_start,
 }
--- a/tamarackmount/scheduling/domain/worker_reports.py
+++ b/tamarackmount/scheduling/domain/worker_reports.py
@@ -108,8 +108,8 @@
     """Result of an order.
 
     A ``DONE`` order was carried out, an ``UNKNOWN`` one may have been, and no other
-    was. A ``RESTARTED`` one was not sent, since another incarnation of the worker has
-    answered in place of the one that it names.
+    was. An ``UNIDENTIFIED`` one was not sent, since the incarnation that it names did
+    not answer on a new connection.
     """
 
     DONE = "done"
@@ -122,7 +122,7 @@
     UNHEALTHY = "unhealthy"
     OTHER_INCARNATION = "other_life"
     NOT_SENT = "not_sent"
-    RESTARTED = "restarted"
+    UNIDENTIFIED = "unidentified"
     UNKNOWN = "unknown"
 
 
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -447,7 +447,7 @@
     peer = Peer(NEXT_IDENTIFIED)
     calls = WorkerCalls(peer.http)
     call = calls.start(peer.address, start_order(), Epoch(7), peer.deadline)
-    assert peer.wait(call) == OrderReply(OrderResult.RESTARTED)
+    assert peer.wait(call) == OrderReply(OrderResult.UNIDENTIFIED)
     assert [peer.request_json()] == [{"fencingToken": 7, "ackCursor": 0}]
     assert len(peer.requests) == 1
 
@@ -498,9 +498,9 @@
         (encode_reply(409, b'{"reason":"fence"}'), OrderResult.FENCED),
         (encode_reply(421, b""), OrderResult.OTHER_INCARNATION),
         (encode_reply(503, b""), OrderResult.UNHEALTHY),
-        (encode_reply(200, b"[]"), OrderResult.NOT_SENT),
-        (encode_reply(200, b'{"born":"soon"}'), OrderResult.NOT_SENT),
-        (b"", OrderResult.NOT_SENT),
+        (encode_reply(200, b"[]"), OrderResult.UNIDENTIFIED),
+        (encode_reply(200, b'{"born":"soon"}'), OrderResult.UNIDENTIFIED),
+        (b"", OrderResult.UNIDENTIFIED),
     ],
 )
 def test_an_order_was_written_after_a_question_without_an_answer(
