Answer 504 for a job that a lost holder may have stored

Callers saw: 429 for a job that ran afterwards. Cause: the holder changed while it had the job's record, and the next holder refused the record for its limits. Only an unreachable next holder, or one that could not store the record, made the outcome unknown; a refusal went through. Change: such a refusal leaves the outcome unknown, so the caller is answered 504. The record is not appended directly, which would get around the limits: a result with a retry time counts as refused, and it isn't counted as a missing answer of the holder.

--- a/tamarackmount/node/record_relay.py
+++ b/tamarackmount/node/record_relay.py
@@ -63,6 +63,8 @@
         result = await self._store_once(record, left_s)
         if result is None or result.outcome is StoreOutcome.NOT_STORED:
             return StoreResult(StoreOutcome.UNKNOWN)
+        if result.outcome is StoreOutcome.REFUSED:
+            return result.with_outcome_unknown()
         return result
 
     async def _store_once(
--- a/tamarackmount/node/submissions.py
+++ b/tamarackmount/node/submissions.py
@@ -97,11 +97,24 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreResult:
-    """The outcome for a record; ``retry_after_s`` is set if the holder refused it."""
+    """The outcome for a record.
+
+    ``retry_after_s`` is set if the holder refused it. The outcome is ``UNKNOWN`` all
+    the same if an earlier attempt may store it.
+    """
 
     outcome: StoreOutcome
     retry_after_s: int = 0
 
+    @property
+    def is_refused(self) -> bool:
+        """Whether the holder refused the record, which must not be appended then."""
+        return self.outcome is StoreOutcome.REFUSED or self.retry_after_s > 0
+
+    def with_outcome_unknown(self) -> "StoreResult":
+        """Return this refusal of a record that an earlier attempt may store."""
+        return StoreResult(StoreOutcome.UNKNOWN, max(1, self.retry_after_s))
+
 
 NOT_STORED_RESULT = StoreResult(StoreOutcome.NOT_STORED)
 """The store does not have the record and will not get it."""
@@ -181,9 +194,8 @@
             deadline - min(REPLY_MARGIN_S, left_s * MAX_MARGIN_FRACTION)
         )
         reply = await self._store_through_holder(record, answer_by)
-        if reply is not None and reply.outcome in (
-            StoreOutcome.STORED,
-            StoreOutcome.REFUSED,
+        if reply is not None and (
+            reply.outcome is StoreOutcome.STORED or reply.is_refused
         ):
             return reply
         may_be_stored = reply is not None and reply.outcome is StoreOutcome.UNKNOWN
@@ -224,7 +236,12 @@
                 StoreResult(StoreOutcome.UNKNOWN),
             )
         now = self._reactor.seconds()
-        if reply is not None and reply.outcome is StoreOutcome.UNKNOWN:
+        is_unanswered = (
+            reply is not None
+            and reply.outcome is StoreOutcome.UNKNOWN
+            and not reply.is_refused
+        )
+        if is_unanswered:
             if not self._relay_timeout.has_at_most_one_timeout:
                 self._relay_backoff_until = Instant(now + RELAY_BACKOFF_S)
             self._relay_timeout.record_timeout()
--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -130,6 +130,15 @@
     assert entry_vm.results == [StoreResult(StoreOutcome.STORED)]
 
 
+def test_a_record_that_the_next_holder_refused_was_appended_directly() -> None:
+    refusal = StoreResult(StoreOutcome.REFUSED, 5).with_outcome_unknown()
+    entry = EntryVm(has_store_contact=True, holder=refusal)
+    entry.submit()
+    entry.clock.pump([0.05] * 80)
+    assert [result.outcome for result in entry.results] == [StoreOutcome.UNKNOWN]
+    assert entry.store.records(JOBS) == []
+
+
 def test_a_record_that_the_holder_could_not_store_is_rejected_without_it() -> None:
     entry_vm = EntryVm(has_store_contact=True, holder=NOT_STORED_RESULT, silence_s=1.4)
     entry_vm.submit()
