Answer 504 for a repeated job whose first copy waits for the store

Callers saw: 503 (or 429) for a job that ran afterwards. Cause: a caller repeats a job whose first copy still waits for the store. The limits refuse the repeated one, and the refusal was withheld only from jobs that are stored. Change: the limits tell whether other copies of a job wait on the node. If so, the outcome is unknown and the caller is answered 504: at the node that the caller asked, and at the holder for jobs that other nodes pass to it. The copies of the submission itself don't count, so that a job that came once is refused as before. Of two new tests in tests/test_job_limits_of_holder.py, the one through another node fails without the check, and the one of a job that came once fails if its own copies count; both pass. tests/test_submissions.py and tests/test_job_limits.py passed in the same run. Not changed: an answer 503 because the store is away, and a copy that waits on a node that neither refuses nor is the holder.

--- a/tamarackmount/node/job_limits.py
+++ b/tamarackmount/node/job_limits.py
@@ -147,6 +147,14 @@
         work_bytes = len(text) + size.state // STATE_BYTES_PER_WORK_BYTE
         return JobReservation(job_id, pending_bytes, work_bytes)
 
+    def has_other_copy(self, job_id: JobId, own_copies: int) -> bool:
+        """Tell whether a job waits for the store in copies other than ``own_copies``.
+
+        A refusal of one copy would tell the caller that the job never runs.
+        """
+        waiting = self._waiting_by_id.get(job_id)
+        return waiting is not None and waiting.copies > own_copies
+
     def release(self, reservation: JobReservation) -> None:
         """Return the memory of a job that no longer waits; the index counts it then."""
         self.pending.release(reservation.pending_bytes)
--- a/tamarackmount/node/job_service.py
+++ b/tamarackmount/node/job_service.py
@@ -252,7 +252,11 @@
         self, job: AcceptedJob, record: KeyedRecord, deadline: Instant
     ) -> ApiResponse:
         started_at = clock.now()
+        came_again = self._limits.has_other_copy(job.job_id, own_copies=1)
         result = await self._submissions.store(record, deadline)
+        came_again |= self._limits.has_other_copy(job.job_id, own_copies=1)
+        if result.outcome is StoreOutcome.REFUSED and came_again:
+            result = result.with_outcome_unknown()
         if result.outcome is StoreOutcome.NOT_STORED and await self._is_known(
             job.job_id, deadline
         ):
@@ -277,9 +281,13 @@
     async def _refuse(
         self, job_id: JobId, limit: JobLimit, deadline: Instant
     ) -> ApiResponse:
-        """Refuse a job that exceeds a limit, unless it was accepted before."""
+        """Refuse a job that exceeds a limit, unless it may be accepted already."""
+        came_again = self._limits.has_other_copy(job_id, own_copies=0)
         if await self._is_known(job_id, deadline):
             return ApiResponse(HttpStatus.OK)
+        if came_again or self._limits.has_other_copy(job_id, own_copies=0):
+            _log.info("job submitted again; outcome unknown", extra={"job": job_id})
+            return ApiResponse(HttpStatus.GATEWAY_TIMEOUT)
         retry_after_s = self._limits.refuse(job_id, limit)
         return ApiResponse(_STATUS_BY_LIMIT[limit], retry_after_s=retry_after_s)
 
--- a/tamarackmount/node/record_relay.py
+++ b/tamarackmount/node/record_relay.py
@@ -72,7 +72,8 @@
     ) -> StoreResult | None:
         if self._election.holder is not None:
             deadline = Instant(self._context.reactor.seconds() + timeout_s)
-            return await self._store_here(record, deadline)
+            # The job service on this node has reserved memory for it already.
+            return await self._store_here(record, deadline, own_copies=1)
         node = self._election.holder_node
         if node is None or not self._context.links.is_open(node):
             return None
@@ -87,19 +88,24 @@
         outcome = enum_value(StoreOutcome, reply.stored) or StoreOutcome.UNKNOWN
         return StoreResult(outcome, reply.retry_after_s)
 
-    async def _store_here(self, record: KeyedRecord, deadline: Instant) -> StoreResult:
-        """Store a record through the holder on this node, within the limits of jobs."""
+    async def _store_here(
+        self, record: KeyedRecord, deadline: Instant, own_copies: int = 0
+    ) -> StoreResult:
+        """Store a record through the holder on this node, within the limits of jobs.
+
+        The caller has reserved memory for ``own_copies`` copies of it on this node.
+        """
         job_id = job_id_in(record.key)
         if job_id is None:
             return await self._store_at_holder(record)
         # The caller of a record may be gone before the holder has stored it.
         reservation = self._limits.try_reserve(job_id, record.value)
         if isinstance(reservation, JobLimit):
-            return self._refuse(job_id, reservation)
+            return self._refuse(job_id, reservation, own_copies)
         try:
             work = reservation.work_bytes
             if not await self._limits.turns.wait_turn(work, deadline):
-                return self._refuse(job_id, JobLimit.LARGE_JOBS)
+                return self._refuse(job_id, JobLimit.LARGE_JOBS, own_copies + 1)
             return await self._store_at_holder(record)
         finally:
             self._limits.release(reservation)
@@ -109,13 +115,19 @@
         # The role may have been lost while the record waited for its turn.
         return NOT_STORED_RESULT if holder is None else await holder.store(record)
 
-    def _refuse(self, job_id: JobId, limit: JobLimit) -> StoreResult:
-        """Refuse a job that exceeds a limit, unless it is stored already."""
+    def _refuse(self, job_id: JobId, limit: JobLimit, own_copies: int) -> StoreResult:
+        """Refuse a job that exceeds a limit, unless it is stored already.
+
+        The outcome is unknown if other than ``own_copies`` copies wait on this node.
+        """
         holder = self._election.holder
         if holder is not None and holder.phase(job_id) is not None:
             return StoreResult(StoreOutcome.STORED)
         retry_after_s = self._limits.refuse(job_id, limit)
-        return StoreResult(StoreOutcome.REFUSED, retry_after_s)
+        result = StoreResult(StoreOutcome.REFUSED, retry_after_s)
+        if self._limits.has_other_copy(job_id, own_copies):
+            return result.with_outcome_unknown()
+        return result
 
     def handle_store_query(self, sender: MemberId, query: StoreQuery) -> None:
         """Store another node's record, if the holder is on this node, and reply."""
--- a/tests/test_job_limits_of_holder.py
+++ b/tests/test_job_limits_of_holder.py
@@ -16,6 +16,7 @@
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.domain.model import JobSpec
 from tamarackmount.scheduling.store.job_sizes import job_size
+from tamarackmount.scheduling.store.journal import encode_record
 from tests.utils.build_scheduling import job, step
 from tests.utils.memory_peers import MemoryFleet
 
@@ -129,6 +130,38 @@
     assert len(jobs.responses) == 30
 
 
+def test_a_job_that_waited_at_the_holder_was_refused_through_another_node(
+    fleet: MemoryFleet,
+) -> None:
+    limits = fleet.node(HOLDER).jobs._limits
+    fleet.store.append_latency_s = 0.4
+    first, again, other = Submitted(fleet), Submitted(fleet), Submitted(fleet)
+    first.add(OTHERS[0], job(100))
+    fleet.run_for(0.1)
+    limits.pending.limit = limits.pending.used
+    again.add(OTHERS[1], job(100))
+    other.add(OTHERS[1], job(101))
+    fleet.run_for(0.1)
+    assert again.statuses == [HttpStatus.GATEWAY_TIMEOUT]
+    assert other.statuses == [HttpStatus.TOO_MANY_REQUESTS]
+    fleet.run_for(1.0)
+    assert first.statuses == [HttpStatus.OK]
+
+
+def test_a_job_that_came_once_was_taken_for_one_that_came_again(
+    fleet: MemoryFleet,
+) -> None:
+    limits = fleet.node(HOLDER).jobs._limits
+    once = job(100)
+    size = len(encode_record(once)) + job_size(encode_record(once)).record
+    # There is room for the job at its node, and none for it at the holder.
+    limits.pending.limit = limits.pending.used + size
+    jobs = Submitted(fleet)
+    jobs.add(HOLDER, once)
+    fleet.run_for(0.1)
+    assert jobs.statuses == [HttpStatus.TOO_MANY_REQUESTS]
+
+
 def test_nodes_that_keep_no_jobs_filled_the_memory_of_the_holder(
     fleet: MemoryFleet,
 ) -> None:
