Answer 504 for a repeated job when the store is away

Callers saw: 503 for a job that ran afterwards. Cause: a caller repeats a job whose first copy waits for an append that a silent store may still take. The store counts as away by then, so that the repeated one isn't sent, and was answered as not stored. Change: the outcome of a repeated job is unknown if it isn't stored while another copy of it waits on the same node, for whatever reason. Jobs that came once are answered 503 as before. Measured: test_a_job_that_waited_for_a_lost_store_was_refused_when_it_came_again fails without the change (503) and passes with it; the first copy is stored later in it.

--- a/tamarackmount/node/job_service.py
+++ b/tamarackmount/node/job_service.py
@@ -255,14 +255,14 @@
         came_again = self._limits.has_other_copy(job.job_id, own_copies=1)
         result = await self._submissions.store(record, deadline)
         came_again |= self._limits.has_other_copy(job.job_id, own_copies=1)
-        if result.outcome is StoreOutcome.REFUSED and came_again:
-            result = result.with_outcome_unknown()
         if result.outcome is StoreOutcome.NOT_STORED and await self._is_known(
             job.job_id, deadline
         ):
             # A refusal would tell the caller that the job never runs.
             _log.info("job submitted again; known", extra={"job": job.job_id})
             return ApiResponse(HttpStatus.OK)
+        if came_again and result.outcome is not StoreOutcome.STORED:
+            result = result.with_outcome_unknown()
         self._report_submission(job, result, clock.now() - started_at, deadline)
         if result.outcome is StoreOutcome.STORED:
             self._handle_stored(record, JobStored(record.value))
--- a/tamarackmount/node/submissions.py
+++ b/tamarackmount/node/submissions.py
@@ -112,7 +112,7 @@
         return self.outcome is StoreOutcome.REFUSED or self.retry_after_s > 0
 
     def with_outcome_unknown(self) -> "StoreResult":
-        """Return this refusal of a record that an earlier attempt may store."""
+        """Return this result of a record that an earlier attempt may store."""
         return StoreResult(StoreOutcome.UNKNOWN, max(1, self.retry_after_s))
 
 
--- a/tests/test_job_limits.py
+++ b/tests/test_job_limits.py
@@ -173,6 +173,19 @@
     assert callers.statuses([callers.submit(99, labelled_body(SMALL_BYTES))]) == [200]
 
 
+def test_a_job_that_waited_for_a_lost_store_was_refused_when_it_came_again() -> None:
+    callers = Callers()
+    callers.store.append_latency_s = 30.0
+    body = labelled_body(100)
+    first = callers.submit(1, body)
+    callers.network.elapse(4.0)
+    assert callers.statuses([callers.submit(1, body)]) == [504]
+    assert callers.statuses([callers.submit(2, body)]) == [503]
+    callers.store.append_latency_s = 0.002
+    callers.network.elapse(500.0)
+    assert callers.statuses([first]) == [200]
+
+
 def test_jobs_were_accepted_until_they_filled_the_memory() -> None:
     callers = Callers(memory_mib=6)
     statuses = [
