Answer 504 for a job not admitted while its first copy waits at the holder

Callers saw: 429 for a job that ran afterwards. Cause: a repeated job reaches the holder through another node while its first copy waits there for the store. If admission refuses it by then, the holder answered refused. Change: such a refusal leaves the outcome unknown, as a refusal by the limits does. Measured: the new test in tests/test_job_limits_of_holder.py fails without the change (429) and passes with it, beside the tests on submissions and limits, in one run.

--- a/tamarackmount/node/record_relay.py
+++ b/tamarackmount/node/record_relay.py
@@ -106,7 +106,8 @@
             work = reservation.work_bytes
             if not await self._limits.turns.wait_turn(work, deadline):
                 return self._refuse(job_id, JobLimit.LARGE_JOBS, own_copies + 1)
-            return await self._store_at_holder(record)
+            result = await self._store_at_holder(record)
+            return self._check_refusal(job_id, result, own_copies + 1)
         finally:
             self._limits.release(reservation)
 
@@ -116,16 +117,23 @@
         return NOT_STORED_RESULT if holder is None else await holder.store(record)
 
     def _refuse(self, job_id: JobId, limit: JobLimit, own_copies: int) -> StoreResult:
-        """Refuse a job that exceeds a limit, unless it is stored already.
-
-        The outcome is unknown if other than ``own_copies`` copies wait on this node.
-        """
+        """Refuse a job that exceeds a limit, unless it is stored already."""
         holder = self._election.holder
         if holder is not None and holder.phase(job_id) is not None:
             return StoreResult(StoreOutcome.STORED)
         retry_after_s = self._limits.refuse(job_id, limit)
         result = StoreResult(StoreOutcome.REFUSED, retry_after_s)
-        if self._limits.has_other_copy(job_id, own_copies):
+        return self._check_refusal(job_id, result, own_copies)
+
+    def _check_refusal(
+        self, job_id: JobId, result: StoreResult, own_copies: int
+    ) -> StoreResult:
+        """Return a result, with outcome unknown if a refused job may yet be stored.
+
+        It may if more than ``own_copies`` copies of it wait on this node.
+        """
+        is_refused = result.outcome is StoreOutcome.REFUSED
+        if is_refused and self._limits.has_other_copy(job_id, own_copies):
             return result.with_outcome_unknown()
         return result
 
--- a/tests/test_job_limits_of_holder.py
+++ b/tests/test_job_limits_of_holder.py
@@ -12,7 +12,7 @@
 from tamarackmount.node.holder import Holder
 from tamarackmount.node.http_api import ApiResponse, HttpStatus
 from tamarackmount.platform.store import KeyedRecord
-from tamarackmount.scheduling.admission.admission import Refusal
+from tamarackmount.scheduling.admission.admission import Refusal, RefusalReason
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.domain.model import JobSpec
 from tamarackmount.scheduling.store.job_sizes import job_size
@@ -148,6 +148,24 @@
     assert first.statuses == [HttpStatus.OK]
 
 
+def test_a_job_that_waited_at_the_holder_was_not_admitted_when_it_came_again(
+    fleet: MemoryFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fleet.store.append_latency_s = 0.4
+    first, again, other = Submitted(fleet), Submitted(fleet), Submitted(fleet)
+    first.add(OTHERS[0], job(100))
+    fleet.run_for(0.1)
+    refusal = Refusal(RefusalReason.BACKLOG, 5.0)
+    monkeypatch.setattr(Holder, "_check_admission", lambda _holder, _record: refusal)
+    again.add(OTHERS[1], job(100))
+    other.add(OTHERS[1], job(101))
+    fleet.run_for(0.1)
+    assert again.statuses == [HttpStatus.GATEWAY_TIMEOUT]
+    assert other.statuses == [HttpStatus.TOO_MANY_REQUESTS]
+    fleet.run_for(1.0)
+    assert first.statuses == [HttpStatus.OK]
+
+
 def test_a_job_that_came_once_was_taken_for_one_that_came_again(
     fleet: MemoryFleet,
 ) -> None:
