Move the readiness check to a module of its own

Change: ReadinessResource is in node/readiness.py; nothing else changes. Measured: tests/test_http_ports.py passes.

--- a/tamarackmount/node/http_api.py
+++ b/tamarackmount/node/http_api.py
@@ -339,21 +339,3 @@
     if math.isnan(remaining_ms) or remaining_ms > MAX_DEADLINE_MS:
         remaining_ms = DEFAULT_DEADLINE_MS
     return Instant(clock.now() + max(0.0, remaining_ms) / MS_PER_SECOND)
-
-
-class ReadinessResource(Resource):
-    """Tells the platform's load balancer whether this node takes new connections."""
-
-    isLeaf = True  # noqa: N815  (name set by Twisted)
-
-    def __init__(self, is_ready: Callable[[], bool]) -> None:
-        """Respond according to ``is_ready``."""
-        Resource.__init__(self)
-        self._is_ready = is_ready
-
-    def render(self, request: Any) -> bytes:
-        """Respond with 200 if the node is ready, otherwise with 503."""
-        is_ready = self._is_ready()
-        status = HttpStatus.OK if is_ready else HttpStatus.SERVICE_UNAVAILABLE
-        request.setResponseCode(status.value)
-        return b""
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -20,7 +20,7 @@
 from tamarackmount.node.hedged_advice import reply_to
 from tamarackmount.node.holder_dependencies import HolderDependencies
 from tamarackmount.node.holder_election import HolderElection
-from tamarackmount.node.http_api import JobsResource, ReadinessResource
+from tamarackmount.node.http_api import JobsResource
 from tamarackmount.node.http_ports import HttpPorts, peer_limits
 from tamarackmount.node.job_limits import JobLimits, JobLimitSizes
 from tamarackmount.node.job_service import JobService
@@ -42,6 +42,7 @@
 from tamarackmount.node.peer_calls import PeerCalls, QueryReply
 from tamarackmount.node.process_limits import process_limits
 from tamarackmount.node.processor_speed import ProcessorSpeed, time_sample
+from tamarackmount.node.readiness import ReadinessResource
 from tamarackmount.node.remote_contact import RemoteContact
 from tamarackmount.node.store_contact import StoreContact
 from tamarackmount.node.tasks import spawn, spawn_answer
--- a/tests/test_http_ports.py
+++ b/tests/test_http_ports.py
@@ -6,10 +6,10 @@
 from twisted.web.resource import Resource
 
 from tamarackmount.internal.addresses import Address
-from tamarackmount.node.http_api import ReadinessResource
 from tamarackmount.node.http_ports import HttpPorts, peer_limits
 from tamarackmount.node.metrics import NodeMetrics
 from tamarackmount.node.process_limits import ProcessLimits
+from tamarackmount.node.readiness import ReadinessResource
 from tests.utils.memory_network import MemoryNetwork
 
 LIMITS = ProcessLimits(
