Keep small jobs from taking all connections while the store is silent

Callers saw: with 700 clients that each sent a small job with a long deadline while the store didn't answer, no other caller could connect. Cause: a connection whose request is being served is never evicted, and submissions were served in any number until their deadline, up to 600 s. Change: at most half of the callers' connections have submissions that are being served, a quarter lookups and an eighth cancellations; a sixteenth have submissions above the limit, for which other nodes are asked whether they know the job. More get 503 with Retry-After at once, or 504 if an attempt for the same job is still being served or can't be asked about.

--- a/tamarackmount/node/http_api.py
+++ b/tamarackmount/node/http_api.py
@@ -19,6 +19,7 @@
 from tamarackmount.internal.keys import hash_key
 from tamarackmount.node import clock
 from tamarackmount.node.metrics import NodeMetrics
+from tamarackmount.node.served_requests import RequestKind, ServedRequests
 from tamarackmount.node.tasks import spawn
 from tamarackmount.platform.jobs import (
     JobError,
@@ -157,9 +158,15 @@
 
     isLeaf = True  # noqa: N815  (name set by Twisted)
 
-    def __init__(self, jobs: Jobs, metrics: NodeMetrics) -> None:
-        """Serve ``jobs`` and count requests in ``metrics``."""
+    def __init__(
+        self, jobs: Jobs, metrics: NodeMetrics, served: ServedRequests | None = None
+    ) -> None:
+        """Serve ``jobs`` and count requests in ``metrics``.
+
+        Requests that ``served`` has no place for are refused; without it none are.
+        """
         Resource.__init__(self)
+        self._served = served or ServedRequests({})
         self._jobs = jobs
         self._metrics = metrics
         self._handlers_by_method: dict[str, Callable[[ApiRequest], Any]] = {
@@ -205,9 +212,36 @@
         handler = self._handlers_by_method.get(request.method.decode("latin-1"))
         if handler is None:
             return ApiResponse(HttpStatus.BAD_METHOD)
-        response: ApiResponse = await handler(api_request)
+        kind = _KIND_BY_METHOD[request.method]
+        job_id = api_request.job_id
+        if not self._served.try_add(kind, job_id):
+            return await self._refuse(kind, api_request)
+        try:
+            response: ApiResponse = await handler(api_request)
+        finally:
+            self._served.remove(kind, job_id)
         return response
 
+    async def _refuse(self, kind: RequestKind, api_request: ApiRequest) -> ApiResponse:
+        """Refuse a request, as too many of its kind are being served."""
+        job_id = api_request.job_id
+        self._metrics.record_crowded_request(kind.value)
+        _log.info(
+            "request refused: too many are served",
+            extra={"job": job_id, "kind": kind.value},
+        )
+        if kind is not RequestKind.LOOKUP and self._served.includes(kind, job_id):
+            # The attempt that is being served may still have an effect.
+            return ApiResponse(HttpStatus.GATEWAY_TIMEOUT)
+        if kind is not RequestKind.SUBMISSION:
+            return _UNAVAILABLE
+        if not self._served.try_add(RequestKind.REFUSAL, job_id):
+            return ApiResponse(HttpStatus.GATEWAY_TIMEOUT)
+        try:
+            return await self._jobs.refuse_large(job_id, api_request.deadline)
+        finally:
+            self._served.remove(RequestKind.REFUSAL, job_id)
+
     async def _submit(self, api_request: ApiRequest) -> ApiResponse:
         if not api_request.job_id:
             return ApiResponse(HttpStatus.BAD_METHOD)
@@ -230,7 +264,7 @@
         if not api_request.job_id:
             count = await self._jobs.waiting_count(api_request.queue)
             if count is None:
-                return _RESPONSE_BY_LOOKUP_FAILURE[PhaseLookupFailure.UNAVAILABLE]
+                return _UNAVAILABLE
             return ApiResponse(HttpStatus.OK, encode_waiting_count(count))
         phase = await self._jobs.phase(api_request.job_id)
         if isinstance(phase, JobPhase):
@@ -246,11 +280,19 @@
         return await self._jobs.cancel(api_request.job_id, api_request.deadline)
 
 
+_KIND_BY_METHOD = {
+    b"POST": RequestKind.SUBMISSION,
+    b"GET": RequestKind.LOOKUP,
+    b"DELETE": RequestKind.CANCELLATION,
+}
+
+_UNAVAILABLE = ApiResponse(
+    HttpStatus.SERVICE_UNAVAILABLE, retry_after_s=STORE_RETRY_AFTER_S
+)
+
 _RESPONSE_BY_LOOKUP_FAILURE = {
     PhaseLookupFailure.NOT_SUBMITTED: ApiResponse(HttpStatus.GONE),
-    PhaseLookupFailure.UNAVAILABLE: ApiResponse(
-        HttpStatus.SERVICE_UNAVAILABLE, retry_after_s=STORE_RETRY_AFTER_S
-    ),
+    PhaseLookupFailure.UNAVAILABLE: _UNAVAILABLE,
 }
 
 
--- a/tamarackmount/node/metrics.py
+++ b/tamarackmount/node/metrics.py
@@ -82,6 +82,11 @@
             "Jobs refused as they would exceed the process's memory or time, by limit.",
             registry=self.registry,
         )
+        self._crowded_requests = Counter(
+            "tamarackmount_crowded_requests_total",
+            "Requests refused as too many of their kind were being served, by kind.",
+            registry=self.registry,
+        )
         self._kept_job_bytes = Gauge(
             "tamarackmount_kept_job_bytes",
             "Estimated memory of the accepted jobs that this node keeps.",
@@ -126,6 +131,10 @@
         """Count a job that was refused for a limit of this process."""
         self._job_limit_refusals.inc({"limit": limit})
 
+    def record_crowded_request(self, kind: str) -> None:
+        """Count a request that was refused as too many were being served."""
+        self._crowded_requests.inc({"kind": kind})
+
     def set_kept_job_bytes(self, kept_bytes: int) -> None:
         """Set the estimated memory of the accepted jobs, in bytes."""
         self._kept_job_bytes.set({}, kept_bytes)
--- a/tamarackmount/node/node.py
+++ b/tamarackmount/node/node.py
@@ -44,6 +44,7 @@
 from tamarackmount.node.processor_speed import ProcessorSpeed, time_sample
 from tamarackmount.node.readiness import ReadinessResource
 from tamarackmount.node.remote_contact import RemoteContact
+from tamarackmount.node.served_requests import ServedRequests
 from tamarackmount.node.store_contact import StoreContact
 from tamarackmount.node.tasks import spawn, spawn_answer
 from tamarackmount.node.topic_tail import TopicTail
@@ -199,7 +200,9 @@
                 metrics,
             ),
         )
-        self._jobs_resource = JobsResource(self.jobs, self._context.metrics)
+        self._jobs_resource = JobsResource(
+            self.jobs, metrics, ServedRequests(limits.served_by_kind)
+        )
         self._ports = HttpPorts(reactor, limits, self.jobs, metrics.connections)
         self._handlers: dict[type, Callable[[MemberId, Any], None]] = {
             **self.jobs.handlers,
--- a/tamarackmount/node/process_limits.py
+++ b/tamarackmount/node/process_limits.py
@@ -4,6 +4,7 @@
 
 from tamarackmount.internal.bounded_channel import CONNECTION_ALLOWANCE_BYTES
 from tamarackmount.internal.receive_buffer import RECEIVE_BUFFER_BYTES
+from tamarackmount.node.served_requests import RequestKind
 from tamarackmount.platform.boot import BootSettings
 
 RESERVED_DESCRIPTORS = 200
@@ -34,6 +35,15 @@
 MIN_CONNECTIONS = 8
 """Smallest number of connections of a port, however low the limits are."""
 
+SERVED_DIVISOR_BY_KIND = {
+    RequestKind.SUBMISSION: 2,
+    RequestKind.LOOKUP: 4,
+    RequestKind.CANCELLATION: 8,
+    RequestKind.REFUSAL: 16,
+}
+"""Part of the entry connections, as a divisor, whose requests are served at once, by
+kind. The parts leave some connections for new callers."""
+
 INTERNAL_CONNECTIONS = 16
 """Number of connections of the readiness port, and of the metrics port; each has one or
 two clients."""
@@ -54,6 +64,14 @@
     readiness_connections: int = INTERNAL_CONNECTIONS
     metrics_connections: int = INTERNAL_CONNECTIONS
 
+    @property
+    def served_by_kind(self) -> dict[RequestKind, int]:
+        """The number of callers' requests that are served at once, by kind."""
+        return {
+            kind: max(1, self.entry_connections // divisor)
+            for kind, divisor in SERVED_DIVISOR_BY_KIND.items()
+        }
+
 
 def process_limits(settings: BootSettings) -> ProcessLimits:
     """Return the limits that follow from the memory and descriptors of the process."""
