Drop the bodies of requests that may outlive their connections

Callers saw: a client that sent large bodies and disconnected made the node keep them while it asked other nodes, without any limit that counted them. Cause: a lost connection returns the reserved bytes of its body at once, but the request that was being served still held the body until its answer. Change: a submission's body is dropped once it is decoded, or before other nodes are asked about it; while it waits for its turn to be decoded, the queue of turns limits its bytes. Lookups and cancellations keep no body.

--- a/tamarackmount/node/http_api.py
+++ b/tamarackmount/node/http_api.py
@@ -98,9 +98,12 @@
 """The response to callers before the first configuration is read."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class ApiRequest:
-    """A caller's request to a queue; ``job_id`` is empty for the queue itself."""
+    """A caller's request to a queue; ``job_id`` is empty for the queue itself.
+
+    ``body`` is empty unless the request is a submission.
+    """
 
     queue: Queue
     workspace_id: WorkspaceId
@@ -108,6 +111,15 @@
     body: bytes
     deadline: Instant
 
+    def take_body(self) -> bytes:
+        """Return the body and drop it.
+
+        A connection that is lost returns the bytes of its body to the budget, while
+        the request may still wait for the store or other nodes.
+        """
+        body, self.body = self.body, b""
+        return body
+
 
 class PhaseLookupFailure(Enum):
     """Why there is no phase: the job was not submitted, or the node can't tell now."""
@@ -224,6 +236,7 @@
 
     async def _refuse(self, kind: RequestKind, api_request: ApiRequest) -> ApiResponse:
         """Refuse a request, as too many of its kind are being served."""
+        api_request.take_body()
         job_id = api_request.job_id
         self._metrics.record_crowded_request(kind.value)
         _log.info(
@@ -247,8 +260,9 @@
             return ApiResponse(HttpStatus.BAD_METHOD)
         job_id, deadline = api_request.job_id, api_request.deadline
         if not await self._jobs.wait_turn(len(api_request.body), deadline):
+            api_request.take_body()
             return await self._jobs.refuse_large(job_id, deadline)
-        decoded = decode_job(api_request.body, self._jobs.max_steps)
+        decoded = decode_job(api_request.take_body(), self._jobs.max_steps)
         if isinstance(decoded, Failure):
             return _rejection(job_id, decoded.failure())
         job = AcceptedJob(
@@ -347,7 +361,9 @@
     name = path[len(queue.prefix) :].strip("/")
     if name and not _JOB_ID_PATTERN.match(name):
         return ApiResponse(HttpStatus.BAD_REQUEST)
-    return ApiRequest(queue, workspace_id, JobId(name), body, parse_deadline(request))
+    kept_body = body if request.method == b"POST" else b""
+    deadline = parse_deadline(request)
+    return ApiRequest(queue, workspace_id, JobId(name), kept_body, deadline)
 
 
 def find_target(
