Count waiting jobs without looking at all jobs

Callers saw: each GET of a queue's prefix took time in proportion to all jobs that the node keeps, ended ones included. Cause: JobIndex.waiting_count went through all jobs. Change: WaitingCounts keeps a count for each queue and looks only at jobs that changed since the last count, so that records are still decoded when they are first used. Jobs whose stored phase is final are dropped without decoding.

--- a/tamarackmount/scheduling/store/job_index.py
+++ b/tamarackmount/scheduling/store/job_index.py
@@ -24,6 +24,7 @@
     is_final_progress,
     split_key,
 )
+from tamarackmount.scheduling.store.waiting_counts import WaitingCounts
 
 _log = logging.getLogger(__name__)
 
@@ -156,6 +157,7 @@
         self.runs_are_complete = True
         self.kept_bytes = 0
         self.kept_bytes_by_workspace: Counter[WorkspaceId] = Counter()
+        self._waiting = WaitingCounts()
         self._text_by_worker: dict[str, bytes] = {}
         self._setters = {
             RecordKind.HOLDER: self._set_heartbeat,
@@ -176,6 +178,7 @@
         self.runs_are_complete = True
         self.kept_bytes = 0
         self.kept_bytes_by_workspace.clear()
+        self._waiting.clear()
 
     def apply(self, key: str, value: bytes) -> None:
         """Apply a record; an empty value removes the job or worker of the key."""
@@ -217,13 +220,7 @@
 
     def waiting_count(self, queue: QueueName) -> int:
         """Return how many accepted jobs of a queue have not started."""
-        return sum(
-            1
-            for records in self.open_jobs()
-            if records.phase is JobPhase.QUEUED
-            and records.accepted is not None
-            and records.accepted.queue_name == queue
-        )
+        return self._waiting.count(queue)
 
     def open_jobs(self) -> Iterator[JobRecords]:
         """Return the accepted jobs whose stored phase is not final.
@@ -261,11 +258,14 @@
         self._count(records, -records.kept_bytes)
         records.set_accepted(text)
         self._count(records, records.kept_bytes)
+        self._waiting.update(JobId(name), records)
 
     def _set_cancel(self, name: str, text: bytes) -> None:
         record = _decode(text, CancelRecord, name)
         if record is not None:
-            self._records_of(name).cancelled_unix_ms = record.cancelled_unix_ms
+            records = self._records_of(name)
+            records.cancelled_unix_ms = record.cancelled_unix_ms
+            self._waiting.update(JobId(name), records)
 
     def _set_progress(self, name: str, text: bytes) -> None:
         records = self._records_of(name)
@@ -273,6 +273,7 @@
         records.set_progress(text)
         if records.is_final and not was_final:
             self._count(records, -records.size.state)
+        self._waiting.update(JobId(name), records)
 
     def _set_worker(self, name: str, text: bytes) -> None:
         self._text_by_worker[name] = text
@@ -291,6 +292,7 @@
     def _remove(self, kind: RecordKind, name: str) -> None:
         if kind is RecordKind.JOB:
             records = self.jobs_by_id.pop(JobId(name), None)
+            self._waiting.remove(JobId(name))
             if records is not None:
                 self._count(records, -records.kept_bytes)
         elif kind is RecordKind.WORKER:
