--- /dev/null
+++ b/review/standins_3/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the users' platform, its minions and its clients."""
