--- a/review/standins_3/minions.py
+++ b/review/standins_3/minions.py
@@ -244,6 +244,12 @@
         """Return the tasks of a job that run now."""
         return [run.task for _, _, run in self._rows() if job_id in run.task]
 
+    def fail_runs_of(self, job_id: str) -> None:
+        """End the runs of a job as failed, through their own fault."""
+        for minion, life, run in self._rows():
+            if job_id in run.task:
+                minion.end(life, run, "failed")
+
     async def work(self) -> None:
         """Let the tasks work until cancelled."""
         last = time.monotonic()
