--- a/review/11/case.py
+++ b/review/11/case.py
@@ -42,7 +42,9 @@
     status, _ = await cell.request(cell.nodes[0], "POST", path, job)
     if status != 200:
         raise CannotRunError("the job was not accepted")
-    crashes = asyncio.create_task(crash_minions(cell)) if has_trouble else None
+    crashes = None
+    if has_trouble:
+        crashes = asyncio.create_task(crash_minions(cell, path.rpartition("/")[2]))
     ends_at = time.monotonic() + LIMIT_S
     while time.monotonic() < ends_at:
         await asyncio.sleep(1.0)
@@ -57,11 +59,14 @@
         crashes.cancel()
 
 
-async def crash_minions(cell: Deployment) -> None:
-    """Crash one minion after the other, whichever it is; each is soon back."""
-    for _ in range(CRASHES):
+async def crash_minions(cell: Deployment, job_id: str) -> None:
+    """Crash one minion after the other, each under another task; each is soon back."""
+    for index in range(CRASHES):
         await asyncio.sleep(CRASH_GAP_S - DOWN_S)
-        minion = random.choice(cell.pool.minions)
+        minion = cell.pool.minion_with(f"{job_id}.0.0.{index}")
+        if minion is None:
+            cell.record("no minion to crash", task=index)
+            return
         await minion.crash()
         await asyncio.sleep(DOWN_S)
         await minion.start()
--- a/review/standins_3/minions.py
+++ b/review/standins_3/minions.py
@@ -218,6 +218,7 @@
         life.ended.append([life.last_end, run.task, run.number, how, _checkpoint(run)])
         life.changed.set()
         life.changed = asyncio.Event()
+        self.pool.run_ended(run.task, how)
         self.pool.record(
             "run ends", task=run.task, run=run.number, worker=life.worker_id, how=how
         )
@@ -232,6 +233,7 @@
         self.service = service
         self.record = record
         self.minions: list[Minion] = []
+        self._done: set[str] = set()
 
     def add(self, count: int, zones: list[str], capacity: dict[str, int]) -> None:
         """Add minions, one rack a zone."""
@@ -244,6 +246,20 @@
         """Return the tasks of a job that run now."""
         return [run.task for _, _, run in self._rows() if job_id in run.task]
 
+    def run_ended(self, task: str, how: str) -> None:
+        """Keep the jobs that have a task which ended well."""
+        if how == "done":
+            self._done.add(task.partition(".")[0])
+
+    def has_ended(self, job_id: str) -> bool:
+        """Tell whether a task of a job has ended well."""
+        return job_id in self._done
+
+    def minion_with(self, task: str) -> Minion | None:
+        """Return a minion that runs a task."""
+        rows = ((minion, run) for minion, _, run in self._rows())
+        return next((minion for minion, run in rows if run.task == task), None)
+
     def fail_runs_of(self, job_id: str) -> None:
         """End the runs of a job as failed, through their own fault."""
         for minion, life, run in self._rows():
