--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,11 +1,10 @@
-"""Ordinary jobs beside one job of many repetitions that are due."""
+"""A client that leaves and cancels, while its submission is still on its way."""
 
 import asyncio
 import json
+import signal
 import sys
-import time
 from pathlib import Path
-from typing import Any
 
 from review.standins_3.deployment import (
     BrokenRuleError,
@@ -17,84 +16,50 @@
 )
 
 MINIONS = 8
-CORES_EACH = 32
-REPETITIONS = 19_000
-INTERVAL_MS = 10_000
-TASK_MS = 300
-TASK_CORES = 1
-JOBS = 20
-FINISH_S = 14.0
-NOTHING_RUNS_S = 3.0
-CHECK_S = 0.1
+WORK_MS = 60_000
+FREEZE_S = 4.0
+CLIENT_LEAVES_S = 0.125
+JUDGED_AFTER_S = 14.0
+CANCELLED = (200, 410)
 
 
 async def play(cell: Deployment, has_trouble: bool) -> None:
-    """Submit ordinary jobs, one a second, and look at those that are left."""
-    routes = [route("r-watch", "/watch/", priority=2), route("r-quote", "/quote/")]
-    await cell.start(MINIONS, routes)
+    """Submit a long job and cancel it; it must be gone once all is calm again."""
+    await cell.start(MINIONS, [route("r-watch", "/watch/")])
+    holder = next(node for node in cell.nodes if node.name == cell.holder())
+    first, second = [node for node in cell.nodes if node.zone != holder.zone][:2]
     if has_trouble:
-        schedule = {
-            "repetitions": REPETITIONS,
-            "intervalMs": INTERVAL_MS,
-            "firstRunMs": int(time.time() * 1_000) - REPETITIONS * INTERVAL_MS,
-        }
-        if not await submit(cell, "/watch/", 0, schedule):
-            raise CannotRunError("the scheduled job was not accepted")
-        await asyncio.sleep(2.0)
-    accepted = await submit_jobs(cell)
-    cell.record("traffic ends")
-    await asyncio.sleep(FINISH_S)
-    waiting = set(accepted)
-    for _ in range(int(NOTHING_RUNS_S / CHECK_S)):
-        waiting = {job_id for job_id in waiting if may_run(cell, job_id)}
-        await asyncio.sleep(CHECK_S)
-    for job_id in accepted:
-        await cell.request(cell.nodes[0], "GET", f"/quote/{job_id}")
-    if waiting:
-        text = f"{len(waiting)} of {len(accepted)} jobs have nothing running"
-        raise BrokenRuleError(f"{text} with over half of the room free")
-
-
-async def submit_jobs(cell: Deployment) -> list[str]:
-    """Submit one ordinary job a second; return the ids of those accepted."""
-    accepted = []
-    for number in range(JOBS):
-        job_id = await submit(cell, "/quote/", number, {})
-        if job_id:
-            accepted.append(job_id)
-        await asyncio.sleep(1.0)
-    if not accepted:
-        raise CannotRunError("no ordinary job was accepted")
-    return accepted
-
-
-def may_run(cell: Deployment, job_id: str) -> bool:
-    """Tell whether a job is not done, runs nothing, and half of the room is free."""
-    running = sum(len(minion.life.runs) for minion in cell.pool.minions if minion.life)
-    room = MINIONS * CORES_EACH // TASK_CORES
-    is_open = not (cell.pool.has_ended(job_id) or cell.pool.runs_of(job_id))
-    return is_open and 2 * running < room
-
-
-async def submit(
-    cell: Deployment, prefix: str, number: int, schedule: dict[str, Any]
-) -> str:
-    """Submit a job of one short task; return its id, or nothing if it is refused."""
+        await heartbeat(cell)
+        cell.record("node freezes", node=holder.name)
+        holder.signal(signal.SIGSTOP)
+        loop = asyncio.get_running_loop()
+        loop.call_later(FREEZE_S, holder.signal, signal.SIGCONT)
     job_id = new_id()
+    path = f"/watch/{job_id}"
     step = {
         "count": 1,
-        "cpu": 1_000 * TASK_CORES,
-        "requestedMemoryMb": 16,
-        "estimatedMs": TASK_MS,
-    }
-    job = {
-        "spec": json.dumps({"steps": [{"workMs": TASK_MS}]}),
-        "steps": [step],
-        **schedule,
+        "cpu": 4_000,
+        "requestedMemoryMb": 1_024,
+        "estimatedMs": WORK_MS,
     }
-    node = cell.nodes[number % len(cell.nodes)]
-    status, _ = await cell.request(node, "POST", f"{prefix}{job_id}", job)
-    return job_id if status == 200 else ""
+    job = {"spec": json.dumps({"steps": [{"workMs": WORK_MS}]}), "steps": [step]}
+    await cell.request(first, "POST", path, job, timeout_s=CLIENT_LEAVES_S)
+    status, _ = await cell.request(second, "DELETE", path)
+    if status not in CANCELLED:
+        raise CannotRunError(f"the cancelling was answered {status}")
+    await asyncio.sleep(JUDGED_AFTER_S)
+    running = cell.pool.runs_of(job_id)
+    await cell.request(second, "GET", path)
+    if running:
+        raise BrokenRuleError(f"{running[0]} runs on, its cancelling got {status}")
+
+
+async def heartbeat(cell: Deployment) -> None:
+    """Wait until the holder has renewed its role in the store."""
+    rows = cell.store.partition("keyed.holder").rows
+    known = len(rows)
+    while len(rows) == known:
+        await asyncio.sleep(0.002)
 
 
 if __name__ == "__main__":
--- a/review/standins_3/minions.py
+++ b/review/standins_3/minions.py
@@ -246,6 +246,13 @@
         """Return the tasks of a job that run now."""
         return [run.task for _, _, run in self._rows() if job_id in run.task]
 
+    def ages_of(self, job_id: str) -> list[float]:
+        """Return for how long the runs of a job have been going on, in seconds."""
+        now = time.monotonic()
+        return [
+            now - run.started_at for _, _, run in self._rows() if job_id in run.task
+        ]
+
     def run_ended(self, task: str, how: str) -> None:
         """Keep the jobs that have a task which ended well."""
         if how == "done":
