--- a/review/11/case.py
+++ b/review/11/case.py
@@ -19,7 +19,8 @@
 CORES_EACH = 32
 STANDING_TASKS = 16
 TASK_MS = 300
-JOBS = 19
+JOBS = 10
+OTHER_STANDING_JOBS = 19
 FINISH_S = 14.0
 NOTHING_RUNS_S = 3.0
 CHECK_S = 0.1
@@ -33,6 +34,10 @@
         route("r-batch", "/batch/", priority=2),
     ]
     await cell.start(MINIONS, routes)
+    small = {"count": 1, "estimatedMs": 400, "perpetual": True}
+    for number in range(OTHER_STANDING_JOBS):
+        if not await submit(cell, number, "/watch/", small, {"lasts": True}):
+            raise CannotRunError("a standing job was not accepted")
     standing = {
         "count": STANDING_TASKS if has_trouble else MINIONS,
         "estimatedMs": 400,
--- a/review/standins_3/minions.py
+++ b/review/standins_3/minions.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import time
+from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -107,6 +108,7 @@
         if self._beats is not None:
             self._beats.cancel()
         lost = [f"{run.task}#{run.number}" for run in life.runs.values()]
+        self.pool.crashes_by_task.update(run.task for run in life.runs.values())
         self.pool.record("minion crashes", worker=life.worker_id, lost=lost)
         asyncio.get_running_loop().call_later(
             BEATS_UNTIL_REMOVED * HEARTBEAT_S, self._remove_entry, life.worker_id
@@ -234,6 +236,8 @@
         self.record = record
         self.minions: list[Minion] = []
         self._done: set[str] = set()
+        self.crashes_by_task: Counter[str] = Counter()
+        self.failed_ends_by_task: Counter[str] = Counter()
 
     def add(self, count: int, zones: list[str], capacity: dict[str, int]) -> None:
         """Add minions, one rack a zone."""
@@ -254,9 +258,11 @@
         ]
 
     def run_ended(self, task: str, how: str) -> None:
-        """Keep the jobs that have a task which ended well."""
+        """Keep the jobs that have a task which ended well, and count failures."""
         if how == "done":
             self._done.add(task.partition(".")[0])
+        if how == "failed":
+            self.failed_ends_by_task[task] += 1
 
     def has_ended(self, job_id: str) -> bool:
         """Tell whether a task of a job has ended well."""
