Reserve workers only for tasks that may start on them

Cause: the plan of a reservation counted what fits into a worker and the step's limit there, but not the step's runs there, so that all workers were reserved for tasks that placement never put there. Perpetual tasks could reserve the whole pool, and urgent steps were kept off without regard to when the reservation was due.

test_allowed_workers_at_the_limit_of_the_step_have_no_capacity_for_it gave runs to the step and not to their workers, which can't be; it gives them to both now, and asserts the same.

--- a/tamarackmount/scheduling/advice/advice_choice.py
+++ b/tamarackmount/scheduling/advice/advice_choice.py
@@ -17,7 +17,7 @@
 
 from tamarackmount.ids import QueueName, RackId
 from tamarackmount.scheduling.jobs.runs import StepState, WaitReason
-from tamarackmount.scheduling.workers.free_capacity import count_fitting_tasks
+from tamarackmount.scheduling.workers.free_capacity import count_startable_tasks
 from tamarackmount.scheduling.workers.workers import WorkerState
 
 MAX_WORKERS_PER_REQUEST = 60
@@ -85,12 +85,7 @@
 def may_wait_for(step: StepState, allowed: Sequence[WorkerState]) -> bool:
     """Tell whether enough workers are allowed for a step to wait for their capacity."""
     fits_when_idle = sum(
-        count_fitting_tasks(
-            step.reserved_amount,
-            worker.entry.capacity,
-            len(step.pending),
-            step.spec.max_per_worker,
-        )
+        count_startable_tasks(step, worker, worker.entry.capacity, len(step.pending))
         for worker in allowed
     )
     if len(allowed) < MIN_ALLOWED_WORKERS:
@@ -175,11 +170,4 @@
 
 def _fits(step: StepState, worker: WorkerState) -> int:
     """Return how many of the step's pending tasks fit on a worker now."""
-    limit = step.spec.max_per_worker
-    if limit:
-        limit -= step.count_runs_on(worker.incarnation)
-        if limit <= 0:
-            return 0
-    return count_fitting_tasks(
-        step.reserved_amount, worker.free, len(step.pending), limit
-    )
+    return count_startable_tasks(step, worker, worker.free, len(step.pending))
--- a/tamarackmount/scheduling/jobs/runs.py
+++ b/tamarackmount/scheduling/jobs/runs.py
@@ -141,15 +141,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Reservation:
-    """Workers that are kept free for a gang, which can probably start ``starts_at``.
+    """Workers that are kept free for a gang or for perpetual tasks.
 
-    ``count_by_worker`` is the number of members that each is kept free for.
+    ``count_by_worker`` is the number of tasks that each is kept free for, and
+    ``starts_at_by_worker`` when the first of them can probably start there; members of
+    a gang start together.
     """
 
     count_by_worker: Mapping[WorkerIncarnation, int]
-    starts_at: Instant
+    starts_at_by_worker: Mapping[WorkerIncarnation, Instant]
     planned_at: Instant
 
+    @property
+    def starts_at(self) -> Instant:
+        """When all tasks can probably have started."""
+        return max(self.starts_at_by_worker.values())
+
     @property
     def workers(self) -> AbstractSet[WorkerIncarnation]:
         """The workers that are kept free."""
@@ -181,8 +188,10 @@
     workers on which they can start apart from others. ``not_before`` delays the next
     placement after a refused start or a preemption. A step with a ``due_unix_ms`` does
     not start before then. ``reservation`` has the workers that are kept free for a
-    gang. A step ``exceeds_pool_share`` while its pool is scarce and the steps before it
-    take all that its workspace is entitled to there.
+    gang or for perpetual tasks. A step that is kept from starting by reservations of
+    others ignores them from ``uses_reserved_at`` on, if its pool is idle enough. A step
+    ``exceeds_pool_share`` while its pool is scarce and the steps before it take all
+    that its workspace is entitled to there.
     """
 
     key: StepKey
@@ -209,6 +218,7 @@
     not_before: Instant = Instant(0.0)
     due_unix_ms: int = 0
     reservation: Reservation | None = None
+    uses_reserved_at: Instant = Instant(inf)
     wait_reason: WaitReason = WaitReason.NONE
     waits: StepWaits = field(default_factory=StepWaits)
     exceeds_pool_share: bool = False
@@ -262,10 +272,6 @@
         """Return every run that may still be running, copies included."""
         return [*self.runs_by_index.values(), *self.original_runs]
 
-    def count_runs_on(self, incarnation: WorkerIncarnation) -> int:
-        """Return how many runs may still be running on a worker."""
-        return sum(run.incarnation == incarnation for run in self.runs())
-
 
 @dataclass(slots=True)
 class JobState:
--- a/tamarackmount/scheduling/placement/placement.py
+++ b/tamarackmount/scheduling/placement/placement.py
@@ -356,4 +356,4 @@
 def _count_runs_on(step: StepState, worker: WorkerState) -> int:
     if not step.spec.max_per_worker:
         return 0
-    return step.count_runs_on(worker.incarnation)
+    return worker.count_runs_of(step.key)
--- a/tamarackmount/scheduling/placement/preemption.py
+++ b/tamarackmount/scheduling/placement/preemption.py
@@ -16,7 +16,7 @@
 from tamarackmount.scheduling.limits.ceilings import ceiling_parts
 from tamarackmount.scheduling.placement.worker_choice import eligible_workers
 from tamarackmount.scheduling.scheduler_state import SchedulerState
-from tamarackmount.scheduling.workers.free_capacity import count_fitting_tasks
+from tamarackmount.scheduling.workers.free_capacity import count_startable_tasks
 from tamarackmount.scheduling.workers.workers import WorkerState
 
 _log = logging.getLogger(__name__)
@@ -111,9 +111,7 @@
             free = self._free_by_incarnation[worker.incarnation]
             for run in self._preemptible_runs(queue, worker):
                 free = free + run.amount
-            count += count_fitting_tasks(
-                step.reserved_amount, free, step.spec.count, step.spec.max_per_worker
-            )
+            count += count_startable_tasks(step, worker, free, step.spec.count)
         return min(count, limit)
 
     def _preempt(self, run: Run) -> None:
@@ -195,9 +193,7 @@
         self, step: StepState, worker: WorkerState, wanted: int
     ) -> int:
         free = self._free_by_incarnation[worker.incarnation]
-        return count_fitting_tasks(
-            step.reserved_amount, free, wanted, step.spec.max_per_worker
-        )
+        return count_startable_tasks(step, worker, free, wanted)
 
     def _select_on_worker(
         self,
@@ -208,9 +204,8 @@
         chosen: list[Run],
     ) -> tuple[list[Run], Resources, int]:
         """Return runs to stop, the free capacity then and how many tasks fit."""
-        amount, bound = step.reserved_amount, step.spec.max_per_worker
         free = self._free_by_incarnation[worker.incarnation]
-        count = count_fitting_tasks(amount, free, wanted, bound)
+        count = count_startable_tasks(step, worker, free, wanted)
         to_stop: list[Run] = []
         needed = 0
         free_after = free
@@ -221,7 +216,7 @@
                 continue
             to_stop.append(run)
             free_after = free_after + run.amount
-            count_after = count_fitting_tasks(amount, free_after, wanted, bound)
+            count_after = count_startable_tasks(step, worker, free_after, wanted)
             if count_after > count:
                 count, free, needed = count_after, free_after, len(to_stop)
         return to_stop[:needed], free, count
--- a/tamarackmount/scheduling/workers/free_capacity.py
+++ b/tamarackmount/scheduling/workers/free_capacity.py
@@ -93,6 +93,20 @@
         )
 
 
+def count_startable_tasks(
+    step: StepState, worker: WorkerState, free: Resources, wanted: int
+) -> int:
+    """Return how many more tasks of a step a worker could start, at most ``wanted``.
+
+    ``free`` is the capacity that it would have free. The step's runs on the worker
+    count towards the step's limit there.
+    """
+    limit = step.spec.max_per_worker
+    if limit:
+        wanted = min(wanted, limit - worker.count_runs_of(step.key))
+    return count_fitting_tasks(step.reserved_amount, free, wanted, 0)
+
+
 def count_fitting_tasks(
     amount: Resources, free: Resources, wanted: int, max_per_worker: int
 ) -> int:
--- a/tamarackmount/scheduling/workers/workers.py
+++ b/tamarackmount/scheduling/workers/workers.py
@@ -6,7 +6,7 @@
 
 from tamarackmount.ids import Instant, JobId
 from tamarackmount.resources import NOTHING, Resources, componentwise_maximum
-from tamarackmount.scheduling.domain.model import TaskKey, WorkerIncarnation
+from tamarackmount.scheduling.domain.model import StepKey, TaskKey, WorkerIncarnation
 from tamarackmount.scheduling.domain.worker_reports import WorkerEntry
 from tamarackmount.scheduling.jobs.runs import Run
 from tamarackmount.units import MS_PER_SECOND
@@ -201,6 +201,16 @@
         """The largest capacity that the worker has had, resource by resource."""
         return componentwise_maximum(self.largest_capacity, self.entry.capacity)
 
+    def count_runs_of(self, step: StepKey) -> int:
+        """Return how many runs of a step may still be running on the worker.
+
+        Runs that no task needs any more are left out.
+        """
+        return sum(
+            task.step_key == step and not run.is_orphaned
+            for task, run in self.runs_by_task.items()
+        )
+
     def covers_reservations(self, amount: Resources) -> bool:
         """Whether the capacity covers all runs, in each resource of ``amount``."""
         parts = (
--- a/tests/test_scheduling_advice.py
+++ b/tests/test_scheduling_advice.py
@@ -156,7 +156,7 @@
     state = step_state(4, max_per_worker=1)
     for index, worker in enumerate(pool[:3]):
         state.pending.discard(index)
-        state.runs_by_index[index] = Run(
+        run = Run(
             state.task(index),
             1,
             worker.incarnation,
@@ -166,6 +166,8 @@
             RunPhase.RUNNING,
             START,
         )
+        state.runs_by_index[index] = run
+        worker.reserve_capacity(run)
     assert workers_to_ask_about(state, pool[3:], pool[:3], 0.5)
 
 
--- a/tests/utils/pool_simulation.py
+++ b/tests/utils/pool_simulation.py
@@ -4,8 +4,14 @@
 from collections.abc import Mapping, Sequence
 
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
-from tamarackmount.scheduling.domain.model import TaskKey, WorkerIncarnation
+from tamarackmount.scheduling.domain.model import (
+    JobPhase,
+    TaskKey,
+    WorkerIncarnation,
+)
 from tamarackmount.scheduling.domain.worker_reports import EndedRun, RunEnd, WorkerEntry
+from tamarackmount.scheduling.store.job_index import JobRecords
+from tamarackmount.scheduling.store.journal import JobProgress
 from tests.utils.build_scheduling import SchedulerHarness, ended_run, worker_report
 
 
@@ -66,15 +72,24 @@
             list(self._workers.values()), self.harness.now
         )
 
+    def add_restored_job(self, accepted: AcceptedJob) -> None:
+        """Add a job that a former holder has run; none of its runs is left."""
+        self._add(accepted)
+        records = JobRecords(accepted, JobProgress(JobPhase.RUNNING))
+        self.harness.scheduler.add_job(records, self.harness.now, self.harness.unix_ms)
+
+    def _add(self, accepted: AcceptedJob) -> None:
+        self._job_by_id[accepted.job_id] = accepted
+        count = sum(step.count for step in accepted.spec.steps)
+        self._left_by_job[accepted.job_id] = count
+
     def run_until(
         self, arrivals: Sequence[tuple[float, AcceptedJob]], end_s: float
     ) -> None:
         """Submit jobs at their times, and run until ``end_s``."""
         waiting = sorted(arrivals, key=lambda row: row[0])
         for _, accepted in arrivals:
-            self._job_by_id[accepted.job_id] = accepted
-            count = sum(step.count for step in accepted.spec.steps)
-            self._left_by_job[accepted.job_id] = count
+            self._add(accepted)
         while self.now_s < end_s:
             while waiting and self.now_s >= waiting[0][0]:
                 self.harness.submit_job(waiting.pop(0)[1])
