Let a turn cost what it decides, not what there is

The role changed hands each one to two seconds.

Cause: a job had state for each occurrence, created for admission and again to schedule it, and each tick, end and progress record went through all of them. Turns were longer than heartbeats may be missing, and each successor restored all of it in one turn.

Change: state only for occurrences that have begun and the next few; what is done or waits is kept as ranges; what is due later waits in a queue by due time; whether a job is done is counted. The progress of jobs of more than 1,000 tasks is stored as ranges, and batches end after 64 KiB of job records. A new holder restores in turns of 20 ms.

--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -2,12 +2,12 @@
 
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager
 from typing import Any
 
 from returns.result import Failure
-from twisted.internet.task import LoopingCall
+from twisted.internet.task import LoopingCall, deferLater
 
 from tamarackmount.ids import DataCentreId, Epoch, Instant, JobId
 from tamarackmount.node import clock
@@ -65,6 +65,10 @@
 RETENTION_CHECK_INTERVAL_S = 5.0
 """Interval between two checks for expired jobs, in seconds."""
 
+RESTORE_TURN_S = 0.02
+"""Time after which restoring pauses for other work, in seconds: heartbeats are due
+every few tenths of a second."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -92,6 +96,7 @@
         self._is_releasing = False
         self._is_tick_scheduled = False
         self._rng = random.Random()
+        self._restored_jobs: set[JobId] = set()
         self._next_retention_check_at = clock.now()
         self._start_orders = StartOrders(
             dependencies.workers, claimed.epoch, self._may_send, self._start_answered
@@ -162,22 +167,43 @@
         self._heartbeats.start()
         return isinstance(await self._log.append([]), Appended)
 
-    def start(self, former_orders_end_at: Instant) -> None:
-        """Start scheduling.
+    async def restore(self, former_orders_end_at: Instant) -> None:
+        """Restore the scheduler's state in short turns; heartbeats go out in between.
 
         Former holders send no more orders after ``former_orders_end_at``.
         """
         job_index = self._job_index
+        self._restored_jobs = set(job_index.jobs_by_id)
+        steps = self.scheduler.restore_in_steps(
+            job_index.open_jobs(),
+            job_index.workers(),
+            job_index.forecast,
+            former_orders_end_at,
+            job_index.runs_are_complete,
+            clock.now(),
+            clock.unix_ms(),
+        )
+        while not self._restore_part(steps):
+            await deferLater(self._dependencies.reactor, 0, lambda: None)
+
+    def _restore_part(self, steps: Iterator[None]) -> bool:
+        """Restore for the length of a turn; tell whether everything is restored."""
+        ends_at = clock.now() + RESTORE_TURN_S
         with self._measured_turn(TurnWork.RESTORE):
-            self.scheduler.restore(
-                job_index.open_jobs(),
-                job_index.workers(),
-                job_index.forecast,
-                former_orders_end_at,
-                job_index.runs_are_complete,
-                clock.now(),
-                clock.unix_ms(),
-            )
+            return all(clock.now() < ends_at for _ in steps)
+
+    def _apply_later_records(self) -> None:
+        """Apply what callers have stored since the restore began."""
+        for job_id, records in self._job_index.jobs_by_id.items():
+            if job_id not in self._restored_jobs:
+                self.scheduler.add_job(records, clock.now(), clock.unix_ms())
+            elif records.cancelled_unix_ms is not None:
+                self.scheduler.cancel_job(job_id, clock.now(), clock.unix_ms())
+        self._restored_jobs.clear()
+
+    def start(self) -> None:
+        """Start scheduling with the state that was restored."""
+        self._apply_later_records()
         self._heartbeats.start_fallback(self._writer.add)
         self._registrations.tail.start()
         self._ticks.start(TICK_INTERVAL_S, now=True)
--- a/tamarackmount/node/holder_election.py
+++ b/tamarackmount/node/holder_election.py
@@ -381,6 +381,10 @@
             and not await self._read_all()
         ):
             await deferLater(context.reactor, CLAIM_CHECK_INTERVAL_S, lambda: None)
+        if is_fenced and not self._is_over(holder, new_claim.epoch):
+            newest = context.job_index.heartbeat
+            orders_end_at = former.orders_end_at(newest, new_claim.epoch, clock.now())
+            await holder.restore(orders_end_at)
         if context.is_draining:
             await holder.release()
             return
@@ -393,8 +397,7 @@
         # The configuration may have changed since the claim.
         holder.set_fleet_config(context.fleet)
         holder.set_evacuated_data_centres(self._evacuations.data_centres)
-        newest = context.job_index.heartbeat
-        holder.start(former.orders_end_at(newest, new_claim.epoch, clock.now()))
+        holder.start()
         self.new_holder_ready.notify()
         for peer in context.peer_calls.connected_peers():
             context.links.send(peer, HolderReleased(holder.epoch, is_holder=True))
--- a/tamarackmount/platform/jobs.py
+++ b/tamarackmount/platform/jobs.py
@@ -135,11 +135,10 @@
         error = _find_step_error(number, step)
         if error:
             return Failure(f"steps[{number}].{error}")
-    tasks = job.occurrences * sum(step.count for step in job.steps)
-    if tasks > MAX_TASKS:
+    if job.task_count > MAX_TASKS:
         return Failure(
             f"steps: must have at most {MAX_TASKS} tasks in all repetitions, "
-            f"got {tasks}"
+            f"got {job.task_count}"
         )
     return Success(job)
 
--- a/tamarackmount/scheduling/admission/drain_forecast.py
+++ b/tamarackmount/scheduling/admission/drain_forecast.py
@@ -16,6 +16,7 @@
     Sums,
 )
 from tamarackmount.scheduling.domain.model import ServiceName
+from tamarackmount.scheduling.execution.occurrences import unbegun_due_count
 from tamarackmount.scheduling.jobs.ranking import URGENT_PRIORITY, Tier, tier
 from tamarackmount.scheduling.jobs.runs import JobState, StepState, WaitReason
 from tamarackmount.scheduling.placement.worker_choice import could_run
@@ -152,7 +153,7 @@
         sums = self._current_sums(now)
         for step in job.steps_by_key.values():
             if not step.spec.after:
-                self._add_step(sums, step)
+                self._add_step(sums, step, len(step.pending))
 
     @property
     def stop_s(self) -> float:
@@ -207,10 +208,21 @@
             for step in self._state.ready_steps_by_key.values():
                 # Steps that are late or over a share are not worth waiting for.
                 if tier(step, now) <= Tier.IN_TIME:
-                    self._add_step(sums, step)
+                    self._add_step(sums, step, len(step.pending))
                 self._compare_if_overdue(step.job, now)
+            self._add_due_occurrences(sums, now)
         return sums
 
+    def _add_due_occurrences(self, sums: Sums, now: Instant) -> None:
+        """Add the occurrences of jobs that are due and have no state yet."""
+        for job in self._state.jobs_with_due_occurrences.values():
+            for step in job.steps_by_key.values():
+                if step.spec.after or tier(step, now) > Tier.IN_TIME:
+                    continue
+                count = unbegun_due_count(self._state, job) * step.spec.count
+                self._add_step(sums, step, count)
+                break
+
     def _compare_if_overdue(self, job: JobState, now: Instant) -> None:
         forecast_s = job.forecast_wait_s
         if forecast_s is None:
@@ -220,12 +232,12 @@
         if correction.is_overdue(pool, forecast_s, now - job.accepted_at):
             self._state.compare_wait(job, now)
 
-    def _add_step(self, sums: Sums, step: StepState) -> None:
+    def _add_step(self, sums: Sums, step: StepState, count: int) -> None:
+        """Add ``count`` tasks of a step to what waits."""
         accepted = step.job.accepted
         task_s = self._state.forecast.estimate_s(
             accepted.queue_name, step.spec.estimated_ms
         )
-        count = len(step.pending)
         owner_pool = accepted.service, accepted.workspace_id
         own = sums.backlog_by_owner.setdefault(owner_pool, Backlog())
         own.add_tasks(step.reserved_amount, count, task_s, has_claim=False)
--- a/tamarackmount/scheduling/contact/store_batches.py
+++ b/tamarackmount/scheduling/contact/store_batches.py
@@ -22,6 +22,10 @@
 from tamarackmount.scheduling.store.retention import tombstones
 from tamarackmount.units import MS_PER_SECOND
 
+MAX_BATCH_JOB_BYTES = 64 * 1024
+"""Bytes of job records from which a batch takes no further ones: they take as long to
+write as they are."""
+
 MAX_BATCH_RECORDS = 500
 """Number of records from which a batch takes no further job records. Records of workers
 follow in the batch that has the last of them, without a limit; the journal writer
@@ -192,7 +196,12 @@
     ) -> list[tuple[JobId, JobPhase]]:
         state = self._state
         phases: list[tuple[JobId, JobPhase]] = []
-        while state.changed_jobs and len(records) < MAX_BATCH_RECORDS:
+        job_bytes = 0
+        while (
+            state.changed_jobs
+            and len(records) < MAX_BATCH_RECORDS
+            and job_bytes < MAX_BATCH_JOB_BYTES
+        ):
             job = state.jobs_by_id.get(state.changed_jobs.pop())
             if job is None:
                 continue
@@ -201,6 +210,7 @@
             key = record_key(RecordKind.PROGRESS, job.job_id)
             text = encode_progress(job.job_id, job.progress(), state.max_record_bytes)
             records.append((key, text))
+            job_bytes += len(text)
             phases.append((job.job_id, job.phase))
         return phases
 
--- a/tamarackmount/scheduling/domain/model.py
+++ b/tamarackmount/scheduling/domain/model.py
@@ -175,3 +175,8 @@
     def occurrences(self) -> int:
         """The number of times that the steps run."""
         return max(1, self.repetitions)
+
+    @property
+    def task_count(self) -> int:
+        """The number of tasks in all occurrences."""
+        return self.occurrences * sum(step.count for step in self.steps)
--- a/tamarackmount/scheduling/execution/run_ends.py
+++ b/tamarackmount/scheduling/execution/run_ends.py
@@ -8,7 +8,6 @@
 from tamarackmount.scheduling.domain.model import (
     FailureCause,
     JobPhase,
-    StepKey,
     TaskKey,
     WorkerIncarnation,
 )
@@ -87,13 +86,15 @@
     if step.spec.perpetual:
         return
     _add_duration_sample(state, worker, step, ended, now)
+    was_done = step.is_done
     indexes = range(step.spec.count) if step.spec.gang else (ended.task.index,)
     for index in indexes:
         _mark_task_done(state, step, index, ended, now)
     state.changed_jobs.add(step.key.job_id)
-    if step.is_done:
+    if step.is_done and not was_done:
+        step.job.done_count_by_step[step.key.step] += 1
         _learn_from_durations(state, step, now)
-        state.ready_steps_by_key.pop(step.key, None)
+        state.remove_ready(step.key)
         set_deadlines(step.job, state.queue_of(step.job), state.forecast)
         _handle_step_done(state, step, now)
 
@@ -172,8 +173,11 @@
     step.done.add(index)
     step.pending.discard(index)
     give_up_culprits(state, clear_task(state, step, index), now)
-    for run in step.runs():
-        if run.task.index == index and run.number != ended.run_number:
+    runs = [run for run in step.original_runs if run.task.index == index]
+    if index in step.runs_by_index:
+        runs.append(step.runs_by_index[index])
+    for run in runs:
+        if run.number != ended.run_number:
             state.stop_run(run, now)
 
 
@@ -234,30 +238,12 @@
 
 def _handle_step_done(state: SchedulerState, step: StepState, now: Instant) -> None:
     job = step.job
-    if all(other.is_done for other in job.steps_by_key.values()):
+    if job.is_done:
         end_job(state, job, JobPhase.COMPLETED, now)
         return
-    for other in job.steps_by_key.values():
-        if other.key.occurrence == step.key.occurrence:
-            make_ready(state, other)
-
-
-def make_ready(state: SchedulerState, step: StepState) -> None:
-    """Mark a step as ready once the steps before it are done.
-
-    A step with a due time is delayed until then.
-    """
-    if not step.pending or step.job.phase.is_final:
-        return
-    job = step.job
-    for number in step.spec.after:
-        key = StepKey(job.job_id, step.key.occurrence, number)
-        if not job.steps_by_key[key].is_done:
-            return
-    if step.due_unix_ms:
-        state.delayed_steps_by_key[step.key] = step
-    else:
-        state.ready_steps_by_key[step.key] = step
+    for other in job.steps_of(step.key.occurrence):
+        state.make_ready(other)
+    job.close_occurrence_if_done(step.key.occurrence)
 
 
 def give_up_culprits(
@@ -306,9 +292,10 @@
     if cause is not None:
         state.failure_cause_by_job[job.job_id] = cause
     state.changed_jobs.add(job.job_id)
+    state.jobs_with_due_occurrences.pop(job.job_id, None)
     log_unfinished_waits(job, now)
     for step in job.steps_by_key.values():
-        state.ready_steps_by_key.pop(step.key, None)
+        state.remove_ready(step.key)
         state.delayed_steps_by_key.pop(step.key, None)
     for run in job.runs():
         task = run.task
@@ -333,7 +320,7 @@
 
     The store may hold a job's last run end without its final phase.
     """
-    if all(step.is_done for step in job.steps_by_key.values()):
+    if job.is_done:
         end_job(state, job, JobPhase.COMPLETED, now)
 
 
--- a/tamarackmount/scheduling/jobs/runs.py
+++ b/tamarackmount/scheduling/jobs/runs.py
@@ -1,9 +1,10 @@
 """State of jobs, steps and runs as the holder knows it."""
 
 import logging
+from collections import Counter
 from collections.abc import Iterator, Mapping
 from collections.abc import Set as AbstractSet
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from math import inf
 from typing import TypeVar
@@ -20,6 +21,7 @@
     WorkerIncarnation,
 )
 from tamarackmount.scheduling.estimates.peak_use import PeakUse
+from tamarackmount.scheduling.jobs.index_ranges import IndexRanges
 from tamarackmount.scheduling.jobs.step_advice import StepAdvice
 from tamarackmount.scheduling.store.journal import CrashRecord, JobProgress
 
@@ -27,6 +29,11 @@
 
 _log = logging.getLogger(__name__)
 
+MAX_LISTED_TASKS = 1_000
+"""Number of tasks of a job, in all occurrences, up to which its progress record lists
+each task that is done. Earlier versions read only such lists; for larger jobs they
+would take too long to write."""
+
 MAX_AVOIDANCE_S = 2.0
 """Time, in seconds, for which a step waits for workers other than those on which it has
 failed; the users allow 3 s without a run while there is capacity."""
@@ -197,8 +204,8 @@
     key: StepKey
     spec: StepSpec
     job: "JobState"
-    pending: set[int]
-    done: set[int] = field(default_factory=set)
+    pending: IndexRanges
+    done: IndexRanges = field(default_factory=IndexRanges)
     runs_by_index: dict[int, Run] = field(default_factory=dict)
     original_runs: list[Run] = field(default_factory=list)
     failures_by_index: dict[int, int] = field(default_factory=dict)
@@ -223,6 +230,11 @@
     waits: StepWaits = field(default_factory=StepWaits)
     exceeds_pool_share: bool = False
 
+    @property
+    def name(self) -> str:
+        """The step's name in a progress record of its job."""
+        return f"{self.key.occurrence}.{self.key.step}"
+
     @property
     def reserved_amount(self) -> Resources:
         """The capacity that a task reserves on a worker."""
@@ -277,6 +289,11 @@
 class JobState:
     """A job that has work left, runs that may still be running or changes to store.
 
+    ``steps_by_key`` has the steps of occurrences that have begun or will do so next:
+    the holder keeps no state for each of thousands of repetitions. ``unopened`` are the
+    occurrences that had none so far, and ``completed`` those of which all is done, but
+    for a job that runs once. ``done_count_by_step`` is in how many occurrences each
+    step is done.
     ``accepted_at`` is when the job was accepted. A job that is done by ``target_at``
     has its full value, and a smaller one if it is done by ``late_target_at``.
     ``latest_start`` and ``latest_late_start`` are when the work that is left has to
@@ -292,6 +309,9 @@
     accepted: AcceptedJob
     phase: JobPhase = JobPhase.QUEUED
     steps_by_key: dict[StepKey, StepState] = field(default_factory=dict)
+    unopened: IndexRanges = field(default_factory=IndexRanges)
+    completed: IndexRanges = field(default_factory=IndexRanges)
+    done_count_by_step: list[int] = field(default_factory=list)
     accepted_at: Instant = Instant(0.0)
     target_at: Instant = Instant(0.0)
     late_target_at: Instant = Instant(0.0)
@@ -311,13 +331,64 @@
         """The job's id."""
         return self.accepted.job_id
 
+    @property
+    def is_done(self) -> bool:
+        """Whether every step is done in every occurrence."""
+        occurrences = self.accepted.spec.occurrences
+        return all(done == occurrences for done in self.done_count_by_step)
+
     def is_step_done(self, number: int) -> bool:
         """Tell whether a step is done in every occurrence."""
-        occurrences = range(self.accepted.spec.occurrences)
-        return all(
-            self.steps_by_key[StepKey(self.job_id, occurrence, number)].is_done
-            for occurrence in occurrences
-        )
+        return self.done_count_by_step[number] == self.accepted.spec.occurrences
+
+    def due_unix_ms(self, occurrence: int) -> int:
+        """Return when an occurrence is due; 0 if the job runs once, now."""
+        spec = self.accepted.spec
+        if not spec.repetitions:
+            return 0
+        return spec.first_run_unix_ms + occurrence * spec.interval_ms
+
+    @property
+    def next_occurrence(self) -> int | None:
+        """The first occurrence that had no state so far, if there is one."""
+        return self.unopened.first_from(0)
+
+    def open_occurrence(self, occurrence: int) -> list[StepState]:
+        """Create and return the state of an occurrence's steps."""
+        self.unopened.discard(occurrence)
+        steps = []
+        for number, spec in enumerate(self.accepted.spec.steps):
+            key = StepKey(self.job_id, occurrence, number)
+            step = StepState(key, spec, self, IndexRanges.below(spec.count))
+            step.due_unix_ms = self.due_unix_ms(occurrence)
+            self.steps_by_key[key] = step
+            steps.append(step)
+        return steps
+
+    def steps_of(self, occurrence: int) -> list[StepState]:
+        """Return the steps of an occurrence that has state."""
+        return [
+            self.steps_by_key[StepKey(self.job_id, occurrence, number)]
+            for number in range(len(self.accepted.spec.steps))
+        ]
+
+    def close_occurrence_if_done(self, occurrence: int) -> None:
+        """Drop the state of an occurrence of which all is done and nothing runs."""
+        if self.accepted.spec.occurrences == 1:
+            return
+        steps = self.steps_of(occurrence)
+        if all(step.is_done and not step.runs() for step in steps):
+            self.completed.add(occurrence)
+            for step in steps:
+                del self.steps_by_key[step.key]
+
+    def find_step(self, key: StepKey) -> StepState | None:
+        """Return a step that has state, or one whose occurrence is done."""
+        step = self.steps_by_key.get(key)
+        if step is not None or key.occurrence not in self.completed:
+            return step
+        spec = self.accepted.spec.steps[key.step]
+        return StepState(key, spec, self, IndexRanges(), IndexRanges.below(spec.count))
 
     def runs(self) -> Iterator[Run]:
         """Return every run that may still be running."""
@@ -326,81 +397,170 @@
 
     def progress(self) -> JobProgress:
         """Return the job's progress record for the store."""
+        if self.phase.is_final:
+            return JobProgress(
+                phase=self.phase,
+                final_unix_ms=self.final_unix_ms,
+                cause=self.failure_cause.value if self.failure_cause else "",
+            )
         steps = self.steps_by_key.values()
-        return JobProgress(
+        progress = JobProgress(
             phase=self.phase,
-            done_by_step={
-                f"{step.key.occurrence}.{step.key.step}": sorted(step.done)
-                for step in steps
-                if step.done and not self.phase.is_final
-            },
             failures_by_task={
-                f"{step.key.occurrence}.{step.key.step}.{index}": count
+                f"{step.name}.{index}": count
                 for step in steps
                 for index, count in step.failures_by_index.items()
-                if not self.phase.is_final
             },
             failed_runs_by_task={
-                f"{step.key.occurrence}.{step.key.step}.{index}": sorted(numbers)
+                f"{step.name}.{index}": sorted(numbers)
                 for step in steps
                 for index, numbers in step.failed_runs_by_index.items()
-                if not self.phase.is_final
             },
             checkpoints_by_task={
-                f"{step.key.occurrence}.{step.key.step}.{index}": checkpoint
+                f"{step.name}.{index}": checkpoint
                 for step in steps
                 for index, checkpoint in step.checkpoints_by_index.items()
-                if index in step.pending and not self.phase.is_final
+                if index in step.pending
             },
-            final_unix_ms=self.final_unix_ms,
             crashes_by_task={
-                f"{step.key.occurrence}.{step.key.step}.{index}": crashes
+                f"{step.name}.{index}": crashes
                 for step in steps
                 for index, crashes in step.crashes_by_index.items()
-                if crashes and not self.phase.is_final
+                if crashes
+            },
+        )
+        if self.accepted.spec.task_count <= MAX_LISTED_TASKS:
+            return replace(progress, done_by_step=self._listed_done_tasks())
+        return replace(
+            progress,
+            completed_occurrences=self.completed.ranges(),
+            done_ranges_by_step={
+                step.name: step.done.ranges() for step in steps if step.done
             },
-            cause=self.failure_cause.value if self.failure_cause is not None else "",
         )
 
+    def _listed_done_tasks(self) -> dict[str, list[int]]:
+        """Return the tasks that are done, each by its index."""
+        done_by_step = {
+            f"{occurrence}.{number}": list(range(step.count))
+            for occurrence in self.completed
+            for number, step in enumerate(self.accepted.spec.steps)
+        }
+        for step in self.steps_by_key.values():
+            if step.done:
+                done_by_step[step.name] = list(step.done)
+        return done_by_step
+
 
 def make_job(
     accepted: AcceptedJob, progress: JobProgress | None, now: Instant
 ) -> JobState:
-    """Return the state of a job with all its steps, from its stored progress."""
-    job = JobState(accepted, accepted_at=now)
-    stored = progress or JobProgress(JobPhase.QUEUED)
-    job.phase = stored.phase
+    """Return the state of a job, from its stored progress.
+
+    Only those of its occurrences have state that have begun, and the next one.
+    """
     spec = accepted.spec
-    for occurrence in range(spec.occurrences):
-        due = spec.first_run_unix_ms + occurrence * spec.interval_ms
-        for number, step in enumerate(spec.steps):
-            key = StepKey(accepted.job_id, occurrence, number)
-            done = set(stored.done_by_step.get(f"{occurrence}.{number}", ()))
-            step_state = StepState(key, step, job, set(range(step.count)) - done, done)
-            step_state.due_unix_ms = due if spec.repetitions else 0
-            job.steps_by_key[key] = step_state
-    for found, index, count in _by_step(job, stored.failures_by_task):
-        found.failures_by_index[index] = count
-    for found, index, numbers in _by_step(job, stored.failed_runs_by_task):
-        found.failed_runs_by_index[index] = set(numbers)
-    for found, index, checkpoint in _by_step(job, stored.checkpoints_by_task):
-        found.checkpoints_by_index[index] = checkpoint
-    for found, index, crashes in _by_step(job, stored.crashes_by_task):
-        found.crashes_by_index[index] = list(crashes)
+    job = JobState(
+        accepted,
+        accepted_at=now,
+        unopened=IndexRanges.below(spec.occurrences),
+        done_count_by_step=[0] * len(spec.steps),
+    )
+    if progress is not None:
+        job.phase = progress.phase
+        _restore_done(job, progress)
+        for found, index, count in _by_step(job, progress.failures_by_task):
+            found.failures_by_index[index] = count
+        for found, index, numbers in _by_step(job, progress.failed_runs_by_task):
+            found.failed_runs_by_index[index] = set(numbers)
+        for found, index, checkpoint in _by_step(job, progress.checkpoints_by_task):
+            found.checkpoints_by_index[index] = checkpoint
+        for found, index, crashes in _by_step(job, progress.crashes_by_task):
+            found.crashes_by_index[index] = list(crashes)
+    following = job.next_occurrence
+    if following is not None and not job.steps_by_key:
+        job.open_occurrence(following)
     return job
 
 
+def _restore_done(job: JobState, progress: JobProgress) -> None:
+    """Mark what is done according to a stored progress record."""
+    for first, last in progress.completed_occurrences:
+        _mark_completed(job, first, last)
+    ranges_by_step = dict(progress.done_ranges_by_step)
+    for name, indexes in progress.done_by_step.items():
+        done = IndexRanges((index, index) for index in sorted(indexes))
+        ranges_by_step[name] = done.ranges()
+    for occurrence in _completed_in_lists(job, ranges_by_step):
+        _mark_completed(job, occurrence, occurrence)
+    for name, ranges in ranges_by_step.items():
+        step = _find_step(job, name)
+        if step is None or step.is_done:
+            continue
+        for first, last in ranges:
+            step.done.add_range(first, min(last, step.spec.count - 1))
+            step.pending.discard_range(first, last)
+        job.done_count_by_step[step.key.step] += step.is_done
+
+
+def _mark_completed(job: JobState, first: int, last: int) -> None:
+    """Mark all tasks as done of the occurrences from ``first`` to ``last``."""
+    before = len(job.completed)
+    job.completed.add_range(first, min(last, job.accepted.spec.occurrences - 1))
+    job.unopened.discard_range(first, last)
+    added = len(job.completed) - before
+    job.done_count_by_step = [count + added for count in job.done_count_by_step]
+
+
+def _completed_in_lists(
+    job: JobState, ranges_by_step: Mapping[str, list[tuple[int, int]]]
+) -> list[int]:
+    """Return the occurrences of a repeated job of which every step is done."""
+    spec = job.accepted.spec
+    if spec.occurrences == 1:
+        return []
+    done_steps: Counter[int] = Counter()
+    for name, ranges in ranges_by_step.items():
+        occurrence, _, number = name.partition(".")
+        if not (occurrence.isdecimal() and number.isdecimal()):
+            continue
+        if int(number) < len(spec.steps):
+            count = spec.steps[int(number)].count
+            done_steps[int(occurrence)] += ranges == [(0, count - 1)]
+    return [
+        occurrence
+        for occurrence, steps in done_steps.items()
+        if steps == len(spec.steps) and occurrence < spec.occurrences
+    ]
+
+
 def _by_step(
     job: JobState, value_by_task: Mapping[str, T]
 ) -> Iterator[tuple[StepState, int, T]]:
     """Yield the step and the index of each key of a progress record, if known."""
     for name, value in value_by_task.items():
-        try:
-            occurrence, step, index = (int(part) for part in name.split("."))
-        except ValueError:
-            extra = {"job": job.job_id, "key": name}
-            _log.warning("task in stored progress not readable; skipped", extra=extra)
+        step_name, _, index = name.rpartition(".")
+        step = _find_step(job, step_name)
+        if step is None:
             continue
-        found = job.steps_by_key.get(StepKey(job.job_id, occurrence, step))
-        if found is not None:
-            yield found, index, value
+        if not index.isdecimal():
+            _log_unreadable(job, name)
+            continue
+        yield step, int(index), value
+
+
+def _find_step(job: JobState, name: str) -> StepState | None:
+    """Return the step with a name in a progress record, or None if there is none."""
+    try:
+        occurrence, number = (int(part) for part in name.split("."))
+    except ValueError:
+        _log_unreadable(job, name)
+        return None
+    if occurrence in job.unopened and 0 <= number < len(job.accepted.spec.steps):
+        job.open_occurrence(occurrence)
+    return job.find_step(StepKey(job.job_id, occurrence, number))
+
+
+def _log_unreadable(job: JobState, name: str) -> None:
+    extra = {"job": job.job_id, "key": name}
+    _log.warning("task in stored progress not readable; skipped", extra=extra)
--- a/tamarackmount/scheduling/placement/placement.py
+++ b/tamarackmount/scheduling/placement/placement.py
@@ -199,7 +199,7 @@
     state: SchedulerState, step: StepState, headroom: Headroom
 ) -> Iterator[int]:
     """Yield the tasks of a step that may start, until the round is over."""
-    for index in sorted(step.pending):
+    for index in step.pending:
         if headroom.started >= MAX_STARTS_PER_ROUND:
             return
         # An earlier run of the task may still be running.
@@ -224,7 +224,8 @@
             state.stop_run(run, now)
         return WaitReason.BACKOFF
     if any(
-        step.task(index) in state.orphaned_run_count_by_task for index in step.pending
+        task.step_key == step.key and task.index in step.pending
+        for task in state.orphaned_run_count_by_task
     ):
         return WaitReason.ORPHANED_RUN
     if not is_under_ceiling(state, step, step.spec.count, ceiling_fraction(step, now)):
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 
 from tamarackmount.ids import DataCentreId, Epoch, Instant, JobId, QueueName
 from tamarackmount.scheduling.admission.admission import Refusal
@@ -45,11 +45,11 @@
     WorkerReport,
 )
 from tamarackmount.scheduling.evidence.crash_evidence import restore_evidence
+from tamarackmount.scheduling.execution.occurrences import begin_due, may_begin_more
 from tamarackmount.scheduling.execution.run_ends import (
     end_if_all_steps_done,
     end_job,
     give_up_culprits,
-    make_ready,
 )
 from tamarackmount.scheduling.jobs.objectives import set_deadlines
 from tamarackmount.scheduling.jobs.runs import JobState, StepState, make_job
@@ -133,20 +133,46 @@
         now: Instant,
         unix_ms: int,
     ) -> None:
-        """Restore the state from the store's records.
+        """Restore the state from the store's records, all at once."""
+        steps = self.restore_in_steps(
+            jobs,
+            workers,
+            forecast,
+            former_orders_end_at,
+            runs_are_complete,
+            now,
+            unix_ms,
+        )
+        for _ in steps:
+            pass
+
+    def restore_in_steps(
+        self,
+        jobs: Iterable[JobRecords],
+        workers: Iterable[WorkerRecord],
+        forecast: ForecastRecord | None,
+        former_orders_end_at: Instant,
+        runs_are_complete: bool,
+        now: Instant,
+        unix_ms: int,
+    ) -> Iterator[None]:
+        """Restore the state from the store's records; yield after each of them.
 
         Former holders send no orders after ``former_orders_end_at``. Unless the stored
-        ``runs_are_complete``, they may have started runs that are not stored.
+        ``runs_are_complete``, they may have started runs that are not stored. Nothing
+        else may be asked of the scheduler until all steps are done.
         """
         self._state.runs_may_be_incomplete = not runs_are_complete
         self._state.write_ahead.runs_are_complete = runs_are_complete
         if forecast is not None:
             self._state.forecast.restore(forecast)
             self._state.worker_speeds.restore(forecast.means_by_worker)
-        for records in list(jobs):
+        for records in jobs:
             self._restore_job(records, now, unix_ms)
-        for worker in list(workers):
+            yield
+        for worker in workers:
             restore_worker(self._state, worker, former_orders_end_at, now)
+            yield
         give_up_culprits(self._state, self._state.crash_suspects.crashes, now)
 
     def set_fleet_config(self, fleet_config: FleetConfig, now: Instant) -> None:
@@ -308,10 +334,7 @@
         Call this every few tens of milliseconds and after each event.
         """
         state = self._state
-        for step in list(state.delayed_steps_by_key.values()):
-            if unix_ms >= step.due_unix_ms:
-                del state.delayed_steps_by_key[step.key]
-                state.ready_steps_by_key[step.key] = step
+        begin_due(state, unix_ms)
         poll_and_expire_workers(state, now)
         if state.authority is HolderAuthority.FULL:
             handle_stragglers(state, now)
@@ -323,7 +346,7 @@
         self._has_more_to_place = False
         if state.ready_steps_by_key:
             placed = place(state, capacity_index, now)
-            self._has_more_to_place = not placed.is_complete
+            self._has_more_to_place = not placed.is_complete or may_begin_more(state)
             if now >= self._next_preemption_at:
                 self._next_preemption_at = Instant(now + PREEMPTION_INTERVAL_S)
                 self._preempt(placed.blocked_steps[:MAX_PREEMPTING_STEPS], now)
@@ -396,7 +419,7 @@
             self.cancel_job(job.job_id, now, unix_ms)
             return
         for step in job.steps_by_key.values():
-            make_ready(state, step)
+            state.make_ready(step)
         end_if_all_steps_done(state, job, now)
 
     def _preempt(
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -35,6 +35,7 @@
 )
 from tamarackmount.scheduling.estimates.urgent_peaks import UrgentPeaks
 from tamarackmount.scheduling.estimates.wait_correction import WaitCorrection
+from tamarackmount.scheduling.jobs.due_queue import DueQueue
 from tamarackmount.scheduling.jobs.ranking import URGENT_PRIORITY, WorkspaceRateLimiter
 from tamarackmount.scheduling.jobs.runs import JobState, Run, RunPhase, StepState
 from tamarackmount.scheduling.membership.holder_authority import HolderAuthority
@@ -78,7 +79,11 @@
     """Jobs, workers and workspaces as the holder of one fencing token knows them.
 
     ``ready_steps_by_key`` are steps that may start now and have tasks without a run;
-    ``delayed_steps_by_key`` wait for their due time. ``changed_jobs``,
+    ``ready_count_by_job`` is how many of them each job has. ``delayed_steps_by_key``
+    wait for their due time, as ``due_steps`` has it. ``due_jobs`` has the times of the
+    jobs' next occurrences, and ``jobs_with_due_occurrences`` those that have more due
+    ones than steps of theirs may be ready at once. ``unix_ms`` is the time of the last
+    tick. ``changed_jobs``,
     ``changed_workers`` and ``removed_workers`` have changes that the store does not
     hold yet. ``unstored_starts`` are start orders that are sent once the store holds
     their runs. ``runs_may_be_incomplete`` is set after a takeover while former holders
@@ -106,7 +111,12 @@
     fleet_config: FleetConfig | None = None
     jobs_by_id: dict[JobId, JobState] = field(default_factory=dict)
     ready_steps_by_key: dict[StepKey, StepState] = field(default_factory=dict)
+    ready_count_by_job: Counter[JobId] = field(default_factory=Counter)
     delayed_steps_by_key: dict[StepKey, StepState] = field(default_factory=dict)
+    due_steps: DueQueue[StepKey] = field(default_factory=DueQueue)
+    due_jobs: DueQueue[JobId] = field(default_factory=DueQueue)
+    jobs_with_due_occurrences: dict[JobId, JobState] = field(default_factory=dict)
+    unix_ms: int = 0
     workers_by_incarnation: dict[WorkerIncarnation, WorkerState] = field(
         default_factory=dict
     )
@@ -211,17 +221,67 @@
         """Add a job; runs of it may be known already."""
         self.jobs_by_id[job.job_id] = job
         self.isolation.job_added(job)
+        self.wait_for_next_occurrence(job)
 
     def step_of(self, task: TaskKey) -> StepState | None:
-        """Return the step of a task, or None if no known job has the task."""
+        """Return the step of a task, or None if no known job has the task.
+
+        A step of an occurrence that had no state so far is created: a former holder may
+        have begun it.
+        """
         job = self.jobs_by_id.get(task.job_id)
         if job is None:
             return None
         step = job.steps_by_key.get(task.step_key)
+        if step is None and 0 <= task.step < len(job.accepted.spec.steps):
+            if task.occurrence in job.unopened and not job.phase.is_final:
+                self.open_occurrence(job, task.occurrence)
+            step = job.find_step(task.step_key)
         if step is None or not 0 <= task.index < step.spec.count:
             return None
         return step
 
+    def open_occurrence(self, job: JobState, occurrence: int) -> None:
+        """Create the state of an occurrence's steps, and mark those that are ready."""
+        steps = job.open_occurrence(occurrence)
+        self.isolation.steps_added(steps)
+        for step in steps:
+            self.make_ready(step)
+
+    def make_ready(self, step: StepState) -> None:
+        """Mark a step as ready once the steps before it are done, and it is due."""
+        if not step.pending or step.job.phase.is_final:
+            return
+        job = step.job
+        for number in step.spec.after:
+            if not job.steps_by_key[step.key._replace(step=number)].is_done:
+                return
+        if step.due_unix_ms > self.unix_ms:
+            self.delayed_steps_by_key[step.key] = step
+            self.due_steps.add(step.key, step.due_unix_ms)
+        else:
+            self.add_ready(step)
+
+    def add_ready(self, step: StepState) -> None:
+        """Mark a step as ready, if it is not yet."""
+        if step.key not in self.ready_steps_by_key:
+            self.ready_count_by_job[step.key.job_id] += 1
+        self.ready_steps_by_key[step.key] = step
+
+    def remove_ready(self, key: StepKey) -> None:
+        """Mark a step as not ready, if it is."""
+        if self.ready_steps_by_key.pop(key, None) is None:
+            return
+        self.ready_count_by_job[key.job_id] -= 1
+        if not self.ready_count_by_job[key.job_id]:
+            del self.ready_count_by_job[key.job_id]
+
+    def wait_for_next_occurrence(self, job: JobState) -> None:
+        """Let a job's next occurrence, if there is one, begin when it is due."""
+        occurrence = job.next_occurrence
+        if occurrence is not None and not job.phase.is_final:
+            self.due_jobs.add(job.job_id, job.due_unix_ms(occurrence))
+
     def add_orphaned_run(
         self, worker: WorkerState, run: Run, now: Instant, *, stops_now: bool = True
     ) -> None:
@@ -285,7 +345,7 @@
         step.runs_by_index[run.task.index] = run
         step.pending.discard(run.task.index)
         if not step.pending:
-            self.ready_steps_by_key.pop(step.key, None)
+            self.remove_ready(step.key)
             self.compare_wait(step.job, run.began_at)
         accepted = step.job.accepted
         use = self._use_of(step, run.amount, run.began_at)
@@ -346,20 +406,25 @@
         if run.counted_use is not None:
             run.counted_use.remove(job.accepted.service, run.amount)
         step = job.steps_by_key[run.task.step_key]
-        key = pool_load_key(job)
-        load = self.load_by_pool.get(key)
-        if load is not None:
-            load.add(run, -1, step.spec.is_preemptible)
-            if load.runs <= 0:
-                del self.load_by_pool[key]
+        self._release_pool_load(step, run)
         if step.runs_by_index.get(run.task.index) is run:
             del step.runs_by_index[run.task.index]
         step.original_runs = [
             original for original in step.original_runs if original is not run
         ]
         self.make_task_pending(step, run.task.index)
+        if step.is_done:
+            job.close_occurrence_if_done(step.key.occurrence)
         self.remove_if_finished(job)
 
+    def _release_pool_load(self, step: StepState, run: Run) -> None:
+        key = pool_load_key(step.job)
+        load = self.load_by_pool.get(key)
+        if load is not None:
+            load.add(run, -1, step.spec.is_preemptible)
+            if load.runs <= 0:
+                del self.load_by_pool[key]
+
     def _count_ceiling_usage(self, run: Run, count: int) -> None:
         """Add what a run uses of its workspace's ceiling (``count`` is 1 or -1)."""
         workspace = run.workspace_id
@@ -403,7 +468,7 @@
         if index in step.runs_by_index:
             return
         step.pending.add(index)
-        self.ready_steps_by_key[step.key] = step
+        self.add_ready(step)
         if (0 if step.spec.gang else index) in step.checkpoints_by_index:
             self.changed_jobs.add(step.key.job_id)
 
--- a/tamarackmount/scheduling/store/job_index.py
+++ b/tamarackmount/scheduling/store/job_index.py
@@ -227,7 +227,9 @@
 
         The others, which are the most, need not be decoded for it.
         """
-        for records in self.jobs_by_id.values():
+        for records in list(self.jobs_by_id.values()):
+            if records.is_final:
+                continue
             progress = records.progress
             if progress is not None and progress.phase.is_final:
                 continue
@@ -236,7 +238,7 @@
 
     def workers(self) -> Iterator[WorkerRecord]:
         """Return the records of workers."""
-        for name, text in self._text_by_worker.items():
+        for name, text in list(self._text_by_worker.items()):
             record = _decode(text, WorkerRecord, name)
             if record is not None and _has_valid_tasks(record, name):
                 yield record
--- a/tamarackmount/scheduling/store/journal.py
+++ b/tamarackmount/scheduling/store/journal.py
@@ -95,7 +95,10 @@
     """The stored progress of a job.
 
     ``done_by_step`` holds the indexes of the tasks that are done; its keys are
-    ``OCCURRENCE.STEP``. Keys of ``failures_by_task``, ``failed_runs_by_task`` and
+    ``OCCURRENCE.STEP``. Records of large jobs have ranges instead, each as its first
+    and last number: ``completed_occurrences`` are those of which all is done, and
+    ``done_ranges_by_step`` has the tasks that are done in others. Earlier versions
+    ignore both. Keys of ``failures_by_task``, ``failed_runs_by_task`` and
     ``checkpoints_by_task`` are ``OCCURRENCE.STEP.INDEX``. ``failed_runs_by_task`` has
     the numbers of the runs that ``failures_by_task`` counts; records of earlier
     versions lack it. ``checkpoints_by_task`` has the checkpoints of tasks that wait;
@@ -113,6 +116,8 @@
     final_unix_ms: int = 0
     crashes_by_task: dict[str, list[CrashRecord]] = field(default_factory=dict)
     cause: str = ""
+    completed_occurrences: list[tuple[int, int]] = field(default_factory=list)
+    done_ranges_by_step: dict[str, list[tuple[int, int]]] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tamarackmount/scheduling/workers/isolation_index.py
+++ b/tamarackmount/scheduling/workers/isolation_index.py
@@ -89,16 +89,42 @@
 
     def job_added(self, job: JobState) -> None:
         """Index the runs of gangs of a job anew, which was not known before."""
-        for step in job.steps_by_key.values():
-            if step.spec.gang:
-                for index in range(1, step.spec.count):
-                    self._move(step.task(index), step)
+        self.steps_added(job.steps_by_key.values())
+
+    def steps_added(self, steps: Iterable[StepState]) -> None:
+        """Index the runs of gangs anew whose steps were not known before."""
+        for step in steps:
+            if not step.spec.gang:
+                continue
+            for key in self._known_tasks(step):
+                self._move(key, step)
+
+    def _known_tasks(self, step: StepState) -> list[TaskKey]:
+        """Return the tasks of a gang but the first that may have indexed runs."""
+        if step.spec.count <= len(self._runs_by_key):
+            return [step.task(index) for index in range(1, step.spec.count)]
+        return [
+            key
+            for key in self._runs_by_key
+            if key.step_key == step.key and 0 < key.index < step.spec.count
+        ]
 
     def job_removed(self, job: JobState) -> None:
         """Index the runs of gangs of a job anew, which is not known any more."""
-        for step in job.steps_by_key.values():
-            if step.spec.gang:
-                self._move(step.task(0), None)
+        for key in self._gang_keys(job):
+            self._move(key, None)
+
+    def _gang_keys(self, job: JobState) -> list[TaskKey]:
+        """Return the keys under which runs of a job's gangs may be indexed."""
+        if job.accepted.spec.occurrences == 1:
+            steps = job.steps_by_key.values()
+            return [step.task(0) for step in steps if step.spec.gang]
+        # Occurrences that are done have no steps any more.
+        return [
+            key
+            for key in self._runs_by_key
+            if key.job_id == job.job_id and job.accepted.spec.steps[key.step].gang
+        ]
 
     def _move(self, key: TaskKey, step: StepState | None) -> None:
         for indexed in list(self._runs_by_key.get(key, {}).values()):
--- a/tests/test_node_evacuation.py
+++ b/tests/test_node_evacuation.py
@@ -181,9 +181,9 @@
         if holder is not None:
             start = holder.start
 
-            def recorded_start(former_orders_end_at: Instant) -> None:
+            def recorded_start() -> None:
                 known_at_start.append(holder.scheduler._state.evacuated_data_centres)
-                start(former_orders_end_at)
+                start()
 
             monkeypatch.setattr(holder, "start", recorded_start)
 
--- a/tests/test_scheduling_free_capacity.py
+++ b/tests/test_scheduling_free_capacity.py
@@ -6,6 +6,7 @@
 from tamarackmount.ids import Instant
 from tamarackmount.resources import Resources
 from tamarackmount.scheduling.domain.model import StepKey
+from tamarackmount.scheduling.jobs.index_ranges import IndexRanges
 from tamarackmount.scheduling.jobs.runs import JobState, StepState
 from tamarackmount.scheduling.workers.free_capacity import FreeCapacityIndex
 from tamarackmount.scheduling.workers.workers import ContactState, WorkerState
@@ -30,7 +31,9 @@
     """Return a step of one task."""
     spec = step(1, cores, label=label)
     accepted = job(1, spec)
-    return StepState(StepKey(accepted.job_id, 0, 0), spec, JobState(accepted), {0})
+    return StepState(
+        StepKey(accepted.job_id, 0, 0), spec, JobState(accepted), IndexRanges.below(1)
+    )
 
 
 @given(
--- a/tests/test_scheduling_worker_speeds.py
+++ b/tests/test_scheduling_worker_speeds.py
@@ -9,6 +9,7 @@
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.domain.model import StepKey
 from tamarackmount.scheduling.domain.worker_reports import RunEnd
+from tamarackmount.scheduling.jobs.index_ranges import IndexRanges
 from tamarackmount.scheduling.jobs.runs import JobState, StepState
 from tamarackmount.scheduling.placement.speed_choice import speed_ranks
 from tamarackmount.scheduling.workers.worker_speeds import (
@@ -177,7 +178,10 @@
         speeds.add_sample(fast, 1.0)
     accepted = job(1, step(1))
     waiting = StepState(
-        StepKey(accepted.job_id, 0, 0), step(1), JobState(accepted, priority=2), {0}
+        StepKey(accepted.job_id, 0, 0),
+        step(1),
+        JobState(accepted, priority=2),
+        IndexRanges.below(1),
     )
     waiting.job.latest_start = Instant(START + slack_s)
     ranks = speed_ranks(speeds, waiting, [slow, fast], TASK_S, START)
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -28,6 +28,8 @@
     "tests/test_scheduling_restarted_workers.py "
     "tests/test_scheduling_carried_over_runs.py"
 )
+WIDE_RESERVATIONS = "tests/test_scheduling_wide_reservations.py"
+REPETITIONS = "tests/test_scheduling_many_repetitions.py"
 OVER_TCP = "tests/test_scheduling_restarts_over_tcp.py"
 
 
@@ -52,6 +54,41 @@
 
 
 MUTANTS = (
+    Mutant(
+        "workers are reserved only for tasks that their limits allow",
+        "scheduling/workers/free_capacity.py",
+        "limit - worker.count_runs_of(step.key)",
+        "limit",
+        WIDE_RESERVATIONS,
+    ),
+    Mutant(
+        "reservations give way on a pool that is mostly idle",
+        "scheduling/placement/reservations.py",
+        "if self._now >= step.uses_reserved_at and self._is_mostly_idle(step):",
+        "if False:",
+        WIDE_RESERVATIONS,
+    ),
+    Mutant(
+        "a repetition does not begin before it is due",
+        "scheduling/execution/occurrences.py",
+        "if job.due_unix_ms(occurrence) > state.unix_ms:",
+        "if False:",
+        REPETITIONS,
+    ),
+    Mutant(
+        "a run of a repetition that has no state yet is taken over",
+        "scheduling/scheduler_state.py",
+        "if task.occurrence in job.unopened and not job.phase.is_final:",
+        "if False:",
+        REPETITIONS,
+    ),
+    Mutant(
+        "what is stored while a new holder restores is not lost",
+        "node/holder.py",
+        "        self._apply_later_records()\n",
+        "",
+        "tests/test_node_turns.py",
+    ),
     Mutant(
         "a start order that has waited is sent only if its run is still wanted",
         "scheduling/contact/order_results.py",
@@ -284,7 +321,7 @@
     Mutant(
         "the other run of a task is stopped once one is done",
         "scheduling/execution/run_ends.py",
-        "if run.task.index == index and run.number != ended.run_number:",
+        "if run.number != ended.run_number:",
         "if False:",
     ),
     Mutant(
