Store the cancellation of a job that is not known yet

Cause: a cancellation was stored only for a known job, or if the phase could not be looked up. No node can know that no record follows: it may wait at any other node, frozen ones included, or in the store.

Change: it is stored first and answered with 410 then; a job whose record follows is ended before it starts. It holds for jobs of the caller's workspace only, or of the public queue that the caller used, so that nobody cancels another one's future ids; a second caller's is stored together with the first one's.

--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -48,7 +48,7 @@
 from tamarackmount.scheduling.scheduler import Scheduler
 from tamarackmount.scheduling.store.job_index import JobIndex
 from tamarackmount.scheduling.store.journal import RecordKind, decode_record, split_key
-from tamarackmount.scheduling.store.retention import expired_jobs
+from tamarackmount.scheduling.store.retention import expired_cancels, expired_jobs
 from tamarackmount.units import MS_PER_SECOND
 
 TICK_INTERVAL_S = 0.05
@@ -96,7 +96,6 @@
         self._is_releasing = False
         self._is_tick_scheduled = False
         self._rng = random.Random()
-        self._restored_jobs: set[JobId] = set()
         self._next_retention_check_at = clock.now()
         self._start_orders = StartOrders(
             dependencies.workers, claimed.epoch, self._may_send, self._start_answered
@@ -173,7 +172,6 @@
         Former holders send no more orders after ``former_orders_end_at``.
         """
         job_index = self._job_index
-        self._restored_jobs = set(job_index.jobs_by_id)
         steps = self.scheduler.restore_in_steps(
             job_index.open_jobs(),
             job_index.workers(),
@@ -195,11 +193,11 @@
     def _apply_later_records(self) -> None:
         """Apply what callers have stored since the restore began."""
         for job_id, records in self._job_index.jobs_by_id.items():
-            if job_id not in self._restored_jobs:
-                self.scheduler.add_job(records, clock.now(), clock.unix_ms())
-            elif records.cancelled_unix_ms is not None:
+            if records.is_final:
+                continue
+            self.scheduler.add_job(records, clock.now(), clock.unix_ms())
+            if records.is_cancelled:
                 self.scheduler.cancel_job(job_id, clock.now(), clock.unix_ms())
-        self._restored_jobs.clear()
 
     def start(self) -> None:
         """Start scheduling with the state that was restored."""
@@ -347,6 +345,8 @@
             clock.now() + RETENTION_CHECK_INTERVAL_S
         )
         jobs_by_id = self._job_index.jobs_by_id
+        cancels = self._job_index.unmatched_cancels
+        self.scheduler.remove_cancels(expired_cancels(cancels, clock.unix_ms()))
         self.scheduler.remove_jobs(
             expired_jobs(
                 jobs_by_id, clock.unix_ms(), self._dependencies.status_retention_s
--- a/tamarackmount/node/http_api.py
+++ b/tamarackmount/node/http_api.py
@@ -14,7 +14,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
-from tamarackmount.ids import Instant, JobId, WorkspaceId
+from tamarackmount.ids import Instant, JobId, QueueName, WorkspaceId
 from tamarackmount.internal.bounded_request import BoundedRequest, body_of, header
 from tamarackmount.internal.keys import hash_key
 from tamarackmount.node import clock
@@ -121,6 +121,14 @@
         return body
 
 
+@dataclass(frozen=True, slots=True)
+class Canceller:
+    """A caller who cancels a job: its workspace, and the queue if that is public."""
+
+    workspace_id: WorkspaceId
+    public_queue: QueueName | None = None
+
+
 class PhaseLookupFailure(Enum):
     """Why there is no phase: the job was not submitted, or the node can't tell now."""
 
@@ -152,7 +160,9 @@
     async def submit(self, job: AcceptedJob, deadline: Instant) -> ApiResponse:
         """Accept or refuse a job."""
 
-    async def cancel(self, job_id: JobId, deadline: Instant) -> ApiResponse:
+    async def cancel(
+        self, job_id: JobId, canceller: "Canceller", deadline: Instant
+    ) -> ApiResponse:
         """Cancel a job."""
 
     async def phase(self, job_id: JobId) -> "JobPhase | PhaseLookupFailure":
@@ -291,7 +301,13 @@
     async def _cancel(self, api_request: ApiRequest) -> ApiResponse:
         if not api_request.job_id:
             return ApiResponse(HttpStatus.BAD_METHOD)
-        return await self._jobs.cancel(api_request.job_id, api_request.deadline)
+        queue = api_request.queue
+        canceller = Canceller(
+            api_request.workspace_id, queue.name if queue.is_public else None
+        )
+        return await self._jobs.cancel(
+            api_request.job_id, canceller, api_request.deadline
+        )
 
 
 _KIND_BY_METHOD = {
--- a/tamarackmount/node/job_limits.py
+++ b/tamarackmount/node/job_limits.py
@@ -14,6 +14,11 @@
 from tamarackmount.scheduling.admission.admission import add_jitter
 from tamarackmount.scheduling.store.job_index import JobIndex
 from tamarackmount.scheduling.store.job_sizes import job_size
+from tamarackmount.scheduling.store.journal import CancelRecord, decode_record
+from tamarackmount.scheduling.store.unmatched_cancels import (
+    CANCEL_BYTES,
+    MEMORY_FRACTION,
+)
 
 WAITING_FRACTION = 1 / 16
 """Part of a process's memory that large jobs may take while they wait for their turn,
@@ -39,6 +44,10 @@
 """Bytes of the scheduler's state that count as much as one byte of a record when the
 holder gives turns, without unit."""
 
+CANCEL_RETRY_S = 10.0
+"""Retry time of the cancellation of an unknown job that finds no room, in seconds; each
+is kept for longer, but some end all the time."""
+
 PENDING_RETRY_S = 2
 """Retry time of a job that finds too many waiting for the store, in seconds; the
 shortest outage of the store is a second."""
@@ -52,16 +61,18 @@
     ``LARGE_JOBS``: large jobs that wait for their turn to be decoded.
     ``PENDING_JOBS``: jobs that wait for the store.
     ``KEPT_JOBS``: accepted jobs, until they are removed some time after their end.
+    ``CANCELS``: cancellations of jobs that are not known.
     """
 
     LARGE_JOBS = "large_jobs"
     PENDING_JOBS = "pending_jobs"
     KEPT_JOBS = "kept_jobs"
+    CANCELS = "cancels"
 
 
 @dataclass(frozen=True, slots=True)
 class JobLimitSizes:
-    """The limits in bytes.
+    """The limits in bytes; ``cancels`` is a number of cancellations of unknown jobs.
 
     ``waiting`` is that of large jobs that wait for their turn, ``pending`` that of jobs
     that wait for the store, and ``kept`` that of accepted jobs and those that wait.
@@ -70,6 +81,7 @@
     waiting: int
     pending: int
     kept: int
+    cancels: int
 
     @classmethod
     def of_memory(cls, memory_bytes: int) -> "JobLimitSizes":
@@ -78,6 +90,7 @@
             waiting=int(memory_bytes * WAITING_FRACTION),
             pending=int(memory_bytes * PENDING_FRACTION),
             kept=int(memory_bytes * KEPT_FRACTION),
+            cancels=int(memory_bytes * MEMORY_FRACTION / CANCEL_BYTES),
         )
 
 
@@ -147,6 +160,16 @@
         work_bytes = len(text) + size.state // STATE_BYTES_PER_WORK_BYTE
         return JobReservation(job_id, pending_bytes, work_bytes)
 
+    def can_keep_cancel(self, job_id: JobId, text: bytes) -> bool:
+        """Tell whether a cancellation may be stored: that of a known job always may."""
+        known = self._job_index.jobs_by_id.get(job_id)
+        if known is not None and known.accepted is not None:
+            return True
+        record = decode_record(text, CancelRecord).value_or(CancelRecord(0))
+        return self._job_index.unmatched_cancels.has_room(
+            record.last_workspace, self._sizes.cancels
+        )
+
     def has_other_copy(self, job_id: JobId, own_copies: int) -> bool:
         """Tell whether a job waits for the store in copies other than ``own_copies``.
 
@@ -185,6 +208,7 @@
             JobLimit.LARGE_JOBS: self.turns.retry_s,
             JobLimit.PENDING_JOBS: PENDING_RETRY_S,
             JobLimit.KEPT_JOBS: add_jitter(KEPT_RETRY_S, self._rng),
+            JobLimit.CANCELS: add_jitter(CANCEL_RETRY_S, self._rng),
         }
         retry_after_s = retry_s_by_limit[limit]
         extra = {"job": job_id, "limit": limit.value, "retry_after_s": retry_after_s}
--- a/tamarackmount/node/job_service.py
+++ b/tamarackmount/node/job_service.py
@@ -14,6 +14,7 @@
 from tamarackmount.node.http_api import (
     STORE_RETRY_AFTER_S,
     ApiResponse,
+    Canceller,
     HttpStatus,
     PhaseLookupFailure,
 )
@@ -86,6 +87,16 @@
 _log = logging.getLogger(__name__)
 
 
+def _cancellation_by(canceller: Canceller) -> CancelRecord:
+    """Return the cancellation of a job that is not known, for its owner only."""
+    queue = canceller.public_queue
+    return CancelRecord(
+        clock.unix_ms(),
+        [canceller.workspace_id],
+        [] if queue is None else [queue],
+    )
+
+
 class JobService:
     """Serves callers from the store, the holder and the node's own job index."""
 
@@ -177,23 +188,60 @@
         finally:
             self._limits.release(reservation)
 
-    async def cancel(self, job_id: JobId, deadline: Instant) -> ApiResponse:
-        """Cancel a job; it is cancelled once the store has the cancellation."""
+    async def cancel(
+        self, job_id: JobId, canceller: Canceller, deadline: Instant
+    ) -> ApiResponse:
+        """Cancel a job; it is cancelled once the store has the cancellation.
+
+        That of an unknown job is stored too: its record may be on its way at another
+        node, or in the store itself.
+        """
         phase = await self.phase(job_id)
-        if phase is PhaseLookupFailure.NOT_SUBMITTED:
+        if isinstance(phase, JobPhase):
+            if phase.is_final:
+                return ApiResponse(HttpStatus.OK)
+            cancellation = CancelRecord(clock.unix_ms())
+            message = CancelStored(job_id)
+            return await self._store_cancel(job_id, cancellation, message, deadline)
+        cancellation = _cancellation_by(canceller)
+        known = self._context.job_index.jobs_by_id.get(job_id)
+        former = known.cancellation if known is not None else None
+        response = ApiResponse(HttpStatus.OK)
+        if former is None or not former.includes(cancellation):
+            if former is not None:
+                cancellation = former.merged_with(cancellation)
+            response = await self._store_cancel(job_id, cancellation, None, deadline)
+        is_unknown = phase is PhaseLookupFailure.NOT_SUBMITTED
+        if is_unknown and response.status is HttpStatus.OK:
             return ApiResponse(HttpStatus.GONE)
-        # If the phase can't be looked up now, the cancellation is stored all the same;
-        # it has no effect unless the job exists.
-        if isinstance(phase, JobPhase) and phase.is_final:
-            return ApiResponse(HttpStatus.OK)
+        return response
+
+    async def _store_cancel(
+        self,
+        job_id: JobId,
+        cancellation: CancelRecord,
+        message: CancelStored | None,
+        deadline: Instant,
+    ) -> ApiResponse:
+        """Store a cancellation; tell the holder of it by ``message``, if there is one.
+
+        Without it the holder applies the record once it has read it.
+        """
         key = record_key(RecordKind.CANCEL, job_id)
-        record = KeyedRecord(key, encode_record(CancelRecord(clock.unix_ms())))
+        record = KeyedRecord(key, encode_record(cancellation))
         result = await self._submissions.store(record, deadline)
-        _log.info(
-            "job cancelled", extra={"job": job_id, "stored": result.outcome.value}
-        )
+        extra = {
+            "job": job_id,
+            "stored": result.outcome.value,
+            "known": message is not None,
+        }
+        _log.info("job cancelled", extra=extra)
         if result.outcome is StoreOutcome.STORED:
-            self._handle_stored(record, CancelStored(job_id))
+            self._handle_stored(record, message)
+        if result.outcome is StoreOutcome.REFUSED:
+            return ApiResponse(
+                HttpStatus.TOO_MANY_REQUESTS, retry_after_s=result.retry_after_s
+            )
         return _RESPONSE_BY_OUTCOME[result.outcome]
 
     async def phase(self, job_id: JobId) -> JobPhase | PhaseLookupFailure:
@@ -371,16 +419,17 @@
             return None
         return enum_value(JobPhase, reply.phase)
 
-    def _handle_stored(self, record: KeyedRecord, message: NodeMessage) -> None:
-        """Apply a stored record, and tell the holder."""
+    def _handle_stored(self, record: KeyedRecord, message: NodeMessage | None) -> None:
+        """Apply a stored record, and tell the holder by a message, if there is one."""
         if self._follower.is_following:
             self._context.job_index.apply(record.key, record.value)
         if self._election.holder is not None:
             self._notify_local_holder(record)
             return
         node = self._election.holder_node
-        if node is not None and node != self._context.node_id:
-            self._context.links.send(node, message)
+        if message is None or node is None or node == self._context.node_id:
+            return
+        self._context.links.send(node, message)
 
     def _notify_local_holder(self, record: KeyedRecord) -> None:
         """Tell the holder, if it is on this node, of a job or a cancellation."""
@@ -394,7 +443,7 @@
             return
         if kind is RecordKind.JOB:
             holder.handle_job_stored(JobId(name))
-        elif kind is RecordKind.CANCEL:
+        elif kind is RecordKind.CANCEL and known.is_cancelled:
             holder.handle_cancel_stored(JobId(name))
 
     def _handle_job_stored(self, _sender: MemberId, message: JobStored) -> None:
--- a/tamarackmount/node/record_relay.py
+++ b/tamarackmount/node/record_relay.py
@@ -16,7 +16,7 @@
 )
 from tamarackmount.node.tasks import spawn_answer
 from tamarackmount.platform.store import MAX_KEY_BYTES, KeyedRecord, encoded_bytes
-from tamarackmount.scheduling.store.journal import job_id_in
+from tamarackmount.scheduling.store.journal import cancelled_job_id_in, job_id_in
 
 _HOLDER_CHANGED = StoreResult(StoreOutcome.UNKNOWN)
 """The result of a record that was with a holder when the next one was ready."""
@@ -97,7 +97,7 @@
         """
         job_id = job_id_in(record.key)
         if job_id is None:
-            return await self._store_at_holder(record)
+            return await self._store_cancel(record)
         # The caller of a record may be gone before the holder has stored it.
         reservation = self._limits.try_reserve(job_id, record.value)
         if isinstance(reservation, JobLimit):
@@ -111,6 +111,16 @@
         finally:
             self._limits.release(reservation)
 
+    async def _store_cancel(self, record: KeyedRecord) -> StoreResult:
+        """Store a cancellation, within the limit for those of unknown jobs."""
+        cancelled_id = cancelled_job_id_in(record.key)
+        if cancelled_id is not None and not self._limits.can_keep_cancel(
+            cancelled_id, record.value
+        ):
+            retry_after_s = self._limits.refuse(cancelled_id, JobLimit.CANCELS)
+            return StoreResult(StoreOutcome.REFUSED, retry_after_s)
+        return await self._store_at_holder(record)
+
     async def _store_at_holder(self, record: KeyedRecord) -> StoreResult:
         holder = self._election.holder
         # The role may have been lost while the record waited for its turn.
--- a/tamarackmount/scheduling/contact/store_batches.py
+++ b/tamarackmount/scheduling/contact/store_batches.py
@@ -19,7 +19,10 @@
     worker_key,
 )
 from tamarackmount.scheduling.store.record_limits import encode_progress
-from tamarackmount.scheduling.store.retention import tombstones
+from tamarackmount.scheduling.store.retention import (
+    cancel_tombstones,
+    tombstones,
+)
 from tamarackmount.units import MS_PER_SECOND
 
 MAX_BATCH_JOB_BYTES = 64 * 1024
@@ -70,6 +73,10 @@
             self._state.failure_cause_by_job.pop(job_id, None)
         self._tombstones.extend(tombstones(job_ids))
 
+    def remove_cancels(self, job_ids: list[JobId]) -> None:
+        """Remove cancellations of unknown jobs from the store with the next batch."""
+        self._tombstones.extend(cancel_tombstones(job_ids))
+
     def next_batch(self, now: Instant, unix_ms: int) -> Batch | None:
         """Return the changes to store, or None if there are none."""
         state = self._state
--- a/tamarackmount/scheduling/scheduler.py
+++ b/tamarackmount/scheduling/scheduler.py
@@ -365,6 +365,10 @@
         """Remove jobs from the store with the next batch."""
         self._batcher.remove_jobs(job_ids)
 
+    def remove_cancels(self, job_ids: list[JobId]) -> None:
+        """Remove cancellations of unknown jobs from the store with the next batch."""
+        self._batcher.remove_cancels(job_ids)
+
     def take_effects(self) -> list[Effect]:
         """Return the actions that were requested since the last call."""
         effects, self._state.effects = self._state.effects, []
@@ -415,7 +419,7 @@
             mark_new_steps(state, job)
         state.add_job(job)
         restore_evidence(state, job)
-        if records.cancelled_unix_ms is not None:
+        if records.is_cancelled:
             self.cancel_job(job.job_id, now, unix_ms)
             return
         for step in job.steps_by_key.values():
--- a/tamarackmount/scheduling/store/job_index.py
+++ b/tamarackmount/scheduling/store/job_index.py
@@ -24,6 +24,7 @@
     is_final_progress,
     split_key,
 )
+from tamarackmount.scheduling.store.unmatched_cancels import UnmatchedCancels
 from tamarackmount.scheduling.store.waiting_counts import WaitingCounts
 
 _log = logging.getLogger(__name__)
@@ -43,7 +44,7 @@
         "_accepted_text",
         "_progress",
         "_progress_text",
-        "cancelled_unix_ms",
+        "cancellation",
         "is_final",
         "name",
         "size",
@@ -53,7 +54,7 @@
         self,
         accepted: AcceptedJob | None = None,
         progress: JobProgress | None = None,
-        cancelled_unix_ms: int | None = None,
+        cancellation: CancelRecord | None = None,
         name: str = "",
     ) -> None:
         """Start with the records that are given; ``name`` is the job's id, for logs.
@@ -65,7 +66,7 @@
         self._progress = progress
         self._accepted_text = b""
         self._progress_text = b""
-        self.cancelled_unix_ms = cancelled_unix_ms
+        self.cancellation = cancellation
         self.name = name
         self.size = JobSize(0, 0)
         self.is_final = progress is not None and progress.phase.is_final
@@ -91,6 +92,16 @@
             self._progress = _decode(text, JobProgress, self.name) or self._progress
         return self._progress
 
+    @property
+    def is_cancelled(self) -> bool:
+        """Whether the job is known, and was cancelled by a caller who may do so."""
+        accepted, cancellation = self.accepted, self.cancellation
+        return (
+            accepted is not None
+            and cancellation is not None
+            and cancellation.holds_for(accepted)
+        )
+
     def set_accepted(self, text: bytes) -> None:
         """Set the job's own record; the first counts, later ones are repeated calls."""
         if text != self._accepted_text and self.accepted is None:
@@ -110,7 +121,7 @@
             return None
         if progress is not None and progress.phase.is_final:
             return progress.phase
-        if self.cancelled_unix_ms is not None:
+        if self.is_cancelled:
             return JobPhase.CANCELLED
         return progress.phase if progress is not None else JobPhase.QUEUED
 
@@ -146,7 +157,8 @@
     newest completeness record says. ``heartbeat`` is the newest one of a holder in this
     topic; claims and most heartbeats are in a topic of their own, see
     ``node/claims.py``. ``kept_bytes`` is an estimate of the memory that all jobs take,
-    and ``kept_bytes_by_workspace`` that of each workspace's jobs.
+    and ``kept_bytes_by_workspace`` that of each workspace's jobs. ``unmatched_cancels``
+    are those of jobs without a record.
     """
 
     def __init__(self) -> None:
@@ -157,6 +169,7 @@
         self.runs_are_complete = True
         self.kept_bytes = 0
         self.kept_bytes_by_workspace: Counter[WorkspaceId] = Counter()
+        self.unmatched_cancels = UnmatchedCancels()
         self._waiting = WaitingCounts()
         self._text_by_worker: dict[str, bytes] = {}
         self._setters = {
@@ -178,6 +191,7 @@
         self.runs_are_complete = True
         self.kept_bytes = 0
         self.kept_bytes_by_workspace.clear()
+        self.unmatched_cancels.clear()
         self._waiting.clear()
 
     def apply(self, key: str, value: bytes) -> None:
@@ -259,6 +273,7 @@
         records = self._records_of(name)
         self._count(records, -records.kept_bytes)
         records.set_accepted(text)
+        self.unmatched_cancels.remove(JobId(name))
         self._count(records, records.kept_bytes)
         self._waiting.update(JobId(name), records)
 
@@ -266,7 +281,11 @@
         record = _decode(text, CancelRecord, name)
         if record is not None:
             records = self._records_of(name)
-            records.cancelled_unix_ms = record.cancelled_unix_ms
+            if records.cancellation is not None:
+                record = records.cancellation.merged_with(record)
+            records.cancellation = record
+            if records.accepted is None:
+                self.unmatched_cancels.add(JobId(name), record)
             self._waiting.update(JobId(name), records)
 
     def _set_progress(self, name: str, text: bytes) -> None:
@@ -295,7 +314,12 @@
         if kind is RecordKind.JOB:
             records = self.jobs_by_id.pop(JobId(name), None)
             self._waiting.remove(JobId(name))
+            self.unmatched_cancels.remove(JobId(name))
             if records is not None:
                 self._count(records, -records.kept_bytes)
+        elif kind is RecordKind.CANCEL and JobId(name) in self.unmatched_cancels:
+            self.unmatched_cancels.remove(JobId(name))
+            self._waiting.remove(JobId(name))
+            self.jobs_by_id.pop(JobId(name), None)
         elif kind is RecordKind.WORKER:
             self._text_by_worker.pop(name, None)
--- a/tamarackmount/scheduling/store/journal.py
+++ b/tamarackmount/scheduling/store/journal.py
@@ -15,7 +15,7 @@
 from cattrs.gen import make_dict_structure_fn, make_dict_unstructure_fn, override
 from returns.result import Failure, Result, Success
 
-from tamarackmount.ids import JobId, MemberId, WorkerId
+from tamarackmount.ids import JobId, MemberId, QueueName, WorkerId, WorkspaceId
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.domain.model import (
     JobPhase,
@@ -24,6 +24,8 @@
     WorkerIncarnation,
 )
 
+T = TypeVar("T")
+
 WORKSPACE_FIELD = "team_id"
 """Stored name of a job's workspace; records of earlier versions have it."""
 
@@ -61,9 +63,61 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelRecord:
-    """Cancellation of a job by a caller, at this time on the entry VM's clock."""
+    """Cancellation of a job by a caller, at this time on the entry VM's clock.
+
+    That of a job that was not known then has the callers' ``workspace_ids``, the newest
+    last, and the ``public_queues`` that they used: it holds for a later job of one of
+    these only, as anybody may cancel an id that is not used yet. Any other one, and
+    each of an earlier version, has neither and holds for the job whosesoever it is.
+    """
 
     cancelled_unix_ms: int
+    workspace_ids: list[WorkspaceId] = field(default_factory=list)
+    public_queues: list[QueueName] = field(default_factory=list)
+
+    @property
+    def last_workspace(self) -> WorkspaceId:
+        """The workspace of the caller that cancelled last; empty if there is none."""
+        return self.workspace_ids[-1] if self.workspace_ids else WorkspaceId("")
+
+    @property
+    def is_restricted(self) -> bool:
+        """Whether it holds for jobs of certain workspaces or queues only."""
+        return bool(self.workspace_ids or self.public_queues)
+
+    def holds_for(self, job: AcceptedJob) -> bool:
+        """Tell whether it cancels a job."""
+        return (
+            not self.is_restricted
+            or job.workspace_id in self.workspace_ids
+            or job.queue_name in self.public_queues
+        )
+
+    def includes(self, other: "CancelRecord") -> bool:
+        """Tell whether it holds for all jobs for which another one does."""
+        if not (self.is_restricted and other.is_restricted):
+            return not self.is_restricted
+        return set(other.workspace_ids) <= set(self.workspace_ids) and set(
+            other.public_queues
+        ) <= set(self.public_queues)
+
+    def merged_with(self, other: "CancelRecord") -> "CancelRecord":
+        """Return a record that holds for all jobs for which this or a newer one does.
+
+        The store keeps the newest record of a job only.
+        """
+        if not (self.is_restricted and other.is_restricted):
+            return CancelRecord(other.cancelled_unix_ms)
+        return CancelRecord(
+            other.cancelled_unix_ms,
+            _joined(self.workspace_ids, other.workspace_ids),
+            _joined(self.public_queues, other.public_queues),
+        )
+
+
+def _joined(known: list[T], newer: list[T]) -> list[T]:
+    """Return all entries of two lists once, those of ``newer`` last."""
+    return [entry for entry in known if entry not in newer] + newer
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,8 +227,6 @@
     means_by_worker: dict[str, tuple[float, float]] = field(default_factory=dict)
 
 
-T = TypeVar("T")
-
 _CONVERTER = Converter()
 
 
@@ -252,6 +304,12 @@
     return JobId(name) if kind == RecordKind.JOB.value else None
 
 
+def cancelled_job_id_in(key: str) -> JobId | None:
+    """Return the id of the job whose cancellation has this key; None for other keys."""
+    kind, _, name = key.partition("/")
+    return JobId(name) if kind == RecordKind.CANCEL.value else None
+
+
 def _unstructure_incarnation(incarnation: WorkerIncarnation) -> list[object]:
     return [incarnation.worker_id, incarnation.born_unix_ms]
 
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -29,6 +29,7 @@
     "tests/test_scheduling_carried_over_runs.py"
 )
 WIDE_RESERVATIONS = "tests/test_scheduling_wide_reservations.py"
+EARLY_CANCELS = "tests/test_early_cancels.py"
 REPETITIONS = "tests/test_scheduling_many_repetitions.py"
 OVER_TCP = "tests/test_scheduling_restarts_over_tcp.py"
 
@@ -68,6 +69,29 @@
         "if False:",
         WIDE_RESERVATIONS,
     ),
+    Mutant(
+        "the cancellation of an unknown job is stored",
+        "node/job_service.py",
+        "        cancellation = _cancellation_by(canceller)\n",
+        "        if phase is PhaseLookupFailure.NOT_SUBMITTED:\n"
+        "            return ApiResponse(HttpStatus.GONE)\n"
+        "        cancellation = _cancellation_by(canceller)\n",
+        EARLY_CANCELS,
+    ),
+    Mutant(
+        "a workspace does not cancel the future jobs of another one",
+        "scheduling/store/journal.py",
+        "            not self.is_restricted\n",
+        "            True\n",
+        EARLY_CANCELS,
+    ),
+    Mutant(
+        "cancellations of unknown jobs are limited",
+        "node/record_relay.py",
+        "if cancelled_id is not None and not self._limits.can_keep_cancel(",
+        "if False and not self._limits.can_keep_cancel(",
+        EARLY_CANCELS,
+    ),
     Mutant(
         "a repetition does not begin before it is due",
         "scheduling/execution/occurrences.py",
