--- a/tamarackmount/node/holder.py
+++ b/tamarackmount/node/holder.py
@@ -181,7 +181,7 @@
             clock.now(),
             clock.unix_ms(),
         )
-        while not self._restore_part(steps):
+        while not self._is_stopped and not self._restore_part(steps):
             await deferLater(self._dependencies.reactor, 0, lambda: None)
 
     def _restore_part(self, steps: Iterator[None]) -> bool:
--- a/tamarackmount/scheduling/contact/store_batches.py
+++ b/tamarackmount/scheduling/contact/store_batches.py
@@ -26,8 +26,8 @@
 from tamarackmount.units import MS_PER_SECOND
 
 MAX_BATCH_JOB_BYTES = 64 * 1024
-"""Bytes of job records from which a batch takes no further ones: they take as long to
-write as they are."""
+"""Bytes of job records from which a batch takes no further ones: the time to encode and
+to store them grows with their length."""
 
 MAX_BATCH_RECORDS = 500
 """Number of records from which a batch takes no further job records. Records of workers
--- a/tamarackmount/scheduling/execution/occurrences.py
+++ b/tamarackmount/scheduling/execution/occurrences.py
@@ -8,9 +8,13 @@
 from tamarackmount.scheduling.jobs.runs import JobState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 
-MAX_READY_STEPS = 4
-"""Number of ready steps of a job from which on no further occurrence of it begins. The
-next ones begin as soon as these have started."""
+MAX_WAITING_OCCURRENCES = 4
+"""Number of occurrences of a job that wait for their start, from which on no further
+one begins. The next ones begin as soon as these have started."""
+
+MAX_READY_STEPS = 100
+"""Number of ready steps of a job from which on no further occurrence of it begins, also
+if those that are ready are the later steps of occurrences that have begun."""
 
 
 def begin_due(state: SchedulerState, unix_ms: int) -> None:
@@ -33,7 +37,7 @@
     while (occurrence := job.next_occurrence) is not None:
         if job.due_unix_ms(occurrence) > state.unix_ms:
             break
-        if state.ready_count_by_job[job.job_id] >= MAX_READY_STEPS:
+        if not _may_begin(state, job):
             return
         state.open_occurrence(job, occurrence)
     del state.jobs_with_due_occurrences[job.job_id]
@@ -43,11 +47,22 @@
 def may_begin_more(state: SchedulerState) -> bool:
     """Tell whether a job may begin further occurrences now."""
     return any(
-        state.ready_count_by_job[job_id] < MAX_READY_STEPS
-        for job_id in state.jobs_with_due_occurrences
+        _may_begin(state, job) for job in state.jobs_with_due_occurrences.values()
     )
 
 
+def _may_begin(state: SchedulerState, job: JobState) -> bool:
+    """Tell whether few enough steps of a job are ready for another occurrence.
+
+    Later steps, or those with other needs, may wait for what the first ones don't need.
+    """
+    counts = state.ready_counts_by_job.get(job.job_id)
+    if counts is None:
+        return True
+    waiting = min(counts[number] for number in job.first_steps)
+    return waiting < MAX_WAITING_OCCURRENCES and counts.total() < MAX_READY_STEPS
+
+
 def unbegun_due_count(state: SchedulerState, job: JobState) -> int:
     """Return how many occurrences of a job are due and have not begun."""
     occurrence = job.next_occurrence
--- a/tamarackmount/scheduling/jobs/runs.py
+++ b/tamarackmount/scheduling/jobs/runs.py
@@ -341,6 +341,12 @@
         """Tell whether a step is done in every occurrence."""
         return self.done_count_by_step[number] == self.accepted.spec.occurrences
 
+    @property
+    def first_steps(self) -> list[int]:
+        """The numbers of the steps that wait for no other."""
+        steps = enumerate(self.accepted.spec.steps)
+        return [number for number, step in steps if not step.after]
+
     def due_unix_ms(self, occurrence: int) -> int:
         """Return when an occurrence is due; 0 if the job runs once, now."""
         spec = self.accepted.spec
@@ -385,9 +391,12 @@
     def find_step(self, key: StepKey) -> StepState | None:
         """Return a step that has state, or one whose occurrence is done."""
         step = self.steps_by_key.get(key)
+        specs = self.accepted.spec.steps
         if step is not None or key.occurrence not in self.completed:
             return step
-        spec = self.accepted.spec.steps[key.step]
+        if not 0 <= key.step < len(specs):
+            return None
+        spec = specs[key.step]
         return StepState(key, spec, self, IndexRanges(), IndexRanges.below(spec.count))
 
     def runs(self) -> Iterator[Run]:
@@ -498,7 +507,8 @@
         if step is None or step.is_done:
             continue
         for first, last in ranges:
-            step.done.add_range(first, min(last, step.spec.count - 1))
+            first, last = max(first, 0), min(last, step.spec.count - 1)
+            step.done.add_range(first, last)
             step.pending.discard_range(first, last)
         job.done_count_by_step[step.key.step] += step.is_done
 
@@ -506,7 +516,8 @@
 def _mark_completed(job: JobState, first: int, last: int) -> None:
     """Mark all tasks as done of the occurrences from ``first`` to ``last``."""
     before = len(job.completed)
-    job.completed.add_range(first, min(last, job.accepted.spec.occurrences - 1))
+    first, last = max(first, 0), min(last, job.accepted.spec.occurrences - 1)
+    job.completed.add_range(first, last)
     job.unopened.discard_range(first, last)
     added = len(job.completed) - before
     job.done_count_by_step = [count + added for count in job.done_count_by_step]
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -79,12 +79,12 @@
     """Jobs, workers and workspaces as the holder of one fencing token knows them.
 
     ``ready_steps_by_key`` are steps that may start now and have tasks without a run;
-    ``ready_count_by_job`` is how many of them each job has. ``delayed_steps_by_key``
-    wait for their due time, as ``due_steps`` has it. ``due_jobs`` has the times of the
-    jobs' next occurrences, and ``jobs_with_due_occurrences`` those that have more due
-    ones than steps of theirs may be ready at once. ``unix_ms`` is the time of the last
-    tick. ``changed_jobs``,
-    ``changed_workers`` and ``removed_workers`` have changes that the store does not
+    ``ready_counts_by_job`` is how many of them each job has, by the step's number.
+    ``delayed_steps_by_key`` wait for their due time, which ``due_steps`` has.
+    ``due_jobs`` has the due times of jobs' next occurrences, and
+    ``jobs_with_due_occurrences`` the jobs that have further ones which are due.
+    ``unix_ms`` is the time of the last tick. ``changed_jobs``, ``changed_workers`` and
+    ``removed_workers`` have changes that the store does not
     hold yet. ``unstored_starts`` are start orders that are sent once the store holds
     their runs. ``runs_may_be_incomplete`` is set after a takeover while former holders
     may have runs that the store does not hold. ``orphaned_run_count_by_task`` counts
@@ -111,7 +111,7 @@
     fleet_config: FleetConfig | None = None
     jobs_by_id: dict[JobId, JobState] = field(default_factory=dict)
     ready_steps_by_key: dict[StepKey, StepState] = field(default_factory=dict)
-    ready_count_by_job: Counter[JobId] = field(default_factory=Counter)
+    ready_counts_by_job: dict[JobId, Counter[int]] = field(default_factory=dict)
     delayed_steps_by_key: dict[StepKey, StepState] = field(default_factory=dict)
     due_steps: DueQueue[StepKey] = field(default_factory=DueQueue)
     due_jobs: DueQueue[JobId] = field(default_factory=DueQueue)
@@ -264,17 +264,21 @@
 
     def add_ready(self, step: StepState) -> None:
         """Mark a step as ready, if it is not yet."""
-        if step.key not in self.ready_steps_by_key:
-            self.ready_count_by_job[step.key.job_id] += 1
-        self.ready_steps_by_key[step.key] = step
+        key = step.key
+        if key not in self.ready_steps_by_key:
+            self.ready_counts_by_job.setdefault(key.job_id, Counter())[key.step] += 1
+        self.ready_steps_by_key[key] = step
 
     def remove_ready(self, key: StepKey) -> None:
         """Mark a step as not ready, if it is."""
         if self.ready_steps_by_key.pop(key, None) is None:
             return
-        self.ready_count_by_job[key.job_id] -= 1
-        if not self.ready_count_by_job[key.job_id]:
-            del self.ready_count_by_job[key.job_id]
+        counts = self.ready_counts_by_job[key.job_id]
+        counts[key.step] -= 1
+        if not counts[key.step]:
+            del counts[key.step]
+        if not counts:
+            del self.ready_counts_by_job[key.job_id]
 
     def wait_for_next_occurrence(self, job: JobState) -> None:
         """Let a job's next occurrence, if there is one, begin when it is due."""
--- a/tests/test_scheduling_many_repetitions.py
+++ b/tests/test_scheduling_many_repetitions.py
@@ -155,6 +155,16 @@
     assert urgent.job_id in {task.job_id for task in pool.started}
 
 
+def test_repetitions_wait_as_a_later_step_of_others_does_not_fit() -> None:
+    # Guards against a job that has nothing running although its next tasks would fit.
+    pool = RunningPool(cores=8)
+    steps = (step(), step(cores=9, after=(0,)))
+    accepted = repeated_job(1, 60, *steps)
+    pool.harness.submit_job(accepted)
+    pool.run_rounds(30)
+    assert sorted(occurrence_starts(pool, accepted)) == list(range(60))
+
+
 def test_a_pool_idles_while_repetitions_are_due() -> None:
     # Guards against state that is kept for too few repetitions to fill a pool.
     pool = RunningPool(cores=50)
@@ -248,7 +258,15 @@
 def test_progress_that_an_earlier_version_stored_is_lost() -> None:
     # Guards against repetitions that run again after an upgrade.
     accepted = repeated_job(1, 1_500, step(2), step(after=(0,)))
-    done = {"0.0": [0, 1], "0.1": [0], "1.0": [0, 1], "7.0": [1], "x": [0], "9.9": [0]}
+    done = {
+        "0.0": [0, 1],
+        "0.1": [0],
+        "1.0": [0, 1],
+        "7.0": [1],
+        "x": [0],
+        "9.9": [0],
+        "0.9": [0],
+    }
     progress = JobProgress(JobPhase.RUNNING, done_by_step=done)
     state = make_job(accepted, progress, START)
     assert state.completed.ranges() == [(0, 0)]
