Drop the checkpoints of tasks that are done

Each write of a job's progress went through the checkpoints of all tasks that had run, also of those that were done. Now a checkpoint goes when its task is done. The new test fails without it.

--- a/tamarackmount/scheduling/execution/run_ends.py
+++ b/tamarackmount/scheduling/execution/run_ends.py
@@ -172,6 +172,7 @@
 ) -> None:
     step.done.add(index)
     step.pending.discard(index)
+    step.checkpoints_by_index.pop(index, None)
     give_up_culprits(state, clear_task(state, step, index), now)
     runs = [run for run in step.original_runs if run.task.index == index]
     if index in step.runs_by_index:
--- a/tests/test_scheduling_many_repetitions.py
+++ b/tests/test_scheduling_many_repetitions.py
@@ -298,6 +298,20 @@
     assert len(encode_record(state.progress())) < 1_000
 
 
+def test_progress_goes_through_checkpoints_of_tasks_that_are_done() -> None:
+    # Guards against progress that takes the longer to write the more is done.
+    pool = RunningPool(cores=4)
+    accepted = job(1, step(12, saves_progress=True))
+    pool.harness.submit_job(accepted)
+    for _ in range(2):
+        pool.end(pool.start(), checkpoint="c")
+    (found,) = pool.harness.scheduler._state.jobs_by_id[
+        accepted.job_id
+    ].steps_by_key.values()
+    assert len(found.done) == 8
+    assert not found.checkpoints_by_index
+
+
 def test_a_job_that_is_cancelled_begins_its_next_repetition() -> None:
     # Guards against starts after a cancellation.
     pool = RunningPool(cores=2)
--- a/tests/utils/build_repetitions.py
+++ b/tests/utils/build_repetitions.py
@@ -74,12 +74,13 @@
         self.started += [task for task, _ in runs]
         return runs
 
-    def end(self, runs: list[tuple[TaskKey, int]]) -> None:
-        """Report that runs are done, and store it."""
+    def end(self, runs: list[tuple[TaskKey, int]], checkpoint: str = "") -> None:
+        """Report that runs are done, with their last checkpoint, and store it."""
         rows = []
         for task, run in runs:
             self._ends += 1
-            rows.append(ended_run(self._ends, task, run, RunEnd.DONE))
+            row = ended_run(self._ends, task, run, RunEnd.DONE)
+            rows.append(replace(row, checkpoint=checkpoint))
         self.harness.answer_poll(worker_report(ended=tuple(rows)))
         self.harness.store_pending()
         self.harness.tick()
