--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -89,6 +89,12 @@
         for node in self.nodes:
             node.start()
         self._reactor.callLater(CALLERS_START_DELAY_S, self.callers.start, JOBS_PER_S)
+        if self._options.leavers_per_s:
+            self._reactor.callLater(
+                CALLERS_START_DELAY_S,
+                self.callers.start_leavers,
+                self._options.leavers_per_s,
+            )
         self._reactor.callLater(CALLERS_START_DELAY_S + 1.0, self.fault_injector.start)
         self._reactor.callLater(CALLERS_START_DELAY_S + 1.0, self.evacuations.start)
         self._reactor.callLater(self._options.minutes * 60.0, self._wind_down)
@@ -162,6 +168,12 @@
     parser.add_argument("--minutes", type=float, default=0.5)
     parser.add_argument("--nodes", type=int, default=NODES)
     parser.add_argument("--workers", type=int, default=WORKERS)
+    parser.add_argument(
+        "--leavers-per-s",
+        type=float,
+        default=0.0,
+        help="callers a second who leave before the answer and cancel their jobs",
+    )
     parser.add_argument(
         "--keep", type=Path, help="directory in which the nodes' logs are kept"
     )
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -17,6 +17,7 @@
 CALL_TIMEOUT_S = 3.0
 STATUS_INTERVAL_S = 0.7
 RETRY_DELAY_S = 0.4
+MAX_LEAVER_STAY_S = 0.3
 MAX_SUBMIT_ATTEMPTS = 5
 CANCELLED_FRACTION = 0.05
 DEADLY_FRACTION = 0.03
@@ -54,6 +55,14 @@
         delay_s = self._rng.expovariate(jobs_per_s)
         self._reactor.callLater(delay_s, self.start, jobs_per_s)
 
+    def start_leavers(self, leavers_per_s: float) -> None:
+        """Let a caller submit a job and leave, and others at random intervals."""
+        if self._is_stopped:
+            return
+        spawn(self._leave(self._make_job()))
+        delay_s = self._rng.expovariate(leavers_per_s)
+        self._reactor.callLater(delay_s, self.start_leavers, leavers_per_s)
+
     def stop(self) -> None:
         """Submit no more jobs; the status of submitted ones is still polled."""
         self._is_stopped = True
@@ -93,10 +102,14 @@
                     job.job_id, orjson.loads(reply.body)["state"]
                 )
 
+    async def _leave(self, job: SoakJob) -> None:
+        """Submit a job, leave before the answer, and cancel the job."""
+        stays_s = self._rng.uniform(0.0, MAX_LEAVER_STAY_S)
+        await self._call(job, "POST", _job_body(job), stays_s)
+        await self._cancel(job)
+
     async def _submit(self, job: SoakJob) -> bool:
-        body = orjson.dumps(
-            {"spec": job.spec, "steps": [_step_body(step) for step in job.steps]}
-        )
+        body = _job_body(job)
         may_be_accepted = False
         for _ in range(MAX_SUBMIT_ATTEMPTS):
             reply = await self._call(job, "POST", body)
@@ -118,13 +131,17 @@
             await self._sleep(RETRY_DELAY_S)
 
     async def _call(
-        self, job: SoakJob, method: str, body: bytes | None = None
+        self,
+        job: SoakJob,
+        method: str,
+        body: bytes | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> Reply | None:
         address = Address(self._rng.choice(self._nodes()))
         headers = f"Authorization: Bearer key-{job.workspace}\r\n"
         if body is not None:
             headers += "Content-Type: application/json\r\n"
-        deadline = Instant(self._reactor.seconds() + CALL_TIMEOUT_S)
+        deadline = Instant(self._reactor.seconds() + timeout_s)
         outcome = await self._http.call(
             address, method, f"/stock/{job.job_id}", deadline, body, headers, HOST
         )
@@ -139,6 +156,12 @@
         return deferLater(self._reactor, seconds, lambda: None)
 
 
+def _job_body(job: SoakJob) -> bytes:
+    return orjson.dumps(
+        {"spec": job.spec, "steps": [_step_body(step) for step in job.steps]}
+    )
+
+
 def _step_body(step: SoakStep) -> dict[str, Any]:
     body: dict[str, Any] = {
         "count": step.count,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -124,8 +124,10 @@
     assert len(set(addresses)) == len(addresses)
 
 
-def test_a_short_soak_finds_no_violations() -> None:
+@pytest.mark.parametrize("leavers", [[], ["--leavers-per-s", "3"]])
+def test_a_short_soak_finds_no_violations(leavers: list[str]) -> None:
     options = ["--seed", "2", "--minutes", "0.2", "--nodes", "3", "--workers", "4"]
+    options += leavers
     completed = subprocess.run(
         [sys.executable, "-m", "tests.soak", *options],
         cwd=ROOT,
