Test that repetitions which are not due have no state

The mutation of the due check survived: a second check keeps the steps from starting early. Now one mutation guards the start and one the state; both are caught.

--- a/tests/test_scheduling_many_repetitions.py
+++ b/tests/test_scheduling_many_repetitions.py
@@ -144,6 +144,17 @@
     assert sum(len(job.steps_by_key) for job in state.jobs_by_id.values()) <= 501
 
 
+def test_repetitions_that_are_not_due_have_state() -> None:
+    # Guards against a job of which some repetitions are due, and thousands later.
+    pool = RunningPool(cores=8)
+    accepted = repeated_job(1, MANY, first_in_ms=-5 * INTERVAL_MS)
+    pool.harness.submit_job(accepted)
+    pool.run_rounds(2)
+    state = pool.harness.scheduler._state.jobs_by_id[accepted.job_id]
+    assert len(pool.started) == 6
+    assert len(state.steps_by_key) <= 1
+
+
 def test_an_ordinary_job_waits_behind_repetitions_that_are_due() -> None:
     # Guards against jobs that don't start although there is room.
     pool = RunningPool(cores=8)
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -93,7 +93,14 @@
         EARLY_CANCELS,
     ),
     Mutant(
-        "a repetition does not begin before it is due",
+        "a repetition does not start before it is due",
+        "scheduling/scheduler_state.py",
+        "if step.due_unix_ms > self.unix_ms:",
+        "if False:",
+        REPETITIONS,
+    ),
+    Mutant(
+        "a repetition has no state long before it is due",
         "scheduling/execution/occurrences.py",
         "if job.due_unix_ms(occurrence) > state.unix_ms:",
         "if False:",
