--- a/tests/test_served_requests.py
+++ b/tests/test_served_requests.py
@@ -6,7 +6,12 @@
 from twisted.internet.defer import Deferred
 
 from tamarackmount.ids import Instant, JobId
-from tamarackmount.node.http_api import ApiResponse, HttpStatus, JobsResource
+from tamarackmount.node.http_api import (
+    ApiResponse,
+    Canceller,
+    HttpStatus,
+    JobsResource,
+)
 from tamarackmount.node.metrics import NodeMetrics
 from tamarackmount.node.process_limits import ProcessLimits
 from tamarackmount.node.served_requests import RequestKind, ServedRequests
@@ -40,7 +45,9 @@
     async def submit(self, _job: Any, _deadline: Instant) -> Any:
         return await self._wait()
 
-    async def cancel(self, _job_id: JobId, _deadline: Instant) -> Any:
+    async def cancel(
+        self, _job_id: JobId, _canceller: Canceller, _deadline: Instant
+    ) -> Any:
         return await self._wait()
 
     async def phase(self, _job_id: JobId) -> Any:
