Weigh evidence of crashes by member of a gang

Cause: the evidence of a gang stood under its first member, and the limits of four and five crashes count whatever a crash weighs. So a crash counted against members that were elsewhere, and any four crashes gave the gang up.

Change: a crash is evidence against the members that were on the worker. As its members start together, crashes under others count towards a member's limits from its third one on; after 20 crashes under any members, two under one of them are enough. With crashes in turn that is min(2 n + 2, max(20, n + 1)) crashes for n members. Of a gang, only the suspects among its members are kept apart, so that one as wide as its service no longer waits for 1.5 s; all members still wait together for their records.

The stored form stays under the first task, each crash with its members: earlier versions read it as before. Crashes that they stored have no members; they count towards the limits of a member, but only beside two crashes under it.

A property found that widespread crashes after equally long runs did not count towards the third crash of a member; the scenario is kept.

The stand-in pool now ends the runs of the other members when one is lost.

--- a/tamarackmount/scheduling/evidence/crash_evidence.py
+++ b/tamarackmount/scheduling/evidence/crash_evidence.py
@@ -14,6 +14,9 @@
 towards ``MAX_CRASHES`` as far as the task's runs lasted equally long, and after some of
 them the next start is delayed, differently for each task.
 
+A crash ends the runs of all members of a gang, but is evidence only against those that
+were on the worker; ``gang_crashes.py`` limits the starts of a gang by all its crashes.
+
 Evidence is withdrawn when its reason is gone: a task that ends well, or runs for long,
 is no suspect any more, and a crash that is put down to a culprit speaks against no
 other task. The count of all crashes is limited as well (``MAX_CRASHES``), so that no
@@ -22,14 +25,18 @@
 
 from collections.abc import Iterable, Iterator
 from dataclasses import replace
+from typing import NamedTuple, Protocol
 from zlib import crc32
 
 from tamarackmount.ids import Instant
-from tamarackmount.scheduling.domain.model import TaskKey, WorkerIncarnation
+from tamarackmount.scheduling.domain.model import StepKey, TaskKey, WorkerIncarnation
+from tamarackmount.scheduling.evidence.gang_crashes import (
+    gang_crashes,
+    is_unattributed,
+)
 from tamarackmount.scheduling.jobs.runs import JobState, Run, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.store.journal import CrashRecord
-from tamarackmount.scheduling.workers.isolation_index import evidence_key
 from tamarackmount.units import MS_PER_SECOND
 
 CULPRIT_WEIGHT = 4
@@ -79,18 +86,22 @@
 
 def is_suspect(state: SchedulerState, step: StepState, index: int) -> bool:
     """Tell whether there is evidence against a task."""
-    return evidence_key(step, index) in state.suspected_tasks
+    return step.task(index) in state.suspected_tasks
+
+
+def has_suspects(state: SchedulerState, step: StepState) -> bool:
+    """Tell whether there is evidence against tasks of a step."""
+    return state.isolation.has_suspects(step.key)
 
 
 def has_evidence(step: StepState, index: int) -> bool:
     """Tell whether workers crashed that may have run a task, for any reason."""
-    return bool(step.crashes_by_index.get(evidence_key(step, index).index))
+    return bool(step.crashes_by_index.get(index))
 
 
 def crash_addresses(step: StepState, index: int) -> set[str]:
     """Return the addresses at which workers crashed that may have run a task."""
-    crashes = step.crashes_by_index.get(evidence_key(step, index).index, ())
-    return {crash.address for crash in crashes}
+    return {crash.address for crash in step.crashes_by_index.get(index, ())}
 
 
 def record_crash(
@@ -104,13 +115,17 @@
 
     The caller gives up the tasks that :func:`find_culprits` yields then.
     """
-    task = evidence_key(step, index)
-    crashes = step.crashes_by_index.setdefault(task.index, [])
+    task = step.task(index)
+    if step.spec.gang:
+        crash = replace(crash, members=(index,))
+        _drop_unattributed(state, step, crash.worker)
+    crashes = step.crashes_by_index.setdefault(index, [])
     if any(known.worker == crash.worker for known in crashes):
         return
     crashes.append(crash)
     step.isolate_until = Instant(now + MAX_ISOLATION_WAIT_S)
-    if _alike_widespread(step, task) >= ALIKE_CRASHES_BEFORE_DELAY:
+    alike = _alike_widespread(_crashes_under(step, task))
+    if len(alike) >= ALIKE_CRASHES_BEFORE_DELAY:
         delayed_until = Instant(now + _start_delay_s(task, crash))
         step.not_before = max(step.not_before, delayed_until)
     state.changed_jobs.add(task.job_id)
@@ -131,15 +146,22 @@
 ) -> Iterator[tuple[StepState, TaskKey]]:
     """Yield the culprits among the suspects of some crashes.
 
-    The evidence may change between two of them.
+    A crash under one member of a gang counts towards the limits of others, so that all
+    members with evidence are weighed. The evidence may change between two culprits.
     """
     for worker in crashes:
+        weighed_gangs: set[StepKey] = set()
         for task in state.crash_suspects.take_unweighed(worker):
             step = state.step_of(task)
-            if step is None or step.job.phase.is_final:
+            if step is None or step.job.phase.is_final or step.key in weighed_gangs:
                 continue
-            if _is_culprit(state, step, task):
-                yield step, task
+            tasks = [task]
+            if step.spec.gang:
+                weighed_gangs.add(step.key)
+                tasks = [step.task(index) for index in sorted(step.crashes_by_index)]
+            culprit = _first_culprit(state, step, tasks)
+            if culprit is not None:
+                yield step, culprit
 
 
 def explain_crashes(state: SchedulerState, step: StepState, task: TaskKey) -> None:
@@ -157,8 +179,8 @@
 
     The evidence against their other suspects weighs more from now on.
     """
-    task = evidence_key(step, index)
-    crashes = step.crashes_by_index.pop(task.index, [])
+    task = step.task(index)
+    crashes = step.crashes_by_index.pop(index, [])
     if not crashes:
         return []
     state.isolation.remove_suspects([task])
@@ -170,52 +192,76 @@
 
 def outlives_crashes(step: StepState, run: Run) -> bool:
     """Tell whether a run has gone on for so long that it clears its task."""
-    crashes = step.crashes_by_index.get(0 if step.spec.gang else run.task.index, ())
+    crashes = step.crashes_by_index.get(run.task.index, ())
     longest_ms = max((crash.ran_ms for crash in crashes), default=0)
     longest_s = longest_ms / MS_PER_SECOND
     return run.listed_s >= max(MIN_CLEARING_S, CLEARING_FACTOR * longest_s)
 
 
-def _is_culprit(state: SchedulerState, step: StepState, task: TaskKey) -> bool:
-    runs = _crashes_by_run(step, task)
-    lone = [crashes for crashes in runs if not _is_widespread(crashes)]
-    unexplained = sum(
-        any(not crash.is_explained for crash in crashes) for crashes in lone
+def _first_culprit(
+    state: SchedulerState, step: StepState, tasks: Iterable[TaskKey]
+) -> TaskKey | None:
+    counts = _crash_counts(step)
+    return next((one for one in tasks if _is_culprit(state, step, one, counts)), None)
+
+
+class _CrashCount(Protocol):
+    """Returns how many crashes count towards the limits of a task's starts."""
+
+    def __call__(self, crashes: list[CrashRecord], /) -> int: ...
+
+
+class _CrashCounts(NamedTuple):
+    """How crashes are counted: those that are not explained, and all of them."""
+
+    unexplained: _CrashCount
+    all: _CrashCount
+
+
+def _crash_counts(step: StepState) -> _CrashCounts:
+    if not step.spec.gang:
+        return _CrashCounts(len, len)
+    return _CrashCounts(
+        gang_crashes(step, with_explained=False).count_for_member,
+        gang_crashes(step, with_explained=True).count_for_member,
     )
-    limit = MAX_CRASHES - len(lone)
-    if unexplained >= MAX_UNEXPLAINED_CRASHES or limit <= _alike_widespread(step, task):
+
+
+def _is_culprit(
+    state: SchedulerState, step: StepState, task: TaskKey, counts: _CrashCounts
+) -> bool:
+    crashes = _crashes_under(step, task)
+    lone = [crash for crash in crashes if not crash.is_widespread]
+    unexplained = [crash for crash in lone if not crash.is_explained]
+    if counts.unexplained(unexplained) >= MAX_UNEXPLAINED_CRASHES:
+        return True
+    if counts.all([*lone, *_alike_widespread(crashes)]) >= MAX_CRASHES:
         return True
     weight_by_address: dict[str, int] = {}
-    for crashes in runs:
-        unseen = [one for one in crashes if one.address not in weight_by_address]
-        weight, address = max(
-            (_weight(state, task, one), one.address) for one in unseen or crashes
-        )
-        known = weight_by_address.get(address, 0)
-        weight_by_address[address] = max(weight, known)
+    for crash in crashes:
+        known = weight_by_address.get(crash.address, 0)
+        weight_by_address[crash.address] = max(known, _weight(state, task, crash))
     return sum(weight_by_address.values()) >= CULPRIT_WEIGHT
 
 
-def _is_widespread(crashes: Iterable[CrashRecord]) -> bool:
-    return all(crash.is_widespread for crash in crashes)
-
+def _crashes_under(step: StepState, task: TaskKey) -> list[CrashRecord]:
+    """Return the crashes of workers that may have run a task."""
+    crashes = step.crashes_by_index.get(task.index, ())
+    return [crash for crash in crashes if not is_unattributed(step, crash)]
 
-def _alike_widespread(step: StepState, task: TaskKey) -> int:
-    """Return how many widespread crashes came after equally long runs of a task."""
-    runs = _crashes_by_run(step, task)
-    return _count_alike([crashes for crashes in runs if _is_widespread(crashes)])
 
-
-def _count_alike(runs: Iterable[list[CrashRecord]]) -> int:
-    """Return how many of some runs lasted equally long."""
-    ages = [max(crash.ran_ms for crash in crashes) for crashes in runs]
-    return max(
-        (
-            sum(age <= other <= age + MAX_AGE_DIFFERENCE_MS for other in ages)
-            for age in ages
-        ),
-        default=0,
+def _alike_widespread(crashes: Iterable[CrashRecord]) -> list[CrashRecord]:
+    """Return the most widespread crashes that came after equally long runs."""
+    widespread = [crash for crash in crashes if crash.is_widespread]
+    groups = (
+        [
+            other
+            for other in widespread
+            if 0 <= other.ran_ms - crash.ran_ms <= MAX_AGE_DIFFERENCE_MS
+        ]
+        for crash in widespread
     )
+    return max(groups, key=len, default=[])
 
 
 def _start_delay_s(task: TaskKey, crash: CrashRecord) -> float:
@@ -224,20 +270,6 @@
     return MIN_START_DELAY_S + digest / 2**32 * (MAX_START_DELAY_S - MIN_START_DELAY_S)
 
 
-def _crashes_by_run(step: StepState, task: TaskKey) -> list[list[CrashRecord]]:
-    """Return the crashes under a task, those under one run of a gang together.
-
-    A gang that is spread over several workers may lose more than one of them at once.
-    """
-    crashes = step.crashes_by_index.get(task.index, [])
-    if not step.spec.gang:
-        return [[crash] for crash in crashes]
-    by_run: dict[int | WorkerIncarnation, list[CrashRecord]] = {}
-    for crash in crashes:
-        by_run.setdefault(crash.run_number or crash.worker, []).append(crash)
-    return list(by_run.values())
-
-
 def _is_confirmed(crash: CrashRecord) -> bool:
     # Records of earlier versions tell it for early runs only.
     return crash.is_confirmed or crash.is_early
@@ -262,6 +294,24 @@
         state.crash_suspects.add(task, crash, is_known=is_known)
 
 
+def _drop_unattributed(
+    state: SchedulerState, step: StepState, worker: WorkerIncarnation
+) -> None:
+    """Forget a gang's crash without members, as it is recorded again with them.
+
+    A holder of an earlier version may have stored it, and left its worker's record.
+    """
+    first = step.task(0)
+    crashes = step.crashes_by_index.get(0, [])
+    kept = [one for one in crashes if one.members or one.worker != worker]
+    if len(kept) == len(crashes):
+        return
+    step.crashes_by_index[0] = kept
+    state.crash_suspects.remove(first, [worker])
+    if not kept:
+        state.isolation.remove_suspects([first])
+
+
 def _drop_unknown_suspects(state: SchedulerState) -> None:
     """Forget the suspects whose jobs are not known any more."""
     unknown = state.crash_suspects.remove_unknown(
--- a/tamarackmount/scheduling/evidence/suspect_isolation.py
+++ b/tamarackmount/scheduling/evidence/suspect_isolation.py
@@ -6,14 +6,17 @@
 beside it before its worker is known to have survived the start. Where all suitable
 workers are taken, a suspect waits for a while; then tasks start there all the same. A
 suspect prefers other addresses than those of its crashes, since a worker may be at
-fault.
+fault. Of a gang, only the suspects among its members are kept apart.
 """
 
-from collections.abc import Sequence
+from collections.abc import Collection, Mapping, Sequence
+from dataclasses import dataclass, field
 
 from tamarackmount.ids import Instant
+from tamarackmount.scheduling.domain.model import WorkerIncarnation
 from tamarackmount.scheduling.evidence.crash_evidence import (
     crash_addresses,
+    has_suspects,
     is_suspect,
 )
 from tamarackmount.scheduling.jobs.runs import StepState
@@ -21,6 +24,25 @@
 from tamarackmount.scheduling.workers.workers import WorkerState
 
 
+@dataclass(frozen=True, slots=True)
+class GangWorkers:
+    """The workers on which the members of a gang may start.
+
+    Suspects may start only on those in ``workers_by_suspect``, which has them by the
+    index of the member; they are among ``workers``.
+    """
+
+    workers: Sequence[WorkerState]
+    workers_by_suspect: Mapping[int, Collection[WorkerIncarnation]] = field(
+        default_factory=dict
+    )
+
+    def allows(self, index: int, worker: WorkerState) -> bool:
+        """Tell whether a member may start on one of the workers."""
+        allowed = self.workers_by_suspect.get(index)
+        return allowed is None or worker.incarnation in allowed
+
+
 def isolated_workers(
     state: SchedulerState,
     step: StepState,
@@ -34,23 +56,73 @@
     """
     if not state.suspected_tasks:
         return workers
-    isolation = state.isolation
     if not is_suspect(state, step, index):
-        return [
-            worker
-            for worker in workers
-            if not isolation.has_new_suspects(worker.incarnation, step.key.job_id)
-        ] or workers
-    found = [
-        worker
-        for worker in workers
-        if not isolation.has_interfering_runs(worker.incarnation, step.key.job_id)
-    ]
+        return _without_new_suspects(state, step, workers) or workers
+    found = _without_interference(state, step, workers)
     if not found and waits_apart(state, step, index, now):
         return []
+    return _elsewhere(step, index, found) or found or workers
+
+
+def gang_workers(
+    state: SchedulerState,
+    step: StepState,
+    workers: Sequence[WorkerState],
+    now: Instant,
+) -> list[GangWorkers]:
+    """Return on which workers the members of a gang may start, the best choice first.
+
+    The gang may need more workers than the better choices have.
+    """
+    if not state.suspected_tasks:
+        return [GangWorkers(workers)]
+    others = _without_new_suspects(state, step, workers)
+    if not has_suspects(state, step):
+        is_same = len(others) == len(workers)
+        return [GangWorkers(others), GangWorkers(workers)][is_same:]
+    apart = _without_interference(state, step, workers)
+    suspects = [
+        index for index in step.crashes_by_index if is_suspect(state, step, index)
+    ]
+    elsewhere_by_suspect = {
+        index: _incarnations(_elsewhere(step, index, apart)) for index in suspects
+    }
+    apart_by_suspect = dict.fromkeys(suspects, _incarnations(apart))
+    choices = [
+        GangWorkers(others, elsewhere_by_suspect),
+        GangWorkers(workers, apart_by_suspect),
+    ]
+    if now >= step.isolate_until:
+        choices.append(GangWorkers(workers))
+    return choices
+
+
+def _without_new_suspects(
+    state: SchedulerState, step: StepState, workers: Sequence[WorkerState]
+) -> list[WorkerState]:
+    """Return the workers on which no suspect of another job has just started."""
+    has_any, job_id = state.isolation.has_new_suspects, step.key.job_id
+    return [worker for worker in workers if not has_any(worker.incarnation, job_id)]
+
+
+def _without_interference(
+    state: SchedulerState, step: StepState, workers: Sequence[WorkerState]
+) -> list[WorkerState]:
+    """Return the workers on which a crash could be due to no other job."""
+    has_any, job_id = state.isolation.has_interfering_runs, step.key.job_id
+    return [worker for worker in workers if not has_any(worker.incarnation, job_id)]
+
+
+def _elsewhere(
+    step: StepState, index: int, workers: Sequence[WorkerState]
+) -> list[WorkerState]:
+    """Return the workers at other addresses than those of a task's crashes."""
     crashed_at = crash_addresses(step, index)
-    elsewhere = [worker for worker in found if worker.entry.address not in crashed_at]
-    return elsewhere or found or workers
+    return [worker for worker in workers if worker.entry.address not in crashed_at]
+
+
+def _incarnations(workers: Sequence[WorkerState]) -> frozenset[WorkerIncarnation]:
+    return frozenset(worker.incarnation for worker in workers)
 
 
 def waits_apart(
--- a/tamarackmount/scheduling/execution/run_reconciliation.py
+++ b/tamarackmount/scheduling/execution/run_reconciliation.py
@@ -84,7 +84,7 @@
     was_listed = run.listed_s > 0
     run.listed_s = max(run.listed_s, sent - run.began_at)
     if not was_listed:
-        state.isolation.update_run(run, state.step_of(run.task))
+        state.isolation.update_run(run)
 
 
 def _log_differences(
--- a/tamarackmount/scheduling/execution/run_starts.py
+++ b/tamarackmount/scheduling/execution/run_starts.py
@@ -6,7 +6,7 @@
 from tamarackmount.scheduling.domain.effects import StartRun
 from tamarackmount.scheduling.domain.model import JobPhase
 from tamarackmount.scheduling.domain.worker_reports import StartOrder
-from tamarackmount.scheduling.evidence.crash_evidence import is_suspect
+from tamarackmount.scheduling.evidence.crash_evidence import has_suspects, is_suspect
 from tamarackmount.scheduling.execution.run_ends import format_task
 from tamarackmount.scheduling.jobs.runs import Run, RunPhase, StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
@@ -95,16 +95,23 @@
     """Tell whether a start order waits for the store also while that is slow.
 
     The next holder has to know of each worker that a suspect crashes, and waits only
-    for reports of workers of which the store has a record.
+    for reports of workers of which the store has a record. The members of a gang wait
+    together.
     """
     step = state.step_of(run.task)
     worker = state.workers_by_incarnation.get(run.incarnation)
     is_recorded = worker is not None and worker.is_stored
     return not is_recorded or (
-        step is not None and is_suspect(state, step, run.task.index)
+        step is not None and _may_crash_workers(state, step, run)
     )
 
 
+def _may_crash_workers(state: SchedulerState, step: StepState, run: Run) -> bool:
+    if step.spec.gang:
+        return has_suspects(state, step)
+    return is_suspect(state, step, run.task.index)
+
+
 def send_start(state: SchedulerState, run: Run, start: StartRun) -> None:
     """Send a run's start order."""
     run.is_ordered = True
--- a/tamarackmount/scheduling/jobs/runs.py
+++ b/tamarackmount/scheduling/jobs/runs.py
@@ -23,6 +23,10 @@
 from tamarackmount.scheduling.estimates.peak_use import PeakUse
 from tamarackmount.scheduling.jobs.index_ranges import IndexRanges
 from tamarackmount.scheduling.jobs.step_advice import StepAdvice
+from tamarackmount.scheduling.store.gang_evidence import (
+    merge_members,
+    split_by_member,
+)
 from tamarackmount.scheduling.store.journal import CrashRecord, JobProgress
 
 T = TypeVar("T")
@@ -271,6 +275,21 @@
         spec = self.spec
         return spec.speculative and not (spec.gang or spec.perpetual)
 
+    def stored_crashes(self) -> Mapping[int, list[CrashRecord]]:
+        """Return the evidence as it is stored."""
+        if not (self.spec.gang and self.crashes_by_index):
+            return self.crashes_by_index
+        return {0: merge_members(self.crashes_by_index)}
+
+    def restore_crashes(self, index: int, crashes: list[CrashRecord]) -> None:
+        """Restore the evidence that is stored under a task."""
+        if not self.spec.gang:
+            self.crashes_by_index[index] = list(crashes)
+            return
+        by_index = split_by_member(crashes, self.spec.count)
+        for member, of_member in by_index.items():
+            self.crashes_by_index.setdefault(member, []).extend(of_member)
+
     def avoid_worker(self, worker_id: WorkerId, now: Instant) -> None:
         """Prefer other workers, as a task failed or was a straggler on this one."""
         self.failed_on.add(worker_id)
@@ -434,7 +453,7 @@
             crashes_by_task={
                 f"{step.name}.{index}": crashes
                 for step in steps
-                for index, crashes in step.crashes_by_index.items()
+                for index, crashes in step.stored_crashes().items()
                 if crashes
             },
         )
@@ -485,7 +504,7 @@
         for found, index, checkpoint in _by_step(job, progress.checkpoints_by_task):
             found.checkpoints_by_index[index] = checkpoint
         for found, index, crashes in _by_step(job, progress.crashes_by_task):
-            found.crashes_by_index[index] = list(crashes)
+            found.restore_crashes(index, crashes)
     following = job.next_occurrence
     if following is not None and not job.steps_by_key:
         job.open_occurrence(following)
--- a/tamarackmount/scheduling/scheduler_state.py
+++ b/tamarackmount/scheduling/scheduler_state.py
@@ -220,7 +220,6 @@
     def add_job(self, job: JobState) -> None:
         """Add a job; runs of it may be known already."""
         self.jobs_by_id[job.job_id] = job
-        self.isolation.job_added(job)
         self.wait_for_next_occurrence(job)
 
     def step_of(self, task: TaskKey) -> StepState | None:
@@ -244,7 +243,6 @@
     def open_occurrence(self, job: JobState, occurrence: int) -> None:
         """Create the state of an occurrence's steps, and mark those that are ready."""
         steps = job.open_occurrence(occurrence)
-        self.isolation.steps_added(steps)
         for step in steps:
             self.make_ready(step)
 
@@ -299,7 +297,7 @@
         run.is_orphaned = True
         self.orphaned_run_count_by_task[run.task] += 1
         worker.reserve_capacity(run)
-        self.isolation.add_run(run, self.step_of(run.task))
+        self.isolation.add_run(run)
         self._count_ceiling_usage(run, 1)
         if stops_now:
             self.stop_run(run, now)
@@ -344,7 +342,7 @@
     def add_run(self, worker: WorkerState, step: StepState, run: Run) -> None:
         """Add a new run of a step, with its capacity and its workspace's usage."""
         worker.reserve_capacity(run)
-        self.isolation.add_run(run, step)
+        self.isolation.add_run(run)
         self.changed_workers.add(worker.incarnation)
         step.runs_by_index[run.task.index] = run
         step.pending.discard(run.task.index)
@@ -399,7 +397,7 @@
         if worker is not None:
             worker.release_capacity(run)
             self.changed_workers.add(worker.incarnation)
-        self.isolation.remove_run(run, self.step_of(run.task))
+        self.isolation.remove_run(run)
         self._count_ceiling_usage(run, -1)
         if run.is_orphaned:
             self.orphaned_run_count_by_task -= Counter([run.task])
@@ -489,7 +487,6 @@
         if any(step.runs() for step in job.steps_by_key.values()):
             return
         if self.jobs_by_id.pop(job.job_id, None) is not None:
-            self.isolation.job_removed(job)
             self.crash_suspects.job_removed(job)
 
     def stop_run(self, run: Run, now: Instant) -> None:
--- a/tamarackmount/scheduling/store/journal.py
+++ b/tamarackmount/scheduling/store/journal.py
@@ -131,7 +131,9 @@
     after, and before it answered a poll that was sent after the start. A crash that
     was put down to another task ``is_explained``. ``run_number`` is the run's number,
     and 0 in records of earlier versions. The crash ``is_widespread`` if other workers,
-    without a task of the job, crashed at the same moment.
+    without a task of the job, crashed at the same moment. Of a gang, ``members`` are
+    the indexes of those that were on the worker; earlier versions ignore them, and
+    their records have none.
     """
 
     worker: WorkerIncarnation
@@ -142,6 +144,7 @@
     is_confirmed: bool = False
     run_number: int = 0
     is_widespread: bool = False
+    members: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,8 +161,8 @@
     versions lack it. ``checkpoints_by_task`` has the checkpoints of tasks that wait;
     workers report those of tasks that run. ``final_unix_ms`` is when the job reached a
     final phase. ``crashes_by_task`` is the evidence that tasks crash their workers,
-    under the same keys. ``cause`` says why a job has failed: a value of
-    ``FailureCause``, or one of a later version.
+    under the same keys; that of a gang is under its first task. ``cause`` says why a
+    job has failed: a value of ``FailureCause``, or one of a later version.
     """
 
     phase: JobPhase
--- /dev/null
+++ b/tests/test_scheduling_give_up_rules.py
@@ -0,0 +1,172 @@
+"""Properties of the rules about when a job is given up for crashes of its workers."""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from tamarackmount.scheduling.evidence.crash_evidence import (
+    find_culprits,
+    record_crash,
+)
+from tamarackmount.scheduling.evidence.gang_crashes import MAX_GANG_CRASHES
+from tamarackmount.scheduling.jobs.runs import StepState
+from tamarackmount.scheduling.store.journal import CrashRecord
+from tests.utils.build_gangs import has_excuse, is_given_up
+from tests.utils.build_scheduling import (
+    SchedulerHarness,
+    incarnation,
+    job,
+    step,
+)
+from tests.utils.crash_scenarios import CrashScenario, JobPlan, crash_scenarios, play
+
+MEMBERS = 5
+
+MIN_CRASHES = 2
+"""Number of workers that have to crash under a task before it may be given up."""
+
+LIMITING_CRASHES = 3
+STARTS_AFTER_LIMIT = 2
+"""The users allow two more starts after three workers have crashed under a task."""
+
+
+@dataclass(frozen=True)
+class Crash:
+    """A crash of a worker: the tasks there, and how they had run."""
+
+    indexes: set[int]
+    is_early: bool
+    is_confirmed: bool
+    ran_ms: int
+    address: int
+
+
+CRASHES = st.lists(
+    st.builds(
+        Crash,
+        indexes=st.sets(st.integers(0, MEMBERS - 1), min_size=1),
+        is_early=st.booleans(),
+        is_confirmed=st.booleans(),
+        ran_ms=st.sampled_from([20, 3_000]),
+        address=st.integers(0, 5),
+    ),
+    max_size=3 * MAX_GANG_CRASHES,
+)
+
+
+def _crashes_until_given_up(
+    crashes: list[Crash], *, is_gang: bool, is_widespread: bool = False
+) -> tuple[list[Crash], bool]:
+    """Return the crashes up to that with which a job was given up, and if it was."""
+    harness = SchedulerHarness()
+    accepted = job(1, step(MEMBERS, gang=is_gang))
+    harness.submit_job(accepted)
+    state = harness.scheduler._state
+    found: StepState
+    (found,) = state.jobs_by_id[accepted.job_id].steps_by_key.values()
+    for number, crash in enumerate(crashes, 1):
+        record = CrashRecord(
+            incarnation(f"w{number}"),
+            f"address{crash.address}",
+            crash.ran_ms,
+            is_early=crash.is_early,
+            is_confirmed=crash.is_confirmed,
+            run_number=number,
+            is_widespread=is_widespread,
+        )
+        for index in crash.indexes:
+            record_crash(state, found, index, record, harness.now)
+        if list(find_culprits(state, [record.worker])):
+            return crashes[:number], True
+    return crashes, False
+
+
+def _crashes_by_task(crashes: list[Crash]) -> Counter[int]:
+    return Counter(index for crash in crashes for index in crash.indexes)
+
+
+@given(CRASHES, st.booleans(), st.booleans())
+def test_a_job_was_given_up_without_two_crashes_under_a_task(
+    crashes: list[Crash], is_gang: bool, is_widespread: bool
+) -> None:
+    seen, is_over = _crashes_until_given_up(
+        crashes, is_gang=is_gang, is_widespread=is_widespread
+    )
+    if is_over:
+        assert max(_crashes_by_task(seen).values()) >= MIN_CRASHES
+
+
+@given(CRASHES)
+def test_a_task_crashed_more_workers_than_its_budget(crashes: list[Crash]) -> None:
+    seen, _ = _crashes_until_given_up(crashes, is_gang=False)
+    starts = _crashes_by_task(seen)
+    assert max(starts.values(), default=0) <= LIMITING_CRASHES + STARTS_AFTER_LIMIT
+
+
+@given(CRASHES)
+def test_tasks_that_crash_together_after_equal_times_exceeded_their_budget(
+    crashes: list[Crash],
+) -> None:
+    alike = [crash for crash in crashes if crash.ran_ms == 20]
+    seen, _ = _crashes_until_given_up(alike, is_gang=False, is_widespread=True)
+    starts = _crashes_by_task(seen)
+    assert max(starts.values(), default=0) <= LIMITING_CRASHES + STARTS_AFTER_LIMIT
+
+
+@given(CRASHES)
+def test_a_member_started_over_its_budget_as_others_crashed_their_workers(
+    crashes: list[Crash],
+) -> None:
+    """Each crash ends a run of all members of the gang."""
+    seen, is_over = _crashes_until_given_up(crashes, is_gang=True)
+    starts = len(seen) if is_over else len(seen) + 1
+    for index in range(MEMBERS):
+        under = [number for number, one in enumerate(seen, 1) if index in one.indexes]
+        if len(under) >= LIMITING_CRASHES:
+            assert starts - under[LIMITING_CRASHES - 1] <= STARTS_AFTER_LIMIT
+
+
+@given(CRASHES)
+def test_a_gang_crashed_more_workers_than_its_limit(crashes: list[Crash]) -> None:
+    seen, _ = _crashes_until_given_up(crashes, is_gang=True)
+    by_task = _crashes_by_task(seen)
+    assert len(seen) <= MAX_GANG_CRASHES or max(by_task.values()) <= MIN_CRASHES
+
+
+# Deadly tasks of another job crash at the same moments as a member of the gang.
+@example(
+    CrashScenario(
+        worker_count=6,
+        downtime_s=0.3,
+        keeps_id=False,
+        plans=[
+            JobPlan(
+                step(6, estimated_ms=12_000, gang=True, max_per_worker=1),
+                deadly_count=2,
+                min_age_s=0.0,
+                max_age_s=4.0,
+            ),
+            JobPlan(
+                step(4, estimated_ms=12_000),
+                deadly_count=3,
+                min_age_s=0.0,
+                max_age_s=0.0,
+            ),
+        ],
+        chance_crashes=[0],
+        takeovers={0},
+        seed=0,
+    )
+)
+@settings(max_examples=60, deadline=None)
+@given(crash_scenarios())
+def test_crashes_gave_up_a_job_without_an_excuse_or_exceeded_a_budget(
+    scenario: CrashScenario,
+) -> None:
+    pool, jobs = play(scenario)
+    for accepted in jobs:
+        assert has_excuse(pool, accepted) or not is_given_up(pool, accepted)
+    for task in pool.deadly:
+        assert pool.started_over_budget[task] == 0
--- a/tests/test_scheduling_suspect_index.py
+++ b/tests/test_scheduling_suspect_index.py
@@ -15,13 +15,13 @@
     explain_crashes,
     record_crash,
 )
+from tamarackmount.scheduling.evidence.suspect_isolation import GangWorkers
 from tamarackmount.scheduling.execution import run_ends
 from tamarackmount.scheduling.execution.run_reconciliation import record_listed
 from tamarackmount.scheduling.jobs.runs import Run, RunPhase, StepState, make_job
 from tamarackmount.scheduling.placement import gang_choice, placement
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.store.journal import CrashRecord
-from tamarackmount.scheduling.workers.isolation_index import evidence_key
 from tamarackmount.scheduling.workers.workers import WorkerState
 from tests.utils.build_scheduling import (
     HIGH_PRIORITY,
@@ -35,6 +35,7 @@
 from tests.utils.plain_evidence import compared_culprits, unknown_suspects, was_shared
 from tests.utils.plain_isolation import (
     has_interference,
+    plain_gang_workers,
     plain_isolated_workers,
     workers_of_new_suspects,
 )
@@ -72,6 +73,7 @@
         """Begin with no decisions."""
         self.among_suspects = 0
         self.kept_apart = 0
+        self.gangs_kept_apart = 0
 
     def isolated_workers(
         self,
@@ -89,6 +91,25 @@
         self.kept_apart += len(found) < len(workers)
         return found
 
+    def gang_workers(
+        self,
+        state: SchedulerState,
+        step_state: StepState,
+        workers: Sequence[WorkerState],
+        now: Instant,
+    ) -> list[GangWorkers]:
+        """Return the workers on which a gang can start apart from suspects."""
+        found = suspect_isolation.gang_workers(state, step_state, workers, now)
+        assert [
+            (
+                {worker.incarnation for worker in choice.workers},
+                {index: set(row) for index, row in choice.workers_by_suspect.items()},
+            )
+            for choice in found
+        ] == plain_gang_workers(state, step_state, workers, now)
+        self.gangs_kept_apart += bool(found[0].workers_by_suspect)
+        return found
+
 
 @pytest.mark.parametrize("seed", range(12))
 def test_a_decision_about_suspects_differed_from_a_search_through_all_runs(
@@ -96,8 +117,8 @@
 ) -> None:
     """Workers crash and are cut off, tasks crash them, and holders are replaced."""
     decisions = ComparedDecisions()
-    for module in (placement, gang_choice):
-        monkeypatch.setattr(module, "isolated_workers", decisions.isolated_workers)
+    monkeypatch.setattr(placement, "isolated_workers", decisions.isolated_workers)
+    monkeypatch.setattr(gang_choice, "gang_workers", decisions.gang_workers)
     monkeypatch.setattr(run_ends, "find_culprits", compared_culprits)
     rng = random.Random(seed)
     pool = CrashingPool(
@@ -243,7 +264,7 @@
         found = self.state.step_of(task)
         if found is None:
             return
-        known = found.crashes_by_index.get(evidence_key(found, task.index).index, ())
+        known = found.crashes_by_index.get(task.index, ())
         fresh = [
             crash
             for crash in self._crashes_of(worker)
--- a/tests/utils/crashing_pool.py
+++ b/tests/utils/crashing_pool.py
@@ -10,12 +10,18 @@
 from tamarackmount.scheduling.contact.store_batches import Batch
 from tamarackmount.scheduling.domain.accepted_job import AcceptedJob
 from tamarackmount.scheduling.domain.effects import PollWorker
-from tamarackmount.scheduling.domain.model import JobPhase, TaskKey, WorkerIncarnation
+from tamarackmount.scheduling.domain.model import (
+    JobPhase,
+    StepSpec,
+    TaskKey,
+    WorkerIncarnation,
+)
 from tamarackmount.scheduling.domain.worker_reports import (
     EndedRun,
     OrderResult,
     PollFailure,
     RunEnd,
+    StartOrder,
     WorkerEntry,
     WorkerReport,
 )
@@ -36,6 +42,12 @@
     SimulatedWorker,
 )
 
+CRASHES_BEFORE_BUDGET = 3
+"""Number of workers that crash under a task before the users limit its starts."""
+
+STARTS_AFTER_CRASHES = 2
+"""Number of starts that the users allow such a task."""
+
 
 class CrashingPool:
     """Workers, and a holder that may be replaced.
@@ -44,8 +56,13 @@
     and before the order is answered if that is negative;
     another incarnation takes the worker's place ``downtime_s`` later, under the same
     worker id if ``keeps_id`` is set, and otherwise under another id at the same
-    address. Other tasks take their estimate. Orders about tasks in ``held_back`` get no
-    answer and are not carried out.
+    address. ``crash_ages`` draws another age for a task, in seconds. Other tasks take
+    their estimate. Orders about tasks in ``held_back`` get no answer and are not
+    carried out. ``started_over_budget`` counts the starts of a task, beyond the two
+    that the users allow, after three workers have crashed under it.
+
+    A run of a gang is broken when a member of it is lost; it continues from where it
+    was if its step saves its progress.
     """
 
     STEP_S = 0.02
@@ -64,6 +81,8 @@
         self.held_back: set[TaskKey] = set()
         self.started: Counter[TaskKey] = Counter()
         self.started_unstored: Counter[TaskKey] = Counter()
+        self.started_over_budget: Counter[TaskKey] = Counter()
+        self.crash_ages: dict[TaskKey, Callable[[], float]] = {}
         self.crashed_under: Counter[TaskKey] = Counter()
         self.crash_count = 0
         self.polled: Counter[WorkerIncarnation] = Counter()
@@ -79,6 +98,7 @@
         self._replacements: list[tuple[float, WorkerEntry]] = []
         self._registered: dict[WorkerId, tuple[WorkerEntry, float]] = {}
         self._is_holder_lost = False
+        self._starts_after_crashes: Counter[TaskKey] = Counter()
         for number in range(worker_count):
             self._add_worker(worker_entry(f"w{number}", cores))
         self.harness.register_workers(*self._entries())
@@ -201,8 +221,22 @@
         worker = self.workers.pop(where)
         for poll, sent in worker.unanswered:
             self._answer(poll, PollFailure.NO_ANSWER, sent)
+        for key in worker.runs:
+            self._break_gang(*key)
         return worker
 
+    def _break_gang(self, lost: TaskKey, number: int) -> None:
+        """Let the other members of a gang's run end soon, as one is lost."""
+        if not self._spec_of(lost).gang:
+            return
+        for worker in self.workers.values():
+            for (task, other), run in worker.runs.items():
+                if task.step_key == lost.step_key and other == number:
+                    run.ends_at, run.outcome = self.now, RunEnd.GANG_BROKEN
+
+    def _spec_of(self, task: TaskKey) -> StepSpec:
+        return self.jobs_by_id[task.job_id].spec.steps[task.step]
+
     def _step(self) -> None:
         self.harness.now = Instant(self.harness.now + self.STEP_S)
         self._advance_workers()
@@ -281,11 +315,20 @@
     def _end(
         self, worker: SimulatedWorker, key: tuple[TaskKey, int], outcome: RunEnd
     ) -> None:
-        del worker.runs[key]
+        run = worker.runs.pop(key)
         worker.end_number += 1
-        worker.ended.append(EndedRun(worker.end_number, *key, outcome, ""))
+        saved = self._checkpoint(key[0], run)
+        worker.ended.append(EndedRun(worker.end_number, *key, outcome, saved))
         if outcome is RunEnd.DONE:
             self.done.add(key[0])
+        elif outcome is not RunEnd.GANG_BROKEN:
+            self._break_gang(*key)
+
+    def _checkpoint(self, task: TaskKey, run: SimulatedRun) -> str:
+        """Return the milliseconds of work that a run has saved."""
+        if not self._spec_of(task).saves_progress:
+            return ""
+        return str(int(run.resumed_ms + (self.now - run.began_at) * 1_000))
 
     def _carry_out_orders(self) -> None:
         self._carry_out_starts()
@@ -302,7 +345,7 @@
                 result = OrderResult.UNKNOWN
             elif may_send and worker is not None and not worker.is_cut:
                 result = OrderResult.DONE
-                self._start(worker, order.task, order.run_number)
+                self._start(worker, order)
                 if self._crash_after_s < 0 and order.task in self.deadly:
                     result = OrderResult.UNKNOWN
                     self.crash(order.incarnation)
@@ -326,18 +369,22 @@
                 stop.incarnation, stop.task, stop.run_number, result, self.now
             )
 
-    def _start(self, worker: SimulatedWorker, task: TaskKey, number: int) -> None:
+    def _start(self, worker: SimulatedWorker, order: StartOrder) -> None:
+        task = order.task
         record = self.harness.records.get(worker_key(worker.entry.incarnation), b"")
         if encode_task(task).encode() not in record:
             self.started_unstored[task] += 1
-        spec = self.jobs_by_id[task.job_id].spec.steps[task.step]
-        ends_at = self.now + spec.estimated_ms / 1_000
+        spec = self._spec_of(task)
+        resumed_ms = int(order.checkpoint or 0)
+        ends_at = self.now + (spec.estimated_ms - resumed_ms) / 1_000
         run = SimulatedRun(self.now, float("inf") if spec.perpetual else ends_at)
+        run.resumed_ms = resumed_ms
         if task in self.deadly:
-            run.crashes_at = self.now + self._crash_after_s
-        worker.runs[task, number] = run
+            draw_age = self.crash_ages.get(task, lambda: self._crash_after_s)
+            run.crashes_at = self.now + draw_age()
+        worker.runs[task, order.run_number] = run
         worker.lease_ends_at = max(worker.lease_ends_at, self.now + LEASE_S)
-        self.started[task] += 1
+        self._count_start(task)
         used = NOTHING
         for other, _ in worker.runs:
             steps = self.jobs_by_id[other.job_id].spec.steps
@@ -346,6 +393,13 @@
             name = worker.entry.incarnation.worker_id
             self.overloaded.append(f"{name} uses {used} of {worker.entry.capacity}")
 
+    def _count_start(self, task: TaskKey) -> None:
+        self.started[task] += 1
+        if self.crashed_under[task] >= CRASHES_BEFORE_BUDGET:
+            self._starts_after_crashes[task] += 1
+            is_over = self._starts_after_crashes[task] > STARTS_AFTER_CRASHES
+            self.started_over_budget[task] += is_over
+
     def _answer_polls(self) -> None:
         polls = self.harness.take_polls()
         for poll in polls:
--- a/tests/utils/late_orders_pool.py
+++ b/tests/utils/late_orders_pool.py
@@ -8,7 +8,11 @@
 from tamarackmount.resources import Resources, componentwise_maximum
 from tamarackmount.scheduling.domain.effects import StartRun, StopRun
 from tamarackmount.scheduling.domain.model import TaskKey, WorkerIncarnation
-from tamarackmount.scheduling.domain.worker_reports import OrderResult, RunEnd
+from tamarackmount.scheduling.domain.worker_reports import (
+    OrderResult,
+    RunEnd,
+    StartOrder,
+)
 from tests.utils.crashing_pool import CrashingPool
 from tests.utils.simulated_worker import LEASE_S, SimulatedWorker
 
@@ -87,7 +91,7 @@
         entry = worker.entry
         largest = componentwise_maximum(entry.capacity, row.capacity)
         worker.entry = replace(entry, capacity=largest)
-        self._start(worker, order.task, order.run_number)
+        self._start(worker, order)
         worker.entry = entry
         self.late_starts += 1
 
@@ -144,11 +148,11 @@
         key = stop.incarnation, stop.task
         self._barred[key] = max(self._barred[key], stop.run_number)
 
-    def _start(self, worker: SimulatedWorker, task: TaskKey, number: int) -> None:
-        where = self.worker_of(task)
+    def _start(self, worker: SimulatedWorker, order: StartOrder) -> None:
+        where = self.worker_of(order.task)
         if where is not None:
-            self.ran_twice.append(f"{task} run {number} beside {where}")
-        super()._start(worker, task, number)
+            self.ran_twice.append(f"{order.task} run {order.run_number} beside {where}")
+        super()._start(worker, order)
 
     def _end(
         self, worker: SimulatedWorker, key: tuple[TaskKey, int], outcome: RunEnd
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -23,6 +23,10 @@
 FAILED_RUNS = "tests/test_scheduling_failed_runs.py tests/test_scheduling_gang*.py"
 LISTED_ENDS = "tests/test_scheduling_listed_ends.py"
 CRASH_WAVES = "tests/test_scheduling_crash_waves.py"
+GANG_CRASHES = (
+    "tests/test_scheduling_gang_crashes.py tests/test_gang_evidence_records.py "
+    "tests/test_scheduling_give_up_rules.py"
+)
 WAITING_ORDERS = "tests/test_scheduling_waiting_orders.py"
 RESTARTED = (
     "tests/test_scheduling_restarted_workers.py "
@@ -612,7 +616,7 @@
     Mutant(
         "a task that crashes its workers is given up",
         "scheduling/evidence/crash_evidence.py",
-        "            if _is_culprit(state, step, task):",
+        "            if culprit is not None:",
         "            if False:",
         CRASHES,
     ),
@@ -626,9 +630,10 @@
     Mutant(
         "no task is started again without end, however its crashes are explained",
         "scheduling/evidence/crash_evidence.py",
-        "    limit = MAX_CRASHES - len(lone)\n"
-        "    if unexplained >= MAX_UNEXPLAINED_CRASHES or",
-        "    limit = MAX_CRASHES - len(lone)\n    if False and",
+        "    if counts.unexplained(unexplained) >= MAX_UNEXPLAINED_CRASHES:\n"
+        "        return True\n"
+        "    if counts.all([*lone, *_alike_widespread(crashes)]) >= MAX_CRASHES:",
+        "    if False:",
         CRASHES,
     ),
     Mutant(
@@ -653,24 +658,89 @@
         CRASH_WAVES,
     ),
     Mutant(
-        "one run of a gang counts once, however many of its workers crash",
+        "a crash is evidence only against the members of a gang that were there",
+        "scheduling/contact/worker_ends.py",
+        "        record_crash(state, step, run.task.index, crash, now)",
+        "        index = 0 if step.spec.gang else run.task.index\n"
+        "        record_crash(state, step, index, crash, now)",
+        GANG_CRASHES,
+    ),
+    Mutant(
+        "a gang is given up only if two workers crashed under one member",
+        "scheduling/evidence/gang_crashes.py",
+        "        if len(own) < MIN_MEMBER_CRASHES:\n            return len(own)\n",
+        "",
+        GANG_CRASHES,
+    ),
+    Mutant(
+        "a member of a gang starts few times more after three crashes under it",
+        "scheduling/evidence/gang_crashes.py",
+        "        return LIMITING_CRASHES + len(later)",
+        "        return len(own)",
+        GANG_CRASHES,
+    ),
+    Mutant(
+        "a gang whose members crash their workers in turn is given up",
+        "scheduling/evidence/gang_crashes.py",
+        "        if total >= MAX_GANG_CRASHES:",
+        "        if False:",
+        GANG_CRASHES,
+    ),
+    Mutant(
+        "crashes that an earlier version recorded count towards a member's limits",
+        "scheduling/evidence/gang_crashes.py",
+        "        earlier = min(self.unattributed, LIMITING_CRASHES)",
+        "        earlier = 0",
+        GANG_CRASHES,
+    ),
+    Mutant(
+        "crashes that an earlier version recorded are no evidence against a member",
+        "scheduling/evidence/gang_crashes.py",
+        "    return step.spec.gang and not crash.members",
+        "    return False",
+        GANG_CRASHES,
+    ),
+    Mutant(
+        "a crash that an earlier version recorded is not counted again",
         "scheduling/evidence/crash_evidence.py",
-        "    if not step.spec.gang:",
-        "    if True:",
-        CRASH_WAVES,
+        "        _drop_unattributed(state, step, crash.worker)\n",
+        "",
+        GANG_CRASHES,
+    ),
+    Mutant(
+        "all members with evidence are weighed after a crash under one of them",
+        "scheduling/evidence/crash_evidence.py",
+        "                tasks = [step.task(index) for index in "
+        "sorted(step.crashes_by_index)]",
+        "                tasks = [task]",
+        GANG_CRASHES,
+    ),
+    Mutant(
+        "the members of a gang wait together for their records",
+        "scheduling/execution/run_starts.py",
+        "        return has_suspects(state, step)",
+        "        return is_suspect(state, step, run.task.index)",
+        GANG_CRASHES,
+    ),
+    Mutant(
+        "a suspect of a gang starts at another address than where it crashed",
+        "scheduling/evidence/suspect_isolation.py",
+        "        GangWorkers(others, elsewhere_by_suspect),\n",
+        "",
+        GANG_CRASHES,
     ),
     Mutant(
         "tasks that crash their workers together are not started without end",
         "scheduling/evidence/crash_evidence.py",
-        "or limit <= _alike_widespread(step, task)",
-        "or limit <= 0",
+        "    if counts.all([*lone, *_alike_widespread(crashes)]) >= MAX_CRASHES:",
+        "    if counts.all(lone) >= MAX_CRASHES:",
         "tests/test_scheduling_deadly_tasks_together.py",
     ),
     Mutant(
         "tasks are not given up for crashes of many workers at once",
         "scheduling/evidence/crash_evidence.py",
-        "    return all(crash.is_widespread for crash in crashes)",
-        "    return False",
+        "    lone = [crash for crash in crashes if not crash.is_widespread]",
+        "    lone = crashes",
         CRASH_WAVES,
     ),
     Mutant(
--- a/tests/utils/plain_evidence.py
+++ b/tests/utils/plain_evidence.py
@@ -12,6 +12,7 @@
     SHARED_WEIGHT,
     SOLE_WEIGHT,
 )
+from tamarackmount.scheduling.evidence.gang_crashes import MAX_GANG_CRASHES
 from tamarackmount.scheduling.jobs.runs import StepState
 from tamarackmount.scheduling.scheduler_state import SchedulerState
 from tamarackmount.scheduling.store.journal import CrashRecord
@@ -51,32 +52,71 @@
     state: SchedulerState, crashes: Iterable[WorkerIncarnation]
 ) -> Iterator[tuple[StepState, TaskKey]]:
     for worker in crashes:
+        weighed = set()
         for task in sorted(state.crash_suspects.tasks_of(worker)):
             step = state.step_of(task)
             if step is None or step.job.phase.is_final:
                 continue
-            if _is_culprit(state, step, task):
-                yield step, task
+            for one in _tasks_to_weigh(step, task):
+                if one not in weighed and _is_culprit(state, step, one):
+                    yield step, one
+                    break
+                weighed.add(one)
+
+
+def _tasks_to_weigh(step: StepState, task: TaskKey) -> list[TaskKey]:
+    """Return a task, or all members of a gang that it belongs to."""
+    if not step.spec.gang:
+        return [task]
+    return [step.task(index) for index in range(step.spec.count)]
 
 
 def _is_culprit(state: SchedulerState, step: StepState, task: TaskKey) -> bool:
-    runs = crash_evidence._crashes_by_run(step, task)
-    lone = [
-        crashes for crashes in runs if not all(one.is_widespread for one in crashes)
+    crashes = [
+        one
+        for one in step.crashes_by_index.get(task.index, ())
+        if one.members or not step.spec.gang
     ]
-    unexplained = sum(any(not one.is_explained for one in crashes) for crashes in lone)
-    alike = crash_evidence._alike_widespread(step, task)
-    if unexplained >= MAX_UNEXPLAINED_CRASHES or MAX_CRASHES - len(lone) <= alike:
+    lone = [one for one in crashes if not one.is_widespread]
+    unexplained = [one for one in lone if not one.is_explained]
+    if _limited_count(step, unexplained, is_explained=False) >= MAX_UNEXPLAINED_CRASHES:
         return True
-    weight_by_address: dict[str, int] = {}
-    for crashes in runs:
-        unseen = [one for one in crashes if one.address not in weight_by_address]
-        weight, address = max(
-            (_weight(state, task, one), one.address) for one in unseen or crashes
-        )
-        known = weight_by_address.get(address, 0)
-        weight_by_address[address] = max(weight, known)
-    return sum(weight_by_address.values()) >= CULPRIT_WEIGHT
+    wide = [one for one in crashes if one.is_widespread]
+    alike = max(
+        ([one for one in wide if 0 <= one.ran_ms - a.ran_ms <= 300] for a in wide),
+        key=len,
+        default=[],
+    )
+    if _limited_count(step, lone + alike, is_explained=True) >= MAX_CRASHES:
+        return True
+    weights_by_address: dict[str, list[int]] = {}
+    for one in crashes:
+        weights = weights_by_address.setdefault(one.address, [])
+        weights.append(_weight(state, task, one))
+    return sum(map(max, weights_by_address.values())) >= CULPRIT_WEIGHT
+
+
+def _limited_count(
+    step: StepState, own: Sequence[CrashRecord], *, is_explained: bool
+) -> int:
+    """Return how many crashes count towards the limits of a task's starts."""
+    if not step.spec.gang or len(own) < 2:
+        return len(own)
+    lone = [
+        one
+        for rows in step.crashes_by_index.values()
+        for one in rows
+        if not one.is_widespread and (is_explained or not one.is_explained)
+    ]
+    unknown = {one.run_number or one.worker for one in lone if not one.members}
+    known = {one.run_number for one in lone if one.members}
+    if len(unknown) + len(known) >= MAX_GANG_CRASHES:
+        return len(unknown) + len(known)
+    runs = [*(0 for _ in unknown), *sorted(one.run_number for one in own)]
+    if len(runs) < 3:
+        return len(runs)
+    known.update(one.run_number for one in own)
+    return 3 + sum(number > runs[2] for number in known)
 
 
 def _weight(state: SchedulerState, task: TaskKey, crash: CrashRecord) -> int:
--- a/tests/utils/simulated_worker.py
+++ b/tests/utils/simulated_worker.py
@@ -23,12 +23,16 @@
 
 @dataclass(slots=True)
 class SimulatedRun:
-    """A run on a worker; ``ends_at`` and ``crashes_at`` are virtual times."""
+    """A run on a worker; ``ends_at`` and ``crashes_at`` are virtual times.
+
+    ``resumed_ms`` is the work, in milliseconds, that its checkpoint saved.
+    """
 
     began_at: float
     ends_at: float
     crashes_at: float = float("inf")
     outcome: RunEnd = RunEnd.DONE
+    resumed_ms: int = 0
 
 
 @dataclass(slots=True)
--- a/tests/utils/switch_offs.py
+++ b/tests/utils/switch_offs.py
@@ -173,8 +173,13 @@
         (
             _edit(
                 "scheduling/evidence/suspect_isolation.py",
-                "    if not state.suspected_tasks:",
-                "    if True:",
+                "    if not state.suspected_tasks:\n        return workers",
+                "    if True:\n        return workers",
+            ),
+            _edit(
+                "scheduling/evidence/suspect_isolation.py",
+                "    if not state.suspected_tasks:\n        return [GangWorkers(",
+                "    if True:\n        return [GangWorkers(",
             ),
         ),
     ),
