Count a gang's worker restarts by task in the product's scheduler

Seen by callers: a gang fails at the fourth restart of any workers of its tasks, also if each restart took another task.

Change: each task that a restarted worker loses counts for itself, also while the gang is being stopped as a whole. Several tasks on one worker each lose it once.

Evidence: the new test of restarts under different tasks failed before (5 tasks, failed at the fourth restart); the one of a task that is on each restarted worker held before and holds now, with 4 starts of each task.

--- a/tamarackmount/kernel/task_ends.py
+++ b/tamarackmount/kernel/task_ends.py
@@ -230,14 +230,10 @@
     def _retry_elsewhere(self, job: Job, index: int, now: Instant) -> None:
         """Let a task wait again whose worker restarted, unless that happens often.
 
-        The tasks that a gang loses at once count as one restart.
+        Of a gang, a restart counts for the tasks that were on the worker.
         """
-        if job.is_gang and job.gang_broken:
-            job.waiting.add(index)
-            return
-        counted = 0 if job.is_gang else index
-        restarts = job.restarts_by_index.get(counted, 0) + 1
-        job.restarts_by_index[counted] = restarts
+        restarts = job.restarts_by_index.get(index, 0) + 1
+        job.restarts_by_index[index] = restarts
         if restarts < MAX_RESTARTS:
             job.waiting.add(index)
             return
