Look up where suspects of a gang may start once for each set of crashes

Cause: for each suspect, the placement of a gang went through all workers. After a crash under many members of a gang on one worker, that is members times workers.

Change: members with the same crashes share one look-up.

--- a/tamarackmount/scheduling/evidence/gang_crashes.py
+++ b/tamarackmount/scheduling/evidence/gang_crashes.py
@@ -37,6 +37,11 @@
     run_numbers: Sequence[int]
     unattributed: int
 
+    @property
+    def total(self) -> int:
+        """The number of runs."""
+        return len(self.run_numbers) + self.unattributed
+
     def count_for_member(self, crashes: Iterable[CrashRecord]) -> int:
         """Return how many crashes count towards the limits of a member's starts.
 
@@ -46,9 +51,8 @@
         own = sorted(crash.run_number for crash in crashes)
         if len(own) < MIN_MEMBER_CRASHES:
             return len(own)
-        total = len(self.run_numbers) + self.unattributed
-        if total >= MAX_GANG_CRASHES:
-            return total
+        if self.total >= MAX_GANG_CRASHES:
+            return self.total
         earlier = min(self.unattributed, LIMITING_CRASHES)
         limiting = LIMITING_CRASHES - earlier
         if len(own) < limiting:
--- a/tamarackmount/scheduling/evidence/suspect_isolation.py
+++ b/tamarackmount/scheduling/evidence/suspect_isolation.py
@@ -61,7 +61,7 @@
     found = _without_interference(state, step, workers)
     if not found and waits_apart(state, step, index, now):
         return []
-    return _elsewhere(step, index, found) or found or workers
+    return _elsewhere(crash_addresses(step, index), found) or found or workers
 
 
 def gang_workers(
@@ -84,12 +84,9 @@
     suspects = [
         index for index in step.crashes_by_index if is_suspect(state, step, index)
     ]
-    elsewhere_by_suspect = {
-        index: _incarnations(_elsewhere(step, index, apart)) for index in suspects
-    }
     apart_by_suspect = dict.fromkeys(suspects, _incarnations(apart))
     choices = [
-        GangWorkers(others, elsewhere_by_suspect),
+        GangWorkers(others, _elsewhere_by_suspect(step, suspects, apart)),
         GangWorkers(workers, apart_by_suspect),
     ]
     if now >= step.isolate_until:
@@ -113,12 +110,26 @@
     return [worker for worker in workers if not has_any(worker.incarnation, job_id)]
 
 
+def _elsewhere_by_suspect(
+    step: StepState, suspects: Sequence[int], workers: Sequence[WorkerState]
+) -> dict[int, frozenset[WorkerIncarnation]]:
+    """Return the workers at other addresses than those of each suspect's crashes."""
+    found_by_addresses: dict[frozenset[str], frozenset[WorkerIncarnation]] = {}
+    elsewhere_by_suspect = {}
+    for index in suspects:
+        crashed_at = frozenset(crash_addresses(step, index))
+        if crashed_at not in found_by_addresses:
+            found = _incarnations(_elsewhere(crashed_at, workers))
+            found_by_addresses[crashed_at] = found
+        elsewhere_by_suspect[index] = found_by_addresses[crashed_at]
+    return elsewhere_by_suspect
+
+
 def _elsewhere(
-    step: StepState, index: int, workers: Sequence[WorkerState]
+    addresses: Collection[str], workers: Sequence[WorkerState]
 ) -> list[WorkerState]:
-    """Return the workers at other addresses than those of a task's crashes."""
-    crashed_at = crash_addresses(step, index)
-    return [worker for worker in workers if worker.entry.address not in crashed_at]
+    """Return the workers at other addresses."""
+    return [worker for worker in workers if worker.entry.address not in addresses]
 
 
 def _incarnations(workers: Sequence[WorkerState]) -> frozenset[WorkerIncarnation]:
--- a/tamarackmount/scheduling/execution/run_ends.py
+++ b/tamarackmount/scheduling/execution/run_ends.py
@@ -17,6 +17,7 @@
     explain_crashes,
     find_culprits,
 )
+from tamarackmount.scheduling.evidence.gang_crashes import gang_crashes
 from tamarackmount.scheduling.jobs.objectives import set_deadlines
 from tamarackmount.scheduling.jobs.runs import JobState, Run, StepState
 from tamarackmount.scheduling.jobs.wait_log import log_unfinished_waits
@@ -259,6 +260,7 @@
             "task": format_task(task),
             "crashes": len(evidence),
             "evidence": [_format_crash(crash) for crash in evidence],
+            "gang_crashes": _count_gang_crashes(step),
             "cause": FailureCause.WORKER_CRASHES.value,
         }
         _log.warning("task given up", extra=extra)
@@ -266,6 +268,11 @@
         end_job(state, step.job, JobPhase.FAILED, now, FailureCause.WORKER_CRASHES)
 
 
+def _count_gang_crashes(step: StepState) -> int:
+    """Return how many runs of a gang ended with crashes; 0 for other steps."""
+    return gang_crashes(step, with_explained=True).total if step.spec.gang else 0
+
+
 def _format_crash(crash: CrashRecord) -> str:
     """Return a crash for logs: the worker, the run's longest time and its marks."""
     marks = (
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -682,7 +682,7 @@
     Mutant(
         "a gang whose members crash their workers in turn is given up",
         "scheduling/evidence/gang_crashes.py",
-        "        if total >= MAX_GANG_CRASHES:",
+        "        if self.total >= MAX_GANG_CRASHES:",
         "        if False:",
         GANG_CRASHES,
     ),
@@ -725,7 +725,7 @@
     Mutant(
         "a suspect of a gang starts at another address than where it crashed",
         "scheduling/evidence/suspect_isolation.py",
-        "        GangWorkers(others, elsewhere_by_suspect),\n",
+        "        GangWorkers(others, _elsewhere_by_suspect(step, suspects, apart)),\n",
         "",
         GANG_CRASHES,
     ),
