Count all starts of a member of a gang after its third crash

Cause: from its third crash on, a member's limits counted runs of the gang that ended with a crash. A run that was broken otherwise, as the order of another member came to a worker that had just crashed, is a start as well: in a drawn scenario (four jobs with deadly tasks on three workers) a member started a third time after three crashes.

Change: the numbers of the gang's runs tell its starts, but for those that a takeover leaves out.

--- a/tamarackmount/scheduling/contact/order_results.py
+++ b/tamarackmount/scheduling/contact/order_results.py
@@ -13,10 +13,8 @@
 from tamarackmount.scheduling.domain.model import TaskKey, WorkerIncarnation
 from tamarackmount.scheduling.domain.worker_reports import OrderResult, StartOrder
 from tamarackmount.scheduling.evidence.suspected_workers import mark_suspected
-from tamarackmount.scheduling.execution.run_starts import (
-    FIRST_RUN_NUMBER_AFTER_TAKEOVER,
-    send_start,
-)
+from tamarackmount.scheduling.execution.run_starts import send_start
+from tamarackmount.scheduling.jobs.run_numbers import FIRST_RUN_NUMBER_AFTER_TAKEOVER
 from tamarackmount.scheduling.jobs.runs import Presence, Run, RunPhase
 from tamarackmount.scheduling.membership.holder_authority import HolderAuthority
 from tamarackmount.scheduling.scheduler_state import SchedulerState
--- a/tamarackmount/scheduling/evidence/gang_crashes.py
+++ b/tamarackmount/scheduling/evidence/gang_crashes.py
@@ -5,11 +5,12 @@
 all later crashes count towards the limits of its starts.
 """
 
-from bisect import bisect_right
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from itertools import pairwise, starmap
 
 from tamarackmount.scheduling.domain.model import WorkerIncarnation
+from tamarackmount.scheduling.jobs.run_numbers import FIRST_RUN_NUMBER_AFTER_TAKEOVER
 from tamarackmount.scheduling.jobs.runs import StepState
 from tamarackmount.scheduling.store.journal import CrashRecord
 
@@ -45,8 +46,9 @@
     def count_for_member(self, crashes: Iterable[CrashRecord]) -> int:
         """Return how many crashes count towards the limits of a member's starts.
 
-        These are the ``crashes`` under it and, from the third of these on, those under
-        other members. Each of the unattributed ones may have been under it.
+        These are the ``crashes`` under it and, from the third of these on, all starts
+        until the last crash under any member. Each of the unattributed ones may have
+        been under it.
         """
         own = sorted(crash.run_number for crash in crashes)
         if len(own) < MIN_MEMBER_CRASHES:
@@ -59,9 +61,23 @@
             return earlier + len(own)
         limited_from = own[limiting - 1] if limiting else 0
         # Crashes under the member may be widespread ones, which are left out otherwise.
-        later = {number for number in own if number > limited_from}
-        later.update(self.run_numbers[bisect_right(self.run_numbers, limited_from) :])
-        return LIMITING_CRASHES + len(later)
+        later = sorted(
+            {number for number in (*own, *self.run_numbers) if number > limited_from}
+        )
+        if not limited_from:
+            return LIMITING_CRASHES + len(later)
+        starts = starmap(_count_starts, pairwise([limited_from, *later]))
+        return LIMITING_CRASHES + sum(starts)
+
+
+def _count_starts(after: int, until: int) -> int:
+    """Return how many starts the numbers of two runs are apart.
+
+    Starts that did not end with a crash count, but not the numbers that a takeover
+    leaves out.
+    """
+    difference = until - after
+    return difference if difference < FIRST_RUN_NUMBER_AFTER_TAKEOVER else 1
 
 
 def is_unattributed(step: StepState, crash: CrashRecord) -> bool:
--- a/tamarackmount/scheduling/placement/placement.py
+++ b/tamarackmount/scheduling/placement/placement.py
@@ -12,8 +12,9 @@
     isolated_workers,
     waits_apart,
 )
-from tamarackmount.scheduling.execution.run_starts import next_run_number, start_run
+from tamarackmount.scheduling.execution.run_starts import start_run
 from tamarackmount.scheduling.jobs.ranking import Tier, rank, tier
+from tamarackmount.scheduling.jobs.run_numbers import next_run_number
 from tamarackmount.scheduling.jobs.runs import StepState, WaitReason
 from tamarackmount.scheduling.jobs.wait_log import update_wait_reason
 from tamarackmount.scheduling.limits.ceilings import (
--- a/tests/test_scheduling_give_up_rules.py
+++ b/tests/test_scheduling_give_up_rules.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
+import pytest
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
@@ -135,6 +136,32 @@
     assert len(seen) <= MAX_GANG_CRASHES or max(by_task.values()) <= MIN_CRASHES
 
 
+@pytest.mark.parametrize(
+    ("last_run", "is_given_up"), [(6, False), (7, True), (70, False)]
+)
+def test_starts_that_ended_without_a_crash_did_not_count_for_a_member(
+    last_run: int, is_given_up: bool
+) -> None:
+    """A run was broken between its last crashes, or a takeover left out numbers."""
+    harness = SchedulerHarness()
+    accepted = job(1, step(MEMBERS, gang=True))
+    harness.submit_job(accepted)
+    state = harness.scheduler._state
+    (found,) = state.jobs_by_id[accepted.job_id].steps_by_key.values()
+    for number in (1, 3, 5, last_run):
+        record = CrashRecord(
+            incarnation(f"w{number}"),
+            "same address",
+            2_000,
+            is_explained=number == 5,
+            is_confirmed=True,
+            run_number=number,
+        )
+        record_crash(state, found, 0, record, harness.now)
+        culprits = list(find_culprits(state, [record.worker]))
+    assert bool(culprits) is is_given_up
+
+
 # Deadly tasks of another job crash at the same moments as a member of the gang.
 @example(
     CrashScenario(
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -675,10 +675,24 @@
     Mutant(
         "a member of a gang starts few times more after three crashes under it",
         "scheduling/evidence/gang_crashes.py",
-        "        return LIMITING_CRASHES + len(later)",
+        "        return LIMITING_CRASHES + sum(starts)",
         "        return len(own)",
         GANG_CRASHES,
     ),
+    Mutant(
+        "starts of a member that ended without a crash count towards its limits",
+        "scheduling/evidence/gang_crashes.py",
+        "    return difference if difference < FIRST_RUN_NUMBER_AFTER_TAKEOVER else 1",
+        "    return 1",
+        GANG_CRASHES,
+    ),
+    Mutant(
+        "numbers that a takeover leaves out are no starts",
+        "scheduling/evidence/gang_crashes.py",
+        "    return difference if difference < FIRST_RUN_NUMBER_AFTER_TAKEOVER else 1",
+        "    return difference",
+        GANG_CRASHES,
+    ),
     Mutant(
         "a gang whose members crash their workers in turn is given up",
         "scheduling/evidence/gang_crashes.py",
--- a/tests/utils/plain_evidence.py
+++ b/tests/utils/plain_evidence.py
@@ -1,7 +1,7 @@
 """Culprits of crashes, computed from all evidence for each question."""
 
 from collections.abc import Iterable, Iterator, Sequence
-from itertools import zip_longest
+from itertools import pairwise, zip_longest
 
 from tamarackmount.scheduling.domain.model import TaskKey, WorkerIncarnation
 from tamarackmount.scheduling.evidence import crash_evidence
@@ -116,7 +116,11 @@
     if len(runs) < 3:
         return len(runs)
     known.update(one.run_number for one in own)
-    return 3 + sum(number > runs[2] for number in known)
+    later = sorted(number for number in known if number > runs[2])
+    if not runs[2]:
+        return 3 + len(later)
+    gaps = [after - before for before, after in pairwise([runs[2], *later])]
+    return 3 + sum(gap if gap < 64 else 1 for gap in gaps)
 
 
 def _weight(state: SchedulerState, task: TaskKey, crash: CrashRecord) -> int:
