Check the stored crash of a gang, and orders of members in a slow store

Cause: with evidence by member, the test of a crash that was stored once for each member looked at one member only, and its mutation survived; it now looks at the stored record. The product is unchanged.

--- a/tests/test_scheduling_crash_waves.py
+++ b/tests/test_scheduling_crash_waves.py
@@ -6,6 +6,12 @@
 
 from tamarackmount.scheduling.domain.model import JobPhase
 from tamarackmount.scheduling.domain.worker_reports import OrderResult, PollFailure
+from tamarackmount.scheduling.store.journal import (
+    JobProgress,
+    RecordKind,
+    decode_record,
+    record_key,
+)
 from tests.utils.build_scheduling import (
     SchedulerHarness,
     incarnation,
@@ -94,9 +100,11 @@
     pool.run(0.3)
     pool.crash(incarnation("w0"))
     pool.run(1.0)
-    state = pool.harness.scheduler._state
-    (found,) = state.jobs_by_id[gang.job_id].steps_by_key.values()
-    assert len(found.crashes_by_index[0]) == 1
+    record = pool.harness.records[record_key(RecordKind.PROGRESS, gang.job_id)]
+    crashes_by_task = decode_record(record, JobProgress).unwrap().crashes_by_task
+    assert list(crashes_by_task) == ["0.0.0"]
+    (crash,) = crashes_by_task["0.0.0"]
+    assert crash.members == tuple(range(6))
 
 
 @pytest.mark.parametrize("downtime_s", [0.5, 1.5])
--- a/tests/test_scheduling_gang_crashes.py
+++ b/tests/test_scheduling_gang_crashes.py
@@ -159,14 +159,18 @@
     pool = CrashingPool(MEMBERS, downtime_s=0.5)
     gang = wide_gang(MEMBERS)
     tasks = tasks_of(gang)
-    pool.submit(gang)
-    pool.run(1.0)
+    pool.submit(gang, job(2, step(4, estimated_ms=20_000)))
     pool.store_latency_s = 0.4
+    pool.run(3.0)
     unstored = pool.started_unstored.copy()
     crash_under(pool, tasks[0])
     pool.run(5.0)
+    other = job(3)
+    pool.submit(other)
+    pool.run(2.0)
     assert {pool.started[task] for task in tasks} == {2}
-    assert pool.started_unstored == unstored
+    assert all(pool.started_unstored[task] == unstored[task] for task in tasks)
+    assert pool.started_unstored[tasks_of(other)[0]] == 1
 
 
 def test_a_gang_wider_than_its_limit_went_on_as_its_members_crashed_in_turn() -> None:
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -762,7 +762,7 @@
         "scheduling/evidence/crash_evidence.py",
         "    if any(known.worker == crash.worker for known in crashes):",
         "    if False:",
-        CRASH_WAVES,
+        GANG_CRASHES,
     ),
     Mutant(
         "a run that goes on for long clears its task",
