Give up a gang before a member would start over its budget

Cause: a gang was weighed with crashes only. If its starts end otherwise after three crashes under a member, as the order of another member comes to a worker that has just crashed, no crash follows and the member starts again.

Change: before a gang starts, the starts after the third crash of each member are counted, and its job fails if a member has had two. A round of placement leaves out other steps of a job that ended in it.

The new test fails with the check taken out, as does the rewritten one of orders in a slow store with its mutation, which survived before.

--- a/tamarackmount/scheduling/evidence/crash_evidence.py
+++ b/tamarackmount/scheduling/evidence/crash_evidence.py
@@ -164,6 +164,16 @@
                 yield step, culprit
 
 
+def find_member_over_budget(step: StepState) -> TaskKey | None:
+    """Return a member of a gang that has had all starts that the users allow."""
+    crashes = gang_crashes(step, with_explained=True)
+    for index in sorted(step.crashes_by_index):
+        counted = _counted_crashes(_crashes_under(step, step.task(index)))
+        if crashes.count_starts_for_member(counted, step.run_number) >= MAX_CRASHES:
+            return step.task(index)
+    return None
+
+
 def explain_crashes(state: SchedulerState, step: StepState, task: TaskKey) -> None:
     """Put the crashes of a culprit down to it alone."""
     for crash in step.crashes_by_index.get(task.index, ()):
@@ -231,11 +241,11 @@
     state: SchedulerState, step: StepState, task: TaskKey, counts: _CrashCounts
 ) -> bool:
     crashes = _crashes_under(step, task)
-    lone = [crash for crash in crashes if not crash.is_widespread]
+    lone = _lone(crashes)
     unexplained = [crash for crash in lone if not crash.is_explained]
     if counts.unexplained(unexplained) >= MAX_UNEXPLAINED_CRASHES:
         return True
-    if counts.all([*lone, *_alike_widespread(crashes)]) >= MAX_CRASHES:
+    if counts.all(_counted_crashes(crashes)) >= MAX_CRASHES:
         return True
     weight_by_address: dict[str, int] = {}
     for crash in crashes:
@@ -250,6 +260,15 @@
     return [crash for crash in crashes if not is_unattributed(step, crash)]
 
 
+def _counted_crashes(crashes: list[CrashRecord]) -> list[CrashRecord]:
+    """Return the crashes that count towards the limit of all crashes."""
+    return [*_lone(crashes), *_alike_widespread(crashes)]
+
+
+def _lone(crashes: list[CrashRecord]) -> list[CrashRecord]:
+    return [crash for crash in crashes if not crash.is_widespread]
+
+
 def _alike_widespread(crashes: Iterable[CrashRecord]) -> list[CrashRecord]:
     """Return the most widespread crashes that came after equally long runs."""
     widespread = [crash for crash in crashes if crash.is_widespread]
--- a/tamarackmount/scheduling/evidence/gang_crashes.py
+++ b/tamarackmount/scheduling/evidence/gang_crashes.py
@@ -51,10 +51,20 @@
         been under it.
         """
         own = sorted(crash.run_number for crash in crashes)
+        if len(own) >= MIN_MEMBER_CRASHES and self.total >= MAX_GANG_CRASHES:
+            return self.total
+        return self._count(own, self.run_numbers)
+
+    def count_starts_for_member(
+        self, crashes: Iterable[CrashRecord], last_run: int
+    ) -> int:
+        """Return the same, but with all starts until that of the run ``last_run``."""
+        own = sorted(crash.run_number for crash in crashes)
+        return self._count(own, [*self.run_numbers, last_run])
+
+    def _count(self, own: Sequence[int], run_numbers: Iterable[int]) -> int:
         if len(own) < MIN_MEMBER_CRASHES:
             return len(own)
-        if self.total >= MAX_GANG_CRASHES:
-            return self.total
         earlier = min(self.unattributed, LIMITING_CRASHES)
         limiting = LIMITING_CRASHES - earlier
         if len(own) < limiting:
@@ -62,7 +72,7 @@
         limited_from = own[limiting - 1] if limiting else 0
         # Crashes under the member may be widespread ones, which are left out otherwise.
         later = sorted(
-            {number for number in (*own, *self.run_numbers) if number > limited_from}
+            {number for number in (*own, *run_numbers) if number > limited_from}
         )
         if not limited_from:
             return LIMITING_CRASHES + len(later)
--- a/tamarackmount/scheduling/execution/run_ends.py
+++ b/tamarackmount/scheduling/execution/run_ends.py
@@ -16,6 +16,7 @@
     clear_task,
     explain_crashes,
     find_culprits,
+    find_member_over_budget,
 )
 from tamarackmount.scheduling.evidence.gang_crashes import gang_crashes
 from tamarackmount.scheduling.jobs.objectives import set_deadlines
@@ -253,19 +254,38 @@
 ) -> None:
     """Fail the jobs whose tasks are the culprits of some crashes."""
     for step, task in find_culprits(state, crashes):
-        evidence = step.crashes_by_index[task.index]
-        extra = {
-            "job": task.job_id,
-            "queue": step.job.accepted.queue_name,
-            "task": format_task(task),
-            "crashes": len(evidence),
-            "evidence": [_format_crash(crash) for crash in evidence],
-            "gang_crashes": _count_gang_crashes(step),
-            "cause": FailureCause.WORKER_CRASHES.value,
-        }
-        _log.warning("task given up", extra=extra)
-        explain_crashes(state, step, task)
-        end_job(state, step.job, JobPhase.FAILED, now, FailureCause.WORKER_CRASHES)
+        _give_up(state, step, task, now)
+
+
+def give_up_gang_over_budget(
+    state: SchedulerState, step: StepState, now: Instant
+) -> bool:
+    """Fail the job of a gang that may not start again; tell whether it was failed.
+
+    Its runs may have ended otherwise than with crashes since it was weighed.
+    """
+    task = find_member_over_budget(step)
+    if task is not None:
+        _give_up(state, step, task, now)
+    return task is not None
+
+
+def _give_up(
+    state: SchedulerState, step: StepState, task: TaskKey, now: Instant
+) -> None:
+    evidence = step.crashes_by_index[task.index]
+    extra = {
+        "job": task.job_id,
+        "queue": step.job.accepted.queue_name,
+        "task": format_task(task),
+        "crashes": len(evidence),
+        "evidence": [_format_crash(crash) for crash in evidence],
+        "gang_crashes": _count_gang_crashes(step),
+        "cause": FailureCause.WORKER_CRASHES.value,
+    }
+    _log.warning("task given up", extra=extra)
+    explain_crashes(state, step, task)
+    end_job(state, step.job, JobPhase.FAILED, now, FailureCause.WORKER_CRASHES)
 
 
 def _count_gang_crashes(step: StepState) -> int:
--- a/tamarackmount/scheduling/placement/placement.py
+++ b/tamarackmount/scheduling/placement/placement.py
@@ -12,6 +12,7 @@
     isolated_workers,
     waits_apart,
 )
+from tamarackmount.scheduling.execution.run_ends import give_up_gang_over_budget
 from tamarackmount.scheduling.execution.run_starts import start_run
 from tamarackmount.scheduling.jobs.ranking import Tier, rank, tier
 from tamarackmount.scheduling.jobs.run_numbers import next_run_number
@@ -81,6 +82,9 @@
     for step in sorted(
         state.ready_steps_by_key.values(), key=lambda step: rank(step, now)
     ):
+        if step.job.phase.is_final:
+            # A gang of the job was given up in this round.
+            continue
         queue = state.queue_of(step.job)
         reason = _blocking_reason(step, unconfirmed, now)
         if reason is WaitReason.NONE:
@@ -222,16 +226,11 @@
     now: Instant,
 ) -> WaitReason:
     # ``_capacity_index`` is not used: the signature is that of ``_place_tasks``.
-    if step.runs_by_index:
-        # A member is missing, and the others can only wait for it.
-        for run in list(step.runs_by_index.values()):
-            state.stop_run(run, now)
-        return WaitReason.BACKOFF
-    if any(
-        task.step_key == step.key and task.index in step.pending
-        for task in state.orphaned_run_count_by_task
-    ):
-        return WaitReason.ORPHANED_RUN
+    reason = _restart_reason(state, step, now)
+    if reason is not WaitReason.NONE:
+        return reason
+    if step.crashes_by_index and give_up_gang_over_budget(state, step, now):
+        return WaitReason.NONE
     if not is_under_ceiling(state, step, step.spec.count, ceiling_fraction(step, now)):
         return WaitReason.CEILING
     workers = eligible_workers(state, step, queue, now)
@@ -248,6 +247,20 @@
     return WaitReason.NONE
 
 
+def _restart_reason(state: SchedulerState, step: StepState, now: Instant) -> WaitReason:
+    """Return why a gang can't start yet as earlier runs of it are not over."""
+    if step.runs_by_index:
+        # A member is missing, and the others can only wait for it.
+        for run in list(step.runs_by_index.values()):
+            state.stop_run(run, now)
+        return WaitReason.BACKOFF
+    has_orphans = any(
+        task.step_key == step.key and task.index in step.pending
+        for task in state.orphaned_run_count_by_task
+    )
+    return WaitReason.ORPHANED_RUN if has_orphans else WaitReason.NONE
+
+
 def _start_gang(
     state: SchedulerState,
     step: StepState,
--- a/tests/test_scheduling_gang_crashes.py
+++ b/tests/test_scheduling_gang_crashes.py
@@ -4,11 +4,21 @@
 
 import pytest
 
-from tamarackmount.scheduling.domain.model import JobPhase
-from tamarackmount.scheduling.evidence.crash_evidence import MAX_ISOLATION_WAIT_S
+from tamarackmount.scheduling.domain.model import (
+    JobPhase,
+    TaskKey,
+    WorkerIncarnation,
+)
+from tamarackmount.scheduling.domain.worker_reports import RunEnd
+from tamarackmount.scheduling.evidence.crash_evidence import (
+    MAX_ISOLATION_WAIT_S,
+    record_crash,
+)
 from tamarackmount.scheduling.evidence.gang_crashes import MAX_GANG_CRASHES
+from tamarackmount.scheduling.execution.run_starts import waits_for_its_record
+from tamarackmount.scheduling.store.journal import CrashRecord
 from tests.utils.build_gangs import crash_under, has_excuse, is_given_up, wide_gang
-from tests.utils.build_scheduling import job, step
+from tests.utils.build_scheduling import incarnation, job, step
 from tests.utils.crashing_pool import CrashingPool, tasks_of
 
 LONG_S = 90.0
@@ -156,21 +166,18 @@
 
 def test_members_of_a_gang_started_before_the_others_while_the_store_was_slow() -> None:
     """A member that waits alone for its record would let the others wait in vain."""
-    pool = CrashingPool(MEMBERS, downtime_s=0.5)
+    pool = CrashingPool(MEMBERS)
     gang = wide_gang(MEMBERS)
-    tasks = tasks_of(gang)
-    pool.submit(gang, job(2, step(4, estimated_ms=20_000)))
-    pool.store_latency_s = 0.4
-    pool.run(3.0)
-    unstored = pool.started_unstored.copy()
-    crash_under(pool, tasks[0])
-    pool.run(5.0)
-    other = job(3)
-    pool.submit(other)
-    pool.run(2.0)
-    assert {pool.started[task] for task in tasks} == {2}
-    assert all(pool.started_unstored[task] == unstored[task] for task in tasks)
-    assert pool.started_unstored[tasks_of(other)[0]] == 1
+    pool.submit(gang)
+    pool.run(1.0)
+    state = pool.harness.scheduler._state
+    (found,) = state.jobs_by_id[gang.job_id].steps_by_key.values()
+    runs = list(found.runs_by_index.values())
+    assert not any(waits_for_its_record(state, run) for run in runs)
+    crash = CrashRecord(incarnation("before"), "before:1", 20, is_early=True)
+    record_crash(state, found, 0, crash, pool.now)
+    assert len(runs) == MEMBERS
+    assert all(waits_for_its_record(state, run) for run in runs)
 
 
 def test_a_gang_wider_than_its_limit_went_on_as_its_members_crashed_in_turn() -> None:
@@ -187,3 +194,34 @@
     crash_under(pool, tasks_of(gang)[0])
     pool.run(2.0)
     assert is_given_up(pool, gang)
+
+
+def test_a_member_started_over_its_budget_as_its_starts_ended_without_a_crash() -> None:
+    """After the third crash under it, orders of another member come to nothing."""
+    pool = CrashingPool(MEMBERS, downtime_s=0.5)
+    gang = wide_gang(MEMBERS, estimated_ms=120_000)
+    task, other = tasks_of(gang)[:2]
+    beside = job(2, step(4, estimated_ms=300_000))
+    pool.submit(gang, beside)
+    for _ in range(3):
+        pool.run(2.0)
+        crash_under(pool, task)
+        pool.run(4.0)
+    for _ in range(4):
+        pool.run(10.0, until=lambda: pool.worker_of(other) is not None)
+        where = pool.worker_of(other)
+        if where is None:
+            break
+        pool.run(0.5)
+        _end_run(pool, where, other)
+        pool.run(1.0)
+    assert is_given_up(pool, gang)
+    assert pool.phase(beside) is JobPhase.RUNNING
+    assert pool.started_over_budget[task] == 0
+
+
+def _end_run(pool: CrashingPool, where: WorkerIncarnation, task: TaskKey) -> None:
+    """End a run as one that was stopped."""
+    for (found, _), run in pool.workers[where].runs.items():
+        if found == task:
+            run.ends_at, run.outcome = pool.now, RunEnd.STOPPED
--- a/tests/utils/mutants.py
+++ b/tests/utils/mutants.py
@@ -632,7 +632,7 @@
         "scheduling/evidence/crash_evidence.py",
         "    if counts.unexplained(unexplained) >= MAX_UNEXPLAINED_CRASHES:\n"
         "        return True\n"
-        "    if counts.all([*lone, *_alike_widespread(crashes)]) >= MAX_CRASHES:",
+        "    if counts.all(_counted_crashes(crashes)) >= MAX_CRASHES:",
         "    if False:",
         CRASHES,
     ),
@@ -686,6 +686,13 @@
         "    return 1",
         GANG_CRASHES,
     ),
+    Mutant(
+        "a gang that may not start again is given up before it would",
+        "scheduling/placement/placement.py",
+        "    if step.crashes_by_index and give_up_gang_over_budget(state, step, now):",
+        "    if False:",
+        GANG_CRASHES,
+    ),
     Mutant(
         "numbers that a takeover leaves out are no starts",
         "scheduling/evidence/gang_crashes.py",
@@ -696,7 +703,7 @@
     Mutant(
         "a gang whose members crash their workers in turn is given up",
         "scheduling/evidence/gang_crashes.py",
-        "        if self.total >= MAX_GANG_CRASHES:",
+        "        if len(own) >= MIN_MEMBER_CRASHES and self.total >= MAX_GANG_CRASHES:",
         "        if False:",
         GANG_CRASHES,
     ),
@@ -746,15 +753,15 @@
     Mutant(
         "tasks that crash their workers together are not started without end",
         "scheduling/evidence/crash_evidence.py",
-        "    if counts.all([*lone, *_alike_widespread(crashes)]) >= MAX_CRASHES:",
-        "    if counts.all(lone) >= MAX_CRASHES:",
+        "    return [*_lone(crashes), *_alike_widespread(crashes)]",
+        "    return _lone(crashes)",
         "tests/test_scheduling_deadly_tasks_together.py",
     ),
     Mutant(
         "tasks are not given up for crashes of many workers at once",
         "scheduling/evidence/crash_evidence.py",
-        "    lone = [crash for crash in crashes if not crash.is_widespread]",
-        "    lone = crashes",
+        "    return [crash for crash in crashes if not crash.is_widespread]",
+        "    return crashes",
         CRASH_WAVES,
     ),
     Mutant(
