Skip members with one crash when a gang is about to start

Cause: a waiting gang with evidence against many members was weighed in each round of placement. Change: members with fewer than two crashes are left out first. No decision changes; the tests of gangs and their properties pass.

--- a/tamarackmount/scheduling/evidence/crash_evidence.py
+++ b/tamarackmount/scheduling/evidence/crash_evidence.py
@@ -31,6 +31,7 @@
 from tamarackmount.ids import Instant
 from tamarackmount.scheduling.domain.model import StepKey, TaskKey, WorkerIncarnation
 from tamarackmount.scheduling.evidence.gang_crashes import (
+    MIN_MEMBER_CRASHES,
     gang_crashes,
     is_unattributed,
 )
@@ -166,8 +167,15 @@
 
 def find_member_over_budget(step: StepState) -> TaskKey | None:
     """Return a member of a gang that has had all starts that the users allow."""
+    members = [
+        index
+        for index, crashes in step.crashes_by_index.items()
+        if len(crashes) >= MIN_MEMBER_CRASHES
+    ]
+    if not members:
+        return None
     crashes = gang_crashes(step, with_explained=True)
-    for index in sorted(step.crashes_by_index):
+    for index in sorted(members):
         counted = _counted_crashes(_crashes_under(step, step.task(index)))
         if crashes.count_starts_for_member(counted, step.run_number) >= MAX_CRASHES:
             return step.task(index)
