List a task that starts over its budget beside waves of crashes

Two of its five crashes came with those of three other workers, and its runs lasted from 0.6 to 4.7 s, so that these two count towards no limit. The rule is unchanged since, which weighs the same five records likewise; a limit of five crashes of any kind would give up innocent tasks in waves.

--- a/tests/test_scheduling_give_up_rules.py
+++ b/tests/test_scheduling_give_up_rules.py
@@ -197,3 +197,29 @@
         assert has_excuse(pool, accepted) or not is_given_up(pool, accepted)
     for task in pool.deadly:
         assert pool.started_over_budget[task] == 0
+
+
+def test_a_task_that_crashes_workers_beside_waves_started_over_its_budget() -> None:
+    """Two of its crashes come with others, after runs of unequal length."""
+    gang = step(6, estimated_ms=2_000, gang=True, max_per_worker=1, saves_progress=True)
+    scenario = CrashScenario(
+        worker_count=6,
+        downtime_s=3.2,
+        keeps_id=True,
+        plans=[
+            JobPlan(gang, deadly_count=0, min_age_s=0.0, max_age_s=0.0),
+            JobPlan(gang, deadly_count=3, min_age_s=0.6, max_age_s=0.6),
+            JobPlan(
+                step(2, estimated_ms=12_000, speculative=True),
+                deadly_count=1,
+                min_age_s=1.5,
+                max_age_s=5.5,
+            ),
+            JobPlan(gang, deadly_count=3, min_age_s=0.6, max_age_s=0.6),
+        ],
+        chance_crashes=[0],
+        takeovers=set(),
+        seed=0,
+    )
+    pool, _ = play(scenario)
+    assert max(pool.started_over_budget[task] for task in pool.deadly) == 0
