--- a/tests/test_scheduling_give_up_rules.py
+++ b/tests/test_scheduling_give_up_rules.py
@@ -12,7 +12,6 @@
     record_crash,
 )
 from tamarackmount.scheduling.evidence.gang_crashes import MAX_GANG_CRASHES
-from tamarackmount.scheduling.jobs.runs import StepState
 from tamarackmount.scheduling.store.journal import CrashRecord
 from tests.utils.build_gangs import has_excuse, is_given_up
 from tests.utils.build_scheduling import (
@@ -65,7 +64,6 @@
     accepted = job(1, step(MEMBERS, gang=is_gang))
     harness.submit_job(accepted)
     state = harness.scheduler._state
-    found: StepState
     (found,) = state.jobs_by_id[accepted.job_id].steps_by_key.values()
     for number, crash in enumerate(crashes, 1):
         record = CrashRecord(
@@ -99,21 +97,27 @@
         assert max(_crashes_by_task(seen).values()) >= MIN_CRASHES
 
 
-@given(CRASHES)
-def test_a_task_crashed_more_workers_than_its_budget(crashes: list[Crash]) -> None:
-    seen, _ = _crashes_until_given_up(crashes, is_gang=False)
+def _assert_single_tasks_keep_their_budget(
+    crashes: list[Crash], *, is_widespread: bool
+) -> None:
+    seen, _ = _crashes_until_given_up(
+        crashes, is_gang=False, is_widespread=is_widespread
+    )
     starts = _crashes_by_task(seen)
     assert max(starts.values(), default=0) <= LIMITING_CRASHES + STARTS_AFTER_LIMIT
 
 
+@given(CRASHES)
+def test_a_task_crashed_more_workers_than_its_budget(crashes: list[Crash]) -> None:
+    _assert_single_tasks_keep_their_budget(crashes, is_widespread=False)
+
+
 @given(CRASHES)
 def test_tasks_that_crash_together_after_equal_times_exceeded_their_budget(
     crashes: list[Crash],
 ) -> None:
     alike = [crash for crash in crashes if crash.ran_ms == 20]
-    seen, _ = _crashes_until_given_up(alike, is_gang=False, is_widespread=True)
-    starts = _crashes_by_task(seen)
-    assert max(starts.values(), default=0) <= LIMITING_CRASHES + STARTS_AFTER_LIMIT
+    _assert_single_tasks_keep_their_budget(alike, is_widespread=True)
 
 
 @given(CRASHES)
