Check that drawn histories keep suspects of gangs apart

The comparison counted such choices of workers for gangs, and nothing read the count, so that it could have compared none.

--- a/tests/test_scheduling_suspect_index.py
+++ b/tests/test_scheduling_suspect_index.py
@@ -148,6 +148,7 @@
         pool.held_back.clear()
     assert decisions.among_suspects
     assert decisions.kept_apart
+    assert decisions.gangs_kept_apart
 
 
 def _let_something_happen(pool: CrashingPool, rng: random.Random) -> None:
